--- /dev/null
+++ b/apps/demo/ask.ts
@@ -0,0 +1,59 @@
+import { request } from "undici";
+
+/** What a caller saw of one answer. */
+type AskedAnswer = {
+  readonly text: string;
+  readonly requestId: string;
+  /** Milliseconds until the first piece of text. */
+  readonly firstToken: number;
+};
+
+/** Sends one prompt and prints the answer as it streams in. */
+export async function ask(
+  address: string,
+  options: { key: string; prompt: string; print: (text: string) => void },
+): Promise<AskedAnswer> {
+  const startedAt = performance.now();
+  const response = await request(`http://${address}/v1/chat/completions`, {
+    method: "POST",
+    headers: {
+      authorization: `Bearer ${options.key}`,
+      "content-type": "application/json",
+    },
+    body: JSON.stringify({
+      model: "assistant",
+      stream: true,
+      max_tokens: 60,
+      messages: [{ role: "user", content: options.prompt }],
+    }),
+  });
+  if (response.statusCode !== 200) {
+    throw new Error(`${response.statusCode} ${await response.body.text()}`);
+  }
+  let text = "";
+  let firstToken = 0;
+  for await (const chunk of response.body) {
+    for (const piece of readPieces(String(chunk))) {
+      firstToken ||= performance.now() - startedAt;
+      text += piece;
+      options.print(piece);
+    }
+  }
+  const requestId = String(response.headers["heroncleat-request"]);
+  return { text, requestId, firstToken };
+}
+
+function readPieces(chunk: string): string[] {
+  const pieces: string[] = [];
+  for (const line of chunk.split("\n")) {
+    if (!line.startsWith("data: {")) {
+      continue;
+    }
+    const event = JSON.parse(line.slice("data: ".length));
+    const content = event.choices?.[0]?.delta?.content;
+    if (typeof content === "string") {
+      pieces.push(content);
+    }
+  }
+  return pieces;
+}
--- /dev/null
+++ b/apps/demo/process_group.ts
@@ -0,0 +1,56 @@
+import { type ChildProcess, spawn } from "node:child_process";
+import { closeSync, openSync } from "node:fs";
+import { join } from "node:path";
+
+/** A started process. */
+type StartedProcess = {
+  readonly name: string;
+  readonly child: ChildProcess;
+  readonly exited: Promise<number>;
+};
+
+/** The processes of a local deployment, each with a log file. */
+export class ProcessGroup {
+  readonly #folder: string;
+  readonly #processes = new Map<string, StartedProcess>();
+
+  constructor(folder: string) {
+    this.#folder = folder;
+  }
+
+  start(name: string, options: { script: string; words: string[] }): void {
+    const log = openSync(join(this.#folder, `${name}.log`), "a");
+    const child = spawn(process.execPath, [options.script, ...options.words], {
+      stdio: ["ignore", log, log],
+    });
+    closeSync(log);
+    const exited = new Promise<number>((resolve) => {
+      child.once("exit", (code) => resolve(code ?? 1));
+    });
+    this.#processes.set(name, { name, child, exited });
+  }
+
+  childOf(name: string): ChildProcess {
+    return this.#processes.get(name)!.child;
+  }
+
+  /** Stops some processes gracefully and returns their exit codes. */
+  async stop(names: readonly string[]): Promise<number[]> {
+    const codes: Promise<number>[] = [];
+    for (const name of names) {
+      const started = this.#processes.get(name)!;
+      started.child.kill("SIGTERM");
+      codes.push(started.exited);
+    }
+    return await Promise.all(codes);
+  }
+
+  /** Ends all processes at once, as a last resort. */
+  kill(): void {
+    for (const { child } of this.#processes.values()) {
+      if (child.exitCode === null) {
+        child.kill("SIGKILL");
+      }
+    }
+  }
+}
--- /dev/null
+++ b/apps/demo/set_up_routing.ts
@@ -0,0 +1,58 @@
+import { readFileSync } from "node:fs";
+import { createToken } from "@heroncleat/base";
+import type { Edit } from "@heroncleat/schema";
+import { request } from "undici";
+import type { Deployment } from "./deployment.ts";
+import { waitFor } from "./wait_for.ts";
+
+const START_TIMEOUT = 20_000;
+
+/** The first configuration: one group for each kind of upstream. */
+const EDITS: readonly Edit[] = [
+  {
+    kind: "group_set",
+    group: {
+      name: "old",
+      labels: { place: "old" },
+      state: "serving",
+      share: 50,
+    },
+  },
+  {
+    kind: "group_set",
+    group: {
+      name: "new",
+      labels: { place: "new" },
+      state: "serving",
+      share: 50,
+    },
+  },
+  {
+    kind: "selector_set",
+    selector: { name: "all", order: 100, match: {}, groups: ["old", "new"] },
+  },
+];
+
+/** Sets groups and a selector through the operator API. */
+export async function setUpRouting(deployment: Deployment): Promise<void> {
+  const token = readFileSync(deployment.tokenFile, "utf8").trim();
+  const headers = {
+    authorization: `Bearer ${token}`,
+    "content-type": "application/json",
+  };
+  const body = JSON.stringify({
+    id: createToken(),
+    expectedRevision: 0,
+    edits: EDITS,
+  });
+  const address = deployment.controls[0]!.operatorAddress;
+  await waitFor("The first configuration change", {
+    timeout: START_TIMEOUT,
+    check: async () => {
+      const url = `http://${address}/v1/operator/changes`;
+      const reply = await request(url, { method: "POST", headers, body });
+      await reply.body.dump();
+      return reply.statusCode === 200 || undefined;
+    },
+  });
+}
--- /dev/null
+++ b/apps/heroncleat/audit_command.ts
@@ -0,0 +1,25 @@
+import type { AuditRecord } from "@heroncleat/schema";
+import type { CommandContext } from "./command_context.ts";
+import type { CommandResult } from "./command_result.ts";
+import { formatTable } from "./format_table.ts";
+import { show } from "./show.ts";
+
+/** Shows who asked for which change when, and what became of it. */
+export function auditCommand(context: CommandContext): Promise<CommandResult> {
+  return show<{ audit: AuditRecord[] }>(
+    context,
+    "/v1/operator/audit",
+    ({ audit }) =>
+      formatTable(
+        ["TIME", "OPERATOR", "OUTCOME", "REVISION", "EDITS", "BEFORE"],
+        audit.map((record) => [
+          new Date(record.at).toISOString(),
+          record.operator,
+          record.outcome,
+          record.revision,
+          record.message ?? JSON.stringify(record.edits),
+          JSON.stringify(record.before),
+        ]),
+      ),
+  );
+}
--- /dev/null
+++ b/apps/heroncleat/group_commands.ts
@@ -0,0 +1,138 @@
+import type { Fault } from "@heroncleat/base";
+import type { ConfigurationView, Edit, Group } from "@heroncleat/schema";
+import { Result } from "true-myth/result";
+import type { CommandContext } from "./command_context.ts";
+import type { CommandResult } from "./command_result.ts";
+import { formatTable } from "./format_table.ts";
+import { parsePairs } from "./parse_pairs.ts";
+import { show } from "./show.ts";
+import { submitChange } from "./submit_change.ts";
+import { usageFault } from "./usage_fault.ts";
+
+const MOST_SHARE = 100;
+
+/** Commands about groups, and the migration between them. */
+export const groupCommands = {
+  list(context: CommandContext): Promise<CommandResult> {
+    return show<ConfigurationView>(
+      context,
+      "/v1/operator/configuration",
+      (view) =>
+        formatTable(
+          ["GROUP", "STATE", "SHARE", "LABELS"],
+          Object.values(view.groups).map((group) => [
+            group.name,
+            group.state,
+            group.share,
+            group.labels,
+          ]),
+        ),
+    );
+  },
+
+  /** `group-set NAME key=value ...` */
+  set(context: CommandContext): Promise<CommandResult> {
+    const [name, ...pairs] = context.words;
+    return submitChange(context, (view) => {
+      if (name === undefined) {
+        return missingName("group-set NAME key=value ...");
+      }
+      const labels = parsePairs(pairs);
+      if (labels.isErr) {
+        return Result.err(labels.error);
+      }
+      const before = view.groups[name];
+      const share = readShare(context, before?.share ?? MOST_SHARE);
+      if (share.isErr) {
+        return Result.err(share.error);
+      }
+      const state = before?.state ?? "serving";
+      return setGroup({
+        name,
+        labels: labels.value,
+        state,
+        share: share.value,
+      });
+    });
+  },
+
+  remove(context: CommandContext): Promise<CommandResult> {
+    const [name] = context.words;
+    return submitChange(
+      context,
+      () =>
+        name === undefined
+          ? missingName("group-remove NAME")
+          : Result.ok([{ kind: "group_removed", name }]),
+    );
+  },
+
+  /** Sends nothing new to a group. */
+  drain(context: CommandContext): Promise<CommandResult> {
+    return submitChange(
+      context,
+      (view) =>
+        changeGroup(
+          view,
+          context,
+          (group) => Result.ok({ ...group, state: "draining" }),
+        ),
+    );
+  },
+
+  /** Sends a share of the traffic to a group. */
+  fill(context: CommandContext): Promise<CommandResult> {
+    return submitChange(
+      context,
+      (view) =>
+        changeGroup(view, context, (group) => {
+          const share = readShare(context, MOST_SHARE);
+          if (share.isErr) {
+            return Result.err(share.error);
+          }
+          const state = share.value === MOST_SHARE ? "serving" : "filling";
+          return Result.ok({ ...group, state, share: share.value });
+        }),
+    );
+  },
+};
+
+function changeGroup(
+  view: ConfigurationView,
+  context: CommandContext,
+  change: (group: Group) => Result<Group, Fault>,
+): Result<Edit[], Fault> {
+  const [name] = context.words;
+  if (name === undefined) {
+    return missingName("drain NAME, or fill NAME --share N");
+  }
+  const group = view.groups[name];
+  if (group === undefined) {
+    return Result.err(
+      usageFault(`There is no group ${name}`, "see heroncleat groups"),
+    );
+  }
+  const changed = change(group);
+  return changed.isErr ? Result.err(changed.error) : setGroup(changed.value);
+}
+
+function setGroup(group: Group): Result<Edit[], Fault> {
+  return Result.ok([{ kind: "group_set", group }]);
+}
+
+function readShare(
+  context: CommandContext,
+  fallback: number,
+): Result<number, Fault> {
+  const share = Number(context.options["share"] ?? fallback);
+  if (!Number.isInteger(share) || share < 0 || share > MOST_SHARE) {
+    return Result.err(
+      usageFault("--share is not a whole number", "use one from 0 to 100"),
+    );
+  }
+  return Result.ok(share);
+}
+
+function missingName(usage: string): Result<Edit[], Fault> {
+  return Result.err(usageFault("A name is missing", `write ${usage}`));
+}
--- /dev/null
+++ b/apps/heroncleat/main.ts
@@ -0,0 +1,150 @@
+#!/usr/bin/env node
+/**
+ * The operators' command-line tool.
+ *
+ * @module
+ */
+import { parseArgs } from "node:util";
+import { auditCommand } from "./audit_command.ts";
+import type { CommandContext } from "./command_context.ts";
+import type { CommandResult } from "./command_result.ts";
+import { ExitCode } from "./exit_code.ts";
+import { groupCommands } from "./group_commands.ts";
+import { limitCommands } from "./limit_commands.ts";
+import { OperatorClient } from "./operator_client.ts";
+import { selectorCommands } from "./selector_commands.ts";
+import { statusCommand } from "./status_command.ts";
+import { upstreamCommands } from "./upstream_commands.ts";
+import { watchCommand } from "./watch_command.ts";
+
+const VERSION = "0.1.0";
+const HELP = `heroncleat, the operators' tool.
+
+Usage: heroncleat --control HOST:PORT[,...] --token-file FILE COMMAND
+
+  status                                replicas, entries, upstreams
+  groups                                all groups
+  group-set NAME key=value ... [--share N]
+  group-remove NAME
+  drain NAME                            send no new work to a group
+  fill NAME --share N                   send a share of the work to a group
+  selectors                             all selectors
+  selector-set NAME --groups A,B [--order N] [--idempotent true|false]
+               [workspace=W] [model=M] [service=S] [method=M] [pathPrefix=P]
+  selector-remove NAME
+  limits                                limits of workspaces
+  limit-set WORKSPACE [--weight N] [--running N] [--queued N]
+  limit-remove WORKSPACE
+  labels-set UPSTREAM key=value ...     labels over those it announces
+  order UPSTREAM load_model|unload_model|set_role VALUE
+  orders                                the outbox of orders
+  audit                                 the audit trail
+  watch [--revision N] [--count N]      each new revision
+
+  --json           print JSON
+  --revision N     revision the change was made against
+  --change-id ID   identifier of the change, to send it again
+
+The environment may hold HERONCLEAT_CONTROL and HERONCLEAT_TOKEN_FILE.
+Exit codes: 0 done, 1 failed, 2 bad usage, 3 conflict, 4 refused.
+`;
+
+/** A command of the tool. */
+type Command = (context: CommandContext) => Promise<CommandResult>;
+
+const COMMANDS: Readonly<Record<string, Command>> = {
+  "status": statusCommand,
+  "groups": groupCommands.list,
+  "group-set": groupCommands.set,
+  "group-remove": groupCommands.remove,
+  "drain": groupCommands.drain,
+  "fill": groupCommands.fill,
+  "selectors": selectorCommands.list,
+  "selector-set": selectorCommands.set,
+  "selector-remove": selectorCommands.remove,
+  "limits": limitCommands.list,
+  "limit-set": limitCommands.set,
+  "limit-remove": limitCommands.remove,
+  "labels-set": upstreamCommands.setLabels,
+  "order": upstreamCommands.order,
+  "orders": upstreamCommands.orders,
+  "audit": auditCommand,
+  "watch": watchCommand,
+};
+
+process.exitCode = await main();
+
+async function main(): Promise<number> {
+  let parsed: ReturnType<typeof parse>;
+  try {
+    parsed = parse();
+  } catch (error) {
+    return failUsage((error as Error).message);
+  }
+  const { values, positionals } = parsed;
+  if (values.help) {
+    process.stdout.write(HELP);
+    return ExitCode.done;
+  }
+  if (values.version) {
+    process.stdout.write(`heroncleat ${VERSION}\n`);
+    return ExitCode.done;
+  }
+  const [name = "", ...words] = positionals;
+  const command = Object.hasOwn(COMMANDS, name) ? COMMANDS[name] : undefined;
+  if (command === undefined) {
+    return failUsage(`There is no command "${name}".`);
+  }
+  const control = values.control ?? process.env["HERONCLEAT_CONTROL"];
+  const file = values["token-file"] ?? process.env["HERONCLEAT_TOKEN_FILE"];
+  if (control === undefined || file === undefined) {
+    return failUsage("--control or --token-file is missing.");
+  }
+  const client = OperatorClient.create(control, file);
+  if (client.isErr) {
+    return fail(client.error.message);
+  }
+  const result = await command({
+    client: client.value,
+    words,
+    json: values.json ?? false,
+    options: values as Record<string, string | undefined>,
+    print: (text) => process.stdout.write(`${text}\n`),
+  });
+  return result.isErr ? fail(result.error.message) : result.value;
+}
+
+function parse() {
+  return parseArgs({
+    allowPositionals: true,
+    options: {
+      "control": { type: "string" },
+      "token-file": { type: "string" },
+      "json": { type: "boolean" },
+      "help": { type: "boolean" },
+      "version": { type: "boolean" },
+      "share": { type: "string" },
+      "groups": { type: "string" },
+      "order": { type: "string" },
+      "idempotent": { type: "string" },
+      "weight": { type: "string" },
+      "running": { type: "string" },
+      "queued": { type: "string" },
+      "revision": { type: "string" },
+      "change-id": { type: "string" },
+      "count": { type: "string" },
+    },
+  });
+}
+
+function failUsage(message: string): number {
+  process.stderr.write(
+    `heroncleat: ${message} Remedy: see heroncleat --help.\n`,
+  );
+  return ExitCode.badUsage;
+}
+
+function fail(message: string): number {
+  process.stderr.write(`heroncleat: ${message}\n`);
+  return ExitCode.failed;
+}
--- /dev/null
+++ b/apps/heroncleat/selector_commands.ts
@@ -0,0 +1,91 @@
+import type { Fault } from "@heroncleat/base";
+import type {
+  ConfigurationView,
+  Edit,
+  Selector,
+  SelectorMatch,
+} from "@heroncleat/schema";
+import { Result } from "true-myth/result";
+import type { CommandContext } from "./command_context.ts";
+import type { CommandResult } from "./command_result.ts";
+import { formatTable } from "./format_table.ts";
+import { parsePairs } from "./parse_pairs.ts";
+import { show } from "./show.ts";
+import { submitChange } from "./submit_change.ts";
+import { usageFault } from "./usage_fault.ts";
+
+const MATCH_KEYS = ["workspace", "model", "service", "method", "pathPrefix"];
+const DEFAULT_ORDER = 100;
+const USAGE = "selector-set NAME --groups A,B [--order N] [model=M ...]";
+
+/** Commands about selectors. */
+export const selectorCommands = {
+  list(context: CommandContext): Promise<CommandResult> {
+    return show<ConfigurationView>(
+      context,
+      "/v1/operator/configuration",
+      (view) =>
+        formatTable(
+          ["SELECTOR", "ORDER", "GROUPS", "MATCH", "IDEMPOTENT"],
+          Object.values(view.selectors)
+            .sort((left, right) => left.order - right.order)
+            .map((selector) => [
+              selector.name,
+              selector.order,
+              selector.groups.join(","),
+              selector.match,
+              selector.idempotent,
+            ]),
+        ),
+    );
+  },
+
+  set(context: CommandContext): Promise<CommandResult> {
+    return submitChange(context, () => buildSelector(context));
+  },
+
+  remove(context: CommandContext): Promise<CommandResult> {
+    const [name] = context.words;
+    return submitChange(
+      context,
+      () =>
+        name === undefined
+          ? Result.err(
+            usageFault("A name is missing", "write selector-remove NAME"),
+          )
+          : Result.ok([{ kind: "selector_removed", name }]),
+    );
+  },
+};
+
+function buildSelector(context: CommandContext): Result<Edit[], Fault> {
+  const [name, ...words] = context.words;
+  const { groups, order, idempotent } = context.options;
+  if (name === undefined || groups === undefined) {
+    return Result.err(
+      usageFault("A name or --groups is missing", `write ${USAGE}`),
+    );
+  }
+  const match = parsePairs(words);
+  if (match.isErr) {
+    return Result.err(match.error);
+  }
+  const unknown = Object.keys(match.value).find((key) =>
+    !MATCH_KEYS.includes(key)
+  );
+  if (unknown !== undefined) {
+    return Result.err(
+      usageFault(`${unknown} can't be matched`, `use ${MATCH_KEYS.join(", ")}`),
+    );
+  }
+  const selector: Selector = {
+    name,
+    order: Number(order ?? DEFAULT_ORDER),
+    match: match.value as SelectorMatch,
+    groups: groups.split(","),
+  };
+  if (idempotent !== undefined) {
+    selector.idempotent = idempotent === "true";
+  }
+  return Result.ok([{ kind: "selector_set", selector }]);
+}
--- /dev/null
+++ b/apps/heroncleatd/common/create_metrics.ts
@@ -0,0 +1,27 @@
+import { splitAddress } from "@heroncleat/base";
+import type { MetricSettings } from "@heroncleat/schema";
+import { StatsD } from "hot-shots";
+import type { Log } from "./log.ts";
+import type { Metrics } from "./metrics.ts";
+
+/** Makes StatsD metrics; without an address nothing is sent. */
+export function createMetrics(
+  settings: MetricSettings,
+  log: Log,
+): Metrics {
+  const { host, port } = splitAddress(settings.address);
+  const client = new StatsD({
+    mock: settings.address === "",
+    host,
+    port,
+    prefix: settings.prefix,
+    errorHandler: (error) =>
+      log.warn("Metrics can't be sent", { error: error.message }),
+  });
+  return {
+    increment: (name, by = 1) => client.increment(name, by),
+    gauge: (name, value) => client.gauge(name, value),
+    timing: (name, milliseconds) => client.timing(name, milliseconds),
+    close: () => client.close(() => {}),
+  };
+}
--- /dev/null
+++ b/apps/heroncleatd/common/load_settings.ts
@@ -0,0 +1,56 @@
+import { readFileSync } from "node:fs";
+import { createFault, type Fault, splitList } from "@heroncleat/base";
+import { parseSettings, type Settings } from "@heroncleat/schema";
+import { parse } from "ini";
+import { Result } from "true-myth/result";
+
+/** Reads and checks a settings file. */
+export function loadSettings(path: string): Result<Settings, Fault> {
+  let text: string;
+  try {
+    text = readFileSync(path, "utf8");
+  } catch (error) {
+    return refuse([
+      `${path}: the file can't be read (${(error as Error).message}). ` +
+      "Remedy: pass the path of a readable INI file with --settings.",
+    ]);
+  }
+  const parsed = parseSettings(toSections(parse(text)));
+  if ("problems" in parsed) {
+    return refuse(
+      parsed.problems.map((problem) =>
+        `${path}: ${problem.key || "the file"}: found ${problem.found}. ` +
+        `Remedy: ${problem.remedy}.`
+      ),
+    );
+  }
+  const problems = findMissingSections(parsed.settings, path);
+  return problems.length > 0 ? refuse(problems) : Result.ok(parsed.settings);
+}
+
+function refuse(problems: readonly string[]): Result<Settings, Fault> {
+  return Result.err(createFault("settings", problems.join("\n")));
+}
+
+/** The INI library makes objects without a prototype; the schema wants plain. */
+function toSections(value: Record<string, unknown>): Record<string, unknown> {
+  return JSON.parse(JSON.stringify(value)) as Record<string, unknown>;
+}
+
+function findMissingSections(settings: Settings, path: string): string[] {
+  const roles = splitList(settings.daemon.roles);
+  const problems: string[] = [];
+  if (roles.includes("entry") && settings.entry === undefined) {
+    problems.push(
+      `${path}: daemon.roles names entry, but there is no [entry] section. ` +
+        "Remedy: add the section or remove the role.",
+    );
+  }
+  if (roles.includes("control") && settings.control === undefined) {
+    problems.push(
+      `${path}: daemon.roles names control, but there is no [control] ` +
+        "section. Remedy: add the section or remove the role.",
+    );
+  }
+  return problems;
+}
--- /dev/null
+++ b/apps/heroncleatd/common/metrics.ts
@@ -0,0 +1,7 @@
+/** Counts and times of one process. */
+export type Metrics = {
+  increment(name: string, by?: number): void;
+  gauge(name: string, value: number): void;
+  timing(name: string, milliseconds: number): void;
+  close(): void;
+};
--- /dev/null
+++ b/apps/heroncleatd/control/control_methods.ts
@@ -0,0 +1,121 @@
+import type { Milliseconds } from "@heroncleat/base";
+import {
+  checkConsensusMessage,
+  checkJoinRequest,
+  type JoinReply,
+  type ReplicaMember,
+} from "@heroncleat/schema";
+import type { MethodHandler } from "@heroncleat/transport";
+import type { ConfirmedReads } from "./confirmed_reads.ts";
+import type { ControlCommand } from "./control_command.ts";
+import type { ReplicaAccess } from "./replica_access.ts";
+
+/** What the methods of a started replica are built from. */
+type MethodOptions = {
+  readonly self: ReplicaMember;
+  readonly founders: readonly ReplicaMember[];
+  readonly replica: ReplicaAccess;
+  readonly reads: ConfirmedReads;
+  readonly wall: () => Milliseconds;
+  readonly onMessage: (message: unknown) => void;
+  readonly addLearner: (member: ReplicaMember) => Promise<boolean>;
+};
+
+const DEFAULT_TIMEOUT = 2000;
+
+/** The methods that a replica serves to entries and to other replicas. */
+export function controlMethods(
+  options: MethodOptions,
+): Record<string, MethodHandler> {
+  const { replica, reads } = options;
+  return {
+    "control.consensus": (message) => {
+      if (checkConsensusMessage(message)) {
+        options.onMessage(message);
+      }
+    },
+    "control.join": async (): Promise<JoinReply> => ({
+      formed: true,
+      self: options.self,
+      members: [...await replica.inspect((_, known) => known.members)],
+      founders: [...options.founders],
+    }),
+    "control.add_learner": async (parameters) =>
+      checkJoinRequest(parameters) &&
+      await options.addLearner(parameters.member),
+    "control.read_index": () => replica.readIndex(DEFAULT_TIMEOUT),
+    "control.propose": (parameters) => {
+      const { command, timeout } = parameters as {
+        command: ControlCommand;
+        timeout?: Milliseconds;
+      };
+      return replica.propose(
+        stamp(command, options.wall()),
+        timeout ?? DEFAULT_TIMEOUT,
+      );
+    },
+    "control.renew": async (parameters) => {
+      const { revision } = parameters as { revision: number };
+      const confirmation = await reads.confirm();
+      if (confirmation.kind === "not_leader") {
+        return { kind: "not_leader", leader: "" };
+      }
+      return await replica.inspect((application) => ({
+        kind: "renewed",
+        revision: application.configuration.revision,
+        catchUp: application.configuration.catchUpFrom(revision),
+      }));
+    },
+    "control.find_claim": async (parameters) => {
+      const { workspace, key } = parameters as {
+        workspace: string;
+        key: string;
+      };
+      const confirmation = await reads.confirm();
+      if (confirmation.kind === "not_leader") {
+        return { kind: "not_leader", leader: "" };
+      }
+      return await replica.inspect((application) => ({
+        kind: "found",
+        claim: application.ledger.find(workspace, key) ?? null,
+      }));
+    },
+    "control.find_custody": async (parameters) => {
+      const { request } = parameters as { request: string };
+      const confirmation = await reads.confirm();
+      if (confirmation.kind === "not_leader") {
+        return { kind: "not_leader", leader: "" };
+      }
+      return await replica.inspect((application) => ({
+        kind: "found",
+        custody: application.ledger.custodyOf(request),
+      }));
+    },
+    "control.status": () =>
+      replica.inspect((application, known) => ({
+        kind: "status",
+        name: options.self.name,
+        id: options.self.id,
+        zone: options.self.zone,
+        role: known.role,
+        term: known.term,
+        leader: known.leader,
+        commitIndex: known.commitIndex,
+        revision: application.configuration.revision,
+        members: known.members,
+      })),
+  };
+}
+
+/** The accepting replica's time, so that all replicas apply the same one. */
+function stamp(command: ControlCommand, at: Milliseconds): ControlCommand {
+  switch (command.kind) {
+    case "change":
+    case "refusal":
+      return { ...command, change: { ...command.change, at } };
+    case "order":
+      return command;
+    default:
+      return { ...command, at };
+  }
+}
--- /dev/null
+++ b/apps/heroncleatd/control/replica_access.ts
@@ -0,0 +1,71 @@
+import type { Milliseconds } from "@heroncleat/base";
+import type { Replica } from "@heroncleat/consensus";
+import type { Actor } from "../common/actor.ts";
+import type { ControlApplication } from "./control_application.ts";
+import type { ControlCommand } from "./control_command.ts";
+import type { ProposalOutcome } from "./proposal_outcome.ts";
+import type { ReadOutcome } from "./read_outcome.ts";
+import type { ReplicaMessage } from "./replica_message.ts";
+
+/** Asks the actor that owns the replica, with promises for replies. */
+export class ReplicaAccess {
+  readonly #actor: Actor<ReplicaMessage>;
+
+  constructor(actor: Actor<ReplicaMessage>) {
+    this.#actor = actor;
+  }
+
+  propose(
+    command: ControlCommand,
+    timeout: Milliseconds,
+  ): Promise<ProposalOutcome> {
+    return new Promise((resolve) => {
+      const sent = this.#actor.tell({
+        kind: "propose",
+        command,
+        timeout,
+        reply: resolve,
+      });
+      if (!sent) {
+        resolve({ kind: "not_leader", leader: "" });
+      }
+    });
+  }
+
+  readIndex(timeout: Milliseconds): Promise<ReadOutcome> {
+    return new Promise((resolve) => {
+      if (!this.#actor.tell({ kind: "read", timeout, reply: resolve })) {
+        resolve({ kind: "not_leader", leader: "" });
+      }
+    });
+  }
+
+  waitApplied(index: number, timeout: Milliseconds): Promise<boolean> {
+    return new Promise((resolve) => {
+      const sent = this.#actor.tell({
+        kind: "wait_applied",
+        index,
+        timeout,
+        reply: resolve,
+      });
+      if (!sent) {
+        resolve(false);
+      }
+    });
+  }
+
+  /** Reads the state as it is on this replica now. */
+  inspect<Value>(
+    read: (application: ControlApplication, replica: Replica) => Value,
+  ): Promise<Value> {
+    return new Promise((resolve, reject) => {
+      const sent = this.#actor.tell({
+        kind: "inspect",
+        read: (application, replica) => resolve(read(application, replica)),
+      });
+      if (!sent) {
+        reject(new Error("the replica's mailbox is full"));
+      }
+    });
+  }
+}
--- /dev/null
+++ b/apps/heroncleatd/control/replica_message.ts
@@ -0,0 +1,32 @@
+import type { Milliseconds } from "@heroncleat/base";
+import type { Replica, ReplicaEvent } from "@heroncleat/consensus";
+import type { ControlApplication } from "./control_application.ts";
+import type { ControlCommand } from "./control_command.ts";
+import type { ProposalOutcome } from "./proposal_outcome.ts";
+import type { ReadOutcome } from "./read_outcome.ts";
+
+/** Messages to the actor that owns the replica. */
+export type ReplicaMessage =
+  | { readonly kind: "event"; readonly event: ReplicaEvent }
+  | {
+    readonly kind: "propose";
+    readonly command: ControlCommand;
+    readonly timeout: Milliseconds;
+    readonly reply: (outcome: ProposalOutcome) => void;
+  }
+  | {
+    readonly kind: "read";
+    readonly timeout: Milliseconds;
+    readonly reply: (outcome: ReadOutcome) => void;
+  }
+  /** Answers once the log is applied up to an index; false on a timeout. */
+  | {
+    readonly kind: "wait_applied";
+    readonly index: number;
+    readonly timeout: Milliseconds;
+    readonly reply: (applied: boolean) => void;
+  }
+  | {
+    readonly kind: "inspect";
+    readonly read: (application: ControlApplication, replica: Replica) => void;
+  };
--- /dev/null
+++ b/apps/heroncleatd/control/start_control.ts
@@ -0,0 +1,318 @@
+import { splitList } from "@heroncleat/base";
+import { Replica } from "@heroncleat/consensus";
+import { Journal, readDiskIdentity } from "@heroncleat/journal";
+import type {
+  Announcement,
+  ControlSettings,
+  JoinReply,
+  MemberRecord,
+  ReplicaMember,
+  UpstreamRecord,
+} from "@heroncleat/schema";
+import { Actor } from "../common/actor.ts";
+import { ControlClient } from "../common/control_client.ts";
+import type { KeyRing } from "../common/key_ring.ts";
+import type { ProcessContext } from "../common/process_context.ts";
+import type { RunningRole } from "../common/running_role.ts";
+import { ConfirmedReads } from "./confirmed_reads.ts";
+import { ControlApplication } from "./control_application.ts";
+import { controlMethods } from "./control_methods.ts";
+import { formGroup } from "./form_group.ts";
+import { groupFile } from "./group_file.ts";
+import { OperatorServer } from "./operator_server.ts";
+import { OrderRunner } from "./order_runner.ts";
+import { ReplicaAccess } from "./replica_access.ts";
+import { ReplicaCaretaker } from "./replica_caretaker.ts";
+import { ReplicaHost } from "./replica_host.ts";
+import type { ReplicaMessage } from "./replica_message.ts";
+
+const TICK = 10;
+const READ_TIMEOUT = 1000;
+const STATUS_TIMEOUT = 1000;
+const APPEND_ENTRIES = 512;
+const TRAILING_ENTRIES = 500;
+/** Time for a transfer of leadership before the process ends. */
+const TRANSFER_TIME = 300;
+
+/** Starts the control role. Its data folder has been opened before. */
+export async function startControl(
+  context: ProcessContext,
+  operators: KeyRing,
+): Promise<RunningRole> {
+  const settings = context.settings.control!;
+  const identity = await readDiskIdentity(settings.data_folder);
+  if (identity.isErr) {
+    throw identity.error;
+  }
+  const opened = await Journal.open(settings.data_folder);
+  if (opened.isErr) {
+    throw opened.error;
+  }
+  const self = describeSelf(context, identity.value.id);
+  const group = await groupFile.read(settings.data_folder);
+  return new ControlRole(context, {
+    settings,
+    self,
+    operators,
+    journal: opened.value.journal,
+    content: opened.value.content,
+    founders: group?.founders ?? [],
+  });
+}
+
+/** What the role has opened before it runs. */
+type ControlParts = {
+  readonly settings: ControlSettings;
+  readonly self: ReplicaMember;
+  readonly operators: KeyRing;
+  readonly journal: Journal;
+  /** Members the group was formed with; empty when none was yet. */
+  readonly founders: readonly ReplicaMember[];
+  readonly content: {
+    readonly snapshot: ConstructorParameters<typeof Replica>[1]["stored"][
+      "snapshot"
+    ];
+    readonly records: ConstructorParameters<typeof Replica>[1]["stored"][
+      "records"
+    ];
+  };
+};
+
+/** What runs once the group is formed. */
+type StartedControl = {
+  readonly actor: Actor<ReplicaMessage>;
+  readonly caretaker: ReplicaCaretaker;
+  readonly orders: OrderRunner;
+  readonly server: OperatorServer;
+  readonly ticker: NodeJS.Timeout;
+};
+
+/** The control role of one process. */
+class ControlRole implements RunningRole {
+  readonly #context: ProcessContext;
+  readonly #parts: ControlParts;
+  #started: StartedControl | undefined;
+
+  constructor(context: ProcessContext, parts: ControlParts) {
+    this.#context = context;
+    this.#parts = parts;
+  }
+
+  async start(): Promise<void> {
+    const { settings, self } = this.#parts;
+    this.#serveJoin();
+    const log = this.#context.log("control");
+    const peers = splitList(settings.replicas).filter((address) =>
+      address !== self.address
+    );
+    const founders = await formGroup({
+      self,
+      folder: settings.data_folder,
+      peers,
+      pool: this.#context.pool,
+      log,
+    });
+    await this.#run(founders, peers);
+  }
+
+  async stop(): Promise<void> {
+    const started = this.#started;
+    if (started === undefined) {
+      return;
+    }
+    started.orders.stop();
+    started.caretaker.stop();
+    started.server.close();
+    started.actor.tell({ kind: "event", event: { kind: "step_down" } });
+    await new Promise((resolve) => setTimeout(resolve, TRANSFER_TIME));
+    clearInterval(started.ticker);
+    started.actor.stop();
+  }
+
+  /**
+   * Until the replica runs, peers only learn who is here. A replica that has
+   * a group must say so from the first moment, or a peer with a lost disk
+   * could take two restarting ones for empty and found a second group.
+   */
+  #serveJoin(): void {
+    const { self, founders } = this.#parts;
+    this.#context.serve({
+      "control.join": (): JoinReply => ({
+        formed: founders.length > 0,
+        self,
+        members: [],
+        founders: [...founders],
+      }),
+    });
+  }
+
+  async #run(
+    founders: readonly ReplicaMember[],
+    peers: readonly string[],
+  ): Promise<void> {
+    const { settings, self, operators } = this.#parts;
+    const { clock, pool } = this.#context;
+    const log = this.#context.log("control");
+    const actor = this.#startReplica(founders);
+    const replica = new ReplicaAccess(actor);
+    const reads = new ConfirmedReads(replica, { pool, timeout: READ_TIMEOUT });
+    const client = new ControlClient(splitList(settings.replicas), {
+      pool,
+      now: () => clock.now(),
+    });
+    const caretaker = new ReplicaCaretaker({
+      self,
+      isFounder: founders.some((member) => member.id === self.id),
+      peers,
+      replica,
+      actor,
+      pool,
+      log,
+      claimRetention: settings.claim_retention,
+    });
+    const orders = new OrderRunner({
+      replica,
+      clock,
+      log: this.#context.log("orders"),
+      electionTimeout: settings.election_timeout,
+      clockDrift: settings.clock_drift,
+      orderTimeout: settings.order_timeout,
+      findUpstream: (name) => this.#findUpstream(name),
+    });
+    const server = new OperatorServer({
+      address: settings.operator_address,
+      operators,
+      replica,
+      reads,
+      client,
+      readStatus: () => this.#readStatus(),
+      log: this.#context.log("operator"),
+    });
+    this.#context.serve(
+      controlMethods({
+        self,
+        founders,
+        replica,
+        reads,
+        wall: () => clock.wall(),
+        onMessage: (message) =>
+          actor.tell({
+            kind: "event",
+            event: { kind: "message", message: message as never },
+          }),
+        addLearner: (member) => caretaker.addLearner(member),
+      }),
+    );
+    const ticker = setInterval(
+      () => actor.tell({ kind: "event", event: { kind: "tick" } }),
+      TICK,
+    );
+    this.#started = { actor, caretaker, orders, server, ticker };
+    caretaker.start();
+    orders.start();
+    await server.listen();
+    log.info(`Serves operators on ${settings.operator_address}`);
+  }
+
+  #startReplica(founders: readonly ReplicaMember[]): Actor<ReplicaMessage> {
+    const { settings, self, journal, content } = this.#parts;
+    const { clock, pool, system, fail } = this.#context;
+    const application = new ControlApplication();
+    if (content.snapshot !== undefined) {
+      application.restore(content.snapshot.data);
+    }
+    const replica = new Replica({
+      id: self.id,
+      founders,
+      heartbeatInterval: settings.heartbeat_interval,
+      electionTimeout: settings.election_timeout,
+      clockDrift: settings.clock_drift,
+      snapshotChunk: settings.snapshot_chunk,
+      appendEntries: APPEND_ENTRIES,
+      trailingEntries: TRAILING_ENTRIES,
+    }, {
+      random: Math.random,
+      stored: content,
+      at: { now: clock.now(), steady: clock.steady() },
+    });
+    const log = this.#context.log("consensus");
+    const host: ReplicaHost = new ReplicaHost({
+      replica,
+      application,
+      journal,
+      founders,
+      clock,
+      log,
+      snapshotEntries: settings.snapshot_entries,
+      sendTo: (address, message) =>
+        pool.notify(address, "control.consensus", message),
+      tellSelf: (message) => actor.tell(message),
+      fail,
+    });
+    const actor: Actor<ReplicaMessage> = new Actor(system, {
+      name: "replica",
+      log,
+      // A replica that throws half-way through its effects has a state that
+      // nobody can vouch for; the journal has.
+      handle: (message) => {
+        try {
+          host.handle(message);
+        } catch (error) {
+          fail(error);
+        }
+      },
+    });
+    return actor;
+  }
+
+  async #findUpstream(name: string): Promise<Announcement | undefined> {
+    const status = await this.#askEntry();
+    return status?.upstreams.find((record) => record.announcement.name === name)
+      ?.announcement;
+  }
+
+  async #readStatus(): Promise<unknown> {
+    const replicas = await Promise.all(
+      splitList(this.#parts.settings.replicas).map((address) =>
+        this.#context.pool.call(address, "control.status", {
+          parameters: {},
+          timeout: STATUS_TIMEOUT,
+        }).catch(() => ({ kind: "unreachable", address }))
+      ),
+    );
+    const entry = await this.#askEntry();
+    return {
+      replicas,
+      entries: entry?.members ?? [],
+      upstreams: entry?.upstreams ?? [],
+    };
+  }
+
+  /** Any entry knows all entries and all upstreams. */
+  async #askEntry(): Promise<
+    { members: MemberRecord[]; upstreams: UpstreamRecord[] } | undefined
+  > {
+    for (const address of splitList(this.#parts.settings.entries ?? "")) {
+      try {
+        return await this.#context.pool.call(address, "entry.status", {
+          parameters: {},
+          timeout: STATUS_TIMEOUT,
+        }) as { members: MemberRecord[]; upstreams: UpstreamRecord[] };
+      } catch {
+        continue;
+      }
+    }
+    return undefined;
+  }
+}
+
+function describeSelf(context: ProcessContext, id: string): ReplicaMember {
+  const { daemon } = context.settings;
+  return {
+    id,
+    name: daemon.name,
+    address: daemon.advertised_peer_address ?? daemon.peer_address,
+    zone: daemon.zone,
+    voter: true,
+  };
+}
--- /dev/null
+++ b/apps/heroncleatd/entry/admit.ts
@@ -0,0 +1,33 @@
+import type { AdmissionRequest } from "@heroncleat/admission";
+import { createFault } from "@heroncleat/base";
+import type { RoutedRequest } from "@heroncleat/routing";
+import type { Actor } from "../common/actor.ts";
+import type { AdmissionAnswer } from "./admission_answer.ts";
+import type { DispatchMessage } from "./dispatch_message.ts";
+
+/** Asks whether a request may run, and waits in the queue if it must. */
+export function admit(
+  dispatch: Actor<DispatchMessage>,
+  options: {
+    request: AdmissionRequest;
+    target: Pick<RoutedRequest, "model" | "service">;
+  },
+): Promise<AdmissionAnswer> {
+  return new Promise((resolve) => {
+    const sent = dispatch.tell({
+      kind: "admit",
+      ...options,
+      reply: resolve,
+    });
+    if (!sent) {
+      resolve({
+        kind: "refused",
+        fault: createFault(
+          "overloaded",
+          "This entry is overloaded. Remedy: come back after Retry-After.",
+          { retryAfter: 1000 },
+        ),
+      });
+    }
+  });
+}
--- /dev/null
+++ b/apps/heroncleatd/entry/build_upstream_body.ts
@@ -0,0 +1,69 @@
+import type { Priority, RequestRecord, TextPiece } from "@heroncleat/schema";
+
+/** Rank of each priority in the engine's own scheduling; lower goes first. */
+const PRIORITY_RANK: Readonly<Record<Priority, number>> = {
+  icebreaker: 0,
+  guest: 1,
+  notice: 2,
+  draft: 3,
+};
+
+/** The fields of a caller's body that resuming changes. */
+type CallerBody = {
+  readonly prompt?: string;
+  readonly messages?: readonly unknown[];
+  readonly max_tokens?: number;
+};
+
+/**
+ * The body sent to a model engine: the caller's own, streamed, continued
+ * behind the pieces that exist already (vLLM's `continue_final_message`).
+ */
+export function buildUpstreamBody(
+  record: RequestRecord,
+  options: { pieces: readonly TextPiece[]; kvSource: string },
+): Record<string, unknown> {
+  const body = JSON.parse(record.body) as CallerBody;
+  const emitted = options.pieces.map((piece) => piece.text).join("");
+  const built: Record<string, unknown> = {
+    ...body,
+    stream: true,
+    stream_options: { include_usage: true },
+    priority: PRIORITY_RANK[record.priority],
+  };
+  if (body.max_tokens !== undefined) {
+    built["max_tokens"] = remainingTokens(body.max_tokens, options.pieces);
+  }
+  if (options.kvSource !== "") {
+    built["kv_transfer_params"] = {
+      do_remote_prefill: true,
+      remote_engine_id: options.kvSource,
+      remote_request_id: record.id,
+    };
+  }
+  if (emitted === "") {
+    return built;
+  }
+  if (record.kind === "completion") {
+    built["prompt"] = `${body.prompt ?? ""}${emitted}`;
+    return built;
+  }
+  built["messages"] = [
+    ...body.messages ?? [],
+    { role: "assistant", content: emitted },
+  ];
+  built["continue_final_message"] = true;
+  built["add_generation_prompt"] = false;
+  return built;
+}
+
+function remainingTokens(
+  most: number,
+  pieces: readonly TextPiece[],
+): number {
+  let left = most;
+  for (const piece of pieces) {
+    left -= piece.tokens;
+  }
+  return Math.max(0, left);
+}
--- /dev/null
+++ b/apps/heroncleatd/entry/caller_server.ts
@@ -0,0 +1,198 @@
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import { createFault, splitAddress } from "@heroncleat/base";
+import { KeyRing } from "../common/key_ring.ts";
+import { readBearer } from "../common/read_bearer.ts";
+import { sendFault } from "../common/send_fault.ts";
+import { sendJson } from "../common/send_json.ts";
+import type { CallerRequest } from "./caller_request.ts";
+import type { EntryParts } from "./entry_parts.ts";
+import { handleAnnouncement } from "./handle_announcement.ts";
+import { handleAnswer } from "./handle_answer.ts";
+import { handleDiscovery } from "./handle_discovery.ts";
+import { handleGeneration } from "./handle_generation.ts";
+import { handleModels } from "./handle_models.ts";
+import { handleService } from "./handle_service.ts";
+import { otherEntries } from "./other_entries.ts";
+import { parseServicePath } from "./parse_service_path.ts";
+
+const ANSWER_PATH = /^\/v1\/requests\/([^/]+)$/;
+const MOST_HEADER_BYTES = 16 * 1024;
+const KEEP_ALIVE_TIMEOUT = 65_000;
+
+/** Serves callers and upstreams over HTTP. */
+export class CallerServer {
+  readonly #parts: EntryParts;
+  readonly #server: Server;
+  readonly #upstreamKeys: KeyRing;
+
+  constructor(parts: EntryParts) {
+    this.#parts = parts;
+    const { entry, sharedSecret } = parts.context;
+    this.#upstreamKeys = new KeyRing({ upstream: sharedSecret });
+    this.#server = createServer(
+      {
+        maxHeaderSize: MOST_HEADER_BYTES,
+        requestTimeout: entry.header_timeout,
+        headersTimeout: entry.header_timeout,
+        connectionsCheckingInterval: entry.header_timeout / 2,
+        keepAliveTimeout: KEEP_ALIVE_TIMEOUT,
+      },
+      (request, response) => {
+        this.#handle(request, response).catch((error: Error) =>
+          this.#onError(response, error)
+        );
+      },
+    );
+    this.#server.maxConnections = entry.max_connections;
+  }
+
+  listen(): Promise<void> {
+    const { host, port } = splitAddress(
+      this.#parts.context.entry.caller_address,
+    );
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, host, resolve);
+    });
+  }
+
+  /** Refuses new connections and ends idle ones; the others run on. */
+  stopListening(): void {
+    this.#server.close();
+    this.#server.closeIdleConnections();
+  }
+
+  close(): void {
+    this.#server.closeAllConnections();
+  }
+
+  async #handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const url = new URL(request.url ?? "/", "http://entry");
+    const path = url.pathname;
+    if (request.method === "GET" && path === "/v1/entries") {
+      handleDiscovery(this.#parts, request, response);
+      return;
+    }
+    if (request.method === "GET" && path === "/v1/health") {
+      this.#sendHealth(response);
+      return;
+    }
+    if (request.method === "POST" && path.startsWith("/v1/upstreams")) {
+      await handleAnnouncement(this.#parts, request, {
+        response,
+        upstreamKeys: this.#upstreamKeys,
+        path,
+      });
+      return;
+    }
+    await this.#handleCaller(request, { response, url });
+  }
+
+  async #handleCaller(
+    request: IncomingMessage,
+    options: { response: ServerResponse; url: URL },
+  ): Promise<void> {
+    const { response, url } = options;
+    const key = readBearer(request);
+    const workspace = this.#parts.context.callers.holderOf(key);
+    if (workspace === undefined) {
+      sendFault(response, describeUnknownKey(key));
+      return;
+    }
+    await this.#route({ request, response, url, workspace });
+  }
+
+  async #route(call: CallerRequest): Promise<void> {
+    const path = call.url.pathname;
+    const { method } = call.request;
+    const answer = ANSWER_PATH.exec(path);
+    if (method === "GET" && answer !== null) {
+      await handleAnswer(this.#parts, call, decodeURIComponent(answer[1]!));
+      return;
+    }
+    if (method === "GET" && path === "/v1/models") {
+      await handleModels(this.#parts, call);
+      return;
+    }
+    if (this.#parts.isLeaving()) {
+      this.#refuseLeaving(call.response);
+      return;
+    }
+    if (method === "POST" && path === "/v1/chat/completions") {
+      await handleGeneration(this.#parts, call, "chat");
+      return;
+    }
+    if (method === "POST" && path === "/v1/completions") {
+      await handleGeneration(this.#parts, call, "completion");
+      return;
+    }
+    const service = parseServicePath(call.url);
+    if (service !== undefined) {
+      await handleService(this.#parts, call, service);
+      return;
+    }
+    sendFault(
+      call.response,
+      createFault(
+        "not_found",
+        `${method} ${path} is not part of the API. Remedy: see docs/USAGE.md.`,
+      ),
+    );
+  }
+
+  #refuseLeaving(response: ServerResponse): void {
+    response.setHeader("connection", "close");
+    sendFault(
+      response,
+      createFault(
+        "leaving",
+        "This entry is stopping. Remedy: send the request to another entry.",
+        { retryAfter: 0 },
+      ),
+      { entries: otherEntries(this.#parts) },
+    );
+  }
+
+  #sendHealth(response: ServerResponse): void {
+    const { context, isLeaving } = this.#parts;
+    const serving = context.lease.isValid && !isLeaving();
+    sendJson(response, serving ? 200 : 503, {
+      name: context.name,
+      zone: context.zone,
+      serving,
+      leaving: isLeaving(),
+    });
+  }
+
+  #onError(response: ServerResponse, error: Error): void {
+    this.#parts.context.log("callers").error("A request failed", {
+      error: String(error.stack),
+    });
+    sendFault(
+      response,
+      createFault("internal", "Internal error. Remedy: see the entry's log.", {
+        run: "unknown",
+      }),
+    );
+  }
+}
+
+function describeUnknownKey(key: string) {
+  return key === ""
+    ? createFault(
+      "unauthorized",
+      "There is no key. Remedy: send Authorization: Bearer KEY.",
+    )
+    : createFault(
+      "forbidden",
+      "The key is not known. Remedy: use one from caller_keys_file.",
+    );
+}
--- /dev/null
+++ b/apps/heroncleatd/entry/claim_client.ts
@@ -0,0 +1,76 @@
+import type {
+  Claim,
+  ClaimCommand,
+  ClaimReply,
+  ClaimState,
+  Outcome,
+} from "@heroncleat/schema";
+import type { Milliseconds } from "@heroncleat/base";
+import type { ControlClient } from "../common/control_client.ts";
+
+/** What became of a proposal at the control group. */
+type Proposal<Result> =
+  | { readonly kind: "done"; readonly result: Result }
+  | { readonly kind: "not_leader"; readonly leader: string }
+  | { readonly kind: "unknown" };
+
+type FindReply =
+  | { readonly kind: "found"; readonly claim: Claim | null }
+  | { readonly kind: "not_leader"; readonly leader: string };
+
+const RESOLVE_TIMEOUT = 3000;
+const FIND_TIMEOUT = 2000;
+
+/** Asks the ledger about claims of non-idempotent requests. */
+export class ClaimClient {
+  readonly #control: ControlClient;
+
+  constructor(control: ControlClient) {
+    this.#control = control;
+  }
+
+  /** Claims a key; nothing when no quorum answered in time. */
+  async claim(
+    command: ClaimCommand,
+    timeout: Milliseconds,
+  ): Promise<ClaimReply | undefined> {
+    const reply = await this.#control.call<Proposal<ClaimReply>>(
+      "control.propose",
+      { parameters: { command, timeout }, timeout },
+    );
+    return reply.kind === "done" ? reply.result : undefined;
+  }
+
+  /** Stores what became of a claim; false when it can't be stored now. */
+  async resolve(
+    claim: Pick<Claim, "workspace" | "key" | "attempt">,
+    result: { state: ClaimState; outcome?: Outcome },
+  ): Promise<boolean> {
+    const { workspace, key, attempt } = claim;
+    const command = {
+      kind: "resolve",
+      workspace,
+      key,
+      attempt,
+      at: 0,
+      ...result,
+    };
+    const reply = await this.#control.call<Proposal<Claim | null>>(
+      "control.propose",
+      {
+        parameters: { command, timeout: RESOLVE_TIMEOUT },
+        timeout: RESOLVE_TIMEOUT,
+      },
+    );
+    return reply.kind === "done";
+  }
+
+  /** Reads a claim through a quorum; nothing when none answered. */
+  async find(workspace: string, key: string): Promise<Claim | undefined> {
+    const reply = await this.#control.call<FindReply>("control.find_claim", {
+      parameters: { workspace, key },
+      timeout: FIND_TIMEOUT,
+    });
+    return reply.kind === "found" ? reply.claim ?? undefined : undefined;
+  }
+}
--- /dev/null
+++ b/apps/heroncleatd/entry/copy_sender.ts
@@ -0,0 +1,73 @@
+import type { Milliseconds } from "@heroncleat/base";
+import type { CopyMessage, CopyReply } from "@heroncleat/schema";
+import type { PeerPool } from "@heroncleat/transport";
+
+/** A copy that waits to be sent. */
+type QueuedCopy = {
+  readonly message: CopyMessage;
+  readonly resolve: (reply: CopyReply) => void;
+  readonly reject: (error: unknown) => void;
+};
+
+/** What is under way to one entry. */
+type Outbox = { queue: QueuedCopy[]; inFlight: number };
+
+/** Calls to one entry that may be under way at once. */
+const MOST_IN_FLIGHT = 4;
+const MOST_COPIES = 256;
+
+/**
+ * Sends the copies of all requests to their standbys. Copies that are ready
+ * while calls are under way leave together, so the cost of a call is shared
+ * when there are many.
+ */
+export class CopySender {
+  readonly #pool: PeerPool;
+  readonly #timeout: Milliseconds;
+  readonly #outboxes = new Map<string, Outbox>();
+
+  constructor(pool: PeerPool, timeout: Milliseconds) {
+    this.#pool = pool;
+    this.#timeout = timeout;
+  }
+
+  send(address: string, message: CopyMessage): Promise<CopyReply> {
+    return new Promise((resolve, reject) => {
+      let outbox = this.#outboxes.get(address);
+      if (outbox === undefined) {
+        outbox = { queue: [], inFlight: 0 };
+        this.#outboxes.set(address, outbox);
+      }
+      outbox.queue.push({ message, resolve, reject });
+      this.#flush(address, outbox);
+    });
+  }
+
+  #flush(address: string, outbox: Outbox): void {
+    if (outbox.queue.length === 0 || outbox.inFlight >= MOST_IN_FLIGHT) {
+      return;
+    }
+    const batch = outbox.queue.splice(0, MOST_COPIES);
+    outbox.inFlight += 1;
+    void this.#call(address, batch).finally(() => {
+      outbox.inFlight -= 1;
+      this.#flush(address, outbox);
+    });
+  }
+
+  async #call(address: string, batch: readonly QueuedCopy[]): Promise<void> {
+    try {
+      const replies = await this.#pool.call(address, "entry.copies", {
+        parameters: { copies: batch.map((copy) => copy.message) },
+        timeout: this.#timeout,
+      }) as CopyReply[];
+      for (const [place, copy] of batch.entries()) {
+        copy.resolve(replies[place]!);
+      }
+    } catch (error) {
+      for (const copy of batch) {
+        copy.reject(error);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/apps/heroncleatd/entry/dispatch_message.ts
@@ -0,0 +1,55 @@
+import type { Milliseconds } from "@heroncleat/base";
+import type { AdmissionRequest } from "@heroncleat/admission";
+import type { RoutedRequest, Router } from "@heroncleat/routing";
+import type {
+  Announcement,
+  CacheEvent,
+  ConfigurationView,
+} from "@heroncleat/schema";
+import type { AdmissionAnswer } from "./admission_answer.ts";
+import type { RouteAnswer } from "./route_answer.ts";
+
+/** Messages to the actor that owns routing and admission. */
+export type DispatchMessage =
+  | { readonly kind: "tick" }
+  | { readonly kind: "entries"; readonly alive: number }
+  | { readonly kind: "configuration"; readonly view: ConfigurationView }
+  | { readonly kind: "upstream"; readonly announcement: Announcement }
+  | { readonly kind: "upstream_lapsed"; readonly name: string }
+  | {
+    readonly kind: "cache_event";
+    readonly upstream: string;
+    readonly event: CacheEvent;
+  }
+  | {
+    readonly kind: "admit";
+    readonly request: AdmissionRequest;
+    readonly target: Pick<RoutedRequest, "model" | "service">;
+    readonly reply: (answer: AdmissionAnswer) => void;
+  }
+  | {
+    readonly kind: "release";
+    readonly token: string;
+    readonly target: Pick<RoutedRequest, "model" | "service">;
+  }
+  | {
+    readonly kind: "route";
+    readonly request: RoutedRequest;
+    readonly token: string;
+    /** Whether an earlier attempt failed, so that the budget is charged. */
+    readonly isRetry: boolean;
+    readonly reply: (answer: RouteAnswer) => void;
+  }
+  | {
+    readonly kind: "first_token";
+    readonly upstream: string;
+    readonly measured: Milliseconds;
+    readonly estimated: Milliseconds;
+  }
+  | {
+    readonly kind: "ended";
+    readonly upstream: string;
+    readonly token: string;
+    readonly outcome: "succeeded" | "failed" | "neutral";
+  }
+  | { readonly kind: "inspect"; readonly read: (router: Router) => void };
--- /dev/null
+++ b/apps/heroncleatd/entry/entry_context.ts
@@ -0,0 +1,20 @@
+import type { EntrySettings } from "@heroncleat/schema";
+import type { Agent } from "undici";
+import type { ControlClient } from "../common/control_client.ts";
+import type { KeyRing } from "../common/key_ring.ts";
+import type { ProcessContext } from "../common/process_context.ts";
+import type { ConfigurationLease } from "./configuration_lease.ts";
+
+/** What all parts of the entry role share. */
+export type EntryContext = ProcessContext & {
+  readonly entry: EntrySettings;
+  readonly name: string;
+  readonly zone: string;
+  readonly control: ControlClient;
+  readonly lease: ConfigurationLease;
+  readonly callers: KeyRing;
+  /** Hashes a block of a prompt behind the blocks before it. */
+  readonly chainHash: (text: string, seed: string) => string;
+  /** Connections to upstreams; it never retries by itself. */
+  readonly upstreams: Agent;
+};
--- /dev/null
+++ b/apps/heroncleatd/entry/entry_parts.ts
@@ -0,0 +1,20 @@
+import type { MemberRecord } from "@heroncleat/schema";
+import type { Actor } from "../common/actor.ts";
+import type { AnswerSource } from "./answer_source.ts";
+import type { DispatchMessage } from "./dispatch_message.ts";
+import type { EntryContext } from "./entry_context.ts";
+import type { MembershipActorMessage } from "./membership_message.ts";
+import type { RegistryMessage } from "./registry_message.ts";
+
+/** What the handlers of the callers' API work with. */
+export type EntryParts = {
+  readonly context: EntryContext;
+  readonly membership: Actor<MembershipActorMessage>;
+  readonly dispatch: Actor<DispatchMessage>;
+  readonly registry: Actor<RegistryMessage>;
+  readonly answers: AnswerSource;
+  /** The members as last heard. */
+  readonly members: () => readonly MemberRecord[];
+  /** Whether this entry is stopping and takes no new requests. */
+  readonly isLeaving: () => boolean;
+};
--- /dev/null
+++ b/apps/heroncleatd/entry/handle_answer.ts
@@ -0,0 +1,29 @@
+import { createFault } from "@heroncleat/base";
+import { sendFault } from "../common/send_fault.ts";
+import type { CallerRequest } from "./caller_request.ts";
+import type { EntryParts } from "./entry_parts.ts";
+import { sendAnswer } from "./send_answer.ts";
+
+/** Sends the rest of an answer, or all of it, to a caller that reconnects. */
+export async function handleAnswer(
+  parts: EntryParts,
+  call: CallerRequest,
+  id: string,
+): Promise<void> {
+  const last = call.request.headers["last-event-id"];
+  const from = last === undefined ? 0 : Number(last) + 1;
+  if (!Number.isInteger(from) || from < 0) {
+    sendFault(
+      call.response,
+      createFault(
+        "bad_request",
+        "Last-Event-ID is not an event id of this answer. Remedy: send the " +
+          "last id that came, or leave the header out to get the whole answer.",
+      ),
+    );
+    return;
+  }
+  const { clock, entry } = parts.context;
+  const until = clock.now() + entry.default_deadline;
+  await sendAnswer(parts, call, { id, from, until });
+}
--- /dev/null
+++ b/apps/heroncleatd/entry/handle_generation.ts
@@ -0,0 +1,200 @@
+import {
+  createFault,
+  createToken,
+  type Fault,
+  formatRequestId,
+  type Milliseconds,
+} from "@heroncleat/base";
+import { chooseStandby } from "@heroncleat/membership";
+import {
+  checkChatRequest,
+  checkCompletionRequest,
+  type RequestKind,
+  type RequestRecord,
+} from "@heroncleat/schema";
+import { Result } from "true-myth/result";
+import { parseJson } from "../common/parse_json.ts";
+import { readLimitedBody } from "../common/read_limited_body.ts";
+import { sendFault } from "../common/send_fault.ts";
+import { admit } from "./admit.ts";
+import type { CallerRequest } from "./caller_request.ts";
+import type { EntryParts } from "./entry_parts.ts";
+import { otherEntries } from "./other_entries.ts";
+import type { OwnOutcome } from "./own_outcome.ts";
+import { promptText } from "./prompt_text.ts";
+import { readTerms } from "./read_terms.ts";
+import { sendAnswer } from "./send_answer.ts";
+
+const CHARACTERS_PER_TOKEN = 4;
+/** Standbys tried before a request is refused. */
+const MOST_STANDBYS = 3;
+
+/** Serves one chat or completion request. */
+export async function handleGeneration(
+  parts: EntryParts,
+  call: CallerRequest,
+  kind: RequestKind,
+): Promise<void> {
+  const draft = await readDraft(parts, call, kind);
+  if (draft.isErr) {
+    sendFault(call.response, draft.error);
+    return;
+  }
+  const token = createToken();
+  const target = { model: draft.value.model, service: "" };
+  const startedAt = parts.context.clock.now();
+  const answer = await admit(parts.dispatch, {
+    request: {
+      token,
+      workspace: call.workspace,
+      priority: draft.value.priority,
+      deadlineAt: startedAt + draft.value.deadline,
+    },
+    target,
+  });
+  if (answer.kind === "refused") {
+    sendFault(call.response, answer.fault, { entries: otherEntries(parts) });
+    return;
+  }
+  const release = () => parts.dispatch.tell({ kind: "release", token, target });
+  await serve(parts, call, { draft: draft.value, startedAt, release });
+}
+
+/** Finds a second holder for the request and sends its answer. */
+async function serve(
+  parts: EntryParts,
+  call: CallerRequest,
+  options: {
+    draft: RequestRecord;
+    startedAt: Milliseconds;
+    release: () => void;
+  },
+): Promise<void> {
+  const { draft, startedAt, release } = options;
+  const tried: string[] = [];
+  let fault = describeNoStandby();
+  while (tried.length < MOST_STANDBYS) {
+    const standby = pickStandby(parts, tried);
+    if (standby === undefined) {
+      break;
+    }
+    const record = completeRecord(draft, {
+      owner: parts.context.name,
+      standby,
+      deadline: startedAt + draft.deadline - parts.context.clock.now(),
+    });
+    const outcome = await own(parts, record, release);
+    if (outcome.kind === "accepted") {
+      const until = startedAt + draft.deadline;
+      await sendAnswer(parts, call, { id: record.id, from: 0, until });
+      return;
+    }
+    fault = outcome.fault;
+    tried.push(standby);
+  }
+  release();
+  sendFault(call.response, fault, { entries: otherEntries(parts) });
+}
+
+/** The next standby to try; empty when the settings allow none. */
+function pickStandby(
+  parts: EntryParts,
+  tried: readonly string[],
+): string | undefined {
+  const { name, entry } = parts.context;
+  const chosen = chooseStandby(parts.members(), {
+    owner: name,
+    exclude: tried,
+    random: Math.random,
+  });
+  if (chosen !== undefined && !tried.includes(chosen.name)) {
+    return chosen.name;
+  }
+  const without = entry.standby === "preferred" && !tried.includes("");
+  return without ? "" : undefined;
+}
+
+/** Holds the request here and at its standby; a refusal ends nothing else. */
+function own(
+  parts: EntryParts,
+  record: RequestRecord,
+  release: () => void,
+): Promise<OwnOutcome> {
+  return new Promise((resolve) => {
+    let accepted = false;
+    parts.registry.tell({
+      kind: "own",
+      record,
+      reply: (outcome) => {
+        accepted = outcome.kind === "accepted";
+        resolve(outcome);
+      },
+      // A refused request goes on to the next standby with its place kept.
+      onEnded: () => accepted && release(),
+    });
+  });
+}
+
+function completeRecord(
+  draft: RequestRecord,
+  holders: { owner: string; standby: string; deadline: Milliseconds },
+): RequestRecord {
+  const id = formatRequestId(holders, createToken());
+  return { ...draft, ...holders, id };
+}
+
+/** Reads and checks the request; its identifier and holders come later. */
+async function readDraft(
+  parts: EntryParts,
+  call: CallerRequest,
+  kind: RequestKind,
+): Promise<Result<RequestRecord, Fault>> {
+  const { entry } = parts.context;
+  const terms = readTerms(call.request, entry.default_deadline);
+  if (terms.isErr) {
+    return Result.err(terms.error);
+  }
+  if (call.request.headers["heroncleat-idempotent"] === "false") {
+    return Result.err(createFault(
+      "bad_request",
+      "A generation may always be run again. Remedy: leave out " +
+        "Heroncleat-Idempotent, or send the call to a plain service.",
+    ));
+  }
+  const body = await readLimitedBody(call.request, entry.max_body_bytes);
+  if (body.isErr) {
+    return Result.err(body.error);
+  }
+  const parsed = kind === "chat"
+    ? parseJson(body.value, checkChatRequest)
+    : parseJson(body.value, checkCompletionRequest);
+  if (parsed.isErr) {
+    return Result.err(parsed.error);
+  }
+  const text = body.value.toString("utf8");
+  const characters = promptText(text).length;
+  return Result.ok({
+    id: "",
+    workspace: call.workspace,
+    kind,
+    stream: parsed.value.stream ?? false,
+    model: parsed.value.model,
+    body: text,
+    priority: terms.value.priority,
+    deadline: terms.value.deadline,
+    promptTokens: Math.ceil(characters / CHARACTERS_PER_TOKEN),
+    epoch: 1,
+    owner: "",
+    standby: "",
+  });
+}
+
+function describeNoStandby(): Fault {
+  return createFault(
+    "no_standby",
+    "No other entry can hold a copy of the request. Remedy: come back after " +
+      "Retry-After; operators start a second entry or set entry.standby to " +
+      "preferred.",
+    { retryAfter: 1000 },
+  );
+}
--- /dev/null
+++ b/apps/heroncleatd/entry/handle_models.ts
@@ -0,0 +1,18 @@
+import { sendJson } from "../common/send_json.ts";
+import type { CallerRequest } from "./caller_request.ts";
+import type { EntryParts } from "./entry_parts.ts";
+
+/** Lists the models that upstreams have loaded. */
+export async function handleModels(
+  parts: EntryParts,
+  call: CallerRequest,
+): Promise<void> {
+  const models = await new Promise<string[]>((resolve) => {
+    parts.dispatch.tell({
+      kind: "inspect",
+      read: (router) => resolve(router.models),
+    });
+  });
+  const data = models.map((id) => ({ id, object: "model" }));
+  sendJson(call.response, 200, { object: "list", data });
+}
--- /dev/null
+++ b/apps/heroncleatd/entry/not_found.ts
@@ -0,0 +1,10 @@
+import type { ForwardedAnswer } from "@heroncleat/schema";
+
+/** The answer of an entry that doesn't hold a request. */
+export const NOT_FOUND: ForwardedAnswer = {
+  found: false,
+  upstream: "",
+  pieces: [],
+  finished: false,
+  finishReason: "",
+};
--- /dev/null
+++ b/apps/heroncleatd/entry/registry_message.ts
@@ -0,0 +1,47 @@
+import type { Milliseconds } from "@heroncleat/base";
+import type {
+  AnswerQuery,
+  CopyMessage,
+  CopyReply,
+  ForwardedAnswer,
+  MemberRecord,
+  RequestRecord,
+  UpstreamRecord,
+} from "@heroncleat/schema";
+import type { OwnOutcome } from "./own_outcome.ts";
+
+/** Messages to the actor that knows all requests held by this entry. */
+export type RegistryMessage =
+  | { readonly kind: "tick" }
+  | { readonly kind: "members"; readonly members: readonly MemberRecord[] }
+  | { readonly kind: "upstream"; readonly upstream: UpstreamRecord }
+  | {
+    readonly kind: "own";
+    readonly record: RequestRecord;
+    /** Told once, when this entry is done with the request. */
+    readonly onEnded: () => void;
+    readonly reply: (outcome: OwnOutcome) => void;
+  }
+  | {
+    readonly kind: "copies";
+    readonly copies: readonly CopyMessage[];
+    readonly reply: (replies: CopyReply[]) => void;
+  }
+  | {
+    readonly kind: "query";
+    readonly query: AnswerQuery;
+    readonly reply: (answer: ForwardedAnswer) => void;
+  }
+  /** Another entry hands these requests over to this one. */
+  | { readonly kind: "take_over"; readonly ids: readonly string[] }
+  /** Gives all unfinished requests to their standbys. */
+  | { readonly kind: "hand_over"; readonly reply: () => void }
+  | {
+    readonly kind: "count";
+    readonly reply: (counts: { owned: number; held: number }) => void;
+  }
+  | {
+    readonly kind: "forget";
+    readonly id: string;
+    readonly after: Milliseconds;
+  };
--- /dev/null
+++ b/apps/heroncleatd/entry/request_registry.ts
@@ -0,0 +1,477 @@
+import type { Milliseconds } from "@heroncleat/base";
+import { unreachable } from "@heroncleat/base";
+import { chooseStandby } from "@heroncleat/membership";
+import {
+  createReclaimChoice,
+  OwnedRequest,
+  RequestPhase,
+  type StandbyCopy,
+  StandbyStore,
+} from "@heroncleat/requests";
+import type {
+  AnswerQuery,
+  CopyMessage,
+  CustodyReply,
+  ForwardedAnswer,
+  MemberRecord,
+  RequestRecord,
+  UpstreamRecord,
+} from "@heroncleat/schema";
+import { Actor } from "../common/actor.ts";
+import type { Log } from "../common/log.ts";
+import type { CopySender } from "./copy_sender.ts";
+import type { DispatchMessage } from "./dispatch_message.ts";
+import type { EntryContext } from "./entry_context.ts";
+import type { OwnOutcome } from "./own_outcome.ts";
+import type { RegistryMessage } from "./registry_message.ts";
+import { RequestHost } from "./request_host.ts";
+import type { RequestMessage } from "./request_message.ts";
+import type { RequestServices } from "./request_services.ts";
+import { NOT_FOUND } from "./not_found.ts";
+import { toRoutedRequest } from "./to_routed_request.ts";
+
+/** What the registry is built from. */
+type RegistryOptions = {
+  readonly context: EntryContext;
+  readonly copies: CopySender;
+  readonly dispatch: Actor<DispatchMessage>;
+  readonly tellSelf: (message: RegistryMessage) => void;
+};
+
+/** A request that this entry owns. */
+type OwnedEntry = {
+  readonly request: OwnedRequest;
+  readonly actor: Actor<RequestMessage>;
+  /** Told once, when the request is held or refused. */
+  onOutcome: ((outcome: OwnOutcome) => void) | undefined;
+  /** Told once, when this entry is done with the request. */
+  onEnded: () => void;
+};
+
+/** Answer to a proposed custody command. */
+type CustodyProposal =
+  | { readonly kind: "done"; readonly result: CustodyReply }
+  | { readonly kind: "not_leader"; readonly leader: string }
+  | { readonly kind: "unknown" };
+
+const COPY_TIMEOUT = 400;
+const RETRY_PAUSE = 100;
+const MOST_ATTEMPTS = 40;
+const LEDGER_TIMEOUT = 2000;
+const HAND_OVER_TIMEOUT = 2000;
+/** What reclaim choices assume of an engine that is not asked. */
+const RECLAIM_RATES = {
+  decodeInterval: 25,
+  transferRate: 20_000,
+  prefillRate: 5000,
+  reserve: 300,
+};
+
+/** Knows every request that this entry owns or holds a copy of. */
+export class RequestRegistry {
+  readonly #options: RegistryOptions;
+  readonly #log: Log;
+  readonly #owned = new Map<string, OwnedEntry>();
+  readonly #held: StandbyStore;
+  readonly #leavingSeen = new Set<string>();
+  #members: readonly MemberRecord[] = [];
+  #takingOver = false;
+
+  constructor(options: RegistryOptions) {
+    this.#options = options;
+    const { context } = options;
+    this.#log = context.log("requests");
+    this.#held = new StandbyStore(
+      context.name,
+      context.entry.answer_retention,
+    );
+  }
+
+  handle(message: RegistryMessage): void {
+    switch (message.kind) {
+      case "tick":
+        this.#held.expire(this.#now());
+        this.#takeOverFromDead();
+        return;
+      case "members":
+        this.#members = message.members;
+        this.#takeOverFromDead();
+        return;
+      case "upstream":
+        this.#onUpstream(message.upstream);
+        return;
+      case "own":
+        this.#startOwn(message);
+        return;
+      case "copies":
+        message.reply(message.copies.map((copy) => this.#takeCopy(copy)));
+        return;
+      case "query":
+        this.#query(message.query, message.reply);
+        return;
+      case "take_over":
+        this.#takeOver(this.#copiesOf(message.ids));
+        return;
+      case "hand_over":
+        this.#handOver(message.reply);
+        return;
+      case "count":
+        message.reply(this.#count());
+        return;
+      case "forget":
+        this.#forget(message.id);
+        return;
+      default:
+        unreachable(message);
+    }
+  }
+
+  #now(): Milliseconds {
+    return this.#options.context.clock.now();
+  }
+
+  #count(): { owned: number; held: number } {
+    let owned = 0;
+    for (const { request } of this.#owned.values()) {
+      owned += request.phase === RequestPhase.ended ? 0 : 1;
+    }
+    return { owned, held: this.#held.size };
+  }
+
+  #startOwn(message: Extract<RegistryMessage, { kind: "own" }>): void {
+    const entry = this.#own(message.record, {
+      pieces: [],
+      finished: false,
+      finishReason: "",
+      accepted: false,
+      now: this.#now(),
+    });
+    entry.onOutcome = message.reply;
+    entry.onEnded = message.onEnded;
+    entry.actor.tell({ kind: "event", event: { kind: "start" } });
+  }
+
+  #own(
+    record: RequestRecord,
+    start: ConstructorParameters<typeof OwnedRequest>[1]["start"],
+  ): OwnedEntry {
+    const { context } = this.#options;
+    const request = new OwnedRequest(record, {
+      settings: {
+        self: context.name,
+        copyTimeout: COPY_TIMEOUT,
+        idleTimeout: context.entry.attempt_idle_timeout,
+        retryPause: RETRY_PAUSE,
+        mostAttempts: MOST_ATTEMPTS,
+        chooseOnReclaim: createReclaimChoice(RECLAIM_RATES),
+      },
+      start,
+    });
+    const host: RequestHost = new RequestHost({
+      request,
+      context,
+      services: this.#services(record),
+      tellSelf: (message) => actor.tell(message),
+    });
+    const actor: Actor<RequestMessage> = new Actor(context.system, {
+      name: `request-${record.id.replaceAll(/[^A-Za-z0-9_-]/g, "-")}` +
+        `-${record.epoch}`,
+      log: this.#log,
+      handle: (message) => host.handle(message),
+    });
+    const entry: OwnedEntry = {
+      request,
+      actor,
+      onOutcome: undefined,
+      onEnded: () => {},
+    };
+    this.#owned.set(record.id, entry);
+    return entry;
+  }
+
+  #services(record: RequestRecord): RequestServices {
+    const { context, copies, dispatch } = this.#options;
+    const routed = toRoutedRequest(record, context.chainHash);
+    return {
+      copy: (to, message) => {
+        const address = this.#addressOf(to);
+        return address === undefined
+          ? Promise.reject(new Error(`entry ${to} is not known`))
+          : copies.send(address, message);
+      },
+      chooseStandby: (exclude) =>
+        chooseStandby(this.#members, {
+          owner: context.name,
+          exclude,
+          random: Math.random,
+        })?.name ?? "",
+      moveStandby: (present, options) => this.#moveStandby(present, options),
+      route: (_present, { token, exclude, isRetry }) =>
+        new Promise((resolve) => {
+          const request = { ...routed, exclude };
+          dispatch.tell({
+            kind: "route",
+            request,
+            token,
+            isRetry,
+            reply: resolve,
+          });
+        }),
+      attemptEnded: (upstream, { token, outcome }) => {
+        dispatch.tell({ kind: "ended", upstream, token, outcome });
+      },
+      firstToken: (upstream, times) => {
+        dispatch.tell({ kind: "first_token", upstream, ...times });
+      },
+      onAccepted: ({ id }) => {
+        context.metrics.increment("requests.accepted");
+        this.#settle(id, { kind: "accepted" });
+      },
+      onEnded: (ended, end) => {
+        context.metrics.increment(`requests.${end.kind}`);
+        this.#onEnded(ended.id, end);
+      },
+    };
+  }
+
+  #onEnded(
+    id: string,
+    end: Parameters<RequestServices["onEnded"]>[1],
+  ): void {
+    const { context, tellSelf } = this.#options;
+    if (end.kind === "refused") {
+      this.#settle(id, end);
+    }
+    this.#owned.get(id)?.onEnded();
+    if (end.kind === "failed" || end.kind === "fenced") {
+      this.#log.warn(`Request ${end.kind}`, { request: id });
+    }
+    const retained = end.kind === "finished" || end.kind === "failed";
+    const after = retained ? context.entry.answer_retention : 0;
+    setTimeout(() => tellSelf({ kind: "forget", id, after }), after).unref();
+  }
+
+  #settle(id: string, outcome: OwnOutcome): void {
+    const entry = this.#owned.get(id);
+    entry?.onOutcome?.(outcome);
+    if (entry !== undefined) {
+      entry.onOutcome = undefined;
+    }
+  }
+
+  #forget(id: string): void {
+    const entry = this.#owned.get(id);
+    if (entry?.request.phase === RequestPhase.ended) {
+      this.#owned.delete(id);
+      entry.actor.stop();
+    }
+  }
+
+  #takeCopy(copy: CopyMessage) {
+    const owned = this.#owned.get(copy.id);
+    // An entry that became the owner takes no more copies of an older epoch.
+    if (owned !== undefined && owned.request.record.epoch >= copy.epoch) {
+      const { epoch } = owned.request.record;
+      return { outcome: "fenced" as const, epoch, pieces: 0 };
+    }
+    return this.#held.take(copy, this.#now());
+  }
+
+  async #moveStandby(
+    record: RequestRecord,
+    options: { expectedEpoch: number; standby: string },
+  ): Promise<CustodyReply | undefined> {
+    const self = this.#options.context.name;
+    return await this.#proposeCustody({
+      requests: [record.id],
+      expectedEpochs: [options.expectedEpoch],
+      owner: self,
+      standby: options.standby,
+      from: self,
+    });
+  }
+
+  async #proposeCustody(command: {
+    requests: string[];
+    expectedEpochs: number[];
+    owner: string;
+    standby: string;
+    from: string;
+  }): Promise<CustodyReply | undefined> {
+    const reply = await this.#options.context.control.call<CustodyProposal>(
+      "control.propose",
+      {
+        parameters: {
+          command: { kind: "custody", at: 0, ...command },
+          timeout: LEDGER_TIMEOUT,
+        },
+        timeout: LEDGER_TIMEOUT,
+      },
+    );
+    return reply.kind === "done" ? reply.result : undefined;
+  }
+
+  #takeOverFromDead(): void {
+    for (const member of this.#members) {
+      if (member.state === "dead") {
+        this.#takeOver(this.#held.heldFor(member.name));
+      }
+    }
+  }
+
+  #copiesOf(ids: readonly string[]): StandbyCopy[] {
+    const copies: StandbyCopy[] = [];
+    for (const id of ids) {
+      const copy = this.#held.get(id);
+      if (copy !== undefined && !copy.finished) {
+        copies.push(copy);
+      }
+    }
+    return copies;
+  }
+
+  /** Asks the ledger to make this entry the owner; one question at a time. */
+  #takeOver(copies: readonly StandbyCopy[]): void {
+    if (copies.length === 0 || this.#takingOver) {
+      return;
+    }
+    this.#takingOver = true;
+    this.#held.startTakeOver(copies);
+    const self = this.#options.context.name;
+    this.#proposeCustody({
+      requests: copies.map((copy) => copy.record.id),
+      expectedEpochs: copies.map((copy) => copy.record.epoch),
+      owner: self,
+      standby: "",
+      from: self,
+    }).then((reply) => this.#finishTakeOver(copies, reply));
+  }
+
+  #finishTakeOver(
+    copies: readonly StandbyCopy[],
+    reply: CustodyReply | undefined,
+  ): void {
+    this.#takingOver = false;
+    if (reply === undefined) {
+      this.#held.cancelTakeOver(copies);
+      return;
+    }
+    let taken = 0;
+    for (const outcome of reply.outcomes) {
+      const copy = this.#held.finishTakeOver(outcome);
+      if (copy !== undefined) {
+        taken += 1;
+        this.#continue(copy);
+      }
+    }
+    this.#options.context.metrics.increment("requests.taken_over", taken);
+    this.#log.info(`Took over ${taken} of ${copies.length} requests`);
+  }
+
+  #continue(copy: StandbyCopy): void {
+    const now = this.#now();
+    const deadline = Math.max(0, copy.deadlineAt - now);
+    const entry = this.#own({ ...copy.record, deadline }, {
+      pieces: copy.pieces,
+      finished: copy.finished,
+      finishReason: copy.finishReason,
+      accepted: true,
+      now,
+    });
+    entry.actor.tell({ kind: "event", event: { kind: "start" } });
+  }
+
+  #onUpstream(upstream: UpstreamRecord): void {
+    const { announcement } = upstream;
+    const key = `${announcement.name} ${announcement.incarnation}`;
+    if (announcement.state !== "leaving" || this.#leavingSeen.has(key)) {
+      return;
+    }
+    this.#leavingSeen.add(key);
+    this.#log.info(`Upstream ${announcement.name} is leaving`);
+    const reclaimIn = Math.max(
+      0,
+      (announcement.reclaimIn ?? 0) - upstream.age,
+    );
+    for (const { request, actor } of this.#owned.values()) {
+      if (request.phase !== RequestPhase.ended) {
+        const event = {
+          kind: "upstream_leaving" as const,
+          upstream: announcement.name,
+          reclaimIn,
+        };
+        actor.tell({ kind: "event", event });
+      }
+    }
+  }
+
+  #query(
+    query: AnswerQuery,
+    reply: (answer: ForwardedAnswer) => void,
+  ): void {
+    const owned = this.#owned.get(query.id);
+    const record = owned?.request.record ?? this.#held.get(query.id)?.record;
+    if (record === undefined || record.workspace !== query.workspace) {
+      reply(NOT_FOUND);
+      return;
+    }
+    if (owned !== undefined) {
+      const { from, wait } = query;
+      if (!owned.actor.tell({ kind: "read", from, wait, reply })) {
+        reply(NOT_FOUND);
+      }
+      return;
+    }
+    reply(readCopy(this.#held.get(query.id)!, query.from));
+  }
+
+  #handOver(reply: () => void): void {
+    const standbys = new Map<string, string[]>();
+    for (const [id, { request, actor }] of this.#owned) {
+      if (request.phase === RequestPhase.ended) {
+        continue;
+      }
+      actor.tell({ kind: "event", event: { kind: "hand_over" } });
+      const { standby } = request.record;
+      standbys.set(standby, [...standbys.get(standby) ?? [], id]);
+    }
+    // The last copies leave first; then the standbys are told to go on.
+    setTimeout(() => {
+      const told = [...standbys].map(([standby, ids]) =>
+        this.#tellStandby(standby, ids)
+      );
+      void Promise.allSettled(told).then(() => reply());
+    }, COPY_TIMEOUT);
+  }
+
+  async #tellStandby(standby: string, ids: string[]): Promise<void> {
+    const address = this.#addressOf(standby);
+    if (address === undefined) {
+      this.#log.warn("Requests without a standby end with this process", {
+        requests: ids.length,
+      });
+      return;
+    }
+    await this.#options.context.pool.call(address, "entry.take_over", {
+      parameters: { ids },
+      timeout: HAND_OVER_TIMEOUT,
+    });
+    this.#log.info(`Handed ${ids.length} requests over to ${standby}`);
+  }
+
+  #addressOf(name: string): string | undefined {
+    return this.#members.find((member) => member.name === name)?.address;
+  }
+}
+
+/** What a standby can say of an answer: what it holds, and no end to come. */
+function readCopy(copy: StandbyCopy, from: number): ForwardedAnswer {
+  return {
+    found: copy.finished,
+    upstream: "",
+    record: copy.record,
+    pieces: copy.finished ? copy.pieces.slice(from) : [],
+    finished: copy.finished,
+    finishReason: copy.finishReason,
+  };
+}
--- /dev/null
+++ b/apps/heroncleatd/entry/request_services.ts
@@ -0,0 +1,41 @@
+import type { Fault, Milliseconds } from "@heroncleat/base";
+import type {
+  CopyMessage,
+  CopyReply,
+  CustodyReply,
+  RequestRecord,
+} from "@heroncleat/schema";
+import type { RouteAnswer } from "./route_answer.ts";
+
+/** How a request ended at its owner. */
+type RequestEnd =
+  | { readonly kind: "finished" }
+  | { readonly kind: "refused"; readonly fault: Fault }
+  | { readonly kind: "failed"; readonly fault: Fault }
+  | { readonly kind: "handed_over"; readonly standby: string }
+  | { readonly kind: "fenced"; readonly owner: string };
+
+/** What a request needs of the rest of the entry. */
+export type RequestServices = {
+  readonly copy: (to: string, message: CopyMessage) => Promise<CopyReply>;
+  readonly chooseStandby: (exclude: readonly string[]) => string;
+  /** Moves custody in the ledger; nothing when it can't be asked. */
+  readonly moveStandby: (
+    record: RequestRecord,
+    options: { expectedEpoch: number; standby: string },
+  ) => Promise<CustodyReply | undefined>;
+  readonly route: (
+    record: RequestRecord,
+    options: { token: string; exclude: readonly string[]; isRetry: boolean },
+  ) => Promise<RouteAnswer>;
+  readonly attemptEnded: (
+    upstream: string,
+    options: { token: string; outcome: "succeeded" | "failed" | "neutral" },
+  ) => void;
+  readonly firstToken: (
+    upstream: string,
+    times: { measured: Milliseconds; estimated: Milliseconds },
+  ) => void;
+  readonly onAccepted: (record: RequestRecord) => void;
+  readonly onEnded: (record: RequestRecord, end: RequestEnd) => void;
+};
--- /dev/null
+++ b/apps/heroncleatd/entry/run_claimed.ts
@@ -0,0 +1,162 @@
+import { createHash } from "node:crypto";
+import { createFault, type Fault } from "@heroncleat/base";
+import type { Claim, ClaimReply } from "@heroncleat/schema";
+import { ClaimClient } from "./claim_client.ts";
+import type { EntryParts } from "./entry_parts.ts";
+import type { ServiceCall } from "./service_call.ts";
+import { dispatchService } from "./service_dispatcher.ts";
+import type { ServiceOutcome } from "./service_outcome.ts";
+
+const CLAIM_TIMEOUT = 2500;
+const POLL_PAUSE = 100;
+
+/**
+ * Runs a call at most once: claims its key in the ledger, sends it, stores
+ * its outcome. A resend, at whichever entry, gets what became of the first.
+ */
+export async function runClaimed(
+  parts: EntryParts,
+  call: ServiceCall,
+): Promise<ServiceOutcome> {
+  const claims = new ClaimClient(parts.context.control);
+  const reply = await claimCall(parts, call, claims);
+  if (reply === undefined) {
+    return { kind: "not_run", fault: describeNoQuorum() };
+  }
+  switch (reply.outcome) {
+    case "conflict":
+      return { kind: "not_run", fault: describeConflict() };
+    case "exists":
+      return await followClaim(parts, call, { claims, claim: reply.claim });
+    case "claimed":
+      return await runOnce(parts, call, { claims, claim: reply.claim });
+  }
+}
+
+function claimCall(
+  parts: EntryParts,
+  call: ServiceCall,
+  claims: ClaimClient,
+): Promise<ClaimReply | undefined> {
+  const { clock, name } = parts.context;
+  const left = call.until - clock.now();
+  return claims.claim({
+    kind: "claim",
+    workspace: call.routed.workspace,
+    key: call.key,
+    digest: digestOf(call),
+    owner: name,
+    attempt: call.token,
+    at: 0,
+    deadline: clock.wall() + left,
+  }, Math.max(1, Math.min(left, CLAIM_TIMEOUT)));
+}
+
+async function runOnce(
+  parts: EntryParts,
+  call: ServiceCall,
+  options: { claims: ClaimClient; claim: Claim },
+): Promise<ServiceOutcome> {
+  const { claims, claim } = options;
+  if (claim.state !== "claimed") {
+    return await followClaim(parts, call, options);
+  }
+  const sent = await dispatchService(parts, call);
+  switch (sent.kind) {
+    case "answered":
+      await claims.resolve(claim, { state: "done", outcome: sent.outcome });
+      return sent;
+    case "not_run":
+      await claims.resolve(claim, { state: "not_run" });
+      return sent;
+    case "unknown":
+      await claims.resolve(claim, { state: "unknown" });
+      return { kind: "unknown", fault: describeUnknown(sent.fault.message) };
+  }
+}
+
+/** Waits for the outcome of a call that another request is running. */
+async function followClaim(
+  parts: EntryParts,
+  call: ServiceCall,
+  options: { claims: ClaimClient; claim: Claim },
+): Promise<ServiceOutcome> {
+  let claim: Claim | undefined = options.claim;
+  while (claim !== undefined && isRunning(parts, claim)) {
+    if (parts.context.clock.now() >= call.until) {
+      return { kind: "unknown", fault: describeInProgress() };
+    }
+    await new Promise((resolve) => setTimeout(resolve, POLL_PAUSE));
+    claim = await options.claims.find(call.routed.workspace, call.key) ??
+      claim;
+  }
+  if (claim.state === "done" && claim.outcome !== undefined) {
+    return { kind: "answered", outcome: claim.outcome };
+  }
+  if (claim.state === "not_run") {
+    return { kind: "not_run", fault: describeNotRun() };
+  }
+  return { kind: "unknown", fault: describeUnknown("its entry was lost") };
+}
+
+/** Whether the claimant may still come to an outcome. */
+function isRunning(parts: EntryParts, claim: Claim): boolean {
+  if (claim.state !== "claimed") {
+    return false;
+  }
+  const owner = parts.members().find((member) => member.name === claim.owner);
+  const gone = owner === undefined || owner.state === "dead";
+  return !gone && parts.context.clock.wall() < claim.deadline;
+}
+
+function digestOf(call: ServiceCall): string {
+  const { method, service, path } = call.routed;
+  return createHash("sha256")
+    .update(JSON.stringify([method, service, path]))
+    .update(call.body)
+    .digest("hex");
+}
+
+function describeNoQuorum(): Fault {
+  return createFault(
+    "no_quorum",
+    "The call could not be claimed, so it was not run. Remedy: send it again " +
+      "with the same Idempotency-Key after Retry-After.",
+    { retryAfter: 1000 },
+  );
+}
+
+function describeConflict(): Fault {
+  return createFault(
+    "conflict",
+    "This Idempotency-Key was used for another request. Remedy: use a new " +
+      "key for a new request.",
+  );
+}
+
+function describeInProgress(): Fault {
+  return createFault(
+    "in_progress",
+    "The first request with this key is still running. Remedy: ask again " +
+      "with the same key.",
+    { run: "unknown", retryAfter: 1000 },
+  );
+}
+
+function describeNotRun(): Fault {
+  return createFault(
+    "upstream_failed",
+    "The first request with this key was not run. Remedy: send it again with " +
+      "the same key.",
+    { retryAfter: 200 },
+  );
+}
+
+function describeUnknown(cause: string): Fault {
+  return createFault(
+    "outcome_unknown",
+    `The call was sent and its outcome is not known (${cause}). Remedy: check ` +
+      "with the service; the call will not be run again under this key.",
+    { run: "unknown" },
+  );
+}
--- /dev/null
+++ b/apps/heroncleatd/entry/send_once.ts
@@ -0,0 +1,100 @@
+import type { Milliseconds } from "@heroncleat/base";
+import type { Outcome } from "@heroncleat/schema";
+import type { Agent, Dispatcher } from "undici";
+import type { ServiceCall } from "./service_call.ts";
+
+/** What one attempt came to. */
+type AttemptOutcome =
+  | { readonly kind: "answered"; readonly outcome: Outcome }
+  /** No byte left, or the service said that it did not run the call. */
+  | { readonly kind: "not_run"; readonly message: string }
+  | { readonly kind: "unknown"; readonly message: string };
+
+/** Largest answer of a service that is passed on. */
+const MOST_ANSWER_BYTES = 8 * 1024 * 1024;
+/** Errors that come before a connection exists, so that nothing was sent. */
+const CONNECT_ERRORS = [
+  "ECONNREFUSED",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "ENOTFOUND",
+  "UND_ERR_CONNECT_TIMEOUT",
+];
+
+/**
+ * Sends a call to one upstream, once. Only an error of connecting, or the
+ * upstream's own word for this very attempt, counts as not run.
+ */
+export async function sendOnce(
+  call: ServiceCall,
+  options: {
+    agent: Agent;
+    address: string;
+    attempt: string;
+    timeout: Milliseconds;
+  },
+): Promise<AttemptOutcome> {
+  let response: Dispatcher.ResponseData;
+  try {
+    response = await options.agent.request({
+      origin: `http://${options.address}`,
+      path: call.routed.path,
+      method: call.routed.method as Dispatcher.HttpMethod,
+      headers: buildHeaders(call, options.attempt),
+      body: call.body.length === 0 ? null : call.body,
+      signal: AbortSignal.timeout(Math.max(1, options.timeout)),
+    });
+  } catch (error) {
+    return describeError(error as NodeJS.ErrnoException);
+  }
+  if (response.headers["heroncleat-not-run"] === options.attempt) {
+    await response.body.dump();
+    return { kind: "not_run", message: "the service refused it" };
+  }
+  return await readAnswer(response);
+}
+
+function buildHeaders(
+  call: ServiceCall,
+  attempt: string,
+): Record<string, string> {
+  return {
+    "content-type": call.contentType,
+    "heroncleat-attempt": attempt,
+    "idempotency-key": call.key,
+    "heroncleat-workspace": call.routed.workspace,
+  };
+}
+
+function describeError(error: NodeJS.ErrnoException): AttemptOutcome {
+  const code = error.code ?? "";
+  const message = error.message === "" ? code : error.message;
+  return CONNECT_ERRORS.includes(code)
+    ? { kind: "not_run", message }
+    : { kind: "unknown", message };
+}
+
+/** An answer counts only when all of it came. */
+async function readAnswer(
+  response: Dispatcher.ResponseData,
+): Promise<AttemptOutcome> {
+  const chunks: Buffer[] = [];
+  let length = 0;
+  try {
+    for await (const chunk of response.body) {
+      length += (chunk as Buffer).length;
+      if (length > MOST_ANSWER_BYTES) {
+        return { kind: "unknown", message: "the answer is too large" };
+      }
+      chunks.push(chunk as Buffer);
+    }
+  } catch (error) {
+    return { kind: "unknown", message: (error as Error).message };
+  }
+  const contentType = String(
+    response.headers["content-type"] ?? "application/octet-stream",
+  );
+  const body = Buffer.concat(chunks).toString("base64");
+  const outcome = { status: response.statusCode, contentType, body };
+  return { kind: "answered", outcome };
+}
--- /dev/null
+++ b/apps/heroncleatd/entry/service_call.ts
@@ -0,0 +1,15 @@
+import type { Milliseconds } from "@heroncleat/base";
+import type { RoutedRequest } from "@heroncleat/routing";
+
+/** A call to a plain service, ready to be sent. */
+export type ServiceCall = {
+  readonly routed: RoutedRequest;
+  readonly token: string;
+  readonly contentType: string;
+  readonly body: Buffer;
+  /** Idempotency key, also passed on to the service. */
+  readonly key: string;
+  readonly isIdempotent: boolean;
+  /** Until when the call is of use, on the clock of `now`. */
+  readonly until: Milliseconds;
+};
--- /dev/null
+++ b/apps/heroncleatd/entry/start_entry.ts
@@ -0,0 +1,247 @@
+import { splitList } from "@heroncleat/base";
+import { checkCopyMessage, type MemberRecord } from "@heroncleat/schema";
+import { Agent } from "undici";
+import { Actor } from "../common/actor.ts";
+import { ControlClient } from "../common/control_client.ts";
+import type { KeyRing } from "../common/key_ring.ts";
+import type { ProcessContext } from "../common/process_context.ts";
+import type { RunningRole } from "../common/running_role.ts";
+import { AnswerSource } from "./answer_source.ts";
+import { CallerServer } from "./caller_server.ts";
+import { ConfigurationLease } from "./configuration_lease.ts";
+import { ConfigurationRenewer } from "./configuration_renewer.ts";
+import { CopySender } from "./copy_sender.ts";
+import { createChainHash } from "./create_chain_hash.ts";
+import { DispatchHost } from "./dispatch_host.ts";
+import type { DispatchMessage } from "./dispatch_message.ts";
+import type { EntryContext } from "./entry_context.ts";
+import type { EntryParts } from "./entry_parts.ts";
+import type { RegistryMessage } from "./registry_message.ts";
+import { RequestRegistry } from "./request_registry.ts";
+import { startMembership } from "./start_membership.ts";
+
+const DISPATCH_TICK = 20;
+const REGISTRY_TICK = 500;
+const COPY_CALL_TIMEOUT = 350;
+const STOP_CHECK = 20;
+/** Kept back from the time limit for handing over what is left. */
+const HAND_OVER_RESERVE = 2500;
+const LEAVE_SPREAD = 100;
+
+/** Starts the entry role. */
+export async function startEntry(
+  context: ProcessContext,
+  callers: KeyRing,
+): Promise<RunningRole> {
+  return new EntryRole(await createContext(context, callers));
+}
+
+async function createContext(
+  context: ProcessContext,
+  callers: KeyRing,
+): Promise<EntryContext> {
+  const entry = context.settings.entry!;
+  const { daemon } = context.settings;
+  return {
+    ...context,
+    entry,
+    name: daemon.name,
+    zone: daemon.zone,
+    control: new ControlClient(shuffle(splitList(entry.control)), {
+      pool: context.pool,
+      now: () => context.clock.now(),
+    }),
+    lease: new ConfigurationLease(context.clock),
+    callers,
+    chainHash: await createChainHash(),
+    upstreams: new Agent({
+      connect: { timeout: entry.connect_timeout },
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      pipelining: 1,
+    }),
+  };
+}
+
+/** Entries start at different replicas, so that their reads spread. */
+function shuffle(addresses: readonly string[]): string[] {
+  const start = Math.floor(Math.random() * addresses.length);
+  return [...addresses.slice(start), ...addresses.slice(0, start)];
+}
+
+/** The entry role of one process. */
+class EntryRole implements RunningRole {
+  readonly #context: EntryContext;
+  readonly #parts: EntryParts;
+  readonly #server: CallerServer;
+  readonly #renewer: ConfigurationRenewer;
+  readonly #stopMembership: () => void;
+  readonly #timers: NodeJS.Timeout[] = [];
+  #members: readonly MemberRecord[] = [];
+  #leaving = false;
+
+  constructor(context: EntryContext) {
+    this.#context = context;
+    const dispatch = this.#startDispatch();
+    const registry = this.#startRegistry(dispatch);
+    const membership = this.#startMembership(dispatch, registry);
+    this.#stopMembership = membership.stop;
+    const members = () => this.#members;
+    this.#parts = {
+      context,
+      membership: membership.actor,
+      dispatch,
+      registry,
+      answers: new AnswerSource({ context, registry, members }),
+      members,
+      isLeaving: () => this.#leaving,
+    };
+    this.#server = new CallerServer(this.#parts);
+    this.#renewer = new ConfigurationRenewer(context, (view) => {
+      dispatch.tell({ kind: "configuration", view });
+      membership.actor.tell({
+        kind: "event",
+        event: { kind: "revision", revision: view.revision },
+      });
+    });
+  }
+
+  async start(): Promise<void> {
+    const { dispatch, registry } = this.#parts;
+    this.#timers.push(
+      setInterval(() => dispatch.tell({ kind: "tick" }), DISPATCH_TICK),
+      setInterval(() => registry.tell({ kind: "tick" }), REGISTRY_TICK),
+    );
+    this.#renewer.start();
+    await this.#server.listen();
+    this.#context.log("entry").info(
+      `Serves callers on ${this.#context.entry.caller_address}`,
+    );
+  }
+
+  async stop(limit: number): Promise<void> {
+    const log = this.#context.log("entry");
+    log.info("Leaves: takes no new requests");
+    this.#leaving = true;
+    const { membership } = this.#parts;
+    membership.tell({ kind: "event", event: { kind: "leave" } });
+    await sleep(LEAVE_SPREAD);
+    this.#server.stopListening();
+    await this.#finishRequests(limit - HAND_OVER_RESERVE);
+    await this.#handOver();
+    await this.#flushCallers();
+    this.#renewer.stop();
+    this.#stopMembership();
+    for (const timer of this.#timers) {
+      clearInterval(timer);
+    }
+    this.#server.close();
+    await this.#context.upstreams.destroy();
+  }
+
+  #startDispatch(): Actor<DispatchMessage> {
+    const host = new DispatchHost(this.#context);
+    return new Actor(this.#context.system, {
+      name: "dispatch",
+      log: this.#context.log("dispatch"),
+      handle: (message) => host.handle(message),
+    });
+  }
+
+  #startRegistry(dispatch: Actor<DispatchMessage>): Actor<RegistryMessage> {
+    const context = this.#context;
+    const registry: RequestRegistry = new RequestRegistry({
+      context,
+      copies: new CopySender(context.pool, COPY_CALL_TIMEOUT),
+      dispatch,
+      tellSelf: (message) => actor.tell(message),
+    });
+    const actor: Actor<RegistryMessage> = new Actor(context.system, {
+      name: "registry",
+      log: context.log("requests"),
+      handle: (message) => registry.handle(message),
+    });
+    this.#serveRequests(actor);
+    return actor;
+  }
+
+  #serveRequests(registry: Actor<RegistryMessage>): void {
+    this.#context.serve({
+      "entry.copies": (parameters) =>
+        new Promise((resolve, reject) => {
+          const { copies } = parameters as { copies: unknown[] };
+          if (!copies.every((copy) => checkCopyMessage(copy))) {
+            reject(new Error("a copy is malformed"));
+            return;
+          }
+          registry.tell({ kind: "copies", copies, reply: resolve });
+        }),
+      "entry.query": (parameters) =>
+        new Promise((resolve) => {
+          const query = parameters as never;
+          registry.tell({ kind: "query", query, reply: resolve });
+        }),
+      "entry.take_over": (parameters) => {
+        const { ids } = parameters as { ids: string[] };
+        return registry.tell({ kind: "take_over", ids });
+      },
+    });
+  }
+
+  #startMembership(
+    dispatch: Actor<DispatchMessage>,
+    registry: Actor<RegistryMessage>,
+  ) {
+    return startMembership(this.#context, {
+      onMembers: (members) => {
+        this.#members = members;
+        registry.tell({ kind: "members", members });
+        const alive = members.filter((member) => member.state === "alive");
+        dispatch.tell({ kind: "entries", alive: alive.length });
+      },
+      onMemberDead: () => {},
+      onUpstream: (upstream) => {
+        const { announcement } = upstream;
+        dispatch.tell({ kind: "upstream", announcement });
+        registry.tell({ kind: "upstream", upstream });
+      },
+      onUpstreamLapsed: (name) =>
+        dispatch.tell({ kind: "upstream_lapsed", name }),
+    });
+  }
+
+  /** Waits until no request is unfinished, or the time is up. */
+  async #finishRequests(limit: number): Promise<void> {
+    const until = Date.now() + limit;
+    while (Date.now() < until && await this.#countOwned() > 0) {
+      await sleep(STOP_CHECK);
+    }
+  }
+
+  #countOwned(): Promise<number> {
+    return new Promise((resolve) => {
+      this.#parts.registry.tell({
+        kind: "count",
+        reply: ({ owned }) => resolve(owned),
+      });
+    });
+  }
+
+  async #handOver(): Promise<void> {
+    if (await this.#countOwned() === 0) {
+      return;
+    }
+    await new Promise<void>((resolve) => {
+      this.#parts.registry.tell({ kind: "hand_over", reply: resolve });
+    });
+  }
+
+  /** Lets the last bytes of answers leave. */
+  async #flushCallers(): Promise<void> {
+    await sleep(LEAVE_SPREAD);
+  }
+}
+
+function sleep(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
--- /dev/null
+++ b/apps/heroncleatd/entry/to_routed_request.ts
@@ -0,0 +1,21 @@
+import { prefixBlocks, type RoutedRequest } from "@heroncleat/routing";
+import type { RequestRecord } from "@heroncleat/schema";
+import { promptText } from "./prompt_text.ts";
+
+/** The router's view of a generation. */
+export function toRoutedRequest(
+  record: RequestRecord,
+  chainHash: (text: string, seed: string) => string,
+): RoutedRequest {
+  return {
+    id: record.id,
+    workspace: record.workspace,
+    model: record.model,
+    service: "",
+    method: "POST",
+    path: "",
+    prefix: prefixBlocks(promptText(record.body), chainHash),
+    promptTokens: record.promptTokens,
+    exclude: [],
+  };
+}
--- /dev/null
+++ b/apps/heroncleatd/entry/upstream_stream.ts
@@ -0,0 +1,134 @@
+import { createParser, type EventSourceMessage } from "eventsource-parser";
+import type { Agent, Dispatcher } from "undici";
+
+/** What the reader of a stream is told, in order. */
+type StreamHandlers = {
+  readonly onPiece: (place: number, text: string) => void;
+  /** The upstream marked the end; `pieces` were sent in all. */
+  readonly onFinished: (pieces: number, reason: string) => void;
+  /** The stream broke off, or never began. */
+  readonly onFailed: (message: string) => void;
+};
+
+/** What opens a stream. */
+type StreamOptions = {
+  readonly agent: Agent;
+  readonly address: string;
+  readonly path: string;
+  readonly body: Record<string, unknown>;
+  readonly attempt: string;
+  readonly handlers: StreamHandlers;
+};
+
+/** The parts of an engine's event that matter here. */
+type EngineEvent = {
+  readonly choices?: readonly {
+    readonly delta?: { readonly content?: string | null };
+    readonly text?: string;
+    readonly finish_reason?: string | null;
+  }[];
+};
+
+const END_MARK = "[DONE]";
+const END_OF_BODY = "the stream ended without its end mark";
+
+/**
+ * One streamed generation at an upstream. An answer counts as whole only when
+ * the engine gave a finish reason and the end mark.
+ */
+export class UpstreamStream {
+  readonly #options: StreamOptions;
+  readonly #abort = new AbortController();
+  #pieces = 0;
+  #reason = "";
+  #ended = false;
+
+  constructor(options: StreamOptions) {
+    this.#options = options;
+    void this.#run();
+  }
+
+  /** Stops the generation; the handlers hear nothing more. */
+  cancel(): void {
+    this.#ended = true;
+    this.#abort.abort();
+  }
+
+  async #run(): Promise<void> {
+    try {
+      const response = await this.#open();
+      if (response.statusCode !== 200) {
+        this.#abort.abort();
+        this.#fail(`the upstream answered ${response.statusCode}`);
+        return;
+      }
+      await this.#read(response.body);
+      this.#fail(END_OF_BODY);
+    } catch (error) {
+      this.#fail((error as Error).message);
+    }
+  }
+
+  #open(): Promise<Dispatcher.ResponseData> {
+    const { agent, address, path, body, attempt } = this.#options;
+    return agent.request({
+      origin: `http://${address}`,
+      path,
+      method: "POST",
+      headers: {
+        "content-type": "application/json",
+        accept: "text/event-stream",
+        "heroncleat-attempt": attempt,
+      },
+      body: JSON.stringify(body),
+      signal: this.#abort.signal,
+    });
+  }
+
+  async #read(body: Dispatcher.ResponseData["body"]): Promise<void> {
+    const parser = createParser({
+      onEvent: (event) => this.#onEvent(event),
+    });
+    const decoder = new TextDecoder();
+    for await (const chunk of body) {
+      parser.feed(decoder.decode(chunk as Buffer, { stream: true }));
+      if (this.#ended) {
+        return;
+      }
+    }
+  }
+
+  #onEvent(event: EventSourceMessage): void {
+    if (this.#ended) {
+      return;
+    }
+    if (event.data === END_MARK) {
+      this.#finish();
+      return;
+    }
+    const value = JSON.parse(event.data) as EngineEvent;
+    const choice = value.choices?.[0];
+    const text = choice?.delta?.content ?? choice?.text ?? "";
+    if (text !== "") {
+      this.#options.handlers.onPiece(this.#pieces, text);
+      this.#pieces += 1;
+    }
+    this.#reason = choice?.finish_reason ?? this.#reason;
+  }
+
+  #finish(): void {
+    if (this.#reason === "") {
+      this.#fail("the stream ended without a finish reason");
+      return;
+    }
+    this.#ended = true;
+    this.#options.handlers.onFinished(this.#pieces, this.#reason);
+  }
+
+  #fail(message: string): void {
+    if (!this.#ended) {
+      this.#ended = true;
+      this.#options.handlers.onFailed(message);
+    }
+  }
+}
--- /dev/null
+++ b/apps/heroncleatd/main.ts
@@ -0,0 +1,185 @@
+#!/usr/bin/env node
+/**
+ * The daemon: reads its settings, starts its roles, stops gracefully.
+ *
+ * @module
+ */
+import { parseArgs } from "node:util";
+import { createSystemClock, type Fault, splitList } from "@heroncleat/base";
+import type { Settings } from "@heroncleat/schema";
+import { PeerPool, PeerServer } from "@heroncleat/transport";
+import { start as startActors } from "nact";
+import { createLogs } from "./common/create_logs.ts";
+import { createMetrics } from "./common/create_metrics.ts";
+import { ExitCode } from "./common/exit_code.ts";
+import { loadSettings } from "./common/load_settings.ts";
+import type { ProcessContext } from "./common/process_context.ts";
+import { readKeyRing } from "./common/read_key_ring.ts";
+import { readSecret } from "./common/read_secret.ts";
+import type { RunningRole } from "./common/running_role.ts";
+import { startControl } from "./control/start_control.ts";
+import { startEntry } from "./entry/start_entry.ts";
+
+const VERSION = "0.1.0";
+const CONNECT_TIMEOUT = 1000;
+const HELP = `heroncleatd, the serving daemon.
+
+Usage: heroncleatd --settings FILE [--check]
+
+  --settings FILE  the INI file; docs/SETTINGS.md lists its keys
+  --check          check the file and the files it names, then exit
+  --help           print this text
+  --version        print the version
+
+SIGTERM and SIGINT stop the process gracefully; a second one ends it at once.
+Exit codes: 0 stopped, 1 failed, 2 bad settings, 3 damaged data folder.
+`;
+
+const options = readOptions();
+const settings = orExit(loadSettings(options.settings));
+const roles = splitList(settings.daemon.roles);
+const sharedSecret = orExit(readSecret(settings.security.shared_secret_file));
+const callers = roles.includes("entry")
+  ? orExit(readKeyRing(
+    settings.security.caller_keys_file,
+    "security.caller_keys_file",
+  ))
+  : undefined;
+const operators = roles.includes("control")
+  ? orExit(readKeyRing(
+    settings.security.operator_tokens_file,
+    "security.operator_tokens_file",
+  ))
+  : undefined;
+if (options.check) {
+  process.stdout.write(`${options.settings} is fine.\n`);
+  process.exit(ExitCode.stopped);
+}
+await run(settings);
+
+async function run(checked: Settings): Promise<void> {
+  const logs = createLogs(checked.logs, checked.daemon.name);
+  const log = logs("daemon");
+  const clock = createSystemClock();
+  const pool = new PeerPool({
+    secret: sharedSecret,
+    connectTimeout: CONNECT_TIMEOUT,
+  });
+  const server = new PeerServer({
+    address: checked.daemon.peer_address,
+    secret: sharedSecret,
+    onProblem: (message) => log.warn(message),
+  });
+  const metrics = createMetrics(checked.metrics, logs("metrics"));
+  const context: ProcessContext = {
+    settings: checked,
+    clock,
+    metrics,
+    pool,
+    sharedSecret,
+    system: startActors() as never,
+    log: logs,
+    serve: (methods) => server.serve(methods),
+    fail: (error) => {
+      log.error("Can't go on", { error: describeError(error) });
+      process.exit(exitCodeOf(error));
+    },
+  };
+  process.on("uncaughtException", context.fail);
+  process.on("unhandledRejection", context.fail);
+  const running: RunningRole[] = [];
+  if (operators !== undefined) {
+    running.push(await startControl(context, operators));
+  }
+  if (callers !== undefined) {
+    running.push(await startEntry(context, callers));
+  }
+  await server.listen();
+  installSignals(async () => {
+    log.info("Stops");
+    const limit = checked.daemon.stop_time_limit;
+    // The entry goes first: it needs the control group to hand over.
+    for (const role of running.toReversed()) {
+      await role.stop(limit);
+    }
+    pool.close();
+    await server.close();
+    metrics.close();
+    log.info("Stopped");
+  });
+  await Promise.all(running.map((role) => role.start()));
+  log.info(`Version ${VERSION} is up`, { roles: checked.daemon.roles });
+}
+
+function installSignals(stop: () => Promise<void>): void {
+  let stopping = false;
+  const onSignal = () => {
+    if (stopping) {
+      process.exit(ExitCode.failed);
+    }
+    stopping = true;
+    stop().then(() => process.exit(ExitCode.stopped));
+  };
+  process.on("SIGTERM", onSignal);
+  process.on("SIGINT", onSignal);
+}
+
+function readOptions(): { settings: string; check: boolean } {
+  let values: ReturnType<typeof parse>["values"];
+  try {
+    values = parse().values;
+  } catch (error) {
+    return exitWithUsage((error as Error).message);
+  }
+  if (values.help) {
+    process.stdout.write(HELP);
+    process.exit(ExitCode.stopped);
+  }
+  if (values.version) {
+    process.stdout.write(`heroncleatd ${VERSION}\n`);
+    process.exit(ExitCode.stopped);
+  }
+  if (values.settings === undefined) {
+    return exitWithUsage("--settings is missing. Remedy: name an INI file.");
+  }
+  return { settings: values.settings, check: values.check ?? false };
+}
+
+function parse() {
+  return parseArgs({
+    options: {
+      settings: { type: "string" },
+      check: { type: "boolean" },
+      help: { type: "boolean" },
+      version: { type: "boolean" },
+    },
+  });
+}
+
+function exitWithUsage(message: string): never {
+  process.stderr.write(`heroncleatd: ${message}\n\n${HELP}`);
+  process.exit(ExitCode.badSettings);
+}
+
+function orExit<Value>(
+  result: { isOk: true; value: Value } | { isOk: false; error: Fault },
+): Value {
+  if (result.isOk) {
+    return result.value;
+  }
+  process.stderr.write(`heroncleatd: ${result.error.message}\n`);
+  process.exit(ExitCode.badSettings);
+}
+
+function describeError(error: unknown): string {
+  if (error instanceof Error) {
+    return String(error.stack);
+  }
+  const { message } = (error ?? {}) as { message?: string };
+  return message ?? String(error);
+}
+
+function exitCodeOf(error: unknown): number {
+  const { kind } = (error ?? {}) as { kind?: string };
+  return kind === "damaged" ? ExitCode.damagedData : ExitCode.failed;
+}
--- /dev/null
+++ b/packages/admission/admission_settings.ts
@@ -0,0 +1,18 @@
+import type { Milliseconds } from "@heroncleat/base";
+
+/** Settings of admission to one model or service. @public */
+export type AdmissionSettings = {
+  /** Requests queued in all. */
+  readonly maxQueued: number;
+  /** Limits of a workspace that the configuration doesn't name. */
+  readonly defaultWeight: number;
+  readonly defaultMaxRunning: number;
+  readonly defaultMaxQueued: number;
+  /**
+   * Served work, divided by weight, that a workspace may be ahead of the
+   * furthest behind and still go first by priority.
+   */
+  readonly burst: number;
+  /** Shortest time a refused caller is told to wait. */
+  readonly leastRetryAfter: Milliseconds;
+};
--- /dev/null
+++ b/packages/admission/mod.ts
@@ -0,0 +1,12 @@
+/**
+ * Which requests run, wait or are refused: priorities, fair shares, deadlines
+ * and retry budgets.
+ *
+ * @module
+ */
+export type { AdmissionDecision } from "./admission_decision.ts";
+export type { AdmissionRequest } from "./admission_request.ts";
+export type { AdmissionSettings } from "./admission_settings.ts";
+export { Admission } from "./admission.ts";
+export { ADMISSION_DEFAULTS } from "./admission_defaults.ts";
+export { RetryBudget } from "./retry_budget.ts";
--- /dev/null
+++ b/packages/base/create_seeded_random.ts
@@ -0,0 +1,13 @@
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import type { Random } from "./random.ts";
+
+/**
+ * Makes a reproducible source of random numbers for tests and measurements.
+ *
+ * @public
+ */
+export function createSeededRandom(seed: number): Random {
+  const generator = xoroshiro128plus(seed);
+  return () => uniformFloat64(generator);
+}
--- /dev/null
+++ b/packages/base/fault_kind.ts
@@ -0,0 +1,23 @@
+/** The kinds of errors that reach callers and operators. @public */
+export const FaultKind = {
+  badRequest: "bad_request",
+  unauthorized: "unauthorized",
+  forbidden: "forbidden",
+  notFound: "not_found",
+  tooLarge: "too_large",
+  timeout: "timeout",
+  conflict: "conflict",
+  inProgress: "in_progress",
+  overloaded: "overloaded",
+  noUpstream: "no_upstream",
+  noStandby: "no_standby",
+  noQuorum: "no_quorum",
+  leaseLapsed: "lease_lapsed",
+  leaving: "leaving",
+  upstreamFailed: "upstream_failed",
+  outcomeUnknown: "outcome_unknown",
+  notLeader: "not_leader",
+  settings: "settings",
+  damaged: "damaged",
+  internal: "internal",
+} as const;
--- /dev/null
+++ b/packages/base/milliseconds.ts
@@ -0,0 +1,2 @@
+/** A point in time or a span, in milliseconds. @public */
+export type Milliseconds = number;
--- /dev/null
+++ b/packages/base/mod.ts
@@ -0,0 +1,20 @@
+/**
+ * Small parts that every other package builds on: time, random numbers,
+ * identifiers, errors.
+ *
+ * @module
+ */
+export type { Clock } from "./clock.ts";
+export type { Fault } from "./fault.ts";
+export type { Milliseconds } from "./milliseconds.ts";
+export type { Random } from "./random.ts";
+export { createFault } from "./create_fault.ts";
+export { createSeededRandom } from "./create_seeded_random.ts";
+export { createSystemClock } from "./create_system_clock.ts";
+export { createToken } from "./create_token.ts";
+export { FaultKind } from "./fault_kind.ts";
+export { formatRequestId } from "./format_request_id.ts";
+export { parseRequestId } from "./parse_request_id.ts";
+export { splitAddress } from "./split_address.ts";
+export { splitList } from "./split_list.ts";
+export { unreachable } from "./unreachable.ts";
--- /dev/null
+++ b/packages/base/split_address.ts
@@ -0,0 +1,15 @@
+/** A host and a port. */
+type HostAndPort = { readonly host: string; readonly port: number };
+
+/**
+ * Splits `host:port`.
+ *
+ * @public
+ */
+export function splitAddress(address: string): HostAndPort {
+  const colon = address.lastIndexOf(":");
+  return {
+    host: address.slice(0, colon),
+    port: Number(address.slice(colon + 1)),
+  };
+}
--- /dev/null
+++ b/packages/base/split_list.ts
@@ -0,0 +1,6 @@
+/** Splits a comma-separated settings value into its trimmed parts. @public */
+export function splitList(text: string): string[] {
+  return text.split(",").map((part) => part.trim()).filter((part) =>
+    part !== ""
+  );
+}
--- /dev/null
+++ b/packages/consensus/committing.ts
@@ -0,0 +1,106 @@
+import type { LogEntry, ReplicaMember } from "@heroncleat/schema";
+import { output } from "./output.ts";
+import { quorum } from "./quorum.ts";
+import type { ReplicaState } from "./replica_state.ts";
+
+/**
+ * Moves the commit index and hands committed entries to the application.
+ *
+ * @internal
+ */
+export const committing = {
+  /** Leader: commits what a majority holds on disk. */
+  advance(state: ReplicaState): void {
+    const leadership = state.leadership;
+    if (leadership === undefined) {
+      return;
+    }
+    const held = quorum.reachedValue(state.members, (id) => {
+      if (id === state.settings.id) {
+        return state.durableIndex;
+      }
+      return leadership.progress.get(id)?.matchIndex ?? 0;
+    });
+    // Only an entry of the present term commits by counting (Raft, 5.4.2).
+    if (held > state.commitIndex && state.log.termAt(held) === state.term) {
+      committing.commitTo(state, held);
+    }
+  },
+
+  commitTo(state: ReplicaState, index: number): void {
+    state.commitIndex = Math.max(
+      state.commitIndex,
+      Math.min(index, state.log.lastIndex),
+    );
+    while (state.appliedIndex < state.commitIndex) {
+      const entry = state.log.entryAt(state.appliedIndex + 1);
+      if (entry === undefined) {
+        return;
+      }
+      state.appliedIndex = entry.index;
+      apply(state, entry);
+    }
+  },
+
+  /** Notes that persist effects up to `number` are on disk. */
+  onPersisted(state: ReplicaState, number: number): void {
+    while (state.unsynced.length > 0 && state.unsynced[0]!.number <= number) {
+      const synced = state.unsynced.shift()!;
+      state.durableIndex = Math.max(state.durableIndex, synced.lastIndex);
+    }
+    committing.advance(state);
+  },
+
+  /** Drops the entry at `from` and all behind it. */
+  truncate(state: ReplicaState, from: number): void {
+    state.log.truncate(from);
+    state.durableIndex = Math.min(state.durableIndex, from - 1);
+    for (const pending of state.unsynced) {
+      pending.lastIndex = Math.min(pending.lastIndex, from - 1);
+    }
+    for (const [index, proposal] of state.proposals) {
+      if (index >= from) {
+        state.proposals.delete(index);
+        output.reject(state, proposal.token, "superseded");
+      }
+    }
+    if (state.membersIndex >= from) {
+      committing.restoreMembers(state);
+    }
+  },
+
+  /** Finds the latest member list that is still in the log. */
+  restoreMembers(state: ReplicaState): void {
+    state.members = state.snapshot.members;
+    state.membersIndex = state.snapshot.lastIndex;
+    for (
+      let index = state.log.baseIndex + 1;
+      index <= state.log.lastIndex;
+      index += 1
+    ) {
+      const entry = state.log.entryAt(index)!;
+      if (entry.kind === "members") {
+        state.members = entry.payload as ReplicaMember[];
+        state.membersIndex = index;
+      }
+    }
+  },
+};
+
+function apply(state: ReplicaState, entry: LogEntry): void {
+  state.effects.push({ kind: "apply", entry });
+  const proposal = state.proposals.get(entry.index);
+  if (proposal === undefined) {
+    return;
+  }
+  state.proposals.delete(entry.index);
+  if (proposal.term !== entry.term) {
+    output.reject(state, proposal.token, "superseded");
+    return;
+  }
+  state.effects.push({
+    kind: "committed",
+    token: proposal.token,
+    index: entry.index,
+  });
+}
--- /dev/null
+++ b/packages/consensus/election.ts
@@ -0,0 +1,230 @@
+import type {
+  Append,
+  SnapshotChunk,
+  VoteReply,
+  VoteRequest,
+} from "@heroncleat/schema";
+import type { Instant } from "./instant.ts";
+import { leading } from "./leading.ts";
+import { output } from "./output.ts";
+import { quorum } from "./quorum.ts";
+import { ReplicaRole } from "./replica_role.ts";
+import type { ReplicaState } from "./replica_state.ts";
+
+/**
+ * Elections with pre-vote (Raft, section 9.6 of Ongaro's dissertation). A
+ * replica that heard a leader lately grants no vote, which is what a leader's
+ * lease rests on.
+ *
+ * @internal
+ */
+export const election = {
+  /** Picks the next time to start an election. */
+  schedule(state: ReplicaState, at: Instant): void {
+    const timeout = state.settings.electionTimeout;
+    state.electionAt = at.now + timeout + state.random() * timeout;
+  },
+
+  /** Starts a pre-vote when no leader was heard for long enough. */
+  startIfDue(state: ReplicaState, at: Instant): void {
+    if (state.role === ReplicaRole.leader || at.now < state.electionAt) {
+      return;
+    }
+    // A wall clock that jumps moves `now` only; the promise to the leader,
+    // which its lease counts on, ends by the monotonic clock.
+    if (hasHeardLeader(state, at)) {
+      return;
+    }
+    election.schedule(state, at);
+    if (state.leader !== "") {
+      state.leader = "";
+      output.role(state);
+    }
+    if (!quorum.isVoter(state.members, state.settings.id)) {
+      return;
+    }
+    startPreVote(state, at);
+  },
+
+  /** Starts a real election at once, on the leader's request. */
+  startTransfer(state: ReplicaState, at: Instant): void {
+    if (quorum.isVoter(state.members, state.settings.id)) {
+      startVote(state, at, { transfer: true });
+    }
+  },
+
+  onRequest(state: ReplicaState, request: VoteRequest, at: Instant): void {
+    if (refusesToVote(state, request, at)) {
+      answer(state, request, false);
+      return;
+    }
+    if (!request.pre && request.term > state.term) {
+      election.becomeFollower(state, request.term, "", at);
+    }
+    const granted = isUpToDate(state, request) && mayVote(state, request);
+    if (granted && !request.pre) {
+      state.votedFor = request.from;
+      output.persistVote(state);
+      election.schedule(state, at);
+    }
+    answer(state, request, granted);
+  },
+
+  onReply(state: ReplicaState, reply: VoteReply, at: Instant): void {
+    if (reply.term > state.term && !reply.granted) {
+      election.becomeFollower(state, reply.term, "", at);
+      return;
+    }
+    const wanted = state.preVoting ? state.term + 1 : state.term;
+    const counts = state.role === ReplicaRole.candidate &&
+      reply.pre === state.preVoting && reply.term === wanted && reply.granted;
+    if (!counts) {
+      return;
+    }
+    state.votes.add(reply.from);
+    if (!quorum.reached(state.members, (id) => state.votes.has(id))) {
+      return;
+    }
+    if (state.preVoting) {
+      startVote(state, at, { transfer: false });
+    } else {
+      leading.begin(state, at);
+    }
+  },
+
+  /** Follows the leader that sent this, or says that it is out of date. */
+  acceptsLeader(
+    state: ReplicaState,
+    message: Append | SnapshotChunk,
+    at: Instant,
+  ): boolean {
+    if (message.term < state.term) {
+      return false;
+    }
+    const changed = message.term > state.term ||
+      state.role !== ReplicaRole.follower || state.leader !== message.from;
+    if (changed) {
+      election.becomeFollower(state, message.term, message.from, at);
+    }
+    state.leaderHeardAt = at.steady;
+    election.schedule(state, at);
+    return true;
+  },
+
+  becomeFollower(
+    state: ReplicaState,
+    term: number,
+    leader: string,
+    at: Instant,
+  ): void {
+    if (term > state.term) {
+      state.term = term;
+      state.votedFor = "";
+      output.persistVote(state);
+    }
+    leading.end(state);
+    state.role = ReplicaRole.follower;
+    state.leader = leader;
+    state.votes = new Set();
+    election.schedule(state, at);
+    output.role(state);
+  },
+};
+
+function startPreVote(state: ReplicaState, at: Instant): void {
+  state.role = ReplicaRole.candidate;
+  state.preVoting = true;
+  state.votes = new Set([state.settings.id]);
+  ask(state, { term: state.term + 1, transfer: false });
+  if (quorum.reached(state.members, (id) => state.votes.has(id))) {
+    startVote(state, at, { transfer: false });
+  }
+}
+
+function startVote(
+  state: ReplicaState,
+  at: Instant,
+  options: { transfer: boolean },
+): void {
+  state.role = ReplicaRole.candidate;
+  state.preVoting = false;
+  state.term += 1;
+  state.votedFor = state.settings.id;
+  state.leader = "";
+  state.votes = new Set([state.settings.id]);
+  output.persistVote(state);
+  election.schedule(state, at);
+  ask(state, { term: state.term, transfer: options.transfer });
+  if (quorum.reached(state.members, (id) => state.votes.has(id))) {
+    leading.begin(state, at);
+  }
+}
+
+function ask(
+  state: ReplicaState,
+  options: { term: number; transfer: boolean },
+): void {
+  const request: VoteRequest = {
+    kind: "vote_request",
+    pre: state.preVoting,
+    term: options.term,
+    from: state.settings.id,
+    lastIndex: state.log.lastIndex,
+    lastTerm: state.log.lastTerm,
+    transfer: options.transfer,
+  };
+  for (const member of quorum.voters(state.members)) {
+    if (member.id !== state.settings.id) {
+      output.sendAfterSync(state, member.id, request);
+    }
+  }
+}
+
+/** A replica that heard a leader lately keeps its promise to that leader. */
+function refusesToVote(
+  state: ReplicaState,
+  request: VoteRequest,
+  at: Instant,
+): boolean {
+  if (request.term < state.term) {
+    return true;
+  }
+  if (request.transfer) {
+    return false;
+  }
+  const leads = state.role === ReplicaRole.leader;
+  return leads || hasHeardLeader(state, at);
+}
+
+function hasHeardLeader(state: ReplicaState, at: Instant): boolean {
+  return at.steady - state.leaderHeardAt < state.settings.electionTimeout;
+}
+
+function isUpToDate(state: ReplicaState, request: VoteRequest): boolean {
+  if (request.lastTerm !== state.log.lastTerm) {
+    return request.lastTerm > state.log.lastTerm;
+  }
+  return request.lastIndex >= state.log.lastIndex;
+}
+
+function mayVote(state: ReplicaState, request: VoteRequest): boolean {
+  if (request.pre) {
+    return request.term > state.term;
+  }
+  return state.votedFor === "" || state.votedFor === request.from;
+}
+
+function answer(
+  state: ReplicaState,
+  request: VoteRequest,
+  granted: boolean,
+): void {
+  const reply: VoteReply = {
+    kind: "vote_reply",
+    pre: request.pre,
+    term: granted ? request.term : state.term,
+    from: state.settings.id,
+    granted,
+  };
+  output.sendAfterSync(state, request.from, reply);
+}
--- /dev/null
+++ b/packages/consensus/replica.ts
@@ -0,0 +1,339 @@
+import type { Milliseconds, Random } from "@heroncleat/base";
+import { unreachable } from "@heroncleat/base";
+import type {
+  ConsensusMessage,
+  LogSnapshot,
+  ReplicaMember,
+} from "@heroncleat/schema";
+import { committing } from "./committing.ts";
+import { election } from "./election.ts";
+import { following } from "./following.ts";
+import type { Instant } from "./instant.ts";
+import { leading } from "./leading.ts";
+import { output } from "./output.ts";
+import type { ReplicaEffect } from "./replica_effect.ts";
+import type { ReplicaEvent } from "./replica_event.ts";
+import { ReplicaRole } from "./replica_role.ts";
+import type { ReplicaSettings } from "./replica_settings.ts";
+import type { ReplicaState } from "./replica_state.ts";
+import { restoreState } from "./restore_state.ts";
+import { sending } from "./sending.ts";
+import type { StoredReplica } from "./stored_replica.ts";
+
+/**
+ * One member of a replicated log, after Raft (Ongaro and Ousterhout, 2014),
+ * with pre-vote, a quorum check, leases, confirmed reads, learners, single
+ * member changes and chunked snapshots. It does no I/O: `handle` takes an
+ * event and returns what its owner must do.
+ *
+ * @public
+ * @example
+ * const effects = replica.handle({ kind: "tick" }, { now, steady });
+ */
+export class Replica {
+  #state: ReplicaState;
+
+  constructor(
+    settings: ReplicaSettings,
+    options: { random: Random; stored: StoredReplica; at: Instant },
+  ) {
+    this.#state = restoreState(settings, options);
+  }
+
+  get role(): typeof ReplicaRole[keyof typeof ReplicaRole] {
+    return this.#state.role;
+  }
+
+  get term(): number {
+    return this.#state.term;
+  }
+
+  /** Disk identity of the leader; empty when none is known. */
+  get leader(): string {
+    return this.#state.leader;
+  }
+
+  get members(): readonly ReplicaMember[] {
+    return this.#state.members;
+  }
+
+  get commitIndex(): number {
+    return this.#state.commitIndex;
+  }
+
+  get lastIndex(): number {
+    return this.#state.log.lastIndex;
+  }
+
+  get appliedIndex(): number {
+    return this.#state.appliedIndex;
+  }
+
+  get snapshotIndex(): number {
+    return this.#state.snapshot.lastIndex;
+  }
+
+  /**
+   * The end of the leader's lease on the `now` clock, 0 without one. Check it
+   * at the last step before bytes leave.
+   */
+  get leaseUntil(): Milliseconds {
+    const leadership = this.#state.leadership;
+    if (leadership === undefined || leadership.transferring) {
+      return 0;
+    }
+    const ready = this.#state.commitIndex >= leadership.firstIndex;
+    return ready ? leadership.leaseUntil : 0;
+  }
+
+  /** How far a member holds the log, as its leader knows it. */
+  matchIndexOf(id: string): number {
+    return this.#state.leadership?.progress.get(id)?.matchIndex ?? 0;
+  }
+
+  handle(event: ReplicaEvent, at: Instant): ReplicaEffect[] {
+    const state = this.#state;
+    state.effects = [];
+    switch (event.kind) {
+      case "tick":
+        onTick(state, at);
+        break;
+      case "message":
+        onMessage(state, event.message, at);
+        break;
+      case "propose":
+        propose(state, event, at);
+        break;
+      case "change_members":
+        changeMembers(state, event, at);
+        break;
+      case "read":
+        leading.read(state, event.token, at);
+        break;
+      case "persisted":
+        committing.onPersisted(state, event.number);
+        leading.confirmRounds(state, at);
+        break;
+      case "snapshot_taken":
+        compact(state, event);
+        break;
+      case "step_down":
+        transferLeadership(state, at);
+        break;
+      default:
+        unreachable(event);
+    }
+    stopLeadingWhenRemoved(state, at);
+    return state.effects;
+  }
+}
+
+function onTick(state: ReplicaState, at: Instant): void {
+  const steppingDown = leading.hasLostQuorum(state, at) ||
+    leading.hasFailedTransfer(state, at);
+  if (steppingDown) {
+    election.becomeFollower(state, state.term, "", at);
+    return;
+  }
+  leading.tick(state, at);
+  election.startIfDue(state, at);
+}
+
+function onMessage(
+  state: ReplicaState,
+  message: ConsensusMessage,
+  at: Instant,
+): void {
+  switch (message.kind) {
+    case "vote_request":
+      election.onRequest(state, message, at);
+      return;
+    case "vote_reply":
+      election.onReply(state, message, at);
+      return;
+    case "append":
+      if (election.acceptsLeader(state, message, at)) {
+        following.onAppend(state, message);
+      } else {
+        following.refuseOldTerm(state, message);
+      }
+      return;
+    case "snapshot_chunk":
+      if (election.acceptsLeader(state, message, at)) {
+        following.onSnapshotChunk(state, message);
+      } else {
+        following.refuseOldTerm(state, message);
+      }
+      return;
+    case "append_reply":
+      if (!stepsDownFor(state, message.term, at)) {
+        leading.onAppendReply(state, message, at);
+      }
+      return;
+    case "snapshot_reply":
+      if (!stepsDownFor(state, message.term, at)) {
+        leading.onSnapshotReply(state, message, at);
+      }
+      return;
+    case "transfer":
+      if (message.term === state.term) {
+        election.startTransfer(state, at);
+      }
+      return;
+    default:
+      unreachable(message);
+  }
+}
+
+function stepsDownFor(
+  state: ReplicaState,
+  term: number,
+  at: Instant,
+): boolean {
+  if (term <= state.term) {
+    return false;
+  }
+  election.becomeFollower(state, term, "", at);
+  return true;
+}
+
+function propose(
+  state: ReplicaState,
+  event: { token: string; command: unknown },
+  at: Instant,
+): void {
+  if (!mayPropose(state, event.token)) {
+    return;
+  }
+  const index = leading.append(state, {
+    kind: "command",
+    payload: event.command,
+  });
+  state.proposals.set(index, { token: event.token, term: state.term });
+  sending.entriesToAll(state, at);
+}
+
+function mayPropose(state: ReplicaState, token: string): boolean {
+  const leadership = state.leadership;
+  if (leadership === undefined || leadership.transferring) {
+    output.reject(state, token, "not_leader");
+    return false;
+  }
+  return true;
+}
+
+function changeMembers(
+  state: ReplicaState,
+  event: { token: string; members: readonly ReplicaMember[] },
+  at: Instant,
+): void {
+  if (!mayPropose(state, event.token)) {
+    return;
+  }
+  const ready = state.commitIndex >= state.leadership!.firstIndex &&
+    state.membersIndex <= state.commitIndex;
+  if (!ready || votersChanged(state, event.members) > 1) {
+    output.reject(state, event.token, "members_busy");
+    return;
+  }
+  const index = leading.append(state, {
+    kind: "members",
+    payload: event.members,
+  });
+  state.proposals.set(index, { token: event.token, term: state.term });
+  sending.startRound(state, at);
+}
+
+/** Two majorities meet only when voters change one at a time. */
+function votersChanged(
+  state: ReplicaState,
+  members: readonly ReplicaMember[],
+): number {
+  const before = state.members.filter((member) => member.voter);
+  const after = members.filter((member) => member.voter);
+  const removed = before.filter((old) =>
+    !after.some((member) => member.id === old.id)
+  );
+  const added = after.filter((member) =>
+    !before.some((old) => old.id === member.id)
+  );
+  return removed.length + added.length;
+}
+
+function compact(
+  state: ReplicaState,
+  event: { index: number; data: string },
+): void {
+  const term = state.log.termAt(event.index);
+  const stale = event.index <= state.snapshot.lastIndex ||
+    event.index > state.appliedIndex || term === undefined;
+  if (stale) {
+    return;
+  }
+  const snapshot: LogSnapshot = {
+    lastIndex: event.index,
+    lastTerm: term,
+    members: membersAt(state, event.index),
+    data: event.data,
+  };
+  state.snapshot = snapshot;
+  const base = event.index - state.settings.trailingEntries;
+  state.log.compact(Math.max(base, state.log.baseIndex));
+  const entries = state.log.slice(
+    event.index + 1,
+    state.log.lastIndex - event.index,
+  );
+  output.persist(state, [
+    { kind: "vote", term: state.term, votedFor: state.votedFor },
+    { kind: "entries", entries },
+  ], snapshot);
+}
+
+/** Member list as of a log index that is still in memory. */
+function membersAt(state: ReplicaState, index: number): ReplicaMember[] {
+  for (let at = index; at > state.log.baseIndex; at -= 1) {
+    const entry = state.log.entryAt(at);
+    if (entry?.kind === "members") {
+      return entry.payload as ReplicaMember[];
+    }
+  }
+  return [...state.snapshot.members];
+}
+
+/** Gives leadership to the member that holds most of the log. */
+function transferLeadership(state: ReplicaState, at: Instant): void {
+  const leadership = state.leadership;
+  if (leadership === undefined) {
+    return;
+  }
+  leadership.transferring = true;
+  leadership.transferStartedAt = at.now;
+  const candidates = state.members
+    .filter((member) => member.voter && member.id !== state.settings.id)
+    .map((member) => ({
+      id: member.id,
+      matchIndex: leadership.progress.get(member.id)?.matchIndex ?? 0,
+    }))
+    .sort((left, right) => right.matchIndex - left.matchIndex);
+  const best = candidates[0];
+  if (best === undefined) {
+    return;
+  }
+  sending.entriesTo(state, best.id, at);
+  output.send(state, best.id, {
+    kind: "transfer",
+    term: state.term,
+    from: state.settings.id,
+  });
+}
+
+/** A leader that is no longer a member leads until its removal commits. */
+function stopLeadingWhenRemoved(state: ReplicaState, at: Instant): void {
+  const removed = state.leadership !== undefined &&
+    !state.members.some((member) =>
+      member.voter && member.id === state.settings.id
+    ) && state.membersIndex <= state.commitIndex;
+  if (removed) {
+    election.becomeFollower(state, state.term, "", at);
+  }
+}
--- /dev/null
+++ b/packages/consensus/replica_event.ts
@@ -0,0 +1,24 @@
+import type { ConsensusMessage, ReplicaMember } from "@heroncleat/schema";
+
+/** What a replica reacts to. Tokens are the caller's own. @public */
+export type ReplicaEvent =
+  | { readonly kind: "tick" }
+  | { readonly kind: "message"; readonly message: ConsensusMessage }
+  | {
+    readonly kind: "propose";
+    readonly token: string;
+    readonly command: unknown;
+  }
+  | {
+    readonly kind: "change_members";
+    readonly token: string;
+    readonly members: readonly ReplicaMember[];
+  }
+  | { readonly kind: "read"; readonly token: string }
+  | { readonly kind: "persisted"; readonly number: number }
+  | {
+    readonly kind: "snapshot_taken";
+    readonly index: number;
+    readonly data: string;
+  }
+  | { readonly kind: "step_down" };
--- /dev/null
+++ b/packages/consensus/replica_role.ts
@@ -0,0 +1,6 @@
+/** Roles of a replica. @public */
+export const ReplicaRole = {
+  follower: "follower",
+  candidate: "candidate",
+  leader: "leader",
+} as const;
--- /dev/null
+++ b/packages/consensus/replica_state.ts
@@ -0,0 +1,40 @@
+import type { Milliseconds, Random } from "@heroncleat/base";
+import type { LogSnapshot, ReplicaMember } from "@heroncleat/schema";
+import type { Leadership } from "./leadership.ts";
+import type { ReplicaEffect } from "./replica_effect.ts";
+import type { ReplicaRole } from "./replica_role.ts";
+import type { ReplicaSettings } from "./replica_settings.ts";
+import type { ReplicatedLog } from "./replicated_log.ts";
+
+/** The whole state of a replica, shared by the modules of this package. @internal */
+export type ReplicaState = {
+  readonly settings: ReplicaSettings;
+  readonly random: Random;
+  readonly log: ReplicatedLog;
+  term: number;
+  votedFor: string;
+  role: typeof ReplicaRole[keyof typeof ReplicaRole];
+  leader: string;
+  members: readonly ReplicaMember[];
+  /** Index of the entry that set `members`. */
+  membersIndex: number;
+  /** Members as of the last snapshot, for truncated member changes. */
+  snapshot: LogSnapshot;
+  commitIndex: number;
+  appliedIndex: number;
+  electionAt: Milliseconds;
+  /** Last contact from a leader, on the `steady` clock. */
+  leaderHeardAt: Milliseconds;
+  preVoting: boolean;
+  votes: Set<string>;
+  leadership: Leadership | undefined;
+  /** Tokens of proposals by log index. */
+  readonly proposals: Map<number, { token: string; term: number }>;
+  persistNumber: number;
+  /** Last log index that each unsynced persist effect covers. */
+  readonly unsynced: { number: number; lastIndex: number }[];
+  /** Last log index known to be on this disk. */
+  durableIndex: number;
+  incoming: { lastIndex: number; lastTerm: number; data: string } | undefined;
+  effects: ReplicaEffect[];
+};
--- /dev/null
+++ b/packages/membership/membership.ts
@@ -0,0 +1,461 @@
+import type { Milliseconds, Random } from "@heroncleat/base";
+import { unreachable } from "@heroncleat/base";
+import type {
+  Ack,
+  Announcement,
+  Gossip,
+  MemberRecord,
+  MembershipMessage,
+  Ping,
+  PingRequest,
+  Sync,
+  UpstreamRecord,
+} from "@heroncleat/schema";
+import { gossipBuffer } from "./gossip_buffer.ts";
+import type { KnownMember } from "./known_member.ts";
+import type { MembershipEffect } from "./membership_effect.ts";
+import type { MembershipEvent } from "./membership_event.ts";
+import type { MembershipSettings } from "./membership_settings.ts";
+import { MemberTable } from "./member_table.ts";
+import type { Probe } from "./probe.ts";
+import type { RelayedProbe } from "./relayed_probe.ts";
+import { UpstreamTable } from "./upstream_table.ts";
+
+/**
+ * Failure detection and dissemination between entries, after SWIM (Das, Gupta
+ * and Motivala, 2002): random probes, indirect probes, suspicion that its
+ * subject can refute, and news that rides on the probes.
+ *
+ * @public
+ */
+export class Membership {
+  readonly #settings: MembershipSettings;
+  readonly #random: Random;
+  readonly #members = new MemberTable();
+  readonly #upstreams: UpstreamTable;
+  readonly #relayed = new Map<number, RelayedProbe>();
+  #self: MemberRecord;
+  #order: string[] = [];
+  #probes: Probe[] = [];
+  #number = 0;
+  #probeAt: Milliseconds = 0;
+  #syncAt: Milliseconds = 0;
+  #lastTick: Milliseconds | undefined;
+  #effects: MembershipEffect[] = [];
+
+  constructor(settings: MembershipSettings, random: Random) {
+    this.#settings = settings;
+    this.#random = random;
+    this.#upstreams = new UpstreamTable(settings.upstreamLease);
+    this.#self = {
+      name: settings.name,
+      address: settings.address,
+      callerAddress: settings.callerAddress,
+      zone: settings.zone,
+      incarnation: settings.incarnation,
+      state: "alive",
+      revision: 0,
+    };
+  }
+
+  get self(): MemberRecord {
+    return this.#self;
+  }
+
+  /** All known members, this entry first. */
+  get members(): MemberRecord[] {
+    const others = [...this.#members.all()].map((member) => member.record);
+    return [this.#self, ...others];
+  }
+
+  /** Upstreams whose announcement still stands. */
+  upstreams(now: Milliseconds): UpstreamRecord[] {
+    return [...this.#upstreams.all()]
+      .filter((known) => !known.lapsed)
+      .map((known) => this.#upstreams.toRecord(known, now));
+  }
+
+  handle(event: MembershipEvent, now: Milliseconds): MembershipEffect[] {
+    this.#effects = [];
+    switch (event.kind) {
+      case "tick":
+        this.#onTick(now);
+        break;
+      case "message":
+        this.#onMessage(event.message, now);
+        break;
+      case "announce":
+        this.#onAnnouncement(event.announcement, now);
+        break;
+      case "revision":
+        this.#self = { ...this.#self, revision: event.revision };
+        break;
+      case "leave":
+        this.#leave(now);
+        break;
+      default:
+        unreachable(event);
+    }
+    return this.#effects;
+  }
+
+  #onTick(now: Milliseconds): void {
+    this.#forgiveOwnPause(now);
+    this.#lapseUpstreams(now);
+    this.#checkProbes(now);
+    this.#buryMembers(now);
+    if (now >= this.#probeAt) {
+      this.#probeAt = now + this.#settings.probeInterval;
+      this.#probeNext(now);
+    }
+    if (now >= this.#syncAt) {
+      this.#syncAt = now + this.#settings.syncInterval;
+      this.#syncWithOne(now);
+    }
+  }
+
+  /**
+   * After a pause of this process, answers that did arrive are still waiting
+   * to be read, so peers get that much more time.
+   */
+  #forgiveOwnPause(now: Milliseconds): void {
+    const since = now - (this.#lastTick ?? now);
+    this.#lastTick = now;
+    if (since < this.#settings.probeTimeout) {
+      return;
+    }
+    for (const probe of this.#probes) {
+      probe.indirectAt += since;
+      probe.suspectAt += since;
+    }
+    for (const member of this.#members.all()) {
+      if (member.record.state === "suspect") {
+        member.changedAt += since;
+      }
+    }
+  }
+
+  #lapseUpstreams(now: Milliseconds): void {
+    for (const name of this.#upstreams.lapse(now)) {
+      this.#effects.push({ kind: "upstream_lapsed", name });
+    }
+    this.#upstreams.forget(now - this.#settings.retention);
+  }
+
+  #checkProbes(now: Milliseconds): void {
+    const open: Probe[] = [];
+    for (const probe of this.#probes) {
+      if (now >= probe.suspectAt) {
+        this.#suspect(probe.target, now);
+        continue;
+      }
+      if (now >= probe.indirectAt && !probe.askedOthers) {
+        probe.askedOthers = true;
+        this.#askOthersToProbe(probe, now);
+      }
+      open.push(probe);
+    }
+    this.#probes = open;
+    for (const [number, relayed] of this.#relayed) {
+      if (now > relayed.until) {
+        this.#relayed.delete(number);
+      }
+    }
+  }
+
+  /** Suspects that never answered are dead; old dead ones are forgotten. */
+  #buryMembers(now: Milliseconds): void {
+    for (const member of this.#members.all()) {
+      const since = now - member.changedAt;
+      const { state } = member.record;
+      if (state === "suspect" && since > this.#settings.suspectTimeout) {
+        this.#merge({ ...member.record, state: "dead" }, now);
+      }
+      if (state === "dead" && since > this.#settings.retention) {
+        this.#members.remove(member.record.name);
+      }
+    }
+  }
+
+  #probeNext(now: Milliseconds): void {
+    const target = this.#nextTarget();
+    if (target === undefined) {
+      return;
+    }
+    this.#number += 1;
+    this.#probes.push({
+      number: this.#number,
+      target: target.record.name,
+      indirectAt: now + this.#settings.probeTimeout,
+      suspectAt: now + 3 * this.#settings.probeTimeout,
+      askedOthers: false,
+    });
+    this.#send(target.record.address, {
+      kind: "ping",
+      from: this.#settings.name,
+      number: this.#number,
+      gossip: this.#gossip(now),
+    });
+  }
+
+  /** Goes round all members in random order, so each is probed in time. */
+  #nextTarget(): KnownMember | undefined {
+    while (true) {
+      const name = this.#order.pop();
+      if (name === undefined) {
+        const names = this.#members.reachable().map((known) =>
+          known.record.name
+        );
+        if (names.length === 0) {
+          return undefined;
+        }
+        this.#order = this.#shuffle(names);
+        continue;
+      }
+      const member = this.#members.get(name);
+      if (member !== undefined && member.record.state !== "dead") {
+        return member;
+      }
+    }
+  }
+
+  #askOthersToProbe(probe: Probe, now: Milliseconds): void {
+    const others = this.#members.reachable().filter((member) =>
+      member.record.name !== probe.target && member.record.state === "alive"
+    );
+    const helpers = this.#shuffle(others).slice(
+      0,
+      this.#settings.indirectProbes,
+    );
+    for (const helper of helpers) {
+      this.#send(helper.record.address, {
+        kind: "ping_request",
+        from: this.#settings.name,
+        number: probe.number,
+        target: probe.target,
+        gossip: this.#gossip(now),
+      });
+    }
+  }
+
+  #suspect(name: string, now: Milliseconds): void {
+    const member = this.#members.get(name);
+    if (member?.record.state === "alive") {
+      this.#merge({ ...member.record, state: "suspect" }, now);
+    }
+    // A leaving member that no longer answers has left.
+    if (member?.record.state === "leaving") {
+      this.#merge({ ...member.record, state: "dead" }, now);
+    }
+  }
+
+  /** One member now and then, dead ones and seeds too, so partitions heal. */
+  #syncWithOne(now: Milliseconds): void {
+    const known = [...this.#members.all()];
+    const addresses = new Set(known.map((member) => member.record.address));
+    for (const seed of this.#settings.seeds) {
+      if (seed !== this.#settings.address && !addresses.has(seed)) {
+        this.#sendSync(seed, { reply: true, now });
+      }
+    }
+    const partner = this.#shuffle(known)[0];
+    if (partner !== undefined) {
+      this.#sendSync(partner.record.address, { reply: true, now });
+    }
+  }
+
+  #onMessage(message: MembershipMessage, now: Milliseconds): void {
+    this.#mergeGossip(message.gossip, now);
+    switch (message.kind) {
+      case "ping":
+        this.#onPing(message, now);
+        return;
+      case "ack":
+        this.#onAck(message, now);
+        return;
+      case "ping_request":
+        this.#onPingRequest(message, now);
+        return;
+      case "sync":
+        this.#onSync(message, now);
+        return;
+      case "news":
+        return;
+      default:
+        unreachable(message);
+    }
+  }
+
+  #onPing(ping: Ping, now: Milliseconds): void {
+    const sender = this.#members.get(ping.from);
+    if (sender === undefined) {
+      return;
+    }
+    this.#send(sender.record.address, {
+      kind: "ack",
+      from: this.#settings.name,
+      number: ping.number,
+      gossip: this.#gossip(now),
+    });
+  }
+
+  #onAck(ack: Ack, now: Milliseconds): void {
+    const relayed = this.#relayed.get(ack.number);
+    if (relayed !== undefined) {
+      this.#relayed.delete(ack.number);
+      this.#passAck(relayed, now);
+      return;
+    }
+    this.#probes = this.#probes.filter((probe) => probe.number !== ack.number);
+  }
+
+  #passAck(relayed: RelayedProbe, now: Milliseconds): void {
+    const requester = this.#members.get(relayed.requester);
+    if (requester === undefined) {
+      return;
+    }
+    this.#send(requester.record.address, {
+      kind: "ack",
+      from: this.#settings.name,
+      number: relayed.requesterNumber,
+      gossip: this.#gossip(now),
+    });
+  }
+
+  #onPingRequest(request: PingRequest, now: Milliseconds): void {
+    const target = this.#members.get(request.target);
+    if (target === undefined) {
+      return;
+    }
+    this.#number += 1;
+    this.#relayed.set(this.#number, {
+      requester: request.from,
+      requesterNumber: request.number,
+      until: now + 3 * this.#settings.probeTimeout,
+    });
+    this.#send(target.record.address, {
+      kind: "ping",
+      from: this.#settings.name,
+      number: this.#number,
+      gossip: this.#gossip(now),
+    });
+  }
+
+  #onSync(sync: Sync, now: Milliseconds): void {
+    const sender = this.#members.get(sync.from);
+    if (sync.reply && sender !== undefined) {
+      this.#sendSync(sender.record.address, { reply: false, now });
+    }
+  }
+
+  #onAnnouncement(announcement: Announcement, now: Milliseconds): void {
+    const record = { announcement, heardBy: this.#settings.name, age: 0 };
+    const before = this.#upstreams.get(announcement.name);
+    const wasServing = before?.announcement.state !== "leaving";
+    if (!this.#mergeUpstream(record, now)) {
+      return;
+    }
+    if (announcement.state === "leaving" && wasServing) {
+      this.#tellAll({ members: [this.#self], upstreams: [record] });
+    }
+  }
+
+  #leave(_now: Milliseconds): void {
+    this.#self = { ...this.#self, state: "leaving" };
+    this.#tellAll({ members: [this.#self], upstreams: [] });
+  }
+
+  #tellAll(gossip: Gossip): void {
+    const targets = this.#shuffle(this.#members.reachable());
+    for (const target of targets.slice(0, this.#settings.newsFanout)) {
+      this.#send(target.record.address, {
+        kind: "news",
+        from: this.#settings.name,
+        gossip,
+      });
+    }
+  }
+
+  #mergeGossip(gossip: Gossip, now: Milliseconds): void {
+    for (const record of gossip.members) {
+      this.#merge(record, now);
+    }
+    for (const record of gossip.upstreams) {
+      this.#mergeUpstream(record, now);
+    }
+  }
+
+  #merge(record: MemberRecord, now: Milliseconds): void {
+    if (record.name === this.#settings.name) {
+      this.#refute(record);
+      return;
+    }
+    if (this.#members.merge(record, now)) {
+      this.#effects.push({ kind: "member_changed", member: record });
+    }
+  }
+
+  /** Answers a rumour about this entry with a higher incarnation. */
+  #refute(record: MemberRecord): void {
+    const stale = record.incarnation < this.#self.incarnation;
+    const same = record.incarnation === this.#self.incarnation &&
+      record.state === this.#self.state;
+    const harmless = record.incarnation === this.#self.incarnation &&
+      record.state === "alive";
+    if (stale || same || harmless) {
+      return;
+    }
+    this.#self = { ...this.#self, incarnation: record.incarnation + 1 };
+  }
+
+  #mergeUpstream(record: UpstreamRecord, now: Milliseconds): boolean {
+    if (!this.#upstreams.merge(record, now)) {
+      return false;
+    }
+    const known = this.#upstreams.get(record.announcement.name)!;
+    if (!known.lapsed) {
+      this.#effects.push({ kind: "upstream_changed", upstream: record });
+    }
+    return true;
+  }
+
+  #gossip(now: Milliseconds): Gossip {
+    return gossipBuffer.take(this.#source(now), this.#settings.gossipRecords);
+  }
+
+  #sendSync(
+    address: string,
+    options: { reply: boolean; now: Milliseconds },
+  ): void {
+    this.#send(address, {
+      kind: "sync",
+      from: this.#settings.name,
+      reply: options.reply,
+      gossip: gossipBuffer.whole(this.#source(options.now)),
+    });
+  }
+
+  #source(now: Milliseconds) {
+    return {
+      self: this.#self,
+      members: this.#members,
+      upstreams: this.#upstreams,
+      now,
+    };
+  }
+
+  #send(address: string, message: MembershipMessage): void {
+    this.#effects.push({ kind: "send", address, message });
+  }
+
+  #shuffle<Item>(items: readonly Item[]): Item[] {
+    const shuffled = [...items];
+    for (let place = shuffled.length - 1; place > 0; place -= 1) {
+      const other = Math.floor(this.#random() * (place + 1));
+      const kept = shuffled[place]!;
+      shuffled[place] = shuffled[other]!;
+      shuffled[other] = kept;
+    }
+    return shuffled;
+  }
+}
--- /dev/null
+++ b/packages/membership/membership_event.ts
@@ -0,0 +1,9 @@
+import type { Announcement, MembershipMessage } from "@heroncleat/schema";
+
+/** What membership reacts to. @public */
+export type MembershipEvent =
+  | { readonly kind: "tick" }
+  | { readonly kind: "message"; readonly message: MembershipMessage }
+  | { readonly kind: "announce"; readonly announcement: Announcement }
+  | { readonly kind: "revision"; readonly revision: number }
+  | { readonly kind: "leave" };
--- /dev/null
+++ b/packages/membership/mod.ts
@@ -0,0 +1,12 @@
+/**
+ * Which entries are alive and which upstreams announced themselves, as a
+ * state machine without I/O; and the answers of discovery.
+ *
+ * @module
+ */
+export type { MembershipEffect } from "./membership_effect.ts";
+export type { MembershipEvent } from "./membership_event.ts";
+export type { MembershipSettings } from "./membership_settings.ts";
+export { chooseStandby } from "./choose_standby.ts";
+export { listEntries } from "./list_entries.ts";
+export { Membership } from "./membership.ts";
--- /dev/null
+++ b/packages/requests/reclaim_choice.ts
@@ -0,0 +1,7 @@
+import type { ReclaimAction } from "./reclaim_action.ts";
+import type { ReclaimSituation } from "./reclaim_situation.ts";
+
+/** Chooses what to do with a stream whose upstream is leaving. @public */
+export type ReclaimChoice = (
+  situation: ReclaimSituation,
+) => typeof ReclaimAction[keyof typeof ReclaimAction];
--- /dev/null
+++ b/packages/requests/reclaim_situation.ts
@@ -0,0 +1,11 @@
+import type { Milliseconds } from "@heroncleat/base";
+
+/** What is known when an upstream announces its reclaim. @public */
+export type ReclaimSituation = {
+  /** Time until the VM is taken. */
+  readonly reclaimIn: Milliseconds;
+  /** Tokens of the prompt and the answer so far. */
+  readonly tokensHeld: number;
+  /** Tokens the answer may still have. */
+  readonly tokensLeft: number;
+};
--- /dev/null
+++ b/packages/requests/request_settings.ts
@@ -0,0 +1,18 @@
+import type { Milliseconds } from "@heroncleat/base";
+import type { ReclaimChoice } from "./reclaim_choice.ts";
+
+/** Settings and policy of one owned request. @public */
+export type RequestSettings = {
+  /** Name of the entry that owns the request. */
+  readonly self: string;
+  /** How long a copy may stay unanswered. */
+  readonly copyTimeout: Milliseconds;
+  /** How long an upstream may stay silent. */
+  readonly idleTimeout: Milliseconds;
+  /** Pause before routing or moving the standby is tried again. */
+  readonly retryPause: Milliseconds;
+  /** Attempts before the request is given up. */
+  readonly mostAttempts: number;
+  /** Chooses what to do when the upstream is being reclaimed. */
+  readonly chooseOnReclaim: ReclaimChoice;
+};
--- /dev/null
+++ b/packages/requests/upstream_attempt.ts
@@ -0,0 +1,14 @@
+import type { Milliseconds } from "@heroncleat/base";
+
+/** One run of a request at an upstream. @internal */
+export type UpstreamAttempt = {
+  readonly number: number;
+  /** Empty until one is chosen. */
+  upstream: string;
+  readonly kvSource: string;
+  /** Pieces received in this attempt. */
+  received: number;
+  heardAt: Milliseconds;
+  /** When to leave an upstream that is being reclaimed. */
+  leaveAt: Milliseconds;
+};
--- /dev/null
+++ b/packages/routing/upstream_model.ts
@@ -0,0 +1,124 @@
+import type { Milliseconds } from "@heroncleat/base";
+import type { Announcement } from "@heroncleat/schema";
+import { CircuitBreaker } from "./circuit_breaker.ts";
+import { PrefixCache } from "./prefix_cache.ts";
+import type { RoutingSettings } from "./routing_settings.ts";
+
+/** Weight of the newest observation in a moving average. */
+const SMOOTHING = 0.2;
+const MS_PER_SECOND = 1000;
+
+/** A dispatch that the upstream's load report may not show yet. */
+type Dispatch = { readonly at: Milliseconds };
+
+/**
+ * What one entry knows and expects of one upstream.
+ *
+ * @internal
+ */
+export class UpstreamModel {
+  readonly cache: PrefixCache;
+  readonly breaker: CircuitBreaker;
+  readonly #dispatches = new Map<string, Dispatch>();
+  #announcement: Announcement;
+  #reportedAt: Milliseconds;
+  /** Own dispatches that ended after the last report. */
+  #endedSinceReport = 0;
+  /** Smoothed time that a request runs. */
+  #serviceTime: Milliseconds = 0;
+  /** Smoothed ratio of measured to estimated time to the first token. */
+  #correction = 1;
+
+  constructor(
+    announcement: Announcement,
+    options: { settings: RoutingSettings; now: Milliseconds },
+  ) {
+    this.#announcement = announcement;
+    this.#reportedAt = options.now;
+    this.cache = new PrefixCache(options.settings.cacheBlocks);
+    this.breaker = new CircuitBreaker(options.settings);
+  }
+
+  get announcement(): Announcement {
+    return this.#announcement;
+  }
+
+  get running(): number {
+    return this.#dispatches.size;
+  }
+
+  update(announcement: Announcement, now: Milliseconds): void {
+    if (announcement.incarnation !== this.#announcement.incarnation) {
+      this.cache.clear();
+    }
+    this.#announcement = announcement;
+    this.#reportedAt = now;
+    this.#endedSinceReport = 0;
+  }
+
+  dispatched(token: string, now: Milliseconds): void {
+    this.#dispatches.set(token, { at: now });
+    this.breaker.dispatched();
+  }
+
+  ended(token: string, now: Milliseconds): void {
+    const dispatch = this.#dispatches.get(token);
+    if (dispatch === undefined) {
+      return;
+    }
+    this.#dispatches.delete(token);
+    if (dispatch.at <= this.#reportedAt) {
+      this.#endedSinceReport += 1;
+    }
+    const taken = now - dispatch.at;
+    this.#serviceTime = this.#serviceTime === 0
+      ? taken
+      : this.#serviceTime + SMOOTHING * (taken - this.#serviceTime);
+  }
+
+  noteFirstToken(measured: Milliseconds, estimated: Milliseconds): void {
+    if (estimated <= 0) {
+      return;
+    }
+    const ratio = Math.min(10, Math.max(0.1, measured / estimated));
+    this.#correction += SMOOTHING * (ratio - this.#correction);
+  }
+
+  /**
+   * Requests there now: the last report, plus what this entry sent since and
+   * the report can't show, less what ended since.
+   */
+  expectedLoad(): number {
+    const { running, waiting } = this.#announcement.load;
+    let unseen = 0;
+    for (const dispatch of this.#dispatches.values()) {
+      if (dispatch.at > this.#reportedAt) {
+        unseen += 1;
+      }
+    }
+    return Math.max(0, running + waiting + unseen - this.#endedSinceReport);
+  }
+
+  /** Requests that can start there without queueing. */
+  freeSlots(): number {
+    return this.#announcement.slots - this.expectedLoad();
+  }
+
+  estimateFirstToken(
+    promptTokens: number,
+    cachedShare: number,
+  ): Milliseconds {
+    const { slots, prefillRate } = this.#announcement;
+    const queued = Math.max(0, this.expectedLoad() - slots + 1);
+    const queueing = queued * this.#serviceTime / slots;
+    const uncached = promptTokens * (1 - cachedShare);
+    const prefill = uncached / prefillRate * MS_PER_SECOND;
+    return (queueing + prefill) * this.#correction +
+      this.#announcement.decodeInterval;
+  }
+
+  /** Price of one slot for an hour. */
+  slotPrice(): number {
+    return this.#announcement.price / this.#announcement.slots;
+  }
+}
--- /dev/null
+++ b/packages/schema/validation_problem.ts
@@ -0,0 +1,9 @@
+/** One problem as the generated validators report it. @public */
+export type ValidationProblem = {
+  readonly instancePath: string;
+  readonly keyword: string;
+  readonly message?: string;
+  readonly params: Record<string, unknown>;
+  readonly data?: unknown;
+  readonly parentSchema?: { readonly description?: string };
+};
--- /dev/null
+++ b/packages/schema/validator.ts
@@ -0,0 +1,7 @@
+import type { ValidationProblem } from "./validation_problem.ts";
+
+/** A generated validator; `errors` holds what its last call found. @public */
+export type Validator<Value> = {
+  (value: unknown): value is Value;
+  errors?: readonly ValidationProblem[] | null;
+};
--- /dev/null
+++ b/packages/stand_ins/expected_answer.ts
@@ -0,0 +1,24 @@
+import { parseGeneration } from "./parse_generation.ts";
+import { TokenSource } from "./token_source.ts";
+
+/**
+ * The answer that an engine of this salt gives to a chat or completion body.
+ *
+ * @public
+ */
+export function expectedAnswer(
+  body: Parameters<typeof parseGeneration>[0],
+  salt: string,
+): string {
+  const { text, maxTokens } = parseGeneration(body);
+  const source = new TokenSource(text, salt);
+  let answer = "";
+  for (let count = 0; count < maxTokens; count += 1) {
+    const token = source.next();
+    if (token === undefined) {
+      return answer;
+    }
+    answer += token;
+  }
+  return answer;
+}
--- /dev/null
+++ b/packages/stand_ins/main.ts
@@ -0,0 +1,32 @@
+/**
+ * Runs one stand-in upstream as a process, from a JSON settings file.
+ *
+ * @module
+ */
+import { readFileSync } from "node:fs";
+import type { StandInSettings } from "./stand_in_settings.ts";
+import { UpstreamStandIn } from "./upstream_stand_in.ts";
+
+/** How long a stopped stand-in lets its work run on. */
+const STOP_LIMIT = 5000;
+const IDLE_CHECK = 50;
+
+const file = process.argv[2];
+if (file === undefined) {
+  console.error("No settings file. Remedy: pass its path as the argument.");
+  process.exit(2);
+}
+const settings = JSON.parse(readFileSync(file, "utf8")) as StandInSettings;
+const standIn = new UpstreamStandIn(settings);
+await standIn.start();
+process.on("SIGTERM", () => void stop());
+
+async function stop(): Promise<void> {
+  const limit = Date.now() + STOP_LIMIT;
+  await standIn.leave(STOP_LIMIT);
+  while (!standIn.isIdle && Date.now() < limit) {
+    await new Promise((resolve) => setTimeout(resolve, IDLE_CHECK));
+  }
+  standIn.stop();
+  process.exit(0);
+}
--- /dev/null
+++ b/packages/transport/frame_codec.ts
@@ -0,0 +1,52 @@
+import { crc32 } from "@node-rs/crc32";
+
+const HEADER_BYTES = 8;
+const CHECKSUM_OFFSET = 4;
+
+/** Frames read from a stream, or why the stream can't be read on. */
+type DecodedFrames =
+  | {
+    readonly kind: "frames";
+    readonly payloads: readonly Buffer[];
+    readonly rest: Buffer;
+  }
+  | { readonly kind: "broken"; readonly reason: string };
+
+/**
+ * The form of a message on a connection: length and CRC-32 as 32-bit
+ * big-endian numbers, then the payload.
+ *
+ * @internal
+ */
+export const frameCodec = {
+  encode(payload: Buffer): Buffer {
+    const header = Buffer.alloc(HEADER_BYTES);
+    header.writeUInt32BE(payload.length, 0);
+    header.writeUInt32BE(crc32(payload), CHECKSUM_OFFSET);
+    return Buffer.concat([header, payload]);
+  },
+
+  /** Takes all whole frames off the front of `bytes`. */
+  decode(bytes: Buffer, mostBytes: number): DecodedFrames {
+    const payloads: Buffer[] = [];
+    let offset = 0;
+    while (offset + HEADER_BYTES <= bytes.length) {
+      const length = bytes.readUInt32BE(offset);
+      if (length > mostBytes) {
+        return { kind: "broken", reason: `a frame of ${length} bytes` };
+      }
+      const start = offset + HEADER_BYTES;
+      const end = start + length;
+      if (end > bytes.length) {
+        break;
+      }
+      const payload = bytes.subarray(start, end);
+      if (crc32(payload) !== bytes.readUInt32BE(offset + CHECKSUM_OFFSET)) {
+        return { kind: "broken", reason: "a frame with a wrong checksum" };
+      }
+      payloads.push(payload);
+      offset = end;
+    }
+    return { kind: "frames", payloads, rest: bytes.subarray(offset) };
+  },
+};
--- /dev/null
+++ b/packages/transport/peer_connection.ts
@@ -0,0 +1,124 @@
+import { connect } from "node:net";
+import { createToken, type Milliseconds, splitAddress } from "@heroncleat/base";
+import { JSONRPCClient } from "json-rpc-2.0";
+import { FramedSocket } from "./framed_socket.ts";
+import { handshake } from "./handshake.ts";
+
+/** What a connection is built from. */
+type ConnectionOptions = {
+  readonly address: string;
+  readonly secret: string;
+  readonly connectTimeout: Milliseconds;
+  readonly onClose: () => void;
+};
+
+/**
+ * One connection to another process, opened on creation.
+ *
+ * @internal
+ */
+export class PeerConnection {
+  readonly #options: ConnectionOptions;
+  readonly #client: JSONRPCClient;
+  readonly #framed: FramedSocket;
+  readonly #clientNonce = createToken();
+  /** Messages that wait for the handshake. */
+  #waiting: unknown[] | undefined = [];
+  #serverNonce = "";
+
+  constructor(options: ConnectionOptions) {
+    this.#options = options;
+    this.#client = new JSONRPCClient((message) => this.#send(message));
+    const { host, port } = splitAddress(options.address);
+    const socket = connect({ host, port });
+    this.#framed = new FramedSocket(socket, {
+      onMessage: (message) => this.#onHandshake(message),
+      onClose: (reason) => this.#onClose(reason),
+    });
+    const timer = setTimeout(() => {
+      if (this.#waiting !== undefined) {
+        this.#framed.close("connecting took too long");
+      }
+    }, options.connectTimeout);
+    timer.unref();
+  }
+
+  get isOpen(): boolean {
+    return this.#framed.isOpen;
+  }
+
+  async call(
+    method: string,
+    options: { parameters: unknown; timeout: Milliseconds },
+  ): Promise<unknown> {
+    return await this.#client.timeout(options.timeout).request(
+      method,
+      options.parameters as object,
+    );
+  }
+
+  notify(method: string, parameters: unknown): void {
+    this.#client.notify(method, parameters as object);
+  }
+
+  close(): void {
+    this.#framed.close("this process closed the connection");
+  }
+
+  #send(message: unknown): void {
+    if (!this.#framed.isOpen) {
+      throw new Error("the connection is closed");
+    }
+    if (this.#waiting === undefined) {
+      this.#framed.send(message);
+    } else {
+      this.#waiting.push(message);
+    }
+  }
+
+  #onHandshake(message: unknown): void {
+    const { secret } = this.#options;
+    const fields = (message ?? {}) as Record<string, unknown>;
+    if (this.#serverNonce === "") {
+      this.#serverNonce = String(fields["nonce"]);
+      const proof = handshake.prove(secret, {
+        side: "client",
+        ...this.#nonces(),
+      });
+      this.#framed.send({ nonce: this.#clientNonce, proof });
+      return;
+    }
+    const proof = fields["proof"];
+    const known = handshake.verify(secret, {
+      side: "server",
+      ...this.#nonces(),
+      proof,
+    });
+    if (!known) {
+      this.#framed.close("the peer doesn't know the shared secret");
+      return;
+    }
+    this.#startSending();
+  }
+
+  #nonces(): { clientNonce: string; serverNonce: string } {
+    return { clientNonce: this.#clientNonce, serverNonce: this.#serverNonce };
+  }
+
+  #startSending(): void {
+    this.#framed.handleWith({
+      onMessage: (message) => this.#client.receive(message as never),
+      onClose: (reason) => this.#onClose(reason),
+    });
+    const waiting = this.#waiting ?? [];
+    this.#waiting = undefined;
+    for (const message of waiting) {
+      this.#framed.send(message);
+    }
+  }
+
+  #onClose(reason: string): void {
+    this.#client.rejectAllPendingRequests(reason);
+    this.#options.onClose();
+  }
+}
--- /dev/null
+++ b/packages/transport/peer_server.ts
@@ -0,0 +1,112 @@
+import { createServer, type Server, type Socket } from "node:net";
+import { createToken, splitAddress } from "@heroncleat/base";
+import { JSONRPCServer } from "json-rpc-2.0";
+import { FramedSocket } from "./framed_socket.ts";
+import { handshake } from "./handshake.ts";
+import type { MethodHandler } from "./method_handler.ts";
+
+/** Time a connecting peer has to prove that it knows the secret. */
+const HANDSHAKE_TIMEOUT = 3000;
+
+/** What a peer server is built from. */
+type PeerServerOptions = {
+  readonly address: string;
+  readonly secret: string;
+  /** Told when a connection is refused or breaks. */
+  readonly onProblem: (message: string) => void;
+};
+
+/**
+ * Serves JSON-RPC methods to the system's own processes over TCP.
+ *
+ * @public
+ */
+export class PeerServer {
+  readonly #options: PeerServerOptions;
+  readonly #server: Server;
+  readonly #methods = new JSONRPCServer({ errorListener: () => {} });
+  readonly #sockets = new Set<Socket>();
+
+  constructor(options: PeerServerOptions) {
+    this.#options = options;
+    this.#server = createServer((socket) => this.#accept(socket));
+  }
+
+  /** Adds methods, or replaces those of the same names. */
+  serve(methods: Readonly<Record<string, MethodHandler>>): void {
+    for (const [name, handler] of Object.entries(methods)) {
+      this.#methods.addMethod(name, handler);
+    }
+  }
+
+  listen(): Promise<void> {
+    const { host, port } = splitAddress(this.#options.address);
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, host, resolve);
+    });
+  }
+
+  close(): Promise<void> {
+    for (const socket of this.#sockets) {
+      socket.destroy();
+    }
+    return new Promise((resolve) => this.#server.close(() => resolve()));
+  }
+
+  #accept(socket: Socket): void {
+    this.#sockets.add(socket);
+    socket.once("close", () => this.#sockets.delete(socket));
+    const serverNonce = createToken();
+    const timer = setTimeout(
+      () => framed.close("the handshake took too long"),
+      HANDSHAKE_TIMEOUT,
+    );
+    const framed = new FramedSocket(socket, {
+      onMessage: (message) => {
+        clearTimeout(timer);
+        this.#finishHandshake(framed, { message, serverNonce });
+      },
+      onClose: () => clearTimeout(timer),
+    });
+    framed.send({ nonce: serverNonce });
+  }
+
+  #finishHandshake(
+    framed: FramedSocket,
+    options: { message: unknown; serverNonce: string },
+  ): void {
+    const { serverNonce } = options;
+    const { secret } = this.#options;
+    const hello = (options.message ?? {}) as Record<string, unknown>;
+    const clientNonce = String(hello["nonce"]);
+    const nonces = { clientNonce, serverNonce };
+    const proof = hello["proof"];
+    if (!handshake.verify(secret, { side: "client", ...nonces, proof })) {
+      this.#options.onProblem(
+        "A peer without the shared secret was refused. Remedy: give all " +
+          "processes the same shared_secret_file.",
+      );
+      framed.close("the peer doesn't know the shared secret");
+      return;
+    }
+    framed.send({
+      proof: handshake.prove(secret, { side: "server", ...nonces }),
+    });
+    framed.handleWith({
+      onMessage: (message) => void this.#serve(framed, message),
+      onClose: () => {},
+    });
+  }
+
+  async #serve(framed: FramedSocket, message: unknown): Promise<void> {
+    if (typeof message !== "object" || message === null) {
+      framed.close("the peer sent a message that is not a request");
+      return;
+    }
+    const response = await this.#methods.receive(message as never);
+    if (response !== null) {
+      framed.send(response);
+    }
+  }
+}
