Requests survive losing their owner while it hands them over

Cause, found by stateful fuzzing of owners, standbys and the ledger: an owner let go as soon as its standby held everything; a standby lost on the way to taking over lost the request. Also found: a late answer of the ledger moved custody to a dead entry again and again; an owner that met a newer one copied to it forever; a second planned stop without any other entry left the request waiting.

Ruled out: losing in-process messages as a cause (the bag loses only what crosses the network); a takeover that the ledger didn't confirm.

Change: an owner lets go only when the ledger names another; the new standby gets the whole copy before the ledger names it; a fenced copy is settled by a move that changes only the epoch; answers that come twice are ignored. Calls with a fractional timeout no longer fail before they are sent. Peers connect from their own address, so links can be cut one by one in tests.

--- a/apps/demo/main.ts
+++ b/apps/demo/main.ts
@@ -5,18 +5,22 @@
  * @module
  */
 import { mkdtempSync, readFileSync, rmSync } from "node:fs";
+import { createRequire } from "node:module";
 import { tmpdir } from "node:os";
-import { join } from "node:path";
+import { dirname, join } from "node:path";
 import { parseArgs } from "node:util";
+import {
+  ask,
+  type Deployment,
+  type ProcessGroup,
+  startDeployment,
+  writeDeployment,
+} from "@heroncleat/local_deployment";
 import { request } from "undici";
-import { ask } from "./ask.ts";
-import type { Deployment } from "./deployment.ts";
-import type { ProcessGroup } from "./process_group.ts";
-import { startDeployment } from "./start_deployment.ts";
-import { writeDeployment } from "./write_deployment.ts";
 
 const FIRST_PORT = 7400;
 const PROMPT_FILE = new URL("../demo_prompt.txt", import.meta.url);
+const require = createRequire(import.meta.url);
 
 const { values } = parseArgs({ options: { keep: { type: "boolean" } } });
 const folder = mkdtempSync(join(tmpdir(), "heroncleat-"));
@@ -34,7 +38,10 @@
   let group: ProcessGroup | undefined;
   try {
     print("Starting 3 control replicas, 3 entries and 3 upstreams.\n");
-    group = await startDeployment(deployment);
+    group = await startDeployment(deployment, {
+      daemon: mainOf("@heroncleat/heroncleatd"),
+      standIn: mainOf("@heroncleat/stand_ins"),
+    });
     await showAnswer(deployment);
     if (values.keep) {
       await keepUp(deployment);
@@ -47,7 +54,12 @@
   }
 }
 
-async function showAnswer({ entries, callerKey }: Deployment): Promise<void> {
+function mainOf(name: string): string {
+  const found = dirname(require.resolve(`${name}/package.json`));
+  return join(found, "dist", "main.js");
+}
+
+async function showAnswer({ entries, callerKeys }: Deployment): Promise<void> {
   const discovery = `http://${entries[0]!.callerAddress}/v1/entries`;
   const listed = await (await request(discovery)).body.json() as {
     entries: { address: string; zone: string }[];
@@ -56,28 +68,19 @@
   print(`Using entry ${entry.address} in ${entry.zone}.\n`);
   const prompt = readFileSync(PROMPT_FILE, "utf8");
   print(`Prompt: ${prompt}Answer:`);
-  const answer = await ask(entry.address, { key: callerKey, prompt, print });
-  const upstream = await findUpstream(entry.address, answer.requestId);
+  const key = callerKeys["bistro"]!;
+  const answer = await ask(entry.address, { key, prompt, print });
   print(`\nRequest ${answer.requestId}\n`);
-  print(`Served by ${upstream}, first token after `);
+  print(`Served by ${answer.upstream}, first token after `);
   print(`${answer.firstToken.toFixed(1)} ms.\n`);
 }
 
-async function findUpstream(address: string, id: string): Promise<string> {
-  const response = await request(
-    `http://${address}/v1/requests/${encodeURIComponent(id)}`,
-    { headers: { authorization: `Bearer ${deployment.callerKey}` } },
-  );
-  await response.body.dump();
-  return String(response.headers["heroncleat-upstream"]);
-}
-
 async function keepUp(kept: Deployment): Promise<void> {
   const control = kept.controls.map((replica) => replica.operatorAddress);
   print("\nStays up until it is interrupted (Ctrl-C).\n");
   print(`export HERONCLEAT_CONTROL=${control.join(",")}\n`);
   print(`export HERONCLEAT_TOKEN_FILE=${kept.tokenFile}\n`);
-  print(`export KEY=${kept.callerKey}\n`);
+  print(`export KEY=${kept.callerKeys["bistro"]}\n`);
   print("npx heroncleat status\n");
   print(`curl -N http://${kept.entries[0]!.callerAddress}`);
   print('/v1/chat/completions -H "authorization: Bearer $KEY" ');
--- a/apps/heroncleatd/entry/registry_message.ts
+++ b/apps/heroncleatd/entry/registry_message.ts
@@ -33,9 +33,14 @@
     readonly reply: (answer: ForwardedAnswer) => void;
   }
   /** Another entry hands these requests over to this one. */
-  | { readonly kind: "take_over"; readonly ids: readonly string[] }
+  | {
+    readonly kind: "take_over";
+    readonly ids: readonly string[];
+    /** The requests that this entry owns now. */
+    readonly reply: (taken: string[]) => void;
+  }
   /** Gives all unfinished requests to their standbys. */
-  | { readonly kind: "hand_over"; readonly reply: () => void }
+  | { readonly kind: "hand_over" }
   | {
     readonly kind: "count";
     readonly reply: (counts: { owned: number; held: number }) => void;
--- a/apps/heroncleatd/entry/request_host.ts
+++ b/apps/heroncleatd/entry/request_host.ts
@@ -89,6 +89,9 @@
       case "move_standby":
         void this.#moveStandby(effect);
         return;
+      case "hand_over":
+        void this.#handOver(effect.standby);
+        return;
       case "finished":
       case "refused":
       case "failed":
@@ -235,6 +238,16 @@
     );
   }
 
+  async #handOver(standby: string): Promise<void> {
+    const { request, services } = this.#options;
+    const owner = await services.handOver(standby, request.record.id);
+    this.#tell(
+      owner === undefined
+        ? { kind: "hand_over_failed" }
+        : { kind: "custody_lost", owner },
+    );
+  }
+
   #end(
     effect: EffectOf<
       "finished" | "refused" | "failed" | "handed_over" | "fenced"
--- a/apps/heroncleatd/entry/request_registry.ts
+++ b/apps/heroncleatd/entry/request_registry.ts
@@ -27,6 +27,7 @@
 import { RequestHost } from "./request_host.ts";
 import type { RequestMessage } from "./request_message.ts";
 import type { RequestServices } from "./request_services.ts";
+import { HandOverSender } from "./hand_over_sender.ts";
 import { NOT_FOUND } from "./not_found.ts";
 import { toRoutedRequest } from "./to_routed_request.ts";
 
@@ -75,7 +76,7 @@
   readonly #held: StandbyStore;
   readonly #leavingSeen = new Set<string>();
   #members: readonly MemberRecord[] = [];
-  #takingOver = false;
+  readonly #handOvers: HandOverSender;
 
   constructor(options: RegistryOptions) {
     this.#options = options;
@@ -85,6 +86,11 @@
       context.name,
       context.entry.answer_retention,
     );
+    this.#handOvers = new HandOverSender({
+      pool: context.pool,
+      timeout: HAND_OVER_TIMEOUT,
+      addressOf: (name) => this.#addressOf(name),
+    });
   }
 
   handle(message: RegistryMessage): void {
@@ -110,10 +116,10 @@
         this.#query(message.query, message.reply);
         return;
       case "take_over":
-        this.#takeOver(this.#copiesOf(message.ids));
+        void this.#takeOverHanded(message);
         return;
       case "hand_over":
-        this.#handOver(message.reply);
+        this.#handOver();
         return;
       case "count":
         message.reply(this.#count());
@@ -160,6 +166,7 @@
       settings: {
         self: context.name,
         copyTimeout: COPY_TIMEOUT,
+        handOverTimeout: HAND_OVER_TIMEOUT,
         idleTimeout: context.entry.attempt_idle_timeout,
         retryPause: RETRY_PAUSE,
         mostAttempts: MOST_ATTEMPTS,
@@ -206,6 +213,7 @@
           random: Math.random,
         })?.name ?? "",
       moveStandby: (present, options) => this.#moveStandby(present, options),
+      handOver: (standby, id) => this.#handOvers.send(standby, id),
       route: (_present, { token, exclude, isRetry }) =>
         new Promise((resolve) => {
           const request = { ...routed, exclude };
@@ -274,6 +282,11 @@
       const { epoch } = owned.request.record;
       return { outcome: "fenced" as const, epoch, pieces: 0 };
     }
+    if (owned !== undefined && owned.request.phase !== RequestPhase.ended) {
+      const owner = copy.record?.owner ?? "";
+      const event = { kind: "custody_lost" as const, owner };
+      owned.actor.tell({ kind: "event", event });
+    }
     return this.#held.take(copy, this.#now());
   }
 
@@ -314,7 +327,7 @@
   #takeOverFromDead(): void {
     for (const member of this.#members) {
       if (member.state === "dead") {
-        this.#takeOver(this.#held.heldFor(member.name));
+        void this.#takeOver(this.#held.heldFor(member.name));
       }
     }
   }
@@ -330,28 +343,35 @@
     return copies;
   }
 
-  /** Asks the ledger to make this entry the owner; one question at a time. */
-  #takeOver(copies: readonly StandbyCopy[]): void {
-    if (copies.length === 0 || this.#takingOver) {
+  async #takeOverHanded(
+    message: Extract<RegistryMessage, { kind: "take_over" }>,
+  ): Promise<void> {
+    await this.#takeOver(this.#copiesOf(message.ids));
+    message.reply(message.ids.filter((id) => this.#owned.has(id)));
+  }
+
+  /** Asks the ledger to make this entry the owner of what it holds. */
+  async #takeOver(held: readonly StandbyCopy[]): Promise<void> {
+    const copies = held.filter((copy) => !copy.takingOver);
+    if (copies.length === 0) {
       return;
     }
-    this.#takingOver = true;
     this.#held.startTakeOver(copies);
     const self = this.#options.context.name;
-    this.#proposeCustody({
+    const reply = await this.#proposeCustody({
       requests: copies.map((copy) => copy.record.id),
       expectedEpochs: copies.map((copy) => copy.record.epoch),
       owner: self,
       standby: "",
       from: self,
-    }).then((reply) => this.#finishTakeOver(copies, reply));
+    });
+    this.#finishTakeOver(copies, reply);
   }
 
   #finishTakeOver(
     copies: readonly StandbyCopy[],
     reply: CustodyReply | undefined,
   ): void {
-    this.#takingOver = false;
     if (reply === undefined) {
       this.#held.cancelTakeOver(copies);
       return;
@@ -425,38 +445,12 @@
     reply(readCopy(this.#held.get(query.id)!, query.from));
   }
 
-  #handOver(reply: () => void): void {
-    const standbys = new Map<string, string[]>();
-    for (const [id, { request, actor }] of this.#owned) {
-      if (request.phase === RequestPhase.ended) {
-        continue;
+  #handOver(): void {
+    for (const { request, actor } of this.#owned.values()) {
+      if (request.phase !== RequestPhase.ended) {
+        actor.tell({ kind: "event", event: { kind: "hand_over" } });
       }
-      actor.tell({ kind: "event", event: { kind: "hand_over" } });
-      const { standby } = request.record;
-      standbys.set(standby, [...standbys.get(standby) ?? [], id]);
     }
-    // The last copies leave first; then the standbys are told to go on.
-    setTimeout(() => {
-      const told = [...standbys].map(([standby, ids]) =>
-        this.#tellStandby(standby, ids)
-      );
-      void Promise.allSettled(told).then(() => reply());
-    }, COPY_TIMEOUT);
-  }
-
-  async #tellStandby(standby: string, ids: string[]): Promise<void> {
-    const address = this.#addressOf(standby);
-    if (address === undefined) {
-      this.#log.warn("Requests without a standby end with this process", {
-        requests: ids.length,
-      });
-      return;
-    }
-    await this.#options.context.pool.call(address, "entry.take_over", {
-      parameters: { ids },
-      timeout: HAND_OVER_TIMEOUT,
-    });
-    this.#log.info(`Handed ${ids.length} requests over to ${standby}`);
   }
 
   #addressOf(name: string): string | undefined {
--- a/apps/heroncleatd/entry/request_services.ts
+++ b/apps/heroncleatd/entry/request_services.ts
@@ -12,7 +12,7 @@
   | { readonly kind: "finished" }
   | { readonly kind: "refused"; readonly fault: Fault }
   | { readonly kind: "failed"; readonly fault: Fault }
-  | { readonly kind: "handed_over"; readonly standby: string }
+  | { readonly kind: "handed_over"; readonly owner: string }
   | { readonly kind: "fenced"; readonly owner: string };
 
 /** What a request needs of the rest of the entry. */
@@ -24,6 +24,11 @@
     record: RequestRecord,
     options: { expectedEpoch: number; standby: string },
   ) => Promise<CustodyReply | undefined>;
+  /** The new owner, or nothing when the standby did not take over. */
+  readonly handOver: (
+    standby: string,
+    id: string,
+  ) => Promise<string | undefined>;
   readonly route: (
     record: RequestRecord,
     options: { token: string; exclude: readonly string[]; isRetry: boolean },
--- a/apps/heroncleatd/entry/run_claimed.ts
+++ b/apps/heroncleatd/entry/run_claimed.ts
@@ -21,6 +21,7 @@
   const claims = new ClaimClient(parts.context.control);
   const reply = await claimCall(parts, call, claims);
   if (reply === undefined) {
+    releaseLater(call, claims);
     return { kind: "not_run", fault: describeNoQuorum() };
   }
   switch (reply.outcome) {
@@ -33,6 +34,18 @@
   }
 }
 
+/**
+ * The claim may still be committed although no answer came. This request was
+ * refused, so its key is freed for the next one as soon as that is possible.
+ */
+function releaseLater(call: ServiceCall, claims: ClaimClient): void {
+  const { workspace } = call.routed;
+  const { key, token } = call;
+  void claims.resolve({ workspace, key, attempt: token }, {
+    state: "not_run",
+  });
+}
+
 function claimCall(
   parts: EntryParts,
   call: ServiceCall,
@@ -71,7 +84,10 @@
       return sent;
     case "unknown":
       await claims.resolve(claim, { state: "unknown" });
-      return { kind: "unknown", fault: describeUnknown(sent.fault.message) };
+      return {
+        kind: "unknown",
+        fault: describeUnknown("the connection broke or the answer was late"),
+      };
   }
 }
 
@@ -96,7 +112,10 @@
   if (claim.state === "not_run") {
     return { kind: "not_run", fault: describeNotRun() };
   }
-  return { kind: "unknown", fault: describeUnknown("its entry was lost") };
+  return {
+    kind: "unknown",
+    fault: describeUnknown("the first request with this key got no answer"),
+  };
 }
 
 /** Whether the claimant may still come to an outcome. */
--- a/apps/heroncleatd/entry/send_once.ts
+++ b/apps/heroncleatd/entry/send_once.ts
@@ -42,7 +42,7 @@
       method: call.routed.method as Dispatcher.HttpMethod,
       headers: buildHeaders(call, options.attempt),
       body: call.body.length === 0 ? null : call.body,
-      signal: AbortSignal.timeout(Math.max(1, options.timeout)),
+      signal: AbortSignal.timeout(Math.max(1, Math.ceil(options.timeout))),
     });
   } catch (error) {
     return describeError(error as NodeJS.ErrnoException);
--- a/apps/heroncleatd/entry/start_entry.ts
+++ b/apps/heroncleatd/entry/start_entry.ts
@@ -181,10 +181,11 @@
           const query = parameters as never;
           registry.tell({ kind: "query", query, reply: resolve });
         }),
-      "entry.take_over": (parameters) => {
-        const { ids } = parameters as { ids: string[] };
-        return registry.tell({ kind: "take_over", ids });
-      },
+      "entry.take_over": (parameters) =>
+        new Promise((resolve) => {
+          const { ids } = parameters as { ids: string[] };
+          registry.tell({ kind: "take_over", ids, reply: resolve });
+        }),
     });
   }
 
@@ -227,13 +228,20 @@
     });
   }
 
+  /** Gives what is unfinished to the standbys, and waits until they have it. */
   async #handOver(): Promise<void> {
-    if (await this.#countOwned() === 0) {
+    const owned = await this.#countOwned();
+    if (owned === 0) {
       return;
     }
-    await new Promise<void>((resolve) => {
-      this.#parts.registry.tell({ kind: "hand_over", reply: resolve });
-    });
+    const log = this.#context.log("entry");
+    log.info(`Hands ${owned} unfinished requests over`);
+    this.#parts.registry.tell({ kind: "hand_over" });
+    await this.#finishRequests(HAND_OVER_RESERVE);
+    const left = await this.#countOwned();
+    if (left > 0) {
+      log.warn(`${left} requests are left to their standbys`);
+    }
   }
 
   /** Lets the last bytes of answers leave. */
--- a/apps/heroncleatd/main.ts
+++ b/apps/heroncleatd/main.ts
@@ -5,7 +5,12 @@
  * @module
  */
 import { parseArgs } from "node:util";
-import { createSystemClock, type Fault, splitList } from "@heroncleat/base";
+import {
+  createSystemClock,
+  type Fault,
+  splitAddress,
+  splitList,
+} from "@heroncleat/base";
 import type { Settings } from "@heroncleat/schema";
 import { PeerPool, PeerServer } from "@heroncleat/transport";
 import { start as startActors } from "nact";
@@ -22,6 +27,7 @@
 
 const VERSION = "0.1.0";
 const CONNECT_TIMEOUT = 1000;
+const ANY_HOST = "0.0.0.0";
 const HELP = `heroncleatd, the serving daemon.
 
 Usage: heroncleatd --settings FILE [--check]
@@ -64,6 +70,7 @@
   const pool = new PeerPool({
     secret: sharedSecret,
     connectTimeout: CONNECT_TIMEOUT,
+    localHost: ownHost(checked),
   });
   const server = new PeerServer({
     address: checked.daemon.peer_address,
@@ -111,6 +118,12 @@
   log.info(`Version ${VERSION} is up`, { roles: checked.daemon.roles });
 }
 
+/** On a VM with several addresses, peers see the one from the settings. */
+function ownHost(checked: Settings): string {
+  const { host } = splitAddress(checked.daemon.peer_address);
+  return host === ANY_HOST ? "" : host;
+}
+
 function installSignals(stop: () => Promise<void>): void {
   let stopping = false;
   const onSignal = () => {
--- /dev/null
+++ b/packages/configuration/configuration_test.ts
@@ -0,0 +1,211 @@
+import type { Change, Edit } from "@heroncleat/schema";
+import * as fc from "fast-check";
+import { Configuration, ConfigurationFollower } from "./mod.ts";
+
+const RUNS = Number(process.env["FUZZ_RUNS"] ?? 1) * 200;
+
+function groupEdit(name: string, share: number): Edit {
+  return {
+    kind: "group_set",
+    group: { name, labels: { place: name }, state: "serving", share },
+  };
+}
+
+function change(id: string, expectedRevision: number, edits: Edit[]): Change {
+  return { id, operator: "kari", expectedRevision, edits, at: 1000 };
+}
+
+describe("a change of the configuration", () => {
+  test("of equal numbers gives one winner and one clear conflict", () => {
+    const configuration = new Configuration();
+    const first = configuration.applyChange({
+      kind: "change",
+      change: change("change-a", 0, [groupEdit("old", 10)]),
+    });
+    const second = configuration.applyChange({
+      kind: "change",
+      change: change("change-b", 0, [groupEdit("old", 90)]),
+    });
+    expect(first.outcome).toBe("accepted");
+    expect(second.outcome).toBe("conflict");
+    expect(second.message).toContain("Remedy: read it again");
+    expect(configuration.view.groups["old"]?.share).toBe(10);
+  });
+
+  test("sent again gets its first result, even after later changes", () => {
+    const configuration = new Configuration();
+    const command = {
+      kind: "change" as const,
+      change: change("change-a", 0, [groupEdit("old", 10)]),
+    };
+    const first = configuration.applyChange(command);
+    configuration.applyChange({
+      kind: "change",
+      change: change("change-b", 1, [groupEdit("old", 20)]),
+    });
+    expect(configuration.applyChange(command)).toEqual(first);
+    expect(configuration.view.groups["old"]?.share).toBe(20);
+  });
+
+  test("with one invalid edit leaves no trace of the others", () => {
+    const configuration = new Configuration();
+    const result = configuration.applyChange({
+      kind: "change",
+      change: change("change-a", 0, [
+        groupEdit("old", 10),
+        {
+          kind: "selector_set",
+          selector: { name: "s", order: 1, match: {}, groups: ["missing"] },
+        },
+      ]),
+    });
+    expect(result.outcome).toBe("invalid");
+    expect(configuration.revision).toBe(0);
+    expect(configuration.view.groups).toEqual({});
+  });
+
+  test("keeps a group that a selector uses", () => {
+    const configuration = new Configuration();
+    configuration.applyChange({
+      kind: "change",
+      change: change("change-a", 0, [groupEdit("old", 10), {
+        kind: "selector_set",
+        selector: { name: "s", order: 1, match: {}, groups: ["old"] },
+      }]),
+    });
+    const result = configuration.applyChange({
+      kind: "change",
+      change: change("change-b", 1, [{ kind: "group_removed", name: "old" }]),
+    });
+    expect(result).toMatchObject({ outcome: "invalid", revision: 1 });
+  });
+
+  test("is audited with what it replaced, also when it is refused", () => {
+    const configuration = new Configuration();
+    for (const [id, revision] of [["change-a", 0], ["change-b", 0]] as const) {
+      configuration.applyChange({
+        kind: "change",
+        change: change(id, revision, [groupEdit("old", 10)]),
+      });
+    }
+    configuration.applyRefusal({
+      kind: "refusal",
+      change: change("change-c", 0, []),
+      message: "malformed",
+    });
+    const outcomes = configuration.state.audit.map((record) => record.outcome);
+    expect(outcomes).toEqual(["accepted", "conflict", "refused"]);
+    expect(configuration.state.audit[0]?.before).toEqual([null]);
+  });
+
+  test("puts its orders into the outbox with growing numbers", () => {
+    const configuration = new Configuration({
+      ...new Configuration().state,
+    }, { orderAttempts: 2 });
+    const order = { action: "load_model" as const, value: "menu" };
+    configuration.applyChange({
+      kind: "change",
+      change: change("change-a", 0, [
+        { kind: "order_requested", upstream: "e1", order },
+        { kind: "order_requested", upstream: "e2", order },
+      ]),
+    });
+    const numbers = configuration.pendingOrders.map(({ number }) => number);
+    expect(numbers).toEqual([1, 2]);
+    const result = { kind: "order" as const, number: 1, succeeded: false };
+    configuration.applyOrderResult(result);
+    expect(configuration.pendingOrders).toHaveLength(2);
+    configuration.applyOrderResult(result);
+    configuration.applyOrderResult({ ...result, number: 2, succeeded: true });
+    expect(configuration.pendingOrders).toHaveLength(0);
+    expect(configuration.state.orders.map((known) => known.state))
+      .toEqual(["failed", "done"]);
+  });
+});
+
+/** One random thing that happens to a configuration and its followers. */
+const step = fc.record({
+  kind: fc.constantFrom("change", "resend", "follow", "stale", "restart"),
+  follower: fc.nat(2),
+  lag: fc.nat(3),
+  group: fc.constantFrom("old", "new", "spare"),
+  share: fc.nat(100),
+});
+
+describe("entries that follow the configuration", () => {
+  test("only move forward and end where the replicas are", () => {
+    let taken = 0;
+    fc.assert(
+      fc.property(
+        fc.array(step, { minLength: 50, maxLength: 100 }),
+        (steps) => {
+          const configuration = new Configuration(undefined, {
+            keptHistory: 5,
+          });
+          const followers = [0, 1, 2].map(() => new ConfigurationFollower());
+          const oracle = [new Map<string, number>()];
+          const sent: Change[] = [];
+          const stale = followers.map(() => configuration.catchUpFrom(0));
+          for (const [place, { kind, follower, ...rest }] of steps.entries()) {
+            const target = followers[follower]!;
+            const before = target.view.revision;
+            if (kind === "change") {
+              const expected = Math.max(0, configuration.revision - rest.lag);
+              const asked = change(`change-${place}`, expected, [
+                groupEdit(rest.group, rest.share),
+              ]);
+              sent.push(asked);
+              const result = configuration.applyChange({
+                kind: "change",
+                change: asked,
+              });
+              expect(result.outcome).toBe(
+                rest.lag === 0 || expected === oracle.length - 1
+                  ? "accepted"
+                  : "conflict",
+              );
+              if (result.outcome === "accepted") {
+                const next = new Map(oracle.at(-1));
+                oracle.push(next.set(rest.group, rest.share));
+              }
+            } else if (kind === "resend" && sent.length > 0) {
+              const again = sent[place % sent.length]!;
+              const revision = configuration.revision;
+              configuration.applyChange({ kind: "change", change: again });
+              expect(configuration.revision).toBe(revision);
+            } else if (kind === "follow") {
+              stale[follower] = configuration.catchUpFrom(target.view.revision);
+              catchUp(target, stale[follower]!);
+              expect(target.view.revision).toBe(configuration.revision);
+            } else if (kind === "stale") {
+              catchUp(target, stale[follower]!);
+            } else {
+              followers[follower] = new ConfigurationFollower();
+              continue;
+            }
+            expect(target.view.revision).toBeGreaterThanOrEqual(before);
+            const expected = oracle[target.view.revision]!;
+            const shares = Object.values(target.view.groups).map((group) =>
+              [group.name, group.share] as const
+            );
+            expect(new Map(shares)).toEqual(expected);
+            taken += 1;
+          }
+        },
+      ),
+      { numRuns: RUNS, seed: 71 },
+    );
+    expect(taken).toBeGreaterThan(10_000);
+  });
+});
+
+function catchUp(
+  follower: ConfigurationFollower,
+  news: ReturnType<Configuration["catchUpFrom"]>,
+): void {
+  if (news.kind === "view") {
+    follower.takeView(structuredClone(news.view));
+  } else {
+    follower.takeEdits(structuredClone(news.edits));
+  }
+}
--- /dev/null
+++ b/packages/ledger/ledger_test.ts
@@ -0,0 +1,148 @@
+import * as fc from "fast-check";
+import { Ledger } from "./mod.ts";
+
+const RUNS = Number(process.env["FUZZ_RUNS"] ?? 1) * 300;
+
+function claim(key: string, attempt: string, digest = "d") {
+  return {
+    kind: "claim" as const,
+    workspace: "bistro",
+    key,
+    digest,
+    owner: "entry-1",
+    attempt,
+    at: 100,
+    deadline: 200,
+  };
+}
+
+describe("the claim of a key", () => {
+  test("belongs to the first; others learn what became of it", () => {
+    const ledger = new Ledger();
+    expect(ledger.claim(claim("k", "a")).outcome).toBe("claimed");
+    expect(ledger.claim(claim("k", "b")).outcome).toBe("exists");
+    expect(ledger.claim(claim("k", "a")).outcome).toBe("claimed");
+  });
+
+  test("with another body is a conflict", () => {
+    const ledger = new Ledger();
+    ledger.claim(claim("k", "a"));
+    expect(ledger.claim(claim("k", "b", "other")).outcome).toBe("conflict");
+  });
+
+  test("is not mixed up with that of another workspace", () => {
+    const ledger = new Ledger();
+    ledger.claim({ ...claim("2:k", "a"), workspace: "a" });
+    const other = { ...claim("k", "b"), workspace: "a:2" };
+    expect(ledger.claim(other).outcome).toBe("claimed");
+  });
+
+  test("is kept for its retention, counted from the stored outcome", () => {
+    const ledger = new Ledger();
+    ledger.claim(claim("k", "a"));
+    const outcome = { status: 200, contentType: "text/plain", body: "" };
+    ledger.resolve({
+      kind: "resolve",
+      workspace: "bistro",
+      key: "k",
+      attempt: "a",
+      state: "done",
+      at: 5000,
+      outcome,
+    });
+    ledger.expire({ kind: "expire", at: 5999, retention: 1000 });
+    expect(ledger.find("bistro", "k")?.outcome).toEqual(outcome);
+    ledger.expire({ kind: "expire", at: 6001, retention: 1000 });
+    expect(ledger.find("bistro", "k")).toBeUndefined();
+  });
+});
+
+const step = fc.record({
+  kind: fc.constantFrom("claim", "claim", "done", "not_run", "restart"),
+  key: fc.constantFrom("k1", "k2"),
+  attempt: fc.constantFrom("a", "b", "c", "d"),
+});
+
+describe("claims in any order, sent again, over restarts", () => {
+  test("allow one run for each key", () => {
+    let taken = 0;
+    fc.assert(
+      fc.property(fc.array(step, { minLength: 30, maxLength: 60 }), (steps) => {
+        let ledger = new Ledger();
+        const runs = new Map<string, string>();
+        for (const { kind, key, attempt } of steps) {
+          taken += 1;
+          if (kind === "restart") {
+            ledger = new Ledger(structuredClone(ledger.state));
+          } else if (kind === "claim") {
+            const reply = ledger.claim(claim(key, attempt));
+            if (reply.outcome === "claimed") {
+              expect(runs.get(key) ?? attempt).toBe(attempt);
+              runs.set(key, attempt);
+            }
+          } else {
+            const command = {
+              kind: "resolve" as const,
+              workspace: "bistro",
+              key,
+              attempt,
+              state: kind,
+              at: 1,
+            };
+            const before = ledger.find("bistro", key)?.state;
+            ledger.resolve(command);
+            // The runner itself says that it did not run: the key is free.
+            const freed = kind === "not_run" && before === "claimed" &&
+              runs.get(key) === attempt;
+            if (freed) {
+              runs.delete(key);
+            }
+          }
+        }
+      }),
+      { numRuns: RUNS, seed: 72 },
+    );
+    expect(taken).toBeGreaterThan(10_000);
+  });
+});
+
+describe("custody of a request", () => {
+  const request = "e1~e2~token";
+  const move = (owner: string, standby: string, options: {
+    epoch: number;
+    from: string;
+  }) => ({
+    kind: "custody" as const,
+    requests: [request],
+    expectedEpochs: [options.epoch],
+    owner,
+    standby,
+    from: options.from,
+    at: 0,
+  });
+
+  test("starts with the holders that the identifier names", () => {
+    const custody = new Ledger().custodyOf(request);
+    expect(custody).toMatchObject({ epoch: 1, owner: "e1", standby: "e2" });
+  });
+
+  test("goes to one of two that ask at once", () => {
+    const ledger = new Ledger();
+    const taken = ledger.move(move("e2", "", { epoch: 1, from: "e2" }));
+    const late = ledger.move(move("e1", "e3", { epoch: 1, from: "e1" }));
+    expect(taken.outcomes[0]?.moved).toBe(true);
+    expect(late.outcomes[0]).toMatchObject({ moved: false, owner: "e2" });
+  });
+
+  test("answers a repeated move like the first", () => {
+    const ledger = new Ledger();
+    const command = move("e2", "", { epoch: 1, from: "e2" });
+    expect(ledger.move(command)).toEqual(ledger.move(command));
+  });
+
+  test("can't be taken by an entry that never held the request", () => {
+    const ledger = new Ledger();
+    const reply = ledger.move(move("e9", "", { epoch: 1, from: "e9" }));
+    expect(reply.outcomes[0]?.moved).toBe(false);
+  });
+});
--- a/apps/demo/ask.ts
+++ b/packages/local_deployment/ask.ts
@@ -4,14 +4,20 @@
 type AskedAnswer = {
   readonly text: string;
   readonly requestId: string;
+  readonly upstream: string;
   /** Milliseconds until the first piece of text. */
   readonly firstToken: number;
 };
 
-/** Sends one prompt and prints the answer as it streams in. */
+/** Sends one prompt and prints the answer as it streams in. @public */
 export async function ask(
   address: string,
-  options: { key: string; prompt: string; print: (text: string) => void },
+  options: {
+    key: string;
+    prompt: string;
+    maxTokens?: number;
+    print?: (text: string) => void;
+  },
 ): Promise<AskedAnswer> {
   const startedAt = performance.now();
   const response = await request(`http://${address}/v1/chat/completions`, {
@@ -23,7 +29,7 @@
     body: JSON.stringify({
       model: "assistant",
       stream: true,
-      max_tokens: 60,
+      max_tokens: options.maxTokens ?? 60,
       messages: [{ role: "user", content: options.prompt }],
     }),
   });
@@ -36,11 +42,12 @@
     for (const piece of readPieces(String(chunk))) {
       firstToken ||= performance.now() - startedAt;
       text += piece;
-      options.print(piece);
+      options.print?.(piece);
     }
   }
   const requestId = String(response.headers["heroncleat-request"]);
-  return { text, requestId, firstToken };
+  const upstream = String(response.headers["heroncleat-upstream"]);
+  return { text, requestId, upstream, firstToken };
 }
 
 function readPieces(chunk: string): string[] {
--- a/apps/demo/process_group.ts
+++ b/packages/local_deployment/process_group.ts
@@ -9,7 +9,7 @@
   readonly exited: Promise<number>;
 };
 
-/** The processes of a local deployment, each with a log file. */
+/** The processes of a local deployment, each with a log file. @public */
 export class ProcessGroup {
   readonly #folder: string;
   readonly #processes = new Map<string, StartedProcess>();
@@ -30,8 +30,18 @@
     this.#processes.set(name, { name, child, exited });
   }
 
-  childOf(name: string): ChildProcess {
-    return this.#processes.get(name)!.child;
+  /** Sends a signal to one process. */
+  signal(name: string, signal: NodeJS.Signals): void {
+    this.#processes.get(name)!.child.kill(signal);
+  }
+
+  /** Resolves with the exit code of a process once it has ended. */
+  exitOf(name: string): Promise<number> {
+    return this.#processes.get(name)!.exited;
+  }
+
+  pidOf(name: string): number {
+    return this.#processes.get(name)!.child.pid!;
   }
 
   /** Stops some processes gracefully and returns their exit codes. */
--- a/apps/demo/set_up_routing.ts
+++ b/packages/local_deployment/set_up_routing.ts
@@ -1,4 +1,3 @@
-import { readFileSync } from "node:fs";
 import { createToken } from "@heroncleat/base";
 import type { Edit } from "@heroncleat/schema";
 import { request } from "undici";
@@ -7,7 +6,7 @@
 
 const START_TIMEOUT = 20_000;
 
-/** The first configuration: one group for each kind of upstream. */
+/** The first configuration: an old and a new place, and both for everyone. */
 const EDITS: readonly Edit[] = [
   {
     kind: "group_set",
@@ -33,11 +32,10 @@
   },
 ];
 
-/** Sets groups and a selector through the operator API. */
+/** Sets groups and a selector through the operator API. @internal */
 export async function setUpRouting(deployment: Deployment): Promise<void> {
-  const token = readFileSync(deployment.tokenFile, "utf8").trim();
   const headers = {
-    authorization: `Bearer ${token}`,
+    authorization: `Bearer ${deployment.operatorToken}`,
     "content-type": "application/json",
   };
   const body = JSON.stringify({
--- a/apps/demo/wait_for.ts
+++ b/packages/local_deployment/wait_for.ts
@@ -1,6 +1,6 @@
 const PAUSE = 50;
 
-/** Waits until a check succeeds; what it throws counts as not yet. */
+/** Waits until a check succeeds; what it throws counts as not yet. @public */
 export async function waitFor<Value>(
   what: string,
   options: { timeout: number; check: () => Promise<Value | undefined> },
--- /dev/null
+++ b/packages/local_deployment/write_deployment.ts
@@ -0,0 +1,180 @@
+import { mkdirSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
+import { createToken } from "@heroncleat/base";
+import type { StandInSettings } from "@heroncleat/stand_ins";
+import type { Deployment } from "./deployment.ts";
+import type { DeploymentPlan } from "./deployment_plan.ts";
+import { planAddresses } from "./plan_addresses.ts";
+
+const PRIVATE = 0o600;
+const SEEDS = 3;
+const ANNOUNCE_ENTRIES = 4;
+
+/** Sections of an INI file. */
+type Sections = Readonly<
+  Record<string, Readonly<Record<string, string | number>>>
+>;
+
+/** Writes the settings, keys and secrets of a deployment. @public */
+export function writeDeployment(plan: DeploymentPlan): Deployment {
+  mkdirSync(plan.folder, { recursive: true });
+  const addresses = planAddresses(plan);
+  const sharedSecret = createToken();
+  const operatorToken = createToken();
+  const workspaces = plan.workspaces ?? ["bistro"];
+  const callerKeys = Object.fromEntries(
+    workspaces.map((workspace) => [workspace, createToken()]),
+  );
+  const write = (name: string, text: string) => {
+    writeFileSync(join(plan.folder, name), text, { mode: PRIVATE });
+    return join(plan.folder, name);
+  };
+  const security = {
+    shared_secret_file: write("shared_secret", `${sharedSecret}\n`),
+    caller_keys_file: write("callers.ini", formatPairs(callerKeys)),
+    operator_tokens_file: write(
+      "operators.ini",
+      formatPairs({ demo: operatorToken }),
+    ),
+  };
+  const replicas = addresses.controls.map((peer) => peer.advertised).join(", ");
+  const entryPeers = addresses.entries.map((peer) => peer.advertised);
+  const describe = (role: string, peer: typeof addresses.controls[number]) => ({
+    name: peer.name,
+    roles: role,
+    zone: peer.zone,
+    peer_address: peer.peer,
+    advertised_peer_address: peer.advertised,
+  });
+  const controls = addresses.controls.map((peer) => {
+    const dataFolder = join(plan.folder, "data", peer.name);
+    const settingsFile = write(
+      `${peer.name}.ini`,
+      formatSections({
+        daemon: describe("control", peer),
+        control: {
+          operator_address: peer.served,
+          data_folder: dataFolder,
+          replicas,
+          entries: entryPeers.join(", "),
+          ...plan.controlSettings,
+        },
+        security,
+      }),
+    );
+    return {
+      name: peer.name,
+      settingsFile,
+      dataFolder,
+      operatorAddress: peer.served,
+      peerAddress: peer.peer,
+      advertisedAddress: peer.advertised,
+    };
+  });
+  const entries = addresses.entries.map((peer) => {
+    const settingsFile = write(
+      `${peer.name}.ini`,
+      formatSections({
+        daemon: describe("entry", peer),
+        entry: {
+          caller_address: peer.served,
+          seeds: entryPeers.slice(0, SEEDS).join(", "),
+          control: replicas,
+          ...plan.entrySettings,
+        },
+        policy: { ...plan.policySettings },
+        security,
+      }),
+    );
+    return {
+      name: peer.name,
+      zone: peer.zone,
+      settingsFile,
+      callerAddress: peer.served,
+      peerAddress: peer.peer,
+      advertisedAddress: peer.advertised,
+    };
+  });
+  const upstreams = addresses.upstreams.map((upstream, place) => {
+    const base = describeUpstream(plan, {
+      upstream,
+      place,
+      sharedSecret,
+      entries: entries.slice(0, ANNOUNCE_ENTRIES).map((entry) =>
+        entry.callerAddress
+      ),
+    });
+    const settings = plan.upstream?.(base, place) ?? base;
+    const settingsFile = write(
+      `${upstream.name}.json`,
+      JSON.stringify(settings, null, 2),
+    );
+    const { name, zone, address } = settings;
+    return { name, zone, address, settingsFile };
+  });
+  return {
+    folder: plan.folder,
+    controls,
+    entries,
+    upstreams,
+    callerKeys,
+    operatorToken,
+    tokenFile: write("operator_token", `${operatorToken}\n`),
+    sharedSecret,
+  };
+}
+
+function describeUpstream(
+  plan: DeploymentPlan,
+  options: {
+    upstream: {
+      name: string;
+      zone: string;
+      address: string;
+      isEngine: boolean;
+    };
+    place: number;
+    sharedSecret: string;
+    entries: readonly string[];
+  },
+): StandInSettings {
+  const { upstream, place, sharedSecret, entries } = options;
+  const onDemand = place === 0;
+  return {
+    name: upstream.name,
+    address: upstream.address,
+    kind: upstream.isEngine ? "model_engine" : "plain_service",
+    service: upstream.isEngine ? "" : "booking",
+    models: upstream.isEngine ? ["assistant"] : [],
+    zone: upstream.zone,
+    vmClass: onDemand ? "on_demand" : "reclaimable",
+    price: onDemand ? 3 : 1,
+    labels: { place: place % 2 === 0 ? "new" : "old" },
+    checksFencing: place % 2 === 0,
+    entries,
+    sharedSecret,
+    announceInterval: 500,
+    engine: {
+      slots: 16,
+      prefillRate: 5000,
+      decodeInterval: 20,
+      transferRate: 20_000,
+      cacheBlocks: 512,
+      salt: "demo",
+      ...plan.engine,
+    },
+  };
+}
+
+function formatSections(sections: Sections): string {
+  return Object.entries(sections).map(([name, pairs]) =>
+    `[${name}]\n${formatPairs(pairs)}\n`
+  ).join("");
+}
+
+function formatPairs(
+  pairs: Readonly<Record<string, string | number>>,
+): string {
+  return Object.entries(pairs).map(([key, value]) => `${key} = ${value}\n`)
+    .join("");
+}
--- a/packages/requests/owned_request.ts
+++ b/packages/requests/owned_request.ts
@@ -59,6 +59,8 @@
   /** The entry that is to become the standby. */
   #candidate = "";
   #moveAt: Milliseconds | undefined;
+  /** Until when the standby may take to take over. */
+  #handOverUntil: Milliseconds | undefined;
   #dropped = 0;
   #effects: RequestEffect[] = [];
 
@@ -119,6 +121,7 @@
       this.#deadlineAt,
       (this.#copy?.sentAt ?? Infinity) + copyTimeout,
       this.#moveAt ?? Infinity,
+      this.#handOverUntil ?? Infinity,
       this.#routeAt ?? Infinity,
       (this.#attempt?.heardAt ?? Infinity) + idleTimeout,
       this.#attempt?.leaveAt ?? Infinity,
@@ -165,7 +168,9 @@
         this.#onStandbyMoved(event, now);
         return;
       case "standby_kept":
-        this.#moveAt = now + this.#settings.retryPause;
+        if (this.#move === StandbyMove.moving) {
+          this.#moveAt = now + this.#settings.retryPause;
+        }
         return;
       case "custody_lost":
         this.#onCustodyLost(event.owner);
@@ -193,6 +198,9 @@
       case "hand_over":
         this.#startHandOver(now);
         return;
+      case "hand_over_failed":
+        this.#onHandOverFailed();
+        return;
       default:
         unreachable(event);
     }
@@ -233,6 +241,9 @@
     if (this.#moveAt !== undefined && now >= this.#moveAt) {
       this.#moveStandby();
     }
+    if (this.#handOverUntil !== undefined && now >= this.#handOverUntil) {
+      this.#onHandOverFailed();
+    }
     if (this.#routeAt !== undefined && now >= this.#routeAt) {
       this.#route("");
     }
@@ -315,7 +326,7 @@
       return;
     }
     if (event.reply.outcome === "fenced") {
-      this.#onCopyLost();
+      this.#onFenced();
       return;
     }
     this.#copy = undefined;
@@ -354,9 +365,41 @@
       this.#sendCopy(now);
       return;
     }
-    const leaving = this.#phase === RequestPhase.handingOver;
-    if (leaving && this.#record.standby !== "") {
-      this.#end({ kind: "handed_over", standby: this.#record.standby });
+    if (this.#phase === RequestPhase.handingOver) {
+      this.#goOnLeaving(now);
+    }
+  }
+
+  #goOnLeaving(now: Milliseconds): void {
+    if (this.#record.standby !== "") {
+      this.#askToTakeOver(now);
+    } else if (this.#move === StandbyMove.none) {
+      this.#stay();
+    }
+  }
+
+  /** Nobody can take over, so the request goes on here while it may. */
+  #stay(): void {
+    this.#phase = RequestPhase.running;
+    this.#route("");
+  }
+
+  /**
+   * The standby holds all there is. This owner lets go only when the ledger
+   * names another: a standby may be lost on the very way to taking over.
+   */
+  #askToTakeOver(now: Milliseconds): void {
+    if (this.#handOverUntil !== undefined) {
+      return;
+    }
+    this.#handOverUntil = now + this.#settings.handOverTimeout;
+    this.#effects.push({ kind: "hand_over", standby: this.#record.standby });
+  }
+
+  #onHandOverFailed(): void {
+    this.#handOverUntil = undefined;
+    if (this.#move === StandbyMove.none) {
+      this.#chooseStandby([this.#record.standby]);
     }
   }
 
@@ -386,6 +429,20 @@
     this.#chooseStandby([lost]);
   }
 
+  /**
+   * The other entry owns the request, or is about to. The ledger tells by a
+   * move that changes nothing but the epoch.
+   */
+  #onFenced(): void {
+    if (this.#phase === RequestPhase.accepting) {
+      this.#onCopyLost();
+      return;
+    }
+    this.#copy = undefined;
+    this.#candidate = this.#record.standby;
+    this.#moveStandby();
+  }
+
   #chooseStandby(exclude: readonly string[]): void {
     this.#move = StandbyMove.choosing;
     this.#effects.push({ kind: "choose_standby", exclude });
@@ -407,8 +464,7 @@
       return;
     }
     if (this.#phase === RequestPhase.handingOver) {
-      this.#phase = RequestPhase.running;
-      this.#route("");
+      this.#stay();
     }
     this.#moveStandby();
   }
@@ -427,16 +483,21 @@
     event: { epoch: number; standby: string },
     now: Milliseconds,
   ): void {
+    const { epoch, standby } = event;
+    // The answer to a question that was asked twice comes twice.
+    if (this.#move !== StandbyMove.moving || epoch <= this.#record.epoch) {
+      return;
+    }
     this.#move = StandbyMove.none;
     this.#moveAt = undefined;
-    const { epoch, standby } = event;
     this.#record = { ...this.#record, epoch, standby };
     this.#onHeld(now);
   }
 
   #onCustodyLost(owner: string): void {
     this.#cancelAttempt();
-    this.#end({ kind: "fenced", owner });
+    const leaving = this.#phase === RequestPhase.handingOver;
+    this.#end({ kind: leaving ? "handed_over" : "fenced", owner });
   }
 
   #route(kvSource: string): void {
--- a/packages/requests/request_effect.ts
+++ b/packages/requests/request_effect.ts
@@ -38,5 +38,7 @@
     readonly expectedEpoch: number;
     readonly standby: string;
   }
-  | { readonly kind: "handed_over"; readonly standby: string }
+  /** Asks the standby to become the owner. */
+  | { readonly kind: "hand_over"; readonly standby: string }
+  | { readonly kind: "handed_over"; readonly owner: string }
   | { readonly kind: "fenced"; readonly owner: string };
--- a/packages/requests/request_event.ts
+++ b/packages/requests/request_event.ts
@@ -20,6 +20,7 @@
   }
   /** The ledger could not be asked. */
   | { readonly kind: "standby_kept" }
+  /** The ledger names another owner. */
   | { readonly kind: "custody_lost"; readonly owner: string }
   | {
     readonly kind: "routed";
@@ -51,4 +52,6 @@
     readonly upstream: string;
     readonly reclaimIn: Milliseconds;
   }
-  | { readonly kind: "hand_over" };
+  | { readonly kind: "hand_over" }
+  /** The standby did not take over. */
+  | { readonly kind: "hand_over_failed" };
--- a/packages/requests/request_settings.ts
+++ b/packages/requests/request_settings.ts
@@ -7,6 +7,8 @@
   readonly self: string;
   /** How long a copy may stay unanswered. */
   readonly copyTimeout: Milliseconds;
+  /** How long a standby may take to take over. */
+  readonly handOverTimeout: Milliseconds;
   /** How long an upstream may stay silent. */
   readonly idleTimeout: Milliseconds;
   /** Pause before routing or moving the standby is tried again. */
--- a/packages/transport/peer_connection.ts
+++ b/packages/transport/peer_connection.ts
@@ -9,6 +9,8 @@
   readonly address: string;
   readonly secret: string;
   readonly connectTimeout: Milliseconds;
+  /** Own host that connections come from; empty for any. */
+  readonly localHost: string;
   readonly onClose: () => void;
 };
 
@@ -30,7 +32,10 @@
     this.#options = options;
     this.#client = new JSONRPCClient((message) => this.#send(message));
     const { host, port } = splitAddress(options.address);
-    const socket = connect({ host, port });
+    const { localHost } = options;
+    const socket = localHost === ""
+      ? connect({ host, port })
+      : connect({ host, port, localAddress: localHost });
     this.#framed = new FramedSocket(socket, {
       onMessage: (message) => this.#onHandshake(message),
       onClose: (reason) => this.#onClose(reason),
--- a/packages/transport/peer_pool.ts
+++ b/packages/transport/peer_pool.ts
@@ -5,6 +5,8 @@
 type PeerPoolOptions = {
   readonly secret: string;
   readonly connectTimeout: Milliseconds;
+  /** Own host that connections come from; empty for any. */
+  readonly localHost: string;
 };
 
 /**
