The callers' API is tested end to end against real processes

Cause: reading an answer with another workspace's key hung for the default deadline (test: gives an answer again from any entry), since a refusal and a takeover under way looked the same.

Change: a holder says that an answer belongs to another workspace, and waits for a takeover are bounded. Tests bring about malformed, oversized, slow and half-closed requests, random bodies, resends of one key to all entries at once and every way in which a service's answer can fail.

--- a/apps/heroncleatd/entry/answer_source.ts
+++ b/apps/heroncleatd/entry/answer_source.ts
@@ -16,6 +16,8 @@
 const CALL_MARGIN = 500;
 const RETRY_PAUSE = 100;
 const CUSTODY_TIMEOUT = 1500;
+/** Time for a dead owner to be noticed and a standby to take over. */
+const TAKEOVER_WAIT = 8000;
 
 /** Answer of a replica about custody. */
 type CustodyReply =
@@ -48,20 +50,20 @@
     query: Omit<AnswerQuery, "wait">,
     until: Milliseconds,
   ): Promise<ForwardedAnswer> {
-    let answer = NOT_FOUND;
-    let asked = false;
-    while (!answer.found && (!asked || this.#now() < until)) {
+    const startedAt = this.#now();
+    while (true) {
       const wait = Math.max(0, Math.min(READ_WAIT, until - this.#now()));
-      answer = await this.#readOnce({ ...query, wait });
-      asked = true;
-      if (!answer.found && !await this.#mayStillExist(query.id)) {
-        return NOT_FOUND;
+      const answer = await this.#readOnce({ ...query, wait });
+      if (answer.found || answer.denied) {
+        return answer;
       }
-      if (!answer.found) {
-        await new Promise((resolve) => setTimeout(resolve, RETRY_PAUSE));
+      // While a standby takes over, nobody answers for the request.
+      const waited = this.#now() - startedAt;
+      if (waited >= TAKEOVER_WAIT || this.#now() >= until) {
+        return NOT_FOUND;
       }
+      await new Promise((resolve) => setTimeout(resolve, RETRY_PAUSE));
     }
-    return answer;
   }
 
   #now(): Milliseconds {
@@ -69,25 +71,37 @@
   }
 
   async #readOnce(query: AnswerQuery): Promise<ForwardedAnswer> {
-    const { name } = this.#options.context;
     const local = await this.#readHere(query);
-    if (local.found) {
+    if (local.found || local.denied) {
       return local;
     }
     const { owner, standby } = parseRequestId(query.id);
-    for (const holder of [owner, standby]) {
-      if (holder === name || holder === "") {
+    const named = await this.#readAtFirst([owner, standby], query);
+    if (named.found || named.denied) {
+      return named;
+    }
+    const moved = await this.#findHolders(query.id);
+    const others = moved.filter((holder) =>
+      holder !== owner && holder !== standby
+    );
+    return await this.#readAtFirst(others, query);
+  }
+
+  /** The first answer among some entries, this one left out. */
+  async #readAtFirst(
+    holders: readonly string[],
+    query: AnswerQuery,
+  ): Promise<ForwardedAnswer> {
+    for (const holder of holders) {
+      if (holder === this.#options.context.name || holder === "") {
         continue;
       }
       const answer = await this.#readAt(holder, query);
-      if (answer.found) {
+      if (answer.found || answer.denied) {
         return answer;
       }
     }
-    const moved = await this.#findOwner(query.id);
-    const elsewhere = moved !== undefined && moved !== name &&
-      moved !== owner && moved !== standby;
-    return elsewhere ? await this.#readAt(moved, query) : NOT_FOUND;
+    return NOT_FOUND;
   }
 
   #readHere(query: AnswerQuery): Promise<ForwardedAnswer> {
@@ -124,20 +138,14 @@
     }
   }
 
-  async #findOwner(id: string): Promise<string | undefined> {
+  /** Where the ledger says that the request moved to. */
+  async #findHolders(id: string): Promise<string[]> {
     const reply = await this.#options.context.control.call<CustodyReply>(
       "control.find_custody",
       { parameters: { request: id }, timeout: CUSTODY_TIMEOUT },
     );
-    return reply.kind === "found" ? reply.custody.owner : undefined;
-  }
-
-  /** A takeover takes a moment, in which nobody answers for the request. */
-  async #mayStillExist(id: string): Promise<boolean> {
-    const { owner, standby } = parseRequestId(id);
-    const members = this.#options.members();
-    const known = (name: string) =>
-      members.some((member) => member.name === name);
-    return known(owner) && known(standby);
+    return reply.kind === "found"
+      ? [reply.custody.owner, reply.custody.standby]
+      : [];
   }
 }
--- a/apps/heroncleatd/entry/request_host.ts
+++ b/apps/heroncleatd/entry/request_host.ts
@@ -277,6 +277,7 @@
     const { request } = this.#options;
     return {
       found: request.phase !== RequestPhase.ended || request.isComplete,
+      denied: false,
       upstream: request.upstream,
       record: request.record,
       pieces: [...request.emittedFrom(from)],
--- a/apps/heroncleatd/entry/request_registry.ts
+++ b/apps/heroncleatd/entry/request_registry.ts
@@ -431,10 +431,14 @@
   ): void {
     const owned = this.#owned.get(query.id);
     const record = owned?.request.record ?? this.#held.get(query.id)?.record;
-    if (record === undefined || record.workspace !== query.workspace) {
+    if (record === undefined) {
       reply(NOT_FOUND);
       return;
     }
+    if (record.workspace !== query.workspace) {
+      reply({ ...NOT_FOUND, denied: true });
+      return;
+    }
     if (owned !== undefined) {
       const { from, wait } = query;
       if (!owned.actor.tell({ kind: "read", from, wait, reply })) {
@@ -462,6 +466,7 @@
 function readCopy(copy: StandbyCopy, from: number): ForwardedAnswer {
   return {
     found: copy.finished,
+    denied: false,
     upstream: "",
     record: copy.record,
     pieces: copy.finished ? copy.pieces.slice(from) : [],
--- /dev/null
+++ b/apps/heroncleatd/tests/callers_api_test.ts
@@ -0,0 +1,228 @@
+import { connect } from "node:net";
+import { splitAddress } from "@heroncleat/base";
+import { followAnswer } from "@heroncleat/local_deployment";
+import { expectedAnswer } from "@heroncleat/stand_ins";
+import * as fc from "fast-check";
+import { LiveDeployment } from "./live_deployment.ts";
+
+const live = new LiveDeployment({
+  firstPort: 21_000,
+  controls: 3,
+  entries: 3,
+  engines: 2,
+  services: 1,
+  workspaces: ["bistro", "inn"],
+  entrySettings: { header_timeout: 1500, max_body_bytes: 65_536 },
+  engine: { decodeInterval: 3 },
+});
+
+const chat = (content: string, max_tokens = 12) => ({
+  model: "assistant",
+  max_tokens,
+  messages: [{ role: "user", content }],
+});
+
+beforeAll(() => live.start());
+afterAll(() => live.stop());
+
+/** Sends raw bytes and returns all that comes back before the close. */
+function sendRaw(bytes: string, options: { end?: boolean } = {}) {
+  const { host, port } = splitAddress(live.callers[0]!);
+  return new Promise<string>((resolve) => {
+    const socket = connect({ host, port });
+    let received = "";
+    socket.on("data", (chunk) => received += chunk);
+    socket.on("error", () => {});
+    socket.on("close", () => resolve(received));
+    socket.write(bytes);
+    if (options.end) {
+      socket.end();
+    }
+  });
+}
+
+describe("the callers' API", () => {
+  test("tells which entries to use, the asked zone first, with a lifetime", async () => {
+    const reply = await live.call(0, "/v1/entries?zone=zone-b");
+    const { entries, lifetime } = JSON.parse(reply.body);
+    expect(entries[0].zone).toBe("zone-b");
+    expect(entries).toHaveLength(3);
+    expect(lifetime).toBe(10_000);
+    expect(reply.headers["cache-control"]).toBe("max-age=10");
+  });
+
+  test("streams an answer and gives it whole when not streamed", async () => {
+    const body = chat("A table for two by the window, please.");
+    const expected = expectedAnswer(body, "demo");
+    const streamed = await followAnswer({
+      entries: live.callers,
+      key: live.key,
+      body,
+    });
+    expect(streamed).toMatchObject({ status: 200, text: expected });
+    const whole = await live.call(1, "/v1/chat/completions", {
+      method: "POST",
+      body: JSON.stringify(body),
+    });
+    const answer = JSON.parse(whole.body);
+    expect(answer.choices[0].message.content).toBe(expected);
+    expect(answer.usage.completion_tokens).toBe(streamed.pieces);
+    const completion = { model: "assistant", prompt: "Dear", max_tokens: 5 };
+    const text = await live.call(2, "/v1/completions", {
+      method: "POST",
+      body: JSON.stringify(completion),
+    });
+    expect(JSON.parse(text.body).choices[0].text)
+      .toBe(expectedAnswer(completion, "demo"));
+  });
+
+  test("gives an answer again from any entry, from any piece on", async () => {
+    const body = chat("Fetch me again", 20);
+    const { requestId, text } = await followAnswer({
+      entries: live.callers,
+      key: live.key,
+      body,
+    });
+    const path = `/v1/requests/${encodeURIComponent(requestId)}`;
+    for (const place of [0, 1, 2]) {
+      const reply = await live.call(place, path, {
+        headers: { "last-event-id": "3" },
+      });
+      const ids = [...reply.body.matchAll(/^id: (\d+)$/gm)].map((m) => m[1]);
+      expect(ids[0]).toBe("4");
+      expect(reply.body).toContain("[DONE]");
+    }
+    const other = live.deployment.callerKeys["inn"]!;
+    const foreign = await live.call(0, path, {
+      headers: { authorization: `Bearer ${other}` },
+    });
+    expect(foreign.status).toBe(404);
+    expect(foreign.body).not.toContain(text.slice(0, 10));
+  });
+
+  test("refuses unknown keys and changes nothing", async () => {
+    const missing = await live.call(0, "/v1/models", {
+      headers: { authorization: "" },
+    });
+    expect(missing.status).toBe(401);
+    const wrong = await live.call(0, "/services/booking/x", {
+      method: "POST",
+      headers: { authorization: "Bearer wrong" },
+    });
+    expect(wrong.status).toBe(403);
+    const announced = await live.call(0, "/v1/upstreams", {
+      method: "POST",
+      headers: { authorization: "Bearer wrong" },
+      body: "{}",
+    });
+    expect(announced.status).toBe(401);
+    expect((await live.standIn("booking-1")).runs).toHaveLength(0);
+  });
+
+  test("answers malformed, oversized, slow and half-closed requests", async () => {
+    const key = `authorization: Bearer ${live.key}`;
+    const head = "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n" + key;
+    const oversized = await sendRaw(
+      `${head}\r\ncontent-length: 999999\r\nconnection: close\r\n\r\n{`,
+    );
+    expect(oversized).toContain("413");
+    expect(oversized).toContain("Remedy: send a shorter one");
+    const slow = await sendRaw(`${head}\r\ncontent-length: 50\r\n\r\n{`);
+    expect(slow).toContain("408");
+    const half = await sendRaw(`${head}\r\ncontent-length: 50\r\n\r\n{`, {
+      end: true,
+    });
+    expect(half).toMatch(/^HTTP\/1.1 400|^$/);
+    const garbage = await sendRaw("\x00\x01 nonsense\r\n\r\n");
+    expect(garbage).toContain("400");
+    const good = await live.call(0, "/v1/models");
+    expect(good.status).toBe(200);
+  });
+
+  test("answers any body with a clear error or an answer, never a crash", async () => {
+    const bodies = fc.oneof(
+      fc.string(),
+      fc.json(),
+      fc.record({ model: fc.string(), messages: fc.anything() })
+        .map((value) => JSON.stringify(value)),
+      fc.record({
+        model: fc.constant("assistant"),
+        max_tokens: fc.oneof(fc.integer(), fc.string()),
+        messages: fc.array(fc.record({
+          role: fc.string(),
+          content: fc.oneof(fc.string(), fc.integer()),
+        })),
+      }).map((value) => JSON.stringify(value)),
+    );
+    let refused = 0;
+    await fc.assert(
+      fc.asyncProperty(bodies, async (body) => {
+        const reply = await live.call(0, "/v1/chat/completions", {
+          method: "POST",
+          body,
+        });
+        if (reply.status !== 200) {
+          const { error } = JSON.parse(reply.body);
+          expect(error.message).toContain("Remedy:");
+          expect(error.run).toBe("not-run");
+          expect([400, 413, 503]).toContain(reply.status);
+          refused += 1;
+        }
+      }),
+      { numRuns: 200, seed: 5 },
+    );
+    expect(refused).toBeGreaterThan(100);
+    expect((await live.call(0, "/v1/models")).status).toBe(200);
+  });
+});
+
+describe("a call that may not run twice", () => {
+  test("runs once for all resends to all entries at once", async () => {
+    const replies = await Promise.all(
+      Array.from({ length: 30 }, (_, n) => live.book(n % 3, "party-of-seven")),
+    );
+    const bodies = new Set(replies.map((reply) => reply.body));
+    expect(replies.map((reply) => reply.status)).toEqual(
+      replies.map(() => 200),
+    );
+    expect(bodies.size).toBe(1);
+    const { runs } = await live.standIn("booking-1");
+    expect(runs.filter((run) => run.key === "party-of-seven")).toHaveLength(1);
+  });
+
+  test("is a conflict with another body, and not run", async () => {
+    await live.book(0, "window-table", '{"party":2}');
+    const reply = await live.book(1, "window-table", '{"party":9}');
+    expect(reply.status).toBe(409);
+    expect(JSON.parse(reply.body).error.run).toBe("not-run");
+    const { runs } = await live.standIn("booking-1");
+    expect(runs.filter((run) => run.key === "window-table")).toHaveLength(1);
+  });
+
+  test.each(["fail", "cut", "truncate", "refuse"])(
+    "runs at most once when the service's answer is %s",
+    async (behaviour) => {
+      await live.standIn("booking-1", { behaviour });
+      const first = await live.book(0, `key-${behaviour}`);
+      await live.standIn("booking-1", { behaviour: "normal" });
+      const again = await live.book(1, `key-${behaviour}`);
+      const { runs } = await live.standIn("booking-1");
+      const count = runs.filter((run) => run.key === `key-${behaviour}`).length;
+      const refusedCleanly = behaviour === "refuse";
+      // The service itself said not run, so the resend may run it, once.
+      expect(count).toBe(behaviour === "fail" ? 0 : 1);
+      expect(first.headers["heroncleat-run"]).toBe(
+        refusedCleanly
+          ? "not-run"
+          : behaviour === "fail"
+          ? undefined
+          : "unknown",
+      );
+      if (!refusedCleanly) {
+        expect(again.status).toBe(first.status);
+      } else {
+        expect(again.status).toBe(200);
+      }
+    },
+  );
+});
--- /dev/null
+++ b/packages/local_deployment/follow_answer.ts
@@ -0,0 +1,179 @@
+import { createParser, type EventSourceMessage } from "eventsource-parser";
+import { type Dispatcher, request } from "undici";
+import type { FollowedAnswer } from "./followed_answer.ts";
+
+/** What a caller sends, and where to. */
+type FollowOptions = {
+  /** Caller addresses; the next one is used when a connection breaks. */
+  readonly entries: readonly string[];
+  readonly key: string;
+  readonly body: Readonly<Record<string, unknown>>;
+  readonly headers?: Readonly<Record<string, string>>;
+  /** Milliseconds for the whole answer. */
+  readonly timeout?: number;
+};
+
+/** Progress of one answer over all its connections. */
+type Progress = {
+  requestId: string;
+  text: string;
+  next: number;
+  misplaced: number;
+  finishReason: string;
+  firstToken: number;
+  lastPieceAt: number;
+  readonly startedAt: number;
+  readonly gaps: number[];
+};
+
+const DEFAULT_TIMEOUT = 60_000;
+const RECONNECT_PAUSE = 100;
+
+/**
+ * Sends a streamed chat request and reads its answer to the end. When the
+ * connection breaks, it asks the next entry for the rest by `Last-Event-ID`.
+ *
+ * @public
+ */
+export async function followAnswer(
+  options: FollowOptions,
+): Promise<FollowedAnswer> {
+  const progress: Progress = {
+    requestId: "",
+    text: "",
+    next: 0,
+    misplaced: 0,
+    finishReason: "",
+    firstToken: 0,
+    lastPieceAt: 0,
+    startedAt: performance.now(),
+    gaps: [],
+  };
+  const until = performance.now() + (options.timeout ?? DEFAULT_TIMEOUT);
+  const first = await open(options).catch(() => undefined);
+  if (first !== undefined && first.statusCode !== 200) {
+    await first.body.dump();
+    const run = String(first.headers["heroncleat-run"] ?? "");
+    return report(progress, { status: first.statusCode, run, reconnects: 0 });
+  }
+  if (first !== undefined) {
+    await read(first, progress).catch(() => undefined);
+  }
+  let reconnects = 0;
+  while (
+    progress.finishReason === "" && progress.requestId !== "" &&
+    performance.now() < until
+  ) {
+    reconnects += 1;
+    await new Promise((resolve) => setTimeout(resolve, RECONNECT_PAUSE));
+    await reconnect(options, progress, reconnects).catch(() => undefined);
+  }
+  const status = first?.statusCode ?? 0;
+  return report(progress, { status, run: "", reconnects });
+}
+
+function open(options: FollowOptions): Promise<Dispatcher.ResponseData> {
+  return request(`http://${entryAt(options, 0)}/v1/chat/completions`, {
+    method: "POST",
+    headers: {
+      authorization: `Bearer ${options.key}`,
+      "content-type": "application/json",
+      ...options.headers,
+    },
+    body: JSON.stringify({ ...options.body, stream: true }),
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+}
+
+async function reconnect(
+  options: FollowOptions,
+  progress: Progress,
+  turn: number,
+): Promise<void> {
+  const id = encodeURIComponent(progress.requestId);
+  const headers: Record<string, string> = {
+    authorization: `Bearer ${options.key}`,
+  };
+  if (progress.next > 0) {
+    headers["last-event-id"] = String(progress.next - 1);
+  }
+  const response = await request(
+    `http://${entryAt(options, turn)}/v1/requests/${id}`,
+    { headers, headersTimeout: 10_000, bodyTimeout: 10_000 },
+  );
+  if (response.statusCode !== 200) {
+    await response.body.dump();
+    return;
+  }
+  await read(response, progress);
+}
+
+function entryAt(options: FollowOptions, turn: number): string {
+  return options.entries[turn % options.entries.length]!;
+}
+
+async function read(
+  response: Dispatcher.ResponseData,
+  progress: Progress,
+): Promise<void> {
+  progress.requestId = String(response.headers["heroncleat-request"]);
+  const parser = createParser({
+    onEvent: (event) => takeEvent(progress, event),
+  });
+  const decoder = new TextDecoder();
+  for await (const chunk of response.body) {
+    parser.feed(decoder.decode(chunk as Buffer, { stream: true }));
+  }
+}
+
+function takeEvent(progress: Progress, event: EventSourceMessage): void {
+  if (event.event === "error" || event.data === "[DONE]") {
+    return;
+  }
+  const choice = JSON.parse(event.data).choices?.[0];
+  const text = choice?.delta?.content;
+  if (typeof text === "string") {
+    takePiece(progress, { id: Number(event.id), text });
+  }
+  if (typeof choice?.finish_reason === "string") {
+    progress.finishReason = choice.finish_reason;
+  }
+}
+
+function takePiece(
+  progress: Progress,
+  piece: { id: number; text: string },
+): void {
+  const now = performance.now();
+  if (piece.id !== progress.next) {
+    progress.misplaced += 1;
+    return;
+  }
+  if (piece.id === 0) {
+    progress.firstToken = now - progress.startedAt;
+  } else {
+    progress.gaps.push(now - progress.lastPieceAt);
+  }
+  progress.lastPieceAt = now;
+  progress.next += 1;
+  progress.text += piece.text;
+}
+
+function report(
+  progress: Progress,
+  ending: { status: number; run: string; reconnects: number },
+): FollowedAnswer {
+  const { requestId, text, next, misplaced } = progress;
+  const { finishReason, firstToken, gaps } = progress;
+  return {
+    ...ending,
+    requestId,
+    text,
+    pieces: next,
+    misplaced,
+    finishReason,
+    firstToken,
+    gaps,
+  };
+}
