--- /dev/null
+++ b/packages/routing/router_test.ts
@@ -0,0 +1,245 @@
+import { createHash } from "node:crypto";
+import type { Announcement, ConfigurationView } from "@heroncleat/schema";
+import {
+  chooseGroup,
+  prefixBlocks,
+  type RoutedRequest,
+  Router,
+  ROUTING_DEFAULTS,
+  subsetUpstreams,
+} from "./mod.ts";
+
+const VIEW: ConfigurationView = {
+  revision: 1,
+  groups: {
+    old: { name: "old", labels: { place: "old" }, state: "serving", share: 50 },
+    new: { name: "new", labels: { place: "new" }, state: "serving", share: 50 },
+  },
+  selectors: {
+    all: { name: "all", order: 9, match: {}, groups: ["old", "new"] },
+  },
+  limits: {},
+  labels: {},
+};
+
+function announcement(
+  name: string,
+  changes: Partial<Announcement> = {},
+): Announcement {
+  return {
+    name,
+    address: `${name}:1`,
+    incarnation: 1,
+    sequence: 1,
+    kind: "model_engine",
+    models: ["m"],
+    zone: "a",
+    vmClass: "reclaimable",
+    price: 1,
+    labels: { place: "new" },
+    checksFencing: true,
+    slots: 4,
+    prefillRate: 1000,
+    decodeInterval: 20,
+    state: "serving",
+    load: { running: 0, waiting: 0, kvUsedShare: 0, at: 0 },
+    ...changes,
+  };
+}
+
+function request(changes: Partial<RoutedRequest> = {}): RoutedRequest {
+  return {
+    id: "r1",
+    workspace: "bistro",
+    model: "m",
+    service: "",
+    method: "POST",
+    path: "",
+    prefix: [],
+    promptTokens: 100,
+    exclude: [],
+    ...changes,
+  };
+}
+
+function hash(text: string): number {
+  return createHash("sha1").update(text).digest().readUInt32BE(0) / 2 ** 32;
+}
+
+function createRouter(
+  upstreams: readonly Announcement[],
+  settings: Partial<typeof ROUTING_DEFAULTS> = {},
+): Router {
+  const router = new Router(
+    { ...ROUTING_DEFAULTS, ...settings },
+    { entry: "e1", hash },
+  );
+  router.configure(VIEW);
+  for (const upstream of upstreams) {
+    router.upstreamChanged(upstream, 0);
+  }
+  return router;
+}
+
+let tokens = 0;
+function routeTo(router: Router, routed: RoutedRequest, now = 1): string {
+  tokens += 1;
+  const decision = router.route(routed, { token: `t${tokens}`, now });
+  return decision.kind === "chosen"
+    ? decision.choice.upstream
+    : decision.reason;
+}
+
+describe("the router", () => {
+  test("takes the cheapest upstream that meets the target", () => {
+    const router = createRouter([
+      announcement("dear", { price: 3 }),
+      announcement("cheap"),
+      announcement("slow", { price: 0.5, prefillRate: 50 }),
+    ]);
+    expect(routeTo(router, request())).toBe("cheap");
+  });
+
+  test("takes the dearer one when the cheap one's queue is too long", () => {
+    const router = createRouter([
+      announcement("dear", { price: 3 }),
+      announcement("cheap", {
+        load: { running: 4, waiting: 4, kvUsedShare: 0, at: 0 },
+      }),
+    ]);
+    expect(routeTo(router, request())).toBe("dear");
+  });
+
+  test("counts its own dispatches that a report can't show yet", () => {
+    const router = createRouter([announcement("a"), announcement("b")]);
+    const chosen = Array.from(
+      { length: 8 },
+      (_, n) => routeTo(router, request({ id: `r${n}` })),
+    );
+    expect(chosen.filter((name) => name === "a")).toHaveLength(4);
+  });
+
+  test("weighs recomputed tokens first when told to", () => {
+    const prefix = ["b1", "b2", "b3"];
+    for (
+      const [weighting, expected] of [
+        ["cost", "cheap"],
+        ["recompute", "warm"],
+      ] as const
+    ) {
+      const router = createRouter([
+        announcement("warm", { price: 1.5 }),
+        announcement("cheap"),
+      ], { weighting });
+      router.cacheChanged("warm", {
+        sequence: 1,
+        kind: "stored",
+        blocks: prefix,
+      });
+      expect(routeTo(router, request({ prefix }))).toBe(expected);
+    }
+  });
+
+  test("trusts a cache less after a gap in its events", () => {
+    const prefix = ["b1", "b2"];
+    const router = createRouter([announcement("a"), announcement("b")], {
+      weighting: "recompute",
+    });
+    const stored = { kind: "stored" as const, blocks: prefix };
+    router.cacheChanged("a", { ...stored, sequence: 1 });
+    router.cacheChanged("a", { ...stored, sequence: 9 });
+    router.cacheChanged("b", { ...stored, sequence: 1 });
+    expect(routeTo(router, request({ prefix }))).toBe("b");
+  });
+
+  test("sends nothing new to a leaving, lapsed or drained upstream", () => {
+    const leaving = createRouter([announcement("a")]);
+    leaving.upstreamChanged(announcement("a", { state: "leaving" }), 1);
+    expect(routeTo(leaving, request())).toBe("no_upstream");
+    const lapsed = createRouter([announcement("a")]);
+    lapsed.upstreamLapsed("a");
+    expect(routeTo(lapsed, request())).toBe("no_upstream");
+    const drained = createRouter([announcement("a")]);
+    const groups = structuredClone(VIEW.groups);
+    groups["old"]!.state = "draining";
+    groups["new"]!.state = "draining";
+    drained.configure({ ...VIEW, groups });
+    expect(routeTo(drained, request())).toBe("all_draining");
+  });
+
+  test("moves the share of the traffic that operators set", () => {
+    const router = createRouter([
+      announcement("o", { labels: { place: "old" }, slots: 10_000 }),
+      announcement("n", { slots: 10_000 }),
+    ]);
+    for (const share of [10, 50, 100]) {
+      const groups = structuredClone(VIEW.groups);
+      groups["new"]!.share = share;
+      groups["old"]!.share = 100 - share;
+      router.configure({ ...VIEW, groups });
+      const chosen = Array.from(
+        { length: 2000 },
+        (_, n) => routeTo(router, request({ id: `${share}-${n}` })),
+      );
+      const moved = chosen.filter((name) => name === "n").length / 2000;
+      expect(Math.abs(moved - share / 100)).toBeLessThan(0.05);
+    }
+  });
+
+  test("leaves a failing upstream alone, then tries it with one request", () => {
+    const router = createRouter([announcement("a")]);
+    for (let n = 0; n < 3; n += 1) {
+      router.route(request(), { token: `f${n}`, now: n });
+      router.ended("a", { token: `f${n}`, outcome: "failed", now: n });
+    }
+    expect(routeTo(router, request(), 10)).toBe("all_failing");
+    expect(router.route(request(), { token: "trial", now: 2000 }).kind)
+      .toBe("chosen");
+    expect(routeTo(router, request(), 2000)).toBe("all_failing");
+    router.ended("a", { token: "trial", outcome: "succeeded", now: 2100 });
+    expect(routeTo(router, request(), 2100)).toBe("a");
+  });
+
+  test("puts operator labels over announced ones", () => {
+    const router = createRouter([announcement("a", { labels: {} })]);
+    expect(routeTo(router, request())).toBe("no_upstream");
+    router.configure({ ...VIEW, labels: { a: { place: "old" } } });
+    expect(routeTo(router, request())).toBe("a");
+  });
+});
+
+describe("prefix blocks", () => {
+  test("are equal exactly as far as the texts are", () => {
+    const chain = (text: string, seed: string) => `${hash(seed + text)}`;
+    const start = "x".repeat(600);
+    const left = prefixBlocks(`${start}${"a".repeat(600)}`, chain);
+    const right = prefixBlocks(`${start}${"b".repeat(600)}`, chain);
+    expect(left.slice(0, 2)).toEqual(right.slice(0, 2));
+    expect(left[2]).not.toBe(right[2]);
+  });
+});
+
+describe("a subset of upstreams", () => {
+  const names = Array.from({ length: 400 }, (_, n) => `u${n}`);
+
+  test("is the same on every call and changes little with the list", () => {
+    const options = { entry: "e7", size: 40, hash };
+    const before = new Set(subsetUpstreams(names, options));
+    const after = subsetUpstreams(names.slice(0, 399), options);
+    expect(before.size).toBe(40);
+    expect(after.filter((name) => before.has(name)).length)
+      .toBeGreaterThanOrEqual(39);
+  });
+});
+
+test("a drained or empty group is never chosen", () => {
+  const group = (
+    name: string,
+    share: number,
+    state: "serving" | "draining",
+  ) => ({ name, labels: {}, share, state });
+  const groups = [group("a", 0, "serving"), group("b", 50, "draining")];
+  expect(chooseGroup(groups, 0.5)).toBeUndefined();
+  expect(chooseGroup([...groups, group("c", 1, "serving")], 0.99)?.name)
+    .toBe("c");
+});
