--- /dev/null
+++ b/packages/bench/policy/policies.ts
@@ -0,0 +1,46 @@
+import {
+  chooseLeastLoaded,
+  chooseRoundRobin,
+  chooseWeighted,
+} from "@heroncleat/routing";
+import type { Policy } from "./policy.ts";
+
+/** The product's policy under both weightings, and the baselines. */
+export const POLICIES = {
+  cost: {
+    name: "heroncleat, cost first",
+    choose: () => chooseWeighted("cost"),
+    restarts: false,
+    onDemandOnly: false,
+  },
+  recompute: {
+    name: "heroncleat, recompute first",
+    choose: () => chooseWeighted("recompute"),
+    restarts: false,
+    onDemandOnly: false,
+  },
+  roundRobin: {
+    name: "round robin",
+    choose: () => chooseRoundRobin(),
+    restarts: false,
+    onDemandOnly: false,
+  },
+  leastLoaded: {
+    name: "least loaded",
+    choose: () => chooseLeastLoaded,
+    restarts: false,
+    onDemandOnly: false,
+  },
+  restart: {
+    name: "restart from scratch",
+    choose: () => chooseWeighted("cost"),
+    restarts: true,
+    onDemandOnly: false,
+  },
+  onDemand: {
+    name: "on-demand only",
+    choose: () => chooseWeighted("cost"),
+    restarts: false,
+    onDemandOnly: true,
+  },
+} as const satisfies Record<string, Policy>;
--- /dev/null
+++ b/packages/bench/policy/policy.ts
@@ -0,0 +1,11 @@
+import type { CandidateChoice } from "@heroncleat/routing";
+
+/** One way to run the system. */
+export type Policy = {
+  readonly name: string;
+  readonly choose: () => CandidateChoice;
+  /** Whether an answer that lost its upstream begins anew. */
+  readonly restarts: boolean;
+  /** Whether only on-demand VMs are held. */
+  readonly onDemandOnly: boolean;
+};
--- a/packages/stand_ins/engine_job.ts
+++ b/packages/stand_ins/engine_job.ts
@@ -12,6 +12,8 @@
   readonly priority: number;
   /** Whether the KV cache is taken over from another engine. */
   readonly kvTransfer: boolean;
+  /** Told what had to be computed before the first token. */
+  readonly onStart?: (computed: number) => void;
   readonly onToken: (text: string) => void;
   readonly onEnd: (end: EngineEnd) => void;
 };
--- a/packages/stand_ins/engine_settings.ts
+++ b/packages/stand_ins/engine_settings.ts
@@ -16,4 +16,6 @@
    * the same salt generate the same text.
    */
   readonly salt: string;
+  /** Share by which a full batch slows each token down; 0 without it. */
+  readonly batchSlowdown?: number;
 };
--- a/packages/stand_ins/model_engine.ts
+++ b/packages/stand_ins/model_engine.ts
@@ -93,6 +93,9 @@
       emitted: emittedTokens,
     });
     this.counts.requests += 1;
+    job.onStart?.(
+      job.kvTransfer ? 0 : promptTokens - cachedTokens + emittedTokens,
+    );
     const running: RunningJob = {
       job,
       source: new TokenSource(job.text, this.#settings.salt),
@@ -138,11 +141,16 @@
     this.counts.generated += 1;
     running.cancelTimer = this.#schedule(
       () => this.#step(running, usage),
-      this.#settings.decodeInterval,
+      this.#decodeTime(),
     );
     job.onToken(text);
   }
 
+  #decodeTime(): number {
+    const { decodeInterval, batchSlowdown = 0, slots } = this.#settings;
+    return decodeInterval * (1 + batchSlowdown * this.#running.size / slots);
+  }
+
   /** Share of the prompt that the cache holds; caches all of it. */
   #takeCached(prompt: string): number {
     const blocks: string[] = [];
