Routing weighs waiting and computing; the price of a held VM is sunk

Cause: a VM that is held costs the same whether it works or not, so sending everything to the cheapest one saved nothing and filled its batch; and three entries chose the same one between two load reports, since each corrected only for its own dispatches.

Change: among upstreams that meet the target the router now takes the one with the least expected waiting, computing and batch crowding, price deciding between equals; dispatches since a report are multiplied by the entries that share the upstream; the time between tokens is measured, not believed.

--- a/apps/heroncleatd/entry/dispatch_host.ts
+++ b/apps/heroncleatd/entry/dispatch_host.ts
@@ -68,6 +68,7 @@
         return;
       case "entries":
         this.#entries = Math.max(1, message.alive);
+        this.#router.setSharers(this.#entries);
         this.#refreshCapacity();
         return;
       case "configuration":
--- /dev/null
+++ b/packages/bench/main.ts
@@ -0,0 +1,33 @@
+/**
+ * Measures the product: `npm run bench`, or `npm run bench -- --only NAME`.
+ *
+ * @module
+ */
+import { mkdirSync } from "node:fs";
+import { fileURLToPath } from "node:url";
+import { parseArgs } from "node:util";
+import { reportPolicies } from "./policy/report_policies.ts";
+
+const PLOTS = fileURLToPath(new URL("../../../docs/plots/", import.meta.url));
+const POLICY_WORKER = new URL("./policy/policy_worker.js", import.meta.url);
+
+/** The parts of the bench, in the order in which they run. */
+const PARTS: Readonly<Record<string, () => Promise<void>>> = {
+  policy: () => reportPolicies({ worker: POLICY_WORKER, plots: PLOTS, print }),
+};
+
+const { values } = parseArgs({ options: { only: { type: "string" } } });
+mkdirSync(PLOTS, { recursive: true });
+for (const [name, run] of Object.entries(PARTS)) {
+  if (values.only === undefined || values.only === name) {
+    const startedAt = performance.now();
+    print(`\n## ${name}`);
+    await run();
+    const seconds = (performance.now() - startedAt) / 1000;
+    print(`\n(${name} took ${seconds.toFixed(0)} s)`);
+  }
+}
+
+function print(text: string): void {
+  process.stdout.write(`${text}\n`);
+}
--- a/packages/bench/policy/caller_stream.ts
+++ b/packages/bench/policy/caller_stream.ts
@@ -8,14 +8,18 @@
 export class CallerStream {
   readonly #workload: Workload;
   readonly #random: Random;
-  readonly #shared: readonly string[];
+  /** Beginnings of prompts, by workspace. */
+  readonly #shared: readonly (readonly string[])[];
   #count = 0;
 
   constructor(workload: Workload, random: Random) {
     this.#workload = workload;
     this.#random = random;
     this.#shared = workload.shares.map((_, workspace) =>
-      words(`w${workspace}`, workload.sharedWords)
+      Array.from(
+        { length: workload.prefixes },
+        (_, place) => words(`w${workspace}p${place}`, workload.sharedWords),
+      )
     );
   }
 
@@ -26,16 +30,18 @@
   }
 
   next(at: number): SimulatedRequest {
-    const { ownWords, sharedWords, priorities } = this.#workload;
+    const { ownWords, sharedWords, priorities, prefixes } = this.#workload;
     const { leastTokens, mostTokens } = this.#workload;
     this.#count += 1;
     const workspace = this.#pickWorkspace();
+    const beginnings = this.#shared[workspace]!;
+    const beginning = beginnings[Math.floor(this.#random() * prefixes)]!;
     const spread = mostTokens - leastTokens;
     return {
       id: `request-${this.#count}`,
       workspace,
       priority: priorities[Math.floor(this.#random() * priorities.length)]!,
-      prompt: this.#shared[workspace]! + words(`r${this.#count}`, ownWords),
+      prompt: beginning + words(`r${this.#count}`, ownWords),
       words: sharedWords + ownWords,
       tokens: leastTokens + Math.floor(this.#random() * spread),
       at,
--- a/packages/bench/policy/simulated_entry.ts
+++ b/packages/bench/policy/simulated_entry.ts
@@ -48,6 +48,8 @@
   upstream: string;
   /** Pieces of the present attempt. */
   place: number;
+  /** When the first of them came. */
+  attemptFirstAt: number;
   estimated: number;
   dispatchedAt: number;
 };
@@ -93,6 +95,7 @@
       choose: options.policy.choose(),
     });
     this.#router.configure(VIEW);
+    this.#router.setSharers(options.entries);
   }
 
   get unfinished(): number {
@@ -246,6 +249,7 @@
       token: "",
       upstream: "",
       place: 0,
+      attemptFirstAt: 0,
       estimated: 0,
       dispatchedAt: 0,
     };
@@ -356,6 +360,9 @@
         }
         const place = running.place;
         running.place += 1;
+        if (place === 0) {
+          running.attemptFirstAt = this.#options.time.now;
+        }
         const piece = { text, tokens: 1 };
         this.#drive(running, { kind: "piece", attempt, place, piece });
       },
@@ -394,6 +401,10 @@
     }
     const { token, upstream } = running;
     running.token = "";
+    if (running.place > 1) {
+      const taken = running.lastAt - running.attemptFirstAt;
+      this.#router.betweenTokens(upstream, taken / (running.place - 1));
+    }
     this.#options.findVm(upstream)?.engine.cancel(token);
     const { now } = this.#options.time;
     this.#router.ended(upstream, { token, outcome, now });
--- a/packages/bench/policy/simulated_vm.ts
+++ b/packages/bench/policy/simulated_vm.ts
@@ -6,7 +6,7 @@
 const PREFILL_RATE = 4000;
 const DECODE_INTERVAL = 25;
 const TRANSFER_RATE = 20_000;
-const CACHE_BLOCKS = 220;
+const CACHE_BLOCKS = 500;
 const BATCH_SLOWDOWN = 0.5;
 const MS_PER_HOUR = 3_600_000;
 
--- a/packages/bench/policy/workload.ts
+++ b/packages/bench/policy/workload.ts
@@ -5,7 +5,9 @@
   readonly name: string;
   /** Requests a second in calm times. */
   readonly rate: number;
-  /** Words that all prompts of a workspace share. */
+  /** Different beginnings of prompts in each workspace: restaurants, members. */
+  readonly prefixes: number;
+  /** Words of one beginning. */
   readonly sharedWords: number;
   /** Words of each prompt's own. */
   readonly ownWords: number;
--- a/packages/bench/policy/workloads.ts
+++ b/packages/bench/policy/workloads.ts
@@ -5,6 +5,7 @@
   bordvakt: {
     name: "Bordvakt",
     rate: 12,
+    prefixes: 10,
     sharedWords: 1400,
     ownWords: 120,
     leastTokens: 30,
@@ -15,8 +16,9 @@
   bureau: {
     name: "Bureau",
     rate: 4,
-    sharedWords: 500,
-    ownWords: 400,
+    prefixes: 20,
+    sharedWords: 700,
+    ownWords: 200,
     leastTokens: 120,
     mostTokens: 420,
     priorities: ["draft", "draft", "notice", "icebreaker"],
--- a/packages/routing/choose_weighted.ts
+++ b/packages/routing/choose_weighted.ts
@@ -1,64 +1,87 @@
 import type { Candidate } from "./candidate.ts";
 import type { CandidateChoice } from "./candidate_choice.ts";
 
-/** Tokens that the reclaim of an upstream is expected to cost a request. */
-const RECLAIM_TOKENS = 64;
+/** What one unit of each concern is worth, in milliseconds of waiting. */
+type ChoiceWeights = {
+  /** A token that has to be computed although another upstream has it. */
+  readonly token: number;
+  /** A batch that is wholly full: it decodes slower and may queue. */
+  readonly fullBatch: number;
+  /** The expected cost of a reclaim while the request runs. */
+  readonly reclaim: number;
+  /** The whole difference between the dearest and a free VM. */
+  readonly price: number;
+};
 
 /**
- * Among upstreams that meet the latency target: the cheapest, or the one that
- * computes the fewest tokens again. When none meets it, the fastest.
+ * A VM that is held costs the same whether it works or not, so what a choice
+ * can save is waiting and computing; price only decides between equals.
+ */
+const WEIGHTS = {
+  cost: { token: 0, fullBatch: 400, reclaim: 0, price: 10 },
+  recompute: { token: 0.5, fullBatch: 200, reclaim: 10, price: 0 },
+} as const satisfies Record<string, ChoiceWeights>;
+
+/**
+ * Among upstreams that meet the latency target, the one where least is lost
+ * by the weighting; when none meets it, the fastest.
  *
  * @public
  */
 export function chooseWeighted(
-  weighting: "cost" | "recompute",
+  weighting: keyof typeof WEIGHTS,
 ): CandidateChoice {
-  const compare = weighting === "cost" ? compareCost : compareTokens;
+  const weights = WEIGHTS[weighting];
   return (candidates, limits) => {
     const meeting = candidates.filter((candidate) =>
       candidate.firstToken <= limits.firstToken &&
-      candidate.upstream.announcement.decodeInterval <= limits.betweenTokens &&
-      candidate.upstream.freeSlots() > 0
+      candidate.upstream.decodeInterval <= limits.betweenTokens &&
+      candidate.upstream.freeSlots() >= 1
     );
     if (meeting.length === 0) {
-      return best(candidates, compareLatency);
+      return findLeast(candidates, latencyOf);
     }
-    return best(meeting, compare);
+    const dearest = Math.max(
+      ...meeting.map(({ upstream }) => upstream.slotPrice()),
+    );
+    return findLeast(
+      meeting,
+      (candidate) => lossOf(candidate, { weights, dearest }),
+    );
   };
 }
 
-function best(
+function findLeast(
   candidates: readonly Candidate[],
-  compare: (left: Candidate, right: Candidate) => number,
+  measure: (candidate: Candidate) => number,
 ): Candidate {
-  let chosen = candidates[0]!;
+  let least = candidates[0]!;
+  let leastValue = measure(least);
   for (const candidate of candidates) {
-    if (compare(candidate, chosen) < 0) {
-      chosen = candidate;
+    const value = measure(candidate);
+    if (value < leastValue) {
+      least = candidate;
+      leastValue = value;
     }
   }
-  return chosen;
-}
-
-function compareCost(left: Candidate, right: Candidate): number {
-  return left.upstream.slotPrice() - right.upstream.slotPrice() ||
-    left.uncachedTokens - right.uncachedTokens ||
-    compareLatency(left, right);
-}
-
-function compareTokens(left: Candidate, right: Candidate): number {
-  return expectedTokens(left) - expectedTokens(right) ||
-    left.upstream.slotPrice() - right.upstream.slotPrice() ||
-    compareLatency(left, right);
+  return least;
 }
 
-function expectedTokens(candidate: Candidate): number {
-  const { vmClass } = candidate.upstream.announcement;
-  const risk = vmClass === "reclaimable" ? RECLAIM_TOKENS : 0;
-  return candidate.uncachedTokens + risk;
+function latencyOf(candidate: Candidate): number {
+  return candidate.firstToken;
 }
 
-function compareLatency(left: Candidate, right: Candidate): number {
-  return left.firstToken - right.firstToken ||
-    left.upstream.running - right.upstream.running;
+function lossOf(
+  candidate: Candidate,
+  options: { weights: ChoiceWeights; dearest: number },
+): number {
+  const { weights, dearest } = options;
+  const { upstream, firstToken, uncachedTokens } = candidate;
+  const { slots, vmClass } = upstream.announcement;
+  // Squared, so that the last free slots of a batch weigh most.
+  const fullness = ((upstream.expectedLoad() + 1) / slots) ** 2;
+  const reclaim = vmClass === "reclaimable" ? weights.reclaim : 0;
+  return firstToken + uncachedTokens * weights.token +
+    fullness * weights.fullBatch + reclaim +
+    upstream.slotPrice() / Math.max(dearest, Number.EPSILON) * weights.price;
 }
--- a/packages/routing/router.ts
+++ b/packages/routing/router.ts
@@ -48,6 +48,7 @@
   readonly #options: RouterOptions;
   readonly #choose: CandidateChoice;
   readonly #upstreams = new Map<string, UpstreamModel>();
+  #sharers = 1;
   #subset = new Set<string>();
   #view: ConfigurationView | undefined;
 
@@ -57,6 +58,14 @@
     this.#choose = options.choose ?? chooseWeighted(settings.weighting);
   }
 
+  /** Sets how many entries send to the same upstreams. */
+  setSharers(sharers: number): void {
+    this.#sharers = sharers;
+    for (const upstream of this.#upstreams.values()) {
+      upstream.setSharers(sharers);
+    }
+  }
+
   /** Requests that this entry has running at an upstream. */
   runningAt(upstream: string): number {
     return this.#upstreams.get(upstream)?.running ?? 0;
@@ -94,10 +103,12 @@
       known.update(announcement, now);
       return;
     }
-    this.#upstreams.set(
-      announcement.name,
-      new UpstreamModel(announcement, { settings: this.#settings, now }),
-    );
+    const model = new UpstreamModel(announcement, {
+      settings: this.#settings,
+      now,
+    });
+    model.setSharers(this.#sharers);
+    this.#upstreams.set(announcement.name, model);
     this.#refreshSubset();
   }
 
@@ -146,6 +157,11 @@
     model?.noteFirstToken(times.measured, times.estimated);
   }
 
+  /** Notes the mean time between the tokens of one request. */
+  betweenTokens(upstream: string, measured: Milliseconds): void {
+    this.#upstreams.get(upstream)?.noteBetweenTokens(measured);
+  }
+
   /** Notes how a request ended; `neutral` says nothing of the upstream. */
   ended(
     upstream: string,
--- a/packages/routing/upstream_model.ts
+++ b/packages/routing/upstream_model.ts
@@ -26,6 +26,10 @@
   #endedSinceReport = 0;
   /** Smoothed time that a request runs. */
   #serviceTime: Milliseconds = 0;
+  /** Smoothed time between tokens as measured here; 0 before the first. */
+  #measuredInterval: Milliseconds = 0;
+  /** Entries that send to this upstream, this one included. */
+  #sharers = 1;
   /** Smoothed ratio of measured to estimated time to the first token. */
   #correction = 1;
 
@@ -43,6 +47,22 @@
     return this.#announcement;
   }
 
+  /** Time between tokens: as measured, or as announced before that. */
+  get decodeInterval(): Milliseconds {
+    return this.#measuredInterval || this.#announcement.decodeInterval;
+  }
+
+  setSharers(sharers: number): void {
+    this.#sharers = Math.max(1, sharers);
+  }
+
+  noteBetweenTokens(measured: Milliseconds): void {
+    this.#measuredInterval = this.#measuredInterval === 0
+      ? measured
+      : this.#measuredInterval +
+        SMOOTHING * (measured - this.#measuredInterval);
+  }
+
   get running(): number {
     return this.#dispatches.size;
   }
@@ -85,8 +105,9 @@
   }
 
   /**
-   * Requests there now: the last report, plus what this entry sent since and
-   * the report can't show, less what ended since.
+   * Requests there now: the last report, plus what was sent since and the
+   * report can't show, less what ended since. The other entries are taken to
+   * send as much as this one, or all would pick the same upstream at once.
    */
   expectedLoad(): number {
     const { running, waiting } = this.#announcement.load;
@@ -96,7 +117,8 @@
         unseen += 1;
       }
     }
-    return Math.max(0, running + waiting + unseen - this.#endedSinceReport);
+    const change = (unseen - this.#endedSinceReport) * this.#sharers;
+    return Math.max(this.running, running + waiting + change);
   }
 
   /** Requests that can start there without queueing. */
