Queues end before an answer is of use to nobody; streams report their pace

Causes: queued requests waited up to their whole deadline, so in overload nearly all answers came late; entries overcommitted the upstreams, which moved the queue to where nobody's turn is kept; a slow upstream was noticed only at the end of a long answer; a lost half of the cache events took nearly all trust; a stream that found no upstream at once forgot where its KV cache was.

--- a/apps/heroncleatd/entry/dispatch_host.ts
+++ b/apps/heroncleatd/entry/dispatch_host.ts
@@ -1,6 +1,7 @@
 import {
   Admission,
   ADMISSION_DEFAULTS,
+  entryCapacity,
   RetryBudget,
 } from "@heroncleat/admission";
 import { createFault, type Fault, unreachable } from "@heroncleat/base";
@@ -15,9 +16,6 @@
 import type { EntryContext } from "./entry_context.ts";
 import { hashToUnit } from "./hash_to_unit.ts";
 
-/** Requests an entry may have running beyond its share of all slots. */
-const OVERCOMMIT = 1.25;
-
 /** Admission to one model or service, and who waits for it. */
 type Lane = {
   readonly target: Pick<RoutedRequest, "model" | "service">;
@@ -124,6 +122,7 @@
           ),
         });
       }
+      this.#refreshLane(lane);
       this.#startNext(lane);
     }
   }
@@ -226,13 +225,15 @@
     }
   }
 
-  /** Entries share the upstreams' slots evenly, with some overlap. */
   #refreshLane(lane: Lane): void {
-    const slots = this.#router.slotsFor(lane.target);
-    const share = Math.ceil(slots / this.#entries * OVERCOMMIT);
-    lane.admission.setCapacity(
-      Math.min(share, this.#context.entry.max_running),
-    );
+    const capacity = entryCapacity({
+      slots: this.#router.slotsFor(lane.target),
+      freeSlots: this.#router.freeSlotsFor(lane.target),
+      running: lane.admission.running,
+      entries: this.#entries,
+    });
+    const { max_running } = this.#context.entry;
+    lane.admission.setCapacity(Math.min(capacity, max_running));
   }
 }
 
--- a/packages/admission/admission.ts
+++ b/packages/admission/admission.ts
@@ -65,7 +65,11 @@
     if (fault !== undefined) {
       return { kind: "refused", fault };
     }
-    queue.add(request);
+    const latestStart = now + this.#settings.mostWait[request.priority];
+    queue.add({
+      ...request,
+      deadlineAt: Math.min(request.deadlineAt, latestStart),
+    });
     this.#queued += 1;
     return { kind: "queued" };
   }
@@ -183,7 +187,9 @@
         "The answer would come after the deadline",
       );
     }
-    return undefined;
+    return wait > this.#settings.mostWait[request.priority]
+      ? this.#refuse("overloaded", "The answer would start too late to be used")
+      : undefined;
   }
 
   /** Wait of a request at the end of a workspace's queue. */
--- a/packages/admission/admission_settings.ts
+++ b/packages/admission/admission_settings.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds } from "@heroncleat/base";
+import type { Priority } from "@heroncleat/schema";
 
 /** Settings of admission to one model or service. @public */
 export type AdmissionSettings = {
@@ -13,6 +14,11 @@
    * furthest behind and still go first by priority.
    */
   readonly burst: number;
+  /**
+   * Longest wait in the queue by priority: an answer that starts later is of
+   * little use, and its place serves another request in time.
+   */
+  readonly mostWait: Readonly<Record<Priority, Milliseconds>>;
   /** Shortest time a refused caller is told to wait. */
   readonly leastRetryAfter: Milliseconds;
 };
--- a/packages/admission/mod.ts
+++ b/packages/admission/mod.ts
@@ -9,4 +9,5 @@
 export type { AdmissionSettings } from "./admission_settings.ts";
 export { Admission } from "./admission.ts";
 export { ADMISSION_DEFAULTS } from "./admission_defaults.ts";
+export { entryCapacity } from "./entry_capacity.ts";
 export { RetryBudget } from "./retry_budget.ts";
--- a/packages/bench/policy/run_policy.ts
+++ b/packages/bench/policy/run_policy.ts
@@ -36,6 +36,8 @@
 const REFUSED_FOR = 45_000;
 const TICK = 20;
 const LAPSE_DELAY = 1500;
+/** Upstreams have announced themselves by then. */
+const FIRST_CALL = 1000;
 /** Requests a VM carries at once in calm times, for the first plan. */
 const FIRST_DEMAND_SHARE = 3;
 
@@ -97,7 +99,7 @@
       this.#time.schedule(() => this.#takeZone(zone), at);
     }
     const callers = new CallerStream(workload, this.#random);
-    this.#nextCall(callers);
+    this.#time.schedule(() => this.#nextCall(callers), FIRST_CALL);
     this.#time.run(DURATION);
     return this.#summarize();
   }
--- a/packages/bench/policy/run_tasks.ts
+++ b/packages/bench/policy/run_tasks.ts
@@ -32,6 +32,7 @@
 
 function runOne(worker: Worker, task: PolicyTask): Promise<FinishedTask> {
   return new Promise((resolve, reject) => {
+    worker.removeAllListeners();
     worker.once("message", resolve);
     worker.once("error", reject);
     worker.postMessage(task);
--- a/packages/requests/create_reclaim_choice.ts
+++ b/packages/requests/create_reclaim_choice.ts
@@ -26,7 +26,9 @@
 export function createReclaimChoice(rates: ReclaimRates): ReclaimChoice {
   return (situation) => {
     const notice = situation.reclaimIn - rates.reserve;
-    if (situation.tokensLeft * rates.decodeInterval <= notice) {
+    // A slow upstream must not be trusted to finish at the usual pace.
+    const pace = Math.max(rates.decodeInterval, situation.pace);
+    if (situation.tokensLeft * pace <= notice) {
       return ReclaimAction.finish;
     }
     const transfer = situation.tokensHeld / rates.transferRate *
--- a/packages/requests/mod.ts
+++ b/packages/requests/mod.ts
@@ -10,6 +10,7 @@
 export type { RequestSettings } from "./request_settings.ts";
 export type { StandbyCopy } from "./standby_copy.ts";
 export { createReclaimChoice } from "./create_reclaim_choice.ts";
+export { isPaceSample } from "./is_pace_sample.ts";
 export { OwnedRequest } from "./owned_request.ts";
 export { ReclaimAction } from "./reclaim_action.ts";
 export { RequestPhase } from "./request_phase.ts";
--- a/packages/requests/owned_request.ts
+++ b/packages/requests/owned_request.ts
@@ -55,6 +55,9 @@
   #upstream = "";
   #failedUpstreams: string[] = [];
   #routeAt: Milliseconds | undefined;
+  /** Upstream that still has the KV cache, and until when. */
+  #kvSource = "";
+  #kvSourceUntil: Milliseconds = 0;
   #move: typeof StandbyMove[keyof typeof StandbyMove] = StandbyMove.none;
   /** The entry that is to become the standby. */
   #candidate = "";
@@ -245,7 +248,7 @@
       this.#onHandOverFailed();
     }
     if (this.#routeAt !== undefined && now >= this.#routeAt) {
-      this.#route("");
+      this.#route(now < this.#kvSourceUntil ? this.#kvSource : "");
     }
     this.#checkAttempt(now);
   }
@@ -513,6 +516,7 @@
       kvSource,
       received: 0,
       heardAt: Infinity,
+      firstAt: 0,
       leaveAt: Infinity,
     };
     this.#effects.push({
@@ -548,6 +552,7 @@
     if (!this.#isCurrent(attempt)) {
       return;
     }
+    this.#kvSource = this.#attempt?.kvSource ?? "";
     this.#attempt = undefined;
     this.#attempts -= 1;
     this.#failedUpstreams = [];
@@ -569,6 +574,9 @@
       this.#dropped += 1;
       return;
     }
+    if (attempt.received === 0) {
+      attempt.firstAt = now;
+    }
     attempt.received += 1;
     attempt.heardAt = now;
     this.#pieces.push({ index: this.#pieces.length, ...event.piece });
@@ -629,12 +637,14 @@
       reclaimIn: event.reclaimIn,
       tokensHeld: this.#record.promptTokens + tokens,
       tokensLeft: Math.max(0, this.#mostTokens() - tokens),
+      pace: paceOf(attempt),
     });
     if (action === ReclaimAction.finish) {
       attempt.leaveAt = now + event.reclaimIn;
       return;
     }
     const source = action === ReclaimAction.transfer ? attempt.upstream : "";
+    this.#kvSourceUntil = now + event.reclaimIn;
     this.#cancelAttempt();
     this.#failedUpstreams.push(attempt.upstream);
     this.#attempt = undefined;
@@ -713,3 +723,9 @@
     return body.max_tokens ?? DEFAULT_MOST_TOKENS;
   }
 }
+
+function paceOf(attempt: UpstreamAttempt): Milliseconds {
+  return attempt.received < 2
+    ? 0
+    : (attempt.heardAt - attempt.firstAt) / (attempt.received - 1);
+}
--- a/packages/requests/reclaim_situation.ts
+++ b/packages/requests/reclaim_situation.ts
@@ -8,4 +8,6 @@
   readonly tokensHeld: number;
   /** Tokens the answer may still have. */
   readonly tokensLeft: number;
+  /** Time between tokens as it was here; 0 before the second token. */
+  readonly pace: Milliseconds;
 };
--- a/packages/requests/upstream_attempt.ts
+++ b/packages/requests/upstream_attempt.ts
@@ -9,6 +9,8 @@
   /** Pieces received in this attempt. */
   received: number;
   heardAt: Milliseconds;
+  /** When its first piece came. */
+  firstAt: Milliseconds;
   /** When to leave an upstream that is being reclaimed. */
   leaveAt: Milliseconds;
 };
--- a/packages/routing/choose_weighted.ts
+++ b/packages/routing/choose_weighted.ts
@@ -19,7 +19,7 @@
  */
 const WEIGHTS = {
   cost: { token: 0, fullBatch: 400, reclaim: 0, price: 10 },
-  recompute: { token: 0.5, fullBatch: 200, reclaim: 10, price: 0 },
+  recompute: { token: 0.2, fullBatch: 400, reclaim: 10, price: 0 },
 } as const satisfies Record<string, ChoiceWeights>;
 
 /**
--- a/packages/routing/prefix_cache.ts
+++ b/packages/routing/prefix_cache.ts
@@ -1,9 +1,11 @@
 import type { CacheEvent } from "@heroncleat/schema";
 
 /** How much of a belief is left after a gap in the events. */
-const TRUST_AFTER_GAP = 0.5;
+const TRUST_AFTER_GAP = 0.9;
 /** How far each gapless event brings trust back. */
-const TRUST_GAIN = 0.1;
+const TRUST_GAIN = 0.05;
+/** What this entry sent there itself is known whatever events are lost. */
+const LEAST_TRUST = 0.5;
 
 /**
  * What is believed of one upstream's prefix cache. Events come late and with
@@ -63,7 +65,7 @@
     const gap = this.#sequence !== 0 && event.sequence !== this.#sequence + 1;
     this.#sequence = event.sequence;
     this.#trust = gap
-      ? this.#trust * TRUST_AFTER_GAP
+      ? Math.max(LEAST_TRUST, this.#trust * TRUST_AFTER_GAP)
       : Math.min(1, this.#trust + TRUST_GAIN);
     switch (event.kind) {
       case "stored":
--- a/packages/routing/router.ts
+++ b/packages/routing/router.ts
@@ -82,6 +82,17 @@
     return slots;
   }
 
+  /** Slots for a model or a service that are likely free now. */
+  freeSlotsFor(pool: Pick<RoutedRequest, "model" | "service">): number {
+    let free = 0;
+    for (const upstream of this.#upstreams.values()) {
+      if (serves(upstream, pool)) {
+        free += Math.max(0, upstream.freeSlots());
+      }
+    }
+    return free;
+  }
+
   /** Models and adapters that some upstream has loaded. */
   get models(): string[] {
     const models = new Set<string>();
