--- a/apps/heroncleatd/entry/dispatch_host.ts
+++ b/apps/heroncleatd/entry/dispatch_host.ts
@@ -97,6 +97,9 @@
         this.#router.firstToken(message.upstream, message);
         this.#context.metrics.timing("first_token", message.measured);
         return;
+      case "between_tokens":
+        this.#router.betweenTokens(message.upstream, message.measured);
+        return;
       case "ended":
         this.#router.ended(message.upstream, { ...message, now });
         return;
--- a/apps/heroncleatd/entry/dispatch_message.ts
+++ b/apps/heroncleatd/entry/dispatch_message.ts
@@ -46,6 +46,11 @@
     readonly measured: Milliseconds;
     readonly estimated: Milliseconds;
   }
+  | {
+    readonly kind: "between_tokens";
+    readonly upstream: string;
+    readonly measured: Milliseconds;
+  }
   | {
     readonly kind: "ended";
     readonly upstream: string;
--- a/apps/heroncleatd/entry/request_host.ts
+++ b/apps/heroncleatd/entry/request_host.ts
@@ -5,7 +5,7 @@
   RequestEffect,
   RequestEvent,
 } from "@heroncleat/requests";
-import { RequestPhase } from "@heroncleat/requests";
+import { isPaceSample, RequestPhase } from "@heroncleat/requests";
 import type { ForwardedAnswer } from "@heroncleat/schema";
 import { buildUpstreamBody } from "./build_upstream_body.ts";
 import type { EntryContext } from "./entry_context.ts";
@@ -130,7 +130,7 @@
           token,
           ...answer.choice,
           sentAt: 0,
-          hasFirstToken: false,
+          firstTokenAt: 0,
           stream: undefined,
         };
         this.#tell({ kind: "routed", attempt, upstream });
@@ -179,7 +179,7 @@
       attempt: attempt.token,
       handlers: {
         onPiece: (place, text) => {
-          this.#noteFirstToken(attempt);
+          this.#notePace(attempt, place);
           const piece = { text, tokens: 1 };
           this.#tell({ kind: "piece", attempt: number, place, piece });
         },
@@ -196,16 +196,22 @@
     });
   }
 
-  #noteFirstToken(attempt: RunningAttempt): void {
-    if (attempt.hasFirstToken) {
+  /** Tells the router how fast the upstream answers. */
+  #notePace(attempt: RunningAttempt, place: number): void {
+    const { context, services } = this.#options;
+    const now = context.clock.now();
+    if (place === 0) {
+      attempt.firstTokenAt = now;
+      services.firstToken(attempt.upstream, {
+        measured: now - attempt.sentAt,
+        estimated: attempt.estimatedFirstToken,
+      });
       return;
     }
-    attempt.hasFirstToken = true;
-    const { context, services } = this.#options;
-    services.firstToken(attempt.upstream, {
-      measured: context.clock.now() - attempt.sentAt,
-      estimated: attempt.estimatedFirstToken,
-    });
+    if (isPaceSample(place)) {
+      const pace = (now - attempt.firstTokenAt) / place;
+      services.betweenTokens(attempt.upstream, pace);
+    }
   }
 
   /** Ends the present attempt and tells the router how it went. */
--- a/apps/heroncleatd/entry/request_registry.ts
+++ b/apps/heroncleatd/entry/request_registry.ts
@@ -231,6 +231,9 @@
       firstToken: (upstream, times) => {
         dispatch.tell({ kind: "first_token", upstream, ...times });
       },
+      betweenTokens: (upstream, measured) => {
+        dispatch.tell({ kind: "between_tokens", upstream, measured });
+      },
       onAccepted: ({ id }) => {
         context.metrics.increment("requests.accepted");
         this.#settle(id, { kind: "accepted" });
--- a/apps/heroncleatd/entry/request_services.ts
+++ b/apps/heroncleatd/entry/request_services.ts
@@ -41,6 +41,7 @@
     upstream: string,
     times: { measured: Milliseconds; estimated: Milliseconds },
   ) => void;
+  readonly betweenTokens: (upstream: string, measured: Milliseconds) => void;
   readonly onAccepted: (record: RequestRecord) => void;
   readonly onEnded: (record: RequestRecord, end: RequestEnd) => void;
 };
--- a/apps/heroncleatd/entry/running_attempt.ts
+++ b/apps/heroncleatd/entry/running_attempt.ts
@@ -10,6 +10,7 @@
   readonly estimatedFirstToken: Milliseconds;
   /** When the body was sent, 0 before. */
   sentAt: Milliseconds;
-  hasFirstToken: boolean;
+  /** When the first token came, 0 before. */
+  firstTokenAt: Milliseconds;
   stream: UpstreamStream | undefined;
 };
--- a/packages/local_deployment/process_group.ts
+++ b/packages/local_deployment/process_group.ts
@@ -5,6 +5,7 @@
 /** A started process. */
 type StartedProcess = {
   readonly name: string;
+  readonly script: string;
   readonly child: ChildProcess;
   readonly exited: Promise<number>;
 };
@@ -27,7 +28,14 @@
     const exited = new Promise<number>((resolve) => {
       child.once("exit", (code) => resolve(code ?? 1));
     });
-    this.#processes.set(name, { name, child, exited });
+    const { script } = options;
+    this.#processes.set(name, { name, script, child, exited });
+  }
+
+  /** Starts a process of the group again. */
+  restart(name: string, words: string[]): void {
+    const { script } = this.#processes.get(name)!;
+    this.start(name, { script, words });
   }
 
   /** Sends a signal to one process. */
