Entries: whole mailboxes at a turn, upstream connections kept, direct reads

Cause, by processor profile: nact takes one message in each turn of the event loop, so the registry's actor was behind at 200 requests/s while the processor was half idle; every finished stream was aborted, which closed its connection; each piece of an answer asked the registry for the request's actor again.

Ruled out: the copy to the standby (4 % of the time) and garbage collection (2 %).

Change: actors drain their mailbox at each turn; finished streams leave their connection open; a reader remembers the request's actor. The last one first gave an answer to another workspace's key at the same entry; the test for it failed, then the memory was kept by workspace, and it passes.

--- a/apps/heroncleatd/common/actor.ts
+++ b/apps/heroncleatd/common/actor.ts
@@ -11,35 +11,37 @@
 };
 
 const DEFAULT_MAILBOX_LIMIT = 100_000;
+const DRAIN = "drain";
 
 /**
- * A nact actor with a bounded mailbox. Its state lives in the object that
- * handles its messages, so a message that throws is logged and the actor goes
- * on with the next one.
+ * A nact actor with a bounded mailbox of its own. nact takes one message in
+ * each turn of the event loop, which bounds a busy actor to a few thousand a
+ * second; so the messages wait here, and one nact message takes all of them.
+ * State lives in the object that handles the messages: one that throws is
+ * logged, and the actor goes on with the next.
  */
 export class Actor<Message> {
-  readonly #reference: Ref<Message>;
+  readonly #options: ActorOptions<Message>;
+  readonly #reference: Ref<typeof DRAIN>;
   readonly #limit: number;
-  #waiting = 0;
+  #waiting: Message[] = [];
+  #draining = false;
   #stopped = false;
 
   constructor(parent: Ref<never>, options: ActorOptions<Message>) {
+    this.#options = options;
     this.#limit = options.mailboxLimit ?? DEFAULT_MAILBOX_LIMIT;
     this.#reference = spawn(
       parent,
-      async (state: null, message: Message) => {
-        this.#waiting -= 1;
-        await options.handle(message);
+      async (state: null) => {
+        await this.#drain();
         return state;
       },
       options.name,
       {
         initialState: null,
         onCrash: (_message, error, context) => {
-          options.log.error("A message failed", {
-            actor: options.name,
-            error: String(error?.stack ?? error),
-          });
+          this.#logFailure(error);
           return context.resume;
         },
       },
@@ -48,11 +50,11 @@
 
   /** Sends a message; false means that it was refused. */
   tell(message: Message): boolean {
-    if (this.#stopped || this.#waiting >= this.#limit) {
+    if (this.#stopped || this.#waiting.length >= this.#limit) {
       return false;
     }
-    this.#waiting += 1;
-    dispatch(this.#reference, message);
+    this.#waiting.push(message);
+    this.#schedule();
     return true;
   }
 
@@ -62,4 +64,44 @@
       stop(this.#reference);
     }
   }
+
+  #schedule(): void {
+    if (!this.#draining) {
+      this.#draining = true;
+      dispatch(this.#reference, DRAIN);
+    }
+  }
+
+  async #drain(): Promise<void> {
+    const messages = this.#waiting;
+    this.#waiting = [];
+    for (const message of messages) {
+      if (this.#stopped) {
+        return;
+      }
+      await this.#handle(message);
+    }
+    this.#draining = false;
+    if (this.#waiting.length > 0 && !this.#stopped) {
+      this.#schedule();
+    }
+  }
+
+  async #handle(message: Message): Promise<void> {
+    try {
+      const pending = this.#options.handle(message);
+      if (pending !== undefined) {
+        await pending;
+      }
+    } catch (error) {
+      this.#logFailure(error as Error);
+    }
+  }
+
+  #logFailure(error: Error | undefined): void {
+    this.#options.log.error("A message failed", {
+      actor: this.#options.name,
+      error: String(error?.stack ?? error),
+    });
+  }
 }
--- a/apps/heroncleatd/entry/answer_source.ts
+++ b/apps/heroncleatd/entry/answer_source.ts
@@ -10,6 +10,7 @@
 import type { EntryContext } from "./entry_context.ts";
 import { NOT_FOUND } from "./not_found.ts";
 import type { RegistryMessage } from "./registry_message.ts";
+import type { RequestMessage } from "./request_message.ts";
 
 /** Longest wait of one read. */
 const READ_WAIT = 2000;
@@ -37,6 +38,8 @@
  */
 export class AnswerSource {
   readonly #options: AnswerSourceOptions;
+  /** Actors of requests that callers here are reading. */
+  readonly #owners = new Map<string, Actor<RequestMessage>>();
 
   constructor(options: AnswerSourceOptions) {
     this.#options = options;
@@ -104,17 +107,33 @@
     return NOT_FOUND;
   }
 
-  #readHere(query: AnswerQuery): Promise<ForwardedAnswer> {
-    return new Promise((resolve) => {
+  /** Asks the request's own actor once it is known, else the registry. */
+  async #readHere(query: AnswerQuery): Promise<ForwardedAnswer> {
+    // The registry checked the workspace before it named the actor, so the
+    // actor is remembered for that workspace alone.
+    const readerKey =
+      `${query.workspace.length}:${query.workspace}:${query.id}`;
+    const answer = await new Promise<ForwardedAnswer>((resolve) => {
+      const { from, wait } = query;
+      const owner = this.#owners.get(readerKey);
+      const message = { kind: "read" as const, from, wait, reply: resolve };
+      if (owner?.tell(message)) {
+        return;
+      }
       const sent = this.#options.registry.tell({
         kind: "query",
         query,
+        onOwner: (actor) => this.#owners.set(readerKey, actor),
         reply: resolve,
       });
       if (!sent) {
         resolve(NOT_FOUND);
       }
     });
+    if (!answer.found || answer.finished) {
+      this.#owners.delete(readerKey);
+    }
+    return answer;
   }
 
   async #readAt(
--- a/apps/heroncleatd/entry/registry_message.ts
+++ b/apps/heroncleatd/entry/registry_message.ts
@@ -8,7 +8,9 @@
   RequestRecord,
   UpstreamRecord,
 } from "@heroncleat/schema";
+import type { Actor } from "../common/actor.ts";
 import type { OwnOutcome } from "./own_outcome.ts";
+import type { RequestMessage } from "./request_message.ts";
 
 /** Messages to the actor that knows all requests held by this entry. */
 export type RegistryMessage =
@@ -30,6 +32,8 @@
   | {
     readonly kind: "query";
     readonly query: AnswerQuery;
+    /** Told which actor owns the request here, to ask it directly. */
+    readonly onOwner: (actor: Actor<RequestMessage>) => void;
     readonly reply: (answer: ForwardedAnswer) => void;
   }
   /** Another entry hands these requests over to this one. */
--- a/apps/heroncleatd/entry/request_registry.ts
+++ b/apps/heroncleatd/entry/request_registry.ts
@@ -9,7 +9,6 @@
   StandbyStore,
 } from "@heroncleat/requests";
 import type {
-  AnswerQuery,
   CopyMessage,
   CustodyReply,
   ForwardedAnswer,
@@ -113,7 +112,7 @@
         message.reply(message.copies.map((copy) => this.#takeCopy(copy)));
         return;
       case "query":
-        this.#query(message.query, message.reply);
+        this.#query(message);
         return;
       case "take_over":
         void this.#takeOverHanded(message);
@@ -428,10 +427,8 @@
     }
   }
 
-  #query(
-    query: AnswerQuery,
-    reply: (answer: ForwardedAnswer) => void,
-  ): void {
+  #query(message: Extract<RegistryMessage, { kind: "query" }>): void {
+    const { query, reply } = message;
     const owned = this.#owned.get(query.id);
     const record = owned?.request.record ?? this.#held.get(query.id)?.record;
     if (record === undefined) {
@@ -443,6 +440,7 @@
       return;
     }
     if (owned !== undefined) {
+      message.onOwner(owned.actor);
       const { from, wait } = query;
       if (!owned.actor.tell({ kind: "read", from, wait, reply })) {
         reply(NOT_FOUND);
--- a/apps/heroncleatd/entry/start_entry.ts
+++ b/apps/heroncleatd/entry/start_entry.ts
@@ -179,7 +179,8 @@
       "entry.query": (parameters) =>
         new Promise((resolve) => {
           const query = parameters as never;
-          registry.tell({ kind: "query", query, reply: resolve });
+          const onOwner = () => {};
+          registry.tell({ kind: "query", query, onOwner, reply: resolve });
         }),
       "entry.take_over": (parameters) =>
         new Promise((resolve) => {
--- a/apps/heroncleatd/entry/upstream_stream.ts
+++ b/apps/heroncleatd/entry/upstream_stream.ts
@@ -50,8 +50,12 @@
 
   /** Stops the generation; the handlers hear nothing more. */
   cancel(): void {
-    this.#ended = true;
-    this.#abort.abort();
+    // An abort closes the connection, which a finished stream leaves for the
+    // next request.
+    if (!this.#ended) {
+      this.#ended = true;
+      this.#abort.abort();
+    }
   }
 
   async #run(): Promise<void> {
@@ -92,9 +96,6 @@
     const decoder = new TextDecoder();
     for await (const chunk of body) {
       parser.feed(decoder.decode(chunk as Buffer, { stream: true }));
-      if (this.#ended) {
-        return;
-      }
     }
   }
 
--- a/apps/heroncleatd/tests/callers_api_test.ts
+++ b/apps/heroncleatd/tests/callers_api_test.ts
@@ -3,6 +3,7 @@
 import { followAnswer } from "@heroncleat/local_deployment";
 import { expectedAnswer } from "@heroncleat/stand_ins";
 import * as fc from "fast-check";
+import { request } from "undici";
 import { LiveDeployment } from "./live_deployment.ts";
 
 const live = new LiveDeployment({
@@ -100,6 +101,31 @@
     expect(foreign.body).not.toContain(text.slice(0, 10));
   });
 
+  test("gives a running answer to nobody else, at its own entry too", async () => {
+    const response = await request(
+      `http://${live.callers[0]}/v1/chat/completions`,
+      {
+        method: "POST",
+        headers: { authorization: `Bearer ${live.key}` },
+        body: JSON.stringify({
+          ...chat("For my eyes only", 400),
+          stream: true,
+        }),
+      },
+    );
+    const id = String(response.headers["heroncleat-request"]);
+    const other = live.deployment.callerKeys["inn"]!;
+    const foreign = await live.call(
+      0,
+      `/v1/requests/${encodeURIComponent(id)}`,
+      {
+        headers: { authorization: `Bearer ${other}` },
+      },
+    );
+    response.body.destroy();
+    expect(foreign.status).toBe(404);
+  });
+
   test("refuses unknown keys and changes nothing", async () => {
     const missing = await live.call(0, "/v1/models", {
       headers: { authorization: "" },
