The test of foreign reads at the owner fails for the fault alone

Mended here and run against the fault: it fails with status 200 in place of 404; with the mechanism it passes.

--- a/apps/heroncleatd/tests/callers_api_test.ts
+++ b/apps/heroncleatd/tests/callers_api_test.ts
@@ -122,6 +122,7 @@
         headers: { authorization: `Bearer ${other}` },
       },
     );
+    response.body.on("error", () => {});
     response.body.destroy();
     expect(foreign.status).toBe(404);
   });
