--- a/packages/bench/main.ts
+++ b/packages/bench/main.ts
@@ -10,6 +10,7 @@
 import { reportControl } from "./live/report_control.ts";
 import { reportLatency } from "./live/report_latency.ts";
 import { reportPolicies } from "./policy/report_policies.ts";
+import { reportSlopes } from "./slopes/report_slopes.ts";
 
 const PLOTS = fileURLToPath(new URL("../../../docs/plots/", import.meta.url));
 const POLICY_WORKER = new URL("./policy/policy_worker.js", import.meta.url);
@@ -27,6 +28,7 @@
 const PARTS: Readonly<Record<string, () => Promise<void>>> = {
   policy: () => reportPolicies({ worker: POLICY_WORKER, plots: PLOTS, print }),
   live: reportLive,
+  slopes: async () => reportSlopes(print),
 };
 
 const { values } = parseArgs({ options: { only: { type: "string" } } });
--- a/packages/routing/router.ts
+++ b/packages/routing/router.ts
@@ -49,7 +49,8 @@
   readonly #choose: CandidateChoice;
   readonly #upstreams = new Map<string, UpstreamModel>();
   #sharers = 1;
-  #subset = new Set<string>();
+  /** Upstreams that this entry routes to; made anew when it is asked for. */
+  #subset: UpstreamModel[] | undefined;
   #view: ConfigurationView | undefined;
 
   constructor(settings: RoutingSettings, options: RouterOptions) {
@@ -120,12 +121,12 @@
     });
     model.setSharers(this.#sharers);
     this.#upstreams.set(announcement.name, model);
-    this.#refreshSubset();
+    this.#subset = undefined;
   }
 
   upstreamLapsed(name: string): void {
     if (this.#upstreams.delete(name)) {
-      this.#refreshSubset();
+      this.#subset = undefined;
     }
   }
 
@@ -259,15 +260,11 @@
   }
 
   #servingUpstreams(request: RoutedRequest): UpstreamModel[] {
-    const found: UpstreamModel[] = [];
-    for (const [name, upstream] of this.#upstreams) {
-      const usable = this.#subset.has(name) &&
-        !request.exclude.includes(name) && serves(upstream, request);
-      if (usable) {
-        found.push(upstream);
-      }
-    }
-    return found;
+    this.#subset ??= this.#chooseSubset();
+    return this.#subset.filter((upstream) =>
+      serves(upstream, request) &&
+      !request.exclude.includes(upstream.announcement.name)
+    );
   }
 
   #belongs(upstream: UpstreamModel, group: Group): boolean {
@@ -276,20 +273,26 @@
     return hasLabels({ ...labels, ...added }, group.labels);
   }
 
-  #refreshSubset(): void {
+  #chooseSubset(): UpstreamModel[] {
     const { entry, hash } = this.#options;
     const size = this.#settings.subsetSize;
     const pools = new Map<string, string[]>();
     for (const [name, { announcement }] of this.#upstreams) {
-      const pool = announcement.service ?? announcement.models.join();
-      pools.set(pool, [...(pools.get(pool) ?? []), name]);
+      const key = announcement.service ?? announcement.models.join();
+      const pool = pools.get(key);
+      if (pool === undefined) {
+        pools.set(key, [name]);
+      } else {
+        pool.push(name);
+      }
     }
-    this.#subset = new Set();
+    const chosen: UpstreamModel[] = [];
     for (const names of pools.values()) {
       for (const name of subsetUpstreams(names, { entry, size, hash })) {
-        this.#subset.add(name);
+        chosen.push(this.#upstreams.get(name)!);
       }
     }
+    return chosen;
   }
 }
 
