Attempts of a request are a module of their own; a late refusal is honest

Cause, found on reading: a request refused after its copy was sent was said to be not run, but the standby may hold the copy, and would run it if the owner died.

Change: such a refusal says unknown, and the standby is told that the request is over; the attempts at upstreams moved out of the request's state machine (731 lines) into a module with one job. The test sends the copy, refuses, and looks at what the standby would take over; without the message it takes the request over.

--- a/packages/requests/custody_test.ts
+++ b/packages/requests/custody_test.ts
@@ -476,3 +476,20 @@
     expect(kills).toBeGreaterThan(50);
   });
 });
+
+describe("a request that is refused after its copy was sent", () => {
+  test("is taken over by nobody, and not said to be not run", () => {
+    const world = new World();
+    const entry = world.entries.get("e1")!;
+    const owned = entry.owned!;
+    world.runOne(0, false);
+    const effects = owned.handle({ kind: "hand_over" }, world.now);
+    const refused = effects.find((effect) => effect.kind === "refused");
+    expect(refused).toMatchObject({ fault: { run: "unknown" } });
+    for (const effect of effects) {
+      world.carryOut("e1", owned, effect);
+    }
+    world.runOne(world.bag.length - 1, false);
+    expect(world.entries.get("e2")!.store.heldFor("e1")).toEqual([]);
+  });
+});
--- a/packages/requests/owned_request.ts
+++ b/packages/requests/owned_request.ts
@@ -1,19 +1,18 @@
 import type { Milliseconds } from "@heroncleat/base";
-import { createFault, unreachable } from "@heroncleat/base";
+import { createFault, type Fault, unreachable } from "@heroncleat/base";
 import type {
   CopyMessage,
   CopyReply,
   RequestRecord,
   TextPiece,
 } from "@heroncleat/schema";
+import { AttemptSequence } from "./attempt_sequence.ts";
 import type { PendingCopy } from "./pending_copy.ts";
-import { ReclaimAction } from "./reclaim_action.ts";
 import type { RequestEffect } from "./request_effect.ts";
 import type { RequestEvent } from "./request_event.ts";
 import { StandbyMove } from "./standby_move.ts";
 import { RequestPhase } from "./request_phase.ts";
 import type { RequestSettings } from "./request_settings.ts";
-import type { UpstreamAttempt } from "./upstream_attempt.ts";
 
 /** Where a request starts: anew, or with what a standby held. */
 type RequestStart = {
@@ -39,6 +38,7 @@
   readonly #settings: RequestSettings;
   readonly #pieces: TextPiece[];
   readonly #deadlineAt: Milliseconds;
+  readonly #attempts: AttemptSequence;
   #record: RequestRecord;
   #phase: typeof RequestPhase[keyof typeof RequestPhase];
   #finished: boolean;
@@ -50,21 +50,12 @@
   #copy: PendingCopy | undefined;
   #copyNumber = 0;
   #needsWholeCopy = true;
-  #attempt: UpstreamAttempt | undefined;
-  #attempts = 0;
-  #upstream = "";
-  #failedUpstreams: string[] = [];
-  #routeAt: Milliseconds | undefined;
-  /** Upstream that still has the KV cache, and until when. */
-  #kvSource = "";
-  #kvSourceUntil: Milliseconds = 0;
   #move: typeof StandbyMove[keyof typeof StandbyMove] = StandbyMove.none;
   /** The entry that is to become the standby. */
   #candidate = "";
   #moveAt: Milliseconds | undefined;
   /** Until when the standby may take to take over. */
   #handOverUntil: Milliseconds | undefined;
-  #dropped = 0;
   #effects: RequestEffect[] = [];
 
   constructor(
@@ -74,6 +65,10 @@
     const { settings, start } = options;
     this.#record = record;
     this.#settings = settings;
+    this.#attempts = new AttemptSequence(
+      settings,
+      (effect) => this.#effects.push(effect),
+    );
     this.#pieces = [...start.pieces];
     this.#emitted = start.accepted ? start.pieces.length : 0;
     this.#finished = start.finished;
@@ -102,16 +97,16 @@
 
   /** Upstream of the last attempt; empty before the first. */
   get upstream(): string {
-    return this.#upstream;
+    return this.#attempts.lastUpstream;
   }
 
   get attempts(): number {
-    return this.#attempts;
+    return this.#attempts.count;
   }
 
   /** Pieces dropped because their attempt or place wasn't the expected one. */
   get droppedPieces(): number {
-    return this.#dropped;
+    return this.#attempts.dropped;
   }
 
   /** When a tick is next of use, on the clock of `now`. */
@@ -119,15 +114,13 @@
     if (this.#phase === RequestPhase.ended) {
       return Infinity;
     }
-    const { copyTimeout, idleTimeout } = this.#settings;
+    const { copyTimeout } = this.#settings;
     return Math.min(
       this.#deadlineAt,
       (this.#copy?.sentAt ?? Infinity) + copyTimeout,
       this.#moveAt ?? Infinity,
       this.#handOverUntil ?? Infinity,
-      this.#routeAt ?? Infinity,
-      (this.#attempt?.heardAt ?? Infinity) + idleTimeout,
-      this.#attempt?.leaveAt ?? Infinity,
+      this.#attempts.wakeAt,
     );
   }
 
@@ -179,10 +172,10 @@
         this.#onCustodyLost(event.owner);
         return;
       case "routed":
-        this.#onRouted(event, now);
+        this.#attempts.onRouted(event, { pieces: this.#pieces, now });
         return;
       case "unroutable":
-        this.#onUnroutable(event.attempt, now);
+        this.#attempts.onUnroutable(event.attempt, now);
         return;
       case "piece":
         this.#onPiece(event, now);
@@ -191,7 +184,7 @@
         this.#onAttemptFinished(event, now);
         return;
       case "attempt_failed":
-        if (this.#isCurrent(event.attempt)) {
+        if (this.#attempts.isCurrent(event.attempt)) {
           this.#abandonAttempt();
         }
         return;
@@ -247,28 +240,19 @@
     if (this.#handOverUntil !== undefined && now >= this.#handOverUntil) {
       this.#onHandOverFailed();
     }
-    if (this.#routeAt !== undefined && now >= this.#routeAt) {
-      this.#route(now < this.#kvSourceUntil ? this.#kvSource : "");
+    if (this.#attempts.isRouteDue(now)) {
+      this.#route(this.#attempts.kvSourceAt(now));
+    }
+    if (this.#attempts.isOverdue(now)) {
+      this.#attempts.cancel();
+      this.#abandonAttempt();
     }
-    this.#checkAttempt(now);
   }
 
   #isOverdue(copy: PendingCopy, now: Milliseconds): boolean {
     return now - copy.sentAt >= this.#settings.copyTimeout;
   }
 
-  #checkAttempt(now: Milliseconds): void {
-    const attempt = this.#attempt;
-    if (attempt === undefined || attempt.upstream === "") {
-      return;
-    }
-    const silent = now - attempt.heardAt >= this.#settings.idleTimeout;
-    if (silent || now >= attempt.leaveAt) {
-      this.#cancelAttempt();
-      this.#abandonAttempt();
-    }
-  }
-
   /** Sends what the standby lacks, unless a copy is on its way. */
   #sendCopy(now: Milliseconds): void {
     const moving = this.#move === StandbyMove.choosing ||
@@ -419,14 +403,11 @@
     const lost = this.#copyTarget();
     this.#copy = undefined;
     if (this.#phase === RequestPhase.accepting) {
-      this.#end({
-        kind: "refused",
-        fault: createFault(
-          "no_standby",
-          `Entry ${lost} did not take the copy. Remedy: send the request again.`,
-          { retryAfter: this.#settings.copyTimeout },
-        ),
-      });
+      this.#refuse(createFault(
+        "no_standby",
+        `Entry ${lost} did not take the copy. Remedy: send the request again.`,
+        { run: "unknown", retryAfter: this.#settings.copyTimeout },
+      ));
       return;
     }
     this.#chooseStandby([lost]);
@@ -498,65 +479,17 @@
   }
 
   #onCustodyLost(owner: string): void {
-    this.#cancelAttempt();
+    this.#attempts.cancel();
     const leaving = this.#phase === RequestPhase.handingOver;
     this.#end({ kind: leaving ? "handed_over" : "fenced", owner });
   }
 
   #route(kvSource: string): void {
-    this.#routeAt = undefined;
-    if (this.#attempts >= this.#settings.mostAttempts) {
-      this.#giveUp(`${this.#attempts} attempts failed.`);
+    if (this.#attempts.isExhausted) {
+      this.#giveUp(`${this.#attempts.count} attempts failed.`);
       return;
     }
-    this.#attempts += 1;
-    this.#attempt = {
-      number: this.#attempts,
-      upstream: "",
-      kvSource,
-      received: 0,
-      heardAt: Infinity,
-      firstAt: 0,
-      leaveAt: Infinity,
-    };
-    this.#effects.push({
-      kind: "route",
-      attempt: this.#attempts,
-      exclude: [...this.#failedUpstreams],
-      kvSource,
-    });
-  }
-
-  #onRouted(
-    event: { attempt: number; upstream: string },
-    now: Milliseconds,
-  ): void {
-    const attempt = this.#attempt;
-    if (attempt === undefined || attempt.number !== event.attempt) {
-      return;
-    }
-    attempt.upstream = event.upstream;
-    attempt.heardAt = now;
-    this.#upstream = event.upstream;
-    this.#effects.push({
-      kind: "dispatch",
-      attempt: attempt.number,
-      upstream: event.upstream,
-      kvSource: attempt.kvSource,
-      pieces: [...this.#pieces],
-    });
-  }
-
-  /** No upstream now; an accepted request waits for one to come. */
-  #onUnroutable(attempt: number, now: Milliseconds): void {
-    if (!this.#isCurrent(attempt)) {
-      return;
-    }
-    this.#kvSource = this.#attempt?.kvSource ?? "";
-    this.#attempt = undefined;
-    this.#attempts -= 1;
-    this.#failedUpstreams = [];
-    this.#routeAt = now + this.#settings.retryPause;
+    this.#attempts.route(kvSource);
   }
 
   #onPiece(
@@ -567,18 +500,9 @@
     },
     now: Milliseconds,
   ): void {
-    const attempt = this.#attempt;
-    const expected = attempt !== undefined &&
-      attempt.number === event.attempt && attempt.received === event.place;
-    if (!expected || this.#finished) {
-      this.#dropped += 1;
+    if (!this.#attempts.takes(event, now)) {
       return;
     }
-    if (attempt.received === 0) {
-      attempt.firstAt = now;
-    }
-    attempt.received += 1;
-    attempt.heardAt = now;
     this.#pieces.push({ index: this.#pieces.length, ...event.piece });
     this.#progress(now);
   }
@@ -587,18 +511,18 @@
     event: { attempt: number; pieces: number; reason: string },
     now: Milliseconds,
   ): void {
-    const attempt = this.#attempt;
-    if (attempt === undefined || attempt.number !== event.attempt) {
-      return;
-    }
-    if (attempt.received !== event.pieces) {
-      this.#abandonAttempt();
-      return;
+    switch (this.#attempts.onFinished(event)) {
+      case "ignored":
+        return;
+      case "broken":
+        this.#abandonAttempt();
+        return;
+      case "whole":
+        this.#finished = true;
+        this.#finishReason = event.reason;
+        this.#progress(now);
+        return;
     }
-    this.#attempt = undefined;
-    this.#finished = true;
-    this.#finishReason = event.reason;
-    this.#progress(now);
   }
 
   #progress(now: Milliseconds): void {
@@ -614,11 +538,7 @@
   }
 
   #abandonAttempt(): void {
-    const failed = this.#attempt?.upstream ?? "";
-    this.#attempt = undefined;
-    if (failed !== "") {
-      this.#failedUpstreams.push(failed);
-    }
+    this.#attempts.abandon();
     if (this.#phase === RequestPhase.running) {
       this.#route("");
     }
@@ -628,50 +548,35 @@
     event: { upstream: string; reclaimIn: Milliseconds },
     now: Milliseconds,
   ): void {
-    const attempt = this.#attempt;
-    if (attempt === undefined || attempt.upstream !== event.upstream) {
+    if (!this.#attempts.isAt(event.upstream)) {
       return;
     }
     const tokens = this.#tokensEmitted();
-    const action = this.#settings.chooseOnReclaim({
-      reclaimIn: event.reclaimIn,
+    const source = this.#attempts.onLeaving(event.reclaimIn, {
       tokensHeld: this.#record.promptTokens + tokens,
       tokensLeft: Math.max(0, this.#mostTokens() - tokens),
-      pace: paceOf(attempt),
+      now,
     });
-    if (action === ReclaimAction.finish) {
-      attempt.leaveAt = now + event.reclaimIn;
-      return;
-    }
-    const source = action === ReclaimAction.transfer ? attempt.upstream : "";
-    this.#kvSourceUntil = now + event.reclaimIn;
-    this.#cancelAttempt();
-    this.#failedUpstreams.push(attempt.upstream);
-    this.#attempt = undefined;
-    if (this.#phase === RequestPhase.running) {
+    if (source !== undefined && this.#phase === RequestPhase.running) {
       this.#route(source);
     }
   }
 
   #startHandOver(now: Milliseconds): void {
     if (this.#phase === RequestPhase.accepting) {
-      this.#end({
-        kind: "refused",
-        fault: createFault(
-          "leaving",
-          "This entry is stopping. Remedy: send the request to another one.",
-          { retryAfter: 0 },
-        ),
-      });
+      this.#refuse(createFault(
+        "leaving",
+        "This entry is stopping. Remedy: send the request to another one.",
+        { run: "unknown", retryAfter: 0 },
+      ));
       return;
     }
     if (this.#finished || this.#phase === RequestPhase.handingOver) {
       return;
     }
     this.#phase = RequestPhase.handingOver;
-    this.#cancelAttempt();
-    this.#attempt = undefined;
-    this.#routeAt = undefined;
+    this.#attempts.cancel();
+    this.#attempts.clear();
     if (this.#move !== StandbyMove.none) {
       return;
     }
@@ -682,8 +587,29 @@
     }
   }
 
+  /**
+   * A copy may be held although nobody said so, and its holder would run the
+   * request if this entry died. It is told that the request is over; but as
+   * that may be lost too, the refusal doesn't say that it was not run.
+   */
+  #refuse(fault: Fault): void {
+    if (this.#record.standby !== "") {
+      this.#effects.push({
+        kind: "copy",
+        number: 0,
+        to: this.#record.standby,
+        message: {
+          ...this.#buildCopy(this.#deadlineAt),
+          finished: true,
+          finishReason: "refused",
+        },
+      });
+    }
+    this.#end({ kind: "refused", fault });
+  }
+
   #giveUp(cause: string): void {
-    this.#cancelAttempt();
+    this.#attempts.cancel();
     this.#end({
       kind: "failed",
       fault: createFault(
@@ -694,22 +620,12 @@
     });
   }
 
-  #cancelAttempt(): void {
-    if (this.#attempt !== undefined && this.#attempt.upstream !== "") {
-      this.#effects.push({ kind: "cancel", attempt: this.#attempt.number });
-    }
-  }
-
   #end(effect: RequestEffect): void {
     this.#phase = RequestPhase.ended;
-    this.#attempt = undefined;
+    this.#attempts.clear();
     this.#effects.push(effect);
   }
 
-  #isCurrent(attempt: number): boolean {
-    return this.#attempt?.number === attempt;
-  }
-
   #tokensEmitted(): number {
     let tokens = 0;
     for (const piece of this.#pieces) {
@@ -723,9 +639,3 @@
     return body.max_tokens ?? DEFAULT_MOST_TOKENS;
   }
 }
-
-function paceOf(attempt: UpstreamAttempt): Milliseconds {
-  return attempt.received < 2
-    ? 0
-    : (attempt.heardAt - attempt.firstAt) / (attempt.received - 1);
-}
