A fenced owner no longer passes its part of an answer for the whole

Cause: an owner that was frozen while its standby took over heard the end from its upstream when it woke, was fenced, and counted as complete; its caller got 41 of 120 pieces with a finish reason. Found by running all tests on a busy machine: 'survive a frozen owner that wakes after a takeover' failed in 2 of 3 runs.

Ruled out: the upstream's answer (whole in the engine's record) and the takeover (the new owner went on).

Change: an answer is complete only where the request ended as finished. The custody fuzz now asks at every step; against the fault it fails in the first runs, with the change 150 runs pass. A first try, by whether the standby holds the end, was wrong too: a copy on its way to a new standby may hold it, and that fuzz failed.

--- a/packages/bench/live/report_latency.ts
+++ b/packages/bench/live/report_latency.ts
@@ -10,6 +10,9 @@
 const SECONDS = 6;
 const TOKENS = 8;
 const OPEN_STREAMS = 1000;
+const ANSWER_LENGTHS = [2, 16, 64];
+const COST_RATE = 50;
+const COST_SECONDS = 4;
 const MICROSECONDS = 1000;
 
 /** Measures what an entry adds to a direct call to the same engines. */
@@ -51,6 +54,7 @@
   const cpuEach = (after.cpuMs - before.cpuMs) / through.answered;
   print(`\nOne entry: ${cpuEach.toFixed(2)} ms of processor time a request, `);
   print(`${(1000 / cpuEach).toFixed(0)} such requests/s a core.\n`);
+  await reportTokenCost(bench, { agent, key, print });
   await reportStreams(bench, { agent, key, print });
   await agent.close();
 }
@@ -67,6 +71,32 @@
   ];
 }
 
+/** Processor time of an entry by the length of the answers. */
+async function reportTokenCost(
+  bench: BenchDeployment,
+  options: { agent: Agent; key: string; print: (text: string) => void },
+): Promise<void> {
+  const entry = bench.deployment.entries[0]!;
+  const pid = bench.processes.pidOf(entry.name);
+  const rows: number[][] = [];
+  for (const tokens of ANSWER_LENGTHS) {
+    const before = readProcessUsage(pid).cpuMs;
+    const result = await runStreamLoad({
+      addresses: [entry.callerAddress],
+      agent: options.agent,
+      key: options.key,
+      rate: COST_RATE,
+      seconds: COST_SECONDS,
+      tokens,
+    });
+    const used = readProcessUsage(pid).cpuMs - before;
+    rows.push([tokens, used / result.answered]);
+  }
+  options.print(`### One entry at ${COST_RATE} requests/s\n`);
+  options.print(formatTable(["tokens", "processor ms a request"], rows));
+  options.print("");
+}
+
 /** Memory that open streams take at their entry. */
 async function reportStreams(
   bench: BenchDeployment,
--- a/packages/requests/custody_test.ts
+++ b/packages/requests/custody_test.ts
@@ -114,8 +114,12 @@
     for (const effect of owned.handle(event, this.now)) {
       this.carryOut(name, owned, effect);
     }
-    // A caller may read at any moment.
+    // A caller may read at any moment, and must not be told of a whole answer
+    // that it hasn't got.
     this.give(owned.emittedFrom(0));
+    if (owned.isComplete) {
+      expect(owned.emittedCount).toBe(ANSWER_PIECES);
+    }
   }
 
   carryOut(name: string, owned: OwnedRequest, effect: RequestEffect): void {
--- a/packages/requests/owned_request.ts
+++ b/packages/requests/owned_request.ts
@@ -47,6 +47,7 @@
   /** Pieces the standby holds. */
   #held = 0;
   #finishHeld = false;
+  #isComplete = false;
   #copy: PendingCopy | undefined;
   #copyNumber = 0;
   #needsWholeCopy = true;
@@ -87,8 +88,13 @@
     return this.#phase;
   }
 
+  /**
+   * Whether all of the answer may be read here. An owner that was fenced may
+   * have heard the end from its upstream, and still hold only a part that its
+   * standby has acknowledged.
+   */
   get isComplete(): boolean {
-    return this.#finished && this.#phase === RequestPhase.ended;
+    return this.#isComplete;
   }
 
   get finishReason(): string {
@@ -622,6 +628,7 @@
 
   #end(effect: RequestEffect): void {
     this.#phase = RequestPhase.ended;
+    this.#isComplete = effect.kind === "finished";
     this.#attempts.clear();
     this.#effects.push(effect);
   }
