--- a/apps/heroncleatd/entry/membership_listener.ts
+++ b/apps/heroncleatd/entry/membership_listener.ts
@@ -3,7 +3,6 @@
 /** Who is told of changes in the membership. */
 export type MembershipListener = {
   readonly onMembers: (members: readonly MemberRecord[]) => void;
-  readonly onMemberDead: (name: string) => void;
   readonly onUpstream: (upstream: UpstreamRecord) => void;
   readonly onUpstreamLapsed: (name: string) => void;
 };
--- a/apps/heroncleatd/entry/registry_message.ts
+++ b/apps/heroncleatd/entry/registry_message.ts
@@ -1,4 +1,3 @@
-import type { Milliseconds } from "@heroncleat/base";
 import type {
   AnswerQuery,
   CopyMessage,
@@ -49,8 +48,5 @@
     readonly kind: "count";
     readonly reply: (counts: { owned: number; held: number }) => void;
   }
-  | {
-    readonly kind: "forget";
-    readonly id: string;
-    readonly after: Milliseconds;
-  };
+  /** Drops a request that ended, unless it runs here again. */
+  | { readonly kind: "forget"; readonly id: string };
--- a/apps/heroncleatd/entry/request_registry.ts
+++ b/apps/heroncleatd/entry/request_registry.ts
@@ -258,7 +258,7 @@
     }
     const retained = end.kind === "finished" || end.kind === "failed";
     const after = retained ? context.entry.answer_retention : 0;
-    setTimeout(() => tellSelf({ kind: "forget", id, after }), after).unref();
+    setTimeout(() => tellSelf({ kind: "forget", id }), after).unref();
   }
 
   #settle(id: string, outcome: OwnOutcome): void {
--- a/apps/heroncleatd/entry/start_entry.ts
+++ b/apps/heroncleatd/entry/start_entry.ts
@@ -201,7 +201,6 @@
         const alive = members.filter((member) => member.state === "alive");
         dispatch.tell({ kind: "entries", alive: alive.length });
       },
-      onMemberDead: () => {},
       onUpstream: (upstream) => {
         const { announcement } = upstream;
         dispatch.tell({ kind: "upstream", announcement });
--- a/apps/heroncleatd/entry/start_membership.ts
+++ b/apps/heroncleatd/entry/start_membership.ts
@@ -115,9 +115,6 @@
       context.log("membership").info(
         `Entry ${effect.member.name} is ${effect.member.state}`,
       );
-      if (effect.member.state === "dead") {
-        listener.onMemberDead(effect.member.name);
-      }
       return;
     case "upstream_changed":
       listener.onUpstream(effect.upstream);
--- a/packages/bench/live/bench_deployment.ts
+++ b/packages/bench/live/bench_deployment.ts
@@ -1,14 +1,5 @@
-import { mkdtempSync, rmSync } from "node:fs";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
-import {
-  type Deployment,
-  type ProcessGroup,
-  type ProcessScripts,
-  startDeployment,
-  writeDeployment,
-} from "@heroncleat/local_deployment";
-import { PeerPool } from "@heroncleat/transport";
+import type { Deployment, ProcessGroup } from "@heroncleat/local_deployment";
+import type { PeerPool } from "@heroncleat/transport";
 
 /** A deployment under measurement. */
 export type BenchDeployment = {
@@ -17,38 +8,3 @@
   readonly pool: PeerPool;
   stop(): void;
 };
-
-const FIRST_PORT = 31_000;
-const CONNECT_TIMEOUT = 1000;
-
-/** Starts 3 replicas, 12 entries, 4 engines and a service. */
-export async function startBenchDeployment(
-  scripts: ProcessScripts,
-): Promise<BenchDeployment> {
-  const folder = mkdtempSync(join(tmpdir(), "heroncleat-bench-"));
-  const deployment = writeDeployment({
-    folder,
-    firstPort: FIRST_PORT,
-    controls: 3,
-    entries: 12,
-    engines: 4,
-    services: 1,
-    engine: { slots: 512, prefillRate: 1e6, decodeInterval: 20 },
-  });
-  const processes = await startDeployment(deployment, scripts);
-  const pool = new PeerPool({
-    secret: deployment.sharedSecret,
-    connectTimeout: CONNECT_TIMEOUT,
-    localHost: "",
-  });
-  return {
-    deployment,
-    processes,
-    pool,
-    stop: () => {
-      pool.close();
-      processes.kill();
-      rmSync(folder, { recursive: true, force: true });
-    },
-  };
-}
--- a/packages/bench/main.ts
+++ b/packages/bench/main.ts
@@ -6,7 +6,7 @@
 import { mkdirSync } from "node:fs";
 import { fileURLToPath } from "node:url";
 import { parseArgs } from "node:util";
-import { startBenchDeployment } from "./live/bench_deployment.ts";
+import { startBenchDeployment } from "./live/start_bench_deployment.ts";
 import { reportControl } from "./live/report_control.ts";
 import { reportLatency } from "./live/report_latency.ts";
 import { reportPolicies } from "./policy/report_policies.ts";
--- a/packages/membership/membership.ts
+++ b/packages/membership/membership.ts
@@ -91,7 +91,7 @@
         this.#self = { ...this.#self, revision: event.revision };
         break;
       case "leave":
-        this.#leave(now);
+        this.#leave();
         break;
       default:
         unreachable(event);
@@ -360,7 +360,7 @@
     }
   }
 
-  #leave(_now: Milliseconds): void {
+  #leave(): void {
     this.#self = { ...this.#self, state: "leaving" };
     this.#tellAll({ members: [this.#self], upstreams: [] });
   }
