Malformed commands can't enter the replicated log

Cause, found on reading: a proposed command was not checked. One that can't be applied would be committed, end every replica that applies it, and end it again at each start.

Change: commands are checked against the schema before they are proposed, queries between entries too. Random commands are refused or can be applied (2,000 values).

Conclusion: the check is at the door of the log; a replica that meets a command of a newer release still stops, which docs/DESIGN.md leaves to rolling upgrades.

--- a/apps/heroncleatd/control/control_methods.ts
+++ b/apps/heroncleatd/control/control_methods.ts
@@ -8,6 +8,7 @@
 import type { MethodHandler } from "@heroncleat/transport";
 import type { ConfirmedReads } from "./confirmed_reads.ts";
 import type { ControlCommand } from "./control_command.ts";
+import { isControlCommand } from "./is_control_command.ts";
 import type { ReplicaAccess } from "./replica_access.ts";
 
 /** What the methods of a started replica are built from. */
@@ -46,9 +47,14 @@
     "control.read_index": () => replica.readIndex(DEFAULT_TIMEOUT),
     "control.propose": (parameters) => {
       const { command, timeout } = parameters as {
-        command: ControlCommand;
+        command: unknown;
         timeout?: Milliseconds;
       };
+      if (!isControlCommand(command)) {
+        throw new Error(
+          "The command is malformed. Remedy: run one release everywhere.",
+        );
+      }
       return replica.propose(
         stamp(command, options.wall()),
         timeout ?? DEFAULT_TIMEOUT,
--- /dev/null
+++ b/apps/heroncleatd/control/is_control_command_test.ts
@@ -0,0 +1,71 @@
+import * as fc from "fast-check";
+import { ControlApplication } from "./control_application.ts";
+import { isControlCommand } from "./is_control_command.ts";
+
+const claim = {
+  kind: "claim",
+  workspace: "bistro",
+  key: "k",
+  digest: "d",
+  owner: "entry-1",
+  attempt: "a",
+  at: 0,
+  deadline: 1,
+};
+
+describe("a command for the log", () => {
+  test("is taken in the forms that the system sends", () => {
+    const change = {
+      id: "change-000001",
+      operator: "kari",
+      expectedRevision: 0,
+      edits: [],
+      at: 0,
+    };
+    const commands = [
+      claim,
+      { kind: "refusal", change, message: "malformed" },
+      { kind: "expire", at: 5, retention: 1 },
+      { kind: "order", number: 1, succeeded: false, message: "no" },
+    ];
+    expect(commands.filter((command) => !isControlCommand(command)))
+      .toEqual([]);
+  });
+
+  test("of any other form is refused, or else can be applied", () => {
+    const kinds = [
+      "change",
+      "refusal",
+      "order",
+      "claim",
+      "resolve",
+      "expire",
+      "custody",
+      "other",
+    ];
+    const values = fc.oneof(
+      fc.anything(),
+      fc.record({ kind: fc.constantFrom(...kinds) }),
+      fc.record({ ...constants(claim), key: fc.anything() }),
+      fc.dictionary(fc.constantFrom(...Object.keys(claim)), fc.anything()),
+    );
+    let refused = 0;
+    fc.assert(
+      fc.property(values, (value) => {
+        if (isControlCommand(value)) {
+          new ControlApplication().apply(value);
+        } else {
+          refused += 1;
+        }
+      }),
+      { numRuns: 2000, seed: 21 },
+    );
+    expect(refused).toBeGreaterThan(1000);
+  });
+});
+
+function constants(record: Record<string, unknown>) {
+  return Object.fromEntries(
+    Object.entries(record).map(([key, value]) => [key, fc.constant(value)]),
+  );
+}
--- a/apps/heroncleatd/entry/start_entry.ts
+++ b/apps/heroncleatd/entry/start_entry.ts
@@ -1,5 +1,9 @@
 import { splitList } from "@heroncleat/base";
-import { checkCopyMessage, type MemberRecord } from "@heroncleat/schema";
+import {
+  checkAnswerQuery,
+  checkCopyMessage,
+  type MemberRecord,
+} from "@heroncleat/schema";
 import { Agent } from "undici";
 import { Actor } from "../common/actor.ts";
 import { ControlClient } from "../common/control_client.ts";
@@ -177,8 +181,12 @@
           registry.tell({ kind: "copies", copies, reply: resolve });
         }),
       "entry.query": (parameters) =>
-        new Promise((resolve) => {
-          const query = parameters as never;
+        new Promise((resolve, reject) => {
+          const query = parameters;
+          if (!checkAnswerQuery(query)) {
+            reject(new Error("the query is malformed"));
+            return;
+          }
           const onOwner = () => {};
           registry.tell({ kind: "query", query, onOwner, reply: resolve });
         }),
--- a/packages/schema/generate.mjs
+++ b/packages/schema/generate.mjs
@@ -33,6 +33,9 @@
   "ResolveCommand",
   "CustodyCommand",
   "ChangeCommand",
+  "RefusalCommand",
+  "OrderCommand",
+  "ExpireCommand",
   "ConfigurationState",
   "LedgerState",
 ];
