--- a/apps/heroncleatd/tests/loss_test.ts
+++ b/apps/heroncleatd/tests/loss_test.ts
@@ -1,3 +1,4 @@
+import { readFileSync, writeFileSync } from "node:fs";
 import { followAnswer, waitFor } from "@heroncleat/local_deployment";
 import { LiveDeployment } from "./live_deployment.ts";
 
@@ -18,6 +19,14 @@
   }),
 });
 
+/** Entry 4 gets too little time to finish its streams when it stops. */
+const hurried = live.deployment.entries[3]!;
+const settings = readFileSync(hurried.settingsFile, "utf8");
+writeFileSync(
+  hurried.settingsFile,
+  settings.replace("[daemon]", "[daemon]\nstop_time_limit = 3000"),
+);
+
 beforeAll(() => live.start());
 afterAll(() => live.stop());
 
@@ -46,6 +55,7 @@
 /** Whole answers, each token once, and equal to what is held for it. */
 async function expectWhole(
   answers: Awaited<ReturnType<typeof followAnswer>>[],
+  place = 3,
 ): Promise<void> {
   for (const answer of answers) {
     expect(answer).toMatchObject({ status: 200, misplaced: 0 });
@@ -56,7 +66,7 @@
   }
   const sample = answers[0]!;
   const path = `/v1/requests/${encodeURIComponent(sample.requestId)}`;
-  const held = await live.call(3, path);
+  const held = await live.call(place, path);
   const texts = [...held.body.matchAll(/"content":"([^"]*)"/g)].map((m) =>
     m[1]
   );
@@ -132,4 +142,15 @@
     );
     expect(await live.processes.exitOf("entry-1")).toBe(0);
   });
+
+  test("are handed over when a planned stop has no time to finish", async () => {
+    const streams = startStreams(16, 500);
+    await sleep(400);
+    live.processes.signal("entry-4", "SIGTERM");
+    const answers = await Promise.all(streams);
+    const accepted = answers.filter((answer) => answer.requestId !== "");
+    await expectWhole(accepted, 1);
+    expect(accepted.some((answer) => answer.reconnects > 0)).toBe(true);
+    expect(await live.processes.exitOf("entry-4")).toBe(0);
+  });
 });
