--- a/apps/heroncleat/main.ts
+++ b/apps/heroncleat/main.ts
@@ -111,7 +111,11 @@
     options: values as Record<string, string | undefined>,
     print: (text) => process.stdout.write(`${text}\n`),
   });
-  return result.isErr ? fail(result.error.message) : result.value;
+  if (result.isOk) {
+    return result.value;
+  }
+  const code = fail(result.error.message);
+  return result.error.kind === "bad_request" ? ExitCode.badUsage : code;
 }
 
 function parse() {
