Quotas forecast what other entries spend; a full disk no longer ends a process

A stateful test with four entries and a workspace at 4 times its rate failed first. Change: requests within the quota are charged to a bucket of exactly the quota; a second, smaller bucket serves part of the tolerated excess; others are taken to spend at their last pace between news, and as much as this entry from the excess. Journals write each batch under one checksum, and a replica whose disk fails is opened again while its process goes on relaying news.

--- a/apps/heroncleatd/gateway/gateway.ts
+++ b/apps/heroncleatd/gateway/gateway.ts
@@ -171,12 +171,12 @@
     const { quota, clock, forwarding } = this.#options;
     const prompt = this.#options.readPrompt(incoming.headers);
     const amount = chargeOf(workspace, prompt);
-    if (workspace !== undefined) {
-      const charged = quota.charge(workspace, { amount, now: clock.steady() });
-      if (!charged.ok) {
-        this.#refuse(exchange, overQuota(charged.retryAfter), workspace);
-        return;
-      }
+    const charged = workspace === undefined
+      ? undefined
+      : quota.charge(workspace, { amount, now: clock.steady() });
+    if (charged?.ok === false) {
+      this.#refuse(exchange, overQuota(charged.retryAfter), workspace);
+      return;
     }
     const until = arrivedAt + Math.min(
       route.timeout,
@@ -213,8 +213,8 @@
       : forwardCall;
     const result = await forward(call, { context: forwarding, response });
     clearTimeout(timer);
-    if (!result.mayHaveRun && workspace !== undefined) {
-      quota.refund(workspace, amount);
+    if (!result.mayHaveRun && charged !== undefined) {
+      quota.refund(charged.charge);
     }
     this.#record(call, result);
   }
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -278,6 +278,8 @@
       this.#quota.learnOthers(reply.feed, {
         spent: reply.spentByOthers,
         share: reply.quotaShare,
+        entries: this.#entryCount,
+        now,
       });
     }
   }
--- a/apps/heroncleatd/hub/replica_group.ts
+++ b/apps/heroncleatd/hub/replica_group.ts
@@ -43,7 +43,8 @@
   readonly serve: (methods: Readonly<Record<string, MethodHandler>>) => void;
   readonly clock: Clock;
   readonly log: (part: string) => Log;
-  readonly fail: (error: unknown) => void;
+  /** Told when this replica can't go on, as when its disk takes no bytes. */
+  readonly onFailure: (error: unknown) => void;
 };
 
 type Access = ReplicaAccess<ServingApplication, ServingCommand>;
@@ -66,7 +67,9 @@
   readonly #reads: ConfirmedReads;
   readonly #caretaker: GroupCaretaker;
   readonly #ticker: NodeJS.Timeout;
+  readonly #journal: Journal;
   #isConfirmed = false;
+  #isOver = false;
 
   private constructor(
     options: GroupOptions,
@@ -79,7 +82,9 @@
   ) {
     this.#options = options;
     this.#self = parts.self;
-    const { clock, pool, log, fail } = options;
+    this.#journal = parts.journal;
+    const { clock, pool, log } = options;
+    const fail = (error: unknown) => this.#fail(error);
     this.#application = new ServingApplication();
     if (parts.content.snapshot !== undefined) {
       this.#application.restore(parts.content.snapshot.data);
@@ -244,8 +249,23 @@
     this.#actor.stop();
   }
 
+  /** Takes no further part; what was acknowledged is on the disk. */
+  #fail(error: unknown): void {
+    if (this.#isOver) {
+      return;
+    }
+    this.#isOver = true;
+    this.#caretaker.stop();
+    clearInterval(this.#ticker);
+    this.#actor.stop();
+    this.#journal.close().catch(() => {
+      // The disk has failed already, which is what is reported.
+    });
+    this.#options.onFailure(error);
+  }
+
   async #confirmOnce(): Promise<void> {
-    while (!this.#isConfirmed) {
+    while (!this.#isConfirmed && !this.#isOver) {
       this.#isConfirmed = await this.confirm();
       await new Promise((resolve) => setTimeout(resolve, HEARTBEAT_INTERVAL));
     }
--- a/apps/heroncleatd/hub/start_hub.ts
+++ b/apps/heroncleatd/hub/start_hub.ts
@@ -18,6 +18,8 @@
 import type { StoredDocument } from "./serving_application.ts";
 
 const EXPIRE_INTERVAL: Milliseconds = 1000;
+/** Pause before a replica whose disk failed is opened again. */
+const REOPEN_PAUSE: Milliseconds = 1000;
 
 /** What the control side is started with. */
 type StartOptions = {
@@ -30,7 +32,6 @@
   readonly serve: (methods: Readonly<Record<string, MethodHandler>>) => void;
   readonly clock: Clock;
   readonly log: (part: string) => Log;
-  readonly fail: (error: unknown) => void;
 };
 
 /** What a change of the document came to. */
@@ -75,11 +76,30 @@
     () => hub.expire(clock.steady()),
     EXPIRE_INTERVAL,
   );
-  const started = ReplicaGroup.start(options).then((formed) => {
-    group = formed;
-    return run(formed, { ...options, hub });
-  });
-  started.catch(options.fail);
+  let stopParts = () => {};
+  let isStopping = false;
+  const log = options.log("group");
+  const start = async (): Promise<void> => {
+    if (isStopping) {
+      return;
+    }
+    try {
+      const formed = await ReplicaGroup.start({ ...options, onFailure });
+      group = formed;
+      stopParts = run(formed, { ...options, hub }).stop;
+    } catch (error) {
+      onFailure(error);
+    }
+  };
+  const onFailure = (error: unknown) => {
+    log.error("The replica can't go on and will be opened again", {
+      error: describeFailure(error),
+    });
+    group = undefined;
+    stopParts();
+    setTimeout(() => void start(), REOPEN_PAUSE);
+  };
+  void start();
   return {
     publish: async (document, source) => {
       const outcome = await group?.propose({
@@ -99,15 +119,18 @@
     removeUpstream: (id) => hub.removeUpstream(id, clock.steady()),
     stop: async () => {
       clearInterval(expiry);
-      if (group !== undefined) {
-        const parts = await started;
-        parts.stop();
-        await group.stop();
-      }
+      isStopping = true;
+      stopParts();
+      await group?.stop();
     },
   };
 }
 
+function describeFailure(error: unknown): string {
+  const { message } = (error ?? {}) as { message?: string };
+  return message ?? String(error);
+}
+
 /** Starts what needs a group. */
 function run(
   group: ReplicaGroup,
--- a/packages/journal/journal.ts
+++ b/packages/journal/journal.ts
@@ -83,7 +83,7 @@
 
   /** Writes batches in order and syncs once. */
   async append(batches: readonly Batch[]): Promise<void> {
-    let pending: Buffer[] = [];
+    let pending: JournalRecord[] = [];
     for (const batch of batches) {
       if (batch.snapshot !== undefined) {
         await this.#write(pending);
@@ -91,7 +91,7 @@
         await this.#startGeneration(batch.snapshot, batch.records);
         continue;
       }
-      pending.push(...batch.records.map(encodeRecord));
+      pending.push(...batch.records);
     }
     if (pending.length > 0) {
       await this.#write(pending);
@@ -103,9 +103,9 @@
     await this.#handle.close();
   }
 
-  async #write(buffers: readonly Buffer[]): Promise<void> {
-    if (buffers.length > 0) {
-      await this.#handle.appendFile(Buffer.concat(buffers));
+  async #write(records: readonly JournalRecord[]): Promise<void> {
+    if (records.length > 0) {
+      await this.#handle.appendFile(encodeBatch(records));
     }
   }
 
@@ -114,7 +114,9 @@
     records: readonly JournalRecord[],
   ): Promise<void> {
     const next = this.#generation + 1;
-    const bytes = Buffer.concat(records.map(encodeRecord));
+    const bytes = records.length === 0
+      ? Buffer.alloc(0)
+      : encodeBatch(records);
     await writeFileDurably(
       snapshotPath(this.#folder, next),
       recordCodec.encode(Buffer.from(JSON.stringify(snapshot))),
@@ -128,8 +130,13 @@
   }
 }
 
-function encodeRecord(record: JournalRecord): Buffer {
-  return recordCodec.encode(Buffer.from(JSON.stringify(record)));
+/**
+ * Everything that is written before one sync stands under one checksum. A
+ * loss of power can keep later parts of an unsynced write and lose earlier
+ * ones; a whole record behind a torn one then always means damage.
+ */
+function encodeBatch(records: readonly JournalRecord[]): Buffer {
+  return recordCodec.encode(Buffer.from(JSON.stringify(records)));
 }
 
 function journalPath(folder: string, generation: number): string {
@@ -199,11 +206,14 @@
   }
   const records: JournalRecord[] = [];
   for (const payload of decoded.payloads) {
-    const value = parse(payload);
-    if (!checkJournalRecord(value)) {
-      return Result.err(describeDamage(path, 0));
+    const batch = parse(payload);
+    // Journals of earlier releases hold single records.
+    for (const value of Array.isArray(batch) ? batch : [batch]) {
+      if (!checkJournalRecord(value)) {
+        return Result.err(describeDamage(path, 0));
+      }
+      records.push(value);
     }
-    records.push(value);
   }
   const droppedBytes = bytes.length - decoded.length;
   return Result.ok({ records, length: decoded.length, droppedBytes });
--- a/packages/serving/mod.ts
+++ b/packages/serving/mod.ts
@@ -19,7 +19,7 @@
 export type { UpstreamLoad } from "./upstream_load.ts";
 export type { UpstreamRecord } from "./upstream_record.ts";
 export type { Workspace } from "./workspace.ts";
-export type { QuotaSettings } from "./workspace_quota.ts";
+export type { QuotaCharge, QuotaSettings } from "./workspace_quota.ts";
 export type { WorkspaceCounts } from "./usage_counts.ts";
 export { findDocumentProblem } from "./find_document_problem.ts";
 export { FleetPlanner } from "./fleet_planner.ts";
--- /dev/null
+++ b/packages/serving/upstream_directory_test.ts
@@ -0,0 +1,70 @@
+import fc from "fast-check";
+import { UpstreamDirectory, type UpstreamRecord } from "./mod.ts";
+
+const record: UpstreamRecord = {
+  id: "u1",
+  service: "writers",
+  address: "10.0.0.1:80",
+  zone: "a",
+  slots: 4,
+  sequence: 1,
+  state: "ready",
+  isSpot: false,
+  leavesIn: undefined,
+};
+
+describe("the directory of upstreams", () => {
+  test("passes over late heartbeats", () => {
+    const directory = new UpstreamDirectory();
+    directory.merge({ ...record, sequence: 5, zone: "b" }, 0);
+    expect(directory.merge({ ...record, sequence: 4 }, 10)).toBeUndefined();
+    expect(directory.get("u1")?.record.zone).toBe("b");
+    expect(directory.get("u1")?.heardAt).toBe(0);
+  });
+
+  test("takes a drain from a late heartbeat and keeps it", () => {
+    const directory = new UpstreamDirectory();
+    directory.merge({ ...record, sequence: 5 }, 0);
+    directory.merge({ ...record, sequence: 4, state: "draining" }, 1);
+    directory.merge({ ...record, sequence: 6 }, 2);
+    expect(directory.get("u1")?.record.state).toBe("draining");
+  });
+
+  test("never brings back an upstream that left, in any order of news", () => {
+    const news = fc.record({
+      sequence: fc.nat(20),
+      state: fc.constantFrom("ready" as const, "draining" as const),
+    });
+    fc.assert(fc.property(fc.array(news), fc.array(news), (before, after) => {
+      const directory = new UpstreamDirectory();
+      for (const beat of before) {
+        directory.merge({ ...record, ...beat }, 0);
+      }
+      directory.remove("u1", 1);
+      for (const beat of after) {
+        directory.merge({ ...record, ...beat }, 2);
+      }
+      expect(directory.get("u1")?.record.state).toBe("gone");
+    }));
+  });
+
+  test("comes to the same states whatever the order and repeats of news", () => {
+    const beats = fc.array(
+      fc.record({
+        sequence: fc.nat(8),
+        state: fc.constantFrom("ready" as const, "draining" as const),
+      }),
+      { minLength: 1 },
+    );
+    fc.assert(fc.property(beats, (list) => {
+      const states = [list, list.toReversed(), [...list, ...list]].map((order) => {
+        const directory = new UpstreamDirectory();
+        for (const beat of order) {
+          directory.merge({ ...record, ...beat }, 0);
+        }
+        return directory.get("u1")?.record.state;
+      });
+      expect(new Set(states).size).toBe(1);
+    }));
+  });
+});
--- a/packages/serving/workspace_quota.ts
+++ b/packages/serving/workspace_quota.ts
@@ -3,7 +3,7 @@
 
 /** How far the quotas may be overrun, and over which time. @public */
 export type QuotaSettings = {
-  /** Whether the whole system starts with this process, with empty buckets. */
+  /** Whether the whole system starts with this process, with full buckets. */
   readonly isFresh: boolean;
   /** Time over which a workspace's spending is judged. */
   readonly window: Milliseconds;
@@ -13,14 +13,41 @@
   readonly tolerance: number;
 };
 
+/** What a request was charged to. @public */
+export type QuotaCharge = {
+  readonly workspace: string;
+  readonly amount: number;
+  /** Whether it was paid from what is tolerated beyond the quota. */
+  readonly isExcess: boolean;
+};
+
 /**
- * Part of the tolerated excess that a bucket may hold. The rest covers what
- * entries spend before they hear of each other.
+ * Part of the tolerated excess that may be spent on purpose. The rest covers
+ * what entries spend before they hear of each other.
  */
-const TOLERANCE_SHARE = 0.4;
+const EXCESS_SHARE = 0.2;
+const SECOND: Milliseconds = 1000;
+const EXCESS_SUFFIX = " excess";
 
-/** One workspace's token bucket as this entry sees it. */
-type Bucket = { level: number; filledAt: Milliseconds };
+/** Time without news for which the others are taken to spend as before. */
+const MOST_FORECAST: Milliseconds = 1000;
+
+/** One token bucket as this entry sees it. */
+type Bucket = {
+  level: number;
+  filledAt: Milliseconds;
+  /** Tokens that the others spent in a millisecond before the last news. */
+  othersPace: number;
+  /** Tokens that this entry took since the last news. */
+  takenSinceNews: number;
+};
+
+/** Size and rate of a bucket, in tokens and tokens a second. */
+type BucketTerms = {
+  readonly name: string;
+  readonly size: number;
+  readonly rate: number;
+};
 
 /**
  * Quotas of workspaces shared by all entries without asking on each request.
@@ -28,16 +55,23 @@
  * once, and those of the others when news of them arrives. Entries that are
  * out of reach are taken to use an even share until they are heard again.
  *
+ * What the quota covers is always served. A second bucket of what is tolerated
+ * beyond it serves some of the rest, so that requests beyond the quota never
+ * take the place of those within.
+ *
  * @public
  */
 export class WorkspaceQuota {
+  readonly #settings: QuotaSettings;
   readonly #buckets = new Map<string, Bucket>();
   readonly #spent = new Map<string, number>();
   #others = new Map<string, number>();
   #othersFrom = "";
+  #othersAt: Milliseconds = 0;
+  #hasNews = false;
+  #entries = 1;
   /** Share of the rate that this entry's side of the system may hand out. */
   #share = 1;
-  readonly #settings: QuotaSettings;
 
   constructor(settings: QuotaSettings) {
     this.#settings = settings;
@@ -47,60 +81,74 @@
   charge(
     workspace: Workspace,
     options: { amount: number; now: Milliseconds },
-  ): { ok: true } | { ok: false; retryAfter: Milliseconds } {
+  ):
+    | { ok: true; charge: QuotaCharge }
+    | { ok: false; retryAfter: Milliseconds } {
     const { amount, now } = options;
+    const { name } = workspace;
     if (workspace.rate <= 0) {
-      this.#count(workspace.name, amount);
-      return { ok: true };
+      return { ok: true, charge: { workspace: name, amount, isExcess: false } };
     }
-    const bucket = this.#fill(workspace, now);
-    if (bucket.level <= 0) {
-      const rate = workspace.rate * this.#share;
-      return { ok: false, retryAfter: 1000 * (1 - bucket.level) / rate };
+    const quota = this.#quotaTerms(workspace);
+    const level = this.#levelOf(quota, now);
+    const isCovered = level >= Math.min(amount, quota.size);
+    if (isCovered) {
+      this.#take(quota.name, amount);
+      return { ok: true, charge: { workspace: name, amount, isExcess: false } };
     }
-    bucket.level -= amount;
-    this.#count(workspace.name, amount);
-    return { ok: true };
+    const excess = this.#excessTerms(workspace);
+    if (this.#cautiousLevelOf(excess, now) >= amount) {
+      this.#take(excess.name, amount);
+      return { ok: true, charge: { workspace: name, amount, isExcess: true } };
+    }
+    const missing = Math.min(amount, quota.size) - level;
+    return { ok: false, retryAfter: SECOND * missing / quota.rate };
   }
 
   /** Gives back what a request that didn't run was charged. */
-  refund(workspace: Workspace, amount: number): void {
-    const bucket = this.#buckets.get(workspace.name);
-    if (bucket !== undefined) {
-      bucket.level += amount;
-    }
-    this.#count(workspace.name, -amount);
+  refund(charge: QuotaCharge): void {
+    const { workspace, amount, isExcess } = charge;
+    this.#take(isExcess ? `${workspace}${EXCESS_SUFFIX}` : workspace, -amount);
   }
 
-  /** All that this process charged, by workspace. */
+  /** All that this process charged, by bucket. */
   spent(): Record<string, number> {
     return Object.fromEntries(this.#spent);
   }
 
   /**
    * Takes in what the other entries charged so far, as one source counts it.
-   * A new source only sets the mark from which later news counts.
+   * Another source counts from another start, so its first news only sets the
+   * mark; until then the others are taken to spend as before.
    */
   learnOthers(
     source: string,
     options: {
       spent: Readonly<Record<string, number>>;
       share: number;
+      /** Entries that share the quotas. */
+      entries: number;
+      now: Milliseconds;
     },
   ): void {
     this.#share = options.share;
+    this.#entries = Math.max(1, options.entries);
     const isKnown = source === this.#othersFrom;
     const before = this.#others;
     this.#othersFrom = source;
     this.#others = new Map(Object.entries(options.spent));
-    if (!isKnown) {
-      return;
-    }
-    for (const [name, total] of this.#others) {
-      const bucket = this.#buckets.get(name);
-      if (bucket !== undefined) {
-        bucket.level -= Math.max(0, total - (before.get(name) ?? 0));
-      }
+    const isFirst = this.#settings.isFresh && !this.#hasNews;
+    const elapsed = Math.max(1, options.now - this.#othersAt);
+    this.#othersAt = options.now;
+    this.#hasNews = true;
+    for (const [name, bucket] of this.#buckets) {
+      const total = this.#others.get(name) ?? 0;
+      const spent = isKnown || isFirst
+        ? Math.max(0, total - (before.get(name) ?? 0))
+        : bucket.othersPace * Math.min(elapsed, MOST_FORECAST);
+      bucket.level -= spent;
+      bucket.othersPace = spent / elapsed;
+      bucket.takenSinceNews = 0;
     }
   }
 
@@ -110,35 +158,66 @@
     this.#othersFrom = "";
   }
 
-  #count(name: string, amount: number): void {
+  /** What is left, less what the others will have spent since the news. */
+  #levelOf(terms: BucketTerms, now: Milliseconds): number {
+    const bucket = this.#fill(terms, now);
+    const silence = Math.min(MOST_FORECAST, now - this.#othersAt);
+    return bucket.level - bucket.othersPace * silence;
+  }
+
+  /** What is left even if every other entry took as much as this one. */
+  #cautiousLevelOf(terms: BucketTerms, now: Milliseconds): number {
+    const bucket = this.#fill(terms, now);
+    const alike = bucket.takenSinceNews * (this.#entries - 1);
+    return Math.min(this.#levelOf(terms, now), bucket.level - alike);
+  }
+
+  #take(name: string, amount: number): void {
+    const bucket = this.#buckets.get(name);
+    if (bucket !== undefined) {
+      bucket.level -= amount;
+      bucket.takenSinceNews += amount;
+    }
     this.#spent.set(name, (this.#spent.get(name) ?? 0) + amount);
   }
 
-  #fill(workspace: Workspace, now: Milliseconds): Bucket {
-    const known = this.#buckets.get(workspace.name);
+  #quotaTerms(workspace: Workspace): BucketTerms {
+    return {
+      name: workspace.name,
+      size: workspace.burst,
+      rate: workspace.rate * this.#share,
+    };
+  }
+
+  #excessTerms(workspace: Workspace): BucketTerms {
+    const { window, overshoot, tolerance } = this.#settings;
+    const quota = workspace.rate * window / SECOND + workspace.burst;
+    const tolerated = workspace.countsTokens ? tolerance : 0;
+    const size = EXCESS_SHARE * (overshoot * quota + tolerated) * this.#share;
+    return {
+      name: `${workspace.name}${EXCESS_SUFFIX}`,
+      size,
+      rate: size * SECOND / window,
+    };
+  }
+
+  #fill(terms: BucketTerms, now: Milliseconds): Bucket {
+    const known = this.#buckets.get(terms.name);
     if (known === undefined) {
-      const spent = this.#others.get(workspace.name) ?? 0;
-      const level = this.#settings.isFresh
-        ? this.#capacityOf(workspace) - spent
-        : 0;
-      const bucket = { level: Math.max(level, 1), filledAt: now };
-      this.#buckets.set(workspace.name, bucket);
+      const spent = this.#others.get(terms.name) ?? 0;
+      const level = this.#settings.isFresh ? terms.size - spent : 0;
+      const bucket = {
+        level: Math.max(level, 0),
+        filledAt: now,
+        othersPace: 0,
+        takenSinceNews: 0,
+      };
+      this.#buckets.set(terms.name, bucket);
       return bucket;
     }
-    const seconds = (now - known.filledAt) / 1000;
-    const gained = seconds * workspace.rate * this.#share;
-    const capacity = this.#capacityOf(workspace) * this.#share;
-    known.level = Math.min(capacity, known.level + gained);
+    const gained = (now - known.filledAt) / SECOND * terms.rate;
+    known.level = Math.min(terms.size, known.level + gained);
     known.filledAt = now;
     return known;
   }
-
-  /** Tokens that may be spent at once after a pause. */
-  #capacityOf(workspace: Workspace): number {
-    const { window, overshoot, tolerance } = this.#settings;
-    const quota = workspace.rate * window / 1000 + workspace.burst;
-    const excess = workspace.countsTokens ? tolerance : 0;
-    return workspace.burst +
-      TOLERANCE_SHARE * (overshoot * quota + excess);
-  }
 }
--- /dev/null
+++ b/packages/serving/workspace_quota_test.ts
@@ -0,0 +1,118 @@
+import fc from "fast-check";
+import { type Workspace, WorkspaceQuota } from "./mod.ts";
+
+const workspace: Workspace = {
+  name: "inn",
+  keys: ["k"],
+  priority: 1,
+  rate: 1000,
+  burst: 1000,
+  defaultCharge: 10,
+  countsTokens: true,
+};
+const settings = { isFresh: true, window: 8000, overshoot: 0.1, tolerance: 0 };
+
+describe("the quota of a workspace", () => {
+  test("covers its burst, then its rate, and says when to come back", () => {
+    const quota = new WorkspaceQuota(settings);
+    expect(quota.charge(workspace, { amount: 1000, now: 0 }).ok).toBe(true);
+    const refused = quota.charge(workspace, { amount: 500, now: 0 });
+    expect(refused).toMatchObject({ ok: false, retryAfter: 500 });
+    expect(quota.charge(workspace, { amount: 500, now: 500 }).ok).toBe(true);
+  });
+
+  test("serves a request larger than the burst once it is full", () => {
+    const quota = new WorkspaceQuota(settings);
+    expect(quota.charge(workspace, { amount: 5000, now: 0 }).ok).toBe(true);
+    expect(quota.charge(workspace, { amount: 300, now: 3000 }).ok).toBe(false);
+  });
+
+  test("takes off what other entries charged since the last news", () => {
+    const quota = new WorkspaceQuota(settings);
+    quota.charge(workspace, { amount: 1, now: 0 });
+    quota.learnOthers("a", { spent: { inn: 500 }, share: 1, entries: 4, now: 0 });
+    expect(quota.charge(workspace, { amount: 400, now: 0 }).ok).toBe(true);
+    quota.learnOthers("a", { spent: { inn: 1500 }, share: 1, entries: 4, now: 0 });
+    expect(quota.charge(workspace, { amount: 400, now: 0 }).ok).toBe(false);
+  });
+
+  test("gives back what a request that didn't run was charged", () => {
+    const quota = new WorkspaceQuota(settings);
+    const charged = quota.charge(workspace, { amount: 1000, now: 0 });
+    if (!charged.ok) {
+      throw new Error("the full bucket refused");
+    }
+    quota.refund(charged.charge);
+    expect(quota.charge(workspace, { amount: 1000, now: 0 }).ok).toBe(true);
+    expect(quota.spent()).toEqual({ inn: 1000 });
+  });
+
+  test("hands out an even share while no control replica answers", () => {
+    const quota = new WorkspaceQuota(settings);
+    quota.charge(workspace, { amount: 1000, now: 0 });
+    quota.isolate(1 / 10);
+    expect(quota.charge(workspace, { amount: 100, now: 500 }).ok).toBe(false);
+    expect(quota.charge(workspace, { amount: 100, now: 1000 }).ok).toBe(true);
+  });
+
+  // Callers ask for 4 times the rate, as a hot workspace does; entries hear
+  // of each other every 300 ms; the tolerance is that of a large workspace.
+  test("never exceeds the tolerated sum of a window, over all entries", () => {
+    fc.assert(fc.property(
+      fc.array(fc.tuple(fc.nat(3), fc.nat(220), fc.integer({ min: 1, max: 90 })), {
+        minLength: 600,
+        maxLength: 1000,
+      }),
+      (steps) => expectBounded(steps),
+    ), { numRuns: 60, endOnFailure: true });
+  });
+});
+
+/** Four entries that hear of each other every 300 ms. */
+function expectBounded(steps: [number, number, number][]): void {
+  const { window } = settings;
+  const tolerance = 850;
+  const entries = [0, 1, 2, 3].map(() =>
+    new WorkspaceQuota({ ...settings, tolerance })
+  );
+  const granted: { at: number; amount: number }[] = [];
+  let now = 0;
+  let toldAt = 0;
+  for (const [index, pause, amount] of steps) {
+    now += pause / 10;
+    if (now - toldAt >= 300) {
+      toldAt = now;
+      tellAll(entries, now);
+    }
+    if (entries[index]!.charge(workspace, { amount, now }).ok) {
+      granted.push({ at: now, amount });
+    }
+  }
+  const bound = (workspace.rate * window / 1000 + workspace.burst) * 1.1 +
+    tolerance;
+  let total = 0;
+  let most = 0;
+  let first = 0;
+  for (const { at, amount } of granted) {
+    total += amount;
+    while (granted[first]!.at <= at - window) {
+      total -= granted[first]!.amount;
+      first += 1;
+    }
+    most = Math.max(most, total);
+  }
+  expect(most).toBeLessThanOrEqual(bound);
+}
+
+function tellAll(entries: readonly WorkspaceQuota[], now: number): void {
+  const spent = entries.map((entry) => entry.spent());
+  entries.forEach((entry, index) => {
+    const others: Record<string, number> = {};
+    spent.forEach((totals, at) => {
+      for (const [name, total] of at === index ? [] : Object.entries(totals)) {
+        others[name] = (others[name] ?? 0) + total;
+      }
+    });
+    entry.learnOthers("hub", { spent: others, share: 1, entries: 4, now });
+  });
+}
