Entries tell each other where prompt parts are; missing parts are fetched

Cause: an entry knew only its own placements, so a cold upstream read shared parts again: 40,000 tokens take over 1 s, beyond the objective of 1 s. Ruled out: queues (p50 325 ms), memory (0 preempted).

--- a/apps/heroncleatd/gateway/attempt.ts
+++ b/apps/heroncleatd/gateway/attempt.ts
@@ -64,6 +64,7 @@
       upstream: record.id,
       timeLeft: Math.max(1, call.until - clock.steady()),
       lastEvent: options.lastEvent,
+      fetchFrom: chosen.source?.record.address,
     },
   });
   const answer = await sendToUpstream(call, {
--- a/apps/heroncleatd/gateway/control_links.ts
+++ b/apps/heroncleatd/gateway/control_links.ts
@@ -1,5 +1,10 @@
 import type { Clock, Milliseconds } from "@heroncleat/base";
-import { type KnownEntry, median, type SyncReply, type SyncRequest } from "@heroncleat/serving";
+import {
+  type KnownEntry,
+  median,
+  type SyncReply,
+  type SyncRequest,
+} from "@heroncleat/serving";
 import type { PeerPool } from "@heroncleat/transport";
 import type { Log } from "../common/log.ts";
 
--- a/apps/heroncleatd/gateway/forward_headers.ts
+++ b/apps/heroncleatd/gateway/forward_headers.ts
@@ -21,6 +21,8 @@
   readonly upstream: string;
   readonly timeLeft: number;
   readonly lastEvent: string | undefined;
+  /** host:port of an upstream that holds prompt parts, if known. */
+  readonly fetchFrom: string | undefined;
 };
 
 /** Which headers go on, to upstreams and back to callers. */
@@ -37,6 +39,7 @@
       names.workspace,
       names.expectedUpstream,
       names.priority,
+      names.fetchFrom,
     ]);
     if (attempt.lastEvent !== undefined) {
       own.add(names.lastEvent);
@@ -48,6 +51,9 @@
     if (request.workspace !== undefined) {
       headers.push(names.workspace, request.workspace.name);
     }
+    if (attempt.fetchFrom !== undefined) {
+      headers.push(names.fetchFrom, attempt.fetchFrom);
+    }
     if (attempt.lastEvent !== undefined) {
       headers.push(names.lastEvent, attempt.lastEvent);
     }
--- a/apps/heroncleatd/gateway/header_names.ts
+++ b/apps/heroncleatd/gateway/header_names.ts
@@ -19,6 +19,8 @@
   readonly notRun: string;
   /** 0 to 9 for the engine's scheduler; 0 goes first. */
   readonly priority: string;
+  /** host:port of an upstream to fetch cached prompt parts from. */
+  readonly fetchFrom: string;
   /** Last event that the receiver of a stream has. */
   readonly lastEvent: string;
 };
--- a/apps/heroncleatd/gateway/read_answer_body.ts
+++ b/apps/heroncleatd/gateway/read_answer_body.ts
@@ -20,8 +20,10 @@
       }
       chunks.push(chunk);
     });
-    message.on("end", () =>
-      resolve(message.complete ? Buffer.concat(chunks) : undefined));
+    message.on(
+      "end",
+      () => resolve(message.complete ? Buffer.concat(chunks) : undefined),
+    );
     message.on("error", () => resolve(undefined));
     message.on("close", () => resolve(undefined));
   });
--- a/apps/heroncleatd/gateway/read_request_body.ts
+++ b/apps/heroncleatd/gateway/read_request_body.ts
@@ -23,8 +23,10 @@
       }
       chunks.push(chunk);
     });
-    incoming.on("end", () =>
-      resolve({ kind: "whole", bytes: Buffer.concat(chunks) }));
+    incoming.on(
+      "end",
+      () => resolve({ kind: "whole", bytes: Buffer.concat(chunks) }),
+    );
     incoming.on("error", () => resolve({ kind: "broken" }));
     incoming.on("close", () => resolve({ kind: "broken" }));
   });
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -260,6 +260,9 @@
       documentVersion: this.#table?.document.version ?? -1,
       spent: this.#quota.spent(),
       loads: this.#choice.loads(),
+      placements: this.#choice.recentPlacements(
+        this.#options.clock.steady(),
+      ),
       usage: this.#usage.list(),
     };
   }
@@ -273,6 +276,7 @@
     if (reply.document !== undefined) {
       this.#adopt(reply.document);
     }
+    this.#choice.learnPlacements(reply.placements, now);
     if (isPrimary) {
       this.#choice.learnOthers(reply.loadsOfOthers);
       this.#quota.learnOthers(reply.feed, {
--- a/apps/heroncleatd/hub/duty_runner.ts
+++ b/apps/heroncleatd/hub/duty_runner.ts
@@ -52,6 +52,7 @@
   #ledSince: Milliseconds = 0;
   #fencedTerm = 0;
   #isBusy = false;
+  #isIdle = true;
 
   constructor(options: RunnerOptions) {
     this.#options = options;
@@ -108,9 +109,17 @@
   async #orderFleet(): Promise<void> {
     const { clock, services } = this.#options;
     const upstreams = this.#presentUpstreams();
+    const loads = this.#options.hub.totalLoads(clock.steady());
+    this.#isIdle &&= Object.keys(loads).length === 0;
     for (const service of services()) {
       const now = clock.steady();
-      for (const order of this.#planner.plan(service, { upstreams, now })) {
+      for (
+        const order of this.#planner.plan(service, {
+          upstreams,
+          now,
+          isIdle: this.#isIdle,
+        })
+      ) {
         await this.#order(order);
       }
     }
--- a/packages/journal/journal.ts
+++ b/packages/journal/journal.ts
@@ -114,9 +114,7 @@
     records: readonly JournalRecord[],
   ): Promise<void> {
     const next = this.#generation + 1;
-    const bytes = records.length === 0
-      ? Buffer.alloc(0)
-      : encodeBatch(records);
+    const bytes = records.length === 0 ? Buffer.alloc(0) : encodeBatch(records);
     await writeFileDurably(
       snapshotPath(this.#folder, next),
       recordCodec.encode(Buffer.from(JSON.stringify(snapshot))),
--- a/packages/serving/fleet_planner.ts
+++ b/packages/serving/fleet_planner.ts
@@ -49,7 +49,12 @@
   /** Orders that are due now. */
   plan(
     service: Service,
-    options: { upstreams: readonly UpstreamRecord[]; now: Milliseconds },
+    options: {
+      upstreams: readonly UpstreamRecord[];
+      /** Whether no request was ever under way. */
+      isIdle: boolean;
+      now: Milliseconds;
+    },
   ): FleetOrder[] {
     const { scale } = service;
     if (scale === undefined) {
@@ -87,10 +92,11 @@
     options: {
       scale: ScaleLimits;
       upstreams: readonly UpstreamRecord[];
+      isIdle: boolean;
       now: Milliseconds;
     },
   ): FleetOrder[] {
-    const { scale, upstreams, now } = options;
+    const { scale, upstreams, now, isIdle } = options;
     const zones = Object.keys(scale.zonePrices).sort((left, right) =>
       scale.zonePrices[left]! - scale.zonePrices[right]!
     );
@@ -109,7 +115,7 @@
       this.#enoughSince ??= now;
     }
     const mayLetGo = this.#enoughSince !== undefined &&
-      now - this.#enoughSince >= LET_GO_AFTER;
+      (isIdle || now - this.#enoughSince >= LET_GO_AFTER);
     let missing = Math.max(0, least - spots);
     for (const zone of zones) {
       const present = countPresent(upstreams, { service, zone, isSpot: false });
--- a/packages/serving/hub.ts
+++ b/packages/serving/hub.ts
@@ -1,6 +1,7 @@
 import type { Milliseconds } from "@heroncleat/base";
 import type { KnownEntry } from "./known_entry.ts";
 import { median } from "./median.ts";
+import type { PartPlacement } from "./part_placement.ts";
 import type { SyncReply } from "./sync_reply.ts";
 import type { SyncRequest } from "./sync_request.ts";
 import { UpstreamDirectory } from "./upstream_directory.ts";
@@ -13,6 +14,16 @@
 /** Silence after which a closed or lost entry is taken to be gone. */
 const ENTRY_GONE_AFTER = 30_000;
 
+/** Time for which placements wait for entries that are slow to ask. */
+const PLACEMENT_KEPT = 3000;
+
+/** A placement with who made it and when it was last heard. */
+type HeardPlacement = PartPlacement & {
+  readonly entry: string;
+  readonly revision: number;
+  readonly heardAt: Milliseconds;
+};
+
 /** An entry as this replica last heard it. */
 type HeardEntry = {
   readonly request: SyncRequest;
@@ -47,6 +58,8 @@
   readonly #usage = new Map<string, Map<string, WorkspaceCounts>>();
   /** Upstream identifiers by the revision of their last change. */
   readonly #changes = new Map<string, number>();
+  /** By part and upstream; the latest stands last. */
+  readonly #placements = new Map<string, HeardPlacement>();
   #revision = 0;
 
   constructor(feed: string) {
@@ -86,6 +99,7 @@
       wall: this.estimateWall(now) ?? request.wall,
       spentByOthers: this.#spentByOthers(request.entry.name),
       loadsOfOthers: this.#loadsOfOthers(request.entry.name, now),
+      placements: this.#placementsFor(request),
       quotaShare: this.#quotaShare(now),
     };
   }
@@ -130,7 +144,9 @@
   usageOf(window: number): WorkspaceCounts {
     const totals: Record<string, number> = {};
     for (const windows of this.#usage.values()) {
-      for (const [name, count] of Object.entries(windows.get(`${window}`) ?? {})) {
+      for (
+        const [name, count] of Object.entries(windows.get(`${window}`) ?? {})
+      ) {
         totals[name] = (totals[name] ?? 0) + count;
       }
     }
@@ -145,6 +161,11 @@
   /** Forgets what can't matter any more. */
   expire(now: Milliseconds): void {
     this.directory.forget(now);
+    for (const [key, placement] of this.#placements) {
+      if (now - placement.heardAt > PLACEMENT_KEPT) {
+        this.#placements.delete(key);
+      }
+    }
     for (const id of this.#changes.keys()) {
       if (this.directory.get(id) === undefined) {
         this.#changes.delete(id);
@@ -181,7 +202,9 @@
 
   #hearEntry(request: SyncRequest, now: Milliseconds): void {
     const known = this.#entries.get(request.entry.name);
-    if (known !== undefined && known.request.entry.boot !== request.entry.boot) {
+    if (
+      known !== undefined && known.request.entry.boot !== request.entry.boot
+    ) {
       this.#retire(known.request);
     }
     this.#entries.set(request.entry.name, {
@@ -189,6 +212,7 @@
       heardAt: now,
       wallOffset: request.wall - now,
     });
+    this.#hearPlacements(request, now);
     const windows = this.#usage.get(request.entry.boot) ?? new Map();
     for (const [window, counts] of Object.entries(request.usage)) {
       windows.set(window, counts);
@@ -196,6 +220,34 @@
     this.#usage.set(request.entry.boot, windows);
   }
 
+  #hearPlacements(request: SyncRequest, now: Milliseconds): void {
+    for (const { part, upstream } of request.placements) {
+      const key = `${part} ${upstream}`;
+      this.#revision += 1;
+      this.#placements.delete(key);
+      this.#placements.set(key, {
+        part,
+        upstream,
+        entry: request.entry.name,
+        revision: this.#revision,
+        heardAt: now,
+      });
+    }
+  }
+
+  #placementsFor(request: SyncRequest): PartPlacement[] {
+    const from = request.feed === this.feed ? request.revision : 0;
+    const news: PartPlacement[] = [];
+    for (
+      const { part, upstream, entry, revision } of this.#placements.values()
+    ) {
+      if (revision > from && entry !== request.entry.name) {
+        news.push({ part, upstream });
+      }
+    }
+    return news;
+  }
+
   #retire(request: SyncRequest): void {
     for (const [name, amount] of Object.entries(request.spent)) {
       this.#spentBefore.set(name, (this.#spentBefore.get(name) ?? 0) + amount);
--- a/packages/serving/mod.ts
+++ b/packages/serving/mod.ts
@@ -9,6 +9,7 @@
 export type { FleetOrder } from "./fleet_order.ts";
 export type { FleetSettings } from "./fleet_planner.ts";
 export type { KnownEntry } from "./known_entry.ts";
+export type { PartPlacement } from "./part_placement.ts";
 export type { Route } from "./route.ts";
 export type { EngineProfile, ScaleLimits, Service } from "./service.ts";
 export type { ServingDocument } from "./serving_document.ts";
--- a/packages/serving/sync_reply.ts
+++ b/packages/serving/sync_reply.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds } from "@heroncleat/base";
 import type { KnownEntry } from "./known_entry.ts";
+import type { PartPlacement } from "./part_placement.ts";
 import type { UpstreamLoad } from "./upstream_load.ts";
 import type { UpstreamRecord } from "./upstream_record.ts";
 
@@ -21,6 +22,8 @@
   /** What the other entries charged, by workspace. */
   readonly spentByOthers: Readonly<Record<string, number>>;
   readonly loadsOfOthers: Readonly<Record<string, UpstreamLoad>>;
+  /** Shared prompt parts that other entries sent since the revision. */
+  readonly placements: readonly PartPlacement[];
   /** Part of all quotas that the entries in reach of this replica may use. */
   readonly quotaShare: number;
 };
--- a/packages/serving/upstream_choice.ts
+++ b/packages/serving/upstream_choice.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds } from "@heroncleat/base";
+import type { PartPlacement } from "./part_placement.ts";
 import type { KnownUpstream } from "./upstream_directory.ts";
 import type { UpstreamLoad } from "./upstream_load.ts";
 
@@ -13,7 +14,13 @@
 /** Cost of a request beyond the slots of an upstream, in ms. */
 const QUEUE_COST = 60;
 /** Time after its last use that a part is taken to be cached. */
-const PART_KEPT = 25_000;
+const PART_KEPT = 20_000;
+/** Time for which a placement is told to the control replicas. */
+const PLACEMENT_TOLD = 500;
+/** Fewer tokens than this are read again rather than fetched. */
+const LEAST_FETCH = 1500;
+/** Time in ms to fetch a token's memory over the links of the upstreams. */
+const FETCH_COST = 0.011;
 /** Parts remembered for each upstream. */
 const MOST_PARTS = 2000;
 
@@ -36,6 +43,8 @@
 export type ChosenUpstream = {
   readonly upstream: KnownUpstream;
   readonly uncachedTokens: number;
+  /** An upstream that holds parts which the chosen one lacks, if known. */
+  readonly source: KnownUpstream | undefined;
 };
 
 /** What this entry knows of one upstream beside its heartbeats. */
@@ -58,6 +67,7 @@
 export class UpstreamChoice {
   readonly #own = new Map<string, OwnView>();
   #others: Readonly<Record<string, UpstreamLoad>> = {};
+  #placements: (PartPlacement & { at: Milliseconds })[] = [];
 
   learnOthers(loads: Readonly<Record<string, UpstreamLoad>>): void {
     this.#others = loads;
@@ -75,25 +85,50 @@
     return loads;
   }
 
+  /** Takes in where other entries sent shared parts. */
+  learnPlacements(
+    placements: readonly PartPlacement[],
+    now: Milliseconds,
+  ): void {
+    for (const { part, upstream } of placements) {
+      this.#notePart(this.#view(upstream), { part, now });
+    }
+  }
+
+  /** Shared parts that this entry sent lately. */
+  recentPlacements(now: Milliseconds): PartPlacement[] {
+    this.#placements = this.#placements.filter(({ at }) =>
+      now - at < PLACEMENT_TOLD
+    );
+    return this.#placements.map(({ part, upstream }) => ({ part, upstream }));
+  }
+
   choose(
     upstreams: Iterable<KnownUpstream>,
     options: { request: ChoiceRequest; now: Milliseconds; trusts: boolean },
   ): ChosenUpstream | undefined {
     const { request, now } = options;
-    const usable = [...upstreams].filter((upstream) =>
+    const known = [...upstreams];
+    const usable = known.filter((upstream) =>
       this.#isUsable(upstream, options)
     );
+    const source = this.#findSource(known, { request, now });
     const homes = findHomes(sharedPartOf(request), usable);
     let best: ChosenUpstream | undefined;
     let bestCost = Infinity;
     for (const upstream of usable) {
       const { id } = upstream.record;
-      const isHome = homes.includes(id);
-      const uncachedTokens = this.#uncached(id, { request, now, isHome });
-      const cost = this.#cost(upstream, uncachedTokens) +
-        zoneCost(upstream, request) + (id === homes[1] ? SECOND_COST : 0);
+      const uncachedTokens = this.#uncached(id, { request, now });
+      const fetched = this.#fetchedTokens(source, { upstream, request, now });
+      const cost = this.#cost(upstream, uncachedTokens - fetched) +
+        fetched * FETCH_COST + zoneCost(upstream, request) +
+        homeCost(homes, id);
       if (cost < bestCost) {
-        best = { upstream, uncachedTokens };
+        best = {
+          upstream,
+          uncachedTokens: uncachedTokens - fetched,
+          source: fetched > 0 ? source : undefined,
+        };
         bestCost = cost;
       }
     }
@@ -108,15 +143,72 @@
     const view = this.#view(chosen.upstream.record.id);
     view.requests += 1;
     view.waitingTokens += chosen.uncachedTokens;
-    for (const part of options.parts) {
-      view.parts.delete(part.id);
-      view.parts.set(part.id, options.now);
+    const { parts, now } = options;
+    const upstream = chosen.upstream.record.id;
+    for (const part of parts) {
+      this.#notePart(view, { part: part.id, now });
+    }
+    for (const part of parts.slice(0, -1)) {
+      this.#placements.push({ part: part.id, upstream, at: now });
     }
-    while (view.parts.size > MOST_PARTS) {
+  }
+
+  #notePart(
+    view: OwnView,
+    options: { part: string; now: Milliseconds },
+  ): void {
+    const { part, now } = options;
+    view.parts.delete(part);
+    view.parts.set(part, now);
+    if (view.parts.size > MOST_PARTS) {
       view.parts.delete(view.parts.keys().next().value!);
     }
   }
 
+  /** An upstream that was sent the deepest shared part, latest first. */
+  #findSource(
+    upstreams: readonly KnownUpstream[],
+    options: { request: ChoiceRequest; now: Milliseconds },
+  ): KnownUpstream | undefined {
+    const part = sharedPartOf(options.request);
+    let latest = options.now - PART_KEPT;
+    let source: KnownUpstream | undefined;
+    for (const upstream of part === undefined ? [] : upstreams) {
+      const usedAt = this.#own.get(upstream.record.id)?.parts.get(part!);
+      const { record, heardAt } = upstream;
+      const isThere = record.state !== "gone" &&
+        options.now - heardAt < SILENT_AFTER;
+      if (usedAt !== undefined && usedAt > latest && isThere) {
+        latest = usedAt;
+        source = upstream;
+      }
+    }
+    return source;
+  }
+
+  /** Tokens that an upstream would get from the source. */
+  #fetchedTokens(
+    source: KnownUpstream | undefined,
+    options: {
+      upstream: KnownUpstream;
+      request: ChoiceRequest;
+      now: Milliseconds;
+    },
+  ): number {
+    const { upstream, request, now } = options;
+    if (source === undefined || source === upstream) {
+      return 0;
+    }
+    const parts = this.#own.get(upstream.record.id)?.parts;
+    let missing = 0;
+    for (const part of request.parts.slice(0, -1)) {
+      const usedAt = parts?.get(part.id) ?? -Infinity;
+      const isMissing = missing > 0 || now - usedAt >= PART_KEPT;
+      missing += isMissing ? part.tokens : 0;
+    }
+    return missing >= LEAST_FETCH ? missing : 0;
+  }
+
   /** Notes that the answer of a request has begun. */
   noteFirstByte(chosen: ChosenUpstream): void {
     this.#view(chosen.upstream.record.id).waitingTokens -=
@@ -175,21 +267,17 @@
   /** Parts are cached as a chain, so the first one missing ends it. */
   #uncached(
     id: string,
-    options: { request: ChoiceRequest; now: Milliseconds; isHome: boolean },
+    options: { request: ChoiceRequest; now: Milliseconds },
   ): number {
-    const { request, now, isHome } = options;
+    const { request, now } = options;
     const parts = this.#own.get(id)?.parts;
-    const shared = sharedPartOf(request);
     let uncached = request.promptTokens;
-    let isBeforeShared = isHome;
     for (const part of request.parts) {
       const usedAt = parts?.get(part.id);
-      const isCached = usedAt !== undefined && now - usedAt < PART_KEPT;
-      if (!isCached && !isBeforeShared) {
+      if (usedAt === undefined || now - usedAt >= PART_KEPT) {
         break;
       }
       uncached -= part.tokens;
-      isBeforeShared &&= part.id !== shared;
     }
     return Math.max(0, uncached);
   }
@@ -217,8 +305,17 @@
   return upstream.record.zone === request.zone ? 0 : ZONE_COST;
 }
 
-/** Cost of the second home of a part, so that the first is kept warm. */
+/** Cost in ms of any upstream but the first home of a part. */
 const SECOND_COST = 15;
+/** Cost in ms of an upstream that is no home of a part. */
+const OTHER_COST = 40;
+
+function homeCost(homes: readonly string[], id: string): number {
+  if (homes.length === 0 || id === homes[0]) {
+    return 0;
+  }
+  return id === homes[1] ? SECOND_COST : OTHER_COST;
+}
 
 /**
  * The deepest part that other requests are likely to share: the last one
--- a/packages/serving/upstream_directory_test.ts
+++ b/packages/serving/upstream_directory_test.ts
@@ -57,13 +57,15 @@
       { minLength: 1 },
     );
     fc.assert(fc.property(beats, (list) => {
-      const states = [list, list.toReversed(), [...list, ...list]].map((order) => {
-        const directory = new UpstreamDirectory();
-        for (const beat of order) {
-          directory.merge({ ...record, ...beat }, 0);
-        }
-        return directory.get("u1")?.record.state;
-      });
+      const states = [list, list.toReversed(), [...list, ...list]].map(
+        (order) => {
+          const directory = new UpstreamDirectory();
+          for (const beat of order) {
+            directory.merge({ ...record, ...beat }, 0);
+          }
+          return directory.get("u1")?.record.state;
+        },
+      );
       expect(new Set(states).size).toBe(1);
     }));
   });
--- a/packages/serving/workspace_quota_test.ts
+++ b/packages/serving/workspace_quota_test.ts
@@ -30,9 +30,19 @@
   test("takes off what other entries charged since the last news", () => {
     const quota = new WorkspaceQuota(settings);
     quota.charge(workspace, { amount: 1, now: 0 });
-    quota.learnOthers("a", { spent: { inn: 500 }, share: 1, entries: 4, now: 0 });
+    quota.learnOthers("a", {
+      spent: { inn: 500 },
+      share: 1,
+      entries: 4,
+      now: 0,
+    });
     expect(quota.charge(workspace, { amount: 400, now: 0 }).ok).toBe(true);
-    quota.learnOthers("a", { spent: { inn: 1500 }, share: 1, entries: 4, now: 0 });
+    quota.learnOthers("a", {
+      spent: { inn: 1500 },
+      share: 1,
+      entries: 4,
+      now: 0,
+    });
     expect(quota.charge(workspace, { amount: 400, now: 0 }).ok).toBe(false);
   });
 
@@ -58,13 +68,19 @@
   // Callers ask for 4 times the rate, as a hot workspace does; entries hear
   // of each other every 300 ms; the tolerance is that of a large workspace.
   test("never exceeds the tolerated sum of a window, over all entries", () => {
-    fc.assert(fc.property(
-      fc.array(fc.tuple(fc.nat(3), fc.nat(220), fc.integer({ min: 1, max: 90 })), {
-        minLength: 600,
-        maxLength: 1000,
-      }),
-      (steps) => expectBounded(steps),
-    ), { numRuns: 60, endOnFailure: true });
+    fc.assert(
+      fc.property(
+        fc.array(
+          fc.tuple(fc.nat(3), fc.nat(220), fc.integer({ min: 1, max: 90 })),
+          {
+            minLength: 600,
+            maxLength: 1000,
+          },
+        ),
+        (steps) => expectBounded(steps),
+      ),
+      { numRuns: 60, endOnFailure: true },
+    );
   });
 });
 
