--- a/jest.config.mjs
+++ b/jest.config.mjs
@@ -11,6 +11,7 @@
   transform: { "\\.[jt]s$": swc },
   transformIgnorePatterns: ["/node_modules/(?!true-myth/)"],
   moduleNameMapper: {
+    "^@heroncleat/heroncleatd$": "<rootDir>/apps/heroncleatd/mod.ts",
     "^@heroncleat/([a-z_]+)$": "<rootDir>/packages/$1/mod.ts",
   },
   testTimeout: 60_000,
--- a/packages/serving/fleet_planner.ts
+++ b/packages/serving/fleet_planner.ts
@@ -128,7 +128,8 @@
     for (const zone of zones) {
       const present = countPresent(upstreams, { service, zone, isSpot: false });
       const room = scale.max - spotsWanted;
-      const fill = Math.min(room, Math.ceil(missing / 2));
+      const share = zone === zones.at(-1) ? missing : Math.ceil(missing / 2);
+      const fill = Math.min(room, share);
       missing -= fill;
       const needed = Math.max(onDemandPerZone, fill);
       const count = mayLetGo ? needed : Math.max(needed, present.ready);
--- /dev/null
+++ b/packages/serving/hub_test.ts
@@ -0,0 +1,109 @@
+import { Hub, type SyncRequest } from "./mod.ts";
+
+const context = { document: undefined, controls: [] };
+const request = (
+  name: string,
+  part: Partial<SyncRequest> = {},
+): SyncRequest => ({
+  entry: {
+    name,
+    boot: `${name}-1`,
+    address: `${name}:80`,
+    zone: "a",
+    region: "r",
+    isOpen: true,
+  },
+  wall: 1_000_000,
+  feed: "",
+  revision: 0,
+  documentVersion: -1,
+  spent: {},
+  loads: {},
+  placements: [],
+  usage: {},
+  ...part,
+});
+const record = {
+  id: "u1",
+  service: "writers",
+  address: "10.0.0.1:80",
+  zone: "a",
+  slots: 4,
+  sequence: 1,
+  state: "ready" as const,
+  isSpot: false,
+  leavesIn: undefined,
+};
+
+describe("the hub", () => {
+  test("tells an entry only what changed since it last asked", () => {
+    const hub = new Hub("f");
+    hub.hearUpstream(record, 0);
+    const first = hub.sync(request("a"), { ...context, now: 0 });
+    expect(first.upstreams.map(({ id }) => id)).toEqual(["u1"]);
+    const since = { feed: first.feed, revision: first.revision };
+    const again = hub.sync(request("a", since), { ...context, now: 100 });
+    expect(again.upstreams).toEqual([]);
+    hub.removeUpstream("u1", 150);
+    const last = hub.sync(request("a", since), { ...context, now: 200 });
+    expect(last.upstreams[0]?.state).toBe("gone");
+  });
+
+  test("starts over for an entry that followed another process", () => {
+    const hub = new Hub("f");
+    hub.hearUpstream(record, 0);
+    const since = { feed: "before", revision: 99 };
+    const reply = hub.sync(request("a", since), { ...context, now: 0 });
+    expect(reply.upstreams.length).toBe(1);
+  });
+
+  test("sums the others' spending, also of processes that ended", () => {
+    const hub = new Hub("f");
+    hub.sync(request("a", { spent: { inn: 10 } }), { ...context, now: 0 });
+    const restarted = request("a", { spent: { inn: 3 } });
+    hub.sync(
+      { ...restarted, entry: { ...restarted.entry, boot: "a-2" } },
+      { ...context, now: 100 },
+    );
+    const reply = hub.sync(request("b"), { ...context, now: 200 });
+    expect(reply.spentByOthers).toEqual({ inn: 13 });
+  });
+
+  test("keeps a share of the quotas for entries out of reach", () => {
+    const hub = new Hub("f");
+    hub.sync(request("a"), { ...context, now: 0 });
+    const reply = hub.sync(request("b"), { ...context, now: 5000 });
+    expect(reply.quotaShare).toBe(0.5);
+  });
+
+  test("names no entry that is silent or leaves", () => {
+    const hub = new Hub("f");
+    hub.sync(request("a"), { ...context, now: 0 });
+    const leaving = request("b");
+    hub.sync(
+      { ...leaving, entry: { ...leaving.entry, isOpen: false } },
+      { ...context, now: 3000 },
+    );
+    hub.sync(request("c"), { ...context, now: 3000 });
+    expect(hub.listOpenEntries(3000).map(({ name }) => name)).toEqual(["c"]);
+  });
+
+  test("takes the median of the entries' clocks", () => {
+    const hub = new Hub("f");
+    for (
+      const [name, wall] of [["a", 5000], ["b", 5010], ["c", 9000]] as const
+    ) {
+      hub.sync(request(name, { wall }), { ...context, now: 0 });
+    }
+    expect(hub.estimateWall(100)).toBe(5110);
+  });
+
+  test("passes placements of parts on, but not to who made them", () => {
+    const hub = new Hub("f");
+    const placements = [{ part: "p", upstream: "u1" }];
+    const own = hub.sync(request("a", { placements }), { ...context, now: 0 });
+    const other = hub.sync(request("b"), { ...context, now: 10 });
+    expect(own.placements).toEqual([]);
+    expect(other.placements).toEqual(placements);
+  });
+});
--- a/packages/serving/workspace_quota.ts
+++ b/packages/serving/workspace_quota.ts
@@ -29,6 +29,12 @@
 const SECOND: Milliseconds = 1000;
 const EXCESS_SUFFIX = " excess";
 
+/**
+ * Part of a bucket that a restarted entry starts with. What was spent before
+ * is not known, but nobody spent while the entry was down.
+ */
+const RESTART_SHARE = 0.5;
+
 /** Time without news for which the others are taken to spend as before. */
 const MOST_FORECAST: Milliseconds = 1000;
 
@@ -205,7 +211,9 @@
     const known = this.#buckets.get(terms.name);
     if (known === undefined) {
       const spent = this.#others.get(terms.name) ?? 0;
-      const level = this.#settings.isFresh ? terms.size - spent : 0;
+      const level = this.#settings.isFresh
+        ? terms.size - spent
+        : terms.size * RESTART_SHARE;
       const bucket = {
         level: Math.max(level, 0),
         filledAt: now,
--- a/packages/serving/workspace_quota_test.ts
+++ b/packages/serving/workspace_quota_test.ts
@@ -57,6 +57,12 @@
     expect(quota.spent()).toEqual({ inn: 1000 });
   });
 
+  test("serves at once after a restart, but not a whole burst", () => {
+    const quota = new WorkspaceQuota({ ...settings, isFresh: false });
+    expect(quota.charge(workspace, { amount: 500, now: 0 }).ok).toBe(true);
+    expect(quota.charge(workspace, { amount: 500, now: 0 }).ok).toBe(false);
+  });
+
   test("hands out an even share while no control replica answers", () => {
     const quota = new WorkspaceQuota(settings);
     quota.charge(workspace, { amount: 1000, now: 0 });
