--- a/apps/heroncleatd/hub/group_caretaker.ts
+++ b/apps/heroncleatd/hub/group_caretaker.ts
@@ -67,11 +67,20 @@
     const { replica } = this.#options;
     if (replica.role === ReplicaRole.leader) {
       this.#repair();
-    } else if (replica.leader === "") {
+    } else if (replica.leader === "" || !this.#isMember()) {
       this.#askToJoin();
     }
   }
 
+  /**
+   * A replica whose disk was lost hears the leader, which still writes to the
+   * identity that had this address before; it is no member for that.
+   */
+  #isMember(): boolean {
+    const { replica, self } = this.#options;
+    return replica.members.some((member) => member.id === self.id);
+  }
+
   #repair(): void {
     const { replica, clock, log } = this.#options;
     const enough = replica.commitIndex - CAUGHT_UP_DISTANCE;
--- a/apps/heroncleatd/hub/hub_settings.ts
+++ b/apps/heroncleatd/hub/hub_settings.ts
@@ -9,6 +9,8 @@
   /** Whether the whole system starts for the first time. */
   readonly isFirstStart: boolean;
   readonly dataFolder: string;
+  /** Shortest time without a leader before an election, in ms. */
+  readonly electionTimeout: number;
   /** Largest part of a lease's length that a clock may be off. */
   readonly clockDrift: number;
   /** Length of a usage window, in ms. */
--- a/apps/heroncleatd/hub/replica_group.ts
+++ b/apps/heroncleatd/hub/replica_group.ts
@@ -24,13 +24,14 @@
 import type { ServingCommand } from "./serving_command.ts";
 
 const TICK = 20;
-/** Five heartbeats; a leader that is killed is replaced within 2 s. */
-const HEARTBEAT_INTERVAL = 100;
-const ELECTION_TIMEOUT = 500;
+/** Heartbeats of a leader within the time that starts an election. */
+const HEARTBEATS_PER_TIMEOUT = 5;
 const SNAPSHOT_CHUNK = 256 * 1024;
 const SNAPSHOT_ENTRIES = 200;
 const APPEND_ENTRIES = 64;
 const TRAILING_ENTRIES = 50;
+/** Pause between tries to confirm the state after a start. */
+const CONFIRM_PAUSE = 100;
 const READ_TIMEOUT = 700;
 const REMOTE_TIMEOUT = 700;
 /** Time for a transfer of leadership before the process ends. */
@@ -85,6 +86,7 @@
     this.#journal = parts.journal;
     const { clock, pool, log } = options;
     const fail = (error: unknown) => this.#fail(error);
+    const { electionTimeout, clockDrift } = options.settings();
     this.#application = new ServingApplication();
     if (parts.content.snapshot !== undefined) {
       this.#application.restore(parts.content.snapshot.data);
@@ -92,9 +94,9 @@
     this.#replica = new Replica({
       id: parts.self.id,
       founders: parts.founders,
-      heartbeatInterval: HEARTBEAT_INTERVAL,
-      electionTimeout: ELECTION_TIMEOUT,
-      clockDrift: options.settings().clockDrift,
+      heartbeatInterval: electionTimeout / HEARTBEATS_PER_TIMEOUT,
+      electionTimeout,
+      clockDrift,
       snapshotChunk: SNAPSHOT_CHUNK,
       appendEntries: APPEND_ENTRIES,
       trailingEntries: TRAILING_ENTRIES,
@@ -111,8 +113,12 @@
       clock,
       log: log("consensus"),
       snapshotEntries: SNAPSHOT_ENTRIES,
-      sendTo: (address, message) =>
-        pool.notify(address, "group.consensus", message),
+      sendTo: (address, message) => {
+        // A write that ends after the stop has nobody to tell.
+        if (!this.#isOver) {
+          pool.notify(address, "group.consensus", message);
+        }
+      },
       tellSelf: (message) => this.#actor.tell(message),
       fail,
     });
@@ -246,7 +252,9 @@
     this.#actor.tell({ kind: "event", event: { kind: "step_down" } });
     await new Promise((resolve) => setTimeout(resolve, TRANSFER_TIME));
     clearInterval(this.#ticker);
+    this.#isOver = true;
     this.#actor.stop();
+    await this.#journal.close();
   }
 
   /** Takes no further part; what was acknowledged is on the disk. */
@@ -267,7 +275,7 @@
   async #confirmOnce(): Promise<void> {
     while (!this.#isConfirmed && !this.#isOver) {
       this.#isConfirmed = await this.confirm();
-      await new Promise((resolve) => setTimeout(resolve, HEARTBEAT_INTERVAL));
+      await new Promise((resolve) => setTimeout(resolve, CONFIRM_PAUSE));
     }
   }
 
