Each request's end is one log line with the inputs behind each attempt

An entry now writes a line for every request it forwarded, also the answered ones, with workspace, configuration version and prompt size. Each attempt names when it was sent, the time to the first token that the choice expected, the tokens to read and to fetch, the age of the news it rested on and when the first byte came.

The lines show what makes evening-brief late: prompts above 40,000 tokens that no upstream has (12 of 29), and prompts sent to an upstream to which another entry sent a long one within the last 300 ms.

--- a/apps/heroncleatd/gateway/attempt.ts
+++ b/apps/heroncleatd/gateway/attempt.ts
@@ -3,6 +3,7 @@
 import type { ChosenUpstream } from "@heroncleat/serving";
 import type { CallerRequest } from "./caller_request.ts";
 import type { ForwardContext } from "./forward_context.ts";
+import { AttemptTrace } from "./attempt_trace.ts";
 import { forwardHeaders } from "./forward_headers.ts";
 import { sendToUpstream } from "./send_to_upstream.ts";
 
@@ -11,6 +12,7 @@
   readonly kind: Kind;
   readonly upstream: string;
   readonly reason: string;
+  readonly trace: AttemptTrace;
 };
 
 /** What an attempt came to, up to the head of its answer. */
@@ -22,6 +24,7 @@
     readonly kind: "head";
     readonly upstream: string;
     readonly message: IncomingMessage;
+    readonly trace: AttemptTrace;
     /** Notes that the first byte of the body arrived. */
     readonly noteFirstByte: () => void;
     /** Must be called once when the body ended or was given up. */
@@ -57,7 +60,12 @@
     return { kind: "no_upstream" };
   }
   const { record } = chosen.upstream;
-  const account = openAccount(call, { context, chosen });
+  const trace = new AttemptTrace({
+    chosen,
+    sentAfter: clock.steady() - call.arrivedAt,
+    newsAge: context.newsAge(),
+  });
+  const account = openAccount(call, { context, chosen, trace });
   const headers = forwardHeaders.toUpstream(call, {
     names: context.names,
     attempt: {
@@ -75,7 +83,7 @@
     signal,
   });
   if (answer.kind === "head") {
-    return { ...answer, ...account, upstream: record.id };
+    return { ...answer, ...account, trace, upstream: record.id };
   }
   account.finish();
   if (!signal.aborted && isOwnFailure(answer.reason)) {
@@ -84,20 +92,25 @@
   if (answer.reason === MISDIRECTED) {
     context.directory.remove(record.id, clock.steady());
   }
-  return { ...answer, upstream: record.id };
+  return { ...answer, trace, upstream: record.id };
 }
 
 /** Keeps account of one attempt in the choice of upstreams. */
 function openAccount(
   call: CallerRequest,
-  options: { context: ForwardContext; chosen: ChosenUpstream },
+  options: {
+    context: ForwardContext;
+    chosen: ChosenUpstream;
+    trace: AttemptTrace;
+  },
 ): { noteFirstByte: () => void; finish: () => void } {
-  const { chosen } = options;
+  const { chosen, trace } = options;
   const { choice, clock } = options.context;
   choice.begin(chosen, {
     parts: call.prompt?.parts ?? [],
     now: clock.steady(),
   });
+  const sentAt = clock.steady();
   let began = false;
   let ended = false;
   return {
@@ -105,6 +118,7 @@
       if (!began && !ended) {
         began = true;
         choice.noteFirstByte(chosen);
+        trace.noteFirstByte(clock.steady() - sentAt);
       }
     },
     finish: () => {
--- /dev/null
+++ b/apps/heroncleatd/gateway/attempt_trace.ts
@@ -0,0 +1,48 @@
+import type { Milliseconds } from "@heroncleat/base";
+import type { ChosenUpstream } from "@heroncleat/serving";
+
+/** What an attempt's line in the log is made from. */
+type TraceOptions = {
+  readonly chosen: ChosenUpstream;
+  /** Time since the request arrived. */
+  readonly sentAfter: Milliseconds;
+  /** Age of the newest news from the control replicas. */
+  readonly newsAge: Milliseconds;
+};
+
+/**
+ * One attempt as the log tells it: why this upstream was chosen, how old the
+ * news behind the choice was, and when its answer began.
+ */
+export class AttemptTrace {
+  readonly #options: TraceOptions;
+  #firstByteAfter: Milliseconds | undefined;
+
+  constructor(options: TraceOptions) {
+    this.#options = options;
+  }
+
+  /** Notes the time between the send and the answer's first byte. */
+  noteFirstByte(after: Milliseconds): void {
+    this.#firstByteAfter ??= after;
+  }
+
+  /** A short text of key=value pairs, behind the upstream and its outcome. */
+  describe(outcome: string): string {
+    const { chosen, sentAfter, newsAge } = this.#options;
+    const { upstream, uncachedTokens, fetchedTokens, source } = chosen;
+    const facts = [
+      `sent_after=${Math.round(sentAfter)}ms`,
+      `expected=${Math.round(chosen.expected)}ms`,
+      `uncached=${uncachedTokens}`,
+      `news_age=${Math.round(newsAge)}ms`,
+    ];
+    if (source !== undefined) {
+      facts.push(`fetched=${fetchedTokens}`, `source=${source.record.id}`);
+    }
+    if (this.#firstByteAfter !== undefined) {
+      facts.push(`first_byte=${Math.round(this.#firstByteAfter)}ms`);
+    }
+    return `${upstream.record.id}: ${outcome} (${facts.join(" ")})`;
+  }
+}
--- a/apps/heroncleatd/gateway/caller_request.ts
+++ b/apps/heroncleatd/gateway/caller_request.ts
@@ -15,6 +15,8 @@
   readonly body: Buffer;
   readonly route: Route;
   readonly service: string;
+  /** Version of the document that decided route, key and target. */
+  readonly documentVersion: number;
   readonly workspace: Workspace | undefined;
   /** Absent where the request names no prompt. */
   readonly prompt: Prompt | undefined;
--- a/apps/heroncleatd/gateway/control_links.ts
+++ b/apps/heroncleatd/gateway/control_links.ts
@@ -80,6 +80,12 @@
     return this.#list().some((link) => this.#isHeard(link));
   }
 
+  /** Time since the newest answer of any replica. */
+  get newsAge(): Milliseconds {
+    const heard = this.#list().map((link) => link.heardAt);
+    return this.#options.clock.steady() - Math.max(0, ...heard);
+  }
+
   /** Entries that any replica in reach names. */
   listEntries(): KnownEntry[] {
     const entries = new Map<string, KnownEntry>();
--- a/apps/heroncleatd/gateway/forward_call.ts
+++ b/apps/heroncleatd/gateway/forward_call.ts
@@ -108,23 +108,23 @@
     this.#excluded.add(result.upstream);
     this.offers += 1;
     if (result.kind === "not_run") {
-      this.#attempts.push(`${result.upstream}: not run (${result.reason})`);
+      this.#attempts.push(result.trace.describe(`not run, ${result.reason}`));
       return undefined;
     }
     this.mayHaveRun = true;
     this.#runs += 1;
     if (result.kind === "unknown") {
-      this.#attempts.push(`${result.upstream}: unknown (${result.reason})`);
+      this.#attempts.push(result.trace.describe(`unknown, ${result.reason}`));
       return undefined;
     }
     const body = await readAnswerBody(result.message);
     result.finish();
     const status = result.message.statusCode!;
     if (body === undefined) {
-      this.#attempts.push(`${result.upstream}: ${status}, cut off`);
+      this.#attempts.push(result.trace.describe(`${status}, cut off`));
       return undefined;
     }
-    this.#attempts.push(`${result.upstream}: ${status}`);
+    this.#attempts.push(result.trace.describe(`${status}`));
     context.countUsage(call.workspace?.name ?? "", context.clock.steady());
     const answer = { message: result.message, body };
     if (status >= 500 && this.#isRepeatable()) {
--- a/apps/heroncleatd/gateway/forward_context.ts
+++ b/apps/heroncleatd/gateway/forward_context.ts
@@ -25,6 +25,8 @@
   readonly countEntries: () => number;
   /** Whether news of upstreams reaches this entry. */
   readonly hearsNews: () => boolean;
+  /** Time since the newest news of upstreams. */
+  readonly newsAge: () => Milliseconds;
   /** Counts a request that an upstream began to run, at monotonic time. */
   readonly countUsage: (workspace: string, beganAt: Milliseconds) => void;
 };
--- a/apps/heroncleatd/gateway/forward_stream.ts
+++ b/apps/heroncleatd/gateway/forward_stream.ts
@@ -102,13 +102,13 @@
     this.#excluded.add(result.upstream);
     this.#offers += 1;
     if (result.kind === "not_run") {
-      this.#attempts.push(`${result.upstream}: not run (${result.reason})`);
+      this.#attempts.push(result.trace.describe(`not run, ${result.reason}`));
       return "not_run";
     }
     this.#mayHaveRun = true;
     this.#runs += 1;
     if (result.kind === "unknown") {
-      this.#attempts.push(`${result.upstream}: unknown (${result.reason})`);
+      this.#attempts.push(result.trace.describe(`unknown, ${result.reason}`));
       return "broken";
     }
     const step = isStream(result.message)
@@ -116,7 +116,7 @@
       : await this.#relayWhole(result.message);
     result.finish();
     const { statusCode } = result.message;
-    this.#attempts.push(`${result.upstream}: ${statusCode} ${step}`);
+    this.#attempts.push(result.trace.describe(`${statusCode} ${step}`));
     return step;
   }
 
--- a/apps/heroncleatd/gateway/forwarding_test.ts
+++ b/apps/heroncleatd/gateway/forwarding_test.ts
@@ -311,6 +311,7 @@
         isResumable: setup.isResumable ?? false,
       },
       service: "desk",
+      documentVersion: 1,
       workspace: undefined,
       prompt: undefined,
       arrivedAt: now,
@@ -365,6 +366,7 @@
     allowanceOf: () => allowance,
     countEntries: () => 1,
     hearsNews: () => false,
+    newsAge: () => 0,
     countUsage: () => {},
   };
 }
--- a/apps/heroncleatd/gateway/gateway.ts
+++ b/apps/heroncleatd/gateway/gateway.ts
@@ -53,6 +53,7 @@
     readonly route: Route;
     readonly service: string;
     readonly workspace: Workspace | undefined;
+    readonly documentVersion: number;
   }
   | { readonly kind: "refused"; readonly answer: OwnAnswer };
 
@@ -156,7 +157,8 @@
       });
     }
     const service = pickTarget(route, this.#options.random());
-    return { kind: "admitted", route, service, workspace };
+    const documentVersion = table.document.version;
+    return { kind: "admitted", route, service, workspace, documentVersion };
   }
 
   async #forward(
@@ -165,6 +167,7 @@
       route: Route;
       service: string;
       workspace: Workspace | undefined;
+      documentVersion: number;
       body: Buffer;
       arrivedAt: Milliseconds;
     },
@@ -204,6 +207,7 @@
       body: admitted.body,
       route,
       service: admitted.service,
+      documentVersion: admitted.documentVersion,
       workspace,
       prompt,
       arrivedAt,
@@ -227,12 +231,13 @@
     const took = Math.round(clock.steady() - call.arrivedAt);
     metrics.increment(`gateway.${result.outcome}`);
     metrics.timing("gateway.request", took);
-    const isFine = result.outcome === "answered" && result.status < 500;
-    const write = isFine ? log.debug : log.info;
-    write(`A request ended: ${result.outcome}`, {
+    log.info(`A request ended: ${result.outcome}`, {
       request: call.attempt,
       route: call.route.name,
       service: call.service,
+      workspace: call.workspace?.name ?? "",
+      documentVersion: call.documentVersion,
+      promptTokens: call.prompt?.promptTokens ?? 0,
       status: result.status,
       took,
       attempts: result.attempts.join("; "),
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -213,6 +213,7 @@
       allowanceOf: (service) => this.#allowanceOf(service),
       countEntries: () => this.#entryCount,
       hearsNews: () => this.#links.isConnected,
+      newsAge: () => this.#links.newsAge,
       countUsage: (workspace, beganAt) =>
         this.#usage.count(workspace, this.#links.trueTime(beganAt)),
     };
--- a/apps/heroncleatd/hub/duty_runner.ts
+++ b/apps/heroncleatd/hub/duty_runner.ts
@@ -125,7 +125,13 @@
       requests += load.requests;
       waitingTokens += load.waitingTokens;
     }
-    const ready = upstreams.filter(({ state }) => state === "ready");
+    const ordered = new Set(
+      this.#options.services().filter(({ scale }) => scale !== undefined)
+        .map(({ name }) => name),
+    );
+    const ready = upstreams.filter(({ state, service }) =>
+      state === "ready" && ordered.has(service)
+    );
     this.#options.log.info("Fleet", {
       spot: ready.filter(({ isSpot }) => isSpot).length,
       others: ready.filter(({ isSpot }) => !isSpot).length,
--- a/packages/serving/upstream_choice.ts
+++ b/packages/serving/upstream_choice.ts
@@ -43,6 +43,10 @@
 export type ChosenUpstream = {
   readonly upstream: KnownUpstream;
   readonly uncachedTokens: number;
+  /** Tokens whose memory comes from `source` instead of being read. */
+  readonly fetchedTokens: number;
+  /** Time in ms until its first token, as the choice estimates it. */
+  readonly expected: Milliseconds;
   /** An upstream that holds parts which the chosen one lacks, if known. */
   readonly source: KnownUpstream | undefined;
 };
@@ -127,6 +131,8 @@
         best = {
           upstream,
           uncachedTokens: uncachedTokens - fetched,
+          fetchedTokens: fetched,
+          expected: cost,
           source: fetched > 0 ? source : undefined,
         };
         bestCost = cost;
