Entries tell each other of each prompt at once; the choice estimates read times

Fetches between zones were taken to be as fast as within, and parts were fetched from upstreams that had not read them yet or that had left. Ruled out: engine queues beyond the slots (none), preemption (none), slow fetches (an idle pair fetches at the documented speed).

Change: a datagram to the other entries for each prompt of 10 ms and more, within a budget; a backlog in time for each upstream that drains by itself; read time with pairs; a cache that forgets by tokens that came in, not by time; sources must have read the part and must stay long enough.

--- a/apps/heroncleatd/common/create_bounded_logs.ts
+++ b/apps/heroncleatd/common/create_bounded_logs.ts
@@ -1,5 +1,5 @@
 import type { Log } from "./log.ts";
-import { LineBudget } from "./line_budget.ts";
+import { RateBudget } from "./rate_budget.ts";
 
 /** Lines a second that a process writes at most, and their burst. */
 const LINES_PER_SECOND = 200;
@@ -14,23 +14,24 @@
  * or while nobody reads, lines are dropped and counted; writing never waits.
  */
 export function createBoundedLogs(processName: string): (part: string) => Log {
-  const budget = new LineBudget(LINES_PER_SECOND, LINE_BURST);
+  const budget = new RateBudget(LINES_PER_SECOND, LINE_BURST);
+  let droppedBefore = 0;
   const write = (level: string, sentence: string, context: Context) => {
     const isFull = process.stdout.writableLength > MOST_WAITING_BYTES;
     const isUrgent = level === "error";
     if (isFull || !(isUrgent || budget.take(performance.now()))) {
-      budget.countDropped();
+      droppedBefore += 1;
       return;
     }
-    const dropped = budget.takeDropped();
     const line = {
       time: new Date().toISOString(),
       level,
       process: processName,
       message: sentence,
       ...context,
-      ...dropped > 0 ? { droppedBefore: dropped } : {},
+      ...droppedBefore > 0 ? { droppedBefore } : {},
     };
+    droppedBefore = 0;
     process.stdout.write(`${JSON.stringify(line)}\n`);
   };
   return (part) => {
--- a/apps/heroncleatd/gateway/attempt.ts
+++ b/apps/heroncleatd/gateway/attempt.ts
@@ -95,6 +95,9 @@
   return { ...answer, trace, upstream: record.id };
 }
 
+/** Shorter prompts aren't worth a message to each entry. */
+const LEAST_TOLD: Milliseconds = 10;
+
 /** Keeps account of one attempt in the choice of upstreams. */
 function openAccount(
   call: CallerRequest,
@@ -106,10 +109,13 @@
 ): { noteFirstByte: () => void; finish: () => void } {
   const { chosen, trace } = options;
   const { choice, clock } = options.context;
-  choice.begin(chosen, {
+  const notice = choice.begin(chosen, {
     parts: call.prompt?.parts ?? [],
     now: clock.steady(),
   });
+  if (notice.readTime >= LEAST_TOLD) {
+    options.context.tellDispatch(notice);
+  }
   const sentAt = clock.steady();
   let began = false;
   let ended = false;
@@ -117,14 +123,13 @@
     noteFirstByte: () => {
       if (!began && !ended) {
         began = true;
-        choice.noteFirstByte(chosen);
         trace.noteFirstByte(clock.steady() - sentAt);
       }
     },
     finish: () => {
       if (!ended) {
         ended = true;
-        choice.end(chosen, { began });
+        choice.end(chosen);
       }
     },
   };
@@ -154,6 +159,7 @@
         parts: call.prompt?.parts ?? [],
         promptTokens: call.prompt?.promptTokens ?? 0,
         excluded: options.excluded,
+        engine: context.engineOf(call.service),
       },
     });
     if (chosen !== undefined || now >= options.waitUntil) {
--- /dev/null
+++ b/apps/heroncleatd/gateway/dispatch_news.ts
@@ -0,0 +1,84 @@
+import { createSocket, type Socket } from "node:dgram";
+import { type Clock, splitAddress } from "@heroncleat/base";
+import { checkDispatchNotice, type DispatchNotice } from "@heroncleat/schema";
+import type { Log } from "../common/log.ts";
+import type { Metrics } from "../common/metrics.ts";
+import { parseJson } from "../common/parse_json.ts";
+import { RateBudget } from "../common/rate_budget.ts";
+
+/**
+ * Datagrams that one entry sends in a second at most. At 96 entries that
+ * covers 4 prompts a second and entry; a datagram takes about 20 µs to send.
+ */
+const MOST_PER_SECOND = 400;
+const MOST_AT_ONCE = 800;
+
+/** What the news are built from. */
+type NewsOptions = {
+  /** host:port on which datagrams of other entries arrive. */
+  readonly address: string;
+  /** Hosts of the other entries; all listen on the same port. */
+  readonly peers: () => readonly string[];
+  readonly onNotice: (notice: DispatchNotice) => void;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: Metrics;
+};
+
+/**
+ * Tells the other entries of each prompt at once, by datagrams. They may get
+ * lost, and beyond a budget none are sent: what entries tell the control
+ * replicas several times a second covers for those.
+ */
+export class DispatchNews {
+  readonly #options: NewsOptions;
+  readonly #socket: Socket;
+  readonly #port: number;
+  readonly #budget = new RateBudget(MOST_PER_SECOND, MOST_AT_ONCE);
+
+  constructor(options: NewsOptions) {
+    this.#options = options;
+    const { host, port } = splitAddress(options.address);
+    this.#port = port;
+    this.#socket = createSocket("udp4");
+    this.#socket.on("error", (error) => {
+      options.log.warn("Datagrams between entries failed", {
+        error: String(error),
+      });
+    });
+    this.#socket.on("message", (bytes) => this.#receive(bytes));
+    this.#socket.bind({ address: host, port });
+    this.#socket.unref();
+  }
+
+  tell(notice: DispatchNotice): void {
+    const { peers, clock, metrics } = this.#options;
+    const hosts = peers();
+    if (!this.#budget.take(clock.steady(), hosts.length)) {
+      metrics.increment("dispatch_notices.over_budget");
+      return;
+    }
+    const bytes = Buffer.from(JSON.stringify(notice));
+    for (const host of hosts) {
+      // A datagram that can't be sent counts like one that got lost.
+      this.#socket.send(bytes, this.#port, host, (error) => {
+        if (error !== null) {
+          metrics.increment("dispatch_notices.failed");
+        }
+      });
+    }
+  }
+
+  close(): void {
+    this.#socket.close();
+  }
+
+  #receive(bytes: Buffer): void {
+    const parsed = parseJson(bytes, checkDispatchNotice);
+    if (parsed.isErr) {
+      this.#options.metrics.increment("dispatch_notices.unreadable");
+      return;
+    }
+    this.#options.onNotice(parsed.value);
+  }
+}
--- a/apps/heroncleatd/gateway/forward_context.ts
+++ b/apps/heroncleatd/gateway/forward_context.ts
@@ -1,5 +1,7 @@
 import type { Clock, Milliseconds } from "@heroncleat/base";
+import type { DispatchNotice } from "@heroncleat/schema";
 import type {
+  EngineProfile,
   RetryAllowance,
   UpstreamChoice,
   UpstreamDirectory,
@@ -19,6 +21,10 @@
   readonly zone: string;
   readonly choice: UpstreamChoice;
   readonly directory: UpstreamDirectory;
+  /** What is known of a service's engines; nothing for plain services. */
+  readonly engineOf: (service: string) => EngineProfile | undefined;
+  /** Tells the other entries of a prompt that goes to an upstream. */
+  readonly tellDispatch: (notice: DispatchNotice) => void;
   readonly agentOf: (upstream: string) => UpstreamAgent;
   readonly allowanceOf: (service: string) => RetryAllowance;
   /** Entries that share the retry allowance. */
--- a/apps/heroncleatd/gateway/forwarding_test.ts
+++ b/apps/heroncleatd/gateway/forwarding_test.ts
@@ -367,6 +367,8 @@
     countEntries: () => 1,
     hearsNews: () => false,
     newsAge: () => 0,
+    engineOf: () => undefined,
+    tellDispatch: () => {},
     countUsage: () => {},
   };
 }
--- a/apps/heroncleatd/gateway/gateway_settings.ts
+++ b/apps/heroncleatd/gateway/gateway_settings.ts
@@ -8,6 +8,8 @@
   readonly region: string;
   /** host:port for callers. */
   readonly address: string;
+  /** host:port for datagrams of other entries; the port is the same at all. */
+  readonly newsAddress: string;
   /** host:port of control replicas to ask first. */
   readonly seeds: readonly string[];
   readonly quota: QuotaSettings;
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -16,6 +16,7 @@
 import type { Metrics } from "../common/metrics.ts";
 import { ControlLinks } from "./control_links.ts";
 import type { DecodedDocument } from "./decoded_document.ts";
+import { DispatchNews } from "./dispatch_news.ts";
 import type { ForwardContext } from "./forward_context.ts";
 import { Gateway } from "./gateway.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
@@ -86,6 +87,7 @@
   readonly #usage: UsageCounts;
   readonly #quota: WorkspaceQuota;
   readonly #links: ControlLinks;
+  readonly #news: DispatchNews;
   readonly #gateway: Gateway;
   readonly #server: Server;
   readonly #log: Log;
@@ -94,6 +96,8 @@
   #refusesStreams = false;
   /** Entries at the last news, for the share of quotas when cut off. */
   #entryCount = 1;
+  /** Hosts of the other entries at the last news. */
+  #peers: readonly string[] = [];
 
   constructor(options: StartOptions) {
     this.#options = options;
@@ -111,6 +115,14 @@
       onReply: (reply, isPrimary) => this.#onReply(reply, isPrimary),
       onIsolated: () => this.#onIsolated(),
     });
+    this.#news = new DispatchNews({
+      address: settings.newsAddress,
+      peers: () => this.#peers,
+      onNotice: (notice) => this.#choice.learnDispatch(notice, clock.steady()),
+      clock,
+      log: options.log("dispatch_news"),
+      metrics: options.metrics,
+    });
     this.#gateway = new Gateway({
       names: options.names,
       readPrompt: options.readPrompt,
@@ -173,6 +185,7 @@
       await new Promise((resolve) => setTimeout(resolve, STOP_LOOK_INTERVAL));
     }
     this.#links.stop();
+    this.#news.close();
     this.#log.info("Stopped", { underWay: this.#gateway.underWay });
   }
 
@@ -209,6 +222,8 @@
       zone: settings().zone,
       choice: this.#choice,
       directory: this.#directory,
+      engineOf: (service) => this.#table?.findService(service)?.engine,
+      tellDispatch: (notice) => this.#news.tell(notice),
       agentOf: (upstream) => this.#agentOf(upstream),
       allowanceOf: (service) => this.#allowanceOf(service),
       countEntries: () => this.#entryCount,
@@ -260,7 +275,7 @@
       revision: known.revision,
       documentVersion: this.#table?.document.version ?? -1,
       spent: this.#quota.spent(),
-      loads: this.#choice.loads(),
+      loads: this.#choice.loads(this.#options.clock.steady()),
       placements: this.#choice.recentPlacements(
         this.#options.clock.steady(),
       ),
@@ -279,7 +294,8 @@
     }
     this.#choice.learnPlacements(reply.placements, now);
     if (isPrimary) {
-      this.#choice.learnOthers(reply.loadsOfOthers);
+      this.#peers = this.#hostsOf(reply.entries);
+      this.#choice.learnOthers(reply.loadsOfOthers, now);
       this.#quota.learnOthers(reply.feed, {
         spent: reply.spentByOthers,
         share: reply.quotaShare,
@@ -289,6 +305,12 @@
     }
   }
 
+  #hostsOf(entries: readonly KnownEntry[]): string[] {
+    const own = this.#options.settings().address;
+    return entries.filter(({ address }) => address !== own)
+      .map(({ address }) => splitAddress(address).host);
+  }
+
   #adopt(source: string): void {
     const decoded = this.#options.decodeDocument(source);
     if (decoded.kind === "unreadable") {
--- a/apps/heroncleatd/hub/duty_runner.ts
+++ b/apps/heroncleatd/hub/duty_runner.ts
@@ -120,10 +120,10 @@
     }
     this.#loggedAt = now;
     let requests = 0;
-    let waitingTokens = 0;
+    let backlog = 0;
     for (const load of Object.values(loads)) {
       requests += load.requests;
-      waitingTokens += load.waitingTokens;
+      backlog += load.backlog;
     }
     const ordered = new Set(
       this.#options.services().filter(({ scale }) => scale !== undefined)
@@ -136,7 +136,7 @@
       spot: ready.filter(({ isSpot }) => isSpot).length,
       others: ready.filter(({ isSpot }) => !isSpot).length,
       requests,
-      waitingTokens,
+      backlog,
     });
   }
 
--- a/packages/schema/generate.mjs
+++ b/packages/schema/generate.mjs
@@ -36,6 +36,7 @@
   "RefusalCommand",
   "OrderCommand",
   "ExpireCommand",
+  "DispatchNotice",
   "ConfigurationState",
   "LedgerState",
 ];
--- a/packages/serving/hub.ts
+++ b/packages/serving/hub.ts
@@ -281,7 +281,7 @@
         const total = totals[id];
         totals[id] = {
           requests: (total?.requests ?? 0) + load.requests,
-          waitingTokens: (total?.waitingTokens ?? 0) + load.waitingTokens,
+          backlog: (total?.backlog ?? 0) + load.backlog,
         };
       }
     }
--- /dev/null
+++ b/packages/serving/prompt_part.ts
@@ -0,0 +1,2 @@
+/** One part of a prompt, in order; parts are cached as a chain. @public */
+export type PromptPart = { readonly id: string; readonly tokens: number };
--- a/packages/serving/upstream_choice.ts
+++ b/packages/serving/upstream_choice.ts
@@ -1,31 +1,37 @@
 import type { Milliseconds } from "@heroncleat/base";
+import type { DispatchNotice } from "@heroncleat/schema";
+import { AssumedCache } from "./assumed_cache.ts";
+import { Backlog } from "./backlog.ts";
+import { PartHomes } from "./part_homes.ts";
 import type { PartPlacement } from "./part_placement.ts";
+import type { PromptPart } from "./prompt_part.ts";
+import { readTime } from "./read_time.ts";
+import type { EngineProfile } from "./service.ts";
 import type { KnownUpstream } from "./upstream_directory.ts";
 import type { UpstreamLoad } from "./upstream_load.ts";
 
 /** Heartbeats come every 1 to 2 s; silence for longer means it is lost. */
-const SILENT_AFTER = 5000;
+const SILENT_AFTER: Milliseconds = 5000;
 /** Time an upstream is left alone after a failure that may be its own. */
-const FAILURE_PAUSE = 1500;
-/** Prompt tokens that an engine reads in a millisecond, until measured. */
-const READ_RATE = 50;
-/** How much one running request slows the next one's first token, in ms. */
-const RUNNING_COST = 1.2;
-/** Cost of a request beyond the slots of an upstream, in ms. */
-const QUEUE_COST = 60;
-/** Time after its last use that a part is taken to be cached. */
-const PART_KEPT = 20_000;
+const FAILURE_PAUSE: Milliseconds = 1500;
+/** How much one running request slows the next one's first token. */
+const RUNNING_COST: Milliseconds = 1.2;
+/** Cost of a request beyond the slots of an upstream. */
+const QUEUE_COST: Milliseconds = 60;
+/** Cost of crossing availability zones. */
+const ZONE_COST: Milliseconds = 1.5;
 /** Time for which a placement is told to the control replicas. */
-const PLACEMENT_TOLD = 500;
+const PLACEMENT_TOLD: Milliseconds = 500;
 /** Fewer tokens than this are read again rather than fetched. */
 const LEAST_FETCH = 1500;
-/** Time in ms to fetch a token's memory over the links of the upstreams. */
-const FETCH_COST = 0.011;
-/** Parts remembered for each upstream. */
-const MOST_PARTS = 2000;
-
-/** One part of a prompt, in order; parts are cached as a chain. @public */
-export type PromptPart = { readonly id: string; readonly tokens: number };
+/** Time to fetch a token's memory, where the service names no link. */
+const FETCH_COST: Milliseconds = 0.011;
+/** Memory moves at half the speed between availability zones. */
+const FAR_FETCH_FACTOR = 2;
+/** Time before an upstream leaves from which nothing is fetched there. */
+const FETCH_MARGIN: Milliseconds = 500;
+const BITS_PER_BYTE = 8;
+const BITS_PER_MEGABIT_MS = 1000;
 
 /** What the choice needs to know of a request. */
 type ChoiceRequest = {
@@ -37,6 +43,8 @@
   readonly promptTokens: number;
   /** Upstreams that this request must not be sent to. */
   readonly excluded: ReadonlySet<string>;
+  /** What is known of the service's engines; absent for plain services. */
+  readonly engine?: EngineProfile | undefined;
 };
 
 /** A chosen upstream, and the prompt tokens that it has to read. @public */
@@ -45,19 +53,33 @@
   readonly uncachedTokens: number;
   /** Tokens whose memory comes from `source` instead of being read. */
   readonly fetchedTokens: number;
-  /** Time in ms until its first token, as the choice estimates it. */
+  /** Time its engine needs to read the uncached tokens. */
+  readonly readTime: Milliseconds;
+  /** Time until its first token, as the choice estimates it. */
   readonly expected: Milliseconds;
   /** An upstream that holds parts which the chosen one lacks, if known. */
   readonly source: KnownUpstream | undefined;
 };
 
+/** A chosen upstream with what it costs beside the expected time. */
+type Candidate = ChosenUpstream & { readonly cost: Milliseconds };
+
 /** What this entry knows of one upstream beside its heartbeats. */
 type OwnView = {
   requests: number;
-  waitingTokens: number;
   pausedUntil: Milliseconds;
-  /** Last use of each part that was sent there, oldest first. */
-  readonly parts: Map<string, Milliseconds>;
+  /** Prompts that this entry sent, and those that all are known to have. */
+  readonly ownBacklog: Backlog;
+  readonly backlog: Backlog;
+  readonly cache: AssumedCache;
+};
+
+/** What a choice is made from. */
+type ChoiceOptions = {
+  readonly request: ChoiceRequest;
+  readonly now: Milliseconds;
+  /** Whether silence of an upstream means anything. */
+  readonly trusts: boolean;
 };
 
 /**
@@ -71,31 +93,47 @@
 export class UpstreamChoice {
   readonly #own = new Map<string, OwnView>();
   #others: Readonly<Record<string, UpstreamLoad>> = {};
+  #othersAt: Milliseconds = 0;
   #placements: (PartPlacement & { at: Milliseconds })[] = [];
 
-  learnOthers(loads: Readonly<Record<string, UpstreamLoad>>): void {
+  /** Takes in what the other entries had under way at a time. */
+  learnOthers(
+    loads: Readonly<Record<string, UpstreamLoad>>,
+    at: Milliseconds,
+  ): void {
     this.#others = loads;
+    this.#othersAt = at;
   }
 
   /** What this entry has under way, by upstream. */
-  loads(): Record<string, UpstreamLoad> {
+  loads(now: Milliseconds): Record<string, UpstreamLoad> {
     const loads: Record<string, UpstreamLoad> = {};
-    for (const [id, view] of this.#own) {
-      if (view.requests > 0) {
-        const { requests, waitingTokens } = view;
-        loads[id] = { requests, waitingTokens };
+    for (const [id, { requests, ownBacklog }] of this.#own) {
+      if (requests > 0) {
+        loads[id] = { requests, backlog: Math.round(ownBacklog.left(now)) };
       }
     }
     return loads;
   }
 
+  /** Takes in that another entry sent a prompt somewhere. */
+  learnDispatch(notice: DispatchNotice, now: Milliseconds): void {
+    const view = this.#view(notice.upstream);
+    view.backlog.add(notice.readTime, now);
+    view.cache.addTokens(notice.tokens);
+    for (const part of notice.parts) {
+      view.cache.notePart(part, now + view.backlog.left(now));
+    }
+  }
+
   /** Takes in where other entries sent shared parts. */
   learnPlacements(
     placements: readonly PartPlacement[],
     now: Milliseconds,
   ): void {
     for (const { part, upstream } of placements) {
-      this.#notePart(this.#view(upstream), { part, now });
+      const view = this.#view(upstream);
+      view.cache.notePart(part, now + view.backlog.left(now));
     }
   }
 
@@ -109,33 +147,19 @@
 
   choose(
     upstreams: Iterable<KnownUpstream>,
-    options: { request: ChoiceRequest; now: Milliseconds; trusts: boolean },
+    options: ChoiceOptions,
   ): ChosenUpstream | undefined {
-    const { request, now } = options;
     const known = [...upstreams];
     const usable = known.filter((upstream) =>
       this.#isUsable(upstream, options)
     );
-    const source = this.#findSource(known, { request, now });
-    const homes = findHomes(sharedPartOf(request), usable);
-    let best: ChosenUpstream | undefined;
-    let bestCost = Infinity;
+    const sources = this.#findSources(known, options);
+    const homes = new PartHomes(sharedPartOf(options.request), usable);
+    let best: Candidate | undefined;
     for (const upstream of usable) {
-      const { id } = upstream.record;
-      const uncachedTokens = this.#uncached(id, { request, now });
-      const fetched = this.#fetchedTokens(source, { upstream, request, now });
-      const cost = this.#cost(upstream, uncachedTokens - fetched) +
-        fetched * FETCH_COST + zoneCost(upstream, request) +
-        homeCost(homes, id);
-      if (cost < bestCost) {
-        best = {
-          upstream,
-          uncachedTokens: uncachedTokens - fetched,
-          fetchedTokens: fetched,
-          expected: cost,
-          source: fetched > 0 ? source : undefined,
-        };
-        bestCost = cost;
+      const candidate = this.#weigh(upstream, { ...options, sources, homes });
+      if (best === undefined || candidate.cost < best.cost) {
+        best = candidate;
       }
     }
     return best;
@@ -145,92 +169,28 @@
   begin(
     chosen: ChosenUpstream,
     options: { parts: readonly PromptPart[]; now: Milliseconds },
-  ): void {
-    const view = this.#view(chosen.upstream.record.id);
-    view.requests += 1;
-    view.waitingTokens += chosen.uncachedTokens;
+  ): DispatchNotice {
     const { parts, now } = options;
     const upstream = chosen.upstream.record.id;
+    const tokens = chosen.uncachedTokens + chosen.fetchedTokens;
+    const view = this.#view(upstream);
+    view.requests += 1;
+    view.ownBacklog.add(chosen.readTime, now);
+    view.backlog.add(chosen.readTime, now);
+    view.cache.addTokens(tokens);
     for (const part of parts) {
-      this.#notePart(view, { part: part.id, now });
+      view.cache.notePart(part.id, now + view.backlog.left(now));
     }
-    for (const part of parts.slice(0, -1)) {
-      this.#placements.push({ part: part.id, upstream, at: now });
-    }
-  }
-
-  #notePart(
-    view: OwnView,
-    options: { part: string; now: Milliseconds },
-  ): void {
-    const { part, now } = options;
-    view.parts.delete(part);
-    view.parts.set(part, now);
-    if (view.parts.size > MOST_PARTS) {
-      view.parts.delete(view.parts.keys().next().value!);
+    const shared = parts.slice(0, -1).map(({ id }) => id);
+    for (const part of shared) {
+      this.#placements.push({ part, upstream, at: now });
     }
-  }
-
-  /** An upstream that was sent the deepest shared part, latest first. */
-  #findSource(
-    upstreams: readonly KnownUpstream[],
-    options: { request: ChoiceRequest; now: Milliseconds },
-  ): KnownUpstream | undefined {
-    const part = sharedPartOf(options.request);
-    let latest = options.now - PART_KEPT;
-    let source: KnownUpstream | undefined;
-    for (const upstream of part === undefined ? [] : upstreams) {
-      const usedAt = this.#own.get(upstream.record.id)?.parts.get(part!);
-      const { record, heardAt } = upstream;
-      const isThere = record.state !== "gone" &&
-        options.now - heardAt < SILENT_AFTER;
-      if (usedAt !== undefined && usedAt > latest && isThere) {
-        latest = usedAt;
-        source = upstream;
-      }
-    }
-    return source;
-  }
-
-  /** Tokens that an upstream would get from the source. */
-  #fetchedTokens(
-    source: KnownUpstream | undefined,
-    options: {
-      upstream: KnownUpstream;
-      request: ChoiceRequest;
-      now: Milliseconds;
-    },
-  ): number {
-    const { upstream, request, now } = options;
-    if (source === undefined || source === upstream) {
-      return 0;
-    }
-    const parts = this.#own.get(upstream.record.id)?.parts;
-    let missing = 0;
-    for (const part of request.parts.slice(0, -1)) {
-      const usedAt = parts?.get(part.id) ?? -Infinity;
-      const isMissing = missing > 0 || now - usedAt >= PART_KEPT;
-      missing += isMissing ? part.tokens : 0;
-    }
-    return missing >= LEAST_FETCH ? missing : 0;
-  }
-
-  /** Notes that the answer of a request has begun. */
-  noteFirstByte(chosen: ChosenUpstream): void {
-    this.#view(chosen.upstream.record.id).waitingTokens -=
-      chosen.uncachedTokens;
+    return { upstream, readTime: chosen.readTime, tokens, parts: shared };
   }
 
   /** Notes that a request ended. */
-  end(
-    chosen: ChosenUpstream,
-    options: { began: boolean },
-  ): void {
-    const view = this.#view(chosen.upstream.record.id);
-    view.requests -= 1;
-    if (!options.began) {
-      view.waitingTokens -= chosen.uncachedTokens;
-    }
+  end(chosen: ChosenUpstream): void {
+    this.#view(chosen.upstream.record.id).requests -= 1;
   }
 
   /** Leaves an upstream alone for a while. */
@@ -242,10 +202,90 @@
     this.#own.delete(id);
   }
 
-  #isUsable(
+  #weigh(
     upstream: KnownUpstream,
-    options: { request: ChoiceRequest; now: Milliseconds; trusts: boolean },
-  ): boolean {
+    options: ChoiceOptions & {
+      sources: readonly KnownUpstream[];
+      homes: PartHomes;
+    },
+  ): Candidate {
+    const { request, now, homes } = options;
+    const { id, slots, zone } = upstream.record;
+    const capacity = request.engine?.kvCapacityTokens;
+    const cached = this.#own.get(id)?.cache
+      .countCached(request.parts, capacity) ?? 0;
+    const { source, fetchedTokens, fetchTime } = this.#planFetch(
+      upstream,
+      options,
+    );
+    const uncachedTokens = Math.max(
+      0,
+      request.promptTokens - cached - fetchedTokens,
+    );
+    const reading = readTime(uncachedTokens, cached + fetchedTokens);
+    const requests = this.#requestsAt(id);
+    const queued = Math.max(0, requests + 1 - slots);
+    const expected = Math.max(this.#backlogOf(id, now), fetchTime) + reading +
+      requests * RUNNING_COST + queued * QUEUE_COST;
+    const zoneCost = zone === request.zone ? 0 : ZONE_COST;
+    return {
+      upstream,
+      uncachedTokens,
+      fetchedTokens,
+      readTime: reading,
+      expected,
+      source,
+      cost: expected + zoneCost + homes.costOf(id),
+    };
+  }
+
+  /** Upstreams that were sent the deepest shared part and should have it. */
+  #findSources(
+    upstreams: readonly KnownUpstream[],
+    options: ChoiceOptions,
+  ): KnownUpstream[] {
+    const { request, now } = options;
+    const part = sharedPartOf(request);
+    if (part === undefined) {
+      return [];
+    }
+    const capacity = request.engine?.kvCapacityTokens;
+    return upstreams.filter((upstream) =>
+      staysFor(upstream, now) &&
+      this.#own.get(upstream.record.id)?.cache
+          .hasRead(part, { capacity, now }) === true
+    );
+  }
+
+  /** What an upstream would get from another one, the nearest that has it. */
+  #planFetch(
+    upstream: KnownUpstream,
+    options: ChoiceOptions & { sources: readonly KnownUpstream[] },
+  ): Pick<ChosenUpstream, "source" | "fetchedTokens"> & {
+    fetchTime: Milliseconds;
+  } {
+    const { request, sources } = options;
+    const nothing = { source: undefined, fetchedTokens: 0, fetchTime: 0 };
+    if (sources.length === 0 || sources.includes(upstream)) {
+      return nothing;
+    }
+    const shared = request.parts.slice(0, -1);
+    const total = shared.reduce((sum, { tokens }) => sum + tokens, 0);
+    const cached = this.#own.get(upstream.record.id)?.cache
+      .countCached(shared, request.engine?.kvCapacityTokens) ?? 0;
+    const fetchedTokens = total - cached;
+    if (fetchedTokens < LEAST_FETCH) {
+      return nothing;
+    }
+    const near = sources.find(({ record }) =>
+      record.zone === upstream.record.zone
+    );
+    const factor = near === undefined ? FAR_FETCH_FACTOR : 1;
+    const fetchTime = fetchedTokens * fetchCost(request.engine) * factor;
+    return { source: near ?? sources[0], fetchedTokens, fetchTime };
+  }
+
+  #isUsable(upstream: KnownUpstream, options: ChoiceOptions): boolean {
     const { record, heardAt } = upstream;
     const { request, now, trusts } = options;
     if (record.service !== request.service || record.state !== "ready") {
@@ -259,33 +299,22 @@
     return pausedUntil <= now && !request.excluded.has(record.id);
   }
 
-  #cost(upstream: KnownUpstream, uncachedTokens: number): number {
-    const { id, slots } = upstream.record;
-    const own = this.#own.get(id);
-    const others = this.#others[id];
-    const requests = (own?.requests ?? 0) + (others?.requests ?? 0);
-    const waiting = (own?.waitingTokens ?? 0) + (others?.waitingTokens ?? 0);
-    const queued = Math.max(0, requests + 1 - slots);
-    return (waiting + uncachedTokens) / READ_RATE + requests * RUNNING_COST +
-      queued * QUEUE_COST;
+  #requestsAt(id: string): number {
+    const own = this.#own.get(id)?.requests ?? 0;
+    return own + (this.#others[id]?.requests ?? 0);
   }
 
-  /** Parts are cached as a chain, so the first one missing ends it. */
-  #uncached(
-    id: string,
-    options: { request: ChoiceRequest; now: Milliseconds },
-  ): number {
-    const { request, now } = options;
-    const parts = this.#own.get(id)?.parts;
-    let uncached = request.promptTokens;
-    for (const part of request.parts) {
-      const usedAt = parts?.get(part.id);
-      if (usedAt === undefined || now - usedAt >= PART_KEPT) {
-        break;
-      }
-      uncached -= part.tokens;
-    }
-    return Math.max(0, uncached);
+  /**
+   * Time until an upstream has read the prompts it was sent. Notices of other
+   * entries are at hand within milliseconds but may get lost; their loads come
+   * late but surely.
+   */
+  #backlogOf(id: string, now: Milliseconds): Milliseconds {
+    const view = this.#own.get(id);
+    const age = now - this.#othersAt;
+    const others = Math.max(0, (this.#others[id]?.backlog ?? 0) - age);
+    const own = view?.ownBacklog.left(now) ?? 0;
+    return Math.max(view?.backlog.left(now) ?? 0, own + others);
   }
 
   #view(id: string): OwnView {
@@ -295,34 +324,16 @@
     }
     const view: OwnView = {
       requests: 0,
-      waitingTokens: 0,
       pausedUntil: 0,
-      parts: new Map(),
+      ownBacklog: new Backlog(),
+      backlog: new Backlog(),
+      cache: new AssumedCache(),
     };
     this.#own.set(id, view);
     return view;
   }
 }
 
-/** Cost of crossing availability zones, in ms. */
-const ZONE_COST = 1.5;
-
-function zoneCost(upstream: KnownUpstream, request: ChoiceRequest): number {
-  return upstream.record.zone === request.zone ? 0 : ZONE_COST;
-}
-
-/** Cost in ms of any upstream but the first home of a part. */
-const SECOND_COST = 15;
-/** Cost in ms of an upstream that is no home of a part. */
-const OTHER_COST = 40;
-
-function homeCost(homes: readonly string[], id: string): number {
-  if (homes.length === 0 || id === homes[0]) {
-    return 0;
-  }
-  return id === homes[1] ? SECOND_COST : OTHER_COST;
-}
-
 /**
  * The deepest part that other requests are likely to share: the last one
  * belongs to the request itself or its session.
@@ -331,31 +342,22 @@
   return (request.parts.at(-2) ?? request.parts.at(-1))?.id;
 }
 
-/** The two upstreams that all entries agree to keep a part at. */
-function findHomes(
-  part: string | undefined,
-  upstreams: readonly KnownUpstream[],
-): string[] {
-  if (part === undefined) {
-    return [];
+/** Whether an upstream is there long enough to fetch parts from it. */
+function staysFor(upstream: KnownUpstream, now: Milliseconds): boolean {
+  const { record, heardAt } = upstream;
+  if (record.state === "ready") {
+    return now - heardAt < SILENT_AFTER;
   }
-  const ranked = upstreams.map(({ record }) => ({
-    id: record.id,
-    rank: hashToUnit(part, record.id),
-  }));
-  ranked.sort((left, right) => left.rank - right.rank);
-  return ranked.slice(0, 2).map(({ id }) => id);
+  // Without a time to leave, one that drains may end at any moment.
+  return record.state === "draining" && record.leavesIn !== undefined &&
+    now < heardAt + record.leavesIn - FETCH_MARGIN;
 }
 
-/** A number from 0 to 1 that any process computes alike (FNV-1a). */
-function hashToUnit(part: string, id: string): number {
-  let hash = 0x811c9dc5;
-  for (const text of [part, id]) {
-    for (let at = 0; at < text.length; at += 1) {
-      hash = Math.imul(hash ^ text.charCodeAt(at), 0x01000193);
-    }
+/** Time to fetch one token's memory within an availability zone. */
+function fetchCost(engine: EngineProfile | undefined): Milliseconds {
+  if (engine === undefined || engine.linkMbps <= 0) {
+    return FETCH_COST;
   }
-  hash = Math.imul(hash ^ (hash >>> 15), 0x85ebca6b);
-  hash ^= hash >>> 13;
-  return (hash >>> 0) / 0x1_0000_0000;
+  return engine.kvTokenBytes * BITS_PER_BYTE /
+    (engine.linkMbps * BITS_PER_MEGABIT_MS);
 }
--- a/packages/serving/upstream_choice_test.ts
+++ b/packages/serving/upstream_choice_test.ts
@@ -57,7 +57,7 @@
     const directory = directoryOf(2);
     const choice = new UpstreamChoice();
     choice.learnPlacements([{ part: "menu", upstream: "u1" }], 0);
-    choice.learnOthers({ u1: { requests: 4, waitingTokens: 90_000 } });
+    choice.learnOthers({ u1: { requests: 4, backlog: 2000 } }, 0);
     const chosen = choice.choose(directory.list(), {
       request,
       now: 10,
@@ -98,11 +98,125 @@
       trusts: true,
     })!;
     choice.begin(chosen, { parts, now: 0 });
-    expect(choice.loads()).toEqual({
-      u0: { requests: 1, waitingTokens: 10_500 },
+    const { u0 } = choice.loads(0);
+    expect(u0?.requests).toBe(1);
+    expect(u0?.backlog).toBe(Math.round(chosen.readTime));
+    choice.end(chosen);
+    expect(choice.loads(0)).toEqual({});
+  });
+
+  test("keeps away from where another entry just sent a long prompt", () => {
+    const directory = directoryOf(2);
+    const sender = new UpstreamChoice();
+    const other = new UpstreamChoice();
+    const options = { request, now: 0, trusts: true };
+    const first = sender.choose(directory.list(), options)!;
+    other.learnDispatch(sender.begin(first, { parts, now: 0 }), 1);
+    const unrelated = {
+      ...request,
+      parts: [{ id: "rules", tokens: 9000 }, { id: "mine", tokens: 900 }],
+    };
+    const second = other.choose(directory.list(), {
+      ...options,
+      request: unrelated,
+      now: 2,
     });
-    choice.noteFirstByte(chosen);
-    choice.end(chosen, { began: true });
-    expect(choice.loads()).toEqual({});
+    expect(second?.upstream).not.toBe(first.upstream);
+  });
+
+  test("waits for a backlog only as long as it lasts", () => {
+    const directory = directoryOf(2);
+    const choice = new UpstreamChoice();
+    choice.learnDispatch({
+      upstream: "u0",
+      readTime: 900,
+      tokens: 40_000,
+      parts: ["menu"],
+    }, 0);
+    const chooseAt = (now: number) =>
+      choice.choose(directory.list(), { request, now, trusts: true })!;
+    expect(chooseAt(10).upstream.record.id).toBe("u1");
+    expect(chooseAt(880).upstream.record.id).toBe("u0");
+  });
+
+  test("counts on a part until as many tokens came in as memory holds", () => {
+    const directory = directoryOf(1);
+    const choice = new UpstreamChoice();
+    const engine = {
+      slots: 4,
+      kvCapacityTokens: 100_000,
+      kvTokenBytes: 327_680,
+      linkMbps: 270_000,
+      canMove: false,
+    };
+    const send = (part: string, tokens: number) =>
+      choice.learnDispatch({
+        upstream: "u0",
+        readTime: 0,
+        tokens,
+        parts: [part],
+      }, 0);
+    const uncached = () =>
+      choice.choose(directory.list(), {
+        request: { ...request, engine },
+        now: 0,
+        trusts: true,
+      })!.uncachedTokens;
+    send("menu", 10_000);
+    send("others", 60_000);
+    expect(uncached()).toBe(500);
+    send("more", 30_000);
+    expect(uncached()).toBe(10_500);
+  });
+
+  test("fetches from the nearest upstream that has the part", () => {
+    const directory = directoryOf(3);
+    directory.merge({
+      ...directory.get("u1")!.record,
+      zone: "b",
+      sequence: 2,
+    }, 0);
+    const choice = new UpstreamChoice();
+    choice.learnPlacements([
+      { part: "menu", upstream: "u1" },
+      { part: "menu", upstream: "u2" },
+    ], 0);
+    choice.learnOthers({
+      u1: { requests: 0, backlog: 5000 },
+      u2: { requests: 0, backlog: 5000 },
+    }, 0);
+    const chosen = choice.choose(directory.list(), {
+      request,
+      now: 0,
+      trusts: true,
+    });
+    expect(chosen?.upstream.record.id).toBe("u0");
+    expect(chosen?.source?.record.id).toBe("u2");
+    expect(chosen?.fetchedTokens).toBe(10_000);
+    expect(chosen?.uncachedTokens).toBe(500);
+  });
+
+  test("fetches nothing that is yet to be read, or from one that leaves", () => {
+    const directory = directoryOf(2);
+    const choice = new UpstreamChoice();
+    const chooseAt = (now: number) =>
+      choice.choose(directory.list(), { request, now, trusts: true })!;
+    choice.learnDispatch({
+      upstream: "u1",
+      readTime: 900,
+      tokens: 40_000,
+      parts: ["menu"],
+    }, 0);
+    expect(chooseAt(100).source).toBeUndefined();
+    choice.learnOthers({ u1: { requests: 0, backlog: 5000 } }, 900);
+    expect(chooseAt(1000).source?.record.id).toBe("u1");
+    directory.merge({
+      ...directory.get("u1")!.record,
+      state: "draining",
+      leavesIn: 2000,
+      sequence: 2,
+    }, 1000);
+    expect(chooseAt(1100).source?.record.id).toBe("u1");
+    expect(chooseAt(2700).source).toBeUndefined();
   });
 });
