Entries exchange whole news with the leading replica only

With 96 entries and 8 replicas it would be 4 Mbit/s an entry.

Change: the leading replica is the primary of all entries that reach it; the others get short news every 400 ms, with charges, usage and time but without loads, and answer with changes only. A heartbeat without change is its number; the list of entries comes when it has changed. Pauses grow with the number of entries. A replica that fails an exchange stops being the primary at once.

--- a/apps/heroncleatd/gateway/control_links.ts
+++ b/apps/heroncleatd/gateway/control_links.ts
@@ -8,8 +8,17 @@
 import type { PeerPool } from "@heroncleat/transport";
 import type { Log } from "../common/log.ts";
 
-/** Pause between two exchanges with one control replica. */
+/** Pause between two whole exchanges, with the primary. */
 const SYNC_INTERVAL: Milliseconds = 150;
+/** Pause between two short exchanges with each other replica. */
+const SHORT_SYNC_INTERVAL: Milliseconds = 400;
+/**
+ * Entries from which the pauses grow, so that what all of them together ask of
+ * one replica stays the same.
+ */
+const PACED_ENTRIES = 32;
+/** Replicas take an entry that is silent for twice as long to be lost. */
+const LONGEST_INTERVAL: Milliseconds = 600;
 /** Silence after which an exchange has failed. */
 const SYNC_TIMEOUT: Milliseconds = 800;
 /** Silence after which a control replica counts as out of reach. */
@@ -24,20 +33,30 @@
   readonly log: Log;
   /** host:port of replicas to ask when none is known. */
   readonly seeds: () => readonly string[];
-  readonly describe: (
-    known: { feed: string; revision: number },
-  ) => SyncRequest;
-  readonly onReply: (reply: SyncReply, isPrimary: boolean) => void;
+  readonly describe: (known: FeedPosition) => SyncRequest;
+  readonly onReply: (reply: SyncReply) => void;
   /** Told when no replica can be reached any more. */
   readonly onIsolated: () => void;
 };
 
+/** How far an entry has read one replica's news. */
+export type FeedPosition = {
+  readonly feed: string;
+  readonly revision: number;
+  /** Whether whole news are exchanged with it. */
+  readonly isPrimary: boolean;
+};
+
 /** One control replica as this process knows it. */
 type Link = {
   readonly address: string;
   feed: string;
   revision: number;
   heardAt: Milliseconds;
+  askedAt: Milliseconds;
+  /** Whether the last exchange came to nothing. */
+  hasFailed: boolean;
+  isLeading: boolean;
   namedAt: Milliseconds;
   /** True time since 1970 less this process's monotonic time. */
   wallOffset: Milliseconds | undefined;
@@ -48,7 +67,9 @@
 
 /**
  * Exchanges news with every control replica, several times a second. Each
- * replica answers for itself, so that news arrives while any path is open.
+ * replica answers for itself, so that news arrives while any path is open. The
+ * one that leads the group, if it is in reach, is the primary of all entries:
+ * what they share with each other goes by it.
  */
 export class ControlLinks {
   readonly #options: LinkOptions;
@@ -72,7 +93,9 @@
 
   /** Tells all replicas at once, as when this entry leaves. */
   announce(): void {
-    this.#tick();
+    for (const link of this.#list()) {
+      void this.#ask(link);
+    }
   }
 
   /** Whether any replica answered lately. */
@@ -129,21 +152,34 @@
       this.#noteLoss(link);
       if (now - Math.max(link.heardAt, link.namedAt) > DROP_AFTER) {
         this.#links.delete(link.address);
-      } else if (!link.isAsking) {
+      } else if (!link.isAsking && this.#isDue(link, now)) {
         void this.#ask(link);
       }
     }
   }
 
+  #isDue(link: Link, now: Milliseconds): boolean {
+    const pace = Math.max(1, link.entries.length / PACED_ENTRIES);
+    const isShort = this.#primary !== "" && link.address !== this.#primary &&
+      this.#isHeard(link);
+    const pause = Math.min(
+      LONGEST_INTERVAL,
+      (isShort ? SHORT_SYNC_INTERVAL : SYNC_INTERVAL) * pace,
+    );
+    // Ticks are as far apart as the shortest pause, give or take a little.
+    return now - link.askedAt >= pause - SYNC_INTERVAL / 2;
+  }
+
   #choosePrimary(): void {
-    const primary = this.#links.get(this.#primary);
-    if (primary !== undefined && this.#isHeard(primary)) {
-      this.#wasIsolated = false;
-      return;
-    }
-    const next = this.#list().find((link) => this.#isHeard(link));
+    const heard = this.#list().filter((link) => this.#isHeard(link));
+    const sound = heard.filter(({ hasFailed }) => !hasFailed);
+    const next = sound.find(({ isLeading }) => isLeading) ??
+      sound.find(({ address }) => address === this.#primary) ??
+      sound[0] ?? heard[0];
     this.#primary = next?.address ?? "";
-    if (next === undefined && !this.#wasIsolated) {
+    if (next !== undefined) {
+      this.#wasIsolated = false;
+    } else if (!this.#wasIsolated) {
       this.#wasIsolated = true;
       this.#options.onIsolated();
     }
@@ -174,6 +210,9 @@
       feed: "",
       revision: 0,
       heardAt: -LOST_AFTER,
+      askedAt: -LOST_AFTER,
+      hasFailed: false,
+      isLeading: false,
       namedAt: now,
       wallOffset: undefined,
       entries: [],
@@ -186,14 +225,22 @@
     link.isAsking = true;
     const { pool, clock } = this.#options;
     const askedAt = clock.steady();
+    link.askedAt = askedAt;
     try {
       const reply = await pool.call(link.address, "hub.sync", {
-        parameters: this.#options.describe(link),
+        parameters: this.#options.describe({
+          feed: link.feed,
+          revision: link.revision,
+          isPrimary: link.address === this.#primary,
+        }),
         timeout: SYNC_TIMEOUT,
       }) as SyncReply;
       this.#onReply(link, { reply, askedAt });
+      link.hasFailed = false;
     } catch {
-      // A replica that doesn't answer is noted once it has been silent.
+      // A replica that doesn't answer is logged once it has been silent.
+      link.hasFailed = true;
+      this.#choosePrimary();
     } finally {
       link.isAsking = false;
     }
@@ -208,12 +255,13 @@
     link.heardAt = now;
     link.feed = reply.feed;
     link.revision = reply.revision;
-    link.entries = reply.entries;
+    link.isLeading = reply.isLeading;
+    link.entries = reply.entries ?? link.entries;
     link.wallOffset = reply.wall - (askedAt + now) / 2;
     for (const address of reply.controls) {
       this.#learn(address, now);
     }
     this.#choosePrimary();
-    this.#options.onReply(reply, link.address === this.#primary);
+    this.#options.onReply(reply);
   }
 }
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -6,6 +6,7 @@
   type KnownEntry,
   RetryAllowance,
   RouteTable,
+  type SharedNews,
   type SyncReply,
   type SyncRequest,
   UpstreamChoice,
@@ -16,7 +17,7 @@
 import type { PeerPool } from "@heroncleat/transport";
 import type { Log } from "../common/log.ts";
 import type { Metrics } from "../common/metrics.ts";
-import { ControlLinks } from "./control_links.ts";
+import { ControlLinks, type FeedPosition } from "./control_links.ts";
 import type { DecodedDocument } from "./decoded_document.ts";
 import { EntryNews } from "./entry_news.ts";
 import type { ForwardContext } from "./forward_context.ts";
@@ -122,7 +123,7 @@
       log: options.log("links"),
       seeds: () => options.settings().seeds,
       describe: (known) => this.#describe(known),
-      onReply: (reply, isPrimary) => this.#onReply(reply, isPrimary),
+      onReply: (reply) => this.#onReply(reply),
       onIsolated: () => this.#onIsolated(),
     });
     this.#news = new EntryNews({
@@ -280,7 +281,7 @@
     return allowance;
   }
 
-  #describe(known: { feed: string; revision: number }): SyncRequest {
+  #describe(known: FeedPosition): SyncRequest {
     const { name, address, zone, region } = this.#options.settings();
     return {
       entry: {
@@ -296,34 +297,40 @@
       revision: known.revision,
       documentVersion: this.#table?.document.version ?? -1,
       spent: this.#quota.spent(),
-      loads: this.#choice.loads(this.#options.clock.steady()),
-      placements: this.#choice.recentPlacements(
-        this.#options.clock.steady(),
-      ),
+      loads: known.isPrimary
+        ? this.#choice.loads(this.#options.clock.steady())
+        : undefined,
       usage: this.#usage.list(),
     };
   }
 
-  #onReply(reply: SyncReply, isPrimary: boolean): void {
+  #onReply(reply: SyncReply): void {
     const now = this.#options.clock.steady();
-    this.#lastEntries = reply.entries;
     for (const record of reply.upstreams) {
       this.#directory.merge(record, now);
     }
+    this.#lastEntries = this.#links.listEntries();
+    this.#peers = this.#hostsOf(this.#lastEntries);
     if (reply.document !== undefined) {
       this.#adopt(reply.document);
     }
-    this.#choice.learnPlacements(reply.placements, now);
-    if (isPrimary) {
-      this.#peers = this.#hostsOf(reply.entries);
-      this.#choice.learnOthers(reply.loadsOfOthers, now);
-      this.#quota.learnOthers(reply.feed, {
-        spent: reply.spentByOthers,
-        share: reply.quotaShare,
-        entries: this.#countEntries(),
-        now,
-      });
+    if (reply.shared !== undefined) {
+      this.#learnShared(reply.feed, reply.shared);
+    }
+  }
+
+  #learnShared(feed: string, shared: SharedNews): void {
+    const now = this.#options.clock.steady();
+    for (const [id, sequence] of Object.entries(shared.beats)) {
+      this.#directory.refresh(id, sequence, now);
     }
+    this.#choice.learnOthers(shared.loadsOfOthers, now);
+    this.#quota.learnOthers(feed, {
+      spent: shared.spentByOthers,
+      share: shared.quotaShare,
+      entries: this.#countEntries(),
+      now,
+    });
   }
 
   #countEntries(): number {
--- a/apps/heroncleatd/hub/feed_reader.ts
+++ b/apps/heroncleatd/hub/feed_reader.ts
@@ -1,5 +1,5 @@
 import type { Clock, Milliseconds } from "@heroncleat/base";
-import type { Hub, UpstreamRecord } from "@heroncleat/serving";
+import type { Hub, UpstreamNews } from "@heroncleat/serving";
 import type { PeerPool } from "@heroncleat/transport";
 
 const INTERVAL: Milliseconds = 200;
@@ -51,10 +51,13 @@
       const reply = await pool.call(address, "hub.feed", {
         parameters: { feed, revision },
         timeout: TIMEOUT,
-      }) as { feed: string; revision: number; upstreams: UpstreamRecord[] };
+      }) as UpstreamNews & { feed: string; revision: number };
       for (const record of reply.upstreams) {
         hub.hearUpstream(record, clock.steady());
       }
+      for (const [id, sequence] of Object.entries(reply.beats)) {
+        hub.hearBeat(id, { sequence, now: clock.steady() });
+      }
       position.feed = reply.feed;
       position.revision = reply.revision;
     } catch {
--- a/apps/heroncleatd/hub/start_hub.ts
+++ b/apps/heroncleatd/hub/start_hub.ts
@@ -59,6 +59,7 @@
         now: clock.steady(),
         document: group?.isConfirmed ? group.application.document : undefined,
         controls: group?.addresses ?? [],
+        isLeading: group?.leadership !== undefined,
       }),
     "hub.feed": (parameters) => {
       const { feed, revision } = parameters as {
@@ -68,7 +69,7 @@
       return {
         feed: hub.feed,
         revision: hub.revision,
-        upstreams: hub.changesSince(feed, revision),
+        ...hub.newsSince(feed, revision),
       };
     },
   });
--- a/packages/serving/hub.ts
+++ b/packages/serving/hub.ts
@@ -2,7 +2,6 @@
 import { ChargeBook } from "./charge_book.ts";
 import type { KnownEntry } from "./known_entry.ts";
 import { median } from "./median.ts";
-import type { PartPlacement } from "./part_placement.ts";
 import type { SyncReply } from "./sync_reply.ts";
 import type { SyncRequest } from "./sync_request.ts";
 import { UpstreamDirectory } from "./upstream_directory.ts";
@@ -15,14 +14,25 @@
 /** Silence after which a closed or lost entry is taken to be gone. */
 const ENTRY_GONE_AFTER = 30_000;
 
-/** Time for which placements wait for entries that are slow to ask. */
-const PLACEMENT_KEPT = 3000;
+/** Time for which the list of open entries is not made anew. */
+const LIST_KEPT: Milliseconds = 50;
 
-/** A placement with who made it and when it was last heard. */
-type HeardPlacement = PartPlacement & {
-  readonly entry: string;
+/** Revisions at which an upstream was last heard and last changed. */
+type Revisions = { readonly heard: number; readonly changed: number };
+
+/** Open entries, and the revision at which the list became this one. */
+type EntryList = {
+  readonly madeAt: Milliseconds;
   readonly revision: number;
-  readonly heardAt: Milliseconds;
+  readonly entries: readonly KnownEntry[];
+};
+
+/** What changed of upstreams since a revision. @public */
+export type UpstreamNews = {
+  /** Those that are new or have changed. */
+  readonly upstreams: readonly UpstreamRecord[];
+  /** Newest heartbeat of those that sent one and have not changed. */
+  readonly beats: Readonly<Record<string, number>>;
 };
 
 /** An entry as this replica last heard it. */
@@ -41,6 +51,8 @@
     | { readonly version: number; readonly source: string }
     | undefined;
   readonly controls: readonly string[];
+  /** Whether this replica leads the group. */
+  readonly isLeading: boolean;
 };
 
 /**
@@ -56,10 +68,9 @@
   readonly #entries = new Map<string, HeardEntry>();
   readonly #charges = new ChargeBook();
   readonly #usage = new Map<string, Map<string, WorkspaceCounts>>();
-  /** Upstream identifiers by the revision of their last change. */
-  readonly #changes = new Map<string, number>();
-  /** By part and upstream; the latest stands last. */
-  readonly #placements = new Map<string, HeardPlacement>();
+  /** By identifier of the upstream. */
+  readonly #revisions = new Map<string, Revisions>();
+  #list: EntryList = { madeAt: -Infinity, revision: 0, entries: [] };
   #revision = 0;
 
   constructor(feed: string) {
@@ -72,49 +83,93 @@
 
   /** Takes news of an upstream in, from itself or from another replica. */
   hearUpstream(news: UpstreamRecord, now: Milliseconds): void {
-    if (this.directory.merge(news, now) !== undefined) {
-      this.#noteChange(news.id);
+    const outcome = this.directory.merge(news, now);
+    if (outcome === "late") {
+      return;
+    }
+    this.#revision += 1;
+    const heard = this.#revision;
+    const known = this.#revisions.get(news.id);
+    const changed = outcome === "changed" ? heard : known?.changed ?? heard;
+    this.#revisions.set(news.id, { heard, changed });
+  }
+
+  /** Takes in a heartbeat without change that another replica got. */
+  hearBeat(
+    id: string,
+    beat: { sequence: number; now: Milliseconds },
+  ): void {
+    const known = this.directory.get(id)?.record;
+    if (known !== undefined) {
+      this.hearUpstream({ ...known, sequence: beat.sequence }, beat.now);
     }
   }
 
   removeUpstream(id: string, now: Milliseconds): void {
     this.directory.remove(id, now);
-    this.#noteChange(id);
+    this.#revision += 1;
+    this.#revisions.set(id, { heard: this.#revision, changed: this.#revision });
   }
 
   /** Takes an entry's news in and answers it. */
   sync(request: SyncRequest, context: ReplyContext): SyncReply {
-    const { now } = context;
+    const { now, document, isLeading, controls } = context;
     this.#hearEntry(request, now);
-    const { document } = context;
     const isOutdated = document !== undefined &&
       document.version > request.documentVersion;
+    const from = request.feed === this.feed ? request.revision : 0;
+    const list = this.#listEntries(now);
+    const { upstreams, beats } = this.newsSince(request.feed, from);
     return {
       feed: this.feed,
       revision: this.#revision,
-      upstreams: this.changesSince(request.feed, request.revision),
+      isLeading,
+      upstreams,
       document: isOutdated ? document.source : undefined,
-      entries: this.listOpenEntries(now),
-      controls: context.controls,
+      entries: list.revision > from ? list.entries : undefined,
+      controls,
       wall: this.estimateWall(now) ?? request.wall,
-      spentByOthers: this.#charges.sumWithout(request.entry.name),
-      loadsOfOthers: this.#loadsOfOthers(request.entry.name, now),
-      placements: this.#placementsFor(request),
-      quotaShare: this.#quotaShare(now),
+      shared: request.loads === undefined ? undefined : {
+        beats,
+        spentByOthers: this.#charges.sumWithout(request.entry.name),
+        loadsOfOthers: this.#loadsOfOthers(request.entry.name, now),
+        quotaShare: this.#quotaShare(now),
+      },
     };
   }
 
-  /** Upstreams that changed behind a revision of this feed. */
-  changesSince(feed: string, revision: number): UpstreamRecord[] {
+  /** What changed of upstreams behind a revision of this feed. */
+  newsSince(feed: string, revision: number): UpstreamNews {
     const from = feed === this.feed ? revision : 0;
-    const changed: UpstreamRecord[] = [];
-    for (const [id, changedAt] of this.#changes) {
-      const known = changedAt > from ? this.directory.get(id) : undefined;
-      if (known !== undefined) {
-        changed.push(known.record);
+    const upstreams: UpstreamRecord[] = [];
+    const beats: Record<string, number> = {};
+    for (const [id, { heard, changed }] of this.#revisions) {
+      const record = heard > from ? this.directory.get(id)?.record : undefined;
+      if (record === undefined) {
+        continue;
+      }
+      if (changed > from) {
+        upstreams.push(record);
+      } else {
+        beats[id] = record.sequence;
       }
     }
-    return changed;
+    return { upstreams, beats };
+  }
+
+  #listEntries(now: Milliseconds): EntryList {
+    if (now - this.#list.madeAt < LIST_KEPT) {
+      return this.#list;
+    }
+    const entries = this.listOpenEntries(now);
+    const isSame = JSON.stringify(entries) ===
+      JSON.stringify(this.#list.entries);
+    if (!isSame) {
+      this.#revision += 1;
+    }
+    const revision = isSame ? this.#list.revision : this.#revision;
+    this.#list = { madeAt: now, revision, entries };
+    return this.#list;
   }
 
   listOpenEntries(now: Milliseconds): KnownEntry[] {
@@ -161,14 +216,9 @@
   /** Forgets what can't matter any more. */
   expire(now: Milliseconds): void {
     this.directory.forget(now);
-    for (const [key, placement] of this.#placements) {
-      if (now - placement.heardAt > PLACEMENT_KEPT) {
-        this.#placements.delete(key);
-      }
-    }
-    for (const id of this.#changes.keys()) {
+    for (const id of this.#revisions.keys()) {
       if (this.directory.get(id) === undefined) {
-        this.#changes.delete(id);
+        this.#revisions.delete(id);
       }
     }
     for (const [name, entry] of this.#entries) {
@@ -195,11 +245,6 @@
     }
   }
 
-  #noteChange(id: string): void {
-    this.#revision += 1;
-    this.#changes.set(id, this.#revision);
-  }
-
   #hearEntry(request: SyncRequest, now: Milliseconds): void {
     const { name, boot } = request.entry;
     this.#charges.hear(name, { boot, spent: request.spent }, now);
@@ -208,7 +253,6 @@
       heardAt: now,
       wallOffset: request.wall - now,
     });
-    this.#hearPlacements(request, now);
     const windows = this.#usage.get(request.entry.boot) ?? new Map();
     for (const [window, counts] of Object.entries(request.usage)) {
       windows.set(window, counts);
@@ -216,34 +260,6 @@
     this.#usage.set(request.entry.boot, windows);
   }
 
-  #hearPlacements(request: SyncRequest, now: Milliseconds): void {
-    for (const { part, upstream } of request.placements) {
-      const key = `${part} ${upstream}`;
-      this.#revision += 1;
-      this.#placements.delete(key);
-      this.#placements.set(key, {
-        part,
-        upstream,
-        entry: request.entry.name,
-        revision: this.#revision,
-        heardAt: now,
-      });
-    }
-  }
-
-  #placementsFor(request: SyncRequest): PartPlacement[] {
-    const from = request.feed === this.feed ? request.revision : 0;
-    const news: PartPlacement[] = [];
-    for (
-      const { part, upstream, entry, revision } of this.#placements.values()
-    ) {
-      if (revision > from && entry !== request.entry.name) {
-        news.push({ part, upstream });
-      }
-    }
-    return news;
-  }
-
   #loadsOfOthers(
     caller: string,
     now: Milliseconds,
@@ -254,7 +270,7 @@
       if (!isOther || now - heardAt > ENTRY_SILENT_AFTER) {
         continue;
       }
-      for (const [id, load] of Object.entries(request.loads)) {
+      for (const [id, load] of Object.entries(request.loads ?? {})) {
         const total = totals[id];
         totals[id] = {
           requests: (total?.requests ?? 0) + load.requests,
--- a/packages/serving/sync_request.ts
+++ b/packages/serving/sync_request.ts
@@ -1,5 +1,4 @@
 import type { Milliseconds } from "@heroncleat/base";
-import type { PartPlacement } from "./part_placement.ts";
 import type { UpstreamLoad } from "./upstream_load.ts";
 import type { WorkspaceCounts } from "./usage_counts.ts";
 
@@ -25,9 +24,8 @@
   readonly documentVersion: number;
   /** Everything charged since the start of the process, by workspace. */
   readonly spent: Readonly<Record<string, number>>;
-  readonly loads: Readonly<Record<string, UpstreamLoad>>;
-  /** Shared prompt parts sent lately; the same may come several times. */
-  readonly placements: readonly PartPlacement[];
+  /** What it has under way; absent in the short news to other replicas. */
+  readonly loads: Readonly<Record<string, UpstreamLoad>> | undefined;
   /** Requests begun, by number of the usage window and workspace. */
   readonly usage: Readonly<Record<string, WorkspaceCounts>>;
 };
--- a/packages/serving/upstream_choice.ts
+++ b/packages/serving/upstream_choice.ts
@@ -3,7 +3,6 @@
 import { AssumedCache } from "./assumed_cache.ts";
 import { Backlog } from "./backlog.ts";
 import { PartHomes } from "./part_homes.ts";
-import type { PartPlacement } from "./part_placement.ts";
 import type { PromptPart } from "./prompt_part.ts";
 import { readTime } from "./read_time.ts";
 import type { EngineProfile } from "./service.ts";
@@ -20,8 +19,6 @@
 const QUEUE_COST: Milliseconds = 60;
 /** Cost of crossing availability zones. */
 const ZONE_COST: Milliseconds = 1.5;
-/** Time for which a placement is told to the control replicas. */
-const PLACEMENT_TOLD: Milliseconds = 500;
 /** Fewer tokens than this are read again rather than fetched. */
 const LEAST_FETCH = 1500;
 /** Time to fetch a token's memory, where the service names no link. */
@@ -94,7 +91,6 @@
   readonly #own = new Map<string, OwnView>();
   #others: Readonly<Record<string, UpstreamLoad>> = {};
   #othersAt: Milliseconds = 0;
-  #placements: (PartPlacement & { at: Milliseconds })[] = [];
 
   /** Takes in what the other entries had under way at a time. */
   learnOthers(
@@ -126,25 +122,6 @@
     }
   }
 
-  /** Takes in where other entries sent shared parts. */
-  learnPlacements(
-    placements: readonly PartPlacement[],
-    now: Milliseconds,
-  ): void {
-    for (const { part, upstream } of placements) {
-      const view = this.#view(upstream);
-      view.cache.notePart(part, now + view.backlog.left(now));
-    }
-  }
-
-  /** Shared parts that this entry sent lately. */
-  recentPlacements(now: Milliseconds): PartPlacement[] {
-    this.#placements = this.#placements.filter(({ at }) =>
-      now - at < PLACEMENT_TOLD
-    );
-    return this.#placements.map(({ part, upstream }) => ({ part, upstream }));
-  }
-
   choose(
     upstreams: Iterable<KnownUpstream>,
     options: ChoiceOptions,
@@ -182,9 +159,6 @@
       view.cache.notePart(part.id, now + view.backlog.left(now));
     }
     const shared = parts.slice(0, -1).map(({ id }) => id);
-    for (const part of shared) {
-      this.#placements.push({ part, upstream, at: now });
-    }
     return {
       kind: "dispatch",
       upstream,
--- a/packages/serving/upstream_directory.ts
+++ b/packages/serving/upstream_directory.ts
@@ -7,6 +7,14 @@
   readonly heardAt: Milliseconds;
 };
 
+/**
+ * What news of an upstream brought: something new of it, only a sign of life,
+ * or nothing, as later news came before.
+ *
+ * @public
+ */
+export type NewsOutcome = "changed" | "heard" | "late";
+
 /** Time after which a silent upstream that left is forgotten. */
 const FORGET_AFTER = 60_000;
 
@@ -20,11 +28,11 @@
 export class UpstreamDirectory {
   readonly #known = new Map<string, KnownUpstream>();
 
-  /** Takes news in; returns the record when it changed anything. */
-  merge(news: UpstreamRecord, now: Milliseconds): UpstreamRecord | undefined {
+  /** Takes news in and says what they brought. */
+  merge(news: UpstreamRecord, now: Milliseconds): NewsOutcome {
     const known = this.#known.get(news.id)?.record;
     if (known !== undefined && !isNewer(news, known)) {
-      return undefined;
+      return "late";
     }
     const record = known === undefined ? news : {
       ...news,
@@ -32,7 +40,18 @@
       state: laterState(known.state, news.state),
     };
     this.#known.set(news.id, { record, heardAt: now });
-    return record;
+    return known !== undefined && isSameBeside(record, known)
+      ? "heard"
+      : "changed";
+  }
+
+  /** Takes in that a known upstream sent a heartbeat like the one before. */
+  refresh(id: string, sequence: number, now: Milliseconds): void {
+    const known = this.#known.get(id);
+    if (known !== undefined && sequence > known.record.sequence) {
+      const record = { ...known.record, sequence };
+      this.#known.set(id, { record, heardAt: now });
+    }
   }
 
   /** Notes that an upstream said that it is gone. */
@@ -86,6 +105,14 @@
   return ORDER.indexOf(left) > ORDER.indexOf(right) ? left : right;
 }
 
+/** Whether two records differ in nothing but the heartbeat's number. */
+function isSameBeside(left: UpstreamRecord, right: UpstreamRecord): boolean {
+  return left.service === right.service && left.address === right.address &&
+    left.zone === right.zone && left.slots === right.slots &&
+    left.state === right.state && left.isSpot === right.isSpot &&
+    left.leavesIn === right.leavesIn;
+}
+
 /** A later state counts even from an older heartbeat. */
 function isNewer(news: UpstreamRecord, known: UpstreamRecord): boolean {
   return news.sequence > known.sequence ||
