The fleet follows the measured load; heroncleat explain

Cause: five reclaimable upstreams a zone were held whatever the load, and on-demand ones by requests under way.

Change: entries tell how long the prompts they sent take to read; the planner holds engines for that work at a set utilization, spread so that all zones but one bear it, and on-demand ones for what is missing.

--- /dev/null
+++ b/apps/heroncleat/explain/format_explanation.ts
@@ -0,0 +1,27 @@
+import { formatTable } from "../format_table.ts";
+import type { Explanation, TimelineStep } from "./explain_request.ts";
+
+/** An explanation as text for a terminal. */
+export function formatExplanation(explanation: Explanation): string {
+  const { request, steps, around, hints } = explanation;
+  const startedAt = steps[0]!.at;
+  const table = (list: readonly TimelineStep[]) =>
+    formatTable(
+      ["TIME", "AFTER", "PROCESS", "CLOCK", "WHAT"],
+      list.map(({ at, process, text, clockAhead }) => [
+        new Date(at).toISOString(),
+        `${Math.round(at - startedAt)} ms`,
+        process,
+        clockAhead === 0 ? "" : `off by ${Math.round(clockAhead)} ms`,
+        text,
+      ]),
+    );
+  const parts = [`Request ${request}`, table(steps)];
+  if (around.length > 0) {
+    parts.push("Meanwhile", table(around));
+  }
+  if (hints.length > 0) {
+    parts.push(["Look at", ...hints.map((hint) => `- ${hint}`)].join("\n"));
+  }
+  return parts.join("\n\n");
+}
--- /dev/null
+++ b/apps/heroncleat/explain/read_log_line.ts
@@ -0,0 +1,36 @@
+import type { LogLine } from "./log_line.ts";
+
+/**
+ * Reads one line of a log; nothing if it isn't one of ours. Collectors put
+ * their own text before the JSON, so it begins at the first brace.
+ */
+export function readLogLine(text: string): LogLine | undefined {
+  const start = text.indexOf("{");
+  if (start === -1) {
+    return undefined;
+  }
+  let value: unknown;
+  try {
+    value = JSON.parse(text.slice(start));
+  } catch {
+    return undefined;
+  }
+  if (value === null || typeof value !== "object") {
+    return undefined;
+  }
+  const { time, process, level, message, ...rest } = value as Record<
+    string,
+    unknown
+  >;
+  const at = typeof time === "string" ? Date.parse(time) : NaN;
+  const isOurs = !Number.isNaN(at) && typeof process === "string" &&
+    typeof message === "string";
+  if (!isOurs) {
+    return undefined;
+  }
+  const fields: Record<string, string | number> = {};
+  for (const [name, field] of Object.entries(rest)) {
+    fields[name] = typeof field === "number" ? field : String(field);
+  }
+  return { at, process, level: String(level), message, fields };
+}
--- a/apps/heroncleat/main.ts
+++ b/apps/heroncleat/main.ts
@@ -9,6 +9,7 @@
 import type { CommandContext } from "./command_context.ts";
 import type { CommandResult } from "./command_result.ts";
 import { ExitCode } from "./exit_code.ts";
+import { explainCommand } from "./explain/explain_command.ts";
 import { groupCommands } from "./group_commands.ts";
 import { limitCommands } from "./limit_commands.ts";
 import { OperatorClient } from "./operator_client.ts";
@@ -41,6 +42,9 @@
   audit                                 the audit trail
   watch [--revision N] [--count N]      each new revision
 
+  explain REQUEST_ID --logs FILE [FILE ...]
+                                        what logs tell of one request
+
   --json           print JSON
   --revision N     revision the change was made against
   --change-id ID   identifier of the change, to send it again
@@ -72,6 +76,9 @@
   "watch": watchCommand,
 };
 
+/** Needs no control replica, unlike the commands above. */
+const EXPLAIN = "explain";
+
 process.exitCode = await main();
 
 async function main(): Promise<number> {
@@ -91,6 +98,14 @@
     return ExitCode.done;
   }
   const [name = "", ...words] = positionals;
+  if (name === EXPLAIN) {
+    return finish(explainCommand({
+      words,
+      logs: values.logs,
+      json: values.json ?? false,
+      print,
+    }));
+  }
   const command = Object.hasOwn(COMMANDS, name) ? COMMANDS[name] : undefined;
   if (command === undefined) {
     return failUsage(`There is no command "${name}".`);
@@ -109,8 +124,16 @@
     words,
     json: values.json ?? false,
     options: values as Record<string, string | undefined>,
-    print: (text) => process.stdout.write(`${text}\n`),
+    print,
   });
+  return finish(result);
+}
+
+function print(text: string): void {
+  process.stdout.write(`${text}\n`);
+}
+
+function finish(result: CommandResult): number {
   if (result.isOk) {
     return result.value;
   }
@@ -137,6 +160,7 @@
       "revision": { type: "string" },
       "change-id": { type: "string" },
       "count": { type: "string" },
+      "logs": { type: "string" },
     },
   });
 }
--- a/apps/heroncleatd/gateway/forward_call.ts
+++ b/apps/heroncleatd/gateway/forward_call.ts
@@ -117,6 +117,7 @@
       this.#attempts.push(result.trace.describe(`unknown, ${result.reason}`));
       return undefined;
     }
+    result.noteFirstByte();
     const body = await readAnswerBody(result.message);
     result.finish();
     const status = result.message.statusCode!;
--- a/apps/heroncleatd/gateway/gateway.ts
+++ b/apps/heroncleatd/gateway/gateway.ts
@@ -49,6 +49,8 @@
   readonly forwarding: ForwardContext;
   /** Whether no more streams are taken, as there is no time to end them. */
   readonly refusesStreams: () => boolean;
+  /** How far the own wall clock is ahead of true time. */
+  readonly clockAhead: () => Milliseconds;
   /** Picks a number from 0 to 1 for weighted routes. */
   readonly random: () => number;
 };
@@ -250,6 +252,7 @@
       promptTokens: call.prompt?.promptTokens ?? 0,
       status: result.status,
       took,
+      clockAhead: Math.round(this.#options.clockAhead()),
       attempts: result.attempts.join("; "),
     });
   }
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -145,6 +145,7 @@
       tableArrival: (timeout) => this.#tableArrival.wait(timeout),
       forwarding: this.#createContext(),
       refusesStreams: () => this.#refusesStreams,
+      clockAhead: () => clock.wall() - this.#links.trueTime(clock.steady()),
       random: Math.random,
     });
     this.#server = this.#createServer();
@@ -297,6 +298,7 @@
       revision: known.revision,
       documentVersion: this.#table?.document.version ?? -1,
       spent: this.#quota.spent(),
+      readWork: this.#choice.readWork(),
       loads: known.isPrimary
         ? this.#choice.loads(this.#options.clock.steady())
         : undefined,
--- a/apps/heroncleatd/hub/duty_runner.ts
+++ b/apps/heroncleatd/hub/duty_runner.ts
@@ -114,7 +114,8 @@
     upstreams: readonly UpstreamRecord[],
     loads: Readonly<Record<string, UpstreamLoad>>,
   ): void {
-    const now = this.#options.clock.steady();
+    const { hub, clock } = this.#options;
+    const now = clock.steady();
     if (now - this.#loggedAt < FLEET_LOG_INTERVAL) {
       return;
     }
@@ -137,6 +138,7 @@
       others: ready.filter(({ isSpot }) => !isSpot).length,
       requests,
       backlog,
+      readWork: Math.round(sum(Object.values(hub.totalReadWork()))),
     });
   }
 
@@ -147,6 +149,7 @@
     this.#logFleet(upstreams, loads);
     this.#isIdle &&= Object.keys(loads).length === 0;
     const now = clock.steady();
+    const readWork = this.#options.hub.totalReadWork();
     const due: FleetOrder[] = [];
     for (const service of services()) {
       due.push(...this.#planner.plan(service, {
@@ -154,6 +157,7 @@
         now,
         isIdle: this.#isIdle,
         requests: countRequests(service, { upstreams, loads }),
+        readWork: readWork[service.name] ?? 0,
       }));
     }
     await Promise.all(due.map((order) => this.#order(order)));
@@ -254,6 +258,10 @@
   }
 }
 
+function sum(numbers: readonly number[]): number {
+  return numbers.reduce((total, number) => total + number, 0);
+}
+
 /** Part of the duty's lease that a new holder waits before it acts. */
 const WAIT_SHARE = 0.55;
 
--- a/packages/serving/fleet_planner.ts
+++ b/packages/serving/fleet_planner.ts
@@ -1,17 +1,15 @@
 import type { Milliseconds } from "@heroncleat/base";
+import { DemandEstimate } from "./demand_estimate.ts";
 import type { FleetOrder } from "./fleet_order.ts";
 import type { ScaleLimits, Service } from "./service.ts";
 import type { UpstreamRecord } from "./upstream_record.ts";
 
 /** How large a fleet is held. @public */
 export type FleetSettings = {
-  /** Reclaimable upstreams in each zone while none is refused. */
-  readonly spotPerZone: number;
-  /** On-demand upstreams in each zone at all times. */
-  readonly onDemandPerZone: number;
-  /** Fewest and most upstreams to hold once a zone more is lost. */
-  readonly least: number;
-  readonly most: number;
+  /** Reclaimable upstreams in a zone before there is load, as part of most. */
+  readonly initialShare: number;
+  /** Part of an upstream's time that reading prompts may take. */
+  readonly utilization: number;
   /** Requests under way for which one upstream is held. */
   readonly requestsEach: number;
 };
@@ -23,8 +21,8 @@
 /** Time reclaimable upstreams must have stood before others are let go. */
 const LET_GO_AFTER: Milliseconds = 1200;
 
-/** Time over which a falling load is averaged. */
-const LOAD_MEMORY: Milliseconds = 8000;
+/** Time for which reclaimable upstreams are held for a load that fell. */
+const HELD_FOR: Milliseconds = 30_000;
 
 /** One order and what became of it. */
 type Given = {
@@ -47,9 +45,9 @@
   readonly #settings: FleetSettings;
   readonly #given = new Map<string, Given>();
   #enoughSince: Milliseconds | undefined;
-  /** Requests under way, smoothed. */
-  #requests = 0;
-  #smoothedAt: Milliseconds = 0;
+  readonly #demand = new DemandEstimate();
+  /** Reclaimable upstreams wanted in a zone, and when so many were needed. */
+  #spots = { count: 0, neededAt: -Infinity };
 
   constructor(settings: FleetSettings) {
     this.#settings = settings;
@@ -64,6 +62,8 @@
       isIdle: boolean;
       /** Requests under way at the upstreams of the service. */
       requests: number;
+      /** Time to read all prompts sent so far, in ms. */
+      readWork: Milliseconds;
       now: Milliseconds;
     },
   ): FleetOrder[] {
@@ -71,6 +71,7 @@
     if (scale === undefined) {
       return [];
     }
+    this.#demand.note(options.readWork, options.now);
     const orders: FleetOrder[] = [];
     for (const wanted of this.#wanted(service, { ...options, scale })) {
       if (this.#isDue(wanted, options)) {
@@ -112,18 +113,17 @@
     const zones = Object.keys(scale.zonePrices).sort((left, right) =>
       scale.zonePrices[left]! - scale.zonePrices[right]!
     );
-    const { spotPerZone, onDemandPerZone } = this.#settings;
-    const spotsWanted = Math.min(scale.max, spotPerZone);
+    const needed = this.#needed(options);
+    const spotsWanted = this.#spotsPerZone(needed, options);
     const spots = zones.map((zone) =>
       countPresent(upstreams, { service, zone, isSpot: true }).ready
     );
     const total = sum(spots);
     const isShort = total < spotsWanted * (zones.length - 1 / 2);
     const secured = total - Math.max(0, ...spots);
-    let missing = isShort && !isIdle
-      ? Math.max(0, this.#neededNow(options) - secured)
-      : 0;
-    const mayLetGo = this.#mayLetGo({ isIdle, isShort, total, now });
+    let missing = isShort && !isIdle ? Math.max(0, needed - secured) : 0;
+    const least = spotsWanted * (zones.length - 1);
+    const mayLetGo = this.#mayLetGo({ isIdle, isShort, total, least, now });
     const orders: FleetOrder[] = [];
     for (const zone of zones) {
       const present = countPresent(upstreams, { service, zone, isSpot: false });
@@ -131,8 +131,7 @@
       const share = zone === zones.at(-1) ? missing : Math.ceil(missing / 2);
       const fill = Math.min(room, share);
       missing -= fill;
-      const needed = Math.max(onDemandPerZone, fill);
-      const count = mayLetGo ? needed : Math.max(needed, present.ready);
+      const count = mayLetGo ? fill : Math.max(fill, present.ready);
       orders.push({ service: service.name, zone, isSpot: false, count });
     }
     for (const zone of zones) {
@@ -143,18 +142,30 @@
   }
 
   /** Upstreams that the load of the last seconds asks for. */
-  #neededNow(options: { requests: number; now: Milliseconds }): number {
-    const { least, most, requestsEach } = this.#settings;
-    const elapsed = Math.min(LOAD_MEMORY, options.now - this.#smoothedAt);
-    const weight = elapsed / LOAD_MEMORY;
-    this.#smoothedAt = options.now;
-    // Rises at once and falls slowly, as an upstream takes seconds to boot.
-    this.#requests = Math.max(
-      options.requests,
-      this.#requests + weight * (options.requests - this.#requests),
-    );
-    const needed = Math.ceil(this.#requests / requestsEach);
-    return Math.min(most, Math.max(least, needed));
+  #needed(options: { scale: ScaleLimits; requests: number }): number {
+    const { utilization, requestsEach } = this.#settings;
+    const byWork = this.#demand.engines / utilization;
+    const byRequests = options.requests / requestsEach;
+    const zones = Object.keys(options.scale.zonePrices).length;
+    return Math.max(zones, Math.ceil(Math.max(byWork, byRequests)));
+  }
+
+  /** So many that the load fits into all zones but one. */
+  #spotsPerZone(
+    needed: number,
+    options: { scale: ScaleLimits; isIdle: boolean; now: Milliseconds },
+  ): number {
+    const { scale, isIdle, now } = options;
+    const zones = Object.keys(scale.zonePrices).length;
+    const wanted = isIdle
+      ? scale.max * this.#settings.initialShare
+      : needed / Math.max(1, zones - 1);
+    const count = Math.min(scale.max, Math.max(1, Math.ceil(wanted)));
+    const isOver = now - this.#spots.neededAt > HELD_FOR;
+    if (count >= this.#spots.count || isOver) {
+      this.#spots = { count, neededAt: now };
+    }
+    return this.#spots.count;
   }
 
   /** On-demand upstreams go once the others have stood for a while. */
@@ -163,12 +174,14 @@
       isIdle: boolean;
       isShort: boolean;
       total: number;
+      /** Reclaimable upstreams that must stand before there is load. */
+      least: number;
       now: Milliseconds;
     },
   ): boolean {
-    const { isIdle, isShort, total, now } = options;
+    const { isIdle, isShort, total, least, now } = options;
     if (isIdle) {
-      return total >= this.#settings.least;
+      return total >= least;
     }
     if (isShort) {
       this.#enoughSince = undefined;
--- a/packages/serving/hub.ts
+++ b/packages/serving/hub.ts
@@ -67,6 +67,7 @@
   readonly directory = new UpstreamDirectory();
   readonly #entries = new Map<string, HeardEntry>();
   readonly #charges = new ChargeBook();
+  readonly #readWork = new ChargeBook();
   readonly #usage = new Map<string, Map<string, WorkspaceCounts>>();
   /** By identifier of the upstream. */
   readonly #revisions = new Map<string, Revisions>();
@@ -208,6 +209,11 @@
     return totals;
   }
 
+  /** Time to read all prompts that entries sent, by service, in ms. */
+  totalReadWork(): Record<string, Milliseconds> {
+    return this.#readWork.sumWithout("");
+  }
+
   /** What all entries have under way, by upstream. */
   totalLoads(now: Milliseconds): Record<string, UpstreamLoad> {
     return this.#loadsOfOthers("", now);
@@ -224,6 +230,7 @@
     for (const [name, entry] of this.#entries) {
       if (now - entry.heardAt > ENTRY_GONE_AFTER) {
         this.#charges.drop(name);
+        this.#readWork.drop(name);
         this.#entries.delete(name);
       }
     }
@@ -248,6 +255,7 @@
   #hearEntry(request: SyncRequest, now: Milliseconds): void {
     const { name, boot } = request.entry;
     this.#charges.hear(name, { boot, spent: request.spent }, now);
+    this.#readWork.hear(name, { boot, spent: request.readWork }, now);
     this.#entries.set(name, {
       request,
       heardAt: now,
--- a/packages/serving/hub_test.ts
+++ b/packages/serving/hub_test.ts
@@ -18,6 +18,7 @@
   revision: 0,
   documentVersion: -1,
   spent: {},
+  readWork: {},
   loads: {},
   usage: {},
   ...part,
--- a/packages/serving/sync_request.ts
+++ b/packages/serving/sync_request.ts
@@ -24,6 +24,8 @@
   readonly documentVersion: number;
   /** Everything charged since the start of the process, by workspace. */
   readonly spent: Readonly<Record<string, number>>;
+  /** Time to read all prompts sent since the start, by service, in ms. */
+  readonly readWork: Readonly<Record<string, Milliseconds>>;
   /** What it has under way; absent in the short news to other replicas. */
   readonly loads: Readonly<Record<string, UpstreamLoad>> | undefined;
   /** Requests begun, by number of the usage window and workspace. */
--- a/packages/serving/upstream_choice.ts
+++ b/packages/serving/upstream_choice.ts
@@ -91,6 +91,7 @@
   readonly #own = new Map<string, OwnView>();
   #others: Readonly<Record<string, UpstreamLoad>> = {};
   #othersAt: Milliseconds = 0;
+  readonly #readWork = new Map<string, Milliseconds>();
 
   /** Takes in what the other entries had under way at a time. */
   learnOthers(
@@ -112,6 +113,11 @@
     return loads;
   }
 
+  /** Time to read all prompts sent since the start, by service. */
+  readWork(): Record<string, Milliseconds> {
+    return Object.fromEntries(this.#readWork);
+  }
+
   /** Takes in that another entry sent a prompt somewhere. */
   learnDispatch(notice: DispatchNotice, now: Milliseconds): void {
     const view = this.#view(notice.upstream);
@@ -155,6 +161,9 @@
     view.ownBacklog.add(chosen.readTime, now);
     view.backlog.add(chosen.readTime, now);
     view.cache.addTokens(tokens);
+    const { service } = chosen.upstream.record;
+    const workBefore = this.#readWork.get(service) ?? 0;
+    this.#readWork.set(service, workBefore + Math.round(chosen.readTime));
     for (const part of parts) {
       view.cache.notePart(part.id, now + view.backlog.left(now));
     }
