--- a/packages/serving/fleet_planner.ts
+++ b/packages/serving/fleet_planner.ts
@@ -16,16 +16,6 @@
 
 /** Time after a refused order or a reclaim before the next try. */
 const REFUSED_PAUSE: Milliseconds = 2000;
-/** Time for which a refusal says that none are to be had. */
-const REFUSED_MEMORY: Milliseconds = 3000;
-/** Time beyond the boot after which an order is taken to have failed. */
-const BOOT_MARGIN: Milliseconds = 2000;
-/**
- * Part of the largest zone's reclaimable upstreams that isn't counted on, as
- * any zone may lose them within seconds. Without it worth fell from 0.602 to
- * 0.525 in a trial on bordvakt-prod quiet-1.
- */
-const RISK_SHARE = 0.5;
 /** Time after which an order that shows no effect is given again. */
 const REPEAT_AFTER: Milliseconds = 6000;
 /** Time reclaimable upstreams must have stood before others are let go. */
@@ -39,16 +29,10 @@
   count: number;
   at: Milliseconds;
   refusedUntil: Milliseconds;
-  refusedAt: Milliseconds;
 };
 
-/** What a plan is made from, for a service that may be scaled. */
-type PlanOptions = {
-  readonly scale: ScaleLimits;
-  readonly upstreams: readonly UpstreamRecord[];
-  readonly isIdle: boolean;
-  readonly now: Milliseconds;
-};
+/** What is there of one kind in one zone. */
+type Present = { ready: number; leaving: number };
 
 /**
  * Plans how many upstreams of each kind to hold in each availability zone.
@@ -60,10 +44,7 @@
 export class FleetPlanner {
   readonly #settings: FleetSettings;
   readonly #given = new Map<string, Given>();
-  /** Since when fewer are ready than ordered, by kind and zone. */
-  readonly #shortSince = new Map<string, Milliseconds>();
-  /** How many on-demand upstreams would do, and since when. */
-  #surplus: { most: number; since: Milliseconds } | undefined;
+  #enoughSince: Milliseconds | undefined;
   readonly #demand = new DemandEstimate();
   /** Reclaimable upstreams wanted in a zone, and when so many were needed. */
   #spots = { count: 0, neededAt: -Infinity };
@@ -90,7 +71,7 @@
     if (scale === undefined) {
       return [];
     }
-    this.#demand.note(options, options.now);
+    this.#demand.note(options.readWork, options.now);
     const orders: FleetOrder[] = [];
     for (const wanted of this.#wanted(service, { ...options, scale })) {
       if (this.#isDue(wanted, options)) {
@@ -106,7 +87,6 @@
     const given = this.#given.get(keyOf(order));
     if (given !== undefined) {
       given.refusedUntil = now + REFUSED_PAUSE;
-      given.refusedAt = now;
       given.count = -1;
     }
   }
@@ -119,27 +99,41 @@
     }
   }
 
-  #wanted(service: Service, options: PlanOptions): FleetOrder[] {
-    const zones = zonesByPrice(options.scale);
+  #wanted(
+    service: Service,
+    options: {
+      scale: ScaleLimits;
+      upstreams: readonly UpstreamRecord[];
+      isIdle: boolean;
+      requests: number;
+      now: Milliseconds;
+    },
+  ): FleetOrder[] {
+    const { scale, upstreams, now, isIdle } = options;
+    const zones = Object.keys(scale.zonePrices).sort((left, right) =>
+      scale.zonePrices[left]! - scale.zonePrices[right]!
+    );
     const needed = this.#needed(options);
     const spotsWanted = this.#spotsPerZone(needed, options);
-    const total = this.#onDemandWanted(service, {
-      ...options,
-      needed,
-      spotsWanted,
-    });
-    const present = zones.map((zone) =>
-      this.#onDemandIn(service, { ...options, zone })
+    const spots = zones.map((zone) =>
+      countPresent(upstreams, { service, zone, isSpot: true }).ready
     );
-    // On-demand ones never take places that reclaimable ones will have; under
-    // high load they cost more than they bring.
-    const room = Math.max(0, options.scale.max - spotsWanted);
-    const counts = spread(total, { present, room });
+    const total = sum(spots);
+    const isShort = total < spotsWanted * (zones.length - 1 / 2);
+    const secured = total - Math.max(0, ...spots);
+    let missing = isShort && !isIdle ? Math.max(0, needed - secured) : 0;
+    const least = spotsWanted * (zones.length - 1);
+    const mayLetGo = this.#mayLetGo({ isIdle, isShort, total, least, now });
     const orders: FleetOrder[] = [];
-    zones.forEach((zone, at) => {
-      const count = counts[at]!;
+    for (const zone of zones) {
+      const present = countPresent(upstreams, { service, zone, isSpot: false });
+      const room = scale.max - spotsWanted;
+      const share = zone === zones.at(-1) ? missing : Math.ceil(missing / 2);
+      const fill = Math.min(room, share);
+      missing -= fill;
+      const count = mayLetGo ? fill : Math.max(fill, present.ready);
       orders.push({ service: service.name, zone, isSpot: false, count });
-    });
+    }
     for (const zone of zones) {
       const count = spotsWanted;
       orders.push({ service: service.name, zone, isSpot: true, count });
@@ -147,94 +141,11 @@
     return orders;
   }
 
-  /**
-   * On-demand upstreams in all zones: what reclaimable ones, those that boot
-   * included, leave uncovered. They are kept until the others stand.
-   */
-  #onDemandWanted(
-    service: Service,
-    options: PlanOptions & { needed: number; spotsWanted: number },
-  ): number {
-    const { upstreams, scale, isIdle, needed, spotsWanted, now } = options;
-    const zones = zonesByPrice(scale);
-    const ready = zones.map((zone) =>
-      countReady(upstreams, { service, zone, isSpot: true })
-    );
-    const coming = zones.map((zone) =>
-      this.#spotsComing(service, { ...options, zone, count: spotsWanted })
-    );
-    const present = sum(
-      zones.map((zone) => this.#onDemandIn(service, { ...options, zone })),
-    );
-    if (isIdle) {
-      const isEnough = sum(ready) >= spotsWanted * (zones.length - 1);
-      return isEnough ? 0 : present;
-    }
-    const least = Math.max(0, needed - covered(coming));
-    const most = Math.max(least, needed - covered(ready));
-    if (present <= most) {
-      this.#surplus = undefined;
-      return Math.max(least, present);
-    }
-    if (this.#surplus === undefined || most < this.#surplus.most) {
-      this.#surplus = { most, since: now };
-    }
-    return now - this.#surplus.since >= LET_GO_AFTER ? most : present;
-  }
-
-  /** On-demand upstreams of a zone, those that boot included. */
-  #onDemandIn(
-    service: Service,
-    options: PlanOptions & { zone: string },
-  ): number {
-    const { upstreams, scale, zone, now } = options;
-    const ready = countReady(upstreams, { service, zone, isSpot: false });
-    const given = this.#given.get(
-      keyOf({ service: service.name, zone, isSpot: false, count: 0 }),
-    );
-    const isBooting = given !== undefined &&
-      now - given.at < scale.bootTime + BOOT_MARGIN;
-    return isBooting ? Math.max(ready, given.count) : ready;
-  }
-
-  /** Reclaimable upstreams of a zone: those ordered, or those that stand. */
-  #spotsComing(
-    service: Service,
-    options: PlanOptions & { zone: string; count: number },
-  ): number {
-    const { upstreams, scale, zone, count, now } = options;
-    const order = { service: service.name, zone, isSpot: true, count };
-    const ready = countReady(upstreams, { service, zone, isSpot: true });
-    const { bootTime } = scale;
-    return this.#isComing(order, { ready, bootTime, now }) ? count : ready;
-  }
-
-  /**
-   * Whether what an order asks for can be counted on: it was not refused, and
-   * has not been missing for longer than it takes to boot.
-   */
-  #isComing(
-    order: FleetOrder,
-    options: { ready: number; bootTime: Milliseconds; now: Milliseconds },
-  ): boolean {
-    const { ready, bootTime, now } = options;
-    const key = keyOf(order);
-    if (ready >= order.count) {
-      this.#shortSince.delete(key);
-      return true;
-    }
-    const since = this.#shortSince.get(key) ?? now;
-    this.#shortSince.set(key, since);
-    const refusedAt = this.#given.get(key)?.refusedAt ?? -Infinity;
-    const isRefused = now - refusedAt < REFUSED_MEMORY;
-    return !isRefused && now - since < bootTime + BOOT_MARGIN;
-  }
-
   /** Upstreams that the load of the last seconds asks for. */
-  #needed(options: { scale: ScaleLimits }): number {
+  #needed(options: { scale: ScaleLimits; requests: number }): number {
     const { utilization, requestsEach } = this.#settings;
     const byWork = this.#demand.engines / utilization;
-    const byRequests = this.#demand.requests / requestsEach;
+    const byRequests = options.requests / requestsEach;
     const zones = Object.keys(options.scale.zonePrices).length;
     return Math.max(zones, Math.ceil(Math.max(byWork, byRequests)));
   }
@@ -257,6 +168,29 @@
     return this.#spots.count;
   }
 
+  /** On-demand upstreams go once the others have stood for a while. */
+  #mayLetGo(
+    options: {
+      isIdle: boolean;
+      isShort: boolean;
+      total: number;
+      /** Reclaimable upstreams that must stand before there is load. */
+      least: number;
+      now: Milliseconds;
+    },
+  ): boolean {
+    const { isIdle, isShort, total, least, now } = options;
+    if (isIdle) {
+      return total >= least;
+    }
+    if (isShort) {
+      this.#enoughSince = undefined;
+      return false;
+    }
+    this.#enoughSince ??= now;
+    return now - this.#enoughSince >= LET_GO_AFTER;
+  }
+
   #isDue(
     order: FleetOrder,
     options: { upstreams: readonly UpstreamRecord[]; now: Milliseconds },
@@ -272,21 +206,19 @@
     if (given.count !== order.count) {
       return true;
     }
-    const present = countReady(options.upstreams, {
+    const present = countPresent(options.upstreams, {
       service: { name: order.service },
       zone: order.zone,
       isSpot: order.isSpot,
     });
-    return present !== order.count && now - given.at > REPEAT_AFTER;
+    return present.ready !== order.count && now - given.at > REPEAT_AFTER;
   }
 
   #note(order: FleetOrder, now: Milliseconds): void {
-    const refusedAt = this.#given.get(keyOf(order))?.refusedAt ?? -Infinity;
     this.#given.set(keyOf(order), {
       count: order.count,
       at: now,
       refusedUntil: 0,
-      refusedAt,
     });
   }
 }
@@ -295,53 +227,21 @@
   return `${order.service} ${order.zone} ${order.isSpot}`;
 }
 
-function countReady(
+function countPresent(
   upstreams: readonly UpstreamRecord[],
   options: { service: { name: string }; zone: string; isSpot: boolean },
-): number {
-  let ready = 0;
+): Present {
+  const present: Present = { ready: 0, leaving: 0 };
   for (const record of upstreams) {
     const matches = record.service === options.service.name &&
       record.zone === options.zone && record.isSpot === options.isSpot;
-    ready += matches && record.state === "ready" ? 1 : 0;
-  }
-  return ready;
-}
-
-function zonesByPrice({ zonePrices }: ScaleLimits): string[] {
-  return Object.keys(zonePrices).sort((left, right) =>
-    zonePrices[left]! - zonePrices[right]!
-  );
-}
-
-/** How many of the reclaimable upstreams of all zones are counted on. */
-function covered(byZone: readonly number[]): number {
-  return Math.floor(sum(byZone) - RISK_SHARE * Math.max(0, ...byZone));
-}
-
-/**
- * Spreads a number over zones, the cheapest first: those that are there stay
- * where they are, new ones go to two zones at least.
- */
-function spread(
-  total: number,
-  options: { present: readonly number[]; room: number },
-): number[] {
-  const { present, room } = options;
-  const counts = [...present];
-  for (let at = counts.length - 1; at >= 0; at -= 1) {
-    const over = Math.max(0, sum(counts) - total);
-    counts[at] = Math.max(0, counts[at]! - over);
-  }
-  const share = Math.ceil(total / 2);
-  for (const limit of [share, total]) {
-    for (let at = 0; at < counts.length; at += 1) {
-      const missing = Math.max(0, total - sum(counts));
-      const fits = Math.max(0, Math.min(limit, room) - counts[at]!);
-      counts[at] = counts[at]! + Math.min(missing, fits);
+    if (matches && record.state === "ready") {
+      present.ready += 1;
+    } else if (matches && record.state === "draining") {
+      present.leaving += 1;
     }
   }
-  return counts;
+  return present;
 }
 
 function sum(counts: readonly number[]): number {
