A fuzz of spoiled upstream answers

Answers that are cut, reset, doubled, foreign or mixed with junk, at any place, with and without a length: none passes for a whole one where that can be told, none is said not to have run, and the next request is served.

--- a/apps/heroncleatd/gateway/forwarding_test.ts
+++ b/apps/heroncleatd/gateway/forwarding_test.ts
@@ -8,6 +8,7 @@
   UpstreamChoice,
   UpstreamDirectory,
 } from "@heroncleat/serving";
+import fc from "fast-check";
 import type { CallerRequest } from "./caller_request.ts";
 import { forwardCall } from "./forward_call.ts";
 import type { ForwardContext } from "./forward_context.ts";
@@ -184,6 +185,87 @@
   });
 });
 
+describe("an upstream's answer that is spoiled", () => {
+  type Spoiling = {
+    /** Part of the answer after which it is spoiled. */
+    readonly at: number;
+    readonly how: "cut" | "reset" | "junk" | "doubled" | "foreign";
+    readonly hasLength: boolean;
+    readonly junk: string;
+  };
+  const spoilings = fc.record({
+    at: fc.double({ min: 0, max: 1, noNaN: true }),
+    how: fc.constantFrom("cut", "reset", "junk", "doubled", "foreign"),
+    hasLength: fc.boolean(),
+    junk: fc.string({ minLength: 1, maxLength: 20 }),
+  }) as fc.Arbitrary<Spoiling>;
+
+  function replyOf(spoiling: Spoiling): TestReply {
+    const { at, how, hasLength, junk } = spoiling;
+    return ({ message, body }, socket) => {
+      const attempt = how === "foreign" ? "another" : message
+        .headers["x-attempt"];
+      const text = "HTTP/1.1 200 OK\r\nx-digest: d\r\n" +
+        `x-attempt: ${attempt}\r\n` +
+        (hasLength
+          ? `Content-Length: ${body.length}\r\n\r\n`
+          : "Connection: close\r\n\r\n") +
+        body;
+      const before = text.slice(0, Math.floor(at * (text.length - 1)));
+      if (how === "doubled") {
+        socket.write(text + text);
+      } else if (how === "foreign") {
+        socket.write(text);
+      } else if (how === "junk") {
+        socket.end(before + junk + text.slice(before.length));
+      } else if (how === "reset") {
+        socket.write(before, () => socket.resetAndDestroy());
+      } else {
+        socket.write(before, () => socket.destroy());
+      }
+    };
+  }
+
+  test("never passes for a whole one, and the next request is served", async () => {
+    let served = 0;
+    await fc.assert(
+      fc.asyncProperty(spoilings, async (spoiling) => {
+        // Without a length an orderly end can't be told from the whole, and
+        // junk within the body can't be told from the body.
+        const isUnseen = (spoiling.how === "cut" && !spoiling.hasLength) ||
+          spoiling.how === "junk";
+        let isSpoiled = true;
+        const engine = await upstream((request, socket) =>
+          isSpoiled
+            ? replyOf(spoiling)(request, socket)
+            : whole(request, socket)
+        );
+        const entry = await startEntry({
+          upstreams: [engine],
+          kind: RouteKind.nonIdempotent,
+          timeout: 250,
+        });
+        const asked = await askEntry(entry, { attempt: "first" });
+        if (asked.status === 200 && asked.isWhole && !isUnseen) {
+          expect(asked.body).toBe("hello");
+        }
+        expect(asked.status).not.toBe(503);
+        expect(engine.seen.length).toBe(1);
+        isSpoiled = false;
+        const next = await askEntry(entry, { attempt: "second" });
+        // An upstream that failed is left alone for a while.
+        expect([200, 503]).toContain(next.status);
+        if (next.status === 200) {
+          expect(next.body).toBe("hello");
+          served += 1;
+        }
+      }),
+      { numRuns: 40 },
+    );
+    expect(served).toBeGreaterThan(0);
+  });
+});
+
 describe("a forwarded stream", () => {
   const head = (attempt: unknown) =>
     "HTTP/1.1 200 OK\r\nx-digest: first\r\nContent-Type: text/event-stream\r\n" +
