--- a/apps/heroncleatd/gateway/caller_surface_test.ts
+++ b/apps/heroncleatd/gateway/caller_surface_test.ts
@@ -11,6 +11,7 @@
 import type { Log } from "../common/log.ts";
 import { type RunningGateway, startGateway } from "./start_gateway.ts";
 import { TestUpstream } from "./test_upstream.ts";
+import { testHeaderNames } from "./test_header_names.ts";
 
 const HOST = "127.0.0.21";
 const HUB = `${HOST}:25400`;
@@ -97,18 +98,7 @@
       usageWindow: 1000,
       gracePeriod: 500,
     }),
-    names: {
-      attempt: "x-attempt",
-      timeLeft: "x-time-left",
-      key: "x-key",
-      workspace: "x-workspace",
-      expectedUpstream: "x-expected",
-      digest: "x-digest",
-      notRun: "x-not-run",
-      priority: "x-priority",
-      fetchFrom: "x-fetch-from",
-      lastEvent: "last-event-id",
-    },
+    names: testHeaderNames,
     readPrompt: () => undefined,
     decodeDocument: (source) => ({
       kind: "document",
--- a/apps/heroncleatd/gateway/forwarding_test.ts
+++ b/apps/heroncleatd/gateway/forwarding_test.ts
@@ -14,22 +14,11 @@
 import type { ForwardContext } from "./forward_context.ts";
 import type { ForwardResult } from "./forward_result.ts";
 import { forwardStream } from "./forward_stream.ts";
-import type { HeaderNames } from "./header_names.ts";
 import { type TestReply, TestUpstream } from "./test_upstream.ts";
 import { UpstreamAgent } from "./upstream_agent.ts";
+import { testHeaderNames } from "./test_header_names.ts";
 
-const names: HeaderNames = {
-  attempt: "x-attempt",
-  timeLeft: "x-time-left",
-  key: "x-key",
-  workspace: "x-workspace",
-  expectedUpstream: "x-expected",
-  digest: "x-digest",
-  notRun: "x-not-run",
-  priority: "x-priority",
-  fetchFrom: "x-fetch-from",
-  lastEvent: "last-event-id",
-};
+const names = testHeaderNames;
 const route: Route = {
   name: "r",
   host: "h",
--- /dev/null
+++ b/apps/heroncleatd/gateway/test_header_names.ts
@@ -0,0 +1,15 @@
+import type { HeaderNames } from "./header_names.ts";
+
+/** Header names for tests; none is a platform's. */
+export const testHeaderNames: HeaderNames = {
+  attempt: "x-attempt",
+  timeLeft: "x-time-left",
+  key: "x-key",
+  workspace: "x-workspace",
+  expectedUpstream: "x-expected",
+  digest: "x-digest",
+  notRun: "x-not-run",
+  priority: "x-priority",
+  fetchFrom: "x-fetch-from",
+  lastEvent: "last-event-id",
+};
--- a/apps/heroncleatd/hub/hub_group_test.ts
+++ b/apps/heroncleatd/hub/hub_group_test.ts
@@ -5,10 +5,10 @@
 import { createSystemClock } from "@heroncleat/base";
 import { RouteKind, type ServingDocument } from "@heroncleat/serving";
 import { PeerPool, PeerServer } from "@heroncleat/transport";
-import type { HeaderNames } from "../gateway/header_names.ts";
 import { type RunningGateway, startGateway } from "../gateway/start_gateway.ts";
 import type { DutyCalls, DutyHolder } from "./duty_calls.ts";
 import { type RunningHub, startHub } from "./start_hub.ts";
+import { testHeaderNames } from "../gateway/test_header_names.ts";
 
 const FIRST_PORT = 25_300;
 const SEEDS = [0, 1, 2].map((at) => `127.0.0.1:${FIRST_PORT + at}`);
@@ -17,18 +17,7 @@
 const CATCH_UP_TIME = 4000;
 const quiet = { debug() {}, info() {}, warn() {}, error() {} };
 const metrics = { increment() {}, gauge() {}, timing() {}, close() {} };
-const names: HeaderNames = {
-  attempt: "x-attempt",
-  timeLeft: "x-time-left",
-  key: "x-key",
-  workspace: "x-workspace",
-  expectedUpstream: "x-expected",
-  digest: "x-digest",
-  notRun: "x-not-run",
-  priority: "x-priority",
-  fetchFrom: "x-fetch-from",
-  lastEvent: "last-event-id",
-};
+const names = testHeaderNames;
 
 /** One control replica of the test, which can be stopped and wiped. */
 class TestHub {
