Charges of other entries count from every source, none twice and none never

A workspace sent 7.5 times its usual from 4.3 s on; the core lost a disk at 5.2 s.

Cause: since entries exchange whole news with the leader only, all of them change their source of news when the leader is lost. The first news of another source only set a mark; what was spent since the last news was taken from the pace before, for one second at most. Ruled out: the number of entries (12 throughout), refunds (few). The estimate was there before, but one entry in four changed its source at a time.

Change: every source is followed all the time, short news tell the charges too, and the most that any source tells counts, so nothing is missed while one is silent. A book of charges counts from when it first hears an entry, so a replica that starts anew doesn't tell old charges as new ones; after direct news between isolated entries, those were refused for seconds.

Tests: a changed source misses nothing and doubles nothing (failed before).

--- a/apps/heroncleatd/gateway/caller_surface_test.ts
+++ b/apps/heroncleatd/gateway/caller_surface_test.ts
@@ -146,9 +146,9 @@
     entries: [{ name: "entry", address: ADDRESS, zone: "a", region: "r" }],
     controls: [HUB],
     wall: Date.now(),
+    spentByOthers: {},
     shared: {
       beats: {},
-      spentByOthers: {},
       loadsOfOthers: {},
       quotaShare: 1,
     },
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -339,19 +339,21 @@
     if (reply.document !== undefined) {
       this.#adopt(reply.document);
     }
-    if (reply.shared !== undefined) {
-      this.#learnShared(reply.feed, reply.shared);
+    if (reply.shared === undefined) {
+      this.#quota.learnBeside(reply.feed, reply.spentByOthers);
+    } else {
+      this.#learnShared(reply, reply.shared);
     }
   }
 
-  #learnShared(feed: string, shared: SharedNews): void {
+  #learnShared(reply: SyncReply, shared: SharedNews): void {
     const now = this.#options.clock.steady();
     for (const [id, sequence] of Object.entries(shared.beats)) {
       this.#directory.refresh(id, sequence, now);
     }
     this.#choice.learnOthers(shared.loadsOfOthers, now);
-    this.#quota.learnOthers(feed, {
-      spent: shared.spentByOthers,
+    this.#quota.learnOthers(reply.feed, {
+      spent: reply.spentByOthers,
       share: shared.quotaShare,
       entries: this.#entryCount.value,
       now,
--- a/packages/serving/charge_book.ts
+++ b/packages/serving/charge_book.ts
@@ -5,47 +5,56 @@
   /** Identifier of the process; new with each start. */
   readonly boot: string;
   readonly spent: Readonly<Record<string, number>>;
+};
+
+/** An entry as this book last heard it. */
+type KnownEntry = ToldCharges & {
   readonly heardAt: Milliseconds;
+  /** What it charged since this book first heard of it. */
+  readonly counted: Readonly<Record<string, number>>;
 };
 
 /**
- * Adds up what entries charged to workspaces. Each tells a total since the
- * start of its process; what ended processes charged stays in the sum.
+ * Adds up what entries charge to workspaces from when this book first heard of
+ * each. Entries tell totals since the start of their process, so a book that
+ * starts later must not take what they charged before for something new.
  *
  * @internal
  */
 export class ChargeBook {
-  readonly #told = new Map<string, ToldCharges>();
-  /** Charges of processes that have ended. */
-  readonly #before = new Map<string, number>();
+  readonly #known = new Map<string, KnownEntry>();
+  /** Charges of entries that are gone. */
+  readonly #before: Record<string, number> = {};
 
-  hear(
-    entry: string,
-    charges: Omit<ToldCharges, "heardAt">,
-    now: Milliseconds,
-  ): void {
-    const known = this.#told.get(entry);
-    if (known !== undefined && known.boot !== charges.boot) {
-      this.#retire(known);
+  hear(entry: string, told: ToldCharges, now: Milliseconds): void {
+    const known = this.#known.get(entry);
+    const counted = { ...known?.counted };
+    if (known !== undefined) {
+      const isSame = known.boot === told.boot;
+      for (const [bucket, total] of Object.entries(told.spent)) {
+        const since = isSame ? known.spent[bucket] ?? 0 : 0;
+        counted[bucket] = (counted[bucket] ?? 0) + total - since;
+      }
     }
-    this.#told.set(entry, { ...charges, heardAt: now });
+    const { boot, spent } = told;
+    this.#known.set(entry, { boot, spent, counted, heardAt: now });
   }
 
   /** Notes that an entry is gone. */
   drop(entry: string): void {
-    const known = this.#told.get(entry);
+    const known = this.#known.get(entry);
     if (known !== undefined) {
-      this.#retire(known);
-      this.#told.delete(entry);
+      addAll(this.#before, known.counted);
+      this.#known.delete(entry);
     }
   }
 
   /** Charges of all entries but one, by quota bucket. */
   sumWithout(entry: string): Record<string, number> {
-    const totals = Object.fromEntries(this.#before);
-    for (const [name, { spent }] of this.#told) {
+    const totals = { ...this.#before };
+    for (const [name, { counted }] of this.#known) {
       if (name !== entry) {
-        addAll(totals, spent);
+        addAll(totals, counted);
       }
     }
     return totals;
@@ -54,19 +63,13 @@
   /** Names of the entries heard since a time. */
   heardSince(since: Milliseconds): Set<string> {
     const heard = new Set<string>();
-    for (const [entry, { heardAt }] of this.#told) {
+    for (const [entry, { heardAt }] of this.#known) {
       if (heardAt >= since) {
         heard.add(entry);
       }
     }
     return heard;
   }
-
-  #retire({ spent }: ToldCharges): void {
-    for (const [bucket, amount] of Object.entries(spent)) {
-      this.#before.set(bucket, (this.#before.get(bucket) ?? 0) + amount);
-    }
-  }
 }
 
 function addAll(
--- a/packages/serving/hub.ts
+++ b/packages/serving/hub.ts
@@ -134,9 +134,9 @@
       entries: list.revision > from ? list.entries : undefined,
       controls,
       wall: this.estimateWall(now) ?? request.wall,
+      spentByOthers: this.#charges.sumWithout(request.entry.name),
       shared: request.loads === undefined ? undefined : {
         beats,
-        spentByOthers: this.#charges.sumWithout(request.entry.name),
         loadsOfOthers: this.#loadsOfOthers(request.entry.name, now),
         quotaShare: this.#quotaShare(now),
       },
--- a/packages/serving/hub_test.ts
+++ b/packages/serving/hub_test.ts
@@ -59,14 +59,27 @@
 
   test("sums the others' spending, also of processes that ended", () => {
     const hub = new Hub("f");
-    hub.sync(request("a", { spent: { inn: 10 } }), { ...context, now: 0 });
+    const spends = (amount: number, now: number) =>
+      hub.sync(request("a", { spent: { inn: amount } }), { ...context, now });
+    spends(0, 0);
+    spends(10, 50);
     const restarted = request("a", { spent: { inn: 3 } });
     hub.sync(
       { ...restarted, entry: { ...restarted.entry, boot: "a-2" } },
       { ...context, now: 100 },
     );
     const reply = hub.sync(request("b"), { ...context, now: 200 });
-    expect(reply.shared?.spentByOthers).toEqual({ inn: 13 });
+    expect(reply.spentByOthers).toEqual({ inn: 13 });
+  });
+
+  test("that starts late takes nothing charged before for something new", () => {
+    const hub = new Hub("f");
+    const spends = (amount: number, now: number) =>
+      hub.sync(request("a", { spent: { inn: amount } }), { ...context, now });
+    spends(1_000_000, 0);
+    spends(1_000_007, 100);
+    const reply = hub.sync(request("b"), { ...context, now: 200 });
+    expect(reply.spentByOthers).toEqual({ inn: 7 });
   });
 
   test("keeps a share of the quotas for entries out of reach", () => {
@@ -132,8 +145,9 @@
     const hub = new Hub("f");
     const spent = { inn: 7 };
     const short = request("a", { spent, loads: undefined });
-    hub.sync(short, { ...context, now: 0 });
+    hub.sync(request("a"), { ...context, now: 0 });
+    hub.sync(short, { ...context, now: 5 });
     const reply = hub.sync(request("b"), { ...context, now: 10 });
-    expect(reply.shared?.spentByOthers).toEqual(spent);
+    expect(reply.spentByOthers).toEqual(spent);
   });
 });
--- a/packages/serving/isolated_quota_test.ts
+++ b/packages/serving/isolated_quota_test.ts
@@ -85,6 +85,7 @@
   test("fall back to an even share when the others fall silent", () => {
     const told = new IsolatedQuota();
     const news = { entry: "e1", boot: "1", spent: { inn: 5 }, isOpen: true };
+    told.hear({ ...news, spent: { inn: 0 } }, 0);
     told.hear(news, 0);
     expect(told.isOpen("e1", 100)).toBe(true);
     expect(told.isOpen("e1", 5000)).toBe(false);
--- /dev/null
+++ b/packages/serving/others_charges.ts
@@ -0,0 +1,51 @@
+/** What one source has told, less what was known when it first did. */
+type Source = Map<string, number>;
+
+/**
+ * What all other entries charged, from sources that count from different
+ * starts and hear of it at different times. What a source tells is never more
+ * than the truth, so the most that any of them tells counts; one that is lost
+ * and comes back tells what was missed.
+ *
+ * @internal
+ */
+export class OthersCharges {
+  readonly #isFresh: boolean;
+  readonly #sources = new Map<string, Source>();
+  readonly #totals = new Map<string, number>();
+
+  /** @param isFresh Whether nobody charged anything before the first source. */
+  constructor(isFresh: boolean) {
+    this.#isFresh = isFresh;
+  }
+
+  /** What is known of a bucket. */
+  total(bucket: string): number {
+    return this.#totals.get(bucket) ?? 0;
+  }
+
+  /** Takes in totals by bucket and gives what they add to what was known. */
+  learn(
+    source: string,
+    spent: Readonly<Record<string, number>>,
+  ): Map<string, number> {
+    const starts = this.#sources.get(source);
+    const isKnown = starts !== undefined ||
+      (this.#isFresh && this.#sources.size === 0 && this.#totals.size === 0);
+    const known = starts ?? new Map<string, number>();
+    this.#sources.set(source, known);
+    const added = new Map<string, number>();
+    for (const [bucket, total] of Object.entries(spent)) {
+      const before = this.#totals.get(bucket) ?? 0;
+      // A bucket that a known source didn't name before starts at nothing.
+      const start = known.get(bucket) ?? (isKnown ? 0 : total - before);
+      known.set(bucket, start);
+      const more = total - start - before;
+      if (more > 0) {
+        this.#totals.set(bucket, before + more);
+        added.set(bucket, more);
+      }
+    }
+    return added;
+  }
+}
--- a/packages/serving/sync_reply.ts
+++ b/packages/serving/sync_reply.ts
@@ -20,6 +20,8 @@
   readonly controls: readonly string[];
   /** Median of the wall clocks of all entries, since 1970. */
   readonly wall: Milliseconds;
+  /** What the other entries charged since this process heard of them. */
+  readonly spentByOthers: Readonly<Record<string, number>>;
   /** What entries share; present in answers to whole news. */
   readonly shared: SharedNews | undefined;
 };
@@ -28,8 +30,6 @@
 export type SharedNews = {
   /** Newest heartbeat of upstreams that have not changed. */
   readonly beats: Readonly<Record<string, number>>;
-  /** What the other entries charged, by workspace. */
-  readonly spentByOthers: Readonly<Record<string, number>>;
   readonly loadsOfOthers: Readonly<Record<string, UpstreamLoad>>;
   /** Part of all quotas that the entries in reach of this replica may use. */
   readonly quotaShare: number;
--- a/packages/serving/workspace_quota.ts
+++ b/packages/serving/workspace_quota.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds } from "@heroncleat/base";
+import { OthersCharges } from "./others_charges.ts";
 import type { Workspace } from "./workspace.ts";
 
 /** How far the quotas may be overrun, and over which time. @public */
@@ -44,6 +45,8 @@
   filledAt: Milliseconds;
   /** Tokens that the others spent in a millisecond before the last news. */
   othersPace: number;
+  /** Tokens that other sources added since the last whole news. */
+  addedBetween: number;
   /** Tokens that this entry took since the last news. */
   takenSinceNews: number;
 };
@@ -71,16 +74,15 @@
   readonly #settings: QuotaSettings;
   readonly #buckets = new Map<string, Bucket>();
   readonly #spent = new Map<string, number>();
-  #others = new Map<string, number>();
-  #othersFrom = "";
+  readonly #others: OthersCharges;
   #othersAt: Milliseconds = 0;
-  #hasNews = false;
   #entries = 1;
   /** Share of the rate that this entry's side of the system may hand out. */
   #share = 1;
 
   constructor(settings: QuotaSettings) {
     this.#settings = settings;
+    this.#others = new OthersCharges(settings.isFresh);
   }
 
   /** Charges a request, or says how long until it could be charged. */
@@ -123,9 +125,8 @@
   }
 
   /**
-   * Takes in what the other entries charged so far, as one source counts it.
-   * Another source counts from another start, so its first news only sets the
-   * mark; until then the others are taken to spend as before.
+   * Takes in what the other entries charged, as one of several sources counts
+   * it, and what part of the quotas may be handed out.
    */
   learnOthers(
     source: string,
@@ -139,29 +140,44 @@
   ): void {
     this.#share = options.share;
     this.#entries = Math.max(1, options.entries);
-    const isKnown = source === this.#othersFrom;
-    const before = this.#others;
-    this.#othersFrom = source;
-    this.#others = new Map(Object.entries(options.spent));
-    const isFirst = this.#settings.isFresh && !this.#hasNews;
     const elapsed = Math.max(1, options.now - this.#othersAt);
     this.#othersAt = options.now;
-    this.#hasNews = true;
+    const added = this.#learn(source, options.spent);
     for (const [name, bucket] of this.#buckets) {
-      const total = this.#others.get(name) ?? 0;
-      const spent = isKnown || isFirst
-        ? Math.max(0, total - (before.get(name) ?? 0))
-        : bucket.othersPace * Math.min(elapsed, MOST_FORECAST);
-      bucket.level -= spent;
+      const spent = bucket.addedBetween + (added.get(name) ?? 0);
       bucket.othersPace = spent / elapsed;
+      bucket.addedBetween = 0;
       bucket.takenSinceNews = 0;
     }
   }
 
+  /** Takes in what a source tells beside the one that is asked for all. */
+  learnBeside(source: string, spent: Readonly<Record<string, number>>): void {
+    for (const [name, more] of this.#learn(source, spent)) {
+      const bucket = this.#buckets.get(name);
+      if (bucket !== undefined) {
+        bucket.addedBetween += more;
+      }
+    }
+  }
+
+  #learn(
+    source: string,
+    spent: Readonly<Record<string, number>>,
+  ): Map<string, number> {
+    const added = this.#others.learn(source, spent);
+    for (const [name, more] of added) {
+      const bucket = this.#buckets.get(name);
+      if (bucket !== undefined) {
+        bucket.level -= more;
+      }
+    }
+    return added;
+  }
+
   /** Without news, only an even share may be handed out. */
   isolate(share: number): void {
     this.#share = share;
-    this.#othersFrom = "";
   }
 
   /** What is left, less what the others will have spent since the news. */
@@ -210,7 +226,7 @@
   #fill(terms: BucketTerms, now: Milliseconds): Bucket {
     const known = this.#buckets.get(terms.name);
     if (known === undefined) {
-      const spent = this.#others.get(terms.name) ?? 0;
+      const spent = this.#others.total(terms.name);
       const level = this.#settings.isFresh
         ? terms.size - spent
         : terms.size * RESTART_SHARE;
@@ -218,6 +234,7 @@
         level: Math.max(level, 0),
         filledAt: now,
         othersPace: 0,
+        addedBetween: 0,
         takenSinceNews: 0,
       };
       this.#buckets.set(terms.name, bucket);
--- a/packages/serving/workspace_quota_test.ts
+++ b/packages/serving/workspace_quota_test.ts
@@ -12,6 +12,41 @@
 };
 const settings = { isFresh: true, window: 8000, overshoot: 0.1, tolerance: 0 };
 
+describe("what other entries charged", () => {
+  const news = { share: 1, entries: 4 };
+  const strict = { ...settings, overshoot: 0 };
+  const spend = (quota: WorkspaceQuota, now: number) => {
+    let served = 0;
+    while (quota.charge(workspace, { amount: 10, now }).ok) {
+      served += 10;
+    }
+    return served;
+  };
+
+  test("is all counted when the source of news changes", () => {
+    const quota = new WorkspaceQuota(strict);
+    quota.charge(workspace, { amount: 10, now: 0 });
+    quota.learnOthers("a", { ...news, spent: { inn: 0 }, now: 0 });
+    quota.learnBeside("b", { inn: 0 });
+    // The first source is lost; the others go on and b tells of it later.
+    quota.learnOthers("a", { ...news, spent: { inn: 100 }, now: 100 });
+    quota.learnOthers("b", { ...news, spent: { inn: 5000 }, now: 3000 });
+    expect(spend(quota, 3000)).toBe(0);
+    // What a tells on its return, b had told before.
+    quota.learnOthers("a", { ...news, spent: { inn: 5000 }, now: 7200 });
+    expect(spend(quota, 8000)).toBeGreaterThan(0);
+  });
+
+  test("is not counted twice by a source that starts anew", () => {
+    const quota = new WorkspaceQuota({ ...strict, isFresh: false });
+    quota.learnOthers("a", { ...news, spent: { inn: 900_000 }, now: 0 });
+    expect(spend(quota, 0)).toBeGreaterThan(0);
+    quota.learnOthers("b", { ...news, spent: { inn: 40 }, now: 5000 });
+    quota.learnOthers("b", { ...news, spent: { inn: 50 }, now: 5100 });
+    expect(spend(quota, 5100)).toBeGreaterThan(0);
+  });
+});
+
 describe("the quota of a workspace", () => {
   test("covers its burst, then its rate, and says when to come back", () => {
     const quota = new WorkspaceQuota(settings);
