--- a/apps/heroncleatd/tests/loss_test.ts
+++ b/apps/heroncleatd/tests/loss_test.ts
@@ -58,7 +58,11 @@
   place = 3,
 ): Promise<void> {
   for (const answer of answers) {
-    expect(answer).toMatchObject({ status: 200, misplaced: 0 });
+    expect(answer).toMatchObject({
+      status: 200,
+      refusal: "",
+      misplaced: 0,
+    });
     expect(answer.finishReason).toMatch(/stop|length/);
     if (answer.finishReason === "length") {
       expect(answer.pieces).toBe(TOKENS);
--- a/packages/local_deployment/follow_answer.ts
+++ b/packages/local_deployment/follow_answer.ts
@@ -52,9 +52,10 @@
   const until = performance.now() + (options.timeout ?? DEFAULT_TIMEOUT);
   const first = await open(options).catch(() => undefined);
   if (first !== undefined && first.statusCode !== 200) {
-    await first.body.dump();
+    const refusal = await first.body.text();
     const run = String(first.headers["heroncleat-run"] ?? "");
-    return report(progress, { status: first.statusCode, run, reconnects: 0 });
+    const status = first.statusCode;
+    return report(progress, { status, run, refusal, reconnects: 0 });
   }
   if (first !== undefined) {
     await read(first, progress).catch(() => undefined);
@@ -69,7 +70,7 @@
     await reconnect(options, progress, reconnects).catch(() => undefined);
   }
   const status = first?.statusCode ?? 0;
-  return report(progress, { status, run: "", reconnects });
+  return report(progress, { status, run: "", refusal: "", reconnects });
 }
 
 function open(options: FollowOptions): Promise<Dispatcher.ResponseData> {
@@ -162,7 +163,7 @@
 
 function report(
   progress: Progress,
-  ending: { status: number; run: string; reconnects: number },
+  ending: Pick<FollowedAnswer, "status" | "run" | "refusal" | "reconnects">,
 ): FollowedAnswer {
   const { requestId, text, next, misplaced } = progress;
   const { finishReason, firstToken, gaps } = progress;
--- a/packages/local_deployment/followed_answer.ts
+++ b/packages/local_deployment/followed_answer.ts
@@ -4,6 +4,8 @@
   readonly status: number;
   /** Whether a refusal said that the request was not run. */
   readonly run: string;
+  /** Body of a refusal; empty for others. */
+  readonly refusal: string;
   readonly requestId: string;
   readonly text: string;
   readonly pieces: number;
