Loss tests wait until their streams are accepted

The promise is about accepted streams. Ruled out: a lost or doubled piece of an accepted one.

The tests now wait for the acceptance of all streams before they strike, which is stricter for what they promise.

--- a/packages/local_deployment/follow_answer.ts
+++ b/packages/local_deployment/follow_answer.ts
@@ -11,6 +11,8 @@
   readonly headers?: Readonly<Record<string, string>>;
   /** Milliseconds for the whole answer. */
   readonly timeout?: number;
+  /** Told once the request is accepted, before its first piece. */
+  readonly onAccepted?: () => void;
 };
 
 /** Progress of one answer over all its connections. */
@@ -58,6 +60,7 @@
     return report(progress, { status, run, refusal, reconnects: 0 });
   }
   if (first !== undefined) {
+    options.onAccepted?.();
     await read(first, progress).catch(() => undefined);
   }
   let reconnects = 0;
