--- /dev/null
+++ b/apps/heroncleatd/hub/group_repair_test.ts
@@ -0,0 +1,126 @@
+import { PlayedGroup } from "./played_group.ts";
+
+/** Time in which a successor must be able to bear the next loss. */
+const CATCH_UP_TIME = 4000;
+/** Time in which a group stands again once its VMs are back. */
+const RECOVERY_TIME = 3000;
+
+beforeEach(() => {
+  jest.useFakeTimers();
+});
+
+afterEach(() => {
+  jest.useRealTimers();
+});
+
+/** Starts a group of four VMs, of which three are the seeds. */
+async function startGroup(seed: number): Promise<PlayedGroup> {
+  const group = new PlayedGroup(["a", "b", "c", "d"], {
+    seed,
+    advanceTimers: (milliseconds) =>
+      jest.advanceTimersByTimeAsync(milliseconds),
+  });
+  await group.run(6000);
+  expect(group.leader).toBeDefined();
+  return group;
+}
+
+/** Takes a VM away for good; its successor comes at another address. */
+async function replace(
+  group: PlayedGroup,
+  names: { gone: string; successor: string },
+): Promise<void> {
+  group.remove(names.gone);
+  await group.run(550);
+  group.add(names.successor);
+  await group.run(CATCH_UP_TIME);
+}
+
+/** A VM loses its disk while all others lose their power. */
+async function loseDiskAndPower(
+  group: PlayedGroup,
+  name: string,
+): Promise<void> {
+  const names = [...group.vms.keys()];
+  for (const each of names) {
+    group.powerOff(each);
+  }
+  group.wipe(name);
+  await group.run(1500);
+  for (const each of names) {
+    group.powerOn(each);
+  }
+  await group.run(RECOVERY_TIME);
+}
+
+function expectWhole(group: PlayedGroup): void {
+  expect(group.leader).toBeDefined();
+  expect(group.committed).toEqual(expect.arrayContaining(group.acknowledged));
+}
+
+// What callers saw: after a loss of power nothing was served any more, and the
+// configuration that had been confirmed just before couldn't be read.
+//
+// Before it two VMs had been replaced, one after the other, and each successor
+// had caught up within 3 s, before its predecessor counted as lost. So it was
+// made a voter beside the one that was gone, and nothing looked again: of six
+// voters two were gone for good, four were needed and four were left. One disk
+// lost with the power was then one too many. Evidence: the members that the
+// leaders logged (33 s: six names, two of them gone for 3 and 28 s), and no
+// leader after the power was back.
+test("voters that are gone leave a group whose learners catch up sooner", async () => {
+  const group = await startGroup(1);
+  await replace(group, { gone: "c", successor: "c2" });
+  await replace(group, { gone: "a", successor: "a2" });
+  expect(group.voters).not.toContain("c");
+  expect(group.voters).not.toContain("a");
+  await loseDiskAndPower(group, "c2");
+  expectWhole(group);
+  group.close();
+});
+
+// What callers saw: no change was confirmed any more for a minute, and nothing
+// was served after a loss of power.
+//
+// The VM that led had replaced a founder and was neither founder nor seed. One
+// that lost its disk meanwhile asked the founders and seeds to be taken in, and
+// those that don't lead said no. So the group went on with a voter short, and
+// lost its quorum when the leader was replaced too. Evidence: `leader none` at
+// the empty replica, no `Takes in` at any other.
+test("a replica with an empty disk reaches a leader that founded nothing", async () => {
+  const group = await startGroup(2);
+  await replace(group, { gone: "b", successor: "b2" });
+  await leadBy(group, "b2");
+  group.powerOff("c");
+  group.wipe("c");
+  await group.run(1000);
+  group.powerOn("c");
+  await group.run(CATCH_UP_TIME);
+  expect(isMember(group, "c")).toBe(true);
+  await replace(group, { gone: "b2", successor: "b3" });
+  await loseDiskAndPower(group, "a");
+  expectWhole(group);
+  group.close();
+});
+
+/** Makes a VM lead: leaders before it lose their power for a moment. */
+async function leadBy(group: PlayedGroup, name: string): Promise<void> {
+  for (let tries = 0; group.leader?.name !== name; tries += 1) {
+    expect(tries).toBeLessThan(40);
+    const leader = group.leader?.name;
+    if (leader !== undefined) {
+      group.powerOff(leader);
+    }
+    await group.run(1500);
+    if (leader !== undefined) {
+      group.powerOn(leader);
+    }
+    await group.run(CATCH_UP_TIME);
+  }
+}
+
+function isMember(group: PlayedGroup, name: string): boolean {
+  const { disk } = group.vms.get(name)!;
+  const members = group.leader?.process?.replica.members ?? [];
+  return members.some(({ id }) => id === disk.id);
+}
