Just as many replicas vote as are wanted, and a voter that is gone leaves

Change: planMembers, now public in packages/consensus, plans by the whole list: wanted voters (2n + 1 for n losses to be borne), others stand by as learners; a voter that is gone or whose VM came with a new disk leaves as soon as a standby can take its place, which with a fourth VM is at once. A fourth voter bore no more losses than three and left neither half of a cut with a quorum.

--- a/apps/heroncleatd/control/replica_caretaker.ts
+++ b/apps/heroncleatd/control/replica_caretaker.ts
@@ -1,10 +1,9 @@
 import { createToken, type Milliseconds } from "@heroncleat/base";
-import { type Replica, ReplicaRole } from "@heroncleat/consensus";
+import { planMembers, type Replica, ReplicaRole } from "@heroncleat/consensus";
 import type { ReplicaMember } from "@heroncleat/schema";
 import type { PeerPool } from "@heroncleat/transport";
 import type { Actor } from "../common/actor.ts";
 import type { Log } from "../common/log.ts";
-import { planMembers } from "./plan_members.ts";
 import type { ReplicaAccess } from "./replica_access.ts";
 import type { ReplicaMessage } from "./replica_message.ts";
 
@@ -72,13 +71,25 @@
   async #look(): Promise<void> {
     await this.#askToJoin();
     const next = await this.#options.replica.inspect((_, replica) =>
-      replica.role === ReplicaRole.leader ? planNext(replica) : undefined
+      replica.role === ReplicaRole.leader ? this.#plan(replica) : undefined
     );
     if (next !== undefined) {
       this.#changeMembers(next);
     }
   }
 
+  #plan(replica: Replica): ReplicaMember[] | undefined {
+    const { self, peers } = this.#options;
+    const enough = replica.commitIndex - CAUGHT_UP_DISTANCE;
+    return planMembers(replica.members, {
+      self: self.id,
+      wantedVoters: peers.length + 1,
+      hasCaughtUp: (id) =>
+        replica.matchIndexOf(id) > 0 && replica.matchIndexOf(id) >= enough,
+      isLost: () => false,
+    });
+  }
+
   /** Only an identity that was never a member asks to become one. */
   async #askToJoin(): Promise<void> {
     const { self, isFounder, peers, pool } = this.#options;
@@ -120,11 +131,3 @@
     }
   }
 }
-
-function planNext(replica: Replica): ReplicaMember[] | undefined {
-  const enough = replica.commitIndex - CAUGHT_UP_DISTANCE;
-  return planMembers(replica.members, {
-    hasCaughtUp: (id) =>
-      replica.matchIndexOf(id) > 0 && replica.matchIndexOf(id) >= enough,
-  });
-}
--- a/apps/heroncleatd/hub/group_caretaker.ts
+++ b/apps/heroncleatd/hub/group_caretaker.ts
@@ -1,10 +1,9 @@
 import type { Clock, Milliseconds } from "@heroncleat/base";
-import { type Replica, ReplicaRole } from "@heroncleat/consensus";
+import { planMembers, type Replica, ReplicaRole } from "@heroncleat/consensus";
 import type { JoinReply, ReplicaMember } from "@heroncleat/schema";
 import type { PeerPool } from "@heroncleat/transport";
 import type { Log } from "../common/log.ts";
 import type { Metrics } from "../common/metrics.ts";
-import { planMembers } from "../control/plan_members.ts";
 
 const INTERVAL: Milliseconds = 300;
 const ASK_TIMEOUT: Milliseconds = 700;
@@ -21,6 +20,8 @@
   readonly pool: PeerPool;
   readonly log: Log;
   readonly metrics: Metrics;
+  /** Replicas that are to vote. */
+  readonly wantedVoters: number;
   /** Peer addresses that may be up. */
   readonly seeds: () => readonly string[];
   readonly changeMembers: (members: readonly ReplicaMember[]) => void;
@@ -120,9 +121,11 @@
   }
 
   #repair(): void {
-    const { replica, log } = this.#options;
+    const { replica, log, self, wantedVoters } = this.#options;
     const enough = replica.commitIndex - CAUGHT_UP_DISTANCE;
     const next = planMembers(replica.members, {
+      self: self.id,
+      wantedVoters,
       hasCaughtUp: (id) => {
         const match = replica.matchIndexOf(id);
         return match > 0 && match >= enough;
--- a/apps/heroncleatd/hub/group_caretaker_test.ts
+++ b/apps/heroncleatd/hub/group_caretaker_test.ts
@@ -40,6 +40,7 @@
       pool,
       log: {} as Log,
       metrics: { increment() {}, gauge() {}, timing() {}, close() {} },
+      wantedVoters: 3,
       seeds: () => ["127.0.0.1:2"],
       changeMembers: () => {},
       onMembers: (members) => heard.push(...members),
--- a/apps/heroncleatd/hub/hub_group_test.ts
+++ b/apps/heroncleatd/hub/hub_group_test.ts
@@ -56,6 +56,7 @@
         zone: `zone-${this.#at}`,
         peerAddress: address,
         seeds: SEEDS,
+        toleratedLosses: 1,
         isFirstStart: options.isFirstStart,
         dataFolder: this.#folder,
         electionTimeout: 1500,
--- a/apps/heroncleatd/hub/hub_settings.ts
+++ b/apps/heroncleatd/hub/hub_settings.ts
@@ -6,6 +6,8 @@
   readonly peerAddress: string;
   /** Peer addresses of control replicas that may be up. */
   readonly seeds: readonly string[];
+  /** VMs with a replica that may be lost at once; twice as many and one vote. */
+  readonly toleratedLosses: number;
   /** Whether the whole system starts for the first time. */
   readonly isFirstStart: boolean;
   readonly dataFolder: string;
--- a/apps/heroncleatd/hub/played_group.ts
+++ b/apps/heroncleatd/hub/played_group.ts
@@ -256,6 +256,7 @@
       pool: this.#poolOf(vm),
       log: quiet,
       metrics,
+      wantedVoters: 3,
       seeds: () => this.seeds,
       changeMembers: (members) =>
         this.#drive(vm, { kind: "change_members", token: "", members }),
--- a/apps/heroncleatd/hub/replica_group.ts
+++ b/apps/heroncleatd/hub/replica_group.ts
@@ -151,6 +151,7 @@
       pool,
       log: log("group"),
       metrics: options.metrics,
+      wantedVoters: 2 * options.settings().toleratedLosses + 1,
       seeds: () => options.settings().seeds,
       changeMembers: (members) => this.#changeMembers(members),
       onMembers: (members) => {
--- a/packages/consensus/mod.ts
+++ b/packages/consensus/mod.ts
@@ -9,5 +9,6 @@
 export type { ReplicaEvent } from "./replica_event.ts";
 export type { ReplicaSettings } from "./replica_settings.ts";
 export type { StoredReplica } from "./stored_replica.ts";
+export { planMembers } from "./plan_members.ts";
 export { Replica } from "./replica.ts";
 export { ReplicaRole } from "./replica_role.ts";
