A replica with an empty disk reaches whoever leads; one caretaker for both groups

A leader that came later was never asked, the group went on with a voter short and lost its quorum at the next loss. Change: MemberDirectory remembers everyone who is or was a member, by the own log, by what others tell and by the founders; it says whom to ask and where to send. A replica that doesn't lead passes the question on to its leader, once. Same cause elsewhere: the product's own control group had its own caretaker, which never displaced a voter of another name and stopped to ask once taken in; both groups use GroupCaretaker now. Members that come back at another address are told anew.

--- a/apps/heroncleatd/control/control_methods.ts
+++ b/apps/heroncleatd/control/control_methods.ts
@@ -1,7 +1,6 @@
 import type { Milliseconds } from "@heroncleat/base";
 import {
   checkConsensusMessage,
-  checkJoinRequest,
   type JoinReply,
   type ReplicaMember,
 } from "@heroncleat/schema";
@@ -19,7 +18,8 @@
   readonly reads: ConfirmedReads;
   readonly wall: () => Milliseconds;
   readonly onMessage: (message: unknown) => void;
-  readonly addLearner: (member: ReplicaMember) => Promise<boolean>;
+  /** What the caretaker of the group serves. */
+  readonly membership: Readonly<Record<string, MethodHandler>>;
 };
 
 const DEFAULT_TIMEOUT = 2000;
@@ -41,9 +41,7 @@
       members: [...await replica.inspect((_, known) => known.members)],
       founders: [...options.founders],
     }),
-    "control.add_learner": async (parameters) =>
-      checkJoinRequest(parameters) &&
-      await options.addLearner(parameters.member),
+    ...options.membership,
     "control.read_index": () => replica.readIndex(DEFAULT_TIMEOUT),
     "control.propose": (parameters) => {
       const { command, timeout } = parameters as {
--- a/apps/heroncleatd/hub/group_caretaker_test.ts
+++ b/apps/heroncleatd/control/group_caretaker_test.ts
@@ -3,6 +3,7 @@
 import type { PeerPool } from "@heroncleat/transport";
 import type { Log } from "../common/log.ts";
 import { GroupCaretaker } from "./group_caretaker.ts";
+import { MemberDirectory } from "./member_directory.ts";
 
 function memberOf(id: string, port: number): ReplicaMember {
   return {
@@ -19,7 +20,10 @@
     const founders = [memberOf("founder", 1)];
     const later = memberOf("later", 2);
     const asked: string[] = [];
-    const heard: ReplicaMember[] = [];
+    const directory = new MemberDirectory({
+      founders,
+      members: () => founders,
+    });
     const pool = {
       call: (address: string, method: string) => {
         asked.push(`${address} ${method}`);
@@ -43,12 +47,13 @@
       wantedVoters: 3,
       seeds: () => ["127.0.0.1:2"],
       changeMembers: () => {},
-      onMembers: (members) => heard.push(...members),
+      directory,
+      methodPrefix: "group",
     });
     caretaker.start();
     await new Promise((resolve) => setTimeout(resolve, 450));
     caretaker.stop();
-    expect(heard).toContainEqual(later);
+    expect(directory.find("later")).toEqual(later);
     expect(asked).toContain("127.0.0.1:1 group.add_learner");
     expect(asked).toContain("127.0.0.1:2 group.add_learner");
   });
--- a/apps/heroncleatd/hub/group_repair_test.ts
+++ b/apps/heroncleatd/control/group_repair_test.ts
@@ -1,7 +1,10 @@
+import * as fc from "fast-check";
 import { PlayedGroup } from "./played_group.ts";
 
 /** Time in which a successor must be able to bear the next loss. */
 const CATCH_UP_TIME = 4000;
+/** Time after which settings name other seeds. */
+const SEED_LAG = 3000;
 /** Time in which a group stands again once its VMs are back. */
 const RECOVERY_TIME = 3000;
 
@@ -36,7 +39,9 @@
   group.remove(names.gone);
   await group.run(550);
   group.add(names.successor);
-  await group.run(CATCH_UP_TIME);
+  await group.run(SEED_LAG);
+  group.seeds = group.addresses.slice(0, 3);
+  await group.run(CATCH_UP_TIME - SEED_LAG);
 }
 
 /** A VM loses its disk while all others lose their power. */
@@ -126,3 +131,85 @@
   const members = group.leader?.process?.replica.members ?? [];
   return members.some(({ id }) => id === disk.id);
 }
+
+/** One trouble that a group of four must bear, and the time it needs after. */
+const TROUBLES: Readonly<
+  Record<string, (group: PlayedGroup, name: string) => Promise<void>>
+> = {
+  replaced: (group, name) =>
+    replace(group, { gone: name, successor: `${name}x` }),
+  diskLost: async (group, name) => {
+    group.powerOff(name);
+    group.wipe(name);
+    await group.run(1000);
+    group.powerOn(name);
+    await group.run(CATCH_UP_TIME);
+  },
+  dark: async (group, name) => {
+    group.powerOff(name);
+    await group.run(7000);
+    group.powerOn(name);
+    await group.run(CATCH_UP_TIME);
+  },
+  restarted: async (group, name) => {
+    group.powerOff(name);
+    await group.run(600);
+    group.powerOn(name);
+    await group.run(CATCH_UP_TIME);
+  },
+  allDark: async (group) => {
+    const names = [...group.vms.keys()];
+    for (const each of names) {
+      group.powerOff(each);
+    }
+    await group.run(1500);
+    for (const each of names) {
+      group.powerOn(each);
+    }
+    await group.run(CATCH_UP_TIME);
+  },
+  cutOff: async (group, name) => {
+    group.cut([name]);
+    await group.run(6000);
+    group.cut([]);
+    await group.run(CATCH_UP_TIME);
+  },
+  halves: async (group, name) => {
+    const other = [...group.vms.keys()].find((each) => each !== name)!;
+    group.cut([name, other]);
+    await group.run(6000);
+    group.cut([]);
+    await group.run(CATCH_UP_TIME);
+  },
+};
+
+const RUNS = Number(process.env["FUZZ_RUNS"] ?? 1) * 25;
+
+// Losses come one after the other, each once the group had the time to bear the
+// next; at the end a disk is lost while all other VMs lose their power.
+test("a group bears any single loss after any other", async () => {
+  const kinds = Object.keys(TROUBLES);
+  const trouble = fc.tuple(fc.constantFrom(...kinds), fc.nat(3));
+  await fc.assert(
+    fc.asyncProperty(
+      fc.nat(),
+      fc.array(trouble, { minLength: 1, maxLength: 7 }),
+      fc.nat(3),
+      async (seed, troubles, last) => {
+        const group = await startGroup(seed);
+        const nameOf = (at: number) => [...group.vms.keys()][at]!;
+        for (const [kind, at] of troubles) {
+          await TROUBLES[kind]!(group, nameOf(at));
+          expectWhole(group);
+          expect(group.voters).toHaveLength(3);
+          const names = [...group.vms.keys()];
+          expect(names.filter((name) => !isMember(group, name))).toEqual([]);
+        }
+        await loseDiskAndPower(group, nameOf(last));
+        expectWhole(group);
+        group.close();
+      },
+    ),
+    { numRuns: RUNS, seed: 11, endOnFailure: true },
+  );
+});
--- a/apps/heroncleatd/hub/played_group.ts
+++ b/apps/heroncleatd/control/played_group.ts
@@ -14,6 +14,7 @@
 } from "@heroncleat/schema";
 import type { PeerPool } from "@heroncleat/transport";
 import { GroupCaretaker } from "./group_caretaker.ts";
+import { MemberDirectory } from "./member_directory.ts";
 
 const STEP = 10;
 const ELECTION_TIMEOUT = 500;
@@ -34,7 +35,7 @@
 type PlayedProcess = {
   readonly replica: Replica;
   readonly caretaker: GroupCaretaker;
-  readonly known: ReplicaMember[];
+  readonly directory: MemberDirectory;
   applied: string[];
   snapshotAt: number;
   /** Whether it has told the disk all that it must before it sends. */
@@ -127,6 +128,11 @@
     }
   }
 
+  /** Addresses of all VMs. */
+  get addresses(): string[] {
+    return [...this.vms.values()].map(({ address }) => address);
+  }
+
   get leader(): PlayedVm | undefined {
     const leaders = [...this.vms.values()].filter(({ process }) =>
       process?.replica.role === ReplicaRole.leader
@@ -232,7 +238,6 @@
   ): PlayedProcess {
     const self = this.#describe(vm);
     const { snapshot, records } = vm.disk;
-    const known = [...founders];
     const replica = new Replica({
       id: self.id,
       founders,
@@ -249,9 +254,14 @@
       stored: structuredClone({ snapshot, records }),
       at: { now: this.now, steady: this.now },
     });
+    const directory = new MemberDirectory({
+      founders,
+      members: () => replica.members,
+    });
     const caretaker = new GroupCaretaker({
       self,
       replica,
+      directory,
       clock: { now: () => this.now, steady: () => this.now } as never,
       pool: this.#poolOf(vm),
       log: quiet,
@@ -260,17 +270,13 @@
       seeds: () => this.seeds,
       changeMembers: (members) =>
         this.#drive(vm, { kind: "change_members", token: "", members }),
-      onMembers: (members) => {
-        const isNew = ({ id }: ReplicaMember) =>
-          !known.some((member) => member.id === id);
-        known.push(...members.filter(isNew));
-      },
+      methodPrefix: "group",
     });
     caretaker.start();
     return {
       replica,
       caretaker,
-      known,
+      directory,
       applied: snapshot === undefined ? [] : JSON.parse(snapshot.data),
       snapshotAt: snapshot?.lastIndex ?? 0,
       waiting: [],
@@ -290,14 +296,16 @@
           throw new Error(`${address} can't be reached.`);
         }
         const { caretaker, replica } = peer.process;
-        return method === "group.add_learner"
-          ? await caretaker.addLearner(options.parameters.member)
-          : {
-            formed: true,
-            self: this.#describe(peer),
-            members: [...replica.members],
-            founders: [...peer.disk.founders!],
-          } satisfies JoinReply;
+        const handler = caretaker.methods()[method];
+        if (handler !== undefined) {
+          return await handler(options.parameters);
+        }
+        return {
+          formed: true,
+          self: this.#describe(peer),
+          members: [...replica.members],
+          founders: [...peer.disk.founders!],
+        } satisfies JoinReply;
       },
     } as unknown as PeerPool;
   }
@@ -380,8 +388,7 @@
     process: PlayedProcess,
     effect: Extract<ReplicaEffect, { kind: "send" }>,
   ): void {
-    const candidates = [...process.replica.members, ...process.known];
-    const member = candidates.find(({ id }) => id === effect.to);
+    const member = process.directory.find(effect.to);
     if (member !== undefined) {
       this.#packets.push({
         address: member.address,
--- a/apps/heroncleatd/control/replica_host.ts
+++ b/apps/heroncleatd/control/replica_host.ts
@@ -6,13 +6,10 @@
   ReplicaEvent,
 } from "@heroncleat/consensus";
 import type { Journal } from "@heroncleat/journal";
-import type {
-  ConsensusMessage,
-  LogSnapshot,
-  ReplicaMember,
-} from "@heroncleat/schema";
+import type { ConsensusMessage, LogSnapshot } from "@heroncleat/schema";
 import type { Log } from "../common/log.ts";
 import type { ControlApplication } from "./control_application.ts";
+import type { MemberDirectory } from "./member_directory.ts";
 import type { ProposalOutcome } from "./proposal_outcome.ts";
 import type { ReadOutcome } from "./read_outcome.ts";
 import type { ReplicaMessage } from "./replica_message.ts";
@@ -23,7 +20,7 @@
   readonly replica: Replica;
   readonly application: Application;
   readonly journal: Journal;
-  readonly founders: readonly ReplicaMember[];
+  readonly directory: MemberDirectory;
   readonly clock: Clock;
   readonly log: Log;
   /** Log entries between snapshots. */
@@ -169,7 +166,7 @@
       this.#heldBack.push(effect);
       return;
     }
-    const member = this.#memberOf(effect.to);
+    const member = this.#options.directory.find(effect.to);
     if (member !== undefined) {
       this.#options.sendTo(member.address, effect.message);
     }
@@ -244,7 +241,8 @@
   }
 
   #onRejected(effect: Extract<ReplicaEffect, { kind: "rejected" }>): void {
-    const leader = this.#memberOf(effect.leader)?.address ?? "";
+    const { directory } = this.#options;
+    const leader = directory.find(effect.leader)?.address ?? "";
     const proposal = this.#proposals.get(effect.token);
     this.#proposals.delete(effect.token);
     // A superseded entry was appended, and may be committed after all where
@@ -297,13 +295,8 @@
     }
   }
 
-  #memberOf(id: string): ReplicaMember | undefined {
-    const { replica, founders } = this.#options;
-    return replica.members.find((member) => member.id === id) ??
-      founders.find((member) => member.id === id);
-  }
-
   #nameOf(id: string): string {
-    return this.#memberOf(id)?.name ?? "none";
+    const unknown = id === "" ? "none" : "unknown";
+    return this.#options.directory.find(id)?.name ?? unknown;
   }
 }
--- a/apps/heroncleatd/control/start_control.ts
+++ b/apps/heroncleatd/control/start_control.ts
@@ -1,4 +1,4 @@
-import { splitList } from "@heroncleat/base";
+import { createToken, splitList } from "@heroncleat/base";
 import { Replica } from "@heroncleat/consensus";
 import { Journal, readDiskIdentity } from "@heroncleat/journal";
 import type {
@@ -14,15 +14,17 @@
 import type { KeyRing } from "../common/key_ring.ts";
 import type { ProcessContext } from "../common/process_context.ts";
 import type { RunningRole } from "../common/running_role.ts";
+import { ClaimExpiry } from "./claim_expiry.ts";
 import { ConfirmedReads } from "./confirmed_reads.ts";
 import { ControlApplication } from "./control_application.ts";
 import { controlMethods } from "./control_methods.ts";
 import { formGroup } from "./form_group.ts";
+import { GroupCaretaker } from "./group_caretaker.ts";
 import { groupFile } from "./group_file.ts";
+import { MemberDirectory } from "./member_directory.ts";
 import { OperatorServer } from "./operator_server.ts";
 import { OrderRunner } from "./order_runner.ts";
 import { ReplicaAccess } from "./replica_access.ts";
-import { ReplicaCaretaker } from "./replica_caretaker.ts";
 import { ReplicaHost } from "./replica_host.ts";
 import type { ReplicaMessage } from "./replica_message.ts";
 
@@ -81,7 +83,8 @@
 /** What runs once the group is formed. */
 type StartedControl = {
   readonly actor: Actor<ReplicaMessage>;
-  readonly caretaker: ReplicaCaretaker;
+  readonly caretaker: GroupCaretaker;
+  readonly claimExpiry: ClaimExpiry;
   readonly orders: OrderRunner;
   readonly server: OperatorServer;
   readonly ticker: NodeJS.Timeout;
@@ -122,6 +125,7 @@
     }
     started.orders.stop();
     started.caretaker.stop();
+    started.claimExpiry.stop();
     started.server.close();
     started.actor.tell({ kind: "event", event: { kind: "step_down" } });
     await new Promise((resolve) => setTimeout(resolve, TRANSFER_TIME));
@@ -150,26 +154,17 @@
     founders: readonly ReplicaMember[],
     peers: readonly string[],
   ): Promise<void> {
-    const { settings, self, operators } = this.#parts;
+    const { settings, operators, self } = this.#parts;
     const { clock, pool } = this.#context;
     const log = this.#context.log("control");
-    const actor = this.#startReplica(founders);
+    const { actor, caretaker } = this.#startReplica(founders, peers);
     const replica = new ReplicaAccess(actor);
     const reads = new ConfirmedReads(replica, { pool, timeout: READ_TIMEOUT });
     const client = new ControlClient(splitList(settings.replicas), {
       pool,
       now: () => clock.now(),
     });
-    const caretaker = new ReplicaCaretaker({
-      self,
-      isFounder: founders.some((member) => member.id === self.id),
-      peers,
-      replica,
-      actor,
-      pool,
-      log,
-      claimRetention: settings.claim_retention,
-    });
+    const claimExpiry = new ClaimExpiry(replica, settings.claim_retention);
     const orders = new OrderRunner({
       replica,
       clock,
@@ -201,21 +196,32 @@
             kind: "event",
             event: { kind: "message", message: message as never },
           }),
-        addLearner: (member) => caretaker.addLearner(member),
+        membership: caretaker.methods(),
       }),
     );
     const ticker = setInterval(
       () => actor.tell({ kind: "event", event: { kind: "tick" } }),
       TICK,
     );
-    this.#started = { actor, caretaker, orders, server, ticker };
+    this.#started = {
+      actor,
+      caretaker,
+      claimExpiry,
+      orders,
+      server,
+      ticker,
+    };
     caretaker.start();
+    claimExpiry.start();
     orders.start();
     await server.listen();
     log.info(`Serves operators on ${settings.operator_address}`);
   }
 
-  #startReplica(founders: readonly ReplicaMember[]): Actor<ReplicaMessage> {
+  #startReplica(
+    founders: readonly ReplicaMember[],
+    peers: readonly string[],
+  ): { actor: Actor<ReplicaMessage>; caretaker: GroupCaretaker } {
     const { settings, self, journal, content } = this.#parts;
     const { clock, pool, system, fail } = this.#context;
     const application = new ControlApplication();
@@ -237,11 +243,15 @@
       at: { now: clock.now(), steady: clock.steady() },
     });
     const log = this.#context.log("consensus");
+    const directory = new MemberDirectory({
+      founders,
+      members: () => replica.members,
+    });
     const host: ReplicaHost = new ReplicaHost({
       replica,
       application,
       journal,
-      founders,
+      directory,
       clock,
       log,
       snapshotEntries: settings.snapshot_entries,
@@ -263,7 +273,24 @@
         }
       },
     });
-    return actor;
+    const caretaker = new GroupCaretaker({
+      self,
+      replica,
+      directory,
+      clock,
+      pool,
+      log: this.#context.log("control"),
+      metrics: this.#context.metrics,
+      wantedVoters: peers.length + 1,
+      seeds: () => peers,
+      changeMembers: (members) =>
+        actor.tell({
+          kind: "event",
+          event: { kind: "change_members", token: createToken(), members },
+        }),
+      methodPrefix: "control",
+    });
+    return { actor, caretaker };
   }
 
   async #findUpstream(name: string): Promise<Announcement | undefined> {
--- a/apps/heroncleatd/hub/replica_group.ts
+++ b/apps/heroncleatd/hub/replica_group.ts
@@ -3,7 +3,6 @@
 import { Journal, readDiskIdentity } from "@heroncleat/journal";
 import {
   checkConsensusMessage,
-  checkJoinRequest,
   type JoinReply,
   type ReplicaMember,
 } from "@heroncleat/schema";
@@ -13,13 +12,14 @@
 import type { Log } from "../common/log.ts";
 import type { Metrics } from "../common/metrics.ts";
 import { ConfirmedReads } from "../control/confirmed_reads.ts";
+import { GroupCaretaker } from "../control/group_caretaker.ts";
+import { MemberDirectory } from "../control/member_directory.ts";
 import { formGroup } from "../control/form_group.ts";
 import { groupFile } from "../control/group_file.ts";
 import type { ProposalOutcome } from "../control/proposal_outcome.ts";
 import { ReplicaAccess } from "../control/replica_access.ts";
 import { ReplicaHost } from "../control/replica_host.ts";
 import type { ReplicaMessage } from "../control/replica_message.ts";
-import { GroupCaretaker } from "./group_caretaker.ts";
 import type { HubSettings } from "./hub_settings.ts";
 import { ServingApplication } from "./serving_application.ts";
 import type { ServingCommand } from "./serving_command.ts";
@@ -35,6 +35,7 @@
 const CONFIRM_PAUSE = 30;
 const READ_TIMEOUT = 700;
 const REMOTE_TIMEOUT = 700;
+const METHOD_PREFIX = "group";
 /** Time for a transfer of leadership before the process ends. */
 const TRANSFER_TIME = 300;
 
@@ -107,13 +108,15 @@
       stored: parts.content,
       at: { now: clock.now(), steady: clock.steady() },
     });
-    // Addresses by identity; the caretaker adds those of later members.
-    const known = [...parts.founders];
+    const directory = new MemberDirectory({
+      founders: parts.founders,
+      members: () => this.#replica.members,
+    });
     const host: ReplicaHost<ServingApplication> = new ReplicaHost({
       replica: this.#replica,
       application: this.#application,
       journal: parts.journal,
-      founders: known,
+      directory,
       clock,
       log: log("consensus"),
       snapshotEntries: SNAPSHOT_ENTRIES,
@@ -147,6 +150,7 @@
     this.#caretaker = new GroupCaretaker({
       self: parts.self,
       replica: this.#replica,
+      directory,
       clock,
       pool,
       log: log("group"),
@@ -154,11 +158,7 @@
       wantedVoters: 2 * options.settings().toleratedLosses + 1,
       seeds: () => options.settings().seeds,
       changeMembers: (members) => this.#changeMembers(members),
-      onMembers: (members) => {
-        const isNew = ({ id }: ReplicaMember) =>
-          !known.some((member) => member.id === id);
-        known.push(...members.filter(isNew));
-      },
+      methodPrefix: METHOD_PREFIX,
     });
     this.#serve(parts.founders);
     this.#ticker = setInterval(() => {
@@ -313,9 +313,7 @@
         members: [...this.#replica.members],
         founders: [...founders],
       }),
-      "group.add_learner": (parameters) =>
-        checkJoinRequest(parameters) &&
-        this.#caretaker.addLearner(parameters.member),
+      ...this.#caretaker.methods(),
       "group.read_index": () => this.#access.readIndex(READ_TIMEOUT),
       "group.propose": (parameters) =>
         this.#access.propose(parameters as ServingCommand, REMOTE_TIMEOUT),
