Refill for entries that turn out to be out of reach is taken back

Cause: it takes up to a second to find out that others can't be heard. Until then an entry filled its bucket by the whole rate, as if they spent nothing, and then spent that: a quarter of the rate for 5 s in the place of a twelfth. Change: the refill of late is kept, and the part that was too much is taken back once the share falls, from the last moment at which all may have been heard. Tests first: three of 'a quota holds while a cut parts' failed, all pass.

--- a/apps/heroncleatd/gateway/shared_charges_test.ts
+++ b/apps/heroncleatd/gateway/shared_charges_test.ts
@@ -20,15 +20,45 @@
   });
 }
 
-/** Whether two hosts stand in different halves of the control replicas. */
-function isAcross(left: number, right: number): boolean {
-  const halves = [[0, 6], [3, 9]];
-  const sides = [left, right].map((host) =>
-    halves.findIndex((half) => half.includes(host))
-  );
-  return !sides.includes(-1) && sides[0] !== sides[1];
+/** Whether a cut passes between two hosts. */
+type Cut = (left: number, right: number) => boolean;
+
+/** A cut between groups of hosts; hosts in none of them reach everybody. */
+function between(...groups: number[][]): Cut {
+  const groupOf = (host: number) =>
+    groups.findIndex((group) => group.includes(host));
+  return (left, right) => {
+    const [one, other] = [groupOf(left), groupOf(right)];
+    return one !== -1 && other !== -1 && one !== other;
+  };
+}
+
+/**
+ * Plays a workspace that turns hot at 2 s, and a cut from 4.0 to 10.5 s, with
+ * several seeds; gives the most of what is tolerated that any window held.
+ */
+async function mostBeyondWith(isCut: Cut): Promise<number> {
+  const beyond: number[] = [];
+  for (const seed of [1, 2, 3, 4, 5, 6, 7, 8]) {
+    const quotas = play(seed);
+    quotas.leader = LEADER;
+    await quotas.run(2000, USUAL);
+    await quotas.run(2000, HOT);
+    quotas.isCut = isCut;
+    quotas.leader = undefined;
+    await quotas.run(6500, HOT);
+    quotas.isCut = () => false;
+    quotas.leader = LEADER;
+    await quotas.run(4000, HOT);
+    quotas.close();
+    beyond.push(quotas.mostBeyond);
+  }
+  return Math.max(...beyond);
 }
 
+/** Host of the replica that leads but during a cut. */
+const LEADER = 3;
+/** A workspace at its usual, as a part of its rate. */
 const USUAL = 0.55;
 /** A workspace at 7.5 times its usual. */
 const HOT = 4.2;
@@ -43,20 +73,27 @@
 // entries charged adds up to what was judged, and during the cut it was 1.16 to
 // 1.3 times the rate; the same load without the cut stayed within.
 test("a quota holds while each control replica hears a part of the entries", async () => {
-  const beyond: number[] = [];
-  for (const seed of [1, 2, 3, 4, 5, 6]) {
-    const quotas = play(seed);
-    await quotas.run(2000, USUAL);
-    await quotas.run(2000, HOT);
-    quotas.isCut = isAcross;
-    quotas.leader = undefined;
-    await quotas.run(6500, HOT);
-    quotas.isCut = () => false;
-    quotas.leader = 3;
-    await quotas.run(4000, HOT);
-    quotas.close();
-    beyond.push(quotas.mostBeyond);
-  }
-  // Parts of what is tolerated, at most: 1.25 where halves aren't joined.
-  expect(Math.max(...beyond)).toBeLessThan(0.9);
+  // 1.25 where halves aren't joined, 0.72 without a cut.
+  expect(await mostBeyondWith(between([0, 6], [3, 9]))).toBeLessThan(0.9);
+});
+
+// An entry that is cut off learns it a second later. Until then it let its
+// bucket fill as if the others spent nothing, and then spent that: a third of
+// the rate in the place of a twelfth.
+test.each([
+  { what: "an entry with its replica", groups: [[0], range(1, 12)] },
+  { what: "two entries with theirs", groups: [[0, 6], rangeWithout([0, 6])] },
+  { what: "half of all", groups: [range(0, 6), range(6, 12)] },
+  { what: "entries without a replica", groups: [[1, 2], rangeWithout([1, 2])] },
+  { what: "a replica from the others", groups: [[0], [3, 6, 9]] },
+])("a quota holds while a cut parts $what", async ({ groups }) => {
+  expect(await mostBeyondWith(between(...groups))).toBeLessThan(1);
 });
+
+function range(from: number, to: number): number[] {
+  return Array.from({ length: to - from }, (_, at) => from + at);
+}
+
+function rangeWithout(hosts: readonly number[]): number[] {
+  return range(0, 12).filter((host) => !hosts.includes(host));
+}
--- a/packages/serving/quota_account.ts
+++ b/packages/serving/quota_account.ts
@@ -22,6 +22,9 @@
 
 const SECOND: Milliseconds = 1000;
 
+/** Time for which a refill can be taken back. */
+const DOUBTED_FOR: Milliseconds = 2000;
+
 /**
  * What all entries spent of one limit, as one entry knows it.
  *
@@ -36,6 +39,8 @@
  */
 export class QuotaAccount {
   readonly window: SpendingWindow;
+  /** Refill of late, as if all of it could be handed out here. */
+  readonly #gained = new SpendingWindow(DOUBTED_FOR);
   /** Undefined until this entry was asked to charge something. */
   #bucket: BucketLimit | undefined;
   /** Tokens in the bucket if others out of reach spend all of their share. */
@@ -91,8 +96,9 @@
     }
     const { burst, rate, spare } = this.#bucket;
     const gained = (now - this.#filledAt) * rate / SECOND;
-    const usable = share > MOST_ENTRIES ? Math.min(1, share + spare) : share;
+    const usable = usablePart(share, spare);
     this.#filledAt = now;
+    this.#gained.add(gained, now);
     this.#level = Math.min(burst, this.#level + gained * usable);
     this.#fullLevel += gained;
     // What others out of reach spend isn't taken off yet.
@@ -101,6 +107,25 @@
     }
   }
 
+  /**
+   * Takes back what was refilled for entries that turn out to have been out of
+   * reach: it takes up to a second to find that out, and an entry that was cut
+   * off filled its bucket meanwhile as if nobody else spent anything. It then
+   * spent a quarter of the rate for 5 s in the place of a twelfth, and windows
+   * of played loads held up to 1.29 of what is tolerated.
+   *
+   * @param since When they may have been heard last.
+   */
+  takeBack(
+    shares: { readonly before: number; readonly after: number },
+    span: { readonly since: Milliseconds; readonly now: Milliseconds },
+  ): void {
+    const spare = this.#bucket?.spare ?? 0;
+    const part = usablePart(shares.before, spare) -
+      usablePart(shares.after, spare);
+    this.#level -= part * this.#gained.sumSince(span.since, span.now);
+  }
+
   /** Tokens in the bucket at the last refill. */
   get level(): number {
     return this.#level;
@@ -143,3 +168,8 @@
     return this.#othersPace * silence;
   }
 }
+
+/** Part of the refill that a side with so much of the entries may hand out. */
+function usablePart(share: number, spare: number): number {
+  return share > MOST_ENTRIES ? Math.min(1, share + spare) : share;
+}
--- a/packages/serving/spending_window.ts
+++ b/packages/serving/spending_window.ts
@@ -33,6 +33,19 @@
     return this.#sum;
   }
 
+  /** What was noted since a moment of this window, whole parts of it. */
+  sumSince(since: Milliseconds, now: Milliseconds): number {
+    this.#advance(now);
+    const count = this.#amounts.length;
+    const first = Math.floor(since / this.#slotLength);
+    const passed = Math.min(count - 1, Math.max(0, this.#slot - first));
+    let sum = 0;
+    for (let back = 0; back <= passed; back += 1) {
+      sum += this.#amounts[(this.#slot - back + count) % count]!;
+    }
+    return sum;
+  }
+
   /** Time until the sum has fallen to a bound; the whole window at most. */
   timeUntil(bound: number, now: Milliseconds): Milliseconds {
     let left = this.sum(now);
--- a/packages/serving/workspace_quota.ts
+++ b/packages/serving/workspace_quota.ts
@@ -62,6 +62,8 @@
  * it this entry keeps to its own share. News come every 150 to 600 ms.
  */
 const MOST_FORECAST: Milliseconds = 1000;
+/** Time after which the sources of news find out that an entry is silent. */
+const FOUND_AFTER: Milliseconds = 600;
 /**
  * Part of the tolerated excess by which one request may overdraw the bucket.
  * A bucket that is asked for more than its rate is nearly empty all the time;
@@ -133,6 +135,8 @@
   #entries = 1;
   /** Share of the rate that this entry's side of the system may hand out. */
   #share = 1;
+  /** The share by which buckets were last refilled. */
+  #refillShare = 1;
 
   constructor(settings: QuotaSettings) {
     this.#settings = settings;
@@ -196,12 +200,17 @@
     this.#entries = Math.max(1, options.entries);
     const before = this.#refillAll(options.now);
     const elapsed = Math.max(0, options.now - this.#othersAt);
+    const heardBefore = this.#othersAt;
     this.#othersAt = options.now;
     const added = this.#learn(source, options.spent, options.now);
     for (const [name, account] of this.#accounts) {
       account.notePace(added.get(name) ?? 0, elapsed);
     }
-    this.#setShare(before, options.share);
+    this.#setShare(before, {
+      share: options.share,
+      heardBefore,
+      now: options.now,
+    });
   }
 
   /** Takes in what a source tells beside the one that is asked for all. */
@@ -230,12 +239,13 @@
 
   /** Without news, only an even share may be handed out. */
   isolate(share: number, now: Milliseconds): void {
-    this.#setShare(this.#refillAll(now), share);
+    const before = this.#refillAll(now);
+    this.#setShare(before, { share, heardBefore: this.#othersAt, now });
   }
 
   /** Refills all buckets, and says by what share. */
   #refillAll(now: Milliseconds): number {
-    const share = this.#shareAt(now);
+    const share = this.#noteShare(now);
     for (const account of this.#accounts.values()) {
       account.refill(now, share);
     }
@@ -243,7 +253,14 @@
   }
 
   /** Takes in what part of the quotas is surely not spent out of reach. */
-  #setShare(before: number, share: number): void {
+  #setShare(
+    before: number,
+    news: { share: number; heardBefore: Milliseconds; now: Milliseconds },
+  ): void {
+    const { share, heardBefore, now } = news;
+    if (share < before) {
+      this.#takeBack({ before, after: share }, { since: heardBefore, now });
+    }
     if (share > before) {
       const part = (share - before) / (1 - before);
       for (const account of this.#accounts.values()) {
@@ -251,6 +268,31 @@
       }
     }
     this.#share = share;
+    this.#refillShare = share;
+  }
+
+  /** The share that may be handed out now; what was too much is taken back. */
+  #noteShare(now: Milliseconds): number {
+    const share = this.#shareAt(now);
+    const before = this.#refillShare;
+    this.#refillShare = share;
+    if (share < before) {
+      const since = this.#othersAt;
+      this.#takeBack({ before, after: share }, { since, now });
+    }
+    return share;
+  }
+
+  #takeBack(
+    shares: { before: number; after: number },
+    span: { since: Milliseconds; now: Milliseconds },
+  ): void {
+    // Who went out of reach was heard for the last time before the news that
+    // didn't know it yet.
+    const since = span.since - FOUND_AFTER;
+    for (const account of this.#accounts.values()) {
+      account.takeBack(shares, { since, now: span.now });
+    }
   }
 
   #shareAt(now: Milliseconds): number {
@@ -309,7 +351,7 @@
     const inWindow = rate * this.#settings.window / SECOND;
     const spare = inWindow > 0 ? SPARE_SHARE * tolerated / inWindow : 0;
     account.follow({ burst, rate, spare });
-    account.refill(now, this.#shareAt(now));
+    account.refill(now, this.#noteShare(now));
     return account.level;
   }
 
