--- a/apps/demo/main.ts
+++ b/apps/demo/main.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import { mkdtempSync, readFileSync, rmSync } from "node:fs";
+import { existsSync, mkdtempSync, readFileSync, rmSync } from "node:fs";
 import { createRequire } from "node:module";
 import { tmpdir } from "node:os";
 import { dirname, join } from "node:path";
@@ -12,6 +12,7 @@
 import {
   ask,
   type Deployment,
+  findTakenAddress,
   type ProcessGroup,
   startDeployment,
   writeDeployment,
@@ -19,14 +20,26 @@
 import { request } from "undici";
 
 const FIRST_PORT = 7400;
+/** The deployment takes ports up to 300 above its first. */
+const MOST_FIRST_PORT = 65_000;
 const PROMPT_FILE = new URL("../demo_prompt.txt", import.meta.url);
 const require = createRequire(import.meta.url);
 
-const { values } = parseArgs({ options: { keep: { type: "boolean" } } });
+const { values } = parseArgs({
+  options: { keep: { type: "boolean" }, port: { type: "string" } },
+});
+const firstPort = Number(values.port ?? FIRST_PORT);
+if (
+  !(Number.isInteger(firstPort) && firstPort > 0) ||
+  firstPort > MOST_FIRST_PORT
+) {
+  print(`--port is no port up to ${MOST_FIRST_PORT}. Remedy: give a number.\n`);
+  process.exit(2);
+}
 const folder = mkdtempSync(join(tmpdir(), "heroncleat-"));
 const deployment = writeDeployment({
   folder,
-  firstPort: FIRST_PORT,
+  firstPort,
   controls: 3,
   entries: 3,
   engines: 2,
@@ -37,6 +50,7 @@
 async function run(): Promise<number> {
   let group: ProcessGroup | undefined;
   try {
+    await checkAddresses();
     print("Starting 3 control replicas, 3 entries and 3 upstreams.\n");
     group = await startDeployment(deployment, {
       daemon: mainOf("@heroncleat/heroncleatd"),
@@ -54,9 +68,23 @@
   }
 }
 
+async function checkAddresses(): Promise<void> {
+  const taken = await findTakenAddress(deployment);
+  if (taken !== undefined) {
+    throw new Error(
+      `Something listens on ${taken} already. Remedy: end it, or give other ` +
+        "ports with `npm start -- --port 9400`",
+    );
+  }
+}
+
 function mainOf(name: string): string {
   const found = dirname(require.resolve(`${name}/package.json`));
-  return join(found, "dist", "main.js");
+  const main = join(found, "dist", "main.js");
+  if (!existsSync(main)) {
+    throw new Error(`${name} isn't built. Remedy: npm run build`);
+  }
+  return main;
 }
 
 async function showAnswer({ entries, callerKeys }: Deployment): Promise<void> {
--- /dev/null
+++ b/packages/local_deployment/find_taken_address.ts
@@ -0,0 +1,41 @@
+import { createServer } from "node:net";
+import { splitAddress } from "@heroncleat/base";
+import type { Deployment } from "./deployment.ts";
+
+/**
+ * The first address of a deployment on which something listens already;
+ * undefined when all are free.
+ *
+ * @public
+ */
+export async function findTakenAddress(
+  deployment: Deployment,
+): Promise<string | undefined> {
+  const { controls, entries, upstreams } = deployment;
+  const addresses = [
+    ...controls.flatMap(({ operatorAddress, peerAddress }) => [
+      operatorAddress,
+      peerAddress,
+    ]),
+    ...entries.flatMap(({ callerAddress, peerAddress }) => [
+      callerAddress,
+      peerAddress,
+    ]),
+    ...upstreams.map(({ address }) => address),
+  ];
+  for (const address of addresses) {
+    if (!await isFree(address)) {
+      return address;
+    }
+  }
+  return undefined;
+}
+
+function isFree(address: string): Promise<boolean> {
+  const { host, port } = splitAddress(address);
+  const server = createServer();
+  return new Promise((resolve) => {
+    server.once("error", () => resolve(false));
+    server.listen({ host, port }, () => server.close(() => resolve(true)));
+  });
+}
--- a/packages/local_deployment/mod.ts
+++ b/packages/local_deployment/mod.ts
@@ -9,6 +9,7 @@
 export type { ProcessScripts } from "./process_scripts.ts";
 export type { FollowedAnswer } from "./followed_answer.ts";
 export { ask } from "./ask.ts";
+export { findTakenAddress } from "./find_taken_address.ts";
 export { followAnswer } from "./follow_answer.ts";
 export { LinkRelay } from "./link_relay.ts";
 export { ProcessGroup } from "./process_group.ts";
