--- a/apps/heroncleatd/hub/start_hub.ts
+++ b/apps/heroncleatd/hub/start_hub.ts
@@ -12,6 +12,7 @@
 import type { Log } from "../common/log.ts";
 import type { Metrics } from "../common/metrics.ts";
 import type { DecodedDocument } from "../gateway/decoded_document.ts";
+import { DocumentCache } from "./document_cache.ts";
 import type { DutyCalls } from "./duty_calls.ts";
 import { DutyRunner } from "./duty_runner.ts";
 import { FeedReader } from "./feed_reader.ts";
@@ -251,25 +252,3 @@
 ): ReadonlySet<string> | undefined {
   return document && new Set(document.services.map(({ name }) => name));
 }
-
-/** Decodes each version once. */
-class DocumentCache {
-  readonly #decode: (source: string) => DecodedDocument;
-  #stored: StoredDocument | undefined;
-  #document: ServingDocument | undefined;
-
-  constructor(decode: (source: string) => DecodedDocument) {
-    this.#decode = decode;
-  }
-
-  decode(stored: StoredDocument | undefined): ServingDocument | undefined {
-    if (stored !== undefined && stored !== this.#stored) {
-      const decoded = this.#decode(stored.source);
-      this.#document = decoded.kind === "document"
-        ? decoded.document
-        : undefined;
-      this.#stored = stored;
-    }
-    return this.#document;
-  }
-}
--- a/packages/serving/workspace_quota.ts
+++ b/packages/serving/workspace_quota.ts
@@ -1,20 +1,11 @@
 import type { Milliseconds } from "@heroncleat/base";
 import { OthersCharges } from "./others_charges.ts";
 import { QuotaAccount } from "./quota_account.ts";
+import type { QuotaLimit } from "./quota_limit.ts";
+import { quotaLimits } from "./quota_limits.ts";
+import type { QuotaSettings } from "./quota_settings.ts";
 import type { Workspace } from "./workspace.ts";
 
-/** How far the quotas may be overrun, and over which time. @public */
-export type QuotaSettings = {
-  /** Whether the whole system starts with this process, with nothing spent. */
-  readonly isFresh: boolean;
-  /** Time over which a workspace's spending is judged. */
-  readonly window: Milliseconds;
-  /** Part of the quota of a window that may be spent beyond it. */
-  readonly overshoot: number;
-  /** Tokens that may be spent beyond that in a window. */
-  readonly tolerance: number;
-};
-
 /** What a request was charged to. @public */
 export type QuotaCharge = {
   readonly workspace: string;
@@ -32,17 +23,7 @@
   readonly limit: number;
 };
 
-/**
- * Part of the tolerated excess that may be spent on purpose. The rest covers
- * what entries spend before they hear of each other. With this and the parts
- * below, windows of 40 played loads with cuts used 0.74 of what is tolerated at
- * most; 0.1 here served 0.02 less of the worth of a played day with a workspace
- * beyond its quota.
- */
-const EXCESS_SHARE = 0.3;
 const SECOND: Milliseconds = 1000;
-const EXCESS_SUFFIX = " excess";
-
 /**
  * Part of a window's limit that is taken to be spent when an entry restarts;
  * it counts less as that time passes out of the window. What the others spent
@@ -94,18 +75,6 @@
  */
 const ALIKE_OVER: Milliseconds = 600;
 
-/** How much may be spent. */
-type Limit = {
-  readonly name: string;
-  /** Tokens in any window. */
-  readonly tokens: number;
-  /** Most tokens at once, and those that come back in a second. */
-  readonly burst: number;
-  readonly rate: number;
-  /** Tokens that a window may hold beyond that without harm. */
-  readonly tolerated: number;
-};
-
 /**
  * Quotas of workspaces shared by all entries without asking on each request.
  * Every entry counts what all entries spent in the last window: its own charges
@@ -156,13 +125,16 @@
       return { ok: true, charge: { workspace: name, amount, isExcess: false } };
     }
     this.#startedAt ??= now;
-    const quota = this.#quotaOf(workspace);
+    const quota = quotaLimits.quota(workspace, this.#settings);
     const left = this.#leftOf(quota, now);
     if (this.#covers(quota, { amount, left })) {
       this.#take(quota.name, amount, now);
       return { ok: true, charge: { workspace: name, amount, isExcess: false } };
     }
-    const excess = this.#excessOf(workspace);
+    const excess = quotaLimits.excess(workspace, {
+      ...this.#settings,
+      share: this.#share,
+    });
     if (this.#cautiousLeftOf(excess, now) >= amount) {
       this.#take(excess.name, amount, now);
       return { ok: true, charge: { workspace: name, amount, isExcess: true } };
@@ -174,7 +146,7 @@
   /** Gives back what a request that didn't run was charged. */
   refund(charge: QuotaCharge, now: Milliseconds): void {
     const { workspace, amount, isExcess } = charge;
-    const name = isExcess ? `${workspace}${EXCESS_SUFFIX}` : workspace;
+    const name = isExcess ? quotaLimits.excessName(workspace) : workspace;
     this.#take(name, -amount, now);
   }
 
@@ -302,7 +274,7 @@
 
   /** Whether what is left covers a request, or all but the overdraft of it. */
   #covers(
-    limit: Limit,
+    limit: QuotaLimit,
     options: { amount: number; left: number },
   ): boolean {
     const { amount, left } = options;
@@ -311,7 +283,7 @@
   }
 
   /** What is left, less what the others will have spent since the news. */
-  #leftOf(limit: Limit, now: Milliseconds): number {
+  #leftOf(limit: QuotaLimit, now: Milliseconds): number {
     const account = this.#accountOf(limit.name);
     const silence = Math.min(MOST_FORECAST, now - this.#othersAt);
     return Math.min(
@@ -321,7 +293,7 @@
   }
 
   /** What the others took since the news, if callers ask them like this one. */
-  #alike(account: QuotaAccount, limit: Limit): number {
+  #alike(account: QuotaAccount, limit: QuotaLimit): number {
     return Math.min(
       ALIKE_SHARE * account.takenSinceNews * (this.#entries - 1),
       limit.rate * ALIKE_OVER / SECOND,
@@ -330,7 +302,7 @@
 
   /** Time until both the bucket and the window cover an amount. */
   #timeUntil(
-    limit: Limit,
+    limit: QuotaLimit,
     options: { amount: number; left: number; now: Milliseconds },
   ): Milliseconds {
     const { amount, left, now } = options;
@@ -343,7 +315,7 @@
     );
   }
 
-  #fill(account: QuotaAccount, limit: Limit, now: Milliseconds): number {
+  #fill(account: QuotaAccount, limit: QuotaLimit, now: Milliseconds): number {
     if (!account.isOpen) {
       account.open(this.#startLevel(account, limit, now), now);
     }
@@ -357,7 +329,7 @@
 
   #startLevel(
     account: QuotaAccount,
-    limit: Limit,
+    limit: QuotaLimit,
     now: Milliseconds,
   ): number {
     const { burst, tolerated } = limit;
@@ -372,7 +344,7 @@
   }
 
   /** What is left even if every other entry took as much as this one. */
-  #cautiousLeftOf(limit: Limit, now: Milliseconds): number {
+  #cautiousLeftOf(limit: QuotaLimit, now: Milliseconds): number {
     const account = this.#accountOf(limit.name);
     const alike = account.takenSinceNews * (this.#entries - 1);
     return Math.min(
@@ -382,7 +354,7 @@
   }
 
   /** What may have been spent in this window before this process started. */
-  #unknownOf(limit: Limit, now: Milliseconds): number {
+  #unknownOf(limit: QuotaLimit, now: Milliseconds): number {
     if (this.#settings.isFresh) {
       return 0;
     }
@@ -397,39 +369,6 @@
     this.#spent.set(name, (this.#spent.get(name) ?? 0) + amount);
   }
 
-  #quotaOf(workspace: Workspace): Limit {
-    return {
-      name: workspace.name,
-      tokens: this.#windowQuota(workspace),
-      burst: workspace.burst,
-      rate: workspace.rate,
-      tolerated: this.#toleratedOf(workspace),
-    };
-  }
-
-  #excessOf(workspace: Workspace): Limit {
-    const tokens = EXCESS_SHARE * this.#toleratedOf(workspace);
-    return {
-      name: `${workspace.name}${EXCESS_SUFFIX}`,
-      tokens,
-      burst: tokens * this.#share,
-      rate: tokens * SECOND / this.#settings.window,
-      tolerated: 0,
-    };
-  }
-
-  /** What a window may hold beyond the quota. */
-  #toleratedOf(workspace: Workspace): number {
-    const { overshoot, tolerance } = this.#settings;
-    const beside = workspace.countsTokens ? tolerance : 0;
-    return overshoot * this.#windowQuota(workspace) + beside;
-  }
-
-  /** What a workspace may spend in a window. */
-  #windowQuota(workspace: Workspace): number {
-    return workspace.rate * this.#settings.window / SECOND + workspace.burst;
-  }
-
   #accountOf(name: string): QuotaAccount {
     const known = this.#accounts.get(name);
     if (known !== undefined) {
