An entry that reaches nobody keeps the last replicas it knew

Change: replicas are forgotten only while some answer. Test first: 'an entry that reached nobody for long still knows the last replicas' failed, passes now.

--- a/apps/heroncleatd/gateway/control_links.ts
+++ b/apps/heroncleatd/gateway/control_links.ts
@@ -157,9 +157,13 @@
         this.#learn(address, now);
       }
     }
+    // While none answers, the last that were named may be all there are: seeds
+    // may have been replaced long ago.
+    const mayForget = this.isConnected;
     for (const link of this.#list()) {
       this.#noteLoss(link);
-      if (now - Math.max(link.heardAt, link.namedAt) > DROP_AFTER) {
+      const silence = now - Math.max(link.heardAt, link.namedAt);
+      if (mayForget && silence > DROP_AFTER) {
         this.#links.delete(link.address);
       } else if (!link.isAsking && this.#isDue(link, now)) {
         void this.#ask(link);
