--- a/apps/heroncleatd/gateway/control_links.ts
+++ b/apps/heroncleatd/gateway/control_links.ts
@@ -1,5 +1,6 @@
 import type { Clock, Milliseconds } from "@heroncleat/base";
 import {
+  exchangePause,
   type KnownEntry,
   median,
   type SyncReply,
@@ -15,17 +16,6 @@
  * starts with all others serves as soon as there is a leader.
  */
 const FIRST_SYNC_INTERVAL: Milliseconds = 50;
-/** Pause between two whole exchanges, with the primary. */
-const SYNC_INTERVAL: Milliseconds = 150;
-/** Pause between two short exchanges with each other replica. */
-const SHORT_SYNC_INTERVAL: Milliseconds = 400;
-/**
- * Entries from which the pauses grow, so that what all of them together ask of
- * one replica stays the same.
- */
-const PACED_ENTRIES = 32;
-/** Replicas take an entry that is silent for twice as long to be lost. */
-const LONGEST_INTERVAL: Milliseconds = 600;
 /** Silence after which an exchange has failed. */
 const SYNC_TIMEOUT: Milliseconds = 800;
 /** Silence after which a control replica counts as out of reach. */
@@ -175,13 +165,12 @@
     if (this.#options.isWaiting()) {
       return now - link.askedAt >= FIRST_SYNC_INTERVAL - TICK / 2;
     }
-    const pace = Math.max(1, link.entries.length / PACED_ENTRIES);
     const isShort = this.#primary !== "" && link.address !== this.#primary &&
       this.#isHeard(link);
-    const pause = Math.min(
-      LONGEST_INTERVAL,
-      (isShort ? SHORT_SYNC_INTERVAL : SYNC_INTERVAL) * pace,
-    );
+    const entries = link.entries.length;
+    const pause = isShort
+      ? exchangePause.short(entries)
+      : exchangePause.whole(entries);
     // Ticks come a little early or late.
     return now - link.askedAt >= pause - TICK / 2;
   }
--- a/packages/bench/main.ts
+++ b/packages/bench/main.ts
@@ -10,6 +10,7 @@
 import { reportControl } from "./live/report_control.ts";
 import { reportLatency } from "./live/report_latency.ts";
 import { reportPolicies } from "./policy/report_policies.ts";
+import { measureExchange } from "./slopes/exchange_slope.ts";
 import { reportSlopes } from "./slopes/report_slopes.ts";
 
 const PLOTS = fileURLToPath(new URL("../../../docs/plots/", import.meta.url));
@@ -31,7 +32,23 @@
   slopes: async () => reportSlopes(print),
 };
 
-const { values } = parseArgs({ options: { only: { type: "string" } } });
+const { values } = parseArgs({
+  options: {
+    only: { type: "string" },
+    // The exchange's cost, one JSON object a line, for programs.
+    json: { type: "boolean", default: false },
+  },
+});
+if (values.json) {
+  if (values.only !== "slopes") {
+    print("--json goes with the slopes. Remedy: add --only slopes.");
+    process.exit(2);
+  }
+  for (const cost of measureExchange()) {
+    print(JSON.stringify(cost));
+  }
+  process.exit(0);
+}
 if (values.only !== undefined && !Object.hasOwn(PARTS, values.only)) {
   print(
     `There is no part ${values.only}. Remedy: use one of ${
--- a/packages/bench/slopes/report_slopes.ts
+++ b/packages/bench/slopes/report_slopes.ts
@@ -1,4 +1,5 @@
 import { formatTable } from "../report/format_table.ts";
+import { measureExchange } from "./exchange_slope.ts";
 import { measureLedger } from "./ledger_slope.ts";
 import { measureMembership } from "./membership_slope.ts";
 import { measureRequests } from "./request_slope.ts";
@@ -13,7 +14,20 @@
 
 /** Measures what grows, at several sizes; docs/CAPACITY.md builds on it. */
 export function reportSlopes(print: (text: string) => void): void {
-  print("### Membership, each entry\n");
+  print("### Exchange of state, one process of each role\n");
+  print(formatTable(
+    ["role", "phase", "entries", "upstreams", "cores", "bytes/s", "ms a call"],
+    [...measureExchange()].map((cost) => [
+      cost.role,
+      cost.phase,
+      cost.entries,
+      cost.upstreams,
+      cost.cores,
+      cost.bytesPerS,
+      cost.callMs,
+    ]),
+  ));
+  print("\n### Membership, each entry\n");
   print(formatTable(
     ["entries", "upstreams", "bytes/s", "messages/s", "% of a core"],
     [
--- a/packages/serving/mod.ts
+++ b/packages/serving/mod.ts
@@ -28,6 +28,7 @@
 export type { ProcessUsage } from "./usage_book.ts";
 export type { WorkspaceCounts } from "./usage_counts.ts";
 export { ChargeRelay } from "./charge_relay.ts";
+export { exchangePause } from "./exchange_pause.ts";
 export { findRecordProblem } from "./find_record_problem.ts";
 export { findOverload } from "./find_overload.ts";
 export { findDocumentProblem } from "./find_document_problem.ts";
