Notices of dispatches: the longest prompts, as many as an entry can take in

Cause: each prompt of 10 ms or more was told to all other entries by datagram: 32,400 a second at 81 entries, each received, parsed and checked; beyond an entry's budget a notice went to nobody. Change: a threshold of reading time that rises while more than 60 notices a second arrive. All entries receive the same notices, so no message is needed to agree on it.

--- a/apps/heroncleatd/gateway/attempt.ts
+++ b/apps/heroncleatd/gateway/attempt.ts
@@ -35,9 +35,6 @@
 /** How often a request looks for an upstream while there is none. */
 const LOOK_INTERVAL: Milliseconds = 20;
 
-/** Shorter prompts aren't worth a message to each entry. */
-const LEAST_TOLD: Milliseconds = 10;
-
 /** What an attempt is made with. */
 type AttemptOptions = {
   readonly context: ForwardContext;
@@ -127,9 +124,7 @@
     parts: call.prompt?.parts ?? [],
     now: clock.steady(),
   });
-  if (notice.readTime >= LEAST_TOLD) {
-    options.context.tellDispatch(notice);
-  }
+  options.context.noteDispatch(notice);
   const sentAt = clock.steady();
   let ended = false;
   let hasAnswered = false;
--- a/apps/heroncleatd/gateway/forward_context.ts
+++ b/apps/heroncleatd/gateway/forward_context.ts
@@ -23,8 +23,8 @@
   readonly directory: UpstreamDirectory;
   /** What is known of a service's engines; nothing for plain services. */
   readonly engineOf: (service: string) => EngineProfile | undefined;
-  /** Tells the other entries of a prompt that goes to an upstream. */
-  readonly tellDispatch: (notice: DispatchNotice) => void;
+  /** Notes a prompt that goes to an upstream; others may be sent a notice. */
+  readonly noteDispatch: (notice: DispatchNotice) => void;
   readonly agentOf: (upstream: string) => UpstreamAgent;
   readonly allowanceOf: (service: string) => RetryAllowance;
   /** Entries that share the retry allowance. */
--- a/apps/heroncleatd/gateway/forwarding_test.ts
+++ b/apps/heroncleatd/gateway/forwarding_test.ts
@@ -499,7 +499,7 @@
     hearsNews: () => false,
     newsAge: () => 0,
     engineOf: () => undefined,
-    tellDispatch: () => {},
+    noteDispatch: () => {},
     countUsage: () => {},
   };
 }
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -1,8 +1,9 @@
 import type { Server } from "node:http";
 import { type Clock, createToken, splitAddress } from "@heroncleat/base";
-import type { EntryNotice } from "@heroncleat/schema";
+import type { DispatchNotice, EntryNotice } from "@heroncleat/schema";
 import {
   type KnownEntry,
+  NoticeThreshold,
   packedDocument,
   RecentMaximum,
   RetryAllowance,
@@ -89,6 +90,7 @@
   readonly #quota: WorkspaceQuota;
   readonly #links: ControlLinks;
   readonly #news: EntryNews;
+  readonly #noticeThreshold = new NoticeThreshold();
   readonly #charges: ChargeNews;
   readonly #gateway: Gateway;
   readonly #server: Server;
@@ -232,7 +234,7 @@
       choice: this.#choice,
       directory: this.#directory,
       engineOf: (service) => this.#table?.findService(service)?.engine,
-      tellDispatch: (notice) => this.#news.tell(notice),
+      noteDispatch: (notice) => this.#noteDispatch(notice),
       agentOf: (upstream) => this.#agents.of(upstream),
       allowanceOf: (service) => this.#allowanceOf(service),
       countEntries: () => this.#entryCount.value,
@@ -243,6 +245,13 @@
     };
   }
 
+  #noteDispatch(notice: DispatchNotice): void {
+    const now = this.#options.clock.steady();
+    if (this.#noticeThreshold.admits(notice.readTime, now)) {
+      this.#news.tell(notice);
+    }
+  }
+
   #allowanceOf(service: string): RetryAllowance {
     const known = this.#allowances.get(service);
     if (known !== undefined) {
@@ -350,7 +359,9 @@
 
   #onNotice(notice: EntryNotice, from: string): void {
     if (notice.kind === "dispatch") {
-      this.#choice.learnDispatch(notice, this.#options.clock.steady());
+      const now = this.#options.clock.steady();
+      this.#noticeThreshold.noteReceived(now);
+      this.#choice.learnDispatch(notice, now);
     } else {
       this.#charges.hear(notice, from);
     }
--- a/packages/serving/mod.ts
+++ b/packages/serving/mod.ts
@@ -9,6 +9,7 @@
 export type { FleetOrder } from "./fleet_order.ts";
 export type { FleetSettings } from "./fleet_settings.ts";
 export type { UpstreamNews } from "./hub.ts";
+
 export type { KnownEntry } from "./known_entry.ts";
 export type { PromptPart } from "./prompt_part.ts";
 export type { Route } from "./route.ts";
@@ -37,6 +38,7 @@
 export { IsolatedQuota } from "./isolated_quota.ts";
 export { LIST_KEPT } from "./list_kept.ts";
 export { median } from "./median.ts";
+export { NoticeThreshold } from "./notice_threshold.ts";
 export { packedDocument } from "./packed_document.ts";
 export { RecentMaximum } from "./recent_maximum.ts";
 export { RetryAllowance } from "./retry_allowance.ts";
