--- a/apps/heroncleatd/gateway/charge_news.ts
+++ b/apps/heroncleatd/gateway/charge_news.ts
@@ -51,13 +51,12 @@
     this.#relay = new ChargeRelay(options.entry);
   }
 
-  /** What a control replica is told with each exchange. */
+  /** What a control replica is told of others with each exchange. */
   describe(
     feed: string,
-  ): Pick<SyncRequest, "spent" | "relayedCharges" | "wantedCharges"> {
-    const { quota, clock } = this.#options;
+  ): Pick<SyncRequest, "relayedCharges" | "wantedCharges"> {
+    const { clock } = this.#options;
     return {
-      spent: quota.spent(),
       relayedCharges: this.#relay.passOnTo(feed, clock.steady()),
       wantedCharges: this.#relay.wantedFrom(feed),
     };
--- a/apps/heroncleatd/gateway/control_links.ts
+++ b/apps/heroncleatd/gateway/control_links.ts
@@ -1,5 +1,6 @@
 import type { Clock, Milliseconds } from "@heroncleat/base";
 import {
+  CounterReport,
   exchangePause,
   type KnownEntry,
   median,
@@ -44,6 +45,10 @@
   readonly revision: number;
   /** Whether whole news are exchanged with it. */
   readonly isPrimary: boolean;
+  /** Revision up to which it told the loads of the others; 0 for none. */
+  readonly loadsSince: number;
+  /** What it was told of this entry's counters. */
+  readonly report: CounterReport;
 };
 
 /** One control replica as this process knows it. */
@@ -59,7 +64,11 @@
   namedAt: Milliseconds;
   /** True time since 1970 less this process's monotonic time. */
   wallOffset: Milliseconds | undefined;
-  entries: readonly KnownEntry[];
+  /** Entries that it names to callers, by name. */
+  readonly entries: Map<string, KnownEntry>;
+  /** Revision of the last reply that told the loads of the others. */
+  loadsSince: number;
+  readonly report: CounterReport;
   isAsking: boolean;
   isLost: boolean;
 };
@@ -74,6 +83,8 @@
   readonly #options: LinkOptions;
   readonly #links = new Map<string, Link>();
   #primary = "";
+  /** Entries that any replica in reach names; undefined once that changes. */
+  #listed: readonly KnownEntry[] | undefined;
   #timer: NodeJS.Timeout | undefined;
   #wasIsolated = false;
 
@@ -109,11 +120,19 @@
   }
 
   /** Entries that any replica in reach names. */
-  listEntries(): KnownEntry[] {
+  listEntries(): readonly KnownEntry[] {
+    for (const link of this.#links.values()) {
+      this.#noteLoss(link);
+    }
+    this.#listed ??= this.#joinLists();
+    return this.#listed;
+  }
+
+  #joinLists(): KnownEntry[] {
     const entries = new Map<string, KnownEntry>();
     for (const link of this.#links.values()) {
-      for (const entry of this.#isHeard(link) ? link.entries : []) {
-        entries.set(entry.name, entry);
+      for (const [name, entry] of link.isLost ? [] : link.entries) {
+        entries.set(name, entry);
       }
     }
     return [...entries.values()];
@@ -155,6 +174,7 @@
       const silence = now - Math.max(link.heardAt, link.namedAt);
       if (mayForget && silence > DROP_AFTER) {
         this.#links.delete(link.address);
+        this.#listed = undefined;
       } else if (!link.isAsking && this.#isDue(link, now)) {
         void this.#ask(link);
       }
@@ -167,7 +187,7 @@
     }
     const isShort = this.#primary !== "" && link.address !== this.#primary &&
       this.#isHeard(link);
-    const entries = link.entries.length;
+    const entries = link.entries.size;
     const pause = isShort
       ? exchangePause.short(entries)
       : exchangePause.whole(entries);
@@ -181,7 +201,7 @@
     const next = sound.find(({ isLeading }) => isLeading) ??
       sound.find(({ address }) => address === this.#primary) ??
       sound[0] ?? heard[0];
-    this.#primary = next?.address ?? "";
+    this.#setPrimary(next?.address ?? "");
     if (next !== undefined) {
       this.#wasIsolated = false;
     } else if (!this.#wasIsolated) {
@@ -190,10 +210,22 @@
     }
   }
 
+  /** The loads that are known come from the primary, none from others. */
+  #setPrimary(address: string): void {
+    if (address === this.#primary) {
+      return;
+    }
+    this.#primary = address;
+    for (const link of this.#links.values()) {
+      link.loadsSince = 0;
+    }
+  }
+
   #noteLoss(link: Link): void {
     const isLost = !this.#isHeard(link);
     if (isLost !== link.isLost) {
       link.isLost = isLost;
+      this.#listed = undefined;
       const { log } = this.#options;
       const context = { address: link.address };
       if (isLost) {
@@ -220,7 +252,9 @@
       isLeading: false,
       namedAt: now,
       wallOffset: undefined,
-      entries: [],
+      entries: new Map(),
+      loadsSince: 0,
+      report: new CounterReport(),
       isAsking: false,
       isLost: true,
     });
@@ -237,6 +271,8 @@
           feed: link.feed,
           revision: link.revision,
           isPrimary: link.address === this.#primary,
+          loadsSince: link.loadsSince,
+          report: link.report,
         }),
         timeout: SYNC_TIMEOUT,
       }) as SyncReply;
@@ -245,6 +281,7 @@
     } catch {
       // A replica that doesn't answer is logged once it has been silent.
       link.hasFailed = true;
+      link.report.noteFailure();
       this.#choosePrimary();
     } finally {
       link.isAsking = false;
@@ -261,12 +298,37 @@
     link.feed = reply.feed;
     link.revision = reply.revision;
     link.isLeading = reply.isLeading;
-    link.entries = reply.entries ?? link.entries;
     link.wallOffset = reply.wall - (askedAt + now) / 2;
+    link.report.noteReply(reply);
+    const isListNew = takeList(link.entries, reply);
+    if (isListNew) {
+      this.#listed = undefined;
+    }
     for (const address of reply.controls) {
       this.#learn(address, now);
     }
+    this.#noteLoss(link);
     this.#choosePrimary();
-    this.#options.onReply(reply);
+    const isPrimary = link.address === this.#primary;
+    link.loadsSince = isPrimary && reply.shared !== undefined
+      ? reply.revision
+      : link.loadsSince;
+    const entries = isListNew ? [...link.entries.values()] : undefined;
+    this.#options.onReply({ ...reply, entries });
+  }
+}
+
+/** Takes a list of entries in, or its changes, and says whether any came. */
+function takeList(entries: Map<string, KnownEntry>, reply: SyncReply): boolean {
+  const { entryChanges } = reply;
+  if (reply.entries !== undefined) {
+    entries.clear();
+  }
+  for (const entry of reply.entries ?? entryChanges?.opened ?? []) {
+    entries.set(entry.name, entry);
+  }
+  for (const name of entryChanges?.closed ?? []) {
+    entries.delete(name);
   }
+  return reply.entries !== undefined || entryChanges !== undefined;
 }
--- /dev/null
+++ b/apps/heroncleatd/gateway/entry_exchange.ts
@@ -0,0 +1,172 @@
+import { type Clock, type Milliseconds, splitAddress } from "@heroncleat/base";
+import {
+  type KnownEntry,
+  packedDocument,
+  RecentMaximum,
+  type SharedNews,
+  type SyncReply,
+  type SyncRequest,
+  type UpstreamChoice,
+  type UpstreamDirectory,
+  type UsageCounts,
+  type WorkspaceQuota,
+} from "@heroncleat/serving";
+import type { Log } from "../common/log.ts";
+import type { ChargeNews } from "./charge_news.ts";
+import type { FeedPosition } from "./control_links.ts";
+import type { GatewaySettings } from "./gateway_settings.ts";
+import type { UpstreamAgents } from "./upstream_agents.ts";
+
+/** Time for which a number of entries counts when fewer are named. */
+const COUNT_KEPT: Milliseconds = 10_000;
+
+/** What the exchange is built from. */
+type ExchangeOptions = {
+  readonly settings: () => GatewaySettings;
+  /** Identifier of this process. */
+  readonly boot: string;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly directory: UpstreamDirectory;
+  readonly choice: UpstreamChoice;
+  readonly agents: UpstreamAgents;
+  readonly quota: WorkspaceQuota;
+  readonly usage: UsageCounts;
+  readonly charges: ChargeNews;
+  /** Whether callers may be sent here. */
+  readonly isOpen: () => boolean;
+  /** Version of the document in force; -1 for none. */
+  readonly documentVersion: () => number;
+  readonly onDocument: (source: string) => void;
+  /** Entries that any control replica in reach names. */
+  readonly listEntries: () => readonly KnownEntry[];
+};
+
+/**
+ * What this entry reports to the control replicas, and what it does with their
+ * replies.
+ */
+export class EntryExchange {
+  readonly #options: ExchangeOptions;
+  /** Open entries at the last reply, for when no control replica answers. */
+  #entries: readonly KnownEntry[] = [];
+  readonly #entryCount = new RecentMaximum(1, COUNT_KEPT);
+  #peers: readonly string[] = [];
+
+  constructor(options: ExchangeOptions) {
+    this.#options = options;
+  }
+
+  /** How many entries share quotas and retries. */
+  get entryCount(): number {
+    return this.#entryCount.value;
+  }
+
+  /** Hosts of the others among them. */
+  get peers(): readonly string[] {
+    return this.#peers;
+  }
+
+  /** Entries of the last reply that still report their charges to this one. */
+  listReachable(): KnownEntry[] {
+    const { settings, charges } = this.#options;
+    const { name, address, zone, region } = settings();
+    const others = this.#entries.filter((entry) =>
+      entry.name !== name && charges.reaches(entry.name)
+    );
+    return [{ name, address, zone, region }, ...others];
+  }
+
+  /** What one control replica is told now. */
+  describe(known: FeedPosition): SyncRequest {
+    const { clock, boot, quota, choice, usage, charges } = this.#options;
+    const { name, address, zone, region } = this.#options.settings();
+    return {
+      entry: {
+        name,
+        address,
+        zone,
+        region,
+        boot,
+        isOpen: this.#options.isOpen(),
+      },
+      wall: clock.wall(),
+      feed: known.feed,
+      revision: known.revision,
+      takesChanges: true,
+      loadsSince: known.loadsSince,
+      documentVersion: this.#options.documentVersion(),
+      ...known.report.describe(known.feed, {
+        spent: quota.spent(),
+        readWork: choice.readWork(),
+        usage: usage.list(),
+      }),
+      ...charges.describe(known.feed),
+      readingSpeeds: choice.speeds.measured(),
+      loads: known.isPrimary ? choice.loads(clock.steady()) : undefined,
+    };
+  }
+
+  /** Takes a control replica's reply in. */
+  learn(reply: SyncReply): void {
+    const { clock, directory, charges, onDocument } = this.#options;
+    const now = clock.steady();
+    for (const record of reply.upstreams) {
+      directory.merge(record, now);
+    }
+    if (reply.upstreams.length > 0) {
+      this.#endEarlierStarts();
+    }
+    this.#learnEntries(now);
+    if (reply.document !== undefined) {
+      onDocument(packedDocument.unpack(reply.document));
+    }
+    charges.learn(reply);
+    if (reply.shared !== undefined) {
+      this.#learnShared(reply.shared);
+    }
+  }
+
+  #learnEntries(now: Milliseconds): void {
+    const entries = this.#options.listEntries();
+    if (entries !== this.#entries) {
+      this.#entries = entries;
+      this.#peers = this.#hostsOf(entries);
+    }
+    this.#entryCount.note(entries.length, now);
+  }
+
+  /**
+   * Ends what is under way at starts of upstreams that have started again: an
+   * answer can't come any more, and a VM that went dark resets nothing. What
+   * may be repeated or resumed goes on elsewhere at once.
+   */
+  #endEarlierStarts(): void {
+    const { directory, agents, choice, log } = this.#options;
+    const isOver = (id: string) => directory.isOver(id);
+    for (const id of agents.removeWhere(isOver)) {
+      choice.forget(id);
+      log.info("An upstream has started again", { upstream: id });
+    }
+  }
+
+  #learnShared(shared: SharedNews): void {
+    const { clock, directory, choice } = this.#options;
+    const now = clock.steady();
+    for (const [id, sequence] of Object.entries(shared.beats)) {
+      directory.refresh(id, sequence, now);
+    }
+    if (shared.areLoadsPartial) {
+      choice.learnChangedLoads(shared.loadsOfOthers, now);
+    } else {
+      choice.learnOthers(shared.loadsOfOthers, now);
+    }
+    choice.speeds.learn(shared.readingSpeeds);
+  }
+
+  #hostsOf(entries: readonly KnownEntry[]): string[] {
+    const own = this.#options.settings().address;
+    return entries.filter(({ address }) => address !== own)
+      .map(({ address }) => splitAddress(address).host);
+  }
+}
--- a/apps/heroncleatd/gateway/played_quotas.ts
+++ b/apps/heroncleatd/gateway/played_quotas.ts
@@ -213,11 +213,16 @@
       feed: known.feed,
       revision: known.revision,
       documentVersion: 1,
+      takesChanges: true,
+      loadsSince: known.loadsSince,
+      ...known.report.describe(known.feed, {
+        spent: this.#entries[host]!.quota.spent(),
+        readWork: {},
+        usage: {},
+      }),
       ...this.#entries[host]!.charges.describe(known.feed),
-      readWork: {},
       readingSpeeds: {},
       loads: known.isPrimary ? {} : undefined,
-      usage: {},
     };
   }
 
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -4,13 +4,8 @@
 import {
   type KnownEntry,
   NoticeThreshold,
-  packedDocument,
-  RecentMaximum,
   RetryAllowance,
   RouteTable,
-  type SharedNews,
-  type SyncReply,
-  type SyncRequest,
   UpstreamChoice,
   UpstreamDirectory,
   UsageCounts,
@@ -21,8 +16,9 @@
 import type { Metrics } from "../common/metrics.ts";
 import { ChargeNews } from "./charge_news.ts";
 import { createCallerServer } from "./create_caller_server.ts";
-import { ControlLinks, type FeedPosition } from "./control_links.ts";
+import { ControlLinks } from "./control_links.ts";
 import type { DecodedDocument } from "./decoded_document.ts";
+import { EntryExchange } from "./entry_exchange.ts";
 import { EntryNews } from "./entry_news.ts";
 import type { ForwardContext } from "./forward_context.ts";
 import { Gate } from "./gate.ts";
@@ -38,8 +34,6 @@
 const FORGET_INTERVAL = 5000;
 /** Pause between direct news of charges while no control replica answers. */
 const SHARE_INTERVAL = 200;
-/** Time for which a number of entries counts when fewer are named. */
-const COUNT_KEPT = 10_000;
 
 /** What a gateway is started with. */
 type StartOptions = {
@@ -92,6 +86,7 @@
   readonly #news: EntryNews;
   readonly #noticeThreshold = new NoticeThreshold();
   readonly #charges: ChargeNews;
+  readonly #exchange: EntryExchange;
   readonly #gateway: Gateway;
   readonly #server: Server;
   readonly #timers: readonly NodeJS.Timeout[];
@@ -100,12 +95,6 @@
   readonly #tableArrival = new Gate();
   #isStopping = false;
   #refusesStreams = false;
-  /** Open entries at the last news, for when no control replica answers. */
-  #lastEntries: readonly KnownEntry[] = [];
-  /** How many share quotas and retries. */
-  readonly #entryCount = new RecentMaximum(1, COUNT_KEPT);
-  /** Hosts of the others among them. */
-  #peers: readonly string[] = [];
 
   constructor(options: StartOptions) {
     this.#options = options;
@@ -119,14 +108,14 @@
       clock,
       log: options.log("links"),
       seeds: () => options.settings().seeds,
-      describe: (known) => this.#describe(known),
-      onReply: (reply) => this.#onReply(reply),
+      describe: (known) => this.#exchange.describe(known),
+      onReply: (reply) => this.#exchange.learn(reply),
       onIsolated: () => this.#onIsolated(),
       isWaiting: () => this.#table === undefined,
     });
     this.#news = new EntryNews({
       address: settings.newsAddress,
-      peers: () => this.#peers,
+      peers: () => this.#exchange.peers,
       onNotice: (notice, from) => this.#onNotice(notice, from),
       clock,
       log: options.log("entry_news"),
@@ -143,7 +132,23 @@
       metrics: options.metrics,
       isConnected: () => this.#links.isConnected,
       isOpen: () => this.isReady,
-      countEntries: () => this.#entryCount.value,
+      countEntries: () => this.#exchange.entryCount,
+    });
+    this.#exchange = new EntryExchange({
+      settings: options.settings,
+      boot: this.#boot,
+      clock,
+      log: this.#log,
+      directory: this.#directory,
+      choice: this.#choice,
+      agents: this.#agents,
+      quota: this.#quota,
+      usage: this.#usage,
+      charges: this.#charges,
+      isOpen: () => this.isReady,
+      documentVersion: () => this.#table?.document.version ?? -1,
+      onDocument: (source) => this.#adopt(source),
+      listEntries: () => this.#links.listEntries(),
     });
     this.#gateway = new Gateway({
       names: options.names,
@@ -190,16 +195,7 @@
     if (entries.length > 0 || !this.isReady) {
       return entries;
     }
-    return this.#listReachable();
-  }
-
-  /** Entries of the last news that still tell this one what they charge. */
-  #listReachable(): KnownEntry[] {
-    const { name, address, zone, region } = this.#options.settings();
-    const others = this.#lastEntries.filter((entry) =>
-      entry.name !== name && this.#charges.reaches(entry.name)
-    );
-    return [{ name, address, zone, region }, ...others];
+    return this.#exchange.listReachable();
   }
 
   /** Takes requests until most of the grace period is over, then closes. */
@@ -237,7 +233,7 @@
       noteDispatch: (notice) => this.#noteDispatch(notice),
       agentOf: (upstream) => this.#agents.of(upstream),
       allowanceOf: (service) => this.#allowanceOf(service),
-      countEntries: () => this.#entryCount.value,
+      countEntries: () => this.#exchange.entryCount,
       hearsNews: () => this.#links.isConnected,
       newsAge: () => this.#links.newsAge,
       countUsage: (workspace, beganAt) =>
@@ -267,77 +263,6 @@
     return allowance;
   }
 
-  #describe(known: FeedPosition): SyncRequest {
-    const { name, address, zone, region } = this.#options.settings();
-    return {
-      entry: {
-        name,
-        address,
-        zone,
-        region,
-        boot: this.#boot,
-        isOpen: this.isReady,
-      },
-      wall: this.#options.clock.wall(),
-      feed: known.feed,
-      revision: known.revision,
-      documentVersion: this.#table?.document.version ?? -1,
-      ...this.#charges.describe(known.feed),
-      readWork: this.#choice.readWork(),
-      readingSpeeds: this.#choice.speeds.measured(),
-      loads: known.isPrimary
-        ? this.#choice.loads(this.#options.clock.steady())
-        : undefined,
-      usage: this.#usage.list(),
-    };
-  }
-
-  #onReply(reply: SyncReply): void {
-    const now = this.#options.clock.steady();
-    for (const record of reply.upstreams) {
-      this.#directory.merge(record, now);
-    }
-    this.#endEarlierStarts();
-    this.#lastEntries = this.#links.listEntries();
-    this.#entryCount.note(this.#lastEntries.length, now);
-    this.#peers = this.#hostsOf(this.#lastEntries);
-    if (reply.document !== undefined) {
-      this.#adopt(packedDocument.unpack(reply.document));
-    }
-    this.#charges.learn(reply);
-    if (reply.shared !== undefined) {
-      this.#learnShared(reply.shared);
-    }
-  }
-
-  /**
-   * Ends what is under way at starts of upstreams that have started again: an
-   * answer can't come any more, and a VM that went dark resets nothing. What
-   * may be repeated or resumed goes on elsewhere at once.
-   */
-  #endEarlierStarts(): void {
-    const isOver = (id: string) => this.#directory.isOver(id);
-    for (const id of this.#agents.removeWhere(isOver)) {
-      this.#choice.forget(id);
-      this.#log.info("An upstream has started again", { upstream: id });
-    }
-  }
-
-  #learnShared(shared: SharedNews): void {
-    const now = this.#options.clock.steady();
-    for (const [id, sequence] of Object.entries(shared.beats)) {
-      this.#directory.refresh(id, sequence, now);
-    }
-    this.#choice.learnOthers(shared.loadsOfOthers, now);
-    this.#choice.speeds.learn(shared.readingSpeeds);
-  }
-
-  #hostsOf(entries: readonly KnownEntry[]): string[] {
-    const own = this.#options.settings().address;
-    return entries.filter(({ address }) => address !== own)
-      .map(({ address }) => splitAddress(address).host);
-  }
-
   #adopt(source: string): void {
     const decoded = this.#options.decodeDocument(source);
     if (decoded.kind === "unreadable") {
--- a/apps/heroncleatd/hub/start_hub.ts
+++ b/apps/heroncleatd/hub/start_hub.ts
@@ -70,14 +70,24 @@
   });
   await keeper.read();
   let group: ReplicaGroup | undefined;
+  const exchangeLog = options.log("exchange");
+  const sync = (request: SyncRequest): SyncReply => {
+    const reply = hub.sync(request, {
+      now: clock.steady(),
+      document: group?.isConfirmed ? group.application.document : undefined,
+      controls: group?.addresses ?? [],
+      isLeading: group?.leadership !== undefined,
+    });
+    if (reply.needsWhole) {
+      options.metrics.increment("exchange.divergences");
+      exchangeLog.info("Asks an entry for all its counters", {
+        entry: request.entry.name.slice(0, MOST_LOGGED),
+      });
+    }
+    return reply;
+  };
   options.serve({
-    "hub.sync": (parameters): SyncReply =>
-      hub.sync(parameters as SyncRequest, {
-        now: clock.steady(),
-        document: group?.isConfirmed ? group.application.document : undefined,
-        controls: group?.addresses ?? [],
-        isLeading: group?.leadership !== undefined,
-      }),
+    "hub.sync": (parameters) => sync(parameters as SyncRequest),
     "hub.feed": (parameters) => {
       const { feed, revision } = parameters as {
         feed: string;
--- a/packages/bench/slopes/exchange_slope.ts
+++ b/packages/bench/slopes/exchange_slope.ts
@@ -21,7 +21,7 @@
 const STORM_PAUSE: Milliseconds = 100;
 
 /** What one process of a role spends on the exchange. */
-export type ExchangeCost = {
+type ExchangeCost = {
   readonly role: "replica" | "entry";
   readonly phase: "steady" | "opening" | "power" | "storm";
   readonly entries: number;
--- a/packages/bench/slopes/simulated_exchange.ts
+++ b/packages/bench/slopes/simulated_exchange.ts
@@ -4,6 +4,7 @@
   type Random,
 } from "@heroncleat/base";
 import {
+  CounterReport,
   Hub,
   type SyncReply,
   type SyncRequest,
@@ -23,7 +24,6 @@
 const MOST_UNDER_WAY = 3;
 /** Upstreams at which one entry has something under way. */
 const USED_UPSTREAMS = 4;
-const WORKSPACE_RATE = 1_000_000;
 
 /** What an exchange is simulated with. */
 type ExchangeOptions = {
@@ -52,6 +52,8 @@
   isOpen: boolean;
   feed: string;
   revision: number;
+  loadsSince: number;
+  report: CounterReport;
   documentVersion: number;
   nextAt: Milliseconds;
   spent: Record<string, number>;
@@ -141,6 +143,8 @@
       isOpen: true,
       feed: "",
       revision: 0,
+      loadsSince: 0,
+      report: new CounterReport(),
       documentVersion: -1,
       nextAt: this.#options.pause * place / this.#options.entries,
       spent: {},
@@ -169,6 +173,8 @@
       boot: boot + 1,
       feed: "",
       revision: 0,
+      loadsSince: 0,
+      report: new CounterReport(),
       documentVersion: -1,
       nextAt: at,
       spent: {},
@@ -212,7 +218,7 @@
           address: `10.1.${Math.floor(place % upstreams / 250)}.${
             place % upstreams % 250
           }:8000`,
-          zone: `zone-${place % 6}`,
+          zone: `zone-${place % upstreams % 6}`,
           slots: 64,
           sequence: this.#sequence,
           state: "ready",
@@ -259,11 +265,15 @@
       feed,
       revision,
       documentVersion,
-      spent: entry.spent,
-      readWork: { writers: entry.readWork },
+      takesChanges: true,
+      loadsSince: entry.loadsSince,
+      ...entry.report.describe(feed, {
+        spent: { ...entry.spent },
+        readWork: { writers: entry.readWork },
+        usage: structuredClone(entry.usage),
+      }),
       readingSpeeds: { writers: 1 + boot / 100 },
       loads: this.#drawLoads(),
-      usage: entry.usage,
     };
   }
 
@@ -282,6 +292,8 @@
   #learn(entry: SimulatedEntry, reply: SyncReply): void {
     entry.feed = reply.feed;
     entry.revision = reply.revision;
+    entry.loadsSince = reply.revision;
+    entry.report.noteReply(reply);
     if (reply.document !== undefined) {
       entry.documentVersion = this.#version;
     }
@@ -292,7 +304,12 @@
     for (const [id, sequence] of Object.entries(shared?.beats ?? {})) {
       entry.directory.refresh(id, sequence, this.#now);
     }
-    entry.choice.learnOthers(shared?.loadsOfOthers ?? {}, this.#now);
+    const loads = shared?.loadsOfOthers ?? {};
+    if (shared?.areLoadsPartial) {
+      entry.choice.learnChangedLoads(loads, this.#now);
+    } else {
+      entry.choice.learnOthers(loads, this.#now);
+    }
     entry.quota.learnOthers(reply.feed, {
       spent: reply.spentByOthers,
       share: shared?.quotaShare ?? 1,
--- a/packages/serving/charge_book.ts
+++ b/packages/serving/charge_book.ts
@@ -1,57 +1,99 @@
 import type { Milliseconds } from "@heroncleat/base";
+import { RevisionCounter } from "./revision_counter.ts";
 import type { ToldCharges } from "./told_charges.ts";
 
 /** An entry as this book last heard it. */
-type KnownEntry = ToldCharges & {
-  readonly heardAt: Milliseconds;
+type KnownEntry = {
+  boot: string;
+  /** Totals since the start of its process, by bucket. */
+  spent: Map<string, number>;
   /** What it charged since this book first heard of it. */
-  readonly counted: Readonly<Record<string, number>>;
+  readonly counted: Map<string, number>;
+  /** Sum of `spent`. */
+  digest: number;
+  heardAt: Milliseconds;
 };
 
+/** Charges of all entries to one bucket, and when they last changed. */
+type Total = { amount: number; revision: number };
+
 /**
  * Adds up what entries charge to workspaces from when this book first heard of
  * each. Entries tell totals since the start of their process, so a book that
  * starts later must not take what they charged before for something new.
  *
+ * Sums are kept as they change: taking in a report costs what it names, however
+ * many entries there are.
+ *
  * @internal
  */
 export class ChargeBook {
+  readonly #revisions: RevisionCounter;
   readonly #known = new Map<string, KnownEntry>();
-  /** Charges of entries that are gone. */
-  readonly #before: Record<string, number> = {};
+  readonly #totals = new Map<string, Total>();
+
+  constructor(revisions: RevisionCounter = new RevisionCounter()) {
+    this.#revisions = revisions;
+  }
 
-  hear(entry: string, told: ToldCharges, now: Milliseconds): void {
+  /**
+   * Takes in what an entry reports of itself.
+   *
+   * @returns Whether it was taken; changes of totals that this book doesn't
+   * know, or a copy that differs from the entry's, need a whole report.
+   */
+  hear(entry: string, told: ToldCharges, now: Milliseconds): boolean {
     const known = this.#known.get(entry);
-    const counted = { ...known?.counted };
-    if (known !== undefined) {
-      const isSame = known.boot === told.boot;
-      for (const [bucket, total] of Object.entries(told.spent)) {
-        const since = isSame ? known.spent[bucket] ?? 0 : 0;
-        counted[bucket] = (counted[bucket] ?? 0) + total - since;
+    const isSame = known !== undefined && known.boot === told.boot;
+    if (told.isPartial && !isSame) {
+      return false;
+    }
+    const before = isSame ? known.spent : new Map<string, number>();
+    const spent = told.isPartial ? before : new Map<string, number>();
+    const counted = known?.counted ?? new Map<string, number>();
+    let digest = told.isPartial ? known!.digest : 0;
+    for (const [bucket, total] of Object.entries(told.spent)) {
+      const change = total - (before.get(bucket) ?? 0);
+      digest += told.isPartial ? change : total;
+      spent.set(bucket, total);
+      // What was charged before this book knew the entry isn't counted.
+      if (known !== undefined && change !== 0) {
+        counted.set(bucket, (counted.get(bucket) ?? 0) + change);
+        this.#add(bucket, change);
       }
     }
-    const { boot, spent } = told;
-    this.#known.set(entry, { boot, spent, counted, heardAt: now });
+    const { boot } = told;
+    this.#known.set(entry, { boot, spent, counted, digest, heardAt: now });
+    return told.digest === undefined || told.digest === digest;
   }
 
-  /** Notes that an entry is gone. */
-  drop(entry: string): void {
+  /** What a known entry reported, whole. */
+  report(entry: string): ToldCharges | undefined {
     const known = this.#known.get(entry);
-    if (known !== undefined) {
-      addAll(this.#before, known.counted);
-      this.#known.delete(entry);
-    }
+    return known === undefined
+      ? undefined
+      : { boot: known.boot, spent: Object.fromEntries(known.spent) };
+  }
+
+  /** Notes that an entry is gone; what it charged stays in the sums. */
+  drop(entry: string): void {
+    this.#known.delete(entry);
   }
 
-  /** Charges of all entries but one, by quota bucket. */
-  sumWithout(entry: string): Record<string, number> {
-    const totals = { ...this.#before };
-    for (const [name, { counted }] of this.#known) {
-      if (name !== entry) {
-        addAll(totals, counted);
+  /**
+   * Charges of all entries but one, by quota bucket.
+   *
+   * @param since Revision behind which a bucket's sum must have changed.
+   */
+  sumWithout(entry: string, since = 0): Record<string, number> {
+    const own = this.#known.get(entry)?.counted;
+    const sums: Record<string, number> = {};
+    for (const [bucket, { amount, revision }] of this.#totals) {
+      if (revision > since) {
+        sums[bucket] = amount - (own?.get(bucket) ?? 0);
       }
     }
-    return totals;
+    return sums;
   }
 
   /** Names of the entries heard since a time. */
@@ -64,13 +106,15 @@
     }
     return heard;
   }
-}
 
-function addAll(
-  totals: Record<string, number>,
-  spent: Readonly<Record<string, number>>,
-): void {
-  for (const [bucket, amount] of Object.entries(spent)) {
-    totals[bucket] = (totals[bucket] ?? 0) + amount;
+  #add(bucket: string, change: number): void {
+    const revision = this.#revisions.next();
+    const total = this.#totals.get(bucket);
+    if (total === undefined) {
+      this.#totals.set(bucket, { amount: change, revision });
+    } else {
+      total.amount += change;
+      total.revision = revision;
+    }
   }
 }
--- a/packages/serving/charge_exchange.ts
+++ b/packages/serving/charge_exchange.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds } from "@heroncleat/base";
 import { ChargeBook } from "./charge_book.ts";
+import type { RevisionCounter } from "./revision_counter.ts";
 import type { RelayedCharges, ToldCharges } from "./told_charges.ts";
 
 /**
@@ -18,7 +19,6 @@
 
 /** An entry as this replica last heard of it. */
 type HeardEntry = {
-  readonly told: ToldCharges;
   readonly heardAt: Milliseconds;
   /** When it told this replica itself. */
   readonly toldAt: Milliseconds;
@@ -33,13 +33,24 @@
  * @internal
  */
 export class ChargeExchange {
-  readonly #book = new ChargeBook();
+  readonly #book: ChargeBook;
   readonly #entries = new Map<string, HeardEntry>();
 
-  /** Takes in what an entry tells of itself. */
-  hear(entry: string, told: ToldCharges, now: Milliseconds): void {
-    this.#book.hear(entry, told, now);
-    this.#entries.set(entry, { told, heardAt: now, toldAt: now });
+  constructor(revisions?: RevisionCounter) {
+    this.#book = new ChargeBook(revisions);
+  }
+
+  /**
+   * Takes in what an entry tells of itself.
+   *
+   * @returns Whether it could be taken; if not, the entry must tell all.
+   */
+  hear(entry: string, told: ToldCharges, now: Milliseconds): boolean {
+    const isTaken = this.#book.hear(entry, told, now);
+    if (isTaken || this.#entries.has(entry)) {
+      this.#entries.set(entry, { heardAt: now, toldAt: now });
+    }
+    return isTaken;
   }
 
   /** Takes in what another one tells of an entry, unless more is known. */
@@ -52,7 +63,7 @@
     }
     this.#book.hear(entry, { boot, spent }, heardAt);
     const toldAt = known?.toldAt ?? -Infinity;
-    this.#entries.set(entry, { told: { boot, spent }, heardAt, toldAt });
+    this.#entries.set(entry, { heardAt, toldAt });
   }
 
   /** Forgets entries of which nothing was heard since; what they spent stays. */
@@ -65,9 +76,9 @@
     }
   }
 
-  /** Charges of all entries but one, by quota bucket. */
-  sumWithout(entry: string): Record<string, number> {
-    return this.#book.sumWithout(entry);
+  /** Charges of all entries but one, by quota bucket; see ChargeBook. */
+  sumWithout(entry: string, since?: number): Record<string, number> {
+    return this.#book.sumWithout(entry, since);
   }
 
   /** Names of entries that don't tell this replica anything any more. */
@@ -88,10 +99,10 @@
   ): Record<string, RelayedCharges> {
     const charges: Record<string, RelayedCharges> = {};
     for (const name of names.slice(0, MOST_NAMED)) {
-      const known = this.#entries.get(name);
-      const age = now - (known?.toldAt ?? -Infinity);
-      if (known !== undefined && age < this.#silence) {
-        charges[name] = { ...known.told, age };
+      const age = now - (this.#entries.get(name)?.toldAt ?? -Infinity);
+      const told = this.#book.report(name);
+      if (told !== undefined && age < this.#silence) {
+        charges[name] = { ...told, age };
       }
     }
     return charges;
--- a/packages/serving/hub.ts
+++ b/packages/serving/hub.ts
@@ -1,10 +1,14 @@
 import type { Milliseconds } from "@heroncleat/base";
+import { ChangeLog } from "./change_log.ts";
 import { ChargeBook } from "./charge_book.ts";
 import { ChargeExchange } from "./charge_exchange.ts";
 import type { KnownEntry } from "./known_entry.ts";
+import { LoadBook } from "./load_book.ts";
 import { median } from "./median.ts";
+import { OpenEntries } from "./open_entries.ts";
 import { packedDocument } from "./packed_document.ts";
-import type { SyncReply } from "./sync_reply.ts";
+import { RevisionCounter } from "./revision_counter.ts";
+import type { SharedNews, SyncReply } from "./sync_reply.ts";
 import type { SyncRequest } from "./sync_request.ts";
 import { type NewsOutcome, UpstreamDirectory } from "./upstream_directory.ts";
 import type { UpstreamLoad } from "./upstream_load.ts";
@@ -21,18 +25,15 @@
 /** Time for which a measured reading speed counts after its entry went. */
 const SPEED_KEPT: Milliseconds = 10_000;
 
-/** Time for which the list of open entries is not made anew. */
-const LIST_KEPT: Milliseconds = 50;
+/** Pause between two looks for entries that fell silent. */
+const SWEEP_INTERVAL: Milliseconds = 50;
 
-/** Revisions at which an upstream was last heard and last changed. */
-type Revisions = { readonly heard: number; readonly changed: number };
-
-/** Open entries, and the revision at which the list became this one. */
-type EntryList = {
-  readonly madeAt: Milliseconds;
-  readonly revision: number;
-  readonly entries: readonly KnownEntry[];
-};
+/**
+ * Time for which a median over all entries stands. Clocks and reading speeds
+ * move little in it, and computing them for each call takes a time that grows
+ * with the square of the entries.
+ */
+const MEDIAN_KEPT: Milliseconds = 200;
 
 /** What changed of upstreams since a revision. @public */
 export type UpstreamNews = {
@@ -44,7 +45,8 @@
 
 /** An entry as this replica last heard it. */
 type HeardEntry = {
-  readonly request: SyncRequest;
+  readonly boot: string;
+  readonly readingSpeeds: Readonly<Record<string, number>>;
   readonly heardAt: Milliseconds;
   /** Wall clock of the entry less this process's clock. */
   readonly wallOffset: Milliseconds;
@@ -72,23 +74,37 @@
 export class Hub {
   readonly feed: string;
   readonly directory = new UpstreamDirectory();
+  readonly #revisions = new RevisionCounter();
   readonly #entries = new Map<string, HeardEntry>();
-  readonly #charges = new ChargeExchange();
+  readonly #open = new OpenEntries(this.#revisions);
+  readonly #charges = new ChargeExchange(this.#revisions);
+  readonly #loads = new LoadBook(this.#revisions);
   readonly #readWork = new ChargeBook();
   readonly #usage = new UsageBook();
-  /** By identifier of the upstream. */
-  readonly #revisions = new Map<string, Revisions>();
+  readonly #heardUpstreams = new ChangeLog();
+  /** Revision at which an upstream last changed, by its identifier. */
+  readonly #changedAt = new Map<string, number>();
   /** The document that was told last, as it is told. */
   #packed = { version: -1, text: "" };
-  #list: EntryList = { madeAt: -Infinity, revision: 0, entries: [] };
-  #revision = 0;
+  #sweptAt: Milliseconds = -Infinity;
+  /** What is worked out over all entries, until the next sweep. */
+  #shared = { quotaShare: 1, unheard: [] as readonly string[] };
+  #medians = { madeAt: -Infinity, wallOffset: undefined as number | undefined };
+  #speeds = { madeAt: -Infinity, byService: {} as Record<string, number> };
+  /** Reports that couldn't be taken, as they built on another copy. */
+  #divergences = 0;
 
   constructor(feed: string) {
     this.feed = feed;
   }
 
   get revision(): number {
-    return this.#revision;
+    return this.#revisions.value;
+  }
+
+  /** How often an entry had to tell all its counters again. */
+  get divergences(): number {
+    return this.#divergences;
   }
 
   /**
@@ -100,11 +116,11 @@
     if (outcome === "late") {
       return outcome;
     }
-    this.#revision += 1;
-    const heard = this.#revision;
-    const known = this.#revisions.get(news.id);
-    const changed = outcome === "changed" ? heard : known?.changed ?? heard;
-    this.#revisions.set(news.id, { heard, changed });
+    const revision = this.#revisions.next();
+    this.#heardUpstreams.note(news.id, revision);
+    if (outcome === "changed" || !this.#changedAt.has(news.id)) {
+      this.#changedAt.set(news.id, revision);
+    }
     return outcome;
   }
 
@@ -134,39 +150,76 @@
       return undefined;
     }
     this.directory.remove(id, now);
-    this.#revision += 1;
-    this.#revisions.set(id, { heard: this.#revision, changed: this.#revision });
+    const revision = this.#revisions.next();
+    this.#heardUpstreams.note(id, revision);
+    this.#changedAt.set(id, revision);
     return id;
   }
 
-  /** Takes an entry's news in and answers it. */
+  /** Takes an entry's report in and answers it. */
   sync(request: SyncRequest, context: ReplyContext): SyncReply {
     const { now, document, isLeading, controls } = context;
-    this.#hearEntry(request, now);
+    const isTaken = this.#hearEntry(request, now);
+    this.#sweep(now);
     const from = request.feed === this.feed ? request.revision : 0;
-    const list = this.#listEntries(now);
+    const { name } = request.entry;
     const { upstreams, beats } = this.newsSince(request.feed, from);
     return {
       feed: this.feed,
-      revision: this.#revision,
+      revision: this.#revisions.value,
       isLeading,
       upstreams,
       document: this.#documentFor(request, document),
-      entries: list.revision > from ? list.entries : undefined,
+      ...this.#entriesFor(request, from),
       controls,
       wall: this.estimateWall(now) ?? request.wall,
-      spentByOthers: this.#charges.sumWithout(request.entry.name),
-      unheard: this.#charges.unheard(now),
+      spentByOthers: this.#charges.sumWithout(
+        name,
+        request.takesChanges ? from : 0,
+      ),
+      unheard: this.#shared.unheard,
       charges: this.#charges.tell(request.wantedCharges ?? [], now),
+      takesPartial: true,
+      needsWhole: isTaken ? undefined : true,
       shared: request.loads === undefined ? undefined : {
         beats,
-        loadsOfOthers: this.#loadsOfOthers(request.entry.name, now),
+        ...this.#loadsFor(request),
         readingSpeeds: this.readingSpeeds(now),
-        quotaShare: this.#charges.share(now),
+        quotaShare: this.#shared.quotaShare,
       },
     };
   }
 
+  /** The list of open entries, or what changed of it where that is enough. */
+  #entriesFor(
+    request: SyncRequest,
+    from: number,
+  ): Pick<SyncReply, "entries" | "entryChanges"> {
+    // An empty list counts, too: an earlier process may have told another one.
+    if (from === 0) {
+      return { entries: this.#open.list() };
+    }
+    if (this.#open.revision <= from) {
+      return { entries: undefined };
+    }
+    return request.takesChanges
+      ? { entries: undefined, entryChanges: this.#open.changesSince(from) }
+      : { entries: this.#open.list() };
+  }
+
+  #loadsFor(
+    request: SyncRequest,
+  ): Pick<SharedNews, "loadsOfOthers" | "areLoadsPartial"> {
+    const { name } = request.entry;
+    const since = request.feed === this.feed ? request.loadsSince ?? 0 : 0;
+    return since > 0
+      ? {
+        loadsOfOthers: this.#loads.changesWithout(name, since),
+        areLoadsPartial: true,
+      }
+      : { loadsOfOthers: this.#loads.sumWithout(name) };
+  }
+
   /**
    * The document, packed, where an entry's is older. Every replica tells it, as
    * an entry may reach just one that has it.
@@ -192,12 +245,12 @@
     const from = feed === this.feed ? revision : 0;
     const upstreams: UpstreamRecord[] = [];
     const beats: Record<string, number> = {};
-    for (const [id, { heard, changed }] of this.#revisions) {
-      const record = heard > from ? this.directory.get(id)?.record : undefined;
+    for (const id of this.#heardUpstreams.since(from)) {
+      const record = this.directory.get(id)?.record;
       if (record === undefined || this.directory.isOver(id)) {
         continue;
       }
-      if (changed > from) {
+      if ((this.#changedAt.get(id) ?? 0) > from) {
         upstreams.push(record);
       } else {
         beats[id] = record.sequence;
@@ -206,42 +259,24 @@
     return { upstreams, beats };
   }
 
-  #listEntries(now: Milliseconds): EntryList {
-    if (now - this.#list.madeAt < LIST_KEPT) {
-      return this.#list;
-    }
-    const entries = this.listOpenEntries(now);
-    const isSame = JSON.stringify(entries) ===
-      JSON.stringify(this.#list.entries);
-    if (!isSame) {
-      this.#revision += 1;
-    }
-    const revision = isSame ? this.#list.revision : this.#revision;
-    this.#list = { madeAt: now, revision, entries };
-    return this.#list;
-  }
-
-  listOpenEntries(now: Milliseconds): KnownEntry[] {
-    const open: KnownEntry[] = [];
-    for (const { request, heardAt } of this.#entries.values()) {
-      if (request.entry.isOpen && now - heardAt < ENTRY_SILENT_AFTER) {
-        const { name, address, zone, region } = request.entry;
-        open.push({ name, address, zone, region });
-      }
-    }
-    return open;
+  listOpenEntries(now: Milliseconds): readonly KnownEntry[] {
+    this.#sweep(now);
+    return this.#open.list();
   }
 
   /** The median of the entries' wall clocks, moved on to `now`. */
   estimateWall(now: Milliseconds): Milliseconds | undefined {
-    const offsets: Milliseconds[] = [];
-    for (const { heardAt, wallOffset } of this.#entries.values()) {
-      if (now - heardAt < ENTRY_SILENT_AFTER) {
-        offsets.push(wallOffset);
+    if (now - this.#medians.madeAt >= MEDIAN_KEPT) {
+      const offsets: Milliseconds[] = [];
+      for (const { heardAt, wallOffset } of this.#entries.values()) {
+        if (now - heardAt < ENTRY_SILENT_AFTER) {
+          offsets.push(wallOffset);
+        }
       }
+      this.#medians = { madeAt: now, wallOffset: median(offsets) };
     }
-    const offset = median(offsets);
-    return offset === undefined ? undefined : now + offset;
+    const { wallOffset } = this.#medians;
+    return wallOffset === undefined ? undefined : now + wallOffset;
   }
 
   /** What all entries counted for one usage window. */
@@ -269,40 +304,51 @@
 
   /** What the middle one of the entries in reach measured, by service. */
   readingSpeeds(now: Milliseconds): Record<string, number> {
-    const told = new Map<string, number[]>();
-    for (const { request, heardAt } of this.#entries.values()) {
+    if (now - this.#speeds.madeAt < MEDIAN_KEPT) {
+      return this.#speeds.byService;
+    }
+    const measured = new Map<string, number[]>();
+    for (const { readingSpeeds, heardAt } of this.#entries.values()) {
       if (now - heardAt > SPEED_KEPT) {
         continue;
       }
-      for (const [service, speed] of Object.entries(request.readingSpeeds)) {
-        told.set(service, [...told.get(service) ?? [], speed]);
+      for (const [service, speed] of Object.entries(readingSpeeds)) {
+        const speeds = measured.get(service) ?? [];
+        speeds.push(speed);
+        measured.set(service, speeds);
       }
     }
-    const speeds: Record<string, number> = {};
-    for (const [service, values] of told) {
-      speeds[service] = median(values)!;
+    const byService: Record<string, number> = {};
+    for (const [service, speeds] of measured) {
+      byService[service] = median(speeds)!;
     }
-    return speeds;
+    this.#speeds = { madeAt: now, byService };
+    return byService;
   }
 
   /** What all entries have under way, by upstream. */
   totalLoads(now: Milliseconds): Record<string, UpstreamLoad> {
-    return this.#loadsOfOthers("", now);
+    this.#sweep(now);
+    return this.#loads.sumWithout("");
   }
 
   /** Forgets what can't matter any more. */
   expire(now: Milliseconds): void {
     this.directory.forget(now);
     this.#usage.forget();
-    for (const id of this.#revisions.keys()) {
-      if (this.directory.get(id) === undefined) {
-        this.#revisions.delete(id);
+    const isGone = (id: string) => this.directory.get(id) === undefined;
+    for (const id of this.#heardUpstreams.ids()) {
+      if (isGone(id)) {
+        this.#heardUpstreams.drop(id);
+        this.#changedAt.delete(id);
       }
     }
+    this.#loads.forget(isGone);
     this.#charges.forget(now - ENTRY_GONE_AFTER);
     for (const [name, entry] of this.#entries) {
       if (now - entry.heardAt > ENTRY_GONE_AFTER) {
         this.#readWork.drop(name);
+        this.#open.forget(name);
         this.#entries.delete(name);
       }
     }
@@ -313,41 +359,63 @@
     this.#usage.dropBefore(window);
   }
 
-  #hearEntry(request: SyncRequest, now: Milliseconds): void {
-    const { name, boot } = request.entry;
-    this.#charges.hear(name, { boot, spent: request.spent }, now);
+  /** @returns Whether its counters could be taken. */
+  #hearEntry(request: SyncRequest, now: Milliseconds): boolean {
+    const { entry, isPartial } = request;
+    const { name, boot, address, zone, region, isOpen } = entry;
+    const { spent, readWork, digest } = request;
+    const isNew = this.#entries.get(name)?.boot !== boot;
+    const hasCharges = this.#charges.hear(
+      name,
+      { boot, spent, isPartial, digest },
+      now,
+    );
+    const hasWork = this.#readWork.hear(
+      name,
+      { boot, spent: readWork, isPartial },
+      now,
+    );
     for (
       const [other, charges] of Object.entries(request.relayedCharges ?? {})
     ) {
       this.#charges.learn(other, charges, now);
     }
-    this.#readWork.hear(name, { boot, spent: request.readWork }, now);
     this.#entries.set(name, {
-      request,
+      boot,
+      readingSpeeds: request.readingSpeeds,
       heardAt: now,
       wallOffset: request.wall - now,
     });
+    if (isNew) {
+      this.#medians.madeAt = -Infinity;
+      this.#speeds.madeAt = -Infinity;
+      this.#sweptAt = -Infinity;
+    }
+    this.#open.note({ name, address, zone, region }, isOpen);
+    if (request.loads !== undefined) {
+      this.#loads.note(name, request.loads);
+    }
     this.#usage.learn({ [boot]: request.usage });
+    const isTaken = hasCharges && hasWork;
+    this.#divergences += isTaken ? 0 : 1;
+    return isTaken;
   }
 
-  #loadsOfOthers(
-    caller: string,
-    now: Milliseconds,
-  ): Record<string, UpstreamLoad> {
-    const totals: Record<string, UpstreamLoad> = {};
-    for (const { request, heardAt } of this.#entries.values()) {
-      const isOther = request.entry.name !== caller;
-      if (!isOther || now - heardAt > ENTRY_SILENT_AFTER) {
-        continue;
-      }
-      for (const [id, load] of Object.entries(request.loads ?? {})) {
-        const total = totals[id];
-        totals[id] = {
-          requests: (total?.requests ?? 0) + load.requests,
-          backlog: (total?.backlog ?? 0) + load.backlog,
-        };
+  /** Closes entries that are silent, and sums up who is in reach. */
+  #sweep(now: Milliseconds): void {
+    if (now - this.#sweptAt < SWEEP_INTERVAL) {
+      return;
+    }
+    this.#sweptAt = now;
+    for (const [name, { heardAt }] of this.#entries) {
+      if (now - heardAt >= ENTRY_SILENT_AFTER) {
+        this.#open.close(name);
+        this.#loads.drop(name);
       }
     }
-    return totals;
+    this.#shared = {
+      quotaShare: this.#charges.share(now),
+      unheard: this.#charges.unheard(now),
+    };
   }
 }
--- a/packages/serving/mod.ts
+++ b/packages/serving/mod.ts
@@ -9,7 +9,8 @@
 export type { FleetOrder } from "./fleet_order.ts";
 export type { FleetSettings } from "./fleet_settings.ts";
 export type { UpstreamNews } from "./hub.ts";
-
+export type { EntryCounters } from "./entry_counters.ts";
+export type { EntryChanges } from "./entry_changes.ts";
 export type { KnownEntry } from "./known_entry.ts";
 export type { PromptPart } from "./prompt_part.ts";
 export type { Route } from "./route.ts";
@@ -29,6 +30,7 @@
 export type { ProcessUsage } from "./usage_book.ts";
 export type { WorkspaceCounts } from "./usage_counts.ts";
 export { ChargeRelay } from "./charge_relay.ts";
+export { CounterReport } from "./counter_report.ts";
 export { exchangePause } from "./exchange_pause.ts";
 export { findRecordProblem } from "./find_record_problem.ts";
 export { findOverload } from "./find_overload.ts";
--- /dev/null
+++ b/packages/serving/open_entries.ts
@@ -0,0 +1,95 @@
+import { ChangeLog } from "./change_log.ts";
+import type { EntryChanges } from "./entry_changes.ts";
+import type { KnownEntry } from "./known_entry.ts";
+import type { RevisionCounter } from "./revision_counter.ts";
+
+/** An entry as it last reported. */
+type ReportingEntry = {
+  readonly entry: KnownEntry;
+  readonly isOpen: boolean;
+};
+
+/**
+ * Entries that callers may be sent to: those that say so and aren't silent.
+ * Whoever follows the list is sent what changed, so that the start of one entry
+ * costs each other one some 60 bytes and not the whole list.
+ *
+ * @internal
+ */
+export class OpenEntries {
+  readonly #revisions: RevisionCounter;
+  readonly #known = new Map<string, ReportingEntry>();
+  readonly #changes = new ChangeLog();
+  #list: readonly KnownEntry[] | undefined;
+  #revision = 0;
+
+  constructor(revisions: RevisionCounter) {
+    this.#revisions = revisions;
+  }
+
+  /** The revision at which the list last changed. */
+  get revision(): number {
+    return this.#revision;
+  }
+
+  /** Takes in that an entry reported. */
+  note(entry: KnownEntry, isOpen: boolean): void {
+    const known = this.#known.get(entry.name);
+    const isListed = known?.isOpen === true;
+    const hasMoved = isListed && known.entry.address !== entry.address;
+    this.#known.set(entry.name, { entry, isOpen });
+    if (isOpen !== isListed || hasMoved) {
+      this.#noteChange(entry.name);
+    }
+  }
+
+  /** Entries that callers may be sent to. */
+  list(): readonly KnownEntry[] {
+    this.#list ??= [...this.#known.values()]
+      .filter(({ isOpen }) => isOpen)
+      .map(({ entry }) => entry);
+    return this.#list;
+  }
+
+  /** What changed behind a revision; undefined for nothing. */
+  changesSince(revision: number): EntryChanges | undefined {
+    if (this.#revision <= revision) {
+      return undefined;
+    }
+    const opened: KnownEntry[] = [];
+    const closed: string[] = [];
+    for (const name of this.#changes.since(revision)) {
+      const known = this.#known.get(name);
+      if (known?.isOpen) {
+        opened.push(known.entry);
+      } else {
+        closed.push(name);
+      }
+    }
+    return { opened, closed };
+  }
+
+  /** Takes an entry off the list, as it is silent. */
+  close(name: string): void {
+    const known = this.#known.get(name);
+    if (known?.isOpen) {
+      this.#known.set(name, { ...known, isOpen: false });
+      this.#noteChange(name);
+    }
+  }
+
+  /**
+   * Forgets an entry that is closed. That it closed is kept, for followers that
+   * were cut off meanwhile.
+   */
+  forget(name: string): void {
+    this.close(name);
+    this.#known.delete(name);
+  }
+
+  #noteChange(name: string): void {
+    this.#revision = this.#revisions.next();
+    this.#changes.note(name, this.#revision);
+    this.#list = undefined;
+  }
+}
--- a/packages/serving/sync_reply.ts
+++ b/packages/serving/sync_reply.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds } from "@heroncleat/base";
 import type { KnownEntry } from "./known_entry.ts";
+import type { EntryChanges } from "./entry_changes.ts";
 import type { RelayedCharges } from "./told_charges.ts";
 import type { UpstreamLoad } from "./upstream_load.ts";
 import type { UpstreamRecord } from "./upstream_record.ts";
@@ -18,18 +19,30 @@
    * older; see packed_document.ts.
    */
   readonly document: string | undefined;
-  /** Entries open to callers, if the list changed since the revision. */
+  /**
+   * Entries open to callers, if the list changed since the revision; whole for
+   * an entry that follows no list yet or takes no changes.
+   */
   readonly entries: readonly KnownEntry[] | undefined;
+  /** What changed of that list since the revision. */
+  readonly entryChanges?: EntryChanges | undefined;
   /** host:port of the control replicas. */
   readonly controls: readonly string[];
   /** Median of the wall clocks of all entries, since 1970. */
   readonly wall: Milliseconds;
-  /** What the other entries charged since this process heard of them. */
+  /**
+   * What the other entries charged since this process heard of them; only what
+   * changed since the revision for an entry that takes changes.
+   */
   readonly spentByOthers: Readonly<Record<string, number>>;
   /** Entries that the replica knows of and doesn't hear. */
   readonly unheard?: readonly string[];
   /** What the wanted ones of them told it. */
   readonly charges?: Readonly<Record<string, RelayedCharges>>;
+  /** Whether the replica takes reports of what changed alone. */
+  readonly takesPartial?: true;
+  /** Whether the report couldn't be taken and a whole one is needed. */
+  readonly needsWhole?: true | undefined;
   /** What entries share; present in answers to whole news. */
   readonly shared: SharedNews | undefined;
 };
@@ -39,6 +52,8 @@
   /** Newest heartbeat of upstreams that have not changed. */
   readonly beats: Readonly<Record<string, number>>;
   readonly loadsOfOthers: Readonly<Record<string, UpstreamLoad>>;
+  /** Whether those are only what changed since the revision that was named. */
+  readonly areLoadsPartial?: true;
   /** Median of what entries measured, by service; see SyncRequest. */
   readonly readingSpeeds: Readonly<Record<string, number>>;
   /** Part of all quotas that the entries in reach of this replica may use. */
--- a/packages/serving/sync_request.ts
+++ b/packages/serving/sync_request.ts
@@ -23,6 +23,20 @@
   readonly revision: number;
   /** Version of the document in force at the entry; -1 for none. */
   readonly documentVersion: number;
+  /** Whether lists may come as changes; absent from older releases. */
+  readonly takesChanges?: true;
+  /**
+   * Revision of this feed up to which the entry knows the others' loads; absent
+   * where it knows none of this feed.
+   */
+  readonly loadsSince?: number | undefined;
+  /**
+   * Whether charges, work and usage that didn't change since a report that this
+   * replica acknowledged are left out.
+   */
+  readonly isPartial?: boolean;
+  /** Sum of everything charged, to check the replica's copy against. */
+  readonly digest?: number;
   /** Everything charged since the start of the process, by workspace. */
   readonly spent: Readonly<Record<string, number>>;
   /** Charges of entries that this replica doesn't hear itself, by name. */
--- a/packages/serving/told_charges.ts
+++ b/packages/serving/told_charges.ts
@@ -6,6 +6,10 @@
   readonly boot: string;
   /** Tokens since its start. */
   readonly spent: Readonly<Record<string, number>>;
+  /** Whether buckets that didn't change since the last report are left out. */
+  readonly isPartial?: boolean;
+  /** Sum of all totals, those left out too; checked where it is told. */
+  readonly digest?: number;
 };
 
 /** Charges that somebody else than the entry itself tells. @public */
--- a/packages/serving/upstream_choice.ts
+++ b/packages/serving/upstream_choice.ts
@@ -33,6 +33,9 @@
 /** A chosen upstream with what it costs beside the expected time. */
 type Candidate = ChosenUpstream & { readonly cost: Milliseconds };
 
+/** Load of the other entries at an upstream, as it was reported. */
+type ReportedLoad = UpstreamLoad & { readonly at: Milliseconds };
+
 /** What this entry knows of one upstream beside its heartbeats. */
 type OwnView = {
   requests: number;
@@ -61,8 +64,8 @@
  */
 export class UpstreamChoice {
   readonly #own = new Map<string, OwnView>();
-  #others: Readonly<Record<string, UpstreamLoad>> = {};
-  #othersAt: Milliseconds = 0;
+  /** What the other entries had under way, and when that was reported. */
+  readonly #others = new Map<string, ReportedLoad>();
   readonly #readWork = new Map<string, Milliseconds>();
   /** How fast the engines of each service read. */
   readonly speeds = new ReadingSpeeds();
@@ -72,8 +75,22 @@
     loads: Readonly<Record<string, UpstreamLoad>>,
     at: Milliseconds,
   ): void {
-    this.#others = loads;
-    this.#othersAt = at;
+    this.#others.clear();
+    this.learnChangedLoads(loads, at);
+  }
+
+  /** Takes in what of that has changed. */
+  learnChangedLoads(
+    loads: Readonly<Record<string, UpstreamLoad>>,
+    at: Milliseconds,
+  ): void {
+    for (const [id, load] of Object.entries(loads)) {
+      if (load.requests === 0 && load.backlog === 0) {
+        this.#others.delete(id);
+      } else {
+        this.#others.set(id, { ...load, at });
+      }
+    }
   }
 
   /** What this entry has under way, by upstream. */
@@ -261,7 +278,7 @@
 
   #requestsAt(id: string): number {
     const own = this.#own.get(id)?.requests ?? 0;
-    return own + (this.#others[id]?.requests ?? 0);
+    return own + (this.#others.get(id)?.requests ?? 0);
   }
 
   /**
@@ -271,8 +288,10 @@
    */
   #backlogOf(id: string, now: Milliseconds): Milliseconds {
     const view = this.#own.get(id);
-    const age = now - this.#othersAt;
-    const others = Math.max(0, (this.#others[id]?.backlog ?? 0) - age);
+    const reported = this.#others.get(id);
+    const others = reported === undefined
+      ? 0
+      : Math.max(0, reported.backlog - (now - reported.at));
     const own = view?.ownBacklog.left(now) ?? 0;
     return Math.max(view?.backlog.left(now) ?? 0, own + others);
   }
--- a/packages/serving/upstream_directory.ts
+++ b/packages/serving/upstream_directory.ts
@@ -44,6 +44,8 @@
 export class UpstreamDirectory {
   /** By identity of the start. */
   readonly #known = new Map<string, KnownUpstream>();
+  /** Starts that were heard at an address; a search over all would be slow. */
+  readonly #idsAt = new Map<string, Set<string>>();
   readonly #starts = new UpstreamStarts();
 
   /** Takes news in and says what they brought. */
@@ -148,17 +150,23 @@
   }
 
   #note(record: UpstreamRecord, now: Milliseconds): void {
-    const firstHeardAt = this.#known.get(record.id)?.firstHeardAt ?? now;
+    const known = this.#known.get(record.id);
+    const firstHeardAt = known?.firstHeardAt ?? now;
     this.#known.set(record.id, { record, heardAt: now, firstHeardAt });
+    if (known?.record.address !== record.address) {
+      this.#idsAt.get(known?.record.address ?? "")?.delete(record.id);
+      const ids = this.#idsAt.get(record.address) ?? new Set();
+      this.#idsAt.set(record.address, ids.add(record.id));
+    }
   }
 
   /** Whether a later start at the same address has been heard lately. */
   #isSuperseded(earlier: KnownUpstream, now: Milliseconds): boolean {
     const { address, id, name } = earlier.record;
-    for (const { record, heardAt, firstHeardAt } of this.#known.values()) {
+    for (const otherId of this.#idsAt.get(address) ?? []) {
+      const { record, heardAt, firstHeardAt } = this.#known.get(otherId)!;
       const isOther = record.id !== id && record.name !== name;
-      const isLater = record.address === address && isOther &&
-        firstHeardAt > earlier.firstHeardAt;
+      const isLater = isOther && firstHeardAt > earlier.firstHeardAt;
       if (isLater && now - heardAt < SUPERSEDED_FOR) {
         return true;
       }
@@ -191,9 +199,18 @@
       if (now - heardAt > FORGET_AFTER) {
         this.#known.delete(id);
         this.#starts.forget(record);
+        this.#forgetAddress(record);
       }
     }
   }
+
+  #forgetAddress({ id, address }: UpstreamRecord): void {
+    const ids = this.#idsAt.get(address);
+    ids?.delete(id);
+    if (ids?.size === 0) {
+      this.#idsAt.delete(address);
+    }
+  }
 }
 
 const UNKNOWN: Omit<UpstreamRecord, "id" | "name"> = {
--- a/packages/serving/usage_book.ts
+++ b/packages/serving/usage_book.ts
@@ -18,15 +18,16 @@
  * @internal
  */
 export class UsageBook {
-  readonly #processes = new Map<string, Map<number, WorkspaceCounts>>();
+  readonly #processes = new Map<string, Map<number, Record<string, number>>>();
 
   learn(usage: ProcessUsage): void {
     for (const [boot, told] of Object.entries(usage)) {
       const windows = this.#processes.get(boot) ??
-        new Map<number, WorkspaceCounts>();
+        new Map<number, Record<string, number>>();
       for (const [window, counts] of Object.entries(told)) {
-        const known = windows.get(Number(window));
-        windows.set(Number(window), largerOf(known ?? {}, counts));
+        const known = windows.get(Number(window)) ?? {};
+        raise(known, counts);
+        windows.set(Number(window), known);
       }
       this.#processes.set(boot, windows);
     }
@@ -85,13 +86,9 @@
   }
 }
 
-function largerOf(
-  known: WorkspaceCounts,
-  counts: WorkspaceCounts,
-): WorkspaceCounts {
-  const larger: Record<string, number> = { ...known };
+/** Raises known counts to those that were heard. */
+function raise(known: Record<string, number>, counts: WorkspaceCounts): void {
   for (const [name, count] of Object.entries(counts)) {
-    larger[name] = Math.max(larger[name] ?? 0, count);
+    known[name] = Math.max(known[name] ?? 0, count);
   }
-  return larger;
 }
