Reading stops in each turn only for bodies that end with their connection

Cause: each read of an upstream's answer stopped and started the socket, three system calls more for each event of a stream, though only a body without a length or chunks can be cut without Node noticing. Change: the stop is set up when the head of such an answer arrives, within the read that brought it.

--- a/apps/heroncleatd/gateway/send_to_upstream.ts
+++ b/apps/heroncleatd/gateway/send_to_upstream.ts
@@ -48,6 +48,9 @@
     let answer: IncomingMessage | undefined;
     outgoing.on("response", (message) => {
       answer = message;
+      if (endsWithConnection(message)) {
+        readInTurns(message.socket);
+      }
       resolve(classify(message, { call, names: options.names, outgoing }));
     });
     outgoing.on("error", (error) => {
@@ -83,7 +86,6 @@
       onConnected();
     };
     socket.setNoDelay(true);
-    readInTurns(socket);
     if (socket.connecting) {
       socket.once("connect", done);
     } else {
@@ -92,6 +94,12 @@
   });
 }
 
+/** Whether nothing but the end of the connection ends a body. */
+function endsWithConnection({ headers }: IncomingMessage): boolean {
+  return headers["content-length"] === undefined &&
+    headers["transfer-encoding"] === undefined;
+}
+
 function classify(
   message: IncomingMessage,
   options: {
--- /dev/null
+++ b/apps/heroncleatd/gateway/send_to_upstream_test.ts
@@ -0,0 +1,80 @@
+import { createServer, type RequestListener } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import type { CallerRequest } from "./caller_request.ts";
+import { readAnswerBody } from "./read_answer_body.ts";
+import { sendToUpstream } from "./send_to_upstream.ts";
+import { testHeaderNames } from "./test_header_names.ts";
+import { UpstreamAgent } from "./upstream_agent.ts";
+
+const EVENTS = 20;
+
+/** How often reading stopped while an upstream answered in pieces. */
+async function countStops(answer: RequestListener): Promise<number> {
+  const server = createServer(answer);
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  const agent = new UpstreamAgent();
+  let stops = 0;
+  const result = await sendToUpstream({
+    attempt: "a1",
+    method: "GET",
+    target: "/",
+    body: Buffer.alloc(0),
+  } as CallerRequest, {
+    address: `127.0.0.1:${port}`,
+    agent,
+    headers: ["Host", "upstream"],
+    names: testHeaderNames,
+    signal: new AbortController().signal,
+  });
+  if (result.kind !== "head") {
+    throw new Error(result.reason);
+  }
+  const handle = (result.message.socket as Socket & {
+    _handle: { readStop(): number };
+  })._handle;
+  const { readStop } = handle;
+  handle.readStop = () => {
+    stops += 1;
+    return readStop.call(handle);
+  };
+  const body = await readAnswerBody(result.message);
+  expect(body?.length).toBe(EVENTS * 4);
+  agent.destroy();
+  server.close();
+  return stops;
+}
+
+/** Sends events well apart, so that each is read by itself. */
+function answerWith(headers: Record<string, string>): RequestListener {
+  return async (_request, response) => {
+    response.writeHead(200, {
+      [testHeaderNames.attempt]: "a1",
+      [testHeaderNames.digest]: "d",
+      ...headers,
+    });
+    for (let sent = 0; sent < EVENTS; sent += 1) {
+      response.write("abc\n");
+      await new Promise((resolve) => setTimeout(resolve, 5));
+    }
+    response.end();
+  };
+}
+
+// Each event of a stream cost three more system calls than reading it, for a
+// fault that only bodies without a length can have.
+describe("reading an answer", () => {
+  test("goes on without a stop where the body says itself when it ends", async () => {
+    expect(await countStops(answerWith({}))).toBeLessThan(2);
+    const length = { "Content-Length": String(EVENTS * 4) };
+    expect(await countStops(answerWith(length))).toBeLessThan(2);
+  });
+
+  test("stops at each read where only the connection's end does", async () => {
+    const unframed: RequestListener = (request, response) => {
+      response.useChunkedEncodingByDefault = false;
+      void answerWith({ Connection: "close" })(request, response);
+    };
+    expect(await countStops(unframed)).toBeGreaterThanOrEqual(EVENTS / 2);
+  });
+});
