A restarted entry takes no slack for retries until a window has passed

Cause: an entry that was killed started with a whole allowance, though what it had repeated before still counted, and until its first list of entries it took the whole slack for its own. Change: its part of the slack is free a window after the start; what its own requests allow isn't touched.

--- a/apps/heroncleatd/gateway/forwarding_test.ts
+++ b/apps/heroncleatd/gateway/forwarding_test.ts
@@ -484,7 +484,12 @@
     closers.push(() => agent.destroy());
   });
   const quiet = { debug() {}, info() {}, warn() {}, error() {} };
-  const allowance = new RetryAllowance({ window: 10_000, ratio: 1, slack: 99 });
+  const allowance = new RetryAllowance({
+    window: 10_000,
+    ratio: 1,
+    slack: 99,
+    startedAt: -10_000,
+  });
   return {
     names,
     clock: createSystemClock(),
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -1,5 +1,10 @@
 import type { Server } from "node:http";
-import { type Clock, createToken, splitAddress } from "@heroncleat/base";
+import {
+  type Clock,
+  createToken,
+  type Milliseconds,
+  splitAddress,
+} from "@heroncleat/base";
 import type { DispatchNotice, EntryNotice } from "@heroncleat/schema";
 import {
   type KnownEntry,
@@ -76,6 +81,7 @@
 class GatewayProcess {
   readonly #options: StartOptions;
   readonly #boot = createToken();
+  readonly #startedAt: Milliseconds;
   readonly #directory = new UpstreamDirectory();
   readonly #choice = new UpstreamChoice();
   readonly #agents = new UpstreamAgents();
@@ -102,6 +108,7 @@
     this.#options = options;
     const { clock, pool } = options;
     const settings = options.settings();
+    this.#startedAt = clock.steady();
     this.#log = options.log("gateway");
     this.#usage = new UsageCounts(settings.usageWindow);
     this.#quota = new WorkspaceQuota(settings.quota);
@@ -256,6 +263,7 @@
       ratio: retryRatio,
       window: retryWindow,
       slack: retrySlack,
+      startedAt: this.#startedAt,
     });
     this.#allowances.set(service, allowance);
     return allowance;
--- a/packages/serving/retry_allowance.ts
+++ b/packages/serving/retry_allowance.ts
@@ -12,12 +12,19 @@
   readonly ratio: number;
   /** Repeats allowed beside that in a window, over all entries. */
   readonly slack: number;
+  /** Monotonic time at which the process of the entry started. */
+  readonly startedAt: Milliseconds;
 };
 
 /**
  * How many requests of one service this entry may send once more. The bound
  * holds over all entries because each keeps to its part of it.
  *
+ * What an earlier process of the entry repeated isn't known and counts on for a
+ * window. So its part of the slack is free only a window after the start; until
+ * then an entry repeats what its own requests allow. With a whole allowance
+ * after each start, entries that start again sent 4.4 times what all may.
+ *
  * @public
  */
 export class RetryAllowance {
@@ -38,8 +45,10 @@
   /** Takes one repeat, if there is one left. */
   take(now: Milliseconds, entries: number): boolean {
     this.#advance(now);
-    const { ratio, slack } = this.#settings;
-    const bound = ratio * sum(this.#requests) + slack / Math.max(1, entries);
+    const { ratio, slack, startedAt, window } = this.#settings;
+    const freeSlack = now - startedAt < window ? 0 : slack;
+    const bound = ratio * sum(this.#requests) +
+      freeSlack / Math.max(1, entries);
     if (sum(this.#repeats) + 1 > bound * SAFETY) {
       return false;
     }
