--- a/apps/heroncleatd/common/actor.ts
+++ b/apps/heroncleatd/common/actor.ts
@@ -49,7 +49,7 @@
   }
 
   /** Sends a message; false means that it was refused. */
-  tell(message: Message): boolean {
+  send(message: Message): boolean {
     if (this.#stopped || this.#waiting.length >= this.#limit) {
       return false;
     }
--- a/apps/heroncleatd/control/control_methods.ts
+++ b/apps/heroncleatd/control/control_methods.ts
@@ -18,7 +18,7 @@
   readonly reads: ConfirmedReads;
   readonly wall: () => Milliseconds;
   readonly onMessage: (message: unknown) => void;
-  /** What the caretaker of the group serves. */
+  /** What the reconciler of the group serves. */
   readonly membership: Readonly<Record<string, MethodHandler>>;
 };
 
--- a/apps/heroncleatd/control/group_caretaker.ts
+++ b/apps/heroncleatd/control/group_reconciler.ts
@@ -20,14 +20,14 @@
 /**
  * Silence after which a member may be replaced. A leader that is gone for good
  * is noticed an election later: with 3 s its place was taken after 3.8 s, with
- * 2 s after 2.8 s (medians of 20 played groups in virtual time).
+ * 2 s after 2.8 s (medians of 20 simulated groups in virtual time).
  */
 const SILENT_AFTER: Milliseconds = 2000;
 /** Silence after which a learner isn't fit to take a voter's place. */
 const UNFIT_AFTER: Milliseconds = 600;
 
-/** What the caretaker is built from. */
-type CaretakerOptions = {
+/** What the reconciler is built from. */
+type ReconcilerOptions = {
   readonly self: ReplicaMember;
   readonly replica: Replica;
   readonly directory: MemberDirectory;
@@ -48,13 +48,13 @@
  * Keeps the group whole: a replica that no leader speaks to asks to be taken
  * in; a leader takes learners in and lets them displace lost voters.
  */
-export class GroupCaretaker {
-  readonly #options: CaretakerOptions;
-  /** Names of the voters that the leader doesn't hear. */
+export class GroupReconciler {
+  readonly #options: ReconcilerOptions;
+  /** Names of the voters that the leader doesn't receive. */
   #unheard = "";
   #timers: readonly NodeJS.Timeout[] = [];
 
-  constructor(options: CaretakerOptions) {
+  constructor(options: ReconcilerOptions) {
     this.#options = options;
   }
 
@@ -172,7 +172,7 @@
     }
   }
 
-  /** Whether this leader hasn't heard a member for longer than so. */
+  /** Whether this leader heard nothing of a member for longer than this. */
   #isSilent(id: string, limit: Milliseconds): boolean {
     const { replica, clock, self } = this.#options;
     return id !== self.id && clock.now() - replica.heardAtOf(id) > limit;
--- a/apps/heroncleatd/control/group_caretaker_test.ts
+++ b/apps/heroncleatd/control/group_reconciler_test.ts
@@ -2,7 +2,7 @@
 import type { ReplicaMember } from "@heroncleat/schema";
 import type { PeerPool } from "@heroncleat/transport";
 import type { Log } from "../common/log.ts";
-import { GroupCaretaker } from "./group_caretaker.ts";
+import { GroupReconciler } from "./group_reconciler.ts";
 import { MemberDirectory } from "./member_directory.ts";
 
 function memberOf(id: string, port: number): ReplicaMember {
@@ -32,7 +32,7 @@
         );
       },
     } as unknown as PeerPool;
-    const caretaker = new GroupCaretaker({
+    const reconciler = new GroupReconciler({
       self: memberOf("self", 3),
       replica: {
         role: "follower",
@@ -50,9 +50,9 @@
       directory,
       methodPrefix: "group",
     });
-    caretaker.start();
+    reconciler.start();
     await new Promise((resolve) => setTimeout(resolve, 450));
-    caretaker.stop();
+    reconciler.stop();
     expect(directory.find("later")).toEqual(later);
     expect(asked).toContain("127.0.0.1:1 group.add_learner");
     expect(asked).toContain("127.0.0.1:2 group.add_learner");
--- a/apps/heroncleatd/control/group_repair_test.ts
+++ b/apps/heroncleatd/control/group_repair_test.ts
@@ -1,5 +1,5 @@
 import * as fc from "fast-check";
-import { PlayedGroup } from "./played_group.ts";
+import { SimulatedGroup } from "./simulated_group.ts";
 
 /** Time in which a successor must be able to bear the next loss. */
 const CATCH_UP_TIME = 4000;
@@ -20,8 +20,8 @@
 const FOUNDERS = ["a", "b", "c"];
 
 /** Starts a group of four VMs. */
-async function startGroup(seed: number): Promise<PlayedGroup> {
-  const group = new PlayedGroup([...FOUNDERS, "d"], {
+async function startGroup(seed: number): Promise<SimulatedGroup> {
+  const group = new SimulatedGroup([...FOUNDERS, "d"], {
     seed,
     advanceTimers: (milliseconds) =>
       jest.advanceTimersByTimeAsync(milliseconds),
@@ -33,7 +33,7 @@
 
 /** Takes a VM away for good; its successor comes at another address. */
 async function replace(
-  group: PlayedGroup,
+  group: SimulatedGroup,
   names: { gone: string; successor: string },
 ): Promise<void> {
   group.remove(names.gone);
@@ -46,7 +46,7 @@
 
 /** A VM loses its disk while all others lose their power. */
 async function loseDiskAndPower(
-  group: PlayedGroup,
+  group: SimulatedGroup,
   name: string,
 ): Promise<void> {
   const names = [...group.vms.keys()];
@@ -61,7 +61,7 @@
   await group.run(RECOVERY_TIME);
 }
 
-function expectWhole(group: PlayedGroup): void {
+function expectWhole(group: SimulatedGroup): void {
   expect(group.leader).toBeDefined();
   expect(group.committed).toEqual(expect.arrayContaining(group.acknowledged));
 }
@@ -111,8 +111,10 @@
   group.close();
 });
 
-/** Takes the power from leaders for a moment until one leads that came later. */
-async function leadByNewcomer(group: PlayedGroup): Promise<string> {
+/**
+ * Takes the power from leaders for a moment until one leads that came later.
+ */
+async function leadByNewcomer(group: SimulatedGroup): Promise<string> {
   for (let tries = 0; tries < 40; tries += 1) {
     const leader = group.leader?.name ?? "";
     if (!FOUNDERS.includes(leader)) {
@@ -126,7 +128,7 @@
   throw new Error("Only founders ever lead.");
 }
 
-function isMember(group: PlayedGroup, name: string): boolean {
+function isMember(group: SimulatedGroup, name: string): boolean {
   const { disk } = group.vms.get(name)!;
   const members = group.leader?.process?.replica.members ?? [];
   return members.some(({ id }) => id === disk.id);
@@ -134,7 +136,7 @@
 
 /** One trouble that a group of four must bear, and the time it needs after. */
 const TROUBLES: Readonly<
-  Record<string, (group: PlayedGroup, name: string) => Promise<void>>
+  Record<string, (group: SimulatedGroup, name: string) => Promise<void>>
 > = {
   replaced: (group, name) =>
     replace(group, { gone: name, successor: `${name}x` }),
--- a/apps/heroncleatd/control/member_directory.ts
+++ b/apps/heroncleatd/control/member_directory.ts
@@ -13,9 +13,10 @@
 
 /**
  * Everyone who is or was a member, as far as this replica knows: by its own
- * log, by what others told, and the founders. The log of a replica whose disk
- * was lost names the founders only, and any of them may be gone; the leader
- * may be one that came later, which it must be able to ask and to answer.
+ * log, by what others reported, and the founders. The log of a replica whose
+ * disk was lost names the founders only, and any of them may be gone; the
+ * leader may be one that came later, which it must be able to ask and to
+ * answer.
  */
 export class MemberDirectory {
   readonly #options: DirectoryOptions;
--- a/apps/heroncleatd/control/replica_access.ts
+++ b/apps/heroncleatd/control/replica_access.ts
@@ -24,7 +24,7 @@
     timeout: Milliseconds,
   ): Promise<ProposalOutcome> {
     return new Promise((resolve) => {
-      const sent = this.#actor.tell({
+      const sent = this.#actor.send({
         kind: "propose",
         command,
         timeout,
@@ -38,7 +38,7 @@
 
   readIndex(timeout: Milliseconds): Promise<ReadOutcome> {
     return new Promise((resolve) => {
-      if (!this.#actor.tell({ kind: "read", timeout, reply: resolve })) {
+      if (!this.#actor.send({ kind: "read", timeout, reply: resolve })) {
         resolve({ kind: "not_leader", leader: "" });
       }
     });
@@ -46,7 +46,7 @@
 
   waitApplied(index: number, timeout: Milliseconds): Promise<boolean> {
     return new Promise((resolve) => {
-      const sent = this.#actor.tell({
+      const sent = this.#actor.send({
         kind: "wait_applied",
         index,
         timeout,
@@ -63,7 +63,7 @@
     read: (application: Application, replica: Replica) => Value,
   ): Promise<Value> {
     return new Promise((resolve, reject) => {
-      const sent = this.#actor.tell({
+      const sent = this.#actor.send({
         kind: "inspect",
         read: (application, replica) => resolve(read(application, replica)),
       });
--- a/apps/heroncleatd/control/replica_host.ts
+++ b/apps/heroncleatd/control/replica_host.ts
@@ -27,7 +27,7 @@
   readonly snapshotEntries: number;
   readonly sendTo: (address: string, message: ConsensusMessage) => void;
   /** Sends an event back to this actor. */
-  readonly tellSelf: (message: ReplicaMessage<Application>) => void;
+  readonly sendSelf: (message: ReplicaMessage<Application>) => void;
   /** Ends the process: a replica that can't write must not go on. */
   readonly fail: (error: unknown) => void;
 };
@@ -194,7 +194,7 @@
     for (const effect of ready) {
       this.#send(effect);
     }
-    this.#options.tellSelf({
+    this.#options.sendSelf({
       kind: "event",
       event: { kind: "persisted", number },
     });
@@ -216,7 +216,7 @@
       return;
     }
     this.#snapshotAt = index;
-    this.#options.tellSelf({
+    this.#options.sendSelf({
       kind: "event",
       event: {
         kind: "snapshot_taken",
--- a/apps/heroncleatd/control/played_group.ts
+++ b/apps/heroncleatd/control/simulated_group.ts
@@ -13,7 +13,7 @@
   ReplicaMember,
 } from "@heroncleat/schema";
 import type { PeerPool } from "@heroncleat/transport";
-import { GroupCaretaker } from "./group_caretaker.ts";
+import { GroupReconciler } from "./group_reconciler.ts";
 import { MemberDirectory } from "./member_directory.ts";
 
 const STEP = 10;
@@ -24,7 +24,7 @@
 const quiet = { debug() {}, info() {}, warn() {}, error() {} };
 
 /** What survives a loss of power. */
-type PlayedDisk = {
+type SimulatedDisk = {
   readonly id: string;
   founders: readonly ReplicaMember[] | undefined;
   snapshot: LogSnapshot | undefined;
@@ -32,35 +32,35 @@
 };
 
 /** A replica that runs, with all that it loses when it stops. */
-type PlayedProcess = {
+type SimulatedProcess = {
   readonly replica: Replica;
-  readonly caretaker: GroupCaretaker;
+  readonly reconciler: GroupReconciler;
   readonly directory: MemberDirectory;
   applied: string[];
   snapshotAt: number;
-  /** Whether it has told the disk all that it must before it sends. */
+  /** Whether it has written all that it must before it sends. */
   waiting: Extract<ReplicaEffect, { kind: "send" }>[];
 };
 
 /** A VM with a disk that runs one control replica. */
-type PlayedVm = {
+type SimulatedVm = {
   readonly name: string;
   readonly address: string;
-  disk: PlayedDisk;
+  disk: SimulatedDisk;
   isUp: boolean;
-  process: PlayedProcess | undefined;
+  process: SimulatedProcess | undefined;
 };
 
 /** A message on its way. */
 type Packet = { address: string; from: string; message: ConsensusMessage };
 
 /**
- * A control group with its caretakers in virtual time, for tests that lose
+ * A control group with its reconcilers in virtual time, for tests that lose
  * disks, VMs and power. Every step delivers what was sent in the one before,
  * 10 ms earlier.
  */
-export class PlayedGroup {
-  readonly vms = new Map<string, PlayedVm>();
+export class SimulatedGroup {
+  readonly vms = new Map<string, SimulatedVm>();
   readonly acknowledged: string[] = [];
   seeds: string[];
   now = 0;
@@ -107,7 +107,7 @@
   powerOff(name: string): void {
     const vm = this.vms.get(name)!;
     vm.isUp = false;
-    vm.process?.caretaker.stop();
+    vm.process?.reconciler.stop();
     vm.process = undefined;
   }
 
@@ -133,7 +133,7 @@
     return [...this.vms.values()].map(({ address }) => address);
   }
 
-  get leader(): PlayedVm | undefined {
+  get leader(): SimulatedVm | undefined {
     const leaders = [...this.vms.values()].filter(({ process }) =>
       process?.replica.role === ReplicaRole.leader
     );
@@ -202,7 +202,7 @@
     });
   }
 
-  #createDisk(): PlayedDisk {
+  #createDisk(): SimulatedDisk {
     this.#disks += 1;
     return {
       id: `disk-${this.#disks}`,
@@ -212,7 +212,7 @@
     };
   }
 
-  #describe(vm: PlayedVm): ReplicaMember {
+  #describe(vm: SimulatedVm): ReplicaMember {
     const { name, address, disk } = vm;
     return { id: disk.id, name, address, zone: name[0]!, voter: true };
   }
@@ -233,9 +233,9 @@
   }
 
   #startProcess(
-    vm: PlayedVm,
+    vm: SimulatedVm,
     founders: readonly ReplicaMember[],
-  ): PlayedProcess {
+  ): SimulatedProcess {
     const self = this.#describe(vm);
     const { snapshot, records } = vm.disk;
     const replica = new Replica({
@@ -258,7 +258,7 @@
       founders,
       members: () => replica.members,
     });
-    const caretaker = new GroupCaretaker({
+    const reconciler = new GroupReconciler({
       self,
       replica,
       directory,
@@ -272,10 +272,10 @@
         this.#drive(vm, { kind: "change_members", token: "", members }),
       methodPrefix: "group",
     });
-    caretaker.start();
+    reconciler.start();
     return {
       replica,
-      caretaker,
+      reconciler,
       directory,
       applied: snapshot === undefined ? [] : JSON.parse(snapshot.data),
       snapshotAt: snapshot?.lastIndex ?? 0,
@@ -283,8 +283,8 @@
     };
   }
 
-  /** The part of a pool of peers that caretakers use. */
-  #poolOf(vm: PlayedVm): PeerPool {
+  /** The part of a pool of peers that reconcilers use. */
+  #poolOf(vm: SimulatedVm): PeerPool {
     return {
       call: async (
         address: string,
@@ -295,8 +295,8 @@
         if (peer?.process === undefined) {
           throw new Error(`${address} can't be reached.`);
         }
-        const { caretaker, replica } = peer.process;
-        const handler = caretaker.methods()[method];
+        const { reconciler, replica } = peer.process;
+        const handler = reconciler.methods()[method];
         if (handler !== undefined) {
           return await handler(options.parameters);
         }
@@ -310,7 +310,7 @@
     } as unknown as PeerPool;
   }
 
-  #reach(from: string, address: string): PlayedVm | undefined {
+  #reach(from: string, address: string): SimulatedVm | undefined {
     const isCut = this.#cut.has(from) !== this.#cut.has(address);
     const vms = [...this.vms.values()];
     const vm = vms.find((candidate) => candidate.address === address);
@@ -324,7 +324,7 @@
     }
   }
 
-  #drive(vm: PlayedVm, event: ReplicaEvent): void {
+  #drive(vm: SimulatedVm, event: ReplicaEvent): void {
     const { process } = vm;
     if (process === undefined) {
       return;
@@ -336,8 +336,8 @@
   }
 
   #carryOut(
-    vm: PlayedVm,
-    process: PlayedProcess,
+    vm: SimulatedVm,
+    process: SimulatedProcess,
     effect: ReplicaEffect,
   ): void {
     switch (effect.kind) {
@@ -365,9 +365,9 @@
     }
   }
 
-  /** The disk is written at once; the replica hears of it after this event. */
+  /** The disk is written at once; the replica learns of it after this event. */
   #persist(
-    vm: PlayedVm,
+    vm: SimulatedVm,
     effect: Extract<ReplicaEffect, { kind: "persist" }>,
   ): void {
     if (effect.snapshot !== undefined) {
@@ -384,8 +384,8 @@
   }
 
   #send(
-    vm: PlayedVm,
-    process: PlayedProcess,
+    vm: SimulatedVm,
+    process: SimulatedProcess,
     effect: Extract<ReplicaEffect, { kind: "send" }>,
   ): void {
     const member = process.directory.find(effect.to);
@@ -399,8 +399,8 @@
   }
 
   #apply(
-    vm: PlayedVm,
-    process: PlayedProcess,
+    vm: SimulatedVm,
+    process: SimulatedProcess,
     entry: { index: number; kind: string; payload: unknown },
   ): void {
     if (entry.kind === "command") {
--- a/apps/heroncleatd/control/start_control.ts
+++ b/apps/heroncleatd/control/start_control.ts
@@ -19,7 +19,7 @@
 import { ControlApplication } from "./control_application.ts";
 import { controlMethods } from "./control_methods.ts";
 import { formGroup } from "./form_group.ts";
-import { GroupCaretaker } from "./group_caretaker.ts";
+import { GroupReconciler } from "./group_reconciler.ts";
 import { groupFile } from "./group_file.ts";
 import { MemberDirectory } from "./member_directory.ts";
 import { OperatorServer } from "./operator_server.ts";
@@ -83,7 +83,7 @@
 /** What runs once the group is formed. */
 type StartedControl = {
   readonly actor: Actor<ReplicaMessage>;
-  readonly caretaker: GroupCaretaker;
+  readonly reconciler: GroupReconciler;
   readonly claimExpiry: ClaimExpiry;
   readonly orders: OrderRunner;
   readonly server: OperatorServer;
@@ -124,10 +124,10 @@
       return;
     }
     started.orders.stop();
-    started.caretaker.stop();
+    started.reconciler.stop();
     started.claimExpiry.stop();
     started.server.close();
-    started.actor.tell({ kind: "event", event: { kind: "step_down" } });
+    started.actor.send({ kind: "event", event: { kind: "step_down" } });
     await new Promise((resolve) => setTimeout(resolve, TRANSFER_TIME));
     clearInterval(started.ticker);
     started.actor.stop();
@@ -157,7 +157,7 @@
     const { settings, operators, self } = this.#parts;
     const { clock, pool } = this.#context;
     const log = this.#context.log("control");
-    const { actor, caretaker } = this.#startReplica(founders, peers);
+    const { actor, reconciler } = this.#startReplica(founders, peers);
     const replica = new ReplicaAccess(actor);
     const reads = new ConfirmedReads(replica, { pool, timeout: READ_TIMEOUT });
     const client = new ControlClient(splitList(settings.replicas), {
@@ -192,26 +192,26 @@
         reads,
         wall: () => clock.wall(),
         onMessage: (message) =>
-          actor.tell({
+          actor.send({
             kind: "event",
             event: { kind: "message", message: message as never },
           }),
-        membership: caretaker.methods(),
+        membership: reconciler.methods(),
       }),
     );
     const ticker = setInterval(
-      () => actor.tell({ kind: "event", event: { kind: "tick" } }),
+      () => actor.send({ kind: "event", event: { kind: "tick" } }),
       TICK,
     );
     this.#started = {
       actor,
-      caretaker,
+      reconciler,
       claimExpiry,
       orders,
       server,
       ticker,
     };
-    caretaker.start();
+    reconciler.start();
     claimExpiry.start();
     orders.start();
     await server.listen();
@@ -221,7 +221,7 @@
   #startReplica(
     founders: readonly ReplicaMember[],
     peers: readonly string[],
-  ): { actor: Actor<ReplicaMessage>; caretaker: GroupCaretaker } {
+  ): { actor: Actor<ReplicaMessage>; reconciler: GroupReconciler } {
     const { settings, self, journal, content } = this.#parts;
     const { clock, pool, system, fail } = this.#context;
     const application = new ControlApplication();
@@ -257,7 +257,7 @@
       snapshotEntries: settings.snapshot_entries,
       sendTo: (address, message) =>
         pool.notify(address, "control.consensus", message),
-      tellSelf: (message) => actor.tell(message),
+      sendSelf: (message) => actor.send(message),
       fail,
     });
     const actor: Actor<ReplicaMessage> = new Actor(system, {
@@ -273,7 +273,7 @@
         }
       },
     });
-    const caretaker = new GroupCaretaker({
+    const reconciler = new GroupReconciler({
       self,
       replica,
       directory,
@@ -284,13 +284,13 @@
       wantedVoters: peers.length + 1,
       seeds: () => peers,
       changeMembers: (members) =>
-        actor.tell({
+        actor.send({
           kind: "event",
           event: { kind: "change_members", token: createToken(), members },
         }),
       methodPrefix: "control",
     });
-    return { actor, caretaker };
+    return { actor, reconciler };
   }
 
   async #findUpstream(name: string): Promise<Announcement | undefined> {
--- a/apps/heroncleatd/entry/admit.ts
+++ b/apps/heroncleatd/entry/admit.ts
@@ -14,7 +14,7 @@
   },
 ): Promise<AdmissionAnswer> {
   return new Promise((resolve) => {
-    const sent = dispatch.tell({
+    const sent = dispatch.send({
       kind: "admit",
       ...options,
       reply: resolve,
--- a/apps/heroncleatd/entry/answer_source.ts
+++ b/apps/heroncleatd/entry/answer_source.ts
@@ -46,7 +46,7 @@
   }
 
   /**
-   * The pieces from an index on, after a wait for news. Not found means that
+   * The pieces from an index on, after a wait for more. Not found means that
    * nobody holds the answer for this workspace.
    */
   async read(
@@ -117,10 +117,10 @@
       const { from, wait } = query;
       const owner = this.#owners.get(readerKey);
       const message = { kind: "read" as const, from, wait, reply: resolve };
-      if (owner?.tell(message)) {
+      if (owner?.send(message)) {
         return;
       }
-      const sent = this.#options.registry.tell({
+      const sent = this.#options.registry.send({
         kind: "query",
         query,
         onOwner: (actor) => this.#owners.set(readerKey, actor),
--- a/apps/heroncleatd/entry/entry_parts.ts
+++ b/apps/heroncleatd/entry/entry_parts.ts
@@ -13,9 +13,9 @@
   readonly dispatch: Actor<DispatchMessage>;
   readonly registry: Actor<RegistryMessage>;
   readonly answers: AnswerSource;
-  /** The members as last heard. */
+  /** The members as last received. */
   readonly members: () => readonly MemberRecord[];
-  /** Whether this entry has heard of the upstreams that others know. */
+  /** Whether this entry has known of the upstreams that others know. */
   readonly isInformed: () => boolean;
   /** Whether this entry is stopping and takes no new requests. */
   readonly isLeaving: () => boolean;
--- a/apps/heroncleatd/entry/handle_announcement.ts
+++ b/apps/heroncleatd/entry/handle_announcement.ts
@@ -53,7 +53,7 @@
     sendFault(response, announcement.error);
     return;
   }
-  parts.membership.tell({
+  parts.membership.send({
     kind: "event",
     event: { kind: "announce", announcement: announcement.value },
   });
@@ -70,7 +70,7 @@
     sendFault(response, event.error);
     return;
   }
-  parts.dispatch.tell({
+  parts.dispatch.send({
     kind: "cache_event",
     upstream: options.name,
     event: event.value,
--- a/apps/heroncleatd/entry/handle_discovery.ts
+++ b/apps/heroncleatd/entry/handle_discovery.ts
@@ -7,7 +7,7 @@
 const MOST_ENTRIES = 12;
 
 /**
- * Tells a caller which entries to use and how long it may keep the answer.
+ * Reports a caller which entries to use and how long it may keep the answer.
  * It needs no key: an address alone gives nothing away.
  */
 export function handleDiscovery(
--- a/apps/heroncleatd/entry/handle_generation.ts
+++ b/apps/heroncleatd/entry/handle_generation.ts
@@ -56,7 +56,7 @@
     sendFault(call.response, answer.fault, { entries: otherEntries(parts) });
     return;
   }
-  const release = () => parts.dispatch.tell({ kind: "release", token, target });
+  const release = () => parts.dispatch.send({ kind: "release", token, target });
   await serve(parts, call, { draft: draft.value, startedAt, release });
 }
 
@@ -122,7 +122,7 @@
 ): Promise<OwnOutcome> {
   return new Promise((resolve) => {
     let accepted = false;
-    parts.registry.tell({
+    parts.registry.send({
       kind: "own",
       record,
       reply: (outcome) => {
--- a/apps/heroncleatd/entry/handle_models.ts
+++ b/apps/heroncleatd/entry/handle_models.ts
@@ -8,7 +8,7 @@
   call: CallerRequest,
 ): Promise<void> {
   const models = await new Promise<string[]>((resolve) => {
-    parts.dispatch.tell({
+    parts.dispatch.send({
       kind: "inspect",
       read: (router) => resolve(router.models),
     });
--- a/apps/heroncleatd/entry/handle_service.ts
+++ b/apps/heroncleatd/entry/handle_service.ts
@@ -64,7 +64,7 @@
     sendOutcome(parts, call.response, { outcome, key: service.key });
   } finally {
     const { token } = service;
-    parts.dispatch.tell({ kind: "release", token, target: lane });
+    parts.dispatch.send({ kind: "release", token, target: lane });
   }
 }
 
@@ -122,7 +122,7 @@
   routed: RoutedRequest,
 ): Promise<boolean | undefined> {
   return new Promise((resolve) => {
-    parts.dispatch.tell({
+    parts.dispatch.send({
       kind: "inspect",
       read: (router) => resolve(router.idempotencyOf(routed)),
     });
--- a/apps/heroncleatd/entry/membership_listener.ts
+++ b/apps/heroncleatd/entry/membership_listener.ts
@@ -1,10 +1,10 @@
 import type { MemberRecord, UpstreamRecord } from "@heroncleat/schema";
 
-/** Who is told of changes in the membership. */
+/** Who is notified of changes in the membership. */
 export type MembershipListener = {
   readonly onMembers: (members: readonly MemberRecord[]) => void;
   readonly onUpstream: (upstream: UpstreamRecord) => void;
   readonly onUpstreamLapsed: (name: string) => void;
-  /** Told once, when this entry knows what the others know. */
+  /** Notified once, when this entry knows what the others know. */
   readonly onInformed: () => void;
 };
--- a/apps/heroncleatd/entry/registry_message.ts
+++ b/apps/heroncleatd/entry/registry_message.ts
@@ -19,7 +19,7 @@
   | {
     readonly kind: "own";
     readonly record: RequestRecord;
-    /** Told once, when this entry is done with the request. */
+    /** Notified once, when this entry is done with the request. */
     readonly onEnded: () => void;
     readonly reply: (outcome: OwnOutcome) => void;
   }
@@ -31,7 +31,7 @@
   | {
     readonly kind: "query";
     readonly query: AnswerQuery;
-    /** Told which actor owns the request here, to ask it directly. */
+    /** Notified which actor owns the request here, to ask it directly. */
     readonly onOwner: (actor: Actor<RequestMessage>) => void;
     readonly reply: (answer: ForwardedAnswer) => void;
   }
--- a/apps/heroncleatd/entry/request_host.ts
+++ b/apps/heroncleatd/entry/request_host.ts
@@ -19,7 +19,7 @@
   readonly request: OwnedRequest;
   readonly context: EntryContext;
   readonly services: RequestServices;
-  readonly tellSelf: (message: RequestMessage) => void;
+  readonly sendSelf: (message: RequestMessage) => void;
 };
 
 type EffectOf<Kind extends RequestEffect["kind"]> = Extract<
@@ -83,7 +83,7 @@
         return;
       case "choose_standby": {
         const standby = services.chooseStandby(effect.exclude);
-        this.#tell({ kind: "standby_chosen", standby });
+        this.#notify({ kind: "standby_chosen", standby });
         return;
       }
       case "move_standby":
@@ -107,8 +107,8 @@
   #copy(effect: EffectOf<"copy">): void {
     const { number } = effect;
     this.#options.services.copy(effect.to, effect.message).then(
-      (reply) => this.#tell({ kind: "copy_answered", number, reply }),
-      () => this.#tell({ kind: "copy_failed", number }),
+      (reply) => this.#notify({ kind: "copy_answered", number, reply }),
+      () => this.#notify({ kind: "copy_failed", number }),
     );
   }
 
@@ -121,7 +121,7 @@
     services.route(request.record, { token, exclude, isRetry }).then(
       (answer) => {
         if (answer.kind === "unroutable") {
-          this.#tell({ kind: "unroutable", attempt });
+          this.#notify({ kind: "unroutable", attempt });
           return;
         }
         const { upstream } = answer.choice;
@@ -133,7 +133,7 @@
           firstTokenAt: 0,
           stream: undefined,
         };
-        this.#tell({ kind: "routed", attempt, upstream });
+        this.#notify({ kind: "routed", attempt, upstream });
       },
     );
   }
@@ -147,7 +147,7 @@
     const body = buildUpstreamBody(request.record, effect);
     if (body["max_tokens"] === 0) {
       this.#closeAttempt("neutral");
-      this.#tell({
+      this.#notify({
         kind: "attempt_finished",
         attempt: effect.attempt,
         pieces: 0,
@@ -159,7 +159,7 @@
     // route was chosen must not act on an old configuration.
     if (!context.lease.isValid) {
       this.#closeAttempt("neutral");
-      this.#tell({ kind: "unroutable", attempt: effect.attempt });
+      this.#notify({ kind: "unroutable", attempt: effect.attempt });
       return;
     }
     this.#open(attempt, body);
@@ -181,22 +181,22 @@
         onPiece: (place, text) => {
           this.#notePace(attempt, place);
           const piece = { text, tokens: 1 };
-          this.#tell({ kind: "piece", attempt: number, place, piece });
+          this.#notify({ kind: "piece", attempt: number, place, piece });
         },
         onFinished: (pieces, reason) =>
-          this.#tell({
+          this.#notify({
             kind: "attempt_finished",
             attempt: number,
             pieces,
             reason,
           }),
         onFailed: (message) =>
-          this.#tell({ kind: "attempt_failed", attempt: number, message }),
+          this.#notify({ kind: "attempt_failed", attempt: number, message }),
       },
     });
   }
 
-  /** Tells the router how fast the upstream answers. */
+  /** Reports the router how fast the upstream answers. */
   #notePace(attempt: RunningAttempt, place: number): void {
     const { context, services } = this.#options;
     const now = context.clock.now();
@@ -214,7 +214,7 @@
     }
   }
 
-  /** Ends the present attempt and tells the router how it went. */
+  /** Ends the present attempt and reports the router how it went. */
   #closeAttempt(outcome: "succeeded" | "failed" | "neutral"): void {
     const attempt = this.#attempt;
     if (attempt === undefined) {
@@ -233,11 +233,11 @@
     const reply = await services.moveStandby(request.record, effect);
     const outcome = reply?.outcomes[0];
     if (outcome === undefined) {
-      this.#tell({ kind: "standby_kept" });
+      this.#notify({ kind: "standby_kept" });
       return;
     }
     const { epoch, standby, owner } = outcome;
-    this.#tell(
+    this.#notify(
       outcome.moved
         ? { kind: "standby_moved", epoch, standby }
         : { kind: "custody_lost", owner },
@@ -247,7 +247,7 @@
   async #handOver(standby: string): Promise<void> {
     const { request, services } = this.#options;
     const owner = await services.handOver(standby, request.record.id);
-    this.#tell(
+    this.#notify(
       owner === undefined
         ? { kind: "hand_over_failed" }
         : { kind: "custody_lost", owner },
@@ -266,7 +266,7 @@
   }
 
   #read(message: Extract<RequestMessage, { kind: "read" }>): void {
-    if (this.#hasNews(message.from)) {
+    if (this.#hasUpdates(message.from)) {
       message.reply(this.#buildAnswer(message.from));
       return;
     }
@@ -274,7 +274,7 @@
     setTimeout(() => this.#giveUpReader(message), message.wait).unref();
   }
 
-  #hasNews(from: number): boolean {
+  #hasUpdates(from: number): boolean {
     const { request } = this.#options;
     return request.emittedCount > from || request.phase === RequestPhase.ended;
   }
@@ -308,8 +308,8 @@
     }
   }
 
-  #tell(event: RequestEvent): void {
-    this.#options.tellSelf({ kind: "event", event });
+  #notify(event: RequestEvent): void {
+    this.#options.sendSelf({ kind: "event", event });
   }
 
   /** Wakes the state machine when it next has something to do by time. */
@@ -329,7 +329,7 @@
     const delay = Math.max(LEAST_SLEEP, wakeAt - context.clock.now());
     this.#timer = setTimeout(() => {
       this.#timerAt = Infinity;
-      this.#tell({ kind: "tick" });
+      this.#notify({ kind: "tick" });
     }, delay);
   }
 }
--- a/apps/heroncleatd/entry/request_registry.ts
+++ b/apps/heroncleatd/entry/request_registry.ts
@@ -35,16 +35,16 @@
   readonly context: EntryContext;
   readonly copies: CopySender;
   readonly dispatch: Actor<DispatchMessage>;
-  readonly tellSelf: (message: RegistryMessage) => void;
+  readonly sendSelf: (message: RegistryMessage) => void;
 };
 
 /** A request that this entry owns. */
 type OwnedEntry = {
   readonly request: OwnedRequest;
   readonly actor: Actor<RequestMessage>;
-  /** Told once, when the request is held or refused. */
+  /** Notified once, when the request is held or refused. */
   onOutcome: ((outcome: OwnOutcome) => void) | undefined;
-  /** Told once, when this entry is done with the request. */
+  /** Notified once, when this entry is done with the request. */
   onEnded: () => void;
 };
 
@@ -153,7 +153,7 @@
     });
     entry.onOutcome = message.reply;
     entry.onEnded = message.onEnded;
-    entry.actor.tell({ kind: "event", event: { kind: "start" } });
+    entry.actor.send({ kind: "event", event: { kind: "start" } });
   }
 
   #own(
@@ -177,7 +177,7 @@
       request,
       context,
       services: this.#services(record),
-      tellSelf: (message) => actor.tell(message),
+      sendSelf: (message) => actor.send(message),
     });
     const actor: Actor<RequestMessage> = new Actor(context.system, {
       name: `request-${record.id.replaceAll(/[^A-Za-z0-9_-]/g, "-")}` +
@@ -216,7 +216,7 @@
       route: (_present, { token, exclude, isRetry }) =>
         new Promise((resolve) => {
           const request = { ...routed, exclude };
-          dispatch.tell({
+          dispatch.send({
             kind: "route",
             request,
             token,
@@ -225,13 +225,13 @@
           });
         }),
       attemptEnded: (upstream, { token, outcome }) => {
-        dispatch.tell({ kind: "ended", upstream, token, outcome });
+        dispatch.send({ kind: "ended", upstream, token, outcome });
       },
       firstToken: (upstream, times) => {
-        dispatch.tell({ kind: "first_token", upstream, ...times });
+        dispatch.send({ kind: "first_token", upstream, ...times });
       },
       betweenTokens: (upstream, measured) => {
-        dispatch.tell({ kind: "between_tokens", upstream, measured });
+        dispatch.send({ kind: "between_tokens", upstream, measured });
       },
       onAccepted: ({ id }) => {
         context.metrics.increment("requests.accepted");
@@ -248,7 +248,7 @@
     id: string,
     end: Parameters<RequestServices["onEnded"]>[1],
   ): void {
-    const { context, tellSelf } = this.#options;
+    const { context, sendSelf } = this.#options;
     if (end.kind === "refused") {
       this.#settle(id, end);
     }
@@ -258,7 +258,7 @@
     }
     const retained = end.kind === "finished" || end.kind === "failed";
     const after = retained ? context.entry.answer_retention : 0;
-    setTimeout(() => tellSelf({ kind: "forget", id }), after).unref();
+    setTimeout(() => sendSelf({ kind: "forget", id }), after).unref();
   }
 
   #settle(id: string, outcome: OwnOutcome): void {
@@ -287,7 +287,7 @@
     if (owned !== undefined && owned.request.phase !== RequestPhase.ended) {
       const owner = copy.record?.owner ?? "";
       const event = { kind: "custody_lost" as const, owner };
-      owned.actor.tell({ kind: "event", event });
+      owned.actor.send({ kind: "event", event });
     }
     return this.#held.take(copy, this.#now());
   }
@@ -400,7 +400,7 @@
       accepted: true,
       now,
     });
-    entry.actor.tell({ kind: "event", event: { kind: "start" } });
+    entry.actor.send({ kind: "event", event: { kind: "start" } });
   }
 
   #onUpstream(upstream: UpstreamRecord): void {
@@ -422,7 +422,7 @@
           upstream: announcement.name,
           reclaimIn,
         };
-        actor.tell({ kind: "event", event });
+        actor.send({ kind: "event", event });
       }
     }
   }
@@ -442,7 +442,7 @@
     if (owned !== undefined) {
       message.onOwner(owned.actor);
       const { from, wait } = query;
-      if (!owned.actor.tell({ kind: "read", from, wait, reply })) {
+      if (!owned.actor.send({ kind: "read", from, wait, reply })) {
         reply(NOT_FOUND);
       }
       return;
@@ -453,7 +453,7 @@
   #handOver(): void {
     for (const { request, actor } of this.#owned.values()) {
       if (request.phase !== RequestPhase.ended) {
-        actor.tell({ kind: "event", event: { kind: "hand_over" } });
+        actor.send({ kind: "event", event: { kind: "hand_over" } });
       }
     }
   }
--- a/apps/heroncleatd/entry/service_dispatcher.ts
+++ b/apps/heroncleatd/entry/service_dispatcher.ts
@@ -57,7 +57,7 @@
   const left = call.until - clock.now();
   // The last step before bytes leave.
   if (!parts.context.lease.isValid || left <= 0) {
-    parts.dispatch.tell({ kind: "ended", upstream, token, outcome: "neutral" });
+    parts.dispatch.send({ kind: "ended", upstream, token, outcome: "neutral" });
     attempts.lastFault = describeTooLate(left);
     return giveUp(attempts);
   }
@@ -70,7 +70,7 @@
   const good = sent.kind === "answered" &&
     sent.outcome.status < HTTP_SERVER_ERROR;
   const outcome = good ? "succeeded" : "failed";
-  parts.dispatch.tell({ kind: "ended", upstream, token, outcome });
+  parts.dispatch.send({ kind: "ended", upstream, token, outcome });
   if (sent.kind === "answered" && (good || !call.isIdempotent)) {
     return sent;
   }
@@ -91,7 +91,7 @@
   const { token, attempts } = options;
   const exclude = [...attempts.exclude];
   return new Promise((resolve) => {
-    parts.dispatch.tell({
+    parts.dispatch.send({
       kind: "route",
       request: { ...call.routed, exclude },
       token,
--- a/apps/heroncleatd/entry/service_dispatcher_test.ts
+++ b/apps/heroncleatd/entry/service_dispatcher_test.ts
@@ -36,7 +36,7 @@
       const attempt = String(request.headers["heroncleat-attempt"]);
       const behaviour = plan[place]!;
       if (behaviour === "cut the body") {
-        // The first bytes came; whether they are acted on nobody can tell.
+        // The first bytes came; whether they are acted on is unknown.
         runs.push(attempt);
         request.socket.destroy();
         return;
@@ -84,7 +84,7 @@
 
 /** The parts of an entry that a call needs, with the services as upstreams. */
 function createParts(): EntryParts {
-  const tell = (message: Record<string, unknown>) => {
+  const report = (message: Record<string, unknown>) => {
     if (message["kind"] !== "route") {
       return true;
     }
@@ -109,7 +109,7 @@
       upstreams: agent,
       lease: { isValid: true },
     },
-    dispatch: { tell },
+    dispatch: { report },
   } as unknown as EntryParts;
 }
 
--- a/apps/heroncleatd/entry/start_entry.ts
+++ b/apps/heroncleatd/entry/start_entry.ts
@@ -104,8 +104,8 @@
     };
     this.#server = new CallerServer(this.#parts);
     this.#renewer = new ConfigurationRenewer(context, (view) => {
-      dispatch.tell({ kind: "configuration", view });
-      membership.actor.tell({
+      dispatch.send({ kind: "configuration", view });
+      membership.actor.send({
         kind: "event",
         event: { kind: "revision", revision: view.revision },
       });
@@ -115,8 +115,8 @@
   async start(): Promise<void> {
     const { dispatch, registry } = this.#parts;
     this.#timers.push(
-      setInterval(() => dispatch.tell({ kind: "tick" }), DISPATCH_TICK),
-      setInterval(() => registry.tell({ kind: "tick" }), REGISTRY_TICK),
+      setInterval(() => dispatch.send({ kind: "tick" }), DISPATCH_TICK),
+      setInterval(() => registry.send({ kind: "tick" }), REGISTRY_TICK),
     );
     this.#renewer.start();
     await this.#server.listen();
@@ -130,7 +130,7 @@
     log.info("Leaves: takes no new requests");
     this.#leaving = true;
     const { membership } = this.#parts;
-    membership.tell({ kind: "event", event: { kind: "leave" } });
+    membership.send({ kind: "event", event: { kind: "leave" } });
     await sleep(LEAVE_SPREAD);
     this.#server.stopListening();
     await this.#finishRequests(limit - HAND_OVER_RESERVE);
@@ -160,7 +160,7 @@
       context,
       copies: new CopySender(context.pool, COPY_CALL_TIMEOUT),
       dispatch,
-      tellSelf: (message) => actor.tell(message),
+      sendSelf: (message) => actor.send(message),
     });
     const actor: Actor<RegistryMessage> = new Actor(context.system, {
       name: "registry",
@@ -180,7 +180,7 @@
             reject(new Error("a copy is malformed"));
             return;
           }
-          registry.tell({ kind: "copies", copies, reply: resolve });
+          registry.send({ kind: "copies", copies, reply: resolve });
         }),
       "entry.query": (parameters) =>
         new Promise((resolve, reject) => {
@@ -190,12 +190,12 @@
             return;
           }
           const onOwner = () => {};
-          registry.tell({ kind: "query", query, onOwner, reply: resolve });
+          registry.send({ kind: "query", query, onOwner, reply: resolve });
         }),
       "entry.take_over": (parameters) =>
         new Promise((resolve) => {
           const { ids } = parameters as { ids: string[] };
-          registry.tell({ kind: "take_over", ids, reply: resolve });
+          registry.send({ kind: "take_over", ids, reply: resolve });
         }),
     });
   }
@@ -207,17 +207,17 @@
     return startMembership(this.#context, {
       onMembers: (members) => {
         this.#members = members;
-        registry.tell({ kind: "members", members });
+        registry.send({ kind: "members", members });
         const alive = members.filter((member) => member.state === "alive");
-        dispatch.tell({ kind: "entries", alive: alive.length });
+        dispatch.send({ kind: "entries", alive: alive.length });
       },
       onUpstream: (upstream) => {
         const { announcement } = upstream;
-        dispatch.tell({ kind: "upstream", announcement });
-        registry.tell({ kind: "upstream", upstream });
+        dispatch.send({ kind: "upstream", announcement });
+        registry.send({ kind: "upstream", upstream });
       },
       onUpstreamLapsed: (name) =>
-        dispatch.tell({ kind: "upstream_lapsed", name }),
+        dispatch.send({ kind: "upstream_lapsed", name }),
       onInformed: () => {
         this.#informed = true;
       },
@@ -234,7 +234,7 @@
 
   #countOwned(): Promise<number> {
     return new Promise((resolve) => {
-      this.#parts.registry.tell({
+      this.#parts.registry.send({
         kind: "count",
         reply: ({ owned }) => resolve(owned),
       });
@@ -249,7 +249,7 @@
     }
     const log = this.#context.log("entry");
     log.info(`Hands ${owned} unfinished requests over`);
-    this.#parts.registry.tell({ kind: "hand_over" });
+    this.#parts.registry.send({ kind: "hand_over" });
     await this.#finishRequests(HAND_OVER_RESERVE);
     const left = await this.#countOwned();
     if (left > 0) {
--- a/apps/heroncleatd/entry/start_membership.ts
+++ b/apps/heroncleatd/entry/start_membership.ts
@@ -43,13 +43,13 @@
   context.serve({
     "entry.membership": (message) => {
       if (checkMembershipMessage(message)) {
-        actor.tell({ kind: "event", event: { kind: "message", message } });
+        actor.send({ kind: "event", event: { kind: "message", message } });
       }
     },
     "entry.status": () => readStatus(actor, context),
   });
   const ticker = setInterval(
-    () => actor.tell({ kind: "event", event: { kind: "tick" } }),
+    () => actor.send({ kind: "event", event: { kind: "tick" } }),
     TICK,
   );
   return {
@@ -135,7 +135,7 @@
   context: EntryContext,
 ): Promise<unknown> {
   return new Promise((resolve) => {
-    actor.tell({
+    actor.send({
       kind: "inspect",
       read: (membership) =>
         resolve({
--- a/apps/heroncleatd/entry/upstream_stream.ts
+++ b/apps/heroncleatd/entry/upstream_stream.ts
@@ -1,7 +1,7 @@
 import { createParser, type EventSourceMessage } from "eventsource-parser";
 import type { Agent, Dispatcher } from "undici";
 
-/** What the reader of a stream is told, in order. */
+/** What the reader of a stream gets, in order. */
 type StreamHandlers = {
   readonly onPiece: (place: number, text: string) => void;
   /** The upstream marked the end; `pieces` were sent in all. */
@@ -48,7 +48,7 @@
     void this.#run();
   }
 
-  /** Stops the generation; the handlers hear nothing more. */
+  /** Stops the generation; the handlers receive nothing more. */
   cancel(): void {
     // An abort closes the connection, which a finished stream leaves for the
     // next request.
--- a/apps/heroncleatd/gateway/attempt.ts
+++ b/apps/heroncleatd/gateway/attempt.ts
@@ -77,7 +77,7 @@
   const trace = new AttemptTrace({
     chosen,
     sentAfter: clock.steady() - call.arrivedAt,
-    newsAge: context.newsAge(),
+    syncAge: context.syncAge(),
   });
   const account = openAccount(call, { context, chosen, trace });
   const headers = forwardHeaders.toUpstream(call, {
@@ -163,7 +163,7 @@
     const now = context.clock.steady();
     const chosen = context.choice.choose(context.directory.list(), {
       now,
-      trusts: context.hearsNews(),
+      trusts: context.isSynced(),
       request: {
         service: call.service,
         zone: context.zone,
--- a/apps/heroncleatd/gateway/attempt_trace.ts
+++ b/apps/heroncleatd/gateway/attempt_trace.ts
@@ -6,13 +6,13 @@
   readonly chosen: ChosenUpstream;
   /** Time since the request arrived. */
   readonly sentAfter: Milliseconds;
-  /** Age of the newest news from the control replicas. */
-  readonly newsAge: Milliseconds;
+  /** Time since the newest reply of a control replica. */
+  readonly syncAge: Milliseconds;
 };
 
 /**
- * One attempt as the log tells it: why this upstream was chosen, how old the
- * news behind the choice was, and when its answer began.
+ * One attempt as it is logged: why this upstream was chosen, how old the
+ * state behind the choice was, and when its answer began.
  */
 export class AttemptTrace {
   readonly #options: TraceOptions;
@@ -29,13 +29,13 @@
 
   /** A short text of key=value pairs, behind the upstream and its outcome. */
   describe(outcome: string): string {
-    const { chosen, sentAfter, newsAge } = this.#options;
+    const { chosen, sentAfter, syncAge } = this.#options;
     const { upstream, uncachedTokens, fetchedTokens, source } = chosen;
     const facts = [
       `sent_after=${Math.round(sentAfter)}ms`,
       `expected=${Math.round(chosen.expected)}ms`,
       `uncached=${uncachedTokens}`,
-      `news_age=${Math.round(newsAge)}ms`,
+      `sync_age=${Math.round(syncAge)}ms`,
     ];
     if (source !== undefined) {
       facts.push(`fetched=${fetchedTokens}`, `source=${source.record.id}`);
--- a/apps/heroncleatd/gateway/caller_surface_test.ts
+++ b/apps/heroncleatd/gateway/caller_surface_test.ts
@@ -89,7 +89,7 @@
       zone: "a",
       region: "r",
       address: ADDRESS,
-      newsAddress: `${HOST}:25402`,
+      noticeAddress: `${HOST}:25402`,
       seeds: [HUB],
       quota: { isFresh: true, window: 1000, overshoot: 0, tolerance: 0 },
       retryRatio: 0.2,
@@ -253,7 +253,7 @@
     expect(attempts).not.toContain("smuggled");
   });
 
-  test("is told what is wrong with its request, and the remedy", async () => {
+  test("learns what is wrong with its request, and the remedy", async () => {
     const cases: [string, RegExp][] = [
       [sound("a").replace("inn.example", "none.example"), / 404 .*Remedy/s],
       [sound("a").replace("k1", "k9"), / 401 .*Remedy/s],
--- a/apps/heroncleatd/gateway/charge_news.ts
+++ b/apps/heroncleatd/gateway/charge_sharing.ts
@@ -10,18 +10,18 @@
 import type { Log } from "../common/log.ts";
 import type { Metrics } from "../common/metrics.ts";
 
-/** Source of charges that entries tell each other directly. */
-const DIRECT_NEWS = "entries";
+/** Source of charges that entries send each other directly. */
+const DIRECT_SOURCE = "entries";
 
-/** What the news are built from. */
-type NewsOptions = {
+/** What it is built from. */
+type SharingOptions = {
   /** Name of this entry. */
   readonly entry: string;
   /** Identifier of this process. */
   readonly boot: string;
   readonly quota: WorkspaceQuota;
-  /** Tells all other entries by datagram. */
-  readonly tell: (notice: ChargeNotice) => void;
+  /** Reports all other entries by datagram. */
+  readonly broadcast: (notice: ChargeNotice) => void;
   /** Answers the entry on one host. */
   readonly answer: (notice: ChargeNotice, host: string) => void;
   readonly clock: Clock;
@@ -36,22 +36,22 @@
 };
 
 /**
- * What this entry and the others tell each other of their charges: by way of
+ * What this entry and the others send each other of their charges: by way of
  * the control replicas, and directly while none passes them on.
  */
-export class ChargeNews {
-  readonly #options: NewsOptions;
+export class ChargeSharing {
+  readonly #options: SharingOptions;
   readonly #isolated = new IsolatedQuota();
   readonly #relay: ChargeRelay;
   /** Part of the quotas that was handed out last. */
   #share = 1;
 
-  constructor(options: NewsOptions) {
+  constructor(options: SharingOptions) {
     this.#options = options;
     this.#relay = new ChargeRelay(options.entry);
   }
 
-  /** What a control replica is told of others with each exchange. */
+  /** What a control replica is sent of others with each exchange. */
   describe(
     feed: string,
   ): Pick<SyncRequest, "relayedCharges" | "wantedCharges"> {
@@ -62,7 +62,7 @@
     };
   }
 
-  /** Takes in what a control replica tells. */
+  /** Takes in what a control replica reports. */
   learn(reply: SyncReply): void {
     const { quota, clock, countEntries } = this.#options;
     const now = clock.steady();
@@ -93,29 +93,30 @@
     quota.isolate(share, clock.steady());
   }
 
-  /** Takes in what another entry tells directly. */
-  hear(notice: ChargeNotice, from: string): void {
+  /** Takes in what another entry reports directly. */
+  receive(notice: ChargeNotice, from: string): void {
     const { clock, isConnected, answer } = this.#options;
     const now = clock.steady();
     const { entry, boot, spent } = notice;
-    this.#isolated.hear(notice, now);
-    this.#relay.hear(entry, { boot, spent }, now);
-    // One that is isolated itself tells everyone anyway.
+    this.#isolated.receive(notice, now);
+    this.#relay.receive(entry, { boot, spent }, now);
+    // One that is isolated itself sends to everyone anyway.
     if (notice.wantsAnswer && isConnected()) {
       answer(this.#describeSelf(), from);
     }
   }
 
-  /** Tells the others, and takes in what they told, while isolated. */
+  /** Sends own charges to the others, and takes in theirs, while isolated. */
   share(): void {
-    const { quota, tell, clock, isConnected, countEntries } = this.#options;
+    const { quota, broadcast, clock, isConnected, countEntries } =
+      this.#options;
     if (isConnected()) {
       return;
     }
-    tell(this.#describeSelf());
+    broadcast(this.#describeSelf());
     const learnt = this.#isolated.learnt(countEntries(), clock.steady());
     this.#noteShare(learnt.share);
-    quota.learnOthers(DIRECT_NEWS, learnt);
+    quota.learnOthers(DIRECT_SOURCE, learnt);
   }
 
   /** Whether another entry is in reach and takes callers. */
--- a/apps/heroncleatd/gateway/control_links.ts
+++ b/apps/heroncleatd/gateway/control_links.ts
@@ -33,19 +33,19 @@
   readonly onReply: (reply: SyncReply) => void;
   /** Whether nothing can be served before a reply brings a configuration. */
   readonly isWaiting: () => boolean;
-  /** Told when no replica can be reached any more. */
+  /** Notified when no replica can be reached any more. */
   readonly onIsolated: () => void;
 };
 
-/** How far an entry has read one replica's news. */
+/** How far an entry has read one replica's feed. */
 export type FeedPosition = {
   readonly feed: string;
   readonly revision: number;
-  /** Whether whole news are exchanged with it. */
+  /** Whether whole exchanges are exchanged with it. */
   readonly isPrimary: boolean;
-  /** Revision up to which it told the loads of the others; 0 for none. */
+  /** Revision up to which it sent the loads of the others; 0 for none. */
   readonly loadsSince: number;
-  /** What it was told of this entry's counters. */
+  /** What it was sent of this entry's counters. */
   readonly report: CounterReport;
 };
 
@@ -54,7 +54,7 @@
   readonly address: string;
   feed: string;
   revision: number;
-  heardAt: Milliseconds;
+  receivedAt: Milliseconds;
   askedAt: Milliseconds;
   /** Whether the last exchange came to nothing. */
   hasFailed: boolean;
@@ -64,7 +64,7 @@
   wallOffset: Milliseconds | undefined;
   /** Entries that it names to callers, by name. */
   readonly entries: Map<string, KnownEntry>;
-  /** Revision of the last reply that told the loads of the others. */
+  /** Revision of the last reply with the loads of the others. */
   loadsSince: number;
   readonly report: CounterReport;
   isAsking: boolean;
@@ -72,8 +72,8 @@
 };
 
 /**
- * Exchanges news with every control replica, several times a second. Each
- * replica answers for itself, so that news arrives while any path is open. The
+ * Exchanges state with every control replica, several times a second. Each
+ * replica answers for itself, so that state arrives while any path is open. The
  * one that leads the group, if it is in reach, is the primary of all entries:
  * what they share with each other goes by it.
  */
@@ -100,7 +100,7 @@
     clearTimeout(this.#timer);
   }
 
-  /** Tells all replicas at once, as when this entry leaves. */
+  /** Reports all replicas at once, as when this entry leaves. */
   announce(): void {
     for (const link of this.#list()) {
       void this.#ask(link);
@@ -109,13 +109,13 @@
 
   /** Whether any replica answered lately. */
   get isConnected(): boolean {
-    return this.#list().some((link) => this.#isHeard(link));
+    return this.#list().some((link) => this.#isInTouch(link));
   }
 
   /** Time since the newest answer of any replica. */
-  get newsAge(): Milliseconds {
-    const heard = this.#list().map((link) => link.heardAt);
-    return this.#options.clock.steady() - Math.max(0, ...heard);
+  get syncAge(): Milliseconds {
+    const received = this.#list().map((link) => link.receivedAt);
+    return this.#options.clock.steady() - Math.max(0, ...received);
   }
 
   /** Entries that any replica in reach names. */
@@ -141,7 +141,7 @@
   trueTime(now: Milliseconds): Milliseconds {
     const offsets: Milliseconds[] = [];
     for (const link of this.#links.values()) {
-      if (link.wallOffset !== undefined && this.#isHeard(link)) {
+      if (link.wallOffset !== undefined && this.#isInTouch(link)) {
         offsets.push(link.wallOffset);
       }
     }
@@ -153,8 +153,8 @@
     return [...this.#links.values()];
   }
 
-  #isHeard(link: Link): boolean {
-    return this.#options.clock.steady() - link.heardAt < LOST_AFTER;
+  #isInTouch(link: Link): boolean {
+    return this.#options.clock.steady() - link.receivedAt < LOST_AFTER;
   }
 
   #tick(): void {
@@ -183,7 +183,7 @@
     const mayForget = this.isConnected;
     for (const link of this.#list()) {
       this.#noteLoss(link);
-      const silence = now - Math.max(link.heardAt, link.namedAt);
+      const silence = now - Math.max(link.receivedAt, link.namedAt);
       if (mayForget && silence > DROP_AFTER) {
         this.#links.delete(link.address);
         this.#listed = undefined;
@@ -198,7 +198,7 @@
       return now - link.askedAt >= FIRST_SYNC_INTERVAL / 2;
     }
     const isShort = this.#primary !== "" && link.address !== this.#primary &&
-      this.#isHeard(link);
+      this.#isInTouch(link);
     const entries = link.entries.size;
     const pause = isShort
       ? exchangePause.short(entries)
@@ -208,11 +208,11 @@
   }
 
   #choosePrimary(): void {
-    const heard = this.#list().filter((link) => this.#isHeard(link));
-    const sound = heard.filter(({ hasFailed }) => !hasFailed);
+    const received = this.#list().filter((link) => this.#isInTouch(link));
+    const sound = received.filter(({ hasFailed }) => !hasFailed);
     const next = sound.find(({ isLeading }) => isLeading) ??
       sound.find(({ address }) => address === this.#primary) ??
-      sound[0] ?? heard[0];
+      sound[0] ?? received[0];
     this.#setPrimary(next?.address ?? "");
     if (next !== undefined) {
       this.#wasIsolated = false;
@@ -234,7 +234,7 @@
   }
 
   #noteLoss(link: Link): void {
-    const isLost = !this.#isHeard(link);
+    const isLost = !this.#isInTouch(link);
     if (isLost !== link.isLost) {
       link.isLost = isLost;
       this.#listed = undefined;
@@ -258,7 +258,7 @@
       address,
       feed: "",
       revision: 0,
-      heardAt: -LOST_AFTER,
+      receivedAt: -LOST_AFTER,
       askedAt: -LOST_AFTER,
       hasFailed: false,
       isLeading: false,
@@ -306,7 +306,7 @@
   ): void {
     const { reply, askedAt } = options;
     const now = this.#options.clock.steady();
-    link.heardAt = now;
+    link.receivedAt = now;
     link.feed = reply.feed;
     link.revision = reply.revision;
     link.isLeading = reply.isLeading;
--- a/apps/heroncleatd/gateway/entry_exchange.ts
+++ b/apps/heroncleatd/gateway/entry_exchange.ts
@@ -3,7 +3,7 @@
   type KnownEntry,
   packedDocument,
   RecentMaximum,
-  type SharedNews,
+  type SharedState,
   type SyncReply,
   type SyncRequest,
   type UpstreamChoice,
@@ -12,7 +12,7 @@
   type WorkspaceQuota,
 } from "@heroncleat/serving";
 import type { Log } from "../common/log.ts";
-import type { ChargeNews } from "./charge_news.ts";
+import type { ChargeSharing } from "./charge_sharing.ts";
 import type { FeedPosition } from "./control_links.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
 import type { UpstreamAgents } from "./upstream_agents.ts";
@@ -32,7 +32,7 @@
   readonly agents: UpstreamAgents;
   readonly quota: WorkspaceQuota;
   readonly usage: UsageCounts;
-  readonly charges: ChargeNews;
+  readonly charges: ChargeSharing;
   /** Whether callers may be sent here. */
   readonly isOpen: () => boolean;
   /** Version of the document in force; -1 for none. */
@@ -77,7 +77,7 @@
     return [{ name, address, zone, region }, ...others];
   }
 
-  /** What one control replica is told now. */
+  /** What one control replica is sent now. */
   describe(known: FeedPosition): SyncRequest {
     const { clock, boot, quota, choice, usage, charges } = this.#options;
     const { name, address, zone, region } = this.#options.settings();
@@ -150,7 +150,7 @@
     }
   }
 
-  #learnShared(shared: SharedNews): void {
+  #learnShared(shared: SharedState): void {
     const { clock, directory, choice } = this.#options;
     const now = clock.steady();
     for (const [id, sequence] of Object.entries(shared.beats)) {
--- a/apps/heroncleatd/gateway/entry_news.ts
+++ b/apps/heroncleatd/gateway/entry_notices.ts
@@ -13,13 +13,13 @@
 const MOST_PER_SECOND = 400;
 const MOST_AT_ONCE = 800;
 
-/** What the news are built from. */
-type NewsOptions = {
+/** What it is built from. */
+type NoticeOptions = {
   /** host:port on which datagrams of other entries arrive. */
   readonly address: string;
   /** Hosts of the other entries; all listen on the same port. */
   readonly peers: () => readonly string[];
-  /** Told of each notice and the host it came from. */
+  /** Notified of each notice and the host it came from. */
   readonly onNotice: (notice: EntryNotice, from: string) => void;
   readonly clock: Clock;
   readonly log: Log;
@@ -27,18 +27,18 @@
 };
 
 /**
- * Tells other entries something at once, by datagrams. They may get lost, and
- * beyond a budget none are sent: what entries tell the control replicas
+ * Reports other entries something at once, by datagrams. They may get lost, and
+ * beyond a budget none are sent: what entries report to the control replicas
  * several times a second covers for those.
  */
-export class EntryNews {
-  readonly #options: NewsOptions;
+export class EntryNotices {
+  readonly #options: NoticeOptions;
   readonly #socket: Socket;
   readonly #port: number;
   readonly #budget = new RateBudget(MOST_PER_SECOND, MOST_AT_ONCE);
   #isClosed = false;
 
-  constructor(options: NewsOptions) {
+  constructor(options: NoticeOptions) {
     this.#options = options;
     const { host, port } = splitAddress(options.address);
     this.#port = port;
@@ -55,8 +55,8 @@
     this.#socket.unref();
   }
 
-  /** Tells all other entries. */
-  tell(notice: EntryNotice): void {
+  /** Reports all other entries. */
+  broadcast(notice: EntryNotice): void {
     this.#send(notice, this.#options.peers());
   }
 
@@ -65,7 +65,7 @@
     this.#send(notice, [host]);
   }
 
-  /** Sends and hears nothing more. */
+  /** Sends and receives nothing more. */
   close(): void {
     this.#isClosed = true;
     this.#socket.close();
--- a/apps/heroncleatd/gateway/entry_news_test.ts
+++ b/apps/heroncleatd/gateway/entry_notices_test.ts
@@ -3,7 +3,7 @@
 import type { EntryNotice } from "@heroncleat/schema";
 import type { Log } from "../common/log.ts";
 import type { Metrics } from "../common/metrics.ts";
-import { EntryNews } from "./entry_news.ts";
+import { EntryNotices } from "./entry_notices.ts";
 
 const PORT = 21_000 + process.pid % 2000;
 const silent: Log = {
@@ -29,15 +29,15 @@
 };
 
 type Side = {
-  readonly news: EntryNews;
-  readonly heard: { notice: EntryNotice; from: string }[];
+  readonly notices: EntryNotices;
+  readonly received: { notice: EntryNotice; from: string }[];
   readonly counts: Record<string, number>;
 };
 
-const open: EntryNews[] = [];
+const open: EntryNotices[] = [];
 
 function start(host: string, peers: readonly string[]): Side {
-  const heard: Side["heard"] = [];
+  const received: Side["received"] = [];
   const counts: Record<string, number> = {};
   const metrics: Metrics = {
     increment: (name, by = 1) => counts[name] = (counts[name] ?? 0) + by,
@@ -45,16 +45,16 @@
     timing: () => {},
     close: () => {},
   };
-  const news = new EntryNews({
+  const notices = new EntryNotices({
     address: `${host}:${PORT}`,
     peers: () => peers,
-    onNotice: (notice, from) => heard.push({ notice, from }),
+    onNotice: (notice, from) => received.push({ notice, from }),
     clock: createSystemClock(),
     log: silent,
     metrics,
   });
-  open.push(news);
-  return { news, heard, counts };
+  open.push(notices);
+  return { notices, received, counts };
 }
 
 async function until(isTrue: () => boolean): Promise<void> {
@@ -65,8 +65,8 @@
 }
 
 afterEach(() => {
-  for (const news of open.splice(0)) {
-    news.close();
+  for (const notices of open.splice(0)) {
+    notices.close();
   }
 });
 
@@ -74,12 +74,12 @@
   test("reach all others, and an answer reaches the one that asked", async () => {
     const left = start("127.0.0.2", ["127.0.0.3"]);
     const right = start("127.0.0.3", []);
-    left.news.tell(dispatch);
-    await until(() => right.heard.length > 0);
-    expect(right.heard).toEqual([{ notice: dispatch, from: "127.0.0.2" }]);
-    right.news.answer(charges, right.heard[0]!.from);
-    await until(() => left.heard.length > 0);
-    expect(left.heard).toEqual([{ notice: charges, from: "127.0.0.3" }]);
+    left.notices.broadcast(dispatch);
+    await until(() => right.received.length > 0);
+    expect(right.received).toEqual([{ notice: dispatch, from: "127.0.0.2" }]);
+    right.notices.answer(charges, right.received[0]!.from);
+    await until(() => left.received.length > 0);
+    expect(left.received).toEqual([{ notice: charges, from: "127.0.0.3" }]);
   });
 
   test("that can't be read are counted and change nothing", async () => {
@@ -99,22 +99,22 @@
     await until(() => count() === foreign.length);
     sender.close();
     expect(count()).toBe(foreign.length);
-    expect(side.heard).toEqual([]);
+    expect(side.received).toEqual([]);
   });
 
   test("beyond the budget aren't sent, but counted", () => {
     const peers = Array.from({ length: 100 }, () => "127.0.0.9");
     const side = start("127.0.0.5", peers);
     for (let sent = 0; sent < 12; sent += 1) {
-      side.news.tell(dispatch);
+      side.notices.broadcast(dispatch);
     }
     expect(side.counts["entry_notices.over_budget"]).toBeGreaterThanOrEqual(3);
   });
 
   test("aren't sent any more once they are closed", () => {
     const side = start("127.0.0.6", ["127.0.0.7"]);
-    side.news.close();
-    open.splice(open.indexOf(side.news), 1);
-    expect(() => side.news.tell(dispatch)).not.toThrow();
+    side.notices.close();
+    open.splice(open.indexOf(side.notices), 1);
+    expect(() => side.notices.broadcast(dispatch)).not.toThrow();
   });
 });
--- a/apps/heroncleatd/gateway/forward_context.ts
+++ b/apps/heroncleatd/gateway/forward_context.ts
@@ -29,10 +29,10 @@
   readonly allowanceOf: (service: string) => RetryAllowance;
   /** Entries that share the retry allowance. */
   readonly countEntries: () => number;
-  /** Whether news of upstreams reaches this entry. */
-  readonly hearsNews: () => boolean;
-  /** Time since the newest news of upstreams. */
-  readonly newsAge: () => Milliseconds;
+  /** Whether updates of upstreams reach this entry. */
+  readonly isSynced: () => boolean;
+  /** Time since the newest updates of upstreams. */
+  readonly syncAge: () => Milliseconds;
   /** Counts a request that an upstream began to run, at monotonic time. */
   readonly countUsage: (workspace: string, beganAt: Milliseconds) => void;
 };
--- a/apps/heroncleatd/gateway/forwarding_test.ts
+++ b/apps/heroncleatd/gateway/forwarding_test.ts
@@ -219,8 +219,8 @@
     let served = 0;
     await fc.assert(
       fc.asyncProperty(spoilings, async (spoiling) => {
-        // Without a length an orderly end can't be told from the whole, and
-        // junk within the body can't be told from the body.
+        // Without a length an orderly end can't be distinguished from the
+        // whole, and junk within the body can't be distinguished from the body.
         const isUnseen = (spoiling.how === "cut" && !spoiling.hasLength) ||
           spoiling.how === "junk";
         let isSpoiled = true;
@@ -501,8 +501,8 @@
     agentOf: (id) => agents.get(id)!,
     allowanceOf: () => allowance,
     countEntries: () => 1,
-    hearsNews: () => false,
-    newsAge: () => 0,
+    isSynced: () => false,
+    syncAge: () => 0,
     engineOf: () => undefined,
     noteDispatch: () => {},
     countUsage: () => {},
--- a/apps/heroncleatd/gateway/gateway_settings.ts
+++ b/apps/heroncleatd/gateway/gateway_settings.ts
@@ -9,7 +9,7 @@
   /** host:port for callers. */
   readonly address: string;
   /** host:port for datagrams of other entries; the port is the same at all. */
-  readonly newsAddress: string;
+  readonly noticeAddress: string;
   /** host:port of control replicas to ask first. */
   readonly seeds: readonly string[];
   readonly quota: QuotaSettings;
--- a/apps/heroncleatd/gateway/leave_gracefully.ts
+++ b/apps/heroncleatd/gateway/leave_gracefully.ts
@@ -16,13 +16,14 @@
   readonly gracePeriod: Milliseconds;
   /** Requests that have no final answer yet. */
   readonly underWay: () => number;
-  /** Told when a stream that is taken now couldn't end in time. */
+  /** Notified when a stream that is taken now couldn't end in time. */
   readonly onTooLateForStreams: () => void;
 };
 
 /**
- * Takes requests until most of the grace period is over, as callers hear late
- * that an entry leaves, then closes idle connections and waits for the rest.
+ * Takes requests until most of the grace period is over, as callers receive
+ * late that an entry leaves, then closes idle connections and waits for the
+ * rest.
  */
 export async function leaveGracefully(options: LeaveOptions): Promise<void> {
   const { server, clock, gracePeriod, underWay } = options;
--- a/apps/heroncleatd/gateway/shared_charges_test.ts
+++ b/apps/heroncleatd/gateway/shared_charges_test.ts
@@ -1,4 +1,4 @@
-import { PlayedQuotas } from "./played_quotas.ts";
+import { SimulatedQuotas } from "./simulated_quotas.ts";
 
 beforeEach(() => {
   jest.useFakeTimers();
@@ -9,8 +9,8 @@
 });
 
 /** Twelve entries, with a control replica beside each third one. */
-function play(seed: number): PlayedQuotas {
-  return new PlayedQuotas({
+function play(seed: number): SimulatedQuotas {
+  return new SimulatedQuotas({
     entries: 12,
     replicas: [0, 3, 6, 9],
     rate: 146_600,
@@ -68,11 +68,11 @@
 //
 // It had begun to ask for 7.5 times its usual, and the control replicas were
 // then cut into halves that most entries still reached. Each half's replicas
-// heard and told only what that half's entries charged, and an entry that
-// heard both took the larger of the two sums for the whole. Evidence: what the
-// entries charged adds up to what was judged, and during the cut it was 1.16 to
-// 1.3 times the rate; the same load without the cut stayed within.
-test("a quota holds while each control replica hears a part of the entries", async () => {
+// received and reported only what that half's entries charged, and an entry
+// that received both took the larger of the two sums for the whole. Evidence:
+// what the entries charged adds up to what was judged, and during the cut it
+// was 1.16 to 1.3 times the rate; the same load without the cut stayed within.
+test("a quota holds while each control replica receives a part of the entries", async () => {
   // 1.25 where halves aren't joined, 0.72 without a cut.
   expect(await mostBeyondWith(between([0, 6], [3, 9]))).toBeLessThan(0.9);
 });
--- a/apps/heroncleatd/gateway/played_quotas.ts
+++ b/apps/heroncleatd/gateway/simulated_quotas.ts
@@ -7,7 +7,7 @@
 } from "@heroncleat/serving";
 import type { ChargeNotice } from "@heroncleat/schema";
 import type { PeerPool } from "@heroncleat/transport";
-import { ChargeNews } from "./charge_news.ts";
+import { ChargeSharing } from "./charge_sharing.ts";
 import { ControlLinks, type FeedPosition } from "./control_links.ts";
 
 const STEP = 10;
@@ -28,17 +28,17 @@
 ];
 /** Largest requests are so many times as long as the usual ones. */
 const MOST_TIMES = 2.4;
-/** Pause between direct news while no control replica answers. */
+/** Pause between direct notices while no control replica answers. */
 const SHARE_INTERVAL = 200;
 const metrics = { increment() {}, gauge() {}, timing() {}, close() {} };
 const quiet = { debug() {}, info() {}, warn() {}, error() {} };
 
 /** One entry of the play. */
-type PlayedEntry = {
+type SimulatedEntry = {
   readonly host: number;
   readonly quota: WorkspaceQuota;
   readonly links: ControlLinks;
-  readonly charges: ChargeNews;
+  readonly charges: ChargeSharing;
   readonly timer: NodeJS.Timeout;
 };
 
@@ -60,7 +60,7 @@
  * Entries that share a workspace's quota by way of real control replicas, in
  * virtual time; any pair of hosts may be cut off from each other.
  */
-export class PlayedQuotas {
+export class SimulatedQuotas {
   readonly workspace: Workspace;
   readonly grants: Grant[] = [];
   now = 0;
@@ -71,7 +71,7 @@
   readonly #options: PlayOptions;
   readonly #random: Random;
   readonly #hubs = new Map<number, Hub>();
-  readonly #entries: PlayedEntry[];
+  readonly #entries: SimulatedEntry[];
   #owed = 0;
 
   constructor(options: PlayOptions) {
@@ -146,7 +146,7 @@
     }
   }
 
-  #createEntry(host: number): PlayedEntry {
+  #createEntry(host: number): SimulatedEntry {
     const quota = new WorkspaceQuota({
       isFresh: true,
       window: WINDOW,
@@ -163,11 +163,11 @@
       onIsolated: () => charges.isolate(),
       isWaiting: () => false,
     });
-    const charges = new ChargeNews({
+    const charges = new ChargeSharing({
       entry: `e${host}`,
       boot: `b${host}`,
       quota,
-      tell: (notice) => {
+      broadcast: (notice) => {
         for (const other of this.#entries) {
           void this.#notify(host, other, notice);
         }
@@ -189,13 +189,13 @@
   /** One datagram, lost where the hosts can't reach each other. */
   async #notify(
     from: number,
-    to: PlayedEntry,
+    to: SimulatedEntry,
     notice: ChargeNotice,
   ): Promise<void> {
     const copy = structuredClone(notice);
     if (to.host !== from && !this.isCut(from, to.host)) {
       await new Promise((resolve) => setTimeout(resolve, LATENCY));
-      to.charges.hear(copy, String(from));
+      to.charges.receive(copy, String(from));
     }
   }
 
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -19,12 +19,12 @@
 import type { PeerPool } from "@heroncleat/transport";
 import type { Log } from "../common/log.ts";
 import type { Metrics } from "../common/metrics.ts";
-import { ChargeNews } from "./charge_news.ts";
+import { ChargeSharing } from "./charge_sharing.ts";
 import { createCallerServer } from "./create_caller_server.ts";
 import { ControlLinks } from "./control_links.ts";
 import type { DecodedDocument } from "./decoded_document.ts";
 import { EntryExchange } from "./entry_exchange.ts";
-import { EntryNews } from "./entry_news.ts";
+import { EntryNotices } from "./entry_notices.ts";
 import type { ForwardContext } from "./forward_context.ts";
 import { Gate } from "./gate.ts";
 import { Gateway } from "./gateway.ts";
@@ -37,7 +37,7 @@
 /** Connections that may wait to be taken. */
 const BACKLOG = 1024;
 const FORGET_INTERVAL = 5000;
-/** Pause between direct news of charges while no control replica answers. */
+/** Pause between direct notices of charges while no control replica answers. */
 const SHARE_INTERVAL = 200;
 
 /** What a gateway is started with. */
@@ -57,7 +57,7 @@
 
 /** A running gateway. */
 export type RunningGateway = {
-  /** Entries that a caller may be told to use. */
+  /** Entries that a caller may be sent to. */
   readonly listEntries: () => readonly KnownEntry[];
   /** Whether it takes requests now. */
   readonly isReady: () => boolean;
@@ -89,9 +89,9 @@
   readonly #usage: UsageCounts;
   readonly #quota: WorkspaceQuota;
   readonly #links: ControlLinks;
-  readonly #news: EntryNews;
+  readonly #notices: EntryNotices;
   readonly #noticeThreshold = new NoticeThreshold();
-  readonly #charges: ChargeNews;
+  readonly #charges: ChargeSharing;
   readonly #exchange: EntryExchange;
   readonly #gateway: Gateway;
   readonly #server: Server;
@@ -122,20 +122,20 @@
       onIsolated: () => this.#onIsolated(),
       isWaiting: () => this.#table === undefined,
     });
-    this.#news = new EntryNews({
-      address: settings.newsAddress,
+    this.#notices = new EntryNotices({
+      address: settings.noticeAddress,
       peers: () => this.#exchange.peers,
       onNotice: (notice, from) => this.#onNotice(notice, from),
       clock,
-      log: options.log("entry_news"),
+      log: options.log("entry_notices"),
       metrics: options.metrics,
     });
-    this.#charges = new ChargeNews({
+    this.#charges = new ChargeSharing({
       entry: settings.name,
       boot: this.#boot,
       quota: this.#quota,
-      tell: (notice) => this.#news.tell(notice),
-      answer: (notice, host) => this.#news.answer(notice, host),
+      broadcast: (notice) => this.#notices.broadcast(notice),
+      answer: (notice, host) => this.#notices.answer(notice, host),
       clock,
       log: this.#log,
       metrics: options.metrics,
@@ -217,7 +217,7 @@
       onTooLateForStreams: () => this.#refusesStreams = true,
     });
     this.#links.stop();
-    this.#news.close();
+    this.#notices.close();
     clearInterval(this.#forgetTimer);
     clearInterval(this.#shareTimer);
     this.#agents.closeAll();
@@ -239,8 +239,8 @@
       agentOf: (upstream) => this.#agents.of(upstream),
       allowanceOf: (service) => this.#allowanceOf(service),
       countEntries: () => this.#exchange.entryCount,
-      hearsNews: () => this.#links.isConnected,
-      newsAge: () => this.#links.newsAge,
+      isSynced: () => this.#links.isConnected,
+      syncAge: () => this.#links.syncAge,
       countUsage: (workspace, beganAt) =>
         this.#usage.count(workspace, this.#links.trueTime(beganAt)),
     };
@@ -249,7 +249,7 @@
   #noteDispatch(notice: DispatchNotice): void {
     const now = this.#options.clock.steady();
     if (this.#noticeThreshold.admits(notice.readTime, now)) {
-      this.#news.tell(notice);
+      this.#notices.broadcast(notice);
     }
   }
 
@@ -294,7 +294,7 @@
       this.#noticeThreshold.noteReceived(now);
       this.#choice.learnDispatch(notice, now);
     } else {
-      this.#charges.hear(notice, from);
+      this.#charges.receive(notice, from);
     }
   }
 
--- a/apps/heroncleatd/gateway/upstream_restart_test.ts
+++ b/apps/heroncleatd/gateway/upstream_restart_test.ts
@@ -119,7 +119,7 @@
       zone: "a",
       region: "r",
       address: ADDRESS,
-      newsAddress: `${HOST}:25422`,
+      noticeAddress: `${HOST}:25422`,
       seeds: ["hub:1"],
       quota: { isFresh: true, window: 1000, overshoot: 0, tolerance: 0 },
       retryRatio: 0.2,
--- a/apps/heroncleatd/hub/duty_runner.ts
+++ b/apps/heroncleatd/hub/duty_runner.ts
@@ -225,8 +225,8 @@
   #presentUpstreams(): UpstreamRecord[] {
     const { hub, clock } = this.#options;
     const present: UpstreamRecord[] = [];
-    for (const { record, heardAt } of hub.directory.list()) {
-      if (clock.steady() - heardAt < SILENT_AFTER) {
+    for (const { record, receivedAt } of hub.directory.list()) {
+      if (clock.steady() - receivedAt < SILENT_AFTER) {
         present.push(record);
       }
     }
--- a/apps/heroncleatd/hub/feed_reader.ts
+++ b/apps/heroncleatd/hub/feed_reader.ts
@@ -1,5 +1,5 @@
 import type { Clock, Milliseconds } from "@heroncleat/base";
-import type { Hub, ProcessUsage, UpstreamNews } from "@heroncleat/serving";
+import type { Hub, ProcessUsage, UpstreamChanges } from "@heroncleat/serving";
 import type { PeerPool } from "@heroncleat/transport";
 
 const INTERVAL: Milliseconds = 200;
@@ -14,8 +14,8 @@
   readonly peers: () => readonly string[];
 };
 
-/** What a peer tells of its feed. */
-type FeedReply = UpstreamNews & {
+/** What a peer reports of its feed. */
+type FeedReply = UpstreamChanges & {
   readonly feed: string;
   readonly revision: number;
   /** Absent from processes of a release that kept none. */
@@ -26,8 +26,8 @@
 type Position = { feed: string; revision: number; isAsking: boolean };
 
 /**
- * Takes over what upstreams told the other control replicas, and what these
- * know of usage.
+ * Takes over what upstreams reported to the other control replicas, and what
+ * these know of usage.
  */
 export class FeedReader {
   readonly #options: ReaderOptions;
@@ -64,10 +64,10 @@
         timeout: TIMEOUT,
       }) as FeedReply;
       for (const record of reply.upstreams) {
-        hub.hearUpstream(record, clock.steady());
+        hub.mergeUpstream(record, clock.steady());
       }
       for (const [id, sequence] of Object.entries(reply.beats)) {
-        hub.hearBeat(id, { sequence, now: clock.steady() });
+        hub.refreshUpstream(id, { sequence, now: clock.steady() });
       }
       hub.learnUsage(reply.usage ?? {});
       position.feed = reply.feed;
--- a/apps/heroncleatd/hub/hub_group_test.ts
+++ b/apps/heroncleatd/hub/hub_group_test.ts
@@ -152,8 +152,8 @@
     expect(await stored(hubs[2]!)).toBe(JSON.stringify(documentOf(2)));
   });
 
-  test("tells every entry of an upstream that one replica heard", async () => {
-    hubs[2]!.hub.hearUpstream({
+  test("reports every entry of an upstream that one replica received", async () => {
+    hubs[2]!.hub.mergeUpstream({
       id: "desk-1",
       name: "desk-1",
       born: undefined,
@@ -229,7 +229,7 @@
   });
 
   test("entries name each other while no control replica answers", async () => {
-    hubs[0]!.hub.hearUpstream({
+    hubs[0]!.hub.mergeUpstream({
       id: "desk-9",
       name: "desk-9",
       born: undefined,
@@ -244,7 +244,7 @@
     });
     await eventually(async () => (await ask(0)).status === 200);
     await Promise.all(hubs.map((hub) => hub.stop()));
-    // Long enough that news of the replicas can't be what they name.
+    // Long enough that updates of the replicas can't be what they name.
     await new Promise((resolve) => setTimeout(resolve, 2500));
     await eventually(() =>
       gateways.every((gateway) => gateway.listEntries().length === 2)
@@ -306,7 +306,7 @@
   return Object.keys(report.counts).length > 0;
 }
 
-/** Entries are told apart by host; all use the same ports. */
+/** Entries are distinguished by host; all use the same ports. */
 function hostOf(at: number): string {
   return `127.0.0.${1 + at}`;
 }
@@ -324,7 +324,7 @@
       zone: `zone-${at}`,
       region: "r",
       address: `${hostOf(at)}:${FIRST_PORT + 20}`,
-      newsAddress: `${hostOf(at)}:${FIRST_PORT + 21}`,
+      noticeAddress: `${hostOf(at)}:${FIRST_PORT + 21}`,
       seeds: SEEDS,
       quota: { isFresh: true, window: 1000, overshoot: 0, tolerance: 0 },
       retryRatio: 0.2,
--- a/apps/heroncleatd/hub/replica_group.ts
+++ b/apps/heroncleatd/hub/replica_group.ts
@@ -12,7 +12,7 @@
 import type { Log } from "../common/log.ts";
 import type { Metrics } from "../common/metrics.ts";
 import { ConfirmedReads } from "../control/confirmed_reads.ts";
-import { GroupCaretaker } from "../control/group_caretaker.ts";
+import { GroupReconciler } from "../control/group_reconciler.ts";
 import { MemberDirectory } from "../control/member_directory.ts";
 import { formGroup } from "../control/form_group.ts";
 import { groupFile } from "../control/group_file.ts";
@@ -47,7 +47,9 @@
   readonly clock: Clock;
   readonly log: (part: string) => Log;
   readonly metrics: Metrics;
-  /** Told when this replica can't go on, as when its disk takes no bytes. */
+  /**
+   * Notified when this replica can't go on, as when its disk takes no bytes.
+   */
   readonly onFailure: (error: unknown) => void;
 };
 
@@ -69,7 +71,7 @@
   readonly #actor: Actor<ReplicaMessage<ServingApplication>>;
   readonly #access: Access;
   readonly #reads: ConfirmedReads;
-  readonly #caretaker: GroupCaretaker;
+  readonly #reconciler: GroupReconciler;
   readonly #ticker: NodeJS.Timeout;
   readonly #journal: Journal;
   #isConfirmed = false;
@@ -121,12 +123,12 @@
       log: log("consensus"),
       snapshotEntries: SNAPSHOT_ENTRIES,
       sendTo: (address, message) => {
-        // A write that ends after the stop has nobody to tell.
+        // A write that ends after the stop has nobody to answer.
         if (!this.#isOver) {
           pool.notify(address, "group.consensus", message);
         }
       },
-      tellSelf: (message) => this.#actor.tell(message),
+      sendSelf: (message) => this.#actor.send(message),
       fail,
     });
     this.#actor = new Actor(startActors() as never, {
@@ -147,7 +149,7 @@
       readIndex: (timeout) => this.#access.readIndex(timeout),
       waitApplied: (index, timeout) => this.#access.waitApplied(index, timeout),
     }, { pool, timeout: READ_TIMEOUT, method: "group.read_index" });
-    this.#caretaker = new GroupCaretaker({
+    this.#reconciler = new GroupReconciler({
       self: parts.self,
       replica: this.#replica,
       directory,
@@ -162,9 +164,9 @@
     });
     this.#serve(parts.founders);
     this.#ticker = setInterval(() => {
-      this.#actor.tell({ kind: "event", event: { kind: "tick" } });
+      this.#actor.send({ kind: "event", event: { kind: "tick" } });
     }, TICK);
-    this.#caretaker.start();
+    this.#reconciler.start();
     void this.#confirmOnce();
   }
 
@@ -259,8 +261,8 @@
 
   /** Hands leadership over before the process ends. */
   async stop(): Promise<void> {
-    this.#caretaker.stop();
-    this.#actor.tell({ kind: "event", event: { kind: "step_down" } });
+    this.#reconciler.stop();
+    this.#actor.send({ kind: "event", event: { kind: "step_down" } });
     await new Promise((resolve) => setTimeout(resolve, TRANSFER_TIME));
     clearInterval(this.#ticker);
     this.#isOver = true;
@@ -274,7 +276,7 @@
       return;
     }
     this.#isOver = true;
-    this.#caretaker.stop();
+    this.#reconciler.stop();
     clearInterval(this.#ticker);
     this.#actor.stop();
     this.#journal.close().catch(() => {
@@ -291,7 +293,7 @@
   }
 
   #changeMembers(members: readonly ReplicaMember[]): void {
-    this.#actor.tell({
+    this.#actor.send({
       kind: "event",
       event: { kind: "change_members", token: "", members },
     });
@@ -301,7 +303,7 @@
     this.#options.serve({
       "group.consensus": (message) => {
         if (checkConsensusMessage(message)) {
-          this.#actor.tell({
+          this.#actor.send({
             kind: "event",
             event: { kind: "message", message },
           });
@@ -313,7 +315,7 @@
         members: [...this.#replica.members],
         founders: [...founders],
       }),
-      ...this.#caretaker.methods(),
+      ...this.#reconciler.methods(),
       "group.read_index": () => this.#access.readIndex(READ_TIMEOUT),
       "group.propose": (parameters) =>
         this.#access.propose(parameters as ServingCommand, REMOTE_TIMEOUT),
--- a/apps/heroncleatd/hub/start_hub.ts
+++ b/apps/heroncleatd/hub/start_hub.ts
@@ -19,7 +19,7 @@
 import type { HubSettings } from "./hub_settings.ts";
 import { ReplicaGroup } from "./replica_group.ts";
 import type { StoredDocument } from "./serving_application.ts";
-import { UsageKeeper } from "./usage_keeper.ts";
+import { UsageStore } from "./usage_store.ts";
 
 /** Characters of somebody else's text that a log line holds. */
 const MOST_LOGGED = 200;
@@ -48,12 +48,12 @@
 export type RunningHub = {
   /** Puts a checked document in force; accepted once a quorum has it. */
   publish(document: ServingDocument, source: string): Promise<PublishOutcome>;
-  /** The newest document, or why it can't be told for sure. */
+  /** The newest document, or why it isn't known for sure. */
   readDocument(): Promise<StoredDocument | "none" | "unavailable">;
-  /** Takes news in, or says what is wrong with them and the remedy. */
-  hearUpstream(record: UpstreamRecord): string | undefined;
-  /** Counts and logs news under a name that can't be read. */
-  noteSpoiledNews(name: string, problem: string): void;
+  /** Takes updates in, or says what is wrong with them and the remedy. */
+  mergeUpstream(record: UpstreamRecord): string | undefined;
+  /** Counts and logs updates under a name that can't be read. */
+  noteUnreadable(name: string, problem: string): void;
   /** @param born When the start that leaves began, if it said so. */
   removeUpstream(name: string, born?: Milliseconds): void;
   stop(): Promise<void>;
@@ -63,12 +63,12 @@
 export async function startHub(options: StartOptions): Promise<RunningHub> {
   const hub = new Hub(createToken());
   const { clock } = options;
-  const keeper = new UsageKeeper({
+  const store = new UsageStore({
     hub,
     folder: options.settings().dataFolder,
     log: options.log("operations"),
   });
-  await keeper.read();
+  await store.read();
   let group: ReplicaGroup | undefined;
   const exchangeLog = options.log("exchange");
   const sync = (request: SyncRequest): SyncReply => {
@@ -96,8 +96,8 @@
       return {
         feed: hub.feed,
         revision: hub.revision,
-        ...hub.newsSince(feed, revision),
-        // What was kept is told once to each process that reads this feed.
+        ...hub.changesSince(feed, revision),
+        // What was kept is sent once to each process that reads this feed.
         usage: feed === hub.feed ? {} : hub.recentUsage(),
       };
     },
@@ -111,9 +111,9 @@
   const log = options.log("group");
   const operations = options.log("operations");
   const documents = new DocumentCache(options.decodeDocument);
-  const refuseNews = (kind: string, name: string, problem: string) => {
-    options.metrics.increment(`upstream_news.refused.${kind}`);
-    operations.warn("Refused news of an upstream", {
+  const refuseUpdate = (kind: string, name: string, problem: string) => {
+    options.metrics.increment(`upstream_updates.refused.${kind}`);
+    operations.warn("Refused updates of an upstream", {
       upstream: name.slice(0, MOST_LOGGED),
       reason: kind,
       problem: problem.slice(0, MOST_LOGGED),
@@ -126,7 +126,7 @@
     try {
       const formed = await ReplicaGroup.start({ ...options, onFailure });
       group = formed;
-      stopParts = run(formed, { ...options, hub, keeper, documents }).stop;
+      stopParts = run(formed, { ...options, hub, store, documents }).stop;
     } catch (error) {
       onFailure(error);
     }
@@ -162,17 +162,18 @@
       }
       return group.application.document ?? "none";
     },
-    noteSpoiledNews: (name, problem) => refuseNews("unreadable", name, problem),
-    hearUpstream: (record) => {
+    noteUnreadable: (name, problem) =>
+      refuseUpdate("unreadable", name, problem),
+    mergeUpstream: (record) => {
       const problem = findRecordProblem(record, {
         services: servicesOf(documents.decode(group?.application.document)),
         record: hub.directory.get(record.id)?.record,
       });
       if (problem !== undefined) {
-        refuseNews(problem.kind, record.name, problem.message);
+        refuseUpdate(problem.kind, record.name, problem.message);
         return problem.message;
       }
-      const outcome = hub.hearUpstream(record, clock.steady());
+      const outcome = hub.mergeUpstream(record, clock.steady());
       if (outcome === "changed") {
         const { id, service, zone, address, state, sequence } = record;
         operations.info(`An upstream is ${state}`, {
@@ -215,13 +216,13 @@
   group: ReplicaGroup,
   options: StartOptions & {
     hub: Hub;
-    keeper: UsageKeeper;
+    store: UsageStore;
     documents: DocumentCache;
   },
 ): { stop: () => void } {
-  const { hub, keeper, clock, log, calls, pool, documents } = options;
+  const { hub, store, clock, log, calls, pool, documents } = options;
   // Only now the folder has its identity; nothing may be in it before.
-  keeper.start();
+  store.start();
   const reader = new FeedReader({
     hub,
     clock,
@@ -249,7 +250,7 @@
   });
   return {
     stop: () => {
-      keeper.stop();
+      store.stop();
       reader.stop();
       duties?.stop();
     },
--- a/apps/heroncleatd/hub/usage_keeper.ts
+++ b/apps/heroncleatd/hub/usage_store.ts
@@ -12,8 +12,8 @@
 /** Part of the time that writes may take, so that the log gets its syncs. */
 const DISK_SHARE = 0.2;
 
-/** What the keeper is built from. */
-type KeeperOptions = {
+/** What the store is built from. */
+type StoreOptions = {
   readonly hub: Hub;
   readonly folder: string;
   readonly log: Log;
@@ -25,14 +25,14 @@
  * windows that nobody has settled: 144 of 900 requests of such a window weren't
  * reported without it.
  */
-export class UsageKeeper {
-  readonly #options: KeeperOptions;
+export class UsageStore {
+  readonly #options: StoreOptions;
   #timer: NodeJS.Timeout | undefined;
   #written = "";
   #hasFailed = false;
   #isStopped = true;
 
-  constructor(options: KeeperOptions) {
+  constructor(options: StoreOptions) {
     this.#options = options;
   }
 
--- a/apps/heroncleatd/hub/usage_keeper_test.ts
+++ b/apps/heroncleatd/hub/usage_store_test.ts
@@ -3,7 +3,7 @@
 import { join } from "node:path";
 import { Hub } from "@heroncleat/serving";
 import type { Log } from "../common/log.ts";
-import { UsageKeeper } from "./usage_keeper.ts";
+import { UsageStore } from "./usage_store.ts";
 
 const folder = mkdtempSync(join(tmpdir(), "heroncleat-usage-"));
 afterAll(() => rmSync(folder, { recursive: true }));
@@ -32,16 +32,16 @@
 describe("usage counts", () => {
   test("outlive the loss of all processes", async () => {
     const hub = new Hub("f");
-    const keeper = new UsageKeeper({ hub, folder, log });
-    await keeper.read();
-    keeper.start();
+    const store = new UsageStore({ hub, folder, log });
+    await store.read();
+    store.start();
     hub.learnUsage({ a: { 7: { inn: 40 } } });
     await untilKept("40");
     hub.learnUsage({ a: { 7: { inn: 41 } } });
     await untilKept("41");
-    keeper.stop();
+    store.stop();
     const later = new Hub("g");
-    await new UsageKeeper({ hub: later, folder, log }).read();
+    await new UsageStore({ hub: later, folder, log }).read();
     later.learnUsage({ b: { 7: { inn: 2 } } });
     expect(later.usageOf(7)).toEqual({ inn: 43 });
     expect(warnings).toEqual([]);
@@ -50,7 +50,7 @@
   test("start anew, with a warning, where the file is damaged", async () => {
     writeFileSync(join(folder, "usage.json"), '{"version":1,"us');
     const hub = new Hub("f");
-    await new UsageKeeper({ hub, folder, log }).read();
+    await new UsageStore({ hub, folder, log }).read();
     expect(hub.usageOf(7)).toEqual({});
     expect(warnings).toHaveLength(1);
   });
@@ -59,13 +59,13 @@
     warnings.length = 0;
     const hub = new Hub("f");
     const missing = join(folder, "missing");
-    const keeper = new UsageKeeper({ hub, folder: missing, log });
-    keeper.start();
+    const store = new UsageStore({ hub, folder: missing, log });
+    store.start();
     for (const count of [1, 2, 3]) {
       hub.learnUsage({ a: { 7: { inn: count } } });
       await sleep(150);
     }
-    keeper.stop();
+    store.stop();
     expect(warnings).toHaveLength(1);
   });
 });
--- a/apps/heroncleatd/tests/callers_api_test.ts
+++ b/apps/heroncleatd/tests/callers_api_test.ts
@@ -43,7 +43,7 @@
 }
 
 describe("the callers' API", () => {
-  test("tells which entries to use, the asked zone first, with a lifetime", async () => {
+  test("reports which entries to use, the asked zone first, with a lifetime", async () => {
     const reply = await live.call(0, "/v1/entries?zone=zone-b");
     const { entries, lifetime } = JSON.parse(reply.body);
     expect(entries[0].zone).toBe("zone-b");
--- a/apps/heroncleatd/tests/claims_test.ts
+++ b/apps/heroncleatd/tests/claims_test.ts
@@ -84,7 +84,7 @@
     expect(served.length).toBeGreaterThan(50);
   });
 
-  test("run once over the death of an entry, and tell what is known", async () => {
+  test("run once over the death of an entry, and say what is known", async () => {
     await live.allServing();
     const answers = await bookAll("entry", {
       keys: 60,
--- a/apps/heroncleatd/tests/loss_test.ts
+++ b/apps/heroncleatd/tests/loss_test.ts
@@ -52,7 +52,7 @@
       timeout: 30_000,
       onAccepted,
     });
-    // One that is refused is never accepted; its answer tells.
+    // One that is refused is never accepted; its answer reports.
     accepted.push(Promise.race([isAccepted, answer]));
     return answer;
   });
@@ -98,14 +98,14 @@
     const before = await live.standIn("engine-2");
     await live.standIn("engine-2", { leaveIn: 2000 });
     await sleep(300);
-    const told = await live.standIn("engine-2");
+    const reported = await live.standIn("engine-2");
     await sleep(1700);
     const last = await live.standIn("engine-2");
     live.processes.signal("engine-2", "SIGKILL");
     await expectWhole(await Promise.all(streams));
     expect(before.counts["requests"]).toBeGreaterThan(0);
     // Nothing new was sent there from 0.3 s after the notice on.
-    expect(last.counts["requests"]).toBe(told.counts["requests"]);
+    expect(last.counts["requests"]).toBe(reported.counts["requests"]);
   });
 
   test("survive an upstream that dies without a word", async () => {
--- a/packages/bench/policy/run_policy.ts
+++ b/packages/bench/policy/run_policy.ts
@@ -143,7 +143,7 @@
     const announcement = vm.announce();
     this.#time.schedule(() => {
       for (const entry of this.#entries) {
-        entry.hear(announcement);
+        entry.receive(announcement);
       }
     }, REPORT_DELAY);
   }
--- a/packages/bench/policy/simulated_entry.ts
+++ b/packages/bench/policy/simulated_entry.ts
@@ -33,7 +33,7 @@
   readonly time: VirtualTime;
   readonly outcomes: Outcomes;
   readonly findVm: (name: string) => SimulatedVm | undefined;
-  /** Tells all entries what a VM has cached. */
+  /** Reports all entries what a VM has cached. */
   readonly onCached: (vm: SimulatedVm, blocks: string[]) => void;
   /** Entries that share the VMs. */
   readonly entries: number;
@@ -108,7 +108,7 @@
     return this.#queued.size;
   }
 
-  hear(announcement: Announcement): void {
+  receive(announcement: Announcement): void {
     const { time } = this.#options;
     this.#router.upstreamChanged(announcement, time.now);
     this.#refreshCapacity();
--- a/packages/bench/slopes/simulated_exchange.ts
+++ b/packages/bench/slopes/simulated_exchange.ts
@@ -45,7 +45,7 @@
   calls: number;
 };
 
-/** One entry: what it tells, and what it does with a reply. */
+/** One entry: what it reports, and what it does with a reply. */
 type SimulatedEntry = {
   readonly name: string;
   boot: number;
@@ -66,8 +66,8 @@
 
 /**
  * One control replica and all entries that exchange state with it, by the real
- * state machines in virtual time. Coding and decoding of messages count; sockets
- * don't.
+ * state machines in virtual time. Coding and decoding of messages count;
+ * sockets don't.
  */
 export class SimulatedExchange {
   readonly #options: ExchangeOptions;
@@ -210,7 +210,7 @@
     for (let place = before; place < until; place += 1) {
       this.#sequence += 1;
       this.#ofReplica(() =>
-        this.#hub.hearUpstream({
+        this.#hub.mergeUpstream({
           id: `upstream-${place % upstreams}`,
           name: `upstream-${place % upstreams}`,
           born: 1_000_000,
--- a/packages/serving/charge_book.ts
+++ b/packages/serving/charge_book.ts
@@ -1,25 +1,25 @@
 import type { Milliseconds } from "@heroncleat/base";
 import { RevisionCounter } from "./revision_counter.ts";
-import type { ToldCharges } from "./told_charges.ts";
+import type { ReportedCharges } from "./reported_charges.ts";
 
-/** An entry as this book last heard it. */
+/** An entry as it last reported. */
 type KnownEntry = {
   boot: string;
   /** Totals since the start of its process, by bucket. */
   spent: Map<string, number>;
-  /** What it charged since this book first heard of it. */
+  /** What it charged since this book first known of it. */
   readonly counted: Map<string, number>;
   /** Sum of `spent`. */
   digest: number;
-  heardAt: Milliseconds;
+  receivedAt: Milliseconds;
 };
 
 /** Charges of all entries to one bucket, and when they last changed. */
 type Total = { amount: number; revision: number };
 
 /**
- * Adds up what entries charge to workspaces from when this book first heard of
- * each. Entries tell totals since the start of their process, so a book that
+ * Adds up what entries charge to workspaces from when this book first known of
+ * each. Entries report totals since the start of their process, so a book that
  * starts later must not take what they charged before for something new.
  *
  * Sums are kept as they change: taking in a report costs what it names, however
@@ -42,19 +42,23 @@
    * @returns Whether it was taken; changes of totals that this book doesn't
    * know, or a copy that differs from the entry's, need a whole report.
    */
-  hear(entry: string, told: ToldCharges, now: Milliseconds): boolean {
+  receive(
+    entry: string,
+    reported: ReportedCharges,
+    now: Milliseconds,
+  ): boolean {
     const known = this.#known.get(entry);
-    const isSame = known !== undefined && known.boot === told.boot;
-    if (told.isPartial && !isSame) {
+    const isSame = known !== undefined && known.boot === reported.boot;
+    if (reported.isPartial && !isSame) {
       return false;
     }
     const before = isSame ? known.spent : new Map<string, number>();
-    const spent = told.isPartial ? before : new Map<string, number>();
+    const spent = reported.isPartial ? before : new Map<string, number>();
     const counted = known?.counted ?? new Map<string, number>();
-    let digest = told.isPartial ? known!.digest : 0;
-    for (const [bucket, total] of Object.entries(told.spent)) {
+    let digest = reported.isPartial ? known!.digest : 0;
+    for (const [bucket, total] of Object.entries(reported.spent)) {
       const change = total - (before.get(bucket) ?? 0);
-      digest += told.isPartial ? change : total;
+      digest += reported.isPartial ? change : total;
       spent.set(bucket, total);
       // What was charged before this book knew the entry isn't counted.
       if (known !== undefined && change !== 0) {
@@ -62,13 +66,13 @@
         this.#add(bucket, change);
       }
     }
-    const { boot } = told;
-    this.#known.set(entry, { boot, spent, counted, digest, heardAt: now });
-    return told.digest === undefined || told.digest === digest;
+    const { boot } = reported;
+    this.#known.set(entry, { boot, spent, counted, digest, receivedAt: now });
+    return reported.digest === undefined || reported.digest === digest;
   }
 
   /** What a known entry reported, whole. */
-  report(entry: string): ToldCharges | undefined {
+  report(entry: string): ReportedCharges | undefined {
     const known = this.#known.get(entry);
     return known === undefined
       ? undefined
@@ -96,15 +100,15 @@
     return sums;
   }
 
-  /** Names of the entries heard since a time. */
-  heardSince(since: Milliseconds): Set<string> {
-    const heard = new Set<string>();
-    for (const [entry, { heardAt }] of this.#known) {
-      if (heardAt >= since) {
-        heard.add(entry);
+  /** Names of the entries that reported since a time. */
+  receivedSince(since: Milliseconds): Set<string> {
+    const received = new Set<string>();
+    for (const [entry, { receivedAt }] of this.#known) {
+      if (receivedAt >= since) {
+        received.add(entry);
       }
     }
-    return heard;
+    return received;
   }
 
   #add(bucket: string, change: number): void {
--- a/packages/serving/charge_exchange.ts
+++ b/packages/serving/charge_exchange.ts
@@ -1,7 +1,7 @@
 import type { Milliseconds } from "@heroncleat/base";
 import { ChargeBook } from "./charge_book.ts";
 import type { RevisionCounter } from "./revision_counter.ts";
-import type { RelayedCharges, ToldCharges } from "./told_charges.ts";
+import type { RelayedCharges, ReportedCharges } from "./reported_charges.ts";
 
 /**
  * Silence after which an entry may be using its share of the quotas by itself:
@@ -17,59 +17,63 @@
 /** Entries that are named as unheard, or asked for, at most. */
 const MOST_NAMED = 32;
 
-/** An entry as this replica last heard of it. */
-type HeardEntry = {
-  readonly heardAt: Milliseconds;
-  /** When it told this replica itself. */
-  readonly toldAt: Milliseconds;
+/** An entry as this replica last known of it. */
+type ReportedEntry = {
+  readonly receivedAt: Milliseconds;
+  /** When it reported to this replica itself. */
+  readonly reportedAt: Milliseconds;
 };
 
 /**
  * What one control replica knows of the charges of all entries: from each
- * itself, and, while it hears nothing from one, from others that still do.
- * Replicas in two halves each hear some of the entries only; where they told
- * just these, a workspace got 1.3 times its rate from all (played load).
+ * itself, and, while it receives nothing from one, from others that still do.
+ * Replicas in two halves each reach some of the entries only; where they summed
+ * just these, a workspace got 1.3 times its rate from all (simulated load).
  *
  * @internal
  */
 export class ChargeExchange {
   readonly #book: ChargeBook;
-  readonly #entries = new Map<string, HeardEntry>();
+  readonly #entries = new Map<string, ReportedEntry>();
 
   constructor(revisions?: RevisionCounter) {
     this.#book = new ChargeBook(revisions);
   }
 
   /**
-   * Takes in what an entry tells of itself.
+   * Takes in what an entry reports of itself.
    *
-   * @returns Whether it could be taken; if not, the entry must tell all.
+   * @returns Whether it could be taken; if not, the entry must report all.
    */
-  hear(entry: string, told: ToldCharges, now: Milliseconds): boolean {
-    const isTaken = this.#book.hear(entry, told, now);
+  receive(
+    entry: string,
+    reported: ReportedCharges,
+    now: Milliseconds,
+  ): boolean {
+    const isTaken = this.#book.receive(entry, reported, now);
     if (isTaken || this.#entries.has(entry)) {
-      this.#entries.set(entry, { heardAt: now, toldAt: now });
+      this.#entries.set(entry, { receivedAt: now, reportedAt: now });
     }
     return isTaken;
   }
 
-  /** Takes in what another one tells of an entry, unless more is known. */
+  /** Takes in what another one reports of an entry, unless more is known. */
   learn(entry: string, relayed: RelayedCharges, now: Milliseconds): void {
     const { boot, spent, age } = relayed;
-    const heardAt = now - age;
+    const receivedAt = now - age;
     const known = this.#entries.get(entry);
-    if (known !== undefined && known.heardAt >= heardAt) {
+    if (known !== undefined && known.receivedAt >= receivedAt) {
       return;
     }
-    this.#book.hear(entry, { boot, spent }, heardAt);
-    const toldAt = known?.toldAt ?? -Infinity;
-    this.#entries.set(entry, { heardAt, toldAt });
+    this.#book.receive(entry, { boot, spent }, receivedAt);
+    const reportedAt = known?.reportedAt ?? -Infinity;
+    this.#entries.set(entry, { receivedAt, reportedAt });
   }
 
-  /** Forgets entries of which nothing was heard since; what they spent stays. */
+  /** Forgets entries that didn't report since; what they spent stays. */
   forget(before: Milliseconds): void {
-    for (const [entry, { heardAt }] of this.#entries) {
-      if (heardAt < before) {
+    for (const [entry, { receivedAt }] of this.#entries) {
+      if (receivedAt < before) {
         this.#book.drop(entry);
         this.#entries.delete(entry);
       }
@@ -81,28 +85,28 @@
     return this.#book.sumWithout(entry, since);
   }
 
-  /** Names of entries that don't tell this replica anything any more. */
+  /** Names of entries that don't report to this replica any more. */
   unheard(now: Milliseconds): string[] {
     const names: string[] = [];
-    for (const [name, { toldAt }] of this.#entries) {
-      if (now - toldAt >= this.#silence && names.length < MOST_NAMED) {
+    for (const [name, { reportedAt }] of this.#entries) {
+      if (now - reportedAt >= this.#silence && names.length < MOST_NAMED) {
         names.push(name);
       }
     }
     return names;
   }
 
-  /** What the named entries told this replica themselves, lately. */
-  tell(
+  /** What the named entries reported to this replica themselves, lately. */
+  relay(
     names: readonly string[],
     now: Milliseconds,
   ): Record<string, RelayedCharges> {
     const charges: Record<string, RelayedCharges> = {};
     for (const name of names.slice(0, MOST_NAMED)) {
-      const age = now - (this.#entries.get(name)?.toldAt ?? -Infinity);
-      const told = this.#book.report(name);
-      if (told !== undefined && age < this.#silence) {
-        charges[name] = { ...told, age };
+      const age = now - (this.#entries.get(name)?.reportedAt ?? -Infinity);
+      const reported = this.#book.report(name);
+      if (reported !== undefined && age < this.#silence) {
+        charges[name] = { ...reported, age };
       }
     }
     return charges;
@@ -110,18 +114,18 @@
 
   /**
    * Part of all quotas that may be handed out: entries of which nothing is
-   * heard may be using an even share by themselves.
+   * received may be using an even share by themselves.
    */
   share(now: Milliseconds): number {
     const known = Math.max(1, this.#entries.size);
-    let heard = 0;
-    for (const { heardAt, toldAt } of this.#entries.values()) {
-      const isRelayed = heardAt > toldAt;
-      // News by way of others come in their exchanges, not in its own.
+    let received = 0;
+    for (const { receivedAt, reportedAt } of this.#entries.values()) {
+      const isRelayed = receivedAt > reportedAt;
+      // Updates by way of others come in their exchanges, not in its own.
       const silence = isRelayed ? MOST_SILENT_AFTER : this.#silence;
-      heard += now - heardAt < silence ? 1 : 0;
+      received += now - receivedAt < silence ? 1 : 0;
     }
-    return heard / known;
+    return received / known;
   }
 
   get #silence(): Milliseconds {
--- a/packages/serving/charge_relay.ts
+++ b/packages/serving/charge_relay.ts
@@ -1,43 +1,43 @@
 import type { Milliseconds } from "@heroncleat/base";
-import type { RelayedCharges, ToldCharges } from "./told_charges.ts";
+import type { RelayedCharges, ReportedCharges } from "./reported_charges.ts";
 
-/** Time for which charges that were heard elsewhere are passed on. */
+/** Time for which charges that arrived elsewhere are passed on. */
 const KEPT: Milliseconds = 1000;
 /** Entries that are asked for or passed on to one replica at most. */
 const MOST_NAMED = 32;
 
 /** What one control replica says of the entries. */
 type ReplicaView = {
-  /** Entries that it knows of but doesn't hear. */
+  /** Entries that it knows of but doesn't receive. */
   unheard: ReadonlySet<string>;
-  /** Entries that it names to callers; undefined before it told any. */
+  /** Entries that it names to callers; undefined before it sent a list. */
   listed: ReadonlySet<string> | undefined;
-  heardAt: Milliseconds;
+  receivedAt: Milliseconds;
 };
 
-/** What one reply tells of other entries. */
+/** What one reply reports of other entries. */
 type ReplyPart = {
   readonly unheard: readonly string[];
   readonly listed: readonly string[] | undefined;
   readonly charges: Readonly<Record<string, RelayedCharges>>;
 };
 
-/** Charges of an entry, and when it told them. */
-type HeardCharges = ToldCharges & { readonly at: Milliseconds };
+/** Charges of an entry, and when it reported them. */
+type ReceivedCharges = ReportedCharges & { readonly at: Milliseconds };
 
 /**
- * Carries charges between control replicas that can't hear the same entries,
- * by way of an entry that reaches several of them, or hears an entry that
- * reaches none. Nothing is passed on while all replicas hear all entries.
+ * Carries charges between control replicas that can't receive the same entries,
+ * by way of an entry that reaches several of them, or receives an entry that
+ * reaches none. Nothing is passed on while all replicas receive all entries.
  *
  * @public
  */
 export class ChargeRelay {
   readonly #self: string;
   readonly #views = new Map<string, ReplicaView>();
-  readonly #heard = new Map<string, HeardCharges>();
+  readonly #received = new Map<string, ReceivedCharges>();
 
-  /** @param self Name of this entry, which every replica hears itself. */
+  /** @param self Name of this entry, which every replica receives itself. */
   constructor(self: string) {
     this.#self = self;
   }
@@ -48,23 +48,25 @@
     this.#views.set(replica, {
       unheard: new Set(part.unheard),
       listed: part.listed === undefined ? known?.listed : new Set(part.listed),
-      heardAt: now,
+      receivedAt: now,
     });
     for (const [entry, { boot, spent, age }] of Object.entries(part.charges)) {
-      this.hear(entry, { boot, spent }, now - age);
+      this.receive(entry, { boot, spent }, now - age);
     }
     this.#forget(now);
   }
 
-  /** Takes in what an entry told, directly or by way of a replica. */
-  hear(entry: string, told: ToldCharges, at: Milliseconds): void {
-    const known = this.#heard.get(entry);
+  /** Takes in what an entry reported, directly or by way of a replica. */
+  receive(entry: string, reported: ReportedCharges, at: Milliseconds): void {
+    const known = this.#received.get(entry);
     if (known === undefined || known.at < at) {
-      this.#heard.set(entry, { ...told, at });
+      this.#received.set(entry, { ...reported, at });
     }
   }
 
-  /** Entries of which a replica is asked, as another one doesn't hear them. */
+  /**
+   * Entries of which a replica is asked, as another one doesn't receive them.
+   */
   wantedFrom(replica: string): string[] {
     const missingHere = this.#missingAt(replica);
     const wanted = new Set<string>();
@@ -78,11 +80,11 @@
     return [...wanted].slice(0, MOST_NAMED);
   }
 
-  /** What a replica is told of entries that it doesn't hear. */
+  /** What a replica is sent of entries that don't report to it. */
   passOnTo(replica: string, now: Milliseconds): Record<string, RelayedCharges> {
     const charges: Record<string, RelayedCharges> = {};
     for (const name of [...this.#missingAt(replica)].slice(0, MOST_NAMED)) {
-      const known = this.#heard.get(name);
+      const known = this.#received.get(name);
       if (known !== undefined && now - known.at < KEPT) {
         const { boot, spent, at } = known;
         charges[name] = { boot, spent, age: now - at };
@@ -109,14 +111,14 @@
   }
 
   #forget(now: Milliseconds): void {
-    for (const [replica, { heardAt }] of this.#views) {
-      if (now - heardAt >= KEPT * 2) {
+    for (const [replica, { receivedAt }] of this.#views) {
+      if (now - receivedAt >= KEPT * 2) {
         this.#views.delete(replica);
       }
     }
-    for (const [entry, { at }] of this.#heard) {
+    for (const [entry, { at }] of this.#received) {
       if (now - at >= KEPT) {
-        this.#heard.delete(entry);
+        this.#received.delete(entry);
       }
     }
   }
--- a/packages/serving/exchange_changes_test.ts
+++ b/packages/serving/exchange_changes_test.ts
@@ -258,11 +258,11 @@
   }
 }
 
-// Each exchange summed charges and loads over all entries and told all of them,
-// and each opening was told as a whole list: at 200 entries a control replica
+// Each exchange summed charges and loads over all entries and sent all of them,
+// and each opening was sent as a whole list: at 200 entries a control replica
 // spent a third of a core on it. By changes, sums must come out as before.
 describe("an exchange by changes", () => {
-  test("tells what a whole one would, whatever is lost or starts again", () => {
+  test("reports what a whole one would, whatever is lost or starts again", () => {
     fc.assert(
       fc.property(
         fc.array(fc.tuple(fc.nat(NAMES.length - 1), step), { maxLength: 80 }),
@@ -271,7 +271,8 @@
           for (const [place, each] of steps) {
             apply(group, group.followers[place]!, each as Step);
           }
-          // A copy that differs is found by one exchange and healed by the next.
+          // A copy that differs is found by one exchange and healed by the
+          // next.
           for (let turn = 0; turn < 3; turn += 1) {
             for (const follower of group.followers) {
               group.exchange(follower, "whole");
--- a/packages/serving/find_overload.ts
+++ b/packages/serving/find_overload.ts
@@ -40,7 +40,7 @@
  *
  * Nobody is refused for a speed that was only assumed: with engines twice as
  * fast as the reference, 3, 9 and 15 prompts were refused in the first 2.5 s of
- * three of four played days.
+ * three of four simulated days.
  *
  * @public
  */
--- a/packages/serving/find_record_problem.ts
+++ b/packages/serving/find_record_problem.ts
@@ -1,6 +1,6 @@
 import type { UpstreamRecord } from "./upstream_record.ts";
 
-/** Why news of an upstream aren't taken in. @public */
+/** Why updates of an upstream aren't taken in. @public */
 export type RecordProblem = {
   /** For counting. */
   readonly kind: "unknown_service" | "changed_identity";
@@ -9,7 +9,7 @@
 };
 
 /**
- * What is wrong with well-formed news of an upstream, or nothing. News of
+ * What is wrong with well-formed updates of an upstream, or nothing. Updates of
  * another writer may bear the name of a sound upstream: a start neither moves
  * nor changes its service, and a service is one of the configuration.
  *
@@ -18,26 +18,26 @@
  * @param known.record What this start said before.
  */
 export function findRecordProblem(
-  news: UpstreamRecord,
+  updates: UpstreamRecord,
   known: {
     services: ReadonlySet<string> | undefined;
     record: UpstreamRecord | undefined;
   },
 ): RecordProblem | undefined {
   const { services, record } = known;
-  if (services?.has(news.service) === false) {
+  if (services?.has(updates.service) === false) {
     return {
       kind: "unknown_service",
-      message: `There is no service ${news.service.slice(0, 80)}. Remedy: ` +
+      message: `There is no service ${updates.service.slice(0, 80)}. Remedy: ` +
         "name one of the configuration.",
     };
   }
   const isSame = record === undefined || record.address === "" ||
-    record.address === news.address && record.service === news.service &&
-      record.zone === news.zone;
+    record.address === updates.address && record.service === updates.service &&
+      record.zone === updates.zone;
   return isSame ? undefined : {
     kind: "changed_identity",
-    message: `${news.name} is known at another address, service or zone. ` +
-      "Remedy: start again under another name, or tell when it was born.",
+    message: `${updates.name} is known at another address, service or zone. ` +
+      "Remedy: start again under another name, or report when it was born.",
   };
 }
--- a/packages/serving/find_record_problem_test.ts
+++ b/packages/serving/find_record_problem_test.ts
@@ -15,7 +15,7 @@
 };
 const services = new Set(["writers", "desk"]);
 
-test("news of a start that moved or changed its service are refused", () => {
+test("updates of a start that moved or changed its service are refused", () => {
   expect(findRecordProblem(record, { services, record })).toBeUndefined();
   for (
     const part of [{ service: "desk" }, { address: "10.0.0.2:80" }, {
@@ -32,10 +32,10 @@
 });
 
 test("a service must be one of the configuration, once there is one", () => {
-  const news = { ...record, service: "no-such" };
+  const updates = { ...record, service: "no-such" };
   const none = { services: undefined, record: undefined };
-  expect(findRecordProblem(news, none)).toBeUndefined();
-  expect(findRecordProblem(news, { services, record: undefined })?.kind)
+  expect(findRecordProblem(updates, none)).toBeUndefined();
+  expect(findRecordProblem(updates, { services, record: undefined })?.kind)
     .toBe("unknown_service");
 });
 
--- a/packages/serving/fleet_planner_test.ts
+++ b/packages/serving/fleet_planner_test.ts
@@ -1,5 +1,5 @@
 import { FleetPlanner, type Service, type UpstreamRecord } from "./mod.ts";
-import { PlayedCloud } from "./played_cloud.ts";
+import { SimulatedCloud } from "./simulated_cloud.ts";
 
 const service: Service = {
   name: "writers",
@@ -305,13 +305,15 @@
   });
 });
 
-/** Plays a load of so many engines while zones are reclaimed one after another. */
+/**
+ * Plays a load of so many engines while zones are reclaimed one after another.
+ */
 function playReclaims(
   reclaims: readonly { zone: string; at: number }[],
   options: { dryFor: number; until: number; engines?: number },
 ) {
   const { dryFor, until, engines = 2 } = options;
-  const cloud = new PlayedCloud(service, { onDemandAtStart: 12 });
+  const cloud = new SimulatedCloud(service, { onDemandAtStart: 12 });
   const planner = new FleetPlanner(service, {
     settings: { initialShare: 0.3, utilization: 0.6, slotShare: 0.6 },
     now: -10_000,
@@ -350,44 +352,44 @@
   const dry = { dryFor: 13_000, until: 52_000 };
 
   test("bears two zones at once, a third and a fourth while none are to be had", () => {
-    const played = playReclaims([
+    const simulated = playReclaims([
       { zone: "a", at: 4200 },
       { zone: "b", at: 4200 },
       { zone: "c", at: 13_600 },
       { zone: "d", at: 19_600 },
     ], dry);
     // Work for two engines; one short of it for 1.6 s, the boot less notice.
-    expect(played.shortest).toBeGreaterThanOrEqual(1);
-    expect(played.short).toBeLessThanOrEqual(2000);
+    expect(simulated.shortest).toBeGreaterThanOrEqual(1);
+    expect(simulated.short).toBeLessThanOrEqual(2000);
     // 12 on-demand ones throughout would be 624 of the same units.
-    expect(played.bill).toBeLessThan(180);
+    expect(simulated.bill).toBeLessThan(180);
   });
 
   test("costs little on a day without any", () => {
-    const played = playReclaims([], dry);
-    expect(played.short).toBe(0);
-    expect(played.bill).toBeLessThan(135);
+    const simulated = playReclaims([], dry);
+    expect(simulated.short).toBe(0);
+    expect(simulated.bill).toBeLessThan(135);
   });
 
   test("counts on nothing that boots in a zone that is reclaimed", () => {
     // More load than the first fleet bears: the ordered ones go with two zones.
-    const played = playReclaims([
+    const simulated = playReclaims([
       { zone: "a", at: 4200 },
       { zone: "b", at: 4200 },
       { zone: "c", at: 4400 },
     ], { ...dry, engines: 12 });
     // On-demand ones boot in 4 s, the notice is 2.5 s; short for 4 s before.
-    expect(played.short).toBeLessThanOrEqual(2000);
+    expect(simulated.short).toBeLessThanOrEqual(2000);
   });
 
   test("holds its ground when zones go every six seconds", () => {
-    const played = playReclaims([
+    const simulated = playReclaims([
       { zone: "b", at: 10_000 },
       { zone: "d", at: 16_000 },
       { zone: "a", at: 22_000 },
       { zone: "c", at: 28_000 },
     ], dry);
-    expect(played.shortest).toBeGreaterThanOrEqual(1);
-    expect(played.short).toBeLessThanOrEqual(2000);
+    expect(simulated.shortest).toBeGreaterThanOrEqual(1);
+    expect(simulated.short).toBeLessThanOrEqual(2000);
   });
 });
--- a/packages/serving/given_orders.ts
+++ b/packages/serving/given_orders.ts
@@ -95,7 +95,7 @@
    * Takes in how many reclaimable upstreams of a zone are left. A reclaim takes
    * all of a zone, also those that boot, which nobody announces. Counting on
    * them put off on-demand ones by the time of a boot: 5.5 s at a third of the
-   * load's engines, with engines 0.4 times as fast as those of a played day.
+   * load's engines, with engines 0.4 times as fast as those of a simulated day.
    */
   notePresent(kind: Omit<FleetOrder, "count">, present: number): void {
     const given = this.#given.get(keyOf(kind));
--- a/packages/serving/hub.ts
+++ b/packages/serving/hub.ts
@@ -8,9 +8,9 @@
 import { OpenEntries } from "./open_entries.ts";
 import { packedDocument } from "./packed_document.ts";
 import { RevisionCounter } from "./revision_counter.ts";
-import type { SharedNews, SyncReply } from "./sync_reply.ts";
+import type { SharedState, SyncReply } from "./sync_reply.ts";
 import type { SyncRequest } from "./sync_request.ts";
-import { type NewsOutcome, UpstreamDirectory } from "./upstream_directory.ts";
+import { type MergeOutcome, UpstreamDirectory } from "./upstream_directory.ts";
 import type { UpstreamLoad } from "./upstream_load.ts";
 import type { UpstreamRecord } from "./upstream_record.ts";
 import { type ProcessUsage, UsageBook } from "./usage_book.ts";
@@ -36,18 +36,18 @@
 const MEDIAN_KEPT: Milliseconds = 200;
 
 /** What changed of upstreams since a revision. @public */
-export type UpstreamNews = {
+export type UpstreamChanges = {
   /** Those that are new or have changed. */
   readonly upstreams: readonly UpstreamRecord[];
   /** Newest heartbeat of those that sent one and have not changed. */
   readonly beats: Readonly<Record<string, number>>;
 };
 
-/** An entry as this replica last heard it. */
-type HeardEntry = {
+/** An entry as it last reported to this replica. */
+type ReportedEntry = {
   readonly boot: string;
   readonly readingSpeeds: Readonly<Record<string, number>>;
-  readonly heardAt: Milliseconds;
+  readonly receivedAt: Milliseconds;
   /** Wall clock of the entry less this process's clock. */
   readonly wallOffset: Milliseconds;
 };
@@ -75,16 +75,16 @@
   readonly feed: string;
   readonly directory = new UpstreamDirectory();
   readonly #revisions = new RevisionCounter();
-  readonly #entries = new Map<string, HeardEntry>();
+  readonly #entries = new Map<string, ReportedEntry>();
   readonly #open = new OpenEntries(this.#revisions);
   readonly #charges = new ChargeExchange(this.#revisions);
   readonly #loads = new LoadBook(this.#revisions);
   readonly #readWork = new ChargeBook();
   readonly #usage = new UsageBook();
-  readonly #heardUpstreams = new ChangeLog();
+  readonly #receivedUpstreams = new ChangeLog();
   /** Revision at which an upstream last changed, by its identifier. */
   readonly #changedAt = new Map<string, number>();
-  /** The document that was told last, as it is told. */
+  /** The document that was sent last, as it is sent. */
   #packed = { version: -1, text: "" };
   #sweptAt: Milliseconds = -Infinity;
   /** What is worked out over all entries, until the next sweep. */
@@ -102,36 +102,36 @@
     return this.#revisions.value;
   }
 
-  /** How often an entry had to tell all its counters again. */
+  /** How often an entry had to report all its counters again. */
   get divergences(): number {
     return this.#divergences;
   }
 
   /**
-   * Takes news of an upstream in, from itself or from another replica, and
+   * Takes updates of an upstream in, from itself or from another replica, and
    * says what they brought.
    */
-  hearUpstream(news: UpstreamRecord, now: Milliseconds): NewsOutcome {
-    const outcome = this.directory.merge(news, now);
+  mergeUpstream(updates: UpstreamRecord, now: Milliseconds): MergeOutcome {
+    const outcome = this.directory.merge(updates, now);
     if (outcome === "late") {
       return outcome;
     }
     const revision = this.#revisions.next();
-    this.#heardUpstreams.note(news.id, revision);
-    if (outcome === "changed" || !this.#changedAt.has(news.id)) {
-      this.#changedAt.set(news.id, revision);
+    this.#receivedUpstreams.note(updates.id, revision);
+    if (outcome === "changed" || !this.#changedAt.has(updates.id)) {
+      this.#changedAt.set(updates.id, revision);
     }
     return outcome;
   }
 
   /** Takes in a heartbeat without change that another replica got. */
-  hearBeat(
+  refreshUpstream(
     id: string,
     beat: { sequence: number; now: Milliseconds },
   ): void {
     const known = this.directory.get(id)?.record;
     if (known !== undefined) {
-      this.hearUpstream({ ...known, sequence: beat.sequence }, beat.now);
+      this.mergeUpstream({ ...known, sequence: beat.sequence }, beat.now);
     }
   }
 
@@ -151,7 +151,7 @@
     }
     this.directory.remove(id, now);
     const revision = this.#revisions.next();
-    this.#heardUpstreams.note(id, revision);
+    this.#receivedUpstreams.note(id, revision);
     this.#changedAt.set(id, revision);
     return id;
   }
@@ -159,11 +159,11 @@
   /** Takes an entry's report in and answers it. */
   sync(request: SyncRequest, context: ReplyContext): SyncReply {
     const { now, document, isLeading, controls } = context;
-    const isTaken = this.#hearEntry(request, now);
+    const isTaken = this.#mergeReport(request, now);
     this.#sweep(now);
     const from = request.feed === this.feed ? request.revision : 0;
     const { name } = request.entry;
-    const { upstreams, beats } = this.newsSince(request.feed, from);
+    const { upstreams, beats } = this.changesSince(request.feed, from);
     return {
       feed: this.feed,
       revision: this.#revisions.value,
@@ -178,7 +178,7 @@
         request.takesChanges ? from : 0,
       ),
       unheard: this.#shared.unheard,
-      charges: this.#charges.tell(request.wantedCharges ?? [], now),
+      charges: this.#charges.relay(request.wantedCharges ?? [], now),
       takesPartial: true,
       needsWhole: isTaken ? undefined : true,
       shared: request.loads === undefined ? undefined : {
@@ -195,7 +195,7 @@
     request: SyncRequest,
     from: number,
   ): Pick<SyncReply, "entries" | "entryChanges"> {
-    // An empty list counts, too: an earlier process may have told another one.
+    // An empty list counts, too: an earlier process may have sent another one.
     if (from === 0) {
       return { entries: this.#open.list() };
     }
@@ -209,7 +209,7 @@
 
   #loadsFor(
     request: SyncRequest,
-  ): Pick<SharedNews, "loadsOfOthers" | "areLoadsPartial"> {
+  ): Pick<SharedState, "loadsOfOthers" | "areLoadsPartial"> {
     const { name } = request.entry;
     const since = request.feed === this.feed ? request.loadsSince ?? 0 : 0;
     return since > 0
@@ -221,7 +221,7 @@
   }
 
   /**
-   * The document, packed, where an entry's is older. Every replica tells it, as
+   * The document, packed, where an entry's is older. Every replica sends it, as
    * an entry may reach just one that has it.
    */
   #documentFor(
@@ -241,11 +241,11 @@
   }
 
   /** What changed of upstreams behind a revision of this feed. */
-  newsSince(feed: string, revision: number): UpstreamNews {
+  changesSince(feed: string, revision: number): UpstreamChanges {
     const from = feed === this.feed ? revision : 0;
     const upstreams: UpstreamRecord[] = [];
     const beats: Record<string, number> = {};
-    for (const id of this.#heardUpstreams.since(from)) {
+    for (const id of this.#receivedUpstreams.since(from)) {
       const record = this.directory.get(id)?.record;
       if (record === undefined || this.directory.isOver(id)) {
         continue;
@@ -268,8 +268,8 @@
   estimateWall(now: Milliseconds): Milliseconds | undefined {
     if (now - this.#medians.madeAt >= MEDIAN_KEPT) {
       const offsets: Milliseconds[] = [];
-      for (const { heardAt, wallOffset } of this.#entries.values()) {
-        if (now - heardAt < ENTRY_SILENT_AFTER) {
+      for (const { receivedAt, wallOffset } of this.#entries.values()) {
+        if (now - receivedAt < ENTRY_SILENT_AFTER) {
           offsets.push(wallOffset);
         }
       }
@@ -289,7 +289,7 @@
     return this.#usage.recent();
   }
 
-  /** Takes in counts that were kept or that another replica tells on. */
+  /** Takes in counts that were kept or that another replica passes on. */
   learnUsage(usage: ProcessUsage): void {
     this.#usage.learn(usage);
   }
@@ -308,8 +308,8 @@
       return this.#speeds.byService;
     }
     const measured = new Map<string, number[]>();
-    for (const { readingSpeeds, heardAt } of this.#entries.values()) {
-      if (now - heardAt > SPEED_KEPT) {
+    for (const { readingSpeeds, receivedAt } of this.#entries.values()) {
+      if (now - receivedAt > SPEED_KEPT) {
         continue;
       }
       for (const [service, speed] of Object.entries(readingSpeeds)) {
@@ -337,16 +337,16 @@
     this.directory.forget(now);
     this.#usage.forget();
     const isGone = (id: string) => this.directory.get(id) === undefined;
-    for (const id of this.#heardUpstreams.ids()) {
+    for (const id of this.#receivedUpstreams.ids()) {
       if (isGone(id)) {
-        this.#heardUpstreams.drop(id);
+        this.#receivedUpstreams.drop(id);
         this.#changedAt.delete(id);
       }
     }
     this.#loads.forget(isGone);
     this.#charges.forget(now - ENTRY_GONE_AFTER);
     for (const [name, entry] of this.#entries) {
-      if (now - entry.heardAt > ENTRY_GONE_AFTER) {
+      if (now - entry.receivedAt > ENTRY_GONE_AFTER) {
         this.#readWork.drop(name);
         this.#open.forget(name);
         this.#entries.delete(name);
@@ -360,17 +360,17 @@
   }
 
   /** @returns Whether its counters could be taken. */
-  #hearEntry(request: SyncRequest, now: Milliseconds): boolean {
+  #mergeReport(request: SyncRequest, now: Milliseconds): boolean {
     const { entry, isPartial } = request;
     const { name, boot, address, zone, region, isOpen } = entry;
     const { spent, readWork, digest } = request;
     const isNew = this.#entries.get(name)?.boot !== boot;
-    const hasCharges = this.#charges.hear(
+    const hasCharges = this.#charges.receive(
       name,
       { boot, spent, isPartial, digest },
       now,
     );
-    const hasWork = this.#readWork.hear(
+    const hasWork = this.#readWork.receive(
       name,
       { boot, spent: readWork, isPartial },
       now,
@@ -383,7 +383,7 @@
     this.#entries.set(name, {
       boot,
       readingSpeeds: request.readingSpeeds,
-      heardAt: now,
+      receivedAt: now,
       wallOffset: request.wall - now,
     });
     if (isNew) {
@@ -407,8 +407,8 @@
       return;
     }
     this.#sweptAt = now;
-    for (const [name, { heardAt }] of this.#entries) {
-      if (now - heardAt >= ENTRY_SILENT_AFTER) {
+    for (const [name, { receivedAt }] of this.#entries) {
+      if (now - receivedAt >= ENTRY_SILENT_AFTER) {
         this.#open.close(name);
         this.#loads.drop(name);
       }
--- a/packages/serving/hub_test.ts
+++ b/packages/serving/hub_test.ts
@@ -39,9 +39,9 @@
 };
 
 describe("the hub", () => {
-  test("tells an entry only what changed since it last asked", () => {
+  test("sends an entry only what changed since it last asked", () => {
     const hub = new Hub("f");
-    hub.hearUpstream(record, 0);
+    hub.mergeUpstream(record, 0);
     const first = hub.sync(request("a"), { ...context, now: 0 });
     expect(first.upstreams.map(({ id }) => id)).toEqual(["u1"]);
     const since = { feed: first.feed, revision: first.revision };
@@ -54,7 +54,7 @@
 
   test("starts over for an entry that followed another process", () => {
     const hub = new Hub("f");
-    hub.hearUpstream(record, 0);
+    hub.mergeUpstream(record, 0);
     const since = { feed: "before", revision: 99 };
     const reply = hub.sync(request("a", since), { ...context, now: 0 });
     expect(reply.upstreams.length).toBe(1);
@@ -114,11 +114,11 @@
     expect(hub.estimateWall(100)).toBe(5110);
   });
 
-  test("tells heartbeats without change by number, and only in full news", () => {
+  test("reports heartbeats without change by number, and only in whole exchanges", () => {
     const hub = new Hub("f");
-    hub.hearUpstream(record, 0);
+    hub.mergeUpstream(record, 0);
     const { feed, revision } = hub.sync(request("a"), { ...context, now: 0 });
-    hub.hearUpstream({ ...record, sequence: 2 }, 100);
+    hub.mergeUpstream({ ...record, sequence: 2 }, 100);
     const since = { feed, revision };
     const full = hub.sync(request("a", since), { ...context, now: 200 });
     expect(full.upstreams).toEqual([]);
@@ -126,7 +126,7 @@
     const short = request("a", { ...since, loads: undefined });
     const reply = hub.sync(short, { ...context, now: 300 });
     expect(reply.shared).toBeUndefined();
-    hub.hearUpstream({ ...record, sequence: 3, state: "draining" }, 400);
+    hub.mergeUpstream({ ...record, sequence: 3, state: "draining" }, 400);
     expect(hub.sync(short, { ...context, now: 500 }).upstreams.length).toBe(1);
   });
 
@@ -144,7 +144,7 @@
     expect(next.entries?.length).toBe(3);
   });
 
-  test("counts charges that came with short news", () => {
+  test("counts charges that came with short exchanges", () => {
     const hub = new Hub("f");
     const spent = { inn: 7 };
     const short = request("a", { spent, loads: undefined });
@@ -183,15 +183,15 @@
   // 81 entries behind links of 7 Mbit/s that get 230 KB from three replicas
   // each don't have it within an exchange's 0.8 s, and the replies that wait
   // fill the replicas' memory.
-  test("is told in a twentieth of its bytes, and comes out as it went in", () => {
+  test("is sent in a twentieth of its bytes, and comes out as it went in", () => {
     const hub = new Hub("f");
-    const told = hub.sync(request("a", { documentVersion: 3 }), {
+    const reported = hub.sync(request("a", { documentVersion: 3 }), {
       ...context,
       document: { version: 4, source },
       now: 0,
     }).document!;
-    expect(told.length).toBeLessThan(source.length / 20 + 500);
-    expect(packedDocument.unpack(told)).toBe(source);
+    expect(reported.length).toBeLessThan(source.length / 20 + 500);
+    expect(packedDocument.unpack(reported)).toBe(source);
     const upToDate = hub.sync(request("a", { documentVersion: 4 }), {
       ...context,
       document: { version: 4, source },
@@ -202,7 +202,7 @@
 
   test("is packed anew for another version", () => {
     const hub = new Hub("f");
-    const tell = (version: number, text: string) =>
+    const report = (version: number, text: string) =>
       packedDocument.unpack(
         hub.sync(request("a"), {
           ...context,
@@ -210,9 +210,9 @@
           now: 0,
         }).document!,
       );
-    expect(tell(4, source)).toBe(source);
-    expect(tell(5, "{}")).toBe("{}");
-    expect(tell(4, source)).toBe(source);
+    expect(report(4, source)).toBe(source);
+    expect(report(5, "{}")).toBe("{}");
+    expect(report(4, source)).toBe(source);
   });
 
   test("is taken as it is from a replica that doesn't pack", () => {
--- a/packages/serving/isolated_quota.ts
+++ b/packages/serving/isolated_quota.ts
@@ -16,7 +16,7 @@
 
 /**
  * What an entry that reaches no control replica knows of the others' charges,
- * as they tell it directly. Entries that it doesn't hear may be using their
+ * as they send it directly. Entries that are out of reach may be using their
  * even share of each quota.
  *
  * @public
@@ -26,7 +26,7 @@
   /** Entries that said they take no callers. */
   readonly #closed = new Set<string>();
 
-  hear(
+  receive(
     charges: {
       readonly entry: string;
       readonly boot: string;
@@ -37,7 +37,7 @@
     now: Milliseconds,
   ): void {
     const { entry, boot, spent, isOpen } = charges;
-    this.#book.hear(entry, { boot, spent }, now);
+    this.#book.receive(entry, { boot, spent }, now);
     if (isOpen) {
       this.#closed.delete(entry);
     } else {
@@ -48,12 +48,12 @@
   /** Whether an entry is in reach and takes callers. */
   isOpen(entry: string, now: Milliseconds): boolean {
     return !this.#closed.has(entry) &&
-      this.#book.heardSince(now - SILENT_AFTER).has(entry);
+      this.#book.receivedSince(now - SILENT_AFTER).has(entry);
   }
 
-  /** @param known Entries at the last news of a control replica. */
+  /** @param known Entries at the last reply of a control replica. */
   learnt(known: number, now: Milliseconds): LearntCharges {
-    const entries = this.#book.heardSince(now - SILENT_AFTER).size + 1;
+    const entries = this.#book.receivedSince(now - SILENT_AFTER).size + 1;
     return {
       spent: this.#book.sumWithout(""),
       share: Math.min(1, entries / Math.max(1, known)),
--- a/packages/serving/isolated_quota_test.ts
+++ b/packages/serving/isolated_quota_test.ts
@@ -1,6 +1,6 @@
 import fc from "fast-check";
 import { IsolatedQuota, WorkspaceQuota } from "./mod.ts";
-import { playedWorkspace as workspace } from "./played_workspace.ts";
+import { simulatedWorkspace as workspace } from "./simulated_workspace.ts";
 
 const settings = { isFresh: true, window: 8000, overshoot: 0.1, tolerance: 0 };
 const KNOWN = 12;
@@ -9,7 +9,7 @@
 /** An entry that reaches no control replica. */
 class IsolatedEntry {
   readonly quota = new WorkspaceQuota(settings);
-  readonly told = new IsolatedQuota();
+  readonly reported = new IsolatedQuota();
   readonly name: string;
 
   constructor(name: string) {
@@ -19,25 +19,25 @@
   }
 }
 
-/** Each entry tells those of its side what it charged. */
+/** Each entry reports those of its side what it charged. */
 function share(
   entries: readonly IsolatedEntry[],
-  options: { now: number; hears: (from: number, to: number) => boolean },
+  options: { now: number; receives: (from: number, to: number) => boolean },
 ): void {
-  const { now, hears } = options;
+  const { now, receives } = options;
   entries.forEach((from, sender) => {
     entries.forEach((to, receiver) => {
-      if (sender !== receiver && hears(sender, receiver)) {
+      if (sender !== receiver && receives(sender, receiver)) {
         const spent = from.quota.spent();
-        to.told.hear(
+        to.reported.receive(
           { entry: from.name, boot: "1", spent, isOpen: true },
           now,
         );
       }
     });
   });
-  for (const { quota, told } of entries) {
-    quota.learnOthers("entries", told.learnt(KNOWN, now));
+  for (const { quota, reported } of entries) {
+    quota.learnOthers("entries", reported.learnt(KNOWN, now));
   }
 }
 
@@ -46,12 +46,12 @@
 }
 
 describe("quotas while no control replica answers", () => {
-  test("serve what fits the share of the entries that hear each other", () => {
+  test("serve what fits the share of the entries that receive each other", () => {
     const entries = makeEntries(8);
     let asked = 0;
     let served = 0;
     for (let now = 0; now < 20_000; now += SHARE_INTERVAL) {
-      share(entries, { now, hears: () => true });
+      share(entries, { now, receives: () => true });
       // All callers come to two of the entries, within 8 of 12 shares.
       for (const { quota } of entries.slice(0, 2)) {
         asked += 1;
@@ -61,7 +61,7 @@
     expect(served / asked).toBeGreaterThan(0.95);
   });
 
-  test("stay bounded over two halves that don't hear each other", () => {
+  test("stay bounded over two halves that don't receive each other", () => {
     fc.assert(
       fc.property(
         fc.array(fc.tuple(fc.nat(11), fc.integer({ min: 1, max: 90 })), {
@@ -75,20 +75,20 @@
   });
 
   test("fall back to an even share when the others fall silent", () => {
-    const told = new IsolatedQuota();
-    const news = { entry: "e1", boot: "1", spent: { inn: 5 }, isOpen: true };
-    told.hear({ ...news, spent: { inn: 0 } }, 0);
-    told.hear(news, 0);
-    expect(told.isOpen("e1", 100)).toBe(true);
-    expect(told.isOpen("e1", 5000)).toBe(false);
-    told.hear({ ...news, isOpen: false }, 100);
-    expect(told.isOpen("e1", 100)).toBe(false);
-    expect(told.learnt(4, 100)).toMatchObject({
+    const reported = new IsolatedQuota();
+    const updates = { entry: "e1", boot: "1", spent: { inn: 5 }, isOpen: true };
+    reported.receive({ ...updates, spent: { inn: 0 } }, 0);
+    reported.receive(updates, 0);
+    expect(reported.isOpen("e1", 100)).toBe(true);
+    expect(reported.isOpen("e1", 5000)).toBe(false);
+    reported.receive({ ...updates, isOpen: false }, 100);
+    expect(reported.isOpen("e1", 100)).toBe(false);
+    expect(reported.learnt(4, 100)).toMatchObject({
       share: 0.5,
       entries: 2,
       spent: { inn: 5 },
     });
-    expect(told.learnt(4, 5100)).toMatchObject({ share: 0.25, entries: 1 });
+    expect(reported.learnt(4, 5100)).toMatchObject({ share: 0.25, entries: 1 });
   });
 });
 
@@ -97,13 +97,13 @@
   const entries = makeEntries(12);
   const half = (at: number) => at < 6;
   let now = 0;
-  let toldAt = -SHARE_INTERVAL;
+  let reportedAt = -SHARE_INTERVAL;
   let granted = 0;
   for (const [index, amount] of steps) {
     now += 10;
-    if (now - toldAt >= SHARE_INTERVAL) {
-      toldAt = now;
-      share(entries, { now, hears: (from, to) => half(from) === half(to) });
+    if (now - reportedAt >= SHARE_INTERVAL) {
+      reportedAt = now;
+      share(entries, { now, receives: (from, to) => half(from) === half(to) });
     }
     const { ok } = entries[index]!.quota.charge(workspace, { amount, now });
     granted += ok ? amount : 0;
--- a/packages/serving/list_kept.ts
+++ b/packages/serving/list_kept.ts
@@ -1,7 +1,7 @@
 import type { Milliseconds } from "@heroncleat/base";
 
 /**
- * Time for which callers are told to keep a list of entries. Each look-up that
+ * Time for which callers are asked to keep a list of entries. Each look-up that
  * meets a VM without power costs its caller a second, and so does each new
  * connection to one that a kept list still names. With three of eleven VMs dark
  * for 14 s, lists of 2 s left 0.77 of the worth of these seconds, lists of 5 s
--- a/packages/serving/mod.ts
+++ b/packages/serving/mod.ts
@@ -1,14 +1,14 @@
 /**
  * Decisions of request forwarding, without I/O: which route and upstream, what
  * a workspace may spend, what may be sent once more, and what the parts of the
- * system tell each other of it.
+ * system exchange of it.
  *
  * @module
  */
 export type { CallerLimits } from "./caller_limits.ts";
 export type { FleetOrder } from "./fleet_order.ts";
 export type { FleetSettings } from "./fleet_settings.ts";
-export type { UpstreamNews } from "./hub.ts";
+export type { UpstreamChanges } from "./hub.ts";
 export type { EntryCounters } from "./entry_counters.ts";
 export type { EntryChanges } from "./entry_changes.ts";
 export type { KnownEntry } from "./known_entry.ts";
@@ -16,11 +16,11 @@
 export type { Route } from "./route.ts";
 export type { EngineProfile, ScaleLimits, Service } from "./service.ts";
 export type { ServingDocument } from "./serving_document.ts";
-export type { SharedNews, SyncReply } from "./sync_reply.ts";
+export type { SharedState, SyncReply } from "./sync_reply.ts";
 export type { SyncRequest } from "./sync_request.ts";
 export type { ChosenUpstream } from "./chosen_upstream.ts";
-export type { KnownUpstream, NewsOutcome } from "./upstream_directory.ts";
-export type { RelayedCharges, ToldCharges } from "./told_charges.ts";
+export type { KnownUpstream, MergeOutcome } from "./upstream_directory.ts";
+export type { RelayedCharges, ReportedCharges } from "./reported_charges.ts";
 export type { RecordProblem } from "./find_record_problem.ts";
 export type { UpstreamLoad } from "./upstream_load.ts";
 export type { UpstreamRecord } from "./upstream_record.ts";
--- a/packages/serving/notice_threshold.ts
+++ b/packages/serving/notice_threshold.ts
@@ -13,7 +13,9 @@
 const COUNTED_OVER: Milliseconds = 500;
 /** Most by which the threshold moves at once, up or down. */
 const LARGEST_STEP = 1.3;
-/** Prompts that take longer keep an engine busy for all and are always told. */
+/**
+ * Prompts that take longer keep an engine busy for all and are always noticed.
+ */
 const MOST: Milliseconds = 2000;
 
 /**
@@ -23,8 +25,8 @@
  *
  * It answers to loads of many entries, where a notice of each prompt costs more
  * than it gains. A few long prompts make most of the collisions: 200 entries
- * that tell a third of their prompts bring first tokens within 1.2 times the
- * mean of telling all, and without notices it is 3 times as long.
+ * that send notices of a third of their prompts bring first tokens within 1.2
+ * times the mean of reporting all, and without notices it is 3 times as long.
  *
  * @public
  */
@@ -33,7 +35,7 @@
   #counted = 0;
   #countedFrom: Milliseconds | undefined;
 
-  /** Shortest reading time that is told now. */
+  /** Shortest reading time of which others are notified now. */
   get readTime(): Milliseconds {
     return this.#threshold;
   }
--- a/packages/serving/notice_threshold_test.ts
+++ b/packages/serving/notice_threshold_test.ts
@@ -36,7 +36,7 @@
     expect(simulate(12, "longest")).toEqual(simulate(12, "all"));
   });
 
-  test("are of long prompts only while others tell many, and of more later", () => {
+  test("are of long prompts only while others send many, and of more later", () => {
     const threshold = new NoticeThreshold();
     for (let now = 0; now < 10_000; now += 5) {
       threshold.noteReceived(now);
--- a/packages/serving/others_charges.ts
+++ b/packages/serving/others_charges.ts
@@ -1,11 +1,11 @@
-/** What one source has told, less what was known when it first did. */
+/** What one source has reported, less what was known when it first did. */
 type Source = Map<string, number>;
 
 /**
- * What all other entries charged, from sources that count from different
- * starts and hear of it at different times. What a source tells is never more
- * than the truth, so the most that any of them tells counts; one that is lost
- * and comes back tells what was missed.
+ * What all other entries charged, from sources that count from different starts
+ * and learn of it at different times. What a source reports is never more than
+ * the truth, so the most that any of them reports counts; one that is lost and
+ * comes back reports what was missed.
  *
  * @internal
  */
--- a/packages/serving/quota_account.ts
+++ b/packages/serving/quota_account.ts
@@ -29,7 +29,7 @@
  * What all entries spent of one limit, as one entry knows it.
  *
  * While some entries are out of reach, only a share of the refill counts, as
- * they may be using theirs. What they really spent is known once they are heard
+ * they may be using theirs. What they really spent is known once they report
  * again, and the rest of the refill counts then. Without that, an entry that
  * had been cut off for 4 s refused its workspace for 10 s and more, and a
  * workspace that asked for six times its usual got 0.7 of its rate from all
@@ -50,10 +50,10 @@
   #filledAt: Milliseconds = 0;
   /** Tokens that the others spend in a millisecond. */
   #othersPace = 0;
-  /** Tokens that other sources added since the last whole news. */
+  /** Tokens that other sources added since the last whole exchanges. */
   #addedBetween = 0;
-  /** Tokens that this entry took since the last news. */
-  takenSinceNews = 0;
+  /** Tokens that this entry took since the last reply. */
+  takenSinceSync = 0;
 
   /** @param length Time over which spending is judged. */
   constructor(length: Milliseconds) {
@@ -112,9 +112,9 @@
    * reach: it takes up to a second to find that out, and an entry that was cut
    * off filled its bucket meanwhile as if nobody else spent anything. It then
    * spent a quarter of the rate for 5 s in the place of a twelfth, and windows
-   * of played loads held up to 1.29 of what is tolerated.
+   * of simulated loads held up to 1.29 of what is tolerated.
    *
-   * @param since When they may have been heard last.
+   * @param since When they may have reported last.
    */
   takeBack(
     shares: { readonly before: number; readonly after: number },
@@ -142,25 +142,25 @@
     this.#level += Math.max(0, most - this.#level) * part;
   }
 
-  /** Notes what others spent, told beside whole news. */
+  /** Notes what others spent, reported beside whole exchanges. */
   noteBetween(amount: number): void {
     this.#addedBetween += amount;
   }
 
   /**
-   * Takes in whole news of what others spent.
+   * Takes in whole exchanges of what others spent.
    *
-   * @param elapsed Time since the last whole news.
+   * @param elapsed Time since the last whole exchanges.
    */
   notePace(amount: number, elapsed: Milliseconds): void {
     const spent = amount + this.#addedBetween;
     const kept = Math.exp(-elapsed / PACE_OVER);
     // Two replies may arrive together, so only the average says something; and
-    // what is told after a silence was spent over all of it.
+    // what arrives after a silence was spent over all of it.
     const over = elapsed < 1 ? PACE_OVER : elapsed / (1 - kept);
     this.#othersPace = this.#othersPace * kept + spent / over;
     this.#addedBetween = 0;
-    this.takenSinceNews = 0;
+    this.takenSinceSync = 0;
   }
 
   /** Tokens that the others will have spent in a silence, by their pace. */
--- a/packages/serving/reading_speed.ts
+++ b/packages/serving/reading_speed.ts
@@ -38,7 +38,7 @@
   readonly #samples: ReadingSample[] = [];
   #sinceRenewed = 0;
   #own: number | undefined;
-  #told: number | undefined;
+  #reported: number | undefined;
 
   /** Takes in a first token of a request that fetched nothing. */
   note(sample: ReadingSample): void {
@@ -58,7 +58,7 @@
 
   /** Takes in what other entries estimate. */
   learn(multiple: number): void {
-    this.#told = multiple;
+    this.#reported = multiple;
   }
 
   /** What this entry measured itself; nothing before there is enough. */
@@ -68,12 +68,12 @@
 
   /** Whether any entry has measured it. */
   get isKnown(): boolean {
-    return this.#told !== undefined || this.#own !== undefined;
+    return this.#reported !== undefined || this.#own !== undefined;
   }
 
   /** Reading time as a multiple of the reference engine's. */
   get multiple(): number {
-    return this.#told ?? this.#own ?? 1;
+    return this.#reported ?? this.#own ?? 1;
   }
 }
 
--- a/packages/serving/reading_speed_test.ts
+++ b/packages/serving/reading_speed_test.ts
@@ -53,7 +53,7 @@
     expect(speed.multiple).toBe(1);
   });
 
-  test("is what all entries together measured, once that is told", () => {
+  test("is what all entries together measured, once that is known", () => {
     const speed = learn({ rate: 112, requests: 60, seed: 3 });
     speed.learn(0.5);
     expect(speed.multiple).toBe(0.5);
--- a/packages/serving/told_charges.ts
+++ b/packages/serving/reported_charges.ts
@@ -1,19 +1,19 @@
 import type { Milliseconds } from "@heroncleat/base";
 
 /** What one process of an entry charged, by quota bucket. @public */
-export type ToldCharges = {
+export type ReportedCharges = {
   /** Identifier of the process; new with each start. */
   readonly boot: string;
   /** Tokens since its start. */
   readonly spent: Readonly<Record<string, number>>;
   /** Whether buckets that didn't change since the last report are left out. */
   readonly isPartial?: boolean;
-  /** Sum of all totals, those left out too; checked where it is told. */
+  /** Sum of all totals, those left out too; checked where it is present. */
   readonly digest?: number;
 };
 
-/** Charges that somebody else than the entry itself tells. @public */
-export type RelayedCharges = ToldCharges & {
-  /** Time since the entry told them. */
+/** Charges that somebody else than the entry itself reports. @public */
+export type RelayedCharges = ReportedCharges & {
+  /** Time since the entry reported them. */
   readonly age: Milliseconds;
 };
--- a/packages/serving/shared_quota_test.ts
+++ b/packages/serving/shared_quota_test.ts
@@ -1,6 +1,6 @@
 import fc from "fast-check";
 import { WorkspaceQuota } from "./mod.ts";
-import { playedWorkspace as workspace } from "./played_workspace.ts";
+import { simulatedWorkspace as workspace } from "./simulated_workspace.ts";
 
 const WINDOW = 8000;
 const TOLERANCE = 850;
@@ -13,21 +13,21 @@
 /** Silence after which an entry counts itself as out of reach. */
 const ISOLATED_AFTER = 1500;
 
-/** Entries hear of each other before they serve. */
+/** Entries learn of each other before they serve. */
 const STARTED_AFTER = 1000;
 
 /** An entry as the play knows it. */
-type PlayedEntry = {
+type SimulatedEntry = {
   quota: WorkspaceQuota;
   isCut: boolean;
-  heardAt: number;
-  /** What the source of news heard of it last, by bucket. */
-  told: Record<string, number>;
+  receivedAt: number;
+  /** What the source of updates knew of it last, by bucket. */
+  reported: Record<string, number>;
 };
 
-/** Entries that share one quota through a source of news. */
+/** Entries that share one quota through a source of updates. */
 class QuotaPlay {
-  readonly entries: PlayedEntry[];
+  readonly entries: SimulatedEntry[];
   readonly granted: { at: number; amount: number; entry: number }[] = [];
   now = 0;
 
@@ -40,8 +40,8 @@
         tolerance,
       }),
       isCut: false,
-      heardAt: 0,
-      told: {},
+      receivedAt: 0,
+      reported: {},
     }));
   }
 
@@ -60,7 +60,7 @@
   step(): void {
     this.now += STEP;
     if (this.now % NEWS_INTERVAL < STEP) {
-      this.#tell();
+      this.#report();
     }
   }
 
@@ -91,34 +91,34 @@
     return most;
   }
 
-  #tell(): void {
+  #report(): void {
     const { now } = this;
     const connected = this.entries.filter(({ isCut }) => !isCut);
     for (const entry of connected) {
-      entry.told = entry.quota.spent();
-      entry.heardAt = now;
+      entry.reported = entry.quota.spent();
+      entry.receivedAt = now;
     }
-    const heard = this.entries.filter(({ heardAt }) =>
-      now - heardAt < SILENT_AFTER
+    const received = this.entries.filter(({ receivedAt }) =>
+      now - receivedAt < SILENT_AFTER
     );
     for (const entry of this.entries) {
       if (!entry.isCut) {
         const others = this.entries.filter((other) => other !== entry);
         const spent: Record<string, number> = {};
         for (
-          const [name, amount] of others.flatMap(({ told }) =>
-            Object.entries(told)
+          const [name, amount] of others.flatMap(({ reported }) =>
+            Object.entries(reported)
           )
         ) {
           spent[name] = (spent[name] ?? 0) + amount;
         }
         entry.quota.learnOthers("hub", {
           spent,
-          share: heard.length / this.entries.length,
-          entries: heard.length,
+          share: received.length / this.entries.length,
+          entries: received.length,
           now,
         });
-      } else if (now - entry.heardAt >= ISOLATED_AFTER) {
+      } else if (now - entry.receivedAt >= ISOLATED_AFTER) {
         entry.quota.isolate(1 / this.entries.length, now);
       }
     }
@@ -211,9 +211,10 @@
     expect(refused).toBe(0);
   });
 
-  // Callers ask for 6 to 7 times the rate. A large workspace with small requests, and a small one whose requests are
-  // a tenth of its burst; what is tolerated beside the part is the same for
-  // all workspaces, so it is more for a small one.
+  // Callers ask for 6 to 7 times the rate. A large workspace with small
+  // requests, and a small one whose requests are a tenth of its burst; what is
+  // tolerated beside the part is the same for all workspaces, so it is more for
+  // a small one.
   test.each([
     { size: "large", most: 40, tolerance: 540, asks: 6 },
     { size: "small", most: 300, tolerance: 3150, asks: 1 },
--- a/packages/serving/simulated_choices.ts
+++ b/packages/serving/simulated_choices.ts
@@ -15,7 +15,7 @@
 const STEP: Milliseconds = 1;
 /** One way between two VMs. */
 const LATENCY: Milliseconds = 1;
-/** Prompts that take less time to read are told to nobody. */
+/** Prompts that take less time to read bring no notice. */
 const LEAST_NOTICED: Milliseconds = 10;
 const SECOND: Milliseconds = 1000;
 /** Time for which a request runs behind its prompt. */
--- a/packages/serving/played_cloud.ts
+++ b/packages/serving/simulated_cloud.ts
@@ -3,8 +3,8 @@
 import type { Service } from "./service.ts";
 import type { UpstreamRecord } from "./upstream_record.ts";
 
-/** One VM of the played cloud. */
-type PlayedVm = {
+/** One VM of the simulated cloud. */
+type SimulatedVm = {
   readonly record: UpstreamRecord;
   readonly readyAt: Milliseconds;
   endsAt: Milliseconds;
@@ -16,9 +16,9 @@
  *
  * @internal
  */
-export class PlayedCloud {
+export class SimulatedCloud {
   readonly #service: Service;
-  #vms: PlayedVm[] = [];
+  #vms: SimulatedVm[] = [];
   #dryUntil: Milliseconds = -Infinity;
   #made = 0;
   #now: Milliseconds = -Infinity;
--- a/packages/serving/played_workspace.ts
+++ b/packages/serving/simulated_workspace.ts
@@ -5,7 +5,7 @@
  *
  * @internal
  */
-export const playedWorkspace: Workspace = {
+export const simulatedWorkspace: Workspace = {
   name: "inn",
   keys: ["k"],
   priority: 1,
--- a/packages/serving/sync_reply.ts
+++ b/packages/serving/sync_reply.ts
@@ -1,11 +1,11 @@
 import type { Milliseconds } from "@heroncleat/base";
 import type { KnownEntry } from "./known_entry.ts";
 import type { EntryChanges } from "./entry_changes.ts";
-import type { RelayedCharges } from "./told_charges.ts";
+import type { RelayedCharges } from "./reported_charges.ts";
 import type { UpstreamLoad } from "./upstream_load.ts";
 import type { UpstreamRecord } from "./upstream_record.ts";
 
-/** What a control replica tells an entry. @public */
+/** What a control replica answers an entry. @public */
 export type SyncReply = {
   /** New with each start of the control process. */
   readonly feed: string;
@@ -31,24 +31,24 @@
   /** Median of the wall clocks of all entries, since 1970. */
   readonly wall: Milliseconds;
   /**
-   * What the other entries charged since this process heard of them; only what
+   * What the other entries charged since this process known of them; only what
    * changed since the revision for an entry that takes changes.
    */
   readonly spentByOthers: Readonly<Record<string, number>>;
-  /** Entries that the replica knows of and doesn't hear. */
+  /** Entries that the replica knows of and doesn't receive. */
   readonly unheard?: readonly string[];
-  /** What the wanted ones of them told it. */
+  /** What the wanted ones of them reported to it. */
   readonly charges?: Readonly<Record<string, RelayedCharges>>;
   /** Whether the replica takes reports of what changed alone. */
   readonly takesPartial?: true;
   /** Whether the report couldn't be taken and a whole one is needed. */
   readonly needsWhole?: true | undefined;
-  /** What entries share; present in answers to whole news. */
-  readonly shared: SharedNews | undefined;
+  /** What entries share; present in answers to whole exchanges. */
+  readonly shared: SharedState | undefined;
 };
 
 /** What an entry learns of the others from one replica at a time. @public */
-export type SharedNews = {
+export type SharedState = {
   /** Newest heartbeat of upstreams that have not changed. */
   readonly beats: Readonly<Record<string, number>>;
   readonly loadsOfOthers: Readonly<Record<string, UpstreamLoad>>;
--- a/packages/serving/sync_request.ts
+++ b/packages/serving/sync_request.ts
@@ -1,9 +1,9 @@
 import type { Milliseconds } from "@heroncleat/base";
-import type { RelayedCharges } from "./told_charges.ts";
+import type { RelayedCharges } from "./reported_charges.ts";
 import type { UpstreamLoad } from "./upstream_load.ts";
 import type { WorkspaceCounts } from "./usage_counts.ts";
 
-/** What an entry tells a control replica, several times a second. @public */
+/** What an entry reports a control replica, several times a second. @public */
 export type SyncRequest = {
   readonly entry: {
     readonly name: string;
@@ -39,9 +39,9 @@
   readonly digest?: number;
   /** Everything charged since the start of the process, by workspace. */
   readonly spent: Readonly<Record<string, number>>;
-  /** Charges of entries that this replica doesn't hear itself, by name. */
+  /** Charges of entries that this replica doesn't receive itself, by name. */
   readonly relayedCharges?: Readonly<Record<string, RelayedCharges>>;
-  /** Entries that another replica doesn't hear. */
+  /** Entries that another replica doesn't receive. */
   readonly wantedCharges?: readonly string[];
   /**
    * Time in which the reference engine reads all prompts sent since the start,
@@ -50,7 +50,7 @@
   readonly readWork: Readonly<Record<string, Milliseconds>>;
   /** Time to read a prompt by service, as it measured it; 1 is a reference. */
   readonly readingSpeeds: Readonly<Record<string, number>>;
-  /** What it has under way; absent in the short news to other replicas. */
+  /** What it has under way; absent in the short exchanges to other replicas. */
   readonly loads: Readonly<Record<string, UpstreamLoad>> | undefined;
   /** Requests begun, by number of the usage window and workspace. */
   readonly usage: Readonly<Record<string, WorkspaceCounts>>;
--- a/packages/serving/upstream_choice.ts
+++ b/packages/serving/upstream_choice.ts
@@ -263,13 +263,13 @@
   }
 
   #isUsable(upstream: KnownUpstream, options: ChoiceOptions): boolean {
-    const { record, heardAt } = upstream;
+    const { record, receivedAt } = upstream;
     const { request, now, trusts } = options;
     if (record.service !== request.service || record.state !== "ready") {
       return false;
     }
-    // Silence means nothing while no news can reach this entry.
-    if (trusts && now - heardAt > SILENT_AFTER) {
+    // Silence means nothing while no updates can reach this entry.
+    if (trusts && now - receivedAt > SILENT_AFTER) {
       return false;
     }
     const pausedUntil = this.#own.get(record.id)?.pausedUntil ?? 0;
@@ -323,11 +323,11 @@
 
 /** Whether an upstream is there long enough to fetch parts from it. */
 function staysFor(upstream: KnownUpstream, now: Milliseconds): boolean {
-  const { record, heardAt } = upstream;
+  const { record, receivedAt } = upstream;
   if (record.state === "ready") {
-    return now - heardAt < SILENT_AFTER;
+    return now - receivedAt < SILENT_AFTER;
   }
   // Without a time to leave, one that drains may end at any moment.
   return record.state === "draining" && record.leavesIn !== undefined &&
-    now < heardAt + record.leavesIn - FETCH_MARGIN;
+    now < receivedAt + record.leavesIn - FETCH_MARGIN;
 }
--- a/packages/serving/upstream_choice_test.ts
+++ b/packages/serving/upstream_choice_test.ts
@@ -99,7 +99,7 @@
         trusts,
       })?.upstream.record.id;
     expect(choose(true)).toBeUndefined();
-    // Without news, silence says nothing of u1.
+    // Without updates, silence says nothing of u1.
     expect(choose(false)).toBe("u1");
   });
 
--- a/packages/serving/upstream_directory.ts
+++ b/packages/serving/upstream_directory.ts
@@ -3,39 +3,39 @@
 import type { UpstreamRecord } from "./upstream_record.ts";
 import { UpstreamStarts } from "./upstream_starts.ts";
 
-/** A record and when its last news arrived. @public */
+/** A record and when its last update arrived. @public */
 export type KnownUpstream = {
   readonly record: UpstreamRecord;
-  readonly heardAt: Milliseconds;
-  /** When this start of the upstream was heard for the first time. */
-  readonly firstHeardAt: Milliseconds;
+  readonly receivedAt: Milliseconds;
+  /** When this start of the upstream was first seen. */
+  readonly firstReceivedAt: Milliseconds;
 };
 
 /**
- * What news of an upstream brought: something new of it, only a sign of life,
- * or nothing, as later news came before.
+ * What updates of an upstream brought: something new of it, only a sign of
+ * life, or nothing, as later updates came before.
  *
  * @public
  */
-export type NewsOutcome = "changed" | "heard" | "late";
+export type MergeOutcome = "changed" | "received" | "late";
 
 /** Time after which a silent upstream that left is forgotten. */
 const FORGET_AFTER = 60_000;
 /**
- * Time for which a later start at an address stands against news of an earlier
- * one: two heartbeats. If the order in which the two were first heard was
- * wrong, the one that lives is back as soon as the other has been silent for
- * so long.
+ * Time for which a later start at an address stands against updates of an
+ * earlier one: two heartbeats. If the order in which the two were first seen
+ * was wrong, the one that lives is back as soon as the other has been silent
+ * for so long.
  */
 const SUPERSEDED_FOR: Milliseconds = 2500;
 /**
  * Time in which a departure without a birth is taken for that of an earlier
- * start, where there was one: news may be seconds late.
+ * start, where there was one: updates may be seconds late.
  */
 const FRESH_FOR: Milliseconds = 5000;
 
 /**
- * The upstreams that announced themselves. News from several sources may
+ * The upstreams that announced themselves. Updates from several sources may
  * arrive in any order and more than once; a start that left or is leaving never
  * comes back, and one whose upstream has started again counts no more.
  *
@@ -44,47 +44,47 @@
 export class UpstreamDirectory {
   /** By identity of the start. */
   readonly #known = new Map<string, KnownUpstream>();
-  /** Starts that were heard at an address; a search over all would be slow. */
+  /** Starts that were seen at an address; a search over all would be slow. */
   readonly #idsAt = new Map<string, Set<string>>();
   readonly #starts = new UpstreamStarts();
 
-  /** Takes news in and says what they brought. */
-  merge(told: UpstreamRecord, now: Milliseconds): NewsOutcome {
-    // Processes of a release without births tell no name beside the identity.
-    const news = { ...told, name: told.name ?? told.id };
-    const leaving = this.#findNamed(news, now);
+  /** Takes updates in and says what they brought. */
+  merge(reported: UpstreamRecord, now: Milliseconds): MergeOutcome {
+    // Processes of a release without births report no name beside the identity.
+    const updates = { ...reported, name: reported.name ?? reported.id };
+    const leaving = this.#findNamed(updates, now);
     if (leaving !== undefined) {
       this.remove(leaving, now);
       return "changed";
     }
-    const entry = this.#known.get(news.id);
+    const entry = this.#known.get(updates.id);
     const known = entry?.record;
-    if (known !== undefined && !isNewer(news, known)) {
+    if (known !== undefined && !isNewer(updates, known)) {
       return "late";
     }
     // A heartbeat may be held up by a cut and come after its sender crashed.
-    const isAlive = news.state === "ready";
+    const isAlive = updates.state === "ready";
     if (isAlive && entry !== undefined && this.#isSuperseded(entry, now)) {
       return "late";
     }
-    const livedBefore = this.#starts.lives(news);
-    if (!this.#starts.hear(news, now)) {
-      this.#noteIfUnknown(news, now);
+    const livedBefore = this.#starts.lives(updates);
+    if (!this.#starts.receive(updates, now)) {
+      this.#noteIfUnknown(updates, now);
       return "late";
     }
-    const record = known === undefined ? news : {
-      ...news,
-      sequence: Math.max(news.sequence, known.sequence),
-      state: laterState(known.state, news.state),
+    const record = known === undefined ? updates : {
+      ...updates,
+      sequence: Math.max(updates.sequence, known.sequence),
+      state: laterState(known.state, updates.state),
     };
     this.#note(record, now);
     const isSame = known !== undefined && isSameBeside(record, known);
-    return livedBefore && isSame ? "heard" : "changed";
+    return livedBefore && isSame ? "received" : "changed";
   }
 
   /**
    * The start that somebody who knew none says is gone, by its name alone;
-   * undefined for all other news.
+   * undefined for all other updates.
    */
   #findNamed(
     { id, name, born, state }: UpstreamRecord,
@@ -100,11 +100,11 @@
   /** Takes in that a known upstream sent a heartbeat like the one before. */
   refresh(id: string, sequence: number, now: Milliseconds): void {
     const known = this.#known.get(id);
-    const isNews = known !== undefined && sequence > known.record.sequence;
-    if (!isNews || this.#isSuperseded(known, now)) {
+    const isNew = known !== undefined && sequence > known.record.sequence;
+    if (!isNew || this.#isSuperseded(known, now)) {
       return;
     }
-    if (this.#starts.hear(known.record, now)) {
+    if (this.#starts.receive(known.record, now)) {
       this.#note({ ...known.record, sequence }, now);
     }
   }
@@ -123,7 +123,7 @@
     }
     const living = this.#known.get(this.#starts.livingOf(name));
     const isFresh = living !== undefined &&
-      now - living.firstHeardAt < FRESH_FOR;
+      now - living.firstReceivedAt < FRESH_FOR;
     return isFresh && this.#starts.hasEarlier(living.record)
       ? undefined
       : living?.record.id ?? name;
@@ -151,8 +151,8 @@
 
   #note(record: UpstreamRecord, now: Milliseconds): void {
     const known = this.#known.get(record.id);
-    const firstHeardAt = known?.firstHeardAt ?? now;
-    this.#known.set(record.id, { record, heardAt: now, firstHeardAt });
+    const firstReceivedAt = known?.firstReceivedAt ?? now;
+    this.#known.set(record.id, { record, receivedAt: now, firstReceivedAt });
     if (known?.record.address !== record.address) {
       this.#idsAt.get(known?.record.address ?? "")?.delete(record.id);
       const ids = this.#idsAt.get(record.address) ?? new Set();
@@ -160,14 +160,14 @@
     }
   }
 
-  /** Whether a later start at the same address has been heard lately. */
+  /** Whether a later start at the same address was seen lately. */
   #isSuperseded(earlier: KnownUpstream, now: Milliseconds): boolean {
     const { address, id, name } = earlier.record;
     for (const otherId of this.#idsAt.get(address) ?? []) {
-      const { record, heardAt, firstHeardAt } = this.#known.get(otherId)!;
+      const { record, receivedAt, firstReceivedAt } = this.#known.get(otherId)!;
       const isOther = record.id !== id && record.name !== name;
-      const isLater = isOther && firstHeardAt > earlier.firstHeardAt;
-      if (isLater && now - heardAt < SUPERSEDED_FOR) {
+      const isLater = isOther && firstReceivedAt > earlier.firstReceivedAt;
+      if (isLater && now - receivedAt < SUPERSEDED_FOR) {
         return true;
       }
     }
@@ -193,10 +193,10 @@
     return known !== undefined && !this.#starts.lives(known.record);
   }
 
-  /** Drops what has been silent for so long that no late news can come. */
+  /** Drops what has been silent for so long that no late updates can come. */
   forget(now: Milliseconds): void {
-    for (const [id, { heardAt, record }] of this.#known) {
-      if (now - heardAt > FORGET_AFTER) {
+    for (const [id, { receivedAt, record }] of this.#known) {
+      if (now - receivedAt > FORGET_AFTER) {
         this.#known.delete(id);
         this.#starts.forget(record);
         this.#forgetAddress(record);
@@ -243,7 +243,7 @@
 }
 
 /** A later state counts even from an older heartbeat. */
-function isNewer(news: UpstreamRecord, known: UpstreamRecord): boolean {
-  return news.sequence > known.sequence ||
-    ORDER.indexOf(news.state) > ORDER.indexOf(known.state);
+function isNewer(updates: UpstreamRecord, known: UpstreamRecord): boolean {
+  return updates.sequence > known.sequence ||
+    ORDER.indexOf(updates.state) > ORDER.indexOf(known.state);
 }
--- a/packages/serving/upstream_directory_test.ts
+++ b/packages/serving/upstream_directory_test.ts
@@ -21,23 +21,23 @@
     directory.merge({ ...record, sequence: 5, zone: "b" }, 0);
     expect(directory.merge({ ...record, sequence: 4 }, 10)).toBe("late");
     expect(directory.get("u1")?.record.zone).toBe("b");
-    expect(directory.get("u1")?.heardAt).toBe(0);
+    expect(directory.get("u1")?.receivedAt).toBe(0);
   });
 
-  test("tells a sign of life from a change", () => {
+  test("reports a sign of life from a change", () => {
     const directory = new UpstreamDirectory();
     expect(directory.merge(record, 0)).toBe("changed");
-    expect(directory.merge({ ...record, sequence: 2 }, 10)).toBe("heard");
+    expect(directory.merge({ ...record, sequence: 2 }, 10)).toBe("received");
     const draining = { ...record, sequence: 3, state: "draining" as const };
     expect(directory.merge(draining, 20)).toBe("changed");
     directory.refresh("u1", 4, 30);
     directory.refresh("unknown", 4, 30);
     expect(directory.get("u1")).toMatchObject({
-      heardAt: 30,
+      receivedAt: 30,
       record: { sequence: 4, state: "draining" },
     });
     directory.refresh("u1", 2, 40);
-    expect(directory.get("u1")?.heardAt).toBe(30);
+    expect(directory.get("u1")?.receivedAt).toBe(30);
     expect(directory.get("unknown")).toBeUndefined();
   });
 
@@ -49,25 +49,27 @@
     expect(directory.get("u1")?.record.state).toBe("draining");
   });
 
-  test("never brings back an upstream that left, in any order of news", () => {
-    const news = fc.record({
+  test("never brings back an upstream that left, in any order of updates", () => {
+    const updates = fc.record({
       sequence: fc.nat(20),
       state: fc.constantFrom("ready" as const, "draining" as const),
     });
-    fc.assert(fc.property(fc.array(news), fc.array(news), (before, after) => {
-      const directory = new UpstreamDirectory();
-      for (const beat of before) {
-        directory.merge({ ...record, ...beat }, 0);
-      }
-      directory.remove("u1", 1);
-      for (const beat of after) {
-        directory.merge({ ...record, ...beat }, 2);
-      }
-      expect(directory.get("u1")?.record.state).toBe("gone");
-    }));
+    fc.assert(
+      fc.property(fc.array(updates), fc.array(updates), (before, after) => {
+        const directory = new UpstreamDirectory();
+        for (const beat of before) {
+          directory.merge({ ...record, ...beat }, 0);
+        }
+        directory.remove("u1", 1);
+        for (const beat of after) {
+          directory.merge({ ...record, ...beat }, 2);
+        }
+        expect(directory.get("u1")?.record.state).toBe("gone");
+      }),
+    );
   });
 
-  test("comes to the same states whatever the order and repeats of news", () => {
+  test("comes to the same states whatever the order and repeats of updates", () => {
     const beats = fc.array(
       fc.record({
         sequence: fc.nat(8),
@@ -97,7 +99,7 @@
     // Held up by a cut, sent before the crash.
     expect(directory.merge({ ...record, sequence: 4 }, 4500)).toBe("late");
     directory.refresh("u1", 5, 4600);
-    expect(directory.get("u1")?.heardAt).toBe(0);
+    expect(directory.get("u1")?.receivedAt).toBe(0);
     expect(directory.get("u2")?.record.state).toBe("ready");
     // That it drains is taken in from whoever says so.
     const draining = { ...record, sequence: 6, state: "draining" as const };
@@ -110,6 +112,6 @@
     directory.merge({ ...record, id: "old", name: "old", sequence: 40 }, 500);
     expect(directory.merge({ ...record, sequence: 2 }, 1200)).toBe("late");
     expect(directory.merge({ ...record, sequence: 4 }, 3600)).not.toBe("late");
-    expect(directory.get("u1")?.heardAt).toBe(3600);
+    expect(directory.get("u1")?.receivedAt).toBe(3600);
   });
 });
--- a/packages/serving/upstream_record.ts
+++ b/packages/serving/upstream_record.ts
@@ -6,7 +6,7 @@
   readonly id: string;
   /** What the upstream is called; it may keep that when it starts again. */
   readonly name: string;
-  /** When it started, by the wall clock of its VM; undefined if untold. */
+  /** When it started, by the wall clock of its VM; undefined if unreported. */
   readonly born: Milliseconds | undefined;
   readonly service: string;
   /** host:port */
@@ -14,7 +14,7 @@
   readonly zone: string;
   /** Requests that it runs at once. */
   readonly slots: number;
-  /** Rises with each heartbeat, so that a late one is told apart. */
+  /** Rises with each heartbeat, so that a late one is recognized. */
   readonly sequence: number;
   readonly state: "ready" | "draining" | "gone";
   /** Whether the VM may be reclaimed. */
--- a/packages/serving/upstream_starts.ts
+++ b/packages/serving/upstream_starts.ts
@@ -1,41 +1,41 @@
 import type { Milliseconds } from "@heroncleat/base";
 import type { UpstreamRecord } from "./upstream_record.ts";
 
-/** One start of an upstream, as news of it came. */
-type HeardStart = {
+/** One start of an upstream, as updates of it came. */
+type ReceivedStart = {
   readonly id: string;
   readonly born: Milliseconds;
-  heardAt: Milliseconds;
-  /** When it was heard before that, in other news. */
-  heardBefore: Milliseconds;
+  receivedAt: Milliseconds;
+  /** When it was seen before that, in another update. */
+  receivedBefore: Milliseconds;
 };
 
 /**
  * Silence of a start after which one that was born earlier may be the living
- * one: two heartbeats, longer than what news are late by but for cuts.
+ * one: two heartbeats, longer than what updates are late by but for cuts.
  */
 const SILENT_AFTER: Milliseconds = 2500;
-/** News that come closer together may have been held up together. */
+/** Updates that come closer together may have been held up together. */
 const APART: Milliseconds = 300;
 
 /**
  * Which start of each upstream lives. The one that was born last does, as an
- * upstream starts again only when it has ended. News of an earlier start that
- * come late, ready or leaving, change nothing of it.
+ * upstream starts again only when it has ended. Updates of an earlier start
+ * that come late, ready or leaving, change nothing of it.
  *
- * A birth is told by the wall clock of a VM, which may have been set back
+ * A birth is stated by the wall clock of a VM, which may have been set back
  * between two starts. So one that was born earlier is taken for the living one
- * once it was heard twice, well apart, after the other had been silent for two
+ * once it was seen twice, well apart, after the other had been silent for two
  * heartbeats: one late heartbeat, or several that a cut held up, don't do that.
  *
  * @internal
  */
 export class UpstreamStarts {
-  readonly #byName = new Map<string, HeardStart[]>();
+  readonly #byName = new Map<string, ReceivedStart[]>();
   readonly #living = new Map<string, string>();
 
-  /** Takes in that a start was heard, and says whether it lives. */
-  hear(record: UpstreamRecord, now: Milliseconds): boolean {
+  /** Takes in that a start was seen, and says whether it lives. */
+  receive(record: UpstreamRecord, now: Milliseconds): boolean {
     const { id, name, born } = record;
     if (born === undefined) {
       return true;
@@ -44,10 +44,10 @@
     this.#byName.set(name, starts);
     const known = starts.find((start) => start.id === id);
     if (known === undefined) {
-      starts.push({ id, born, heardAt: now, heardBefore: -Infinity });
-    } else if (now - known.heardAt >= APART) {
-      known.heardBefore = known.heardAt;
-      known.heardAt = now;
+      starts.push({ id, born, receivedAt: now, receivedBefore: -Infinity });
+    } else if (now - known.receivedAt >= APART) {
+      known.receivedBefore = known.receivedAt;
+      known.receivedAt = now;
     }
     this.#living.set(name, findLiving(starts).id);
     return this.lives(record);
@@ -58,7 +58,7 @@
     return born === undefined || this.#living.get(name) === id;
   }
 
-  /** Whether another start of the name was heard as well. */
+  /** Whether another start of the name was seen as well. */
   hasEarlier({ id, name }: UpstreamRecord): boolean {
     const starts = this.#byName.get(name) ?? [];
     return starts.some((start) => start.id !== id);
@@ -82,12 +82,12 @@
   }
 }
 
-function findLiving(starts: readonly HeardStart[]): HeardStart {
+function findLiving(starts: readonly ReceivedStart[]): ReceivedStart {
   const byBirth = [...starts].sort((left, right) => right.born - left.born);
   let living = byBirth[0]!;
   for (const earlier of byBirth.slice(1)) {
-    const isAlive = earlier.heardAt - living.heardAt >= SILENT_AFTER &&
-      earlier.heardBefore > living.heardAt;
+    const isAlive = earlier.receivedAt - living.receivedAt >= SILENT_AFTER &&
+      earlier.receivedBefore > living.receivedAt;
     if (isAlive) {
       living = earlier;
     }
--- a/packages/serving/upstream_starts_test.ts
+++ b/packages/serving/upstream_starts_test.ts
@@ -51,7 +51,7 @@
   });
 
   test.each(["ready", "draining", "gone"] as const)(
-    "isn't touched by late news of the earlier start, %s",
+    "isn't touched by late updates of the earlier start, %s",
     (state) => {
       const directory = new UpstreamDirectory();
       directory.merge(beat(1000, 40), 0);
@@ -64,7 +64,7 @@
     },
   );
 
-  test("isn't touched by late news of an earlier start that nobody knew", () => {
+  test("isn't touched by late updates of an earlier start that nobody knew", () => {
     const directory = new UpstreamDirectory();
     directory.merge(beat(2000, 1), 100);
     directory.merge(beat(1000, 41), 200);
@@ -79,15 +79,15 @@
       directory.merge(beat(3000, sequence, moved), at);
     }
     expect(living(directory)).toEqual(["3000 ready 3"]);
-    // The one it was taken for is heard again after all.
+    // The one it was taken for is seen again after all.
     directory.merge(beat(5000, 41), 4000);
     expect(living(directory)).toEqual(["5000 ready 41"]);
   });
 
   test("leaves by the birth that its departure names", () => {
     const hub = new Hub("f");
-    hub.hearUpstream(beat(1000, 40), 0);
-    hub.hearUpstream(beat(2000, 1), 100);
+    hub.mergeUpstream(beat(1000, 40), 0);
+    hub.mergeUpstream(beat(2000, 1), 100);
     hub.removeUpstream(NAME, 200, 1000);
     expect(living(hub.directory)).toEqual(["2000 ready 1"]);
     hub.removeUpstream(NAME, 300, 2000);
@@ -96,29 +96,29 @@
 
   test("isn't removed by a departure of before that names no birth", () => {
     const hub = new Hub("f");
-    hub.hearUpstream(beat(1000, 40), 0);
-    hub.hearUpstream(beat(2000, 1), 100);
+    hub.mergeUpstream(beat(1000, 40), 0);
+    hub.mergeUpstream(beat(2000, 1), 100);
     expect(hub.removeUpstream(NAME, 200)).toBeUndefined();
     expect(living(hub.directory)).toEqual(["2000 ready 1"]);
-    hub.hearUpstream(beat(2000, 8), 9000);
+    hub.mergeUpstream(beat(2000, 8), 9000);
     expect(hub.removeUpstream(NAME, 9100)).toBe(startId(NAME, 2000));
     expect(living(hub.directory)).toEqual(["2000 gone 9"]);
   });
 
-  test("is told to entries alone, and not the start before it", () => {
+  test("is sent to entries alone, and not the start before it", () => {
     const hub = new Hub("f");
-    hub.hearUpstream(beat(1000, 40), 0);
-    hub.hearUpstream(beat(2000, 1), 100);
-    const { upstreams } = hub.newsSince("", 0);
+    hub.mergeUpstream(beat(1000, 40), 0);
+    hub.mergeUpstream(beat(2000, 1), 100);
+    const { upstreams } = hub.changesSince("", 0);
     expect(upstreams.map(({ id }) => id)).toEqual([startId(NAME, 2000)]);
   });
 
-  test("ends as the last born, in whatever order news come within 2 s", () => {
-    const news = fc.record({
+  test("ends as the last born, in whatever order updates come within 2 s", () => {
+    const updates = fc.record({
       born: fc.constantFrom(1000, 2000, 3000),
       sequence: fc.nat(9),
     });
-    fc.assert(fc.property(fc.array(news, { maxLength: 30 }), (steps) => {
+    fc.assert(fc.property(fc.array(updates, { maxLength: 30 }), (steps) => {
       const directory = new UpstreamDirectory();
       let now = 0;
       for (const { born, sequence } of steps) {
--- a/packages/serving/usage_book.ts
+++ b/packages/serving/usage_book.ts
@@ -5,14 +5,14 @@
   Record<string, Readonly<Record<string, WorkspaceCounts>>>
 >;
 
-/** Newest windows that are told on; older ones have been settled. */
+/** Newest windows that are passed on; older ones have been settled. */
 const RECENT_WINDOWS = 3;
 /** Windows before the newest that are kept for a holder that is late. */
 const KEPT_WINDOWS = 24;
 
 /**
  * How many requests began in each usage window, as entries count them. Counts
- * of one process only grow, so the larger of two that were heard stands,
+ * of one process only grow, so the larger of two that arrived stands,
  * whichever way and however late they came.
  *
  * @internal
@@ -21,10 +21,10 @@
   readonly #processes = new Map<string, Map<number, Record<string, number>>>();
 
   learn(usage: ProcessUsage): void {
-    for (const [boot, told] of Object.entries(usage)) {
+    for (const [boot, reported] of Object.entries(usage)) {
       const windows = this.#processes.get(boot) ??
         new Map<number, Record<string, number>>();
-      for (const [window, counts] of Object.entries(told)) {
+      for (const [window, counts] of Object.entries(reported)) {
         const known = windows.get(Number(window)) ?? {};
         raise(known, counts);
         windows.set(Number(window), known);
@@ -44,7 +44,7 @@
     return totals;
   }
 
-  /** Counts of the newest windows, to be kept or told on. */
+  /** Counts of the newest windows, to be kept or passed on. */
   recent(): ProcessUsage {
     const newest = this.#newest;
     const usage: Record<string, Record<string, WorkspaceCounts>> = {};
@@ -86,7 +86,7 @@
   }
 }
 
-/** Raises known counts to those that were heard. */
+/** Raises known counts to those that arrived. */
 function raise(known: Record<string, number>, counts: WorkspaceCounts): void {
   for (const [name, count] of Object.entries(counts)) {
     known[name] = Math.max(known[name] ?? 0, count);
--- a/packages/serving/usage_book_test.ts
+++ b/packages/serving/usage_book_test.ts
@@ -16,7 +16,7 @@
     expect(book.sum(7)).toEqual({ inn: 5, bar: 2, pub: 1 });
   });
 
-  test("is told on for the newest windows, and learnt from that", () => {
+  test("is passed on for the newest windows, and learnt from that", () => {
     const book = new UsageBook();
     book.learn({ a: { 3: { inn: 1 }, 7: { inn: 2 }, 8: { inn: 3 } } });
     const other = new UsageBook();
--- a/packages/serving/workspace_quota.ts
+++ b/packages/serving/workspace_quota.ts
@@ -35,38 +35,38 @@
 const RESTART_LEVEL = 0.5;
 /**
  * Part of the tolerated excess that all entries together may start with, if
- * all restart at once and none has heard of the others.
+ * all restart at once and none has known of the others.
  */
 const RESTART_SHARE = 0.8;
 /**
- * Time without news for which the others are taken to spend as before; after
- * it this entry keeps to its own share. News come every 150 to 600 ms.
+ * Time without updates for which the others are taken to spend as before; after
+ * it this entry keeps to its own share. Updates come every 150 to 600 ms.
  */
 const MOST_FORECAST: Milliseconds = 1000;
-/** Time after which the sources of news find out that an entry is silent. */
+/** Time after which the sources of updates find out that an entry is silent. */
 const FOUND_AFTER: Milliseconds = 600;
 /**
  * Part of the tolerated excess by which one request may overdraw the bucket.
  * A bucket that is asked for more than its rate is nearly empty all the time;
  * without an overdraft it serves small requests only. Of the largest tenth of
  * a workspace's prompts 0.66 of the worth was served under a lowered quota
- * without it, 0.73 with it (one played day each).
+ * without it, 0.73 with it (one simulated day each).
  */
 const OVERDRAFT_SHARE = 0.2;
 
 /**
  * Part of the tolerated excess that may be handed out twice while a minority
  * of the entries is out of reach and may be using its share. VMs without power
- * kept a quarter of every quota for 14 s; with 3 of 11 entries dark a played
+ * kept a quarter of every quota for 14 s; with 3 of 11 entries dark a simulated
  * load is served 0.78 of the rate, 0.75 without it.
  */
 const SPARE_SHARE = 0.2;
 
 /**
- * Part of what this entry took since the news that each other one is taken to
- * have taken too. Without it 11 entries that see room at the same moment each
- * spend it: windows of 40 played loads used up to 0.97 of what is tolerated,
- * 0.31 with it, at 0.1 spent on purpose.
+ * Part of what this entry took since the updates that each other one is taken
+ * to have taken too. Without it 11 entries that see room at the same moment
+ * each spend it: windows of 40 simulated loads used up to 0.97 of what is
+ * tolerated, 0.31 with it, at 0.1 spent on purpose.
  */
 const ALIKE_SHARE = 0.5;
 /**
@@ -78,8 +78,8 @@
 /**
  * Quotas of workspaces shared by all entries without asking on each request.
  * Every entry counts what all entries spent in the last window: its own charges
- * at once, and those of the others when news of them arrives. Entries that are
- * out of reach are taken to use an even share until they are heard again.
+ * at once, and those of the others when updates of them arrives. Entries that
+ * are out of reach are taken to use an even share until they report again.
  *
  * A bucket of the burst refills by the rate; besides, the sum of any window is
  * bounded by what the bucket can give in it, whatever an entry missed or
@@ -172,7 +172,7 @@
     this.#entries = Math.max(1, options.entries);
     const before = this.#refillAll(options.now);
     const elapsed = Math.max(0, options.now - this.#othersAt);
-    const heardBefore = this.#othersAt;
+    const receivedBefore = this.#othersAt;
     this.#othersAt = options.now;
     const added = this.#learn(source, options.spent, options.now);
     for (const [name, account] of this.#accounts) {
@@ -180,12 +180,12 @@
     }
     this.#setShare(before, {
       share: options.share,
-      heardBefore,
+      receivedBefore,
       now: options.now,
     });
   }
 
-  /** Takes in what a source tells beside the one that is asked for all. */
+  /** Takes in what a source reports beside the one that is asked for all. */
   learnBeside(
     source: string,
     spent: Readonly<Record<string, number>>,
@@ -209,10 +209,10 @@
     return added;
   }
 
-  /** Without news, only an even share may be handed out. */
+  /** Without updates, only an even share may be handed out. */
   isolate(share: number, now: Milliseconds): void {
     const before = this.#refillAll(now);
-    this.#setShare(before, { share, heardBefore: this.#othersAt, now });
+    this.#setShare(before, { share, receivedBefore: this.#othersAt, now });
   }
 
   /** Refills all buckets, and says by what share. */
@@ -227,11 +227,11 @@
   /** Takes in what part of the quotas is surely not spent out of reach. */
   #setShare(
     before: number,
-    news: { share: number; heardBefore: Milliseconds; now: Milliseconds },
+    updates: { share: number; receivedBefore: Milliseconds; now: Milliseconds },
   ): void {
-    const { share, heardBefore, now } = news;
+    const { share, receivedBefore, now } = updates;
     if (share < before) {
-      this.#takeBack({ before, after: share }, { since: heardBefore, now });
+      this.#takeBack({ before, after: share }, { since: receivedBefore, now });
     }
     if (share > before) {
       const part = (share - before) / (1 - before);
@@ -259,7 +259,7 @@
     shares: { before: number; after: number },
     span: { since: Milliseconds; now: Milliseconds },
   ): void {
-    // Who went out of reach was heard for the last time before the news that
+    // Who went out of reach reported for the last time before the updates that
     // didn't know it yet.
     const since = span.since - FOUND_AFTER;
     for (const account of this.#accounts.values()) {
@@ -282,7 +282,7 @@
     return left > 0 && left + overdraft >= Math.min(amount, limit.burst);
   }
 
-  /** What is left, less what the others will have spent since the news. */
+  /** What is left, less what the others will have spent since the updates. */
   #leftOf(limit: QuotaLimit, now: Milliseconds): number {
     const account = this.#accountOf(limit.name);
     const silence = Math.min(MOST_FORECAST, now - this.#othersAt);
@@ -292,10 +292,12 @@
     ) - Math.max(account.forecast(silence), this.#alike(account, limit));
   }
 
-  /** What the others took since the news, if callers ask them like this one. */
+  /**
+   * What the others took since the updates, if callers ask them like this one.
+   */
   #alike(account: QuotaAccount, limit: QuotaLimit): number {
     return Math.min(
-      ALIKE_SHARE * account.takenSinceNews * (this.#entries - 1),
+      ALIKE_SHARE * account.takenSinceSync * (this.#entries - 1),
       limit.rate * ALIKE_OVER / SECOND,
     );
   }
@@ -346,7 +348,7 @@
   /** What is left even if every other entry took as much as this one. */
   #cautiousLeftOf(limit: QuotaLimit, now: Milliseconds): number {
     const account = this.#accountOf(limit.name);
-    const alike = account.takenSinceNews * (this.#entries - 1);
+    const alike = account.takenSinceSync * (this.#entries - 1);
     return Math.min(
       this.#leftOf(limit, now),
       this.#fill(account, limit, now) - alike,
@@ -365,7 +367,7 @@
   #take(name: string, amount: number, now: Milliseconds): void {
     const account = this.#accountOf(name);
     account.spend(amount, now);
-    account.takenSinceNews += amount;
+    account.takenSinceSync += amount;
     this.#spent.set(name, (this.#spent.get(name) ?? 0) + amount);
   }
 
