--- a/packages/serving/workspace_quota_test.ts
+++ b/packages/serving/workspace_quota_test.ts
@@ -1,11 +1,11 @@
 import fc from "fast-check";
 import { WorkspaceQuota } from "./mod.ts";
-import { playedWorkspace as workspace } from "./played_workspace.ts";
+import { simulatedWorkspace as workspace } from "./simulated_workspace.ts";
 
 const settings = { isFresh: true, window: 8000, overshoot: 0.1, tolerance: 0 };
 
 describe("what other entries charged", () => {
-  const news = { share: 1, entries: 4 };
+  const updates = { share: 1, entries: 4 };
   const strict = { ...settings, overshoot: 0 };
   const spend = (quota: WorkspaceQuota, now: number) => {
     let served = 0;
@@ -15,35 +15,35 @@
     return served;
   };
 
-  test("is all counted when the source of news changes", () => {
+  test("is all counted when the source of updates changes", () => {
     const quota = new WorkspaceQuota(strict);
     quota.charge(workspace, { amount: 10, now: 0 });
-    quota.learnOthers("a", { ...news, spent: { inn: 0 }, now: 0 });
+    quota.learnOthers("a", { ...updates, spent: { inn: 0 }, now: 0 });
     quota.learnBeside("b", { inn: 0 }, 0);
-    // The first source is lost; the others go on and b tells of it later.
-    quota.learnOthers("a", { ...news, spent: { inn: 100 }, now: 100 });
-    quota.learnOthers("b", { ...news, spent: { inn: 5000 }, now: 3000 });
+    // The first source is lost; the others go on and b reports of it later.
+    quota.learnOthers("a", { ...updates, spent: { inn: 100 }, now: 100 });
+    quota.learnOthers("b", { ...updates, spent: { inn: 5000 }, now: 3000 });
     expect(spend(quota, 3000)).toBe(0);
-    // What a tells on its return, b had told before.
-    quota.learnOthers("a", { ...news, spent: { inn: 5000 }, now: 7200 });
+    // What a passes on its return, b had reported before.
+    quota.learnOthers("a", { ...updates, spent: { inn: 5000 }, now: 7200 });
     expect(spend(quota, 8000)).toBeGreaterThan(0);
   });
 
   test("counts from the first word of a source that starts anew", () => {
     const quota = new WorkspaceQuota(strict);
-    quota.learnOthers("a", { ...news, spent: { inn: 7000 }, now: 0 });
-    // All replicas restart; the new one has heard of no charge at first.
-    quota.learnOthers("b", { ...news, spent: {}, now: 9000 });
-    quota.learnOthers("b", { ...news, spent: { inn: 6000 }, now: 12_000 });
+    quota.learnOthers("a", { ...updates, spent: { inn: 7000 }, now: 0 });
+    // All replicas restart; the new one has known of no charge at first.
+    quota.learnOthers("b", { ...updates, spent: {}, now: 9000 });
+    quota.learnOthers("b", { ...updates, spent: { inn: 6000 }, now: 12_000 });
     expect(spend(quota, 12_000)).toBe(0);
   });
 
   test("is not counted twice by a source that starts anew", () => {
     const quota = new WorkspaceQuota({ ...settings, isFresh: false });
-    quota.learnOthers("a", { ...news, spent: { inn: 900_000 }, now: 0 });
+    quota.learnOthers("a", { ...updates, spent: { inn: 900_000 }, now: 0 });
     expect(spend(quota, 0)).toBeGreaterThan(0);
-    quota.learnOthers("b", { ...news, spent: { inn: 40 }, now: 5000 });
-    quota.learnOthers("b", { ...news, spent: { inn: 50 }, now: 5100 });
+    quota.learnOthers("b", { ...updates, spent: { inn: 40 }, now: 5000 });
+    quota.learnOthers("b", { ...updates, spent: { inn: 50 }, now: 5100 });
     expect(spend(quota, 5100)).toBeGreaterThan(0);
   });
 });
@@ -61,14 +61,14 @@
     const entries = [0, 1, 2, 3].map(() =>
       new WorkspaceQuota({ ...settings, tolerance: 850, isFresh: false })
     );
-    tellAll(entries, 0);
+    sendAll(entries, 0);
     // Before the restart a whole window's quota was spent evenly.
     let granted = 0;
     let most = 0;
     const spentBefore = (now: number) => 9000 * Math.max(0, 1 - now / 8000);
     for (let now = 0; now < 8000; now += 10) {
       if (now % 300 === 0) {
-        tellAll(entries, now);
+        sendAll(entries, now);
       }
       for (const quota of entries) {
         granted += quota.charge(workspace, { amount: 10, now }).ok ? 10 : 0;
@@ -85,7 +85,7 @@
     expect(quota.charge(workspace, { amount: 500, now: 3000 }).ok).toBe(false);
   });
 
-  test("takes off what other entries charged since the last news", () => {
+  test("takes off what other entries charged since the last updates", () => {
     const quota = new WorkspaceQuota(settings);
     quota.charge(workspace, { amount: 1, now: 0 });
     quota.learnOthers("a", {
@@ -129,7 +129,7 @@
     expect(quota.charge(workspace, { amount: 100, now: 1000 }).ok).toBe(true);
   });
 
-  // Callers ask for 4 times the rate, as a hot workspace does; entries hear
+  // Callers ask for 4 times the rate, as a hot workspace does; entries receive
   // of each other every 300 ms; the tolerance is that of a large workspace.
   test("never exceeds the tolerated sum of a window, over all entries", () => {
     fc.assert(
@@ -148,7 +148,7 @@
   });
 });
 
-/** Four entries that hear of each other every 300 ms. */
+/** Four entries that learn of each other every 300 ms. */
 function expectBounded(steps: [number, number, number][]): void {
   const { window } = settings;
   const tolerance = 850;
@@ -157,12 +157,12 @@
   );
   const granted: { at: number; amount: number }[] = [];
   let now = 0;
-  let toldAt = 0;
+  let reportedAt = 0;
   for (const [index, pause, amount] of steps) {
     now += pause / 10;
-    if (now - toldAt >= 300) {
-      toldAt = now;
-      tellAll(entries, now);
+    if (now - reportedAt >= 300) {
+      reportedAt = now;
+      sendAll(entries, now);
     }
     if (entries[index]!.charge(workspace, { amount, now }).ok) {
       granted.push({ at: now, amount });
@@ -184,7 +184,7 @@
   expect(most).toBeLessThanOrEqual(bound);
 }
 
-function tellAll(entries: readonly WorkspaceQuota[], now: number): void {
+function sendAll(entries: readonly WorkspaceQuota[], now: number): void {
   const spent = entries.map((entry) => entry.spent());
   entries.forEach((entry, index) => {
     const others: Record<string, number> = {};
