--- a/apps/heroncleatd/gateway/forwarding_test.ts
+++ b/apps/heroncleatd/gateway/forwarding_test.ts
@@ -488,7 +488,7 @@
     window: 10_000,
     ratio: 1,
     slack: 99,
-    startedAt: -10_000,
+    slackFrom: 0,
   });
   return {
     names,
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -81,7 +81,8 @@
 class GatewayProcess {
   readonly #options: StartOptions;
   readonly #boot = createToken();
-  readonly #startedAt: Milliseconds;
+  /** Monotonic time from which slack for retries may be used. */
+  readonly #slackFrom: Milliseconds;
   readonly #directory = new UpstreamDirectory();
   readonly #choice = new UpstreamChoice();
   readonly #agents = new UpstreamAgents();
@@ -108,7 +109,9 @@
     this.#options = options;
     const { clock, pool } = options;
     const settings = options.settings();
-    this.#startedAt = clock.steady();
+    this.#slackFrom = settings.quota.isFresh
+      ? 0
+      : clock.steady() + settings.retryWindow;
     this.#log = options.log("gateway");
     this.#usage = new UsageCounts(settings.usageWindow);
     this.#quota = new WorkspaceQuota(settings.quota);
@@ -263,7 +266,7 @@
       ratio: retryRatio,
       window: retryWindow,
       slack: retrySlack,
-      startedAt: this.#startedAt,
+      slackFrom: this.#slackFrom,
     });
     this.#allowances.set(service, allowance);
     return allowance;
--- a/packages/serving/retry_allowance.ts
+++ b/packages/serving/retry_allowance.ts
@@ -12,8 +12,11 @@
   readonly ratio: number;
   /** Repeats allowed beside that in a window, over all entries. */
   readonly slack: number;
-  /** Monotonic time at which the process of the entry started. */
-  readonly startedAt: Milliseconds;
+  /**
+   * Monotonic time from which this entry may use its part of that: a window
+   * after its start, unless nobody sent anything before.
+   */
+  readonly slackFrom: Milliseconds;
 };
 
 /**
@@ -45,8 +48,8 @@
   /** Takes one repeat, if there is one left. */
   take(now: Milliseconds, entries: number): boolean {
     this.#advance(now);
-    const { ratio, slack, startedAt, window } = this.#settings;
-    const freeSlack = now - startedAt < window ? 0 : slack;
+    const { ratio, slack, slackFrom } = this.#settings;
+    const freeSlack = now < slackFrom ? 0 : slack;
     const bound = ratio * sum(this.#requests) +
       freeSlack / Math.max(1, entries);
     if (sum(this.#repeats) + 1 > bound * SAFETY) {
--- a/packages/serving/retry_allowance_test.ts
+++ b/packages/serving/retry_allowance_test.ts
@@ -5,7 +5,7 @@
   window: 10_000,
   ratio: 0.2,
   slack: 60,
-  startedAt: -10_000,
+  slackFrom: 0,
 };
 
 describe("the retry allowance", () => {
@@ -48,9 +48,9 @@
   const share = 0.3 + 0.7 * random();
   const restartAt = 11_000 + random() * 10_000;
   const perSecond = 5 + random() * 100;
-  const start = (startedAt: number) =>
-    new RetryAllowance({ ...settings, startedAt });
-  const entries = Array.from({ length: ENTRIES }, () => start(-10_000));
+  const start = (slackFrom: number) =>
+    new RetryAllowance({ ...settings, slackFrom });
+  const entries = Array.from({ length: ENTRIES }, () => start(0));
   const requests: number[] = [];
   const repeats: number[] = [];
   let hasRestarted = false;
@@ -58,7 +58,7 @@
     if (!hasRestarted && now >= restartAt) {
       hasRestarted = true;
       for (let place = 0; place < ENTRIES * share; place += 1) {
-        entries[place] = start(now);
+        entries[place] = start(now + settings.window);
       }
     }
     if (random() < perSecond * STEP / 1000) {
