Entries that wait for their first configuration ask by their number

Cause: without a configuration each entry asked each replica 20 times a second, also while the replicas elected a leader after a loss of all power: 4,000 calls a second at 200 entries, some 1.2 cores of a replica. Change: a replica says how many entries report to it, and the pause grows with them by the same rule as that of the exchange, with a jitter of a tenth. Measured (virtual time, calls a second at one of three replicas): 200 entries 4,000 before, under 800 now; 12 entries as before.

--- a/apps/heroncleatd/gateway/control_links.ts
+++ b/apps/heroncleatd/gateway/control_links.ts
@@ -10,17 +10,14 @@
 import type { PeerPool } from "@heroncleat/transport";
 import type { Log } from "../common/log.ts";
 
-/**
- * Pause between two exchanges before the first configuration. An entry that
- * starts with all others serves as soon as there is a leader.
- */
-const FIRST_SYNC_INTERVAL: Milliseconds = 50;
 /** Silence after which an exchange has failed. */
 const SYNC_TIMEOUT: Milliseconds = 800;
 /** Silence after which a control replica counts as out of reach. */
 const LOST_AFTER: Milliseconds = 1500;
 /** Silence after which a replica that no other names is not asked again. */
 const DROP_AFTER: Milliseconds = 20_000;
+/** Part of a pause by which it varies, so that entries don't ask in step. */
+const JITTER = 0.2;
 
 /** What the links are built from. */
 type LinkOptions = {
@@ -33,6 +30,8 @@
   readonly onReply: (reply: SyncReply) => void;
   /** Whether nothing can be served before a reply brings a configuration. */
   readonly isWaiting: () => boolean;
+  /** A number from 0 to 1. */
+  readonly random: () => number;
   /** Notified when no replica can be reached any more. */
   readonly onIsolated: () => void;
 };
@@ -64,6 +63,8 @@
   wallOffset: Milliseconds | undefined;
   /** Entries that it names to callers, by name. */
   readonly entries: Map<string, KnownEntry>;
+  /** Entries that report to it. */
+  entryCount: number;
   /** Revision of the last reply with the loads of the others. */
   loadsSince: number;
   readonly report: CounterReport;
@@ -160,14 +161,24 @@
   #tick(): void {
     this.#look();
     if (!this.#isStopped) {
-      this.#timer = setTimeout(() => this.#tick(), this.#lookPause);
+      const jitter = 1 + JITTER * (this.#options.random() - 0.5);
+      this.#timer = setTimeout(() => this.#tick(), this.#lookPause * jitter);
     }
   }
 
   get #lookPause(): Milliseconds {
     return this.#options.isWaiting()
-      ? FIRST_SYNC_INTERVAL
-      : exchangePause.look(this.listEntries().length);
+      ? exchangePause.first(this.#entryCount)
+      : exchangePause.look(this.#entryCount);
+  }
+
+  /** Entries that report to any replica in reach. */
+  get #entryCount(): number {
+    let most = 0;
+    for (const link of this.#links.values()) {
+      most = Math.max(most, this.#isInTouch(link) ? link.entryCount : 0);
+    }
+    return most;
   }
 
   #look(): void {
@@ -195,14 +206,13 @@
 
   #isDue(link: Link, now: Milliseconds): boolean {
     if (this.#options.isWaiting()) {
-      return now - link.askedAt >= FIRST_SYNC_INTERVAL / 2;
+      return now - link.askedAt >= this.#lookPause / 2;
     }
     const isShort = this.#primary !== "" && link.address !== this.#primary &&
       this.#isInTouch(link);
-    const entries = link.entries.size;
     const pause = isShort
-      ? exchangePause.short(entries)
-      : exchangePause.whole(entries);
+      ? exchangePause.short(link.entryCount)
+      : exchangePause.whole(link.entryCount);
     // Looks come a little early or late.
     return now - link.askedAt >= pause - this.#lookPause / 2;
   }
@@ -265,6 +275,7 @@
       namedAt: now,
       wallOffset: undefined,
       entries: new Map(),
+      entryCount: 0,
       loadsSince: 0,
       report: new CounterReport(),
       isAsking: false,
@@ -316,6 +327,7 @@
     if (isListNew) {
       this.#listed = undefined;
     }
+    link.entryCount = reply.entryCount ?? link.entries.size;
     for (const address of reply.controls) {
       this.#learn(address, now);
     }
--- a/apps/heroncleatd/gateway/control_links_test.ts
+++ b/apps/heroncleatd/gateway/control_links_test.ts
@@ -1,6 +1,7 @@
-import type { SyncReply } from "@heroncleat/serving";
+import { createSeededRandom } from "@heroncleat/base";
+import { Hub, type SyncReply, type SyncRequest } from "@heroncleat/serving";
 import type { PeerPool } from "@heroncleat/transport";
-import { ControlLinks } from "./control_links.ts";
+import { ControlLinks, type FeedPosition } from "./control_links.ts";
 
 const quiet = { debug() {}, info() {}, warn() {}, error() {} };
 
@@ -43,6 +44,7 @@
     describe: () => ({}) as never,
     onReply: () => {},
     isWaiting: () => false,
+    random: () => 0.5,
     onIsolated: () => {},
   });
   links.start();
@@ -93,3 +95,87 @@
   expect(state.asked).not.toContain("c:1");
   links.stop();
 });
+
+/** Calls a second that one of three replicas gets while entries start. */
+async function countFirstCalls(entries: number): Promise<number> {
+  let now = 0;
+  let calls = 0;
+  const random = createSeededRandom(entries);
+  const addresses = ["a:1", "b:1", "c:1"];
+  const hubs = new Map(addresses.map((address) => [address, new Hub(address)]));
+  const pool = {
+    call: async (
+      address: string,
+      _method: string,
+      options: { parameters: SyncRequest },
+    ) => {
+      calls += 1;
+      // One way there, the work, and back.
+      await new Promise((resolve) => setTimeout(resolve, 5));
+      return hubs.get(address)!.sync(options.parameters, {
+        now,
+        document: undefined,
+        controls: addresses,
+        isLeading: false,
+      });
+    },
+  } as unknown as PeerPool;
+  const links = Array.from({ length: entries }, (_, place) =>
+    new ControlLinks({
+      pool,
+      clock: { now: () => now, steady: () => now, wall: () => now } as never,
+      log: quiet,
+      seeds: () => addresses,
+      describe: (known) => describeEntry(`e${place}`, known),
+      onReply: () => {},
+      isWaiting: () => true,
+      random,
+      onIsolated: () => {},
+    }));
+  for (const each of links) {
+    each.start();
+  }
+  for (; now < 2000; now += 10) {
+    calls = now === 1000 ? 0 : calls;
+    await jest.advanceTimersByTimeAsync(10);
+  }
+  for (const each of links) {
+    each.stop();
+  }
+  return calls / addresses.length;
+}
+
+function describeEntry(name: string, known: FeedPosition): SyncRequest {
+  return {
+    entry: {
+      name,
+      boot: `${name}-1`,
+      address: `${name}:80`,
+      zone: "a",
+      region: "r",
+      isOpen: false,
+    },
+    wall: 0,
+    feed: known.feed,
+    revision: known.revision,
+    takesChanges: true,
+    documentVersion: -1,
+    ...known.report.describe(known.feed, {
+      spent: {},
+      readWork: {},
+      usage: {},
+    }),
+    readingSpeeds: {},
+    loads: undefined,
+  };
+}
+
+// While the control group elected its leader after a loss of all power, each
+// entry asked each replica 20 times a second: 200 entries 4,000 times, more than
+// a whole core, of which the election needs a part.
+test("entries that start together ask no more the more they are", async () => {
+  expect(await countFirstCalls(200)).toBeLessThan(800);
+  expect(await countFirstCalls(100)).toBeLessThan(800);
+  // Few entries ask as often as they may.
+  expect(await countFirstCalls(12)).toBeGreaterThan(12 * 15);
+});
--- a/apps/heroncleatd/gateway/simulated_quotas.ts
+++ b/apps/heroncleatd/gateway/simulated_quotas.ts
@@ -162,6 +162,7 @@
       onReply: (reply) => charges.learn(reply),
       onIsolated: () => charges.isolate(),
       isWaiting: () => false,
+      random: this.#random,
     });
     const charges = new ChargeSharing({
       entry: `e${host}`,
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -124,6 +124,7 @@
       onReply: (reply) => this.#exchange.learn(reply),
       onIsolated: () => this.#onIsolated(),
       isWaiting: () => this.#table === undefined,
+      random: Math.random,
     });
     this.#notices = new EntryNotices({
       address: settings.noticeAddress,
--- a/packages/serving/exchange_pause.ts
+++ b/packages/serving/exchange_pause.ts
@@ -14,6 +14,11 @@
  * take one that is silent for twice as long to be lost.
  */
 const LONGEST: Milliseconds = 600;
+/**
+ * Pause before the first configuration of few entries. One that starts with all
+ * others serves as soon as there is a leader.
+ */
+const FIRST: Milliseconds = 50;
 /** Looks at what is due in the time of one whole exchange. */
 const LOOKS = 3;
 
@@ -34,6 +39,11 @@
     return paced(SHORT, entries);
   },
 
+  /** With each replica, while there is no configuration yet. */
+  first(entries: number): Milliseconds {
+    return paced(FIRST, entries);
+  },
+
   /** Between two looks at which exchanges are due; each look is a wake-up. */
   look(entries: number): Milliseconds {
     return paced(WHOLE, entries) / LOOKS;
--- a/packages/serving/hub.ts
+++ b/packages/serving/hub.ts
@@ -88,7 +88,11 @@
   #packed = { version: -1, text: "" };
   #sweptAt: Milliseconds = -Infinity;
   /** What is worked out over all entries, until the next sweep. */
-  #shared = { quotaShare: 1, unheard: [] as readonly string[] };
+  #shared = {
+    quotaShare: 1,
+    unheard: [] as readonly string[],
+    entryCount: 0,
+  };
   #medians = { madeAt: -Infinity, wallOffset: undefined as number | undefined };
   #speeds = { madeAt: -Infinity, byService: {} as Record<string, number> };
   /** Reports that couldn't be taken, as they built on another copy. */
@@ -171,6 +175,7 @@
       upstreams,
       document: this.#documentFor(request, document),
       ...this.#entriesFor(request, from),
+      entryCount: this.#shared.entryCount,
       controls,
       wall: this.estimateWall(now) ?? request.wall,
       spentByOthers: this.#charges.sumWithout(
@@ -407,13 +412,17 @@
       return;
     }
     this.#sweptAt = now;
+    let entryCount = 0;
     for (const [name, { receivedAt }] of this.#entries) {
       if (now - receivedAt >= ENTRY_SILENT_AFTER) {
         this.#open.close(name);
         this.#loads.drop(name);
+      } else {
+        entryCount += 1;
       }
     }
     this.#shared = {
+      entryCount,
       quotaShare: this.#charges.share(now),
       unheard: this.#charges.unheard(now),
     };
--- a/packages/serving/sync_reply.ts
+++ b/packages/serving/sync_reply.ts
@@ -26,6 +26,8 @@
   readonly entries: readonly KnownEntry[] | undefined;
   /** What changed of that list since the revision. */
   readonly entryChanges?: EntryChanges | undefined;
+  /** Entries that report to the replica, those that aren't open too. */
+  readonly entryCount?: number;
   /** host:port of the control replicas. */
   readonly controls: readonly string[];
   /** Median of the wall clocks of all entries, since 1970. */
