Writing usage counts out takes 2 % of a core at most

Cause: a replica wrote the counts of all processes out as text every 100 ms, whatever that took; it grows with entries and workspaces. Change: the pause grows with the time that the last one took. Measured: usage_store_test.ts passes; not measured at 200 entries.

--- a/apps/heroncleatd/hub/usage_store.ts
+++ b/apps/heroncleatd/hub/usage_store.ts
@@ -11,6 +11,8 @@
 const INTERVAL: Milliseconds = 100;
 /** Part of the time that writes may take, so that the log gets its syncs. */
 const DISK_SHARE = 0.2;
+/** Part of the time that writing the counts out as text may take. */
+const WORK_SHARE = 0.02;
 
 /** What the store is built from. */
 type StoreOptions = {
@@ -76,8 +78,10 @@
 
   async #write(): Promise<void> {
     const { folder, hub, log } = this.#options;
+    const beganAt = performance.now();
     const text = JSON.stringify({ version: VERSION, usage: hub.recentUsage() });
     const startedAt = performance.now();
+    const worked = startedAt - beganAt;
     if (text !== this.#written) {
       try {
         await writeFileDurably(join(folder, FILE_NAME), Buffer.from(text));
@@ -91,6 +95,8 @@
       }
     }
     const took = performance.now() - startedAt;
-    this.#schedule(Math.max(INTERVAL, took / DISK_SHARE));
+    this.#schedule(
+      Math.max(INTERVAL, took / DISK_SHARE, worked / WORK_SHARE),
+    );
   }
 }
