--- a/apps/heroncleatd/gateway/control_links.ts
+++ b/apps/heroncleatd/gateway/control_links.ts
@@ -9,6 +9,9 @@
 } from "@heroncleat/serving";
 import type { PeerPool } from "@heroncleat/transport";
 import type { Log } from "../common/log.ts";
+import type { ControlLink } from "./control_link.ts";
+import type { FeedPosition } from "./feed_position.ts";
+import { takeEntryList } from "./take_entry_list.ts";
 
 /** Silence after which an exchange has failed. */
 const SYNC_TIMEOUT: Milliseconds = 800;
@@ -38,45 +41,6 @@
   readonly onIsolated: () => void;
 };
 
-/** How far an entry has read one replica's feed. */
-export type FeedPosition = {
-  readonly feed: string;
-  readonly revision: number;
-  /** Whether whole exchanges are exchanged with it. */
-  readonly isPrimary: boolean;
-  /** Revision up to which it sent the loads of the others; 0 for none. */
-  readonly loadsSince: number;
-  /** What it was sent of this entry's counters. */
-  readonly report: CounterReport;
-};
-
-/** One control replica as this process knows it. */
-type Link = {
-  readonly address: string;
-  feed: string;
-  revision: number;
-  receivedAt: Milliseconds;
-  askedAt: Milliseconds;
-  /** Whether the last exchange came to nothing. */
-  hasFailed: boolean;
-  isLeading: boolean;
-  namedAt: Milliseconds;
-  /** True time since 1970 less this process's monotonic time. */
-  wallOffset: Milliseconds | undefined;
-  /** Entries that it names to callers, by name. */
-  readonly entries: Map<string, KnownEntry>;
-  /** Entries that report to it. */
-  entryCount: number;
-  /** Revision of the last reply with the loads of the others. */
-  loadsSince: number;
-  readonly report: CounterReport;
-  /** The exchange that is under way. */
-  asking: Promise<void> | undefined;
-  /** Whether another one follows it at once. */
-  isDueAgain: boolean;
-  isLost: boolean;
-};
-
 /**
  * Exchanges state with every control replica, several times a second. Each
  * replica answers for itself, so that state arrives while any path is open. The
@@ -85,7 +49,7 @@
  */
 export class ControlLinks {
   readonly #options: LinkOptions;
-  readonly #links = new Map<string, Link>();
+  readonly #links = new Map<string, ControlLink>();
   #primary = "";
   /** Entries that any replica in reach names; undefined once that changes. */
   #listed: readonly KnownEntry[] | undefined;
@@ -180,11 +144,11 @@
     return offset === undefined ? this.#options.clock.wall() : now + offset;
   }
 
-  #list(): Link[] {
+  #list(): ControlLink[] {
     return [...this.#links.values()];
   }
 
-  #isInTouch(link: Link): boolean {
+  #isInTouch(link: ControlLink): boolean {
     return this.#options.clock.steady() - link.receivedAt < LOST_AFTER;
   }
 
@@ -234,7 +198,7 @@
     }
   }
 
-  #isDue(link: Link, now: Milliseconds): boolean {
+  #isDue(link: ControlLink, now: Milliseconds): boolean {
     if (this.#options.isWaiting()) {
       return now - link.askedAt >= this.#lookPause / 2;
     }
@@ -273,7 +237,7 @@
     }
   }
 
-  #noteLoss(link: Link): void {
+  #noteLoss(link: ControlLink): void {
     const isLost = !this.#isInTouch(link);
     if (isLost !== link.isLost) {
       link.isLost = isLost;
@@ -315,7 +279,7 @@
   }
 
   /** Begins an exchange; what it resolves with says nothing of its outcome. */
-  #ask(link: Link): Promise<void> {
+  #ask(link: ControlLink): Promise<void> {
     link.isDueAgain = false;
     const asking = this.#exchange(link).then(() => {
       if (link.asking !== asking) {
@@ -330,7 +294,7 @@
     return asking;
   }
 
-  async #exchange(link: Link): Promise<void> {
+  async #exchange(link: ControlLink): Promise<void> {
     const { pool, clock } = this.#options;
     const askedAt = clock.steady();
     link.askedAt = askedAt;
@@ -356,7 +320,7 @@
   }
 
   #onReply(
-    link: Link,
+    link: ControlLink,
     options: { reply: SyncReply; askedAt: Milliseconds },
   ): void {
     const { reply, askedAt } = options;
@@ -367,7 +331,7 @@
     link.isLeading = reply.isLeading;
     link.wallOffset = reply.wall - (askedAt + now) / 2;
     link.report.noteReply(reply);
-    const isListNew = takeList(link.entries, reply);
+    const isListNew = takeEntryList(link.entries, reply);
     if (isListNew) {
       this.#listed = undefined;
     }
@@ -385,18 +349,3 @@
     this.#options.onReply({ ...reply, entries });
   }
 }
-
-/** Takes a list of entries in, or its changes, and says whether any came. */
-function takeList(entries: Map<string, KnownEntry>, reply: SyncReply): boolean {
-  const { entryChanges } = reply;
-  if (reply.entries !== undefined) {
-    entries.clear();
-  }
-  for (const entry of reply.entries ?? entryChanges?.opened ?? []) {
-    entries.set(entry.name, entry);
-  }
-  for (const name of entryChanges?.closed ?? []) {
-    entries.delete(name);
-  }
-  return reply.entries !== undefined || entryChanges !== undefined;
-}
--- a/apps/heroncleatd/gateway/control_links_test.ts
+++ b/apps/heroncleatd/gateway/control_links_test.ts
@@ -1,7 +1,8 @@
 import { createSeededRandom } from "@heroncleat/base";
 import { Hub, type SyncReply, type SyncRequest } from "@heroncleat/serving";
 import type { PeerPool } from "@heroncleat/transport";
-import { ControlLinks, type FeedPosition } from "./control_links.ts";
+import { ControlLinks } from "./control_links.ts";
+import type { FeedPosition } from "./feed_position.ts";
 
 const quiet = { debug() {}, info() {}, warn() {}, error() {} };
 
--- /dev/null
+++ b/apps/heroncleatd/gateway/feed_position.ts
@@ -0,0 +1,13 @@
+import type { CounterReport } from "@heroncleat/serving";
+
+/** How far an entry has read one replica's feed. */
+export type FeedPosition = {
+  readonly feed: string;
+  readonly revision: number;
+  /** Whether whole exchanges are exchanged with it. */
+  readonly isPrimary: boolean;
+  /** Revision up to which it sent the loads of the others; 0 for none. */
+  readonly loadsSince: number;
+  /** What it was sent of this entry's counters. */
+  readonly report: CounterReport;
+};
--- a/apps/heroncleatd/gateway/simulated_quotas.ts
+++ b/apps/heroncleatd/gateway/simulated_quotas.ts
@@ -9,7 +9,8 @@
 import type { PeerPool } from "@heroncleat/transport";
 import { ChargeSharing } from "./charge_sharing.ts";
 import { QuotaCharging } from "./quota_charging.ts";
-import { ControlLinks, type FeedPosition } from "./control_links.ts";
+import { ControlLinks } from "./control_links.ts";
+import type { FeedPosition } from "./feed_position.ts";
 
 const STEP = 10;
 const WINDOW = 8000;
--- a/packages/serving/charge_exchange.ts
+++ b/packages/serving/charge_exchange.ts
@@ -1,7 +1,8 @@
 import type { Milliseconds } from "@heroncleat/base";
 import { ChargeBook } from "./charge_book.ts";
 import type { RevisionCounter } from "./revision_counter.ts";
-import type { RelayedCharges, ReportedCharges } from "./reported_charges.ts";
+import type { RelayedCharges } from "./relayed_charges.ts";
+import type { ReportedCharges } from "./reported_charges.ts";
 
 /**
  * Silence after which an entry may be using its share of the quotas by itself:
--- a/packages/serving/charge_relay.ts
+++ b/packages/serving/charge_relay.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds } from "@heroncleat/base";
-import type { RelayedCharges, ReportedCharges } from "./reported_charges.ts";
+import type { RelayedCharges } from "./relayed_charges.ts";
+import type { ReportedCharges } from "./reported_charges.ts";
 
 /** Time for which charges that arrived elsewhere are passed on. */
 const KEPT: Milliseconds = 1000;
--- a/packages/serving/hub.ts
+++ b/packages/serving/hub.ts
@@ -1,16 +1,18 @@
 import type { Milliseconds } from "@heroncleat/base";
-import { ChangeLog } from "./change_log.ts";
 import { ChargeBook } from "./charge_book.ts";
 import { ChargeExchange } from "./charge_exchange.ts";
+import { EntryMedians } from "./entry_medians.ts";
 import type { KnownEntry } from "./known_entry.ts";
 import { LoadBook } from "./load_book.ts";
-import { median } from "./median.ts";
 import { OpenEntries } from "./open_entries.ts";
 import { packedDocument } from "./packed_document.ts";
 import { RevisionCounter } from "./revision_counter.ts";
-import type { SharedState, SyncReply } from "./sync_reply.ts";
+import type { SharedState } from "./shared_state.ts";
+import type { SyncReply } from "./sync_reply.ts";
 import type { SyncRequest } from "./sync_request.ts";
-import { type MergeOutcome, UpstreamDirectory } from "./upstream_directory.ts";
+import type { UpstreamChanges } from "./upstream_changes.ts";
+import type { MergeOutcome, UpstreamDirectory } from "./upstream_directory.ts";
+import { UpstreamFeed } from "./upstream_feed.ts";
 import type { UpstreamLoad } from "./upstream_load.ts";
 import type { UpstreamRecord } from "./upstream_record.ts";
 import { type ProcessUsage, UsageBook } from "./usage_book.ts";
@@ -22,27 +24,9 @@
 /** Silence after which a closed or lost entry is taken to be gone. */
 const ENTRY_GONE_AFTER = 30_000;
 
-/** Time for which a measured reading speed counts after its entry went. */
-const SPEED_KEPT: Milliseconds = 10_000;
-
 /** Pause between two looks for entries that fell silent. */
 const SWEEP_INTERVAL: Milliseconds = 50;
 
-/**
- * Time for which a median over all entries stands. Clocks and reading speeds
- * move little in it, and computing them for each call takes a time that grows
- * with the square of the entries.
- */
-const MEDIAN_KEPT: Milliseconds = 200;
-
-/** What changed of upstreams since a revision. @public */
-export type UpstreamChanges = {
-  /** Those that are new or have changed. */
-  readonly upstreams: readonly UpstreamRecord[];
-  /** Newest heartbeat of those that sent one and have not changed. */
-  readonly beats: Readonly<Record<string, number>>;
-};
-
 /** An entry as it last reported to this replica. */
 type ReportedEntry = {
   readonly boot: string;
@@ -73,17 +57,15 @@
  */
 export class Hub {
   readonly feed: string;
-  readonly directory = new UpstreamDirectory();
   readonly #revisions = new RevisionCounter();
+  readonly #upstreams = new UpstreamFeed(this.#revisions);
   readonly #entries = new Map<string, ReportedEntry>();
+  readonly #medians = new EntryMedians(this.#entries, ENTRY_SILENT_AFTER);
   readonly #open = new OpenEntries(this.#revisions);
   readonly #charges = new ChargeExchange(this.#revisions);
   readonly #loads = new LoadBook(this.#revisions);
   readonly #readWork = new ChargeBook();
   readonly #usage = new UsageBook();
-  readonly #receivedUpstreams = new ChangeLog();
-  /** Revision at which an upstream last changed, by its identifier. */
-  readonly #changedAt = new Map<string, number>();
   /** The document that was sent last, as it is sent. */
   #packed = { version: -1, text: "" };
   #sweptAt: Milliseconds = -Infinity;
@@ -93,8 +75,6 @@
     unheard: [] as readonly string[],
     entryCount: 0,
   };
-  #medians = { madeAt: -Infinity, wallOffset: undefined as number | undefined };
-  #speeds = { madeAt: -Infinity, byService: {} as Record<string, number> };
   /** Reports that couldn't be taken, as they built on another copy. */
   #divergences = 0;
 
@@ -102,6 +82,10 @@
     this.feed = feed;
   }
 
+  get directory(): UpstreamDirectory {
+    return this.#upstreams.directory;
+  }
+
   get revision(): number {
     return this.#revisions.value;
   }
@@ -115,17 +99,8 @@
    * Takes updates of an upstream in, from itself or from another replica, and
    * says what they brought.
    */
-  mergeUpstream(updates: UpstreamRecord, now: Milliseconds): MergeOutcome {
-    const outcome = this.directory.merge(updates, now);
-    if (outcome === "late") {
-      return outcome;
-    }
-    const revision = this.#revisions.next();
-    this.#receivedUpstreams.note(updates.id, revision);
-    if (outcome === "changed" || !this.#changedAt.has(updates.id)) {
-      this.#changedAt.set(updates.id, revision);
-    }
-    return outcome;
+  mergeUpstream(update: UpstreamRecord, now: Milliseconds): MergeOutcome {
+    return this.#upstreams.merge(update, now);
   }
 
   /** Takes in a heartbeat without change that another replica got. */
@@ -149,15 +124,7 @@
     now: Milliseconds,
     born?: Milliseconds,
   ): string | undefined {
-    const id = this.directory.findLeaving(name, { born, now });
-    if (id === undefined) {
-      return undefined;
-    }
-    this.directory.remove(id, now);
-    const revision = this.#revisions.next();
-    this.#receivedUpstreams.note(id, revision);
-    this.#changedAt.set(id, revision);
-    return id;
+    return this.#upstreams.remove(name, now, born);
   }
 
   /** Takes an entry's report in and answers it. */
@@ -247,23 +214,10 @@
 
   /** What changed of upstreams behind a revision of this feed. */
   changesSince(feed: string, revision: number): UpstreamChanges {
-    const from = feed === this.feed ? revision : 0;
-    const upstreams: UpstreamRecord[] = [];
-    const beats: Record<string, number> = {};
-    for (const id of this.#receivedUpstreams.since(from)) {
-      const record = this.directory.get(id)?.record;
-      if (record === undefined || this.directory.isOver(id)) {
-        continue;
-      }
-      if ((this.#changedAt.get(id) ?? 0) > from) {
-        upstreams.push(record);
-      } else {
-        beats[id] = record.sequence;
-      }
-    }
-    return { upstreams, beats };
+    return this.#upstreams.changesSince(feed === this.feed ? revision : 0);
   }
 
+  /** Entries that callers may be sent to. */
   listOpenEntries(now: Milliseconds): readonly KnownEntry[] {
     this.#sweep(now);
     return this.#open.list();
@@ -271,17 +225,7 @@
 
   /** The median of the entries' wall clocks, moved on to `now`. */
   estimateWall(now: Milliseconds): Milliseconds | undefined {
-    if (now - this.#medians.madeAt >= MEDIAN_KEPT) {
-      const offsets: Milliseconds[] = [];
-      for (const { receivedAt, wallOffset } of this.#entries.values()) {
-        if (now - receivedAt < ENTRY_SILENT_AFTER) {
-          offsets.push(wallOffset);
-        }
-      }
-      this.#medians = { madeAt: now, wallOffset: median(offsets) };
-    }
-    const { wallOffset } = this.#medians;
-    return wallOffset === undefined ? undefined : now + wallOffset;
+    return this.#medians.wall(now);
   }
 
   /** What all entries counted for one usage window. */
@@ -309,26 +253,7 @@
 
   /** What the middle one of the entries in reach measured, by service. */
   readingSpeeds(now: Milliseconds): Record<string, number> {
-    if (now - this.#speeds.madeAt < MEDIAN_KEPT) {
-      return this.#speeds.byService;
-    }
-    const measured = new Map<string, number[]>();
-    for (const { readingSpeeds, receivedAt } of this.#entries.values()) {
-      if (now - receivedAt > SPEED_KEPT) {
-        continue;
-      }
-      for (const [service, speed] of Object.entries(readingSpeeds)) {
-        const speeds = measured.get(service) ?? [];
-        speeds.push(speed);
-        measured.set(service, speeds);
-      }
-    }
-    const byService: Record<string, number> = {};
-    for (const [service, speeds] of measured) {
-      byService[service] = median(speeds)!;
-    }
-    this.#speeds = { madeAt: now, byService };
-    return byService;
+    return this.#medians.readingSpeeds(now);
   }
 
   /** What all entries have under way, by upstream. */
@@ -339,16 +264,9 @@
 
   /** Forgets what can't matter any more. */
   expire(now: Milliseconds): void {
-    this.directory.forget(now);
+    this.#upstreams.expire(now);
     this.#usage.forget();
-    const isGone = (id: string) => this.directory.get(id) === undefined;
-    for (const id of this.#receivedUpstreams.ids()) {
-      if (isGone(id)) {
-        this.#receivedUpstreams.drop(id);
-        this.#changedAt.delete(id);
-      }
-    }
-    this.#loads.forget(isGone);
+    this.#loads.forget((id) => this.directory.get(id) === undefined);
     this.#charges.forget(now - ENTRY_GONE_AFTER);
     for (const [name, entry] of this.#entries) {
       if (now - entry.receivedAt > ENTRY_GONE_AFTER) {
@@ -392,8 +310,7 @@
       wallOffset: request.wall - now,
     });
     if (isNew) {
-      this.#medians.madeAt = -Infinity;
-      this.#speeds.madeAt = -Infinity;
+      this.#medians.reset();
       this.#sweptAt = -Infinity;
     }
     this.#open.note({ name, address, zone, region }, isOpen);
--- a/packages/serving/reported_charges.ts
+++ b/packages/serving/reported_charges.ts
@@ -1,5 +1,3 @@
-import type { Milliseconds } from "@heroncleat/base";
-
 /** What one process of an entry charged, by quota bucket. @public */
 export type ReportedCharges = {
   /** Identifier of the process; new with each start. */
@@ -11,9 +9,3 @@
   /** Sum of all totals, those left out too; checked where it is present. */
   readonly digest?: number;
 };
-
-/** Charges that somebody else than the entry itself reports. @public */
-export type RelayedCharges = ReportedCharges & {
-  /** Time since the entry reported them. */
-  readonly age: Milliseconds;
-};
--- a/packages/serving/sync_reply.ts
+++ b/packages/serving/sync_reply.ts
@@ -1,8 +1,8 @@
 import type { Milliseconds } from "@heroncleat/base";
 import type { KnownEntry } from "./known_entry.ts";
 import type { EntryChanges } from "./entry_changes.ts";
-import type { RelayedCharges } from "./reported_charges.ts";
-import type { UpstreamLoad } from "./upstream_load.ts";
+import type { RelayedCharges } from "./relayed_charges.ts";
+import type { SharedState } from "./shared_state.ts";
 import type { UpstreamRecord } from "./upstream_record.ts";
 
 /** What a control replica answers an entry. @public */
@@ -48,16 +48,3 @@
   /** What entries share; present in answers to whole exchanges. */
   readonly shared: SharedState | undefined;
 };
-
-/** What an entry learns of the others from one replica at a time. @public */
-export type SharedState = {
-  /** Newest heartbeat of upstreams that have not changed. */
-  readonly beats: Readonly<Record<string, number>>;
-  readonly loadsOfOthers: Readonly<Record<string, UpstreamLoad>>;
-  /** Whether those are only what changed since the revision that was named. */
-  readonly areLoadsPartial?: true;
-  /** Median of what entries measured, by service; see SyncRequest. */
-  readonly readingSpeeds: Readonly<Record<string, number>>;
-  /** Part of all quotas that the entries in reach of this replica may use. */
-  readonly quotaShare: number;
-};
--- a/packages/serving/sync_request.ts
+++ b/packages/serving/sync_request.ts
@@ -1,5 +1,5 @@
 import type { Milliseconds } from "@heroncleat/base";
-import type { RelayedCharges } from "./reported_charges.ts";
+import type { RelayedCharges } from "./relayed_charges.ts";
 import type { UpstreamLoad } from "./upstream_load.ts";
 import type { WorkspaceCounts } from "./usage_counts.ts";
 
--- /dev/null
+++ b/packages/serving/upstream_changes.ts
@@ -0,0 +1,9 @@
+import type { UpstreamRecord } from "./upstream_record.ts";
+
+/** What changed of upstreams since a revision. @public */
+export type UpstreamChanges = {
+  /** Those that are new or have changed. */
+  readonly upstreams: readonly UpstreamRecord[];
+  /** Newest heartbeat of those that sent one and have not changed. */
+  readonly beats: Readonly<Record<string, number>>;
+};
--- /dev/null
+++ b/packages/serving/upstream_feed.ts
@@ -0,0 +1,88 @@
+import type { Milliseconds } from "@heroncleat/base";
+import { ChangeLog } from "./change_log.ts";
+import type { RevisionCounter } from "./revision_counter.ts";
+import type { UpstreamChanges } from "./upstream_changes.ts";
+import { type MergeOutcome, UpstreamDirectory } from "./upstream_directory.ts";
+import type { UpstreamRecord } from "./upstream_record.ts";
+
+/**
+ * The upstreams that one control replica knows, and what changed of them behind
+ * a revision.
+ *
+ * @internal
+ */
+export class UpstreamFeed {
+  readonly directory = new UpstreamDirectory();
+  readonly #revisions: RevisionCounter;
+  readonly #received = new ChangeLog();
+  /** Revision at which an upstream last changed, by its identifier. */
+  readonly #changedAt = new Map<string, number>();
+
+  constructor(revisions: RevisionCounter) {
+    this.#revisions = revisions;
+  }
+
+  /** Takes an update in and says what it brought. */
+  merge(update: UpstreamRecord, now: Milliseconds): MergeOutcome {
+    const outcome = this.directory.merge(update, now);
+    if (outcome === "late") {
+      return outcome;
+    }
+    const revision = this.#revisions.next();
+    this.#received.note(update.id, revision);
+    if (outcome === "changed" || !this.#changedAt.has(update.id)) {
+      this.#changedAt.set(update.id, revision);
+    }
+    return outcome;
+  }
+
+  /**
+   * Notes that an upstream has left.
+   *
+   * @returns The start that left; undefined if it was one before the living.
+   */
+  remove(
+    name: string,
+    now: Milliseconds,
+    born?: Milliseconds,
+  ): string | undefined {
+    const id = this.directory.findLeaving(name, { born, now });
+    if (id === undefined) {
+      return undefined;
+    }
+    this.directory.remove(id, now);
+    const revision = this.#revisions.next();
+    this.#received.note(id, revision);
+    this.#changedAt.set(id, revision);
+    return id;
+  }
+
+  /** What changed behind a revision; 0 asks for all. */
+  changesSince(revision: number): UpstreamChanges {
+    const upstreams: UpstreamRecord[] = [];
+    const beats: Record<string, number> = {};
+    for (const id of this.#received.since(revision)) {
+      const record = this.directory.get(id)?.record;
+      if (record === undefined || this.directory.isOver(id)) {
+        continue;
+      }
+      if ((this.#changedAt.get(id) ?? 0) > revision) {
+        upstreams.push(record);
+      } else {
+        beats[id] = record.sequence;
+      }
+    }
+    return { upstreams, beats };
+  }
+
+  /** Forgets upstreams that can't matter any more. */
+  expire(now: Milliseconds): void {
+    this.directory.forget(now);
+    for (const id of this.#received.ids()) {
+      if (this.directory.get(id) === undefined) {
+        this.#received.drop(id);
+        this.#changedAt.delete(id);
+      }
+    }
+  }
+}
