--- a/apps/heroncleatd/entry/service_dispatcher_test.ts
+++ b/apps/heroncleatd/entry/service_dispatcher_test.ts
@@ -84,7 +84,7 @@
 
 /** The parts of an entry that a call needs, with the services as upstreams. */
 function createParts(): EntryParts {
-  const report = (message: Record<string, unknown>) => {
+  const send = (message: Record<string, unknown>) => {
     if (message["kind"] !== "route") {
       return true;
     }
@@ -109,7 +109,7 @@
       upstreams: agent,
       lease: { isValid: true },
     },
-    dispatch: { report },
+    dispatch: { send },
   } as unknown as EntryParts;
 }
 
