--- a/apps/heroncleatd/control/group_reconciler.ts
+++ b/apps/heroncleatd/control/group_reconciler.ts
@@ -50,7 +50,7 @@
  */
 export class GroupReconciler {
   readonly #options: ReconcilerOptions;
-  /** Names of the voters that the leader doesn't receive. */
+  /** Names of the voters that are silent to the leader. */
   #unheard = "";
   #timers: readonly NodeJS.Timeout[] = [];
 
--- a/apps/heroncleatd/gateway/control_links.ts
+++ b/apps/heroncleatd/gateway/control_links.ts
@@ -37,7 +37,7 @@
   readonly isWaiting: () => boolean;
   /** A number from 0 to 1. */
   readonly random: () => number;
-  /** Notified when no replica can be reached any more. */
+  /** Called when no replica can be reached any more. */
   readonly onIsolated: () => void;
 };
 
--- a/apps/heroncleatd/gateway/entry_notices.ts
+++ b/apps/heroncleatd/gateway/entry_notices.ts
@@ -19,7 +19,7 @@
   readonly address: string;
   /** Hosts of the other entries; all listen on the same port. */
   readonly peers: () => readonly string[];
-  /** Notified of each notice and the host it came from. */
+  /** Called with each notice and the host it came from. */
   readonly onNotice: (notice: EntryNotice, from: string) => void;
   readonly clock: Clock;
   readonly log: Log;
--- a/apps/heroncleatd/gateway/feed_position.ts
+++ b/apps/heroncleatd/gateway/feed_position.ts
@@ -4,7 +4,7 @@
 export type FeedPosition = {
   readonly feed: string;
   readonly revision: number;
-  /** Whether whole exchanges are exchanged with it. */
+  /** Whether everything is exchanged with it, not just counters. */
   readonly isPrimary: boolean;
   /** Revision up to which it sent the loads of the others; 0 for none. */
   readonly loadsSince: number;
--- a/apps/heroncleatd/gateway/leave_gracefully.ts
+++ b/apps/heroncleatd/gateway/leave_gracefully.ts
@@ -16,7 +16,7 @@
   readonly gracePeriod: Milliseconds;
   /** Requests that have no final answer yet. */
   readonly underWay: () => number;
-  /** Notified when a stream that is taken now couldn't end in time. */
+  /** Called when a stream that is taken now couldn't end in time. */
   readonly onTooLateForStreams: () => void;
 };
 
--- a/apps/heroncleatd/gateway/shared_charges_test.ts
+++ b/apps/heroncleatd/gateway/shared_charges_test.ts
@@ -46,8 +46,8 @@
 }
 
 /**
- * Simulates a workspace that turns hot at 2 s, and a cut from 4.0 to 10.5 s, with
- * several seeds; gives the most of what is tolerated that any window held.
+ * Simulates a workspace that turns hot at 2 s, and a cut from 4.0 to 10.5 s,
+ * with several seeds; gives the most of what is tolerated that any window held.
  */
 async function mostBeyondWith(isCut: Cut): Promise<number> {
   const beyond: number[] = [];
@@ -80,11 +80,11 @@
 //
 // It had begun to ask for 7.5 times its usual, and the control replicas were
 // then cut into halves that most entries still reached. Each half's replicas
-// received and reported only what that half's entries charged, and an entry
-// that received both took the larger of the two sums for the whole. Evidence:
+// knew and sent only what that half's entries charged, and an entry
+// that reached both took the larger of the two sums for the whole. Evidence:
 // what the entries charged adds up to what was judged, and during the cut it
 // was 1.16 to 1.3 times the rate; the same load without the cut stayed within.
-test("a quota holds while each control replica receives a part of the entries", async () => {
+test("a quota holds while each control replica reaches a part of the entries", async () => {
   // 1.25 where halves aren't joined, 0.72 without a cut.
   expect(await mostBeyondWith(between([0, 6], [3, 9]))).toBeLessThan(0.9);
 });
--- a/apps/heroncleatd/hub/replica_group.ts
+++ b/apps/heroncleatd/hub/replica_group.ts
@@ -48,7 +48,7 @@
   readonly log: (part: string) => Log;
   readonly metrics: Metrics;
   /**
-   * Notified when this replica can't go on, as when its disk takes no bytes.
+   * Called when this replica can't go on, as when its disk takes no bytes.
    */
   readonly onFailure: (error: unknown) => void;
 };
--- a/packages/serving/charge_exchange.ts
+++ b/packages/serving/charge_exchange.ts
@@ -27,7 +27,7 @@
 
 /**
  * What one control replica knows of the charges of all entries: from each
- * itself, and, while it receives nothing from one, from others that still do.
+ * itself, and, while one is silent, from others that still reach it.
  * Replicas in two halves each reach some of the entries only; where they summed
  * just these, a workspace got 1.3 times its rate from all (simulated load).
  *
@@ -115,7 +115,7 @@
 
   /**
    * Part of all quotas that may be handed out: entries of which nothing is
-   * received may be using an even share by themselves.
+   * known may be using an even share by themselves.
    */
   share(now: Milliseconds): number {
     const known = Math.max(1, this.#entries.size);
--- a/packages/serving/charge_relay.ts
+++ b/packages/serving/charge_relay.ts
@@ -9,7 +9,7 @@
 
 /** What one control replica says of the entries. */
 type ReplicaView = {
-  /** Entries that it knows of but doesn't receive. */
+  /** Entries that it knows of but that are silent to it. */
   unheard: ReadonlySet<string>;
   /** Entries that it names to callers; undefined before it sent a list. */
   listed: ReadonlySet<string> | undefined;
@@ -27,9 +27,10 @@
 type ReceivedCharges = ReportedCharges & { readonly at: Milliseconds };
 
 /**
- * Carries charges between control replicas that can't receive the same entries,
- * by way of an entry that reaches several of them, or receives an entry that
- * reaches none. Nothing is passed on while all replicas receive all entries.
+ * Carries charges between control replicas that aren't reached by the same
+ * entries, by way of an entry that reaches several of them, or is reached by an
+ * entry that reaches none. Nothing is passed on while all entries reach all
+ * replicas.
  *
  * @public
  */
@@ -38,7 +39,7 @@
   readonly #views = new Map<string, ReplicaView>();
   readonly #received = new Map<string, ReceivedCharges>();
 
-  /** @param self Name of this entry, which every replica receives itself. */
+  /** @param self Name of this entry, which reports to every replica itself. */
   constructor(self: string) {
     this.#self = self;
   }
@@ -66,7 +67,7 @@
   }
 
   /**
-   * Entries of which a replica is asked, as another one doesn't receive them.
+   * Entries of which a replica is asked, as they are silent to another one.
    */
   wantedFrom(replica: string): string[] {
     const missingHere = this.#missingAt(replica);
--- a/packages/serving/charge_relay_test.ts
+++ b/packages/serving/charge_relay_test.ts
@@ -34,7 +34,7 @@
     }
     const relay = new ChargeRelay("between");
     const parts = { relay, entry: "between", spent: 0 };
-    // The left one receives nothing of the far entry any more.
+    // The far entry is silent to the left one now.
     for (let now = 700; now <= 1300; now += 100) {
       right.charges.receive("far", reported(10 + now), now);
       exchange(parts, left, now + 10);
@@ -44,7 +44,7 @@
     expect(left.charges.share(1320)).toBe(1);
   });
 
-  test("aren't passed on while every replica receives every entry", () => {
+  test("aren't passed on while every entry reaches every replica", () => {
     const left = { name: "left", charges: new ChargeExchange() };
     const right = { name: "right", charges: new ChargeExchange() };
     const relay = new ChargeRelay("between");
--- a/packages/serving/demand_estimate.ts
+++ b/packages/serving/demand_estimate.ts
@@ -34,7 +34,7 @@
       this.#at = now;
       return;
     }
-    // Another source of the total may have received less; it counts from there.
+    // Another source of the total may know less; it counts from there.
     const busy = Math.max(0, total - this.#total) / elapsed;
     this.#total = total;
     this.#at = now;
--- a/packages/serving/hub_test.ts
+++ b/packages/serving/hub_test.ts
@@ -144,7 +144,7 @@
     expect(next.entries?.length).toBe(3);
   });
 
-  test("counts charges that came with short exchanges", () => {
+  test("counts charges that came with a short exchange", () => {
     const hub = new Hub("f");
     const spent = { inn: 7 };
     const short = request("a", { spent, loads: undefined });
--- a/packages/serving/isolated_quota_test.ts
+++ b/packages/serving/isolated_quota_test.ts
@@ -46,7 +46,7 @@
 }
 
 describe("quotas while no control replica answers", () => {
-  test("serve what fits the share of the entries that receive each other", () => {
+  test("serve what fits the share of the entries that reach each other", () => {
     const entries = makeEntries(8);
     let asked = 0;
     let served = 0;
@@ -61,7 +61,7 @@
     expect(served / asked).toBeGreaterThan(0.95);
   });
 
-  test("stay bounded over two halves that don't receive each other", () => {
+  test("stay bounded over two halves that don't reach each other", () => {
     fc.assert(
       fc.property(
         fc.array(fc.tuple(fc.nat(11), fc.integer({ min: 1, max: 90 })), {
--- a/packages/serving/quota_account.ts
+++ b/packages/serving/quota_account.ts
@@ -50,7 +50,7 @@
   #filledAt: Milliseconds = 0;
   /** Tokens that the others spend in a millisecond. */
   #othersPace = 0;
-  /** Tokens that other sources added since the last whole exchanges. */
+  /** Tokens that other sources added since the last whole exchange. */
   #addedBetween = 0;
   /** Tokens that this entry took since the last reply. */
   takenSinceSync = 0;
@@ -142,15 +142,15 @@
     this.#level += Math.max(0, most - this.#level) * part;
   }
 
-  /** Notes what others spent, reported beside whole exchanges. */
+  /** Notes what others spent, as other replicas count it. */
   noteBetween(amount: number): void {
     this.#addedBetween += amount;
   }
 
   /**
-   * Takes in whole exchanges of what others spent.
+   * Takes in what others spent by a whole exchange.
    *
-   * @param elapsed Time since the last whole exchanges.
+   * @param elapsed Time since the last whole exchange.
    */
   notePace(amount: number, elapsed: Milliseconds): void {
     const spent = amount + this.#addedBetween;
--- a/packages/serving/shared_quota_test.ts
+++ b/packages/serving/shared_quota_test.ts
@@ -21,11 +21,11 @@
   quota: WorkspaceQuota;
   isCut: boolean;
   receivedAt: number;
-  /** What the source of updates knew of it last, by bucket. */
+  /** What the source of charges knew of it last, by bucket. */
   reported: Record<string, number>;
 };
 
-/** Entries that share one quota through a source of updates. */
+/** Entries that share one quota through a source of charges. */
 class QuotaPlay {
   readonly entries: SimulatedEntry[];
   readonly granted: { at: number; amount: number; entry: number }[] = [];
--- a/packages/serving/sync_reply.ts
+++ b/packages/serving/sync_reply.ts
@@ -37,7 +37,7 @@
    * changed since the revision for an entry that takes changes.
    */
   readonly spentByOthers: Readonly<Record<string, number>>;
-  /** Entries that the replica knows of and doesn't receive. */
+  /** Entries that the replica knows of and that are silent to it. */
   readonly unheard?: readonly string[];
   /** What the wanted ones of them reported to it. */
   readonly charges?: Readonly<Record<string, RelayedCharges>>;
@@ -45,6 +45,6 @@
   readonly takesPartial?: true;
   /** Whether the report couldn't be taken and a whole one is needed. */
   readonly needsWhole?: true | undefined;
-  /** What entries share; present in answers to whole exchanges. */
+  /** What entries share; present in replies of the primary. */
   readonly shared: SharedState | undefined;
 };
--- a/packages/serving/sync_request.ts
+++ b/packages/serving/sync_request.ts
@@ -39,9 +39,9 @@
   readonly digest?: number;
   /** Everything charged since the start of the process, by workspace. */
   readonly spent: Readonly<Record<string, number>>;
-  /** Charges of entries that this replica doesn't receive itself, by name. */
+  /** Charges of entries that don't report to this replica, by name. */
   readonly relayedCharges?: Readonly<Record<string, RelayedCharges>>;
-  /** Entries that another replica doesn't receive. */
+  /** Entries that don't report to another replica. */
   readonly wantedCharges?: readonly string[];
   /**
    * Time in which the reference engine reads all prompts sent since the start,
@@ -50,7 +50,7 @@
   readonly readWork: Readonly<Record<string, Milliseconds>>;
   /** Time to read a prompt by service, as it measured it; 1 is a reference. */
   readonly readingSpeeds: Readonly<Record<string, number>>;
-  /** What it has under way; absent in the short exchanges to other replicas. */
+  /** What it has under way; absent in short exchanges. */
   readonly loads: Readonly<Record<string, UpstreamLoad>> | undefined;
   /** Requests begun, by number of the usage window and workspace. */
   readonly usage: Readonly<Record<string, WorkspaceCounts>>;
--- a/packages/serving/upstream_record.ts
+++ b/packages/serving/upstream_record.ts
@@ -6,7 +6,9 @@
   readonly id: string;
   /** What the upstream is called; it may keep that when it starts again. */
   readonly name: string;
-  /** When it started, by the wall clock of its VM; undefined if unreported. */
+  /**
+   * When it started, by the wall clock of its VM; undefined if it isn't stated.
+   */
   readonly born: Milliseconds | undefined;
   readonly service: string;
   /** host:port */
--- a/packages/serving/workspace_quota.ts
+++ b/packages/serving/workspace_quota.ts
@@ -40,8 +40,9 @@
  */
 const RESTART_SHARE = 0.8;
 /**
- * Time without updates for which the others are taken to spend as before; after
- * it this entry keeps to its own share. Updates come every 150 to 600 ms.
+ * Time without an exchange for which the others are taken to spend as before;
+ * after it this entry keeps to its own share. Exchanges are 150 to 600 ms
+ * apart.
  */
 const MOST_FORECAST: Milliseconds = 1000;
 /** Time after which the sources of updates find out that an entry is silent. */
@@ -64,7 +65,7 @@
 const SPARE_SHARE = 0.2;
 
 /**
- * Part of what this entry took since the updates that each other one is taken
+ * Part of what this entry took since the exchange that each other one is taken
  * to have taken too. Without it 11 entries that see room at the same moment
  * each spend it: windows of 40 simulated loads used up to 0.97 of what is
  * tolerated, 0.31 with it, at 0.1 spent on purpose.
@@ -87,7 +88,7 @@
 /**
  * Quotas of workspaces shared by all entries without asking on each request.
  * Every entry counts what all entries spent in the last window: its own charges
- * at once, and those of the others when updates of them arrives. Entries that
+ * at once, and those of the others when an exchange brings them. Entries that
  * are out of reach are taken to use an even share until they report again.
  *
  * A bucket of the burst refills by the rate; besides, the sum of any window is
@@ -247,7 +248,7 @@
     return added;
   }
 
-  /** Without updates, only an even share may be handed out. */
+  /** Without an exchange, only an even share may be handed out. */
   isolate(share: number, now: Milliseconds): void {
     const before = this.#refillAll(now);
     this.#setShare(before, { share, receivedBefore: this.#othersAt, now });
@@ -297,7 +298,7 @@
     shares: { before: number; after: number },
     span: { since: Milliseconds; now: Milliseconds },
   ): void {
-    // Who went out of reach reported for the last time before the updates that
+    // Who went out of reach reported for the last time before the exchange that
     // didn't know it yet.
     const since = span.since - FOUND_AFTER;
     for (const account of this.#accounts.values()) {
@@ -320,7 +321,7 @@
     return left > 0 && left + overdraft >= Math.min(amount, limit.burst);
   }
 
-  /** What is left, less what the others will have spent since the updates. */
+  /** What is left, less what the others will have spent since the exchange. */
   #leftOf(limit: QuotaLimit, now: Milliseconds): number {
     const account = this.#accountOf(limit.name);
     const silence = Math.min(MOST_FORECAST, now - this.#othersAt);
@@ -331,7 +332,7 @@
   }
 
   /**
-   * What the others took since the updates, if callers ask them like this one.
+   * What the others took since the exchange, if callers ask them like this one.
    */
   #alike(account: QuotaAccount, limit: QuotaLimit): number {
     return Math.min(
--- a/packages/serving/workspace_quota_test.ts
+++ b/packages/serving/workspace_quota_test.ts
@@ -15,7 +15,7 @@
     return served;
   };
 
-  test("is all counted when the source of updates changes", () => {
+  test("is all counted when the source of charges changes", () => {
     const quota = new WorkspaceQuota(strict);
     quota.charge(workspace, { amount: 10, now: 0 });
     quota.learnOthers("a", { ...updates, spent: { inn: 0 }, now: 0 });
@@ -85,7 +85,7 @@
     expect(quota.charge(workspace, { amount: 500, now: 3000 }).ok).toBe(false);
   });
 
-  test("takes off what other entries charged since the last updates", () => {
+  test("takes off what other entries charged since the last exchange", () => {
     const quota = new WorkspaceQuota(settings);
     quota.charge(workspace, { amount: 1, now: 0 });
     quota.learnOthers("a", {
