Sight: a request's line names its upstream's state, age and who reported it

The incident's hypotheses couldn't be told apart: no line of an entry said how old what it knew of an upstream was, nor from which replica it had it.

Each attempt's line has state, heard (time since the upstream was last heard of) and told_by. Entries and replicas log when another replica tells them that an upstream leaves, with its address. No decision reads the new fields.

--- a/apps/heroncleatd/gateway/attempt.ts
+++ b/apps/heroncleatd/gateway/attempt.ts
@@ -77,6 +77,7 @@
   const trace = new AttemptTrace({
     chosen,
     sentAfter: clock.steady() - call.arrivedAt,
+    heardAge: clock.steady() - chosen.upstream.receivedAt,
     syncAge: context.syncAge(),
   });
   const account = openAccount(call, { context, chosen, trace });
--- a/apps/heroncleatd/gateway/attempt_trace.ts
+++ b/apps/heroncleatd/gateway/attempt_trace.ts
@@ -6,6 +6,8 @@
   readonly chosen: ChosenUpstream;
   /** Time since the request arrived. */
   readonly sentAfter: Milliseconds;
+  /** Time since the chosen upstream was last heard of. */
+  readonly heardAge: Milliseconds;
   /** Time since the newest reply of a control replica. */
   readonly syncAge: Milliseconds;
 };
@@ -29,13 +31,16 @@
 
   /** A short text of key=value pairs, behind the upstream and its outcome. */
   describe(outcome: string): string {
-    const { chosen, sentAfter, syncAge } = this.#options;
+    const { chosen, sentAfter, heardAge, syncAge } = this.#options;
     const { upstream, uncachedTokens, fetchedTokens, source } = chosen;
     const facts = [
       `sent_after=${Math.round(sentAfter)}ms`,
       `expected=${Math.round(chosen.expected)}ms`,
       `uncached=${uncachedTokens}`,
       `sync_age=${Math.round(syncAge)}ms`,
+      `state=${upstream.record.state}`,
+      `heard=${Math.round(heardAge)}ms`,
+      `told_by=${upstream.reporter}`,
     ];
     if (source !== undefined) {
       facts.push(`fetched=${fetchedTokens}`, `source=${source.record.id}`);
--- a/apps/heroncleatd/gateway/control_links.ts
+++ b/apps/heroncleatd/gateway/control_links.ts
@@ -32,7 +32,8 @@
   /** host:port of replicas to ask when none is known. */
   readonly seeds: () => readonly string[];
   readonly describe: (known: FeedPosition) => SyncRequest;
-  readonly onReply: (reply: SyncReply) => void;
+  /** @param from host:port of the replica that answered. */
+  readonly onReply: (reply: SyncReply, from: string) => void;
   /** Whether nothing can be served before a reply brings a configuration. */
   readonly isWaiting: () => boolean;
   /** A number from 0 to 1. */
@@ -346,6 +347,6 @@
       ? reply.revision
       : link.loadsSince;
     const entries = isListNew ? [...link.entries.values()] : undefined;
-    this.#options.onReply({ ...reply, entries });
+    this.#options.onReply({ ...reply, entries }, link.address);
   }
 }
--- a/apps/heroncleatd/gateway/entry_exchange.ts
+++ b/apps/heroncleatd/gateway/entry_exchange.ts
@@ -8,6 +8,7 @@
   type SyncRequest,
   type UpstreamChoice,
   type UpstreamDirectory,
+  type UpstreamRecord,
   type UsageCounts,
   type WorkspaceQuota,
 } from "@heroncleat/serving";
@@ -108,11 +109,11 @@
   }
 
   /** Takes a control replica's reply in. */
-  learn(reply: SyncReply): void {
-    const { clock, directory, charges, onDocument } = this.#options;
+  learn(reply: SyncReply, from: string): void {
+    const { clock, charges, onDocument } = this.#options;
     const now = clock.steady();
     for (const record of reply.upstreams) {
-      directory.merge(record, now);
+      this.#learnUpstream(record, { now, from });
     }
     if (reply.upstreams.length > 0) {
       this.#endEarlierStarts();
@@ -123,7 +124,22 @@
     }
     charges.learn(reply);
     if (reply.shared !== undefined) {
-      this.#learnShared(reply.shared);
+      this.#learnShared(reply.shared, from);
+    }
+  }
+
+  /** Logs when an upstream begins to leave, to set beside who was told. */
+  #learnUpstream(
+    record: UpstreamRecord,
+    { now, from }: { now: Milliseconds; from: string },
+  ): void {
+    const { directory, log } = this.#options;
+    const outcome = directory.merge(record, now, { reporter: from });
+    if (outcome === "changed" && record.state !== "ready") {
+      log.info(`Told that an upstream is ${record.state}`, {
+        upstream: record.id,
+        by: from,
+      });
     }
   }
 
@@ -150,11 +166,11 @@
     }
   }
 
-  #learnShared(shared: SharedState): void {
+  #learnShared(shared: SharedState, from: string): void {
     const { clock, directory, choice } = this.#options;
     const now = clock.steady();
     for (const [id, sequence] of Object.entries(shared.beats)) {
-      directory.refresh(id, sequence, now);
+      directory.refresh(id, now, { sequence, reporter: from });
     }
     if (shared.areLoadsPartial) {
       choice.learnChangedLoads(shared.loadsOfOthers, now);
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -122,7 +122,7 @@
       log: options.log("links"),
       seeds: () => options.settings().seeds,
       describe: (known) => this.#exchange.describe(known),
-      onReply: (reply) => this.#exchange.learn(reply),
+      onReply: (reply, from) => this.#exchange.learn(reply, from),
       onIsolated: () => this.#onIsolated(),
       isWaiting: () => this.#table === undefined,
       random: Math.random,
--- a/apps/heroncleatd/hub/feed_reader.ts
+++ b/apps/heroncleatd/hub/feed_reader.ts
@@ -1,6 +1,7 @@
 import type { Clock, Milliseconds } from "@heroncleat/base";
 import type { Hub, ProcessUsage, UpstreamChanges } from "@heroncleat/serving";
 import type { PeerPool } from "@heroncleat/transport";
+import type { Log } from "../common/log.ts";
 
 const INTERVAL: Milliseconds = 200;
 const TIMEOUT: Milliseconds = 800;
@@ -10,6 +11,7 @@
   readonly hub: Hub;
   readonly clock: Clock;
   readonly pool: PeerPool;
+  readonly log: Log;
   /** host:port of the other control replicas. */
   readonly peers: () => readonly string[];
 };
@@ -55,7 +57,7 @@
   }
 
   async #read(address: string, position: Position): Promise<void> {
-    const { pool, hub, clock } = this.#options;
+    const { pool, hub, clock, log } = this.#options;
     position.isAsking = true;
     try {
       const { feed, revision } = position;
@@ -63,11 +65,18 @@
         parameters: { feed, revision },
         timeout: TIMEOUT,
       }) as FeedReply;
+      const now = clock.steady();
       for (const record of reply.upstreams) {
-        hub.mergeUpstream(record, clock.steady());
+        const outcome = hub.mergeUpstream(record, now, { reporter: address });
+        if (outcome === "changed" && record.state !== "ready") {
+          log.info(`Told that an upstream is ${record.state}`, {
+            upstream: record.id,
+            by: address,
+          });
+        }
       }
       for (const [id, sequence] of Object.entries(reply.beats)) {
-        hub.refreshUpstream(id, { sequence, now: clock.steady() });
+        hub.refreshUpstream(id, now, { sequence, reporter: address });
       }
       hub.learnUsage(reply.usage ?? {});
       position.feed = reply.feed;
--- a/apps/heroncleatd/hub/start_hub.ts
+++ b/apps/heroncleatd/hub/start_hub.ts
@@ -227,6 +227,7 @@
     hub,
     clock,
     pool,
+    log: log("operations"),
     peers: () =>
       group.addresses.filter((address) => address !== group.ownAddress),
   });
--- a/packages/bench/slopes/simulated_exchange.ts
+++ b/packages/bench/slopes/simulated_exchange.ts
@@ -302,7 +302,7 @@
     }
     const { shared } = reply;
     for (const [id, sequence] of Object.entries(shared?.beats ?? {})) {
-      entry.directory.refresh(id, sequence, this.#now);
+      entry.directory.refresh(id, this.#now, { sequence, reporter: "" });
     }
     const loads = shared?.loadsOfOthers ?? {};
     if (shared?.areLoadsPartial) {
--- a/packages/serving/hub.ts
+++ b/packages/serving/hub.ts
@@ -11,7 +11,11 @@
 import type { SyncReply } from "./sync_reply.ts";
 import type { SyncRequest } from "./sync_request.ts";
 import type { UpstreamChanges } from "./upstream_changes.ts";
-import type { MergeOutcome, UpstreamDirectory } from "./upstream_directory.ts";
+import type {
+  MergeOutcome,
+  UpdateSource,
+  UpstreamDirectory,
+} from "./upstream_directory.ts";
 import { UpstreamFeed } from "./upstream_feed.ts";
 import type { UpstreamLoad } from "./upstream_load.ts";
 import type { UpstreamRecord } from "./upstream_record.ts";
@@ -99,18 +103,23 @@
    * Takes updates of an upstream in, from itself or from another replica, and
    * says what they brought.
    */
-  mergeUpstream(update: UpstreamRecord, now: Milliseconds): MergeOutcome {
-    return this.#upstreams.merge(update, now);
+  mergeUpstream(
+    update: UpstreamRecord,
+    now: Milliseconds,
+    source?: UpdateSource,
+  ): MergeOutcome {
+    return this.#upstreams.merge(update, now, source);
   }
 
   /** Takes in a heartbeat without change that another replica got. */
   refreshUpstream(
     id: string,
-    beat: { sequence: number; now: Milliseconds },
+    now: Milliseconds,
+    beat: UpdateSource & { sequence: number },
   ): void {
     const known = this.directory.get(id)?.record;
     if (known !== undefined) {
-      this.mergeUpstream({ ...known, sequence: beat.sequence }, beat.now);
+      this.mergeUpstream({ ...known, sequence: beat.sequence }, now, beat);
     }
   }
 
--- a/packages/serving/upstream_directory.ts
+++ b/packages/serving/upstream_directory.ts
@@ -9,8 +9,19 @@
   readonly receivedAt: Milliseconds;
   /** When this start of the upstream was first seen. */
   readonly firstReceivedAt: Milliseconds;
+  /** Who told the last update; see UpdateSource. */
+  readonly reporter: string;
 };
 
+/** Where an update of an upstream comes from. @public */
+export type UpdateSource = {
+  /** host:port of the replica that passed it on; empty for the upstream. */
+  readonly reporter: string;
+};
+
+/** The upstream itself, which reports to the process that takes it in. */
+const FIRST_HAND: UpdateSource = { reporter: "" };
+
 /**
  * What updates of an upstream brought: something new of it, only a sign of
  * life, or nothing, as later updates came before.
@@ -49,12 +60,16 @@
   readonly #starts = new UpstreamStarts();
 
   /** Takes updates in and says what they brought. */
-  merge(reported: UpstreamRecord, now: Milliseconds): MergeOutcome {
+  merge(
+    reported: UpstreamRecord,
+    now: Milliseconds,
+    source: UpdateSource = FIRST_HAND,
+  ): MergeOutcome {
     // Processes of a release without births report no name beside the identity.
     const updates = { ...reported, name: reported.name ?? reported.id };
     const leaving = this.#findNamed(updates, now);
     if (leaving !== undefined) {
-      this.remove(leaving, now);
+      this.remove(leaving, now, source);
       return "changed";
     }
     const entry = this.#known.get(updates.id);
@@ -69,7 +84,7 @@
     }
     const livedBefore = this.#starts.lives(updates);
     if (!this.#starts.receive(updates, now)) {
-      this.#noteIfUnknown(updates, now);
+      this.#noteIfUnknown(updates, now, source);
       return "late";
     }
     const record = known === undefined ? updates : {
@@ -77,7 +92,7 @@
       sequence: Math.max(updates.sequence, known.sequence),
       state: laterState(known.state, updates.state),
     };
-    this.#note(record, now);
+    this.#note(record, now, source);
     const isSame = known !== undefined && isSameBeside(record, known);
     return livedBefore && isSame ? "received" : "changed";
   }
@@ -98,14 +113,19 @@
   }
 
   /** Takes in that a known upstream sent a heartbeat like the one before. */
-  refresh(id: string, sequence: number, now: Milliseconds): void {
+  refresh(
+    id: string,
+    now: Milliseconds,
+    beat: UpdateSource & { sequence: number },
+  ): void {
+    const { sequence } = beat;
     const known = this.#known.get(id);
     const isNew = known !== undefined && sequence > known.record.sequence;
     if (!isNew || this.#isSuperseded(known, now)) {
       return;
     }
     if (this.#starts.receive(known.record, now)) {
-      this.#note({ ...known.record, sequence }, now);
+      this.#note({ ...known.record, sequence }, now, beat);
     }
   }
 
@@ -130,7 +150,11 @@
   }
 
   /** Notes that a start of an upstream is gone. */
-  remove(id: string, now: Milliseconds): UpstreamRecord {
+  remove(
+    id: string,
+    now: Milliseconds,
+    source: UpdateSource = FIRST_HAND,
+  ): UpstreamRecord {
     const known = this.#known.get(id)?.record;
     const record: UpstreamRecord = {
       ...(known ?? { ...UNKNOWN, name: id }),
@@ -138,21 +162,34 @@
       state: "gone",
       sequence: (known?.sequence ?? 0) + 1,
     };
-    this.#note(record, now);
+    this.#note(record, now, source);
     return record;
   }
 
   /** One that doesn't live is kept, as the order of births may be wrong. */
-  #noteIfUnknown(record: UpstreamRecord, now: Milliseconds): void {
+  #noteIfUnknown(
+    record: UpstreamRecord,
+    now: Milliseconds,
+    source: UpdateSource,
+  ): void {
     if (!this.#known.has(record.id)) {
-      this.#note(record, now);
+      this.#note(record, now, source);
     }
   }
 
-  #note(record: UpstreamRecord, now: Milliseconds): void {
+  #note(
+    record: UpstreamRecord,
+    now: Milliseconds,
+    { reporter }: UpdateSource,
+  ): void {
     const known = this.#known.get(record.id);
     const firstReceivedAt = known?.firstReceivedAt ?? now;
-    this.#known.set(record.id, { record, receivedAt: now, firstReceivedAt });
+    this.#known.set(record.id, {
+      record,
+      receivedAt: now,
+      firstReceivedAt,
+      reporter,
+    });
     if (known?.record.address !== record.address) {
       this.#idsAt.get(known?.record.address ?? "")?.delete(record.id);
       const ids = this.#idsAt.get(record.address) ?? new Set();
--- a/packages/serving/upstream_feed.ts
+++ b/packages/serving/upstream_feed.ts
@@ -2,7 +2,11 @@
 import { ChangeLog } from "./change_log.ts";
 import type { RevisionCounter } from "./revision_counter.ts";
 import type { UpstreamChanges } from "./upstream_changes.ts";
-import { type MergeOutcome, UpstreamDirectory } from "./upstream_directory.ts";
+import {
+  type MergeOutcome,
+  type UpdateSource,
+  UpstreamDirectory,
+} from "./upstream_directory.ts";
 import type { UpstreamRecord } from "./upstream_record.ts";
 
 /**
@@ -23,8 +27,12 @@
   }
 
   /** Takes an update in and says what it brought. */
-  merge(update: UpstreamRecord, now: Milliseconds): MergeOutcome {
-    const outcome = this.directory.merge(update, now);
+  merge(
+    update: UpstreamRecord,
+    now: Milliseconds,
+    source?: UpdateSource,
+  ): MergeOutcome {
+    const outcome = this.directory.merge(update, now, source);
     if (outcome === "late") {
       return outcome;
     }
