--- /dev/null
+++ b/packages/soak/arrival.ts
@@ -0,0 +1,11 @@
+import type { Milliseconds } from "@heroncleat/base";
+
+/** A request as it reached an upstream. */
+export type Arrival = {
+  readonly attempt: string;
+  readonly upstream: string;
+  /** Host of the entry that sent it. */
+  readonly from: string;
+  readonly at: Milliseconds;
+  readonly isSingle: boolean;
+};
--- /dev/null
+++ b/packages/soak/call_once.ts
@@ -0,0 +1,66 @@
+import { type Agent, request } from "node:http";
+import { type Milliseconds, splitAddress } from "@heroncleat/base";
+
+/** What came back. */
+type CallReply = {
+  readonly status: number;
+  readonly body: string;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+};
+
+/** Why there is no whole answer. */
+type CallFailure = { readonly status: 0; readonly reason: string };
+
+/**
+ * Makes one HTTP call and reads its whole answer.
+ *
+ * @returns The answer; status 0 where none came whole within the time.
+ */
+export function callOnce(
+  address: string,
+  options: {
+    method: string;
+    path: string;
+    body?: string;
+    headers?: Record<string, string>;
+    timeout: Milliseconds;
+    agent?: Agent;
+  },
+): Promise<CallReply | CallFailure> {
+  const { host, port } = splitAddress(address);
+  const bytes = Buffer.from(options.body ?? "");
+  return new Promise((resolve) => {
+    const outgoing = request({
+      host,
+      port,
+      method: options.method,
+      path: options.path,
+      agent: options.agent ?? false,
+      headers: {
+        ...options.headers,
+        ...(bytes.length > 0 ? { "content-length": bytes.length } : {}),
+      },
+    });
+    const fail = (reason: string) => {
+      clearTimeout(timer);
+      outgoing.destroy();
+      resolve({ status: 0, reason });
+    };
+    const timer = setTimeout(() => fail("timeout"), options.timeout);
+    outgoing.on("error", (error) => fail(error.message));
+    outgoing.on("response", (response) => {
+      const chunks: Buffer[] = [];
+      response.on("data", (chunk: Buffer) => chunks.push(chunk));
+      response.on("error", (error) => fail(error.message));
+      response.on("end", () => {
+        clearTimeout(timer);
+        resolve({
+          status: response.statusCode ?? 0,
+          body: Buffer.concat(chunks).toString("utf8"),
+          headers: response.headers,
+        });
+      });
+    });
+    outgoing.end(bytes);
+  });
+}
--- /dev/null
+++ b/packages/soak/finding.ts
@@ -0,0 +1,15 @@
+import type { Milliseconds } from "@heroncleat/base";
+
+/** A promise that a soak saw broken. @public */
+export type Finding = {
+  readonly promise:
+    | "leaving"
+    | "once"
+    | "not_run"
+    | "whole_answer"
+    | "configuration"
+    | "recovery";
+  /** Time since the soak began. */
+  readonly at: Milliseconds;
+  readonly text: string;
+};
--- /dev/null
+++ b/packages/soak/machine.ts
@@ -0,0 +1,133 @@
+import { type ChildProcess, spawn } from "node:child_process";
+import { closeSync, mkdirSync, openSync, rmSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
+import type { Milliseconds } from "@heroncleat/base";
+import type { MachinePlan, SoakWire } from "./soak_wire.ts";
+
+/** Preloaded into each process; see the file. */
+const REDIRECT = new URL("../redirect_sockets.mjs", import.meta.url).pathname;
+
+type Role = "entry" | "control";
+
+/** One VM of a soak: its real processes, its disk and its address. */
+export class Machine {
+  readonly name: string;
+  readonly zone: string;
+  readonly host: string;
+  readonly hasControl: boolean;
+  /** When its entry last began to run. */
+  startedAt: Milliseconds = 0;
+  isGone = false;
+  readonly #wire: SoakWire;
+  readonly #folder: string;
+  readonly #proxy: string;
+  #isRetired = false;
+  readonly #processes = new Map<Role, ChildProcess>();
+
+  constructor(
+    plan: { name: string; zone: string; host: string; hasControl: boolean },
+    options: { wire: SoakWire; folder: string; proxy: string },
+  ) {
+    this.name = plan.name;
+    this.zone = plan.zone;
+    this.host = plan.host;
+    this.hasControl = plan.hasControl;
+    this.#wire = options.wire;
+    this.#folder = options.folder;
+    this.#proxy = options.proxy;
+  }
+
+  get roles(): readonly Role[] {
+    return this.hasControl ? ["control", "entry"] : ["entry"];
+  }
+
+  /** Address at which operators and upstreams reach its replica. */
+  get operatorAddress(): string {
+    return `${this.host}:${this.#wire.ports.operators}`;
+  }
+
+  get callerAddress(): string {
+    return `${this.host}:${this.#wire.ports.callers}`;
+  }
+
+  get lookupAddress(): string {
+    return `${this.host}:${this.#wire.ports.lookups}`;
+  }
+
+  /** Starts nothing any more. */
+  retire(): void {
+    this.#isRetired = true;
+  }
+
+  /** Starts those of its processes that don't run. */
+  start(options: { seeds: readonly string[]; isFirstStart: boolean }): void {
+    if (this.#isRetired) {
+      return;
+    }
+    const dataFolder = this.hasControl ? this.#dataFolder : undefined;
+    if (dataFolder !== undefined) {
+      mkdirSync(dataFolder, { recursive: true });
+    }
+    const plan: MachinePlan = {
+      name: this.name,
+      zone: this.zone,
+      host: this.host,
+      dataFolder,
+      ...options,
+    };
+    const file = join(this.#folder, `${this.name}.json`);
+    writeFileSync(file, this.#wire.writeSettings(plan));
+    for (const role of this.roles) {
+      if (!this.#isRunning(role)) {
+        this.#spawn(role, file);
+      }
+    }
+  }
+
+  signal(signal: NodeJS.Signals, roles: readonly Role[] = this.roles): void {
+    for (const role of roles) {
+      this.#processes.get(role)?.kill(signal);
+    }
+  }
+
+  /** Resolves once all its processes have ended. */
+  async ended(): Promise<void> {
+    while (this.roles.some((role) => this.#isRunning(role))) {
+      await new Promise((resolve) => setTimeout(resolve, 10));
+    }
+  }
+
+  /** Empties its disk; its processes must have ended. */
+  wipe(): void {
+    rmSync(this.#dataFolder, { recursive: true, force: true });
+  }
+
+  get #dataFolder(): string {
+    return join(this.#folder, `${this.name}-data`);
+  }
+
+  #isRunning(role: Role): boolean {
+    const child = this.#processes.get(role);
+    return child !== undefined && child.exitCode === null &&
+      child.signalCode === null;
+  }
+
+  #spawn(role: Role, settingsFile: string): void {
+    if (role === "entry") {
+      this.startedAt = performance.now();
+    }
+    const log = openSync(join(this.#folder, `${this.name}-${role}.log`), "a");
+    const words = ["--import", REDIRECT, ...this.#wire.command(role)];
+    const child = spawn(process.execPath, words, {
+      stdio: ["ignore", log, log],
+      env: {
+        PATH: process.env["PATH"],
+        SOAK_PROXY: this.#proxy,
+        SOAK_HOST: this.host,
+        [this.#wire.settingsVariable]: settingsFile,
+      },
+    });
+    closeSync(log);
+    this.#processes.set(role, child);
+  }
+}
--- /dev/null
+++ b/packages/soak/mod.ts
@@ -0,0 +1,15 @@
+/**
+ * Soaks: a deployment of real processes under signals, restarts and cut
+ * connections, with its promises checked from outside.
+ *
+ * @module
+ */
+export type { Finding } from "./finding.ts";
+export { runSoak } from "./run_soak.ts";
+export type { SoakReport } from "./run_soak.ts";
+export type {
+  MachinePlan,
+  SoakDocument,
+  SoakWire,
+  UpstreamReport,
+} from "./soak_wire.ts";
--- /dev/null
+++ b/packages/soak/run_soak.ts
@@ -0,0 +1,140 @@
+import { createSeededRandom, type Milliseconds } from "@heroncleat/base";
+import { SoakDeployment } from "./soak_deployment.ts";
+import type { Finding } from "./finding.ts";
+import type { SoakWire } from "./soak_wire.ts";
+import { catchUp, coreTroubles, sideTroubles } from "./troubles.ts";
+
+/** Pause between troubles beside those of the core. */
+const SIDE_PAUSE = { least: 300, spread: 1500 };
+/** Calm time at the end in which everything must be served again. */
+const RECOVERY_TIME: Milliseconds = 8000;
+const MEASURED_TIME: Milliseconds = 4000;
+/** Part of the requests that must be served then. */
+const SERVED_AFTER = 0.95;
+
+/** What a soak came to. @public */
+export type SoakReport = {
+  readonly seed: number;
+  readonly findings: readonly Finding[];
+  /** Troubles that were played, by name. */
+  readonly troubles: Readonly<Record<string, number>>;
+  readonly leaves: number;
+  /** Latest request after an acknowledged leave: from calm VMs, from any. */
+  readonly latest: { readonly calm: number; readonly any: number };
+  /** Requests by status; 0 where no whole answer came. */
+  readonly outcomes: Readonly<Record<string, number>>;
+};
+
+/**
+ * Runs a deployment of real processes, disturbs it for a time, and checks from
+ * what callers and upstreams see that its promises hold.
+ *
+ * What is drawn follows from the seed alone; when it strikes depends on the
+ * machine, so a seed that fails may need several runs to fail again.
+ *
+ * @public
+ */
+export async function runSoak(options: {
+  seed: number;
+  duration: Milliseconds;
+  wire: SoakWire;
+  folder: string;
+  /** Number among the soaks that run at once; each uses other addresses. */
+  slot: number;
+  /** Ends it early; what was seen until then is reported. */
+  signal: AbortSignal;
+}): Promise<SoakReport> {
+  const random = createSeededRandom(options.seed);
+  const deployment = new SoakDeployment({ ...options, random });
+  const played: Record<string, number> = {};
+  try {
+    await Promise.race([play(deployment, options, played), aborted(options)]);
+  } finally {
+    await deployment.stop();
+  }
+  const { findings, leaves, latest } = deployment.checks;
+  return {
+    seed: options.seed,
+    findings,
+    troubles: played,
+    leaves,
+    latest: { calm: Math.round(latest.calm), any: Math.round(latest.any) },
+    outcomes: Object.fromEntries(deployment.outcomes),
+  };
+}
+
+async function play(
+  deployment: SoakDeployment,
+  { duration }: { duration: Milliseconds },
+  played: Record<string, number>,
+): Promise<void> {
+  await deployment.start();
+  const until = performance.now() + duration;
+  const note = (name: string) => played[name] = (played[name] ?? 0) + 1;
+  await Promise.all([
+    disturbCore(deployment, { until, note }),
+    disturbBeside(deployment, { until, note }),
+  ]);
+  await pause(RECOVERY_TIME);
+  await checkServed(deployment);
+  await deployment.checkDocument();
+}
+
+function aborted({ signal }: { signal: AbortSignal }): Promise<void> {
+  return new Promise((resolve) => {
+    signal.addEventListener("abort", () => resolve(), { once: true });
+  });
+}
+
+type TroubleOptions = {
+  until: Milliseconds;
+  note: (name: string) => void;
+};
+
+async function disturbCore(
+  deployment: SoakDeployment,
+  { until, note }: TroubleOptions,
+): Promise<void> {
+  while (performance.now() < until) {
+    const at = Math.floor(deployment.random() * coreTroubles.length);
+    note(coreTroubles[at]!.name);
+    await coreTroubles[at]!(deployment);
+    await catchUp();
+  }
+}
+
+async function disturbBeside(
+  deployment: SoakDeployment,
+  { until, note }: TroubleOptions,
+): Promise<void> {
+  const underWay: Promise<void>[] = [];
+  while (performance.now() < until) {
+    const at = Math.floor(deployment.random() * sideTroubles.length);
+    note(sideTroubles[at]!.name || "replaceUpstream");
+    underWay.push(sideTroubles[at]!(deployment));
+    await pause(SIDE_PAUSE.least + deployment.random() * SIDE_PAUSE.spread);
+  }
+  await Promise.all(underWay);
+}
+
+async function checkServed(deployment: SoakDeployment): Promise<void> {
+  const before = new Map(deployment.outcomes);
+  await pause(MEASURED_TIME);
+  let all = 0;
+  let served = 0;
+  for (const [status, count] of deployment.outcomes) {
+    const since = count - (before.get(status) ?? 0);
+    all += since;
+    served += status === 200 ? since : 0;
+  }
+  if (all === 0 || served < SERVED_AFTER * all) {
+    deployment.checks.report(
+      "recovery",
+      `${served} of ${all} requests were served in the calm at the end`,
+    );
+  }
+}
+
+function pause(time: Milliseconds): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, time));
+}
--- /dev/null
+++ b/packages/soak/soak_caller.ts
@@ -0,0 +1,159 @@
+import { Agent } from "node:http";
+import type { Milliseconds } from "@heroncleat/base";
+import { answerOf } from "./answer_of.ts";
+import { callOnce } from "./call_once.ts";
+import type { SoakDocument, SoakWire } from "./soak_wire.ts";
+
+const TIMEOUT: Milliseconds = 3000;
+/** Pause between two requests of a caller: from this on, and so much more. */
+const PAUSE = { least: 100, spread: 300 };
+/** Requests on one connection before a caller opens a new one. */
+const MOST_REUSES = 30;
+/** Age of a list of entries at which a caller asks again. */
+const LIST_AGE: Milliseconds = 2000;
+
+/** What one request came to. */
+export type RequestOutcome = {
+  readonly attempt: string;
+  readonly isSingle: boolean;
+  readonly status: number;
+  /** Why what came can't be the answer to this request. */
+  readonly problem: string | undefined;
+};
+
+type CallerOptions = {
+  readonly name: string;
+  readonly zone: string;
+  readonly wire: SoakWire;
+  readonly document: () => SoakDocument;
+  /** Addresses of VMs to ask which entries there are. */
+  readonly listLookups: () => readonly string[];
+  readonly random: () => number;
+  readonly onOutcome: (outcome: RequestOutcome) => void;
+};
+
+/**
+ * A caller that asks one request after the other and keeps its connection open
+ * until the process at its other end is gone.
+ */
+export class SoakCaller {
+  readonly #options: CallerOptions;
+  #isStopped = false;
+  #agent: Agent | undefined;
+  #entry = "";
+  #reuses = 0;
+  #entries: readonly string[] = [];
+  #listedAt: Milliseconds = -Infinity;
+  #count = 0;
+
+  constructor(options: CallerOptions) {
+    this.#options = options;
+  }
+
+  /** Asks until it is stopped. */
+  async run(): Promise<void> {
+    const { random } = this.#options;
+    while (!this.#isStopped) {
+      await this.#renewList();
+      if (this.#connect()) {
+        await this.#ask();
+      }
+      await pause(PAUSE.least + random() * PAUSE.spread);
+    }
+    this.#agent?.destroy();
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+  }
+
+  async #renewList(): Promise<void> {
+    const { listLookups, random, wire, zone, document } = this.#options;
+    if (performance.now() - this.#listedAt < LIST_AGE) {
+      return;
+    }
+    const lookups = listLookups();
+    const at = lookups[Math.floor(random() * lookups.length)];
+    if (at === undefined) {
+      return;
+    }
+    const reply = await callOnce(at, {
+      method: "GET",
+      path: wire.lookup({ host: document().host, zone }),
+      timeout: 1000,
+    });
+    if (reply.status === 200) {
+      this.#entries = wire.addressesOf(reply.body);
+      this.#listedAt = performance.now();
+    }
+    if (!this.#entries.includes(this.#entry)) {
+      this.#disconnect();
+    }
+  }
+
+  /** @returns Whether there is an entry to ask. */
+  #connect(): boolean {
+    this.#reuses += 1;
+    if (this.#agent !== undefined && this.#reuses <= MOST_REUSES) {
+      return true;
+    }
+    this.#disconnect();
+    const at = Math.floor(this.#options.random() * this.#entries.length);
+    this.#entry = this.#entries[at] ?? "";
+    if (this.#entry === "") {
+      return false;
+    }
+    this.#agent = new Agent({ keepAlive: true, maxSockets: 1 });
+    this.#reuses = 0;
+    return true;
+  }
+
+  #disconnect(): void {
+    this.#agent?.destroy();
+    this.#agent = undefined;
+  }
+
+  async #ask(): Promise<void> {
+    const { name, wire, document, random, onOutcome } = this.#options;
+    const { host, repeatablePrefix, singlePrefix } = document();
+    const isSingle = random() < 0.5;
+    this.#count += 1;
+    const attempt = `${name}-${this.#count}`;
+    const reply = await callOnce(this.#entry, {
+      method: isSingle ? "POST" : "GET",
+      path: `${isSingle ? singlePrefix : repeatablePrefix}${attempt}`,
+      body: isSingle ? "one table for two" : "",
+      headers: {
+        host,
+        [wire.headers.attempt]: attempt,
+        [wire.headers.timeLeft]: String(TIMEOUT),
+      },
+      timeout: TIMEOUT,
+      agent: this.#agent!,
+    });
+    const { status } = reply;
+    if (status === 0) {
+      this.#disconnect();
+    }
+    const problem = status === 200 && "body" in reply
+      ? this.#findProblem(attempt, reply)
+      : undefined;
+    onOutcome({ attempt, isSingle, status, problem });
+  }
+
+  #findProblem(
+    attempt: string,
+    reply: { body: string; headers: Readonly<Record<string, unknown>> },
+  ): string | undefined {
+    const { headers } = this.#options.wire;
+    const digest = String(reply.headers[headers.digest] ?? "");
+    const upstream = digest.replace("by-", "");
+    return reply.body === answerOf(attempt, upstream)
+      ? undefined
+      : `${attempt} was answered "${reply.body}" signed ${digest}`;
+  }
+}
+
+function pause(time: Milliseconds): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, time));
+}
--- /dev/null
+++ b/packages/soak/soak_deployment.ts
@@ -0,0 +1,348 @@
+import type { Milliseconds, Random } from "@heroncleat/base";
+import { Calm } from "./calm.ts";
+import { callOnce } from "./call_once.ts";
+import { LinkProxy } from "./link_proxy.ts";
+import { Machine } from "./machine.ts";
+import { PromiseChecks } from "./promise_checks.ts";
+import { SoakCaller } from "./soak_caller.ts";
+import { SoakUpstream } from "./soak_upstream.ts";
+import type { SoakDocument, SoakWire } from "./soak_wire.ts";
+
+/** Time that VMs must have been calm to be bound by a time. */
+const CALM_TIME: Milliseconds = 3000;
+/** Time for which an upstream serves after its leave was acknowledged. */
+const DRAIN_TIME: Milliseconds = 2000;
+/** Age of what callers, operators and upstreams know of the VMs. */
+const LIST_LAG: Milliseconds = 1500;
+const MACHINES_PER_ZONE = 3;
+const UPSTREAMS_PER_ZONE = 2;
+const CALLERS_PER_ZONE = 8;
+const FIRST_PROXY_PORT = 7900;
+const START_TIMEOUT: Milliseconds = 20_000;
+/** Disturbances of the control group as a whole. */
+const CORE = "core";
+
+type Options = {
+  readonly wire: SoakWire;
+  readonly folder: string;
+  readonly random: Random;
+  /** Number of the soak among those that run at once; chooses addresses. */
+  readonly slot: number;
+};
+
+/** What a VM was at a time, for what others know late. */
+type ListedMachine = { readonly machine: Machine; readonly since: number };
+
+/**
+ * A whole deployment of real processes with its upstreams and callers, and
+ * the means to disturb it.
+ */
+export class SoakDeployment {
+  readonly zones = ["a", "b", "c", "d"];
+  readonly machines: Machine[] = [];
+  readonly proxy: LinkProxy;
+  readonly calm = new Calm(CALM_TIME);
+  readonly checks: PromiseChecks;
+  readonly random: Random;
+  readonly outcomes = new Map<number, number>();
+  readonly #options: Options;
+  readonly #upstreams = new Set<SoakUpstream>();
+  readonly #callers: SoakCaller[] = [];
+  readonly #listed: ListedMachine[] = [];
+  readonly #proxyAddress: string;
+  #document: SoakDocument;
+  #acknowledgedVersion = 0;
+  #upstreamCount = 0;
+
+  constructor(options: Options) {
+    this.#options = options;
+    this.random = options.random;
+    const port = FIRST_PROXY_PORT + options.slot;
+    this.proxy = new LinkProxy(port);
+    this.#proxyAddress = `127.0.0.1:${port}`;
+    this.#document = {
+      version: 1,
+      service: "desk",
+      host: "inn.example",
+      repeatablePrefix: "/look/",
+      singlePrefix: "/book/",
+      timeout: 3000,
+    };
+    this.checks = new PromiseChecks({
+      drainTime: DRAIN_TIME,
+      wasReplicaCalm: (address, at) =>
+        this.calm.wasCalm(CORE, at) &&
+        this.calm.wasCalm(address.split(":")[0]!, at),
+      wasEntryCalm: (host, at) =>
+        this.calm.wasCalm(CORE, at) && this.calm.wasCalm(host, at),
+      describe: (host, at) => this.#describe(host, at),
+    });
+  }
+
+  /** Starts everything and waits until callers are served. */
+  async start(): Promise<void> {
+    await this.proxy.listen();
+    for (const zone of this.zones) {
+      for (let number = 1; number <= MACHINES_PER_ZONE; number += 1) {
+        this.addMachine(zone, { hasControl: number === 1 });
+      }
+    }
+    const seeds = this.seeds();
+    for (const machine of this.machines) {
+      machine.start({ seeds, isFirstStart: true });
+    }
+    await this.#waitFor("The first configuration", () => this.publish());
+    for (const zone of this.zones) {
+      for (let count = 0; count < UPSTREAMS_PER_ZONE; count += 1) {
+        await this.addUpstream(zone);
+      }
+    }
+    await this.#waitFor("The first answer", () => this.#isServed());
+    for (const zone of this.zones) {
+      for (let count = 0; count < CALLERS_PER_ZONE; count += 1) {
+        this.#addCaller(zone);
+      }
+    }
+  }
+
+  async stop(): Promise<void> {
+    for (const machine of this.machines) {
+      machine.retire();
+    }
+    for (const caller of this.#callers) {
+      caller.stop();
+    }
+    for (const upstream of this.#upstreams) {
+      await upstream.end("crashes");
+    }
+    for (const machine of this.machines) {
+      machine.signal("SIGKILL");
+      machine.signal("SIGCONT");
+    }
+    await Promise.all(this.machines.map((machine) => machine.ended()));
+    this.proxy.close();
+  }
+
+  /** Operators' addresses of three control replicas, as a new file has them. */
+  seeds(): string[] {
+    return this.controls().slice(0, 3).map(({ operatorAddress }) =>
+      operatorAddress
+    );
+  }
+
+  /** VMs with a control replica. */
+  controls(): Machine[] {
+    return this.machines.filter(({ hasControl, isGone }) =>
+      hasControl && !isGone
+    );
+  }
+
+  /** VMs that run, with a control replica or without. */
+  present(): Machine[] {
+    return this.machines.filter(({ isGone }) => !isGone);
+  }
+
+  /** Adds a VM that isn't started yet. */
+  addMachine(zone: string, options: { hasControl: boolean }): Machine {
+    const number = this.machines.filter((known) => known.zone === zone).length +
+      1;
+    const at = this.zones.indexOf(zone) + 1;
+    const machine = new Machine({
+      name: `edge-${zone}-${number}`,
+      zone,
+      host: `127.${30 + this.#options.slot}.${at}.${number}`,
+      ...options,
+    }, { ...this.#options, proxy: this.#proxyAddress });
+    this.machines.push(machine);
+    this.#listed.push({ machine, since: performance.now() + LIST_LAG });
+    return machine;
+  }
+
+  /** Starts a replacement first where one leaves. */
+  async addUpstream(zone: string): Promise<SoakUpstream> {
+    this.#upstreamCount += 1;
+    const count = this.#upstreamCount;
+    const { slot, wire } = this.#options;
+    const upstream = new SoakUpstream({
+      name: `desk-${zone}-${count}`,
+      service: this.#document.service,
+      zone,
+      host: `127.${60 + slot}.${Math.floor(count / 250)}.${1 + count % 250}`,
+      wire,
+      random: this.random,
+      listReplicas: () => this.#listReplicas(),
+      onArrival: (arrival) => this.checks.noteArrival(arrival),
+      onRun: (arrival) => this.checks.noteRun(arrival),
+      isSingle: (path) => path.startsWith(this.#document.singlePrefix),
+    });
+    this.#upstreams.add(upstream);
+    await upstream.start();
+    return upstream;
+  }
+
+  /** An upstream of a zone that is ready, or of any zone. */
+  drawUpstream(zone?: string): SoakUpstream | undefined {
+    const ready = [...this.#upstreams].filter((upstream) =>
+      upstream.isReady && (zone === undefined || upstream.zone === zone)
+    );
+    return ready[Math.floor(this.random() * ready.length)];
+  }
+
+  dropUpstream(upstream: SoakUpstream): void {
+    this.#upstreams.delete(upstream);
+  }
+
+  /** Puts another version in force; true once it was acknowledged. */
+  async publish(): Promise<boolean> {
+    const { wire } = this.#options;
+    this.#document = {
+      ...this.#document,
+      version: this.#document.version + 1,
+    };
+    const { version } = this.#document;
+    const replicas = this.#listReplicas();
+    for (const address of replicas) {
+      const reply = await callOnce(address, {
+        ...wire.publish(this.#document),
+        timeout: 1000,
+      });
+      if (reply.status === 200) {
+        this.#acknowledgedVersion = Math.max(
+          this.#acknowledgedVersion,
+          version,
+        );
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Reads the configuration back and checks that nothing was lost. */
+  async checkDocument(): Promise<void> {
+    const { wire } = this.#options;
+    const until = performance.now() + START_TIMEOUT;
+    while (performance.now() < until) {
+      for (const address of this.#listReplicas()) {
+        const reply = await callOnce(address, {
+          ...wire.readDocument,
+          timeout: 1000,
+        });
+        if (reply.status !== 200 || !("body" in reply)) {
+          continue;
+        }
+        const version = wire.versionOf(reply.body);
+        if (version < this.#acknowledgedVersion) {
+          this.checks.report(
+            "configuration",
+            `${address} has version ${version}; ${this.#acknowledgedVersion} ` +
+              "was acknowledged",
+          );
+        }
+        return;
+      }
+      await pause(200);
+    }
+    this.checks.report("configuration", "No replica answers with one");
+  }
+
+  /** Begins a disturbance of the group; call what it returns at its end. */
+  disturbCore(host: string): () => void {
+    const at = performance.now();
+    const ends = [this.calm.begin(CORE, at), this.calm.begin(host, at)];
+    return () => ends.forEach((end) => end());
+  }
+
+  /** Begins a disturbance of one VM. */
+  disturb(host: string): () => void {
+    return this.calm.begin(host, performance.now());
+  }
+
+  #addCaller(zone: string): void {
+    const caller = new SoakCaller({
+      name: `r${this.#callers.length}`,
+      zone,
+      wire: this.#options.wire,
+      document: () => this.#document,
+      listLookups: () => this.#listLookups(zone),
+      random: this.random,
+      onOutcome: (outcome) => {
+        const { status } = outcome;
+        this.outcomes.set(status, (this.outcomes.get(status) ?? 0) + 1);
+        this.checks.noteOutcome(outcome);
+      },
+    });
+    this.#callers.push(caller);
+    void caller.run();
+  }
+
+  /** Control replicas as the others know them, in an order drawn anew. */
+  #listReplicas(): string[] {
+    const now = performance.now();
+    const known = this.#listed.filter(({ machine, since }) =>
+      machine.hasControl && !machine.isGone &&
+      (since <= now || machine.startedAt === 0 || this.#isFirst(machine))
+    ).map(({ machine }) => machine.operatorAddress);
+    return known
+      .map((address) => ({ address, order: this.random() }))
+      .sort((left, right) => left.order - right.order)
+      .map(({ address }) => address);
+  }
+
+  #isFirst({ name }: Machine): boolean {
+    return name.endsWith("-1");
+  }
+
+  #listLookups(zone: string): string[] {
+    const present = this.present();
+    const near = present.filter((machine) => machine.zone === zone);
+    const listed = this.random() < 0.7 && near.length > 0 ? near : present;
+    return listed.map(({ lookupAddress }) => lookupAddress);
+  }
+
+  async #isServed(): Promise<boolean> {
+    const { wire } = this.#options;
+    for (const machine of this.present()) {
+      const reply = await callOnce(machine.callerAddress, {
+        method: "GET",
+        path: `${this.#document.repeatablePrefix}first`,
+        headers: {
+          host: this.#document.host,
+          [wire.headers.attempt]: `first-${machine.name}`,
+          [wire.headers.timeLeft]: "1000",
+        },
+        timeout: 1000,
+      });
+      if (reply.status !== 200) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  async #waitFor(what: string, check: () => Promise<boolean>): Promise<void> {
+    const until = performance.now() + START_TIMEOUT;
+    while (!await check()) {
+      if (performance.now() > until) {
+        throw new Error(
+          `${what} took longer than ${START_TIMEOUT} ms. Remedy: read the ` +
+            `logs in ${this.#options.folder}.`,
+        );
+      }
+      await pause(100);
+    }
+  }
+
+  #describe(host: string, at: Milliseconds): string {
+    const machine = this.machines.find((known) => known.host === host);
+    if (machine === undefined) {
+      return host;
+    }
+    const ran = Math.round(at - machine.startedAt);
+    const calm = Math.round(this.calm.calmFor(host, at));
+    return `${machine.name}, entry up for ${ran} ms, calm for ${calm} ms`;
+  }
+}
+
+function pause(time: Milliseconds): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, time));
+}
