Silence of an upstream means the same to whoever is told of it

Cause: a record counted as received when a process got it, however old it was at the sender, and replicas told of it for a minute. A process that started used what had been silent for long for 5 s more, and passed it on as fresh.

Change: replicas tell with records and heartbeats how long ago they came in, where that is 0.5 s or more; it adds up over the hops and needs no wall clock. Silence, starts under one name and forgetting count from there. What a replica answers another one moves into the hub. Older releases tell no ages and are taken as before.

--- a/apps/heroncleatd/gateway/entry_exchange.ts
+++ b/apps/heroncleatd/gateway/entry_exchange.ts
@@ -6,6 +6,7 @@
   type SharedState,
   type SyncReply,
   type SyncRequest,
+  type UpdateSource,
   type UpstreamChoice,
   type UpstreamDirectory,
   type UpstreamRecord,
@@ -112,8 +113,10 @@
   learn(reply: SyncReply, from: string): void {
     const { clock, charges, onDocument } = this.#options;
     const now = clock.steady();
+    const ages = reply.ages ?? {};
     for (const record of reply.upstreams) {
-      this.#learnUpstream(record, { now, from });
+      const age = ages[record.id] ?? 0;
+      this.#learnUpstream(record, now, { reporter: from, age });
     }
     if (reply.upstreams.length > 0) {
       this.#endEarlierStarts();
@@ -124,21 +127,22 @@
     }
     charges.learn(reply);
     if (reply.shared !== undefined) {
-      this.#learnShared(reply.shared, from);
+      this.#learnShared(reply.shared, { reporter: from, ages });
     }
   }
 
   /** Logs when an upstream begins to leave, to set beside who was told. */
   #learnUpstream(
     record: UpstreamRecord,
-    { now, from }: { now: Milliseconds; from: string },
+    now: Milliseconds,
+    source: UpdateSource,
   ): void {
     const { directory, log } = this.#options;
-    const outcome = directory.merge(record, now, { reporter: from });
+    const outcome = directory.merge(record, now, source);
     if (outcome === "changed" && record.state !== "ready") {
       log.info(`Told that an upstream is ${record.state}`, {
         upstream: record.id,
-        by: from,
+        by: source.reporter,
       });
     }
   }
@@ -166,11 +170,18 @@
     }
   }
 
-  #learnShared(shared: SharedState, from: string): void {
+  #learnShared(
+    shared: SharedState,
+    { reporter, ages }: {
+      reporter: string;
+      ages: Readonly<Record<string, Milliseconds>>;
+    },
+  ): void {
     const { clock, directory, choice } = this.#options;
     const now = clock.steady();
     for (const [id, sequence] of Object.entries(shared.beats)) {
-      directory.refresh(id, now, { sequence, reporter: from });
+      const age = ages[id] ?? 0;
+      directory.refresh(id, now, { sequence, reporter, age });
     }
     if (shared.areLoadsPartial) {
       choice.learnChangedLoads(shared.loadsOfOthers, now);
--- a/apps/heroncleatd/hub/feed_reader.ts
+++ b/apps/heroncleatd/hub/feed_reader.ts
@@ -1,5 +1,5 @@
 import type { Clock, Milliseconds } from "@heroncleat/base";
-import type { Hub, ProcessUsage, UpstreamChanges } from "@heroncleat/serving";
+import type { FeedReply, FeedRequest, Hub } from "@heroncleat/serving";
 import type { PeerPool } from "@heroncleat/transport";
 import type { Log } from "../common/log.ts";
 
@@ -16,14 +16,6 @@
   readonly peers: () => readonly string[];
 };
 
-/** What a peer reports of its feed. */
-type FeedReply = UpstreamChanges & {
-  readonly feed: string;
-  readonly revision: number;
-  /** Absent from processes of a release that kept none. */
-  readonly usage: ProcessUsage | undefined;
-};
-
 /** How far one peer's feed was read. */
 type Position = { feed: string; revision: number; isAsking: boolean };
 
@@ -61,24 +53,18 @@
     position.isAsking = true;
     try {
       const { feed, revision } = position;
+      const request: FeedRequest = { feed, revision };
       const reply = await pool.call(address, "hub.feed", {
-        parameters: { feed, revision },
+        parameters: request,
         timeout: TIMEOUT,
       }) as FeedReply;
       const now = clock.steady();
-      for (const record of reply.upstreams) {
-        const outcome = hub.mergeUpstream(record, now, { reporter: address });
-        if (outcome === "changed" && record.state !== "ready") {
-          log.info(`Told that an upstream is ${record.state}`, {
-            upstream: record.id,
-            by: address,
-          });
-        }
-      }
-      for (const [id, sequence] of Object.entries(reply.beats)) {
-        hub.refreshUpstream(id, now, { sequence, reporter: address });
+      for (const leaving of hub.learnFeed(reply, now, { reporter: address })) {
+        log.info(`Told that an upstream is ${leaving.state}`, {
+          upstream: leaving.id,
+          by: address,
+        });
       }
-      hub.learnUsage(reply.usage ?? {});
       position.feed = reply.feed;
       position.revision = reply.revision;
     } catch {
--- a/apps/heroncleatd/hub/start_hub.ts
+++ b/apps/heroncleatd/hub/start_hub.ts
@@ -1,5 +1,6 @@
 import { type Clock, createToken, type Milliseconds } from "@heroncleat/base";
 import {
+  type FeedRequest,
   findRecordProblem,
   type FleetSettings,
   Hub,
@@ -88,19 +89,8 @@
   };
   options.serve({
     "hub.sync": (parameters) => sync(parameters as SyncRequest),
-    "hub.feed": (parameters) => {
-      const { feed, revision } = parameters as {
-        feed: string;
-        revision: number;
-      };
-      return {
-        feed: hub.feed,
-        revision: hub.revision,
-        ...hub.changesSince(feed, revision),
-        // What was kept is sent once to each process that reads this feed.
-        usage: feed === hub.feed ? {} : hub.recentUsage(),
-      };
-    },
+    "hub.feed": (parameters) =>
+      hub.answerFeed(parameters as FeedRequest, clock.steady()),
   });
   const expiry = setInterval(
     () => hub.expire(clock.steady()),
--- a/packages/bench/slopes/simulated_exchange.ts
+++ b/packages/bench/slopes/simulated_exchange.ts
@@ -297,12 +297,15 @@
     if (reply.document !== undefined) {
       entry.documentVersion = this.#version;
     }
+    const ages = reply.ages ?? {};
     for (const record of reply.upstreams) {
-      entry.directory.merge(record, this.#now);
+      const age = ages[record.id] ?? 0;
+      entry.directory.merge(record, this.#now, { reporter: "", age });
     }
     const { shared } = reply;
     for (const [id, sequence] of Object.entries(shared?.beats ?? {})) {
-      entry.directory.refresh(id, this.#now, { sequence, reporter: "" });
+      const age = ages[id] ?? 0;
+      entry.directory.refresh(id, this.#now, { sequence, reporter: "", age });
     }
     const loads = shared?.loadsOfOthers ?? {};
     if (shared?.areLoadsPartial) {
--- a/packages/serving/hub.ts
+++ b/packages/serving/hub.ts
@@ -2,6 +2,8 @@
 import { ChargeBook } from "./charge_book.ts";
 import { ChargeExchange } from "./charge_exchange.ts";
 import { EntryMedians } from "./entry_medians.ts";
+import type { FeedReply } from "./feed_reply.ts";
+import type { FeedRequest } from "./feed_request.ts";
 import type { KnownEntry } from "./known_entry.ts";
 import { LoadBook } from "./load_book.ts";
 import { OpenEntries } from "./open_entries.ts";
@@ -10,7 +12,6 @@
 import type { SharedState } from "./shared_state.ts";
 import type { SyncReply } from "./sync_reply.ts";
 import type { SyncRequest } from "./sync_request.ts";
-import type { UpstreamChanges } from "./upstream_changes.ts";
 import type {
   MergeOutcome,
   UpdateSource,
@@ -143,12 +144,13 @@
     this.#sweep(now);
     const from = request.feed === this.feed ? request.revision : 0;
     const { name } = request.entry;
-    const { upstreams, beats } = this.changesSince(request.feed, from);
+    const { upstreams, beats, ages } = this.#upstreams.changesSince(from, now);
     return {
       feed: this.feed,
       revision: this.#revisions.value,
       isLeading,
       upstreams,
+      ages,
       document: this.#documentFor(request, document),
       ...this.#entriesFor(request, from),
       entryCount: this.#shared.entryCount,
@@ -221,9 +223,46 @@
     return this.#packed.text;
   }
 
-  /** What changed of upstreams behind a revision of this feed. */
-  changesSince(feed: string, revision: number): UpstreamChanges {
-    return this.#upstreams.changesSince(feed === this.feed ? revision : 0);
+  /** What another replica is told that has read a feed up to a revision. */
+  answerFeed(
+    { feed, revision }: FeedRequest,
+    now: Milliseconds,
+  ): FeedReply {
+    const isKnown = feed === this.feed;
+    return {
+      feed: this.feed,
+      revision: this.revision,
+      ...this.#upstreams.changesSince(isKnown ? revision : 0, now),
+      // What was kept is sent once to each process that reads this feed.
+      usage: isKnown ? {} : this.recentUsage(),
+    };
+  }
+
+  /**
+   * Takes over what another replica answered.
+   *
+   * @returns Upstreams of which it was news that they leave.
+   */
+  learnFeed(
+    reply: FeedReply,
+    now: Milliseconds,
+    { reporter }: { reporter: string },
+  ): UpstreamRecord[] {
+    const ages = reply.ages ?? {};
+    const leaving: UpstreamRecord[] = [];
+    for (const record of reply.upstreams) {
+      const age = ages[record.id] ?? 0;
+      const outcome = this.mergeUpstream(record, now, { reporter, age });
+      if (outcome === "changed" && record.state !== "ready") {
+        leaving.push(record);
+      }
+    }
+    for (const [id, sequence] of Object.entries(reply.beats)) {
+      const age = ages[id] ?? 0;
+      this.refreshUpstream(id, now, { sequence, reporter, age });
+    }
+    this.learnUsage(reply.usage ?? {});
+    return leaving;
   }
 
   /** Entries that callers may be sent to. */
--- a/packages/serving/mod.ts
+++ b/packages/serving/mod.ts
@@ -11,6 +11,8 @@
 export type { UpstreamChanges } from "./upstream_changes.ts";
 export type { EntryCounters } from "./entry_counters.ts";
 export type { EntryChanges } from "./entry_changes.ts";
+export type { FeedReply } from "./feed_reply.ts";
+export type { FeedRequest } from "./feed_request.ts";
 export type { KnownEntry } from "./known_entry.ts";
 export type { PromptPart } from "./prompt_part.ts";
 export type { Route } from "./route.ts";
@@ -20,7 +22,11 @@
 export type { SyncReply } from "./sync_reply.ts";
 export type { SyncRequest } from "./sync_request.ts";
 export type { ChosenUpstream } from "./chosen_upstream.ts";
-export type { KnownUpstream, MergeOutcome } from "./upstream_directory.ts";
+export type {
+  KnownUpstream,
+  MergeOutcome,
+  UpdateSource,
+} from "./upstream_directory.ts";
 export type { RelayedCharges } from "./relayed_charges.ts";
 export type { ReportedCharges } from "./reported_charges.ts";
 export type { RecordProblem } from "./find_record_problem.ts";
--- a/packages/serving/sync_reply.ts
+++ b/packages/serving/sync_reply.ts
@@ -14,6 +14,8 @@
   readonly isLeading: boolean;
   /** Upstreams that changed since the revision the entry named. */
   readonly upstreams: readonly UpstreamRecord[];
+  /** See UpstreamChanges; of `upstreams` and of `shared.beats`. */
+  readonly ages?: Readonly<Record<string, Milliseconds>>;
   /**
    * The newest document, packed, where it is confirmed and the entry's is
    * older; see packed_document.ts.
--- a/packages/serving/upstream_changes.ts
+++ b/packages/serving/upstream_changes.ts
@@ -1,3 +1,4 @@
+import type { Milliseconds } from "@heroncleat/base";
 import type { UpstreamRecord } from "./upstream_record.ts";
 
 /** What changed of upstreams since a revision. @public */
@@ -6,4 +7,9 @@
   readonly upstreams: readonly UpstreamRecord[];
   /** Newest heartbeat of those that sent one and have not changed. */
   readonly beats: Readonly<Record<string, number>>;
+  /**
+   * Time since each of these was heard, where that is long: silence must mean
+   * the same to whoever is told. Absent from processes of an older release.
+   */
+  readonly ages?: Readonly<Record<string, Milliseconds>>;
 };
--- a/packages/serving/upstream_directory.ts
+++ b/packages/serving/upstream_directory.ts
@@ -3,9 +3,13 @@
 import type { UpstreamRecord } from "./upstream_record.ts";
 import { UpstreamStarts } from "./upstream_starts.ts";
 
-/** A record and when its last update arrived. @public */
+/** A record and when its last update came in. @public */
 export type KnownUpstream = {
   readonly record: UpstreamRecord;
+  /**
+   * When the upstream was last heard, here or at the replica that it told, on
+   * this process's clock.
+   */
   readonly receivedAt: Milliseconds;
   /** When this start of the upstream was first seen. */
   readonly firstReceivedAt: Milliseconds;
@@ -17,10 +21,12 @@
 export type UpdateSource = {
   /** host:port of the replica that passed it on; empty for the upstream. */
   readonly reporter: string;
+  /** Time since it came from the upstream; 0 where nobody said. */
+  readonly age: Milliseconds;
 };
 
 /** The upstream itself, which reports to the process that takes it in. */
-const FIRST_HAND: UpdateSource = { reporter: "" };
+const FIRST_HAND: UpdateSource = { reporter: "", age: 0 };
 
 /**
  * What updates of an upstream brought: something new of it, only a sign of
@@ -83,7 +89,7 @@
       return "late";
     }
     const livedBefore = this.#starts.lives(updates);
-    if (!this.#starts.receive(updates, now)) {
+    if (!this.#starts.receive(updates, now - source.age)) {
       this.#noteIfUnknown(updates, now, source);
       return "late";
     }
@@ -124,7 +130,7 @@
     if (!isNew || this.#isSuperseded(known, now)) {
       return;
     }
-    if (this.#starts.receive(known.record, now)) {
+    if (this.#starts.receive(known.record, now - beat.age)) {
       this.#note({ ...known.record, sequence }, now, beat);
     }
   }
@@ -180,13 +186,13 @@
   #note(
     record: UpstreamRecord,
     now: Milliseconds,
-    { reporter }: UpdateSource,
+    { reporter, age }: UpdateSource,
   ): void {
     const known = this.#known.get(record.id);
     const firstReceivedAt = known?.firstReceivedAt ?? now;
     this.#known.set(record.id, {
       record,
-      receivedAt: now,
+      receivedAt: Math.max(now - age, known?.receivedAt ?? -Infinity),
       firstReceivedAt,
       reporter,
     });
--- a/packages/serving/upstream_directory_test.ts
+++ b/packages/serving/upstream_directory_test.ts
@@ -30,13 +30,13 @@
     expect(directory.merge({ ...record, sequence: 2 }, 10)).toBe("received");
     const draining = { ...record, sequence: 3, state: "draining" as const };
     expect(directory.merge(draining, 20)).toBe("changed");
-    directory.refresh("u1", 30, { sequence: 4, reporter: "" });
-    directory.refresh("unknown", 30, { sequence: 4, reporter: "" });
+    directory.refresh("u1", 30, { sequence: 4, reporter: "", age: 0 });
+    directory.refresh("unknown", 30, { sequence: 4, reporter: "", age: 0 });
     expect(directory.get("u1")).toMatchObject({
       receivedAt: 30,
       record: { sequence: 4, state: "draining" },
     });
-    directory.refresh("u1", 40, { sequence: 2, reporter: "" });
+    directory.refresh("u1", 40, { sequence: 2, reporter: "", age: 0 });
     expect(directory.get("u1")?.receivedAt).toBe(30);
     expect(directory.get("unknown")).toBeUndefined();
   });
@@ -98,7 +98,7 @@
     directory.merge(later, 4000);
     // Held up by a cut, sent before the crash.
     expect(directory.merge({ ...record, sequence: 4 }, 4500)).toBe("late");
-    directory.refresh("u1", 4600, { sequence: 5, reporter: "" });
+    directory.refresh("u1", 4600, { sequence: 5, reporter: "", age: 0 });
     expect(directory.get("u1")?.receivedAt).toBe(0);
     expect(directory.get("u2")?.record.state).toBe("ready");
     // That it drains is taken in from whoever says so.
--- a/packages/serving/upstream_feed.ts
+++ b/packages/serving/upstream_feed.ts
@@ -9,6 +9,12 @@
 } from "./upstream_directory.ts";
 import type { UpstreamRecord } from "./upstream_record.ts";
 
+/**
+ * Ages below are left out. Two hops then hide 1 s at most, less than lies
+ * between two heartbeats, and most heartbeats are passed on sooner.
+ */
+const LEAST_AGE: Milliseconds = 500;
+
 /**
  * The upstreams that one control replica knows, and what changed of them behind
  * a revision.
@@ -32,14 +38,15 @@
     now: Milliseconds,
     source?: UpdateSource,
   ): MergeOutcome {
+    const { id } = update;
     const outcome = this.directory.merge(update, now, source);
     if (outcome === "late") {
       return outcome;
     }
     const revision = this.#revisions.next();
-    this.#received.note(update.id, revision);
-    if (outcome === "changed" || !this.#changedAt.has(update.id)) {
-      this.#changedAt.set(update.id, revision);
+    this.#received.note(id, revision);
+    if (outcome === "changed" || !this.#changedAt.has(id)) {
+      this.#changedAt.set(id, revision);
     }
     return outcome;
   }
@@ -66,21 +73,27 @@
   }
 
   /** What changed behind a revision; 0 asks for all. */
-  changesSince(revision: number): UpstreamChanges {
+  changesSince(revision: number, now: Milliseconds): UpstreamChanges {
     const upstreams: UpstreamRecord[] = [];
     const beats: Record<string, number> = {};
+    const ages: Record<string, Milliseconds> = {};
     for (const id of this.#received.since(revision)) {
-      const record = this.directory.get(id)?.record;
-      if (record === undefined || this.directory.isOver(id)) {
+      const known = this.directory.get(id);
+      if (known === undefined || this.directory.isOver(id)) {
         continue;
       }
+      const { record, receivedAt } = known;
       if ((this.#changedAt.get(id) ?? 0) > revision) {
         upstreams.push(record);
       } else {
         beats[id] = record.sequence;
       }
+      const age = Math.round(now - receivedAt);
+      if (age >= LEAST_AGE) {
+        ages[id] = age;
+      }
     }
-    return { upstreams, beats };
+    return { upstreams, beats, ages };
   }
 
   /** Forgets upstreams that can't matter any more. */
--- a/packages/serving/upstream_starts_test.ts
+++ b/packages/serving/upstream_starts_test.ts
@@ -109,7 +109,7 @@
     const hub = new Hub("f");
     hub.mergeUpstream(beat(1000, 40), 0);
     hub.mergeUpstream(beat(2000, 1), 100);
-    const { upstreams } = hub.changesSince("", 0);
+    const { upstreams } = hub.answerFeed({ feed: "", revision: 0 }, 200);
     expect(upstreams.map(({ id }) => id)).toEqual([startId(NAME, 2000)]);
   });
 
