That a start leaves is kept and told on, whichever start it is taken for

Cause: word that a start drains was dropped where another start of the name was taken for the living one, though it had been acknowledged; and a departure by name alone, which a replica takes in that knew none, was noted by who knew the start under the bare name, and so told on to nobody.

Change: a later state of any known start counts; starts that leave are told on also when they aren't the living ones; a change is noted under the start that it is of.

Measured: two tests in virtual time fail without it.

--- a/packages/serving/leaving_start_test.ts
+++ b/packages/serving/leaving_start_test.ts
@@ -103,3 +103,40 @@
   hub.mergeUpstream(beat(3, { state: "draining" }), 2100, source);
   expect(hub.directory.get(NAME)?.receivedAt).toBe(2000);
 });
+
+// A start whose VM's clock had been set back was taken for an earlier one. It
+// said that it drains; that was acknowledged and dropped. Once it proved to be
+// the living one, it counted as ready.
+test("a start that was taken for an earlier one still leaves", () => {
+  const hub = new Hub("h");
+  hub.mergeUpstream(beat(1, { born: 9000 }), 0);
+  hub.mergeUpstream(beat(1, { born: 5000 }), 100);
+  hub.mergeUpstream(beat(2, { born: 5000, state: "draining" }), 200);
+  const entry = startEntry(hub, 300);
+  const earlier = startId(NAME, 5000);
+  expect(entry.get(earlier)?.record.state).toBe("draining");
+  hub.mergeUpstream(beat(3, { born: 5000 }), 3000);
+  hub.mergeUpstream(beat(4, { born: 5000 }), 4000);
+  expect(hub.directory.isOver(earlier)).toBe(false);
+  expect(hub.directory.get(earlier)?.record.state).toBe("draining");
+});
+
+// A replica that had just started was told by name alone that an upstream is
+// gone. A second one knew the start that lived under the name, took it for gone
+// and told nobody, as it noted the change under the bare name. Where the first
+// one was lost, entries never heard of it.
+test("a departure by name alone is told on by who knows the start", () => {
+  const fresh = new Hub("fresh");
+  fresh.removeUpstream(NAME, 9900);
+  const knowing = new Hub("knowing");
+  knowing.mergeUpstream(beat(7, { born: 5000 }), 1000);
+  const before = knowing.revision;
+  read(knowing, fresh, 10_000);
+  const { upstreams } = knowing.answerFeed(
+    { feed: "knowing", revision: before },
+    10_000,
+  );
+  expect(upstreams).toMatchObject([
+    { id: startId(NAME, 5000), state: "gone" },
+  ]);
+});
--- a/packages/serving/upstream_directory.ts
+++ b/packages/serving/upstream_directory.ts
@@ -90,8 +90,7 @@
     }
     const livedBefore = this.#starts.lives(updates);
     if (!this.#starts.receive(updates, now - source.age)) {
-      this.#noteIfUnknown(updates, now, source);
-      return "late";
+      return this.#mergeEarlier(updates, now, source);
     }
     const record = known === undefined ? updates : {
       ...updates,
@@ -104,9 +103,14 @@
   }
 
   /**
-   * The start that somebody who knew none says is gone, by its name alone;
-   * undefined for all other updates.
+   * The start that an update is of: its own but for a departure that somebody
+   * who knew none reports by the name alone.
    */
+  startOf(update: UpstreamRecord, now: Milliseconds): string {
+    const named = { ...update, name: update.name ?? update.id };
+    return this.#findNamed(named, now) ?? update.id;
+  }
+
   #findNamed(
     { id, name, born, state }: UpstreamRecord,
     now: Milliseconds,
@@ -172,15 +176,28 @@
     return record;
   }
 
-  /** One that doesn't live is kept, as the order of births may be wrong. */
-  #noteIfUnknown(
-    record: UpstreamRecord,
+  /**
+   * Takes in an update of a start that isn't the living one. The order of
+   * births may be wrong, so the start is kept, and that it leaves counts: it
+   * was acknowledged, and nobody says it again should this start prove to be
+   * the living one.
+   */
+  #mergeEarlier(
+    updates: UpstreamRecord,
     now: Milliseconds,
     source: UpdateSource,
-  ): void {
-    if (!this.#known.has(record.id)) {
-      this.#note(record, now, source);
+  ): MergeOutcome {
+    const known = this.#known.get(updates.id)?.record;
+    if (known === undefined) {
+      this.#note(updates, now, source);
+      return updates.state === "ready" ? "late" : "changed";
+    }
+    const state = laterState(known.state, updates.state);
+    if (state === known.state) {
+      return "late";
     }
+    this.#note({ ...known, state }, now, source);
+    return "changed";
   }
 
   #note(
--- a/packages/serving/upstream_feed.ts
+++ b/packages/serving/upstream_feed.ts
@@ -38,7 +38,7 @@
     now: Milliseconds,
     source?: UpdateSource,
   ): MergeOutcome {
-    const { id } = update;
+    const id = this.directory.startOf(update, now);
     const outcome = this.directory.merge(update, now, source);
     if (outcome === "late") {
       return outcome;
@@ -79,7 +79,7 @@
     const ages: Record<string, Milliseconds> = {};
     for (const id of this.#received.since(revision)) {
       const known = this.directory.get(id);
-      if (known === undefined || this.directory.isOver(id)) {
+      if (known === undefined || !this.#isToldOn(known.record)) {
         continue;
       }
       const { record, receivedAt } = known;
@@ -96,6 +96,11 @@
     return { upstreams, beats, ages };
   }
 
+  /** An earlier start matters to nobody, but for the word that it leaves. */
+  #isToldOn({ id, state }: UpstreamRecord): boolean {
+    return state !== "ready" || !this.directory.isOver(id);
+  }
+
   /** Forgets upstreams that can't matter any more. */
   expire(now: Milliseconds): void {
     this.directory.forget(now);
