An entry notes a reply as read once it has taken it in

Cause: the revision was noted before the reply was taken in. Where that failed half-way, the failure wasn't logged and what had changed was never sent again. Found while looking for other ways in which an entry goes on with what is old.

Change: the revision is noted last; a failure is logged with its replica.

--- a/apps/heroncleatd/gateway/control_links.ts
+++ b/apps/heroncleatd/gateway/control_links.ts
@@ -299,8 +299,9 @@
     const { pool, clock } = this.#options;
     const askedAt = clock.steady();
     link.askedAt = askedAt;
+    let reply: SyncReply;
     try {
-      const reply = await pool.call(link.address, "hub.sync", {
+      reply = await pool.call(link.address, "hub.sync", {
         parameters: this.#options.describe({
           feed: link.feed,
           revision: link.revision,
@@ -310,16 +311,29 @@
         }),
         timeout: SYNC_TIMEOUT,
       }) as SyncReply;
-      this.#onReply(link, { reply, askedAt });
-      link.hasFailed = false;
     } catch {
       // A replica that doesn't answer is logged once it has been silent.
-      link.hasFailed = true;
-      link.report.noteFailure();
-      this.#choosePrimary();
+      this.#noteFailure(link);
+      return;
+    }
+    try {
+      this.#onReply(link, { reply, askedAt });
+      link.hasFailed = false;
+    } catch (error) {
+      this.#options.log.error("A replica's reply can't be taken in", {
+        address: link.address,
+        error: String(error),
+      });
+      this.#noteFailure(link);
     }
   }
 
+  #noteFailure(link: ControlLink): void {
+    link.hasFailed = true;
+    link.report.noteFailure();
+    this.#choosePrimary();
+  }
+
   #onReply(
     link: ControlLink,
     options: { reply: SyncReply; askedAt: Milliseconds },
@@ -327,8 +341,6 @@
     const { reply, askedAt } = options;
     const now = this.#options.clock.steady();
     link.receivedAt = now;
-    link.feed = reply.feed;
-    link.revision = reply.revision;
     link.isLeading = reply.isLeading;
     link.wallOffset = reply.wall - (askedAt + now) / 2;
     link.report.noteReply(reply);
@@ -348,5 +360,8 @@
       : link.loadsSince;
     const entries = isListNew ? [...link.entries.values()] : undefined;
     this.#options.onReply({ ...reply, entries }, link.address);
+    // Only what was taken in is not asked for again.
+    link.feed = reply.feed;
+    link.revision = reply.revision;
   }
 }
--- a/apps/heroncleatd/gateway/control_links_test.ts
+++ b/apps/heroncleatd/gateway/control_links_test.ts
@@ -97,6 +97,42 @@
   links.stop();
 });
 
+// An entry noted how far it had read a replica's feed before it took the reply
+// in. Where that failed half-way, as with a configuration that couldn't be
+// unpacked, what else had changed was never sent again: an upstream's leave, too.
+test("an entry asks again for what it couldn't take in", async () => {
+  let now = 0;
+  let failures = 2;
+  const asked: number[] = [];
+  const links = new ControlLinks({
+    pool: {
+      call: () => Promise.resolve(replyOf("a:1", ["a:1"])),
+    } as unknown as PeerPool,
+    clock: { now: () => now, steady: () => now, wall: () => now } as never,
+    log: quiet,
+    seeds: () => ["a:1"],
+    describe: ({ revision }) => {
+      asked.push(revision);
+      return {} as never;
+    },
+    onReply: () => {
+      failures -= 1;
+      if (failures >= 0) {
+        throw new Error("The configuration can't be unpacked.");
+      }
+    },
+    isWaiting: () => false,
+    random: () => 0.5,
+    onIsolated: () => {},
+  });
+  links.start();
+  for (; now < 1500; now += 50) {
+    await jest.advanceTimersByTimeAsync(50);
+  }
+  links.stop();
+  expect(asked.slice(0, 4)).toEqual([0, 0, 0, 1]);
+});
+
 /** Calls a second that one of three replicas gets while entries start. */
 async function countFirstCalls(entries: number): Promise<number> {
   let now = 0;
