Leaves are on disk before they are acknowledged

That an upstream left stood in the memory of the replicas; where all of them are killed at once, nobody knew it any more, and a heartbeat of before that came late made the upstream ready again.

Change: a replica counts as one that knows of a leave once it has it on disk, and takes it in again when it starts. A disk that takes nothing doesn't count, so that others must.

--- a/apps/heroncleatd/hub/leave_replicator.ts
+++ b/apps/heroncleatd/hub/leave_replicator.ts
@@ -20,6 +20,8 @@
   readonly ownAddress: string;
   /** Members that may be lost at once. */
   readonly toleratedLosses: () => number;
+  /** Keeps it on this replica's disk; rejects where that takes nothing. */
+  readonly keep: (record: UpstreamRecord) => Promise<void>;
   /** Tells one member; rejects where it doesn't confirm in time. */
   readonly tell: (
     member: string,
@@ -39,6 +41,7 @@
 /** How far the leave of one start is known. */
 type Spread = {
   readonly state: UpstreamRecord["state"];
+  /** Members that have it on their disks; this replica, too. */
   readonly knownBy: Set<string>;
   wasSafe: boolean;
 };
@@ -47,7 +50,8 @@
  * Makes sure that the word of an upstream that it leaves outlives the replica
  * that got it. An upstream may say so once; entries that haven't asked this
  * replica since would use it until it has been silent for seconds. So as many
- * members know of it as may be lost, and one more, before it is acknowledged.
+ * members have it on disk as may be lost, and one more, before it is
+ * acknowledged.
  */
 export class LeaveReplicator {
   readonly #options: ReplicatorOptions;
@@ -69,9 +73,7 @@
     const spread = this.#spreadOf(record);
     const isSafe = () => this.#isSafe(spread, members);
     const wasSafe = spread.wasSafe;
-    const unaware = members.filter((member) =>
-      member !== this.#options.ownAddress && !spread.knownBy.has(member)
-    );
+    const unaware = members.filter((member) => !spread.knownBy.has(member));
     if (!isSafe() && unaware.length > 0) {
       await new Promise<void>((resolve) => {
         let waiting = unaware.length;
@@ -111,12 +113,11 @@
 
   /** A replica that isn't a member yet is asked by nobody and doesn't count. */
   #isSafe({ knownBy }: Spread, members: readonly string[]): boolean {
-    const own = members.includes(this.#options.ownAddress) ? 1 : 0;
     const needed = Math.min(
       this.#options.toleratedLosses() + 1,
       members.length,
     );
-    return own + knownBy.size >= needed;
+    return knownBy.size >= needed;
   }
 
   async #tell(
@@ -124,9 +125,12 @@
     record: UpstreamRecord,
     { knownBy }: Spread,
   ): Promise<void> {
+    const { ownAddress, keep, tell } = this.#options;
     for (let calls = 0; calls < MOST_CALLS; calls += 1) {
       try {
-        await this.#options.tell(member, record, CALL_TIMEOUT);
+        await (member === ownAddress
+          ? keep(record)
+          : tell(member, record, CALL_TIMEOUT));
         knownBy.add(member);
         return;
       } catch {
--- a/apps/heroncleatd/hub/leave_replicator_test.ts
+++ b/apps/heroncleatd/hub/leave_replicator_test.ts
@@ -30,12 +30,17 @@
   confirming?: readonly string[];
   silent?: readonly string[];
   tolerated?: number;
+  isDiskFull?: boolean;
 }) {
   const told: string[] = [];
   const replicator = new LeaveReplicator({
     members: () => options.members,
     ownAddress: OWN,
     toleratedLosses: () => options.tolerated ?? 1,
+    keep: () =>
+      options.isDiskFull
+        ? Promise.reject(new Error("no space left"))
+        : Promise.resolve(),
     tell: (member, _record, timeout) => {
       told.push(member);
       if (options.confirming?.includes(member)) {
@@ -57,7 +62,7 @@
   const done = replicator.replicate(RECORD);
   await jest.advanceTimersByTimeAsync(0);
   expect(await done).toEqual({
-    knownBy: ["c:1"],
+    knownBy: [OWN, "c:1"],
     isSafe: true,
     isNews: true,
   });
@@ -91,6 +96,7 @@
     members: () => [OWN, "b:1"],
     ownAddress: OWN,
     toleratedLosses: () => 1,
+    keep: () => Promise.resolve(),
     tell: (_member, _record, timeout) => {
       calls += 1;
       return calls > 1 ? Promise.resolve() : new Promise((_, reject) => {
@@ -121,6 +127,19 @@
   expect(told).toEqual([]);
 });
 
+test("a replica whose disk takes nothing doesn't count itself", async () => {
+  const one = play({ members: FOUR, confirming: ["b:1"], isDiskFull: true });
+  const done = one.replicator.replicate(RECORD);
+  await jest.advanceTimersByTimeAsync(1000);
+  expect((await done).isSafe).toBe(false);
+  const two = play({
+    members: FOUR,
+    confirming: ["b:1", "c:1"],
+    isDiskFull: true,
+  });
+  expect((await two.replicator.replicate(RECORD)).isSafe).toBe(true);
+});
+
 test("a group of one needs nobody else", async () => {
   const { replicator } = play({ members: [OWN] });
   expect((await replicator.replicate(RECORD)).isSafe).toBe(true);
--- a/apps/heroncleatd/hub/leaving_upstream_test.ts
+++ b/apps/heroncleatd/hub/leaving_upstream_test.ts
@@ -96,3 +96,32 @@
   },
   40_000,
 );
+
+// An upstream had left, and then all control replicas lost their memory at once.
+// A heartbeat that it had sent before came in late, and it counted as ready.
+test(
+  "what has left is not there again when all replicas were lost",
+  async () => {
+    const second = "desk-2";
+    const record = deskRecord(second, { address: DESK, sequence: 1 });
+    await hubs[3]!.start({ isFirstStart: false });
+    await eventually(async () =>
+      typeof await hubs[3]!.hub.readDocument() !== "string"
+    );
+    await hubs[0]!.hub.mergeUpstream(record);
+    await eventually(async () => (await group.ask(0)).status === 200);
+    const leave = await hubs[1]!.hub.removeUpstream(second);
+    expect(leave).toEqual({ kind: "accepted" });
+    const acknowledgedAt = performance.now();
+    await Promise.all(hubs.map((hub) => hub.lose()));
+    await Promise.all(hubs.map((hub) => hub.start({ isFirstStart: false })));
+    await hubs[2]!.hub.mergeUpstream({ ...record, sequence: 2 });
+    const ask = () => void group.ask(0).catch(() => {});
+    const asks = setInterval(ask, ASK_INTERVAL);
+    await pause(2 * DRAIN_TIME);
+    clearInterval(asks);
+    const last = Math.max(...arrivals) - acknowledgedAt;
+    expect(last).toBeLessThan(DRAIN_TIME);
+  },
+  40_000,
+);
--- a/apps/heroncleatd/hub/start_hub.ts
+++ b/apps/heroncleatd/hub/start_hub.ts
@@ -98,8 +98,10 @@
     ownAddress: options.settings().peerAddress,
     members: () => group?.addresses,
     toleratedLosses: () => options.settings().toleratedLosses,
+    dataFolder: options.settings().dataFolder,
     services: () => servicesOf(documents.decode(group?.application.document)),
   });
+  await updates.restore();
   options.serve({
     "hub.sync": (parameters) => sync(parameters as SyncRequest),
     "hub.feed": (parameters) =>
--- a/apps/heroncleatd/hub/upstream_updates.ts
+++ b/apps/heroncleatd/hub/upstream_updates.ts
@@ -8,6 +8,7 @@
 import type { Log } from "../common/log.ts";
 import type { Metrics } from "../common/metrics.ts";
 import { LeaveReplicator } from "./leave_replicator.ts";
+import { LeaveStore } from "./leave_store.ts";
 import type { UpdateOutcome } from "./update_outcome.ts";
 
 /** Characters of somebody else's text that a log line holds. */
@@ -26,6 +27,8 @@
   /** host:port of the group's members; undefined while there is no group. */
   readonly members: () => readonly string[] | undefined;
   readonly toleratedLosses: () => number;
+  /** Folder on this replica's disk. */
+  readonly dataFolder: string;
   /** Names of the services of the configuration, if there is one. */
   readonly services: () => ReadonlySet<string> | undefined;
 };
@@ -40,15 +43,22 @@
  */
 export class UpstreamUpdates {
   readonly #options: UpdateOptions;
+  readonly #store: LeaveStore;
   readonly #replicator: LeaveReplicator;
 
   constructor(options: UpdateOptions) {
     this.#options = options;
-    const { ownAddress, pool, members, toleratedLosses } = options;
+    const { hub, ownAddress, pool, members, toleratedLosses } = options;
+    this.#store = new LeaveStore({
+      folder: options.dataFolder,
+      log: options.log,
+      isForgotten: (id) => hub.directory.get(id) === undefined,
+    });
     this.#replicator = new LeaveReplicator({
       members,
       ownAddress,
       toleratedLosses,
+      keep: (record) => this.#store.keep(record),
       tell: async (member, record, timeout) => {
         const parameters: LeaveMessage = { record, from: ownAddress };
         await pool.call(member, LEAVE_METHOD, { parameters, timeout });
@@ -59,14 +69,23 @@
   /** What other members call. */
   methods(): Readonly<Record<string, MethodHandler>> {
     return {
-      [LEAVE_METHOD]: (parameters) => {
+      [LEAVE_METHOD]: async (parameters) => {
         const { record, from } = parameters as LeaveMessage;
         this.#learnLeave(record, from);
+        await this.#store.keep(record);
         return true;
       },
     };
   }
 
+  /** Takes in which upstreams left before this process started. */
+  async restore(): Promise<void> {
+    const { hub, clock } = this.#options;
+    for (const record of await this.#store.read()) {
+      hub.mergeUpstream(record, clock.steady());
+    }
+  }
+
   /** Takes a heartbeat in. */
   async merge(record: UpstreamRecord): Promise<UpdateOutcome> {
     const { hub, clock, log, services } = this.#options;
