Soak: troubles of the core and beside it follow from the seed

Callers, upstreams and troubles drew from one series of random numbers, so a seed played other troubles each time: seed 12 lost an acknowledging replica at 2 s in one run and at 38 s in another. Each has a series of its own now.

--- a/packages/soak/link_proxy.ts
+++ b/packages/soak/link_proxy.ts
@@ -134,7 +134,14 @@
 
   listen(): Promise<void> {
     return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
+      this.#server.once("error", (error) => {
+        reject(
+          new Error(
+            `The links' port ${this.#port} can't be used: ${error.message}. ` +
+              "Remedy: end the soak that uses it, or give another slot.",
+          ),
+        );
+      });
       this.#server.listen(this.#port, "0.0.0.0", resolve);
     });
   }
--- a/packages/soak/run_soak.ts
+++ b/packages/soak/run_soak.ts
@@ -1,4 +1,8 @@
-import { createSeededRandom, type Milliseconds } from "@heroncleat/base";
+import {
+  createSeededRandom,
+  type Milliseconds,
+  type Random,
+} from "@heroncleat/base";
 import { SoakDeployment } from "./soak_deployment.ts";
 import type { Finding } from "./finding.ts";
 import type { SoakWire } from "./soak_wire.ts";
@@ -12,6 +16,9 @@
 /** Part of the requests that must be served then. */
 const SERVED_AFTER = 0.95;
 
+/** Series of random numbers for each seed. */
+const STREAMS = 16;
+
 /** What a soak came to. @public */
 export type SoakReport = {
   readonly seed: number;
@@ -29,8 +36,9 @@
  * Runs a deployment of real processes, disturbs it for a time, and checks from
  * what callers and upstreams see that its promises hold.
  *
- * What is drawn follows from the seed alone; when it strikes depends on the
- * machine, so a seed that fails may need several runs to fail again.
+ * Which troubles come follows from the seed; on whom and when exactly they
+ * strike depends on the machine, so a seed that fails may need several runs to
+ * fail again.
  *
  * @public
  */
@@ -44,7 +52,7 @@
   /** Ends it early; what was seen until then is reported. */
   signal: AbortSignal;
 }): Promise<SoakReport> {
-  const random = createSeededRandom(options.seed);
+  const random = streamOf(options.seed, 0);
   const deployment = new SoakDeployment({ ...options, random });
   const played: Record<string, number> = {};
   try {
@@ -65,21 +73,26 @@
 
 async function play(
   deployment: SoakDeployment,
-  { duration }: { duration: Milliseconds },
+  { duration, seed }: { duration: Milliseconds; seed: number },
   played: Record<string, number>,
 ): Promise<void> {
   await deployment.start();
   const until = performance.now() + duration;
   const note = (name: string) => played[name] = (played[name] ?? 0) + 1;
   await Promise.all([
-    disturbCore(deployment, { until, note }),
-    disturbBeside(deployment, { until, note }),
+    disturbCore(deployment, { until, note, random: streamOf(seed, 1) }),
+    disturbBeside(deployment, { until, note, random: streamOf(seed, 2) }),
   ]);
   await pause(RECOVERY_TIME);
   await checkServed(deployment);
   await deployment.checkDocument();
 }
 
+/** One of several independent series of random numbers of a seed. */
+function streamOf(seed: number, stream: number): Random {
+  return createSeededRandom(seed * STREAMS + stream);
+}
+
 function aborted({ signal }: { signal: AbortSignal }): Promise<void> {
   return new Promise((resolve) => {
     signal.addEventListener("abort", () => resolve(), { once: true });
@@ -89,30 +102,32 @@
 type TroubleOptions = {
   until: Milliseconds;
   note: (name: string) => void;
+  /** Of its own, so that the series follows from the seed. */
+  random: Random;
 };
 
 async function disturbCore(
   deployment: SoakDeployment,
-  { until, note }: TroubleOptions,
+  { until, note, random }: TroubleOptions,
 ): Promise<void> {
   while (performance.now() < until) {
-    const at = Math.floor(deployment.random() * coreTroubles.length);
+    const at = Math.floor(random() * coreTroubles.length);
     note(coreTroubles[at]!.name);
-    await coreTroubles[at]!(deployment);
+    await coreTroubles[at]!(deployment, random);
     await catchUp();
   }
 }
 
 async function disturbBeside(
   deployment: SoakDeployment,
-  { until, note }: TroubleOptions,
+  { until, note, random }: TroubleOptions,
 ): Promise<void> {
   const underWay: Promise<void>[] = [];
   while (performance.now() < until) {
-    const at = Math.floor(deployment.random() * sideTroubles.length);
-    note(sideTroubles[at]!.name || "replaceUpstream");
-    underWay.push(sideTroubles[at]!(deployment));
-    await pause(SIDE_PAUSE.least + deployment.random() * SIDE_PAUSE.spread);
+    const at = Math.floor(random() * sideTroubles.length);
+    note(sideTroubles[at]!.name);
+    underWay.push(sideTroubles[at]!(deployment, random));
+    await pause(SIDE_PAUSE.least + random() * SIDE_PAUSE.spread);
   }
   await Promise.all(underWay);
 }
--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -15,7 +15,8 @@
  * Suites that start real processes or measure in real time. They run one
  * after the other, so that they don't take each other's processor time.
  */
-const REAL_TIME = "apps/(heroncleatd/(tests|hub)/|heroncleat/tool_test)";
+const REAL_TIME =
+  "apps/(heroncleatd/(tests|hub)/|heroncleat/tool_test)|platform/soak/";
 
 const folder = mkdtempSync(join(tmpdir(), "heroncleat-"));
 const words = process.argv.slice(2);
