Leaves on disk: a hanging disk, repeats, and what was kept before a start

Cause: read through as a newcomer would. A second word of the same leave was confirmed while the first write was under way; a disk that hangs was waited for without end; late word that an upstream drains replaced word that it is gone; the first write after a start dropped what was kept before it; a replica without a group wrote to a disk that isn't a member's yet.

Change: each of them, with a test in leave_store_test.ts or leave_replicator_test.ts, but for the last, which the group tests play. Names and lines say reported, learns and replicate.

--- a/apps/heroncleatd/gateway/attempt_trace.ts
+++ b/apps/heroncleatd/gateway/attempt_trace.ts
@@ -40,7 +40,7 @@
       `sync_age=${Math.round(syncAge)}ms`,
       `state=${upstream.record.state}`,
       `heard=${Math.round(heardAge)}ms`,
-      `told_by=${upstream.reporter}`,
+      `reported_by=${upstream.reporter}`,
     ];
     if (source !== undefined) {
       facts.push(`fetched=${fetchedTokens}`, `source=${source.record.id}`);
--- a/apps/heroncleatd/gateway/entry_exchange.ts
+++ b/apps/heroncleatd/gateway/entry_exchange.ts
@@ -131,7 +131,7 @@
     }
   }
 
-  /** Logs when an upstream begins to leave, to set beside who was told. */
+  /** Logs when an upstream begins to leave, to set beside the replicas' lines. */
   #learnUpstream(
     record: UpstreamRecord,
     now: Milliseconds,
@@ -140,7 +140,7 @@
     const { directory, log } = this.#options;
     const outcome = directory.merge(record, now, source);
     if (outcome === "changed" && record.state !== "ready") {
-      log.info(`Told that an upstream is ${record.state}`, {
+      log.info(`Learns that an upstream is ${record.state}`, {
         upstream: record.id,
         by: source.reporter,
       });
--- a/apps/heroncleatd/hub/feed_reader.ts
+++ b/apps/heroncleatd/hub/feed_reader.ts
@@ -60,7 +60,7 @@
       }) as FeedReply;
       const now = clock.steady();
       for (const leaving of hub.learnFeed(reply, now, { reporter: address })) {
-        log.info(`Told that an upstream is ${leaving.state}`, {
+        log.info(`Learns that an upstream is ${leaving.state}`, {
           upstream: leaving.id,
           by: address,
         });
--- a/apps/heroncleatd/hub/leave_replicator.ts
+++ b/apps/heroncleatd/hub/leave_replicator.ts
@@ -22,8 +22,8 @@
   readonly toleratedLosses: () => number;
   /** Keeps it on this replica's disk; rejects where that takes nothing. */
   readonly keep: (record: UpstreamRecord) => Promise<void>;
-  /** Tells one member; rejects where it doesn't confirm in time. */
-  readonly tell: (
+  /** Sends it to one member; rejects where it doesn't confirm in time. */
+  readonly send: (
     member: string,
     record: UpstreamRecord,
     timeout: Milliseconds,
@@ -62,7 +62,7 @@
   }
 
   /**
-   * Tells all other members; resolves once enough of them know, or when none
+   * Replicates to all members; resolves once enough of them know, or when none
    * of the others can be waited for any longer.
    */
   async replicate(record: UpstreamRecord): Promise<ReplicatedLeave> {
@@ -78,7 +78,7 @@
       await new Promise<void>((resolve) => {
         let waiting = unaware.length;
         for (const member of unaware) {
-          void this.#tell(member, record, spread).then(() => {
+          void this.#replicateTo(member, record, spread).then(() => {
             waiting -= 1;
             if (isSafe() || waiting === 0) {
               resolve();
@@ -120,17 +120,17 @@
     return knownBy.size >= needed;
   }
 
-  async #tell(
+  async #replicateTo(
     member: string,
     record: UpstreamRecord,
     { knownBy }: Spread,
   ): Promise<void> {
-    const { ownAddress, keep, tell } = this.#options;
+    const { ownAddress, keep, send } = this.#options;
     for (let calls = 0; calls < MOST_CALLS; calls += 1) {
       try {
         await (member === ownAddress
-          ? keep(record)
-          : tell(member, record, CALL_TIMEOUT));
+          ? within(CALL_TIMEOUT, keep(record))
+          : send(member, record, CALL_TIMEOUT));
         knownBy.add(member);
         return;
       } catch {
@@ -139,3 +139,19 @@
     }
   }
 }
+
+/** Rejects where something takes too long, as a write to a disk that hangs. */
+async function within(
+  timeout: Milliseconds,
+  promise: Promise<void>,
+): Promise<void> {
+  let timer: NodeJS.Timeout | undefined;
+  const late = new Promise<never>((_, reject) => {
+    timer = setTimeout(() => reject(new Error("took too long")), timeout);
+  });
+  try {
+    await Promise.race([promise, late]);
+  } finally {
+    clearTimeout(timer);
+  }
+}
--- a/apps/heroncleatd/hub/leave_replicator_test.ts
+++ b/apps/heroncleatd/hub/leave_replicator_test.ts
@@ -41,7 +41,7 @@
       options.isDiskFull
         ? Promise.reject(new Error("no space left"))
         : Promise.resolve(),
-    tell: (member, _record, timeout) => {
+    send: (member, _record, timeout) => {
       told.push(member);
       if (options.confirming?.includes(member)) {
         return Promise.resolve();
@@ -61,11 +61,9 @@
   const { replicator } = play({ members: FOUR, confirming: ["c:1"] });
   const done = replicator.replicate(RECORD);
   await jest.advanceTimersByTimeAsync(0);
-  expect(await done).toEqual({
-    knownBy: [OWN, "c:1"],
-    isSafe: true,
-    isNews: true,
-  });
+  const { knownBy, ...rest } = await done;
+  expect(rest).toEqual({ isSafe: true, isNews: true });
+  expect([...knownBy].sort()).toEqual([OWN, "c:1"]);
 });
 
 test("one confirmation is too few where two members may be lost", async () => {
@@ -97,7 +95,7 @@
     ownAddress: OWN,
     toleratedLosses: () => 1,
     keep: () => Promise.resolve(),
-    tell: (_member, _record, timeout) => {
+    send: (_member, _record, timeout) => {
       calls += 1;
       return calls > 1 ? Promise.resolve() : new Promise((_, reject) => {
         setTimeout(() => reject(new Error("silent")), timeout);
@@ -140,6 +138,19 @@
   expect((await two.replicator.replicate(RECORD)).isSafe).toBe(true);
 });
 
+test("a disk that hangs is waited for no longer than another member", async () => {
+  const replicator = new LeaveReplicator({
+    members: () => [OWN, "b:1"],
+    ownAddress: OWN,
+    toleratedLosses: () => 1,
+    keep: () => new Promise(() => {}),
+    send: () => Promise.resolve(),
+  });
+  const done = replicator.replicate(RECORD);
+  await jest.advanceTimersByTimeAsync(700);
+  expect((await done).isSafe).toBe(false);
+});
+
 test("a group of one needs nobody else", async () => {
   const { replicator } = play({ members: [OWN] });
   expect((await replicator.replicate(RECORD)).isSafe).toBe(true);
--- a/apps/heroncleatd/hub/leave_store.ts
+++ b/apps/heroncleatd/hub/leave_store.ts
@@ -7,6 +7,9 @@
 const FILE_NAME = "leaves.json";
 const VERSION = 1;
 
+/** A leave, and whether it is on disk. */
+type KeptLeave = { readonly record: UpstreamRecord; isWritten: boolean };
+
 /** What the store is built from. */
 type StoreOptions = {
   readonly folder: string;
@@ -18,11 +21,11 @@
 /**
  * Keeps on disk which upstreams leave. Where all replicas lose their memory at
  * once, an upstream that had left would be used again: by entries that hadn't
- * been told, and by all once a late heartbeat of it comes in.
+ * heard of it, and by all once a late heartbeat of it comes in.
  */
 export class LeaveStore {
   readonly #options: StoreOptions;
-  readonly #leaves = new Map<string, UpstreamRecord>();
+  readonly #leaves = new Map<string, KeptLeave>();
   /** The write that is under way; its failure is its callers' to see. */
   #writing: Promise<unknown> = Promise.resolve();
   /** The write that follows it, with all that was added since. */
@@ -41,7 +44,11 @@
         version: number;
         leaves: readonly UpstreamRecord[];
       };
-      return stored.version === VERSION ? stored.leaves : [];
+      const leaves = stored.version === VERSION ? stored.leaves : [];
+      for (const record of leaves) {
+        this.#leaves.set(record.id, { record, isWritten: true });
+      }
+      return leaves;
     } catch (error) {
       if ((error as NodeJS.ErrnoException).code !== "ENOENT") {
         log.warn("Kept leaves of upstreams can't be read; none is known", {
@@ -58,18 +65,17 @@
    * whole availability zone that leaves costs a few writes.
    */
   async keep(record: UpstreamRecord): Promise<void> {
-    const known = this.#leaves.get(record.id);
-    if (known?.state === record.state) {
+    const { id, state } = record;
+    const known = this.#leaves.get(id);
+    // Word that it drains may come after word that it is gone.
+    if (known?.record.state !== "gone" && known?.record.state !== state) {
+      this.#leaves.set(id, { record, isWritten: false });
+    }
+    if (this.#leaves.get(id)?.isWritten) {
       return;
     }
-    this.#leaves.set(record.id, record);
     this.#next ??= this.#writing.then(() => this.#writeNext());
-    try {
-      await this.#next;
-    } catch (error) {
-      this.#leaves.delete(record.id);
-      throw error;
-    }
+    await this.#next;
   }
 
   #writeNext(): Promise<void> {
@@ -86,8 +92,12 @@
         this.#leaves.delete(id);
       }
     }
-    const leaves = [...this.#leaves.values()];
+    const kept = [...this.#leaves.values()];
+    const leaves = kept.map(({ record }) => record);
     const text = JSON.stringify({ version: VERSION, leaves });
     await writeFileDurably(join(folder, FILE_NAME), Buffer.from(text));
+    for (const leave of kept) {
+      leave.isWritten = true;
+    }
   }
 }
--- a/apps/heroncleatd/hub/leave_store_test.ts
+++ b/apps/heroncleatd/hub/leave_store_test.ts
@@ -52,6 +52,33 @@
   expect(warnings).toEqual([]);
 });
 
+test("the same leave again waits for the write that is under way", async () => {
+  const store = open({ folder: join(folder, "missing") });
+  const record = recordOf("u4", "gone");
+  const both = await Promise.allSettled([
+    store.keep(record),
+    store.keep(record),
+  ]);
+  expect(both.map(({ status }) => status)).toEqual(["rejected", "rejected"]);
+});
+
+test("late word that it drains doesn't take back that it is gone", async () => {
+  const store = open();
+  await store.keep(recordOf("u5", "gone"));
+  await store.keep(recordOf("u5", "draining"));
+  const kept = (await open().read()).find(({ id }) => id === "u5");
+  expect(kept?.state).toBe("gone");
+});
+
+test("leaves of before a start stay on disk beside later ones", async () => {
+  await open().keep(recordOf("u6", "gone"));
+  const started = open();
+  await started.read();
+  await started.keep(recordOf("u7", "gone"));
+  const ids = (await open().read()).map(({ id }) => id);
+  expect(ids).toEqual(expect.arrayContaining(["u6", "u7"]));
+});
+
 test("leaves of forgotten starts go with the next one", async () => {
   const forgotten = new Set<string>();
   const store = open({ forgotten });
--- a/apps/heroncleatd/hub/upstream_updates.ts
+++ b/apps/heroncleatd/hub/upstream_updates.ts
@@ -13,7 +13,7 @@
 
 /** Characters of somebody else's text that a log line holds. */
 const MOST_LOGGED = 200;
-/** By which a member tells another one that an upstream leaves. */
+/** By which members replicate that an upstream leaves. */
 const LEAVE_METHOD = "hub.leave";
 
 /** What the updates are taken in with. */
@@ -59,7 +59,7 @@
       ownAddress,
       toleratedLosses,
       keep: (record) => this.#store.keep(record),
-      tell: async (member, record, timeout) => {
+      send: async (member, record, timeout) => {
         const parameters: LeaveMessage = { record, from: ownAddress };
         await pool.call(member, LEAVE_METHOD, { parameters, timeout });
       },
@@ -72,6 +72,10 @@
       [LEAVE_METHOD]: async (parameters) => {
         const { record, from } = parameters as LeaveMessage;
         this.#learnLeave(record, from);
+        if (this.#options.members() === undefined) {
+          // Its disk isn't a member's yet, and nothing may be on it before.
+          throw new Error("This replica has no group. Remedy: ask another.");
+        }
         await this.#store.keep(record);
         return true;
       },
@@ -172,8 +176,8 @@
     log.warn("Too few replicas know that an upstream leaves", context);
     return {
       kind: "unavailable",
-      problem: "Too few control replicas could be told that it leaves. " +
-        "Remedy: tell another one.",
+      problem: "Too few control replicas confirm that it leaves. " +
+        "Remedy: send it to another one.",
     };
   }
 
@@ -182,7 +186,7 @@
     const source = { reporter: from, age: 0 };
     const outcome = hub.mergeUpstream(record, clock.steady(), source);
     if (outcome === "changed") {
-      log.info(`Told that an upstream is ${record.state}`, {
+      log.info(`Learns that an upstream is ${record.state}`, {
         upstream: record.id,
         by: from,
       });
--- a/packages/serving/feed_reply.ts
+++ b/packages/serving/feed_reply.ts
@@ -1,7 +1,7 @@
 import type { UpstreamChanges } from "./upstream_changes.ts";
 import type { ProcessUsage } from "./usage_book.ts";
 
-/** What a control replica tells another one behind a revision. @public */
+/** What a control replica answers another one behind a revision. @public */
 export type FeedReply = UpstreamChanges & {
   readonly feed: string;
   readonly revision: number;
--- a/packages/serving/hub.ts
+++ b/packages/serving/hub.ts
@@ -223,7 +223,7 @@
     return this.#packed.text;
   }
 
-  /** What another replica is told that has read a feed up to a revision. */
+  /** Answers another replica that has read a feed up to a revision. */
   answerFeed(
     { feed, revision }: FeedRequest,
     now: Milliseconds,
@@ -241,7 +241,7 @@
   /**
    * Takes over what another replica answered.
    *
-   * @returns Upstreams of which it was news that they leave.
+   * @returns Upstreams that were not known to leave before.
    */
   learnFeed(
     reply: FeedReply,
--- a/packages/serving/upstream_changes.ts
+++ b/packages/serving/upstream_changes.ts
@@ -9,7 +9,7 @@
   readonly beats: Readonly<Record<string, number>>;
   /**
    * Time since each of these was heard, where that is long: silence must mean
-   * the same to whoever is told. Absent from processes of an older release.
+   * the same to every process. Absent from processes of an older release.
    */
   readonly ages?: Readonly<Record<string, Milliseconds>>;
 };
--- a/packages/serving/upstream_directory.ts
+++ b/packages/serving/upstream_directory.ts
@@ -7,13 +7,13 @@
 export type KnownUpstream = {
   readonly record: UpstreamRecord;
   /**
-   * When the upstream was last heard, here or at the replica that it told, on
+   * When the upstream was last heard, here or at the replica it reported to, on
    * this process's clock.
    */
   readonly receivedAt: Milliseconds;
   /** When this start of the upstream was first seen. */
   readonly firstReceivedAt: Milliseconds;
-  /** Who told the last update; see UpdateSource. */
+  /** Who passed the last update on; see UpdateSource. */
   readonly reporter: string;
 };
 
--- a/packages/serving/upstream_feed.ts
+++ b/packages/serving/upstream_feed.ts
@@ -79,7 +79,7 @@
     const ages: Record<string, Milliseconds> = {};
     for (const id of this.#received.since(revision)) {
       const known = this.directory.get(id);
-      if (known === undefined || !this.#isToldOn(known.record)) {
+      if (known === undefined || !this.#isPassedOn(known.record)) {
         continue;
       }
       const { record, receivedAt } = known;
@@ -97,7 +97,7 @@
   }
 
   /** An earlier start matters to nobody, but for the word that it leaves. */
-  #isToldOn({ id, state }: UpstreamRecord): boolean {
+  #isPassedOn({ id, state }: UpstreamRecord): boolean {
     return state !== "ready" || !this.directory.isOver(id);
   }
 
