Soak: bad disks, clocks that jump, all replicas killed; troubles in files of their own

Disks of a core VM become slow, hang or fill up, wall clocks jump by up to 4 s, and all control replicas are killed right after a leave was acknowledged. The list of troubles was one file with the same steps eight times.

--- a/packages/soak/machine.ts
+++ b/packages/soak/machine.ts
@@ -1,11 +1,28 @@
 import { type ChildProcess, spawn } from "node:child_process";
-import { closeSync, mkdirSync, openSync, rmSync, writeFileSync } from "node:fs";
+import {
+  closeSync,
+  mkdirSync,
+  openSync,
+  renameSync,
+  rmSync,
+  writeFileSync,
+} from "node:fs";
 import { join } from "node:path";
 import type { Milliseconds } from "@heroncleat/base";
 import type { MachinePlan, SoakWire } from "./soak_wire.ts";
 
-/** Preloaded into each process; see the file. */
-const REDIRECT = new URL("../redirect_sockets.mjs", import.meta.url).pathname;
+/** Preloaded into each process; see the files. */
+const PRELOADED = ["redirect_sockets.mjs", "inject_faults.mjs"].flatMap(
+  (name) => ["--import", new URL(`../${name}`, import.meta.url).pathname],
+);
+
+/** What is wrong with a VM's disk and clock; nothing where absent. */
+type InjectedFaults = {
+  /** Time that each sync takes longer. */
+  readonly syncDelay?: Milliseconds;
+  readonly isDiskFull?: boolean;
+  readonly clockAhead?: Milliseconds;
+};
 
 type Role = "entry" | "control";
 
@@ -90,6 +107,13 @@
     }
   }
 
+  /** Sets what is wrong with its disk and clock, within 0.1 s. */
+  inject(faults: InjectedFaults): void {
+    // A reader sees the old file or the new one.
+    writeFileSync(`${this.#faultsFile}.new`, JSON.stringify(faults));
+    renameSync(`${this.#faultsFile}.new`, this.#faultsFile);
+  }
+
   /** Resolves once all its processes have ended. */
   async ended(): Promise<void> {
     while (this.roles.some((role) => this.#isRunning(role))) {
@@ -102,6 +126,10 @@
     rmSync(this.#dataFolder, { recursive: true, force: true });
   }
 
+  get #faultsFile(): string {
+    return join(this.#folder, `${this.name}-faults.json`);
+  }
+
   get #dataFolder(): string {
     return join(this.#folder, `${this.name}-data`);
   }
@@ -117,13 +145,14 @@
       this.startedAt = performance.now();
     }
     const log = openSync(join(this.#folder, `${this.name}-${role}.log`), "a");
-    const words = ["--import", REDIRECT, ...this.#wire.command(role)];
+    const words = [...PRELOADED, ...this.#wire.command(role)];
     const child = spawn(process.execPath, words, {
       stdio: ["ignore", log, log],
       env: {
         PATH: process.env["PATH"],
         SOAK_PROXY: this.#proxy,
         SOAK_HOST: this.host,
+        SOAK_FAULTS: this.#faultsFile,
         [this.#wire.settingsVariable]: settingsFile,
       },
     });
--- a/packages/soak/run_soak.ts
+++ b/packages/soak/run_soak.ts
@@ -6,8 +6,13 @@
 import { SoakDeployment } from "./soak_deployment.ts";
 import type { Finding } from "./finding.ts";
 import type { SoakWire } from "./soak_wire.ts";
-import { catchUp, coreTroubles, sideTroubles } from "./troubles.ts";
+import { coreTroubles } from "./core_troubles.ts";
+import { drawTime } from "./draw_time.ts";
+import { pause } from "./pause.ts";
+import { sideTroubles } from "./side_troubles.ts";
 
+/** Time without another loss in the core, so that one is lost at once. */
+const CATCH_UP: Milliseconds = 4500;
 /** Pause between troubles beside those of the core. */
 const SIDE_PAUSE = { least: 300, spread: 1500 };
 /** Calm time at the end in which everything must be served again. */
@@ -114,7 +119,7 @@
     const at = Math.floor(random() * coreTroubles.length);
     note(coreTroubles[at]!.name);
     await coreTroubles[at]!(deployment, random);
-    await catchUp();
+    await pause(CATCH_UP);
   }
 }
 
@@ -127,7 +132,7 @@
     const at = Math.floor(random() * sideTroubles.length);
     note(sideTroubles[at]!.name);
     underWay.push(sideTroubles[at]!(deployment, random));
-    await pause(SIDE_PAUSE.least + random() * SIDE_PAUSE.spread);
+    await pause(drawTime(random, SIDE_PAUSE));
   }
   await Promise.all(underWay);
 }
@@ -149,7 +154,3 @@
     );
   }
 }
-
-function pause(time: Milliseconds): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, time));
-}
--- a/packages/soak/soak_caller.ts
+++ b/packages/soak/soak_caller.ts
@@ -2,6 +2,7 @@
 import type { Milliseconds } from "@heroncleat/base";
 import { answerOf } from "./answer_of.ts";
 import { callOnce } from "./call_once.ts";
+import { pause } from "./pause.ts";
 import type { SoakDocument, SoakWire } from "./soak_wire.ts";
 
 const TIMEOUT: Milliseconds = 3000;
@@ -153,7 +154,3 @@
       : `${attempt} was answered "${reply.body}" signed ${digest}`;
   }
 }
-
-function pause(time: Milliseconds): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, time));
-}
--- a/packages/soak/soak_deployment.ts
+++ b/packages/soak/soak_deployment.ts
@@ -6,6 +6,7 @@
 import { PromiseChecks } from "./promise_checks.ts";
 import { SoakCaller } from "./soak_caller.ts";
 import { SoakUpstream } from "./soak_upstream.ts";
+import { pause } from "./pause.ts";
 import type { SoakDocument, SoakWire } from "./soak_wire.ts";
 
 /** Time that VMs must have been calm to be bound by a time. */
@@ -158,7 +159,12 @@
     return machine;
   }
 
-  /** Starts a replacement first where one leaves. */
+  /** Starts what doesn't run of a VM, with the seeds of now. */
+  startMachine(machine: Machine): void {
+    machine.start({ seeds: this.seeds(), isFirstStart: false });
+  }
+
+  /** Starts an upstream. */
   async addUpstream(zone: string): Promise<SoakUpstream> {
     this.#upstreamCount += 1;
     const count = this.#upstreamCount;
@@ -342,7 +348,3 @@
     return `${machine.name}, entry up for ${ran} ms, calm for ${calm} ms`;
   }
 }
-
-function pause(time: Milliseconds): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, time));
-}
--- /dev/null
+++ b/packages/soak/trouble.ts
@@ -0,0 +1,11 @@
+import type { Random } from "@heroncleat/base";
+import type { SoakDeployment } from "./soak_deployment.ts";
+
+/**
+ * Something that goes wrong in a deployment; resolves when all is back. Random
+ * numbers are of its series, so that the troubles of a seed stay the same.
+ */
+export type Trouble = (
+  deployment: SoakDeployment,
+  random: Random,
+) => Promise<void>;
