--- a/apps/heroncleatd/hub/hub_group_test.ts
+++ b/apps/heroncleatd/hub/hub_group_test.ts
@@ -1,12 +1,10 @@
 import { createServer, type Server } from "node:http";
+import { setTimeout as pause } from "node:timers/promises";
+import { eventually } from "./eventually.ts";
 import type { RunningHub } from "./start_hub.ts";
-import {
-  deskRecord,
-  documentOf,
-  eventually,
-  pause,
-  TestGroup,
-} from "./test_group.ts";
+import { documentOf } from "./test_document.ts";
+import { TestGroup } from "./test_group.ts";
+import { testRecord } from "./test_record.ts";
 
 const FIRST_PORT = 25_300;
 const DESK_PORT = FIRST_PORT + 50;
@@ -52,7 +50,7 @@
 
   test("reports every entry of an upstream that one replica received", async () => {
     await hubs[2]!.hub.mergeUpstream(
-      deskRecord("desk-1", { address: DESK, sequence: 1 }),
+      testRecord("desk-1", { address: DESK, sequence: 1 }),
     );
     for (const at of [0, 1]) {
       await eventually(async () => (await group.ask(at)).status === 200);
@@ -118,7 +116,7 @@
 
   test("entries name each other while no control replica answers", async () => {
     await hubs[0]!.hub.mergeUpstream(
-      deskRecord("desk-9", { address: DESK, sequence: 1 }),
+      testRecord("desk-9", { address: DESK, sequence: 1 }),
     );
     await eventually(async () => (await group.ask(0)).status === 200);
     await Promise.all(hubs.map((hub) => hub.stop()));
--- a/apps/heroncleatd/hub/leaving_upstream_test.ts
+++ b/apps/heroncleatd/hub/leaving_upstream_test.ts
@@ -1,11 +1,9 @@
 import { createServer, type Server } from "node:http";
-import {
-  deskRecord,
-  documentOf,
-  eventually,
-  pause,
-  TestGroup,
-} from "./test_group.ts";
+import { setTimeout as pause } from "node:timers/promises";
+import { eventually } from "./eventually.ts";
+import { documentOf } from "./test_document.ts";
+import { TestGroup } from "./test_group.ts";
+import { testRecord } from "./test_record.ts";
 
 const FIRST_PORT = 25_500;
 const DESK_PORT = FIRST_PORT + 50;
@@ -61,7 +59,7 @@
     let sequence = 0;
     const beat = () =>
       hubs[1]!.hub.mergeUpstream(
-        deskRecord(NAME, { address: DESK, sequence: sequence += 1 }),
+        testRecord(NAME, { address: DESK, sequence: sequence += 1 }),
       );
     await beat();
     const beats = setInterval(() => void beat(), HEARTBEAT_INTERVAL);
@@ -103,7 +101,7 @@
   "what has left is not there again when all replicas were lost",
   async () => {
     const second = "desk-2";
-    const record = deskRecord(second, { address: DESK, sequence: 1 });
+    const record = testRecord(second, { address: DESK, sequence: 1 });
     await hubs[3]!.start({ isFirstStart: false });
     await eventually(async () =>
       typeof await hubs[3]!.hub.readDocument() !== "string"
--- /dev/null
+++ b/apps/heroncleatd/hub/test_hub.ts
@@ -0,0 +1,116 @@
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { createSystemClock } from "@heroncleat/base";
+import { PeerPool, PeerServer } from "@heroncleat/transport";
+import { decodeTestDocument } from "./decode_test_document.ts";
+import type { DutyCalls, DutyHolder } from "./duty_calls.ts";
+import { type RunningHub, startHub } from "./start_hub.ts";
+import { testSeeds } from "./test_seeds.ts";
+
+const quiet = { debug() {}, info() {}, warn() {}, error() {} };
+const metrics = { increment() {}, gauge() {}, timing() {}, close() {} };
+
+/** A usage report that the test's platform took. */
+type TakenReport = {
+  readonly holder: DutyHolder;
+  readonly window: number;
+  readonly counts: object;
+};
+
+/** One control replica of a test, which can be stopped, lost and wiped. */
+export class TestHub {
+  readonly #at: number;
+  readonly #firstPort: number;
+  readonly #folder = mkdtempSync(join(tmpdir(), "heroncleat-hub-"));
+  readonly reports: TakenReport[] = [];
+  #pool: PeerPool | undefined;
+  #server: PeerServer | undefined;
+  #hub: RunningHub | undefined;
+
+  constructor(at: number, firstPort: number) {
+    this.#at = at;
+    this.#firstPort = firstPort;
+  }
+
+  get hub(): RunningHub {
+    return this.#hub!;
+  }
+
+  async start(options: { isFirstStart: boolean }): Promise<void> {
+    const address = `127.0.0.1:${this.#firstPort + this.#at}`;
+    this.#pool = new PeerPool({
+      secret: "s",
+      connectTimeout: 500,
+      localHost: "",
+    });
+    const server = new PeerServer({
+      address,
+      secret: "s",
+      onProblem: () => {},
+    });
+    this.#server = server;
+    this.#hub = await startHub({
+      settings: () => ({
+        name: `hub-${this.#at}`,
+        zone: `zone-${this.#at}`,
+        peerAddress: address,
+        seeds: testSeeds(this.#firstPort),
+        toleratedLosses: 1,
+        isFirstStart: options.isFirstStart,
+        dataFolder: this.#folder,
+        electionTimeout: 1500,
+        clockDrift: 0.05,
+        usageWindow: 1000,
+        usageDelay: 2000,
+        dutyLease: 1000,
+      }),
+      fleet: {
+        initialShare: 0.3,
+        utilization: 0.3,
+        slotShare: 0.5,
+      },
+      decodeDocument: decodeTestDocument,
+      calls: this.#calls(),
+      pool: this.#pool,
+      serve: (methods) => server.serve(methods),
+      clock: createSystemClock(),
+      log: () => quiet,
+      metrics,
+    });
+    await server.listen();
+  }
+
+  async stop(): Promise<void> {
+    await this.#hub?.stop();
+    await this.#disconnect();
+    this.#hub = undefined;
+  }
+
+  /** Is there for nobody from now on, as after a loss of power. */
+  async lose(): Promise<void> {
+    const lost = this.#hub;
+    this.#hub = undefined;
+    await this.#disconnect();
+    await lost?.stop();
+  }
+
+  wipe(): void {
+    rmSync(this.#folder, { recursive: true, force: true });
+  }
+
+  async #disconnect(): Promise<void> {
+    this.#pool?.close();
+    await this.#server?.close();
+  }
+
+  #calls(): DutyCalls {
+    return {
+      reportUsage: (holder, report) => {
+        this.reports.push({ holder, ...report });
+        return Promise.resolve("accepted" as const);
+      },
+      orderUpstreams: () => Promise.resolve("accepted" as const),
+    };
+  }
+}
--- a/packages/serving/chosen_upstream.ts
+++ b/packages/serving/chosen_upstream.ts
@@ -1,5 +1,5 @@
 import type { Milliseconds } from "@heroncleat/base";
-import type { KnownUpstream } from "./upstream_directory.ts";
+import type { KnownUpstream } from "./known_upstream.ts";
 
 /** A chosen upstream, and the prompt tokens that it has to read. @public */
 export type ChosenUpstream = {
--- a/packages/serving/hub.ts
+++ b/packages/serving/hub.ts
@@ -1,22 +1,20 @@
 import type { Milliseconds } from "@heroncleat/base";
 import { ChargeBook } from "./charge_book.ts";
 import { ChargeExchange } from "./charge_exchange.ts";
+import { DocumentSender } from "./document_sender.ts";
 import { EntryMedians } from "./entry_medians.ts";
 import type { FeedReply } from "./feed_reply.ts";
 import type { FeedRequest } from "./feed_request.ts";
 import type { KnownEntry } from "./known_entry.ts";
 import { LoadBook } from "./load_book.ts";
 import { OpenEntries } from "./open_entries.ts";
-import { packedDocument } from "./packed_document.ts";
 import { RevisionCounter } from "./revision_counter.ts";
 import type { SharedState } from "./shared_state.ts";
 import type { SyncReply } from "./sync_reply.ts";
 import type { SyncRequest } from "./sync_request.ts";
-import type {
-  MergeOutcome,
-  UpdateSource,
-  UpstreamDirectory,
-} from "./upstream_directory.ts";
+import type { MergeOutcome } from "./merge_outcome.ts";
+import type { UpdateSource } from "./update_source.ts";
+import type { UpstreamDirectory } from "./upstream_directory.ts";
 import { UpstreamFeed } from "./upstream_feed.ts";
 import type { UpstreamLoad } from "./upstream_load.ts";
 import type { UpstreamRecord } from "./upstream_record.ts";
@@ -71,8 +69,7 @@
   readonly #loads = new LoadBook(this.#revisions);
   readonly #readWork = new ChargeBook();
   readonly #usage = new UsageBook();
-  /** The document that was sent last, as it is sent. */
-  #packed = { version: -1, text: "" };
+  readonly #documents = new DocumentSender();
   #sweptAt: Milliseconds = -Infinity;
   /** What is worked out over all entries, until the next sweep. */
   #shared = {
@@ -151,7 +148,7 @@
       isLeading,
       upstreams,
       ages,
-      document: this.#documentFor(request, document),
+      document: this.#documents.documentFor(request, document),
       ...this.#entriesFor(request, from),
       entryCount: this.#shared.entryCount,
       controls,
@@ -203,26 +200,6 @@
       : { loadsOfOthers: this.#loads.sumWithout(name) };
   }
 
-  /**
-   * The document, packed, where an entry's is older. Every replica sends it, as
-   * an entry may reach just one that has it.
-   */
-  #documentFor(
-    request: SyncRequest,
-    document: ReplyContext["document"],
-  ): string | undefined {
-    const isOutdated = document !== undefined &&
-      document.version > request.documentVersion;
-    if (!isOutdated) {
-      return undefined;
-    }
-    const { version, source } = document;
-    if (this.#packed.version !== version) {
-      this.#packed = { version, text: packedDocument.pack(source) };
-    }
-    return this.#packed.text;
-  }
-
   /** Answers another replica that has read a feed up to a revision. */
   answerFeed(
     { feed, revision }: FeedRequest,
--- a/packages/serving/mod.ts
+++ b/packages/serving/mod.ts
@@ -22,11 +22,9 @@
 export type { SyncReply } from "./sync_reply.ts";
 export type { SyncRequest } from "./sync_request.ts";
 export type { ChosenUpstream } from "./chosen_upstream.ts";
-export type {
-  KnownUpstream,
-  MergeOutcome,
-  UpdateSource,
-} from "./upstream_directory.ts";
+export type { KnownUpstream } from "./known_upstream.ts";
+export type { MergeOutcome } from "./merge_outcome.ts";
+export type { UpdateSource } from "./update_source.ts";
 export type { RelayedCharges } from "./relayed_charges.ts";
 export type { ReportedCharges } from "./reported_charges.ts";
 export type { RecordProblem } from "./find_record_problem.ts";
--- a/packages/serving/part_homes.ts
+++ b/packages/serving/part_homes.ts
@@ -1,5 +1,5 @@
 import type { Milliseconds } from "@heroncleat/base";
-import type { KnownUpstream } from "./upstream_directory.ts";
+import type { KnownUpstream } from "./known_upstream.ts";
 
 /** Cost of any upstream but the first home of a part. */
 const SECOND_COST: Milliseconds = 15;
--- a/packages/serving/plan_fetch.ts
+++ b/packages/serving/plan_fetch.ts
@@ -1,7 +1,7 @@
 import type { Milliseconds } from "@heroncleat/base";
 import type { PromptPart } from "./prompt_part.ts";
 import type { EngineProfile } from "./service.ts";
-import type { KnownUpstream } from "./upstream_directory.ts";
+import type { KnownUpstream } from "./known_upstream.ts";
 
 /** Fewer tokens than this are read again rather than fetched. */
 const LEAST_FETCH = 1500;
--- a/packages/serving/upstream_choice.ts
+++ b/packages/serving/upstream_choice.ts
@@ -9,7 +9,7 @@
 import { planFetch } from "./plan_fetch.ts";
 import { readTime } from "./read_time.ts";
 import { ReadingSpeeds } from "./reading_speeds.ts";
-import type { KnownUpstream } from "./upstream_directory.ts";
+import type { KnownUpstream } from "./known_upstream.ts";
 import type { UpstreamLoad } from "./upstream_load.ts";
 
 /** Heartbeats come every 1 to 2 s; silence for longer means it is lost. */
--- a/packages/serving/upstream_directory.ts
+++ b/packages/serving/upstream_directory.ts
@@ -1,41 +1,15 @@
 import type { Milliseconds } from "@heroncleat/base";
+import type { KnownUpstream } from "./known_upstream.ts";
+import type { MergeOutcome } from "./merge_outcome.ts";
 import { startId } from "./start_id.ts";
+import type { UpdateSource } from "./update_source.ts";
 import type { UpstreamRecord } from "./upstream_record.ts";
 import { UpstreamStarts } from "./upstream_starts.ts";
-
-/** A record and when its last update came in. @public */
-export type KnownUpstream = {
-  readonly record: UpstreamRecord;
-  /**
-   * When the upstream was last heard, here or at the replica it reported to, on
-   * this process's clock.
-   */
-  readonly receivedAt: Milliseconds;
-  /** When this start of the upstream was first seen. */
-  readonly firstReceivedAt: Milliseconds;
-  /** Who passed the last update on; see UpdateSource. */
-  readonly reporter: string;
-};
-
-/** Where an update of an upstream comes from. @public */
-export type UpdateSource = {
-  /** host:port of the replica that passed it on; empty for the upstream. */
-  readonly reporter: string;
-  /** Time since it came from the upstream; 0 where nobody said. */
-  readonly age: Milliseconds;
-};
+import { upstreamUpdate } from "./upstream_update.ts";
 
 /** The upstream itself, which reports to the process that takes it in. */
 const FIRST_HAND: UpdateSource = { reporter: "", age: 0 };
 
-/**
- * What updates of an upstream brought: something new of it, only a sign of
- * life, or nothing, as later updates came before.
- *
- * @public
- */
-export type MergeOutcome = "changed" | "received" | "late";
-
 /** Time after which a silent upstream that left is forgotten. */
 const FORGET_AFTER = 60_000;
 /**
@@ -80,7 +54,7 @@
     }
     const entry = this.#known.get(updates.id);
     const known = entry?.record;
-    if (known !== undefined && !isNewer(updates, known)) {
+    if (known !== undefined && !upstreamUpdate.isNewer(updates, known)) {
       return "late";
     }
     // A heartbeat may be held up by a cut and come after its sender crashed.
@@ -95,10 +69,11 @@
     const record = known === undefined ? updates : {
       ...updates,
       sequence: Math.max(updates.sequence, known.sequence),
-      state: laterState(known.state, updates.state),
+      state: upstreamUpdate.laterState(known.state, updates.state),
     };
     this.#note(record, now, source);
-    const isSame = known !== undefined && isSameBeside(record, known);
+    const isSame = known !== undefined &&
+      upstreamUpdate.isSameBeside(record, known);
     return livedBefore && isSame ? "received" : "changed";
   }
 
@@ -192,7 +167,7 @@
       this.#note(updates, now, source);
       return updates.state === "ready" ? "late" : "changed";
     }
-    const state = laterState(known.state, updates.state);
+    const state = upstreamUpdate.laterState(known.state, updates.state);
     if (state === known.state) {
       return "late";
     }
@@ -284,26 +259,3 @@
   isSpot: false,
   leavesIn: undefined,
 };
-
-const ORDER = ["ready", "draining", "gone"];
-
-function laterState(
-  left: UpstreamRecord["state"],
-  right: UpstreamRecord["state"],
-): UpstreamRecord["state"] {
-  return ORDER.indexOf(left) > ORDER.indexOf(right) ? left : right;
-}
-
-/** Whether two records differ in nothing but the heartbeat's number. */
-function isSameBeside(left: UpstreamRecord, right: UpstreamRecord): boolean {
-  return left.service === right.service && left.address === right.address &&
-    left.zone === right.zone && left.slots === right.slots &&
-    left.state === right.state && left.isSpot === right.isSpot &&
-    left.leavesIn === right.leavesIn;
-}
-
-/** A later state counts even from an older heartbeat. */
-function isNewer(updates: UpstreamRecord, known: UpstreamRecord): boolean {
-  return updates.sequence > known.sequence ||
-    ORDER.indexOf(updates.state) > ORDER.indexOf(known.state);
-}
--- a/packages/serving/upstream_feed.ts
+++ b/packages/serving/upstream_feed.ts
@@ -2,11 +2,9 @@
 import { ChangeLog } from "./change_log.ts";
 import type { RevisionCounter } from "./revision_counter.ts";
 import type { UpstreamChanges } from "./upstream_changes.ts";
-import {
-  type MergeOutcome,
-  type UpdateSource,
-  UpstreamDirectory,
-} from "./upstream_directory.ts";
+import type { MergeOutcome } from "./merge_outcome.ts";
+import type { UpdateSource } from "./update_source.ts";
+import { UpstreamDirectory } from "./upstream_directory.ts";
 import type { UpstreamRecord } from "./upstream_record.ts";
 
 /**
--- /dev/null
+++ b/packages/serving/upstream_update.ts
@@ -0,0 +1,31 @@
+import type { UpstreamRecord } from "./upstream_record.ts";
+
+/** How what is known of a start and an update of it go together. @internal */
+export const upstreamUpdate = {
+  isNewer,
+  isSameBeside,
+  laterState,
+};
+
+const ORDER = ["ready", "draining", "gone"];
+
+function laterState(
+  left: UpstreamRecord["state"],
+  right: UpstreamRecord["state"],
+): UpstreamRecord["state"] {
+  return ORDER.indexOf(left) > ORDER.indexOf(right) ? left : right;
+}
+
+/** Whether two records differ in nothing but the heartbeat's number. */
+function isSameBeside(left: UpstreamRecord, right: UpstreamRecord): boolean {
+  return left.service === right.service && left.address === right.address &&
+    left.zone === right.zone && left.slots === right.slots &&
+    left.state === right.state && left.isSpot === right.isSpot &&
+    left.leavesIn === right.leavesIn;
+}
+
+/** A later state counts even from an older heartbeat. */
+function isNewer(updates: UpstreamRecord, known: UpstreamRecord): boolean {
+  return updates.sequence > known.sequence ||
+    ORDER.indexOf(updates.state) > ORDER.indexOf(known.state);
+}
--- a/packages/soak/machine.ts
+++ b/packages/soak/machine.ts
@@ -9,7 +9,8 @@
 } from "node:fs";
 import { join } from "node:path";
 import type { Milliseconds } from "@heroncleat/base";
-import type { MachinePlan, SoakWire } from "./soak_wire.ts";
+import type { MachinePlan } from "./machine_plan.ts";
+import type { SoakWire } from "./soak_wire.ts";
 
 /** Preloaded into each process; see the files. */
 const PRELOADED = ["redirect_sockets.mjs", "inject_faults.mjs"].flatMap(
--- a/packages/soak/mod.ts
+++ b/packages/soak/mod.ts
@@ -7,9 +7,7 @@
 export type { Finding } from "./finding.ts";
 export { runSoak } from "./run_soak.ts";
 export type { SoakReport } from "./run_soak.ts";
-export type {
-  MachinePlan,
-  SoakDocument,
-  SoakWire,
-  UpstreamReport,
-} from "./soak_wire.ts";
+export type { MachinePlan } from "./machine_plan.ts";
+export type { SoakDocument } from "./soak_document.ts";
+export type { SoakWire } from "./soak_wire.ts";
+export type { UpstreamReport } from "./upstream_report.ts";
--- a/packages/soak/soak_caller.ts
+++ b/packages/soak/soak_caller.ts
@@ -3,7 +3,8 @@
 import { answerOf } from "./answer_of.ts";
 import { callOnce } from "./call_once.ts";
 import { pause } from "./pause.ts";
-import type { SoakDocument, SoakWire } from "./soak_wire.ts";
+import type { SoakDocument } from "./soak_document.ts";
+import type { SoakWire } from "./soak_wire.ts";
 
 const TIMEOUT: Milliseconds = 3000;
 /** Pause between two requests of a caller: from this on, and so much more. */
--- a/packages/soak/soak_deployment.ts
+++ b/packages/soak/soak_deployment.ts
@@ -7,7 +7,8 @@
 import { SoakCaller } from "./soak_caller.ts";
 import { SoakUpstream } from "./soak_upstream.ts";
 import { pause } from "./pause.ts";
-import type { SoakDocument, SoakWire } from "./soak_wire.ts";
+import type { SoakDocument } from "./soak_document.ts";
+import type { SoakWire } from "./soak_wire.ts";
 
 /** Time that VMs must have been calm to be bound by a time. */
 const CALM_TIME: Milliseconds = 3000;
--- a/packages/soak/soak_wire.ts
+++ b/packages/soak/soak_wire.ts
@@ -1,4 +1,6 @@
-import type { Milliseconds } from "@heroncleat/base";
+import type { MachinePlan } from "./machine_plan.ts";
+import type { SoakDocument } from "./soak_document.ts";
+import type { UpstreamReport } from "./upstream_report.ts";
 
 /** A call with a JSON body. */
 type WireCall = {
@@ -7,42 +9,6 @@
   readonly body: string;
 };
 
-/** One VM as its processes are told of it. @public */
-export type MachinePlan = {
-  readonly name: string;
-  readonly zone: string;
-  /** Loopback address that only this VM has. */
-  readonly host: string;
-  /** Disk of its control replica; undefined where none runs. */
-  readonly dataFolder: string | undefined;
-  /** Operators' addresses of up to three control replicas. */
-  readonly seeds: readonly string[];
-  /** Whether the whole system starts for the first time. */
-  readonly isFirstStart: boolean;
-};
-
-/** What an upstream says of itself. @public */
-export type UpstreamReport = {
-  readonly name: string;
-  readonly service: string;
-  readonly address: string;
-  readonly zone: string;
-  readonly slots: number;
-  readonly state: "ready" | "draining";
-  readonly sequence: number;
-};
-
-/** A configuration of the soak: two routes to one service. @public */
-export type SoakDocument = {
-  readonly version: number;
-  readonly service: string;
-  readonly host: string;
-  /** Prefix of requests that may be repeated, and of those that may not. */
-  readonly repeatablePrefix: string;
-  readonly singlePrefix: string;
-  readonly timeout: Milliseconds;
-};
-
 /**
  * How a soak speaks to the program under test: names, formats and calls. They
  * are given to the soak, which decides what to say and when.
