Soak: seeds spread, VMs that went are known for a while

Neighbouring seeds began with nearly the same numbers: each series of troubles began with the same one. Replicas that went for good were known to nobody at once, and first ones were known from the start by their name; both are known as late as they come and go.

--- a/packages/soak/core_troubles.ts
+++ b/packages/soak/core_troubles.ts
@@ -188,7 +188,7 @@
   const end = deployment.disturbCore(machine.host);
   if (!isPlanned) {
     machine.signal("SIGKILL");
-    machine.isGone = true;
+    machine.goneAt = performance.now();
     await pause(drawTime(random, AWAY));
   }
   const next = deployment.addMachine(machine.zone, { hasControl: true });
@@ -197,7 +197,7 @@
     await pause(drawTime(random, { least: 1500, spread: 1500 }));
     machine.signal("SIGTERM");
     await machine.ended();
-    machine.isGone = true;
+    machine.goneAt = performance.now();
   }
   end();
   deployment.disturb(next.host)();
--- a/packages/soak/machine.ts
+++ b/packages/soak/machine.ts
@@ -35,7 +35,10 @@
   readonly hasControl: boolean;
   /** When its entry last began to run. */
   startedAt: Milliseconds = 0;
-  isGone = false;
+  /** From when on others know of it; later than it starts if it was added. */
+  readonly listedFrom: Milliseconds;
+  /** When it went for good. */
+  goneAt: Milliseconds = Infinity;
   readonly #wire: SoakWire;
   readonly #folder: string;
   readonly #proxy: string;
@@ -43,18 +46,29 @@
   readonly #processes = new Map<Role, ChildProcess>();
 
   constructor(
-    plan: { name: string; zone: string; host: string; hasControl: boolean },
+    plan: {
+      name: string;
+      zone: string;
+      host: string;
+      hasControl: boolean;
+      listedFrom: Milliseconds;
+    },
     options: { wire: SoakWire; folder: string; proxy: string },
   ) {
     this.name = plan.name;
     this.zone = plan.zone;
     this.host = plan.host;
     this.hasControl = plan.hasControl;
+    this.listedFrom = plan.listedFrom;
     this.#wire = options.wire;
     this.#folder = options.folder;
     this.#proxy = options.proxy;
   }
 
+  get isGone(): boolean {
+    return this.goneAt < Infinity;
+  }
+
   get roles(): readonly Role[] {
     return this.hasControl ? ["control", "entry"] : ["entry"];
   }
--- a/packages/soak/run_soak.ts
+++ b/packages/soak/run_soak.ts
@@ -23,6 +23,8 @@
 
 /** Series of random numbers for each seed. */
 const STREAMS = 16;
+/** An odd number with its bits mixed: 2^32 divided by the golden ratio. */
+const SPREAD = 0x9e3779b1;
 
 /** What a soak came to. @public */
 export type SoakReport = {
@@ -93,9 +95,12 @@
   await deployment.checkDocument();
 }
 
-/** One of several independent series of random numbers of a seed. */
+/**
+ * One of several independent series of random numbers of a seed. Neighbouring
+ * seeds would begin with nearly the same numbers, so they are spread.
+ */
 function streamOf(seed: number, stream: number): Random {
-  return createSeededRandom(seed * STREAMS + stream);
+  return createSeededRandom(Math.imul(seed * STREAMS + stream, SPREAD));
 }
 
 function aborted({ signal }: { signal: AbortSignal }): Promise<void> {
--- a/packages/soak/soak_deployment.ts
+++ b/packages/soak/soak_deployment.ts
@@ -24,6 +24,7 @@
 /** Disturbances of the control group as a whole. */
 const CORE = "core";
 
+/** What the deployment is built from. */
 type Options = {
   readonly wire: SoakWire;
   readonly folder: string;
@@ -32,9 +33,6 @@
   readonly slot: number;
 };
 
-/** What a VM was at a time, for what others know late. */
-type ListedMachine = { readonly machine: Machine; readonly since: number };
-
 /**
  * A whole deployment of real processes with its upstreams and callers, and
  * the means to disturb it.
@@ -50,8 +48,9 @@
   readonly #options: Options;
   readonly #upstreams = new Set<SoakUpstream>();
   readonly #callers: SoakCaller[] = [];
-  readonly #listed: ListedMachine[] = [];
   readonly #proxyAddress: string;
+  /** Whether all that it begins with has started. */
+  #isRunning = false;
   #document: SoakDocument;
   #acknowledgedVersion = 0;
   #upstreamCount = 0;
@@ -100,6 +99,7 @@
       }
     }
     await this.#waitFor("The first answer", () => this.#isServed());
+    this.#isRunning = true;
     for (const zone of this.zones) {
       for (let count = 0; count < CALLERS_PER_ZONE; count += 1) {
         this.#addCaller(zone);
@@ -153,10 +153,10 @@
       name: `edge-${zone}-${number}`,
       zone,
       host: `127.${30 + this.#options.slot}.${at}.${number}`,
+      listedFrom: this.#isRunning ? performance.now() + LIST_LAG : 0,
       ...options,
     }, { ...this.#options, proxy: this.#proxyAddress });
     this.machines.push(machine);
-    this.#listed.push({ machine, since: performance.now() + LIST_LAG });
     return machine;
   }
 
@@ -282,21 +282,16 @@
     void caller.run();
   }
 
-  /** Control replicas as the others know them, in an order drawn anew. */
+  /** Control replicas as others know them, late, in an order drawn anew. */
   #listReplicas(): string[] {
     const now = performance.now();
-    const known = this.#listed.filter(({ machine, since }) =>
-      machine.hasControl && !machine.isGone &&
-      (since <= now || machine.startedAt === 0 || this.#isFirst(machine))
-    ).map(({ machine }) => machine.operatorAddress);
-    return known
-      .map((address) => ({ address, order: this.random() }))
+    return this.machines
+      .filter(({ hasControl, listedFrom, goneAt }) =>
+        hasControl && listedFrom <= now && now < goneAt + LIST_LAG
+      )
+      .map((machine) => ({ machine, order: this.random() }))
       .sort((left, right) => left.order - right.order)
-      .map(({ address }) => address);
-  }
-
-  #isFirst({ name }: Machine): boolean {
-    return name.endsWith("-1");
+      .map(({ machine }) => machine.operatorAddress);
   }
 
   #listLookups(zone: string): string[] {
