--- a/packages/serving/choice_request.ts
+++ b/packages/serving/choice_request.ts
@@ -1,5 +1,5 @@
 import type { PromptPart } from "./prompt_part.ts";
-import type { EngineProfile } from "./service.ts";
+import type { EngineProfile } from "./engine_profile.ts";
 
 /** What the choice needs to know of a request. @internal */
 export type ChoiceRequest = {
--- a/packages/serving/counter_report.ts
+++ b/packages/serving/counter_report.ts
@@ -1,7 +1,7 @@
 import type { EntryCounters } from "./entry_counters.ts";
 import type { SyncReply } from "./sync_reply.ts";
 import type { SyncRequest } from "./sync_request.ts";
-import type { WorkspaceCounts } from "./usage_counts.ts";
+import type { WorkspaceCounts } from "./workspace_counts.ts";
 
 /** The part of a request that reports counters. */
 type ReportedCounters =
--- a/packages/serving/entry_counters.ts
+++ b/packages/serving/entry_counters.ts
@@ -1,5 +1,5 @@
 import type { Milliseconds } from "@heroncleat/base";
-import type { WorkspaceCounts } from "./usage_counts.ts";
+import type { WorkspaceCounts } from "./workspace_counts.ts";
 
 /** What one process of an entry counted since its start. @public */
 export type EntryCounters = {
--- a/packages/serving/feed_reply.ts
+++ b/packages/serving/feed_reply.ts
@@ -1,5 +1,5 @@
 import type { UpstreamChanges } from "./upstream_changes.ts";
-import type { ProcessUsage } from "./usage_book.ts";
+import type { ProcessUsage } from "./process_usage.ts";
 
 /** What a control replica answers another one behind a revision. @public */
 export type FeedReply = UpstreamChanges & {
--- a/packages/serving/find_record_problem.ts
+++ b/packages/serving/find_record_problem.ts
@@ -1,13 +1,6 @@
+import type { RecordProblem } from "./record_problem.ts";
 import type { UpstreamRecord } from "./upstream_record.ts";
 
-/** Why updates of an upstream aren't taken in. @public */
-export type RecordProblem = {
-  /** For counting. */
-  readonly kind: "unknown_service" | "changed_identity";
-  /** For whoever sent them, with the remedy. */
-  readonly message: string;
-};
-
 /**
  * What is wrong with well-formed updates of an upstream, or nothing. Updates of
  * another writer may bear the name of a sound upstream: a start neither moves
--- a/packages/serving/fleet_planner.ts
+++ b/packages/serving/fleet_planner.ts
@@ -5,7 +5,8 @@
 import type { FleetSettings } from "./fleet_settings.ts";
 import { GivenOrders } from "./given_orders.ts";
 import { RecentMaximum } from "./recent_maximum.ts";
-import type { ScaleLimits, Service } from "./service.ts";
+import type { ScaleLimits } from "./scale_limits.ts";
+import type { Service } from "./service.ts";
 import type { UpstreamRecord } from "./upstream_record.ts";
 
 /**
--- a/packages/serving/hub.ts
+++ b/packages/serving/hub.ts
@@ -18,8 +18,9 @@
 import { UpstreamFeed } from "./upstream_feed.ts";
 import type { UpstreamLoad } from "./upstream_load.ts";
 import type { UpstreamRecord } from "./upstream_record.ts";
-import { type ProcessUsage, UsageBook } from "./usage_book.ts";
-import type { WorkspaceCounts } from "./usage_counts.ts";
+import type { ProcessUsage } from "./process_usage.ts";
+import { UsageBook } from "./usage_book.ts";
+import type { WorkspaceCounts } from "./workspace_counts.ts";
 
 /** Silence after which callers are no longer sent to an entry. */
 const ENTRY_SILENT_AFTER = 1200;
--- a/packages/serving/plan_fetch.ts
+++ b/packages/serving/plan_fetch.ts
@@ -1,6 +1,6 @@
 import type { Milliseconds } from "@heroncleat/base";
 import type { PromptPart } from "./prompt_part.ts";
-import type { EngineProfile } from "./service.ts";
+import type { EngineProfile } from "./engine_profile.ts";
 import type { KnownUpstream } from "./known_upstream.ts";
 
 /** Fewer tokens than this are read again rather than fetched. */
--- a/packages/serving/sync_request.ts
+++ b/packages/serving/sync_request.ts
@@ -1,7 +1,7 @@
 import type { Milliseconds } from "@heroncleat/base";
 import type { RelayedCharges } from "./relayed_charges.ts";
 import type { UpstreamLoad } from "./upstream_load.ts";
-import type { WorkspaceCounts } from "./usage_counts.ts";
+import type { WorkspaceCounts } from "./workspace_counts.ts";
 
 /** What an entry reports a control replica, several times a second. @public */
 export type SyncRequest = {
--- a/packages/serving/usage_book.ts
+++ b/packages/serving/usage_book.ts
@@ -1,9 +1,5 @@
-import type { WorkspaceCounts } from "./usage_counts.ts";
-
-/** What processes counted, by process, number of the window and workspace. */
-export type ProcessUsage = Readonly<
-  Record<string, Readonly<Record<string, WorkspaceCounts>>>
->;
+import type { ProcessUsage } from "./process_usage.ts";
+import type { WorkspaceCounts } from "./workspace_counts.ts";
 
 /** Newest windows that are passed on; older ones have been settled. */
 const RECENT_WINDOWS = 3;
--- a/packages/serving/usage_counts.ts
+++ b/packages/serving/usage_counts.ts
@@ -1,11 +1,9 @@
+import type { WorkspaceCounts } from "./workspace_counts.ts";
 import type { Milliseconds } from "@heroncleat/base";
 
 /** Windows kept, so that a late collector still finds them. */
 const KEPT_WINDOWS = 8;
 
-/** Counts by workspace. @public */
-export type WorkspaceCounts = Readonly<Record<string, number>>;
-
 /**
  * How many requests of each workspace began to run in each window of true
  * time, as one entry counts them.
--- /dev/null
+++ b/packages/serving/workspace_counts.ts
@@ -0,0 +1,2 @@
+/** Counts by workspace. @public */
+export type WorkspaceCounts = Readonly<Record<string, number>>;
--- a/packages/serving/workspace_quota.ts
+++ b/packages/serving/workspace_quota.ts
@@ -1,3 +1,4 @@
+import type { QuotaCharge } from "./quota_charge.ts";
 import type { Milliseconds } from "@heroncleat/base";
 import { exchangePause } from "./exchange_pause.ts";
 import { OthersCharges } from "./others_charges.ts";
@@ -7,14 +8,6 @@
 import type { QuotaSettings } from "./quota_settings.ts";
 import type { Workspace } from "./workspace.ts";
 
-/** What a request was charged to. @public */
-export type QuotaCharge = {
-  readonly workspace: string;
-  readonly amount: number;
-  /** Whether it was paid from what is tolerated beyond the quota. */
-  readonly isExcess: boolean;
-};
-
 /** Why a request can't be charged, in tokens and tokens a second. */
 type QuotaRefusal = {
   readonly ok: false;
