--- a/scripts/documented_commands_test.ts
+++ b/scripts/documented_commands_test.ts
@@ -11,6 +11,7 @@
 const RUN: Readonly<Record<string, string>> = {
   "npm ci && npm start": "scripts/check_main_command.mjs",
   "npm test": ".ci/run",
+  "npm run soak -- --seed 1 --seconds 60": "platform/soak/soak_test.ts",
   "heroncleatd --settings FILE":
     "packages/local_deployment/start_deployment.ts",
   "heroncleatd --settings FILE --check": "scripts/documented_commands_test.ts",
