Sight: which request it was under which an upstream's connection ended

Cause: a request is named by its attempt alone, which is new each time, so the logs can't tell whether the streams that break with an upstream are the same request as one before. Change: attempts say how they ended (whole, connection ended, no answer); where the connection ended, a line names a digest of method, host, path, workspace and body, the upstream, and for how long it ran; a counter beside it. No change of what is sent where.

--- a/apps/heroncleatd/gateway/attempt.ts
+++ b/apps/heroncleatd/gateway/attempt.ts
@@ -3,6 +3,7 @@
 import { type ChosenUpstream, findOverload } from "@heroncleat/serving";
 import type { CallerRequest } from "./caller_request.ts";
 import type { ForwardContext } from "./forward_context.ts";
+import { AttemptEnding } from "./attempt_ending.ts";
 import { AttemptTrace } from "./attempt_trace.ts";
 import { forwardHeaders } from "./forward_headers.ts";
 import { sendToUpstream } from "./send_to_upstream.ts";
@@ -29,7 +30,7 @@
     /** Notes that the first byte of the body arrived. */
     readonly noteFirstByte: () => void;
     /** Must be called once when the body ended or was given up. */
-    readonly finish: () => void;
+    readonly finish: (ending: AttemptEnding) => void;
   };
 
 /** How often a request looks for an upstream while there is none. */
@@ -100,7 +101,11 @@
   if (answer.kind === "head") {
     return { ...answer, ...account, trace, upstream: record.id };
   }
-  account.finish();
+  account.finish(
+    answer.kind === "unknown" && answer.isBroken
+      ? AttemptEnding.broken
+      : AttemptEnding.notAnswered,
+  );
   if (!signal.aborted && isOwnFailure(answer.reason)) {
     choice.pause(record.id, clock.steady());
   }
@@ -118,9 +123,9 @@
     chosen: ChosenUpstream;
     trace: AttemptTrace;
   },
-): { noteFirstByte: () => void; finish: () => void } {
+): { noteFirstByte: () => void; finish: (ending: AttemptEnding) => void } {
   const { chosen, trace } = options;
-  const { choice, clock } = options.context;
+  const { choice, clock, log, metrics } = options.context;
   const notice = choice.begin(chosen, {
     parts: call.prompt?.parts ?? [],
     now: clock.steady(),
@@ -138,10 +143,20 @@
         choice.noteFirstToken(chosen, took);
       }
     },
-    finish: () => {
-      if (!ended) {
-        ended = true;
-        choice.end(chosen);
+    finish: (ending) => {
+      if (ended) {
+        return;
+      }
+      ended = true;
+      choice.end(chosen);
+      if (ending === AttemptEnding.broken && !call.signal.aborted) {
+        metrics.increment("gateway.broken_attempts");
+        log.info("A connection to an upstream ended under a request", {
+          request: call.attempt,
+          digest: call.digest(),
+          upstream: chosen.upstream.record.id,
+          ranFor: Math.round(clock.steady() - sentAt),
+        });
       }
     },
   };
--- a/apps/heroncleatd/gateway/caller_request.ts
+++ b/apps/heroncleatd/gateway/caller_request.ts
@@ -25,6 +25,8 @@
   /** Monotonic time at which it arrived, and at which it must be answered. */
   readonly arrivedAt: Milliseconds;
   readonly until: Milliseconds;
+  /** Identifies it among requests; see requestDigest. Worked out when asked. */
+  readonly digest: () => string;
   /** Aborts when the caller leaves or the time is up. */
   readonly signal: AbortSignal;
 };
--- a/apps/heroncleatd/gateway/forward_call.ts
+++ b/apps/heroncleatd/gateway/forward_call.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { RouteKind } from "@heroncleat/serving";
 import { attempt } from "./attempt.ts";
+import { AttemptEnding } from "./attempt_ending.ts";
 import type { CallerRequest } from "./caller_request.ts";
 import type { ForwardContext } from "./forward_context.ts";
 import { forwardHeaders } from "./forward_headers.ts";
@@ -120,7 +121,9 @@
     }
     result.noteFirstByte();
     const body = await readAnswerBody(result.message);
-    result.finish();
+    result.finish(
+      body === undefined ? AttemptEnding.broken : AttemptEnding.whole,
+    );
     const status = result.message.statusCode!;
     if (body === undefined) {
       this.#attempts.push(result.trace.describe(`${status}, cut off`));
--- a/apps/heroncleatd/gateway/forward_headers_test.ts
+++ b/apps/heroncleatd/gateway/forward_headers_test.ts
@@ -80,6 +80,7 @@
     objective: 100,
     arrivedAt: 0,
     until: 400,
+    digest: () => "d",
     signal: new AbortController().signal,
     workspace: {
       name: "inn",
--- a/apps/heroncleatd/gateway/forward_stream.ts
+++ b/apps/heroncleatd/gateway/forward_stream.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Milliseconds } from "@heroncleat/base";
 import { attempt } from "./attempt.ts";
+import { AttemptEnding } from "./attempt_ending.ts";
 import type { CallerRequest } from "./caller_request.ts";
 import { EventSplitter } from "./event_splitter.ts";
 import type { ForwardContext } from "./forward_context.ts";
@@ -30,7 +31,15 @@
 }
 
 /** What one attempt at a stream came to. */
-type StreamStep = "done" | "broken" | "not_run" | "no_upstream" | "overloaded";
+type StreamStep =
+  | "done"
+  /** The connection ended before the answer did. */
+  | "broken"
+  /** A whole answer of failure, which isn't passed on yet. */
+  | "failed"
+  | "not_run"
+  | "no_upstream"
+  | "overloaded";
 
 /** The attempts of one stream. */
 class StreamRun {
@@ -129,7 +138,9 @@
     const step = isStream(result.message)
       ? await this.#relay(result.message, result.noteFirstByte)
       : await this.#relayWhole(result.message);
-    result.finish();
+    result.finish(
+      step === "broken" ? AttemptEnding.broken : AttemptEnding.whole,
+    );
     const { statusCode } = result.message;
     this.#attempts.push(result.trace.describe(`${statusCode} ${step}`));
     return step;
@@ -142,13 +153,16 @@
    */
   async #relayWhole(message: IncomingMessage): Promise<StreamStep> {
     const body = await readAnswerBody(message);
-    if (body === undefined || this.#response.headersSent) {
+    if (body === undefined) {
       return "broken";
     }
+    if (this.#response.headersSent) {
+      return "failed";
+    }
     this.#countUsage();
     if (message.statusCode! >= 500 && this.#call.route.isResumable) {
       this.#failure = { message, body };
-      return "broken";
+      return "failed";
     }
     this.#sendWhole({ message, body });
     return "done";
--- a/apps/heroncleatd/gateway/forwarding_test.ts
+++ b/apps/heroncleatd/gateway/forwarding_test.ts
@@ -445,6 +445,7 @@
       objective: route.latencyObjective,
       arrivedAt: now,
       until: now + timeout,
+      digest: () => "d",
       signal: abort.signal,
     };
     const forward = setup.kind === RouteKind.streaming
--- a/apps/heroncleatd/gateway/gateway.ts
+++ b/apps/heroncleatd/gateway/gateway.ts
@@ -18,7 +18,9 @@
 import type { OwnAnswer } from "./own_answer.ts";
 import type { Prompt } from "./prompt.ts";
 import type { QuotaCharging } from "./quota_charging.ts";
+import { memoize } from "../common/memoize.ts";
 import { readRequestBody } from "./read_request_body.ts";
+import { requestDigest } from "./request_digest.ts";
 import { sendOwnAnswer } from "./send_own_answer.ts";
 
 /** Shortest and longest time after which a refused caller comes back. */
@@ -242,6 +244,15 @@
       objective: this.#options.table()!.objectiveOf(route, admitted.service),
       arrivedAt,
       until,
+      digest: memoize(() =>
+        requestDigest({
+          method: incoming.method ?? "GET",
+          host: incoming.headers.host ?? "",
+          target: incoming.url ?? "/",
+          workspace: workspace?.name ?? "",
+          body: admitted.body,
+        })
+      ),
       signal: abort.signal,
     };
     forwarding.allowanceOf(call.service).countRequest(clock.steady());
--- a/apps/heroncleatd/gateway/send_to_upstream.ts
+++ b/apps/heroncleatd/gateway/send_to_upstream.ts
@@ -59,10 +59,12 @@
         // beside it may be as dead: one request may find out, not each.
         options.agent.closeFree();
       }
-      resolve({
-        kind: isConnected ? "unknown" : "not_run",
-        reason: describe(error),
-      });
+      const reason = describe(error);
+      resolve(
+        isConnected
+          ? { kind: "unknown", reason, isBroken: true }
+          : { kind: "not_run", reason },
+      );
       // A body without a length ends with its connection, and Node takes a
       // reset for such an end.
       answer?.destroy(error);
@@ -134,7 +136,7 @@
 
 function drop(outgoing: ClientRequest, reason: string): UpstreamAnswer {
   outgoing.destroy();
-  return { kind: "unknown", reason };
+  return { kind: "unknown", reason, isBroken: false };
 }
 
 function describe(error: Error): string {
--- a/apps/heroncleatd/gateway/send_to_upstream_test.ts
+++ b/apps/heroncleatd/gateway/send_to_upstream_test.ts
@@ -26,6 +26,7 @@
     headers: ["Host", "upstream"],
     names: testHeaderNames,
     signal: new AbortController().signal,
+    digest: () => "d",
   });
   if (result.kind !== "head") {
     throw new Error(result.reason);
--- a/apps/heroncleatd/gateway/upstream_answer.ts
+++ b/apps/heroncleatd/gateway/upstream_answer.ts
@@ -7,4 +7,9 @@
   /** It did not run and never will. */
   | { readonly kind: "not_run"; readonly reason: string }
   /** It may have run. */
-  | { readonly kind: "unknown"; readonly reason: string };
+  | {
+    readonly kind: "unknown";
+    readonly reason: string;
+    /** Whether the connection ended, rather than bringing no answer to it. */
+    readonly isBroken: boolean;
+  };
