Soak: requests that crash upstreams, upstreams that crash, suspended VMs

A caller repeats one request at any entry for 6 to 14 s; each upstream that begins to run it ends within 0.1 s with all its connections and is back 1.5 to 4 s later as a new start. One to three upstreams also end by themselves. A VM is suspended for 1 to 9 s: its processes' steady clock doesn't count that time. Two checks: such a request reaches upstreams at most three times later than 3 s after the third end, by calm entries; no proper request is answered with a 4xx.

--- a/packages/soak/arrival.ts
+++ b/packages/soak/arrival.ts
@@ -8,4 +8,6 @@
   readonly from: string;
   readonly at: Milliseconds;
   readonly isSingle: boolean;
+  /** Path and query. */
+  readonly target: string;
 };
--- a/packages/soak/finding.ts
+++ b/packages/soak/finding.ts
@@ -7,6 +7,8 @@
     | "once"
     | "not_run"
     | "whole_answer"
+    | "crashing"
+    | "rejected"
     | "configuration"
     | "recovery";
   /** Time since the soak began. */
--- a/packages/soak/inject_faults.mjs
+++ b/packages/soak/inject_faults.mjs
@@ -1,7 +1,9 @@
 /**
- * Loaded into each process of a soak: gives it a slow or full disk and a wall
- * clock that is off, as the file named by SOAK_FAULTS says. The file is looked
- * at ten times a second, and may be missing.
+ * Loaded into each process of a soak: gives it a slow or full disk, a wall
+ * clock that is off, and a steady clock that doesn't count the time for which
+ * its VM was suspended, as the file named by SOAK_FAULTS says. The file is
+ * looked at ten times a second, and may be missing. Timers that Node keeps
+ * itself count that time, as those of a process that was stopped.
  */
 import fs from "node:fs/promises";
 import { readFileSync } from "node:fs";
@@ -9,11 +11,27 @@
 
 const LOOK_INTERVAL = 100;
 const { SOAK_FAULTS: file = "" } = process.env;
+const readSteady = performance.now.bind(performance);
 let faults = {};
+let lookedAt = readSteady();
 
 look();
 setInterval(look, LOOK_INTERVAL).unref();
 
+const readTicks = process.hrtime.bigint;
+const suspendedBefore = faults.suspendedFor ?? 0;
+performance.now = () => readSteady() - suspendedFor();
+process.hrtime.bigint = () =>
+  readTicks() - BigInt(Math.round(suspendedFor() * 1e6));
+
+/** Looks at once where the process has just stood still. */
+function suspendedFor() {
+  if (readSteady() - lookedAt > 2 * LOOK_INTERVAL) {
+    look();
+  }
+  return (faults.suspendedFor ?? 0) - suspendedBefore;
+}
+
 const readWall = Date.now;
 Date.now = () => readWall() + (faults.clockAhead ?? 0);
 
@@ -44,6 +62,7 @@
 syncBuiltinESMExports();
 
 function look() {
+  lookedAt = readSteady();
   try {
     faults = JSON.parse(readFileSync(file, "utf8"));
   } catch {
--- a/packages/soak/machine.ts
+++ b/packages/soak/machine.ts
@@ -9,6 +9,7 @@
 } from "node:fs";
 import { join } from "node:path";
 import type { Milliseconds } from "@heroncleat/base";
+import { pause } from "./pause.ts";
 import type { MachinePlan } from "./machine_plan.ts";
 import type { SoakWire } from "./soak_wire.ts";
 
@@ -23,6 +24,8 @@
   readonly syncDelay?: Milliseconds;
   readonly isDiskFull?: boolean;
   readonly clockAhead?: Milliseconds;
+  /** Time for which it was suspended; its steady clock didn't count that. */
+  readonly suspendedFor?: Milliseconds;
 };
 
 type Role = "entry" | "control";
@@ -44,6 +47,8 @@
   readonly #proxy: string;
   #isRetired = false;
   readonly #processes = new Map<Role, ChildProcess>();
+  /** In all, since the soak began. */
+  #suspendedFor: Milliseconds = 0;
 
   constructor(
     plan: {
@@ -125,10 +130,21 @@
   /** Sets what is wrong with its disk and clock, within 0.1 s. */
   inject(faults: InjectedFaults): void {
     // A reader sees the old file or the new one.
-    writeFileSync(`${this.#faultsFile}.new`, JSON.stringify(faults));
+    const content = { suspendedFor: this.#suspendedFor, ...faults };
+    writeFileSync(`${this.#faultsFile}.new`, JSON.stringify(content));
     renameSync(`${this.#faultsFile}.new`, this.#faultsFile);
   }
 
+  /** Suspends the VM for a time; processes that start later know of none. */
+  async suspend(time: Milliseconds): Promise<void> {
+    this.signal("SIGSTOP");
+    const stoppedAt = performance.now();
+    await pause(time);
+    this.#suspendedFor += performance.now() - stoppedAt;
+    this.inject({});
+    this.signal("SIGCONT");
+  }
+
   /** Resolves once all its processes have ended. */
   async ended(): Promise<void> {
     while (this.roles.some((role) => this.#isRunning(role))) {
--- a/packages/soak/promise_checks.ts
+++ b/packages/soak/promise_checks.ts
@@ -7,6 +7,16 @@
 /** Statuses that promise that a request has not run and never will. */
 const PROMISES_NOT_RUN: readonly number[] = [408, 421, 429, 503];
 
+/** Ends of upstreams under one request that are borne. */
+const CRASHES_BORNE = 3;
+/** Time after which all entries must know of the last one of these. */
+const TOLD_WITHIN: Milliseconds = 3000;
+/** Times that the request may reach upstreams after that. */
+const SENDS_BORNE = 3;
+
+/** What is known of a request that ends upstreams. */
+type CrashingRequest = { readonly endedAt: Milliseconds[]; late: number };
+
 /** What is known of the VMs at a time. */
 type Surroundings = {
   /** Time for which an upstream that leaves goes on serving. */
@@ -28,6 +38,7 @@
   readonly #lateAt = new Set<string>();
   readonly #runs = new Map<string, Arrival[]>();
   readonly #refused = new Map<string, number>();
+  readonly #crashing = new Map<string, CrashingRequest>();
   /** Latest arrival after an acknowledged leave, from calm entries or any. */
   latest = { calm: 0, any: 0 };
   leaves = 0;
@@ -50,8 +61,42 @@
     this.leaves += 1;
   }
 
+  /** Notes that an upstream has ended under a request. */
+  noteCrash(target: string): void {
+    const known = this.#crashing.get(target) ?? { endedAt: [], late: 0 };
+    known.endedAt.push(performance.now());
+    this.#crashing.set(target, known);
+  }
+
+  /** How often upstreams ended under each of the requests that end them. */
+  get crashes(): readonly number[] {
+    return [...this.#crashing.values()].map(({ endedAt }) => endedAt.length);
+  }
+
+  /** Checks that a request that ends upstreams isn't sent on for long. */
+  #noteCrashing({ target, from, at }: Arrival): void {
+    const crashing = this.#crashing.get(target);
+    const lastBorne = crashing?.endedAt[CRASHES_BORNE - 1];
+    if (crashing === undefined || lastBorne === undefined) {
+      return;
+    }
+    const after = at - lastBorne;
+    if (after > TOLD_WITHIN && this.#surroundings.wasEntryCalm(from, at)) {
+      crashing.late += 1;
+      if (crashing.late === SENDS_BORNE + 1) {
+        this.report(
+          "crashing",
+          `${target} still reaches upstreams ${Math.round(after)} ms after ` +
+            `the third one ended under it; sent by ` +
+            this.#surroundings.describe(from, at),
+        );
+      }
+    }
+  }
+
   /** Checks that nothing reaches an upstream that left long enough ago. */
   noteArrival(arrival: Arrival): void {
+    this.#noteCrashing(arrival);
     const leave = this.#leaves.get(arrival.upstream);
     if (leave === undefined) {
       return;
@@ -101,6 +146,9 @@
     if (problem !== undefined) {
       this.report("whole_answer", problem);
     }
+    if (status >= 400 && status < 500 && !PROMISES_NOT_RUN.includes(status)) {
+      this.report("rejected", `${attempt} was answered with ${status}`);
+    }
     if (isSingle && PROMISES_NOT_RUN.includes(status)) {
       this.#refused.set(attempt, status);
       if (this.#runs.has(attempt)) {
--- a/packages/soak/run_soak.ts
+++ b/packages/soak/run_soak.ts
@@ -35,6 +35,8 @@
   readonly leaves: number;
   /** Latest request after an acknowledged leave: from calm VMs, from any. */
   readonly latest: { readonly calm: number; readonly any: number };
+  /** Upstreams that ended under each request that ends them. */
+  readonly crashes: readonly number[];
   /** Requests by status; 0 where no whole answer came. */
   readonly outcomes: Readonly<Record<string, number>>;
 };
@@ -67,12 +69,13 @@
   } finally {
     await deployment.stop();
   }
-  const { findings, leaves, latest } = deployment.checks;
+  const { findings, leaves, latest, crashes } = deployment.checks;
   return {
     seed: options.seed,
     findings,
     troubles: played,
     leaves,
+    crashes,
     latest: { calm: Math.round(latest.calm), any: Math.round(latest.any) },
     outcomes: Object.fromEntries(deployment.outcomes),
   };
--- a/packages/soak/side_troubles.ts
+++ b/packages/soak/side_troubles.ts
@@ -11,6 +11,12 @@
 /** Longest delay of what an entry sends and receives, each way, in ms. */
 const MOST_DELAY = 100;
 
+/** Time for which a caller repeats a request, and the pause between two. */
+const REPEATED_FOR = { least: 6000, spread: 8000 };
+const REPEAT_PAUSE = { least: 100, spread: 500 };
+/** Upstreams of eight that end at the same moment by themselves. */
+const MOST_CRASHED = 3;
+
 /** What may happen to one entry. */
 const entryTroubles: readonly ((
   deployment: SoakDeployment,
@@ -45,6 +51,9 @@
     await pause(drawTime(random, { least: 1000, spread: 3000 }));
     machine.inject({});
   },
+  async function suspend(_deployment, random, machine) {
+    await machine.suspend(drawTime(random, { least: 1000, spread: 8000 }));
+  },
 ];
 
 /** Nothing is lost in the core; an entry hangs, goes or loses links. */
@@ -89,6 +98,36 @@
   await replaceUpstream(deployment, random);
 }
 
+/**
+ * A caller sends a request that ends each upstream that runs it again and
+ * again, at any entry.
+ */
+async function repeatCrashing(
+  deployment: SoakDeployment,
+  random: Random,
+): Promise<void> {
+  const request = deployment.createCrashingRequest({
+    isSingle: random() < 0.5,
+  });
+  const until = performance.now() + drawTime(random, REPEATED_FOR);
+  while (performance.now() < until) {
+    await deployment.sendCrashing(request);
+    await pause(drawTime(random, REPEAT_PAUSE));
+  }
+}
+
+/** Some upstreams end at the same moment, and run again later. */
+async function crashUpstreams(
+  deployment: SoakDeployment,
+  random: Random,
+): Promise<void> {
+  const count = 1 + Math.floor(random() * MOST_CRASHED);
+  for (let crashed = 0; crashed < count; crashed += 1) {
+    void deployment.drawUpstream()?.crash();
+  }
+  await pause(0);
+}
+
 /** Troubles that come at any moment beside the others. */
 export const sideTroubles: readonly Trouble[] = [
   disturbEntry,
@@ -96,4 +135,6 @@
   addEntry,
   publish,
   leave,
+  repeatCrashing,
+  crashUpstreams,
 ];
--- a/packages/soak/soak_deployment.ts
+++ b/packages/soak/soak_deployment.ts
@@ -21,6 +21,8 @@
 const CALLERS_PER_ZONE = 8;
 const FIRST_PROXY_PORT = 7900;
 const START_TIMEOUT: Milliseconds = 20_000;
+/** Part of the path of requests that end each upstream that runs them. */
+const CRASHING = "crashes-";
 /** Disturbances of the control group as a whole. */
 const CORE = "core";
 
@@ -33,6 +35,12 @@
   readonly slot: number;
 };
 
+/** A request that ends each upstream that runs it. */
+export type CrashingRequest = {
+  readonly path: string;
+  readonly isSingle: boolean;
+};
+
 /**
  * A whole deployment of real processes with its upstreams and callers, and
  * the means to disturb it.
@@ -54,6 +62,8 @@
   #document: SoakDocument;
   #acknowledgedVersion = 0;
   #upstreamCount = 0;
+  #crashingCount = 0;
+  #attemptCount = 0;
 
   constructor(options: Options) {
     this.#options = options;
@@ -181,6 +191,8 @@
       onArrival: (arrival) => this.checks.noteArrival(arrival),
       onRun: (arrival) => this.checks.noteRun(arrival),
       isSingle: (path) => path.startsWith(this.#document.singlePrefix),
+      crashes: (path) => path.includes(CRASHING),
+      onCrash: (path) => this.checks.noteCrash(path),
     });
     this.#upstreams.add(upstream);
     await upstream.start();
@@ -199,6 +211,38 @@
     this.#upstreams.delete(upstream);
   }
 
+  /** A request that ends each upstream that runs it, unlike any before. */
+  createCrashingRequest(options: { isSingle: boolean }): CrashingRequest {
+    const { singlePrefix, repeatablePrefix } = this.#document;
+    this.#crashingCount += 1;
+    const prefix = options.isSingle ? singlePrefix : repeatablePrefix;
+    return {
+      path: `${prefix}${CRASHING}${this.#crashingCount}`,
+      isSingle: options.isSingle,
+    };
+  }
+
+  /** Sends it to one entry, drawn anew each time. */
+  async sendCrashing({ path, isSingle }: CrashingRequest): Promise<void> {
+    const { wire } = this.#options;
+    const present = this.present();
+    const entry = present[Math.floor(this.random() * present.length)];
+    this.#attemptCount += 1;
+    if (entry !== undefined) {
+      await callOnce(entry.callerAddress, {
+        method: isSingle ? "POST" : "GET",
+        path,
+        body: isSingle ? "the same each time" : "",
+        headers: {
+          host: this.#document.host,
+          [wire.headers.attempt]: `crashing-${this.#attemptCount}`,
+          [wire.headers.timeLeft]: "3000",
+        },
+        timeout: 3000,
+      });
+    }
+  }
+
   /** Puts another version in force; true once it was acknowledged. */
   async publish(): Promise<boolean> {
     const { wire } = this.#options;
--- a/packages/soak/soak_upstream.ts
+++ b/packages/soak/soak_upstream.ts
@@ -18,6 +18,10 @@
 const LEAVE_PAUSE: Milliseconds = 100;
 const SLOTS = 6;
 const PORT = 9000;
+/** Time for which one that crashed is down, in ms. */
+const DOWNTIME = { least: 1500, spread: 2500 };
+/** Time from the start of a run to the crash under it, in ms. */
+const CRASHES_AFTER = { least: 10, spread: 100 };
 /** Time that a request takes, in ms: from this on, and so much more. */
 const WORK = { least: 10, spread: 60 };
 
@@ -49,6 +53,10 @@
   readonly onArrival: (arrival: Arrival) => void;
   readonly onRun: (arrival: Arrival) => void;
   readonly isSingle: (path: string) => boolean;
+  /** Whether a request ends each upstream that runs it. */
+  readonly crashes: (path: string) => boolean;
+  /** Called when this has ended under such a request. */
+  readonly onCrash: (path: string) => void;
 };
 
 /** A plain service that reports itself, serves and leaves. */
@@ -58,6 +66,7 @@
   readonly host: string;
   readonly #options: UpstreamOptions;
   readonly #server: Server;
+  #born = Date.now();
   #sequence = 0;
   #state: "ready" | "draining" = "ready";
   #timer: NodeJS.Timeout | undefined;
@@ -75,6 +84,22 @@
     this.#server.keepAliveTimeout = 5000;
   }
 
+  /** Ends at once with all its connections, and runs again after a time. */
+  async crash(): Promise<void> {
+    await this.end("crashes");
+    const { random } = this.#options;
+    await new Promise((resolve) => {
+      setTimeout(resolve, DOWNTIME.least + random() * DOWNTIME.spread);
+    });
+    // One that was to leave meanwhile doesn't come back.
+    if (this.#state === "ready") {
+      this.#born = Date.now();
+      this.#sequence = 0;
+      this.#underWay = 0;
+      await this.start();
+    }
+  }
+
   get isReady(): boolean {
     return this.#state === "ready" && this.#server.listening;
   }
@@ -82,7 +107,10 @@
   async start(): Promise<void> {
     await new Promise<void>((resolve, reject) => {
       this.#server.once("error", reject);
-      this.#server.listen(PORT, this.host, resolve);
+      this.#server.listen(PORT, this.host, () => {
+        this.#server.off("error", reject);
+        resolve();
+      });
     });
     void this.#beat();
     this.#timer = setInterval(() => void this.#beat(), HEARTBEAT_INTERVAL);
@@ -155,6 +183,7 @@
       slots: SLOTS,
       state: this.#state,
       sequence: this.#sequence,
+      born: this.#born,
     };
   }
 
@@ -162,7 +191,7 @@
     message: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const { wire, onArrival, onRun, isSingle, random } = this.#options;
+    const { wire, onArrival, onRun, isSingle, crashes, random } = this.#options;
     const { headers } = wire;
     const attempt = String(message.headers[headers.attempt] ?? "");
     const arrival: Arrival = {
@@ -171,6 +200,7 @@
       from: message.socket.remoteAddress ?? "",
       at: performance.now(),
       isSingle: isSingle(message.url ?? ""),
+      target: message.url ?? "",
     };
     response.setHeader(headers.attempt, attempt);
     message.resume();
@@ -185,6 +215,21 @@
       return;
     }
     onRun(arrival);
+    if (crashes(arrival.target)) {
+      response.writeHead(200, { [headers.digest]: `by-${this.name}` });
+      response.write("begun");
+      await new Promise((resolve) => {
+        setTimeout(
+          resolve,
+          CRASHES_AFTER.least + random() * CRASHES_AFTER.spread,
+        );
+      });
+      if (this.#server.listening) {
+        this.#options.onCrash(arrival.target);
+        void this.crash();
+      }
+      return;
+    }
     this.#underWay += 1;
     await new Promise((resolve) => {
       setTimeout(resolve, WORK.least + random() * WORK.spread);
--- a/packages/soak/upstream_report.ts
+++ b/packages/soak/upstream_report.ts
@@ -7,4 +7,6 @@
   readonly slots: number;
   readonly state: "ready" | "draining";
   readonly sequence: number;
+  /** When this start began, in ms since 1970. */
+  readonly born: number;
 };
