A request that ends upstreams isn't sent on after the third

Callers saw: one request, sent again at any entry, ended each upstream that began to run it, 16 in a row; each took some ten requests of others with it. Cause: an entry remembers nothing of a request beyond its one answer, and what one entry saw no other one is told. Each copy is a new request everywhere. Change: a connection that ends under a request is undecided until nothing takes connections at the upstream (one connection, nothing sent) or another start is there. Then the run counts. Runs that were under way at one moment count as one, and a whole answer anywhere clears the request, so that what is under way where VMs are reclaimed stays innocent. After one end a request goes where little else runs, after two an entry runs one copy at a time, after three it gets 400 at once, for 10 minutes, twice as long after each further end. What is known is told to all replicas at once and by them to all entries, and again to a replica that starts; all keep it in a bounded book in which each workspace has its share. An upstream found to have ended is left alone until it is heard again. Not kept over a loss of all processes at once yet.

--- a/apps/heroncleatd/gateway/attempt.ts
+++ b/apps/heroncleatd/gateway/attempt.ts
@@ -1,6 +1,10 @@
 import type { IncomingMessage } from "node:http";
 import type { Milliseconds } from "@heroncleat/base";
-import { type ChosenUpstream, findOverload } from "@heroncleat/serving";
+import {
+  type ChosenUpstream,
+  CrashStanding,
+  findOverload,
+} from "@heroncleat/serving";
 import type { CallerRequest } from "./caller_request.ts";
 import type { ForwardContext } from "./forward_context.ts";
 import { AttemptEnding } from "./attempt_ending.ts";
@@ -19,6 +23,10 @@
 /** What an attempt came to, up to the head of its answer. */
 type AttemptResult =
   | { readonly kind: "no_upstream" }
+  /** Upstreams end under it, so it isn't sent on. */
+  | { readonly kind: "rejected" }
+  /** Another copy of it runs, which may end its upstream. */
+  | { readonly kind: "held" }
   | { readonly kind: "overloaded"; readonly retryAfter: Milliseconds }
   | NoAnswer<"not_run">
   | NoAnswer<"unknown">
@@ -58,8 +66,16 @@
   options: AttemptOptions,
 ): Promise<AttemptResult> {
   const { context, signal } = options;
-  const { choice, clock } = context;
-  const chosen = await waitForUpstream(call, options);
+  const { choice, clock, crashes } = context;
+  const standing = await waitForTurn(call, options);
+  if (standing === CrashStanding.rejected) {
+    return { kind: "rejected" };
+  }
+  if (standing === CrashStanding.single && crashes.isUnderWay(call)) {
+    return { kind: "held" };
+  }
+  const prefersIdle = standing !== CrashStanding.unsuspected;
+  const chosen = await waitForUpstream(call, { ...options, prefersIdle });
   if (chosen === undefined) {
     return { kind: "no_upstream" };
   }
@@ -112,6 +128,9 @@
   if (answer.reason === MISDIRECTED) {
     context.directory.remove(record.id, clock.steady());
   }
+  if (answer.reason === MISDIRECTED || answer.reason === REFUSED) {
+    crashes.noteEnd(record.id);
+  }
   return { ...answer, trace, upstream: record.id };
 }
 
@@ -125,13 +144,15 @@
   },
 ): { noteFirstByte: () => void; finish: (ending: AttemptEnding) => void } {
   const { chosen, trace } = options;
-  const { choice, clock, log, metrics } = options.context;
+  const { choice, clock, log, metrics, crashes } = options.context;
   const notice = choice.begin(chosen, {
     parts: call.prompt?.parts ?? [],
     now: clock.steady(),
   });
   options.context.noteDispatch(notice);
   const sentAt = clock.steady();
+  const { record } = chosen.upstream;
+  const endTurn = crashes.begin(call);
   let ended = false;
   let hasAnswered = false;
   return {
@@ -149,12 +170,17 @@
       }
       ended = true;
       choice.end(chosen);
+      endTurn();
+      if (ending === AttemptEnding.whole) {
+        crashes.noteAnswer(call);
+      }
       if (ending === AttemptEnding.broken && !call.signal.aborted) {
+        crashes.noteBreak(call, { record, sentAt });
         metrics.increment("gateway.broken_attempts");
         log.info("A connection to an upstream ended under a request", {
           request: call.attempt,
           digest: call.digest(),
-          upstream: chosen.upstream.record.id,
+          upstream: record.id,
           ranFor: Math.round(clock.steady() - sentAt),
         });
       }
@@ -164,15 +190,37 @@
 
 /** Another upstream has the address now, so the chosen one has ended. */
 const MISDIRECTED = "status 421";
+/** Nothing takes connections at the address any more. */
+const REFUSED = "ECONNREFUSED";
 
 /** A refusal says nothing against the upstream; a broken connection does. */
 function isOwnFailure(reason: string): boolean {
   return !reason.startsWith("status ");
 }
 
+/**
+ * Waits while another copy of a request runs that two upstreams ended under,
+ * and says how the request stands then.
+ */
+async function waitForTurn(
+  call: CallerRequest,
+  { context, signal, waitUntil }: AttemptOptions,
+): Promise<CrashStanding> {
+  const { crashes, clock } = context;
+  let standing = crashes.standing(call);
+  while (
+    standing === CrashStanding.single && crashes.isUnderWay(call) &&
+    !signal.aborted && clock.steady() < waitUntil
+  ) {
+    await new Promise((resolve) => setTimeout(resolve, LOOK_INTERVAL));
+    standing = crashes.standing(call);
+  }
+  return standing;
+}
+
 async function waitForUpstream(
   call: CallerRequest,
-  options: AttemptOptions,
+  options: AttemptOptions & { prefersIdle: boolean },
 ): Promise<ChosenUpstream | undefined> {
   const { context, signal } = options;
   while (!signal.aborted) {
@@ -186,6 +234,7 @@
         parts: call.prompt?.parts ?? [],
         promptTokens: call.prompt?.promptTokens ?? 0,
         excluded: options.excluded,
+        prefersIdle: options.prefersIdle,
         engine: context.engineOf(call.service),
         isConnected: (upstream) => context.agentOf(upstream).hasIdle,
       },
--- a/apps/heroncleatd/gateway/control_link.ts
+++ b/apps/heroncleatd/gateway/control_link.ts
@@ -20,6 +20,8 @@
   entryCount: number;
   /** Revision of the last reply with the loads of the others. */
   loadsSince: number;
+  /** Own revision up to which it was told of suspected requests. */
+  suspectsTold: number;
   readonly report: CounterReport;
   /** The exchange that is under way. */
   asking: Promise<void> | undefined;
--- a/apps/heroncleatd/gateway/control_links.ts
+++ b/apps/heroncleatd/gateway/control_links.ts
@@ -38,6 +38,8 @@
   readonly isWaiting: () => boolean;
   /** A number from 0 to 1. */
   readonly random: () => number;
+  /** Own revision of the requests under which upstreams ended. */
+  readonly suspectRevision: () => number;
   /** Called when no replica can be reached any more. */
   readonly onIsolated: () => void;
 };
@@ -103,6 +105,17 @@
     }
   }
 
+  /** Reports to all replicas now, or as soon as they have answered. */
+  reportToAll(): void {
+    for (const link of this.#list()) {
+      if (link.asking === undefined) {
+        this.#ask(link);
+      } else {
+        link.isDueAgain = true;
+      }
+    }
+  }
+
   /** Whether any replica answered lately. */
   get isConnected(): boolean {
     return this.#list().some((link) => this.#isInTouch(link));
@@ -272,6 +285,7 @@
       entries: new Map(),
       entryCount: 0,
       loadsSince: 0,
+      suspectsTold: 0,
       report: new CounterReport(),
       asking: undefined,
       isDueAgain: false,
@@ -299,6 +313,7 @@
     const { pool, clock } = this.#options;
     const askedAt = clock.steady();
     link.askedAt = askedAt;
+    const suspectsTold = this.#options.suspectRevision();
     let reply: SyncReply;
     try {
       reply = await pool.call(link.address, "hub.sync", {
@@ -307,6 +322,7 @@
           revision: link.revision,
           isPrimary: link.address === this.#primary,
           loadsSince: link.loadsSince,
+          suspectsTold: link.suspectsTold,
           report: link.report,
         }),
         timeout: SYNC_TIMEOUT,
@@ -317,6 +333,8 @@
       return;
     }
     try {
+      // A replica that has started again may know of none.
+      link.suspectsTold = reply.feed === link.feed ? suspectsTold : 0;
       this.#onReply(link, { reply, askedAt });
       link.hasFailed = false;
     } catch (error) {
--- a/apps/heroncleatd/gateway/control_links_test.ts
+++ b/apps/heroncleatd/gateway/control_links_test.ts
@@ -44,6 +44,7 @@
     seeds: () => seeds,
     describe: () => ({}) as never,
     onReply: () => {},
+    suspectRevision: () => 0,
     isWaiting: () => false,
     random: () => 0.5,
     onIsolated: () => {},
@@ -121,6 +122,7 @@
         throw new Error("The configuration can't be unpacked.");
       }
     },
+    suspectRevision: () => 0,
     isWaiting: () => false,
     random: () => 0.5,
     onIsolated: () => {},
@@ -165,6 +167,7 @@
       seeds: () => addresses,
       describe: (known) => describeEntry(`e${place}`, known),
       onReply: () => {},
+      suspectRevision: () => 0,
       isWaiting: () => true,
       random,
       onIsolated: () => {},
--- a/apps/heroncleatd/gateway/entry_exchange.ts
+++ b/apps/heroncleatd/gateway/entry_exchange.ts
@@ -1,5 +1,6 @@
 import { type Clock, type Milliseconds, splitAddress } from "@heroncleat/base";
 import {
+  type CrashBook,
   type KnownEntry,
   packedDocument,
   RecentMaximum,
@@ -15,6 +16,7 @@
 } from "@heroncleat/serving";
 import type { Log } from "../common/log.ts";
 import type { ChargeSharing } from "./charge_sharing.ts";
+import type { CrashWatch } from "./crash_watch.ts";
 import type { FeedPosition } from "./feed_position.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
 import type { UpstreamAgents } from "./upstream_agents.ts";
@@ -35,6 +37,8 @@
   readonly quota: WorkspaceQuota;
   readonly usage: UsageCounts;
   readonly charges: ChargeSharing;
+  readonly crashes: CrashWatch;
+  readonly book: CrashBook;
   /** Whether callers may be sent here. */
   readonly isOpen: () => boolean;
   /** Version of the document in force; -1 for none. */
@@ -81,7 +85,7 @@
 
   /** What one control replica is sent now. */
   describe(known: FeedPosition): SyncRequest {
-    const { clock, boot, quota, choice, usage, charges } = this.#options;
+    const { clock, boot, quota, choice, usage, charges, book } = this.#options;
     const { name, address, zone, region } = this.#options.settings();
     return {
       entry: {
@@ -104,6 +108,9 @@
         usage: usage.list(),
       }),
       ...charges.describe(known.feed),
+      suspects: listOrNothing(
+        book.changesSince(known.suspectsTold, clock.steady()),
+      ),
       readingSpeeds: choice.speeds.measured(),
       loads: known.isPrimary ? choice.loads(clock.steady()) : undefined,
     };
@@ -126,6 +133,7 @@
       onDocument(packedDocument.unpack(reply.document));
     }
     charges.learn(reply);
+    this.#options.crashes.learn(reply.suspects ?? []);
     if (reply.shared !== undefined) {
       this.#learnShared(reply.shared, { reporter: from, ages });
     }
@@ -162,9 +170,10 @@
    * may be repeated or resumed goes on elsewhere at once.
    */
   #endEarlierStarts(): void {
-    const { directory, agents, choice, log } = this.#options;
+    const { directory, agents, choice, crashes, log } = this.#options;
     const isOver = (id: string) => directory.isOver(id);
     for (const id of agents.removeWhere(isOver)) {
+      crashes.noteEnd(id);
       choice.forget(id);
       log.info("An upstream has started again", { upstream: id });
     }
@@ -197,3 +206,10 @@
       .map(({ address }) => splitAddress(address).host);
   }
 }
+
+/** Nothing is sent for an empty list. */
+function listOrNothing<Item>(
+  items: readonly Item[],
+): readonly Item[] | undefined {
+  return items.length > 0 ? items : undefined;
+}
--- a/apps/heroncleatd/gateway/forward_call.ts
+++ b/apps/heroncleatd/gateway/forward_call.ts
@@ -6,6 +6,7 @@
 import type { ForwardContext } from "./forward_context.ts";
 import { forwardHeaders } from "./forward_headers.ts";
 import type { ForwardResult } from "./forward_result.ts";
+import type { OwnAnswer } from "./own_answer.ts";
 import { readAnswerBody } from "./read_answer_body.ts";
 import { refusal } from "./refusal.ts";
 import { sendOwnAnswer } from "./send_own_answer.ts";
@@ -40,9 +41,7 @@
   if (run.callerLeft) {
     return run.describe("caller_left", 0);
   }
-  const own = run.mayHaveRun
-    ? refusal.afterRun(call.signal.aborted)
-    : refusal.notRun(run.offers);
+  const own = run.ownAnswer();
   sendOwnAnswer(response, own);
   return run.describe(run.mayHaveRun ? "failed" : "refused", own.status);
 }
@@ -54,8 +53,10 @@
   readonly #excluded = new Set<string>();
   readonly #attempts: string[] = [];
   mayHaveRun = false;
-  offers = 0;
+  #offers = 0;
   #runs = 0;
+  #isRejected = false;
+  #isHeld = false;
   #failure: WholeAnswer | undefined;
 
   constructor(call: CallerRequest, context: ForwardContext) {
@@ -68,6 +69,17 @@
       this.#call.signal.reason === "caller_left";
   }
 
+  /** What the caller gets where there is no answer to pass on. */
+  ownAnswer(): OwnAnswer {
+    if (this.#isRejected) {
+      return refusal.rejected();
+    }
+    if (this.mayHaveRun) {
+      return refusal.afterRun(this.#call.signal.aborted);
+    }
+    return this.#isHeld ? refusal.held() : refusal.notRun(this.#offers);
+  }
+
   describe(outcome: ForwardResult["outcome"], status: number): ForwardResult {
     return {
       outcome,
@@ -102,13 +114,20 @@
       waitUntil: refusal.waitUntil(call),
       signal: call.signal,
     });
+    if (result.kind === "rejected" || result.kind === "held") {
+      this.#attempts.push(`${result.kind}, upstreams ended under it`);
+      this.#isRejected = result.kind === "rejected";
+      this.#isHeld = result.kind === "held";
+      this.#offers = MOST_OFFERS;
+      return undefined;
+    }
     if (result.kind === "no_upstream" || result.kind === "overloaded") {
       this.#attempts.push("no upstream");
-      this.offers = MOST_OFFERS;
+      this.#offers = MOST_OFFERS;
       return undefined;
     }
     this.#excluded.add(result.upstream);
-    this.offers += 1;
+    this.#offers += 1;
     if (result.kind === "not_run") {
       this.#attempts.push(result.trace.describe(`not run, ${result.reason}`));
       return undefined;
@@ -146,7 +165,7 @@
   #mayGoOn(): boolean {
     const mayRunAgain = !this.mayHaveRun ||
       (this.#isRepeatable() && this.#runs < this.#call.route.maxAttempts);
-    if (!mayRunAgain || this.offers >= MOST_OFFERS) {
+    if (!mayRunAgain || this.#offers >= MOST_OFFERS) {
       return false;
     }
     const { clock, allowanceOf, countEntries } = this.#context;
--- a/apps/heroncleatd/gateway/forward_context.ts
+++ b/apps/heroncleatd/gateway/forward_context.ts
@@ -8,6 +8,7 @@
 } from "@heroncleat/serving";
 import type { Log } from "../common/log.ts";
 import type { Metrics } from "../common/metrics.ts";
+import type { CrashWatch } from "./crash_watch.ts";
 import type { HeaderNames } from "./header_names.ts";
 import type { UpstreamAgent } from "./upstream_agent.ts";
 
@@ -21,6 +22,8 @@
   readonly zone: string;
   readonly choice: UpstreamChoice;
   readonly directory: UpstreamDirectory;
+  /** Requests under which upstreams ended. */
+  readonly crashes: CrashWatch;
   /** What is known of a service's engines; nothing for plain services. */
   readonly engineOf: (service: string) => EngineProfile | undefined;
   /** Notes a prompt that goes to an upstream; others may be sent a notice. */
--- a/apps/heroncleatd/gateway/forward_stream.ts
+++ b/apps/heroncleatd/gateway/forward_stream.ts
@@ -8,6 +8,7 @@
 import type { ForwardContext } from "./forward_context.ts";
 import { forwardHeaders } from "./forward_headers.ts";
 import type { ForwardResult } from "./forward_result.ts";
+import type { OwnAnswer } from "./own_answer.ts";
 import { readAnswerBody } from "./read_answer_body.ts";
 import { refusal } from "./refusal.ts";
 import { sendOwnAnswer } from "./send_own_answer.ts";
@@ -39,7 +40,10 @@
   | "failed"
   | "not_run"
   | "no_upstream"
-  | "overloaded";
+  | "overloaded"
+  /** It isn't sent on, or not now, as upstreams ended under it. */
+  | "rejected"
+  | "held";
 
 /** The attempts of one stream. */
 class StreamRun {
@@ -52,6 +56,8 @@
   #runs = 0;
   #mayHaveRun = false;
   #wasCounted = false;
+  #isRejected = false;
+  #isHeld = false;
   #status = 0;
   #lastEvent: string | undefined;
   /** When to come back, where all upstreams were busy. */
@@ -96,14 +102,24 @@
       this.#response.destroy();
       return this.#describe("failed");
     }
-    const own = this.#mayHaveRun
-      ? refusal.afterRun(signal.aborted)
-      : refusal.notRun(this.#offers, this.#retryAfter);
+    const own = this.#ownAnswer();
     this.#status = own.status;
     sendOwnAnswer(this.#response, own);
     return this.#describe(this.#mayHaveRun ? "failed" : "refused");
   }
 
+  #ownAnswer(): OwnAnswer {
+    if (this.#isRejected) {
+      return refusal.rejected();
+    }
+    if (this.#mayHaveRun) {
+      return refusal.afterRun(this.#call.signal.aborted);
+    }
+    return this.#isHeld
+      ? refusal.held()
+      : refusal.notRun(this.#offers, this.#retryAfter);
+  }
+
   async #tryOnce(): Promise<StreamStep> {
     const call = this.#call;
     const result = await attempt(call, {
@@ -114,6 +130,12 @@
       waitUntil: this.#runs > 0 ? call.until : refusal.waitUntil(call),
       signal: call.signal,
     });
+    if (result.kind === "rejected" || result.kind === "held") {
+      this.#attempts.push(`${result.kind}, upstreams ended under it`);
+      this.#isRejected = result.kind === "rejected";
+      this.#isHeld = result.kind === "held";
+      return result.kind;
+    }
     if (result.kind === "no_upstream") {
       this.#attempts.push("no upstream");
       return "no_upstream";
@@ -233,8 +255,9 @@
 
   #mayGoOn(step: StreamStep): boolean {
     const { route, service } = this.#call;
-    const isRefused = step === "no_upstream" || step === "overloaded";
-    if (isRefused || this.#offers >= MOST_OFFERS) {
+    const wasOffered = step === "broken" || step === "failed" ||
+      step === "not_run";
+    if (!wasOffered || this.#offers >= MOST_OFFERS) {
       return false;
     }
     const mayRunAgain = !this.#mayHaveRun ||
--- a/apps/heroncleatd/gateway/forwarding_test.ts
+++ b/apps/heroncleatd/gateway/forwarding_test.ts
@@ -2,7 +2,9 @@
 import { type AddressInfo, connect } from "node:net";
 import { createSystemClock } from "@heroncleat/base";
 import {
+  CrashBook,
   RetryAllowance,
+  RevisionCounter,
   type Route,
   RouteKind,
   UpstreamChoice,
@@ -10,6 +12,7 @@
 } from "@heroncleat/serving";
 import fc from "fast-check";
 import type { CallerRequest } from "./caller_request.ts";
+import { CrashWatch } from "./crash_watch.ts";
 import { forwardCall } from "./forward_call.ts";
 import type { ForwardContext } from "./forward_context.ts";
 import type { ForwardResult } from "./forward_result.ts";
@@ -491,11 +494,23 @@
     slack: 99,
     slackFrom: 0,
   });
+  const clock = createSystemClock();
+  const metrics = { increment() {}, gauge() {}, timing() {}, close() {} };
   return {
     names,
-    clock: createSystemClock(),
+    clock,
     log: quiet,
-    metrics: { increment() {}, gauge() {}, timing() {}, close() {} },
+    metrics,
+    crashes: new CrashWatch({
+      book: new CrashBook(new RevisionCounter()),
+      clock,
+      log: quiet,
+      metrics,
+      probe: () => Promise.resolve(true),
+      isOver: () => false,
+      onEnd: () => {},
+      report: () => {},
+    }),
     zone: "a",
     choice: new UpstreamChoice(),
     directory,
--- a/apps/heroncleatd/gateway/refusal.ts
+++ b/apps/heroncleatd/gateway/refusal.ts
@@ -9,6 +9,9 @@
 /** When to come back where there was no upstream; one boots in seconds. */
 const RETRY_AFTER_NONE: Milliseconds = 700;
 
+/** When to come back where another copy of a request is under way. */
+const RETRY_AFTER_HELD: Milliseconds = 700;
+
 /** Answers to requests that no upstream answered. */
 export const refusal = {
   /** Monotonic time until which a request waits for an upstream. */
@@ -32,6 +35,28 @@
     };
   },
 
+  /** Upstreams end under the request; callers don't repeat what gets this. */
+  rejected(): OwnAnswer {
+    return {
+      status: 400,
+      message: "Several upstreams ended while they ran this very request, so " +
+        "it isn't sent to any more. Remedy: change the request, or have an " +
+        "operator clear it once the upstreams bear it.",
+    };
+  },
+
+  /** Another copy of it runs; it has not run and never will. */
+  held(): OwnAnswer {
+    return {
+      status: 503,
+      message:
+        "Upstreams ended while they ran this very request, and another " +
+        "copy of it is under way; this one has not run. Remedy: send it " +
+        "again after the stated time.",
+      retryAfter: RETRY_AFTER_HELD,
+    };
+  },
+
   /** The request may have run. */
   afterRun(isTimeUp: boolean): OwnAnswer {
     return isTimeUp
--- a/apps/heroncleatd/gateway/simulated_quotas.ts
+++ b/apps/heroncleatd/gateway/simulated_quotas.ts
@@ -164,6 +164,7 @@
       describe: (known) => this.#describe(host, known),
       onReply: (reply) => charges.learn(reply),
       onIsolated: () => charges.isolate(),
+      suspectRevision: () => 0,
       isWaiting: () => false,
       random: this.#random,
     });
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -7,9 +7,11 @@
 } from "@heroncleat/base";
 import type { DispatchNotice, EntryNotice } from "@heroncleat/schema";
 import {
+  CrashBook,
   type KnownEntry,
   NoticeThreshold,
   RetryAllowance,
+  RevisionCounter,
   RouteTable,
   UpstreamChoice,
   UpstreamDirectory,
@@ -22,6 +24,7 @@
 import { ChargeSharing } from "./charge_sharing.ts";
 import { createCallerServer } from "./create_caller_server.ts";
 import { ControlLinks } from "./control_links.ts";
+import { CrashWatch } from "./crash_watch.ts";
 import type { DecodedDocument } from "./decoded_document.ts";
 import { EntryExchange } from "./entry_exchange.ts";
 import { EntryNotices } from "./entry_notices.ts";
@@ -32,6 +35,7 @@
 import type { HeaderNames } from "./header_names.ts";
 import { leaveGracefully } from "./leave_gracefully.ts";
 import type { Prompt } from "./prompt.ts";
+import { probeUpstream } from "./probe_upstream.ts";
 import { QuotaCharging } from "./quota_charging.ts";
 import { UpstreamAgents } from "./upstream_agents.ts";
 
@@ -88,6 +92,8 @@
   readonly #choice = new UpstreamChoice();
   readonly #agents = new UpstreamAgents();
   readonly #allowances = new Map<string, RetryAllowance>();
+  readonly #crashBook = new CrashBook(new RevisionCounter());
+  readonly #crashes: CrashWatch;
   readonly #usage: UsageCounts;
   readonly #quota: WorkspaceQuota;
   readonly #links: ControlLinks;
@@ -116,6 +122,16 @@
     this.#log = options.log("gateway");
     this.#usage = new UsageCounts(settings.usageWindow);
     this.#quota = new WorkspaceQuota(settings.quota);
+    this.#crashes = new CrashWatch({
+      book: this.#crashBook,
+      clock,
+      log: this.#log,
+      metrics: options.metrics,
+      probe: probeUpstream,
+      isOver: (upstream) => this.#directory.isOver(upstream),
+      onEnd: (upstream, at) => this.#choice.noteEnd(upstream, at),
+      report: () => this.#links.reportToAll(),
+    });
     this.#links = new ControlLinks({
       pool,
       clock,
@@ -123,6 +139,7 @@
       seeds: () => options.settings().seeds,
       describe: (known) => this.#exchange.describe(known),
       onReply: (reply, from) => this.#exchange.learn(reply, from),
+      suspectRevision: () => this.#crashBook.revision,
       onIsolated: () => this.#onIsolated(),
       isWaiting: () => this.#table === undefined,
       random: Math.random,
@@ -159,6 +176,8 @@
       quota: this.#quota,
       usage: this.#usage,
       charges: this.#charges,
+      crashes: this.#crashes,
+      book: this.#crashBook,
       isOpen: () => this.isReady,
       documentVersion: () => this.#table?.document.version ?? -1,
       onDocument: (source) => this.#adopt(source),
@@ -245,6 +264,7 @@
       zone: settings().zone,
       choice: this.#choice,
       directory: this.#directory,
+      crashes: this.#crashes,
       engineOf: (service) => this.#table?.findService(service)?.engine,
       noteDispatch: (notice) => this.#noteDispatch(notice),
       agentOf: (upstream) => this.#agents.of(upstream),
@@ -331,6 +351,7 @@
   }
 
   #forget(): void {
+    this.#crashes.expire();
     this.#directory.forget(this.#options.clock.steady());
     const isGone = (id: string) => this.#directory.get(id) === undefined;
     for (const id of this.#agents.removeWhere(isGone)) {
--- a/packages/serving/choice_request.ts
+++ b/packages/serving/choice_request.ts
@@ -13,6 +13,8 @@
   readonly excluded: ReadonlySet<string>;
   /** Whether an idle connection to an upstream is kept. */
   readonly isConnected?: (upstream: string) => boolean;
+  /** Whether it goes where little else runs, as it may end its upstream. */
+  readonly prefersIdle?: boolean;
   /** What is known of the service's engines; absent for plain services. */
   readonly engine?: EngineProfile | undefined;
 };
--- /dev/null
+++ b/packages/serving/crash_book_test.ts
@@ -0,0 +1,188 @@
+import fc from "fast-check";
+import {
+  CrashBook,
+  type CrashedRun,
+  CrashStanding,
+  type ReportedSuspect,
+  RevisionCounter,
+} from "./mod.ts";
+
+const SECOND = 1000;
+const MINUTE = 60 * SECOND;
+
+function keyOf(request: string, workspace = "inn") {
+  return { request, workspace, service: "desk", size: 20 };
+}
+
+function runAt(upstream: string, sentAt: number): CrashedRun {
+  return { upstream, sentAt, endedAt: sentAt + 50 };
+}
+
+function createBook(): CrashBook {
+  return new CrashBook(new RevisionCounter());
+}
+
+/** Notes that upstreams ended under a request, a second apart. */
+function crash(book: CrashBook, request: string, times: number): number {
+  let at = 0;
+  for (let time = 1; time <= times; time += 1) {
+    at = time * SECOND;
+    book.noteCrash(keyOf(request), runAt(`u${time}`, at));
+  }
+  return at + 50;
+}
+
+test.each([
+  [0, CrashStanding.unsuspected],
+  [1, CrashStanding.watched],
+  [2, CrashStanding.single],
+  [3, CrashStanding.rejected],
+  [9, CrashStanding.rejected],
+])("after %i ends a request is %s", (times, standing) => {
+  const book = createBook();
+  const now = crash(book, "r", times);
+  expect(book.standing("r", now)).toBe(standing);
+  expect(book.standing("other", now)).toBe(CrashStanding.unsuspected);
+});
+
+test("the end of one start counts once, whoever saw it", () => {
+  const book = createBook();
+  for (const sentAt of [0, 1000, 2000]) {
+    book.noteCrash(keyOf("r"), runAt("u1", sentAt));
+  }
+  expect(book.standing("r", 3000)).toBe(CrashStanding.watched);
+});
+
+// VMs that are reclaimed together end under a request that is at all of them.
+test("ends at the same moment count as one", () => {
+  const book = createBook();
+  for (let at = 0; at < 20; at += 1) {
+    const run = { upstream: `u${at}`, sentAt: 10 * at, endedAt: 5000 + 5 * at };
+    book.noteCrash(keyOf("r"), run);
+  }
+  expect(book.standing("r", 6000)).toBe(CrashStanding.watched);
+});
+
+test("runs that overlap count as one, however far apart they end", () => {
+  const book = createBook();
+  for (const [at, endedAt] of [3000, 5000, 9000, 12_000].entries()) {
+    book.noteCrash(keyOf("r"), { upstream: `u${at}`, sentAt: at, endedAt });
+  }
+  expect(book.standing("r", 13_000)).toBe(CrashStanding.watched);
+});
+
+test("a whole answer clears all ends before it, in whatever order they come", () => {
+  const book = createBook();
+  const now = crash(book, "r", 3);
+  expect(book.noteAnswer("r", now + 10)).toBe(true);
+  expect(book.standing("r", now + 10)).toBe(CrashStanding.unsuspected);
+  // Word of an earlier end comes late.
+  expect(book.noteCrash(keyOf("r"), runAt("u9", now - 500))).toBe(false);
+  expect(book.noteCrash(keyOf("r"), runAt("u8", now + 500))).toBe(true);
+  expect(book.standing("r", now + 600)).toBe(CrashStanding.watched);
+});
+
+test("a rejection ends, and lasts longer after each further end", () => {
+  const book = createBook();
+  let now = crash(book, "r", 3);
+  now += 10 * MINUTE;
+  expect(book.standing("r", now - 1)).toBe(CrashStanding.rejected);
+  expect(book.standing("r", now)).toBe(CrashStanding.single);
+  book.noteCrash(keyOf("r"), runAt("u4", now));
+  expect(book.standing("r", now + 19 * MINUTE)).toBe(CrashStanding.rejected);
+  expect(book.standing("r", now + 21 * MINUTE)).toBe(CrashStanding.single);
+});
+
+test("what is remembered is forgotten in time, and never while it is rejected", () => {
+  const book = createBook();
+  const now = crash(book, "rejected", 3);
+  book.noteCrash(keyOf("watched"), runAt("u1", now));
+  book.expire(now + 9 * MINUTE);
+  expect(book.list(now + 9 * MINUTE).map(({ request }) => request))
+    .toEqual(["rejected", "watched"]);
+  book.expire(now + 20 * MINUTE);
+  expect(book.list(now + 20 * MINUTE).map(({ request }) => request))
+    .toEqual(["rejected"]);
+  book.expire(now + 25 * 60 * MINUTE);
+  expect(book.mayKnow("desk", 20)).toBe(false);
+});
+
+test("a caller that makes up requests pushes out no other's", () => {
+  const book = createBook();
+  const now = crash(book, "rejected", 3);
+  for (let count = 0; count < 5000; count += 1) {
+    const key = keyOf(`made up ${count}`, "noisy");
+    book.noteCrash(key, runAt(`u${count}`, now + 200 * count));
+  }
+  const views = book.list(now);
+  expect(book.standing("rejected", now)).toBe(CrashStanding.rejected);
+  expect(views.filter(({ workspace }) => workspace === "noisy")).toHaveLength(
+    200,
+  );
+});
+
+test("many workspaces that make up requests stay within the whole", () => {
+  const book = createBook();
+  const now = crash(book, "rejected", 3);
+  for (let count = 0; count < 5000; count += 1) {
+    const key = keyOf(`made up ${count}`, `noisy ${count % 50}`);
+    book.noteCrash(key, runAt(`u${count}`, now + 200 * count));
+  }
+  expect(book.list(now)).toHaveLength(1000);
+  expect(book.standing("rejected", now)).toBe(CrashStanding.rejected);
+});
+
+test("a follower is sent what changed, and knows the same then", () => {
+  const [first, second] = [createBook(), createBook()];
+  const now = crash(first, "r", 2);
+  const reported = first.changesSince(0, now);
+  expect(second.learn(reported, now)).toEqual(["r"]);
+  expect(second.learn(reported, now + 9)).toEqual([]);
+  const { revision } = first;
+  expect(first.changesSince(revision, now)).toEqual([]);
+  first.noteCrash(keyOf("r"), runAt("u7", now + 500));
+  second.learn(first.changesSince(revision, now + 600), now + 600);
+  expect(second.standing("r", now + 600)).toBe(CrashStanding.rejected);
+  expect(second.changesSince(0, now + 600)).toEqual(
+    first.changesSince(0, now + 600),
+  );
+});
+
+/** Ends and answers as processes saw them. */
+const seen = fc.array(
+  fc.record({
+    request: fc.constantFrom("r", "s"),
+    upstream: fc.integer({ min: 0, max: 12 }),
+    sentAt: fc.integer({ min: 0, max: 8000 }),
+    lasts: fc.integer({ min: 1, max: 2000 }),
+    isAnswered: fc.boolean(),
+  }),
+  { maxLength: 30 },
+);
+
+test("what several processes saw comes to the same in any order, and again", () => {
+  const now = 20_000;
+  fc.assert(fc.property(seen, fc.integer(), (events, turn) => {
+    const reports = events.map((event): ReportedSuspect => ({
+      ...keyOf(event.request),
+      crashes: event.isAnswered ? [] : [{
+        // One start ends once: its times follow from its name.
+        upstream: `u${event.upstream}`,
+        sentAge: now - event.upstream * 600,
+        endedAge: now - event.upstream * 600 - 100,
+      }],
+      answeredAge: event.isAnswered ? now - event.sentAt : undefined,
+    }));
+    const ends = reports.filter(({ crashes }) => crashes.length > 0);
+    const book = createBook();
+    book.learn(ends, now);
+    const other = createBook();
+    const at = Math.abs(turn) % (ends.length + 1);
+    other.learn([...ends.slice(at), ...ends.slice(0, at), ...ends], now);
+    book.learn(reports, now);
+    other.learn([...reports].reverse(), now);
+    for (const request of ["r", "s"]) {
+      expect(other.standing(request, now)).toBe(book.standing(request, now));
+    }
+  }));
+});
--- a/packages/serving/hub.ts
+++ b/packages/serving/hub.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds } from "@heroncleat/base";
 import { ChargeBook } from "./charge_book.ts";
+import { CrashBook } from "./crash_book.ts";
 import { ChargeExchange } from "./charge_exchange.ts";
 import { DocumentSender } from "./document_sender.ts";
 import { EntryMedians } from "./entry_medians.ts";
@@ -9,6 +10,7 @@
 import { LoadBook } from "./load_book.ts";
 import { OpenEntries } from "./open_entries.ts";
 import { RevisionCounter } from "./revision_counter.ts";
+import type { ReportedSuspect } from "./reported_suspect.ts";
 import type { SharedState } from "./shared_state.ts";
 import type { SyncReply } from "./sync_reply.ts";
 import type { SyncRequest } from "./sync_request.ts";
@@ -62,6 +64,8 @@
 export class Hub {
   readonly feed: string;
   readonly #revisions = new RevisionCounter();
+  /** Requests under which upstreams ended, as all entries saw it. */
+  readonly crashes = new CrashBook(this.#revisions);
   readonly #upstreams = new UpstreamFeed(this.#revisions);
   readonly #entries = new Map<string, ReportedEntry>();
   readonly #medians = new EntryMedians(this.#entries, ENTRY_SILENT_AFTER);
@@ -162,6 +166,7 @@
       charges: this.#charges.relay(request.wantedCharges ?? [], now),
       takesPartial: true,
       needsWhole: isTaken ? undefined : true,
+      suspects: this.#suspectsSince(from, now),
       shared: request.loads === undefined ? undefined : {
         beats,
         ...this.#loadsFor(request),
@@ -188,6 +193,14 @@
       : { entries: this.#open.list() };
   }
 
+  #suspectsSince(
+    revision: number,
+    now: Milliseconds,
+  ): readonly ReportedSuspect[] | undefined {
+    const changed = this.crashes.changesSince(revision, now);
+    return changed.length > 0 ? changed : undefined;
+  }
+
   #loadsFor(
     request: SyncRequest,
   ): Pick<SharedState, "loadsOfOthers" | "areLoadsPartial"> {
@@ -211,6 +224,7 @@
       feed: this.feed,
       revision: this.revision,
       ...this.#upstreams.changesSince(isKnown ? revision : 0, now),
+      suspects: this.#suspectsSince(isKnown ? revision : 0, now),
       // What was kept is sent once to each process that reads this feed.
       usage: isKnown ? {} : this.recentUsage(),
     };
@@ -240,6 +254,7 @@
       this.refreshUpstream(id, now, { sequence, reporter, age });
     }
     this.learnUsage(reply.usage ?? {});
+    this.crashes.learn(reply.suspects ?? [], now);
     return leaving;
   }
 
@@ -292,6 +307,7 @@
   expire(now: Milliseconds): void {
     this.#upstreams.expire(now);
     this.#usage.forget();
+    this.crashes.expire(now);
     this.#loads.forget((id) => this.directory.get(id) === undefined);
     this.#charges.forget(now - ENTRY_GONE_AFTER);
     for (const [name, entry] of this.#entries) {
@@ -344,6 +360,7 @@
       this.#loads.note(name, request.loads);
     }
     this.#usage.learn({ [boot]: request.usage });
+    this.crashes.learn(request.suspects ?? [], now);
     const isTaken = hasCharges && hasWork;
     this.#divergences += isTaken ? 0 : 1;
     return isTaken;
--- a/packages/serving/sync_reply.ts
+++ b/packages/serving/sync_reply.ts
@@ -1,6 +1,7 @@
 import type { Milliseconds } from "@heroncleat/base";
 import type { KnownEntry } from "./known_entry.ts";
 import type { EntryChanges } from "./entry_changes.ts";
+import type { ReportedSuspect } from "./reported_suspect.ts";
 import type { RelayedCharges } from "./relayed_charges.ts";
 import type { SharedState } from "./shared_state.ts";
 import type { UpstreamRecord } from "./upstream_record.ts";
@@ -47,6 +48,11 @@
   readonly takesPartial?: true;
   /** Whether the report couldn't be taken and a whole one is needed. */
   readonly needsWhole?: true | undefined;
+  /**
+   * Requests under which upstreams ended, as far as that changed since the
+   * revision; absent where nothing did.
+   */
+  readonly suspects?: readonly ReportedSuspect[] | undefined;
   /** What entries share; present in replies of the primary. */
   readonly shared: SharedState | undefined;
 };
--- a/packages/serving/sync_request.ts
+++ b/packages/serving/sync_request.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds } from "@heroncleat/base";
+import type { ReportedSuspect } from "./reported_suspect.ts";
 import type { RelayedCharges } from "./relayed_charges.ts";
 import type { UpstreamLoad } from "./upstream_load.ts";
 import type { WorkspaceCounts } from "./workspace_counts.ts";
@@ -52,6 +53,11 @@
   readonly readingSpeeds: Readonly<Record<string, number>>;
   /** What it has under way; absent in short exchanges. */
   readonly loads: Readonly<Record<string, UpstreamLoad>> | undefined;
+  /**
+   * Requests under which upstreams ended, as far as this replica wasn't told
+   * of them; absent where there are none.
+   */
+  readonly suspects?: readonly ReportedSuspect[] | undefined;
   /** Requests begun, by number of the usage window and workspace. */
   readonly usage: Readonly<Record<string, WorkspaceCounts>>;
 };
--- a/packages/serving/upstream_choice.ts
+++ b/packages/serving/upstream_choice.ts
@@ -25,6 +25,11 @@
  * take only so many.
  */
 const CONNECTION_COST: Milliseconds = 4;
+/**
+ * Cost of each request that runs where one goes that may end its upstream:
+ * those would end with it.
+ */
+const ENDANGERED_COST: Milliseconds = 200;
 /** Cost of crossing availability zones. */
 const ZONE_COST: Milliseconds = 1.5;
 /** Time before an upstream leaves from which nothing is fetched there. */
@@ -40,6 +45,8 @@
 type OwnView = {
   requests: number;
   pausedUntil: Milliseconds;
+  /** When it was found to have ended; only later heartbeats mean that it runs. */
+  endedAt: Milliseconds;
   /** Prompts that this entry sent, and those that all are known to have. */
   readonly ownBacklog: Backlog;
   readonly backlog: Backlog;
@@ -190,6 +197,12 @@
     this.#view(id).pausedUntil = now + FAILURE_PAUSE;
   }
 
+  /** Leaves an upstream alone until it is heard again, as it has ended. */
+  noteEnd(id: string, at: Milliseconds): void {
+    const view = this.#view(id);
+    view.endedAt = Math.max(view.endedAt, at);
+  }
+
   forget(id: string): void {
     this.#own.delete(id);
   }
@@ -225,6 +238,7 @@
     const waiting = Math.max(this.#backlogOf(id, now), fetchTime);
     const expected = waiting + reading + requests * RUNNING_COST +
       queued * QUEUE_COST;
+    const endangered = request.prefersIdle ? requests * ENDANGERED_COST : 0;
     const zoneCost = zone === request.zone ? 0 : ZONE_COST;
     const connectionCost = request.isConnected?.(id) === false
       ? CONNECTION_COST
@@ -240,7 +254,8 @@
       waiting,
       expected,
       source,
-      cost: expected + zoneCost + connectionCost + homes.costOf(id),
+      cost: expected + endangered + zoneCost + connectionCost +
+        homes.costOf(id),
     };
   }
 
@@ -272,8 +287,11 @@
     if (trusts && now - receivedAt > SILENT_AFTER) {
       return false;
     }
-    const pausedUntil = this.#own.get(record.id)?.pausedUntil ?? 0;
-    return pausedUntil <= now && !request.excluded.has(record.id);
+    const view = this.#own.get(record.id);
+    if (trusts && view !== undefined && receivedAt <= view.endedAt) {
+      return false;
+    }
+    return (view?.pausedUntil ?? 0) <= now && !request.excluded.has(record.id);
   }
 
   #requestsAt(id: string): number {
@@ -304,6 +322,7 @@
     const view: OwnView = {
       requests: 0,
       pausedUntil: 0,
+      endedAt: -Infinity,
       ownBacklog: new Backlog(),
       backlog: new Backlog(),
       cache: new AssumedCache(),
