Requests under way where upstreams end by themselves aren't rejected

Callers would have seen a harmless request rejected that its caller repeats while VMs are reclaimed: three ends in a row happen by chance. Change: a request is rejected only where a harmless one would meet as many ends in as much time with a probability below 1e-8, by how often upstreams ended elsewhere meanwhile; and ends that a rejected request explains count for no other. So the three become four or five in a storm, and one that was under way beside is cleared as soon as the one to blame has met another end.

--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -92,7 +92,10 @@
   readonly #choice = new UpstreamChoice();
   readonly #agents = new UpstreamAgents();
   readonly #allowances = new Map<string, RetryAllowance>();
-  readonly #crashBook = new CrashBook(new RevisionCounter());
+  readonly #crashBook = new CrashBook({
+    revisions: new RevisionCounter(),
+    countUpstreams: (service) => this.#directory.countReady(service),
+  });
   readonly #crashes: CrashWatch;
   readonly #usage: UsageCounts;
   readonly #quota: WorkspaceQuota;
--- a/packages/serving/crash_book.ts
+++ b/packages/serving/crash_book.ts
@@ -1,31 +1,36 @@
 import type { Milliseconds } from "@heroncleat/base";
 import { ChangeLog } from "./change_log.ts";
 import { CrashStanding } from "./crash_standing.ts";
-import { countCrashes } from "./count_crashes.ts";
 import type { CrashedRun } from "./crashed_run.ts";
 import type { ReportedSuspect } from "./reported_suspect.ts";
 import type { RevisionCounter } from "./revision_counter.ts";
+import type { Judgement } from "./judgement.ts";
+import { judgeSuspects } from "./judge_suspects.ts";
+import type { KnownEnd } from "./known_end.ts";
 import type { SuspectKey } from "./suspect_key.ts";
 import type { SuspectView } from "./suspect_view.ts";
 
-/** Counted ends from which on a request runs alone, and isn't sent on. */
-const SINGLE_FROM = 2;
-const REJECTED_FROM = 3;
-/**
- * Time for which a request is rejected after the third end, twice as long
- * after each further one: upstreams of a new release may bear it.
- */
-const REJECTED_FOR: Milliseconds = 600_000;
+/** Time for which a judgement stands where nothing changes. */
+const JUDGED_FOR: Milliseconds = 1000;
 /** Time for which fewer ends are remembered. */
 const WATCHED_FOR: Milliseconds = 900_000;
-/** Time for which the ends of one that was rejected are remembered after it. */
+/** Time for which several ends are remembered. */
 const REMEMBERED_FOR: Milliseconds = 86_400_000;
+/** Ends from which on. */
+const SEVERAL = 3;
 /** Runs that are remembered of one request, the newest. */
-const MOST_RUNS = 8;
+const MOST_RUNS = 32;
 /** Requests that are remembered in all, and of one workspace. */
 const MOST_SUSPECTS = 1000;
 const MOST_OF_WORKSPACE = 200;
 
+/** What a book is built with. */
+type BookOptions = {
+  readonly revisions: RevisionCounter;
+  /** Upstreams of a service that run. */
+  readonly countUpstreams: (service: string) => number;
+};
+
 type Suspect = {
   readonly key: SuspectKey;
   runs: CrashedRun[];
@@ -35,7 +40,9 @@
 /**
  * The requests under which upstreams ended. What several processes saw may come
  * in any order and more than once. A request that is answered whole, anywhere,
- * is innocent of all ends before that.
+ * is innocent of all ends before that. Where upstreams often end for reasons of
+ * their own, more of them must end under a request, and sooner, before it is
+ * rejected.
  *
  * What callers send can't fill it at others' expense: each workspace has its
  * share, and of a full share the least suspected goes.
@@ -44,13 +51,20 @@
  */
 export class CrashBook {
   readonly #revisions: RevisionCounter;
+  readonly #countUpstreams: (service: string) => number;
+  /** Starts that ended lately, whatever ran there. */
+  readonly #ends = new Map<string, KnownEnd>();
   readonly #suspects = new Map<string, Suspect>();
   readonly #changes = new ChangeLog();
+  #judged: ReadonlyMap<string, Judgement> = new Map();
+  #judgedUntil: Milliseconds = -Infinity;
+  #judgedRevision = -1;
   /** How many suspects there are of a service and size. */
   readonly #sizes = new Map<string, number>();
 
-  constructor(revisions: RevisionCounter) {
+  constructor({ revisions, countUpstreams }: BookOptions) {
     this.#revisions = revisions;
+    this.#countUpstreams = countUpstreams;
   }
 
   get revision(): number {
@@ -64,19 +78,18 @@
 
   /** What becomes of a request that is sent now. */
   standing(request: string, now: Milliseconds): CrashStanding {
-    const suspect = this.#suspects.get(request);
-    return suspect === undefined
-      ? CrashStanding.unsuspected
-      : standingOf(suspect, now);
+    return this.#suspects.has(request)
+      ? this.#judge(now).get(request)!.standing
+      : CrashStanding.unsuspected;
   }
 
   /** Notes that an upstream ended under a request; true where it is news. */
   noteCrash(key: SuspectKey, run: CrashedRun): boolean {
+    const { upstream, endedAt } = run;
+    this.#ends.set(upstream, { service: key.service, at: endedAt });
     const known = this.#suspects.get(key.request);
-    const isKnown = known?.runs.some(({ upstream }) =>
-      upstream === run.upstream
-    );
-    if (isKnown || run.endedAt <= (known?.answeredAt ?? -Infinity)) {
+    const isKnown = known?.runs.some((other) => other.upstream === upstream);
+    if (isKnown || endedAt <= (known?.answeredAt ?? -Infinity)) {
       return false;
     }
     const suspect = known ?? this.#add(key);
@@ -143,7 +156,7 @@
   list(now: Milliseconds): SuspectView[] {
     const views: SuspectView[] = [];
     for (const suspect of this.#suspects.values()) {
-      const standing = standingOf(suspect, now);
+      const { standing } = this.#judge(now).get(suspect.key.request)!;
       if (standing !== CrashStanding.unsuspected) {
         views.push({
           ...suspect.key,
@@ -166,6 +179,36 @@
         this.#drop(request);
       }
     }
+    for (const [upstream, { at }] of this.#ends) {
+      if (now - at >= WATCHED_FOR) {
+        this.#ends.delete(upstream);
+      }
+    }
+  }
+
+  /** How all stand; worked out anew after a change, and now and then. */
+  #judge(now: Milliseconds): ReadonlyMap<string, Judgement> {
+    if (
+      now >= this.#judgedUntil || this.#judgedRevision !== this.#revisions.value
+    ) {
+      this.#judgedRevision = this.#revisions.value;
+      this.#judged = judgeSuspects(this.#metEnds(), {
+        ends: this.#ends,
+        countUpstreams: this.#countUpstreams,
+        now,
+      });
+      this.#judgedUntil = now + JUDGED_FOR;
+      for (const { until } of this.#judged.values()) {
+        this.#judgedUntil = Math.min(this.#judgedUntil, until);
+      }
+    }
+    return this.#judged;
+  }
+
+  *#metEnds() {
+    for (const { key, runs } of this.#suspects.values()) {
+      yield { request: key.request, service: key.service, runs };
+    }
   }
 
   #add(key: SuspectKey): Suspect {
@@ -231,26 +274,11 @@
   return `${size} ${service}`;
 }
 
-function standingOf(suspect: Suspect, now: Milliseconds): CrashStanding {
-  const count = countCrashes(suspect.runs);
-  if (count >= REJECTED_FROM && now < rejectedUntil(suspect, count)) {
-    return CrashStanding.rejected;
-  }
-  if (count >= SINGLE_FROM) {
-    return CrashStanding.single;
-  }
-  return count > 0 ? CrashStanding.watched : CrashStanding.unsuspected;
-}
-
-function rejectedUntil(suspect: Suspect, count: number): Milliseconds {
-  return lastEventOf(suspect) + REJECTED_FOR * 2 ** (count - REJECTED_FROM);
-}
-
 function forgottenFrom(suspect: Suspect): Milliseconds {
-  const count = countCrashes(suspect.runs);
-  return count >= REJECTED_FROM
-    ? rejectedUntil(suspect, count) + REMEMBERED_FOR
-    : lastEventOf(suspect) + WATCHED_FOR;
+  const remembered = suspect.runs.length >= SEVERAL
+    ? REMEMBERED_FOR
+    : WATCHED_FOR;
+  return lastEventOf(suspect) + remembered;
 }
 
 /** When an upstream last ended under it, or it was last answered. */
@@ -262,7 +290,7 @@
 function leastOf(suspects: readonly Suspect[]): Suspect {
   let least = suspects[0]!;
   for (const suspect of suspects) {
-    const fewer = countCrashes(suspect.runs) - countCrashes(least.runs);
+    const fewer = suspect.runs.length - least.runs.length;
     const isOlder = lastEventOf(suspect) < lastEventOf(least);
     if (fewer < 0 || (fewer === 0 && isOlder)) {
       least = suspect;
--- a/packages/serving/hub.ts
+++ b/packages/serving/hub.ts
@@ -65,7 +65,10 @@
   readonly feed: string;
   readonly #revisions = new RevisionCounter();
   /** Requests under which upstreams ended, as all entries saw it. */
-  readonly crashes = new CrashBook(this.#revisions);
+  readonly crashes: CrashBook = new CrashBook({
+    revisions: this.#revisions,
+    countUpstreams: (service) => this.directory.countReady(service),
+  });
   readonly #upstreams = new UpstreamFeed(this.#revisions);
   readonly #entries = new Map<string, ReportedEntry>();
   readonly #medians = new EntryMedians(this.#entries, ENTRY_SILENT_AFTER);
--- /dev/null
+++ b/packages/serving/known_end.ts
@@ -0,0 +1,7 @@
+import type { Milliseconds } from "@heroncleat/base";
+
+/** That a start of an upstream ended, whatever ran there. @internal */
+export type KnownEnd = {
+  readonly service: string;
+  readonly at: Milliseconds;
+};
--- /dev/null
+++ b/packages/serving/simulated_crashes_test.ts
@@ -0,0 +1,89 @@
+import { type CrashScenario, SimulatedCrashes } from "./simulated_crashes.ts";
+
+const SEEDS = 10;
+const MINUTE = 60_000;
+const SENDS_BORNE = 3;
+
+/** Harmless requests: popular ones, and ones that a single caller repeats. */
+const harmless = [
+  { callers: 6, lasts: 200, pause: 20 },
+  { callers: 8, lasts: 4000, pause: 50 },
+  ...Array.from({ length: 40 }, () => ({
+    callers: 1,
+    lasts: 8000,
+    pause: 400,
+  })),
+  ...Array.from({ length: 40 }, () => ({
+    callers: 1,
+    lasts: 1000,
+    pause: 200,
+  })),
+].map((request, at) => ({
+  ...request,
+  name: `harmless ${at}`,
+  endsUpstreams: false,
+}));
+
+const calm: Omit<CrashScenario, "seed"> = {
+  duration: MINUTE,
+  requests: harmless,
+  waveShare: 0,
+  waveSpread: 0,
+  losesProcesses: false,
+};
+
+// A request that ends upstreams must be told from those that are under way
+// where upstreams end for reasons of their own: a third of a zone is reclaimed
+// each 2.5 s, at once or one after the other.
+test.each([
+  ["at once", 0],
+  ["over half a second", 500],
+  ["over two seconds", 2000],
+])(
+  "waves that take a third of a zone %s leave nobody rejected",
+  (_, spread) => {
+    let waves = 0;
+    for (let seed = 0; seed < SEEDS; seed += 1) {
+      const outcome = new SimulatedCrashes({
+        ...calm,
+        seed,
+        waveShare: 1 / 3,
+        waveSpread: spread,
+      }).run();
+      expect([seed, outcome.wronglyRejected]).toEqual([seed, 0]);
+      waves += outcome.waves;
+    }
+    expect(waves).toBeGreaterThan(10 * SEEDS);
+  },
+);
+
+const crashing = ["at one caller", "at several"].map((name, at) => ({
+  name,
+  callers: 1 + 3 * at,
+  lasts: 0,
+  pause: 300,
+  endsUpstreams: true,
+}));
+
+test.each([
+  ["in calm", false, 0],
+  ["while entries and replicas are lost", true, 0],
+  ["while upstreams are reclaimed and processes lost", true, 0.2],
+])(
+  "a request that ends upstreams is stopped %s",
+  (_, losesProcesses, share) => {
+    for (let seed = 0; seed < SEEDS; seed += 1) {
+      const outcome = new SimulatedCrashes({
+        ...calm,
+        seed,
+        requests: [...harmless, ...crashing],
+        losesProcesses,
+        waveShare: share,
+        waveSpread: 500,
+      }).run();
+      expect(outcome.ends).toBeGreaterThanOrEqual(3);
+      expect(outcome.late).toBeLessThanOrEqual(SENDS_BORNE);
+      expect([seed, outcome.wronglyRejected]).toEqual([seed, 0]);
+    }
+  },
+);
--- a/packages/serving/count_crashes.ts
+++ b/packages/serving/successive_runs.ts
@@ -10,21 +10,22 @@
 const APART: Milliseconds = 150;
 
 /**
- * How many upstreams ended under runs of a request that came one after the
- * other. Runs that were under way at the same moment count as one: VMs that
+ * The runs of a request under which upstreams ended that came one after the
+ * other, the first one first. Runs that were under way at the same moment count as one: VMs that
  * are reclaimed together end under all that is there, and a request that many
  * callers send is at many of them.
  */
-export function countCrashes(runs: readonly CrashedRun[]): number {
+export function successiveRuns(runs: readonly CrashedRun[]): CrashedRun[] {
   const byEnd = [...runs].sort((left, right) => left.endedAt - right.endedAt);
-  let count = 0;
+  const successive: CrashedRun[] = [];
   let lastEnd = -Infinity;
-  for (const { sentAt, endedAt } of byEnd) {
+  for (const run of byEnd) {
+    const { sentAt, endedAt } = run;
     const isLater = sentAt >= lastEnd - SKEW && endedAt >= lastEnd + APART;
     if (isLater) {
-      count += 1;
+      successive.push(run);
       lastEnd = endedAt;
     }
   }
-  return count;
+  return successive;
 }
--- a/packages/serving/upstream_directory.ts
+++ b/packages/serving/upstream_directory.ts
@@ -222,6 +222,15 @@
     }
   }
 
+  /** Upstreams of a service that say they are ready. */
+  countReady(service: string): number {
+    let count = 0;
+    for (const { record } of this.list()) {
+      count += record.service === service && record.state === "ready" ? 1 : 0;
+    }
+    return count;
+  }
+
   /** Whether the upstream of a start has started again. */
   isOver(id: string): boolean {
     const known = this.#known.get(id);
