Requests under which upstreams ended are kept on the replicas' disks

Callers would have seen a rejected request end three more upstreams after all processes were lost at once: what entries and replicas know was in memory only.

--- a/apps/heroncleatd/hub/crashing_request_test.ts
+++ b/apps/heroncleatd/hub/crashing_request_test.ts
@@ -33,14 +33,15 @@
   await group.start({ entries: ENTRIES });
   await eventually(() => group.publish(0, documentOf(1)));
   for (let at = 0; at < UPSTREAMS; at += 1) {
-    const { hub } = group.hubs[at % 4]!;
+    const replica = group.hubs[at % 4]!;
     const upstream = new RestartingUpstream({
       name: `desk-${at}`,
       port: FIRST_PORT + 30 + at,
       work: WORK,
       downtime: DOWNTIME,
       endsIt: (body) => body === CRASHING,
-      report: (record) => void hub.mergeUpstream(record),
+      // One that is lost takes no heartbeats.
+      report: (record) => void replica.hub?.mergeUpstream(record),
       onRun: (body) => runs.push({ body, at: performance.now() }),
       onEnd: () => ends.push(performance.now()),
     });
@@ -130,3 +131,27 @@
   },
   40_000,
 );
+
+// All processes lost their memory at once, and with it what they knew: the
+// request ended as many upstreams again.
+test(
+  "a rejected request is rejected when all processes were lost",
+  async () => {
+    runs.length = 0;
+    await pause(500);
+    await Promise.all([
+      ...group.gateways.splice(0).map((gateway) => gateway.stop()),
+      ...group.hubs.map((hub) => hub.lose()),
+    ]);
+    await Promise.all(
+      group.hubs.map((hub) => hub.start({ isFirstStart: false })),
+    );
+    for (let at = 0; at < ENTRIES; at += 1) {
+      await group.startEntry(at);
+      await eventually(async () => (await group.ask(at)).status === 200);
+      expect((await group.ask(at, CRASHING)).status).toBe(400);
+    }
+    expect(runs.filter(({ body }) => body === CRASHING)).toHaveLength(0);
+  },
+  60_000,
+);
--- a/apps/heroncleatd/hub/start_hub.ts
+++ b/apps/heroncleatd/hub/start_hub.ts
@@ -12,6 +12,7 @@
 import type { Log } from "../common/log.ts";
 import type { Metrics } from "../common/metrics.ts";
 import type { DecodedDocument } from "../gateway/decoded_document.ts";
+import { CrashStore } from "./crash_store.ts";
 import { DocumentCache } from "./document_cache.ts";
 import type { DutyCalls } from "./duty_calls.ts";
 import { DutyRunner } from "./duty_runner.ts";
@@ -71,6 +72,13 @@
     log: options.log("operations"),
   });
   await store.read();
+  const crashStore = new CrashStore({
+    book: hub.crashes,
+    folder: options.settings().dataFolder,
+    clock,
+    log: options.log("crashes"),
+  });
+  await crashStore.read();
   let group: ReplicaGroup | undefined;
   const exchangeLog = options.log("exchange");
   const sync = (request: SyncRequest): SyncReply => {
@@ -123,7 +131,13 @@
     try {
       const formed = await ReplicaGroup.start({ ...options, onFailure });
       group = formed;
-      stopParts = run(formed, { ...options, hub, store, documents }).stop;
+      stopParts = run(formed, {
+        ...options,
+        hub,
+        store,
+        crashStore,
+        documents,
+      }).stop;
     } catch (error) {
       onFailure(error);
     }
@@ -182,12 +196,15 @@
   options: StartOptions & {
     hub: Hub;
     store: UsageStore;
+    crashStore: CrashStore;
     documents: DocumentCache;
   },
 ): { stop: () => void } {
-  const { hub, store, clock, log, calls, pool, documents } = options;
+  const { hub, store, crashStore, clock, log, calls, pool, documents } =
+    options;
   // Only now the folder has its identity; nothing may be in it before.
   store.start();
+  crashStore.start();
   const reader = new FeedReader({
     hub,
     clock,
@@ -217,6 +234,7 @@
   return {
     stop: () => {
       store.stop();
+      crashStore.stop();
       reader.stop();
       duties?.stop();
     },
--- a/packages/serving/crash_book.ts
+++ b/packages/serving/crash_book.ts
@@ -57,6 +57,7 @@
   readonly #suspects = new Map<string, Suspect>();
   readonly #changes = new ChangeLog();
   #judged: ReadonlyMap<string, Judgement> = new Map();
+  #changedAt = 0;
   #judgedUntil: Milliseconds = -Infinity;
   #judgedRevision = -1;
   /** How many suspects there are of a service and size. */
@@ -71,6 +72,11 @@
     return this.#revisions.value;
   }
 
+  /** The revision at which it last changed; 0 for never. */
+  get changedAt(): number {
+    return this.#changedAt;
+  }
+
   /** Whether a request could be suspected at all, before it is identified. */
   mayKnow(service: string, size: number): boolean {
     return this.#sizes.has(sizeKey(service, size));
@@ -236,7 +242,8 @@
   }
 
   #noteChange(request: string): void {
-    this.#changes.note(request, this.#revisions.next());
+    this.#changedAt = this.#revisions.next();
+    this.#changes.note(request, this.#changedAt);
   }
 
   /** Keeps a workspace within its share, and all within the whole. */
