Steady time counts while the VM is suspended

Callers of an entry on a VM that had been suspended for seconds: their requests went to upstreams that had ended meanwhile, with deadlines later than their own, and quotas of a window long past. Cause: the monotonic clock stands still then, and silence, deadlines, quotas, repeats and ages count by it alone. Change: in one place, the clock: a jump of the wall clock that the time since the VM's start tells, too, is a suspension and counts. A clock that is set isn't told by that time.

--- a/packages/base/clock.ts
+++ b/packages/base/clock.ts
@@ -13,8 +13,9 @@
    */
   now(): Milliseconds;
   /**
-   * Monotonic time. Whoever grants a lease counts with this one: it never
-   * runs ahead when the wall clock jumps.
+   * Monotonic time, with the time for which the VM was suspended. Whoever
+   * grants a lease counts with this one: it never runs ahead when the wall
+   * clock is set.
    */
   steady(): Milliseconds;
   /** Wall-clock time since 1970, for people and for retention. */
