Operators see and clear requests under which upstreams ended

Cause: a rejected request stays so for 10 minutes or more, also when a new release of the upstreams bears it, and nothing but log lines showed it. Change: `heroncleat suspects` and `suspect-clear DIGEST` ask a control replica; a cleared one is cleared at all entries like one that was answered. `explain` says so of a request that was rejected or held. A measurement of the book beside the other slopes; a judgement counts a service's upstreams once and doesn't weigh requests with fewer than three ends.

--- a/apps/heroncleat/explain/explain_request.ts
+++ b/apps/heroncleat/explain/explain_request.ts
@@ -150,6 +150,9 @@
   }));
 }
 
+/** How the line of a request's end says why it wasn't sent on. */
+const ENDED_UNDER_IT = "upstreams ended under it";
+
 function hintsOf(
   own: readonly LogLine[],
   attempts: readonly LoggedAttempt[],
@@ -159,6 +162,12 @@
     if (message.startsWith("gateway: Refused")) {
       hints.push(`Refused with ${fields["status"]}: ${fields["reason"]}`);
     }
+    if (String(fields["attempts"]).includes(ENDED_UNDER_IT)) {
+      hints.push(
+        "Upstreams ended under this very request; heroncleat suspects shows " +
+          "which, and suspect-clear has it sent on again.",
+      );
+    }
   }
   for (const { upstream, outcome, expected, firstByte } of attempts) {
     if (firstByte !== undefined && firstByte - expected > LATE_BY) {
--- a/apps/heroncleat/explain/explain_test.ts
+++ b/apps/heroncleat/explain/explain_test.ts
@@ -51,6 +51,18 @@
     expect(hints[0]).toMatch(/^u7 began 1120 ms later than expected/);
   });
 
+  test("says when upstreams ended under the request", () => {
+    const rejected = line(10, "entry-a", "gateway: A request ended: refused", {
+      request: "r3",
+      status: 400,
+      took: 1,
+      clockAhead: 0,
+      attempts: "rejected, upstreams ended under it",
+    });
+    const { hints } = explainRequest("r3", [rejected])!;
+    expect(hints).toEqual([expect.stringContaining("heroncleat suspects")]);
+  });
+
   test("shows who else was at the upstream, by true time", () => {
     const { around } = explainRequest("r1", [late, neighbour])!;
     expect(around[0]).toMatchObject({
--- a/apps/heroncleat/main.ts
+++ b/apps/heroncleat/main.ts
@@ -16,6 +16,7 @@
 import { OperatorClient } from "./operator_client.ts";
 import { selectorCommands } from "./selector_commands.ts";
 import { statusCommand } from "./status_command.ts";
+import { suspectCommands } from "./suspect_commands.ts";
 import { upstreamCommands } from "./upstream_commands.ts";
 import { watchCommand } from "./watch_command.ts";
 
@@ -43,6 +44,11 @@
   audit                                 the audit trail
   watch [--revision N] [--count N]      each new revision
 
+  suspects --peers HOST:PORT[,...] [--secret-file FILE]
+                                        requests under which upstreams ended
+  suspect-clear DIGEST --peers HOST:PORT[,...] [--secret-file FILE]
+                                        have one sent on again
+
   explain REQUEST_ID --logs FILE [FILE ...]
                                         what logs tell of one request
   losses --logs FILE [FILE ...]         which requests were late, refused or
@@ -82,6 +88,13 @@
 /** These need no control replica, unlike the commands above. */
 const EXPLAIN = "explain";
 const LOSSES = "losses";
+/** These ask the control replicas as other processes of the system do. */
+const SUSPECT_COMMANDS: Readonly<
+  Record<string, typeof suspectCommands["list"]>
+> = {
+  "suspects": suspectCommands.list,
+  "suspect-clear": suspectCommands.clear,
+};
 
 process.exitCode = await main();
 
@@ -114,6 +127,17 @@
     const files = values.logs === undefined ? [] : [values.logs, ...words];
     return finish(lossesCommand(files, print));
   }
+  if (Object.hasOwn(SUSPECT_COMMANDS, name)) {
+    return finish(
+      await SUSPECT_COMMANDS[name]!({
+        words,
+        peers: values.peers,
+        secretFile: values["secret-file"],
+        json: values.json ?? false,
+        print,
+      }),
+    );
+  }
   const command = Object.hasOwn(COMMANDS, name) ? COMMANDS[name] : undefined;
   if (command === undefined) {
     return failUsage(`There is no command "${name}".`);
@@ -169,6 +193,8 @@
       "change-id": { type: "string" },
       "count": { type: "string" },
       "logs": { type: "string" },
+      "peers": { type: "string" },
+      "secret-file": { type: "string" },
     },
   });
 }
--- a/apps/heroncleatd/hub/crashing_request_test.ts
+++ b/apps/heroncleatd/hub/crashing_request_test.ts
@@ -1,3 +1,7 @@
+import { execFile } from "node:child_process";
+import { mkdtempSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
 import { setTimeout as pause } from "node:timers/promises";
 import { eventually } from "./eventually.ts";
 import { RestartingUpstream } from "./restarting_upstream.ts";
@@ -22,6 +26,8 @@
 const SERVED = 0.9;
 
 const CRASHING = "crashes";
+/** What ends upstreams now. */
+let crashing = CRASHING;
 const POPULAR = "everybody asks this";
 
 const group = new TestGroup(FIRST_PORT);
@@ -39,7 +45,7 @@
       port: FIRST_PORT + 30 + at,
       work: WORK,
       downtime: DOWNTIME,
-      endsIt: (body) => body === CRASHING,
+      endsIt: (body) => body === crashing,
       // One that is lost takes no heartbeats.
       report: (record) => void replica.hub?.mergeUpstream(record),
       onRun: (body) => runs.push({ body, at: performance.now() }),
@@ -155,3 +161,48 @@
   },
   60_000,
 );
+
+// Upstreams of a new release may bear the request, which callers still have.
+test(
+  "an operator sees a rejected request and has it sent on again",
+  async () => {
+    const listed = await runTool("suspects");
+    const rejected = listed.split("\n").find((line) =>
+      line.includes("rejected")
+    );
+    expect(rejected).toMatch(/ desk +7 /);
+    const digest = rejected!.split(" ")[0]!;
+    crashing = "no longer";
+    expect(await runTool("suspect-clear", digest)).toContain(
+      `cleared ${digest}`,
+    );
+    for (let at = 0; at < ENTRIES; at += 1) {
+      await eventually(async () =>
+        (await group.ask(at, CRASHING)).status === 200
+      );
+    }
+    expect(await runTool("suspects")).not.toContain(digest);
+    expect(await runTool("suspect-clear", digest)).toContain("Remedy");
+    crashing = CRASHING;
+  },
+  60_000,
+);
+
+/** Runs the operators' tool against the replicas, and returns what it prints. */
+function runTool(...words: string[]): Promise<string> {
+  const secret = join(
+    mkdtempSync(join(tmpdir(), "heroncleat-tool-")),
+    "secret",
+  );
+  writeFileSync(secret, "s\n");
+  const peers = [0, 1].map((at) => `127.0.0.1:${FIRST_PORT + at}`).join(",");
+  const options = ["--peers", peers, "--secret-file", secret];
+  const script = "apps/heroncleat/dist/main.js";
+  return new Promise((resolve) => {
+    execFile(
+      process.execPath,
+      [script, ...words, ...options],
+      (_, stdout, stderr) => resolve(stdout + stderr),
+    );
+  });
+}
--- a/apps/heroncleatd/hub/start_hub.ts
+++ b/apps/heroncleatd/hub/start_hub.ts
@@ -96,6 +96,7 @@
     }
     return reply;
   };
+  const operations = options.log("operations");
   const documents = new DocumentCache(options.decodeDocument);
   const updates = new UpstreamUpdates({
     hub,
@@ -115,6 +116,16 @@
     "hub.feed": (parameters) =>
       hub.answerFeed(parameters as FeedRequest, clock.steady()),
     ...updates.methods(),
+    "hub.suspects": () => hub.crashes.list(clock.steady()),
+    "hub.clear_suspect": (parameters) => {
+      const { request } = parameters as { request: string };
+      const isNews = hub.crashes.noteAnswer(request, clock.steady());
+      operations.info("An operator clears a request", {
+        request,
+        known: isNews ? "yes" : "no",
+      });
+      return isNews;
+    },
   });
   const expiry = setInterval(() => {
     hub.expire(clock.steady());
@@ -123,7 +134,6 @@
   let stopParts = () => {};
   let isStopping = false;
   const log = options.log("group");
-  const operations = options.log("operations");
   const start = async (): Promise<void> => {
     if (isStopping) {
       return;
--- a/packages/bench/slopes/report_slopes.ts
+++ b/packages/bench/slopes/report_slopes.ts
@@ -1,4 +1,5 @@
 import { formatTable } from "../report/format_table.ts";
+import { measureCrashes } from "./crash_slope.ts";
 import { measureExchange } from "./exchange_slope.ts";
 import { measureLedger } from "./ledger_slope.ts";
 import { measureMembership } from "./membership_slope.ts";
@@ -9,6 +10,7 @@
 const GROUPS = [[12, 16], [24, 32], [48, 64], [96, 128]] as const;
 const UPSTREAMS_AT_TWELVE = [16, 64, 256] as const;
 const ROUTED_UPSTREAMS = [16, 64, 580, 5800] as const;
+const SUSPECTS = [0, 10, 100, 1000] as const;
 const CLAIMS = [10_000, 50_000, 200_000] as const;
 const REQUESTS = [100, 1000, 4000] as const;
 
@@ -52,6 +54,20 @@
       return [count, cost.microsecondsEach, cost.kilobytesEach];
     }),
   ));
+  print("\n### Requests under which upstreams ended\n");
+  print(formatTable(
+    ["suspects", "ns unlike", "µs alike", "ms to judge", "KB in whole"],
+    SUSPECTS.map((count) => {
+      const cost = measureCrashes(count);
+      return [
+        count,
+        cost.nanosecondsUnlike,
+        cost.microsecondsAlike,
+        cost.judgeMilliseconds,
+        cost.wholeKilobytes,
+      ];
+    }),
+  ));
   print("\n### Ledger, claimed and resolved\n");
   print(formatTable(
     ["claims", "bytes each", "µs each", "snapshot ms"],
--- a/packages/serving/judge_suspects.ts
+++ b/packages/serving/judge_suspects.ts
@@ -50,8 +50,10 @@
 ): Map<string, Judgement> {
   const judgements = new Map<string, Judgement>();
   const explained = new Set<string>();
-  for (const suspect of byChance(suspects, circumstances)) {
-    const judgement = judge(suspect, { ...circumstances, explained });
+  const countUpstreams = countOnce(circumstances.countUpstreams);
+  const common = { ...circumstances, countUpstreams };
+  for (const suspect of byChance(suspects, common)) {
+    const judgement = judge(suspect, { ...common, explained });
     judgements.set(suspect.request, judgement);
     if (judgement.standing === CrashStanding.rejected) {
       for (const { upstream } of suspect.runs) {
@@ -62,23 +64,39 @@
   return judgements;
 }
 
+/** Counts the upstreams of each service once; there may be hundreds. */
+function countOnce(
+  count: (service: string) => number,
+): (service: string) => number {
+  const counts = new Map<string, number>();
+  return (service) => {
+    const known = counts.get(service) ?? count(service);
+    counts.set(service, known);
+    return known;
+  };
+}
+
 /** What chance explains least comes first. */
 function byChance(
   suspects: Iterable<MetEnds>,
   circumstances: Circumstances,
 ): MetEnds[] {
-  const none = new Set<string>();
-  const weighed = [...suspects].map((suspect) => ({
-    suspect,
-    chance: suspect.runs.length < REJECTED_FROM
-      ? 1
-      : chanceOf(suspect, { ...circumstances, explained: none }),
-  }));
+  const explained = new Set<string>();
+  const few: MetEnds[] = [];
+  const weighed: { suspect: MetEnds; chance: number }[] = [];
+  for (const suspect of suspects) {
+    if (suspect.runs.length < REJECTED_FROM) {
+      few.push(suspect);
+    } else {
+      const chance = chanceOf(suspect, { ...circumstances, explained });
+      weighed.push({ suspect, chance });
+    }
+  }
   weighed.sort((left, right) =>
     left.chance - right.chance ||
     right.suspect.runs.length - left.suspect.runs.length
   );
-  return weighed.map(({ suspect }) => suspect);
+  return [...weighed.map(({ suspect }) => suspect), ...few];
 }
 
 function judge(
@@ -87,7 +105,9 @@
 ): Judgement {
   const { explained, now } = circumstances;
   const runs = suspect.runs.filter(({ upstream }) => !explained.has(upstream));
-  const count = successiveRuns(runs).length;
+  const count = runs.length < SINGLE_FROM
+    ? runs.length
+    : successiveRuns(runs).length;
   if (count >= REJECTED_FROM) {
     const lasts = REJECTED_FOR * 2 ** (count - REJECTED_FROM);
     const until = runs.at(-1)!.endedAt + lasts;
