Requests that end upstreams: one request in several services is one

A route that is split over services would have sent such a request to three upstreams of each: a request was looked up only by the service it was first known of. Now by the length of its body. Runs that took no measurable time made the chance no number, and such a request was never rejected; a test of both. The book judges anew when it changed, not when anything of its replica did.

--- a/apps/heroncleatd/common/crash_watch.ts
+++ b/apps/heroncleatd/common/crash_watch.ts
@@ -210,7 +210,7 @@
   }
 
   #isKnown(request: RequestIdentity): boolean {
-    return this.#options.book.mayKnow(request.service, request.size);
+    return this.#options.book.mayKnow(request.size);
   }
 
   #probe(upstream: string, address: string): Promise<void> {
--- a/apps/heroncleatd/entry/crash_sharing.ts
+++ b/apps/heroncleatd/entry/crash_sharing.ts
@@ -11,8 +11,6 @@
   RevisionCounter,
   startId,
 } from "@heroncleat/serving";
-import type { Log } from "../common/log.ts";
-import type { Metrics } from "../common/metrics.ts";
 import { CrashWatch } from "../common/crash_watch.ts";
 import { probeUpstream } from "../common/probe_upstream.ts";
 import type { ProcessContext } from "../common/process_context.ts";
@@ -30,19 +28,15 @@
   readonly watch: CrashWatch;
   readonly #context: ProcessContext;
   readonly #book: CrashBook;
-  readonly #name: string;
   /** Incarnations of the upstreams that announce themselves, by name. */
   readonly #upstreams = new Map<string, number>();
   /** Their starts. */
   readonly #living = new Set<string>();
   #alive = new Map<string, MemberRecord>();
 
-  constructor(
-    context: ProcessContext,
-    { name, log, metrics }: { name: string; log: Log; metrics: Metrics },
-  ) {
+  constructor(context: ProcessContext) {
+    const { clock, metrics } = context;
     this.#context = context;
-    this.#name = name;
     this.#book = new CrashBook({
       revisions: new RevisionCounter(),
       // Those of other services make rejections later, never wrong.
@@ -50,19 +44,18 @@
     });
     this.watch = new CrashWatch({
       book: this.#book,
-      clock: context.clock,
-      log,
+      clock,
+      log: context.log("crashes"),
       metrics,
       probe: probeUpstream,
-      isOver: (start) => !this.#isLiving(start),
+      isOver: (start) => !this.#living.has(start),
       // The router leaves upstreams alone that fail.
       onEnd: () => {},
       report: (news) => this.#tell([...this.#alive.values()], news),
     });
     context.serve({
       "entry.suspects": (parameters) => this.#receive(parameters),
-      "entry.known_suspects": () =>
-        this.#book.changesSince(0, context.clock.steady()),
+      "entry.known_suspects": () => this.#book.changesSince(0, clock.steady()),
     });
   }
 
@@ -92,9 +85,10 @@
 
   /** Takes in which entries there are, and asks those that are new. */
   noteMembers(members: readonly MemberRecord[]): void {
+    const { name } = this.#context.settings.daemon;
     const alive = new Map<string, MemberRecord>();
     for (const member of members) {
-      if (member.state !== "alive" || member.name === this.#name) {
+      if (member.state !== "alive" || member.name === name) {
         continue;
       }
       alive.set(member.name, member);
@@ -110,10 +104,6 @@
     this.watch.expire();
   }
 
-  #isLiving(start: string): boolean {
-    return this.#living.has(start);
-  }
-
   #receive(parameters: unknown): void {
     const notice = { kind: "suspects", ...(parameters as object) };
     if (checkEntryNotice(notice)) {
--- a/apps/heroncleatd/entry/start_entry.ts
+++ b/apps/heroncleatd/entry/start_entry.ts
@@ -39,11 +39,7 @@
   context: ProcessContext,
   callers: KeyRing,
 ): Promise<RunningRole> {
-  const crashes = new CrashSharing(context, {
-    name: context.settings.daemon.name,
-    log: context.log("crashes"),
-    metrics: context.metrics,
-  });
+  const crashes = new CrashSharing(context);
   return new EntryRole(
     await createContext(context, callers, crashes),
     crashes,
--- a/packages/bench/slopes/crash_slope.ts
+++ b/packages/bench/slopes/crash_slope.ts
@@ -37,9 +37,9 @@
   const now = 20 * suspects + 1000;
   const body = randomBytes(SIZE);
   return {
-    nanosecondsUnlike: timeEach(LOOKUPS, () => book.mayKnow("desk", 1)) * 1e6,
+    nanosecondsUnlike: timeEach(LOOKUPS, () => book.mayKnow(1)) * 1e6,
     microsecondsAlike: timeEach(LOOKUPS, () => {
-      if (book.mayKnow("desk", SIZE)) {
+      if (book.mayKnow(SIZE)) {
         book.standing(digestOf(body), now);
       }
     }) * 1000,
--- a/packages/serving/crash_book.ts
+++ b/packages/serving/crash_book.ts
@@ -12,12 +12,12 @@
 
 /** Time for which a judgement stands where nothing changes. */
 const JUDGED_FOR: Milliseconds = 1000;
-/** Time for which fewer ends are remembered. */
-const WATCHED_FOR: Milliseconds = 900_000;
-/** Time for which several ends are remembered. */
-const REMEMBERED_FOR: Milliseconds = 86_400_000;
-/** Ends from which on. */
+/** Ends from which on a request may have been rejected. */
 const SEVERAL = 3;
+/** Time for which so many ends are remembered. */
+const REMEMBERED_FOR: Milliseconds = 86_400_000;
+/** Time for which fewer are. */
+const WATCHED_FOR: Milliseconds = 900_000;
 /** Runs that are remembered of one request, the newest. */
 const MOST_RUNS = 32;
 /** Requests that are remembered in all, and of one workspace. */
@@ -60,8 +60,8 @@
   #changedAt = 0;
   #judgedUntil: Milliseconds = -Infinity;
   #judgedRevision = -1;
-  /** How many suspects there are of a service and size. */
-  readonly #sizes = new Map<string, number>();
+  /** How many suspects there are of a size. */
+  readonly #sizes = new Map<number, number>();
 
   constructor({ revisions, countUpstreams }: BookOptions) {
     this.#revisions = revisions;
@@ -78,8 +78,8 @@
   }
 
   /** Whether a request could be suspected at all, before it is identified. */
-  mayKnow(service: string, size: number): boolean {
-    return this.#sizes.has(sizeKey(service, size));
+  mayKnow(size: number): boolean {
+    return this.#sizes.has(size);
   }
 
   /** What becomes of a request that is sent now. */
@@ -92,7 +92,9 @@
   /** Notes that an upstream ended under a request; true where it is news. */
   noteCrash(key: SuspectKey, run: CrashedRun): boolean {
     const { upstream, endedAt } = run;
-    this.#ends.set(upstream, { service: key.service, at: endedAt });
+    if (!this.#ends.has(upstream)) {
+      this.#ends.set(upstream, { service: key.service, at: endedAt });
+    }
     const known = this.#suspects.get(key.request);
     const isKnown = known?.runs.some((other) => other.upstream === upstream);
     if (isKnown || endedAt <= (known?.answeredAt ?? -Infinity)) {
@@ -194,10 +196,9 @@
 
   /** How all stand; worked out anew after a change, and now and then. */
   #judge(now: Milliseconds): ReadonlyMap<string, Judgement> {
-    if (
-      now >= this.#judgedUntil || this.#judgedRevision !== this.#revisions.value
-    ) {
-      this.#judgedRevision = this.#revisions.value;
+    const isOutdated = this.#judgedRevision !== this.#changedAt;
+    if (isOutdated || now >= this.#judgedUntil) {
+      this.#judgedRevision = this.#changedAt;
       this.#judged = judgeSuspects(this.#metEnds(), {
         ends: this.#ends,
         countUpstreams: this.#countUpstreams,
@@ -220,8 +221,7 @@
   #add(key: SuspectKey): Suspect {
     const suspect: Suspect = { key, runs: [], answeredAt: -Infinity };
     this.#suspects.set(key.request, suspect);
-    const size = sizeKey(key.service, key.size);
-    this.#sizes.set(size, (this.#sizes.get(size) ?? 0) + 1);
+    this.#sizes.set(key.size, (this.#sizes.get(key.size) ?? 0) + 1);
     return suspect;
   }
 
@@ -232,7 +232,7 @@
     }
     this.#suspects.delete(request);
     this.#changes.drop(request);
-    const size = sizeKey(suspect.key.service, suspect.key.size);
+    const { size } = suspect.key;
     const left = (this.#sizes.get(size) ?? 1) - 1;
     if (left > 0) {
       this.#sizes.set(size, left);
@@ -277,10 +277,6 @@
   }
 }
 
-function sizeKey(service: string, size: number): string {
-  return `${size} ${service}`;
-}
-
 function forgottenFrom(suspect: Suspect): Milliseconds {
   const remembered = suspect.runs.length >= SEVERAL
     ? REMEMBERED_FOR
--- a/packages/serving/crash_book_test.ts
+++ b/packages/serving/crash_book_test.ts
@@ -48,6 +48,17 @@
   expect(book.standing("other", now)).toBe(CrashStanding.unsuspected);
 });
 
+test("ends of different services and runs of no time count, too", () => {
+  const book = createBook();
+  for (const [at, service] of ["desk", "books", "desk"].entries()) {
+    const key = { ...keyOf("r"), service };
+    const time = 1000 * at;
+    book.noteCrash(key, { upstream: `u${at}`, sentAt: time, endedAt: time });
+  }
+  expect(book.mayKnow(20)).toBe(true);
+  expect(book.standing("r", 3000)).toBe(CrashStanding.rejected);
+});
+
 test("the end of one start counts once, whoever saw it", () => {
   const book = createBook();
   for (const sentAt of [0, 1000, 2000]) {
@@ -107,7 +118,7 @@
   expect(book.list(now + 20 * MINUTE).map(({ request }) => request))
     .toEqual(["rejected"]);
   book.expire(now + 25 * 60 * MINUTE);
-  expect(book.mayKnow("desk", 20)).toBe(false);
+  expect(book.mayKnow(20)).toBe(false);
 });
 
 test("a caller that makes up requests pushes out no other's", () => {
--- a/packages/serving/judge_suspects.ts
+++ b/packages/serving/judge_suspects.ts
@@ -162,6 +162,8 @@
       longer += end.at >= longFrom ? 1 : 0;
     }
   }
-  const rate = Math.max(during / (to - from), longer / (to - longFrom));
+  // A run may have been too short to be measured.
+  const lasted = Math.max(1, to - from);
+  const rate = Math.max(during / lasted, longer / (to - longFrom));
   return rate / Math.max(1, countUpstreams(service));
 }
--- a/packages/serving/successive_runs.ts
+++ b/packages/serving/successive_runs.ts
@@ -13,9 +13,9 @@
 
 /**
  * The runs of a request under which upstreams ended that came one after the
- * other, the first one first. Runs that were under way at the same moment count as one: VMs that
- * are reclaimed together end under all that is there, and a request that many
- * callers send is at many of them.
+ * other, the first one first. Runs that were under way at the same moment count
+ * as one: VMs that are reclaimed together end under all that is there, and a
+ * request that many callers send is at many of them.
  */
 export function successiveRuns(runs: readonly CrashedRun[]): CrashedRun[] {
   const byEnd = [...runs].sort((left, right) => left.endedAt - right.endedAt);
