--- a/apps/heroncleatd/gateway/gateway.ts
+++ b/apps/heroncleatd/gateway/gateway.ts
@@ -13,21 +13,21 @@
 import { requestDigest } from "../common/request_digest.ts";
 import type { RequestIdentity } from "../common/request_identity.ts";
 import type { CallerRequest } from "./caller_request.ts";
+import { chargeOf } from "./charge_of.ts";
 import { forwardCall } from "./forward_call.ts";
 import type { ForwardContext } from "./forward_context.ts";
 import type { ForwardResult } from "./forward_result.ts";
 import { forwardStream } from "./forward_stream.ts";
 import type { HeaderNames } from "./header_names.ts";
+import { overQuota } from "./over_quota.ts";
 import type { OwnAnswer } from "./own_answer.ts";
+import { pickTarget } from "./pick_target.ts";
 import type { Prompt } from "./prompt.ts";
 import type { QuotaCharging } from "./quota_charging.ts";
 import { readRequestBody } from "./read_request_body.ts";
+import { retryAfter } from "./retry_after.ts";
 import { sendOwnAnswer } from "./send_own_answer.ts";
 
-/** Shortest and longest time after which a refused caller comes back. */
-const LEAST_RETRY_AFTER: Milliseconds = 100;
-const MOST_RETRY_AFTER: Milliseconds = 3000;
-
 /**
  * Longest wait for a configuration after a start; with the control replicas
  * starting at the same time it arrives within 1.2 s, as measured in days.
@@ -160,7 +160,7 @@
         status: 503,
         message: "This entry is leaving; the request has not run. Remedy: " +
           "send it to another entry.",
-        retryAfter: LEAST_RETRY_AFTER,
+        retryAfter: retryAfter.least,
       });
     }
     const key = incoming.headers[this.#options.names.key];
@@ -352,43 +352,3 @@
 function refused(answer: OwnAnswer): Admitted {
   return { kind: "refused", answer };
 }
-
-function overQuota(retryAfter: Milliseconds): OwnAnswer {
-  return {
-    status: 429,
-    message: "The workspace's quota is used up; the request has not run. " +
-      "Remedy: send it again after the stated time.",
-    retryAfter: Math.min(
-      MOST_RETRY_AFTER,
-      Math.max(LEAST_RETRY_AFTER, retryAfter),
-    ),
-  };
-}
-
-/** What a request takes from its workspace's quota. */
-function chargeOf(
-  workspace: Workspace | undefined,
-  prompt: Prompt | undefined,
-): number {
-  if (workspace === undefined || !workspace.countsTokens) {
-    return 1;
-  }
-  return prompt === undefined
-    ? workspace.defaultCharge
-    : prompt.promptTokens + prompt.outputTokens;
-}
-
-function pickTarget(route: Route, random: number): string {
-  let total = 0;
-  for (const target of route.targets) {
-    total += target.weight;
-  }
-  let left = random * total;
-  for (const target of route.targets) {
-    left -= target.weight;
-    if (left < 0) {
-      return target.service;
-    }
-  }
-  return route.targets.at(-1)!.service;
-}
--- /dev/null
+++ b/apps/heroncleatd/gateway/pick_target.ts
@@ -0,0 +1,21 @@
+import type { Route } from "@heroncleat/serving";
+
+/**
+ * The service of a route that a request goes to, by the weights of its targets.
+ *
+ * @param random A number from 0 to 1.
+ */
+export function pickTarget(route: Route, random: number): string {
+  let total = 0;
+  for (const target of route.targets) {
+    total += target.weight;
+  }
+  let left = random * total;
+  for (const target of route.targets) {
+    left -= target.weight;
+    if (left < 0) {
+      return target.service;
+    }
+  }
+  return route.targets.at(-1)!.service;
+}
--- a/packages/soak/side_troubles.ts
+++ b/packages/soak/side_troubles.ts
@@ -106,12 +106,11 @@
   deployment: SoakDeployment,
   random: Random,
 ): Promise<void> {
-  const request = deployment.createCrashingRequest({
-    isSingle: random() < 0.5,
-  });
+  const { crashing } = deployment;
+  const request = crashing.create({ isSingle: random() < 0.5 });
   const until = performance.now() + drawTime(random, REPEATED_FOR);
   while (performance.now() < until) {
-    await deployment.sendCrashing(request);
+    await crashing.send(request);
     await pause(drawTime(random, REPEAT_PAUSE));
   }
 }
--- a/packages/soak/soak_deployment.ts
+++ b/packages/soak/soak_deployment.ts
@@ -1,6 +1,7 @@
 import type { Milliseconds, Random } from "@heroncleat/base";
 import { Calm } from "./calm.ts";
 import { callOnce } from "./call_once.ts";
+import { CrashingRequests } from "./crashing_requests.ts";
 import { LinkProxy } from "./link_proxy.ts";
 import { Machine } from "./machine.ts";
 import { PromiseChecks } from "./promise_checks.ts";
@@ -21,8 +22,6 @@
 const CALLERS_PER_ZONE = 8;
 const FIRST_PROXY_PORT = 7900;
 const START_TIMEOUT: Milliseconds = 20_000;
-/** Part of the path of requests that end each upstream that runs them. */
-const CRASHING = "crashes-";
 /** Disturbances of the control group as a whole. */
 const CORE = "core";
 
@@ -35,12 +34,6 @@
   readonly slot: number;
 };
 
-/** A request that ends each upstream that runs it. */
-export type CrashingRequest = {
-  readonly path: string;
-  readonly isSingle: boolean;
-};
-
 /**
  * A whole deployment of real processes with its upstreams and callers, and
  * the means to disturb it.
@@ -51,6 +44,7 @@
   readonly proxy: LinkProxy;
   readonly calm = new Calm(CALM_TIME);
   readonly checks: PromiseChecks;
+  readonly crashing: CrashingRequests;
   readonly random: Random;
   readonly outcomes = new Map<number, number>();
   readonly #options: Options;
@@ -62,8 +56,6 @@
   #document: SoakDocument;
   #acknowledgedVersion = 0;
   #upstreamCount = 0;
-  #crashingCount = 0;
-  #attemptCount = 0;
 
   constructor(options: Options) {
     this.#options = options;
@@ -79,6 +71,12 @@
       singlePrefix: "/book/",
       timeout: 3000,
     };
+    this.crashing = new CrashingRequests({
+      wire: options.wire,
+      random: options.random,
+      document: () => this.#document,
+      listEntries: () => this.present().map((entry) => entry.callerAddress),
+    });
     this.checks = new PromiseChecks({
       drainTime: DRAIN_TIME,
       wasReplicaCalm: (address, at) =>
@@ -191,7 +189,7 @@
       onArrival: (arrival) => this.checks.noteArrival(arrival),
       onRun: (arrival) => this.checks.noteRun(arrival),
       isSingle: (path) => path.startsWith(this.#document.singlePrefix),
-      crashes: (path) => path.includes(CRASHING),
+      crashes: (path) => this.crashing.ends(path),
       onCrash: (path) => this.checks.noteCrash(path),
     });
     this.#upstreams.add(upstream);
@@ -211,38 +209,6 @@
     this.#upstreams.delete(upstream);
   }
 
-  /** A request that ends each upstream that runs it, unlike any before. */
-  createCrashingRequest(options: { isSingle: boolean }): CrashingRequest {
-    const { singlePrefix, repeatablePrefix } = this.#document;
-    this.#crashingCount += 1;
-    const prefix = options.isSingle ? singlePrefix : repeatablePrefix;
-    return {
-      path: `${prefix}${CRASHING}${this.#crashingCount}`,
-      isSingle: options.isSingle,
-    };
-  }
-
-  /** Sends it to one entry, drawn anew each time. */
-  async sendCrashing({ path, isSingle }: CrashingRequest): Promise<void> {
-    const { wire } = this.#options;
-    const present = this.present();
-    const entry = present[Math.floor(this.random() * present.length)];
-    this.#attemptCount += 1;
-    if (entry !== undefined) {
-      await callOnce(entry.callerAddress, {
-        method: isSingle ? "POST" : "GET",
-        path,
-        body: isSingle ? "the same each time" : "",
-        headers: {
-          host: this.#document.host,
-          [wire.headers.attempt]: `crashing-${this.#attemptCount}`,
-          [wire.headers.timeLeft]: "3000",
-        },
-        timeout: 3000,
-      });
-    }
-  }
-
   /** Puts another version in force; true once it was acknowledged. */
   async publish(): Promise<boolean> {
     const { wire } = this.#options;
