--- a/apps/heroncleatd/main.ts
+++ b/apps/heroncleatd/main.ts
@@ -66,7 +66,10 @@
 async function run(checked: Settings): Promise<void> {
   const logs = createLogs(checked.logs, checked.daemon.name);
   const log = logs("daemon");
-  const clock = createSystemClock();
+  const clock = createSystemClock({
+    onSuspension: (time) =>
+      log.warn(`The VM was suspended for ${Math.round(time)} ms`),
+  });
   const pool = new PeerPool({
     secret: sharedSecret,
     connectTimeout: CONNECT_TIMEOUT,
