An upstream that breaks off many answers isn't asked for each whether it is there

Cause: each connection that ended was followed by a new one to the upstream, so one that resets half of its answers got as many connections more, of the few that it takes. Change: one that took a probe's connection isn't asked again for 0.1 s; an end meanwhile shows by the next refused connection or start.

--- a/apps/heroncleatd/common/crash_watch.ts
+++ b/apps/heroncleatd/common/crash_watch.ts
@@ -15,6 +15,11 @@
  * upstream: heartbeats of the next start come seconds later.
  */
 const UNDECIDED_FOR: Milliseconds = 8000;
+/**
+ * Time for which an upstream that took a connection needn't be asked again: one
+ * that resets many of its connections would get as many new ones.
+ */
+const PROBE_PAUSE: Milliseconds = 100;
 /** Connections that ended and are undecided, of one upstream. */
 const MOST_UNDECIDED = 200;
 
@@ -57,6 +62,8 @@
   readonly #undecided = new Map<string, BrokenRun[]>();
   /** Probes under way, by identity of the start. */
   readonly #probes = new Map<string, Promise<void>>();
+  /** When upstreams last took a probe's connection. */
+  readonly #foundAt = new Map<string, Milliseconds>();
   /** What a request that is sent once more waits for. */
   readonly #deciding = new WeakMap<RequestIdentity, Promise<void>>();
   /** Copies of suspected requests that this entry runs, by digest. */
@@ -202,6 +209,11 @@
         this.#undecided.delete(upstream);
       }
     }
+    for (const [upstream, foundAt] of this.#foundAt) {
+      if (now - foundAt >= PROBE_PAUSE) {
+        this.#foundAt.delete(upstream);
+      }
+    }
   }
 
   #report(behind: number): void {
@@ -218,9 +230,16 @@
     if (known !== undefined) {
       return known;
     }
-    const probe = this.#options.probe(address).then((isThere) => {
+    const { probe: connect, clock } = this.#options;
+    const foundAt = this.#foundAt.get(upstream) ?? -Infinity;
+    if (clock.steady() - foundAt < PROBE_PAUSE) {
+      return Promise.resolve();
+    }
+    const probe = connect(address).then((isThere) => {
       this.#probes.delete(upstream);
-      if (!isThere) {
+      if (isThere) {
+        this.#foundAt.set(upstream, clock.steady());
+      } else {
         this.noteEnd(upstream);
       }
     });
