--- a/packages/soak/run_soak.ts
+++ b/packages/soak/run_soak.ts
@@ -64,9 +64,14 @@
   const random = streamOf(options.seed, 0);
   const deployment = new SoakDeployment({ ...options, random });
   const played: Record<string, number> = {};
+  const over = new AbortController();
   try {
-    await Promise.race([play(deployment, options, played), aborted(options)]);
+    await Promise.race([
+      play(deployment, options, played),
+      aborted(options, over.signal),
+    ]);
   } finally {
+    over.abort();
     await deployment.stop();
   }
   const { findings, leaves, latest, crashes } = deployment.checks;
@@ -106,9 +111,14 @@
   return createSeededRandom(Math.imul(seed * STREAMS + stream, SPREAD));
 }
 
-function aborted({ signal }: { signal: AbortSignal }): Promise<void> {
+/** Resolves when a soak is told to stop, unless it is over before. */
+function aborted(
+  { signal }: { signal: AbortSignal },
+  over: AbortSignal,
+): Promise<void> {
   return new Promise((resolve) => {
-    signal.addEventListener("abort", () => resolve(), { once: true });
+    const options = { once: true, signal: over };
+    signal.addEventListener("abort", () => resolve(), options);
   });
 }
 
