The end of an upstream that had said it leaves isn't counted under its requests

Streams that outlast the drain of their upstream break off when it ends. They were sent while it was ready, and that was looked at: each one was suspected, and one that its caller repeats through a release of the upstreams might have been rejected. Now the state at the end counts, in both request paths. Measured: the test fails before (1 end counted, 0 expected) and passes.

--- a/apps/heroncleatd/entry/crash_sharing.ts
+++ b/apps/heroncleatd/entry/crash_sharing.ts
@@ -30,6 +30,8 @@
   readonly #book: CrashBook;
   /** Incarnations of the upstreams that announce themselves, by name. */
   readonly #upstreams = new Map<string, number>();
+  /** Those that have said that they leave, and end as they said. */
+  readonly #leaving = new Set<string>();
   /** Their starts. */
   readonly #living = new Set<string>();
   #alive = new Map<string, MemberRecord>();
@@ -64,8 +66,17 @@
     return startId(name, this.#upstreams.get(name));
   }
 
+  isLeaving(name: string): boolean {
+    return this.#leaving.has(name);
+  }
+
   /** Takes an announcement in; a later incarnation ends the one before. */
-  noteUpstream({ name, incarnation }: Announcement): void {
+  noteUpstream({ name, incarnation, state }: Announcement): void {
+    if (state === "leaving") {
+      this.#leaving.add(name);
+    } else {
+      this.#leaving.delete(name);
+    }
     const before = this.#upstreams.get(name);
     if (before === undefined || incarnation > before) {
       const ended = this.startOf(name);
@@ -81,6 +92,7 @@
   noteLapse(name: string): void {
     this.#living.delete(this.startOf(name));
     this.#upstreams.delete(name);
+    this.#leaving.delete(name);
   }
 
   /** Takes in which entries there are, and asks those that are new. */
--- a/apps/heroncleatd/entry/entry_context.ts
+++ b/apps/heroncleatd/entry/entry_context.ts
@@ -18,6 +18,8 @@
   readonly crashes: CrashWatch;
   /** The identity of the present start of an upstream, by its name. */
   readonly startOf: (upstream: string) => string;
+  /** Whether an upstream has said that it leaves, by its name. */
+  readonly isLeavingUpstream: (upstream: string) => boolean;
   /** Hashes a block of a prompt behind the blocks before it. */
   readonly chainHash: (text: string, seed: string) => string;
   /** Connections to upstreams; it never retries by itself. */
--- a/apps/heroncleatd/entry/request_host.ts
+++ b/apps/heroncleatd/entry/request_host.ts
@@ -210,7 +210,7 @@
           });
         },
         onFailed: ({ message, isBroken }) => {
-          if (isBroken) {
+          if (isBroken && !context.isLeavingUpstream(attempt.upstream)) {
             const broken = { upstream, address, sentAt };
             context.crashes.noteBreak(this.#identity, broken);
           }
--- a/apps/heroncleatd/entry/service_dispatcher.ts
+++ b/apps/heroncleatd/entry/service_dispatcher.ts
@@ -80,7 +80,10 @@
   endTurn();
   if (sent.kind === "answered") {
     crashes.noteAnswer(call.identity);
-  } else if (sent.kind === "unknown" && sent.isBroken) {
+  } else if (
+    sent.kind === "unknown" && sent.isBroken &&
+    !parts.context.isLeavingUpstream(upstream)
+  ) {
     crashes.noteBreak(call.identity, { upstream: start, address, sentAt });
   }
   const good = sent.kind === "answered" &&
--- a/apps/heroncleatd/entry/service_dispatcher_test.ts
+++ b/apps/heroncleatd/entry/service_dispatcher_test.ts
@@ -107,6 +107,7 @@
     context: {
       clock: { now: () => performance.now(), steady: () => 0 },
       startOf: (upstream: string) => upstream,
+      isLeavingUpstream: () => false,
       // The services of this test break off answers and stay.
       crashes: {
         decided: () => Promise.resolve(),
--- a/apps/heroncleatd/entry/start_entry.ts
+++ b/apps/heroncleatd/entry/start_entry.ts
@@ -66,6 +66,7 @@
     callers,
     crashes: crashes.watch,
     startOf: (upstream) => crashes.startOf(upstream),
+    isLeavingUpstream: (upstream) => crashes.isLeaving(upstream),
     chainHash: await createChainHash(),
     upstreams: new Agent({
       connect: { timeout: entry.connect_timeout },
--- a/apps/heroncleatd/gateway/attempt.ts
+++ b/apps/heroncleatd/gateway/attempt.ts
@@ -145,7 +145,7 @@
   },
 ): { noteFirstByte: () => void; finish: (ending: AttemptEnding) => void } {
   const { chosen, trace } = options;
-  const { choice, clock, log, metrics, crashes } = options.context;
+  const { choice, directory, clock, log, metrics, crashes } = options.context;
   const notice = choice.begin(chosen, {
     parts: call.prompt?.parts ?? [],
     now: clock.steady(),
@@ -176,8 +176,8 @@
         crashes.noteAnswer(call.identity);
       }
       if (ending === AttemptEnding.broken && !call.signal.aborted) {
-        // One that leaves ends as it said.
-        if (record.state === "ready") {
+        // One that has said meanwhile that it leaves ends as it said.
+        if (directory.get(record.id)?.record.state === "ready") {
           crashes.noteBreak(call.identity, {
             upstream: record.id,
             address: record.address,
--- a/apps/heroncleatd/gateway/upstream_restart_test.ts
+++ b/apps/heroncleatd/gateway/upstream_restart_test.ts
@@ -1,10 +1,12 @@
 import { request } from "node:http";
 import { createSystemClock } from "@heroncleat/base";
 import {
+  type ReportedSuspect,
   RouteKind,
   type ServingDocument,
   startId,
   type SyncReply,
+  type SyncRequest,
   type UpstreamRecord,
 } from "@heroncleat/serving";
 import type { PeerPool } from "@heroncleat/transport";
@@ -28,6 +30,8 @@
 let gateway: RunningGateway;
 let upstreams: UpstreamRecord[] = [];
 let revision = 0;
+/** Requests that upstreams ended under, as the entry reported them. */
+const reported: ReportedSuspect[] = [];
 
 function record(born: number, address: string): UpstreamRecord {
   return {
@@ -134,7 +138,14 @@
       kind: "document",
       document: JSON.parse(source) as ServingDocument,
     }),
-    pool: { call: () => Promise.resolve(reply()) } as unknown as PeerPool,
+    pool: {
+      call: (_address: string, _method: string, options: {
+        parameters: SyncRequest;
+      }) => {
+        reported.push(...options.parameters.suspects ?? []);
+        return Promise.resolve(reply());
+      },
+    } as unknown as PeerPool,
     clock: createSystemClock(),
     log: () => quiet,
     metrics,
@@ -179,6 +190,33 @@
   expect(silent.seen).toHaveLength(0);
 });
 
+// A stream that outlasts its upstream's drain breaks off when that ends. It was
+// sent while the upstream was ready, and counted as if it had ended it.
+test.each([
+  ["ready", 1],
+  ["draining", 0],
+])(
+  "the end of an upstream that is %s counts %i times",
+  async (state, count) => {
+    reported.length = 0;
+    const book = ask("book.example");
+    while (silent.seen.length < 1) {
+      await pause(10);
+    }
+    const leaving = record(1000, silent.address);
+    upstreams = [{ ...leaving, sequence: 2, state: state as "ready" }];
+    revision += 1;
+    await pause(400);
+    silent.close();
+    expect((await book).status).toBe(502);
+    await pause(400);
+    const starts = reported.flatMap(({ crashes }) =>
+      crashes.map(({ upstream }) => upstream)
+    );
+    expect(new Set(starts).size).toBe(count);
+  },
+);
+
 function ask(host: string): Promise<{ status: number; body: string }> {
   return new Promise((resolve, reject) => {
     const [address, port] = ADDRESS.split(":");
