A check that was held up doesn't end the notice of suspensions

The test stopped the process before it ran; now it waits for its first readings, and for more after it. And the clock compares two readings each second; a process that waits for the processor between them took the VM's time for another machine's, for good. Now three checks in a row must differ, and good ones count again.

--- a/packages/base/clock_test.ts
+++ b/packages/base/clock_test.ts
@@ -82,6 +82,24 @@
     expect(clock.steady() - start).toBeCloseTo(9000);
   });
 
+  // The process waited for the processor between its readings of two clocks, and
+  // took no notice of any suspension from then on.
+  test("a suspension is told after a check that was held up", () => {
+    const vm = new TestVm();
+    const clock = vm.createClock();
+    const start = clock.steady();
+    vm.run(1000);
+    vm.uptime += 400;
+    clock.steady();
+    vm.uptime -= 400;
+    vm.run(1000);
+    clock.steady();
+    vm.run(1000);
+    clock.steady();
+    vm.suspend(5000);
+    expect(clock.steady() - start).toBeCloseTo(8000);
+  });
+
   test("nothing is told from another machine's time since its start", () => {
     for (const rate of [0, 0.7, 1.4]) {
       const vm = new TestVm();
--- a/packages/base/suspension_gauge.ts
+++ b/packages/base/suspension_gauge.ts
@@ -8,6 +8,11 @@
 const CHECK_INTERVAL: Milliseconds = 1000;
 /** Part of that by which it may differ. */
 const MOST_DRIFT = 0.1;
+/**
+ * Checks in a row at which it differs before it isn't used: one alone may be
+ * a process that waited for the processor between two readings.
+ */
+const MOST_BAD_CHECKS = 3;
 
 /**
  * Time for which the VM was suspended, since this was made. The wall clock
@@ -24,7 +29,7 @@
   #wallAhead: Milliseconds | undefined;
   #uptimeAhead: Milliseconds = 0;
   #checkedAt: Milliseconds = 0;
-  #isUsable = true;
+  #badChecks = 0;
   #suspended: Milliseconds = 0;
 
   /** @param readUptime Time since the VM's start. */
@@ -58,7 +63,7 @@
   }
 
   #noteJump(monotonic: Milliseconds, jump: Milliseconds): void {
-    if (!this.#isUsable) {
+    if (this.#badChecks >= MOST_BAD_CHECKS) {
       return;
     }
     const stood = this.#readUptime() - monotonic - this.#uptimeAhead;
@@ -70,12 +75,10 @@
   }
 
   #check(monotonic: Milliseconds): void {
-    if (!this.#isUsable) {
-      return;
-    }
     const drift = this.#readUptime() - monotonic - this.#uptimeAhead;
     const passed = monotonic - this.#checkedAt;
-    this.#isUsable = Math.abs(drift) <= TOLERANCE + MOST_DRIFT * passed;
+    const isGood = Math.abs(drift) <= TOLERANCE + MOST_DRIFT * passed;
+    this.#badChecks = isGood ? 0 : this.#badChecks + 1;
     this.#restart(monotonic);
   }
 
--- a/packages/soak/suspended_process_test.ts
+++ b/packages/soak/suspended_process_test.ts
@@ -15,6 +15,19 @@
   }, 20);
 `;
 
+/** Readings before and after the suspension. */
+const READINGS = 50;
+
+function linesOf(output: string): number {
+  return output.split("\n").length - 1;
+}
+
+async function printed(output: () => string, lines: number): Promise<void> {
+  while (linesOf(output()) < lines) {
+    await pause(20);
+  }
+}
+
 // A VM is suspended: its processes stand still, and their monotonic clock with
 // them. Nobody in the process noticed, and all it knew seemed younger than it
 // was by that time.
@@ -30,21 +43,24 @@
   child.stdout.on("data", (bytes) => output += bytes);
   child.stderr.on("data", (bytes) => output += bytes);
   try {
-    await pause(1500);
+    // A process that is stopped before it runs knows of no suspension.
+    await printed(() => output, READINGS);
     child.kill("SIGSTOP");
     await pause(SUSPENDED);
     writeFileSync(faults, JSON.stringify({ suspendedFor: SUSPENDED }));
+    const before = linesOf(output);
     child.kill("SIGCONT");
-    await pause(1000);
+    await printed(() => output, before + READINGS);
   } finally {
     child.kill("SIGKILL");
     rmSync(folder, { recursive: true });
   }
-  const readings = output.trim().split("\n")
+  const whole = output.slice(0, output.lastIndexOf("\n"));
+  const readings = whole.split("\n")
     .map((line) => JSON.parse(line) as [number, number]);
   const [first, last] = [readings.at(0)!, readings.at(-1)!];
   const monotonic = last[0] - first[0];
   const steady = last[1] - first[1];
   expect(steady - monotonic).toBeGreaterThan(SUSPENDED - TOLERANCE);
   expect(steady - monotonic).toBeLessThan(SUSPENDED + TOLERANCE);
-}, 20_000);
+}, 60_000);
