--- a/apps/heroncleat/main.ts
+++ b/apps/heroncleat/main.ts
@@ -15,6 +15,8 @@
 import { lossesCommand } from "./losses/losses_command.ts";
 import { OperatorClient } from "./operator_client.ts";
 import { selectorCommands } from "./selector_commands.ts";
+import type { PeerContext } from "./peer_context.ts";
+import { replicasCommand } from "./replicas_command.ts";
 import { statusCommand } from "./status_command.ts";
 import { suspectCommands } from "./suspect_commands.ts";
 import { upstreamCommands } from "./upstream_commands.ts";
@@ -44,6 +46,9 @@
   audit                                 the audit trail
   watch [--revision N] [--count N]      each new revision
 
+  replicas --peers HOST:PORT[,...] [--secret-file FILE]
+                                        members of the forwarding group, and
+                                        promised losses that they don't bear
   suspects --peers HOST:PORT[,...] [--secret-file FILE]
                                         requests under which upstreams ended
   suspect-clear DIGEST --peers HOST:PORT[,...] [--secret-file FILE]
@@ -59,7 +64,7 @@
   --change-id ID   identifier of the change, to send it again
 
 The environment may hold HERONCLEAT_CONTROL and HERONCLEAT_TOKEN_FILE.
-Exit codes: 0 done, 1 failed, 2 bad usage, 3 conflict, 4 refused.
+Exit codes: 0 done, 1 failed or a promise not kept, 2 bad usage, 3 conflict, 4 refused.
 `;
 
 /** A command of the tool. */
@@ -89,9 +94,10 @@
 const EXPLAIN = "explain";
 const LOSSES = "losses";
 /** These ask the control replicas as other processes of the system do. */
-const SUSPECT_COMMANDS: Readonly<
-  Record<string, typeof suspectCommands["list"]>
+const PEER_COMMANDS: Readonly<
+  Record<string, (context: PeerContext) => Promise<CommandResult>>
 > = {
+  "replicas": replicasCommand,
   "suspects": suspectCommands.list,
   "suspect-clear": suspectCommands.clear,
 };
@@ -127,9 +133,9 @@
     const files = values.logs === undefined ? [] : [values.logs, ...words];
     return finish(lossesCommand(files, print));
   }
-  if (Object.hasOwn(SUSPECT_COMMANDS, name)) {
+  if (Object.hasOwn(PEER_COMMANDS, name)) {
     return finish(
-      await SUSPECT_COMMANDS[name]!({
+      await PEER_COMMANDS[name]!({
         words,
         peers: values.peers,
         secretFile: values["secret-file"],
--- a/apps/heroncleatd/control/decide_formation.ts
+++ b/apps/heroncleatd/control/decide_formation.ts
@@ -24,7 +24,9 @@
   }
   const found = new Map([[self.id, self]]);
   for (const reply of options.replies) {
-    found.set(reply.self.id, reply.self);
+    if (reply.self !== undefined) {
+      found.set(reply.self.id, reply.self);
+    }
   }
   if (found.size < options.expected) {
     return { kind: "wait" };
--- a/apps/heroncleatd/control/group_reconciler.ts
+++ b/apps/heroncleatd/control/group_reconciler.ts
@@ -1,5 +1,12 @@
 import type { Clock, Milliseconds } from "@heroncleat/base";
-import { planMembers, type Replica, ReplicaRole } from "@heroncleat/consensus";
+import {
+  type GroupState,
+  lossTolerance,
+  planMembers,
+  type PromisedLosses,
+  type Replica,
+  ReplicaRole,
+} from "@heroncleat/consensus";
 import {
   checkJoinRequest,
   type JoinReply,
@@ -8,6 +15,7 @@
 import type { MethodHandler, PeerPool } from "@heroncleat/transport";
 import type { Log } from "../common/log.ts";
 import type { Metrics } from "../common/metrics.ts";
+import { GroupWatch } from "./group_watch.ts";
 import type { MemberDirectory } from "./member_directory.ts";
 
 /** Pause between two looks at the group; a displacement takes two steps. */
@@ -35,8 +43,10 @@
   readonly pool: PeerPool;
   readonly log: Log;
   readonly metrics: Metrics;
-  /** Replicas that are to vote. */
-  readonly wantedVoters: number;
+  /** Losses that the group is to bear. */
+  readonly promised: PromisedLosses;
+  /** Region of an availability zone. */
+  readonly regionOf: (zone: string) => string;
   /** Peer addresses that may be up. */
   readonly seeds: () => readonly string[];
   readonly changeMembers: (members: readonly ReplicaMember[]) => void;
@@ -50,12 +60,25 @@
  */
 export class GroupReconciler {
   readonly #options: ReconcilerOptions;
-  /** Names of the voters that are silent to the leader. */
-  #unheard = "";
+  readonly #watch: GroupWatch;
+  readonly #wantedVoters: number;
   #timers: readonly NodeJS.Timeout[] = [];
 
   constructor(options: ReconcilerOptions) {
     this.#options = options;
+    const { machines, zones } = options.promised;
+    // Voters stand in different zones where they can, so a zone takes one.
+    this.#wantedVoters = lossTolerance.voters(Math.max(machines, zones));
+    this.#watch = new GroupWatch({
+      ...options,
+      silentVoters: () => this.#silentVoters(),
+      hasCaughtUp: (id) => this.#hasCaughtUp(id),
+    });
+  }
+
+  /** How the group stands, as this replica knows it. */
+  get state(): GroupState {
+    return this.#watch.state;
   }
 
   start(): void {
@@ -135,7 +158,7 @@
   }
 
   #look(): void {
-    this.#report();
+    this.#watch.look();
     if (this.#isLeading) {
       this.#repair();
     }
@@ -148,28 +171,12 @@
     }
   }
 
-  /**
-   * Says how many voters are short: a group that runs on with some gone serves
-   * as before until it loses one more, which then is too late to learn of it.
-   */
-  #report(): void {
-    const { replica, metrics, log } = this.#options;
-    const voters = replica.members.filter(({ voter }) => voter);
-    const unheard = this.#isLeading
-      ? voters.filter(({ id }) => this.#isSilent(id, SILENT_AFTER))
+  #silentVoters(): ReplicaMember[] {
+    return this.#isLeading
+      ? this.#options.replica.members.filter(({ id, voter }) =>
+        voter && this.#isSilent(id, SILENT_AFTER)
+      )
       : [];
-    metrics.gauge("group.leads", this.#isLeading ? 1 : 0);
-    metrics.gauge("group.voters", voters.length);
-    metrics.gauge("group.learners", replica.members.length - voters.length);
-    metrics.gauge("group.voters_unheard", unheard.length);
-    const names = unheard.map(({ name }) => name).join(", ");
-    if (names !== this.#unheard) {
-      this.#unheard = names;
-      log.warn("Voters are out of reach", {
-        unheard: names === "" ? "none" : names,
-        voters: voters.length,
-      });
-    }
   }
 
   /** Whether this leader heard nothing of a member for longer than this. */
@@ -188,16 +195,11 @@
   }
 
   #repair(): void {
-    const { replica, log, self, wantedVoters } = this.#options;
-    const enough = replica.commitIndex - CAUGHT_UP_DISTANCE;
+    const { replica, log, self } = this.#options;
     const next = planMembers(replica.members, {
       self: self.id,
-      wantedVoters,
-      hasCaughtUp: (id) => {
-        const match = replica.matchIndexOf(id);
-        const isFit = !this.#isSilent(id, UNFIT_AFTER);
-        return isFit && match > 0 && match >= enough;
-      },
+      wantedVoters: this.#wantedVoters,
+      hasCaughtUp: (id) => this.#hasCaughtUp(id),
       isLost: (id) => this.#isSilent(id, SILENT_AFTER),
     });
     if (next !== undefined) {
@@ -210,6 +212,15 @@
     }
   }
 
+  /** Whether a learner is fit to vote: it answers and holds nearly all. */
+  #hasCaughtUp(id: string): boolean {
+    const { replica } = this.#options;
+    const match = replica.matchIndexOf(id);
+    const isFit = !this.#isSilent(id, UNFIT_AFTER);
+    const enough = replica.commitIndex - CAUGHT_UP_DISTANCE;
+    return isFit && match > 0 && match >= enough;
+  }
+
   #askToJoin(): void {
     const { self, seeds, directory } = this.#options;
     for (const address of new Set([...seeds(), ...directory.addresses])) {
--- a/apps/heroncleatd/control/simulated_group.ts
+++ b/apps/heroncleatd/control/simulated_group.ts
@@ -1,5 +1,7 @@
 import { createSeededRandom } from "@heroncleat/base";
 import {
+  lossTolerance,
+  type PromisedLosses,
   Replica,
   type ReplicaEffect,
   type ReplicaEvent,
@@ -65,30 +67,39 @@
   seeds: string[];
   now = 0;
   readonly #seed: number;
+  readonly #promised: PromisedLosses;
   readonly #advanceTimers: (milliseconds: number) => Promise<void>;
   readonly #cut = new Set<string>();
   #packets: Packet[] = [];
   #disks = 0;
   #commands = 0;
 
-  /** @param names Names of the first VMs; the first three are the seeds. */
+  /**
+   * @param names Names of the first VMs; the first three are the seeds, and as
+   *     many as the losses take found the group.
+   */
   constructor(
     names: readonly string[],
     options: {
       seed: number;
+      /** Losses to bear; one where not said. */
+      losses?: number;
       advanceTimers: (milliseconds: number) => Promise<void>;
     },
   ) {
     this.#seed = options.seed;
+    const machines = options.losses ?? 1;
+    this.#promised = { machines, zones: 0, regions: 0 };
+    const founderCount = lossTolerance.voters(machines);
     this.#advanceTimers = options.advanceTimers;
     this.seeds = names.slice(0, 3).map(addressOf);
     for (const name of names) {
       this.#addVm(name);
     }
-    const founders = names.slice(0, 3).map((name) =>
+    const founders = names.slice(0, founderCount).map((name) =>
       this.#describe(this.vms.get(name)!)
     );
-    for (const name of names.slice(0, 3)) {
+    for (const name of names.slice(0, founderCount)) {
       this.vms.get(name)!.disk.founders = founders;
     }
   }
@@ -266,7 +277,8 @@
       pool: this.#poolOf(vm),
       log: quiet,
       metrics,
-      wantedVoters: 3,
+      promised: this.#promised,
+      regionOf: (zone) => zone,
       seeds: () => this.seeds,
       changeMembers: (members) =>
         this.#drive(vm, { kind: "change_members", token: "", members }),
--- a/apps/heroncleatd/control/start_control.ts
+++ b/apps/heroncleatd/control/start_control.ts
@@ -1,5 +1,5 @@
 import { createToken, splitList } from "@heroncleat/base";
-import { Replica } from "@heroncleat/consensus";
+import { lossTolerance, Replica } from "@heroncleat/consensus";
 import { Journal, readDiskIdentity } from "@heroncleat/journal";
 import type {
   Announcement,
@@ -281,7 +281,12 @@
       pool,
       log: this.#context.log("control"),
       metrics: this.#context.metrics,
-      wantedVoters: peers.length + 1,
+      promised: {
+        machines: lossTolerance.bornBy(peers.length + 1),
+        zones: 0,
+        regions: 0,
+      },
+      regionOf: (zone) => zone,
       seeds: () => peers,
       changeMembers: (members) =>
         actor.send({
--- a/apps/heroncleatd/gateway/control_links.ts
+++ b/apps/heroncleatd/gateway/control_links.ts
@@ -4,6 +4,7 @@
   exchangePause,
   type KnownEntry,
   median,
+  type ReplicaList,
   type SyncReply,
   type SyncRequest,
 } from "@heroncleat/serving";
@@ -314,7 +315,7 @@
     const askedAt = clock.steady();
     link.askedAt = askedAt;
     const suspectsTold = this.#options.suspectRevision();
-    let reply: SyncReply;
+    let reply: SyncReply | ReplicaList;
     try {
       reply = await pool.call(link.address, "hub.sync", {
         parameters: this.#options.describe({
@@ -326,12 +327,16 @@
           report: link.report,
         }),
         timeout: SYNC_TIMEOUT,
-      }) as SyncReply;
+      }) as SyncReply | ReplicaList;
     } catch {
       // A replica that doesn't answer is logged once it has been silent.
       this.#noteFailure(link);
       return;
     }
+    if ("replicas" in reply) {
+      this.#followList(link, reply);
+      return;
+    }
     try {
       // A replica that has started again may know of none.
       link.suspectsTold = reply.feed === link.feed ? suspectsTold : 0;
@@ -346,6 +351,20 @@
     }
   }
 
+  /**
+   * A process without a replica only says where they are. It is asked again
+   * while none of them answers.
+   */
+  #followList(link: ControlLink, { replicas }: ReplicaList): void {
+    const now = this.#options.clock.steady();
+    for (const address of replicas) {
+      this.#learn(address, now);
+    }
+    if (replicas.length > 0 && !replicas.includes(link.address)) {
+      this.#links.delete(link.address);
+    }
+  }
+
   #noteFailure(link: ControlLink): void {
     link.hasFailed = true;
     link.report.noteFailure();
--- a/apps/heroncleatd/hub/crashing_request_test.ts
+++ b/apps/heroncleatd/hub/crashing_request_test.ts
@@ -1,11 +1,8 @@
-import { execFile } from "node:child_process";
-import { mkdtempSync, writeFileSync } from "node:fs";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
 import { setTimeout as pause } from "node:timers/promises";
 import { eventually } from "./eventually.ts";
 import { RestartingUpstream } from "./restarting_upstream.ts";
 import { documentOf } from "./test_document.ts";
+import { runTool } from "./run_tool.ts";
 import { TestGroup } from "./test_group.ts";
 
 const FIRST_PORT = 25_700;
@@ -166,14 +163,14 @@
 test(
   "an operator sees a rejected request and has it sent on again",
   async () => {
-    const listed = await runTool("suspects");
+    const listed = await runTool(FIRST_PORT, ["suspects"]);
     const rejected = listed.split("\n").find((line) =>
       line.includes("rejected")
     );
     expect(rejected).toMatch(/ desk +7 /);
     const digest = rejected!.split(" ")[0]!;
     crashing = "no longer";
-    expect(await runTool("suspect-clear", digest)).toContain(
+    expect(await runTool(FIRST_PORT, ["suspect-clear", digest])).toContain(
       `cleared ${digest}`,
     );
     for (let at = 0; at < ENTRIES; at += 1) {
@@ -181,8 +178,10 @@
         (await group.ask(at, CRASHING)).status === 200
       );
     }
-    expect(await runTool("suspects")).not.toContain(digest);
-    expect(await runTool("suspect-clear", digest)).toContain("Remedy");
+    expect(await runTool(FIRST_PORT, ["suspects"])).not.toContain(digest);
+    expect(await runTool(FIRST_PORT, ["suspect-clear", digest])).toContain(
+      "Remedy",
+    );
     crashing = CRASHING;
   },
   60_000,
@@ -203,22 +202,3 @@
   expect(statuses.slice(-ENTRIES)).toEqual([400, 400]);
   expect(ends.length).toBeLessThan(ENTRIES * ENDS_BORNE);
 }, 60_000);
-
-/** Runs the operators' tool against the replicas, and returns what it prints. */
-function runTool(...words: string[]): Promise<string> {
-  const secret = join(
-    mkdtempSync(join(tmpdir(), "heroncleat-tool-")),
-    "secret",
-  );
-  writeFileSync(secret, "s\n");
-  const peers = [0, 1].map((at) => `127.0.0.1:${FIRST_PORT + at}`).join(",");
-  const options = ["--peers", peers, "--secret-file", secret];
-  const script = "apps/heroncleat/dist/main.js";
-  return new Promise((resolve) => {
-    execFile(
-      process.execPath,
-      [script, ...words, ...options],
-      (_, stdout, stderr) => resolve(stdout + stderr),
-    );
-  });
-}
--- /dev/null
+++ b/apps/heroncleatd/hub/hub_calls.ts
@@ -0,0 +1,10 @@
+/** By which processes without a replica pass calls on to one. */
+export const hubCalls = {
+  publish: "hub.publish",
+  readDocument: "hub.read_document",
+  mergeUpstream: "hub.merge_upstream",
+  removeUpstream: "hub.remove_upstream",
+  suspects: "hub.suspects",
+  clearSuspect: "hub.clear_suspect",
+  status: "hub.status",
+} as const;
--- a/apps/heroncleatd/hub/hub_group_test.ts
+++ b/apps/heroncleatd/hub/hub_group_test.ts
@@ -1,7 +1,7 @@
 import { createServer, type Server } from "node:http";
 import { setTimeout as pause } from "node:timers/promises";
 import { eventually } from "./eventually.ts";
-import type { RunningHub } from "./start_hub.ts";
+import type { RunningHub } from "./running_hub.ts";
 import { documentOf } from "./test_document.ts";
 import { TestGroup } from "./test_group.ts";
 import { testRecord } from "./test_record.ts";
--- a/apps/heroncleatd/hub/hub_settings.ts
+++ b/apps/heroncleatd/hub/hub_settings.ts
@@ -1,3 +1,5 @@
+import type { PromisedLosses } from "@heroncleat/consensus";
+
 /** Settings of the control side of request forwarding. */
 export type HubSettings = {
   readonly name: string;
@@ -6,8 +8,12 @@
   readonly peerAddress: string;
   /** Peer addresses of control replicas that may be up. */
   readonly seeds: readonly string[];
-  /** VMs with a replica that may be lost at once; twice as many and one vote. */
+  /** What may be lost at once while everything goes on. */
+  readonly promisedLosses: PromisedLosses;
+  /** VMs with a replica that may be lost at once, those of a lost zone too. */
   readonly toleratedLosses: number;
+  /** Region of each availability zone. */
+  readonly regions: Readonly<Record<string, string>>;
   /** Whether the whole system starts for the first time. */
   readonly isFirstStart: boolean;
   readonly dataFolder: string;
--- a/apps/heroncleatd/hub/replica_group.ts
+++ b/apps/heroncleatd/hub/replica_group.ts
@@ -1,9 +1,15 @@
 import type { Clock } from "@heroncleat/base";
-import { Replica, ReplicaRole } from "@heroncleat/consensus";
+import {
+  type GroupState,
+  lossTolerance,
+  Replica,
+  ReplicaRole,
+} from "@heroncleat/consensus";
 import { Journal, readDiskIdentity } from "@heroncleat/journal";
 import {
   checkConsensusMessage,
   type JoinReply,
+  type RegisterRequest,
   type ReplicaMember,
 } from "@heroncleat/schema";
 import type { MethodHandler, PeerPool } from "@heroncleat/transport";
@@ -14,13 +20,15 @@
 import { ConfirmedReads } from "../control/confirmed_reads.ts";
 import { GroupReconciler } from "../control/group_reconciler.ts";
 import { MemberDirectory } from "../control/member_directory.ts";
-import { formGroup } from "../control/form_group.ts";
 import { groupFile } from "../control/group_file.ts";
 import type { ProposalOutcome } from "../control/proposal_outcome.ts";
 import { ReplicaAccess } from "../control/replica_access.ts";
 import { ReplicaHost } from "../control/replica_host.ts";
 import type { ReplicaMessage } from "../control/replica_message.ts";
+import { FoundingRegister } from "./founding_register.ts";
+import { foundingCalls } from "./founding_calls.ts";
 import type { HubSettings } from "./hub_settings.ts";
+import { joinGroup } from "./join_group.ts";
 import { ServingApplication } from "./serving_application.ts";
 import type { ServingCommand } from "./serving_command.ts";
 
@@ -38,6 +46,8 @@
 const METHOD_PREFIX = "group";
 /** Time for a transfer of leadership before the process ends. */
 const TRANSFER_TIME = 300;
+/** Pause between notices to seeds without a replica of who is a member. */
+const ANNOUNCE_INTERVAL = 1000;
 
 /** What a group is started with. */
 type GroupOptions = {
@@ -73,6 +83,8 @@
   readonly #reads: ConfirmedReads;
   readonly #reconciler: GroupReconciler;
   readonly #ticker: NodeJS.Timeout;
+  readonly #announcer: NodeJS.Timeout;
+  readonly #founders: readonly ReplicaMember[];
   readonly #journal: Journal;
   #isConfirmed = false;
   #isOver = false;
@@ -88,6 +100,7 @@
   ) {
     this.#options = options;
     this.#self = parts.self;
+    this.#founders = parts.founders;
     this.#journal = parts.journal;
     const { clock, pool, log } = options;
     const fail = (error: unknown) => this.#fail(error);
@@ -157,7 +170,8 @@
       pool,
       log: log("group"),
       metrics: options.metrics,
-      wantedVoters: 2 * options.settings().toleratedLosses + 1,
+      promised: options.settings().promisedLosses,
+      regionOf: (zone) => options.settings().regions[zone] ?? zone,
       seeds: () => options.settings().seeds,
       changeMembers: (members) => this.#changeMembers(members),
       methodPrefix: METHOD_PREFIX,
@@ -166,6 +180,8 @@
     this.#ticker = setInterval(() => {
       this.#actor.send({ kind: "event", event: { kind: "tick" } });
     }, TICK);
+    this.#announcer = setInterval(() => this.#announce(), ANNOUNCE_INTERVAL);
+    this.#announce();
     this.#reconciler.start();
     void this.#confirmOnce();
   }
@@ -188,24 +204,26 @@
       zone: settings.zone,
       voter: true,
     };
+    const register = new FoundingRegister(options.clock.steady());
+    const founding = foundingCalls.methods(register, options.clock);
+    options.serve(founding);
     const stored = await groupFile.read(settings.dataFolder);
-    options.serve({
-      "control.join": (): JoinReply => ({
-        formed: stored !== undefined,
-        self,
-        members: [],
-        founders: [...stored?.founders ?? []],
-      }),
-    });
-    const founders = await formGroup({
+    const founders = stored?.founders ?? await joinGroup({
       self,
-      folder: settings.dataFolder,
-      peers: () => othersOf(options.settings()),
-      mayFound: settings.isFirstStart &&
-        settings.seeds.includes(settings.peerAddress),
-      pool: options.pool,
+      seeds: () => options.settings().seeds,
+      mayFound: settings.isFirstStart,
+      wantedFounders: lossTolerance.voters(settings.toleratedLosses),
+      clock: options.clock,
       log: options.log("group"),
+      ...foundingCalls.caller(options.pool, {
+        ownAddress: settings.peerAddress,
+        own: founding,
+      }),
     });
+    if (stored === undefined) {
+      await groupFile.write(settings.dataFolder, founders);
+    }
+    register.learnGroup(founders, []);
     const { journal, content } = opened.value;
     return new ReplicaGroup(options, { self, founders, journal, content });
   }
@@ -219,6 +237,11 @@
     return this.#self.address;
   }
 
+  /** How the group stands, as this replica knows it. */
+  get state(): GroupState {
+    return this.#reconciler.state;
+  }
+
   /** The state here; it may lag behind the group's. */
   get application(): ServingApplication {
     return this.#application;
@@ -265,6 +288,7 @@
     this.#actor.send({ kind: "event", event: { kind: "step_down" } });
     await new Promise((resolve) => setTimeout(resolve, TRANSFER_TIME));
     clearInterval(this.#ticker);
+    clearInterval(this.#announcer);
     this.#isOver = true;
     this.#actor.stop();
     await this.#journal.close();
@@ -278,6 +302,7 @@
     this.#isOver = true;
     this.#reconciler.stop();
     clearInterval(this.#ticker);
+    clearInterval(this.#announcer);
     this.#actor.stop();
     this.#journal.close().catch(() => {
       // The disk has failed already, which is what is reported.
@@ -292,6 +317,25 @@
     }
   }
 
+  /**
+   * Tells seeds that hold no replica who is a member. They forget it when they
+   * restart, and others learn of the group by the seeds alone.
+   */
+  #announce(): void {
+    const members = [...this.#replica.members];
+    const request: RegisterRequest = {
+      member: this.#self,
+      founders: [...this.#founders],
+      members,
+    };
+    const { settings, pool } = this.#options;
+    for (const seed of settings().seeds) {
+      if (!members.some(({ address }) => address === seed)) {
+        foundingCalls.announce(pool, seed, request);
+      }
+    }
+  }
+
   #changeMembers(members: readonly ReplicaMember[]): void {
     this.#actor.send({
       kind: "event",
@@ -322,7 +366,3 @@
     });
   }
 }
-
-function othersOf(settings: HubSettings): string[] {
-  return settings.seeds.filter((seed) => seed !== settings.peerAddress);
-}
--- a/apps/heroncleatd/hub/start_hub.ts
+++ b/apps/heroncleatd/hub/start_hub.ts
@@ -1,4 +1,5 @@
 import { type Clock, createToken, type Milliseconds } from "@heroncleat/base";
+import type { GroupState } from "@heroncleat/consensus";
 import {
   type FeedRequest,
   type FleetSettings,
@@ -18,9 +19,10 @@
 import { DutyRunner } from "./duty_runner.ts";
 import { FeedReader } from "./feed_reader.ts";
 import type { HubSettings } from "./hub_settings.ts";
+import { hubCalls } from "./hub_calls.ts";
+import type { PublishOutcome } from "./publish_outcome.ts";
 import { ReplicaGroup } from "./replica_group.ts";
-import type { StoredDocument } from "./serving_application.ts";
-import type { UpdateOutcome } from "./update_outcome.ts";
+import type { RunningHub } from "./running_hub.ts";
 import { UpstreamUpdates } from "./upstream_updates.ts";
 import { UsageStore } from "./usage_store.ts";
 
@@ -44,24 +46,6 @@
   readonly metrics: Metrics;
 };
 
-/** What a change of the document came to. */
-export type PublishOutcome = "accepted" | "unavailable";
-
-/** What operators and upstreams may ask of a running control replica. */
-export type RunningHub = {
-  /** Puts a checked document in force; accepted once a quorum has it. */
-  publish(document: ServingDocument, source: string): Promise<PublishOutcome>;
-  /** The newest document, or why it isn't known for sure. */
-  readDocument(): Promise<StoredDocument | "none" | "unavailable">;
-  /** Takes updates of an upstream in. */
-  mergeUpstream(record: UpstreamRecord): Promise<UpdateOutcome>;
-  /** Counts and logs updates under a name that can't be read. */
-  noteUnreadable(name: string, problem: string): void;
-  /** @param born When the start that leaves began, if it said so. */
-  removeUpstream(name: string, born?: Milliseconds): Promise<UpdateOutcome>;
-  stop(): Promise<void>;
-};
-
 /** Joins the control group and serves entries. */
 export async function startHub(options: StartOptions): Promise<RunningHub> {
   const hub = new Hub(createToken());
@@ -116,8 +100,8 @@
     "hub.feed": (parameters) =>
       hub.answerFeed(parameters as FeedRequest, clock.steady()),
     ...updates.methods(),
-    "hub.suspects": () => hub.crashes.list(clock.steady()),
-    "hub.clear_suspect": (parameters) => {
+    [hubCalls.suspects]: () => hub.crashes.list(clock.steady()),
+    [hubCalls.clearSuspect]: (parameters) => {
       const { request } = parameters as { request: string };
       const isNews = hub.crashes.noteAnswer(request, clock.steady());
       operations.info("An operator clears a request", {
@@ -161,28 +145,49 @@
     setTimeout(() => void start(), REOPEN_PAUSE);
   };
   void start();
-  return {
-    publish: async (document, source) => {
-      const { version } = document;
-      const outcome = await group?.propose({
-        kind: "publish",
-        version,
-        source,
-      });
-      const published = outcome?.kind === "done" ? "accepted" : "unavailable";
-      operations.info(`Configuration sent by an operator: ${published}`, {
-        version,
-        versionBefore: group?.application.document?.version ?? -1,
-        outcome: outcome?.kind ?? "no_group",
-      });
-      return published;
-    },
-    readDocument: async () => {
-      if (group === undefined || !await group.confirm()) {
-        return "unavailable";
-      }
-      return group.application.document ?? "none";
+  const publish = async (
+    { version, source }: { version: number; source: string },
+  ): Promise<PublishOutcome> => {
+    const outcome = await group?.propose({
+      kind: "publish",
+      version,
+      source,
+    });
+    const published = outcome?.kind === "done" ? "accepted" : "unavailable";
+    operations.info(`Configuration sent by an operator: ${published}`, {
+      version,
+      versionBefore: group?.application.document?.version ?? -1,
+      outcome: outcome?.kind ?? "no_group",
+    });
+    return published;
+  };
+  const readDocument = async () => {
+    if (group === undefined || !await group.confirm()) {
+      return "unavailable";
+    }
+    return group.application.document ?? "none";
+  };
+  options.serve({
+    [hubCalls.publish]: (parameters) =>
+      publish(parameters as Parameters<typeof publish>[0]),
+    [hubCalls.readDocument]: readDocument,
+    [hubCalls.mergeUpstream]: (parameters) =>
+      updates.merge((parameters as { record: UpstreamRecord }).record),
+    [hubCalls.removeUpstream]: (parameters) => {
+      const { name, born } = parameters as { name: string; born?: number };
+      return updates.remove(name, born);
     },
+    [hubCalls.status]: (): GroupState =>
+      group?.state ?? {
+        leader: "",
+        members: [],
+        promised: options.settings().promisedLosses,
+        unkept: ["This replica has no group yet. Remedy: ask another one."],
+      },
+  });
+  return {
+    publish: ({ version }, source) => publish({ version, source }),
+    readDocument,
     noteUnreadable: (name, problem) => updates.noteUnreadable(name, problem),
     mergeUpstream: (record) => updates.merge(record),
     removeUpstream: (name, born) => updates.remove(name, born),
--- a/apps/heroncleatd/hub/test_group.ts
+++ b/apps/heroncleatd/hub/test_group.ts
@@ -12,8 +12,8 @@
 const metrics = { increment() {}, gauge() {}, timing() {}, close() {} };
 
 /**
- * Four control replicas and some entries in one process, with real sockets, for
- * tests of what passes between them.
+ * Control replicas, four where not said, and some entries in one process, with
+ * real sockets, for tests of what passes between them.
  */
 export class TestGroup {
   readonly hubs: readonly TestHub[];
@@ -21,10 +21,16 @@
   readonly #pools: PeerPool[] = [];
   readonly #firstPort: number;
 
-  /** @param firstPort First of 22 ports that only this test uses. */
-  constructor(firstPort: number) {
+  /**
+   * @param firstPort First of 22 ports that only this test uses.
+   * @param disks Whether each process of the control role has a disk; the first
+   *     three are the seeds.
+   */
+  constructor(firstPort: number, disks = [true, true, true, true]) {
     this.#firstPort = firstPort;
-    this.hubs = [0, 1, 2, 3].map((at) => new TestHub(at, firstPort));
+    this.hubs = disks.map((hasDisk, at) =>
+      new TestHub(at, firstPort, { hasDisk })
+    );
   }
 
   async start(options: { entries: number }): Promise<void> {
--- a/apps/heroncleatd/hub/test_hub.ts
+++ b/apps/heroncleatd/hub/test_hub.ts
@@ -5,7 +5,9 @@
 import { PeerPool, PeerServer } from "@heroncleat/transport";
 import { decodeTestDocument } from "./decode_test_document.ts";
 import type { DutyCalls, DutyHolder } from "./duty_calls.ts";
-import { type RunningHub, startHub } from "./start_hub.ts";
+import type { RunningHub } from "./running_hub.ts";
+import { startHub } from "./start_hub.ts";
+import { startHubProxy } from "./start_hub_proxy.ts";
 import { testSeeds } from "./test_seeds.ts";
 
 const quiet = { debug() {}, info() {}, warn() {}, error() {} };
@@ -18,7 +20,10 @@
   readonly counts: object;
 };
 
-/** One control replica of a test, which can be stopped, lost and wiped. */
+/**
+ * One process of the control role of a test, which can be stopped, lost and
+ * wiped; without a disk it holds no replica.
+ */
 export class TestHub {
   readonly #at: number;
   readonly #firstPort: number;
@@ -28,9 +33,16 @@
   #server: PeerServer | undefined;
   #hub: RunningHub | undefined;
 
-  constructor(at: number, firstPort: number) {
+  readonly #hasDisk: boolean;
+
+  constructor(
+    at: number,
+    firstPort: number,
+    { hasDisk = true }: { hasDisk?: boolean } = {},
+  ) {
     this.#at = at;
     this.#firstPort = firstPort;
+    this.#hasDisk = hasDisk;
   }
 
   get hub(): RunningHub {
@@ -50,14 +62,41 @@
       onProblem: () => {},
     });
     this.#server = server;
-    this.#hub = await startHub({
+    this.#hub = this.#hasDisk
+      ? await this.#startReplica(server, { address, ...options })
+      : this.#startProxy(server, address);
+    await server.listen();
+  }
+
+  #startProxy(server: PeerServer, address: string): RunningHub {
+    return startHubProxy({
+      settings: () => ({
+        zone: `zone-${this.#at}`,
+        peerAddress: address,
+        seeds: testSeeds(this.#firstPort),
+      }),
+      pool: this.#pool!,
+      serve: (methods) => server.serve(methods),
+      clock: createSystemClock(),
+      log: () => quiet,
+      metrics,
+    });
+  }
+
+  async #startReplica(
+    server: PeerServer,
+    { address, isFirstStart }: { address: string; isFirstStart: boolean },
+  ): Promise<RunningHub> {
+    return await startHub({
       settings: () => ({
         name: `hub-${this.#at}`,
         zone: `zone-${this.#at}`,
         peerAddress: address,
         seeds: testSeeds(this.#firstPort),
+        promisedLosses: { machines: 1, zones: 0, regions: 0 },
         toleratedLosses: 1,
-        isFirstStart: options.isFirstStart,
+        regions: {},
+        isFirstStart,
         dataFolder: this.#folder,
         electionTimeout: 1500,
         clockDrift: 0.05,
@@ -72,13 +111,12 @@
       },
       decodeDocument: decodeTestDocument,
       calls: this.#calls(),
-      pool: this.#pool,
+      pool: this.#pool!,
       serve: (methods) => server.serve(methods),
       clock: createSystemClock(),
       log: () => quiet,
       metrics,
     });
-    await server.listen();
   }
 
   async stop(): Promise<void> {
--- a/packages/consensus/plan_members.ts
+++ b/packages/consensus/plan_members.ts
@@ -68,20 +68,26 @@
   return members.slice(place + 1).some(({ name }) => name === member.name);
 }
 
-/** A learner that can vote, best in a zone in which no sound voter is. */
+/** A learner that can vote, best in the zone with the fewest sound voters. */
 function findStandby(
   members: readonly ReplicaMember[],
   knowledge: MemberKnowledge,
 ): ReplicaMember | undefined {
-  const candidates = members.filter(({ id, voter }) =>
-    !voter && knowledge.hasCaughtUp(id)
-  );
   const sound = members.filter(({ id, voter }) =>
     voter && !knowledge.isLost(id)
   );
-  const isInNewZone = ({ zone }: ReplicaMember) =>
-    !sound.some((voter) => voter.zone === zone);
-  return candidates.find(isInNewZone) ?? candidates[0];
+  const votersBeside = ({ zone }: ReplicaMember) =>
+    sound.filter((voter) => voter.zone === zone).length;
+  let best: ReplicaMember | undefined;
+  for (const member of members) {
+    if (member.voter || !knowledge.hasCaughtUp(member.id)) {
+      continue;
+    }
+    if (best === undefined || votersBeside(member) < votersBeside(best)) {
+      best = member;
+    }
+  }
+  return best;
 }
 
 function without(
--- a/packages/schema/generate.mjs
+++ b/packages/schema/generate.mjs
@@ -24,6 +24,8 @@
   "JournalRecord",
   "LogSnapshot",
   "JoinRequest",
+  "RegisterRequest",
+  "HoldRequest",
   "MembershipMessage",
   "CopyMessage",
   "CopyReply",
--- a/packages/serving/mod.ts
+++ b/packages/serving/mod.ts
@@ -15,6 +15,7 @@
 export type { FeedRequest } from "./feed_request.ts";
 export type { KnownEntry } from "./known_entry.ts";
 export type { PromptPart } from "./prompt_part.ts";
+export type { ReplicaList } from "./replica_list.ts";
 export type { Route } from "./route.ts";
 export type { EngineProfile } from "./engine_profile.ts";
 export type { ScaleLimits } from "./scale_limits.ts";
--- a/packages/transport/peer_pool.ts
+++ b/packages/transport/peer_pool.ts
@@ -35,8 +35,14 @@
     return await this.#connectionTo(address).call(method, options);
   }
 
-  /** Sends a message that has no answer; it may be lost. */
+  /**
+   * Sends a message that has no answer; it may be lost, and is once the pool is
+   * closed.
+   */
   notify(address: string, method: string, parameters: unknown): void {
+    if (this.#closed) {
+      return;
+    }
     this.#connectionTo(address).notify(method, parameters);
   }
 
