--- a/apps/heroncleatd/gateway/caller_request.ts
+++ b/apps/heroncleatd/gateway/caller_request.ts
@@ -21,7 +21,7 @@
   readonly workspace: Workspace | undefined;
   /** Absent where the request names no prompt. */
   readonly prompt: Prompt | undefined;
-  /** Most tokens that it may generate; 0 where that isn't said. */
+  /** Tokens that the caller expects, or allows; 0 where it says neither. */
   readonly size: number;
   /** Latest first token that is of use, counted from the arrival. */
   readonly objective: Milliseconds;
--- a/apps/heroncleatd/gateway/gateway.ts
+++ b/apps/heroncleatd/gateway/gateway.ts
@@ -30,8 +30,8 @@
 import { sendOwnAnswer } from "./send_own_answer.ts";
 
 /**
- * Longest wait for a configuration after a start; with the control replicas
- * starting at the same time it arrives within 1.2 s, as measured in days.
+ * Longest wait for a configuration after a start. Where the control replicas
+ * start at the same time it may take longer.
  */
 const CONFIGURATION_WAIT: Milliseconds = 700;
 /** When to come back when none has arrived by then. */
@@ -72,11 +72,17 @@
   }
   | { readonly kind: "refused"; readonly answer: OwnAnswer };
 
+/** A request without a final answer. */
+type RequestUnderWay = {
+  readonly request: string;
+  /** Monotonic time. */
+  readonly arrivedAt: Milliseconds;
+};
+
 /** Takes callers' requests: checks, charges, forwards and logs each. */
 export class Gateway {
   readonly #options: GatewayOptions;
-  /** Monotonic times of arrival of requests without a final answer. */
-  readonly #underWay = new Set<{ readonly arrivedAt: Milliseconds }>();
+  readonly #underWay = new Set<RequestUnderWay>();
 
   constructor(options: GatewayOptions) {
     this.#options = options;
@@ -88,19 +94,18 @@
   }
 
   /** Those of them that arrived since a monotonic time. */
-  countSince(time: Milliseconds): number {
-    let count = 0;
-    for (const { arrivedAt } of this.#underWay) {
-      count += arrivedAt >= time ? 1 : 0;
-    }
-    return count;
+  listSince(time: Milliseconds): RequestUnderWay[] {
+    return [...this.#underWay].filter(({ arrivedAt }) => arrivedAt >= time);
   }
 
   async handle(
     incoming: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const entered = { arrivedAt: this.#options.clock.steady() };
+    const entered: RequestUnderWay = {
+      request: this.#attemptOf(incoming),
+      arrivedAt: this.#options.clock.steady(),
+    };
     this.#underWay.add(entered);
     try {
       await this.#serve({ incoming, response }, entered.arrivedAt);
@@ -319,6 +324,7 @@
       documentVersion: call.documentVersion,
       promptTokens: call.prompt?.promptTokens ?? 0,
       charge: result.charge,
+      size: call.size,
       paidFrom: result.isBeyondQuota ? "tolerance" : "quota",
       status: result.status,
       objective: call.route.latencyObjective,
@@ -370,8 +376,9 @@
   }
 }
 
+/** How much a caller wants, to compare the times of runs by. */
 function sizeOf(prompt: Prompt | undefined): number {
-  return prompt?.outputTokens ?? 0;
+  return prompt?.expectedTokens ?? prompt?.outputTokens ?? 0;
 }
 
 function refused(answer: OwnAnswer): Admitted {
--- a/apps/heroncleatd/gateway/leave_deadline.ts
+++ b/apps/heroncleatd/gateway/leave_deadline.ts
@@ -18,7 +18,7 @@
 /** What is asked of a request. */
 type TimedRequest = {
   readonly route: Route;
-  /** Most tokens that it may generate; 0 where that isn't said. */
+  /** Tokens that its caller expects, or allows; 0 where it says neither. */
   readonly size: number;
   /** Monotonic time at which it is given up. */
   readonly until: Milliseconds;
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -48,6 +48,8 @@
 /** Connections that may wait to be taken. */
 const BACKLOG = 1024;
 const FORGET_INTERVAL = 5000;
+/** Requests that one line of the log names. */
+const MOST_NAMED = 5;
 /** Requests that one datagram names, some 3 KB of each at most. */
 const SUSPECTS_A_NOTICE = 10;
 /** Pause between direct notices of charges while no control replica answers. */
@@ -275,13 +277,18 @@
   /** Tells of requests that had no end when the grace period was over. */
   #noteCuts(stoppedAt: Milliseconds): void {
     const { underWay } = this.#gateway;
-    if (underWay > 0) {
-      this.#options.metrics.increment("gateway.cut_by_stop", underWay);
-      this.#log.warn("Cuts requests, as the grace period is over", {
-        underWay,
-        takenWhileLeaving: this.#gateway.countSince(stoppedAt),
-      });
+    if (underWay === 0) {
+      return;
     }
+    const taken = this.#gateway.listSince(stoppedAt);
+    this.#options.metrics.increment("gateway.cut_by_stop", underWay);
+    this.#log.warn("Cuts requests, as the grace period is over", {
+      underWay,
+      takenWhileLeaving: taken.length,
+      requests: taken.slice(0, MOST_NAMED).map(({ request, arrivedAt }) =>
+        `${request} taken after ${Math.round(arrivedAt - stoppedAt)} ms`
+      ).join(", "),
+    });
   }
 
   #createContext(): ForwardContext {
