--- a/apps/heroncleatd/control/group_reconciler.ts
+++ b/apps/heroncleatd/control/group_reconciler.ts
@@ -27,8 +27,7 @@
 const CAUGHT_UP_DISTANCE = 5;
 /**
  * Silence after which a member may be replaced. A leader that is gone for good
- * is noticed an election later: with 3 s its place was taken after 3.8 s, with
- * 2 s after 2.8 s (medians of 20 simulated groups in virtual time).
+ * is noticed an election later.
  */
 const SILENT_AFTER: Milliseconds = 2000;
 /** Silence after which a learner isn't fit to take a voter's place. */
@@ -232,9 +231,7 @@
 
   /**
    * Asks one replica for its members, too: any of them may lead, and this one
-   * can neither ask nor answer a leader whose address it doesn't know (a
-   * replica whose disk was lost while a later member led stayed a learner for
-   * 11 s, or was never taken in).
+   * can neither ask nor answer a leader whose address it doesn't know.
    */
   #ask(address: string): void {
     const { self, pool, directory, methodPrefix } = this.#options;
--- a/apps/heroncleatd/hub/leaving_upstream_test.ts
+++ b/apps/heroncleatd/hub/leaving_upstream_test.ts
@@ -57,17 +57,17 @@
   "nothing reaches an upstream whose leave was acknowledged and its replica lost",
   async () => {
     let sequence = 0;
-    const beat = () =>
+    const heartbeat = () =>
       hubs[1]!.hub.mergeUpstream(
         testRecord(NAME, { address: DESK, sequence: sequence += 1 }),
       );
-    await beat();
-    const beats = setInterval(() => void beat(), HEARTBEAT_INTERVAL);
+    await heartbeat();
+    const beats = setInterval(() => void heartbeat(), HEARTBEAT_INTERVAL);
     for (const at of [0, 1]) {
       await eventually(async () => (await group.ask(at)).status === 200);
     }
     clearInterval(beats);
-    await beat();
+    await heartbeat();
 
     // A replica that has just started promises nothing before it is a member.
     await eventually(async () =>
--- a/apps/heroncleatd/hub/restarting_upstream.ts
+++ b/apps/heroncleatd/hub/restarting_upstream.ts
@@ -64,8 +64,8 @@
     );
     this.#server = server;
     this.#born += 1000;
-    this.#beat();
-    this.#beats = setInterval(() => this.#beat(), HEARTBEAT_INTERVAL);
+    this.#heartbeat();
+    this.#beats = setInterval(() => this.#heartbeat(), HEARTBEAT_INTERVAL);
   }
 
   /** Ends without a word, and runs again later. */
@@ -91,7 +91,7 @@
     this.#server = undefined;
   }
 
-  #beat(): void {
+  #heartbeat(): void {
     const { name, port, report } = this.#options;
     this.#sequence += 1;
     report({
--- a/apps/heroncleatd/hub/simulated_leaves.ts
+++ b/apps/heroncleatd/hub/simulated_leaves.ts
@@ -83,7 +83,7 @@
     let acknowledgedAt = Infinity;
     for (; this.#now < LENGTH; this.#now += STEP) {
       if (this.#now < leaveAt) {
-        this.#beat();
+        this.#heartbeat();
       } else if (acknowledgedAt === Infinity && await this.#leave()) {
         acknowledgedAt = this.#now;
         this.#loseAfterAcknowledgement();
@@ -151,7 +151,7 @@
     return running[Math.floor(this.#options.random() * running.length)];
   }
 
-  #beat(): void {
+  #heartbeat(): void {
     if (this.#now % HEARTBEAT === 0) {
       this.#sequence += 1;
       this.#drawReplica()?.hub.mergeUpstream(this.#record(), this.#now);
@@ -267,8 +267,8 @@
         }
         for (const [id, sequence] of Object.entries(reply.beats)) {
           const age = reply.ages?.[id] ?? 0;
-          const beat = { sequence, reporter: address, age };
-          entry.directory.refresh(id, this.#now, beat);
+          const heartbeat = { sequence, reporter: address, age };
+          entry.directory.refresh(id, this.#now, heartbeat);
         }
         entry.feeds.set(address, reply);
       }
--- a/packages/serving/fleet_need.ts
+++ b/packages/serving/fleet_need.ts
@@ -17,7 +17,7 @@
  */
 const SPEED_WAIT: Milliseconds = 8000;
 
-/** Part of an upstream that isn't worth another one. */
+/** Part of an upstream for which no other one is held. */
 const NEGLIGIBLE = 0.1;
 
 /**
--- a/packages/serving/fleet_planner.ts
+++ b/packages/serving/fleet_planner.ts
@@ -11,9 +11,8 @@
 
 /**
  * Part of the need that must be left when the fullest zone is reclaimed. The
- * rest boots within the notice and a second or two more, if it can be ordered:
- * on a day on which the control group was split as the third zone went, 0.6
- * left worth 0.475, 0.8 left 0.665; on five calmer days it cost 0.01 of worth.
+ * rest boots within the notice and a second or two more, if it can be ordered;
+ * while the control group is split nothing can.
  */
 const SECURED_SHARE = 0.8;
 /** Time for which reclaimable upstreams are held for a load that fell. */
@@ -23,7 +22,7 @@
 /**
  * Time after a start, or after another process planned, in which the fleet that
  * was found isn't made smaller: by then the load has been measured. A leader
- * that took over 1 s into a load let go 8 of 12 upstreams and cut their streams.
+ * that plans without it lets upstreams go under load and cuts their streams.
  */
 const LEARN_FOR: Milliseconds = 8000;
 /** Pause between two plans from which another process may have planned. */
--- a/packages/serving/hub.ts
+++ b/packages/serving/hub.ts
@@ -121,11 +121,15 @@
   refreshUpstream(
     id: string,
     now: Milliseconds,
-    beat: UpdateSource & { sequence: number },
+    heartbeat: UpdateSource & { sequence: number },
   ): void {
     const known = this.directory.get(id)?.record;
     if (known !== undefined) {
-      this.mergeUpstream({ ...known, sequence: beat.sequence }, now, beat);
+      this.mergeUpstream(
+        { ...known, sequence: heartbeat.sequence },
+        now,
+        heartbeat,
+      );
     }
   }
 
--- a/packages/serving/leaving_start_test.ts
+++ b/packages/serving/leaving_start_test.ts
@@ -10,7 +10,7 @@
 /** Ages up to this are left out at each of two hops. */
 const LEAST_AGE = 500;
 
-function beat(
+function heartbeat(
   sequence: number,
   changes: Partial<UpstreamRecord> = {},
 ): UpstreamRecord {
@@ -74,7 +74,7 @@
 // after it. With the age told along, silence ends at the same moment for all.
 test("a silent upstream is as old to whoever starts as to the others", () => {
   const heard = new Hub("heard");
-  heard.mergeUpstream(beat(1), 0);
+  heard.mergeUpstream(heartbeat(1), 0);
   const started = new Hub("started");
   read(started, heard, 4000);
   const entry = startEntry(started, 4800);
@@ -87,9 +87,9 @@
 test("heartbeats told on later count from when they came in", () => {
   const heard = new Hub("heard");
   const reader = new Hub("reader");
-  heard.mergeUpstream(beat(1), 0);
+  heard.mergeUpstream(heartbeat(1), 0);
   read(reader, heard, 0);
-  heard.mergeUpstream(beat(2), 1000);
+  heard.mergeUpstream(heartbeat(2), 1000);
   const reply = heard.answerFeed({ feed: "heard", revision: 1 }, 3000);
   expect(reply.beats).toEqual({ [NAME]: 2 });
   reader.learnFeed(reply, 3000, { reporter: "heard" });
@@ -98,9 +98,9 @@
 
 test("word of a replica that knows less makes no heartbeat older", () => {
   const hub = new Hub("h");
-  hub.mergeUpstream(beat(3), 2000);
+  hub.mergeUpstream(heartbeat(3), 2000);
   const source = { reporter: "other", age: 1900 };
-  hub.mergeUpstream(beat(3, { state: "draining" }), 2100, source);
+  hub.mergeUpstream(heartbeat(3, { state: "draining" }), 2100, source);
   expect(hub.directory.get(NAME)?.receivedAt).toBe(2000);
 });
 
@@ -109,14 +109,14 @@
 // the living one, it counted as ready.
 test("a start that was taken for an earlier one still leaves", () => {
   const hub = new Hub("h");
-  hub.mergeUpstream(beat(1, { born: 9000 }), 0);
-  hub.mergeUpstream(beat(1, { born: 5000 }), 100);
-  hub.mergeUpstream(beat(2, { born: 5000, state: "draining" }), 200);
+  hub.mergeUpstream(heartbeat(1, { born: 9000 }), 0);
+  hub.mergeUpstream(heartbeat(1, { born: 5000 }), 100);
+  hub.mergeUpstream(heartbeat(2, { born: 5000, state: "draining" }), 200);
   const entry = startEntry(hub, 300);
   const earlier = startId(NAME, 5000);
   expect(entry.get(earlier)?.record.state).toBe("draining");
-  hub.mergeUpstream(beat(3, { born: 5000 }), 3000);
-  hub.mergeUpstream(beat(4, { born: 5000 }), 4000);
+  hub.mergeUpstream(heartbeat(3, { born: 5000 }), 3000);
+  hub.mergeUpstream(heartbeat(4, { born: 5000 }), 4000);
   expect(hub.directory.isOver(earlier)).toBe(false);
   expect(hub.directory.get(earlier)?.record.state).toBe("draining");
 });
@@ -129,7 +129,7 @@
   const fresh = new Hub("fresh");
   fresh.removeUpstream(NAME, 9900);
   const knowing = new Hub("knowing");
-  knowing.mergeUpstream(beat(7, { born: 5000 }), 1000);
+  knowing.mergeUpstream(heartbeat(7, { born: 5000 }), 1000);
   const before = knowing.revision;
   read(knowing, fresh, 10_000);
   const { upstreams } = knowing.answerFeed(
--- a/packages/serving/notice_threshold.ts
+++ b/packages/serving/notice_threshold.ts
@@ -1,6 +1,6 @@
 import type { Milliseconds } from "@heroncleat/base";
 
-/** Shorter prompts aren't worth a message to each entry. */
+/** Shorter prompts delay others by less than a message costs each entry. */
 const LEAST: Milliseconds = 10;
 /**
  * Notices a second that an entry should receive at most. Each costs it about
--- a/packages/serving/quota_limits.ts
+++ b/packages/serving/quota_limits.ts
@@ -5,10 +5,7 @@
 
 /**
  * Part of the tolerated excess that may be spent on purpose. The rest covers
- * what entries spend before they learn of each other. With this and the parts
- * below, windows of 40 simulated loads with cuts used 0.74 of what is tolerated
- * at most; 0.1 here served 0.02 less of the worth of a simulated day with a
- * workspace beyond its quota.
+ * what entries spend before they learn of each other.
  */
 const EXCESS_SHARE = 0.3;
 const SECOND: Milliseconds = 1000;
--- a/packages/serving/reading_speed.ts
+++ b/packages/serving/reading_speed.ts
@@ -3,7 +3,7 @@
 
 /** First tokens that are remembered; the oldest yield. */
 const MOST_SAMPLES = 96;
-/** First tokens from which the estimate is worth more than the others'. */
+/** First tokens from which the estimate is better than the others'. */
 const LEAST_SAMPLES = 18;
 /** New first tokens after which the estimate is made anew. */
 const RENEWED_AFTER = 6;
@@ -28,9 +28,7 @@
  * engine's start-up time and other work, which meet both alike, fall out.
  *
  * It guards the choice of an upstream and the size of the fleet against
- * figures of another engine: with engines that read 112 tokens a millisecond
- * and a constant of 50, twice the upstreams needed were held (bill of 0.21 of
- * the worth against 0.13).
+ * figures of another engine.
  *
  * @internal
  */
--- a/packages/serving/upstream_directory.ts
+++ b/packages/serving/upstream_directory.ts
@@ -101,16 +101,16 @@
   refresh(
     id: string,
     now: Milliseconds,
-    beat: UpdateSource & { sequence: number },
+    heartbeat: UpdateSource & { sequence: number },
   ): void {
-    const { sequence } = beat;
+    const { sequence } = heartbeat;
     const known = this.#known.get(id);
     const isNew = known !== undefined && sequence > known.record.sequence;
     if (!isNew || this.#isSuperseded(known, now)) {
       return;
     }
-    if (this.#starts.receive(known.record, now - beat.age)) {
-      this.#note({ ...known.record, sequence }, now, beat);
+    if (this.#starts.receive(known.record, now - heartbeat.age)) {
+      this.#note({ ...known.record, sequence }, now, heartbeat);
     }
   }
 
--- a/packages/serving/upstream_directory_test.ts
+++ b/packages/serving/upstream_directory_test.ts
@@ -57,12 +57,12 @@
     fc.assert(
       fc.property(fc.array(updates), fc.array(updates), (before, after) => {
         const directory = new UpstreamDirectory();
-        for (const beat of before) {
-          directory.merge({ ...record, ...beat }, 0);
+        for (const heartbeat of before) {
+          directory.merge({ ...record, ...heartbeat }, 0);
         }
         directory.remove("u1", 1);
-        for (const beat of after) {
-          directory.merge({ ...record, ...beat }, 2);
+        for (const heartbeat of after) {
+          directory.merge({ ...record, ...heartbeat }, 2);
         }
         expect(directory.get("u1")?.record.state).toBe("gone");
       }),
@@ -81,8 +81,8 @@
       const states = [list, list.toReversed(), [...list, ...list]].map(
         (order) => {
           const directory = new UpstreamDirectory();
-          for (const beat of order) {
-            directory.merge({ ...record, ...beat }, 0);
+          for (const heartbeat of order) {
+            directory.merge({ ...record, ...heartbeat }, 0);
           }
           return directory.get("u1")?.record.state;
         },
--- a/packages/serving/upstream_starts_test.ts
+++ b/packages/serving/upstream_starts_test.ts
@@ -3,7 +3,7 @@
 
 const NAME = "i-7";
 
-function beat(
+function heartbeat(
   born: number,
   sequence: number,
   part: Partial<UpstreamRecord> = {},
@@ -36,17 +36,17 @@
 describe("an upstream that starts again under its name", () => {
   test("is a new one at once, though it counts from one", () => {
     const directory = new UpstreamDirectory();
-    directory.merge(beat(1000, 40), 0);
-    expect(directory.merge(beat(2000, 1), 100)).toBe("changed");
+    directory.merge(heartbeat(1000, 40), 0);
+    expect(directory.merge(heartbeat(2000, 1), 100)).toBe("changed");
     expect(living(directory)).toEqual(["2000 ready 1"]);
     expect(directory.isOver(startId(NAME, 1000))).toBe(true);
   });
 
   test("is there again after it had drained and left", () => {
     const directory = new UpstreamDirectory();
-    directory.merge(beat(1000, 40, { state: "draining" }), 0);
+    directory.merge(heartbeat(1000, 40, { state: "draining" }), 0);
     directory.remove(startId(NAME, 1000), 100);
-    directory.merge(beat(2000, 1), 200);
+    directory.merge(heartbeat(2000, 1), 200);
     expect(living(directory)).toEqual(["2000 ready 1"]);
   });
 
@@ -54,43 +54,45 @@
     "isn't touched by late updates of the earlier start, %s",
     (state) => {
       const directory = new UpstreamDirectory();
-      directory.merge(beat(1000, 40), 0);
-      directory.merge(beat(2000, 1), 100);
+      directory.merge(heartbeat(1000, 40), 0);
+      directory.merge(heartbeat(2000, 1), 100);
       // That an earlier start leaves is kept; nothing else of it is.
       const outcome = state === "ready" ? "late" : "changed";
-      expect(directory.merge(beat(1000, 41, { state }), 200)).toBe(outcome);
+      expect(directory.merge(heartbeat(1000, 41, { state }), 200)).toBe(
+        outcome,
+      );
       expect(directory.get(startId(NAME, 1000))?.record.state).toBe(state);
       // Two heartbeats that a cut held up come at once.
-      directory.merge(beat(1000, 42, { state }), 3000);
-      directory.merge(beat(1000, 43, { state }), 3010);
+      directory.merge(heartbeat(1000, 42, { state }), 3000);
+      directory.merge(heartbeat(1000, 43, { state }), 3010);
       expect(living(directory)).toEqual(["2000 ready 1"]);
     },
   );
 
   test("isn't touched by late updates of an earlier start that nobody knew", () => {
     const directory = new UpstreamDirectory();
-    directory.merge(beat(2000, 1), 100);
-    directory.merge(beat(1000, 41), 200);
+    directory.merge(heartbeat(2000, 1), 100);
+    directory.merge(heartbeat(1000, 41), 200);
     expect(living(directory)).toEqual(["2000 ready 1"]);
   });
 
   test("lives at another address, with a clock that was set back", () => {
     const directory = new UpstreamDirectory();
-    directory.merge(beat(5000, 40), 0);
+    directory.merge(heartbeat(5000, 40), 0);
     const moved = { address: "10.0.0.2:80" };
     for (const [at, sequence] of [[1500, 1], [2700, 2], [3900, 3]] as const) {
-      directory.merge(beat(3000, sequence, moved), at);
+      directory.merge(heartbeat(3000, sequence, moved), at);
     }
     expect(living(directory)).toEqual(["3000 ready 3"]);
     // The one it was taken for is seen again after all.
-    directory.merge(beat(5000, 41), 4000);
+    directory.merge(heartbeat(5000, 41), 4000);
     expect(living(directory)).toEqual(["5000 ready 41"]);
   });
 
   test("leaves by the birth that its departure names", () => {
     const hub = new Hub("f");
-    hub.mergeUpstream(beat(1000, 40), 0);
-    hub.mergeUpstream(beat(2000, 1), 100);
+    hub.mergeUpstream(heartbeat(1000, 40), 0);
+    hub.mergeUpstream(heartbeat(2000, 1), 100);
     hub.removeUpstream(NAME, 200, 1000);
     expect(living(hub.directory)).toEqual(["2000 ready 1"]);
     hub.removeUpstream(NAME, 300, 2000);
@@ -99,19 +101,19 @@
 
   test("isn't removed by a departure of before that names no birth", () => {
     const hub = new Hub("f");
-    hub.mergeUpstream(beat(1000, 40), 0);
-    hub.mergeUpstream(beat(2000, 1), 100);
+    hub.mergeUpstream(heartbeat(1000, 40), 0);
+    hub.mergeUpstream(heartbeat(2000, 1), 100);
     expect(hub.removeUpstream(NAME, 200)).toBeUndefined();
     expect(living(hub.directory)).toEqual(["2000 ready 1"]);
-    hub.mergeUpstream(beat(2000, 8), 9000);
+    hub.mergeUpstream(heartbeat(2000, 8), 9000);
     expect(hub.removeUpstream(NAME, 9100)).toBe(startId(NAME, 2000));
     expect(living(hub.directory)).toEqual(["2000 gone 9"]);
   });
 
   test("is sent to entries alone, and not the start before it", () => {
     const hub = new Hub("f");
-    hub.mergeUpstream(beat(1000, 40), 0);
-    hub.mergeUpstream(beat(2000, 1), 100);
+    hub.mergeUpstream(heartbeat(1000, 40), 0);
+    hub.mergeUpstream(heartbeat(2000, 1), 100);
     const { upstreams } = hub.answerFeed({ feed: "", revision: 0 }, 200);
     expect(upstreams.map(({ id }) => id)).toEqual([startId(NAME, 2000)]);
   });
@@ -126,7 +128,7 @@
       let now = 0;
       for (const { born, sequence } of steps) {
         now += 60;
-        directory.merge(beat(born, sequence), now);
+        directory.merge(heartbeat(born, sequence), now);
       }
       const last = Math.max(...steps.map(({ born }) => born));
       const lives = [...directory.list()].map(({ record }) => record.born);
--- a/packages/serving/workspace_quota.ts
+++ b/packages/serving/workspace_quota.ts
@@ -43,9 +43,7 @@
 /**
  * Part of the tolerated excess by which one request may overdraw the bucket.
  * A bucket that is asked for more than its rate is nearly empty all the time;
- * without an overdraft it serves small requests only. Of the largest tenth of
- * a workspace's prompts 0.66 of the worth was served under a lowered quota
- * without it, 0.73 with it (one simulated day each).
+ * without an overdraft it serves small requests only.
  */
 const OVERDRAFT_SHARE = 0.2;
 
@@ -87,9 +85,8 @@
  * A bucket of the burst refills by the rate; besides, the sum of any window is
  * bounded by what the bucket can give in it, whatever an entry missed or
  * counted wrongly before. A refill by the burst once a window, which the
- * window's sum alone would allow, serves 0.01 more of the worth of days with a
- * hot workspace, and overruns the tolerated sum on three of ten, as an entry
- * that is cut off spends a second's share before it knows.
+ * window's sum alone would allow, overruns the tolerated sum, as an entry that
+ * is cut off spends a second's share before it knows.
  *
  * What the quota covers is always served. A second limit of what is tolerated
  * beyond it serves some of the rest, so that requests beyond the quota never
