--- a/packages/soak/core_troubles.ts
+++ b/packages/soak/core_troubles.ts
@@ -25,7 +25,7 @@
 ): Promise<void> {
   const zone = deployment.drawUpstream()?.zone;
   const leave = await replaceUpstream(deployment, random, { zone });
-  const machine = deployment.controls().find(({ operatorAddress }) =>
+  const machine = deployment.present().find(({ operatorAddress }) =>
     operatorAddress === leave?.by
   );
   if (machine === undefined || zone === undefined) {
@@ -47,7 +47,7 @@
   zone: string,
 ): Promise<void> {
   const entries = deployment.present().filter((machine) =>
-    machine.zone === zone && !machine.hasControl
+    machine.zone === zone && !machine.hasDisk
   );
   for (const machine of entries) {
     if (random() < 0.5) {
@@ -191,7 +191,10 @@
     machine.goneAt = performance.now();
     await pause(drawTime(random, AWAY));
   }
-  const next = deployment.addMachine(machine.zone, { hasControl: true });
+  const next = deployment.addMachine(machine.zone, {
+    hasControl: true,
+    hasDisk: true,
+  });
   deployment.startMachine(next);
   if (isPlanned) {
     await pause(drawTime(random, { least: 1500, spread: 1500 }));
@@ -213,7 +216,7 @@
     if (random() < 0.6) {
       continue;
     }
-    const end = machine.hasControl
+    const end = machine.hasDisk
       ? deployment.disturbCore(machine.host)
       : deployment.disturb(machine.host);
     machine.signal("SIGTERM");
--- a/packages/soak/machine.ts
+++ b/packages/soak/machine.ts
@@ -36,6 +36,8 @@
   readonly zone: string;
   readonly host: string;
   readonly hasControl: boolean;
+  /** Whether its control process holds a replica; else it passes calls on. */
+  readonly hasDisk: boolean;
   /** When its entry last began to run. */
   startedAt: Milliseconds = 0;
   /** From when on others know of it; later than it starts if it was added. */
@@ -56,6 +58,7 @@
       zone: string;
       host: string;
       hasControl: boolean;
+      hasDisk: boolean;
       listedFrom: Milliseconds;
     },
     options: { wire: SoakWire; folder: string; proxy: string },
@@ -64,6 +67,7 @@
     this.zone = plan.zone;
     this.host = plan.host;
     this.hasControl = plan.hasControl;
+    this.hasDisk = plan.hasDisk;
     this.listedFrom = plan.listedFrom;
     this.#wire = options.wire;
     this.#folder = options.folder;
@@ -78,7 +82,7 @@
     return this.hasControl ? ["control", "entry"] : ["entry"];
   }
 
-  /** Address at which operators and upstreams reach its replica. */
+  /** Address at which operators and upstreams reach its control process. */
   get operatorAddress(): string {
     return `${this.host}:${this.#wire.ports.operators}`;
   }
@@ -101,7 +105,7 @@
     if (this.#isRetired) {
       return;
     }
-    const dataFolder = this.hasControl ? this.#dataFolder : undefined;
+    const dataFolder = this.hasDisk ? this.#dataFolder : undefined;
     if (dataFolder !== undefined) {
       mkdirSync(dataFolder, { recursive: true });
     }
--- a/packages/soak/side_troubles.ts
+++ b/packages/soak/side_troubles.ts
@@ -61,7 +61,7 @@
   deployment: SoakDeployment,
   random: Random,
 ): Promise<void> {
-  const plain = deployment.present().filter(({ hasControl }) => !hasControl);
+  const plain = deployment.present().filter(({ hasDisk }) => !hasDisk);
   const machine = plain[Math.floor(random() * plain.length)];
   const trouble = entryTroubles[Math.floor(random() * entryTroubles.length)]!;
   if (machine !== undefined) {
@@ -82,6 +82,7 @@
   const at = Math.floor(random() * deployment.zones.length);
   const machine = deployment.addMachine(deployment.zones[at]!, {
     hasControl: false,
+    hasDisk: false,
   });
   deployment.disturb(machine.host)();
   deployment.startMachine(machine);
--- a/packages/soak/soak_deployment.ts
+++ b/packages/soak/soak_deployment.ts
@@ -18,6 +18,8 @@
 /** Age of what callers, operators and upstreams know of the VMs. */
 const LIST_LAG: Milliseconds = 1500;
 const MACHINES_PER_ZONE = 3;
+/** The first one has a disk. */
+const CONTROLS_PER_ZONE = 2;
 const UPSTREAMS_PER_ZONE = 2;
 const CALLERS_PER_ZONE = 8;
 const FIRST_PROXY_PORT = 7900;
@@ -93,7 +95,10 @@
     await this.proxy.listen();
     for (const zone of this.zones) {
       for (let number = 1; number <= MACHINES_PER_ZONE; number += 1) {
-        this.addMachine(zone, { hasControl: number === 1 });
+        this.addMachine(zone, {
+          hasControl: number <= CONTROLS_PER_ZONE,
+          hasDisk: number === 1,
+        });
       }
     }
     const seeds = this.seeds();
@@ -133,18 +138,19 @@
     this.proxy.close();
   }
 
-  /** Operators' addresses of three control replicas, as a new file has them. */
+  /** Operators' addresses of three control processes, as a new file has them. */
   seeds(): string[] {
-    return this.controls().slice(0, 3).map(({ operatorAddress }) =>
-      operatorAddress
-    );
+    return this.present()
+      .filter(({ hasControl }) => hasControl)
+      .map((machine) => ({ machine, order: this.random() }))
+      .sort((left, right) => left.order - right.order)
+      .slice(0, 3)
+      .map(({ machine }) => machine.operatorAddress);
   }
 
   /** VMs with a control replica. */
   controls(): Machine[] {
-    return this.machines.filter(({ hasControl, isGone }) =>
-      hasControl && !isGone
-    );
+    return this.machines.filter(({ hasDisk, isGone }) => hasDisk && !isGone);
   }
 
   /** VMs that run, with a control replica or without. */
@@ -153,7 +159,10 @@
   }
 
   /** Adds a VM that isn't started yet. */
-  addMachine(zone: string, options: { hasControl: boolean }): Machine {
+  addMachine(
+    zone: string,
+    options: { hasControl: boolean; hasDisk: boolean },
+  ): Machine {
     const number = this.machines.filter((known) => known.zone === zone).length +
       1;
     const at = this.zones.indexOf(zone) + 1;
@@ -292,7 +301,7 @@
     void caller.run();
   }
 
-  /** Control replicas as others know them, late, in an order drawn anew. */
+  /** Control processes as others know them, late, in an order drawn anew. */
   #listReplicas(): string[] {
     const now = performance.now();
     return this.machines
