--- a/packages/serving/crash_book.ts
+++ b/packages/serving/crash_book.ts
@@ -35,6 +35,11 @@
   readonly key: SuspectKey;
   runs: CrashedRun[];
   answeredAt: Milliseconds;
+  /**
+   * Most upstreams of its service that any process knew at its ends. One that
+   * has just started knows few and would take many ends for chance.
+   */
+  upstreams: number;
 };
 
 /**
@@ -104,6 +109,10 @@
     suspect.runs = [...suspect.runs, run]
       .sort((left, right) => left.endedAt - right.endedAt)
       .slice(-MOST_RUNS);
+    suspect.upstreams = Math.max(
+      suspect.upstreams,
+      this.#countUpstreams(key.service),
+    );
     this.#noteChange(key.request);
     this.#bound(key.workspace);
     return true;
@@ -128,7 +137,7 @@
   /** Takes over what another process reports, and says what of it was news. */
   learn(reported: readonly ReportedSuspect[], now: Milliseconds): string[] {
     const news: string[] = [];
-    for (const { crashes, answeredAge, ...key } of reported) {
+    for (const { crashes, answeredAge, upstreams, ...key } of reported) {
       let isNews = false;
       for (const { upstream, sentAge, endedAge } of crashes) {
         const run = {
@@ -138,6 +147,7 @@
         };
         isNews = this.noteCrash(key, run) || isNews;
       }
+      this.#noteUpstreams(key.request, upstreams ?? 0);
       if (answeredAge !== undefined) {
         isNews = this.noteAnswer(key.request, now - answeredAge) || isNews;
       }
@@ -213,18 +223,31 @@
   }
 
   *#metEnds() {
-    for (const { key, runs } of this.#suspects.values()) {
-      yield { request: key.request, service: key.service, runs };
+    for (const { key, runs, upstreams } of this.#suspects.values()) {
+      yield { request: key.request, service: key.service, runs, upstreams };
     }
   }
 
   #add(key: SuspectKey): Suspect {
-    const suspect: Suspect = { key, runs: [], answeredAt: -Infinity };
+    const suspect: Suspect = {
+      key,
+      runs: [],
+      answeredAt: -Infinity,
+      upstreams: 0,
+    };
     this.#suspects.set(key.request, suspect);
     this.#sizes.set(key.size, (this.#sizes.get(key.size) ?? 0) + 1);
     return suspect;
   }
 
+  #noteUpstreams(request: string, upstreams: number): void {
+    const suspect = this.#suspects.get(request);
+    if (suspect !== undefined && upstreams > suspect.upstreams) {
+      suspect.upstreams = upstreams;
+      this.#judgedUntil = -Infinity;
+    }
+  }
+
   #drop(request: string): void {
     const suspect = this.#suspects.get(request);
     if (suspect === undefined) {
@@ -303,9 +326,10 @@
 }
 
 function describe(suspect: Suspect, now: Milliseconds): ReportedSuspect {
-  const { key, runs, answeredAt } = suspect;
+  const { key, runs, answeredAt, upstreams } = suspect;
   return {
     ...key,
+    upstreams,
     crashes: runs.map(({ upstream, sentAt, endedAt }) => ({
       upstream,
       sentAge: Math.round(now - sentAt),
--- a/packages/serving/crash_book_test.ts
+++ b/packages/serving/crash_book_test.ts
@@ -227,3 +227,26 @@
     }
   }));
 });
+
+// After all processes had restarted, a rejected request was sent on once more
+// and ended one more upstream: a process that has just started knows few of the
+// upstreams, and took ends of many for ends of these few, as if it were chance.
+test("a rejected request is rejected by a process that knows one upstream yet", () => {
+  const book = createBook();
+  const now = crash(book, "r", 3);
+  for (let other = 0; other < 1; other += 1) {
+    const run = {
+      upstream: `v${other}`,
+      sentAt: now - 1000,
+      endedAt: now - 500,
+    };
+    book.noteCrash(keyOf(`other ${other}`), run);
+  }
+  expect(book.standing("r", now)).toBe(CrashStanding.rejected);
+  const started = new CrashBook({
+    revisions: new RevisionCounter(),
+    countUpstreams: () => 1,
+  });
+  started.learn(book.changesSince(0, now), now);
+  expect(started.standing("r", now)).toBe(CrashStanding.rejected);
+});
--- a/packages/serving/judge_suspects.ts
+++ b/packages/serving/judge_suspects.ts
@@ -27,6 +27,8 @@
   readonly request: string;
   readonly service: string;
   readonly runs: readonly CrashedRun[];
+  /** Most upstreams of its service that were known at these ends. */
+  readonly upstreams: number;
 };
 
 /** What it is judged by. */
@@ -127,14 +129,14 @@
 
 /** How likely a harmless request is to meet as many ends in as much time. */
 function chanceOf(
-  { service, runs }: MetEnds,
+  { service, runs, upstreams }: MetEnds,
   circumstances: Circumstances & { explained: ReadonlySet<string> },
 ): number {
   let ran = 0;
   for (const { sentAt, endedAt } of runs) {
     ran += endedAt - sentAt;
   }
-  const rate = rateElsewhere({ service, runs }, circumstances);
+  const rate = rateElsewhere({ service, runs, upstreams }, circumstances);
   return chanceOfEnds(runs.length, ran * rate);
 }
 
@@ -143,7 +145,7 @@
  * runs lasted, or for longer before, whichever is more often.
  */
 function rateElsewhere(
-  { service, runs }: Omit<MetEnds, "request">,
+  { service, runs, upstreams }: Omit<MetEnds, "request">,
   { ends, explained, countUpstreams }: Circumstances & {
     explained: ReadonlySet<string>;
   },
@@ -165,5 +167,5 @@
   // A run may have been too short to be measured.
   const lasted = Math.max(1, to - from);
   const rate = Math.max(during / lasted, longer / (to - longFrom));
-  return rate / Math.max(1, countUpstreams(service));
+  return rate / Math.max(1, upstreams, countUpstreams(service));
 }
