--- a/apps/heroncleatd/gateway/gateway.ts
+++ b/apps/heroncleatd/gateway/gateway.ts
@@ -27,6 +27,7 @@
 import type { QuotaCharging } from "./quota_charging.ts";
 import { readRequestBody } from "./read_request_body.ts";
 import { refusal } from "./refusal.ts";
+import { RequestsUnderWay } from "./requests_under_way.ts";
 import { sendOwnAnswer } from "./send_own_answer.ts";
 
 /**
@@ -72,43 +73,29 @@
   }
   | { readonly kind: "refused"; readonly answer: OwnAnswer };
 
-/** A request without a final answer. */
-type RequestUnderWay = {
-  readonly request: string;
-  /** Monotonic time. */
-  readonly arrivedAt: Milliseconds;
-};
-
 /** Takes callers' requests: checks, charges, forwards and logs each. */
 export class Gateway {
   readonly #options: GatewayOptions;
-  readonly #underWay = new Set<RequestUnderWay>();
+  readonly #underWay = new RequestsUnderWay();
 
   constructor(options: GatewayOptions) {
     this.#options = options;
   }
 
   /** Requests that have no final answer yet. */
-  get underWay(): number {
-    return this.#underWay.size;
-  }
-
-  /** Those of them that arrived since a monotonic time. */
-  listSince(time: Milliseconds): RequestUnderWay[] {
-    return [...this.#underWay].filter(({ arrivedAt }) => arrivedAt >= time);
+  get underWay(): RequestsUnderWay {
+    return this.#underWay;
   }
 
   async handle(
     incoming: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const entered: RequestUnderWay = {
-      request: this.#attemptOf(incoming),
-      arrivedAt: this.#options.clock.steady(),
-    };
-    this.#underWay.add(entered);
+    const arrivedAt = this.#options.clock.steady();
+    const request = this.#attemptOf(incoming);
+    const end = this.#underWay.add({ request, arrivedAt });
     try {
-      await this.#serve({ incoming, response }, entered.arrivedAt);
+      await this.#serve({ incoming, response }, arrivedAt);
     } catch (error) {
       this.#options.log.error("A request failed", {
         request: this.#attemptOf(incoming),
@@ -116,7 +103,7 @@
       });
       response.destroy();
     } finally {
-      this.#underWay.delete(entered);
+      end();
     }
   }
 
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -256,14 +256,14 @@
     this.#leaving.begin(gracePeriod);
     this.#links.announce();
     this.#log.info("Leaves; answers what is under way", {
-      underWay: this.#gateway.underWay,
+      underWay: this.#gateway.underWay.size,
     });
     await leaveGracefully({
       server: this.#server,
       clock: this.#options.clock,
       gracePeriod,
       endsAt: this.#leaving.endsAt,
-      underWay: () => this.#gateway.underWay,
+      underWay: () => this.#gateway.underWay.size,
     });
     this.#noteCuts(stoppedAt);
     this.#links.stop();
@@ -271,19 +271,19 @@
     clearInterval(this.#forgetTimer);
     clearInterval(this.#shareTimer);
     this.#agents.closeAll();
-    this.#log.info("Stopped", { underWay: this.#gateway.underWay });
+    this.#log.info("Stopped", { underWay: this.#gateway.underWay.size });
   }
 
   /** Tells of requests that had no end when the grace period was over. */
   #noteCuts(stoppedAt: Milliseconds): void {
     const { underWay } = this.#gateway;
-    if (underWay === 0) {
+    if (underWay.size === 0) {
       return;
     }
-    const taken = this.#gateway.listSince(stoppedAt);
-    this.#options.metrics.increment("gateway.cut_by_stop", underWay);
+    const taken = underWay.listSince(stoppedAt);
+    this.#options.metrics.increment("gateway.cut_by_stop", underWay.size);
     this.#log.warn("Cuts requests, as the grace period is over", {
-      underWay,
+      underWay: underWay.size,
       takenWhileLeaving: taken.length,
       requests: taken.slice(0, MOST_NAMED).map(({ request, arrivedAt }) =>
         `${request} taken after ${Math.round(arrivedAt - stoppedAt)} ms`
--- a/apps/heroncleatd/hub/hub_group_test.ts
+++ b/apps/heroncleatd/hub/hub_group_test.ts
@@ -1,7 +1,8 @@
-import { createServer, type Server } from "node:http";
+import type { Server } from "node:http";
 import { setTimeout as pause } from "node:timers/promises";
 import { eventually } from "./eventually.ts";
 import type { RunningHub } from "./running_hub.ts";
+import { startTestDesk } from "./start_test_desk.ts";
 import { documentOf } from "./test_document.ts";
 import { TestGroup } from "./test_group.ts";
 import { testRecord } from "./test_record.ts";
@@ -17,14 +18,7 @@
 let desk: Server;
 
 beforeAll(async () => {
-  desk = createServer((message, response) => {
-    response.writeHead(200, {
-      "x-attempt": message.headers["x-attempt"],
-      "x-digest": "d",
-    });
-    response.end("table 7");
-  });
-  await new Promise<void>((done) => desk.listen(DESK_PORT, "127.0.0.1", done));
+  desk = await startTestDesk(DESK_PORT);
   await group.start({ entries: 2 });
 });
 
--- a/apps/heroncleatd/hub/replica_group.ts
+++ b/apps/heroncleatd/hub/replica_group.ts
@@ -9,7 +9,6 @@
 import {
   checkConsensusMessage,
   type JoinReply,
-  type RegisterRequest,
   type ReplicaMember,
 } from "@heroncleat/schema";
 import type { MethodHandler, PeerPool } from "@heroncleat/transport";
@@ -27,6 +26,7 @@
 import type { ReplicaMessage } from "../control/replica_message.ts";
 import { FoundingRegister } from "./founding_register.ts";
 import { foundingCalls } from "./founding_calls.ts";
+import { GroupAnnouncer } from "./group_announcer.ts";
 import type { HubSettings } from "./hub_settings.ts";
 import { joinGroup } from "./join_group.ts";
 import { ServingApplication } from "./serving_application.ts";
@@ -46,8 +46,6 @@
 const METHOD_PREFIX = "group";
 /** Time for a transfer of leadership before the process ends. */
 const TRANSFER_TIME = 300;
-/** Pause between notices to seeds without a replica of who is a member. */
-const ANNOUNCE_INTERVAL = 1000;
 
 /** What a group is started with. */
 type GroupOptions = {
@@ -83,8 +81,7 @@
   readonly #reads: ConfirmedReads;
   readonly #reconciler: GroupReconciler;
   readonly #ticker: NodeJS.Timeout;
-  readonly #announcer: NodeJS.Timeout;
-  readonly #founders: readonly ReplicaMember[];
+  readonly #announcer: GroupAnnouncer;
   readonly #journal: Journal;
   #isConfirmed = false;
   #isOver = false;
@@ -100,7 +97,6 @@
   ) {
     this.#options = options;
     this.#self = parts.self;
-    this.#founders = parts.founders;
     this.#journal = parts.journal;
     const { clock, pool, log } = options;
     const fail = (error: unknown) => this.#fail(error);
@@ -180,8 +176,15 @@
     this.#ticker = setInterval(() => {
       this.#actor.send({ kind: "event", event: { kind: "tick" } });
     }, TICK);
-    this.#announcer = setInterval(() => this.#announce(), ANNOUNCE_INTERVAL);
-    this.#announce();
+    this.#announcer = new GroupAnnouncer({
+      pool,
+      seeds: () => options.settings().seeds,
+      describe: () => ({
+        member: parts.self,
+        founders: [...parts.founders],
+        members: [...this.#replica.members],
+      }),
+    });
     this.#reconciler.start();
     void this.#confirmOnce();
   }
@@ -288,7 +291,7 @@
     this.#actor.send({ kind: "event", event: { kind: "step_down" } });
     await new Promise((resolve) => setTimeout(resolve, TRANSFER_TIME));
     clearInterval(this.#ticker);
-    clearInterval(this.#announcer);
+    this.#announcer.stop();
     this.#isOver = true;
     this.#actor.stop();
     await this.#journal.close();
@@ -302,7 +305,7 @@
     this.#isOver = true;
     this.#reconciler.stop();
     clearInterval(this.#ticker);
-    clearInterval(this.#announcer);
+    this.#announcer.stop();
     this.#actor.stop();
     this.#journal.close().catch(() => {
       // The disk has failed already, which is what is reported.
@@ -317,25 +320,6 @@
     }
   }
 
-  /**
-   * Tells seeds that hold no replica who is a member. They forget it when they
-   * restart, and others learn of the group by the seeds alone.
-   */
-  #announce(): void {
-    const members = [...this.#replica.members];
-    const request: RegisterRequest = {
-      member: this.#self,
-      founders: [...this.#founders],
-      members,
-    };
-    const { settings, pool } = this.#options;
-    for (const seed of settings().seeds) {
-      if (!members.some(({ address }) => address === seed)) {
-        foundingCalls.announce(pool, seed, request);
-      }
-    }
-  }
-
   #changeMembers(members: readonly ReplicaMember[]): void {
     this.#actor.send({
       kind: "event",
