--- a/apps/heroncleatd/hub/replica_group.ts
+++ b/apps/heroncleatd/hub/replica_group.ts
@@ -209,8 +209,10 @@
     };
     const register = new FoundingRegister(options.clock.steady());
     const founding = foundingCalls.methods(register, options.clock);
-    options.serve(founding);
     const stored = await groupFile.read(settings.dataFolder);
+    // A seed that has a group must say so from its first answer.
+    register.learnGroup(stored?.founders ?? [], []);
+    options.serve(founding);
     const founders = stored?.founders ?? await joinGroup({
       self,
       seeds: () => options.settings().seeds,
