Rollouts: move a service to a new version by canary, or back

Cause: the platform's operators may order a roll-out of a version; the order ended in 404, versions of upstreams weren't decoded, and upstreams of a bad version got their full share of the requests from their first heartbeat on.

Change: packages/rollouts holds the decisions without I/O: the replicated registry, the gate that each entry applies to its own requests, samples, a sequential test of the new version against the others at the same time, and the plan of stages (canary on few upstreams that get a normal load, widened, full, then completed once the other versions have finished). Orders are committed by the control group before they are acknowledged. platform/ decodes orders, versions and cold times. The fleet isn't resized while two versions are there.

Real replicas and entries on loopback (rollout_test): a bad version reverted, still reverted after a restart of all replicas, an order kept across a lost disk, a good one completed with every caller served.

--- a/apps/heroncleatd/gateway/attempt_request.ts
+++ b/apps/heroncleatd/gateway/attempt_request.ts
@@ -1,8 +1,10 @@
 import type { IncomingMessage } from "node:http";
 import type { Milliseconds } from "@heroncleat/base";
+import type { UpstreamFilter } from "@heroncleat/rollouts";
 import {
   type ChosenUpstream,
   overloadRetryDelay,
+  RouteKind,
   SuspectStatus,
 } from "@heroncleat/serving";
 import type { CallerRequest } from "./caller_request.ts";
@@ -136,6 +138,7 @@
     signal,
   });
   if (response.kind === "head") {
+    tracking.recordStatus(response.message.statusCode!);
     return { ...response, ...tracking, trace, upstream: record.id };
   }
   tracking.finish(
@@ -169,7 +172,11 @@
     chosen: ChosenUpstream;
     trace: AttemptTrace;
   },
-): { recordFirstByte: () => void; finish: (outcome: AttemptOutcome) => void } {
+): {
+  recordStatus: (status: number) => void;
+  recordFirstByte: () => void;
+  finish: (outcome: AttemptOutcome) => void;
+} {
   const { chosen, trace } = options;
   const { choice, directory, clock, log, metrics, crashes, leaving } =
     options.context;
@@ -182,15 +189,24 @@
   const { record } = chosen.upstream;
   const endSuspectedRun = crashes.trackCopy(call.identity);
   const endTimedRun = leaving.recordRun(call);
+  const version = options.context.rollouts.track(chosen, {
+    route: call.route.name,
+    isStream: call.route.kind === RouteKind.streaming,
+  });
+  let status = 0;
   let isFinished = false;
   let hasFirstByte = false;
   return {
+    recordStatus: (received) => {
+      status = received;
+    },
     recordFirstByte: () => {
       if (!hasFirstByte) {
         hasFirstByte = true;
         const took = clock.steady() - sentAt;
         trace.recordFirstByte(took);
         choice.recordFirstToken(chosen, took);
+        version?.recordFirstByte(took);
       }
     },
     finish: (outcome) => {
@@ -199,6 +215,11 @@
       }
       isFinished = true;
       choice.end(chosen);
+      version?.finish(
+        outcome === AttemptOutcome.complete
+          ? status >= FIRST_FAILURE_STATUS
+          : undefined,
+      );
       endSuspectedRun();
       endTimedRun(outcome === AttemptOutcome.complete);
       if (outcome === AttemptOutcome.complete) {
@@ -231,6 +252,8 @@
  * longer runs.
  */
 const MISDIRECTED_REQUEST = "status 421";
+/** Lowest status by which an upstream reports a failure of its own. */
+const FIRST_FAILURE_STATUS = 500;
 /** Nothing accepts connections at the address any more. */
 const CONNECTION_REFUSED = "ECONNREFUSED";
 
@@ -268,26 +291,47 @@
   options: AttemptOptions & { prefersIdle: boolean },
 ): Promise<ChosenUpstream | undefined> {
   const { context, signal } = options;
+  const filters = context.rollouts.admit(call.service, {
+    isRetry: options.excluded.size > 0,
+  });
   while (!signal.aborted) {
     const now = context.clock.steady();
-    const chosen = context.choice.choose(context.directory.list(), {
-      now,
-      requiresHeartbeats: context.isSynced(),
-      request: {
-        service: call.service,
-        zone: context.zone,
-        parts: call.prompt?.parts ?? [],
-        promptTokens: call.prompt?.promptTokens ?? 0,
-        excluded: options.excluded,
-        prefersIdle: options.prefersIdle,
-        engine: context.engineOf(call.service),
-        isConnected: (upstream) => context.agentOf(upstream).hasFreeSocket,
-      },
-    });
-    if (chosen !== undefined || now >= options.waitUntil) {
-      return chosen;
+    for (const isAdmitted of filters) {
+      const chosen = chooseUpstream(call, { ...options, isAdmitted, now });
+      if (chosen !== undefined) {
+        return chosen;
+      }
+    }
+    if (now >= options.waitUntil) {
+      return undefined;
     }
     await new Promise((resolve) => setTimeout(resolve, POLL_INTERVAL));
   }
   return undefined;
 }
+
+function chooseUpstream(
+  call: CallerRequest,
+  options: AttemptOptions & {
+    prefersIdle: boolean;
+    isAdmitted: UpstreamFilter | undefined;
+    now: Milliseconds;
+  },
+): ChosenUpstream | undefined {
+  const { context, now } = options;
+  return context.choice.choose(context.directory.list(), {
+    now,
+    requiresHeartbeats: context.isSynced(),
+    request: {
+      service: call.service,
+      zone: context.zone,
+      parts: call.prompt?.parts ?? [],
+      promptTokens: call.prompt?.promptTokens ?? 0,
+      excluded: options.excluded,
+      prefersIdle: options.prefersIdle,
+      isAdmitted: options.isAdmitted,
+      engine: context.engineOf(call.service),
+      isConnected: (upstream) => context.agentOf(upstream).hasFreeSocket,
+    },
+  });
+}
--- a/apps/heroncleatd/gateway/entry_exchange.ts
+++ b/apps/heroncleatd/gateway/entry_exchange.ts
@@ -19,6 +19,7 @@
 import type { SuspectWatcher } from "../common/suspect_watcher.ts";
 import type { FeedPosition } from "./feed_position.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
+import type { RolloutWatcher } from "./rollout_watcher.ts";
 import type { UpstreamAgents } from "./upstream_agents.ts";
 
 /**
@@ -41,6 +42,7 @@
   readonly charges: ChargeSync;
   readonly crashes: SuspectWatcher;
   readonly suspectRegistry: SuspectRegistry;
+  readonly rollouts: RolloutWatcher;
   /** Whether this entry accepts callers. */
   readonly isOpen: () => boolean;
   /** Version of the configuration document in effect; -1 if there is none. */
@@ -128,6 +130,10 @@
         ),
       ),
       readingSpeeds: choice.prefillSpeeds.measured(),
+      rolloutRevision: this.#options.rollouts.revision,
+      versions: position.isPrimary
+        ? this.#options.rollouts.report()
+        : undefined,
       loads: position.isPrimary ? choice.loads(clock.steady()) : undefined,
     };
   }
@@ -137,6 +143,10 @@
     const { clock, charges, onDocument } = this.#options;
     const now = clock.steady();
     const ages = reply.ages ?? {};
+    // Rollouts come first, as they say which upstreams may get requests.
+    if (reply.rollouts !== undefined) {
+      this.#options.rollouts.merge(reply.rollouts);
+    }
     for (const record of reply.upstreams) {
       const age = ages[record.id] ?? 0;
       this.#applyUpstream(record, now, { reporter: from, age });
@@ -166,6 +176,10 @@
   ): void {
     const { directory, log } = this.#options;
     const outcome = directory.merge(record, now, source);
+    const known = directory.get(record.id);
+    if (known !== undefined) {
+      this.#options.rollouts.observe(known, now);
+    }
     if (outcome === "changed" && record.state !== "ready") {
       log.info(`Received a report that an upstream is ${record.state}`, {
         upstream: record.id,
--- a/apps/heroncleatd/gateway/forward_context.ts
+++ b/apps/heroncleatd/gateway/forward_context.ts
@@ -11,6 +11,7 @@
 import type { SuspectWatcher } from "../common/suspect_watcher.ts";
 import type { HeaderNames } from "./header_names.ts";
 import type { DepartureDeadline } from "./departure_deadline.ts";
+import type { RolloutWatcher } from "./rollout_watcher.ts";
 import type { UpstreamAgent } from "./upstream_agent.ts";
 
 /** What forwarding requests uses of the entry's state. */
@@ -25,6 +26,8 @@
   readonly directory: UpstreamDirectory;
   /** Tracks requests that upstreams crashed under. */
   readonly crashes: SuspectWatcher;
+  /** Applies rollouts of new versions. */
+  readonly rollouts: RolloutWatcher;
   /** When this entry exits, once its shutdown has begun. */
   readonly leaving: DepartureDeadline;
   /** Returns the engine profile of a service; undefined for plain services. */
--- a/apps/heroncleatd/gateway/forwarding_test.ts
+++ b/apps/heroncleatd/gateway/forwarding_test.ts
@@ -18,6 +18,7 @@
 import type { ForwardResult } from "./forward_result.ts";
 import { forwardStream } from "./forward_stream.ts";
 import { DepartureDeadline } from "./departure_deadline.ts";
+import { RolloutWatcher } from "./rollout_watcher.ts";
 import { type TestResponder, TestUpstream } from "./test_upstream.ts";
 import { UpstreamAgent } from "./upstream_agent.ts";
 import { testHeaderNames } from "./test_header_names.ts";
@@ -532,6 +533,11 @@
     clock,
     log: silentLog,
     metrics: noMetrics,
+    rollouts: new RolloutWatcher({
+      clock,
+      listUpstreams: () => directory.list(),
+      random: () => 0,
+    }),
     leaving: new DepartureDeadline(clock),
     crashes: new SuspectWatcher({
       registry: new SuspectRegistry({
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -43,6 +43,7 @@
 import type { Prompt } from "./prompt.ts";
 import { probeUpstream } from "../common/probe_upstream.ts";
 import { QuotaCharger } from "./quota_charger.ts";
+import { RolloutWatcher } from "./rollout_watcher.ts";
 import { UpstreamAgents } from "./upstream_agents.ts";
 
 /** Connections that may wait to be accepted. */
@@ -108,6 +109,7 @@
     countUpstreams: (service) => this.#directory.countReady(service),
   });
   readonly #suspectWatcher: SuspectWatcher;
+  readonly #rollouts: RolloutWatcher;
   readonly #usage: UsageCounts;
   readonly #quota: WorkspaceQuota;
   readonly #links: ControlLinks;
@@ -147,6 +149,11 @@
       onCrash: (upstream, at) => this.#choice.recordCrash(upstream, at),
       report: (updates) => this.#reportSuspects(updates),
     });
+    this.#rollouts = new RolloutWatcher({
+      clock,
+      listUpstreams: () => this.#directory.list(),
+      random: Math.random,
+    });
     this.#links = new ControlLinks({
       pool,
       clock,
@@ -193,6 +200,7 @@
       charges: this.#chargeSync,
       crashes: this.#suspectWatcher,
       suspectRegistry: this.#suspectRegistry,
+      rollouts: this.#rollouts,
       isOpen: () => this.isReady,
       documentVersion: () => this.#routeTable?.document.version ?? -1,
       onDocument: (source) => this.#applyConfiguration(source),
@@ -312,6 +320,7 @@
       choice: this.#choice,
       directory: this.#directory,
       crashes: this.#suspectWatcher,
+      rollouts: this.#rollouts,
       leaving: this.#departureDeadline,
       engineOf: (service) => this.#routeTable?.findService(service)?.engine,
       announceDispatch: (notice) => this.#announceDispatch(notice),
--- a/apps/heroncleatd/hub/hub_calls.ts
+++ b/apps/heroncleatd/hub/hub_calls.ts
@@ -5,6 +5,8 @@
 export const hubCalls = {
   publish: "hub.publish",
   readDocument: "hub.read_document",
+  startRollout: "hub.start_rollout",
+  readRollout: "hub.read_rollout",
   mergeUpstream: "hub.merge_upstream",
   removeUpstream: "hub.remove_upstream",
   suspects: "hub.suspects",
--- a/apps/heroncleatd/hub/hub_settings.ts
+++ b/apps/heroncleatd/hub/hub_settings.ts
@@ -1,4 +1,5 @@
 import type { FaultToleranceTarget } from "@heroncleat/consensus";
+import type { RolloutLimits } from "@heroncleat/rollouts";
 
 /** Settings of a control replica. */
 export type HubSettings = {
@@ -30,6 +31,8 @@
    * Time after the end of a usage window within which it is reported, in ms.
    */
   readonly usageDelay: number;
+  /** Requests that an unproven version may get. */
+  readonly rolloutLimits: RolloutLimits;
   /** Lease of the leader tasks, in which no second holder may act, in ms. */
   readonly leaderTaskLease: number;
 };
--- a/apps/heroncleatd/hub/leader_task_runner.ts
+++ b/apps/heroncleatd/hub/leader_task_runner.ts
@@ -1,4 +1,5 @@
 import type { Clock, Milliseconds } from "@heroncleat/base";
+import { isInProgress, type RolloutRegistry } from "@heroncleat/rollouts";
 import {
   type FleetOrder,
   FleetPlanner,
@@ -26,6 +27,8 @@
 const LOOKBACK_WINDOWS = 6;
 /** Time without a heartbeat after which the fleet plan ignores an upstream. */
 const HEARTBEAT_TIMEOUT: Milliseconds = 3500;
+/** Time until upstreams that stopped at the end of a rollout aren't counted. */
+const ROLLOUT_COOLDOWN: Milliseconds = 5000;
 
 type RunnerOptions = {
   readonly name: string;
@@ -37,6 +40,7 @@
   readonly propose: (command: ServingCommand) => Promise<{ kind: string }>;
   readonly settled: () => ReadonlyMap<number, WorkspaceCounts>;
   readonly services: () => readonly Service[];
+  readonly rollouts: () => RolloutRegistry;
   readonly fleet: FleetSettings;
   /** Whether this process is part of the first start of the whole system. */
   readonly isFirstStart: boolean;
@@ -178,6 +182,9 @@
     const upstreams = this.#listLiveUpstreams();
     const orders: Promise<void>[] = [];
     for (const service of this.#options.services()) {
+      if (this.#isRolledOut(service)) {
+        continue;
+      }
       const planner = this.#getOrCreatePlanner(service);
       const now = this.#options.clock.steady();
       const isIdle = this.#isIdle;
@@ -188,6 +195,20 @@
     await Promise.all(orders);
   }
 
+  /**
+   * Whether upstreams of two versions are there, so that their number says
+   * nothing about what the service needs.
+   */
+  #isRolledOut({ name }: Service): boolean {
+    const { hub, clock, rollouts } = this.#options;
+    const rollout = rollouts().get(name);
+    if (rollout === undefined) {
+      return false;
+    }
+    const wall = hub.estimateWallTime(clock.steady()) ?? clock.wall();
+    return isInProgress(rollout) || wall - rollout.stageAt < ROLLOUT_COOLDOWN;
+  }
+
   #getOrCreatePlanner(service: Service): FleetPlanner {
     const existing = this.#planners.get(service.name);
     if (existing !== undefined) {
--- a/apps/heroncleatd/hub/serving_application.ts
+++ b/apps/heroncleatd/hub/serving_application.ts
@@ -1,4 +1,5 @@
 import { unreachable } from "@heroncleat/base";
+import { type Rollout, RolloutRegistry } from "@heroncleat/rollouts";
 import type { WorkspaceCounts } from "@heroncleat/serving";
 import type { ServingCommand } from "./serving_command.ts";
 
@@ -13,13 +14,18 @@
 const SNAPSHOT_FORMAT = 1;
 
 /**
- * Replicated state of request forwarding: the configuration document, and the
- * settled counts of usage windows, so that every leader reports the same
- * counts.
+ * Replicated state of request forwarding: the configuration document, the
+ * rollouts, and the settled counts of usage windows, so that every leader
+ * reports the same counts.
  */
 export class ServingApplication {
   #document: StoredDocument | undefined;
   #settledCounts = new Map<number, WorkspaceCounts>();
+  #rollouts = new RolloutRegistry();
+
+  get rollouts(): RolloutRegistry {
+    return this.#rollouts;
+  }
 
   get document(): StoredDocument | undefined {
     return this.#document;
@@ -43,6 +49,10 @@
       case "settle_usage":
         this.#settleWindow(command.window, command.counts);
         break;
+      case "start_rollout":
+      case "move_rollout":
+        this.#rollouts.apply(command);
+        break;
       default:
         unreachable(command);
     }
@@ -54,6 +64,7 @@
       format: SNAPSHOT_FORMAT,
       document: this.#document,
       settled: [...this.#settledCounts],
+      rollouts: this.#rollouts.list(),
     });
   }
 
@@ -62,6 +73,8 @@
       format: number;
       document?: StoredDocument;
       settled: [number, WorkspaceCounts][];
+      /** Absent in snapshots of earlier releases. */
+      rollouts?: readonly Rollout[];
     };
     if (stored.format !== SNAPSHOT_FORMAT) {
       throw new Error(
@@ -71,6 +84,7 @@
     }
     this.#document = stored.document;
     this.#settledCounts = new Map(stored.settled);
+    this.#rollouts = new RolloutRegistry(stored.rollouts);
   }
 
   #publish(command: Extract<ServingCommand, { kind: "publish" }>): void {
--- a/apps/heroncleatd/hub/serving_command.ts
+++ b/apps/heroncleatd/hub/serving_command.ts
@@ -1,3 +1,4 @@
+import type { RolloutCommand } from "@heroncleat/rollouts";
 import type { WorkspaceCounts } from "@heroncleat/serving";
 
 /** A change to the replicated state of request forwarding. */
@@ -16,4 +17,5 @@
     readonly kind: "settle_usage";
     readonly window: number;
     readonly counts: WorkspaceCounts;
-  };
+  }
+  | RolloutCommand;
--- a/apps/heroncleatd/hub/start_hub.ts
+++ b/apps/heroncleatd/hub/start_hub.ts
@@ -1,5 +1,6 @@
 import { type Clock, createToken, type Milliseconds } from "@heroncleat/base";
 import type { GroupState } from "@heroncleat/consensus";
+import type { RolloutOrder } from "@heroncleat/rollouts";
 import {
   type FeedRequest,
   type FleetSettings,
@@ -21,6 +22,8 @@
 import type { HubSettings } from "./hub_settings.ts";
 import { hubCalls } from "./hub_calls.ts";
 import type { PublishOutcome } from "./publish_outcome.ts";
+import { RolloutOrders } from "./rollout_orders.ts";
+import { RolloutRunner } from "./rollout_runner.ts";
 import { ReplicaGroup } from "./replica_group.ts";
 import type { RunningHub } from "./running_hub.ts";
 import { UpstreamUpdates } from "./upstream_updates.ts";
@@ -70,6 +73,7 @@
       document: group?.isConfirmed ? group.application.document : undefined,
       controls: group?.addresses ?? [],
       isLeading: group?.leadership !== undefined,
+      rollouts: group?.isConfirmed ? group.application.rollouts : undefined,
     });
     if (reply.needsWhole) {
       options.metrics.increment("exchange.divergences");
@@ -164,6 +168,13 @@
     });
     return published;
   };
+  const rolloutOrders = new RolloutOrders({
+    group: () => group,
+    services: () =>
+      serviceNamesOf(documents.decode(group?.application.document)),
+    wall: () => hub.estimateWallTime(clock.steady()) ?? clock.wall(),
+    log: options.log("rollouts"),
+  });
   const readDocument = async () => {
     if (group === undefined || !await group.confirm()) {
       return "unavailable";
@@ -174,6 +185,10 @@
     [hubCalls.publish]: (parameters) =>
       publish(parameters as Parameters<typeof publish>[0]),
     [hubCalls.readDocument]: readDocument,
+    [hubCalls.startRollout]: (parameters) =>
+      rolloutOrders.start(parameters as RolloutOrder),
+    [hubCalls.readRollout]: (parameters) =>
+      rolloutOrders.read((parameters as { service: string }).service),
     [hubCalls.mergeUpstream]: (parameters) =>
       updates.merge((parameters as { record: UpstreamRecord }).record),
     [hubCalls.removeUpstream]: (parameters) => {
@@ -193,6 +208,8 @@
   return {
     publish: ({ version }, source) => publish({ version, source }),
     readDocument,
+    startRollout: (order) => rolloutOrders.start(order),
+    readRollout: (service) => rolloutOrders.read(service),
     recordUnreadable: (name, problem) =>
       updates.recordUnreadable(name, problem),
     mergeUpstream: (record) => updates.merge(record),
@@ -244,6 +261,7 @@
     leadership: () => group.leadership,
     propose: (command) => group.propose(command),
     settled: () => group.application.settled,
+    rollouts: () => group.application.rollouts,
     services: () =>
       documents.decode(group.application.document)?.services ?? [],
     fleet: options.fleet,
@@ -252,8 +270,17 @@
     usageDelay: settings.usageDelay,
     leaderTaskLease: settings.leaderTaskLease,
   });
+  const rolloutRunner = new RolloutRunner({
+    group,
+    hub,
+    clock,
+    limits: settings.rolloutLimits,
+    log: log("rollouts"),
+    metrics: options.metrics,
+  });
   return {
     stop: () => {
+      rolloutRunner.stop();
       usageStore.stop();
       suspectStore.stop();
       reader.stop();
--- a/apps/heroncleatd/hub/start_hub_proxy.ts
+++ b/apps/heroncleatd/hub/start_hub_proxy.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "@heroncleat/base";
 import type { ReplicaList, UpstreamRecord } from "@heroncleat/serving";
+import type { Rollout } from "@heroncleat/rollouts";
 import type { JoinReply } from "@heroncleat/schema";
 import type { MethodHandler, PeerPool } from "@heroncleat/transport";
 import type { Log } from "../common/log.ts";
@@ -11,6 +12,7 @@
 import { MemberFinder } from "./member_finder.ts";
 import type { PublishOutcome } from "./publish_outcome.ts";
 import { ReplicaCalls } from "./replica_calls.ts";
+import type { RolloutOutcome } from "./rollout_outcome.ts";
 import type { RunningHub } from "./running_hub.ts";
 import type { StoredDocument } from "./serving_application.ts";
 import type { UpdateOutcome } from "./update_outcome.ts";
@@ -123,6 +125,22 @@
       );
       return response?.reply ?? "unavailable";
     },
+    startRollout: async (order) => {
+      const response = await forward<RolloutOutcome>(
+        hubCalls.startRollout,
+        order,
+        (outcome) => outcome !== "unavailable",
+      );
+      return response?.reply ?? "unavailable";
+    },
+    readRollout: async (service) => {
+      const response = await forward<Rollout | "none" | "unavailable">(
+        hubCalls.readRollout,
+        { service },
+        (rollout) => rollout !== "unavailable",
+      );
+      return response?.reply ?? "unavailable";
+    },
     mergeUpstream: (record: UpstreamRecord) =>
       forwardUpdate(hubCalls.mergeUpstream, { record }),
     removeUpstream: (name, born) =>
--- a/apps/heroncleatd/hub/test_hub.ts
+++ b/apps/heroncleatd/hub/test_hub.ts
@@ -102,6 +102,7 @@
         clockDrift: 0.05,
         usageWindow: 1000,
         usageDelay: 2000,
+        rolloutLimits: { exposureShare: 0.1, exposureTolerance: 50 },
         leaderTaskLease: 1000,
       }),
       fleet: {
--- a/apps/heroncleatd/hub/test_record.ts
+++ b/apps/heroncleatd/hub/test_record.ts
@@ -3,7 +3,7 @@
 /** Record of an upstream of the service `desk`. */
 export function testRecord(
   name: string,
-  options: { address: string; sequence: number },
+  options: { address: string; sequence: number; version?: string },
 ): UpstreamRecord {
   return {
     id: name,
--- a/packages/serving/balanced_request.ts
+++ b/packages/serving/balanced_request.ts
@@ -1,3 +1,4 @@
+import type { UpstreamFilter } from "@heroncleat/rollouts";
 import type { PromptPart } from "./prompt_part.ts";
 import type { EngineProfile } from "./engine_profile.ts";
 
@@ -11,6 +12,8 @@
   readonly promptTokens: number;
   /** Ids of upstreams that this request must not be sent to. */
   readonly excluded: ReadonlySet<string>;
+  /** Upstreams that the versions of the service admit; undefined admits all. */
+  readonly isAdmitted?: UpstreamFilter | undefined;
   /** Whether an idle connection to the upstream with this id is open. */
   readonly isConnected?: (upstream: string) => boolean;
   /**
--- a/packages/serving/hub.ts
+++ b/packages/serving/hub.ts
@@ -1,4 +1,9 @@
 import type { Milliseconds } from "@heroncleat/base";
+import type {
+  Rollout,
+  RolloutRegistry,
+  VersionReport,
+} from "@heroncleat/rollouts";
 import { ChargeTotals } from "./charge_totals.ts";
 import { SuspectRegistry } from "./suspect_registry.ts";
 import { ChargeAggregator } from "./charge_aggregator.ts";
@@ -22,6 +27,7 @@
 import type { UpstreamRecord } from "./upstream_record.ts";
 import type { ProcessUsage } from "./process_usage.ts";
 import { UsageTotals } from "./usage_totals.ts";
+import { VersionReports } from "./version_reports.ts";
 import type { WorkspaceCounts } from "./workspace_counts.ts";
 
 /**
@@ -54,6 +60,8 @@
   readonly controls: readonly string[];
   /** Whether this replica leads the group. */
   readonly isLeading: boolean;
+  /** The confirmed rollouts, if there are any. */
+  readonly rollouts?: RolloutRegistry | undefined;
 };
 
 /**
@@ -81,6 +89,7 @@
   readonly #loads = new LoadTotals(this.#revisions);
   readonly #prefillWork = new ChargeTotals();
   readonly #usage = new UsageTotals();
+  readonly #versions = new VersionReports();
   readonly #documentSender = new DocumentSender();
   #sweptAt: Milliseconds = -Infinity;
   /** Aggregates over all entries, computed by the last sweep. */
@@ -185,6 +194,7 @@
       charges: this.#charges.recentReports(request.wantedCharges ?? [], now),
       takesPartial: true,
       needsWhole: isAccepted ? undefined : true,
+      rollouts: rolloutsFor(request, context.rollouts),
       suspects: this.#suspectsSince(sinceRevision, now),
       shared: request.loads === undefined ? undefined : {
         beats,
@@ -322,6 +332,20 @@
     return this.#medians.readingSpeeds(now);
   }
 
+  /** What the reporting entries have seen of a rollout. */
+  versionReports(rollout: Rollout): VersionReport[] {
+    return this.#versions.list(rollout);
+  }
+
+  /** Whether all reporting entries follow a change of a rollout. */
+  isFollowedByAll({ revision }: Rollout, now: Milliseconds): boolean {
+    this.#sweep(now);
+    return this.#versions.isFollowedByAll(
+      revision,
+      this.#openEntries.list().map(({ name }) => name),
+    );
+  }
+
   /** Requests in flight at all entries, by upstream. */
   totalLoads(now: Milliseconds): Record<string, UpstreamLoad> {
     this.#sweep(now);
@@ -338,6 +362,7 @@
     for (const [name, entry] of this.#entries) {
       if (now - entry.receivedAt > ENTRY_RETENTION_MS) {
         this.#prefillWork.remove(name);
+        this.#versions.remove(name);
         this.#openEntries.remove(name);
         this.#entries.delete(name);
       }
@@ -385,6 +410,7 @@
       this.#loads.update(name, request.loads);
     }
     this.#usage.merge({ [boot]: request.usage });
+    this.#versions.record(name, request);
     this.crashes.merge(request.suspects ?? [], now);
     const isAccepted = areChargesAccepted && isPrefillWorkAccepted;
     this.#divergences += isAccepted ? 0 : 1;
@@ -413,3 +439,13 @@
     };
   }
 }
+
+/** The rollouts for an entry that doesn't follow the newest change yet. */
+function rolloutsFor(
+  { rolloutRevision = 0 }: SyncRequest,
+  rollouts: RolloutRegistry | undefined,
+): readonly Rollout[] | undefined {
+  return rollouts !== undefined && rollouts.revision > rolloutRevision
+    ? rollouts.list()
+    : undefined;
+}
--- a/packages/serving/sync_reply.ts
+++ b/packages/serving/sync_reply.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds } from "@heroncleat/base";
+import type { Rollout } from "@heroncleat/rollouts";
 import type { KnownEntry } from "./known_entry.ts";
 import type { EntryChanges } from "./entry_changes.ts";
 import type { ReportedSuspect } from "./reported_suspect.ts";
@@ -54,6 +55,8 @@
    * the revision; absent if none did.
    */
   readonly suspects?: readonly ReportedSuspect[] | undefined;
+  /** All rollouts, if one changed after the revision that the entry named. */
+  readonly rollouts?: readonly Rollout[] | undefined;
   /** State shared between entries; present in replies to full exchanges. */
   readonly shared: SharedState | undefined;
 };
--- a/packages/serving/sync_request.ts
+++ b/packages/serving/sync_request.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds } from "@heroncleat/base";
+import type { VersionReport } from "@heroncleat/rollouts";
 import type { ReportedSuspect } from "./reported_suspect.ts";
 import type { RelayedChargeReport } from "./relayed_charge_report.ts";
 import type { UpstreamLoad } from "./upstream_load.ts";
@@ -66,6 +67,10 @@
    * reported to this replica yet; absent if there are none.
    */
   readonly suspects?: readonly ReportedSuspect[] | undefined;
+  /** Newest change of a rollout that the entry follows; absent without one. */
+  readonly rolloutRevision?: number | undefined;
+  /** Samples of the services that are being rolled out, with the primary. */
+  readonly versions?: readonly VersionReport[] | undefined;
   /** Requests started, by number of the usage window and workspace. */
   readonly usage: Readonly<Record<string, WorkspaceCounts>>;
 };
--- a/packages/serving/upstream_balancer.ts
+++ b/packages/serving/upstream_balancer.ts
@@ -322,7 +322,9 @@
     ) {
       return false;
     }
-    return (view?.pausedUntil ?? 0) <= now && !request.excluded.has(record.id);
+    return (view?.pausedUntil ?? 0) <= now &&
+      !request.excluded.has(record.id) &&
+      (request.isAdmitted?.(upstream) ?? true);
   }
 
   #countRequests(id: string): number {
