Entries follow a part of a large service's upstreams

Cause: each control replica told each entry of each upstream: heartbeats, loads and records grow with the product of both. At 300 entries and 3,000 upstreams a reply takes 177 KB, the links of replicas are full, replies to slow entries queue without a useful bound, and replicas end for lack of memory.

Change: an entry follows the upstreams of a service that rendezvous hashing gives it, from 128 ready ones on, at least 64 of them; the share is a power of two with hysteresis, told by the replica, and replies hold what is followed only. Lists by entry keep an exchange proportional to that. A peer that leaves 256 KB of replies unread gets no further ones, and a send queue holds 4 MB.

Services below 128 upstreams are served as before.

--- a/apps/heroncleatd/gateway/control_link.ts
+++ b/apps/heroncleatd/gateway/control_link.ts
@@ -1,11 +1,17 @@
 import type { Milliseconds } from "@heroncleat/base";
-import type { CounterReport, KnownEntry } from "@heroncleat/serving";
+import type {
+  CounterReport,
+  FollowedShares,
+  KnownEntry,
+} from "@heroncleat/serving";
 
 /** The state of the exchanges with one control replica. Times are monotonic. */
 export type ControlLink = {
   readonly address: string;
   feed: string;
   revision: number;
+  /** Shares of the upstreams that the replica tells this entry of. */
+  followed: FollowedShares;
   receivedAt: Milliseconds;
   requestedAt: Milliseconds;
   /** Whether the last exchange failed. */
--- a/apps/heroncleatd/gateway/control_links.ts
+++ b/apps/heroncleatd/gateway/control_links.ts
@@ -2,6 +2,7 @@
 import {
   CounterReport,
   exchangeInterval,
+  type FollowedShares,
   type KnownEntry,
   median,
   type ReplicaList,
@@ -45,6 +46,8 @@
   readonly isAwaitingConfiguration: () => boolean;
   /** Returns a number from 0 to 1. */
   readonly random: () => number;
+  /** Called with the shares of the upstreams that this entry follows. */
+  readonly onFollow: (shares: FollowedShares) => void;
   /** Own revision of the suspect registry. */
   readonly suspectRevision: () => number;
   /** Called once when no replica is reachable. */
@@ -297,6 +300,7 @@
       address,
       feed: "",
       revision: 0,
+      followed: {},
       receivedAt: -UNREACHABLE_TIMEOUT,
       requestedAt: -UNREACHABLE_TIMEOUT,
       hasFailed: false,
@@ -341,6 +345,7 @@
         parameters: this.#options.createRequest({
           feed: link.feed,
           revision: link.revision,
+          followed: link.followed,
           isPrimary: link.address === this.#primary,
           loadsSince: link.loadsSince,
           suspectsSentRevision: link.suspectsSentRevision,
@@ -388,6 +393,24 @@
     }
   }
 
+  /**
+   * Follows what any replica tells of: replicas that count different numbers of
+   * upstreams may tell different shares.
+   */
+  #applyShares(link: ControlLink, { feed, followed }: SyncReply): void {
+    if (followed === undefined && feed === link.feed) {
+      return;
+    }
+    link.followed = followed ?? {};
+    const links = this.#listLinks().filter((each) => each.feed !== "");
+    const largest: Record<string, number> = { ...link.followed };
+    for (const [service, share] of Object.entries(largest)) {
+      const shares = links.map((each) => each.followed[service] ?? 1);
+      largest[service] = Math.max(share, ...shares);
+    }
+    this.#options.onFollow(largest);
+  }
+
   #recordFailure(link: ControlLink): void {
     link.hasFailed = true;
     link.report.handleFailure();
@@ -418,6 +441,7 @@
     link.loadsSince = isPrimary && reply.shared !== undefined
       ? reply.revision
       : link.loadsSince;
+    this.#applyShares(link, reply);
     const entries = isListNew ? [...link.entries.values()] : undefined;
     this.#options.onReply({ ...reply, entries }, link.address);
     // Advanced only after the reply was applied, so that what failed is sent
--- a/apps/heroncleatd/gateway/control_links_test.ts
+++ b/apps/heroncleatd/gateway/control_links_test.ts
@@ -44,6 +44,7 @@
     seeds: () => seeds,
     createRequest: () => ({}) as never,
     onReply: () => {},
+    onFollow: () => {},
     suspectRevision: () => 0,
     isAwaitingConfiguration: () => false,
     random: () => 0.5,
@@ -121,6 +122,7 @@
         throw new Error("The configuration document can't be unpacked.");
       }
     },
+    onFollow: () => {},
     suspectRevision: () => 0,
     isAwaitingConfiguration: () => false,
     random: () => 0.5,
@@ -169,6 +171,7 @@
       seeds: () => addresses,
       createRequest: (known) => describeEntry(`e${index}`, known),
       onReply: () => {},
+      onFollow: () => {},
       suspectRevision: () => 0,
       isAwaitingConfiguration: () => true,
       random,
--- a/apps/heroncleatd/gateway/entry_exchange.ts
+++ b/apps/heroncleatd/gateway/entry_exchange.ts
@@ -114,6 +114,7 @@
       wall: clock.wall(),
       feed: position.feed,
       revision: position.revision,
+      followed: position.followed,
       takesChanges: true,
       loadsSince: position.loadsSince,
       documentVersion: this.#options.documentVersion(),
--- a/apps/heroncleatd/gateway/feed_position.ts
+++ b/apps/heroncleatd/gateway/feed_position.ts
@@ -1,9 +1,11 @@
-import type { CounterReport } from "@heroncleat/serving";
+import type { CounterReport, FollowedShares } from "@heroncleat/serving";
 
 /** How far this entry has read the change feed of one control replica. */
 export type FeedPosition = {
   readonly feed: string;
   readonly revision: number;
+  /** Shares of the upstreams that the replica tells this entry of. */
+  readonly followed: FollowedShares;
   /**
    * Whether the replica is the primary, with which upstream loads are
    * exchanged.
--- a/apps/heroncleatd/gateway/simulated_quotas.ts
+++ b/apps/heroncleatd/gateway/simulated_quotas.ts
@@ -167,6 +167,7 @@
       createRequest: (position) => this.#createRequest(host, position),
       onReply: (reply) => charges.applyReply(reply),
       onIsolated: () => charges.isolate(),
+      onFollow: () => {},
       suspectRevision: () => 0,
       isAwaitingConfiguration: () => false,
       random: this.#random,
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -11,6 +11,8 @@
   SuspectNotice,
 } from "@heroncleat/schema";
 import {
+  followedShare,
+  type FollowedShares,
   type KnownEntry,
   NoticeThreshold,
   type ReportedSuspect,
@@ -113,6 +115,8 @@
   readonly #usage: UsageCounts;
   readonly #quota: WorkspaceQuota;
   readonly #links: ControlLinks;
+  /** Shares of the followed upstreams, as text. */
+  #followed = "{}";
   readonly #notices: EntryNotices;
   readonly #noticeThreshold = new NoticeThreshold();
   readonly #chargeSync: ChargeSync;
@@ -162,6 +166,7 @@
       createRequest: (position) => this.#exchange.createRequest(position),
       onReply: (reply, from) => this.#exchange.applyReply(reply, from),
       suspectRevision: () => this.#suspectRegistry.revision,
+      onFollow: (shares) => this.#follow(shares),
       onIsolated: () => this.#onIsolated(),
       isAwaitingConfiguration: () => this.#routeTable === undefined,
       random: Math.random,
@@ -397,7 +402,9 @@
     if (notice.kind === "dispatch") {
       const now = this.#options.clock.steady();
       this.#noticeThreshold.recordReceived(now);
-      this.#choice.applyDispatchNotice(notice, now);
+      if (this.#directory.get(notice.upstream) !== undefined) {
+        this.#choice.applyDispatchNotice(notice, now);
+      }
     } else if (notice.kind === "suspects") {
       this.#suspectWatcher.mergeReports(notice.suspects);
     } else {
@@ -417,6 +424,19 @@
     }
   }
 
+  #follow(shares: FollowedShares): void {
+    const text = JSON.stringify(shares);
+    if (text === this.#followed) {
+      return;
+    }
+    this.#followed = text;
+    const { name } = this.#options.settings();
+    this.#directory.limit((upstream) =>
+      followedShare.includes(name, upstream.name, shares[upstream.service] ?? 1)
+    );
+    this.#log.info("Follows a part of the upstreams", { ...shares });
+  }
+
   #onIsolated(): void {
     this.#chargeSync.isolate();
     this.#directExchangeTimer ??= setInterval(
--- a/packages/serving/change_log.ts
+++ b/packages/serving/change_log.ts
@@ -33,6 +33,11 @@
     this.#latestRevisions.delete(id);
   }
 
+  /** Revision of the latest change of an item; 0 without one. */
+  revisionOf(id: string): number {
+    return this.#latestRevisions.get(id) ?? 0;
+  }
+
   ids(): Iterable<string> {
     return this.#latestRevisions.keys();
   }
--- a/packages/serving/hub.ts
+++ b/packages/serving/hub.ts
@@ -8,7 +8,9 @@
 import { SuspectRegistry } from "./suspect_registry.ts";
 import { ChargeAggregator } from "./charge_aggregator.ts";
 import { DocumentSender } from "./document_sender.ts";
+import { FollowedUpstreams } from "./followed_upstreams.ts";
 import { EntryMedians } from "./entry_medians.ts";
+import type { FollowedShares } from "./followed_share.ts";
 import type { FeedReply } from "./feed_reply.ts";
 import type { FeedRequest } from "./feed_request.ts";
 import type { KnownEntry } from "./known_entry.ts";
@@ -22,6 +24,7 @@
 import type { MergeOutcome } from "./merge_outcome.ts";
 import type { UpdateSource } from "./update_source.ts";
 import type { UpstreamDirectory } from "./upstream_directory.ts";
+import type { UpstreamChanges } from "./upstream_changes.ts";
 import { UpstreamFeed } from "./upstream_feed.ts";
 import type { UpstreamLoad } from "./upstream_load.ts";
 import type { UpstreamRecord } from "./upstream_record.ts";
@@ -82,6 +85,7 @@
     countUpstreams: (service) => this.directory.countReady(service),
   });
   readonly #upstreams = new UpstreamFeed(this.#revisions);
+  readonly #followed = new FollowedUpstreams();
   readonly #entries = new Map<string, ReportedEntry>();
   readonly #medians = new EntryMedians(this.#entries, ENTRY_TIMEOUT_MS);
   readonly #openEntries = new OpenEntries(this.#revisions);
@@ -131,7 +135,11 @@
     now: Milliseconds,
     source?: UpdateSource,
   ): MergeOutcome {
-    return this.#upstreams.merge(update, now, source);
+    const outcome = this.#upstreams.merge(update, now, source);
+    if (outcome === "changed") {
+      this.#followed.add(update);
+    }
+    return outcome;
   }
 
   /** Applies a heartbeat without changes that another replica received. */
@@ -171,16 +179,14 @@
     this.#sweep(now);
     const sinceRevision = request.feed === this.feed ? request.revision : 0;
     const { name } = request.entry;
-    const { upstreams, beats, ages } = this.#upstreams.changesSince(
-      sinceRevision,
-      now,
-    );
+    const { upstreams, beats, ages } = this.#upstreamsFor(request, now);
     return {
       feed: this.feed,
       revision: this.#revisions.value,
       isLeading,
       upstreams,
       ages,
+      followed: this.#sharesFor(request),
       document: this.#documentSender.documentFor(request, document),
       ...this.#entriesFor(request, sinceRevision),
       entryCount: this.#shared.entryCount,
@@ -205,6 +211,35 @@
     };
   }
 
+  /** Changes of the upstreams that an entry follows. */
+  #upstreamsFor(request: SyncRequest, now: Milliseconds): UpstreamChanges {
+    const { feed, loads, followed = {} } = request;
+    const ids = this.#followedBy(request);
+    // An entry that follows too few gets the records of all that it should.
+    const lacksRecords = this.#followed.hasGrown(followed);
+    const revision = feed === this.feed && !lacksRecords ? request.revision : 0;
+    if (ids !== undefined) {
+      const log = loads === undefined ? "changes" : "received";
+      return this.#upstreams.changesAmong(ids, { revision, now, log });
+    }
+    return loads === undefined
+      ? this.#upstreams.recordsChangedSince(revision, now)
+      : this.#upstreams.changesSince(revision, now);
+  }
+
+  /** IDs of the upstreams that an entry follows; undefined for all. */
+  #followedBy({ entry, followed }: SyncRequest): Set<string> | undefined {
+    return followed !== undefined && this.#followed.isLimited
+      ? this.#followed.listFor(entry.name, () => this.#upstreams.records())
+      : undefined;
+  }
+
+  #sharesFor({ followed }: SyncRequest): FollowedShares | undefined {
+    return followed !== undefined && this.#followed.differs(followed)
+      ? this.#followed.shares
+      : undefined;
+  }
+
   /** The list of open entries, or its changes where those suffice. */
   #entriesFor(
     request: SyncRequest,
@@ -238,12 +273,13 @@
   ): Pick<SharedState, "loadsOfOthers" | "areLoadsPartial"> {
     const { name } = request.entry;
     const since = request.feed === this.feed ? request.loadsSince ?? 0 : 0;
+    const ids = this.#followedBy(request);
     return since > 0
       ? {
-        loadsOfOthers: this.#loads.changesExcluding(name, since),
+        loadsOfOthers: this.#loads.changesExcluding(name, since, ids),
         areLoadsPartial: true,
       }
-      : { loadsOfOthers: this.#loads.sumExcluding(name) };
+      : { loadsOfOthers: this.#loads.sumExcluding(name, ids) };
   }
 
   /**
@@ -363,6 +399,7 @@
       if (now - entry.receivedAt > ENTRY_RETENTION_MS) {
         this.#prefillWork.remove(name);
         this.#versions.remove(name);
+        this.#followed.forget(name);
         this.#openEntries.remove(name);
         this.#entries.delete(name);
       }
@@ -423,6 +460,7 @@
       return;
     }
     this.#sweptAt = now;
+    this.#followed.count(() => this.directory.list(), now);
     let entryCount = 0;
     for (const [name, { receivedAt }] of this.#entries) {
       if (now - receivedAt >= ENTRY_TIMEOUT_MS) {
--- a/packages/serving/load_totals.ts
+++ b/packages/serving/load_totals.ts
@@ -53,10 +53,17 @@
     }
   }
 
-  /** Loads of all entries but one, by upstream. */
-  sumExcluding(entry: string): Record<string, UpstreamLoad> {
+  /**
+   * Loads of all entries but one, by upstream.
+   *
+   * @param ids Upstreams that the receiver follows; undefined for all.
+   */
+  sumExcluding(
+    entry: string,
+    ids?: ReadonlySet<string>,
+  ): Record<string, UpstreamLoad> {
     return this.#collect(
-      entry,
+      { entry, ids },
       ({ requests, backlog }) => requests !== 0 || backlog !== 0,
     );
   }
@@ -65,18 +72,23 @@
   changesExcluding(
     entry: string,
     since: number,
+    ids?: ReadonlySet<string>,
   ): Record<string, UpstreamLoad> {
-    return this.#collect(entry, ({ revision }) => revision > since);
+    return this.#collect({ entry, ids }, ({ revision }) => revision > since);
   }
 
   #collect(
-    entry: string,
+    { entry, ids = this.#totals }: {
+      entry: string;
+      ids: { keys(): Iterable<string> } | undefined;
+    },
     isIncluded: (total: UpstreamTotal) => boolean,
   ): Record<string, UpstreamLoad> {
     const own = this.#entries.get(entry) ?? {};
     const loads: Record<string, UpstreamLoad> = {};
-    for (const [id, total] of this.#totals) {
-      if (isIncluded(total)) {
+    for (const id of ids.keys()) {
+      const total = this.#totals.get(id);
+      if (total !== undefined && isIncluded(total)) {
         const { requests, backlog } = own[id] ?? NO_LOAD;
         loads[id] = {
           requests: total.requests - requests,
--- a/packages/serving/mod.ts
+++ b/packages/serving/mod.ts
@@ -47,6 +47,8 @@
 export type { WorkspaceCounts } from "./workspace_counts.ts";
 export { ChargeRelay } from "./charge_relay.ts";
 export { CounterReport } from "./counter_report.ts";
+export type { FollowedShares } from "./followed_share.ts";
+export { followedShare } from "./followed_share.ts";
 export { exchangeInterval } from "./exchange_interval.ts";
 export { findRecordProblem } from "./find_record_problem.ts";
 export { overloadRetryDelay } from "./overload_retry_delay.ts";
--- a/packages/serving/preferred_upstreams.ts
+++ b/packages/serving/preferred_upstreams.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds } from "@heroncleat/base";
+import { hashToUnit } from "./hash_to_unit.ts";
 import type { KnownUpstream } from "./known_upstream.ts";
 
 /** Cost of the second preferred upstream over the first. */
@@ -46,16 +47,3 @@
   ranked.sort((left, right) => left.rank - right.rank);
   return ranked.map(({ id }) => id);
 }
-
-/** Hash (FNV-1a) mapped to 0 up to 1, the same in every process. */
-function hashToUnit(part: string, id: string): number {
-  let hash = 0x811c9dc5;
-  for (const text of [part, id]) {
-    for (let at = 0; at < text.length; at += 1) {
-      hash = Math.imul(hash ^ text.charCodeAt(at), 0x01000193);
-    }
-  }
-  hash = Math.imul(hash ^ (hash >>> 15), 0x85ebca6b);
-  hash ^= hash >>> 13;
-  return (hash >>> 0) / 0x1_0000_0000;
-}
--- a/packages/serving/sync_reply.ts
+++ b/packages/serving/sync_reply.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds } from "@heroncleat/base";
 import type { Rollout } from "@heroncleat/rollouts";
+import type { FollowedShares } from "./followed_share.ts";
 import type { KnownEntry } from "./known_entry.ts";
 import type { EntryChanges } from "./entry_changes.ts";
 import type { ReportedSuspect } from "./reported_suspect.ts";
@@ -16,6 +17,11 @@
   readonly isLeading: boolean;
   /** Upstreams that changed after the revision that the entry named. */
   readonly upstreams: readonly UpstreamRecord[];
+  /**
+   * Shares of the upstreams that the entry has to follow from now on; absent if
+   * they are those that it named.
+   */
+  readonly followed?: FollowedShares | undefined;
   /** See UpstreamChanges; of `upstreams` and of `shared.beats`. */
   readonly ages?: Readonly<Record<string, Milliseconds>>;
   /**
--- a/packages/serving/sync_request.ts
+++ b/packages/serving/sync_request.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds } from "@heroncleat/base";
 import type { VersionReport } from "@heroncleat/rollouts";
+import type { FollowedShares } from "./followed_share.ts";
 import type { ReportedSuspect } from "./reported_suspect.ts";
 import type { RelayedChargeReport } from "./relayed_charge_report.ts";
 import type { UpstreamLoad } from "./upstream_load.ts";
@@ -31,6 +32,11 @@
    * Version of the configuration document in force at the entry; -1 for none.
    */
   readonly documentVersion: number;
+  /**
+   * Shares of the upstreams that the entry follows, as this replica last told;
+   * absent from older releases, which follow all.
+   */
+  readonly followed?: FollowedShares | undefined;
   /** Whether the entry accepts changes of lists; absent from older releases. */
   readonly takesChanges?: true;
   /**
--- a/packages/serving/upstream_directory.ts
+++ b/packages/serving/upstream_directory.ts
@@ -39,6 +39,10 @@
   /** Instance IDs by address, as searching all instances would be slow. */
   readonly #idsAt = new Map<string, Set<string>>();
   readonly #instances = new UpstreamInstances();
+  /** Whether an upstream is listed; see `limit`. */
+  #isFollowed: (record: UpstreamRecord) => boolean = () => true;
+  /** IDs of instances that aren't listed. */
+  readonly #unfollowed = new Set<string>();
 
   /**
    * Merges an update.
@@ -189,6 +193,9 @@
   ): void {
     const known = this.#known.get(record.id);
     const firstReceivedAt = known?.firstReceivedAt ?? now;
+    if (known === undefined && !this.#isFollowed(record)) {
+      this.#unfollowed.add(record.id);
+    }
     this.#known.set(record.id, {
       record,
       receivedAt: Math.max(now - age, known?.receivedAt ?? -Infinity),
@@ -222,13 +229,26 @@
 
   /** Current instances, including recently departed ones. */
   *list(): Iterable<KnownUpstream> {
-    for (const known of this.#known.values()) {
-      if (this.#instances.isCurrent(known.record)) {
+    for (const [id, known] of this.#known) {
+      if (
+        this.#instances.isCurrent(known.record) && !this.#unfollowed.has(id)
+      ) {
         yield known;
       }
     }
   }
 
+  /** Lists only some upstreams from now on; the others expire without news. */
+  limit(isFollowed: (record: UpstreamRecord) => boolean): void {
+    this.#isFollowed = isFollowed;
+    this.#unfollowed.clear();
+    for (const { record } of this.#known.values()) {
+      if (!isFollowed(record)) {
+        this.#unfollowed.add(record.id);
+      }
+    }
+  }
+
   /** Number of ready upstreams of a service. */
   countReady(service: string): number {
     let count = 0;
@@ -251,6 +271,7 @@
     for (const [id, { receivedAt, record }] of this.#known) {
       if (now - receivedAt > RETENTION_MS) {
         this.#known.delete(id);
+        this.#unfollowed.delete(id);
         this.#instances.remove(record);
         this.#removeAddress(record);
       }
--- a/packages/serving/upstream_feed.ts
+++ b/packages/serving/upstream_feed.ts
@@ -25,6 +25,8 @@
   readonly #received = new ChangeLog();
   /** Revision of the last change of an upstream, by instance ID. */
   readonly #changedAt = new Map<string, number>();
+  /** The same changes in their order. */
+  readonly #changes = new ChangeLog();
 
   constructor(revisions: RevisionCounter) {
     this.#revisions = revisions;
@@ -48,7 +50,7 @@
     const revision = this.#revisions.next();
     this.#received.record(id, revision);
     if (outcome === "changed" || !this.#changedAt.has(id)) {
-      this.#changedAt.set(id, revision);
+      this.#recordChange(id, revision);
     }
     return outcome;
   }
@@ -71,16 +73,68 @@
     this.directory.remove(id, now);
     const revision = this.#revisions.next();
     this.#received.record(id, revision);
-    this.#changedAt.set(id, revision);
+    this.#recordChange(id, revision);
     return id;
   }
 
+  #recordChange(id: string, revision: number): void {
+    this.#changedAt.set(id, revision);
+    this.#changes.record(id, revision);
+  }
+
+  /** Records of all upstreams, also of departed ones. */
+  *records(): Iterable<UpstreamRecord> {
+    for (const id of this.#changes.ids()) {
+      const record = this.directory.get(id)?.record;
+      if (record !== undefined) {
+        yield record;
+      }
+    }
+  }
+
   /** Changes after a revision; 0 returns all. */
   changesSince(revision: number, now: Milliseconds): UpstreamChanges {
+    return this.#collect(this.#received.idsSince(revision), { revision, now });
+  }
+
+  /** Changes without heartbeats, which take much less time to find. */
+  recordsChangedSince(revision: number, now: Milliseconds): UpstreamChanges {
+    return this.#collect(this.#changes.idsSince(revision), { revision, now });
+  }
+
+  /**
+   * Changes after a revision among the upstreams that an entry follows. IDs of
+   * expired upstreams are removed from the set.
+   */
+  changesAmong(
+    ids: Set<string>,
+    { revision, now, log }: {
+      revision: number;
+      now: Milliseconds;
+      /** Whether heartbeats are included. */
+      log: "received" | "changes";
+    },
+  ): UpstreamChanges {
+    const changes = log === "received" ? this.#received : this.#changes;
+    const changed: string[] = [];
+    for (const id of ids) {
+      if (changes.revisionOf(id) > revision) {
+        changed.push(id);
+      } else if (this.directory.get(id) === undefined) {
+        ids.delete(id);
+      }
+    }
+    return this.#collect(changed, { revision, now });
+  }
+
+  #collect(
+    ids: Iterable<string>,
+    { revision, now }: { revision: number; now: Milliseconds },
+  ): UpstreamChanges {
     const upstreams: UpstreamRecord[] = [];
     const beats: Record<string, number> = {};
     const ages: Record<string, Milliseconds> = {};
-    for (const id of this.#received.idsSince(revision)) {
+    for (const id of ids) {
       const known = this.directory.get(id);
       if (known === undefined || !this.#isForwarded(known.record)) {
         continue;
@@ -112,6 +166,7 @@
     for (const id of this.#received.ids()) {
       if (this.directory.get(id) === undefined) {
         this.#received.remove(id);
+        this.#changes.remove(id);
         this.#changedAt.delete(id);
       }
     }
--- a/packages/transport/framed_socket.ts
+++ b/packages/transport/framed_socket.ts
@@ -3,8 +3,11 @@
 
 /** Limit for one message; snapshots are sent in chunks. */
 const MAX_PAYLOAD_BYTES = 16 * 1024 * 1024;
-/** Limit of the send queue; a slow peer that exceeds it is disconnected. */
-const MAX_QUEUED_BYTES = 32 * 1024 * 1024;
+/**
+ * Limit of the send queue beyond one message; a slow peer that exceeds it is
+ * disconnected.
+ */
+const MAX_QUEUED_BYTES = 4 * 1024 * 1024;
 
 type SocketHandlers = {
   readonly onMessage: (message: unknown) => void;
@@ -36,6 +39,11 @@
     return !this.#isClosed;
   }
 
+  /** Bytes that wait until the peer reads. */
+  get queuedBytes(): number {
+    return this.#socket.writableLength;
+  }
+
   /** Time by `performance.now()` at which bytes last arrived; 0 if never. */
   get lastReceivedAt(): number {
     return this.#lastReceivedAt;
@@ -51,7 +59,7 @@
       return;
     }
     const payload = Buffer.from(JSON.stringify(message));
-    if (this.#socket.writableLength + payload.length > MAX_QUEUED_BYTES) {
+    if (this.#socket.writableLength > MAX_QUEUED_BYTES) {
       this.close("the peer reads too slowly and its send queue is full");
       return;
     }
--- a/packages/transport/peer_server.ts
+++ b/packages/transport/peer_server.ts
@@ -6,6 +6,11 @@
 import { handshake } from "./handshake.ts";
 import type { MethodHandler } from "./method_handler.ts";
 
+/**
+ * Replies that a peer may leave unread. Its further requests are dropped and
+ * time out, as replies to all of them would fill the memory.
+ */
+const MAX_UNREAD_BYTES = 256 * 1024;
 /** Limit for a connecting peer to prove that it has the shared secret. */
 const HANDSHAKE_TIMEOUT_MS = 3000;
 
@@ -105,6 +110,10 @@
       framed.close("the peer sent a message that is not a request");
       return;
     }
+    const expectsReply = "id" in message;
+    if (expectsReply && framed.queuedBytes > MAX_UNREAD_BYTES) {
+      return;
+    }
     const response = await this.#methods.receive(message as never);
     if (response !== null) {
       framed.send(response);
