Replicas don't relay heartbeats that the reader gets itself

Cause: each replica passed on every heartbeat that it had received or read, so that each arrived at each replica from all the others.

Change: a reader names the replicas whose feeds it reads; heartbeats that came from these are left out. Changes are still passed on by all, and a path that is cut is gone around.

--- a/apps/heroncleatd/hub/feed_reader.ts
+++ b/apps/heroncleatd/hub/feed_reader.ts
@@ -5,6 +5,8 @@
 
 const READ_INTERVAL: Milliseconds = 200;
 const READ_TIMEOUT: Milliseconds = 800;
+/** Time without a reply after which a feed no longer counts as read. */
+const LOST_TIMEOUT: Milliseconds = 1000;
 
 type ReaderOptions = {
   readonly hub: Hub;
@@ -16,7 +18,12 @@
 };
 
 /** Position up to which a peer's change feed has been read. */
-type Position = { feed: string; revision: number; isReading: boolean };
+type Position = {
+  feed: string;
+  revision: number;
+  isReading: boolean;
+  readAt: Milliseconds;
+};
 
 /**
  * Polls the change feeds of the other control replicas and merges their
@@ -39,7 +46,7 @@
   #readAll(): void {
     for (const address of this.#options.peers()) {
       const position = this.#positions.get(address) ??
-        { feed: "", revision: 0, isReading: false };
+        { feed: "", revision: 0, isReading: false, readAt: -Infinity };
       this.#positions.set(address, position);
       if (!position.isReading) {
         void this.#read(address, position);
@@ -47,12 +54,24 @@
     }
   }
 
+  /** Replicas whose feeds arrive here. */
+  #listRead(): string[] {
+    const since = this.#options.clock.steady() - LOST_TIMEOUT;
+    const read: string[] = [];
+    for (const address of this.#options.peers()) {
+      if ((this.#positions.get(address)?.readAt ?? -Infinity) > since) {
+        read.push(address);
+      }
+    }
+    return read;
+  }
+
   async #read(address: string, position: Position): Promise<void> {
     const { pool, hub, clock, log } = this.#options;
     position.isReading = true;
     try {
       const { feed, revision } = position;
-      const request: FeedRequest = { feed, revision };
+      const request: FeedRequest = { feed, revision, reads: this.#listRead() };
       const reply = await pool.call(address, "hub.feed", {
         parameters: request,
         timeout: READ_TIMEOUT,
@@ -66,6 +85,7 @@
           by: address,
         });
       }
+      position.readAt = now;
       position.feed = reply.feed;
       position.revision = reply.revision;
     } catch {
--- a/packages/serving/hub.ts
+++ b/packages/serving/hub.ts
@@ -287,14 +287,25 @@
    * revision.
    */
   createFeedReply(
-    { feed, revision }: FeedRequest,
+    { feed, revision, reads = [] }: FeedRequest,
     now: Milliseconds,
   ): FeedReply {
     const isSameFeed = feed === this.feed;
+    const changes = this.#upstreams.changesSince(
+      isSameFeed ? revision : 0,
+      now,
+    );
+    const beats: Record<string, number> = {};
+    for (const [id, sequence] of Object.entries(changes.beats)) {
+      if (!reads.includes(this.directory.get(id)?.reporter ?? "")) {
+        beats[id] = sequence;
+      }
+    }
     return {
       feed: this.feed,
       revision: this.revision,
-      ...this.#upstreams.changesSince(isSameFeed ? revision : 0, now),
+      ...changes,
+      beats,
       suspects: this.#suspectsSince(isSameFeed ? revision : 0, now),
       // Usage is sent once to each process that reads this feed.
       usage: isSameFeed ? {} : this.recentUsage(),
