Fleet planner: a property test of what it orders

The platform refused one order of a small twin as naming no known service, zone or number. Orders are whole numbers within the limits for any fleet and load that fast-check draws, so that the cause is elsewhere and isn't found.

--- a/packages/serving/fleet_planner_test.ts
+++ b/packages/serving/fleet_planner_test.ts
@@ -1,3 +1,4 @@
+import fc from "fast-check";
 import { FleetPlanner, type Service, type UpstreamRecord } from "./mod.ts";
 import { SimulatedCloud } from "./simulated_cloud.ts";
 
@@ -65,6 +66,27 @@
     .reduce((sum, { count }) => sum + count, 0);
 
 describe("the fleet planner", () => {
+  test("orders whole numbers within the limits, whatever is there", () => {
+    fc.assert(fc.property(
+      fc.array(fc.nat(25), { minLength: 4, maxLength: 4 }),
+      fc.nat(60),
+      fc.double({ min: 0, max: 40, noNaN: true }),
+      (spots, onDemand, engines) => {
+        const planner = createPlannerUnderLoad(engines, 12_000);
+        const orders = planner.plan({
+          upstreams: createFleet(spots, onDemand),
+          isIdle: false,
+          now: 12_000,
+        });
+        for (const { count } of orders) {
+          expect(Number.isInteger(count)).toBe(true);
+          expect(count).toBeGreaterThanOrEqual(0);
+          expect(count).toBeLessThanOrEqual(service.scale!.max);
+        }
+      },
+    ));
+  });
+
   test("orders spot upstreams first and releases on-demand ones for them", () => {
     const planner = new FleetPlanner(service, { settings, now: 0 });
     const orders = planner.plan({
