--- a/apps/heroncleatd/entry/dispatch_service_test.ts
+++ b/apps/heroncleatd/entry/dispatch_service_test.ts
@@ -127,6 +127,13 @@
 function createCall(isIdempotent: boolean): ServiceCall {
   callCount += 1;
   return {
+    identity: {
+      attempt: `c${callCount}`,
+      workspace: "bistro",
+      service: "booking",
+      size: 0,
+      digest: () => `c${callCount}`,
+    },
     routed: {
       id: `c${callCount}`,
       workspace: "bistro",
--- a/apps/heroncleatd/gateway/caller_surface_test.ts
+++ b/apps/heroncleatd/gateway/caller_surface_test.ts
@@ -152,6 +152,7 @@
     shared: {
       beats: {},
       loadsOfOthers: {},
+      readingSpeeds: {},
       quotaShare: 1,
     },
   };
--- a/apps/heroncleatd/gateway/forward_headers_test.ts
+++ b/apps/heroncleatd/gateway/forward_headers_test.ts
@@ -72,6 +72,7 @@
     method: "POST",
     target: "/",
     rawHeaders,
+    size: 0,
     headers: {},
     body: Buffer.alloc(0),
     service: "desk",
--- a/apps/heroncleatd/gateway/planned_shutdown_test.ts
+++ b/apps/heroncleatd/gateway/planned_shutdown_test.ts
@@ -243,6 +243,6 @@
     controls: [HUB],
     wall: Date.now(),
     spentByOthers: {},
-    shared: { beats: {}, loadsOfOthers: {}, quotaShare: 1 },
+    shared: { beats: {}, loadsOfOthers: {}, readingSpeeds: {}, quotaShare: 1 },
   };
 }
--- a/apps/heroncleatd/gateway/send_to_upstream_test.ts
+++ b/apps/heroncleatd/gateway/send_to_upstream_test.ts
@@ -26,13 +26,6 @@
     headers: ["Host", "upstream"],
     names: testHeaderNames,
     signal: new AbortController().signal,
-    identity: {
-      attempt: "a",
-      workspace: "",
-      service: "desk",
-      size: 0,
-      digest: () => "d",
-    },
   });
   if (result.kind !== "head") {
     throw new Error(result.reason);
--- a/packages/consensus/replica_test.ts
+++ b/packages/consensus/replica_test.ts
@@ -42,7 +42,10 @@
   time = 0;
   proposalCount = 0;
 
-  constructor(size: number, readonly seed: number) {
+  readonly seed: number;
+
+  constructor(size: number, seed: number) {
+    this.seed = seed;
     this.founders = Array.from({ length: size }, (_, index) => ({
       id: `n${index}`,
       name: `r${index}`,
@@ -568,6 +571,9 @@
         term: 3,
         from: second.member.id,
         granted: true,
+        upToDate: true,
+        quietTerm: -1,
+        membersIndex: 0,
       },
     });
     for (const event of [{ kind: "tick" as const }, vote(true), vote(false)]) {
@@ -615,6 +621,7 @@
       lastIndex: 0,
       lastTerm: 0,
       transfer: false,
+      quietTerm: -1,
     });
     const appended = handle({
       kind: "append",
--- a/packages/membership/membership_test.ts
+++ b/packages/membership/membership_test.ts
@@ -25,7 +25,10 @@
   sent = 0;
   time = 0;
 
-  constructor(readonly size: number) {
+  readonly size: number;
+
+  constructor(size: number) {
+    this.size = size;
     for (let index = 0; index < size; index += 1) {
       this.start(`e${index}`);
     }
