--- a/packages/bench/slopes/simulated_exchange.ts
+++ b/packages/bench/slopes/simulated_exchange.ts
@@ -5,6 +5,8 @@
 } from "@heroncleat/base";
 import {
   CounterReport,
+  followedShare,
+  type FollowedShares,
   Hub,
   type SyncReply,
   type SyncRequest,
@@ -53,6 +55,7 @@
   feed: string;
   revision: number;
   loadsSince: number;
+  followed: FollowedShares;
   report: CounterReport;
   documentVersion: number;
   nextExchangeAt: Milliseconds;
@@ -147,6 +150,7 @@
       feed: "",
       revision: 0,
       loadsSince: 0,
+      followed: {},
       report: new CounterReport(),
       documentVersion: -1,
       nextExchangeAt: this.#options.interval * index / this.#options.entries,
@@ -177,6 +181,7 @@
       feed: "",
       revision: 0,
       loadsSince: 0,
+      followed: {},
       report: new CounterReport(),
       documentVersion: -1,
       nextExchangeAt: at,
@@ -278,6 +283,7 @@
       revision,
       documentVersion,
       takesChanges: true,
+      followed: entry.followed,
       loadsSince: entry.loadsSince,
       ...entry.report.build(feed, {
         spent: { ...entry.spent },
@@ -285,15 +291,22 @@
         usage: structuredClone(entry.usage),
       }),
       readingSpeeds: { writers: 1 + boot / 100 },
-      loads: this.#drawLoads(),
+      loads: this.#drawLoads(entry),
     };
   }
 
-  #drawLoads(): Record<string, { requests: number; backlog: number }> {
+  #drawLoads(
+    entry: SimulatedEntry,
+  ): Record<string, { requests: number; backlog: number }> {
     const loads: Record<string, { requests: number; backlog: number }> = {};
+    const listed = [...entry.directory.list()];
     for (let used = 0; used < USED_UPSTREAM_COUNT; used += 1) {
-      const index = Math.floor(this.#random() * this.#options.upstreams);
-      loads[`upstream-${index}`] = {
+      const index = Math.floor(this.#random() * listed.length);
+      const id = listed[index]?.record.id;
+      if (id === undefined) {
+        break;
+      }
+      loads[id] = {
         requests: 1 + Math.floor(this.#random() * MAX_IN_FLIGHT),
         backlog: Math.floor(this.#random() * 100),
       };
@@ -302,6 +315,7 @@
   }
 
   #applyReply(entry: SimulatedEntry, reply: SyncReply): void {
+    this.#applyShares(entry, reply);
     entry.feed = reply.feed;
     entry.revision = reply.revision;
     entry.loadsSince = reply.revision;
@@ -333,6 +347,18 @@
     });
   }
 
+  #applyShares(entry: SimulatedEntry, { feed, followed }: SyncReply): void {
+    if (followed === undefined && feed === entry.feed) {
+      return;
+    }
+    entry.followed = followed ?? {};
+    const { name } = entry;
+    const shares = entry.followed;
+    entry.directory.limit((upstream) =>
+      followedShare.includes(name, upstream.name, shares[upstream.service] ?? 1)
+    );
+  }
+
   #timeReplica<Result>(work: () => Result): Result {
     const startedAt = performance.now();
     const result = work();
