Rollouts: whether an upstream is cold reaches entries

Cause: the time for which an upstream stays cold was part of its record, but a heartbeat that changes nothing else sends its number only, so that an entry kept the first value for good and never gave a canary anything.

Change: a record says whether the upstream is cold; that and the version count as changes. Cold upstreams get nothing in the wider stages either, while others are there.

--- a/apps/heroncleatd/hub/rollout_runner.ts
+++ b/apps/heroncleatd/hub/rollout_runner.ts
@@ -123,13 +123,13 @@
     let destinationSlots = 0;
     let otherSlots = 0;
     for (const { record, receivedAt } of this.#options.hub.directory.list()) {
-      const { service, state, slots, version, coldFor = 0 } = record;
+      const { service, state, slots, version, isCold } = record;
       const isLive = service === rollout.service && state === "ready" &&
         now - receivedAt < HEARTBEAT_TIMEOUT;
       const side = isLive ? versionSide(rollout, version) : undefined;
       if (side === "other") {
         otherSlots += slots;
-      } else if (side === "destination" && now >= receivedAt + coldFor) {
+      } else if (side === "destination" && isCold !== true) {
         destinationSlots += slots;
       }
     }
--- a/packages/rollouts/simulated_rollout.ts
+++ b/packages/rollouts/simulated_rollout.ts
@@ -180,7 +180,6 @@
           state: "ready",
           version,
         },
-        receivedAt: this.#now,
       };
       this.#upstreams.push(upstream);
       for (const { gate } of this.#entries) {
--- a/packages/rollouts/version_gate.ts
+++ b/packages/rollouts/version_gate.ts
@@ -81,6 +81,8 @@
       versionSide(rollout, record.version) === "destination";
     const isOther = ({ record }: VersionedUpstream) =>
       versionSide(rollout, record.version) === "other";
+    const isWarmDestination = (upstream: VersionedUpstream) =>
+      isDestination(upstream) && upstream.record.isCold !== true;
     const isChosen = !options.isRetry && options.random < rollout.share;
     switch (rollout.stage) {
       case RolloutStage.reverted:
@@ -88,9 +90,9 @@
       case RolloutStage.canary:
         return isChosen ? [canaryFilter(rollout, options), isOther] : [isOther];
       case RolloutStage.widened:
-        return isChosen ? [isDestination, isOther] : [isOther];
+        return isChosen ? [isWarmDestination, isOther] : [isOther];
       default:
-        return [isDestination, isOther];
+        return [isWarmDestination, isDestination, isOther];
     }
   }
 
@@ -126,21 +128,19 @@
  */
 function canaryFilter(
   rollout: Rollout,
-  { now, upstreams }: AdmitOptions,
+  { upstreams }: AdmitOptions,
 ): UpstreamFilter {
   const { service, share } = rollout;
   const candidates: string[] = [];
   let others = 0;
-  for (const { record, receivedAt } of upstreams()) {
+  for (const { record } of upstreams()) {
     if (record.service !== service || record.state !== "ready") {
       continue;
     }
     const side = versionSide(rollout, record.version);
     if (side === "other") {
       others += 1;
-    } else if (
-      side === "destination" && now >= receivedAt + (record.coldFor ?? 0)
-    ) {
+    } else if (side === "destination" && record.isCold !== true) {
       candidates.push(record.id);
     }
   }
--- a/packages/rollouts/versioned_upstream.ts
+++ b/packages/rollouts/versioned_upstream.ts
@@ -1,5 +1,3 @@
-import type { Milliseconds } from "@heroncleat/base";
-
 /** The properties of an upstream that its version decides on. @public */
 export type VersionedUpstream = {
   readonly record: {
@@ -8,8 +6,7 @@
     readonly state: string;
     /** Version of its software; absent if it isn't reported. */
     readonly version?: string | undefined;
-    /** Time after the heartbeat during which it is slow. */
-    readonly coldFor?: Milliseconds | undefined;
+    /** Whether it is still slow after its start. */
+    readonly isCold?: boolean | undefined;
   };
-  readonly receivedAt: Milliseconds;
 };
--- a/packages/serving/hub_test.ts
+++ b/packages/serving/hub_test.ts
@@ -52,6 +52,16 @@
     expect(last.upstreams[0]?.state).toBe("gone");
   });
 
+  test("tells when an upstream is no longer cold", () => {
+    const hub = new Hub("f");
+    hub.mergeUpstream({ ...record, isCold: true }, 0);
+    const first = hub.sync(request("a"), { ...context, now: 0 });
+    hub.mergeUpstream({ ...record, sequence: 2, isCold: false }, 900);
+    const since = { feed: first.feed, revision: first.revision };
+    const next = hub.sync(request("a", since), { ...context, now: 1000 });
+    expect(next.upstreams.map(({ isCold }) => isCold)).toEqual([false]);
+  });
+
   test("sends everything to an entry that followed another process", () => {
     const hub = new Hub("f");
     hub.mergeUpstream(record, 0);
--- a/packages/serving/upstream_record.ts
+++ b/packages/serving/upstream_record.ts
@@ -14,8 +14,8 @@
   readonly zone: string;
   /** Version of its software; absent if it isn't reported. */
   readonly version?: string | undefined;
-  /** Time from the heartbeat for which it is slow after its start. */
-  readonly coldFor?: Milliseconds | undefined;
+  /** Whether it is still slow after its start. */
+  readonly isCold?: boolean | undefined;
   /** Number of requests that it runs concurrently. */
   readonly slots: number;
   /** Increases with each heartbeat, so that late ones can be detected. */
--- a/packages/serving/upstream_update.ts
+++ b/packages/serving/upstream_update.ts
@@ -26,7 +26,8 @@
   return left.service === right.service && left.address === right.address &&
     left.zone === right.zone && left.slots === right.slots &&
     left.state === right.state && left.isSpot === right.isSpot &&
-    left.leavesIn === right.leavesIn;
+    left.leavesIn === right.leavesIn && left.version === right.version &&
+    (left.isCold ?? false) === (right.isCold ?? false);
 }
 
 /** A later state takes precedence even from an older heartbeat. */
