Many entries that await their configuration poll one replica

Cause: until the first configuration each entry polled every replica at the initial interval: with 86 entries and 8 replicas 60 exchanges a second at each entry, at every start and after every loss of all processes.

Change: above 32 entries only the primary is polled at that interval; the others are asked as in steady state. Fewer entries poll all replicas as before.

--- a/apps/heroncleatd/gateway/control_links.ts
+++ b/apps/heroncleatd/gateway/control_links.ts
@@ -231,7 +231,7 @@
   }
 
   #isDue(link: ControlLink, now: Milliseconds): boolean {
-    if (this.#options.isAwaitingConfiguration()) {
+    if (this.#options.isAwaitingConfiguration() && this.#isPolled(link)) {
       return now - link.requestedAt >= this.#pollInterval / 2;
     }
     const usesShortPause = this.#primary !== "" &&
@@ -244,6 +244,15 @@
     return now - link.requestedAt >= pause - this.#pollInterval / 2;
   }
 
+  /**
+   * Whether a replica is polled for the first configuration. All replicas have
+   * it within milliseconds, so many entries poll the primary only.
+   */
+  #isPolled({ address }: ControlLink): boolean {
+    return this.#primary === "" || address === this.#primary ||
+      !exchangeInterval.isScaled(this.#entryCount);
+  }
+
   #choosePrimary(): void {
     const reachable = this.#listLinks().filter((link) =>
       this.#isReachable(link)
--- a/apps/heroncleatd/gateway/control_links_test.ts
+++ b/apps/heroncleatd/gateway/control_links_test.ts
@@ -220,6 +220,8 @@
 test("the call rate at a replica doesn't grow with the number of starting entries", async () => {
   expect(await countCallsPerReplica(200)).toBeLessThan(800);
   expect(await countCallsPerReplica(100)).toBeLessThan(800);
+  // Many entries poll one replica each, and the others much less.
+  expect(await countCallsPerReplica(96)).toBeLessThan(350);
   // A small number of entries polls at the full rate.
   expect(await countCallsPerReplica(12)).toBeGreaterThan(12 * 15);
 });
--- a/packages/serving/exchange_interval.ts
+++ b/packages/serving/exchange_interval.ts
@@ -34,6 +34,11 @@
  * @public
  */
 export const exchangeInterval = {
+  /** Whether there are so many entries that intervals grow. */
+  isScaled(entries: number): boolean {
+    return entries > ENTRY_SCALING_THRESHOLD;
+  },
+
   /** Of full exchanges, with the primary. */
   full(entries: number): Milliseconds {
     return scaleToEntries(FULL_INTERVAL, entries);
