Rollouts: versions that come after a completed one are served

Cause: once a rollout was completed only its destination got requests, so that upstreams of a later version without a rollout would have stood idle.

Change: an entry remembers the versions that the rollout ended and admits the others. The reply to a replica is built in the feed.

--- a/packages/rollouts/version_gate.ts
+++ b/packages/rollouts/version_gate.ts
@@ -1,4 +1,4 @@
-import type { Milliseconds } from "@heroncleat/base";
+import { type Milliseconds, unreachable } from "@heroncleat/base";
 import type { Rollout } from "./rollout.ts";
 import { RolloutStage } from "./rollout_stage.ts";
 import { versionSide } from "./version_side.ts";
@@ -33,6 +33,11 @@
   readonly #rollouts = new Map<string, Rollout>();
   /** When upstreams of a version were first seen, by service and version. */
   readonly #versions = new Map<string, Map<string, Milliseconds>>();
+  /**
+   * Versions that a completed rollout has ended, by service. Upstreams of later
+   * versions may come without a rollout.
+   */
+  readonly #ended = new Map<string, ReadonlySet<string>>();
   #revision = 0;
 
   /** Number of the newest change that is known here. */
@@ -46,6 +51,7 @@
       const known = this.#rollouts.get(rollout.service);
       if (rollout.revision > (known?.revision ?? 0)) {
         this.#rollouts.set(rollout.service, rollout);
+        this.#recordEnded(rollout);
         this.#revision = Math.max(this.#revision, rollout.revision);
       }
     }
@@ -91,11 +97,35 @@
         return isChosen ? [canaryFilter(rollout, options), isOther] : [isOther];
       case RolloutStage.widened:
         return isChosen ? [isWarmDestination, isOther] : [isOther];
-      default:
+      case RolloutStage.full:
         return [isWarmDestination, isDestination, isOther];
+      case RolloutStage.completed:
+        return this.#admitAfter(rollout);
+      default:
+        return unreachable(rollout.stage);
+    }
+  }
+
+  #recordEnded({ service, stage, destination }: Rollout): void {
+    if (stage === RolloutStage.completed) {
+      const ended = new Set(this.#versions.get(service)?.keys());
+      ended.delete(destination);
+      this.#ended.set(service, ended);
     }
   }
 
+  /** Versions that a completed rollout has ended are the last resort. */
+  #admitAfter(rollout: Rollout): readonly UpstreamFilter[] {
+    const ended = this.#ended.get(rollout.service);
+    const isAllowed = ({ record }: VersionedUpstream) =>
+      versionSide(rollout, record.version) !== "rejected";
+    return [
+      (upstream) =>
+        isAllowed(upstream) && !ended?.has(upstream.record.version ?? ""),
+      isAllowed,
+    ];
+  }
+
   /**
    * Without a rollout all versions are equal, but for one that has just
    * appeared beside others.
--- a/packages/rollouts/version_gate_test.ts
+++ b/packages/rollouts/version_gate_test.ts
@@ -106,7 +106,17 @@
   expect(countOf(play(full, OLD), "v1")).toBe(REQUESTS);
 });
 
-test("an older word of a replica that lags changes nothing", () => {
+test("after a rollout, versions that come later are served like any", () => {
+  const gate = new VersionGate();
+  [...OLD, ...NEW].forEach((each) => gate.observe(each, 0));
+  gate.merge([rollout({ stage: RolloutStage.completed, share: 1 })]);
+  const later = Array.from({ length: 10 }, (_, index) => upstream("v3", index));
+  const counts = play(gate, [...OLD, ...NEW, ...later]);
+  expect(countOf(counts, "v1")).toBe(0);
+  expect(countOf(counts, "v3")).toBe(REQUESTS / 2);
+});
+
+test("a replica that lags behind another one changes nothing", () => {
   const gate = gateWith({ stage: RolloutStage.reverted, revision: 7 });
   gate.merge([rollout({ revision: 6 })]);
   expect(countOf(play(gate, [...OLD, ...NEW]), "v2")).toBe(0);
--- a/packages/serving/hub.ts
+++ b/packages/serving/hub.ts
@@ -291,21 +291,14 @@
     now: Milliseconds,
   ): FeedReply {
     const isSameFeed = feed === this.feed;
-    const changes = this.#upstreams.changesSince(
-      isSameFeed ? revision : 0,
-      now,
-    );
-    const beats: Record<string, number> = {};
-    for (const [id, sequence] of Object.entries(changes.beats)) {
-      if (!reads.includes(this.directory.get(id)?.reporter ?? "")) {
-        beats[id] = sequence;
-      }
-    }
     return {
       feed: this.feed,
       revision: this.revision,
-      ...changes,
-      beats,
+      ...this.#upstreams.changesForReplica({
+        revision: isSameFeed ? revision : 0,
+        reads,
+        now,
+      }),
       suspects: this.#suspectsSince(isSameFeed ? revision : 0, now),
       // Usage is sent once to each process that reads this feed.
       usage: isSameFeed ? {} : this.recentUsage(),
--- a/packages/serving/upstream_feed.ts
+++ b/packages/serving/upstream_feed.ts
@@ -97,6 +97,28 @@
     return this.#collect(this.#received.idsSince(revision), { revision, now });
   }
 
+  /**
+   * Changes for another replica, without heartbeats that it gets itself.
+   *
+   * @param options.reads Replicas whose feeds the other one reads.
+   */
+  changesForReplica(
+    { revision, reads, now }: {
+      revision: number;
+      reads: readonly string[];
+      now: Milliseconds;
+    },
+  ): UpstreamChanges {
+    const changes = this.changesSince(revision, now);
+    const beats: Record<string, number> = {};
+    for (const [id, sequence] of Object.entries(changes.beats)) {
+      if (!reads.includes(this.directory.get(id)?.reporter ?? "")) {
+        beats[id] = sequence;
+      }
+    }
+    return { ...changes, beats };
+  }
+
   /** Changes without heartbeats, which take much less time to find. */
   recordsChangedSince(revision: number, now: Milliseconds): UpstreamChanges {
     return this.#collect(this.#changes.idsSince(revision), { revision, now });
