--- a/apps/heroncleatd/gateway/control_link.ts
+++ b/apps/heroncleatd/gateway/control_link.ts
@@ -10,7 +10,7 @@
   readonly address: string;
   feed: string;
   revision: number;
-  /** Shares of the upstreams that the replica tells this entry of. */
+  /** Shares of the upstreams whose updates the replica sends to this entry. */
   followed: FollowedShares;
   receivedAt: Milliseconds;
   requestedAt: Milliseconds;
--- a/apps/heroncleatd/gateway/control_links.ts
+++ b/apps/heroncleatd/gateway/control_links.ts
@@ -403,8 +403,8 @@
   }
 
   /**
-   * Follows what any replica tells of: replicas that count different numbers of
-   * upstreams may tell different shares.
+   * Follows the largest share that a replica sends: replicas that count different
+   * numbers of upstreams may send different ones.
    */
   #applyShares(link: ControlLink, { feed, followed }: SyncReply): void {
     if (followed === undefined && feed === link.feed) {
--- a/apps/heroncleatd/gateway/feed_position.ts
+++ b/apps/heroncleatd/gateway/feed_position.ts
@@ -4,7 +4,7 @@
 export type FeedPosition = {
   readonly feed: string;
   readonly revision: number;
-  /** Shares of the upstreams that the replica tells this entry of. */
+  /** Shares of the upstreams whose updates the replica sends to this entry. */
   readonly followed: FollowedShares;
   /**
    * Whether the replica is the primary, with which upstream loads are
--- a/apps/heroncleatd/gateway/gateway.ts
+++ b/apps/heroncleatd/gateway/gateway.ts
@@ -397,7 +397,7 @@
 
 /**
  * Whether the identifier of the attempt is sent once. Without it, the response
- * of an upstream can't be told from that to another request.
+ * of an upstream can't be matched to the request.
  */
 function namesOneAttempt(incoming: IncomingMessage, header: string): boolean {
   const values = incoming.headersDistinct[header.toLowerCase()] ?? [];
--- a/packages/rollouts/version_gate.ts
+++ b/packages/rollouts/version_gate.ts
@@ -45,7 +45,7 @@
     return this.#revision;
   }
 
-  /** Merges rollouts as told by a replica, which may be behind another one. */
+  /** Merges rollouts that a replica sent, which may lag behind another one. */
   merge(rollouts: readonly Rollout[]): void {
     for (const rollout of rollouts) {
       const known = this.#rollouts.get(rollout.service);
--- a/packages/rollouts/version_report.ts
+++ b/packages/rollouts/version_report.ts
@@ -7,7 +7,7 @@
   readonly others: RouteSamples;
 };
 
-/** What an entry has seen of a rollout since the order. @public */
+/** Samples that an entry has collected since a rollout was ordered. @public */
 export type VersionReport = {
   readonly service: string;
   /** Identifies the rollout. */
--- a/packages/serving/hub.ts
+++ b/packages/serving/hub.ts
@@ -372,7 +372,7 @@
     return this.#medians.readingSpeeds(now);
   }
 
-  /** What the reporting entries have seen of a rollout. */
+  /** Samples of a rollout from the reporting entries. */
   versionReports(rollout: Rollout): VersionReport[] {
     return this.#versions.list(rollout);
   }
--- a/packages/serving/hub_test.ts
+++ b/packages/serving/hub_test.ts
@@ -52,7 +52,7 @@
     expect(last.upstreams[0]?.state).toBe("gone");
   });
 
-  test("tells when an upstream is no longer cold", () => {
+  test("sends the record again when an upstream is no longer cold", () => {
     const hub = new Hub("f");
     hub.mergeUpstream({ ...record, isCold: true }, 0);
     const first = hub.sync(request("a"), { ...context, now: 0 });
--- a/packages/serving/sync_reply.ts
+++ b/packages/serving/sync_reply.ts
@@ -18,8 +18,8 @@
   /** Upstreams that changed after the revision that the entry named. */
   readonly upstreams: readonly UpstreamRecord[];
   /**
-   * Shares of the upstreams that the entry has to follow from now on; absent if
-   * they are those that it named.
+   * Shares of the upstreams that the entry must follow from now on; absent if
+   * unchanged.
    */
   readonly followed?: FollowedShares | undefined;
   /** See UpstreamChanges; of `upstreams` and of `shared.beats`. */
--- a/packages/serving/sync_request.ts
+++ b/packages/serving/sync_request.ts
@@ -33,7 +33,7 @@
    */
   readonly documentVersion: number;
   /**
-   * Shares of the upstreams that the entry follows, as this replica last told;
+   * Shares of the upstreams that the entry follows, as this replica last sent them;
    * absent from older releases, which follow all.
    */
   readonly followed?: FollowedShares | undefined;
--- a/packages/serving/version_reports.ts
+++ b/packages/serving/version_reports.ts
@@ -1,15 +1,15 @@
 import type { Rollout, VersionReport } from "@heroncleat/rollouts";
 import type { SyncRequest } from "./sync_request.ts";
 
-/** What one entry told of the rollouts. */
+/** What one entry reported about the rollouts. */
 type EntryVersions = {
   readonly revision: number;
-  /** The samples that it last told, which add up since the order. */
+  /** The newest samples, which add up since the order. */
   readonly reports: readonly VersionReport[];
 };
 
 /**
- * What the entries know of the rollouts and have seen of the versions.
+ * What the entries have reported about rollouts and versions.
  *
  * @internal
  */
