Peers that read no replies: requests that arrive together are bounded too

Cause: the limit of unread replies was checked when a request arrived; requests in one packet all passed it before the first reply was queued.

Change: checked again before the reply is queued.

Result: slow_reader_test: 20 peers that request 1 MB every 20 ms and read nothing take bounded memory, others are served, and the peers are still connected when they read again; without the limit they aren't.

--- a/packages/transport/peer_server.ts
+++ b/packages/transport/peer_server.ts
@@ -111,11 +111,13 @@
       return;
     }
     const expectsReply = "id" in message;
-    if (expectsReply && framed.queuedBytes > MAX_UNREAD_BYTES) {
+    const isUnread = () => framed.queuedBytes > MAX_UNREAD_BYTES;
+    if (expectsReply && isUnread()) {
       return;
     }
     const response = await this.#methods.receive(message as never);
-    if (response !== null) {
+    // Requests that arrive together are all accepted before the first reply.
+    if (response !== null && !isUnread()) {
       framed.send(response);
     }
   }
