Preferred upstreams without sorting, the part hashed once

Cause: each request hashed its part once for each upstream and sorted them all for the first two.

Change: the state after the part is shared, and the two lowest are kept.

--- a/packages/serving/followed_share.ts
+++ b/packages/serving/followed_share.ts
@@ -32,6 +32,6 @@
 
   /** Whether an entry follows an upstream, both given by name. */
   includes(entry: string, upstream: string, share: number): boolean {
-    return share >= 1 || hashToUnit(entry, upstream) < share;
+    return share >= 1 || hashToUnit.of(entry, upstream) < share;
   },
 };
--- a/packages/serving/preferred_upstreams.ts
+++ b/packages/serving/preferred_upstreams.ts
@@ -17,9 +17,7 @@
   readonly #preferred: readonly string[];
 
   constructor(part: string | undefined, upstreams: readonly KnownUpstream[]) {
-    this.#preferred = part === undefined
-      ? []
-      : rankUpstreams(part, upstreams).slice(0, 2);
+    this.#preferred = part === undefined ? [] : findLowestTwo(part, upstreams);
   }
 
   /**
@@ -35,15 +33,25 @@
   }
 }
 
-function rankUpstreams(
+/**
+ * IDs of the two upstreams with the lowest hashes, the lowest one first. The
+ * name survives a restart of an upstream, so its rank stays the same.
+ */
+function findLowestTwo(
   part: string,
   upstreams: readonly KnownUpstream[],
 ): string[] {
-  const ranked = upstreams.map(({ record }) => ({
-    id: record.id,
-    // The name survives a restart of the upstream, so its rank stays the same.
-    rank: hashToUnit(part, record.name),
-  }));
-  ranked.sort((left, right) => left.rank - right.rank);
-  return ranked.map(({ id }) => id);
+  const prefix = hashToUnit.prefix(part);
+  let first: { id: string; rank: number } | undefined;
+  let second: { id: string; rank: number } | undefined;
+  for (const { record: { id, name } } of upstreams) {
+    const rank = hashToUnit.finish(prefix, name);
+    if (first === undefined || rank < first.rank) {
+      second = first;
+      first = { id, rank };
+    } else if (second === undefined || rank < second.rank) {
+      second = { id, rank };
+    }
+  }
+  return [first, second].flatMap((each) => each === undefined ? [] : [each.id]);
 }
