Choosing an upstream: what is the same for all is built once

Cause: the options of a choice were copied, and the prompt's shared parts cut out, again for each upstream.

Change: built once for a choice.

--- a/packages/serving/upstream_balancer.ts
+++ b/packages/serving/upstream_balancer.ts
@@ -65,6 +65,16 @@
   readonly requiresHeartbeats: boolean;
 };
 
+/** Inputs of a choice that are the same for all upstreams. */
+type Evaluation = {
+  readonly request: BalancedRequest;
+  readonly now: Milliseconds;
+  /** Parts of the prompt without the last one. */
+  readonly shared: readonly PromptPart[];
+  readonly sources: readonly KnownUpstream[];
+  readonly preferredUpstreams: PreferredUpstreams;
+};
+
 /**
  * Chooses the upstream with the lowest estimated time to first token for a
  * request, based on cached prompt parts, the prefill backlog and running
@@ -152,18 +162,19 @@
     const eligible = allUpstreams.filter((upstream) =>
       this.#isEligible(upstream, options)
     );
-    const sources = this.#findSources(allUpstreams, options);
-    const preferredUpstreams = new PreferredUpstreams(
-      lastSharedPart(options.request),
-      eligible,
-    );
+    const evaluation: Evaluation = {
+      request: options.request,
+      now: options.now,
+      shared: options.request.parts.slice(0, -1),
+      sources: this.#findSources(allUpstreams, options),
+      preferredUpstreams: new PreferredUpstreams(
+        lastSharedPart(options.request),
+        eligible,
+      ),
+    };
     let best: Candidate | undefined;
     for (const upstream of eligible) {
-      const candidate = this.#evaluate(upstream, {
-        ...options,
-        sources,
-        preferredUpstreams,
-      });
+      const candidate = this.#evaluate(upstream, evaluation);
       if (best === undefined || candidate.cost < best.cost) {
         best = candidate;
       }
@@ -227,25 +238,16 @@
     this.#localViews.delete(id);
   }
 
-  #evaluate(
-    upstream: KnownUpstream,
-    options: ChoiceOptions & {
-      sources: readonly KnownUpstream[];
-      preferredUpstreams: PreferredUpstreams;
-    },
-  ): Candidate {
-    const { request, now, preferredUpstreams } = options;
+  #evaluate(upstream: KnownUpstream, options: Evaluation): Candidate {
+    const { request, now, preferredUpstreams, shared } = options;
     const { id, slots, zone } = upstream.record;
     const capacity = request.engine?.kvCapacityTokens;
-    const cached = this.#localViews.get(id)?.cache
-      .countCachedTokens(request.parts, capacity) ?? 0;
-    const shared = request.parts.slice(0, -1);
+    const cache = this.#localViews.get(id)?.cache;
+    const cached = cache?.countCachedTokens(request.parts, capacity) ?? 0;
     const { source, fetchedTokens, fetchTime } = planKvFetch(upstream, {
       sources: options.sources,
       shared,
-      cached:
-        this.#localViews.get(id)?.cache.countCachedTokens(shared, capacity) ??
-          0,
+      cached: cache?.countCachedTokens(shared, capacity) ?? 0,
       engine: request.engine,
     });
     const uncachedTokens = Math.max(
