Rollouts: an unproven version isn't completed for want of another one

Cause: a leader completed a rollout as soon as it knew no upstream of another version. One that has just started may hear of the new ones first.

Change: that step is gone. An order of the version that all upstreams run when it arrives is completed at once, which the step was for.

--- a/apps/heroncleatd/hub/rollout_orders.ts
+++ b/apps/heroncleatd/hub/rollout_orders.ts
@@ -11,6 +11,8 @@
     | undefined;
   /** Names of the services in the configuration document, if there is one. */
   readonly services: () => ReadonlySet<string> | undefined;
+  /** Whether all upstreams of the service run the version already. */
+  readonly isInPlace: (order: RolloutOrder) => boolean;
   /** The group's time, in ms since 1970. */
   readonly wall: () => Milliseconds;
   readonly log: Log;
@@ -60,7 +62,12 @@
     if (kind !== "new") {
       return kind === "repeated" ? "accepted" : "conflicting";
     }
-    const proposal = await group.propose({ kind: "start_rollout", order, at });
+    const proposal = await group.propose({
+      kind: "start_rollout",
+      order,
+      isInPlace: this.#options.isInPlace(order),
+      at,
+    });
     if (proposal.kind !== "done" || !await group.confirm()) {
       return "unavailable";
     }
--- a/apps/heroncleatd/hub/start_hub.ts
+++ b/apps/heroncleatd/hub/start_hub.ts
@@ -172,6 +172,7 @@
     group: () => group,
     services: () =>
       serviceNamesOf(documents.decode(group?.application.document)),
+    isInPlace: (order) => isVersionInPlace(order, hub),
     wall: () => hub.estimateWallTime(clock.steady()) ?? clock.wall(),
     log: options.log("rollouts"),
   });
@@ -228,6 +229,23 @@
   return message ?? String(error);
 }
 
+/** Whether all ready upstreams of a service, at least one, run a version. */
+function isVersionInPlace(
+  { service, destination }: RolloutOrder,
+  hub: Hub,
+): boolean {
+  let count = 0;
+  for (const { record } of hub.directory.list()) {
+    if (record.service === service && record.state === "ready") {
+      if (record.version !== destination) {
+        return false;
+      }
+      count += 1;
+    }
+  }
+  return count > 0;
+}
+
 /** Starts the services that need a group. */
 function startGroupServices(
   group: ReplicaGroup,
--- a/packages/rollouts/plan_rollout.ts
+++ b/packages/rollouts/plan_rollout.ts
@@ -44,9 +44,6 @@
   if (verdict.state === "bad") {
     return revert(verdict.reason);
   }
-  if (progress.otherSlots === 0 && progress.destinationSlots > 0) {
-    return complete("no upstream of another version is left");
-  }
   if (elapsed >= rollout.duration * DECISION_PART) {
     return rollout.stage === RolloutStage.full && verdict.state === "good"
       ? complete("the time is up and the version is good")
--- a/packages/rollouts/rollout_command.ts
+++ b/packages/rollouts/rollout_command.ts
@@ -7,6 +7,8 @@
   | {
     readonly kind: "start_rollout";
     readonly order: RolloutOrder;
+    /** Whether all upstreams of the service run the version already. */
+    readonly isInPlace: boolean;
     /** In ms since 1970. */
     readonly at: Milliseconds;
   }
--- a/packages/rollouts/rollout_registry.ts
+++ b/packages/rollouts/rollout_registry.ts
@@ -79,18 +79,21 @@
   }
 
   #start(
-    { order, at }: Extract<RolloutCommand, { kind: "start_rollout" }>,
+    { order, isInPlace, at }: Extract<
+      RolloutCommand,
+      { kind: "start_rollout" }
+    >,
   ): void {
     if (this.classify(order, at) === "new") {
       this.#store({
         ...order,
         rejected: this.#listRejected(order),
         startedAt: at,
-        stage: RolloutStage.canary,
-        share: 0,
+        stage: isInPlace ? RolloutStage.completed : RolloutStage.canary,
+        share: isInPlace ? 1 : 0,
         stageAt: at,
         revision: 0,
-        reason: "ordered",
+        reason: isInPlace ? "all upstreams run the version" : "ordered",
       });
     }
   }
--- a/packages/rollouts/simulated_rollout.ts
+++ b/packages/rollouts/simulated_rollout.ts
@@ -134,6 +134,7 @@
     this.#registry.apply({
       kind: "start_rollout",
       order: { service: "desk", destination: "v2", duration },
+      isInPlace: false,
       at: 0,
     });
     let hasNewVersion = false;
