--- a/apps/heroncleatd/hub/rollout_test.ts
+++ b/apps/heroncleatd/hub/rollout_test.ts
@@ -2,6 +2,7 @@
 import { setTimeout as pause } from "node:timers/promises";
 import type { Rollout } from "@heroncleat/rollouts";
 import type { ServingDocument } from "@heroncleat/serving";
+import { runOperatorTool } from "./run_operator_tool.ts";
 import { testDocument } from "./test_document.ts";
 import { TestGroup } from "./test_group.ts";
 import { testRecord } from "./test_record.ts";
@@ -154,6 +155,8 @@
       const exposed = during.filter(({ version }) => version === "v2");
       expect(exposed.length).toBeGreaterThan(5);
       expect(exposed.length).toBeLessThanOrEqual(during.length * 0.1 + 50);
+      const shown = await runOperatorTool(FIRST_PORT, ["rollout", "desk"]);
+      expect(shown).toMatch(/desk +v2 +reverted .*failures/);
       const counted = failedAt[49] ?? Infinity;
       expect(exposed.every(({ at }) => at <= counted + ROLLBACK_MS)).toBe(true);
     },
@@ -196,6 +199,13 @@
 
   test("of a good version is completed, and no caller notices", async () => {
     await startVersion("v4", 0);
+    const ordered = await runOperatorTool(FIRST_PORT, [
+      "rollout-start",
+      "desk",
+      "v4",
+      String(DURATION_MS / 1000),
+    ]);
+    expect(ordered).toContain("ordered desk to v4");
     const from = statuses.length;
     await waitUntil(async () =>
       ["completed", "reverted"].includes((await read(2)).stage)
--- a/scripts/documented_commands_test.ts
+++ b/scripts/documented_commands_test.ts
@@ -9,6 +9,7 @@
 const DOCUMENTED_PAGES = ["README.md", "docs/OPERATIONS.md"];
 const TOOL_TEST = "apps/heroncleat/tool_test.ts";
 const SUSPECTS_TEST = "apps/heroncleatd/hub/crashing_request_test.ts";
+const ROLLOUT_TEST = "apps/heroncleatd/hub/rollout_test.ts";
 const CHECK_BY_COMMAND: Readonly<Record<string, string>> = {
   "npm ci && npm start": "scripts/check_main_command.mjs",
   "npm test": ".ci/run",
@@ -31,6 +32,7 @@
     "apps/heroncleat/explain/explain_test.ts",
   "heroncleat replicas --peers HOST:PORT[,...]":
     "apps/heroncleatd/hub/hub_proxy_test.ts",
+  "heroncleat rollout SERVICE --peers HOST:PORT[,...]": ROLLOUT_TEST,
   "heroncleat suspects --peers HOST:PORT[,...]": SUSPECTS_TEST,
   "heroncleat suspect-clear DIGEST --peers HOST:PORT[,...]": SUSPECTS_TEST,
 };
