Crash reports: times of a run are corrected by later reports

Traced beside six busy processes: after three crashes two entries rejected the request and the third, with the same three runs, didn't (4 to 5 crashes in place of 3). An entry took the time of a run from the first report; if that took 5 ms longer than the next one, the second run seemed to start before the first crash, and both counted as one.

Change: each report adds its latency, so the earliest time of several reports is kept; a later report lists all earlier runs with ages of one moment.

Result: a property test of latencies up to 40 ms fails before (first report 5 ms late) and passes.

--- a/packages/serving/suspect_registry.ts
+++ b/packages/serving/suspect_registry.ts
@@ -111,8 +111,11 @@
       });
     }
     const known = this.#suspects.get(key.request);
-    const isRecorded = known?.runs.some((other) => other.upstream === upstream);
-    if (isRecorded || endedAt <= (known?.completedAt ?? -Infinity)) {
+    if (endedAt <= (known?.completedAt ?? -Infinity)) {
+      return false;
+    }
+    if (known?.runs.some((other) => other.upstream === upstream)) {
+      this.#correctTimes(known, run);
       return false;
     }
     const suspect = known ?? this.#add(key);
@@ -263,6 +266,21 @@
     return suspect;
   }
 
+  /**
+   * Corrects the times of a run that is reported again. Each report adds its
+   * latency to them, so the earliest are closest to the truth. With times from
+   * reports of different latency, a run would seem to start before the crash
+   * that it followed.
+   */
+  #correctTimes(suspect: Suspect, reported: CrashedRun): void {
+    suspect.runs = suspect.runs
+      .map((run) =>
+        run.upstream === reported.upstream ? earliest(run, reported) : run
+      )
+      .sort((left, right) => left.endedAt - right.endedAt);
+    this.#assessedUntil = -Infinity;
+  }
+
   #recordUpstreamCount(request: string, upstreams: number): void {
     const suspect = this.#suspects.get(request);
     if (suspect !== undefined && upstreams > suspect.upstreams) {
@@ -334,6 +352,14 @@
   return lastEventOf(suspect) + retention;
 }
 
+function earliest(left: CrashedRun, right: CrashedRun): CrashedRun {
+  return {
+    upstream: left.upstream,
+    sentAt: Math.min(left.sentAt, right.sentAt),
+    endedAt: Math.min(left.endedAt, right.endedAt),
+  };
+}
+
 /** Time of the latest crash or completion. */
 function lastEventOf({ runs, completedAt }: Suspect): Milliseconds {
   return Math.max(runs.at(-1)?.endedAt ?? -Infinity, completedAt);
--- a/packages/serving/suspect_registry_test.ts
+++ b/packages/serving/suspect_registry_test.ts
@@ -102,6 +102,29 @@
   expect(registry.statusOf("r", 13_000)).toBe(SuspectStatus.watched);
 });
 
+// Guards against processes that reject a request while others keep sending it,
+// as the first report took longer to reach them than the pause between two runs.
+test("processes agree however long each report took", () => {
+  fc.assert(fc.property(
+    fc.array(fc.nat(40), { minLength: 3, maxLength: 3 }),
+    fc.nat(5),
+    (latencies, pause) => {
+      const origin = createRegistry();
+      const reader = createRegistry();
+      let now = 1000;
+      for (const [index, latency] of latencies.entries()) {
+        const run = runAt(`u${index}`, now);
+        origin.recordCrash(keyOf("r"), run);
+        const reports = origin.changesSince(0, run.endedAt);
+        reader.merge(reports, run.endedAt + latency);
+        now = run.endedAt + pause;
+      }
+      expect(origin.statusOf("r", now)).toBe(SuspectStatus.rejected);
+      expect(reader.statusOf("r", now + 40)).toBe(SuspectStatus.rejected);
+    },
+  ));
+});
+
 test("a completion clears all earlier crashes, in any order of arrival", () => {
   const registry = createRegistry();
   const now = recordCrashes(registry, "r", 3);
