Fewer short exchanges and feed reads where there are many entries and replicas

Change: while no replica is lost and only the leader has full exchanges, an entry's short exchanges are 400 ms apart over all other replicas (each every 2 s, before every 0.8 s). Replicas wait for those entries 3 s; callers are sent by the primary's list alone. A reply names the leader, so that a new one is found by the next full exchange. A replica that only stands by reads feeds every 600 ms instead of 200. Up to 32 entries nothing changes; older replicas, which send no timeout, get the former interval.

Result, in virtual time with 86 entries and 8 replicas: at most 6.6 exchanges a second (11.4 before); a new leader has all full exchanges within 2 s, a stopped entry is off all lists within 2 s; with 20 entries cut off from the leader the others exchange more than 10 times a second again.

--- a/apps/heroncleatd/gateway/control_link.ts
+++ b/apps/heroncleatd/gateway/control_link.ts
@@ -17,6 +17,10 @@
   /** Whether the last exchange failed. */
   hasFailed: boolean;
   isLeading: boolean;
+  /** Whether any entry has full exchanges with the replica. */
+  isPrimary: boolean;
+  /** See SyncReply; undefined before the first reply. */
+  shortReportTimeout: Milliseconds | undefined;
   listedAt: Milliseconds;
   /** Estimated Unix time minus this process's monotonic time. */
   wallOffset: Milliseconds | undefined;
--- a/apps/heroncleatd/gateway/control_links.ts
+++ b/apps/heroncleatd/gateway/control_links.ts
@@ -23,6 +23,8 @@
  * dropped.
  */
 const FORGET_TIMEOUT: Milliseconds = 20_000;
+/** Intervals without a report after which an entry counts as unresponsive. */
+const TIMEOUT_INTERVALS = 1.5;
 /** Longest time that a caller's request waits for an exchange. */
 const REFRESH_TIMEOUT: Milliseconds = 100;
 /**
@@ -130,16 +132,17 @@
 
   /** Whether any replica is reachable. */
   get isConnected(): boolean {
-    return this.#listLinks().some((link) => this.#isReachable(link));
+    return this.syncAge < UNREACHABLE_TIMEOUT;
   }
 
   /** Time since the newest reply of any replica. */
   get syncAge(): Milliseconds {
     const receivedTimes = this.#listLinks().map((link) => link.receivedAt);
-    return this.#options.clock.steady() - Math.max(0, ...receivedTimes);
+    const latest = Math.max(-UNREACHABLE_TIMEOUT, ...receivedTimes);
+    return this.#options.clock.steady() - latest;
   }
 
-  /** Lists the entries that any reachable replica lists. */
+  /** Lists the entries that callers may be sent to. */
   listEntries(): readonly KnownEntry[] {
     for (const link of this.#links.values()) {
       this.#updateReachability(link);
@@ -148,9 +151,18 @@
     return this.#mergedEntries;
   }
 
+  /**
+   * Merges the lists of all reachable replicas. Of many entries the primary
+   * alone knows soon which have stopped.
+   */
   #mergeEntryLists(): KnownEntry[] {
     const entries = new Map<string, KnownEntry>();
-    for (const link of this.#links.values()) {
+    const primary = this.#links.get(this.#primary);
+    const links =
+      primary !== undefined && exchangeInterval.isScaled(this.#entryCount)
+        ? [primary]
+        : this.#links.values();
+    for (const link of links) {
       for (const [name, entry] of link.isLost ? [] : link.entries) {
         entries.set(name, entry);
       }
@@ -178,7 +190,38 @@
   }
 
   #isReachable(link: ControlLink): boolean {
-    return this.#options.clock.steady() - link.receivedAt < UNREACHABLE_TIMEOUT;
+    const timeout = link.address === this.#primary
+      ? UNREACHABLE_TIMEOUT
+      : Math.max(UNREACHABLE_TIMEOUT, link.shortReportTimeout ?? 0);
+    return this.#options.clock.steady() - link.receivedAt < timeout;
+  }
+
+  /**
+   * Whether all replicas are reachable and none but the primary has full
+   * exchanges. If the network is divided, entries pass on what the replicas on
+   * the other side lack.
+   */
+  get #isUndivided(): boolean {
+    for (const link of this.#links.values()) {
+      const isOtherPrimary = link.isPrimary && link.address !== this.#primary;
+      if (isOtherPrimary || link.hasFailed || !this.#isReachable(link)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Interval of short exchanges with a replica. */
+  #shortInterval(
+    { entryCount, shortReportTimeout }: ControlLink,
+    isUndivided: boolean,
+  ): Milliseconds {
+    return shortReportTimeout !== undefined && isUndivided
+      ? Math.min(
+        exchangeInterval.relaxed(entryCount, this.#links.size - 1),
+        shortReportTimeout / TIMEOUT_INTERVALS,
+      )
+      : exchangeInterval.short(entryCount);
   }
 
   #poll(): void {
@@ -218,19 +261,26 @@
     // While no replica is reachable, known replicas are kept: the seeds may
     // have been replaced.
     const mayForget = this.isConnected;
+    const isUndivided = this.#isUndivided;
     for (const link of this.#listLinks()) {
       this.#updateReachability(link);
       const unseenFor = now - Math.max(link.receivedAt, link.listedAt);
       if (mayForget && unseenFor > FORGET_TIMEOUT) {
         this.#links.delete(link.address);
         this.#mergedEntries = undefined;
-      } else if (link.ongoingExchange === undefined && this.#isDue(link, now)) {
+      } else if (
+        link.ongoingExchange === undefined &&
+        this.#isDue(link, { now, isUndivided })
+      ) {
         this.#startExchange(link);
       }
     }
   }
 
-  #isDue(link: ControlLink, now: Milliseconds): boolean {
+  #isDue(
+    link: ControlLink,
+    { now, isUndivided }: { now: Milliseconds; isUndivided: boolean },
+  ): boolean {
     if (this.#options.isAwaitingConfiguration() && this.#isPolled(link)) {
       return now - link.requestedAt >= this.#pollInterval / 2;
     }
@@ -238,7 +288,7 @@
       link.address !== this.#primary &&
       this.#isReachable(link);
     const pause = usesShortPause
-      ? exchangeInterval.short(link.entryCount)
+      ? this.#shortInterval(link, isUndivided)
       : exchangeInterval.full(link.entryCount);
     // Polling is jittered, so an exchange may start half an interval early.
     return now - link.requestedAt >= pause - this.#pollInterval / 2;
@@ -255,7 +305,7 @@
 
   #choosePrimary(): void {
     const reachable = this.#listLinks().filter((link) =>
-      this.#isReachable(link)
+      this.isConnected && this.#isReachable(link)
     );
     const healthy = reachable.filter(({ hasFailed }) => !hasFailed);
     const next = healthy.find(({ isLeading }) => isLeading) ??
@@ -279,6 +329,7 @@
       return;
     }
     this.#primary = address;
+    this.#mergedEntries = undefined;
     for (const link of this.#links.values()) {
       link.loadsSince = 0;
     }
@@ -314,6 +365,8 @@
       requestedAt: -UNREACHABLE_TIMEOUT,
       hasFailed: false,
       isLeading: false,
+      isPrimary: false,
+      shortReportTimeout: undefined,
       listedAt: now,
       wallOffset: undefined,
       entries: new Map(),
@@ -420,6 +473,17 @@
     this.#options.onFollow(largest);
   }
 
+  /** Exchanges with a new leader at once, so that it becomes the primary. */
+  #followLeader({ leader }: SyncReply): void {
+    const link = leader === undefined ? undefined : this.#links.get(leader);
+    if (
+      link !== undefined && !link.isLeading && !link.hasFailed &&
+      link.ongoingExchange === undefined
+    ) {
+      this.#startExchange(link);
+    }
+  }
+
   #recordFailure(link: ControlLink): void {
     link.hasFailed = true;
     link.report.handleFailure();
@@ -434,6 +498,8 @@
     const now = this.#options.clock.steady();
     link.receivedAt = now;
     link.isLeading = reply.isLeading;
+    link.isPrimary = reply.isPrimary ?? false;
+    link.shortReportTimeout = reply.shortReportTimeout;
     link.wallOffset = reply.wall - (requestedAt + now) / 2;
     link.report.handleReply(reply);
     const isListNew = applyEntryList(link.entries, reply);
@@ -445,6 +511,7 @@
       this.#addReplica(address, now);
     }
     this.#updateReachability(link);
+    this.#followLeader(reply);
     this.#choosePrimary();
     const isPrimary = link.address === this.#primary;
     link.loadsSince = isPrimary && reply.shared !== undefined
--- a/apps/heroncleatd/gateway/control_links_test.ts
+++ b/apps/heroncleatd/gateway/control_links_test.ts
@@ -225,3 +225,147 @@
   // A small number of entries polls at the full rate.
   expect(await countCallsPerReplica(12)).toBeGreaterThan(12 * 15);
 });
+
+const REPLICAS = ["a:1", "b:1", "c:1", "d:1", "e:1", "f:1", "g:1", "h:1"];
+const ENTRIES = 86;
+const STEP_MS = 10;
+
+/** Entries that serve, and replicas of which the first leads at first. */
+class SimulatedExchanges {
+  now = 0;
+  leader = "a:1";
+  calls = 0;
+  /** Addresses by which an entry's exchanges get a reply. */
+  isReachable: (entry: number, replica: string) => boolean = () => true;
+  /** Replica of the latest full exchange, by entry. */
+  readonly primaries = new Map<number, string>();
+  readonly links: ControlLinks[] = [];
+  readonly #hubs = new Map(REPLICAS.map((each) => [each, new Hub(each)]));
+
+  constructor() {
+    const random = createSeededRandom(ENTRIES);
+    for (let entry = 0; entry < ENTRIES; entry += 1) {
+      const links = new ControlLinks({
+        pool: {
+          call: (
+            replica: string,
+            _method: string,
+            options: { parameters: SyncRequest },
+          ) => this.#call(entry, replica, options.parameters),
+        } as unknown as PeerPool,
+        clock: {
+          now: () => this.now,
+          steady: () => this.now,
+          wall: () => this.now,
+        } as never,
+        log: silentLog,
+        seeds: () => REPLICAS,
+        createRequest: (known) => ({
+          ...describeEntry(`e${entry}`, known),
+          entry: { ...describeEntry(`e${entry}`, known).entry, isOpen: true },
+          loads: known.isPrimary ? {} : undefined,
+        }),
+        onReply: () => {},
+        onFollow: () => {},
+        suspectRevision: () => 0,
+        isAwaitingConfiguration: () => false,
+        random,
+        onIsolated: () => {},
+      });
+      this.links.push(links);
+      links.start();
+    }
+  }
+
+  async #call(
+    entry: number,
+    replica: string,
+    request: SyncRequest,
+  ): Promise<SyncReply> {
+    this.calls += 1;
+    await new Promise((resolve) => setTimeout(resolve, STEP_MS));
+    if (!this.isReachable(entry, replica)) {
+      throw new Error("The replica is unreachable.");
+    }
+    if (request.loads !== undefined) {
+      this.primaries.set(entry, replica);
+    }
+    const isLeading = replica === this.leader;
+    return this.#hubs.get(replica)!.sync(request, {
+      now: this.now,
+      document: undefined,
+      controls: REPLICAS,
+      isLeading,
+      leader: isLeading ? undefined : this.leader,
+    });
+  }
+
+  async run(milliseconds: number): Promise<void> {
+    for (let passed = 0; passed < milliseconds; passed += STEP_MS) {
+      this.now += STEP_MS;
+      await jest.advanceTimersByTimeAsync(STEP_MS);
+    }
+  }
+
+  /** Exchanges per second and entry over some seconds. */
+  async measureRate(seconds: number): Promise<number> {
+    this.calls = 0;
+    await this.run(seconds * 1000);
+    return this.calls / seconds / ENTRIES;
+  }
+
+  stop(): void {
+    for (const links of this.links) {
+      links.stop();
+    }
+  }
+}
+
+describe("many entries and several replicas", () => {
+  let exchanges: SimulatedExchanges;
+
+  beforeEach(async () => {
+    exchanges = new SimulatedExchanges();
+    await exchanges.run(6000);
+  });
+
+  afterEach(() => {
+    exchanges.stop();
+  });
+
+  // An entry's time without requests goes into exchanges. With a fixed interval
+  // of 800 ms for each replica there are 11 a second.
+  test("have some six exchanges a second for each entry", async () => {
+    expect(await exchanges.measureRate(10)).toBeLessThan(6.6);
+  });
+
+  test("follow a new leader within two full exchanges", async () => {
+    exchanges.leader = "c:1";
+    await exchanges.run(1000);
+    exchanges.primaries.clear();
+    await exchanges.run(1000);
+    expect(new Set(exchanges.primaries.values())).toEqual(new Set(["c:1"]));
+    expect(exchanges.primaries.size).toBe(ENTRIES);
+  });
+
+  test("list no entry that has been gone for two seconds", async () => {
+    exchanges.links[0]!.stop();
+    await exchanges.run(2000);
+    for (const links of exchanges.links.slice(1)) {
+      const names = links.listEntries().map(({ name }) => name);
+      expect(names).toHaveLength(ENTRIES - 1);
+      expect(names).not.toContain("e0");
+    }
+  });
+
+  // Entries that reach both sides pass on charges in short exchanges.
+  test("exchange more often while some can't reach the leader", async () => {
+    exchanges.isReachable = (entry, replica) =>
+      entry >= 20 || replica !== "a:1";
+    await exchanges.run(4000);
+    expect(await exchanges.measureRate(10)).toBeGreaterThan(10);
+    exchanges.isReachable = () => true;
+    await exchanges.run(6000);
+    expect(await exchanges.measureRate(10)).toBeLessThan(6.6);
+  });
+});
--- a/apps/heroncleatd/hub/feed_reader.ts
+++ b/apps/heroncleatd/hub/feed_reader.ts
@@ -4,6 +4,13 @@
 import type { Log } from "../common/log.ts";
 
 const READ_INTERVAL: Milliseconds = 200;
+/**
+ * Interval for each feed while this replica only stands by. With many replicas,
+ * reading each other's feeds takes most of their time.
+ */
+const STANDBY_INTERVAL: Milliseconds = 600;
+/** Number of peers above which a standby reads their feeds less often. */
+const MAX_URGENT_PEERS = 4;
 const READ_TIMEOUT: Milliseconds = 800;
 /** Time without a reply after which a feed no longer counts as read. */
 const LOST_TIMEOUT: Milliseconds = 1000;
@@ -13,6 +20,8 @@
   readonly clock: Clock;
   readonly pool: PeerPool;
   readonly log: Log;
+  /** Whether entries rely on this replica to receive what changes. */
+  readonly isUrgent: () => boolean;
   /** host:port of the other control replicas. */
   readonly peers: () => readonly string[];
 };
@@ -44,11 +53,16 @@
   }
 
   #readAll(): void {
-    for (const address of this.#options.peers()) {
+    const { clock, peers, isUrgent } = this.#options;
+    const addresses = peers();
+    const isRelaxed = addresses.length > MAX_URGENT_PEERS && !isUrgent();
+    // Reads start when the timer fires, which may be somewhat early.
+    const pause = isRelaxed ? STANDBY_INTERVAL - READ_INTERVAL / 2 : 0;
+    for (const address of addresses) {
       const position = this.#positions.get(address) ??
         { feed: "", revision: 0, isReading: false, readAt: -Infinity };
       this.#positions.set(address, position);
-      if (!position.isReading) {
+      if (!position.isReading && clock.steady() - position.readAt >= pause) {
         void this.#read(address, position);
       }
     }
--- a/apps/heroncleatd/hub/replica_group.ts
+++ b/apps/heroncleatd/hub/replica_group.ts
@@ -270,6 +270,12 @@
     return isLeading ? { term, leaseUntil } : undefined;
   }
 
+  /** Peer address of the leader; undefined if none is known. */
+  get leaderAddress(): string | undefined {
+    const { members, leader } = this.#replica;
+    return members.find(({ id }) => id === leader)?.address;
+  }
+
   /** Commits a command through this replica or the leader. */
   async propose(command: ServingCommand): Promise<ProposalOutcome> {
     const outcome = await this.#access.propose(command, PROPOSE_TIMEOUT_MS);
--- a/apps/heroncleatd/hub/start_hub.ts
+++ b/apps/heroncleatd/hub/start_hub.ts
@@ -68,11 +68,13 @@
   let group: ReplicaGroup | undefined;
   const exchangeLog = options.log("exchange");
   const sync = (request: SyncRequest): SyncReply => {
+    const isLeading = group?.leadership !== undefined;
     const reply = hub.sync(request, {
       now: clock.steady(),
       document: group?.isConfirmed ? group.application.document : undefined,
       controls: group?.addresses ?? [],
-      isLeading: group?.leadership !== undefined,
+      isLeading,
+      leader: isLeading ? undefined : group?.leaderAddress,
       rollouts: group?.isConfirmed ? group.application.rollouts : undefined,
     });
     if (reply.needsWhole) {
@@ -266,6 +268,8 @@
     clock,
     pool,
     log: log("operations"),
+    isUrgent: () =>
+      group.leadership !== undefined || hub.isPrimary(clock.steady()),
     peers: () =>
       group.addresses.filter((address) => address !== group.ownAddress),
   });
--- a/packages/serving/charge_relay.ts
+++ b/packages/serving/charge_relay.ts
@@ -4,6 +4,8 @@
 
 /** Time for which received charges are relayed. */
 const RETENTION: Milliseconds = 1000;
+/** Time for which the last reply of a replica counts. */
+const VIEW_RETENTION: Milliseconds = 3000;
 /**
  * Limit of entries whose charges are requested from or relayed to one replica.
  */
@@ -129,7 +131,7 @@
 
   #removeStale(now: Milliseconds): void {
     for (const [replica, { receivedAt }] of this.#views) {
-      if (now - receivedAt >= RETENTION * 2) {
+      if (now - receivedAt >= VIEW_RETENTION) {
         this.#views.delete(replica);
       }
     }
--- a/packages/serving/exchange_interval.ts
+++ b/packages/serving/exchange_interval.ts
@@ -20,6 +20,14 @@
  * unresponsive after one and a half times this time.
  */
 const MAX_SHORT_INTERVAL: Milliseconds = 800;
+/**
+ * Pause between two short exchanges of an entry while the group is undivided.
+ * Each other replica takes its turn, so that an entry's work doesn't grow with
+ * the number of replicas.
+ */
+const RELAXED_PAUSE: Milliseconds = 400;
+/** Upper bound of the interval to which those pauses add up. */
+const MAX_RELAXED_INTERVAL: Milliseconds = 2000;
 /**
  * Interval before the first configuration, for few entries. It is short so that
  * entries that start together serve as soon as there is a leader.
@@ -49,6 +57,20 @@
     return scaleToEntries(SHORT_INTERVAL, entries, MAX_SHORT_INTERVAL);
   },
 
+  /**
+   * Of short exchanges, with each other replica, while all replicas are
+   * reachable and all entries have the same primary.
+   */
+  relaxed(entries: number, otherReplicas: number): Milliseconds {
+    const interval = exchangeInterval.short(entries);
+    return exchangeInterval.isScaled(entries)
+      ? Math.max(
+        interval,
+        Math.min(MAX_RELAXED_INTERVAL, otherReplicas * RELAXED_PAUSE),
+      )
+      : interval;
+  },
+
   /** Of exchanges with each replica before the first configuration. */
   initial(entries: number): Milliseconds {
     return scaleToEntries(INITIAL_INTERVAL, entries);
--- a/packages/serving/hub.ts
+++ b/packages/serving/hub.ts
@@ -37,6 +37,11 @@
  * Time without a report after which an entry is no longer listed for callers.
  */
 const ENTRY_TIMEOUT_MS = 1200;
+/**
+ * The same for an entry whose last exchange was a short one. It has full ones
+ * with another replica, whose list callers get.
+ */
+const SHORT_REPORT_TIMEOUT_MS = 3000;
 
 /** Time without a report after which an entry is removed. */
 const ENTRY_RETENTION_MS = 30_000;
@@ -49,6 +54,7 @@
   readonly boot: string;
   readonly readingSpeeds: Readonly<Record<string, number>>;
   readonly receivedAt: Milliseconds;
+  readonly isFull: boolean;
   /** Wall clock of the entry minus the local clock. */
   readonly wallOffset: Milliseconds;
 };
@@ -63,6 +69,8 @@
   readonly controls: readonly string[];
   /** Whether this replica leads the group. */
   readonly isLeading: boolean;
+  /** host:port of the replica that leads, if it is another one and known. */
+  readonly leader?: string | undefined;
   /** The confirmed rollouts, if there are any. */
   readonly rollouts?: RolloutRegistry | undefined;
 };
@@ -96,6 +104,9 @@
   readonly #versions = new VersionReports();
   readonly #documentSender = new DocumentSender();
   #sweptAt: Milliseconds = -Infinity;
+  /** When entries began to have full exchanges with this replica. */
+  #primarySince: Milliseconds = Infinity;
+  #fullReportAt: Milliseconds = -Infinity;
   /** Aggregates over all entries, computed by the last sweep. */
   #shared = {
     quotaShare: 1,
@@ -125,6 +136,11 @@
     return this.#divergences;
   }
 
+  /** Whether entries have full exchanges with this replica. */
+  isPrimary(now: Milliseconds): boolean {
+    return now - this.#fullReportAt < ENTRY_TIMEOUT_MS;
+  }
+
   /**
    * Merges an update that an upstream or another replica sent.
    *
@@ -184,6 +200,9 @@
       feed: this.feed,
       revision: this.#revisions.value,
       isLeading,
+      leader: context.leader,
+      isPrimary: this.isPrimary(now) ? true : undefined,
+      shortReportTimeout: SHORT_REPORT_TIMEOUT_MS,
       upstreams,
       ages,
       followed: this.#sharesFor(request),
@@ -196,7 +215,7 @@
         name,
         request.takesChanges ? sinceRevision : 0,
       ),
-      unheard: this.#shared.unheard,
+      unheard: this.#listUnheard(now),
       charges: this.#charges.recentReports(request.wantedCharges ?? [], now),
       takesPartial: true,
       needsWhole: isAccepted ? undefined : true,
@@ -211,6 +230,17 @@
     };
   }
 
+  /**
+   * Entries whose charges this replica lacks. Only a replica that hands out
+   * quotas needs them, and at first it can't tell whose full exchanges will
+   * come.
+   */
+  #listUnheard(now: Milliseconds): readonly string[] {
+    return now - this.#primarySince >= ENTRY_TIMEOUT_MS
+      ? this.#shared.unheard
+      : [];
+  }
+
   /** Changes of the upstreams that an entry follows. */
   #upstreamsFor(request: SyncRequest, now: Milliseconds): UpstreamChanges {
     const { feed, loads, followed = {} } = request;
@@ -436,8 +466,13 @@
     ) {
       this.#charges.applyRelayedReport(other, charges, now);
     }
+    const isFull = request.loads !== undefined;
+    if (isFull) {
+      this.#recordFullReport(now);
+    }
     this.#entries.set(name, {
       boot,
+      isFull,
       readingSpeeds: request.readingSpeeds,
       receivedAt: now,
       wallOffset: request.wall - now,
@@ -458,6 +493,13 @@
     return isAccepted;
   }
 
+  #recordFullReport(now: Milliseconds): void {
+    if (!this.isPrimary(now)) {
+      this.#primarySince = now;
+    }
+    this.#fullReportAt = now;
+  }
+
   /** Closes unresponsive entries and updates the aggregates. */
   #sweep(now: Milliseconds): void {
     if (now - this.#sweptAt < SWEEP_INTERVAL) {
@@ -465,9 +507,13 @@
     }
     this.#sweptAt = now;
     this.#followed.count(() => this.directory.list(), now);
+    if (!this.isPrimary(now)) {
+      this.#primarySince = Infinity;
+    }
     let entryCount = 0;
-    for (const [name, { receivedAt }] of this.#entries) {
-      if (now - receivedAt >= ENTRY_TIMEOUT_MS) {
+    for (const [name, { receivedAt, isFull }] of this.#entries) {
+      const timeout = isFull ? ENTRY_TIMEOUT_MS : SHORT_REPORT_TIMEOUT_MS;
+      if (now - receivedAt >= timeout) {
         this.#openEntries.close(name);
         this.#loads.remove(name);
       } else {
--- a/packages/serving/sync_reply.ts
+++ b/packages/serving/sync_reply.ts
@@ -15,6 +15,15 @@
   readonly revision: number;
   /** Whether the replica leads the group. */
   readonly isLeading: boolean;
+  /** host:port of the replica that leads, if it is another one and known. */
+  readonly leader?: string | undefined;
+  /** Whether entries have full exchanges with the replica; absent if none. */
+  readonly isPrimary?: true | undefined;
+  /**
+   * Time without a report after which an entry that has short exchanges counts
+   * as unresponsive; older releases, which leave it out, wait 1,200 ms.
+   */
+  readonly shortReportTimeout?: Milliseconds;
   /** Upstreams that changed after the revision that the entry named. */
   readonly upstreams: readonly UpstreamRecord[];
   /**
