Exchange schedule, link creation and primary period as modules of their own

Change: when an entry exchanges with whom is a set of functions over links (exchange_schedule.ts); a replica's period as primary is a small class. One behaviour moves: a link that never replied counts as unreachable from the first moment whatever the clock shows.

--- a/apps/heroncleatd/gateway/control_links.ts
+++ b/apps/heroncleatd/gateway/control_links.ts
@@ -1,6 +1,5 @@
 import type { Clock, Milliseconds } from "@heroncleat/base";
 import {
-  CounterReport,
   exchangeInterval,
   type FollowedShares,
   type KnownEntry,
@@ -12,19 +11,17 @@
 import type { PeerPool } from "@heroncleat/transport";
 import type { Log } from "../common/log.ts";
 import type { ControlLink } from "./control_link.ts";
+import { createControlLink } from "./create_control_link.ts";
+import { exchangeSchedule } from "./exchange_schedule.ts";
 import type { FeedPosition } from "./feed_position.ts";
 import { applyEntryList } from "./apply_entry_list.ts";
 
 const SYNC_TIMEOUT: Milliseconds = 800;
-/** Time without a reply after which a replica counts as unreachable. */
-const UNREACHABLE_TIMEOUT: Milliseconds = 1500;
 /**
  * Time after which a replica that neither replies nor is listed by another is
  * dropped.
  */
 const FORGET_TIMEOUT: Milliseconds = 20_000;
-/** Intervals without a report after which an entry counts as unresponsive. */
-const TIMEOUT_INTERVALS = 1.5;
 /** Longest time that a caller's request waits for an exchange. */
 const REFRESH_TIMEOUT: Milliseconds = 100;
 /**
@@ -132,14 +129,16 @@
 
   /** Whether any replica is reachable. */
   get isConnected(): boolean {
-    return this.syncAge < UNREACHABLE_TIMEOUT;
+    return exchangeSchedule.isConnected(
+      this.#links.values(),
+      this.#options.clock.steady(),
+    );
   }
 
   /** Time since the newest reply of any replica. */
   get syncAge(): Milliseconds {
     const receivedTimes = this.#listLinks().map((link) => link.receivedAt);
-    const latest = Math.max(-UNREACHABLE_TIMEOUT, ...receivedTimes);
-    return this.#options.clock.steady() - latest;
+    return this.#options.clock.steady() - Math.max(0, ...receivedTimes);
   }
 
   /** Lists the entries that callers may be sent to. */
@@ -190,38 +189,15 @@
   }
 
   #isReachable(link: ControlLink): boolean {
-    const timeout = link.address === this.#primary
-      ? UNREACHABLE_TIMEOUT
-      : Math.max(UNREACHABLE_TIMEOUT, link.shortReportTimeout ?? 0);
-    return this.#options.clock.steady() - link.receivedAt < timeout;
-  }
-
-  /**
-   * Whether all replicas are reachable and none but the primary has full
-   * exchanges. If the network is divided, entries pass on what the replicas on
-   * the other side lack.
-   */
-  get #isUndivided(): boolean {
-    for (const link of this.#links.values()) {
-      const isOtherPrimary = link.isPrimary && link.address !== this.#primary;
-      if (isOtherPrimary || link.hasFailed || !this.#isReachable(link)) {
-        return false;
-      }
-    }
-    return true;
+    return exchangeSchedule.isReachable(link, this.#view());
   }
 
-  /** Interval of short exchanges with a replica. */
-  #shortInterval(
-    { entryCount, shortReportTimeout }: ControlLink,
-    isUndivided: boolean,
-  ): Milliseconds {
-    return shortReportTimeout !== undefined && isUndivided
-      ? Math.min(
-        exchangeInterval.relaxed(entryCount, this.#links.size - 1),
-        shortReportTimeout / TIMEOUT_INTERVALS,
-      )
-      : exchangeInterval.short(entryCount);
+  #view() {
+    return {
+      links: this.#links.values(),
+      primary: this.#primary,
+      now: this.#options.clock.steady(),
+    };
   }
 
   #poll(): void {
@@ -238,16 +214,8 @@
       : exchangeInterval.check(this.#entryCount);
   }
 
-  /** Largest number of entries that report to one reachable replica. */
   get #entryCount(): number {
-    let maxEntries = 0;
-    for (const link of this.#links.values()) {
-      maxEntries = Math.max(
-        maxEntries,
-        this.#isReachable(link) ? link.entryCount : 0,
-      );
-    }
-    return maxEntries;
+    return exchangeSchedule.countEntries(this.#view());
   }
 
   #startDueExchanges(): void {
@@ -261,7 +229,7 @@
     // While no replica is reachable, known replicas are kept: the seeds may
     // have been replaced.
     const mayForget = this.isConnected;
-    const isUndivided = this.#isUndivided;
+    const isUndivided = exchangeSchedule.isUndivided(this.#view());
     for (const link of this.#listLinks()) {
       this.#updateReachability(link);
       const unseenFor = now - Math.max(link.receivedAt, link.listedAt);
@@ -284,14 +252,14 @@
     if (this.#options.isAwaitingConfiguration() && this.#isPolled(link)) {
       return now - link.requestedAt >= this.#pollInterval / 2;
     }
-    const usesShortPause = this.#primary !== "" &&
-      link.address !== this.#primary &&
-      this.#isReachable(link);
-    const pause = usesShortPause
-      ? this.#shortInterval(link, isUndivided)
-      : exchangeInterval.full(link.entryCount);
+    const interval = exchangeSchedule.intervalOf(link, {
+      primary: this.#primary,
+      now,
+      otherReplicas: this.#links.size - 1,
+      isUndivided,
+    });
     // Polling is jittered, so an exchange may start half an interval early.
-    return now - link.requestedAt >= pause - this.#pollInterval / 2;
+    return now - link.requestedAt >= interval - this.#pollInterval / 2;
   }
 
   /**
@@ -356,28 +324,7 @@
       existing.listedAt = now;
       return;
     }
-    this.#links.set(address, {
-      address,
-      feed: "",
-      revision: 0,
-      followed: {},
-      receivedAt: -UNREACHABLE_TIMEOUT,
-      requestedAt: -UNREACHABLE_TIMEOUT,
-      hasFailed: false,
-      isLeading: false,
-      isPrimary: false,
-      shortReportTimeout: undefined,
-      listedAt: now,
-      wallOffset: undefined,
-      entries: new Map(),
-      entryCount: 0,
-      loadsSince: 0,
-      suspectsSentRevision: 0,
-      report: new CounterReport(),
-      ongoingExchange: undefined,
-      isExchangeQueued: false,
-      isLost: true,
-    });
+    this.#links.set(address, createControlLink(address, now));
   }
 
   /** Starts an exchange. The promise resolves whether or not it succeeds. */
--- a/packages/serving/hub.ts
+++ b/packages/serving/hub.ts
@@ -16,6 +16,7 @@
 import type { KnownEntry } from "./known_entry.ts";
 import { LoadTotals } from "./load_totals.ts";
 import { OpenEntries } from "./open_entries.ts";
+import { PrimaryPeriod } from "./primary_period.ts";
 import { RevisionCounter } from "./revision_counter.ts";
 import type { ReportedSuspect } from "./reported_suspect.ts";
 import type { SharedState } from "./shared_state.ts";
@@ -104,9 +105,7 @@
   readonly #versions = new VersionReports();
   readonly #documentSender = new DocumentSender();
   #sweptAt: Milliseconds = -Infinity;
-  /** When entries began to have full exchanges with this replica. */
-  #primarySince: Milliseconds = Infinity;
-  #fullReportAt: Milliseconds = -Infinity;
+  readonly #primaryPeriod = new PrimaryPeriod(ENTRY_TIMEOUT_MS);
   /** Aggregates over all entries, computed by the last sweep. */
   #shared = {
     quotaShare: 1,
@@ -138,7 +137,7 @@
 
   /** Whether entries have full exchanges with this replica. */
   isPrimary(now: Milliseconds): boolean {
-    return now - this.#fullReportAt < ENTRY_TIMEOUT_MS;
+    return this.#primaryPeriod.isOngoing(now);
   }
 
   /**
@@ -232,13 +231,10 @@
 
   /**
    * Entries whose charges this replica lacks. Only a replica that hands out
-   * quotas needs them, and at first it can't tell whose full exchanges will
-   * come.
+   * quotas needs them.
    */
   #listUnheard(now: Milliseconds): readonly string[] {
-    return now - this.#primarySince >= ENTRY_TIMEOUT_MS
-      ? this.#shared.unheard
-      : [];
+    return this.#primaryPeriod.isSettled(now) ? this.#shared.unheard : [];
   }
 
   /** Changes of the upstreams that an entry follows. */
@@ -468,7 +464,7 @@
     }
     const isFull = request.loads !== undefined;
     if (isFull) {
-      this.#recordFullReport(now);
+      this.#primaryPeriod.recordFullReport(now);
     }
     this.#entries.set(name, {
       boot,
@@ -493,13 +489,6 @@
     return isAccepted;
   }
 
-  #recordFullReport(now: Milliseconds): void {
-    if (!this.isPrimary(now)) {
-      this.#primarySince = now;
-    }
-    this.#fullReportAt = now;
-  }
-
   /** Closes unresponsive entries and updates the aggregates. */
   #sweep(now: Milliseconds): void {
     if (now - this.#sweptAt < SWEEP_INTERVAL) {
@@ -507,9 +496,6 @@
     }
     this.#sweptAt = now;
     this.#followed.count(() => this.directory.list(), now);
-    if (!this.isPrimary(now)) {
-      this.#primarySince = Infinity;
-    }
     let entryCount = 0;
     for (const [name, { receivedAt, isFull }] of this.#entries) {
       const timeout = isFull ? ENTRY_TIMEOUT_MS : SHORT_REPORT_TIMEOUT_MS;
