A generation that ended before its first token isn't answered 404; wave_test names refusals

Cause: crash_test's trace showed 404 for a generation that was accepted, met three crashes and was rejected before its caller read a token. wave_test fails beside heavy load with a count only, so that what refuses isn't known.

Change: 502 upstream_failed, run unknown, with a remedy; crash_test expects no 404. If wave_test accepts too few, it shows refusals by kind and message; its bound stays.

--- a/apps/heroncleatd/entry/handle_generation.ts
+++ b/apps/heroncleatd/entry/handle_generation.ts
@@ -104,7 +104,8 @@
     const outcome = await registerRequest(parts, record, release);
     if (outcome.kind === "accepted") {
       const deadlineAt = startedAt + draft.deadline;
-      await sendResponse(parts, call, { id: record.id, from: 0, deadlineAt });
+      const position = { id: record.id, from: 0, deadlineAt, isNew: true };
+      await sendResponse(parts, call, position);
       return;
     }
     fault = outcome.fault;
--- a/apps/heroncleatd/entry/send_response.ts
+++ b/apps/heroncleatd/entry/send_response.ts
@@ -17,6 +17,8 @@
   readonly id: string;
   readonly from: number;
   readonly deadlineAt: Milliseconds;
+  /** Whether the caller has just sent the request. */
+  readonly isNew?: boolean;
 };
 
 /** Reason why a stream ended. */
@@ -35,7 +37,8 @@
 ): Promise<void> {
   const first = await readNext(parts, call, position);
   if (!first.found || first.record === undefined) {
-    sendFault(call.response, createNotFoundFault());
+    const fault = position.isNew ? createEndedFault() : createNotFoundFault();
+    sendFault(call.response, fault);
     return;
   }
   call.response.setHeader("heroncleat-request", position.id);
@@ -188,6 +191,16 @@
   );
 }
 
+/** For a request that was accepted and ended before its first token. */
+function createEndedFault() {
+  return createFault(
+    "upstream_failed",
+    "All upstreams that ran the request failed before its first token. " +
+      "Remedy: send it again, or change it if that happens repeatedly.",
+    { run: "unknown" },
+  );
+}
+
 function createNotFoundFault() {
   return createFault(
     "not_found",
--- a/apps/heroncleatd/tests/crash_test.ts
+++ b/apps/heroncleatd/tests/crash_test.ts
@@ -93,6 +93,8 @@
     await sleep(PAUSE_MS);
   }
   expect(statuses.slice(-3)).toEqual([400, 400, 400]);
+  // The caller knows of the request, so it isn't "not found".
+  expect(statuses).not.toContain(404);
   expect(crashes).toBeGreaterThanOrEqual(3);
   expect(crashes).toBeLessThanOrEqual(MAX_CRASHES);
   // Other requests are still served.
--- a/apps/heroncleatd/tests/wave_test.ts
+++ b/apps/heroncleatd/tests/wave_test.ts
@@ -55,6 +55,21 @@
   return waves;
 }
 
+/** Counts refusals by the kind of fault and its message. */
+function countReasons(
+  refused: readonly StreamedChatCompletion[],
+): Record<string, number> {
+  const counts: Record<string, number> = {};
+  for (const { status, refusal } of refused) {
+    const { kind, message } = refusal === ""
+      ? { kind: "none", message: "no response" }
+      : JSON.parse(refusal).error;
+    const reason = `${status} ${kind}: ${message}`;
+    counts[reason] = (counts[reason] ?? 0) + 1;
+  }
+  return counts;
+}
+
 describe("a thousand requests while whole zones are reclaimed", () => {
   test("get complete responses", async () => {
     const responses: StreamedChatCompletion[] = [];
@@ -92,7 +107,9 @@
     );
     expect(await waves).toBeGreaterThan(1);
     expect(complete).toHaveLength(accepted.length);
-    expect(accepted.length).toBeGreaterThan(REQUESTS * 0.95);
+    const isEnough = accepted.length > REQUESTS * 0.95;
+    // Shows why requests were refused, if too many were.
+    expect(isEnough ? {} : countReasons(refused)).toEqual({});
     expect(refused.map((response) => response.run)).toEqual(
       refused.map(() => "not-run"),
     );
