--- a/apps/heroncleatd/common/actor.ts
+++ b/apps/heroncleatd/common/actor.ts
@@ -13,11 +13,9 @@
 const DRAIN = "drain";
 
 /**
- * A nact actor with its own bounded mailbox. nact processes one message per
- * turn of the event loop, which limits throughput, so messages are queued here
- * and one nact message drains the whole queue. State lives in the object that
- * handles the messages. A handler that throws is logged, and the actor
- * continues with the next message.
+ * A nact actor with its own bounded mailbox. nact processes one message per turn
+ * of the event loop, so one of its messages drains the whole queue here. An error
+ * of the handler is logged.
  */
 export class Actor<Message> {
   readonly #options: ActorOptions<Message>;
--- a/apps/heroncleatd/control/may_send_order.ts
+++ b/apps/heroncleatd/control/may_send_order.ts
@@ -12,11 +12,9 @@
 };
 
 /**
- * Whether an order can't run at the same time as one of another leader. An
- * upstream that checks fencing numbers rejects a stale order itself, so a valid
- * lease suffices. For any other upstream, the order must time out within this
- * leader's lease, and only start after the lease and the last order of an
- * earlier leader have expired.
+ * Whether an order can't run at the same time as one of another leader. For an
+ * upstream that doesn't check fencing numbers, it must time out within this
+ * leader's lease and start after those of earlier leaders.
  */
 export function maySendOrder(conditions: OrderConditions): boolean {
   const { now, leaseUntil, orderTimeout } = conditions;
--- a/apps/heroncleatd/gateway/control_links.ts
+++ b/apps/heroncleatd/gateway/control_links.ts
@@ -54,10 +54,9 @@
 };
 
 /**
- * Exchanges state with every control replica several times a second. Each
- * replica replies from its own state, so updates arrive as long as one path is
- * open. The replica that leads the group, if it is reachable, is the primary of
- * all entries and relays the loads they share with each other.
+ * Exchanges state with every control replica. Updates arrive as long as one path
+ * is open. The leader, if it is reachable, is the primary of all entries and
+ * relays the loads that they share.
  */
 export class ControlLinks {
   readonly #options: LinkOptions;
--- a/apps/heroncleatd/gateway/exchange_schedule.ts
+++ b/apps/heroncleatd/gateway/exchange_schedule.ts
@@ -16,12 +16,9 @@
 };
 
 /**
- * Decides when an entry exchanges state with each control replica.
- *
- * An entry's work without requests goes into these exchanges. With the primary
- * they are frequent, as quotas and loads depend on them. The others keep the
- * replicas ready to take over, and pass on what a replica lacks while the
- * network is divided; as long as it isn't, few of them suffice.
+ * Decides when an entry exchanges state with each control replica. Quotas and
+ * loads need frequent exchanges with the primary. Those with the others matter
+ * only while the network is divided, and are relaxed otherwise.
  */
 export const exchangeSchedule = {
   /** Whether any replica has replied recently. */
--- a/apps/heroncleatd/gateway/read_once_per_loop_iteration.ts
+++ b/apps/heroncleatd/gateway/read_once_per_loop_iteration.ts
@@ -7,17 +7,11 @@
 };
 
 /**
- * Limits a socket to one read per iteration of the event loop. libuv reports a
- * reset that arrives together with the last bytes as an orderly end, unless
- * reading was stopped before; the read in the next iteration then reports the
- * reset.
+ * Limits a socket to one read per iteration of the event loop. Otherwise libuv
+ * reports a reset that arrives with the last bytes as an orderly end, which
+ * matters for bodies that end with the connection.
  *
- * Only bodies that are delimited by the end of the connection need this. Node
- * detects truncation of bodies with a length or in chunks, and each read takes
- * three more system calls.
- *
- * This uses the internal handle, since pausing a flowing socket only stops
- * reading after the next bytes.
+ * Pausing a flowing socket wouldn't stop the next read.
  */
 export function readOncePerLoopIteration(socket: Socket): void {
   const pauseUntilNextIteration = () => {
--- a/apps/heroncleatd/hub/bootstrap_registry.ts
+++ b/apps/heroncleatd/hub/bootstrap_registry.ts
@@ -17,12 +17,9 @@
 const MAX_CANDIDATES = 64;
 
 /**
- * In-memory state of a seed during the group bootstrap: registered replicas,
- * the proposal that it holds, and the group once it exists.
- *
- * A group forms from a proposal that all seeds hold. A seed that restarts and
- * loses its state can't make a second group form, because the other seeds still
- * refuse its proposal.
+ * In-memory state of a seed during the group bootstrap. A group forms from a
+ * proposal that all seeds hold, so a seed that lost its state can't make a second
+ * one form.
  */
 export class BootstrapRegistry {
   readonly #startedAt: Milliseconds;
--- a/apps/heroncleatd/hub/departure_replicator.ts
+++ b/apps/heroncleatd/hub/departure_replicator.ts
@@ -50,11 +50,9 @@
 };
 
 /**
- * Makes the departure of an upstream durable before it is acknowledged. An
- * upstream may report it only once, and entries would keep using the upstream
- * until its heartbeats time out if the replica that received the report were
- * lost. So the record must be on the disks of one member more than may be lost
- * at once.
+ * Makes the departure of an upstream durable before it is acknowledged: it must
+ * be on the disks of one member more than may be lost at once, as an upstream may
+ * report it only once.
  */
 export class DepartureReplicator {
   readonly #options: ReplicatorOptions;
--- a/packages/base/suspension_detector.ts
+++ b/packages/base/suspension_detector.ts
@@ -16,11 +16,9 @@
 const MAX_FAILED_CHECKS = 3;
 
 /**
- * Measures for how long the VM has been suspended since this object was
- * created. The wall clock jumps on a suspension, and also when it is set; the
- * VM's uptime jumps on a suspension only. In some containers and simulators the
- * uptime is another machine's and drifts from the monotonic clock. It is then
- * ignored, and no suspension is detected.
+ * Measures for how long the VM has been suspended. The wall clock jumps also when
+ * it is set; the VM's uptime jumps on a suspension only, and is ignored where it
+ * drifts, as in some containers.
  *
  * @internal
  */
--- a/packages/consensus/election.ts
+++ b/packages/consensus/election.ts
@@ -26,13 +26,9 @@
 
 /**
  * Leader election with pre-vote (Raft, section 9.6 of Ongaro's dissertation).
- * A replica that had contact with a leader within the election timeout grants
- * no vote; leader leases rely on this.
- *
- * A replica that restarts can't know when it last had contact with a leader,
- * so it refuses votes for one election timeout. Once every voter has reported
- * that it doesn't lead, no lease can be valid: the candidate sends this as
- * `quietTerm` in its vote request, and voters skip the wait.
+ * A replica that had contact with a leader within the election timeout, or has
+ * just restarted, grants no vote unless every voter reported that it doesn't
+ * lead.
  *
  * @internal
  */
--- a/packages/serving/assess_suspects.ts
+++ b/packages/serving/assess_suspects.ts
@@ -47,10 +47,8 @@
 
 /**
  * Tells the requests that crash upstreams from those that were running on
- * upstreams that crashed. The request whose crashes are least likely to be a
- * coincidence is held responsible for them, and the others are assessed by
- * their remaining crashes. The result is correct as soon as the responsible
- * request has met a crash that the others haven't.
+ * upstreams that crashed. The least likely coincidence is held responsible; the
+ * other requests are assessed by their remaining crashes.
  */
 export function assessSuspects(
   suspects: Iterable<CrashHistory>,
--- a/packages/serving/charge_aggregator.ts
+++ b/packages/serving/charge_aggregator.ts
@@ -5,10 +5,8 @@
 import type { ChargeReport } from "./charge_report.ts";
 
 /**
- * Time without a report after which an entry counts as isolated and may be
- * using its own share of the quotas: four exchange intervals. A longer timeout
- * lets a replica that is partitioned off with one entry hand out the quota of
- * all entries for longer.
+ * Time without a report after which an entry counts as isolated and may be using
+ * its own share of the quotas: four exchange intervals.
  */
 const ENTRY_TIMEOUT: Milliseconds = 600;
 /** The same timeout with many entries, whose exchange intervals are longer. */
@@ -29,11 +27,9 @@
 };
 
 /**
- * The charges of all entries as one control replica has received them: from
- * each entry directly and, while an entry is unresponsive, from peers that
- * still reach it. During a partition each replica is reached by some of the
- * entries only; without relayed reports, both sides would hand out part of the
- * same quota.
+ * The charges of all entries as one control replica has received them: from each
+ * entry, or while it is unresponsive from peers that reach it, so that the two
+ * sides of a partition don't hand out the same quota.
  *
  * @internal
  */
--- a/packages/serving/fleet_planner.ts
+++ b/packages/serving/fleet_planner.ts
@@ -51,10 +51,8 @@
 
 /**
  * Plans the number of spot and on-demand upstreams of one service in each
- * availability zone. Spot upstreams carry the load, enough of them that all
- * zones but one can bear it. When spot upstreams are missing, on-demand ones
- * replace them up to the required capacity, and secure a share of it against
- * the reclaim of another zone.
+ * availability zone. Spot upstreams suffice if all zones but one remain;
+ * on-demand ones replace those that are missing.
  *
  * @public
  */
--- a/packages/serving/followed_share.ts
+++ b/packages/serving/followed_share.ts
@@ -9,11 +9,9 @@
 export type FollowedShares = Readonly<Record<string, number>>;
 
 /**
- * Which upstreams of a large service an entry follows. Each entry follows a
- * subset of its own, so that what it is sent, keeps and chooses from doesn't
- * grow with the service, while all upstreams get requests from some entries.
- * Shares are powers of two and rarely change; a smaller share is a subset of a
- * larger one.
+ * Which upstreams of a large service an entry follows: a subset of its own, so
+ * that its state doesn't grow with the service. Shares are powers of two; a
+ * smaller one is a subset of a larger one.
  *
  * @public
  */
--- a/packages/serving/notice_threshold.ts
+++ b/packages/serving/notice_threshold.ts
@@ -20,10 +20,7 @@
 /**
  * Decides which dispatches are announced to the other entries: those with the
  * longest prefill, at a rate that every entry can process. All entries receive
- * the same notices, so their thresholds adapt alike without coordination.
- *
- * A few long prompts cause most of the collisions between entries, so with many
- * entries it suffices to announce these.
+ * the same notices, so their thresholds adapt alike.
  *
  * @public
  */
--- a/packages/serving/quota_account.ts
+++ b/packages/serving/quota_account.ts
@@ -28,12 +28,9 @@
 const REVOCABLE_WINDOW: Milliseconds = 2000;
 
 /**
- * Charges of all entries to one limit, as known to this entry.
- *
- * While some entries are unreachable, only a share of the refill counts, as
- * they may be using theirs. Once they report what they spent, the withheld
- * refill counts as well, so that the workspace regains its full rate after a
- * partition.
+ * Charges of all entries to one limit, as known to this entry. While some entries
+ * are unreachable, part of the refill is withheld until they report what they
+ * spent.
  *
  * @internal
  */
--- a/packages/serving/shared_retry_budget.ts
+++ b/packages/serving/shared_retry_budget.ts
@@ -20,12 +20,9 @@
 };
 
 /**
- * Retry budget of one service at this entry. The bound holds over all entries
- * because each keeps to its share.
- *
- * Retries of an earlier process of the entry are unknown and count for another
- * window. The entry therefore uses its share of the minimum only one window
- * after its start, so that restarts don't multiply the retries.
+ * Retry budget of one service at this entry, which is its share of the common
+ * one. A restarted entry uses its share of the minimum a window later, as the
+ * retries of its earlier process are unknown.
  *
  * @public
  */
--- a/packages/serving/suspect_registry.ts
+++ b/packages/serving/suspect_registry.ts
@@ -44,14 +44,8 @@
 
 /**
  * Registry of requests that were running on upstreams when these crashed.
- * Reports from several processes may arrive in any order and repeatedly. A
- * request that completes anywhere is cleared of all earlier crashes. The more
- * often upstreams crash for other reasons, the more crashes it takes to reject
- * a request.
- *
- * The number of requests per workspace is limited, so that one workspace can't
- * displace the requests of others; at the limit, the least suspected request is
- * removed.
+ * Reports may arrive in any order and repeatedly. A request that completes
+ * anywhere is cleared of all earlier crashes.
  *
  * @public
  */
@@ -268,9 +262,8 @@
 
   /**
    * Corrects the times of a run that is reported again. Each report adds its
-   * latency to them, so the earliest are closest to the truth. With times from
-   * reports of different latency, a run would seem to start before the crash
-   * that it followed.
+   * latency, so the earliest times are the best. Otherwise a run could seem to
+   * start before the crash that it followed.
    */
   #correctTimes(suspect: Suspect, reported: CrashedRun): void {
     suspect.runs = suspect.runs
--- a/packages/serving/upstream_instances.ts
+++ b/packages/serving/upstream_instances.ts
@@ -19,15 +19,9 @@
 const MIN_UPDATE_INTERVAL: Milliseconds = 300;
 
 /**
- * Tracks which instance of each upstream is the current one. It is the one with
- * the latest start time, as an upstream restarts only after its process has
- * ended. Late updates of an earlier instance don't change that.
- *
- * Start times come from the wall clock of a VM, which may have been set back
- * between two starts. So an instance with an earlier start time becomes the
- * current one after it was seen twice, at least `MIN_UPDATE_INTERVAL` apart,
- * while the other one was unresponsive for two heartbeat intervals. A late
- * heartbeat, or several that a partition delayed, don't suffice.
+ * Tracks which instance of each upstream is current: the one with the latest
+ * start time. As a wall clock may have been set back, an earlier one becomes
+ * current when it is seen twice while the other is unresponsive.
  *
  * @internal
  */
--- a/packages/serving/workspace_quota.ts
+++ b/packages/serving/workspace_quota.ts
@@ -73,18 +73,9 @@
 
 /**
  * Quotas of workspaces, shared by all entries without coordination per request.
- * Every entry tracks the charges of all entries in the quota window: its own
- * immediately, those of the others with each exchange. Unreachable entries are
- * assumed to use an even share until they report again.
- *
- * Two bounds apply: a token bucket, refilled at the rate of the workspace, and
- * the sum of the sliding window, which holds even if the bucket missed charges.
- * The sum alone isn't enough, as it would allow bursts that an isolated entry
- * spends before it detects the partition.
- *
- * Requests within the quota are always served. A second limit serves some of
- * the others from the tolerated excess, so that these never displace requests
- * within the quota.
+ * Two bounds apply: a token bucket, and the sum of the sliding window, which
+ * holds even if the bucket missed charges. Requests beyond them are served from
+ * the tolerated excess only.
  *
  * @public
  */
--- a/packages/soak/inject_faults.mjs
+++ b/packages/soak/inject_faults.mjs
@@ -1,9 +1,7 @@
 /**
- * Preload script that injects faults into a process of a soak test: a slow or
- * full disk, a shifted wall clock, and a monotonic clock that excludes the time
- * for which the VM was suspended. The file named by SOAK_FAULTS describes the
- * faults; it is reread periodically and may be missing. Node's timers read
- * their own clock, so they still include the suspended time.
+ * Preload script that injects faults: a slow or full disk, a shifted wall clock,
+ * and a monotonic clock that excludes suspensions. They are described by the file
+ * that SOAK_FAULTS names, which is reread periodically.
  */
 import fs from "node:fs/promises";
 import { readFileSync } from "node:fs";
--- a/packages/soak/redirect_sockets.mjs
+++ b/packages/soak/redirect_sockets.mjs
@@ -1,10 +1,7 @@
 /**
- * Preload script that redirects the connections of a soak test's process to
- * other VMs through the link proxy, which can delay, close or blackhole them.
- *
- * The name lookup of a redirected connection asks the proxy to connect to the
- * target, and resolves to the address at which the proxy accepts the other half
- * of the link. So the connection opens, hangs or is refused as without a proxy.
+ * Preload script that redirects connections to other VMs through the link proxy.
+ * The name lookup of a connection asks the proxy to connect to the target first,
+ * so that it opens, hangs or is refused as without a proxy.
  */
 import { connect as connectSocket, Socket } from "node:net";
 
--- a/packages/transport/peer_connection.ts
+++ b/packages/transport/peer_connection.ts
@@ -82,10 +82,9 @@
   }
 
   /**
-   * A network failure can leave the connection open, and TCP then delays queued
-   * bytes by its backoff even after the network recovers. The connection to a
-   * peer that doesn't respond in time is closed, so that the next message opens
-   * a new one.
+   * Closes the connection to a peer that doesn't respond in time. After a network
+   * failure TCP would delay queued bytes by its backoff, also once the network has
+   * recovered.
    */
   async #check(): Promise<void> {
     const now = performance.now();
