With few entries, replicas unlist an entry after 1.2 s as before

Cause: replicas kept an entry with short exchanges in their lists for 3 s also where there are few entries and callers get the lists of all replicas.

Result: hub_test with 12 and 40 entries; the first fails before.

--- a/packages/serving/hub.ts
+++ b/packages/serving/hub.ts
@@ -9,6 +9,7 @@
 import { ChargeAggregator } from "./charge_aggregator.ts";
 import { DocumentSender } from "./document_sender.ts";
 import { FollowedUpstreams } from "./followed_upstreams.ts";
+import { exchangeInterval } from "./exchange_interval.ts";
 import { EntryMedians } from "./entry_medians.ts";
 import type { FollowedShares } from "./followed_share.ts";
 import type { FeedReply } from "./feed_reply.ts";
@@ -39,8 +40,8 @@
  */
 const ENTRY_TIMEOUT_MS = 1200;
 /**
- * The same for an entry whose last exchange was a short one. It has full ones
- * with another replica, whose list callers get.
+ * The same for an entry whose last exchange was a short one, if there are many.
+ * It has full ones with another replica, whose list callers get.
  */
 const SHORT_REPORT_TIMEOUT_MS = 3000;
 
@@ -201,7 +202,9 @@
       isLeading,
       leader: context.leader,
       isPrimary: this.isPrimary(now) ? true : undefined,
-      shortReportTimeout: SHORT_REPORT_TIMEOUT_MS,
+      shortReportTimeout: this.#hasManyEntries
+        ? SHORT_REPORT_TIMEOUT_MS
+        : undefined,
       upstreams,
       ages,
       followed: this.#sharesFor(request),
@@ -230,11 +233,17 @@
   }
 
   /**
-   * Entries whose charges this replica lacks. Only a replica that hands out
-   * quotas needs them.
+   * Entries whose charges this replica lacks. Of many entries only those that
+   * have full exchanges with it report often enough to be missed.
    */
   #listUnheard(now: Milliseconds): readonly string[] {
-    return this.#primaryPeriod.isSettled(now) ? this.#shared.unheard : [];
+    return !this.#hasManyEntries || this.#primaryPeriod.isSettled(now)
+      ? this.#shared.unheard
+      : [];
+  }
+
+  get #hasManyEntries(): boolean {
+    return exchangeInterval.isScaled(this.#entries.size);
   }
 
   /** Changes of the upstreams that an entry follows. */
@@ -497,8 +506,11 @@
     this.#sweptAt = now;
     this.#followed.count(() => this.directory.list(), now);
     let entryCount = 0;
+    const hasManyEntries = this.#hasManyEntries;
     for (const [name, { receivedAt, isFull }] of this.#entries) {
-      const timeout = isFull ? ENTRY_TIMEOUT_MS : SHORT_REPORT_TIMEOUT_MS;
+      const timeout = isFull || !hasManyEntries
+        ? ENTRY_TIMEOUT_MS
+        : SHORT_REPORT_TIMEOUT_MS;
       if (now - receivedAt >= timeout) {
         this.#openEntries.close(name);
         this.#loads.remove(name);
--- a/packages/serving/hub_test.ts
+++ b/packages/serving/hub_test.ts
@@ -102,6 +102,34 @@
     expect(reply.shared?.quotaShare).toBe(0.5);
   });
 
+  // Callers get the lists of all replicas where there are few entries, and that
+  // of the primary where there are many.
+  test.each([
+    [12, 1200],
+    [40, 3000],
+  ])("of %i entries unlists those with short exchanges after %i ms", (
+    count,
+    timeout,
+  ) => {
+    const hub = new Hub("f");
+    for (let index = 0; index < count; index += 1) {
+      hub.sync(request(`e${index}`, { loads: undefined }), {
+        ...context,
+        now: 0,
+      });
+    }
+    expect(hub.listOpenEntries(timeout - 1)).toHaveLength(count);
+    expect(hub.listOpenEntries(timeout + 100)).toEqual([]);
+  });
+
+  test("unlists an entry with full exchanges after 1200 ms, however many there are", () => {
+    const hub = new Hub("f");
+    for (let index = 0; index < 40; index += 1) {
+      hub.sync(request(`e${index}`), { ...context, now: 0 });
+    }
+    expect(hub.listOpenEntries(1300)).toEqual([]);
+  });
+
   test("lists no entry that is unresponsive or closed", () => {
     const hub = new Hub("f");
     hub.sync(request("a"), { ...context, now: 0 });
--- a/packages/serving/sync_reply.ts
+++ b/packages/serving/sync_reply.ts
@@ -21,9 +21,9 @@
   readonly isPrimary?: true | undefined;
   /**
    * Time without a report after which an entry that has short exchanges counts
-   * as unresponsive; older releases, which leave it out, wait 1,200 ms.
+   * as unresponsive, if there are many entries; else they get 1,200 ms.
    */
-  readonly shortReportTimeout?: Milliseconds;
+  readonly shortReportTimeout?: Milliseconds | undefined;
   /** Upstreams that changed after the revision that the entry named. */
   readonly upstreams: readonly UpstreamRecord[];
   /**
