Entries report upstreams that close connections without a response

Traced: one upstream went down and up five times in seven seconds; while down it accepted connections and closed them, so that no probe found it lost, and each of 24 entries lost one request or two to find out.

Change: the first entry that meets it tells the others by datagram, once in 500 ms for each upstream. They prefer others by 500 ms of expected first token for a second; nothing is excluded, as the reporter's network may be at fault.

--- a/apps/heroncleatd/gateway/attempt_request.ts
+++ b/apps/heroncleatd/gateway/attempt_request.ts
@@ -148,6 +148,10 @@
   );
   if (!signal.aborted && isUpstreamFailure(response.reason)) {
     choice.pause(record.id, clock.steady());
+    const isBroken = response.kind === "unknown" && response.isBroken;
+    if (isBroken || response.reason === CONNECTION_REFUSED) {
+      context.reportFailure(record.id);
+    }
   }
   if (response.reason === MISDIRECTED_REQUEST) {
     context.directory.remove(record.id, clock.steady());
--- a/apps/heroncleatd/gateway/forward_context.ts
+++ b/apps/heroncleatd/gateway/forward_context.ts
@@ -37,6 +37,11 @@
    * entries.
    */
   readonly announceDispatch: (notice: DispatchNotice) => void;
+  /**
+   * Called when an upstream refused a connection, or closed it without a
+   * response; may send a notice to other entries.
+   */
+  readonly reportFailure: (upstream: string) => void;
   readonly agentOf: (upstream: string) => UpstreamAgent;
   readonly retryAllowanceOf: (service: string) => SharedRetryBudget;
   /** Number of entries that share the retry allowance. */
--- a/apps/heroncleatd/gateway/forwarding_test.ts
+++ b/apps/heroncleatd/gateway/forwarding_test.ts
@@ -562,6 +562,7 @@
     syncAge: () => 0,
     engineOf: () => undefined,
     announceDispatch: () => {},
+    reportFailure: () => {},
     countUsage: () => {},
   };
 }
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -4,6 +4,7 @@
   createToken,
   type Milliseconds,
   splitAddress,
+  unreachable,
 } from "@heroncleat/base";
 import type {
   DispatchNotice,
@@ -11,6 +12,7 @@
   SuspectNotice,
 } from "@heroncleat/schema";
 import {
+  FailureReports,
   followedShare,
   type FollowedShares,
   type KnownEntry,
@@ -119,6 +121,7 @@
   #followed = "{}";
   readonly #notices: EntryNotices;
   readonly #noticeThreshold = new NoticeThreshold();
+  readonly #failureReports = new FailureReports();
   readonly #chargeSync: ChargeSync;
   readonly #exchange: EntryExchange;
   readonly #gateway: Gateway;
@@ -329,6 +332,7 @@
       leaving: this.#departureDeadline,
       engineOf: (service) => this.#routeTable?.findService(service)?.engine,
       announceDispatch: (notice) => this.#announceDispatch(notice),
+      reportFailure: (upstream) => this.#reportFailure(upstream),
       agentOf: (upstream) => this.#agents.get(upstream),
       retryAllowanceOf: (service) => this.#retryAllowanceOf(service),
       countEntries: () => this.#exchange.entryCount,
@@ -361,6 +365,12 @@
     }
   }
 
+  #reportFailure(upstream: string): void {
+    if (this.#failureReports.admit(upstream, this.#options.clock.steady())) {
+      this.#notices.broadcast({ kind: "failure", upstream });
+    }
+  }
+
   #retryAllowanceOf(service: string): SharedRetryBudget {
     const existing = this.#retryAllowances.get(service);
     if (existing !== undefined) {
@@ -399,16 +409,28 @@
   }
 
   #onNotice(notice: EntryNotice, from: string): void {
-    if (notice.kind === "dispatch") {
-      const now = this.#options.clock.steady();
-      this.#noticeThreshold.recordReceived(now);
-      if (this.#directory.get(notice.upstream) !== undefined) {
-        this.#choice.applyDispatchNotice(notice, now);
-      }
-    } else if (notice.kind === "suspects") {
-      this.#suspectWatcher.mergeReports(notice.suspects);
-    } else {
-      this.#chargeSync.receive(notice, from);
+    const now = this.#options.clock.steady();
+    switch (notice.kind) {
+      case "dispatch":
+        this.#noticeThreshold.recordReceived(now);
+        if (this.#directory.get(notice.upstream) !== undefined) {
+          this.#choice.applyDispatchNotice(notice, now);
+        }
+        return;
+      case "failure":
+        this.#failureReports.record(notice.upstream, now);
+        if (this.#directory.get(notice.upstream) !== undefined) {
+          this.#choice.recordReportedFailure(notice.upstream, now);
+        }
+        return;
+      case "suspects":
+        this.#suspectWatcher.mergeReports(notice.suspects);
+        return;
+      case "charges":
+        this.#chargeSync.receive(notice, from);
+        return;
+      default:
+        unreachable(notice);
     }
   }
 
--- a/packages/serving/mod.ts
+++ b/packages/serving/mod.ts
@@ -54,6 +54,7 @@
 export { overloadRetryDelay } from "./overload_retry_delay.ts";
 export { findDocumentProblem } from "./find_document_problem.ts";
 export { FleetPlanner } from "./fleet_planner.ts";
+export { FailureReports } from "./failure_reports.ts";
 export { Hub } from "./hub.ts";
 export { IsolatedQuota } from "./isolated_quota.ts";
 export { RunDurations } from "./run_durations.ts";
--- a/packages/serving/upstream_balancer.ts
+++ b/packages/serving/upstream_balancer.ts
@@ -21,6 +21,16 @@
  * caused.
  */
 const FAILURE_BACKOFF: Milliseconds = 1500;
+/**
+ * Time for which an upstream is avoided after another entry reported that it
+ * failed.
+ */
+const REPORTED_FAILURE_PERIOD: Milliseconds = 1000;
+/**
+ * Cost of an upstream that another entry reported. It isn't excluded, as the
+ * network of that entry may be at fault, or all upstreams may be reported.
+ */
+const REPORTED_FAILURE_COST: Milliseconds = 500;
 /** Delay of a first token per running request. */
 const RUNNING_REQUEST_COST: Milliseconds = 1.2;
 /** Cost per request beyond the slots of an upstream. */
@@ -51,6 +61,8 @@
   pausedUntil: Milliseconds;
   /** Latest detected crash; only later heartbeats show that it is running. */
   crashedAt: Milliseconds;
+  /** When another entry last reported a failure. */
+  reportedAt: Milliseconds;
   /** Prefill backlog of this entry, and of all entries as far as known. */
   readonly ownBacklog: Backlog;
   readonly backlog: Backlog;
@@ -234,6 +246,11 @@
     view.crashedAt = Math.max(view.crashedAt, at);
   }
 
+  /** Avoids an upstream that failed at another entry, if others can serve. */
+  recordReportedFailure(id: string, now: Milliseconds): void {
+    this.#view(id).reportedAt = now;
+  }
+
   forget(id: string): void {
     this.#localViews.delete(id);
   }
@@ -273,6 +290,10 @@
     const connectionCost = request.isConnected?.(id) === false
       ? CONNECTION_COST
       : 0;
+    const reportedAt = this.#localViews.get(id)?.reportedAt ?? -Infinity;
+    const failureCost = now - reportedAt < REPORTED_FAILURE_PERIOD
+      ? REPORTED_FAILURE_COST
+      : 0;
     return {
       upstream,
       uncachedTokens,
@@ -285,7 +306,7 @@
       expectedFirstTokenTime,
       source,
       cost: expectedFirstTokenTime + crashExposureCost + zoneCost +
-        connectionCost +
+        connectionCost + failureCost +
         preferredUpstreams.placementCost(id),
     };
   }
@@ -358,6 +379,7 @@
       requests: 0,
       pausedUntil: 0,
       crashedAt: -Infinity,
+      reportedAt: -Infinity,
       ownBacklog: new Backlog(),
       backlog: new Backlog(),
       cache: new PrefixCacheEstimate(),
