Logs name the upstream's version, the last event passed on and the stream resumed

The incident's hypotheses can't be told apart without them: an attempt's line has version= and last_event=, a request's line has the attempt that its caller resumes.

--- a/apps/heroncleatd/gateway/attempt_trace.ts
+++ b/apps/heroncleatd/gateway/attempt_trace.ts
@@ -12,6 +12,7 @@
   #framing: ResponseFraming | undefined;
   #error: string | undefined;
   #unfinishedBytes = 0;
+  #lastEvent: string | undefined;
 
   /**
    * @param target The upstream, or `entry:` and the name of an entry; without
@@ -42,6 +43,11 @@
     this.#unfinishedBytes = bytes;
   }
 
+  /** Records the identifier of the last event that was passed on. */
+  recordLastEvent(id: string): void {
+    this.#lastEvent = id;
+  }
+
   /** Formats the target and the outcome, followed by key=value pairs. */
   describe(outcome: string): string {
     const facts = this.#listFacts();
@@ -51,6 +57,9 @@
     if (this.#framing !== undefined) {
       facts.push(`framing=${this.#framing}`);
     }
+    if (this.#lastEvent !== undefined) {
+      facts.push(`last_event=${this.#lastEvent}`);
+    }
     if (this.#error !== undefined) {
       facts.push(`error=${this.#error}`);
     }
--- a/apps/heroncleatd/gateway/describe_choice.ts
+++ b/apps/heroncleatd/gateway/describe_choice.ts
@@ -23,6 +23,7 @@
     `sent_after=${Math.round(sentAfter)}ms`,
     `expected=${Math.round(expectedFirstTokenTime)}ms`,
     `uncached=${uncachedTokens}`,
+    `version=${upstream.record.version ?? ""}`,
     `sync_age=${Math.round(syncAge)}ms`,
     `state=${upstream.record.state}`,
     `heard=${Math.round(lastSeenAge)}ms`,
--- a/apps/heroncleatd/gateway/forward_stream.ts
+++ b/apps/heroncleatd/gateway/forward_stream.ts
@@ -247,6 +247,9 @@
         this.#countUsage();
         const events = splitter.push(chunk);
         this.#lastEvent = events?.lastId ?? this.#lastEvent;
+        if (events?.lastId !== undefined) {
+          trace.recordLastEvent(events.lastId);
+        }
         return events?.bytes;
       },
     });
--- a/apps/heroncleatd/gateway/header_names.ts
+++ b/apps/heroncleatd/gateway/header_names.ts
@@ -33,6 +33,11 @@
   readonly fetchFrom: string;
   /** Identifier of the last event that the receiver of a stream has. */
   readonly lastEvent: string;
+  /**
+   * The attempt that brought the first event of the stream that this request
+   * resumes.
+   */
+  readonly resumes: string;
   /**
    * Headers that only the system may send to upstreams, such as those that
    * reserve memory for a request or copy it elsewhere. They are removed from
--- a/apps/heroncleatd/gateway/record_result.ts
+++ b/apps/heroncleatd/gateway/record_result.ts
@@ -3,8 +3,10 @@
 import type { Metrics } from "../common/metrics.ts";
 import type { CallerRequest } from "./caller_request.ts";
 import type { ForwardResult } from "./forward_result.ts";
+import type { HeaderNames } from "./header_names.ts";
 
 type RecordOptions = {
+  readonly names: HeaderNames;
   readonly log: Log;
   readonly metrics: Metrics;
   readonly clock: Pick<Clock, "steady">;
@@ -22,7 +24,7 @@
 export function recordResult(
   call: CallerRequest,
   result: ForwardResult & Payment,
-  { log, metrics, clock, clockAhead }: RecordOptions,
+  { log, metrics, clock, clockAhead, names }: RecordOptions,
 ): void {
   const took = Math.round(clock.steady() - call.arrivedAt);
   metrics.increment(`gateway.${result.outcome}`);
@@ -38,6 +40,7 @@
     size: call.size,
     paidFrom: result.paidFrom,
     relayedBy: call.relayedBy ?? "",
+    resumes: String(call.headers[names.resumes] ?? ""),
     status: result.status,
     objective: call.route.latencyObjective,
     took,
--- a/apps/heroncleatd/gateway/test_header_names.ts
+++ b/apps/heroncleatd/gateway/test_header_names.ts
@@ -14,5 +14,6 @@
   priority: "x-priority",
   fetchFrom: "x-fetch-from",
   lastEvent: "last-event-id",
+  resumes: "x-resumes",
   reserved: ["x-hold", "x-replica-at"],
 };
