Test: streams go on at another version than the one that began them (fails)

3 control processes, 6 entries, 6 upstreams of v1 and 6 of v2, 30 streams a second of 20 events; 30 % of the attempts break off.

--- /dev/null
+++ b/apps/heroncleatd/hub/stream_versions_test.ts
@@ -0,0 +1,157 @@
+import { setTimeout as pause } from "node:timers/promises";
+import { RouteKind, type ServingDocument } from "@heroncleat/serving";
+import { type PlayedStream, playStream } from "./play_stream.ts";
+import { StreamingUpstream } from "./streaming_upstream.ts";
+import { testDocument } from "./test_document.ts";
+import { TestGroup } from "./test_group.ts";
+import { TestLinks } from "./test_links.ts";
+import { waitUntil } from "./wait_until.ts";
+
+const FIRST_PORT = 29_500;
+const ENTRY_COUNT = 6;
+const UPSTREAMS_PER_VERSION = 6;
+const STREAM_PAUSE_MS = 33;
+const PHASE_DURATION_MS = 4000;
+/** Time in which a new version is known and admitted everywhere. */
+const SETTLE_TIME_MS = 2500;
+const BROKEN_SHARE = 0.3;
+/** Share of resumed streams that go on while their version has upstreams. */
+const MIN_RESUMED_SHARE = 0.95;
+const MIN_BEGUN_SHARE = 0.99;
+
+const group = new TestGroup(FIRST_PORT, [true, true, true]);
+const links: TestLinks[] = [];
+const running = new Map<string, StreamingUpstream[]>();
+let breaksOff = false;
+
+const document: ServingDocument = {
+  ...testDocument(1),
+  routes: testDocument(1).routes.map((route) => ({
+    ...route,
+    kind: RouteKind.streaming,
+    isResumable: true,
+    timeout: 5000,
+    maxAttempts: 3,
+  })),
+  services: [{ ...testDocument(1).services[0]!, maxConnections: 500 }],
+};
+
+beforeAll(async () => {
+  for (let index = 0; index < ENTRY_COUNT; index += 1) {
+    links.push(await TestLinks.start());
+  }
+  await group.start({
+    entries: ENTRY_COUNT,
+    connectOf: (entry) => (options) => links[entry]!.connect(options),
+  });
+  await waitUntil(() => group.publish(0, document));
+  await waitUntil(() => group.gateways.every((gateway) => gateway.isReady()));
+  await startVersion("v1", 0);
+  await startVersion("v2", UPSTREAMS_PER_VERSION);
+  await pause(SETTLE_TIME_MS);
+}, 60_000);
+
+afterAll(async () => {
+  for (const version of running.keys()) {
+    stopVersion(version);
+  }
+  for (const entryLinks of links) {
+    entryLinks.close();
+  }
+  await group.stop();
+});
+
+/** Starts the upstreams of a version at ports from an offset on. */
+async function startVersion(version: string, offset: number): Promise<void> {
+  const upstreams: StreamingUpstream[] = [];
+  for (let index = 0; index < UPSTREAMS_PER_VERSION; index += 1) {
+    const upstream = new StreamingUpstream({
+      name: `${version}-${index}`,
+      version,
+      port: FIRST_PORT + 40 + offset + index,
+      breaksAfter: () =>
+        breaksOff && Math.random() < BROKEN_SHARE
+          ? 3 + Math.floor(Math.random() * 12)
+          : undefined,
+      report: (record) =>
+        void group.hubs[index % 3]!.hub?.mergeUpstream(record),
+    });
+    upstreams.push(upstream);
+    await upstream.start();
+  }
+  running.set(version, upstreams);
+}
+
+function stopVersion(version: string): void {
+  for (const upstream of running.get(version) ?? []) {
+    upstream.stop();
+  }
+  running.delete(version);
+}
+
+const listEntries = () =>
+  group.gateways.map((_, index) => group.addressOf(index));
+
+async function playStreams(
+  { resumes, midway = () => {}, entries = listEntries }: {
+    resumes: boolean;
+    /** Called after half of the time. */
+    midway?: () => void;
+    entries?: () => readonly string[];
+  },
+): Promise<PlayedStream[]> {
+  const streams: Promise<PlayedStream>[] = [];
+  const from = performance.now();
+  let isMidway = false;
+  while (performance.now() < from + PHASE_DURATION_MS) {
+    if (!isMidway && performance.now() > from + PHASE_DURATION_MS / 2) {
+      isMidway = true;
+      midway();
+    }
+    streams.push(playStream(entries, { resumes }));
+    await pause(STREAM_PAUSE_MS);
+  }
+  return await Promise.all(streams);
+}
+
+/** Streams whose first try brought events and no end. */
+const resumedOf = (streams: readonly PlayedStream[]) =>
+  streams.filter(({ tries }) =>
+    tries.length > 1 && tries[0]!.events.length > 0
+  );
+
+function summarize(streams: readonly PlayedStream[]) {
+  const share = (part: number, whole: number) => whole === 0 ? 1 : part / whole;
+  const resumed = resumedOf(streams);
+  return {
+    atTwoVersions: streams.filter(({ versions }) => versions.size > 1).length,
+    outOfOrder: streams.filter(({ isInOrder }) => !isInOrder).length,
+    begun: share(
+      streams.filter(({ hasBegun }) => hasBegun).length,
+      streams.length,
+    ),
+    resumed: resumed.length,
+    wentOn: share(
+      resumed.filter(({ tries }) =>
+        tries.slice(1).some(({ events }) => events.length > 0)
+      ).length,
+      resumed.length,
+    ),
+    whole: share(
+      streams.filter(({ isWhole }) => isWhole).length,
+      streams.length,
+    ),
+  };
+}
+
+test("streams don't go on at another version than the one that began them", async () => {
+  breaksOff = true;
+  const withinAnswers = summarize(await playStreams({ resumes: false }));
+  const overTries = summarize(await playStreams({ resumes: true }));
+  breaksOff = false;
+  expect(withinAnswers).toMatchObject({ atTwoVersions: 0, outOfOrder: 0 });
+  expect(overTries).toMatchObject({ atTwoVersions: 0, outOfOrder: 0 });
+  expect(overTries.resumed).toBeGreaterThan(10);
+  expect(overTries.wentOn).toBeGreaterThanOrEqual(MIN_RESUMED_SHARE);
+  expect(overTries.begun).toBeGreaterThanOrEqual(MIN_BEGUN_SHARE);
+});
--- /dev/null
+++ b/apps/heroncleatd/hub/streaming_upstream.ts
@@ -0,0 +1,100 @@
+import { createServer, type Server, type ServerResponse } from "node:http";
+import { instanceId, type UpstreamRecord } from "@heroncleat/serving";
+
+const HOST = "127.0.0.1";
+const HEARTBEAT_INTERVAL_MS = 400;
+const SLOTS = 64;
+/** Events of each stream, and the pause between two of them. */
+const EVENT_COUNT = 20;
+const EVENT_PAUSE_MS = 40;
+
+type UpstreamOptions = {
+  readonly name: string;
+  readonly version: string;
+  readonly port: number;
+  readonly service?: string;
+  /** Number of events after which a stream breaks off; undefined for none. */
+  readonly breaksAfter: () => number | undefined;
+  readonly report: (record: UpstreamRecord) => void;
+};
+
+/**
+ * A test upstream whose streams can be resumed, and whose events name the
+ * version of its software.
+ */
+export class StreamingUpstream {
+  readonly #options: UpstreamOptions;
+  readonly #server: Server;
+  #sequence = 0;
+  #timer: NodeJS.Timeout | undefined;
+  readonly #born = Date.now();
+
+  constructor(options: UpstreamOptions) {
+    this.#options = options;
+    this.#server = createServer((message, response) => {
+      const { name } = this.#options;
+      message.resume();
+      response.setHeader("x-attempt", String(message.headers["x-attempt"]));
+      if (message.headers["x-expected"] !== name) {
+        response.writeHead(421, { "x-not-run": "1" }).end();
+        return;
+      }
+      void this.#stream(
+        response,
+        Number(message.headers["last-event-id"] ?? 0),
+      );
+    });
+  }
+
+  async start(): Promise<void> {
+    await new Promise<void>((resolve) =>
+      this.#server.listen(this.#options.port, HOST, resolve)
+    );
+    this.#heartbeat();
+    this.#timer = setInterval(() => this.#heartbeat(), HEARTBEAT_INTERVAL_MS);
+  }
+
+  /** Ends at once, like a VM that fails. */
+  stop(): void {
+    clearInterval(this.#timer);
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  async #stream(response: ServerResponse, last: number): Promise<void> {
+    const { version, breaksAfter } = this.#options;
+    response.writeHead(200, {
+      "x-digest": "d",
+      "content-type": "text/event-stream",
+    });
+    const breakAt = last + (breaksAfter() ?? EVENT_COUNT);
+    for (let id = last + 1; id <= EVENT_COUNT; id += 1) {
+      await new Promise((resolve) => setTimeout(resolve, EVENT_PAUSE_MS));
+      if (id > breakAt) {
+        response.socket?.resetAndDestroy();
+        return;
+      }
+      response.write(`id: ${id}\ndata: ${version}\n\n`);
+    }
+    response.end();
+  }
+
+  #heartbeat(): void {
+    const { name, port, version, service = "desk", report } = this.#options;
+    this.#sequence += 1;
+    report({
+      id: instanceId(name, this.#born),
+      name,
+      born: this.#born,
+      version,
+      service,
+      address: `${HOST}:${port}`,
+      zone: "zone-0",
+      slots: SLOTS,
+      sequence: this.#sequence,
+      state: "ready",
+      isSpot: false,
+      leavesIn: undefined,
+    });
+  }
+}
--- a/apps/heroncleatd/hub/test_group.ts
+++ b/apps/heroncleatd/hub/test_group.ts
@@ -134,6 +134,11 @@
     });
   }
 
+  /** host:port of an entry for callers. */
+  addressOf(index: number): string {
+    return `${hostOf(index)}:${this.#firstPort + 20}`;
+  }
+
   /** Publishes a configuration document through one control process. */
   async publish(index: number, document: ServingDocument): Promise<boolean> {
     const outcome = await this.hubs[index]!.hub.publish(
