Within an answer a stream goes on only at the version that began it

What callers saw: one answer with events of two software versions. Cause: after an attempt breaks off, the next upstream is chosen among all of the service; nothing remembers the version behind the events passed on. Change: the first event that is passed on binds the stream to the version of the instance that it came from, as reported when the request was sent; an instance that reports another version meanwhile, or an entry that doesn't state one, can't be resumed. Later attempts admit that version only, in place of a rollout's filters, and aren't samples of a rollout. Where it has no ready upstream left the response is broken off at once. An entry that relays gets the version in the grant and states in the response which one runs; the other one checks it.

--- a/apps/heroncleatd/gateway/attempt_options.ts
+++ b/apps/heroncleatd/gateway/attempt_options.ts
@@ -7,6 +7,11 @@
   /** Identifiers of upstreams that were already tried. */
   readonly excluded: ReadonlySet<string>;
   readonly lastEvent: string | undefined;
+  /**
+   * The only software version that may continue the stream; undefined if any
+   * may run the request.
+   */
+  readonly version: string | undefined;
   /**
    * Whether to refuse the request if no upstream can meet its latency
    * objective.
--- a/apps/heroncleatd/gateway/attempt_request.ts
+++ b/apps/heroncleatd/gateway/attempt_request.ts
@@ -4,6 +4,8 @@
   overloadRetryDelay,
   RouteKind,
   SuspectStatus,
+  type UpstreamRecord,
+  upstreamVersion,
 } from "@heroncleat/serving";
 import type { CallerRequest } from "./caller_request.ts";
 import type { ForwardContext } from "./forward_context.ts";
@@ -87,7 +89,12 @@
     record.id,
     () => describeChoice(chosen, times),
   );
-  const tracking = startTracking(call, { context, chosen, trace });
+  const tracking = startTracking(call, {
+    context,
+    chosen,
+    trace,
+    isBound: options.version !== undefined,
+  });
   const headers = forwardHeaders.toUpstream(call, {
     names: context.names,
     attempt: {
@@ -123,6 +130,7 @@
       framing,
       trace,
       upstream: record.id,
+      version: () => certainVersion(record, context),
       isRelayed: false,
       hasCrashed: () => hasCrashed(record.id, context),
     };
@@ -154,6 +162,20 @@
   };
 }
 
+/**
+ * The version that was reported when the request was sent, unless the instance
+ * has reported another one since.
+ */
+function certainVersion(
+  { id, version }: UpstreamRecord,
+  { directory }: ForwardContext,
+): string | undefined {
+  const current = directory.get(id)?.record;
+  return current === undefined || current.version === version
+    ? upstreamVersion(version)
+    : undefined;
+}
+
 /**
  * Records what a failed attempt says about its upstream: nothing while this
  * entry reaches none.
--- a/apps/heroncleatd/gateway/attempt_result.ts
+++ b/apps/heroncleatd/gateway/attempt_result.ts
@@ -41,6 +41,11 @@
     readonly message: IncomingMessage;
     readonly framing: ResponseFraming;
     readonly trace: AttemptTrace;
+    /**
+     * Software version of the upstream, empty if it reports none; undefined if
+     * it isn't known for certain.
+     */
+    readonly version: () => string | undefined;
     /** Whether another entry sent the request, which counted its usage. */
     readonly isRelayed: boolean;
     /** Whether the sender refuses connections after it ended the response. */
--- a/apps/heroncleatd/gateway/attempt_through_entry.ts
+++ b/apps/heroncleatd/gateway/attempt_through_entry.ts
@@ -1,8 +1,10 @@
+import type { IncomingMessage } from "node:http";
 import { framingOf } from "../common/framing_of.ts";
 import { AttemptOutcome } from "./attempt_outcome.ts";
 import type { AttemptOptions } from "./attempt_options.ts";
 import type { AttemptResult } from "./attempt_result.ts";
 import type { CallerRequest } from "./caller_request.ts";
+import { relayHeaders } from "./relay_headers.ts";
 import { RelayRefusal } from "./relay_refusal.ts";
 
 /**
@@ -60,6 +62,7 @@
     message: response.message,
     framing,
     trace,
+    version: () => relayedVersion(response.message),
     isRelayed: true,
     hasCrashed: result.hasCrashed,
     recordFirstByte: () => trace.recordFirstByte(clock.steady() - sentAt),
@@ -70,6 +73,12 @@
   };
 }
 
+/** Entries of older releases don't state the version. */
+function relayedVersion({ headers }: IncomingMessage): string | undefined {
+  const stated = headers[relayHeaders.version];
+  return typeof stated === "string" ? decodeURIComponent(stated) : undefined;
+}
+
 /** @param mayTryHere Whether an upstream may be tried from here. */
 function resultOfRefusal(
   { refusal, retryAfter }: {
--- a/apps/heroncleatd/gateway/caller_request.ts
+++ b/apps/heroncleatd/gateway/caller_request.ts
@@ -41,6 +41,11 @@
   readonly signal: AbortSignal;
   /** Name of the entry that passed the request on; undefined if none did. */
   readonly relayedBy?: string | undefined;
+  /**
+   * The only software version that may run the request, as it continues a
+   * stream; absent if any may.
+   */
+  readonly version?: string | undefined;
   /** Identifiers of upstreams that the entry has tried. */
   readonly excluded?: readonly string[];
 };
--- a/apps/heroncleatd/gateway/forward_call.ts
+++ b/apps/heroncleatd/gateway/forward_call.ts
@@ -127,6 +127,7 @@
       context,
       excluded: this.#excluded,
       lastEvent: undefined,
+      version: undefined,
       mayBeRefused: false,
       mayHaveRun: this.mayHaveRun,
       isUsageCounted: false,
--- a/apps/heroncleatd/gateway/forward_headers.ts
+++ b/apps/heroncleatd/gateway/forward_headers.ts
@@ -21,6 +21,7 @@
   "content-length",
   relayHeaders.grant,
   relayHeaders.refusal,
+  relayHeaders.version,
 ]);
 
 /** The header values that differ between attempts. */
--- a/apps/heroncleatd/gateway/forward_stream.ts
+++ b/apps/heroncleatd/gateway/forward_stream.ts
@@ -13,6 +13,7 @@
 import type { ForwardResult } from "./forward_result.ts";
 import type { LocalResponse } from "./local_response.ts";
 import { relayBody } from "./relay_body.ts";
+import { relayHeaders } from "./relay_headers.ts";
 import { readAttemptBody } from "./read_attempt_body.ts";
 import { ResponseFraming } from "../common/response_framing.ts";
 import { errorResponse } from "./error_response.ts";
@@ -74,6 +75,10 @@
   #withholdReason: WithholdReason | undefined;
   #status = 0;
   #lastEvent: string | undefined;
+  /** Version that began the stream; undefined if any may begin it. */
+  #version: string | undefined;
+  /** Whether events were passed on that an unknown version wrote. */
+  #isVersionUnknown = false;
   /** Set if all upstreams were overloaded or at their rate limits. */
   #retryAfter: Milliseconds | undefined;
   /** A complete error response, passed on if no later attempt succeeds. */
@@ -87,6 +92,7 @@
     this.#excluded = new Set(call.excluded);
     this.#context = options.context;
     this.#response = options.response;
+    this.#version = call.version;
   }
 
   async run(): Promise<ForwardResult> {
@@ -141,6 +147,7 @@
       context: this.#context,
       excluded: this.#excluded,
       lastEvent: this.#lastEvent,
+      version: this.#version,
       mayBeRefused: this.#runs === 0,
       mayHaveRun: this.#mayHaveRun,
       isUsageCounted: this.#isUsageCounted,
@@ -188,9 +195,7 @@
     }
     // The entry that sent the request counts it.
     this.#isUsageCounted ||= result.isRelayed;
-    const step = isStream(result.message)
-      ? await this.#relayEvents(result)
-      : await this.#relayComplete(result);
+    const step = await this.#relayResponse(result);
     result.finish(
       step === "broken" ? AttemptOutcome.broken : AttemptOutcome.complete,
     );
@@ -199,6 +204,24 @@
     return step;
   }
 
+  async #relayResponse(result: AttemptHead): Promise<StreamStep> {
+    if (!isStream(result.message)) {
+      return await this.#relayComplete(result);
+    }
+    // An entry of an older release ignores which version it may choose.
+    if (this.#version !== undefined && result.version() !== this.#version) {
+      result.message.destroy();
+      return "broken";
+    }
+    return await this.#relayEvents(result);
+  }
+
+  /** Records the version whose events the stream contains from now on. */
+  #bindTo(version: string | undefined): void {
+    this.#version ??= version;
+    this.#isVersionUnknown ||= version === undefined;
+  }
+
   /**
    * Passes on a response that isn't an event stream. An error response to a
    * resumable stream is kept back, so that another upstream can be tried. With
@@ -235,17 +258,21 @@
     });
   }
 
-  async #relayEvents(
-    { message, framing, hasCrashed, recordFirstByte, trace }: AttemptHead,
-  ): Promise<StreamStep> {
+  async #relayEvents(result: AttemptHead): Promise<StreamStep> {
+    const { message, framing, hasCrashed, recordFirstByte, trace } = result;
     const splitter = new EventSplitter();
-    this.#sendHead(message, framing);
+    let hasEvents = false;
+    this.#sendHead(result);
     const isComplete = await relayBody(message, {
       response: this.#response,
       transform: (chunk) => {
         recordFirstByte();
         this.#countUsage();
         const events = splitter.push(chunk);
+        if (events !== undefined && !hasEvents) {
+          hasEvents = true;
+          this.#bindTo(result.version());
+        }
         this.#lastEvent = events?.lastId ?? this.#lastEvent;
         if (events?.lastId !== undefined) {
           trace.recordLastEvent(events.lastId);
@@ -274,7 +301,7 @@
     return "done";
   }
 
-  #sendHead(message: IncomingMessage, framing: ResponseFraming): void {
+  #sendHead({ message, framing, version }: AttemptHead): void {
     if (this.#response.headersSent) {
       return;
     }
@@ -283,10 +310,12 @@
     if (framing === ResponseFraming.connectionEnd) {
       endWithConnection(this.#response);
     }
-    this.#response.writeHead(
-      this.#status,
-      forwardHeaders.toCaller(message.rawHeaders),
-    );
+    const headers = forwardHeaders.toCaller(message.rawHeaders);
+    const stated = version();
+    if (this.#call.relayedBy !== undefined && stated !== undefined) {
+      headers.push(relayHeaders.version, encodeURIComponent(stated));
+    }
+    this.#response.writeHead(this.#status, headers);
     this.#response.flushHeaders();
   }
 
@@ -305,6 +334,9 @@
     if (!wasOffered || this.#offers >= MAX_OFFERS) {
       return false;
     }
+    if (this.#isVersionUnknown) {
+      return false;
+    }
     const mayRunAgain = !this.#mayHaveRun ||
       (route.isResumable && this.#runs < route.maxAttempts);
     if (!mayRunAgain) {
--- a/apps/heroncleatd/gateway/relay.ts
+++ b/apps/heroncleatd/gateway/relay.ts
@@ -123,6 +123,7 @@
       workspace: call.workspace?.name,
       documentVersion: call.documentVersion,
       excluded: [...options.excluded],
+      version: options.version,
       isUsageCounted: options.isUsageCounted,
     }, { secret, request: call });
     const headers = forwardHeaders.toEntry(call, {
--- a/apps/heroncleatd/gateway/relay_grant.ts
+++ b/apps/heroncleatd/gateway/relay_grant.ts
@@ -12,6 +12,8 @@
   readonly documentVersion: number;
   /** Identifiers of upstreams that were tried. */
   readonly excluded: readonly string[];
+  /** The only software version that may run it; absent if any may. */
+  readonly version?: string | undefined;
   /** Whether the request was already counted as begun. */
   readonly isUsageCounted: boolean;
 };
--- a/apps/heroncleatd/gateway/relay_headers.ts
+++ b/apps/heroncleatd/gateway/relay_headers.ts
@@ -4,4 +4,9 @@
   grant: "heroncleat-relay",
   /** Why the request isn't run; a `RelayRefusal`. */
   refusal: "heroncleat-relay-refusal",
+  /**
+   * Software version of the upstream that a response comes from, encoded for a
+   * URI; callers never get it.
+   */
+  version: "heroncleat-relay-version",
 } as const;
--- a/apps/heroncleatd/gateway/relayed_requests.ts
+++ b/apps/heroncleatd/gateway/relayed_requests.ts
@@ -208,6 +208,7 @@
       signal,
       relayedBy: grant.entry,
       excluded: grant.excluded,
+      version: grant.version,
     };
     metrics.increment("relay.received");
     const forward = route.kind === RouteKind.streaming
--- a/apps/heroncleatd/gateway/start_tracking.ts
+++ b/apps/heroncleatd/gateway/start_tracking.ts
@@ -17,6 +17,8 @@
     context: ForwardContext;
     chosen: ChosenUpstream;
     trace: AttemptTrace;
+    /** Whether no other version may run the request. */
+    isBound: boolean;
   },
 ): {
   recordStatus: (status: number) => void;
@@ -36,10 +38,13 @@
   const { record } = chosen.upstream;
   const endSuspectedRun = crashes.trackCopy(call.identity);
   const endTimedRun = leaving.recordRun(call);
-  const version = options.context.rollouts.track(chosen, {
-    route: call.route.name,
-    isStream: call.route.kind === RouteKind.streaming,
-  });
+  // A stream that goes on says nothing about how a version fares on its own.
+  const version = options.isBound
+    ? undefined
+    : options.context.rollouts.track(chosen, {
+      route: call.route.name,
+      isStream: call.route.kind === RouteKind.streaming,
+    });
   let status = 0;
   let isFinished = false;
   let hasFirstByte = false;
--- a/apps/heroncleatd/gateway/wait_for_upstream.ts
+++ b/apps/heroncleatd/gateway/wait_for_upstream.ts
@@ -1,10 +1,11 @@
 import type { Milliseconds } from "@heroncleat/base";
-import type { UpstreamFilter } from "@heroncleat/rollouts";
-import type {
-  ChosenUpstream,
-  RequestClass,
-  SendPermit,
-  UpstreamBalancer,
+import type { UpstreamFilter, VersionedUpstream } from "@heroncleat/rollouts";
+import {
+  type ChosenUpstream,
+  type RequestClass,
+  type SendPermit,
+  type UpstreamBalancer,
+  upstreamVersion,
 } from "@heroncleat/serving";
 import type { AttemptOptions } from "./attempt_options.ts";
 import type { CallerRequest } from "./caller_request.ts";
@@ -33,9 +34,15 @@
   options: AttemptOptions & { prefersIdle: boolean },
 ): Promise<WaitResult> {
   const { context, signal } = options;
-  const filters = context.rollouts.admit(call.service, {
-    isRetry: options.excluded.size > 0,
-  });
+  const { version } = options;
+  const filters = version === undefined
+    ? context.rollouts.admit(call.service, {
+      isRetry: options.excluded.size > 0,
+    })
+    : [
+      ({ record }: VersionedUpstream) =>
+        upstreamVersion(record.version) === version,
+    ];
   const requestClass: RequestClass = {
     service: call.service,
     priority: priorityOf(call),
@@ -74,7 +81,7 @@
         now,
       });
     }
-    if (now >= options.waitUntil) {
+    if (now >= options.waitUntil || !mayBecomeAvailable(call, options)) {
       break;
     }
     await new Promise((resolve) => setTimeout(resolve, POLL_INTERVAL));
@@ -82,6 +89,27 @@
   return { kind: "no_upstream" };
 }
 
+/**
+ * Whether to wait for an upstream. A stream that only one version may continue
+ * can't be served once that version has no upstream.
+ */
+function mayBecomeAvailable(
+  { service }: CallerRequest,
+  { context, excluded, version }: AttemptOptions,
+): boolean {
+  if (version === undefined) {
+    return true;
+  }
+  for (const { record } of context.directory.list()) {
+    const isMatch = record.service === service && record.state === "ready" &&
+      upstreamVersion(record.version) === version;
+    if (isMatch && !excluded.has(record.id)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 /** Assigns the caller of a request that isn't sent the time to return. */
 function createLimitedResult(
   upstreams: readonly string[],
--- a/packages/serving/mod.ts
+++ b/packages/serving/mod.ts
@@ -87,6 +87,7 @@
 export { UpstreamBalancer } from "./upstream_balancer.ts";
 export { RelayEntries } from "./relay_entries.ts";
 export { UpstreamReachability } from "./upstream_reachability.ts";
+export { upstreamVersion } from "./upstream_version.ts";
 export { UpstreamDirectory } from "./upstream_directory.ts";
 export { UsageCounts } from "./usage_counts.ts";
 export { WorkspaceQuota } from "./workspace_quota.ts";
