Callers resume streams at the version that began them, at any entry

What callers saw: a stream that its caller resumed at another entry went on at another software version. Cause: the attempt named in Resumes was read nowhere; an entry knew nothing of streams that it hadn't begun. Change: the entry that passes on the first event records where it came from and tells three entries, found by hashing the stream's identifier, each in another availability zone. An entry at which a caller resumes looks at its own records, asks these three and then the others, and refuses what nobody knows. Nothing is sent or asked for routes that have led to one service with one version for as long as streams last: control replicas list the versions that they observed, and an entry trusts the list while it is in contact with all of them, for less time than new versions are held back. When a second version appears, streams in progress are told as well. A version without upstreams is refused at once.

--- a/apps/heroncleatd/gateway/caller_request.ts
+++ b/apps/heroncleatd/gateway/caller_request.ts
@@ -2,6 +2,7 @@
 import type { Milliseconds } from "@heroncleat/base";
 import type { Route, Workspace } from "@heroncleat/serving";
 import type { RequestIdentity } from "../common/request_identity.ts";
+import type { Resumption } from "./resumption.ts";
 import type { Prompt } from "./prompt.ts";
 
 /** A request that was read completely and is ready to be forwarded. */
@@ -33,6 +34,11 @@
   /** Monotonic times of the arrival and of the response deadline. */
   readonly arrivedAt: Milliseconds;
   readonly deadline: Milliseconds;
+  /**
+   * Monotonic time until which the caller says that it waits, which may be after
+   * the deadline; absent if it says nothing.
+   */
+  readonly statedEnd?: Milliseconds | undefined;
   readonly identity: RequestIdentity;
   /**
    * Aborts with `caller_left` when the caller disconnects and with `time_up` at
@@ -46,6 +52,8 @@
    * stream; absent if any may.
    */
   readonly version?: string | undefined;
+  /** The stream that it resumes; absent if it begins one. */
+  readonly resumption?: Resumption | undefined;
   /** Identifiers of upstreams that the entry has tried. */
   readonly excluded?: readonly string[];
 };
--- a/apps/heroncleatd/gateway/control_links.ts
+++ b/apps/heroncleatd/gateway/control_links.ts
@@ -22,6 +22,11 @@
  * dropped.
  */
 const FORGET_TIMEOUT: Milliseconds = 20_000;
+/**
+ * Age of the primary's last reply up to which an entry knows all versions in
+ * use: less than the time for which entries hold back a version that is new.
+ */
+const CURRENT_TIMEOUT: Milliseconds = 1000;
 /** Longest time that a caller's request waits for an exchange. */
 const REFRESH_TIMEOUT: Milliseconds = 100;
 /**
@@ -153,6 +158,18 @@
     );
   }
 
+  /**
+   * Whether all replicas are reachable and the primary has replied so recently
+   * that no version is in use that this entry hasn't heard of.
+   */
+  get isCurrent(): boolean {
+    const view = this.#view();
+    const primary = this.#links.get(this.#primary);
+    return primary !== undefined &&
+      view.now - primary.receivedAt < CURRENT_TIMEOUT &&
+      exchangeSchedule.isUndivided(view);
+  }
+
   /** Time since the newest reply of any replica. */
   get syncAge(): Milliseconds {
     const receivedTimes = this.#listLinks().map((link) => link.receivedAt);
--- a/apps/heroncleatd/gateway/create_test_context.ts
+++ b/apps/heroncleatd/gateway/create_test_context.ts
@@ -137,6 +137,7 @@
     engineOf: () => undefined,
     announceDispatch: () => {},
     reportFailure: () => {},
+    recordStream: () => {},
     countUsage: () => {},
   };
 }
--- a/apps/heroncleatd/gateway/entry_exchange.ts
+++ b/apps/heroncleatd/gateway/entry_exchange.ts
@@ -3,6 +3,7 @@
   documentCodec,
   ENTRY_RETENTION,
   type KnownEntry,
+  type PossibleOrigins,
   type RateLimitRegistry,
   RecentMaximum,
   type SendPermits,
@@ -24,6 +25,7 @@
 import type { GatewaySettings } from "./gateway_settings.ts";
 import type { RateLimitWatcher } from "../common/rate_limit_watcher.ts";
 import type { RolloutWatcher } from "./rollout_watcher.ts";
+import type { StreamOriginExchange } from "./stream_origin_exchange.ts";
 import type { UpstreamAgents } from "./upstream_agents.ts";
 
 /**
@@ -50,6 +52,8 @@
   readonly rateLimitWatcher: RateLimitWatcher;
   readonly permits: SendPermits;
   readonly rollouts: RolloutWatcher;
+  readonly possibleOrigins: PossibleOrigins;
+  readonly streams: Pick<StreamOriginExchange, "shareNewlyAmbiguous">;
   /** Whether this entry accepts callers. */
   readonly isOpen: () => boolean;
   /** Lists the services of which this entry reaches no upstream. */
@@ -163,6 +167,7 @@
     if (reply.rollouts !== undefined) {
       this.#options.rollouts.merge(reply.rollouts);
     }
+    this.#applyVersions(reply, from);
     for (const record of reply.upstreams) {
       const age = ages[record.id] ?? 0;
       this.#applyUpstream(record, now, { reporter: from, age });
@@ -184,6 +189,14 @@
     }
   }
 
+  #applyVersions({ versions, rollouts }: SyncReply, from: string): void {
+    const { clock, possibleOrigins, streams } = this.#options;
+    possibleOrigins.applyReply(from, versions, clock.steady());
+    if (versions !== undefined || rollouts !== undefined) {
+      streams.shareNewlyAmbiguous();
+    }
+  }
+
   /**
    * Merges an upstream record. A change to a state other than `ready` is
    * logged, to be compared with the log lines of the replicas.
--- a/apps/heroncleatd/gateway/entry_notices.ts
+++ b/apps/heroncleatd/gateway/entry_notices.ts
@@ -12,6 +12,9 @@
  */
 const MAX_DATAGRAMS_PER_SECOND = 400;
 const MAX_DATAGRAM_BURST = 800;
+/** Datagrams about streams: a few for each that begins or is resumed. */
+const MAX_STREAM_DATAGRAMS_PER_SECOND = 1000;
+const MAX_STREAM_DATAGRAM_BURST = 2000;
 
 type NoticeOptions = {
   /** host:port on which to receive datagrams from other entries. */
@@ -38,6 +41,10 @@
     MAX_DATAGRAMS_PER_SECOND,
     MAX_DATAGRAM_BURST,
   );
+  readonly #streamRateLimiter = new RateLimiter(
+    MAX_STREAM_DATAGRAMS_PER_SECOND,
+    MAX_STREAM_DATAGRAM_BURST,
+  );
   #isClosed = false;
 
   constructor(options: NoticeOptions) {
@@ -59,12 +66,17 @@
 
   /** Sends a notice to all other entries. */
   broadcast(notice: EntryNotice): void {
-    this.#send(notice, this.#options.peers());
+    this.#send(notice, this.#options.peers(), this.#rateLimiter);
   }
 
   /** Sends a notice to one entry. */
   reply(notice: EntryNotice, host: string): void {
-    this.#send(notice, [host]);
+    this.#send(notice, [host], this.#rateLimiter);
+  }
+
+  /** Sends a notice about a stream, which others don't delay, to one entry. */
+  sendOfStream(notice: EntryNotice, host: string): void {
+    this.#send(notice, [host], this.#streamRateLimiter);
   }
 
   /** Closes the socket. Later sends do nothing. */
@@ -73,12 +85,16 @@
     this.#socket.close();
   }
 
-  #send(notice: EntryNotice, hosts: readonly string[]): void {
+  #send(
+    notice: EntryNotice,
+    hosts: readonly string[],
+    rateLimiter: RateLimiter,
+  ): void {
     if (this.#isClosed) {
       return;
     }
     const { clock, metrics } = this.#options;
-    if (!this.#rateLimiter.tryConsume(clock.steady(), hosts.length)) {
+    if (!rateLimiter.tryConsume(clock.steady(), hosts.length)) {
       metrics.increment("entry_notices.over_budget");
       return;
     }
--- a/apps/heroncleatd/gateway/error_response.ts
+++ b/apps/heroncleatd/gateway/error_response.ts
@@ -15,6 +15,11 @@
 /** Retry-After if another copy of a suspected request is in flight. */
 const RETRY_AFTER_HELD: Milliseconds = 700;
 
+/** Retry-After if another entry may know where a stream began. */
+const RETRY_AFTER_MAY_BE_KNOWN: Milliseconds = 150;
+/** Retry-After if a stream can't go on unless something changes. */
+const RETRY_AFTER_CANNOT_RESUME: Milliseconds = 1000;
+
 /** The state of a request that no upstream responded to. */
 type UnansweredRequest = {
   /**
@@ -25,6 +30,8 @@
   readonly isTimeUp: boolean;
   /** Number of upstreams that the request was sent to. */
   readonly offers: number;
+  /** Whether only one version may run it, as it resumes a stream. */
+  readonly isResumed?: boolean;
   /** Time until an upstream has capacity, if known. */
   readonly retryAfter?: Milliseconds | undefined;
 };
@@ -51,10 +58,43 @@
       case "leaving":
         return errorResponse.shuttingDown();
       default:
-        return notRun(request.offers, request.retryAfter);
+        return request.isResumed && request.offers === 0 &&
+            request.retryAfter === undefined
+          ? versionUnavailable()
+          : notRun(request.offers, request.retryAfter);
     }
   },
 
+  /**
+   * The caller resumes a stream of which this entry can't find the beginning.
+   *
+   * @param mayBeKnown Whether an entry that didn't answer may know it.
+   */
+  unknownOrigin(mayBeKnown: boolean): LocalResponse {
+    return {
+      status: 503,
+      message: "It isn't known which version began the stream, so it can't " +
+        "be resumed; the request has not run. Remedy: " +
+        (mayBeKnown
+          ? "send it to another entry."
+          : "request the stream from its beginning."),
+      retryAfter: mayBeKnown
+        ? RETRY_AFTER_MAY_BE_KNOWN
+        : RETRY_AFTER_CANNOT_RESUME,
+    };
+  },
+
+  /** The caller resumes a stream whose service the route no longer leads to. */
+  movedRoute(): LocalResponse {
+    return {
+      status: 503,
+      message: "The route leads to another service than the one that began " +
+        "the stream; the request has not run. Remedy: request the stream " +
+        "from its beginning.",
+      retryAfter: RETRY_AFTER_CANNOT_RESUME,
+    };
+  },
+
   /** The request can't complete before this entry exits; it has not run. */
   shuttingDown(): LocalResponse {
     return {
@@ -68,6 +108,18 @@
   },
 };
 
+/** No upstream runs the version that began the stream; it has not run. */
+function versionUnavailable(): LocalResponse {
+  return {
+    status: 503,
+    message: "No upstream is available with the version that began the " +
+      "stream; the request has not run. Remedy: retry after the time in " +
+      "Retry-After, or request the stream from its beginning.",
+    retryAfter: RETRY_AFTER_NONE,
+    refusal: RelayRefusal.noUpstream,
+  };
+}
+
 /** No upstream accepted the request; it has not run and never will. */
 function notRun(
   offers: number,
--- /dev/null
+++ b/apps/heroncleatd/gateway/find_resumption.ts
@@ -0,0 +1,63 @@
+import type { IncomingHttpHeaders } from "node:http";
+import type { Route, Workspace } from "@heroncleat/serving";
+import type { Metrics } from "../common/metrics.ts";
+import { errorResponse } from "./error_response.ts";
+import type { HeaderNames } from "./header_names.ts";
+import type { LocalResponse } from "./local_response.ts";
+import type { Resumption } from "./resumption.ts";
+import type { StreamOriginExchange } from "./stream_origin_exchange.ts";
+import { streamKey } from "./stream_key.ts";
+
+/** How a request relates to a stream that began before. */
+type ResumptionResult =
+  /** It begins a stream, or isn't for one that can be resumed. */
+  | { readonly kind: "none" }
+  | { readonly kind: "resumed"; readonly resumption: Resumption }
+  | { readonly kind: "refused"; readonly response: LocalResponse };
+
+type FindOptions = {
+  readonly route: Route;
+  readonly workspace: Workspace | undefined;
+  readonly names: HeaderNames;
+  readonly streams: Pick<StreamOriginExchange, "find">;
+  readonly metrics: Metrics;
+};
+
+/**
+ * Finds the origin of the stream that a request resumes. Without a known origin
+ * it is refused: events of another version might follow those that its caller
+ * has.
+ */
+export async function findResumption(
+  headers: IncomingHttpHeaders,
+  { route, workspace, names, streams, metrics }: FindOptions,
+): Promise<ResumptionResult> {
+  const attempt = headers[names.resumes];
+  const hasAttempt = typeof attempt === "string" && attempt !== "";
+  const isResumed = hasAttempt || Boolean(headers[names.lastEvent]);
+  if (!route.isResumable || !isResumed) {
+    return { kind: "none" };
+  }
+  const stream = hasAttempt
+    ? streamKey({ workspace: workspace?.name ?? "", attempt })
+    : "";
+  const found = await streams.find(stream, route);
+  if (found.kind === "unknown") {
+    metrics.increment("gateway.resumed_streams.unknown");
+    const mayBeKnown = found.unanswered > 0;
+    return refused(errorResponse.unknownOrigin(mayBeKnown));
+  }
+  const { origin, by, age } = found;
+  const isRouted = route.targets.some(({ service, weight }) =>
+    service === origin.service && weight > 0
+  );
+  if (!isRouted) {
+    metrics.increment("gateway.resumed_streams.moved_route");
+    return refused(errorResponse.movedRoute());
+  }
+  return { kind: "resumed", resumption: { stream, origin, by, age } };
+}
+
+function refused(response: LocalResponse): ResumptionResult {
+  return { kind: "refused", response };
+}
--- a/apps/heroncleatd/gateway/forward_context.ts
+++ b/apps/heroncleatd/gateway/forward_context.ts
@@ -11,6 +11,7 @@
 import type { Log } from "../common/log.ts";
 import type { Metrics } from "../common/metrics.ts";
 import type { SuspectWatcher } from "../common/suspect_watcher.ts";
+import type { CallerRequest } from "./caller_request.ts";
 import type { HeaderNames } from "./header_names.ts";
 import type { DepartureDeadline } from "./departure_deadline.ts";
 import type { PermitClient } from "./permit_client.ts";
@@ -70,6 +71,8 @@
   readonly isSynced: () => boolean;
   /** Time since the newest reply of a control replica. */
   readonly syncAge: () => Milliseconds;
+  /** Records that events of a version are passed on, so that others resume it. */
+  readonly recordStream: (call: CallerRequest, version: string) => void;
   /** Counts a request that an upstream began to run at a monotonic time. */
   readonly countUsage: (workspace: string, startedAt: Milliseconds) => void;
 };
--- a/apps/heroncleatd/gateway/forward_stream.ts
+++ b/apps/heroncleatd/gateway/forward_stream.ts
@@ -137,6 +137,7 @@
       mayHaveRun: this.#mayHaveRun,
       isTimeUp: this.#call.signal.aborted,
       offers: this.#offers,
+      isResumed: this.#call.version !== undefined,
       retryAfter: this.#retryAfter,
     });
   }
@@ -220,6 +221,10 @@
   #bindTo(version: string | undefined): void {
     this.#version ??= version;
     this.#isVersionUnknown ||= version === undefined;
+    // The entry that relays a stream records it.
+    if (version !== undefined && this.#call.relayedBy === undefined) {
+      this.#context.recordStream(this.#call, version);
+    }
   }
 
   /**
--- a/apps/heroncleatd/gateway/gateway.ts
+++ b/apps/heroncleatd/gateway/gateway.ts
@@ -4,6 +4,7 @@
   type Route,
   RouteKind,
   type RouteTable,
+  STREAM_RETENTION,
   type Workspace,
   type WorkspaceQuota,
 } from "@heroncleat/serving";
@@ -25,6 +26,9 @@
 import type { Prompt } from "./prompt.ts";
 import type { QuotaCharger } from "./quota_charger.ts";
 import { readRequestBody } from "./read_request_body.ts";
+import { findResumption } from "./find_resumption.ts";
+import type { Resumption } from "./resumption.ts";
+import type { StreamOriginExchange } from "./stream_origin_exchange.ts";
 import { errorResponse } from "./error_response.ts";
 import { identifyRequest } from "./identify_request.ts";
 import type { InFlightRequests } from "./in_flight_requests.ts";
@@ -57,6 +61,8 @@
   /** Resolves once there are routes, or after a timeout. */
   readonly waitForRouteTable: (timeout: Milliseconds) => Promise<void>;
   readonly forwarding: ForwardContext;
+  /** Finds where streams began that callers resume. */
+  readonly streams: Pick<StreamOriginExchange, "find">;
   /** Requests that haven't been responded to completely. */
   readonly inFlight: InFlightRequests;
   /** When this entry exits, once its shutdown has begun. */
@@ -140,8 +146,24 @@
       });
       return;
     }
+    const { route, workspace } = admitted;
+    const found = await findResumption(incoming.headers, {
+      ...this.#options,
+      route,
+      workspace,
+    });
+    if (found.kind === "refused") {
+      this.#refuse({ incoming, response }, found.response, {
+        route: route.name,
+        workspace: workspace?.name ?? "",
+      });
+      return;
+    }
+    const resumption = found.kind === "resumed" ? found.resumption : undefined;
     await this.#forward({ incoming, response }, {
       ...admitted,
+      service: resumption?.origin.service ?? admitted.service,
+      resumption,
       body: body.bytes,
       arrivedAt,
     });
@@ -197,6 +219,7 @@
       service: string;
       workspace: Workspace | undefined;
       documentVersion: number;
+      resumption: Resumption | undefined;
       body: Buffer;
       arrivedAt: Milliseconds;
     },
@@ -248,6 +271,7 @@
       ),
       arrivedAt,
       deadline,
+      statedEnd: this.#statedEndOf(incoming, arrivedAt),
       identity: identifyRequest(incoming, {
         attempt,
         service: admitted.service,
@@ -255,6 +279,8 @@
         body: admitted.body,
       }),
       signal,
+      version: admitted.resumption?.origin.version,
+      resumption: admitted.resumption,
     };
     forwarding.retryAllowanceOf(call.service).recordRequest(clock.steady());
     const forward = route.kind === RouteKind.streaming
@@ -284,10 +310,11 @@
       readonly quotaLimit?: number;
     } = {},
   ): void {
-    const { log, metrics } = this.#options;
+    const { log, metrics, names } = this.#options;
     metrics.increment(`gateway.refused.${localResponse.status}`);
     log.info("Refused a request", {
       request: this.#attemptOf(exchange.incoming),
+      resumes: String(exchange.incoming.headers[names.resumes] ?? ""),
       status: localResponse.status,
       reason: localResponse.message,
       ...details,
@@ -326,6 +353,16 @@
     return arrivedAt + Math.min(route.timeout, timeLeft);
   }
 
+  #statedEndOf(
+    incoming: IncomingMessage,
+    arrivedAt: Milliseconds,
+  ): Milliseconds | undefined {
+    const timeLeft = this.#timeLeftOf(incoming);
+    return timeLeft === undefined
+      ? undefined
+      : arrivedAt + Math.min(timeLeft, STREAM_RETENTION);
+  }
+
   #timeLeftOf(incoming: IncomingMessage): Milliseconds | undefined {
     const stated = Number(incoming.headers[this.#options.names.timeLeft]);
     return stated > 0 ? stated : undefined;
--- a/apps/heroncleatd/gateway/record_result.ts
+++ b/apps/heroncleatd/gateway/record_result.ts
@@ -29,6 +29,9 @@
   const took = Math.round(clock.steady() - call.arrivedAt);
   metrics.increment(`gateway.${result.outcome}`);
   metrics.timing("gateway.request", took);
+  if (call.resumption !== undefined) {
+    metrics.increment(`gateway.resumed_streams.${result.outcome}`);
+  }
   log.info(`A request ended: ${result.outcome}`, {
     request: call.attempt,
     route: call.route.name,
@@ -41,6 +44,9 @@
     paidFrom: result.paidFrom,
     relayedBy: call.relayedBy ?? "",
     resumes: String(call.headers[names.resumes] ?? ""),
+    boundTo: call.resumption?.origin.version ?? "",
+    boundBy: call.resumption?.by ?? "",
+    boundAge: Math.round(call.resumption?.age ?? 0),
     status: result.status,
     objective: call.route.latencyObjective,
     took,
--- a/apps/heroncleatd/gateway/rollout_watcher.ts
+++ b/apps/heroncleatd/gateway/rollout_watcher.ts
@@ -1,5 +1,6 @@
 import type { Clock, Milliseconds } from "@heroncleat/base";
 import {
+  isInProgress,
   type Rollout,
   type UpstreamFilter,
   VersionGate,
@@ -56,6 +57,12 @@
     );
   }
 
+  /** Whether versions of a service are being rolled out. */
+  isInProgress(service: string): boolean {
+    const rollout = this.#gate.get(service);
+    return rollout !== undefined && isInProgress(rollout);
+  }
+
   observe(upstream: KnownUpstream, now: Milliseconds): void {
     this.#gate.observe(upstream, now);
   }
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -1,6 +1,11 @@
 import { connect } from "node:net";
 import type { Server } from "node:http";
-import { createToken, splitAddress, unreachable } from "@heroncleat/base";
+import {
+  createToken,
+  type Milliseconds,
+  splitAddress,
+  unreachable,
+} from "@heroncleat/base";
 import type {
   DispatchNotice,
   EntryNotice,
@@ -14,6 +19,7 @@
   type KnownEntry,
   NoticeThreshold,
   type PermitReply,
+  PossibleOrigins,
   RateLimitRegistry,
   type ReportedSuspect,
   RevisionCounter,
@@ -53,6 +59,9 @@
 import { ReachabilityWatcher } from "./reachability_watcher.ts";
 import { Relay } from "./relay.ts";
 import { RelayedRequests } from "./relayed_requests.ts";
+import type { CallerRequest } from "./caller_request.ts";
+import { streamKey } from "./stream_key.ts";
+import { StreamOriginExchange } from "./stream_origin_exchange.ts";
 import { UpstreamAgent } from "./upstream_agent.ts";
 import { UpstreamAgents } from "./upstream_agents.ts";
 
@@ -61,6 +70,8 @@
 /** Idle connections to other entries for requests that are passed on. */
 const MAX_IDLE_RELAYS = 32;
 const CLEANUP_INTERVAL_MS = 5000;
+/** Time in which a caller may resume a stream after its deadline. */
+const RETURN_TIME: Milliseconds = 5000;
 /** Keeps a datagram of suspects below the UDP size limit. */
 const SUSPECTS_PER_NOTICE = 10;
 /**
@@ -114,6 +125,8 @@
   readonly #exchange: EntryExchange;
   readonly #gateway: Gateway;
   readonly #inFlight = new InFlightRequests();
+  readonly #possibleOrigins = new PossibleOrigins();
+  readonly #streams: StreamOriginExchange;
   readonly #reachability: ReachabilityWatcher;
   readonly #relayAgent = new UpstreamAgent(() => MAX_IDLE_RELAYS, connect);
   readonly #server: Server;
@@ -220,6 +233,17 @@
       log: options.log("entry_notices"),
       metrics: options.metrics,
     });
+    this.#streams = new StreamOriginExchange({
+      entry: settings.name,
+      clock,
+      metrics: options.metrics,
+      possibleOrigins: this.#possibleOrigins,
+      isCurrent: () => this.#links.isCurrent,
+      isRolledOut: (service) => this.#rollouts.isInProgress(service),
+      findRoute: (name) => this.#routeTable?.findRouteNamed(name),
+      listEntries: () => this.listEntries(),
+      send: (notice, host) => this.#notices.sendOfStream(notice, host),
+    });
     this.#chargeSync = new ChargeSync({
       entry: settings.name,
       boot: this.#incarnation,
@@ -250,6 +274,8 @@
       rateLimitWatcher: this.#rateLimitWatcher,
       permits: this.#permits,
       rollouts: this.#rollouts,
+      possibleOrigins: this.#possibleOrigins,
+      streams: this.#streams,
       isOpen: () => this.isReady,
       listUnreachable: () => this.#reachability.listCutOff(),
       documentVersion: () => this.#routeTable?.document.version ?? -1,
@@ -275,6 +301,7 @@
       routeTable: () => this.#routeTable,
       waitForRouteTable: (timeout) => this.#routeTableLatch.wait(timeout),
       forwarding,
+      streams: this.#streams,
       inFlight: this.#inFlight,
       leaving: this.#departureDeadline,
       clockAhead,
@@ -386,11 +413,26 @@
       countEntries: () => this.#exchange.entryCount,
       isSynced: () => this.#links.isConnected,
       syncAge: () => this.#links.syncAge,
+      recordStream: (call, version) => this.#recordStream(call, version),
       countUsage: (workspace, startedAt) =>
         this.#usage.count(workspace, this.#links.trueTime(startedAt)),
     };
   }
 
+  #recordStream(call: CallerRequest, version: string): void {
+    const { route, service, workspace, attempt, resumption, statedEnd } = call;
+    if (!route.isResumable) {
+      return;
+    }
+    this.#streams.recordBegin({
+      stream: resumption?.stream ??
+        streamKey({ workspace: workspace?.name ?? "", attempt }),
+      route,
+      origin: { service, version },
+      expiresAt: (statedEnd ?? call.deadline) + RETURN_TIME,
+    });
+  }
+
   #createRelay(): Relay {
     const { names, clock, metrics, secret } = this.#options;
     const { name, zone, region, relayAddress } = this.#options.settings();
@@ -449,6 +491,9 @@
     const currentVersion = this.#routeTable?.document.version ?? -1;
     if (document.version > currentVersion) {
       this.#routeTable = new RouteTable(document);
+      const now = this.#options.clock.steady();
+      this.#possibleOrigins.applyRoutes(document.routes, now);
+      this.#streams.shareNewlyAmbiguous();
       this.#routeTableLatch.release();
       this.#server.keepAliveTimeout = document.limits.idleTimeout;
       this.#server.headersTimeout = document.limits.headerTimeout;
@@ -485,6 +530,11 @@
       case "charges":
         this.#chargeSync.receive(notice, from);
         return;
+      case "stream_origins":
+      case "stream_origin_query":
+      case "stream_origin_reply":
+        this.#streams.receive(notice, from);
+        return;
       default:
         unreachable(notice);
     }
@@ -539,6 +589,7 @@
   }
 
   #cleanUp(): void {
+    this.#streams.expire();
     this.#suspectWatcher.expire();
     this.#directory.expire(this.#options.clock.steady());
     const isGone = (id: string) => this.#directory.get(id) === undefined;
--- /dev/null
+++ b/apps/heroncleatd/gateway/stream_origin_exchange.ts
@@ -0,0 +1,322 @@
+import { type Clock, createToken, splitAddress } from "@heroncleat/base";
+import type { Milliseconds } from "@heroncleat/base";
+import type {
+  StreamOriginNotice,
+  StreamOriginQuery,
+  StreamOriginReply,
+} from "@heroncleat/schema";
+import {
+  type KnownEntry,
+  type KnownOrigin,
+  originHolders,
+  OriginSearch,
+  type OriginSearchResult,
+  type PossibleOrigins,
+  type Route,
+  type StreamOrigin,
+  StreamOrigins,
+} from "@heroncleat/serving";
+import type { Metrics } from "../common/metrics.ts";
+
+/** Origins in one datagram, so that it stays below the UDP size limit. */
+const ORIGINS_PER_NOTICE = 5;
+/** Searches at a time; callers that make up streams get no more. */
+const MAX_SEARCHES = 256;
+/** Interval at which a search looks for entries to ask again. */
+const SEARCH_INTERVAL: Milliseconds = 10;
+
+type SharedOrigin = StreamOriginNotice["origins"][number];
+
+/** A stream whose caller may resume it. */
+type BegunStream = {
+  /** See `streamKey`. */
+  readonly stream: string;
+  readonly route: Route;
+  readonly origin: StreamOrigin;
+  /** Monotonic time until which its caller may resume it. */
+  readonly expiresAt: Milliseconds;
+};
+
+type ExchangeOptions = {
+  readonly entry: string;
+  readonly clock: Pick<Clock, "steady">;
+  readonly metrics: Metrics;
+  readonly possibleOrigins: PossibleOrigins;
+  /** Whether this entry knows all versions that are in use. */
+  readonly isCurrent: () => boolean;
+  /** Whether versions of a service are being rolled out. */
+  readonly isRolledOut: (service: string) => boolean;
+  readonly findRoute: (name: string) => Route | undefined;
+  readonly listEntries: () => readonly KnownEntry[];
+  readonly send: (
+    notice: StreamOriginNotice | StreamOriginQuery | StreamOriginReply,
+    host: string,
+  ) => void;
+};
+
+/**
+ * Tells the origins of streams to the entries that hold them, and finds those
+ * of streams that callers resume here. Nothing is sent for a route whose streams
+ * can have begun at one version only.
+ */
+export class StreamOriginExchange {
+  readonly #options: ExchangeOptions;
+  readonly #origins = new StreamOrigins();
+  /** Names of the routes of streams that began here and weren't shared. */
+  readonly #unshared = new Map<string, string>();
+  /** Origins to be sent in this iteration of the event loop, by host. */
+  readonly #pending = new Map<string, SharedOrigin[]>();
+  readonly #searches = new Map<
+    string,
+    { readonly search: OriginSearch; readonly wake: () => void }
+  >();
+
+  constructor(options: ExchangeOptions) {
+    this.#options = options;
+  }
+
+  /** Records that the first event of a stream, or the next one, is passed on. */
+  recordBegin({ stream, route, origin, expiresAt }: BegunStream): void {
+    const { clock, entry } = this.#options;
+    this.#origins.record(stream, {
+      origin,
+      entry,
+      begunAt: clock.steady(),
+      expiresAt,
+    });
+    if (this.#onlyOrigin(route) === undefined) {
+      this.#share(stream);
+    } else {
+      this.#unshared.set(stream, route.name);
+    }
+  }
+
+  /**
+   * Shares the streams in progress of routes that have more than one possible
+   * origin now.
+   */
+  shareNewlyAmbiguous(): void {
+    for (const [stream, name] of this.#unshared) {
+      const route = this.#options.findRoute(name);
+      if (route === undefined || this.#onlyOrigin(route) === undefined) {
+        this.#unshared.delete(stream);
+        this.#share(stream);
+      }
+    }
+  }
+
+  /**
+   * Finds where a stream began.
+   *
+   * @param stream See `streamKey`; empty if the caller doesn't name the stream.
+   */
+  async find(stream: string, route: Route): Promise<OriginSearchResult> {
+    const { clock, entry, isCurrent } = this.#options;
+    const now = clock.steady();
+    const known = this.#origins.get(stream, now);
+    if (known !== undefined) {
+      const age = now - known.begunAt;
+      return { kind: "found", origin: known.origin, by: entry, age };
+    }
+    const only = this.#onlyOrigin(route);
+    if (only !== undefined && isCurrent()) {
+      return { kind: "found", origin: only, by: entry, age: 0 };
+    }
+    return await this.#search(stream, route);
+  }
+
+  receive(
+    notice: StreamOriginNotice | StreamOriginQuery | StreamOriginReply,
+    host: string,
+  ): void {
+    if (notice.kind === "stream_origins") {
+      this.#hold(notice);
+    } else if (notice.kind === "stream_origin_query") {
+      this.#answer(notice, host);
+    } else {
+      this.#receiveReply(notice);
+    }
+  }
+
+  expire(): void {
+    const now = this.#options.clock.steady();
+    this.#origins.expire(now);
+    for (const stream of this.#unshared.keys()) {
+      if (this.#origins.get(stream, now) === undefined) {
+        this.#unshared.delete(stream);
+      }
+    }
+    this.#options.metrics.gauge("stream_origins.records", this.#origins.size);
+  }
+
+  #onlyOrigin(route: Route): StreamOrigin | undefined {
+    const { clock, possibleOrigins, isRolledOut } = this.#options;
+    const only = possibleOrigins.only(route, clock.steady());
+    return only !== undefined && !isRolledOut(only.service) ? only : undefined;
+  }
+
+  #share(stream: string): void {
+    const { clock, entry, listEntries, metrics } = this.#options;
+    const now = clock.steady();
+    const known = this.#origins.get(stream, now);
+    if (known === undefined) {
+      return;
+    }
+    const shared = toShared(stream, known, now);
+    const holders = originHolders.rank(stream, listEntries())
+      .slice(0, originHolders.count);
+    for (const { name, address } of holders) {
+      if (name !== entry) {
+        metrics.increment("stream_origins.shared");
+        this.#enqueue(splitAddress(address).host, shared);
+      }
+    }
+  }
+
+  /** Leaves the first event of the stream to be sent first. */
+  #enqueue(host: string, shared: SharedOrigin): void {
+    if (this.#pending.size === 0) {
+      setImmediate(() => this.#flush());
+    }
+    const queue = this.#pending.get(host) ?? [];
+    this.#pending.set(host, queue);
+    queue.push(shared);
+  }
+
+  #flush(): void {
+    const { entry, send } = this.#options;
+    for (const [host, queue] of this.#pending) {
+      for (let at = 0; at < queue.length; at += ORIGINS_PER_NOTICE) {
+        const origins = queue.slice(at, at + ORIGINS_PER_NOTICE);
+        send({
+          kind: "stream_origins",
+          entry,
+          origins: origins as StreamOriginNotice["origins"],
+        }, host);
+      }
+    }
+    this.#pending.clear();
+  }
+
+  #hold({ entry, origins }: StreamOriginNotice): void {
+    const now = this.#options.clock.steady();
+    for (const { stream, service, version, age, expiresIn } of origins) {
+      this.#origins.record(stream, {
+        origin: { service, version },
+        entry,
+        begunAt: now - age,
+        expiresAt: now + expiresIn,
+      });
+    }
+  }
+
+  #answer({ query, stream, route }: StreamOriginQuery, host: string): void {
+    const { entry, send } = this.#options;
+    const origin = this.#knownOrigin(stream) ?? this.#certainOrigin(route);
+    send({
+      kind: "stream_origin_reply",
+      entry,
+      query,
+      ...(origin === undefined ? {} : { origin }),
+    }, host);
+  }
+
+  #knownOrigin(stream: string): StreamOriginReply["origin"] {
+    const now = this.#options.clock.steady();
+    const known = this.#origins.get(stream, now);
+    return known && { ...known.origin, age: Math.max(0, now - known.begunAt) };
+  }
+
+  /** The only possible origin of a route's streams. */
+  #certainOrigin(name: string): StreamOriginReply["origin"] {
+    const { findRoute, isCurrent } = this.#options;
+    const route = findRoute(name);
+    const only = route && this.#onlyOrigin(route);
+    return only !== undefined && isCurrent()
+      ? { ...only, age: 0, isOnly: true }
+      : undefined;
+  }
+
+  #receiveReply({ query, entry, origin }: StreamOriginReply): void {
+    const pending = this.#searches.get(query);
+    if (pending === undefined) {
+      return;
+    }
+    const { service, version, age, isOnly } = origin ?? {};
+    pending.search.recordAnswer(
+      entry,
+      service === undefined || version === undefined ? undefined : {
+        origin: { service, version },
+        age: age ?? 0,
+        isOnly: isOnly === true,
+      },
+    );
+    pending.wake();
+  }
+
+  async #search(stream: string, route: Route): Promise<OriginSearchResult> {
+    const { clock, entry, listEntries, possibleOrigins } = this.#options;
+    if (this.#searches.size >= MAX_SEARCHES) {
+      return { kind: "unknown", unanswered: listEntries().length };
+    }
+    const query = createToken();
+    const search = new OriginSearch(stream, {
+      entries: listEntries().filter(({ name }) => name !== entry),
+      now: clock.steady(),
+    });
+    let result = search.result(clock.steady());
+    while (result === undefined) {
+      for (const { address } of search.listDue(clock.steady())) {
+        this.#ask(splitAddress(address).host, { query, stream, route });
+      }
+      await this.#waitForAnswer(query, search);
+      result = search.result(clock.steady());
+    }
+    this.#searches.delete(query);
+    if (result.kind === "found" && result.isOnly) {
+      possibleOrigins.adopt(route, result.origin);
+    }
+    return result;
+  }
+
+  #ask(
+    host: string,
+    { query, stream, route }: { query: string; stream: string; route: Route },
+  ): void {
+    const { entry, send, metrics } = this.#options;
+    metrics.increment("stream_origins.asked");
+    send({
+      kind: "stream_origin_query",
+      entry,
+      query,
+      stream,
+      route: route.name,
+    }, host);
+  }
+
+  async #waitForAnswer(query: string, search: OriginSearch): Promise<void> {
+    await new Promise<void>((resolve) => {
+      const timer = setTimeout(resolve, SEARCH_INTERVAL);
+      this.#searches.set(query, {
+        search,
+        wake: () => {
+          clearTimeout(timer);
+          resolve();
+        },
+      });
+    });
+  }
+}
+
+function toShared(
+  stream: string,
+  { origin, begunAt, expiresAt }: KnownOrigin,
+  now: Milliseconds,
+): SharedOrigin {
+  return {
+    stream,
+    ...origin,
+    age: Math.max(0, Math.round(now - begunAt)),
+    expiresIn: Math.max(0, Math.round(expiresAt - now)),
+  };
+}
--- a/apps/heroncleatd/gateway/wait_for_upstream.ts
+++ b/apps/heroncleatd/gateway/wait_for_upstream.ts
@@ -100,10 +100,17 @@
   if (version === undefined) {
     return true;
   }
-  for (const { record } of context.directory.list()) {
+  const { choice, clock, directory, isSynced } = context;
+  const now = clock.steady();
+  const requiresHeartbeats = isSynced();
+  for (const upstream of directory.list()) {
+    const { record } = upstream;
     const isMatch = record.service === service && record.state === "ready" &&
       upstreamVersion(record.version) === version;
-    if (isMatch && !excluded.has(record.id)) {
+    if (
+      isMatch && !excluded.has(record.id) &&
+      !choice.isLost(upstream, { now, requiresHeartbeats })
+    ) {
       return true;
     }
   }
--- a/apps/heroncleatd/hub/play_stream.ts
+++ b/apps/heroncleatd/hub/play_stream.ts
@@ -13,6 +13,7 @@
   readonly events: readonly { readonly id: number; readonly version: string }[];
   readonly isWhole: boolean;
   readonly firstEventAfter: number;
+  readonly took: number;
 };
 
 /** What a caller received over all tries of one stream. */
@@ -25,6 +26,7 @@
   readonly isInOrder: boolean;
 };
 
+let streamCount = 0;
 let attemptCount = 0;
 
 /**
@@ -34,8 +36,10 @@
  */
 export async function playStream(
   listEntries: () => readonly string[],
-  { resumes, path = "/" }: { resumes: boolean; path?: string },
+  { resumes }: { resumes: boolean },
 ): Promise<PlayedStream> {
+  streamCount += 1;
+  const path = `/stream/${streamCount}`;
   const tries: StreamTry[] = [];
   let origin: string | undefined;
   let last = 0;
@@ -83,7 +87,13 @@
     let status = 0;
     let firstEventAfter = NaN;
     const finish = (isWhole: boolean) =>
-      resolve({ status, events: parseEvents(text), isWhole, firstEventAfter });
+      resolve({
+        status,
+        events: parseEvents(text),
+        isWhole,
+        firstEventAfter,
+        took: performance.now() - sentAt,
+      });
     const outgoing = request({
       host,
       port,
--- a/apps/heroncleatd/hub/stream_versions_test.ts
+++ b/apps/heroncleatd/hub/stream_versions_test.ts
@@ -1,3 +1,4 @@
+import { connect } from "node:net";
 import { setTimeout as pause } from "node:timers/promises";
 import { RouteKind, type ServingDocument } from "@heroncleat/serving";
 import { type PlayedStream, playStream } from "./play_stream.ts";
@@ -9,6 +10,8 @@
 
 const FIRST_PORT = 29_500;
 const ENTRY_COUNT = 6;
+/** Entries whose links to upstreams can fail; these come first. */
+const CUT_OFF_COUNT = 2;
 const UPSTREAMS_PER_VERSION = 6;
 const STREAM_PAUSE_MS = 33;
 const PHASE_DURATION_MS = 4000;
@@ -18,6 +21,7 @@
 /** Share of resumed streams that go on while their version has upstreams. */
 const MIN_RESUMED_SHARE = 0.95;
 const MIN_BEGUN_SHARE = 0.99;
+const MAX_REFUSAL_TIME_MS = 250;
 
 const group = new TestGroup(FIRST_PORT, [true, true, true]);
 const links: TestLinks[] = [];
@@ -37,12 +41,13 @@
 };
 
 beforeAll(async () => {
-  for (let index = 0; index < ENTRY_COUNT; index += 1) {
+  for (let index = 0; index < CUT_OFF_COUNT; index += 1) {
     links.push(await TestLinks.start());
   }
   await group.start({
     entries: ENTRY_COUNT,
-    connectOf: (entry) => (options) => links[entry]!.connect(options),
+    connectOf: (entry) => (options) =>
+      links[entry]?.connect(options) ?? connect(options),
   });
   await waitUntil(() => group.publish(0, document));
   await waitUntil(() => group.gateways.every((gateway) => gateway.isReady()));
@@ -144,14 +149,81 @@
   };
 }
 
+/** Checks what holds in every phase, and returns the summary. */
+function check(streams: readonly PlayedStream[]) {
+  const summary = summarize(streams);
+  expect(summary).toMatchObject({ atTwoVersions: 0, outOfOrder: 0 });
+  return summary;
+}
+
 test("streams don't go on at another version than the one that began them", async () => {
+  const undisturbed = check(await playStreams({ resumes: false }));
+  expect(undisturbed).toMatchObject({ begun: 1, whole: 1 });
+  breaksOff = true;
+  check(await playStreams({ resumes: false }));
+  const resumed = check(await playStreams({ resumes: true }));
+  breaksOff = false;
+  expect(resumed.resumed).toBeGreaterThan(10);
+  expect(resumed.wentOn).toBeGreaterThanOrEqual(MIN_RESUMED_SHARE);
+  expect(resumed.begun).toBeGreaterThanOrEqual(MIN_BEGUN_SHARE);
+});
+
+test("streams of a version whose upstreams have all ended are refused at once", async () => {
+  const streams = await playStreams({
+    resumes: true,
+    midway: () => stopVersion("v2"),
+    // The links that can fail accept connections to upstreams that are gone.
+    entries: () => listEntries().slice(CUT_OFF_COUNT),
+  });
+  const { begun } = check(streams);
+  expect(begun).toBeGreaterThanOrEqual(MIN_BEGUN_SHARE);
+  const ended = resumedOf(streams).filter(({ versions }) => versions.has("v2"));
+  expect(ended.length).toBeGreaterThan(0);
+  // A kept connection that fails doesn't tell whether the request ran.
+  const later = ended.flatMap(({ tries }) => tries.slice(2));
+  expect(later.length).toBeGreaterThan(0);
+  expect(later.every(({ status }) => status === 503)).toBe(true);
+  expect(Math.max(...later.map(({ took }) => took)))
+    .toBeLessThan(MAX_REFUSAL_TIME_MS);
+});
+
+test("streams keep their version while entries reach no upstream and addresses come back with another version", async () => {
+  await startVersion("v3", UPSTREAMS_PER_VERSION);
+  await pause(SETTLE_TIME_MS);
+  const [refusing, silent] = links;
+  refusing!.fail("refused");
+  silent!.fail("silent");
   breaksOff = true;
-  const withinAnswers = summarize(await playStreams({ resumes: false }));
-  const overTries = summarize(await playStreams({ resumes: true }));
+  const streams = await playStreams({ resumes: true });
   breaksOff = false;
-  expect(withinAnswers).toMatchObject({ atTwoVersions: 0, outOfOrder: 0 });
-  expect(overTries).toMatchObject({ atTwoVersions: 0, outOfOrder: 0 });
-  expect(overTries.resumed).toBeGreaterThan(10);
-  expect(overTries.wentOn).toBeGreaterThanOrEqual(MIN_RESUMED_SHARE);
-  expect(overTries.begun).toBeGreaterThanOrEqual(MIN_BEGUN_SHARE);
+  refusing!.restore();
+  silent!.restore();
+  const { resumed, wentOn } = check(streams);
+  expect(resumed).toBeGreaterThan(10);
+  expect(wentOn).toBeGreaterThanOrEqual(MIN_RESUMED_SHARE);
+});
+
+test("streams of an entry that stops midway go on elsewhere at their version", async () => {
+  await pause(SETTLE_TIME_MS);
+  const stopping = ENTRY_COUNT - 1;
+  let isStopped = false;
+  let count = 0;
+  const streams = await playStreams({
+    resumes: true,
+    midway: () => {
+      isStopped = true;
+      const [gateway] = group.gateways.splice(stopping, 1);
+      void gateway!.stop();
+    },
+    entries: () => {
+      count += 1;
+      const others = listEntries().slice(0, stopping);
+      return isStopped || count % 2 === 0
+        ? others
+        : [group.addressOf(stopping)];
+    },
+  });
+  const { resumed, wentOn } = check(streams);
+  expect(resumed).toBeGreaterThan(0);
+  expect(wentOn).toBeGreaterThanOrEqual(MIN_RESUMED_SHARE);
 });
--- a/packages/serving/hub.ts
+++ b/packages/serving/hub.ts
@@ -40,6 +40,7 @@
 import type { UpstreamRecord } from "./upstream_record.ts";
 import type { ProcessUsage } from "./process_usage.ts";
 import { UsageTotals } from "./usage_totals.ts";
+import { VersionLog } from "./version_log.ts";
 import { VersionReports } from "./version_reports.ts";
 import type { WorkspaceCounts } from "./workspace_counts.ts";
 
@@ -125,6 +126,7 @@
   readonly #prefillWork = new ChargeTotals();
   readonly #usage = new UsageTotals();
   readonly #versions = new VersionReports();
+  readonly #versionLog = new VersionLog(this.#revisions);
   readonly #documentSender = new DocumentSender();
   /** Number of entries that share rate limits, as entries know of. */
   readonly #reportedEntryCount = new RecentMaximum(
@@ -185,6 +187,9 @@
     if (outcome === "changed") {
       this.#followed.add(update);
     }
+    if (outcome !== "late") {
+      this.#versionLog.observe(update, now);
+    }
     return outcome;
   }
 
@@ -252,6 +257,7 @@
       takesPartial: true,
       needsWhole: isAccepted ? undefined : true,
       rollouts: rolloutsFor(request, context.rollouts),
+      versions: this.#versionLog.since(sinceRevision),
       suspects: this.#suspectsSince(sinceRevision, now),
       rateLimits: this.#rateLimitsSince(sinceRevision),
       shared: request.loads === undefined ? undefined : {
@@ -514,6 +520,7 @@
   /** Removes state that is past its retention. */
   expire(now: Milliseconds): void {
     this.#upstreams.expire(now);
+    this.#versionLog.expire(now);
     this.#usage.expire();
     this.crashes.expire(now);
     const isGone = (id: string) => this.directory.get(id) === undefined;
--- a/packages/serving/mod.ts
+++ b/packages/serving/mod.ts
@@ -87,6 +87,18 @@
 export { UpstreamBalancer } from "./upstream_balancer.ts";
 export { RelayEntries } from "./relay_entries.ts";
 export { UpstreamReachability } from "./upstream_reachability.ts";
+export type { KnownOrigin } from "./known_origin.ts";
+export { originHolders } from "./origin_holders.ts";
+export {
+  type OriginAnswer,
+  OriginSearch,
+  type OriginSearchResult,
+} from "./origin_search.ts";
+export { PossibleOrigins } from "./possible_origins.ts";
+export type { ServiceVersions } from "./service_versions.ts";
+export type { StreamOrigin } from "./stream_origin.ts";
+export { StreamOrigins } from "./stream_origins.ts";
+export { STREAM_RETENTION } from "./stream_retention.ts";
 export { upstreamVersion } from "./upstream_version.ts";
 export { UpstreamDirectory } from "./upstream_directory.ts";
 export { UsageCounts } from "./usage_counts.ts";
--- a/packages/serving/route_table.ts
+++ b/packages/serving/route_table.ts
@@ -47,6 +47,10 @@
     return undefined;
   }
 
+  findRouteNamed(name: string): Route | undefined {
+    return this.document.routes.find((route) => route.name === name);
+  }
+
   /**
    * Returns the tightest latency objective among a route and the streaming
    * routes to the same service with at least its priority. Load shedding uses
--- a/packages/serving/sync_reply.ts
+++ b/packages/serving/sync_reply.ts
@@ -6,6 +6,7 @@
 import type { RateLimit } from "./rate_limit.ts";
 import type { ReportedSuspect } from "./reported_suspect.ts";
 import type { RelayedChargeReport } from "./relayed_charge_report.ts";
+import type { ServiceVersions } from "./service_versions.ts";
 import type { SharedState } from "./shared_state.ts";
 import type { UpstreamRecord } from "./upstream_record.ts";
 
@@ -78,6 +79,11 @@
   readonly rateLimits?: readonly RateLimit[] | undefined;
   /** All rollouts, if one changed after the revision that the entry named. */
   readonly rollouts?: readonly Rollout[] | undefined;
+  /**
+   * Software versions that may have begun a stream, if they changed after the
+   * revision; absent if they didn't, and from older releases.
+   */
+  readonly versions?: ServiceVersions | undefined;
   /** State shared between entries; present in replies to full exchanges. */
   readonly shared: SharedState | undefined;
 };
--- a/packages/serving/upstream_balancer.ts
+++ b/packages/serving/upstream_balancer.ts
@@ -247,6 +247,16 @@
     this.#view(id).avoidedAt = now;
   }
 
+  /** Whether an upstream has crashed or stopped sending heartbeats. */
+  isLost(
+    { record, receivedAt }: KnownUpstream,
+    { now, requiresHeartbeats }: Omit<ChoiceOptions, "request">,
+  ): boolean {
+    const crashedAt = this.#localViews.get(record.id)?.crashedAt ?? -Infinity;
+    return requiresHeartbeats &&
+      (now - receivedAt > UNRESPONSIVE_TIMEOUT || receivedAt <= crashedAt);
+  }
+
   forget(id: string): void {
     this.#localViews.delete(id);
   }
@@ -346,21 +356,16 @@
   }
 
   #isEligible(upstream: KnownUpstream, options: ChoiceOptions): boolean {
-    const { record, receivedAt } = upstream;
+    const { record } = upstream;
     const { request, now, requiresHeartbeats } = options;
     if (record.service !== request.service || record.state !== "ready") {
       return false;
     }
     // Heartbeats are ignored while no updates can reach this entry.
-    if (requiresHeartbeats && now - receivedAt > UNRESPONSIVE_TIMEOUT) {
+    if (this.isLost(upstream, { now, requiresHeartbeats })) {
       return false;
     }
     const view = this.#localViews.get(record.id);
-    if (
-      requiresHeartbeats && view !== undefined && receivedAt <= view.crashedAt
-    ) {
-      return false;
-    }
     return (view?.pausedUntil ?? 0) <= now &&
       !request.excluded.has(record.id) &&
       (request.isAdmitted?.(upstream) ?? true);
