Rollouts hold back a version that an entry has just seen, like without one

What could happen: in a rollout an entry used a new version at once, and another one that hadn't heard of it took an older version for the only one and resumed a stream there. The hold applied only without a rollout in force. Change: the canary, widened and full stages hold the destination back for the same time; at the full stage it still serves if nothing else does.

--- a/packages/rollouts/version_gate.ts
+++ b/packages/rollouts/version_gate.ts
@@ -6,7 +6,8 @@
 
 /**
  * Time for which upstreams of a version that is new to the entry get nothing
- * while others are there: news of a rollout may arrive after them.
+ * while others are there: news of a rollout may arrive after them, and another
+ * entry that hasn't heard of the version may resume its streams at an older one.
  */
 const NEW_VERSION_HOLD: Milliseconds = 1500;
 
@@ -83,8 +84,11 @@
     if (rollout === undefined) {
       return this.#admitKnownVersions(service, options.now);
     }
-    const isDestination = ({ record }: VersionedUpstream) =>
+    const held = this.#heldVersions(service, options.now);
+    const isAnyDestination = ({ record }: VersionedUpstream) =>
       versionSide(rollout, record.version) === "destination";
+    const isDestination = (upstream: VersionedUpstream) =>
+      isAnyDestination(upstream) && !held.has(upstream.record.version ?? "");
     const isOther = ({ record }: VersionedUpstream) =>
       versionSide(rollout, record.version) === "other";
     const isWarmDestination = (upstream: VersionedUpstream) =>
@@ -98,7 +102,7 @@
       case RolloutStage.widened:
         return isChosen ? [isWarmDestination, isOther] : [isOther];
       case RolloutStage.full:
-        return [isWarmDestination, isDestination, isOther];
+        return [isWarmDestination, isDestination, isOther, isAnyDestination];
       case RolloutStage.completed:
         return this.#admitAfter(rollout);
       default:
@@ -134,21 +138,25 @@
     service: string,
     now: Milliseconds,
   ): readonly UpstreamFilter[] | undefined {
-    const versions = this.#versions.get(service);
-    if (versions === undefined || versions.size < 2) {
-      return undefined;
-    }
-    const first = Math.min(...versions.values());
-    const isHeld = (version: string) => {
-      const seenAt = versions.get(version) ?? first;
-      return seenAt > first && now - seenAt < NEW_VERSION_HOLD;
-    };
-    const held = new Set([...versions.keys()].filter(isHeld));
+    const held = this.#heldVersions(service, now);
     return held.size === 0 ? undefined : [
       ({ record }) => !held.has(record.version ?? ""),
       () => true,
     ];
   }
+
+  /** Versions that have just appeared beside others. */
+  #heldVersions(service: string, now: Milliseconds): ReadonlySet<string> {
+    const versions = this.#versions.get(service) ?? new Map();
+    const first = Math.min(...versions.values());
+    const held = new Set<string>();
+    for (const [version, seenAt] of versions) {
+      if (seenAt > first && now - seenAt < NEW_VERSION_HOLD) {
+        held.add(version);
+      }
+    }
+    return held;
+  }
 }
 
 /**
--- a/packages/serving/stream_origins.ts
+++ b/packages/serving/stream_origins.ts
@@ -2,7 +2,7 @@
 import type { KnownOrigin } from "./known_origin.ts";
 
 /** Bounds the memory; the oldest records are dropped beyond it. */
-const MAX_RECORDS = 100_000;
+const MAX_RECORDS = 50_000;
 
 /**
  * Records of one entry of where streams began: of those that it passes on
