--- /dev/null
+++ b/packages/serving/origin_policy.ts
@@ -0,0 +1,12 @@
+/** How entries know where streams began, for comparison. @internal */
+export type OriginPolicy = {
+  /** Holders that are told of each stream; the others are told of none. */
+  readonly holders: number;
+  /** Whether holders are asked, then the others, or nobody. */
+  readonly asks: "holders" | "all" | "nobody";
+  /**
+   * Whether an unknown origin is computed from the stream's identifier and the
+   * versions that the entry knows of, rather than refused.
+   */
+  readonly isComputed: boolean;
+};
