Soak: several versions side by side, callers that resume at other entries

Upstreams bring two versions at a time, newer ones as they are replaced; events name the version that wrote them. Callers lose the connection of 30 % of the resumable streams, and resume these and those that break off at another entry with the attempt that brought the first event. Checked from the bytes over all tries: one version, no event missing or twice, and that at least half as many resumed streams go on as new ones begin, at undisturbed entries while two upstreams of the version serve. Also the real-socket test gets a route to two services: resumed streams stay at theirs.

--- a/apps/heroncleatd/hub/play_stream.ts
+++ b/apps/heroncleatd/hub/play_stream.ts
@@ -36,10 +36,10 @@
  */
 export async function playStream(
   listEntries: () => readonly string[],
-  { resumes }: { resumes: boolean },
+  { resumes, path = "/" }: { resumes: boolean; path?: string | undefined },
 ): Promise<PlayedStream> {
   streamCount += 1;
-  const path = `/stream/${streamCount}`;
+  const target = `${path}${streamCount}`;
   const tries: StreamTry[] = [];
   let origin: string | undefined;
   let last = 0;
@@ -50,7 +50,12 @@
     previous = entry;
     attemptCount += 1;
     const attempt = `a${attemptCount}`;
-    const played = await tryStream(entry, { attempt, origin, last, path });
+    const played = await tryStream(entry, {
+      attempt,
+      origin,
+      last,
+      path: target,
+    });
     tries.push(played);
     if (origin === undefined && played.events.length > 0) {
       origin = attempt;
--- a/apps/heroncleatd/hub/stream_versions_test.ts
+++ b/apps/heroncleatd/hub/stream_versions_test.ts
@@ -10,6 +10,8 @@
 
 const FIRST_PORT = 29_500;
 const ENTRY_COUNT = 6;
+/** Streams below it are of two services. */
+const SPLIT_PATH = "/split/";
 /** Entries whose links to upstreams can fail; these come first. */
 const CUT_OFF_COUNT = 2;
 const UPSTREAMS_PER_VERSION = 6;
@@ -28,16 +30,26 @@
 const running = new Map<string, StreamingUpstream[]>();
 let breaksOff = false;
 
+const streamRoute = {
+  ...testDocument(1).routes[0]!,
+  kind: RouteKind.streaming,
+  isResumable: true,
+  timeout: 5000,
+  maxAttempts: 3,
+};
 const document: ServingDocument = {
   ...testDocument(1),
-  routes: testDocument(1).routes.map((route) => ({
-    ...route,
-    kind: RouteKind.streaming,
-    isResumable: true,
-    timeout: 5000,
-    maxAttempts: 3,
+  routes: [streamRoute, {
+    ...streamRoute,
+    name: "split",
+    pathPrefix: SPLIT_PATH,
+    targets: [{ service: "desk", weight: 1 }, { service: "bar", weight: 1 }],
+  }],
+  services: ["desk", "bar"].map((name) => ({
+    ...testDocument(1).services[0]!,
+    name,
+    maxConnections: 500,
   })),
-  services: [{ ...testDocument(1).services[0]!, maxConnections: 500 }],
 };
 
 beforeAll(async () => {
@@ -67,12 +79,17 @@
 });
 
 /** Starts the upstreams of a version at ports from an offset on. */
-async function startVersion(version: string, offset: number): Promise<void> {
+async function startVersion(
+  version: string,
+  offset: number,
+  service = "desk",
+): Promise<void> {
   const upstreams: StreamingUpstream[] = [];
   for (let index = 0; index < UPSTREAMS_PER_VERSION; index += 1) {
     const upstream = new StreamingUpstream({
       name: `${version}-${index}`,
       version,
+      service,
       port: FIRST_PORT + 40 + offset + index,
       breaksAfter: () =>
         breaksOff && Math.random() < BROKEN_SHARE
@@ -98,8 +115,9 @@
   group.gateways.map((_, index) => group.addressOf(index));
 
 async function playStreams(
-  { resumes, midway = () => {}, entries = listEntries }: {
+  { resumes, path, midway = () => {}, entries = listEntries }: {
     resumes: boolean;
+    path?: string;
     /** Called after half of the time. */
     midway?: () => void;
     entries?: () => readonly string[];
@@ -113,7 +131,7 @@
       isMidway = true;
       midway();
     }
-    streams.push(playStream(entries, { resumes }));
+    streams.push(playStream(entries, { resumes, path }));
     await pause(STREAM_PAUSE_MS);
   }
   return await Promise.all(streams);
@@ -168,6 +186,17 @@
   expect(resumed.begun).toBeGreaterThanOrEqual(MIN_BEGUN_SHARE);
 });
 
+test("streams of a route to several services go on at the service that began them", async () => {
+  await startVersion("bar", UPSTREAMS_PER_VERSION * 2, "bar");
+  await pause(SETTLE_TIME_MS);
+  breaksOff = true;
+  const streams = await playStreams({ resumes: true, path: SPLIT_PATH });
+  breaksOff = false;
+  const { resumed, wentOn } = check(streams);
+  expect(resumed).toBeGreaterThan(10);
+  expect(wentOn).toBeGreaterThanOrEqual(MIN_RESUMED_SHARE);
+});
+
 test("streams of a version whose upstreams have all ended are refused at once", async () => {
   const streams = await playStreams({
     resumes: true,
--- a/packages/soak/finding.ts
+++ b/packages/soak/finding.ts
@@ -13,6 +13,8 @@
     | "configuration"
     | "cut_off"
     | "overload"
+    | "one_version"
+    | "resumed"
     | "recovery";
   /** Time since the start of the soak. */
   readonly at: Milliseconds;
--- a/packages/soak/guarantee_checks.ts
+++ b/packages/soak/guarantee_checks.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds } from "@heroncleat/base";
 import { CutChecks } from "./cut_checks.ts";
+import { StreamChecks } from "./stream_checks.ts";
 import { RateLimitChecks } from "./rate_limit_checks.ts";
 import type { ReceivedRequest } from "./received_request.ts";
 import type { Finding } from "./finding.ts";
@@ -36,6 +37,8 @@
   /** Whether the entry on a host was undisturbed at a time. */
   readonly wasEntryUndisturbed: (host: string, at: Milliseconds) => boolean;
   readonly areRatesLimited: () => boolean;
+  /** Number of ready upstreams of a version. */
+  readonly countReady: (version: string) => number;
   /** Describes the state of a host at a time, for the text of a finding. */
   readonly describe: (host: string, at: Milliseconds) => string;
 };
@@ -59,6 +62,7 @@
 
   readonly rateLimits: RateLimitChecks;
   readonly cuts: CutChecks;
+  readonly streams: StreamChecks;
 
   constructor(environment: Environment) {
     this.#environment = environment;
@@ -66,6 +70,11 @@
       wasEntryUndisturbed: environment.wasHostUndisturbed,
       report: (text) => this.report("rate_limit", text),
     });
+    this.streams = new StreamChecks({
+      wasEntryUndisturbed: environment.wasEntryUndisturbed,
+      countReady: environment.countReady,
+      report: (promise, text) => this.report(promise, text),
+    });
     this.cuts = new CutChecks({
       wasEntryUndisturbed: environment.wasEntryUndisturbed,
       areRatesLimited: environment.areRatesLimited,
--- a/packages/soak/program_adapter.ts
+++ b/packages/soak/program_adapter.ts
@@ -44,5 +44,6 @@
     readonly rateLimit: string;
     readonly rejectionLimit: string;
     readonly lastEvent: string;
+    readonly resumes: string;
   };
 };
--- a/packages/soak/run_soak.ts
+++ b/packages/soak/run_soak.ts
@@ -38,6 +38,15 @@
    * after it: from undisturbed VMs, and from any.
    */
   readonly latest: { readonly undisturbed: number; readonly any: number };
+  /**
+   * Attempts to resume a stream; those that must go on, as the entry was
+   * undisturbed and two upstreams of the version served; and those that did.
+   */
+  readonly resumes: {
+    readonly all: number;
+    readonly sent: number;
+    readonly wentOn: number;
+  };
   /** Number of upstreams that each crashing request crashed. */
   readonly crashes: readonly number[];
   /** Requests by HTTP status; 0 stands for no complete response. */
@@ -77,13 +86,14 @@
     finished.abort();
     await deployment.stop();
   }
-  const { findings, leaves, latest, crashes } = deployment.checks;
+  const { findings, leaves, latest, crashes, streams } = deployment.checks;
   return {
     seed: options.seed,
     findings,
     troubles: scenarioCounts,
     leaves,
     crashes,
+    resumes: { ...streams.resumed, all: streams.resumes },
     latest: {
       undisturbed: Math.round(latest.undisturbed),
       any: Math.round(latest.any),
@@ -115,6 +125,7 @@
   ]);
   await pause(RECOVERY_TIME);
   await checkServed(deployment);
+  deployment.checks.streams.finish();
   await deployment.checkDocument();
 }
 
--- a/packages/soak/send_http_request.ts
+++ b/packages/soak/send_http_request.ts
@@ -9,8 +9,14 @@
   readonly isFramed: boolean;
 };
 
-/** Why no complete response arrived. */
-type HttpFailure = { readonly status: 0; readonly reason: string };
+/** Why no complete response arrived, and what arrived of the body. */
+type HttpFailure = {
+  readonly status: 0;
+  readonly reason: string;
+  readonly partialBody: string;
+};
+
+const CLOSED_BY_CALLER = "closed by the caller";
 
 /**
  * Sends one HTTP request and reads the complete response.
@@ -26,6 +32,8 @@
     headers?: Record<string, string>;
     timeout: Milliseconds;
     agent?: Agent;
+    /** Bytes of the body after which the connection is closed. */
+    closeAfter?: number | undefined;
   },
 ): Promise<HttpResponse | HttpFailure> {
   const { host, port } = splitAddress(address);
@@ -42,16 +50,24 @@
         ...(bytes.length > 0 ? { "content-length": bytes.length } : {}),
       },
     });
+    const chunks: Buffer[] = [];
     const fail = (reason: string) => {
       clearTimeout(timer);
       clientRequest.destroy();
-      resolve({ status: 0, reason });
+      const partialBody = Buffer.concat(chunks).toString("utf8");
+      resolve({ status: 0, reason, partialBody });
     };
     const timer = setTimeout(() => fail("timeout"), options.timeout);
     clientRequest.on("error", (error) => fail(error.message));
     clientRequest.on("response", (response) => {
-      const chunks: Buffer[] = [];
-      response.on("data", (chunk: Buffer) => chunks.push(chunk));
+      let received = 0;
+      response.on("data", (chunk: Buffer) => {
+        chunks.push(chunk);
+        received += chunk.length;
+        if (received >= (options.closeAfter ?? Infinity)) {
+          fail(CLOSED_BY_CALLER);
+        }
+      });
       response.on("error", (error) => fail(error.message));
       response.on("end", () => {
         if (!response.complete) {
--- a/packages/soak/soak_caller.ts
+++ b/packages/soak/soak_caller.ts
@@ -3,7 +3,8 @@
 import { responseBody } from "./response_body.ts";
 import { sendHttpRequest } from "./send_http_request.ts";
 import { pause } from "./pause.ts";
-import { streamEvents } from "./stream_events.ts";
+import { ReceivedStream } from "./received_stream.ts";
+import type { StreamChecks } from "./stream_checks.ts";
 import type { SoakDocument } from "./soak_document.ts";
 import type { ProgramAdapter } from "./program_adapter.ts";
 
@@ -17,6 +18,23 @@
 /** Age at which a caller refreshes its list of entries. */
 const MAX_LIST_AGE: Milliseconds = 2000;
 
+/** Tries of a stream that breaks off, and the pause between two of them. */
+const MAX_STREAM_TRIES = 4;
+const RETURN_DELAY_MS = { min: 30, spread: 400 };
+
+/** Share of resumable streams of which a caller loses the connection. */
+const CLOSED_SHARE = 0.3;
+const CLOSED_WITHIN_BYTES = 200;
+
+/** One try of a caller. */
+type CallerAttempt = {
+  readonly attempt: string;
+  readonly path: string;
+  readonly isNonIdempotent: boolean;
+  /** The stream that it begins or resumes; undefined for other requests. */
+  readonly stream?: ReceivedStream;
+};
+
 /** Outcome of one request. */
 export type RequestOutcome = {
   readonly attempt: string;
@@ -38,6 +56,7 @@
   readonly listLookups: () => readonly string[];
   readonly random: () => number;
   readonly onOutcome: (outcome: RequestOutcome) => void;
+  readonly streams: StreamChecks;
 };
 
 /**
@@ -122,33 +141,89 @@
   }
 
   async #sendRequest(): Promise<void> {
-    const { name, adapter, document, onOutcome } = this.#options;
-    const { host } = document();
+    const { name } = this.#options;
     const { prefix, isNonIdempotent, isStream } = this.#pickKind();
     this.#requestCount += 1;
     const attempt = `${name}-${this.#requestCount}`;
+    const path = `${prefix}${attempt}`;
+    if (!isStream) {
+      await this.#try({ attempt, path, isNonIdempotent });
+    } else {
+      await this.#receiveStream({ attempt, path, isNonIdempotent });
+    }
+  }
+
+  /** Requests a stream and, if it may be resumed, does so at other entries. */
+  async #receiveStream(
+    { attempt, path, isNonIdempotent }: CallerAttempt,
+  ): Promise<void> {
+    const { streams, random } = this.#options;
+    const stream = new ReceivedStream(path);
+    await this.#try({ attempt, path, isNonIdempotent, stream });
+    streams.recordBegin({
+      entry: this.#entry,
+      hasBegun: stream.origin !== undefined,
+    });
+    let tries = 1;
+    while (
+      !isNonIdempotent && !stream.isWhole && stream.origin !== undefined &&
+      tries < MAX_STREAM_TRIES && !this.#isStopped
+    ) {
+      tries += 1;
+      await pause(RETURN_DELAY_MS.min + random() * RETURN_DELAY_MS.spread);
+      this.#disconnect();
+      if (this.#connect()) {
+        const next = `${attempt}-${tries}`;
+        await this.#try({ attempt: next, path, isNonIdempotent, stream });
+      }
+    }
+    streams.recordOutcome(stream.toOutcome());
+  }
+
+  async #try(
+    { attempt, path, isNonIdempotent, stream }: CallerAttempt,
+  ): Promise<void> {
+    const { adapter, document, onOutcome, random } = this.#options;
+    const { headers } = adapter;
     const entry = this.#entry;
     const sentAt = performance.now();
+    const closeAfter = !isNonIdempotent && stream?.origin === undefined &&
+        stream !== undefined && random() < CLOSED_SHARE
+      ? 1 + random() * CLOSED_WITHIN_BYTES
+      : undefined;
     const reply = await sendHttpRequest(entry, {
       method: isNonIdempotent ? "POST" : "GET",
-      path: `${prefix}${attempt}`,
+      path,
       body: isNonIdempotent ? "one table for two" : "",
       headers: {
-        host,
-        [adapter.headers.attempt]: attempt,
-        [adapter.headers.timeLeft]: String(REQUEST_TIMEOUT),
+        host: document().host,
+        [headers.attempt]: attempt,
+        [headers.timeLeft]: String(REQUEST_TIMEOUT),
+        ...(stream?.origin === undefined ? {} : {
+          [headers.resumes]: stream.origin,
+          [headers.lastEvent]: String(stream.lastId),
+        }),
       },
       timeout: REQUEST_TIMEOUT,
       agent: this.#agent!,
+      closeAfter,
     });
     const { status } = reply;
     if (status === 0) {
       this.#disconnect();
     }
+    const isClosedHere = status === 0 && closeAfter !== undefined;
+    const body = "body" in reply ? reply.body : reply.partialBody;
+    if (stream !== undefined && (status === 200 || status === 0)) {
+      stream.append(body, { attempt, entry, sentAt });
+    }
     const problem = status === 200 && "body" in reply
-      ? this.#findProblem(attempt, { ...reply, isStream })
+      ? this.#findProblem(attempt, { ...reply, stream })
       : undefined;
-    onOutcome({ attempt, isNonIdempotent, status, entry, sentAt, problem });
+    // What this caller has ended itself says nothing about the entry.
+    if (!isClosedHere) {
+      onOutcome({ attempt, isNonIdempotent, status, entry, sentAt, problem });
+    }
   }
 
   #pickKind() {
@@ -169,21 +244,22 @@
       body: string;
       headers: Readonly<Record<string, unknown>>;
       isFramed: boolean;
-      isStream: boolean;
+      stream: ReceivedStream | undefined;
     },
   ): string | undefined {
     const { headers } = this.#options.adapter;
+    const { body, isFramed, stream } = reply;
     const digest = String(reply.headers[headers.digest] ?? "");
-    const upstream = digest.replace("by-", "");
-    const expected = reply.isStream
-      ? streamEvents(attempt).join("")
-      : responseBody(attempt, upstream);
+    const expected = responseBody(attempt, digest.replace("by-", ""));
     // Without a length or chunks, nothing tells that a body was cut short, but
     // for a stream that ends inside an event.
-    const mayBeCut = !reply.isFramed && expected.startsWith(reply.body) &&
-      (!reply.isStream || /(^|\n\n)$/.test(reply.body));
-    return reply.body === expected || mayBeCut
+    const isWhole = stream === undefined ? body === expected : stream.isWhole;
+    const mayBeCut = !isFramed &&
+      (stream === undefined
+        ? expected.startsWith(body)
+        : /(^|\n\n)$/.test(body));
+    return isWhole || mayBeCut
       ? undefined
-      : `${attempt} got the response "${reply.body}" with the digest ${digest}`;
+      : `${attempt} got the response "${body}" with the digest ${digest}`;
   }
 }
--- a/packages/soak/soak_deployment.ts
+++ b/packages/soak/soak_deployment.ts
@@ -22,6 +22,8 @@
 const CONTROLS_PER_ZONE = 2;
 const UPSTREAMS_PER_ZONE = 2;
 const CALLERS_PER_ZONE = 8;
+/** Upstreams that start until the older of two versions is no longer used. */
+const UPSTREAMS_PER_RELEASE = 10;
 const FIRST_PROXY_PORT = 7900;
 const START_TIMEOUT: Milliseconds = 20_000;
 /** Key for faults of the control replica group as a whole. */
@@ -91,6 +93,7 @@
       wasEntryUndisturbed: (host, at) =>
         this.disturbances.wasUndisturbed(CONTROL_GROUP, at) &&
         this.disturbances.wasUndisturbed(host, at),
+      countReady: (version) => this.#countReady(version),
       areRatesLimited: () =>
         [...this.#upstreams].some(({ isLimited }) => isLimited),
       describe: (host, at) => this.#describe(host, at),
@@ -199,6 +202,7 @@
     const upstream = new SoakUpstream({
       name: `desk-${zone}-${count}`,
       service: this.#document.service,
+      version: this.#pickVersion(),
       zone,
       host: `127.${60 + slot}.${Math.floor(count / 250)}.${1 + count % 250}`,
       adapter,
@@ -222,6 +226,19 @@
     return upstream;
   }
 
+  /** One of two versions side by side; later upstreams bring newer ones. */
+  #pickVersion(): string {
+    const oldest = Math.floor(this.#upstreamCount / UPSTREAMS_PER_RELEASE);
+    return `v${oldest + (this.random() < 0.5 ? 0 : 1)}`;
+  }
+
+  #countReady(version: string): number {
+    const ready = [...this.#upstreams].filter((upstream) =>
+      upstream.isReady && upstream.version === version
+    );
+    return ready.length;
+  }
+
   /** Picks a random ready upstream of a zone, or of any zone. */
   pickUpstream(zone?: string): SoakUpstream | undefined {
     const ready = [...this.#upstreams].filter((upstream) =>
@@ -333,6 +350,7 @@
         this.outcomes.set(status, (this.outcomes.get(status) ?? 0) + 1);
         this.checks.checkOutcome(outcome);
       },
+      streams: this.checks.streams,
     });
     this.#callers.push(caller);
     void caller.run();
--- a/packages/soak/soak_upstream.ts
+++ b/packages/soak/soak_upstream.ts
@@ -46,6 +46,8 @@
 type UpstreamOptions = {
   readonly name: string;
   readonly service: string;
+  /** Version of its software, which its events name. */
+  readonly version: string;
   readonly zone: string;
   readonly host: string;
   readonly adapter: ProgramAdapter;
@@ -73,6 +75,7 @@
   readonly name: string;
   readonly zone: string;
   readonly host: string;
+  readonly version: string;
   readonly #options: UpstreamOptions;
   readonly #server: Server;
   #born = Date.now();
@@ -92,6 +95,7 @@
     this.name = options.name;
     this.zone = options.zone;
     this.host = options.host;
+    this.version = options.version;
     this.#server = createServer((message, response) => {
       void this.#serve(message, response);
     });
@@ -224,6 +228,7 @@
     return {
       name: this.name,
       service: this.#options.service,
+      version: this.version,
       address: `${this.host}:${PORT}`,
       zone: this.zone,
       slots: SLOTS,
@@ -329,7 +334,7 @@
         "keep-alive": "timeout=5",
       },
       parts: isStreamed
-        ? streamEvents(attempt).slice(last)
+        ? streamEvents.list(target, this.version).slice(last)
         : [responseBody(attempt, this.name)],
     }, random);
   }
--- a/packages/soak/upstream_report.ts
+++ b/packages/soak/upstream_report.ts
@@ -2,6 +2,8 @@
 export type UpstreamReport = {
   readonly name: string;
   readonly service: string;
+  /** Version of its software. */
+  readonly version: string;
   readonly address: string;
   readonly zone: string;
   readonly slots: number;
