--- a/packages/rollouts/version_gate.ts
+++ b/packages/rollouts/version_gate.ts
@@ -98,7 +98,9 @@
       case RolloutStage.reverted:
         return [isOther];
       case RolloutStage.canary:
-        return isChosen ? [canaryFilter(rollout, options), isOther] : [isOther];
+        return isChosen
+          ? [canaryFilter(rollout, { ...options, isDestination }), isOther]
+          : [isOther];
       case RolloutStage.widened:
         return isChosen ? [isWarmDestination, isOther] : [isOther];
       case RolloutStage.full:
@@ -166,7 +168,10 @@
  */
 function canaryFilter(
   rollout: Rollout,
-  { upstreams }: AdmitOptions,
+  { upstreams, isDestination }: AdmitOptions & {
+    /** Whether an upstream runs the new version, and isn't held back. */
+    isDestination: UpstreamFilter;
+  },
 ): UpstreamFilter {
   const { service, share } = rollout;
   const candidates: string[] = [];
@@ -184,5 +189,6 @@
   }
   const count = Math.max(1, Math.ceil(share * others));
   const chosen = new Set(candidates.sort().slice(0, count));
-  return ({ record }) => chosen.has(record.id);
+  return (upstream) =>
+    isDestination(upstream) && chosen.has(upstream.record.id);
 }
--- a/packages/rollouts/version_gate_test.ts
+++ b/packages/rollouts/version_gate_test.ts
@@ -137,3 +137,27 @@
   expect(admit(5100)![0]!(OLD[0]!)).toBe(true);
   expect(admit(7000)).toBeUndefined();
 });
+
+test.each([RolloutStage.canary, RolloutStage.widened, RolloutStage.full])(
+  "a version that an entry has just seen gets nothing at the %s stage",
+  (stage) => {
+    const gate = new VersionGate();
+    gate.observe(OLD[0]!, 0);
+    gate.observe(NEW[0]!, 10_000);
+    gate.merge([rollout({ stage, share: 1 })]);
+    const admitsNew = (now: number) => {
+      const filters = gate.admit("desk", {
+        now,
+        upstreams: () => [...OLD, ...NEW],
+        isRetry: false,
+        random: 0,
+      })!;
+      const first = filters.find((isAdmitted) =>
+        [...OLD, ...NEW].some(isAdmitted)
+      )!;
+      return NEW.some(first);
+    };
+    expect(admitsNew(11_000)).toBe(false);
+    expect(admitsNew(12_000)).toBe(true);
+  },
+);
