explain shows all attempts at a stream; start_gateway.ts is split

explain joins the lines of attempts that resume one stream and says from whom its version is known. Notices about upstreams and the record of a stream get files of their own. A stream that its caller resumes without naming it is recorded under the attempt that resumes it.

--- a/apps/heroncleat/explain/explain_request.ts
+++ b/apps/heroncleat/explain/explain_request.ts
@@ -1,5 +1,6 @@
 import { ClockOffsets } from "./clock_offsets.ts";
 import type { LogLine } from "./log_line.ts";
+import { linesOfStream } from "./lines_of_stream.ts";
 import { type LoggedAttempt, readAttempts } from "./read_attempts.ts";
 
 /** Events up to this long before a request are shown with it. */
@@ -31,15 +32,16 @@
   readonly hints: readonly string[];
 };
 
-/** Merges the lines that processes logged about one request, if any did. */
+/**
+ * Merges the lines that processes logged about one request, if any did, and
+ * about the other attempts at the same stream.
+ */
 export function explainRequest(
   request: string,
   lines: readonly LogLine[],
 ): Explanation | undefined {
-  const requestLines = lines.filter(({ fields }) =>
-    fields["request"] === request
-  );
-  if (requestLines.length === 0) {
+  const requestLines = linesOfStream(request, lines);
+  if (!requestLines.some(({ fields }) => fields["request"] === request)) {
     return undefined;
   }
   const clocks = new ClockOffsets(lines);
@@ -59,7 +61,7 @@
     const endedAt = clocks.trueTime(line);
     const beganAt = endedAt - Number(line.fields["took"] ?? 0);
     return endedAt >= from && beganAt <= until &&
-      line.fields["request"] !== request;
+      !requestLines.includes(line);
   });
   const around = [
     ...findRelatedEvents(nearbyLines, { clocks, requestLines }),
@@ -85,6 +87,10 @@
     clockAhead,
   });
   const steps: TimelineStep[] = [];
+  const resumption = describeResumption(line);
+  if (resumption !== undefined) {
+    steps.push(step(arrivedAt, resumption));
+  }
   if (line.message.startsWith(REQUEST_END_PREFIX)) {
     steps.push(step(arrivedAt, `arrived (${formatFields(line, "attempts")})`));
   }
@@ -108,6 +114,18 @@
   return steps;
 }
 
+/** What an entry knew of the stream that a request resumes. */
+function describeResumption({ fields }: LogLine): string | undefined {
+  const { request, resumes, boundTo, boundBy, boundAge } = fields;
+  if (!resumes) {
+    return undefined;
+  }
+  const origin = boundBy
+    ? `its version ${boundTo} is known by ${boundBy}, age=${boundAge}ms`
+    : "its version isn't known";
+  return `${request} resumes ${resumes}: ${origin}`;
+}
+
 /** Finds events other than requests, such as restarts and orders. */
 function findRelatedEvents(
   nearbyLines: readonly LogLine[],
--- a/apps/heroncleat/explain/explain_test.ts
+++ b/apps/heroncleat/explain/explain_test.ts
@@ -51,6 +51,38 @@
     expect(hints[0]).toMatch(/^u7 began 1120 ms later than expected/);
   });
 
+  test("shows all attempts at a stream, and from whom its version is known", () => {
+    const begun = line(900, "entry-a", "gateway: A request ended: failed", {
+      request: "s1",
+      status: 200,
+      took: 900,
+      attempts: "u1: 200 broken (sent_after=0ms version=v2 last_event=3)",
+    });
+    const resumed = line(
+      1500,
+      "entry-b",
+      "gateway: A request ended: answered",
+      {
+        request: "s2",
+        resumes: "s1",
+        boundTo: "v2",
+        boundBy: "entry-c",
+        boundAge: 950,
+        status: 200,
+        took: 500,
+        attempts: "u4: 200 done (sent_after=2ms version=v2)",
+      },
+    );
+    for (const request of ["s1", "s2"]) {
+      const { steps } = explainRequest(request, [resumed, late, begun])!;
+      const texts = steps.map(({ text }) => text);
+      expect(texts).toContain(
+        "s2 resumes s1: its version v2 is known by entry-c, age=950ms",
+      );
+      expect(texts.join()).toMatch(/u1 .*last_event=3.*u4 .*version=v2/);
+    }
+  });
+
   test("reports that upstreams crashed while running the request", () => {
     const rejected = line(10, "entry-a", "gateway: A request ended: refused", {
       request: "r3",
--- /dev/null
+++ b/apps/heroncleatd/gateway/record_stream.ts
@@ -0,0 +1,28 @@
+import type { Milliseconds } from "@heroncleat/base";
+import type { CallerRequest } from "./caller_request.ts";
+import { streamKey } from "./stream_key.ts";
+import type { StreamOriginExchange } from "./stream_origin_exchange.ts";
+
+/** Time in which a caller may resume a stream after it stops waiting. */
+const RETURN_TIME: Milliseconds = 5000;
+
+/** Records that events of a version are passed on, if they may be resumed. */
+export function recordStream(
+  call: CallerRequest,
+  { version, streams }: {
+    version: string;
+    streams: Pick<StreamOriginExchange, "recordBegin">;
+  },
+): void {
+  const { route, service, workspace, attempt, resumption } = call;
+  if (!route.isResumable) {
+    return;
+  }
+  streams.recordBegin({
+    stream: resumption?.stream ||
+      streamKey({ workspace: workspace?.name ?? "", attempt }),
+    route,
+    origin: { service, version },
+    expiresAt: (call.statedEnd ?? call.deadline) + RETURN_TIME,
+  });
+}
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -1,27 +1,14 @@
 import { connect } from "node:net";
 import type { Server } from "node:http";
+import { createToken, splitAddress } from "@heroncleat/base";
 import {
-  createToken,
-  type Milliseconds,
-  splitAddress,
-  unreachable,
-} from "@heroncleat/base";
-import type {
-  DispatchNotice,
-  EntryNotice,
-  SuspectNotice,
-} from "@heroncleat/schema";
-import {
-  FailureReports,
   followedShare,
   type FollowedShares,
   idleConnectionLimit,
   type KnownEntry,
-  NoticeThreshold,
   type PermitReply,
   PossibleOrigins,
   RateLimitRegistry,
-  type ReportedSuspect,
   RevisionCounter,
   RouteTable,
   SendPermits,
@@ -59,8 +46,8 @@
 import { ReachabilityWatcher } from "./reachability_watcher.ts";
 import { Relay } from "./relay.ts";
 import { RelayedRequests } from "./relayed_requests.ts";
-import type { CallerRequest } from "./caller_request.ts";
-import { streamKey } from "./stream_key.ts";
+import { NoticeHandler } from "./notice_handler.ts";
+import { recordStream } from "./record_stream.ts";
 import { StreamOriginExchange } from "./stream_origin_exchange.ts";
 import { UpstreamAgent } from "./upstream_agent.ts";
 import { UpstreamAgents } from "./upstream_agents.ts";
@@ -70,10 +57,6 @@
 /** Idle connections to other entries for requests that are passed on. */
 const MAX_IDLE_RELAYS = 32;
 const CLEANUP_INTERVAL_MS = 5000;
-/** Time in which a caller may resume a stream after its deadline. */
-const RETURN_TIME: Milliseconds = 5000;
-/** Keeps a datagram of suspects below the UDP size limit. */
-const SUSPECTS_PER_NOTICE = 10;
 /**
  * Interval of direct exchanges of charges while no control replica is
  * reachable.
@@ -119,8 +102,7 @@
   /** Shares of the upstreams that this entry follows. */
   #followed: FollowedShares = {};
   readonly #notices: EntryNotices;
-  readonly #noticeThreshold = new NoticeThreshold();
-  readonly #failureReports = new FailureReports();
+  readonly #noticeHandler: NoticeHandler;
   readonly #chargeSync: ChargeSync;
   readonly #exchange: EntryExchange;
   readonly #gateway: Gateway;
@@ -176,7 +158,12 @@
       probe: (address) => this.#reachability.mayRun(address),
       isReplaced: (upstream) => this.#directory.isReplaced(upstream),
       onCrash: (upstream, at) => this.#choice.recordCrash(upstream, at),
-      report: (updates) => this.#reportSuspects(updates),
+      // Sent both ways: the control replicas deliver suspects reliably, while
+      // datagrams are faster and also work without a reachable replica.
+      report: (updates) => {
+        this.#links.reportToAll();
+        this.#noticeHandler.reportSuspects(updates);
+      },
     });
     this.#rateLimitWatcher = new RateLimitWatcher({
       registry: this.#rateLimits,
@@ -228,7 +215,7 @@
     this.#notices = new EntryNotices({
       address: settings.noticeAddress,
       peers: () => this.#exchange.peers,
-      onNotice: (notice, from) => this.#onNotice(notice, from),
+      onNotice: (notice, from) => this.#noticeHandler.receive(notice, from),
       clock,
       log: options.log("entry_notices"),
       metrics: options.metrics,
@@ -257,6 +244,16 @@
       isOpen: () => this.isReady,
       countEntries: () => this.#exchange.entryCount,
     });
+    this.#noticeHandler = new NoticeHandler({
+      clock,
+      broadcast: (notice) => this.#notices.broadcast(notice),
+      directory: this.#directory,
+      choice: this.#choice,
+      suspects: this.#suspectWatcher,
+      rateLimits: this.#rateLimitWatcher,
+      charges: this.#chargeSync,
+      streams: this.#streams,
+    });
     this.#exchange = new EntryExchange({
       settings: options.settings,
       boot: this.#incarnation,
@@ -404,8 +401,9 @@
       relay: this.#createRelay(),
       leaving: this.#departureDeadline,
       engineOf: (service) => this.#routeTable?.findService(service)?.engine,
-      announceDispatch: (notice) => this.#announceDispatch(notice),
-      reportFailure: (upstream) => this.#reportFailure(upstream),
+      announceDispatch: (notice) =>
+        this.#noticeHandler.announceDispatch(notice),
+      reportFailure: (upstream) => this.#noticeHandler.reportFailure(upstream),
       refusesConnections: (address) =>
         refusesConnections(address, this.#connect),
       agentOf: (upstream) => this.#agents.get(upstream),
@@ -413,26 +411,13 @@
       countEntries: () => this.#exchange.entryCount,
       isSynced: () => this.#links.isConnected,
       syncAge: () => this.#links.syncAge,
-      recordStream: (call, version) => this.#recordStream(call, version),
+      recordStream: (call, version) =>
+        recordStream(call, { version, streams: this.#streams }),
       countUsage: (workspace, startedAt) =>
         this.#usage.count(workspace, this.#links.trueTime(startedAt)),
     };
   }
 
-  #recordStream(call: CallerRequest, version: string): void {
-    const { route, service, workspace, attempt, resumption, statedEnd } = call;
-    if (!route.isResumable) {
-      return;
-    }
-    this.#streams.recordBegin({
-      stream: resumption?.stream ??
-        streamKey({ workspace: workspace?.name ?? "", attempt }),
-      route,
-      origin: { service, version },
-      expiresAt: (statedEnd ?? call.deadline) + RETURN_TIME,
-    });
-  }
-
   #createRelay(): Relay {
     const { names, clock, metrics, secret } = this.#options;
     const { name, zone, region, relayAddress } = this.#options.settings();
@@ -451,34 +436,6 @@
     });
   }
 
-  /**
-   * Sends suspects both ways: the control replicas deliver them reliably, while
-   * datagrams are faster and also work without a reachable replica.
-   */
-  #reportSuspects(updates: readonly ReportedSuspect[]): void {
-    this.#links.reportToAll();
-    for (let start = 0; start < updates.length; start += SUSPECTS_PER_NOTICE) {
-      const suspects = updates.slice(start, start + SUSPECTS_PER_NOTICE);
-      this.#notices.broadcast({
-        kind: "suspects",
-        suspects: suspects as SuspectNotice["suspects"],
-      });
-    }
-  }
-
-  #announceDispatch(notice: DispatchNotice): void {
-    const now = this.#options.clock.steady();
-    if (this.#noticeThreshold.admit(notice.readTime, now)) {
-      this.#notices.broadcast(notice);
-    }
-  }
-
-  #reportFailure(upstream: string): void {
-    if (this.#failureReports.admit(upstream, this.#options.clock.steady())) {
-      this.#notices.broadcast({ kind: "failure", upstream });
-    }
-  }
-
   #applyConfiguration(source: string): void {
     const decoded = this.#options.decodeDocument(source);
     if (decoded.kind === "unreadable") {
@@ -503,43 +460,6 @@
     }
   }
 
-  #onNotice(notice: EntryNotice, from: string): void {
-    const now = this.#options.clock.steady();
-    switch (notice.kind) {
-      case "dispatch":
-        this.#noticeThreshold.recordReceived(now);
-        if (this.#directory.get(notice.upstream) !== undefined) {
-          this.#choice.applyDispatchNotice(notice, now);
-        }
-        return;
-      case "failure":
-        this.#failureReports.record(notice.upstream, now);
-        if (this.#directory.get(notice.upstream) !== undefined) {
-          this.#choice.avoid(notice.upstream, now);
-        }
-        return;
-      case "suspects":
-        this.#suspectWatcher.mergeReports(notice.suspects);
-        return;
-      case "rate_limit":
-        if (this.#directory.get(notice.upstream) !== undefined) {
-          const { kind: _kind, ...limit } = notice;
-          this.#rateLimitWatcher.mergeReports([limit]);
-        }
-        return;
-      case "charges":
-        this.#chargeSync.receive(notice, from);
-        return;
-      case "stream_origins":
-      case "stream_origin_query":
-      case "stream_origin_reply":
-        this.#streams.receive(notice, from);
-        return;
-      default:
-        unreachable(notice);
-    }
-  }
-
   #exchangeChargesDirectly(): void {
     if (this.#links.isConnected) {
       clearInterval(this.#directExchangeTimer);
