A refusal of one relayed request doesn't mark the entry as unable for a second

Cause: an entry that had no upstream for one request (paused ones, crashes, a request that had tried some) answered like one that reaches none, and the asking entry left it out for 1 s. With few entries left, one such refusal shut out all requests of that second. Change: an entry that reaches no upstream says so with a refusal of its own, and only that, or a failed connection, leaves it out. After any refusal an entry of another zone is still preferred for the same request.

--- a/apps/heroncleatd/gateway/reachability_watcher.ts
+++ b/apps/heroncleatd/gateway/reachability_watcher.ts
@@ -59,8 +59,12 @@
    * either, or may not.
    */
   refusesRelays(service: string): boolean {
-    return this.isInDoubt(service) ||
-      (this.isCutOff(service) && !this.hasUntried(service));
+    return this.isInDoubt(service) || this.reachesNone(service);
+  }
+
+  /** Whether no upstream of the service is reachable or untried. */
+  reachesNone(service: string): boolean {
+    return this.isCutOff(service) && !this.hasUntried(service);
   }
 
   /** Lists the services of which no upstream is reachable, in order. */
--- a/apps/heroncleatd/gateway/relay.ts
+++ b/apps/heroncleatd/gateway/relay.ts
@@ -98,10 +98,10 @@
       sent.end();
       last = refusedBy(refusalOf(response), retryAfterOf(response));
       metrics.increment(`relay.refused.${last.refusal}`);
-      if (last.refusal === RelayRefusal.noUpstream) {
+      if (last.refusal === RelayRefusal.unreachable) {
         this.#entries.recordUnable(entry.name, call.service, clock.steady());
-        refusingZones.add(entry.zone);
       }
+      refusingZones.add(entry.zone);
       if (isFinal(last.refusal)) {
         break;
       }
@@ -167,13 +167,13 @@
     refusal === RelayRefusal.rejected || refusal === RelayRefusal.held;
 }
 
-/** An entry that can't be connected to counts as one without upstreams. */
+/** An entry that can't be connected to counts as one that reaches none. */
 function refusalOf(
   { headers }: Extract<UpstreamResponse, { kind: "not_run" }>,
 ): RelayRefusal {
   const stated = headers?.[relayHeaders.refusal];
   return Object.values(RelayRefusal).find((refusal) => refusal === stated) ??
-    RelayRefusal.noUpstream;
+    RelayRefusal.unreachable;
 }
 
 function retryAfterOf(
--- a/apps/heroncleatd/gateway/relay_refusal.ts
+++ b/apps/heroncleatd/gateway/relay_refusal.ts
@@ -3,8 +3,10 @@
  * and never will through that entry.
  */
 export const RelayRefusal = {
-  /** No upstream can run it: none is reachable, or all that were tried refused. */
+  /** No upstream can run this request now; another one may be served. */
   noUpstream: "no_upstream",
+  /** The entry reaches no upstream of the service. */
+  unreachable: "unreachable",
   /** All upstreams are busy for too long, or at their rate limits. */
   overloaded: "overloaded",
   /** Upstreams crash while running it. */
--- a/apps/heroncleatd/gateway/relayed_requests.ts
+++ b/apps/heroncleatd/gateway/relayed_requests.ts
@@ -120,6 +120,10 @@
       this.#refuse(response, { attempt, relayedBy: grant?.entry ?? "" });
       return;
     }
+    if (this.#options.forwarding.reachability.reachesNone(grant.service)) {
+      this.#refuseUnreachable(response, { attempt, relayedBy: grant.entry });
+      return;
+    }
     await this.#forward({ incoming, response }, {
       ...arrival,
       ...target,
@@ -224,6 +228,19 @@
     });
   }
 
+  #refuseUnreachable(
+    response: ServerResponse,
+    call: { attempt: string; relayedBy: string },
+  ): void {
+    this.#options.metrics.increment("relay.unreachable");
+    sendRefusal(response, {
+      status: 503,
+      message: "This entry reaches no upstream of the service; the request " +
+        "has not run. Remedy: ask another entry.",
+      refusal: RelayRefusal.unreachable,
+    }, { call, names: this.#options.names });
+  }
+
   #refuse(
     response: ServerResponse,
     call: { attempt: string; relayedBy: string },
