--- a/packages/serving/simulated_origins.ts
+++ b/packages/serving/simulated_origins.ts
@@ -1,6 +1,5 @@
 import { createSeededRandom, type Milliseconds } from "@heroncleat/base";
 import { hashToUnit } from "./hash_to_unit.ts";
-import type { KnownEntry } from "./known_entry.ts";
 import { originHolders } from "./origin_holders.ts";
 import type { OriginPolicy } from "./origin_policy.ts";
 import type { OriginReport } from "./origin_report.ts";
@@ -9,10 +8,12 @@
 import { RevisionCounter } from "./revision_counter.ts";
 import type { Route } from "./route.ts";
 import { RouteKind } from "./route_kind.ts";
+import type { SimulatedEntry } from "./simulated_origin_entry.ts";
 import type { StreamOrigin } from "./stream_origin.ts";
 import { StreamOrigins } from "./stream_origins.ts";
 import { STREAM_RETENTION } from "./stream_retention.ts";
 import { VersionLog } from "./version_log.ts";
+import { VirtualTime } from "./virtual_time.ts";
 
 const SERVICE = "desk";
 const REPLICA = "replica";
@@ -59,22 +60,6 @@
   readonly disturbsEntries: boolean;
 };
 
-/** One process of an entry; a restart replaces it. */
-type SimulatedEntry = {
-  readonly known: KnownEntry;
-  readonly origins: StreamOrigins;
-  readonly possible: PossibleOrigins;
-  /** Streams that began here and that nobody was told of. */
-  readonly unshared: Set<string>;
-  /** When each version was first heard of. */
-  readonly versions: Map<string, Milliseconds>;
-  syncedRevision: number;
-  syncedAt: Milliseconds;
-  /** Until when neither the replica nor other entries are reached. */
-  cutUntil: Milliseconds;
-  isRunning: boolean;
-};
-
 /**
  * Plays streams that break off and are resumed at other entries in virtual time,
  * with the decisions of real entries, while versions start and end, entries are
@@ -91,7 +76,7 @@
   readonly #revisions = new RevisionCounter();
   /** Ready upstreams by version. */
   readonly #upstreams = new Map<string, number>();
-  readonly #queue: { at: Milliseconds; run: () => void }[] = [];
+  readonly #time: VirtualTime;
   readonly report: OriginReport = {
     begun: 0,
     resumed: 0,
@@ -101,7 +86,6 @@
     lateMessages: 0,
     searchTimes: [],
   };
-  #now: Milliseconds = 0;
   #streamCount = 0;
   #versionCount = 0;
 
@@ -109,6 +93,7 @@
     this.#scenario = scenario;
     this.#policy = policy;
     this.#random = createSeededRandom(scenario.seed);
+    this.#time = new VirtualTime(this.#random);
     this.#log = new VersionLog(this.#revisions);
     for (let index = 0; index < scenario.entryCount; index += 1) {
       this.#entries.push(this.#createEntry(index));
@@ -122,24 +107,20 @@
     for (const index of this.#entries.keys()) {
       this.#sync(index);
     }
-    this.#repeat(STREAM_PAUSE, () => this.#beginStream());
+    this.#time.repeat(STREAM_PAUSE, () => this.#beginStream());
     if (this.#scenario.changesVersions) {
-      this.#repeat(VERSION_INTERVAL, () => this.#changeVersions());
+      this.#time.repeat(VERSION_INTERVAL, () => this.#changeVersions());
     }
     if (this.#scenario.disturbsEntries) {
-      this.#repeat(ENTRY_FAULT_INTERVAL, () => this.#disturbEntry());
-    }
-    while (this.#queue.length > 0 && this.#now < duration) {
-      const next = this.#takeNext();
-      this.#now = next.at;
-      next.run();
+      this.#time.repeat(ENTRY_FAULT_INTERVAL, () => this.#disturbEntry());
     }
+    this.#time.runUntil(duration);
     return this.report;
   }
 
   #createEntry(index: number): SimulatedEntry {
     const possible = new PossibleOrigins();
-    possible.applyRoutes([ROUTE], this.#now);
+    possible.applyRoutes([ROUTE], this.#time.now);
     return {
       known: {
         name: `entry-${index}`,
@@ -179,19 +160,19 @@
 
   #observeVersions(): void {
     for (const version of this.#upstreams.keys()) {
-      this.#log.observe({ service: SERVICE, version } as never, this.#now);
+      this.#log.observe({ service: SERVICE, version } as never, this.#time.now);
     }
   }
 
   #sweep(): void {
     this.#observeVersions();
-    this.#log.expire(this.#now);
-    this.#schedule(SWEEP_INTERVAL, () => this.#sweep());
+    this.#log.expire(this.#time.now);
+    this.#time.schedule(SWEEP_INTERVAL, () => this.#sweep());
   }
 
   #sync(index: number): void {
     const entry = this.#entries[index]!;
-    const now = this.#now;
+    const now = this.#time.now;
     if (entry.isRunning && entry.cutUntil <= now) {
       const versions = this.#log.since(entry.syncedRevision);
       entry.possible.applyReply(REPLICA, versions, now);
@@ -203,7 +184,7 @@
       this.#shareNewlyAmbiguous(entry);
     }
     const delay = SYNC_INTERVAL * (0.5 + this.#random() / 2);
-    this.#schedule(delay, () => this.#sync(index));
+    this.#time.schedule(delay, () => this.#sync(index));
   }
 
   // Entries
@@ -211,11 +192,11 @@
   #disturbEntry(): void {
     const index = Math.floor(this.#random() * this.#entries.length);
     if (this.#random() < 0.5) {
-      this.#entries[index]!.cutUntil = this.#now + CUT_DURATION;
+      this.#entries[index]!.cutUntil = this.#time.now + CUT_DURATION;
       return;
     }
     this.#entries[index]!.isRunning = false;
-    this.#schedule(ENTRY_DOWNTIME, () => {
+    this.#time.schedule(ENTRY_DOWNTIME, () => {
       this.#entries[index] = this.#createEntry(index);
     });
   }
@@ -231,7 +212,7 @@
       this.#upstreams.has(version)
     );
     const settled = known.filter(([, seenAt]) =>
-      seenAt === first || this.#now - seenAt >= NEW_VERSION_HOLD
+      seenAt === first || this.#time.now - seenAt >= NEW_VERSION_HOLD
     );
     const allowed = settled.length > 0 ? settled : known;
     return allowed[Math.floor(this.#random() * allowed.length)]?.[0];
@@ -252,7 +233,7 @@
     this.report.begun += 1;
     this.#record(entry, stream, { service: SERVICE, version });
     const lasts = 500 + this.#random() * 7000;
-    this.#schedule(lasts, () => this.#endAttempt(entry, stream, version));
+    this.#time.schedule(lasts, () => this.#endAttempt(entry, stream, version));
   }
 
   #endAttempt(entry: SimulatedEntry, stream: string, version: string): void {
@@ -262,7 +243,7 @@
       this.#random() < BREAK_SHARE;
     if (isBroken) {
       const delay = 30 + this.#random() ** 3 * 4000;
-      this.#schedule(delay, () => this.#resume(stream, version));
+      this.#time.schedule(delay, () => this.#resume(stream, version));
     }
   }
 
@@ -283,7 +264,10 @@
       this.report.mixed += chosen === version ? 0 : 1;
       this.#record(entry, stream, { service: SERVICE, version: chosen });
       const lasts = 500 + this.#random() * 3000;
-      this.#schedule(lasts, () => this.#endAttempt(entry, stream, version));
+      this.#time.schedule(
+        lasts,
+        () => this.#endAttempt(entry, stream, version),
+      );
     });
   }
 
@@ -299,11 +283,11 @@
   // What entries do with origins
 
   #only(entry: SimulatedEntry): StreamOrigin | undefined {
-    return entry.possible.only(ROUTE, this.#now);
+    return entry.possible.only(ROUTE, this.#time.now);
   }
 
   #isCurrent(entry: SimulatedEntry): boolean {
-    return this.#now - entry.syncedAt < CURRENT_TIMEOUT;
+    return this.#time.now - entry.syncedAt < CURRENT_TIMEOUT;
   }
 
   #record(entry: SimulatedEntry, stream: string, origin: StreamOrigin): void {
@@ -316,7 +300,7 @@
   }
 
   #knownAt({ known }: SimulatedEntry, origin: StreamOrigin) {
-    const begunAt = this.#now;
+    const begunAt = this.#time.now;
     return { origin, entry: known.name, begunAt, expiresAt: begunAt + 20_000 };
   }
 
@@ -330,7 +314,7 @@
   }
 
   #share(entry: SimulatedEntry, stream: string): void {
-    const known = entry.origins.get(stream, this.#now);
+    const known = entry.origins.get(stream, this.#time.now);
     if (known === undefined) {
       return;
     }
@@ -353,7 +337,7 @@
     stream: string,
     done: (result: OriginSearchResult) => void,
   ): void {
-    const own = entry.origins.get(stream, this.#now);
+    const own = entry.origins.get(stream, this.#time.now);
     const only = this.#isCurrent(entry) ? this.#only(entry) : undefined;
     const origin = own?.origin ?? only;
     if (origin !== undefined) {
@@ -370,7 +354,7 @@
     stream: string,
     done: (result: OriginSearchResult) => void,
   ): void {
-    const startedAt = this.#now;
+    const startedAt = this.#time.now;
     const others = this.#entries.filter((each) => each !== entry)
       .map((each) => each.known);
     const asked = this.#policy.asks === "holders"
@@ -379,20 +363,20 @@
     const search = new OriginSearch(stream, { entries: asked, now: startedAt });
     let isDone = false;
     const advance = () => {
-      const result = search.result(this.#now);
+      const result = search.result(this.#time.now);
       if (isDone) {
         return;
       }
       if (result !== undefined) {
         isDone = true;
-        this.report.searchTimes.push(this.#now - startedAt);
+        this.report.searchTimes.push(this.#time.now - startedAt);
         done(result);
         return;
       }
-      for (const { name } of search.listDue(this.#now)) {
+      for (const { name } of search.listDue(this.#time.now)) {
         this.#ask(entry, { name, stream, search, advance });
       }
-      this.#schedule(SEARCH_INTERVAL, advance);
+      this.#time.schedule(SEARCH_INTERVAL, advance);
     };
     advance();
   }
@@ -407,7 +391,7 @@
     },
   ): void {
     this.#send(entry, name, (asked) => {
-      const known = asked.origins.get(stream, this.#now);
+      const known = asked.origins.get(stream, this.#time.now);
       const only = this.#isCurrent(asked) ? this.#only(asked) : undefined;
       const origin = known?.origin ?? only;
       this.#send(asked, entry.known.name, () => {
@@ -426,66 +410,16 @@
     deliver: (to: SimulatedEntry) => void,
   ): void {
     this.report.messages += 1;
-    this.report.lateMessages += this.#now > SETTLED_AFTER ? 1 : 0;
-    const isCut = (entry: SimulatedEntry) => entry.cutUntil > this.#now;
+    this.report.lateMessages += this.#time.now > SETTLED_AFTER ? 1 : 0;
+    const isCut = (entry: SimulatedEntry) => entry.cutUntil > this.#time.now;
     if (isCut(from) || this.#random() < MESSAGE_LOSS) {
       return;
     }
-    this.#schedule(0.5 + this.#random() * 2, () => {
+    this.#time.schedule(0.5 + this.#random() * 2, () => {
       const to = this.#entries.find(({ known }) => known.name === name);
       if (to !== undefined && to.isRunning && !isCut(to)) {
         deliver(to);
       }
     });
   }
-
-  // Virtual time
-
-  #repeat(interval: Milliseconds, run: () => void): void {
-    const next = () => {
-      run();
-      this.#schedule(interval * (0.5 + this.#random()), next);
-    };
-    this.#schedule(interval * this.#random(), next);
-  }
-
-  #schedule(delay: Milliseconds, run: () => void): void {
-    const event = { at: this.#now + delay, run };
-    let child = this.#queue.push(event) - 1;
-    while (child > 0) {
-      const parent = (child - 1) >> 1;
-      if (this.#queue[parent]!.at <= event.at) {
-        break;
-      }
-      this.#queue[child] = this.#queue[parent]!;
-      child = parent;
-    }
-    this.#queue[child] = event;
-  }
-
-  #takeNext(): { at: Milliseconds; run: () => void } {
-    const queue = this.#queue;
-    const first = queue[0]!;
-    const last = queue.pop()!;
-    if (queue.length > 0) {
-      let parent = 0;
-      for (;;) {
-        let child = parent * 2 + 1;
-        if (child >= queue.length) {
-          break;
-        }
-        const sibling = child + 1;
-        if (sibling < queue.length && queue[sibling]!.at < queue[child]!.at) {
-          child = sibling;
-        }
-        if (queue[child]!.at >= last.at) {
-          break;
-        }
-        queue[parent] = queue[child]!;
-        parent = child;
-      }
-      queue[parent] = last;
-    }
-    return first;
-  }
 }
