A stopping entry takes no stream of unknown length that may outlast it

Cause: an entry that is stopped in its first seconds has too few runs of a route to know how long its streams take, and took them as long as 0.64 of the grace period was left. It was stopped at 1.0 s, the streams came 1.4 and 2.3 s later. Change: such a stream is taken only if it must end by its deadline before the entry exits, like any other request. A refused caller goes to another entry at once; a stream that is cut is lost.

--- a/apps/heroncleatd/gateway/departure_deadline.ts
+++ b/apps/heroncleatd/gateway/departure_deadline.ts
@@ -1,19 +1,8 @@
 import type { Clock, Milliseconds } from "@heroncleat/base";
-import {
-  requiredTime,
-  type Route,
-  RouteKind,
-  RunDurations,
-} from "@heroncleat/serving";
+import { requiredTime, type Route, RunDurations } from "@heroncleat/serving";
 
 /** Time before the end of the grace period at which the process exits. */
 const EXIT_MARGIN: Milliseconds = 150;
-/**
- * Share of the grace period that must remain for a stream whose route has no
- * recorded run times. Refusing all such streams would also refuse callers that
- * are slow to notice the shutdown.
- */
-const UNKNOWN_STREAM_GRACE_SHARE = 0.64;
 
 /** The properties of a request that determine how long it may take. */
 type TimedRequest = {
@@ -33,7 +22,6 @@
 export class DepartureDeadline {
   readonly #clock: Pick<Clock, "steady">;
   readonly #runTimes = new RunDurations();
-  #gracePeriod: Milliseconds = Infinity;
   #endsAt: Milliseconds = Infinity;
 
   constructor(clock: Pick<Clock, "steady">) {
@@ -51,7 +39,6 @@
 
   /** Starts the grace period of a shutdown. */
   begin(gracePeriod: Milliseconds): void {
-    this.#gracePeriod = gracePeriod;
     this.#endsAt = this.#clock.steady() + gracePeriod - EXIT_MARGIN;
   }
 
@@ -70,7 +57,9 @@
   }
 
   /**
-   * Whether a request that is sent now can complete before the process exits.
+   * Whether a request that is sent now can complete before the process exits. Of
+   * a route without recorded run times it must do so until its deadline: a caller
+   * that is refused goes to another entry at once, a stream that is cut is lost.
    */
   hasTimeFor({ route, size, deadline }: TimedRequest): boolean {
     if (!this.hasBegun) {
@@ -78,11 +67,10 @@
     }
     const now = this.#clock.steady();
     const longest = this.#runTimes.estimateLongest(route.name, { size, now });
-    const isUnknownStream = longest === undefined &&
-      route.kind === RouteKind.streaming;
-    const maxDuration = isUnknownStream
-      ? Math.min(this.#gracePeriod * UNKNOWN_STREAM_GRACE_SHARE, deadline - now)
-      : requiredTime(route, { longest, timeLeft: deadline - now });
+    const maxDuration = requiredTime(route, {
+      longest,
+      timeLeft: deadline - now,
+    });
     return now + maxDuration <= this.#endsAt;
   }
 }
--- a/apps/heroncleatd/gateway/departure_deadline_test.ts
+++ b/apps/heroncleatd/gateway/departure_deadline_test.ts
@@ -8,6 +8,8 @@
 const CALLER_LIST_AGE_MS = 5000;
 /** Time between the start of the entry and its shutdown. */
 const SERVING_TIME_MS = 30_000;
+/** The same for an entry that is stopped right after its start. */
+const SHORT_SERVING_TIME_MS = 1000;
 /** Rate for each kind of request. */
 const ARRIVALS_PER_SECOND = 4;
 /**
@@ -77,14 +79,18 @@
   unpredictable: number;
 };
 
-function simulate(kind: RequestKind, seed: number): Counts {
+function simulate(
+  kind: RequestKind,
+  seed: number,
+  servingTime = SERVING_TIME_MS,
+): Counts {
   const random = createSeededRandom(Math.imul(seed + 1, 0x9e3779b1));
   let now = 0;
   const departure = new DepartureDeadline({ steady: () => now });
   const route = { name: "r", kind: kind.kind } as Route;
   const runs: { at: number; end: (isWhole: boolean) => void }[] = [];
   const counts = { arrived: 0, interrupted: 0, refused: 0, unpredictable: 0 };
-  const stopAt = SERVING_TIME_MS;
+  const stopAt = servingTime;
   while (now < stopAt + GRACE_PERIOD_MS * 0.75) {
     const arriveAt = now - Math.log(1 - random()) * 1000 / ARRIVALS_PER_SECOND;
     if (now < stopAt && arriveAt >= stopAt) {
@@ -143,6 +149,19 @@
   },
 );
 
+// Guards against streams that an entry accepts before it knows how long they
+// take, and cuts off at the end of its grace period.
+test.each(Object.entries(KINDS))(
+  "a shutdown right after the start interrupts none of the accepted %s",
+  (_, kind) => {
+    let interrupted = 0;
+    for (let seed = 0; seed < SEED_COUNT; seed += 1) {
+      interrupted += simulate(kind, seed, SHORT_SERVING_TIME_MS).interrupted;
+    }
+    expect(interrupted).toBe(0);
+  },
+);
+
 test("an entry that isn't shutting down accepts everything", () => {
   const departure = new DepartureDeadline({ steady: () => 0 });
   const route = { name: "r", kind: RouteKind.streaming } as Route;
