rollout_test: a heartbeat while a control process is down is left out

The whole script failed once: a test's heartbeat timer called a hub that the test had stopped, which is undefined until it is back, and the uncaught error failed the suite; its tests passed. The heartbeat is skipped now, as an upstream's would be lost. No check changes.

--- a/apps/heroncleatd/hub/rollout_test.ts
+++ b/apps/heroncleatd/hub/rollout_test.ts
@@ -86,7 +86,7 @@
         version: name,
       });
       void group.hubs[sequence % group.hubs.length]?.hub
-        .mergeUpstream(record).catch(() => {});
+        ?.mergeUpstream(record).catch(() => {});
     };
     beat();
     timers.push(setInterval(beat, HEARTBEAT_MS));
