Logs and metrics name the retry budget of each service, its parts and use

A refused retry is logged once a second and service: what is spent, the bound, requests, the share of the minimum, the entries seen and the window. Counters of sent and refused retries, gauges of spent and bound. The decision is unchanged.

--- a/apps/heroncleatd/gateway/create_test_context.ts
+++ b/apps/heroncleatd/gateway/create_test_context.ts
@@ -5,7 +5,6 @@
   ReturnTimes,
   RevisionCounter,
   SendPermits,
-  SharedRetryBudget,
   SuspectRegistry,
   UpstreamBalancer,
   UpstreamDirectory,
@@ -18,10 +17,14 @@
 import { PermitClient } from "./permit_client.ts";
 import { refusesConnections } from "../common/refuses_connections.ts";
 import { ReachabilityWatcher } from "./reachability_watcher.ts";
+import { RetryLimiter } from "./retry_limiter.ts";
 import { RolloutWatcher } from "./rollout_watcher.ts";
 import { testHeaderNames as names } from "./test_header_names.ts";
 import { UpstreamAgent } from "./upstream_agent.ts";
 
+/** Allow more retries than a test sends. */
+const RETRY_SETTINGS = { retryRatio: 1, retryWindow: 10_000, retrySlack: 99 };
+
 /** The addresses of a test's upstreams; the first is in the entry's zone. */
 type TestUpstreams = readonly { readonly address: string }[];
 
@@ -56,12 +59,6 @@
     onClose(() => agent.destroy());
   });
   const silentLog = { debug() {}, info() {}, warn() {}, error() {} };
-  const allowance = new SharedRetryBudget({
-    window: 10_000,
-    ratio: 1,
-    minRetries: 99,
-    minRetriesFrom: 0,
-  });
   const clock = createSystemClock();
   const limits = new RateLimitRegistry(new RevisionCounter());
   const permits = new SendPermits({
@@ -130,8 +127,14 @@
     directory,
     refusesConnections,
     agentOf: (id) => agents.get(id)!,
-    retryAllowanceOf: () => allowance,
-    countEntries: () => 1,
+    retries: new RetryLimiter({
+      settings: () => RETRY_SETTINGS,
+      clock,
+      log: silentLog,
+      metrics: noMetrics,
+      countEntries: () => 1,
+      minRetriesFrom: 0,
+    }),
     isSynced: () => false,
     syncAge: () => 0,
     engineOf: () => undefined,
--- a/apps/heroncleatd/gateway/forward_call.ts
+++ b/apps/heroncleatd/gateway/forward_call.ts
@@ -208,10 +208,6 @@
       // No upstream has received anything that a retry would add to.
       return true;
     }
-    const { clock, retryAllowanceOf, countEntries } = this.#context;
-    return retryAllowanceOf(this.#call.service).tryConsume(
-      clock.steady(),
-      countEntries(),
-    );
+    return this.#context.retries.tryConsume(this.#call.service);
   }
 }
--- a/apps/heroncleatd/gateway/forward_context.ts
+++ b/apps/heroncleatd/gateway/forward_context.ts
@@ -4,7 +4,6 @@
   EngineProfile,
   ReturnTimes,
   SendPermits,
-  SharedRetryBudget,
   UpstreamBalancer,
   UpstreamDirectory,
 } from "@heroncleat/serving";
@@ -18,6 +17,7 @@
 import type { RateLimitWatcher } from "../common/rate_limit_watcher.ts";
 import type { ReachabilityWatcher } from "./reachability_watcher.ts";
 import type { Relay } from "./relay.ts";
+import type { RetryLimiter } from "./retry_limiter.ts";
 import type { RolloutWatcher } from "./rollout_watcher.ts";
 import type { UpstreamAgent } from "./upstream_agent.ts";
 
@@ -64,9 +64,7 @@
   /** Whether connections to an upstream's address (host:port) are refused. */
   readonly refusesConnections: (address: string) => Promise<boolean>;
   readonly agentOf: (upstream: string) => UpstreamAgent;
-  readonly retryAllowanceOf: (service: string) => SharedRetryBudget;
-  /** Number of entries that share the retry allowance. */
-  readonly countEntries: () => number;
+  readonly retries: RetryLimiter;
   /** Whether this entry receives updates about upstreams. */
   readonly isSynced: () => boolean;
   /** Time since the newest reply of a control replica. */
--- a/apps/heroncleatd/gateway/forward_stream.ts
+++ b/apps/heroncleatd/gateway/forward_stream.ts
@@ -351,8 +351,7 @@
       // No upstream has received anything that a retry would add to.
       return true;
     }
-    const { clock, retryAllowanceOf, countEntries } = this.#context;
-    return retryAllowanceOf(service).tryConsume(clock.steady(), countEntries());
+    return this.#context.retries.tryConsume(service);
   }
 
   #toResult(outcome: ForwardResult["outcome"]): ForwardResult {
--- a/apps/heroncleatd/gateway/gateway.ts
+++ b/apps/heroncleatd/gateway/gateway.ts
@@ -282,7 +282,7 @@
       version: admitted.resumption?.origin.version,
       resumption: admitted.resumption,
     };
-    forwarding.retryAllowanceOf(call.service).recordRequest(clock.steady());
+    forwarding.retries.recordRequest(call.service);
     const forward = route.kind === RouteKind.streaming
       ? forwardStream
       : forwardCall;
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -37,7 +37,7 @@
 import { RateLimitWatcher } from "../common/rate_limit_watcher.ts";
 import { refusesConnections } from "../common/refuses_connections.ts";
 import { reportInterruptedRequests } from "./report_interrupted_requests.ts";
-import { RetryAllowances } from "./retry_allowances.ts";
+import { RetryLimiter } from "./retry_limiter.ts";
 import type { RunningGateway } from "./running_gateway.ts";
 import { ServiceReturnTimes } from "./service_return_times.ts";
 import type { GatewayOptions } from "./start_gateway_options.ts";
@@ -83,7 +83,7 @@
   readonly #choice = new UpstreamBalancer();
   readonly #agents: UpstreamAgents;
   readonly #connect: ConnectionOpener;
-  readonly #retryAllowances: RetryAllowances;
+  readonly #retries: RetryLimiter;
   readonly #returnTimes = new ServiceReturnTimes();
   readonly #revisions = new RevisionCounter();
   readonly #rateLimits = new RateLimitRegistry(this.#revisions);
@@ -133,11 +133,17 @@
     );
     this.#departureDeadline = new DepartureDeadline(clock);
     const settings = options.settings();
-    this.#retryAllowances = new RetryAllowances(
-      options.settings,
-      settings.quota.isFresh ? 0 : clock.steady() + settings.retryWindow,
-    );
     this.#log = options.log("gateway");
+    this.#retries = new RetryLimiter({
+      settings: options.settings,
+      clock,
+      log: this.#log,
+      metrics: options.metrics,
+      countEntries: () => this.#exchange.entryCount,
+      minRetriesFrom: settings.quota.isFresh
+        ? 0
+        : clock.steady() + settings.retryWindow,
+    });
     this.#usage = new UsageCounts(settings.usageWindow);
     this.#quota = new WorkspaceQuota(settings.quota);
     this.#reachability = new ReachabilityWatcher({
@@ -407,8 +413,7 @@
       refusesConnections: (address) =>
         refusesConnections(address, this.#connect),
       agentOf: (upstream) => this.#agents.get(upstream),
-      retryAllowanceOf: (service) => this.#retryAllowances.of(service),
-      countEntries: () => this.#exchange.entryCount,
+      retries: this.#retries,
       isSynced: () => this.#links.isConnected,
       syncAge: () => this.#links.syncAge,
       recordStream: (call, version) =>
--- a/packages/serving/mod.ts
+++ b/packages/serving/mod.ts
@@ -80,6 +80,7 @@
 export { ENTRY_RETENTION } from "./entry_retention.ts";
 export { idleConnectionLimit } from "./idle_connection_limit.ts";
 export { RecentMaximum } from "./recent_maximum.ts";
+export type { RetryUsage } from "./retry_usage.ts";
 export { SharedRetryBudget } from "./shared_retry_budget.ts";
 export { RouteKind } from "./route_kind.ts";
 export { RouteTable } from "./route_table.ts";
--- a/packages/serving/shared_retry_budget.ts
+++ b/packages/serving/shared_retry_budget.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds } from "@heroncleat/base";
+import type { RetryUsage } from "./retry_usage.ts";
 
 /** Number of buckets that a window is divided into. */
 const BUCKETS = 10;
@@ -43,18 +44,30 @@
 
   /** Consumes one retry; returns whether one was available. */
   tryConsume(now: Milliseconds, entries: number): boolean {
-    this.#advance(now);
-    const { ratio, minRetries, minRetriesFrom } = this.#settings;
-    const usableMinRetries = now < minRetriesFrom ? 0 : minRetries;
-    const bound = ratio * sum(this.#requests) +
-      usableMinRetries / Math.max(1, entries);
-    if (sum(this.#retries) + 1 > bound * SAFETY_FACTOR) {
+    const { spent, bound } = this.usage(now, entries);
+    if (spent + 1 > bound) {
       return false;
     }
     this.#add(this.#retries, 1);
     return true;
   }
 
+  /** What this entry has spent of its share, and how the bound is made up. */
+  usage(now: Milliseconds, entries: number): RetryUsage {
+    this.#advance(now);
+    const { ratio, minRetries, minRetriesFrom } = this.#settings;
+    const requests = sum(this.#requests);
+    const fromMinimum = now < minRetriesFrom
+      ? 0
+      : minRetries / Math.max(1, entries);
+    return {
+      requests,
+      spent: sum(this.#retries),
+      fromMinimum,
+      bound: (ratio * requests + fromMinimum) * SAFETY_FACTOR,
+    };
+  }
+
   #advance(now: Milliseconds): void {
     const bucket = Math.floor(now / (this.#settings.window / BUCKETS));
     const passed = Math.min(BUCKETS, bucket - this.#bucket);
