Retries of all entries together stay within their bound in every window

Cause: estimates that err to the unsafe side at their edge. The budget's window forgot after 9 of its 10 s; an entry divided the slack by the entries that it saw at that moment (1 before its first report, fewer while the network is divided), so that the shares added up to more than 1; changed settings weren't followed. Change: a budget holds for each window, whatever its phase: retries are at most the ratio of a fixed weighted mean of the requests in the three windows that count, plus a share of the slack. What is true of each entry and window is true of their sums, without a safety factor. The share is held under a lease that contacts with the leading replica extend; others count its holder until it has lost it and what it spent has left the window.

--- a/apps/heroncleatd/gateway/entry_exchange.ts
+++ b/apps/heroncleatd/gateway/entry_exchange.ts
@@ -3,6 +3,7 @@
   documentCodec,
   ENTRY_RETENTION,
   type KnownEntry,
+  type LeasedShare,
   type PossibleOrigins,
   type RateLimitRegistry,
   RecentMaximum,
@@ -46,6 +47,7 @@
   readonly quota: WorkspaceQuota;
   readonly usage: UsageCounts;
   readonly charges: ChargeSync;
+  readonly retryShare: LeasedShare;
   readonly crashes: SuspectWatcher;
   readonly suspectRegistry: SuspectRegistry;
   readonly rateLimits: RateLimitRegistry;
@@ -82,7 +84,7 @@
     this.#options = options;
   }
 
-  /** Number of entries that share quotas and retry allowances. */
+  /** Number of entries that share quotas. */
   get entryCount(): number {
     return this.#entryCount.value;
   }
@@ -176,6 +178,7 @@
       this.#closeReplacedInstances();
     }
     this.#applyEntries(now);
+    this.#extendRetryShare(reply, now);
     if (reply.document !== undefined) {
       onDocument(documentCodec.decode(reply.document));
     }
@@ -220,6 +223,14 @@
     }
   }
 
+  /** Only the leading replica knows all entries that hold a share. */
+  #extendRetryShare(reply: SyncReply, now: Milliseconds): void {
+    if (reply.isLeading) {
+      const sharing = Math.max(reply.sharingEntries ?? 1, this.#entries.length);
+      this.#options.retryShare.recordContact(sharing, now);
+    }
+  }
+
   #applyEntries(now: Milliseconds): void {
     const entries = this.#options.listEntries();
     if (entries !== this.#entries) {
--- a/apps/heroncleatd/gateway/retry_limiter.ts
+++ b/apps/heroncleatd/gateway/retry_limiter.ts
@@ -1,5 +1,9 @@
 import type { Clock, Milliseconds } from "@heroncleat/base";
-import { SharedRetryBudget } from "@heroncleat/serving";
+import {
+  type LeasedShare,
+  type RetryUsage,
+  SharedRetryBudget,
+} from "@heroncleat/serving";
 import type { Log } from "../common/log.ts";
 import type { Metrics } from "../common/metrics.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
@@ -15,10 +19,8 @@
   readonly clock: Pick<Clock, "steady">;
   readonly log: Log;
   readonly metrics: Metrics;
-  /** Number of entries that share the budgets. */
-  readonly countEntries: () => number;
-  /** Monotonic time from which the minimum number of retries may be used. */
-  readonly minRetriesFrom: Milliseconds;
+  /** This entry's share of the retries that don't depend on requests. */
+  readonly share: Pick<LeasedShare, "value" | "entries">;
 };
 
 /** The retry budgets of this entry, by service. */
@@ -37,19 +39,27 @@
     this.#budgetOf(service).recordRequest(this.#options.clock.steady());
   }
 
-  /** Consumes one retry; returns whether one was available. */
+  /** Whether a retry is available, so that it is worth looking for an upstream. */
+  hasRetry(service: string): boolean {
+    const { spent, bound } = this.#usageOf(service);
+    if (spent + 1 <= bound) {
+      return true;
+    }
+    this.#recordRefusal(service);
+    return false;
+  }
+
+  /** Consumes one retry when it is sent; returns whether one was available. */
   tryConsume(service: string): boolean {
-    const { clock, metrics, countEntries } = this.#options;
-    const budget = this.#budgetOf(service);
-    const isAllowed = budget.tryConsume(clock.steady(), countEntries());
-    metrics.increment(
-      `gateway.retries.${isAllowed ? "sent" : "refused"}.${service}`,
-    );
-    if (!isAllowed) {
-      this.#logRefusal(service);
+    const { clock, metrics, share } = this.#options;
+    const now = clock.steady();
+    if (!this.#budgetOf(service).tryConsume(now, share.value(now))) {
+      this.#recordRefusal(service);
+      return false;
     }
+    metrics.increment(`gateway.retries.sent.${service}`);
     this.#exposeUsage(service);
-    return isAllowed;
+    return true;
   }
 
   #exposeUsage(service: string): void {
@@ -58,29 +68,32 @@
     this.#options.metrics.gauge(`gateway.retries.bound.${service}`, bound);
   }
 
-  #logRefusal(service: string): void {
-    const { clock, log, settings, countEntries } = this.#options;
+  #recordRefusal(service: string): void {
+    const { clock, log, metrics, settings, share } = this.#options;
+    metrics.increment(`gateway.retries.refused.${service}`);
     const now = clock.steady();
     const loggedAt = this.#loggedAt.get(service) ?? -Infinity;
     if (now - loggedAt < LOG_INTERVAL_MS) {
       return;
     }
     this.#loggedAt.set(service, now);
+    this.#exposeUsage(service);
     const { requests, spent, fromMinimum, bound } = this.#usageOf(service);
     log.info("Refused a retry", {
       service,
       spent,
       bound: bound.toFixed(2),
-      requests,
+      requests: Math.round(requests),
       fromMinimum: fromMinimum.toFixed(2),
-      entries: countEntries(),
+      entries: share.entries,
       window: settings().retryWindow,
     });
   }
 
-  #usageOf(service: string) {
-    const { clock, countEntries } = this.#options;
-    return this.#budgetOf(service).usage(clock.steady(), countEntries());
+  #usageOf(service: string): RetryUsage {
+    const { clock, share } = this.#options;
+    const now = clock.steady();
+    return this.#budgetOf(service).usage(now, share.value(now));
   }
 
   #budgetOf(service: string): SharedRetryBudget {
@@ -88,13 +101,13 @@
     if (existing !== undefined) {
       return existing;
     }
-    const { settings, minRetriesFrom } = this.#options;
-    const { retryRatio, retryWindow, retrySlack } = settings();
-    const budget = new SharedRetryBudget({
-      ratio: retryRatio,
-      window: retryWindow,
-      minRetries: retrySlack,
-      minRetriesFrom,
+    const budget = new SharedRetryBudget(() => {
+      const { retryRatio, retryWindow, retrySlack } = this.#options.settings();
+      return {
+        ratio: retryRatio,
+        window: retryWindow,
+        minRetries: retrySlack,
+      };
     });
     this.#budgets.set(service, budget);
     return budget;
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -6,6 +6,7 @@
   type FollowedShares,
   idleConnectionLimit,
   type KnownEntry,
+  LeasedShare,
   type PermitReply,
   PossibleOrigins,
   RateLimitRegistry,
@@ -63,6 +64,12 @@
  */
 const DIRECT_EXCHANGE_INTERVAL_MS = 200;
 
+/**
+ * Time after a contact with the leading replica for which an entry uses its
+ * share of the retries, as a part of the retry window.
+ */
+const RETRY_LEASE_SHARE = 0.3;
+
 /** Listens for callers and starts the exchanges with the control replicas. */
 export async function startGateway(
   options: GatewayOptions,
@@ -83,6 +90,7 @@
   readonly #choice = new UpstreamBalancer();
   readonly #agents: UpstreamAgents;
   readonly #connect: ConnectionOpener;
+  readonly #retryShare: LeasedShare;
   readonly #retries: RetryLimiter;
   readonly #returnTimes = new ServiceReturnTimes();
   readonly #revisions = new RevisionCounter();
@@ -134,15 +142,17 @@
     this.#departureDeadline = new DepartureDeadline(clock);
     const settings = options.settings();
     this.#log = options.log("gateway");
+    this.#retryShare = new LeasedShare({
+      lease: settings.retryWindow * RETRY_LEASE_SHARE,
+      window: settings.retryWindow,
+      isFresh: settings.quota.isFresh,
+    });
     this.#retries = new RetryLimiter({
       settings: options.settings,
       clock,
       log: this.#log,
       metrics: options.metrics,
-      countEntries: () => this.#exchange.entryCount,
-      minRetriesFrom: settings.quota.isFresh
-        ? 0
-        : clock.steady() + settings.retryWindow,
+      share: this.#retryShare,
     });
     this.#usage = new UsageCounts(settings.usageWindow);
     this.#quota = new WorkspaceQuota(settings.quota);
@@ -271,6 +281,7 @@
       quota: this.#quota,
       usage: this.#usage,
       charges: this.#chargeSync,
+      retryShare: this.#retryShare,
       crashes: this.#suspectWatcher,
       suspectRegistry: this.#suspectRegistry,
       rateLimits: this.#rateLimits,
--- a/packages/serving/hub.ts
+++ b/packages/serving/hub.ts
@@ -246,6 +246,7 @@
       document: this.#documentSender.documentFor(request, document),
       ...this.#entriesFor(request, sinceRevision),
       entryCount: this.#shared.entryCount,
+      sharingEntries: this.#shared.sharingEntries,
       controls,
       wall: this.estimateWallTime(now) ?? request.wall,
       spentByOthers: this.#charges.sumExcluding(
--- a/packages/serving/retry_usage.ts
+++ b/packages/serving/retry_usage.ts
@@ -1,6 +1,6 @@
 /** How much of a retry budget an entry uses in the window now. @public */
 export type RetryUsage = {
-  /** Requests that count towards the bound. */
+  /** Weighted mean of the requests that count towards the bound. */
   readonly requests: number;
   /** Retries that count against it. */
   readonly spent: number;
--- a/packages/serving/simulated_retries.ts
+++ b/packages/serving/simulated_retries.ts
@@ -3,6 +3,7 @@
   type Milliseconds,
   type Random,
 } from "@heroncleat/base";
+import type { RetryBudgetSettings } from "./retry_budget_settings.ts";
 
 const STEP: Milliseconds = 20;
 const DURATION: Milliseconds = 60_000;
@@ -15,13 +16,6 @@
 /** How much more often callers come during a disruption. */
 const DISRUPTION_LOAD = 3;
 
-/** Bounds of the retries of a service, over all entries. @internal */
-export type RetryBounds = {
-  readonly window: Milliseconds;
-  readonly ratio: number;
-  readonly minRetries: number;
-};
-
 /** What a control replica tells an entry. @internal */
 export type SimulatedContact = {
   /** Entries that callers may be sent to. */
@@ -41,12 +35,12 @@
   readonly seed: number;
   readonly entryCount: number;
   readonly requestsPerSecond: number;
-  readonly bounds: RetryBounds;
+  readonly bounds: RetryBudgetSettings;
   readonly start: (process: {
     readonly startedAt: Milliseconds;
     /** Whether the process starts with the whole system. */
     readonly isFresh: boolean;
-    readonly bounds: () => RetryBounds;
+    readonly bounds: () => RetryBudgetSettings;
   }) => SimulatedRetries;
 };
 
@@ -91,7 +85,7 @@
   readonly #disruptions: readonly Period[];
   readonly #replicaRestarts: readonly Milliseconds[];
   readonly #changeAt: Milliseconds;
-  readonly #changed: RetryBounds;
+  readonly #changed: RetryBudgetSettings;
   /** When the leader last heard of each entry. */
   readonly #heardAt = new Map<SimulatedEntry, Milliseconds>();
   readonly #requests: Milliseconds[] = [];
@@ -182,7 +176,7 @@
     });
   }
 
-  #boundsAt(entry: SimulatedEntry): RetryBounds {
+  #boundsAt(entry: SimulatedEntry): RetryBudgetSettings {
     return this.#now >= entry.reloadsAt ? this.#changed : this.#scenario.bounds;
   }
 
--- a/packages/serving/sync_reply.ts
+++ b/packages/serving/sync_reply.ts
@@ -49,6 +49,11 @@
   readonly entryChanges?: EntryChanges | undefined;
   /** Number of entries that report to the replica, whether open or not. */
   readonly entryCount?: number;
+  /**
+   * Number of entries that may use a share of what all have in common, also ones
+   * that fell silent lately.
+   */
+  readonly sharingEntries?: number;
   /** host:port of the control replicas. */
   readonly controls: readonly string[];
   /** Median of the wall clocks of all entries, in ms since 1970. */
