A retry is charged when it is sent, once, also through other entries

Cause: an entry that passes a request on asked up to three others; each sent it to an upstream for free, and retried out of a budget that never counted it. Retries were also charged before a wait for an upstream, which may take seconds. Change: an entry sends what another passed on to one upstream. A refusal after an upstream rejected the request says so, and counts as the attempt that it was. The charge is made when the attempt is sent; whether one is left is asked before. Evidence: relay_test.ts, two tests that fail before (the next entry was asked for free; two upstreams got one relayed request).

--- a/apps/heroncleatd/gateway/attempt_options.ts
+++ b/apps/heroncleatd/gateway/attempt_options.ts
@@ -19,6 +19,8 @@
   readonly mayBeRefused: boolean;
   /** Whether an earlier attempt may have run the request. */
   readonly mayHaveRun: boolean;
+  /** Whether an earlier attempt may have reached an upstream. */
+  readonly isRetry: boolean;
   /** Whether the request was counted as begun by an upstream. */
   readonly isUsageCounted: boolean;
   /**
--- a/apps/heroncleatd/gateway/attempt_request.ts
+++ b/apps/heroncleatd/gateway/attempt_request.ts
@@ -46,7 +46,8 @@
   ) {
     return { kind: "held" };
   }
-  const relayed = await attemptThroughEntry(call, options);
+  const isAllowed = createRetryPermission(call, options);
+  const relayed = await attemptThroughEntry(call, { ...options, isAllowed });
   if (relayed !== undefined) {
     return relayed;
   }
@@ -79,6 +80,10 @@
     returnPermit();
     return { kind: "leaving" };
   }
+  if (!isAllowed()) {
+    returnPermit();
+    return { kind: "no_retry" };
+  }
   const { record } = chosen.upstream;
   const times = {
     sentAfter: clock.steady() - call.arrivedAt,
@@ -162,6 +167,15 @@
   };
 }
 
+/** Consumes a retry at the first call, if the attempt is one. */
+function createRetryPermission(
+  { service }: CallerRequest,
+  { context, isRetry }: AttemptOptions,
+): () => boolean {
+  let isPaid = !isRetry;
+  return () => isPaid ||= context.retries.tryConsume(service);
+}
+
 /**
  * The version that was reported when the request was sent, unless the instance
  * has reported another one since.
--- a/apps/heroncleatd/gateway/attempt_result.ts
+++ b/apps/heroncleatd/gateway/attempt_result.ts
@@ -18,6 +18,8 @@
 /** The outcome of an attempt, up to the head of the response. */
 export type AttemptResult =
   | { readonly kind: "no_upstream" }
+  /** The retry budget was used up while the request waited for an upstream. */
+  | { readonly kind: "no_retry" }
   /** All upstreams have reached their rate limit. */
   | { readonly kind: "limited"; readonly retryAfter: Milliseconds }
   /** The request is rejected because upstreams crash while running it. */
--- a/apps/heroncleatd/gateway/attempt_through_entry.ts
+++ b/apps/heroncleatd/gateway/attempt_through_entry.ts
@@ -19,7 +19,10 @@
  */
 export async function attemptThroughEntry(
   call: CallerRequest,
-  options: AttemptOptions,
+  options: AttemptOptions & {
+    /** Whether the attempt may be sent; called when it is. */
+    readonly isAllowed: () => boolean;
+  },
 ): Promise<AttemptResult | undefined> {
   const { relay, reachability, leaving, clock } = options.context;
   if (call.relayedBy !== undefined) {
@@ -35,6 +38,9 @@
   if (!options.mayHaveRun && !leaving.hasTimeFor(call)) {
     return { kind: "leaving" };
   }
+  if (!options.isAllowed()) {
+    return { kind: "no_retry" };
+  }
   const result = await relay.send(call, options);
   if (result.kind === "refused") {
     const isCutOff = reachability.isCutOff(call.service);
--- a/apps/heroncleatd/gateway/error_response.ts
+++ b/apps/heroncleatd/gateway/error_response.ts
@@ -30,6 +30,8 @@
   readonly isTimeUp: boolean;
   /** Number of upstreams that the request was sent to. */
   readonly offers: number;
+  /** Whether an upstream may have got it. */
+  readonly wasSent: boolean;
   /** Whether only one version may run it, as it resumes a stream. */
   readonly isResumed?: boolean;
   /** Time until an upstream has capacity, if known. */
@@ -46,23 +48,7 @@
 
   /** Creates the response for the caller. */
   create(request: UnansweredRequest): LocalResponse {
-    if (request.withholdReason === "rejected") {
-      return rejected();
-    }
-    if (request.mayHaveRun) {
-      return afterRun(request.isTimeUp);
-    }
-    switch (request.withholdReason) {
-      case "held":
-        return held();
-      case "leaving":
-        return errorResponse.shuttingDown();
-      default:
-        return request.isResumed && request.offers === 0 &&
-            request.retryAfter === undefined
-          ? versionUnavailable()
-          : notRun(request.offers, request.retryAfter);
-    }
+    return { ...describe(request), wasSent: request.wasSent };
   },
 
   /**
@@ -108,6 +94,26 @@
   },
 };
 
+function describe(request: UnansweredRequest): LocalResponse {
+  if (request.withholdReason === "rejected") {
+    return rejected();
+  }
+  if (request.mayHaveRun) {
+    return afterRun(request.isTimeUp);
+  }
+  switch (request.withholdReason) {
+    case "held":
+      return held();
+    case "leaving":
+      return errorResponse.shuttingDown();
+    default:
+      return request.isResumed && request.offers === 0 &&
+          request.retryAfter === undefined
+        ? versionUnavailable()
+        : notRun(request.offers, request.retryAfter);
+  }
+}
+
 /** No upstream runs the version that began the stream; it has not run. */
 function versionUnavailable(): LocalResponse {
   return {
--- a/apps/heroncleatd/gateway/forward_call.ts
+++ b/apps/heroncleatd/gateway/forward_call.ts
@@ -93,6 +93,7 @@
       mayHaveRun: this.mayHaveRun,
       isTimeUp: this.#call.signal.aborted,
       offers: this.#offers,
+      wasSent: this.#wasSent,
       retryAfter: this.#retryAfter,
     });
   }
@@ -130,6 +131,7 @@
       version: undefined,
       mayBeRefused: false,
       mayHaveRun: this.mayHaveRun,
+      isRetry: this.#wasSent,
       isUsageCounted: false,
       unopened: this.#unopened,
       waitUntil: errorResponse.upstreamWaitUntil(call),
@@ -150,6 +152,11 @@
       this.#offers = MAX_OFFERS;
       return undefined;
     }
+    if (result.kind === "no_retry") {
+      this.#attempts.push("no retry left");
+      this.#offers = MAX_OFFERS;
+      return undefined;
+    }
     if (result.kind === "no_upstream" || result.kind === "overloaded") {
       this.#attempts.push("no upstream");
       this.#retryAfter = result.kind === "overloaded"
@@ -208,6 +215,7 @@
       // No upstream has received anything that a retry would add to.
       return true;
     }
-    return this.#context.retries.tryConsume(this.#call.service);
+    return this.#call.relayedBy === undefined &&
+      this.#context.retries.hasRetry(this.#call.service);
   }
 }
--- a/apps/heroncleatd/gateway/forward_stream.ts
+++ b/apps/heroncleatd/gateway/forward_stream.ts
@@ -51,6 +51,7 @@
   | "failed"
   | "not_run"
   | "no_upstream"
+  | "no_retry"
   | "overloaded"
   | "limited"
   | WithholdReason;
@@ -137,6 +138,7 @@
       mayHaveRun: this.#mayHaveRun,
       isTimeUp: this.#call.signal.aborted,
       offers: this.#offers,
+      wasSent: this.#wasSent,
       isResumed: this.#call.version !== undefined,
       retryAfter: this.#retryAfter,
     });
@@ -151,6 +153,7 @@
       version: this.#version,
       mayBeRefused: this.#runs === 0,
       mayHaveRun: this.#mayHaveRun,
+      isRetry: this.#wasSent,
       isUsageCounted: this.#isUsageCounted,
       unopened: this.#unopened,
       waitUntil: this.#runs > 0
@@ -166,6 +169,10 @@
       this.#withholdReason = result.kind;
       return result.kind;
     }
+    if (result.kind === "no_retry") {
+      this.#attempts.push("no retry left");
+      return "no_retry";
+    }
     if (result.kind === "no_upstream") {
       this.#attempts.push("no upstream");
       return "no_upstream";
@@ -351,7 +358,8 @@
       // No upstream has received anything that a retry would add to.
       return true;
     }
-    return this.#context.retries.tryConsume(service);
+    return this.#call.relayedBy === undefined &&
+      this.#context.retries.hasRetry(service);
   }
 
   #toResult(outcome: ForwardResult["outcome"]): ForwardResult {
--- a/apps/heroncleatd/gateway/local_response.ts
+++ b/apps/heroncleatd/gateway/local_response.ts
@@ -9,4 +9,6 @@
   readonly retryAfter?: Milliseconds;
   /** What an entry that passed the request on is told; it has not run. */
   readonly refusal?: RelayRefusal;
+  /** Whether an upstream got the request and rejected it. */
+  readonly wasSent?: boolean;
 };
--- a/apps/heroncleatd/gateway/relay.ts
+++ b/apps/heroncleatd/gateway/relay.ts
@@ -92,7 +92,7 @@
       if (response.kind === "unknown" && response.isBroken) {
         this.#entries.recordUnable(entry.name, call.service, clock.steady());
       }
-      if (response.kind !== "not_run") {
+      if (response.kind !== "not_run" || wasSent(response)) {
         return sent;
       }
       sent.end();
@@ -161,6 +161,13 @@
   return { kind: "refused", refusal, retryAfter };
 }
 
+/** Whether an upstream got the request through the entry and rejected it. */
+function wasSent(
+  { headers }: Extract<UpstreamResponse, { kind: "not_run" }>,
+): boolean {
+  return headers?.[relayHeaders.wasSent] !== undefined;
+}
+
 /** Whether other entries would refuse for the same reason. */
 function isFinal(refusal: RelayRefusal): boolean {
   return refusal === RelayRefusal.overloaded ||
--- a/apps/heroncleatd/gateway/relay_headers.ts
+++ b/apps/heroncleatd/gateway/relay_headers.ts
@@ -4,6 +4,8 @@
   grant: "heroncleat-relay",
   /** Why the request isn't run; a `RelayRefusal`. */
   refusal: "heroncleat-relay-refusal",
+  /** Present if an upstream got the request and rejected it. */
+  wasSent: "heroncleat-relay-was-sent",
   /**
    * Software version of the upstream that a response comes from, encoded for a
    * URI; callers never get it.
--- a/apps/heroncleatd/gateway/relay_test.ts
+++ b/apps/heroncleatd/gateway/relay_test.ts
@@ -1,14 +1,16 @@
-import { createServer } from "node:http";
+import { createServer, type ServerResponse } from "node:http";
 import { type AddressInfo, connect } from "node:net";
 import { createSystemClock } from "@heroncleat/base";
 import { RouteKind } from "@heroncleat/serving";
 import type { AttemptOptions } from "./attempt_options.ts";
 import type { CallerRequest } from "./caller_request.ts";
 import { createTestContext } from "./create_test_context.ts";
+import { forwardCall } from "./forward_call.ts";
 import { Relay } from "./relay.ts";
 import { relayHeaders } from "./relay_headers.ts";
 import { RelayRefusal } from "./relay_refusal.ts";
 import { testHeaderNames as names } from "./test_header_names.ts";
+import { TestUpstream } from "./test_upstream.ts";
 import { UpstreamAgent } from "./upstream_agent.ts";
 
 const closers: (() => void)[] = [];
@@ -57,7 +59,10 @@
 };
 
 /** Starts the only other entry, which refuses the first request it gets. */
-async function createRelay(firstRefusal: RelayRefusal): Promise<Relay> {
+async function createRelay(
+  firstRefusal: RelayRefusal,
+  wasSent = false,
+): Promise<Relay> {
   let count = 0;
   const server = createServer((_message, response) => {
     count += 1;
@@ -66,6 +71,9 @@
     if (count === 1) {
       response.setHeader(names.notRun, "1");
       response.setHeader(relayHeaders.refusal, firstRefusal);
+      if (wasSent) {
+        response.setHeader(relayHeaders.wasSent, "1");
+      }
       response.writeHead(503);
     }
     response.end();
@@ -96,6 +104,7 @@
   version: undefined,
   mayBeRefused: false,
   mayHaveRun: false,
+  isRetry: false,
   isUsageCounted: false,
   unopened: 0,
   waitUntil: Infinity,
@@ -119,3 +128,46 @@
     }
   },
 );
+
+test("a request that an upstream rejected counts as an attempt at the entry that passed it on", async () => {
+  const relay = await createRelay(RelayRefusal.noUpstream, true);
+  expect(await relay.send(call, options))
+    .toMatchObject({ kind: "sent", response: { kind: "not_run" } });
+});
+
+test("a request of another entry is sent to one upstream, and the refusal says that it was", async () => {
+  const rejecting = await Promise.all([startRejecting(), startRejecting()]);
+  const context = createTestContext(
+    rejecting.map(({ address }) => ({ address })),
+    (close) => closers.push(close),
+  );
+  const result = await respond((response) =>
+    forwardCall({ ...call, relayedBy: "other" }, { context, response })
+  );
+  expect(rejecting[0]!.received.length + rejecting[1]!.received.length).toBe(1);
+  expect(result.status).toBe(503);
+  expect(result.headers.get(relayHeaders.wasSent)).toBe("1");
+});
+
+async function startRejecting(): Promise<TestUpstream> {
+  const upstream = await TestUpstream.start((_request, socket) =>
+    void socket.write(
+      "HTTP/1.1 503 Full\r\nx-not-run: 1\r\n" +
+        "x-attempt: a1\r\nContent-Length: 0\r\n\r\n",
+    )
+  );
+  closers.push(() => upstream.close());
+  return upstream;
+}
+
+/** Returns the response that a handler sends to a caller. */
+async function respond(
+  handle: (response: ServerResponse) => Promise<unknown>,
+): Promise<Response> {
+  const server = createServer((_message, response) => void handle(response));
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  closers.push(() => server.close());
+  return await fetch(
+    `http://127.0.0.1:${(server.address() as AddressInfo).port}`,
+  );
+}
--- a/apps/heroncleatd/gateway/send_refusal.ts
+++ b/apps/heroncleatd/gateway/send_refusal.ts
@@ -23,6 +23,9 @@
     response.setHeader(names.attempt, call.attempt);
     response.setHeader(names.notRun, "1");
     response.setHeader(relayHeaders.refusal, refusal);
+    if (localResponse.wasSent === true) {
+      response.setHeader(relayHeaders.wasSent, "1");
+    }
   }
   sendLocalResponse(response, localResponse);
 }
