--- a/apps/heroncleatd/gateway/start_tracking.ts
+++ b/apps/heroncleatd/gateway/start_tracking.ts
@@ -94,6 +94,7 @@
         log.info("A connection to an upstream broke during a request", {
           request: call.attempt,
           digest: call.identity.digest(),
+          parts: (call.prompt?.parts ?? []).map(({ id }) => id).join(" "),
           upstream: record.id,
           ranFor: Math.round(clock.steady() - sentAt),
         });
