Test: a prompt part that crashes upstreams reaches few after the fifth crash (fails)

Real sockets: 3 control processes, 6 entries, 14 upstreams that end with all their connections 40 ms after they begin to write on the part; 4 requests a second with it, no two alike, 40 sound ones a second with the other parts.

--- a/apps/heroncleatd/hub/restarting_upstream.ts
+++ b/apps/heroncleatd/hub/restarting_upstream.ts
@@ -1,4 +1,10 @@
-import { createServer, type Server, type ServerResponse } from "node:http";
+import {
+  createServer,
+  type IncomingHttpHeaders,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
 import { instanceId, type UpstreamRecord } from "@heroncleat/serving";
 
 const HOST = "127.0.0.1";
@@ -11,10 +17,14 @@
   /** Time from a crash to the start of the next instance, in ms. */
   readonly downtime: number;
   /** Whether the request with this body crashes the upstream. */
-  readonly crashesOn: (body: string) => boolean;
+  readonly crashesOn: (body: string, headers: IncomingHttpHeaders) => boolean;
   readonly report: (record: UpstreamRecord) => void;
   /** Called with the body of each request that begins to run. */
-  readonly onRun: (body: string) => void;
+  readonly onRun: (body: string, headers: IncomingHttpHeaders) => void;
+  /** Whether a path is answered with events rather than a body. */
+  readonly isStream?: (path: string) => boolean;
+  /** Whether a path is answered with neither a length nor chunks. */
+  readonly isUnframed?: (path: string) => boolean;
   /** Requests that it runs at once. */
   readonly slots?: number;
   /** Requests that it accepts at once; more are rejected. */
@@ -31,6 +41,7 @@
 const CRASH_DELAY_MS = 40;
 const HEARTBEAT_INTERVAL_MS = 1000;
 const DEFAULT_SLOTS = 16;
+const BODY = "table 7";
 
 /**
  * A test upstream of the service `desk` that can crash, dropping all its
@@ -66,15 +77,9 @@
           return;
         }
         this.#inFlight += 1;
-        this.#options.onRun(body);
-        response.writeHead(200, {
-          "x-attempt": message.headers["x-attempt"],
-          "x-digest": "d",
-          "content-length": 7,
-          ...this.#options.responseHeaders?.(),
-        });
-        response.flushHeaders();
-        if (this.#options.crashesOn(body)) {
+        this.#options.onRun(body, message.headers);
+        this.#begin(message, response);
+        if (this.#options.crashesOn(body, message.headers)) {
           setTimeout(() => this.crash(body), CRASH_DELAY_MS);
         } else {
           setTimeout(
@@ -97,12 +102,35 @@
     );
   }
 
+  /** Sends the head of a response and, of a stream, the first event. */
+  #begin(message: IncomingMessage, response: ServerResponse): void {
+    const { isStream, isUnframed, responseHeaders } = this.#options;
+    const path = message.url ?? "/";
+    const hasEvents = isStream?.(path) === true;
+    const isWithoutEnd = isUnframed?.(path) === true;
+    response.useChunkedEncodingByDefault = !isWithoutEnd;
+    response.shouldKeepAlive = !isWithoutEnd;
+    response.writeHead(200, {
+      "x-attempt": message.headers["x-attempt"],
+      "x-digest": "d",
+      ...(hasEvents ? { "content-type": "text/event-stream" } : {}),
+      ...(hasEvents || isWithoutEnd ? {} : { "content-length": BODY.length }),
+      ...responseHeaders?.(),
+    });
+    response.flushHeaders();
+    if (hasEvents) {
+      response.write(`id: 1\ndata: ${BODY}\n\n`);
+    }
+  }
+
   /** Ends a response, unless its instance has crashed meanwhile. */
   #finish(server: Server, response: ServerResponse): void {
     if (server === this.#server) {
       this.#inFlight -= 1;
     }
-    response.end("table 7");
+    const type = String(response.getHeader("content-type"));
+    const isStream = type === "text/event-stream";
+    response.end(isStream ? `id: 2\ndata: ${BODY}\n\n` : BODY);
   }
 
   /**
--- a/apps/heroncleatd/hub/test_group.ts
+++ b/apps/heroncleatd/hub/test_group.ts
@@ -7,7 +7,9 @@
 import { startGateway } from "../gateway/start_gateway.ts";
 import { testHeaderNames } from "../gateway/test_header_names.ts";
 import { decodeTestDocument } from "./decode_test_document.ts";
+import { readTestPrompt } from "./read_test_prompt.ts";
 import { TestHub } from "./test_hub.ts";
+import { TEST_PARTS_HEADER } from "./test_parts_header.ts";
 import { testSeeds } from "./test_seeds.ts";
 
 const silentLog = { debug() {}, info() {}, warn() {}, error() {} };
@@ -91,7 +93,7 @@
         gracePeriod: 500,
       }),
       names: testHeaderNames,
-      readPrompt: () => undefined,
+      readPrompt: readTestPrompt,
       decodeDocument: decodeTestDocument,
       pool,
       secret: "s",
@@ -107,11 +109,14 @@
   /**
    * Sends a request to one entry: a POST with the given body, or a GET if it is
    * empty.
+   *
+   * @param parts The parts of its prompt; none if undefined.
    */
   sendRequest(
     index: number,
     requestBody = "",
     path = "/",
+    parts?: readonly string[],
   ): Promise<{ status: number; body: string }> {
     return new Promise((resolve, reject) => {
       const clientRequest = request({
@@ -120,7 +125,13 @@
         agent: false,
         path,
         method: requestBody === "" ? "GET" : "POST",
-        headers: { host: "inn.example", "x-attempt": `a${Math.random()}` },
+        headers: {
+          host: "inn.example",
+          "x-attempt": `a${Math.random()}`,
+          ...(parts === undefined
+            ? {}
+            : { [TEST_PARTS_HEADER]: parts.join(",") }),
+        },
       }, (response) => {
         let body = "";
         response.on("data", (chunk) => body += chunk);
--- /dev/null
+++ b/apps/heroncleatd/hub/test_parts_header.ts
@@ -0,0 +1,2 @@
+/** Lists the parts of a prompt in tests. */
+export const TEST_PARTS_HEADER = "x-parts";
