Requests with a prompt part that crashes upstreams are rejected

What callers saw: requests with one part in their prompts, no two alike, crashed one upstream after the other, and broke off the sound requests there. Cause: only a whole request could be suspected. Class: what fails is known by one identity only, though callers vary it. Change: the parts of a prompt but the last are suspected of a crash as well, those that ran there for the shortest time first, 16 for each crash and process. A whole answer clears its parts everywhere; one without a length or chunks does so once its upstream is found running 300 ms later. A part is rejected if a harmless one would meet as many crashes with less than 1e-8, by its run time there and the rate of crashes at that time. Parts with the same crashes are rejected together only, until a request with some of them tells them apart. After a rejection processes try again at different times.

--- a/apps/heroncleatd/common/request_identity.ts
+++ b/apps/heroncleatd/common/request_identity.ts
@@ -10,4 +10,9 @@
   readonly size: number;
   /** Returns the result of `requestDigest`, computed on the first call. */
   readonly digest: () => string;
+  /**
+   * Returns the keys of the parts that its prompt may share with others, which
+   * are all but the last; see `suspectedPartKey`.
+   */
+  readonly parts: () => readonly string[];
 };
--- a/apps/heroncleatd/common/suspect_watcher.ts
+++ b/apps/heroncleatd/common/suspect_watcher.ts
@@ -22,6 +22,18 @@
 const PROBE_INTERVAL: Milliseconds = 100;
 /** Maximum number of undecided runs per upstream instance. */
 const MAX_UNDECIDED_RUNS = 200;
+/**
+ * Maximum number of prompt parts that are suspected of one crash. Those that the
+ * upstream had run for the shortest time are the likeliest.
+ */
+const MAX_PARTS_PER_CRASH = 16;
+/** Crashes from which on other processes are told at once of a completion. */
+const MIN_URGENT_CRASHES = 2;
+/**
+ * Time after a response that ends with its connection until its upstream is
+ * probed: one that crashes ends its responses alike.
+ */
+const UNFRAMED_CHECK_DELAY: Milliseconds = 300;
 
 type WatcherOptions = {
   readonly registry: SuspectRegistry;
@@ -45,10 +57,16 @@
   /** host:port */
   readonly address: string;
   readonly sentAt: Milliseconds;
+  /** When the first byte of the response arrived; undefined if none did. */
+  readonly begunAt?: Milliseconds | undefined;
 };
 
 /** A run whose connection broke for a reason not known yet. */
-type UndecidedRun = { readonly key: SuspectKey; readonly run: CrashedRun };
+type UndecidedRun = {
+  readonly request: RequestIdentity;
+  readonly run: CrashedRun;
+  readonly begunAt: Milliseconds | undefined;
+};
 
 /**
  * Distinguishes requests that crash upstreams from requests that happen to run
@@ -66,6 +84,8 @@
   readonly #reachableAt = new Map<string, Milliseconds>();
   /** Probe that a retry of a request waits for. */
   readonly #pendingProbes = new WeakMap<RequestIdentity, Promise<void>>();
+  /** Keys of the rejected parts that were logged. */
+  #announcedParts: ReadonlySet<string> = new Set();
   /** Number of copies of suspected requests that this entry runs, by digest. */
   readonly #inFlightCopies = new Map<string, number>();
 
@@ -86,11 +106,22 @@
   /** Returns how a request is treated if it is sent now. */
   status(request: RequestIdentity): SuspectStatus {
     const { registry, clock } = this.#options;
+    if (this.findRejectedPart(request) !== undefined) {
+      return SuspectStatus.rejected;
+    }
     return this.#maySuspect(request)
       ? registry.statusOf(request.digest(), clock.steady())
       : SuspectStatus.unsuspected;
   }
 
+  /** Returns the part of the prompt for which a request is rejected, if any. */
+  findRejectedPart(request: RequestIdentity): string | undefined {
+    const { registry, clock } = this.#options;
+    return registry.hasSuspectedParts
+      ? registry.findRejectedPart(request.parts(), clock.steady())
+      : undefined;
+  }
+
   /** Whether this entry is running another copy of the request. */
   isInFlight(request: RequestIdentity): boolean {
     return this.#maySuspect(request) &&
@@ -120,7 +151,56 @@
     };
   }
 
-  /** Records a complete response to a request. */
+  /** Records a complete response of which the upstream wrote all. */
+  recordSuccess(request: RequestIdentity): void {
+    this.recordCompletion(request);
+    const { registry, clock } = this.#options;
+    if (!registry.hasSuspectedParts) {
+      return;
+    }
+    const now = clock.steady();
+    const revisionBefore = registry.revision;
+    let isUrgent = false;
+    for (const part of request.parts()) {
+      const crashes = registry.crashCountOf(part);
+      const isCleared = registry.recordCompletion(part, now);
+      isUrgent ||= isCleared && crashes >= MIN_URGENT_CRASHES;
+    }
+    // Any other change is sent with the next exchange.
+    if (isUrgent) {
+      this.#report(revisionBefore);
+    }
+  }
+
+  /**
+   * Records a response that ended with its connection and looks complete, once
+   * its upstream turns out to be still running.
+   */
+  recordUnframedSuccess(
+    request: RequestIdentity,
+    connection: BrokenConnection,
+  ): void {
+    const endedAt = this.#options.clock.steady();
+    setTimeout(() => {
+      void this.#checkUnframed(request, { ...connection, endedAt });
+    }, UNFRAMED_CHECK_DELAY).unref();
+  }
+
+  async #checkUnframed(
+    request: RequestIdentity,
+    connection: BrokenConnection & { readonly endedAt: Milliseconds },
+  ): Promise<void> {
+    const { isReplaced, probe } = this.#options;
+    const { upstream, address } = connection;
+    if (!isReplaced(upstream) && await probe(address)) {
+      this.recordSuccess(request);
+    } else {
+      this.#addUndecided(request, connection);
+      this.recordCrash(upstream);
+    }
+  }
+
+  /** Records a complete response to a request, also one about a failure. */
   recordCompletion(request: RequestIdentity): void {
     const { registry, clock, log } = this.#options;
     if (!this.#maySuspect(request)) {
@@ -141,16 +221,13 @@
    */
   recordBrokenConnection(
     request: RequestIdentity,
-    { upstream, address, sentAt }: BrokenConnection,
+    connection: BrokenConnection,
   ): void {
-    const runs = this.#undecided.get(upstream) ?? [];
-    if (runs.length >= MAX_UNDECIDED_RUNS) {
+    const { upstream, address } = connection;
+    const endedAt = this.#options.clock.steady();
+    if (!this.#addUndecided(request, { ...connection, endedAt })) {
       return;
     }
-    const endedAt = this.#options.clock.steady();
-    const run = { upstream, sentAt, endedAt };
-    runs.push({ key: suspectKeyOf(request), run });
-    this.#undecided.set(upstream, runs);
     if (this.#options.isReplaced(upstream)) {
       this.recordCrash(upstream);
     } else {
@@ -158,6 +235,22 @@
     }
   }
 
+  /** Returns whether there was room for another run. */
+  #addUndecided(
+    request: RequestIdentity,
+    { upstream, sentAt, begunAt, endedAt }: BrokenConnection & {
+      readonly endedAt: Milliseconds;
+    },
+  ): boolean {
+    const runs = this.#undecided.get(upstream) ?? [];
+    if (runs.length >= MAX_UNDECIDED_RUNS) {
+      return false;
+    }
+    runs.push({ request, run: { upstream, sentAt, endedAt }, begunAt });
+    this.#undecided.set(upstream, runs);
+    return true;
+  }
+
   /**
    * Records that an upstream instance has crashed, because it is unreachable or
    * a newer instance is running.
@@ -169,7 +262,8 @@
     this.#undecided.delete(upstream);
     const revisionBefore = registry.revision;
     let hasChanged = false;
-    for (const { key, run } of runs) {
+    for (const { request, run } of runs) {
+      const key = suspectKeyOf(request);
       if (!registry.recordCrash(key, run)) {
         continue;
       }
@@ -185,7 +279,11 @@
         standing,
       });
     }
+    for (const { key, run } of listPartRuns(runs)) {
+      hasChanged = registry.recordCrash(key, run) || hasChanged;
+    }
     if (hasChanged) {
+      this.#announceRejectedParts();
       this.#report(revisionBefore);
     }
   }
@@ -195,13 +293,16 @@
     const { registry, clock, log, onCrash } = this.#options;
     const now = clock.steady();
     const changed = new Set(registry.merge(reported, now));
-    for (const { request, crashes } of reported) {
+    for (const { request, crashes, isPart } of reported) {
       if (!changed.has(request)) {
         continue;
       }
       for (const { upstream, endedAge } of crashes) {
         onCrash(upstream, now - endedAge);
       }
+      if (isPart === true) {
+        continue;
+      }
       log.info(
         "Received a report that upstreams crashed while running a request",
         {
@@ -211,6 +312,25 @@
         },
       );
     }
+    if (changed.size > 0) {
+      this.#announceRejectedParts();
+    }
+  }
+
+  /** Logs which parts are rejected, when that changes. */
+  #announceRejectedParts(): void {
+    const { registry, clock, log, metrics } = this.#options;
+    const rejected = registry.listRejectedParts(clock.steady());
+    metrics.gauge("crashes.rejected_parts", rejected.length);
+    for (const part of rejected) {
+      if (!this.#announcedParts.has(part)) {
+        log.warn(
+          "Upstreams crash on a part of prompts; requests with it are rejected",
+          { part, crashes: registry.crashCountOf(part) },
+        );
+      }
+    }
+    this.#announcedParts = new Set(rejected);
   }
 
   /** Drops expired suspects, undecided runs and probe results. */
@@ -274,3 +394,30 @@
     size: request.size,
   };
 }
+
+/**
+ * The runs of the prompt parts that were on a crashed upstream. A part that
+ * several requests had in common ran for the sum of their times, counted from
+ * the first byte of a response, as upstreams that a part crashes do so then.
+ */
+function listPartRuns(
+  runs: readonly UndecidedRun[],
+): { key: SuspectKey; run: CrashedRun }[] {
+  const byPart = new Map<string, { key: SuspectKey; run: CrashedRun }>();
+  for (const { request, run, begunAt = run.sentAt } of runs) {
+    const { workspace, service } = request;
+    for (const part of new Set(request.parts())) {
+      const known = byPart.get(part)?.run;
+      const endedAt = Math.min(known?.endedAt ?? Infinity, run.endedAt);
+      const earlier = known === undefined ? 0 : known.endedAt - known.sentAt;
+      const ranFor = earlier + run.endedAt - begunAt;
+      byPart.set(part, {
+        key: { request: part, workspace, service, size: 0, isPart: true },
+        run: { upstream: run.upstream, sentAt: endedAt - ranFor, endedAt },
+      });
+    }
+  }
+  return [...byPart.values()]
+    .sort((left, right) => right.run.sentAt - left.run.sentAt)
+    .slice(0, MAX_PARTS_PER_CRASH);
+}
--- a/apps/heroncleatd/entry/dispatch_service_test.ts
+++ b/apps/heroncleatd/entry/dispatch_service_test.ts
@@ -144,6 +144,7 @@
       service: "booking",
       size: 0,
       digest: () => `c${callCount}`,
+      parts: () => [],
     },
     routed: {
       id: `c${callCount}`,
--- a/apps/heroncleatd/entry/find_suspect_fault.ts
+++ b/apps/heroncleatd/entry/find_suspect_fault.ts
@@ -15,9 +15,13 @@
 ): Fault | undefined {
   const status = crashes.status(request);
   if (status === SuspectStatus.rejected) {
+    const part = crashes.findRejectedPart(request);
+    const subject = part === undefined
+      ? "this request"
+      : `requests with one of its messages (${part})`;
     return createFault(
       "bad_request",
-      "Several upstreams crashed while running this request, so it isn't " +
+      `Several upstreams crashed while running ${subject}, so it isn't ` +
         "sent to any more. Remedy: change the request, or send it again some " +
         "time after the upstreams were repaired.",
     );
--- a/apps/heroncleatd/entry/handle_service.ts
+++ b/apps/heroncleatd/entry/handle_service.ts
@@ -143,6 +143,7 @@
           body: body.value,
         })
       ),
+      parts: () => [],
     },
     isIdempotent: isIdempotent(routedRequest.method, {
       header: header === undefined ? undefined : String(header),
--- a/apps/heroncleatd/entry/prompt_text.ts
+++ b/apps/heroncleatd/entry/prompt_text.ts
@@ -1,17 +1,6 @@
-/** The fields of a request body that make up the prompt. */
-type PromptBody = {
-  readonly prompt?: string;
-  readonly messages?: readonly { role: string; content: string }[];
-};
+import { promptMessages } from "./prompt_messages.ts";
 
 /** Concatenates the prompt of a generation into one text. */
 export function promptText(body: string): string {
-  const { prompt, messages } = JSON.parse(body) as PromptBody;
-  if (prompt !== undefined) {
-    return prompt;
-  }
-  const lines = (messages ?? []).map(({ role, content }) =>
-    `${role}: ${content}\n`
-  );
-  return lines.join("");
+  return promptMessages(body).join("");
 }
--- a/apps/heroncleatd/entry/request_runner.ts
+++ b/apps/heroncleatd/entry/request_runner.ts
@@ -207,7 +207,7 @@
           });
         },
         onFinished: (chunkCount, reason) => {
-          context.crashes.recordCompletion(this.#identity);
+          context.crashes.recordSuccess(this.#identity);
           this.#sendEvent({
             kind: "attempt_finished",
             attempt: number,
--- a/apps/heroncleatd/gateway/attempt_request.ts
+++ b/apps/heroncleatd/gateway/attempt_request.ts
@@ -39,7 +39,7 @@
   await crashes.waitForProbe(call.identity);
   const suspectStatus = await waitForOtherCopy(call, options);
   if (suspectStatus === SuspectStatus.rejected) {
-    return { kind: "rejected" };
+    return { kind: "rejected", part: crashes.findRejectedPart(call.identity) };
   }
   if (
     suspectStatus === SuspectStatus.single && crashes.isInFlight(call.identity)
@@ -126,8 +126,8 @@
   endWait(response.kind === "head" || isStatus(response.reason));
   recordRateLimit(response, { context, upstream: record.id, sentAt });
   if (response.kind === "head") {
-    tracking.recordStatus(response.message.statusCode!);
     const framing = framingOf(response.message, call.method);
+    tracking.recordHead({ status: response.message.statusCode!, framing });
     recordEnd(response.message, { framing, context, trace });
     return {
       ...response,
--- a/apps/heroncleatd/gateway/attempt_result.ts
+++ b/apps/heroncleatd/gateway/attempt_result.ts
@@ -23,7 +23,11 @@
   /** All upstreams have reached their rate limit. */
   | { readonly kind: "limited"; readonly retryAfter: Milliseconds }
   /** The request is rejected because upstreams crash while running it. */
-  | { readonly kind: "rejected" }
+  | {
+    readonly kind: "rejected";
+    /** Key of the part of its prompt that they crash on, if it is one. */
+    readonly part?: string | undefined;
+  }
   /**
    * Another copy of the suspected request is in flight and may crash its
    * upstream.
--- a/apps/heroncleatd/gateway/error_response.ts
+++ b/apps/heroncleatd/gateway/error_response.ts
@@ -26,6 +26,8 @@
    * Set if the request wasn't forwarded although upstreams may be available.
    */
   readonly withholdReason: WithholdReason | undefined;
+  /** Key of the part of its prompt that upstreams crash on, if it is one. */
+  readonly rejectedPart: string | undefined;
   readonly mayHaveRun: boolean;
   readonly isTimeUp: boolean;
   /** Number of upstreams that the request was sent to. */
@@ -96,7 +98,7 @@
 
 function describe(request: UnansweredRequest): LocalResponse {
   if (request.withholdReason === "rejected") {
-    return rejected();
+    return rejected(request.rejectedPart);
   }
   if (request.mayHaveRun) {
     return afterRun(request.isTimeUp);
@@ -147,10 +149,13 @@
  * Upstreams crash while running the request. The status keeps callers from
  * retrying.
  */
-function rejected(): LocalResponse {
+function rejected(part: string | undefined): LocalResponse {
+  const subject = part === undefined
+    ? "this request"
+    : `requests with a part of its prompt (${part})`;
   return {
     status: 400,
-    message: "Several upstreams crashed while running this request, so it " +
+    message: `Several upstreams crashed while running ${subject}, so it ` +
       "isn't sent to any more. Remedy: change the request, or ask an " +
       "operator to clear it once the upstreams are repaired.",
     refusal: RelayRefusal.rejected,
--- a/apps/heroncleatd/gateway/forward_call.ts
+++ b/apps/heroncleatd/gateway/forward_call.ts
@@ -71,6 +71,8 @@
    * Set if the request wasn't forwarded although upstreams may be available.
    */
   #withholdReason: WithholdReason | undefined;
+  /** The part of the prompt for which the request is rejected, if any. */
+  #rejectedPart: string | undefined;
   #failedResponse: CompleteResponse | undefined;
   /** Set if all upstreams are at their rate limits. */
   #retryAfter: Milliseconds | undefined;
@@ -90,6 +92,7 @@
   localResponse(): LocalResponse {
     return errorResponse.create({
       withholdReason: this.#withholdReason,
+      rejectedPart: this.#rejectedPart,
       mayHaveRun: this.mayHaveRun,
       isTimeUp: this.#call.signal.aborted,
       offers: this.#offers,
@@ -141,8 +144,9 @@
       result.kind === "rejected" || result.kind === "held" ||
       result.kind === "leaving"
     ) {
-      this.#attempts.push(describeWithholdReason(result.kind));
+      this.#attempts.push(describeWithholdReason(result));
       this.#withholdReason = result.kind;
+      this.#rejectedPart = result.kind === "rejected" ? result.part : undefined;
       this.#offers = MAX_OFFERS;
       return undefined;
     }
--- a/apps/heroncleatd/gateway/forward_headers_test.ts
+++ b/apps/heroncleatd/gateway/forward_headers_test.ts
@@ -87,6 +87,7 @@
       service: "desk",
       size: 0,
       digest: () => "d",
+      parts: () => [],
     },
     signal: new AbortController().signal,
     workspace: {
--- a/apps/heroncleatd/gateway/forward_stream.ts
+++ b/apps/heroncleatd/gateway/forward_stream.ts
@@ -74,6 +74,8 @@
    * Set if the request wasn't forwarded although upstreams may be available.
    */
   #withholdReason: WithholdReason | undefined;
+  /** The part of the prompt for which the request is rejected, if any. */
+  #rejectedPart: string | undefined;
   #status = 0;
   #lastEvent: string | undefined;
   /** Version that began the stream; undefined if any may begin it. */
@@ -135,6 +137,7 @@
   #localResponse(): LocalResponse {
     return errorResponse.create({
       withholdReason: this.#withholdReason,
+      rejectedPart: this.#rejectedPart,
       mayHaveRun: this.#mayHaveRun,
       isTimeUp: this.#call.signal.aborted,
       offers: this.#offers,
@@ -165,8 +168,9 @@
       result.kind === "rejected" || result.kind === "held" ||
       result.kind === "leaving"
     ) {
-      this.#attempts.push(describeWithholdReason(result.kind));
+      this.#attempts.push(describeWithholdReason(result));
       this.#withholdReason = result.kind;
+      this.#rejectedPart = result.kind === "rejected" ? result.part : undefined;
       return result.kind;
     }
     if (result.kind === "no_retry") {
--- a/apps/heroncleatd/gateway/gateway.ts
+++ b/apps/heroncleatd/gateway/gateway.ts
@@ -277,6 +277,7 @@
         service: admitted.service,
         workspace: workspace?.name ?? "",
         body: admitted.body,
+        prompt,
       }),
       signal,
       version: admitted.resumption?.origin.version,
--- a/apps/heroncleatd/gateway/identify_request.ts
+++ b/apps/heroncleatd/gateway/identify_request.ts
@@ -1,7 +1,9 @@
 import type { IncomingMessage } from "node:http";
+import { suspectedPartKey } from "@heroncleat/serving";
 import { memoize } from "../common/memoize.ts";
 import { requestDigest } from "../common/request_digest.ts";
 import type { RequestIdentity } from "../common/request_identity.ts";
+import type { Prompt } from "./prompt.ts";
 
 /** Identifies a request among its copies, to find those that end upstreams. */
 export function identifyRequest(
@@ -11,9 +13,10 @@
     service: string;
     workspace: string;
     body: Buffer;
+    prompt: Prompt | undefined;
   },
 ): RequestIdentity {
-  const { attempt, service, workspace, body } = options;
+  const { attempt, service, workspace, body, prompt } = options;
   return {
     attempt,
     workspace,
@@ -28,5 +31,9 @@
         body,
       })
     ),
+    parts: memoize(() => {
+      const shared = (prompt?.parts ?? []).slice(0, -1);
+      return shared.map(({ id }) => suspectedPartKey(service, id));
+    }),
   };
 }
--- a/apps/heroncleatd/gateway/relay_test.ts
+++ b/apps/heroncleatd/gateway/relay_test.ts
@@ -54,6 +54,7 @@
     service: "desk",
     size: 0,
     digest: () => "d",
+    parts: () => [],
   },
   signal: new AbortController().signal,
 };
--- a/apps/heroncleatd/gateway/relayed_requests.ts
+++ b/apps/heroncleatd/gateway/relayed_requests.ts
@@ -208,6 +208,7 @@
         service: grant.service,
         workspace: workspace?.name ?? "",
         body,
+        prompt,
       }),
       signal,
       relayedBy: grant.entry,
--- a/apps/heroncleatd/gateway/start_test_entry.ts
+++ b/apps/heroncleatd/gateway/start_test_entry.ts
@@ -85,6 +85,7 @@
         service: "desk",
         size: 0,
         digest: () => "d",
+        parts: () => [],
       },
       signal: abort.signal,
     };
--- a/apps/heroncleatd/gateway/start_tracking.ts
+++ b/apps/heroncleatd/gateway/start_tracking.ts
@@ -1,4 +1,7 @@
+import type { Milliseconds } from "@heroncleat/base";
 import { type ChosenUpstream, RouteKind } from "@heroncleat/serving";
+import { ResponseFraming } from "../common/response_framing.ts";
+import type { SuspectWatcher } from "../common/suspect_watcher.ts";
 import { AttemptOutcome } from "./attempt_outcome.ts";
 import type { AttemptTrace } from "./attempt_trace.ts";
 import type { CallerRequest } from "./caller_request.ts";
@@ -21,7 +24,7 @@
     isBound: boolean;
   },
 ): {
-  recordStatus: (status: number) => void;
+  recordHead: (head: { status: number; framing: ResponseFraming }) => void;
   recordFirstByte: () => void;
   finish: (outcome: AttemptOutcome) => void;
 } {
@@ -47,15 +50,16 @@
     });
   let status = 0;
   let isFinished = false;
-  let hasFirstByte = false;
+  let framing: ResponseFraming | undefined;
+  let begunAt: Milliseconds | undefined;
   return {
-    recordStatus: (received) => {
-      status = received;
+    recordHead: (head) => {
+      ({ status, framing } = head);
     },
     recordFirstByte: () => {
-      if (!hasFirstByte) {
-        hasFirstByte = true;
-        const took = clock.steady() - sentAt;
+      if (begunAt === undefined) {
+        begunAt = clock.steady();
+        const took = begunAt - sentAt;
         trace.recordFirstByte(took);
         choice.recordFirstToken(chosen, took);
         version?.recordFirstByte(took);
@@ -74,8 +78,14 @@
       );
       endSuspectedRun();
       endTimedRun(outcome === AttemptOutcome.complete);
+      const connection = {
+        upstream: record.id,
+        address: record.address,
+        sentAt,
+        begunAt,
+      };
       if (outcome === AttemptOutcome.complete) {
-        crashes.recordCompletion(call.identity);
+        recordCompletion(call, { crashes, status, framing, connection });
       }
       if (outcome === AttemptOutcome.broken && !call.signal.aborted) {
         // An upstream that is no longer ready closes connections by intent, so
@@ -84,11 +94,7 @@
           directory.get(record.id)?.record.state === "ready" &&
           !reachability.isCutOff(call.service)
         ) {
-          crashes.recordBrokenConnection(call.identity, {
-            upstream: record.id,
-            address: record.address,
-            sentAt,
-          });
+          crashes.recordBrokenConnection(call.identity, connection);
         }
         metrics.increment("gateway.broken_attempts");
         log.info("A connection to an upstream broke during a request", {
@@ -102,3 +108,23 @@
     },
   };
 }
+
+/** A response that isn't a success says nothing about parts of the prompt. */
+function recordCompletion(
+  { identity }: CallerRequest,
+  { crashes, status, framing, connection }: {
+    crashes: SuspectWatcher;
+    status: number;
+    framing: ResponseFraming | undefined;
+    connection: Parameters<SuspectWatcher["recordUnframedSuccess"]>[1];
+  },
+): void {
+  const isSuccess = status >= 200 && status < 300;
+  if (!isSuccess) {
+    crashes.recordCompletion(identity);
+  } else if (framing === ResponseFraming.connectionEnd) {
+    crashes.recordUnframedSuccess(identity, connection);
+  } else {
+    crashes.recordSuccess(identity);
+  }
+}
--- /dev/null
+++ b/packages/serving/assess_suspected_parts.ts
@@ -0,0 +1,161 @@
+import type { Milliseconds } from "@heroncleat/base";
+import { crashProbability } from "./crash_probability.ts";
+import type { CrashedRun } from "./crashed_run.ts";
+import type { InstanceCrash } from "./instance_crash.ts";
+import type { RejectedPart } from "./rejected_part.ts";
+import { successiveRuns } from "./successive_runs.ts";
+
+/** Successive crashes from which on a part may be rejected. */
+const MIN_CRASHES = 3;
+/**
+ * A part is rejected only if a harmless one would meet as many crashes with less
+ * than this probability.
+ */
+const MAX_COINCIDENCE_PROBABILITY = 1e-8;
+/** Time around a crash over which the rate of crashes is measured. */
+const RATE_WINDOW: Milliseconds = 1000;
+/**
+ * Time for which a part is rejected. From the sixth crash on it doubles with
+ * each further one: those are due to requests that were sent to see whether the
+ * upstreams handle the part by now.
+ */
+const REJECTION_DURATION: Milliseconds = 600_000;
+const CRASHES_BEFORE_DOUBLING = 5;
+const MAX_DOUBLINGS = 7;
+
+/** A prompt part and the crashes during its runs since it last completed. */
+type PartHistory = {
+  /** Its key. */
+  readonly request: string;
+  readonly service: string;
+  readonly runs: readonly CrashedRun[];
+  /** Largest number of upstreams of its service known at these crashes. */
+  readonly upstreams: number;
+};
+
+/** What parts are assessed against. */
+type PartContext = {
+  /** Recent instance crashes, by instance ID. */
+  readonly instanceCrashes: ReadonlyMap<string, InstanceCrash>;
+  /** Instances whose crashes are explained already. */
+  readonly attributed: ReadonlySet<string>;
+  readonly countUpstreams: (service: string) => number;
+};
+
+/**
+ * Tells the prompt parts that crash upstreams from those that were only in
+ * prompts that ran there. The least likely coincidence is held responsible, the
+ * other parts are assessed by their remaining crashes. Parts that have been in
+ * the same crashed runs are rejected together only, as one of them may be
+ * harmless: a request with some of them tells them apart.
+ *
+ * @returns The rejected parts.
+ */
+export function assessSuspectedParts(
+  parts: Iterable<PartHistory>,
+  context: PartContext,
+): Map<string, RejectedPart> {
+  const attributed = new Set(context.attributed);
+  const rejected = new Map<string, RejectedPart>();
+  let candidates = [...parts];
+  while (true) {
+    candidates = withoutAttributed(candidates, attributed);
+    const likeliest = findLeastCoincidental(candidates, {
+      ...context,
+      attributed,
+    });
+    if (likeliest === undefined) {
+      return rejected;
+    }
+    const key = upstreamsOf(likeliest);
+    const together = candidates.filter((other) =>
+      other.service === likeliest.service && upstreamsOf(other) === key
+    ).map(({ request }) => request);
+    const period = rejectionPeriod(likeliest.runs);
+    for (const part of together) {
+      rejected.set(part, { ...period, together });
+    }
+    for (const { upstream } of likeliest.runs) {
+      attributed.add(upstream);
+    }
+  }
+}
+
+/** The parts that may still be rejected, with the crashes not explained yet. */
+function withoutAttributed(
+  candidates: readonly PartHistory[],
+  attributed: ReadonlySet<string>,
+): PartHistory[] {
+  const remaining: PartHistory[] = [];
+  for (const candidate of candidates) {
+    const runs = candidate.runs.filter(({ upstream }) =>
+      !attributed.has(upstream)
+    );
+    if (runs.length >= MIN_CRASHES) {
+      remaining.push({ ...candidate, runs });
+    }
+  }
+  return remaining;
+}
+
+function findLeastCoincidental(
+  candidates: readonly PartHistory[],
+  context: PartContext,
+): PartHistory | undefined {
+  let least: PartHistory | undefined;
+  let leastProbability = MAX_COINCIDENCE_PROBABILITY;
+  for (const candidate of candidates) {
+    const probability = coincidenceProbability(candidate, context);
+    if (probability <= leastProbability) {
+      least = candidate;
+      leastProbability = probability;
+    }
+  }
+  return least;
+}
+
+/**
+ * Probability that a harmless part meets as many crashes in the run time that it
+ * had on upstreams that crashed, at the rates at which upstreams crashed then.
+ */
+function coincidenceProbability(
+  { service, runs, upstreams }: PartHistory,
+  { instanceCrashes, attributed, countUpstreams }: PartContext,
+): number {
+  const successive = successiveRuns(runs);
+  if (successive.length < MIN_CRASHES) {
+    return 1;
+  }
+  const own = new Set(runs.map(({ upstream }) => upstream));
+  const crashTimes = runs.map(({ endedAt }) => endedAt);
+  for (const [upstream, { service: other, at }] of instanceCrashes) {
+    const isKnown = own.has(upstream) || attributed.has(upstream);
+    if (other === service && !isKnown) {
+      crashTimes.push(at);
+    }
+  }
+  const count = Math.max(1, upstreams, countUpstreams(service));
+  let expected = 0;
+  for (const { sentAt, endedAt } of runs) {
+    const crashes = crashTimes.filter((at) =>
+      Math.abs(at - endedAt) <= RATE_WINDOW / 2
+    ).length;
+    expected += (endedAt - sentAt) * crashes / RATE_WINDOW / count;
+  }
+  return crashProbability(successive.length, expected);
+}
+
+function rejectionPeriod(
+  runs: readonly CrashedRun[],
+): Pick<RejectedPart, "from" | "until"> {
+  const doublings = Math.min(
+    MAX_DOUBLINGS,
+    Math.max(0, runs.length - CRASHES_BEFORE_DOUBLING),
+  );
+  const from = Math.max(...runs.map(({ endedAt }) => endedAt));
+  return { from, until: from + REJECTION_DURATION * 2 ** doublings };
+}
+
+function upstreamsOf({ runs }: PartHistory): string {
+  return runs.map(({ upstream }) => upstream).sort().join(" ");
+}
--- a/packages/serving/hub.ts
+++ b/packages/serving/hub.ts
@@ -259,7 +259,7 @@
       needsWhole: isAccepted ? undefined : true,
       rollouts: rolloutsFor(request, context.rollouts),
       versions: this.#versionLog.since(sinceRevision),
-      suspects: this.#suspectsSince(sinceRevision, now),
+      suspects: this.#suspectsForEntry(sinceRevision, now),
       rateLimits: this.#rateLimitsSince(sinceRevision),
       shared: request.loads === undefined ? undefined : {
         beats,
@@ -342,6 +342,16 @@
     return changed.length > 0 ? changed : undefined;
   }
 
+  /** Parts of prompts that were on one crashed upstream only are left out. */
+  #suspectsForEntry(
+    revision: number,
+    now: Milliseconds,
+  ): readonly ReportedSuspect[] | undefined {
+    return this.#suspectsSince(revision, now)?.filter((
+      { isPart, crashes, answeredAge },
+    ) => isPart !== true || crashes.length > 1 || answeredAge !== undefined);
+  }
+
   /** Whether there are entries that take permits from this replica. */
   get #issuesPermits(): boolean {
     return this.#shared.fullReports > 0;
--- a/packages/serving/mod.ts
+++ b/packages/serving/mod.ts
@@ -25,6 +25,7 @@
 export type { SyncReply } from "./sync_reply.ts";
 export type { SyncRequest } from "./sync_request.ts";
 export { SuspectRegistry } from "./suspect_registry.ts";
+export { suspectedPartKey } from "./suspected_part_key.ts";
 export { SuspectStatus } from "./suspect_status.ts";
 export type { CrashedRun } from "./crashed_run.ts";
 export type { ReportedSuspect } from "./reported_suspect.ts";
--- a/packages/serving/suspect_registry.ts
+++ b/packages/serving/suspect_registry.ts
@@ -1,10 +1,12 @@
-import type { Milliseconds } from "@heroncleat/base";
+import type { Milliseconds, Random } from "@heroncleat/base";
 import { ChangeLog } from "./change_log.ts";
 import { SuspectStatus } from "./suspect_status.ts";
 import type { CrashedRun } from "./crashed_run.ts";
+import type { RejectedPart } from "./rejected_part.ts";
 import type { ReportedSuspect } from "./reported_suspect.ts";
 import type { RevisionCounter } from "./revision_counter.ts";
 import type { SuspectAssessment } from "./suspect_assessment.ts";
+import { assessSuspectedParts } from "./assess_suspected_parts.ts";
 import { assessSuspects } from "./assess_suspects.ts";
 import type { InstanceCrash } from "./instance_crash.ts";
 import type { SuspectKey } from "./suspect_key.ts";
@@ -12,7 +14,7 @@
 
 /** Maximum age of an assessment if nothing changes. */
 const ASSESSMENT_LIFETIME: Milliseconds = 1000;
-/** Number of crashes from which on a request may have been rejected. */
+/** Number of crashes from which on a request or part may be rejected. */
 const REJECTION_CRASHES = 3;
 /** Retention of requests with at least that many crashes. */
 const REJECTED_RETENTION: Milliseconds = 86_400_000;
@@ -20,14 +22,22 @@
 const WATCHED_RETENTION: Milliseconds = 900_000;
 /** Limit of runs kept per request; the newest are kept. */
 const MAX_RUNS = 32;
-/** Limits of requests that are kept, in all and per workspace. */
+/** Limits of requests that are kept, in all and per workspace; also of parts. */
 const MAX_SUSPECTS = 1000;
 const MAX_SUSPECTS_PER_WORKSPACE = 200;
 
+/**
+ * Longest time after the end of a part's rejection until this process sends a
+ * request with it, as a share of the rejection. Each process waits for another
+ * time, so that one request tells all whether upstreams still crash.
+ */
+const MAX_TRIAL_DELAY_SHARE = 0.5;
+
 type RegistryOptions = {
   readonly revisions: RevisionCounter;
   /** Counts the running upstreams of a service. */
   readonly countUpstreams: (service: string) => number;
+  readonly random?: Random;
 };
 
 type Suspect = {
@@ -43,9 +53,9 @@
 };
 
 /**
- * Registry of requests that were running on upstreams when these crashed.
- * Reports may arrive in any order and repeatedly. A request that completes
- * anywhere is cleared of all earlier crashes.
+ * Registry of requests that were running on upstreams when these crashed, and
+ * of the parts of their prompts. Reports may arrive in any order and repeatedly.
+ * What completes anywhere is cleared of all earlier crashes.
  *
  * @public
  */
@@ -56,15 +66,23 @@
   readonly #instanceCrashes = new Map<string, InstanceCrash>();
   readonly #suspects = new Map<string, Suspect>();
   readonly #changes = new ChangeLog();
+  readonly #trialDelayShare: number;
   #assessments: ReadonlyMap<string, SuspectAssessment> = new Map();
+  #rejectedParts: ReadonlyMap<string, RejectedPart> = new Map();
   #changedAt = 0;
   #assessedUntil: Milliseconds = -Infinity;
-  #assessedRevision = -1;
+  #areRequestsOutdated = false;
+  #arePartsOutdated = false;
+  /** Keys of the parts with so many crashes that they may be rejected. */
+  readonly #partsInQuestion = new Set<string>();
   readonly #suspectCountBySize = new Map<number, number>();
+  #partCount = 0;
 
-  constructor({ revisions, countUpstreams }: RegistryOptions) {
+  constructor(options: RegistryOptions) {
+    const { revisions, countUpstreams, random = Math.random } = options;
     this.#revisions = revisions;
     this.#countUpstreams = countUpstreams;
+    this.#trialDelayShare = random() * MAX_TRIAL_DELAY_SHARE;
   }
 
   get revision(): number {
@@ -84,6 +102,43 @@
     return this.#suspectCountBySize.has(size);
   }
 
+  /** Whether any part is suspected; saves computing the keys of parts. */
+  get hasSuspectedParts(): boolean {
+    return this.#partCount > 0;
+  }
+
+  /**
+   * Returns the part for which a request is rejected, if it is.
+   *
+   * @param parts Keys of the parts that the request shares with others.
+   */
+  findRejectedPart(
+    parts: readonly string[],
+    now: Milliseconds,
+  ): string | undefined {
+    if (!parts.some((part) => this.#partsInQuestion.has(part))) {
+      return undefined;
+    }
+    return parts.find((part) =>
+      this.#isRejectedPart(part, now) &&
+      this.#rejectedParts.get(part)!.together.every((other) =>
+        parts.includes(other)
+      )
+    );
+  }
+
+  /** Keys of the parts that are rejected now. */
+  listRejectedParts(now: Milliseconds): string[] {
+    return [...this.#assessParts(now).keys()].filter((part) =>
+      this.#isRejectedPart(part, now)
+    );
+  }
+
+  /** Number of upstreams that crashed since a request or part last completed. */
+  crashCountOf(request: string): number {
+    return this.#suspects.get(request)?.runs.length ?? 0;
+  }
+
   /** The current status of a request. */
   statusOf(request: string, now: Milliseconds): SuspectStatus {
     return this.#suspects.has(request)
@@ -120,8 +175,8 @@
       suspect.upstreams,
       this.#countUpstreams(key.service),
     );
-    this.#recordChange(key.request);
-    this.#enforceLimits(key.workspace);
+    this.#recordChange(suspect);
+    this.#enforceLimits(key);
     return true;
   }
 
@@ -140,7 +195,7 @@
     suspect.runs = remaining;
     if (isNew) {
       suspect.completedAt = Math.max(suspect.completedAt, at);
-      this.#recordChange(request);
+      this.#recordChange(suspect);
     }
     return isNew;
   }
@@ -189,7 +244,7 @@
   list(now: Milliseconds): SuspectView[] {
     const views: SuspectView[] = [];
     for (const suspect of this.#suspects.values()) {
-      const { standing } = this.#assess(now).get(suspect.key.request)!;
+      const standing = this.#standingOf(suspect, now);
       if (standing !== SuspectStatus.unsuspected) {
         views.push({
           ...suspect.key,
@@ -205,6 +260,28 @@
     );
   }
 
+  #standingOf(
+    { key, runs }: Suspect,
+    now: Milliseconds,
+  ): SuspectStatus {
+    if (key.isPart === undefined) {
+      return this.#assess(now).get(key.request)!.standing;
+    }
+    if (this.#isRejectedPart(key.request, now)) {
+      return SuspectStatus.rejected;
+    }
+    return runs.length > 0 ? SuspectStatus.watched : SuspectStatus.unsuspected;
+  }
+
+  #isRejectedPart(part: string, now: Milliseconds): boolean {
+    const rejected = this.#assessParts(now).get(part);
+    if (rejected === undefined) {
+      return false;
+    }
+    const { from, until } = rejected;
+    return now < until + (until - from) * this.#trialDelayShare;
+  }
+
   /** Removes requests and crashes that are past their retention. */
   expire(now: Milliseconds): void {
     for (const [request, suspect] of this.#suspects) {
@@ -223,10 +300,10 @@
    * Assessments of all requests, updated after a change or when they expire.
    */
   #assess(now: Milliseconds): ReadonlyMap<string, SuspectAssessment> {
-    const isOutdated = this.#assessedRevision !== this.#changedAt;
-    if (isOutdated || now >= this.#assessedUntil) {
-      this.#assessedRevision = this.#changedAt;
-      this.#assessments = assessSuspects(this.#crashHistories(), {
+    if (this.#areRequestsOutdated || now >= this.#assessedUntil) {
+      this.#areRequestsOutdated = false;
+      this.#arePartsOutdated = true;
+      this.#assessments = assessSuspects(this.#requestHistories(), {
         instanceCrashes: this.#instanceCrashes,
         countUpstreams: this.#countUpstreams,
         now,
@@ -239,12 +316,48 @@
     return this.#assessments;
   }
 
-  *#crashHistories() {
+  /** The parts that are rejected, or were until some time ago. */
+  #assessParts(now: Milliseconds): ReadonlyMap<string, RejectedPart> {
+    this.#assess(now);
+    if (this.#arePartsOutdated) {
+      this.#arePartsOutdated = false;
+      this.#rejectedParts = assessSuspectedParts(this.#partHistories(), {
+        instanceCrashes: this.#instanceCrashes,
+        attributed: this.#attributedCrashes(),
+        countUpstreams: this.#countUpstreams,
+      });
+    }
+    return this.#rejectedParts;
+  }
+
+  *#requestHistories() {
     for (const { key, runs, upstreams } of this.#suspects.values()) {
-      yield { request: key.request, service: key.service, runs, upstreams };
+      if (key.isPart === undefined) {
+        yield { request: key.request, service: key.service, runs, upstreams };
+      }
+    }
+  }
+
+  *#partHistories() {
+    for (const request of this.#partsInQuestion) {
+      const { key, runs, upstreams } = this.#suspects.get(request)!;
+      yield { request, service: key.service, runs, upstreams };
     }
   }
 
+  /** The upstreams that rejected requests have crashed. */
+  #attributedCrashes(): Set<string> {
+    const attributed = new Set<string>();
+    for (const [request, { standing }] of this.#assessments) {
+      if (standing === SuspectStatus.rejected) {
+        for (const { upstream } of this.#suspects.get(request)!.runs) {
+          attributed.add(upstream);
+        }
+      }
+    }
+    return attributed;
+  }
+
   #add(key: SuspectKey): Suspect {
     const suspect: Suspect = {
       key,
@@ -253,6 +366,10 @@
       upstreams: 0,
     };
     this.#suspects.set(key.request, suspect);
+    if (key.isPart === true) {
+      this.#partCount += 1;
+      return suspect;
+    }
     this.#suspectCountBySize.set(
       key.size,
       (this.#suspectCountBySize.get(key.size) ?? 0) + 1,
@@ -271,17 +388,23 @@
         run.upstream === reported.upstream ? earliest(run, reported) : run
       )
       .sort((left, right) => left.endedAt - right.endedAt);
-    this.#assessedUntil = -Infinity;
+    this.#outdate(suspect);
   }
 
   #recordUpstreamCount(request: string, upstreams: number): void {
     const suspect = this.#suspects.get(request);
     if (suspect !== undefined && upstreams > suspect.upstreams) {
       suspect.upstreams = upstreams;
-      this.#assessedUntil = -Infinity;
+      this.#outdate(suspect);
     }
   }
 
+  /** Assesses again, without a change to report. */
+  #outdate({ key: { isPart } }: Suspect): void {
+    this.#areRequestsOutdated ||= isPart === undefined;
+    this.#arePartsOutdated = true;
+  }
+
   #remove(request: string): void {
     const suspect = this.#suspects.get(request);
     if (suspect === undefined) {
@@ -289,7 +412,13 @@
     }
     this.#suspects.delete(request);
     this.#changes.remove(request);
-    const { size } = suspect.key;
+    const { size, isPart } = suspect.key;
+    if (isPart === true) {
+      this.#partCount -= 1;
+      this.#arePartsOutdated ||= this.#partsInQuestion.delete(request);
+      return;
+    }
+    this.#areRequestsOutdated = true;
     const remaining = (this.#suspectCountBySize.get(size) ?? 1) - 1;
     if (remaining > 0) {
       this.#suspectCountBySize.set(size, remaining);
@@ -298,44 +427,61 @@
     }
   }
 
-  #recordChange(request: string): void {
+  #recordChange({ key: { request, isPart }, runs }: Suspect): void {
     this.#changedAt = this.#revisions.next();
     this.#changes.record(request, this.#changedAt);
+    if (isPart === undefined) {
+      this.#areRequestsOutdated = true;
+      return;
+    }
+    const wasInQuestion = this.#partsInQuestion.delete(request);
+    if (runs.length >= REJECTION_CRASHES) {
+      this.#partsInQuestion.add(request);
+    }
+    this.#arePartsOutdated ||= wasInQuestion ||
+      this.#partsInQuestion.has(request);
   }
 
   /**
    * Removes a request if the workspace's limit or the total limit is exceeded.
    */
-  #enforceLimits(workspace: string): void {
-    const own = this.#suspectsOf(workspace);
+  #enforceLimits({ request }: SuspectKey): void {
+    if (this.#suspects.size <= MAX_SUSPECTS_PER_WORKSPACE) {
+      return;
+    }
+    const { workspace, isPart } = this.#suspects.get(request)!.key;
+    const kind = [...this.#suspects.values()].filter(({ key }) =>
+      key.isPart === isPart
+    );
+    const own = suspectsOf(kind, workspace);
     if (own.length > MAX_SUSPECTS_PER_WORKSPACE) {
       this.#remove(leastSuspected(own).key.request);
-    } else if (this.#suspects.size > MAX_SUSPECTS) {
-      this.#remove(
-        leastSuspected(this.#suspectsOf(this.#largestWorkspace())).key.request,
-      );
+    } else if (kind.length > MAX_SUSPECTS) {
+      const most = suspectsOf(kind, largestWorkspace(kind));
+      this.#remove(leastSuspected(most).key.request);
     }
   }
+}
 
-  #suspectsOf(workspace: string): Suspect[] {
-    return [...this.#suspects.values()].filter(({ key }) =>
-      key.workspace === workspace
-    );
-  }
+function suspectsOf(
+  suspects: readonly Suspect[],
+  workspace: string,
+): Suspect[] {
+  return suspects.filter(({ key }) => key.workspace === workspace);
+}
 
-  /** The workspace with the most suspects. */
-  #largestWorkspace(): string {
-    const counts = new Map<string, number>();
-    let largest = "";
-    for (const { key: { workspace } } of this.#suspects.values()) {
-      const count = (counts.get(workspace) ?? 0) + 1;
-      counts.set(workspace, count);
-      if (count > (counts.get(largest) ?? 0)) {
-        largest = workspace;
-      }
+/** The workspace with the most suspects. */
+function largestWorkspace(suspects: readonly Suspect[]): string {
+  const counts = new Map<string, number>();
+  let largest = "";
+  for (const { key: { workspace } } of suspects) {
+    const count = (counts.get(workspace) ?? 0) + 1;
+    counts.set(workspace, count);
+    if (count > (counts.get(largest) ?? 0)) {
+      largest = workspace;
     }
-    return largest;
   }
+  return largest;
 }
 
 function expiryTime(suspect: Suspect): Milliseconds {
--- a/packages/serving/suspect_registry_test.ts
+++ b/packages/serving/suspect_registry_test.ts
@@ -300,3 +300,93 @@
   started.merge(registry.changesSince(0, now), now);
   expect(started.statusOf("r", now)).toBe(SuspectStatus.rejected);
 });
+
+describe("a part of prompts", () => {
+  const part = { ...keyOf("part:p:desk"), size: 0, isPart: true } as const;
+  const other = { ...part, request: "part:q:desk" };
+
+  /** Crashes half a second apart, 50 ms after a response began. */
+  function crash(
+    registry: SuspectRegistry,
+    { keys, times, from = 0 }: {
+      keys: readonly typeof part[];
+      times: number;
+      from?: number;
+    },
+  ): number {
+    for (let time = 0; time < times; time += 1) {
+      for (const key of keys) {
+        const at = (from + time) * SECOND / 2;
+        registry.recordCrash(key, runAt(`u${from + time}`, at));
+      }
+    }
+    return (from + times) * SECOND / 2;
+  }
+
+  test("is rejected within five crashes, for all workspaces of its service", () => {
+    const registry = createRegistry();
+    const now = crash(registry, { keys: [part], times: 5 });
+    expect(registry.findRejectedPart(["part:p:desk", "part:x:desk"], now))
+      .toBe("part:p:desk");
+    expect(registry.findRejectedPart(["part:p:books"], now)).toBeUndefined();
+    expect(registry.list(now)).toMatchObject([{
+      request: "part:p:desk",
+      standing: SuspectStatus.rejected,
+    }]);
+  });
+
+  test("is cleared by a completion", () => {
+    const registry = createRegistry();
+    const now = crash(registry, { keys: [part], times: 9 });
+    expect(registry.recordCompletion("part:p:desk", now)).toBe(true);
+    expect(registry.findRejectedPart(["part:p:desk"], now)).toBeUndefined();
+  });
+
+  test("is rejected only together with those that have been in the same runs", () => {
+    const registry = createRegistry();
+    let now = crash(registry, { keys: [part, other], times: 6 });
+    const find = (...parts: string[]) => registry.findRejectedPart(parts, now);
+    expect(find("part:p:desk", "part:q:desk")).toBeDefined();
+    expect(find("part:p:desk")).toBeUndefined();
+    expect(find("part:q:desk")).toBeUndefined();
+    // The one that crashes an upstream without the other is found.
+    now = crash(registry, { keys: [part], times: 1, from: 6 });
+    expect(find("part:p:desk")).toBe("part:p:desk");
+    expect(find("part:q:desk")).toBeUndefined();
+  });
+
+  // Guards against a workspace that has another's part rejected: it keeps long
+  // runs with the part on upstreams that end anyway.
+  test("isn't rejected for long runs on upstreams that end by themselves", () => {
+    const registry = createRegistry();
+    for (let index = 0; index < 12; index += 1) {
+      const endedAt = 5000 + 400 * index;
+      registry.recordCrash(part, {
+        upstream: `u${index}`,
+        sentAt: endedAt - 2000,
+        endedAt,
+      });
+    }
+    expect(registry.findRejectedPart(["part:p:desk"], 10_000)).toBeUndefined();
+  });
+
+  test("is tried again later by one process at a time", () => {
+    const delays = [0, 0.5].map((random) => {
+      const registry = new SuspectRegistry({
+        revisions: new RevisionCounter(),
+        countUpstreams: () => 20,
+        random: () => random,
+      });
+      const from = crash(registry, { keys: [part], times: 5 });
+      const isRejected = (after: number) =>
+        registry.findRejectedPart(["part:p:desk"], from + after) !== undefined;
+      let after = 0;
+      while (isRejected(after)) {
+        after += SECOND;
+      }
+      return after;
+    });
+    expect(delays[0]).toBeGreaterThan(9 * MINUTE);
+    expect(delays[1]! - delays[0]!).toBeGreaterThan(MINUTE);
+  });
+});
