Soak: requests carry prompt parts, one of which may crash upstreams

Half of the crashing requests repeat themselves as before; the others are all different and have a crashing part among shared ones. The check counts by cause over all upstreams: five crashes, then three requests more after 3 s.

--- a/packages/soak/background_fault_scenarios.ts
+++ b/packages/soak/background_fault_scenarios.ts
@@ -112,13 +112,19 @@
   await replaceUpstream(deployment, random);
 }
 
-/** Sends one crashing request repeatedly, to random entries. */
+/**
+ * Sends one crashing request repeatedly, or different ones with a crashing part
+ * of their prompts, to random entries.
+ */
 async function repeatCrashing(
   deployment: SoakDeployment,
   random: Random,
 ): Promise<void> {
   const { crashing } = deployment;
-  const request = crashing.create({ isNonIdempotent: random() < 0.5 });
+  const isNonIdempotent = random() < 0.5;
+  const request = random() < 0.5
+    ? crashing.create({ isNonIdempotent })
+    : crashing.createPart({ isNonIdempotent });
   const until = performance.now() + randomDuration(random, REPEAT_DURATION_MS);
   while (performance.now() < until) {
     await crashing.send(request);
--- a/packages/soak/crashing_requests.ts
+++ b/packages/soak/crashing_requests.ts
@@ -1,15 +1,19 @@
 import type { Milliseconds, Random } from "@heroncleat/base";
+import { drawPromptParts } from "./draw_prompt_parts.ts";
 import { sendHttpRequest } from "./send_http_request.ts";
 import type { SoakDocument } from "./soak_document.ts";
 import type { ProgramAdapter } from "./program_adapter.ts";
 
-/** Path segment that identifies crashing requests. */
-const PATH_MARKER = "crashes-";
+/** Identifies crashing requests by their paths, and crashing prompt parts. */
+const MARKER = "crashes-";
 const REQUEST_TIMEOUT: Milliseconds = 3000;
 
-/** A request that crashes each upstream that runs it. */
+/** Requests that crash each upstream that runs one. */
 type CrashingRequest = {
-  readonly path: string;
+  /** Path of each of them; undefined if no two are alike. */
+  readonly path: string | undefined;
+  /** The part of their prompts that upstreams crash on, if it is one. */
+  readonly part: string | undefined;
   readonly isNonIdempotent: boolean;
 };
 
@@ -31,31 +35,53 @@
     this.#options = options;
   }
 
-  /** Whether a path belongs to a crashing request. */
-  isCrashing(path: string): boolean {
-    return path.includes(PATH_MARKER);
+  /** Returns what upstreams crash on in a request, if anything. */
+  causeOf(path: string, parts: readonly string[]): string | undefined {
+    return path.includes(MARKER)
+      ? path
+      : parts.find((part) => part.startsWith(MARKER));
   }
 
-  /** Creates a request with a path that wasn't used before. */
+  /** Creates a request that crashes upstreams by itself. */
   create({ isNonIdempotent }: { isNonIdempotent: boolean }): CrashingRequest {
-    const { nonIdempotentPrefix, idempotentPrefix } = this.#options.document();
     this.#createdCount += 1;
-    const prefix = isNonIdempotent ? nonIdempotentPrefix : idempotentPrefix;
     return {
-      path: `${prefix}${PATH_MARKER}${this.#createdCount}`,
+      path: `${
+        this.#prefixOf({ isNonIdempotent })
+      }${MARKER}${this.#createdCount}`,
+      part: undefined,
       isNonIdempotent,
     };
   }
 
-  /** Sends the request to a random entry. */
-  async send({ path, isNonIdempotent }: CrashingRequest): Promise<void> {
+  /** Creates a prompt part that crashes upstreams, whatever it comes with. */
+  createPart(
+    { isNonIdempotent }: { isNonIdempotent: boolean },
+  ): CrashingRequest {
+    this.#createdCount += 1;
+    return {
+      path: undefined,
+      part: `${MARKER}${this.#createdCount}`,
+      isNonIdempotent,
+    };
+  }
+
+  /** Sends such a request to a random entry. */
+  async send(request: CrashingRequest): Promise<void> {
     const { adapter, random, document, listEntries } = this.#options;
+    const { part, isNonIdempotent } = request;
     const entries = listEntries();
     const entry = entries[Math.floor(random() * entries.length)];
     this.#sentCount += 1;
     if (entry === undefined) {
       return;
     }
+    const path = request.path ??
+      `${this.#prefixOf(request)}with-part-${this.#sentCount}`;
+    const parts = drawPromptParts(random, path);
+    if (part !== undefined) {
+      parts.splice(Math.floor(random() * parts.length), 0, part);
+    }
     await sendHttpRequest(entry, {
       method: isNonIdempotent ? "POST" : "GET",
       path,
@@ -64,8 +90,14 @@
         host: document().host,
         [adapter.headers.attempt]: `crashing-${this.#sentCount}`,
         [adapter.headers.timeLeft]: `${REQUEST_TIMEOUT}`,
+        ...adapter.promptHeaders(parts),
       },
       timeout: REQUEST_TIMEOUT,
     });
   }
+
+  #prefixOf({ isNonIdempotent }: { isNonIdempotent: boolean }): string {
+    const { nonIdempotentPrefix, idempotentPrefix } = this.#options.document();
+    return isNonIdempotent ? nonIdempotentPrefix : idempotentPrefix;
+  }
 }
--- a/packages/soak/guarantee_checks.ts
+++ b/packages/soak/guarantee_checks.ts
@@ -12,6 +12,8 @@
 
 /** Crashes after which a request must no longer be forwarded. */
 const MAX_CRASHES = 3;
+/** The same for requests with a part of a prompt, no two of which are alike. */
+const MAX_CRASHES_OF_PART = 5;
 /** Time within which all entries must have a record of the last crash. */
 const SUSPECT_PROPAGATION_TIME: Milliseconds = 3000;
 /** Requests that may still reach upstreams after that time. */
@@ -96,12 +98,16 @@
     this.leaves += 1;
   }
 
-  /** Records that an upstream crashed while running a request. */
-  recordCrash(target: string): void {
-    const crashing = this.#crashing.get(target) ??
+  /**
+   * Records that an upstream crashed while running a request.
+   *
+   * @param cause The path of the request, or a part of its prompt.
+   */
+  recordCrash(cause: string): void {
+    const crashing = this.#crashing.get(cause) ??
       { crashedAt: [], lateCount: 0 };
     crashing.crashedAt.push(performance.now());
-    this.#crashing.set(target, crashing);
+    this.#crashing.set(cause, crashing);
   }
 
   /** Upstreams that crashed since their rejections were last limited. */
@@ -124,9 +130,15 @@
   }
 
   /** Checks that entries soon stop forwarding a crashing request. */
-  #checkCrashing({ target, from, at }: ReceivedRequest): void {
-    const crashing = this.#crashing.get(target);
-    const lastAllowed = crashing?.crashedAt[MAX_CRASHES - 1];
+  #checkCrashing({ target, crashCause, from, at }: ReceivedRequest): void {
+    if (crashCause === undefined) {
+      return;
+    }
+    const crashing = this.#crashing.get(crashCause);
+    const maxCrashes = crashCause === target
+      ? MAX_CRASHES
+      : MAX_CRASHES_OF_PART;
+    const lastAllowed = crashing?.crashedAt[maxCrashes - 1];
     if (crashing === undefined || lastAllowed === undefined) {
       return;
     }
@@ -139,10 +151,10 @@
       if (crashing.lateCount === MAX_LATE_REQUESTS + 1) {
         this.report(
           "crashing",
-          `${target} is still received by upstreams ${
+          `${crashCause} is still received by upstreams ${
             Math.round(after)
           } ms after ` +
-            `the third one crashed while running it; sent by ` +
+            `crash ${maxCrashes} of those that ran it; sent by ` +
             this.#environment.describe(from, at),
         );
       }
--- a/packages/soak/program_adapter.ts
+++ b/packages/soak/program_adapter.ts
@@ -35,6 +35,14 @@
   readonly lookup: (options: { host: string; zone: string }) => string;
   /** Extracts the entry addresses from the response to a lookup. */
   readonly parseAddresses: (body: string) => readonly string[];
+  /** Headers that state the parts of a request's prompt. */
+  readonly promptHeaders: (
+    parts: readonly string[],
+  ) => Readonly<Record<string, string>>;
+  /** Reads those parts. */
+  readonly parsePromptParts: (
+    headers: Readonly<Record<string, string | string[] | undefined>>,
+  ) => readonly string[];
   readonly headers: {
     readonly attempt: string;
     readonly timeLeft: string;
--- a/packages/soak/received_request.ts
+++ b/packages/soak/received_request.ts
@@ -10,4 +10,6 @@
   readonly isNonIdempotent: boolean;
   /** Path and query. */
   readonly target: string;
+  /** What upstreams crash on in the request; undefined if nothing. */
+  readonly crashCause: string | undefined;
 };
--- a/packages/soak/soak_caller.ts
+++ b/packages/soak/soak_caller.ts
@@ -1,5 +1,6 @@
 import { Agent } from "node:http";
 import type { Milliseconds } from "@heroncleat/base";
+import { drawPromptParts } from "./draw_prompt_parts.ts";
 import { responseBody } from "./response_body.ts";
 import { sendHttpRequest } from "./send_http_request.ts";
 import { pause } from "./pause.ts";
@@ -199,6 +200,7 @@
         host: document().host,
         [headers.attempt]: attempt,
         [headers.timeLeft]: String(REQUEST_TIMEOUT),
+        ...adapter.promptHeaders(drawPromptParts(random, path)),
         ...(stream?.origin === undefined ? {} : {
           [headers.resumes]: stream.origin,
           [headers.lastEvent]: String(stream.lastId),
--- a/packages/soak/soak_deployment.ts
+++ b/packages/soak/soak_deployment.ts
@@ -217,8 +217,8 @@
       isStream: (path) =>
         path.startsWith(this.#document.resumablePrefix) ||
         path.startsWith(this.#document.streamPrefix),
-      crashes: (path) => this.crashing.isCrashing(path),
-      onCrash: (path) => this.checks.recordCrash(path),
+      crashCauseOf: (path, parts) => this.crashing.causeOf(path, parts),
+      onCrash: (cause) => this.checks.recordCrash(cause),
       onOverload: (from) => this.checks.recordOverload(from),
     });
     this.#upstreams.add(upstream);
--- a/packages/soak/soak_upstream.ts
+++ b/packages/soak/soak_upstream.ts
@@ -59,15 +59,18 @@
   readonly onRun: (received: ReceivedRequest) => void;
   readonly isNonIdempotent: (path: string) => boolean;
   readonly isStream: (path: string) => boolean;
-  /** Whether a request crashes each upstream that runs it. */
-  readonly crashes: (path: string) => boolean;
+  /** Returns what upstreams crash on in a request, if anything. */
+  readonly crashCauseOf: (
+    path: string,
+    parts: readonly string[],
+  ) => string | undefined;
   /**
    * Called when it crashes as it rejected too much, with the host of the entry
    * that sent the last request.
    */
   readonly onOverload: (from: string) => void;
   /** Called when such a request has crashed this upstream. */
-  readonly onCrash: (path: string) => void;
+  readonly onCrash: (cause: string) => void;
 };
 
 /** A plain service that sends heartbeats, serves requests and departs. */
@@ -242,7 +245,7 @@
     message: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const { adapter, onReceived, onRun, isNonIdempotent, crashes, random } =
+    const { adapter, onReceived, onRun, isNonIdempotent, random } =
       this.#options;
     const { headers } = adapter;
     const attempt = String(message.headers[headers.attempt] ?? "");
@@ -253,6 +256,10 @@
       at: performance.now(),
       isNonIdempotent: isNonIdempotent(message.url ?? ""),
       target: message.url ?? "",
+      crashCause: this.#options.crashCauseOf(
+        message.url ?? "",
+        adapter.parsePromptParts(message.headers),
+      ),
     };
     response.setHeader(headers.attempt, attempt);
     message.resume();
@@ -279,7 +286,7 @@
       return;
     }
     onRun(received);
-    if (crashes(received.target)) {
+    if (received.crashCause !== undefined) {
       response.writeHead(200, { [headers.digest]: `by-${this.name}` });
       response.write("begun");
       await new Promise((resolve) => {
@@ -289,7 +296,7 @@
         );
       });
       if (this.#server.listening) {
-        this.#options.onCrash(received.target);
+        this.#options.onCrash(received.crashCause);
         void this.crash();
       }
       return;
