A part that several rejected requests have in common is the cause of their crashes

What a test of the OpenAI surface saw: generations with one message, no two alike, went on crashing upstreams; entries send each to several, so that each was rejected by itself and explained its crashes, and none were left for the part. Change: one rejected request explains a part only if it crashed all but one of its upstreams; a part is not rejected while another one was on all of them and more; run times of crashes that count as one count once.

--- a/apps/heroncleatd/common/simulated_parts.ts
+++ b/apps/heroncleatd/common/simulated_parts.ts
@@ -38,6 +38,8 @@
   readonly requestsPerSecond: number;
   /** Requests with the crashing part; 0 for none. */
   readonly crashingPerSecond: number;
+  /** Upstreams that an entry sends a request to, one after the other. */
+  readonly maxAttempts: number;
   /** Whether the crashing part never comes without a certain harmless one. */
   readonly hasCompanion: boolean;
   /** Share of a zone's upstreams that each wave ends; 0 for no waves. */
@@ -63,6 +65,8 @@
   readonly identity: RequestIdentity;
   readonly sentAt: Milliseconds;
   readonly begunAt: Milliseconds;
+  readonly isCrashing: boolean;
+  readonly attemptsLeft: number;
   isOver: boolean;
 };
 
@@ -211,12 +215,25 @@
 
   #submit(parts: readonly string[]): void {
     const entry = this.#pick(this.#entries.filter(({ isUp }) => isUp));
+    if (entry !== undefined) {
+      this.#send({
+        entry,
+        identity: this.#identify(parts),
+        isCrashing: parts.includes("crashing"),
+        attemptsLeft: this.#scenario.maxAttempts,
+      });
+    }
+  }
+
+  #send(
+    request: Pick<Run, "entry" | "identity" | "isCrashing" | "attemptsLeft">,
+  ): void {
+    const { entry, identity, isCrashing } = request;
+    const attemptsLeft = request.attemptsLeft - 1;
     const upstream = this.#pick(this.#upstreams.filter(({ isUp }) => isUp));
-    if (entry === undefined || upstream === undefined) {
+    if (!entry.isUp || upstream === undefined || attemptsLeft < 0) {
       return;
     }
-    const isCrashing = parts.includes("crashing");
-    const identity = this.#identify(parts);
     if (entry.watcher.status(identity) === SuspectStatus.rejected) {
       this.#wronglyRejected += isCrashing ? 0 : 1;
       this.#rejected += isCrashing ? 1 : 0;
@@ -226,7 +243,15 @@
       this.#recordSend(entry);
     }
     const begunAt = this.#now + FIRST_BYTE_DELAY * (0.5 + this.#random());
-    const run = { entry, identity, sentAt: this.#now, begunAt, isOver: false };
+    const run = {
+      entry,
+      identity,
+      isCrashing,
+      attemptsLeft,
+      sentAt: this.#now,
+      begunAt,
+      isOver: false,
+    };
     upstream.runs.add(run);
     const { id } = upstream;
     const end = isCrashing
@@ -298,6 +323,9 @@
           });
         }
         watcher.recordCrash(id);
+        for (const run of broken) {
+          this.#send(run);
+        }
       });
     }
     this.#schedule(UPSTREAM_DOWNTIME, () => this.#startUpstream(upstream));
--- a/apps/heroncleatd/common/simulated_parts_test.ts
+++ b/apps/heroncleatd/common/simulated_parts_test.ts
@@ -8,6 +8,7 @@
   upstreamCount: 20,
   requestsPerSecond: 60,
   crashingPerSecond: 0,
+  maxAttempts: 1,
   hasCompanion: false,
   waveShare: 0,
   waveSpread: 0,
@@ -47,6 +48,7 @@
 const crashingCases: readonly Case[] = [
   ["alone", 10, {}],
   ["often", 10, { crashingPerSecond: 12 }],
+  ["sent to three upstreams each time", 10, { maxAttempts: 3 }],
   ["with a harmless one in all its prompts", 10, { hasCompanion: true }],
   ["while processes restart and are cut off", 10, { disruptsProcesses: true }],
   ["while upstreams end by themselves", 10, {
--- a/apps/heroncleatd/tests/crash_test.ts
+++ b/apps/heroncleatd/tests/crash_test.ts
@@ -7,6 +7,8 @@
 const PAUSE_MS = 250;
 /** Crashes tolerated until all entries reject the request. */
 const MAX_CRASHES = 6;
+/** The same for a part of prompts: five, and three requests more. */
+const MAX_CRASHES_OF_PART = 8;
 
 const live = new LiveDeployment({
   firstPort: 24_000,
@@ -104,3 +106,43 @@
   });
   expect(other.status).toBe(200);
 }, 90_000);
+
+// Guards against a message that crashes one upstream after the other, as no two
+// generations with it are alike.
+test(
+  "generations with a message that crashes upstreams are rejected, others with the same system message served",
+  async () => {
+    const send = async (count: number, messages: readonly string[]) => {
+      const entry = count % live.callerAddresses.length;
+      const reply = await live.call(entry, "/v1/chat/completions", {
+        method: "POST",
+        headers: {
+          "content-type": "application/json",
+          "heroncleat-deadline": "3000",
+        },
+        body: JSON.stringify({
+          model: "assistant",
+          stream: true,
+          max_tokens: 5,
+          messages: [
+            { role: "system", content: "You seat guests." },
+            ...messages.map((content) => ({ role: "user", content })),
+          ],
+        }),
+      });
+      await sleep(PAUSE_MS);
+      return reply.status;
+    };
+    const statuses: number[] = [];
+    const soundStatuses: number[] = [];
+    for (let call = 0; call < REPEATS; call += 1) {
+      statuses.push(await send(call, [CRASHING_BODY, `guest ${call}`]));
+      soundStatuses.push(await send(call, [`table ${call}`]));
+    }
+    expect(statuses.slice(-3)).toEqual([400, 400, 400]);
+    expect(crashes).toBeLessThanOrEqual(MAX_CRASHES_OF_PART);
+    expect(soundStatuses.slice(-3)).toEqual([200, 200, 200]);
+    expect(soundStatuses).not.toContain(400);
+  },
+  90_000,
+);
--- a/packages/serving/assess_suspected_parts.ts
+++ b/packages/serving/assess_suspected_parts.ts
@@ -7,6 +7,8 @@
 
 /** Successive crashes from which on a part may be rejected. */
 const MIN_CRASHES = 3;
+/** Crashes of a part beyond those of one rejected request. */
+const MIN_UNEXPLAINED_CRASHES = 2;
 /**
  * A part is rejected only if a harmless one would meet as many crashes with less
  * than this probability.
@@ -37,8 +39,8 @@
 type PartContext = {
   /** Recent instance crashes, by instance ID. */
   readonly instanceCrashes: ReadonlyMap<string, InstanceCrash>;
-  /** Instances whose crashes are explained already. */
-  readonly attributed: ReadonlySet<string>;
+  /** Instances that each rejected request has crashed. */
+  readonly crashedByRequests: readonly ReadonlySet<string>[];
   readonly countUpstreams: (service: string) => number;
 };
 
@@ -55,9 +57,11 @@
   parts: Iterable<PartHistory>,
   context: PartContext,
 ): Map<string, RejectedPart> {
-  const attributed = new Set(context.attributed);
+  const attributed = new Set<string>();
   const rejected = new Map<string, RejectedPart>();
-  let candidates = [...parts];
+  let candidates = [...parts].filter((part) =>
+    !isExplainedByRequest(part, context.crashedByRequests)
+  );
   while (true) {
     candidates = withoutAttributed(candidates, attributed);
     const likeliest = findLeastCoincidental(candidates, {
@@ -81,6 +85,20 @@
   }
 }
 
+/**
+ * Whether one rejected request has crashed nearly all upstreams that a part was
+ * on. Several such requests may crash them by a part that they have in common.
+ */
+function isExplainedByRequest(
+  { runs }: PartHistory,
+  crashedByRequests: readonly ReadonlySet<string>[],
+): boolean {
+  return crashedByRequests.some((crashed) =>
+    runs.filter(({ upstream }) => !crashed.has(upstream)).length <
+      MIN_UNEXPLAINED_CRASHES
+  );
+}
+
 /** The parts that may still be rejected, with the crashes not explained yet. */
 function withoutAttributed(
   candidates: readonly PartHistory[],
@@ -100,13 +118,15 @@
 
 function findLeastCoincidental(
   candidates: readonly PartHistory[],
-  context: PartContext,
+  context: PartContext & { readonly attributed: ReadonlySet<string> },
 ): PartHistory | undefined {
   let least: PartHistory | undefined;
   let leastProbability = MAX_COINCIDENCE_PROBABILITY;
   for (const candidate of candidates) {
     const probability = coincidenceProbability(candidate, context);
-    if (probability <= leastProbability) {
+    if (
+      probability <= leastProbability && !isCovered(candidate, candidates)
+    ) {
       least = candidate;
       leastProbability = probability;
     }
@@ -114,13 +134,32 @@
   return least;
 }
 
+/**
+ * Whether another part has been on all upstreams that crashed under a part, and
+ * on more: it is the likelier cause.
+ */
+function isCovered(
+  { service, runs }: PartHistory,
+  candidates: readonly PartHistory[],
+): boolean {
+  return candidates.some((other) => {
+    if (other.service !== service || other.runs.length <= runs.length) {
+      return false;
+    }
+    const covered = new Set(other.runs.map(({ upstream }) => upstream));
+    return runs.every(({ upstream }) => covered.has(upstream));
+  });
+}
+
 /**
  * Probability that a harmless part meets as many crashes in the run time that it
  * had on upstreams that crashed, at the rates at which upstreams crashed then.
  */
 function coincidenceProbability(
   { service, runs, upstreams }: PartHistory,
-  { instanceCrashes, attributed, countUpstreams }: PartContext,
+  { instanceCrashes, attributed, countUpstreams }: PartContext & {
+    readonly attributed: ReadonlySet<string>;
+  },
 ): number {
   const successive = successiveRuns(runs);
   if (successive.length < MIN_CRASHES) {
@@ -136,7 +175,7 @@
   }
   const count = Math.max(1, upstreams, countUpstreams(service));
   let expected = 0;
-  for (const { sentAt, endedAt } of runs) {
+  for (const { sentAt, endedAt } of successive) {
     const crashes = crashTimes.filter((at) =>
       Math.abs(at - endedAt) <= RATE_WINDOW / 2
     ).length;
--- a/packages/serving/suspect_registry.ts
+++ b/packages/serving/suspect_registry.ts
@@ -323,7 +323,7 @@
       this.#arePartsOutdated = false;
       this.#rejectedParts = assessSuspectedParts(this.#partHistories(), {
         instanceCrashes: this.#instanceCrashes,
-        attributed: this.#attributedCrashes(),
+        crashedByRequests: this.#listCrashedByRequests(),
         countUpstreams: this.#countUpstreams,
       });
     }
@@ -345,17 +345,16 @@
     }
   }
 
-  /** The upstreams that rejected requests have crashed. */
-  #attributedCrashes(): Set<string> {
-    const attributed = new Set<string>();
+  /** The upstreams that each rejected request has crashed. */
+  #listCrashedByRequests(): Set<string>[] {
+    const crashed: Set<string>[] = [];
     for (const [request, { standing }] of this.#assessments) {
       if (standing === SuspectStatus.rejected) {
-        for (const { upstream } of this.#suspects.get(request)!.runs) {
-          attributed.add(upstream);
-        }
+        const { runs } = this.#suspects.get(request)!;
+        crashed.push(new Set(runs.map(({ upstream }) => upstream)));
       }
     }
-    return attributed;
+    return crashed;
   }
 
   #add(key: SuspectKey): Suspect {
--- a/packages/serving/suspect_registry_test.ts
+++ b/packages/serving/suspect_registry_test.ts
@@ -3,6 +3,7 @@
   type CrashedRun,
   type ReportedSuspect,
   RevisionCounter,
+  type SuspectKey,
   SuspectRegistry,
   SuspectStatus,
 } from "./mod.ts";
@@ -309,7 +310,7 @@
   function crash(
     registry: SuspectRegistry,
     { keys, times, from = 0 }: {
-      keys: readonly typeof part[];
+      keys: readonly SuspectKey[];
       times: number;
       from?: number;
     },
@@ -335,6 +336,16 @@
     }]);
   });
 
+  test("isn't rejected for what one request crashes, but for what several do", () => {
+    const registry = createRegistry();
+    let now = crash(registry, { keys: [part, keyOf("r")], times: 4 });
+    expect(registry.statusOf("r", now)).toBe(SuspectStatus.rejected);
+    expect(registry.findRejectedPart(["part:p:desk"], now)).toBeUndefined();
+    now = crash(registry, { keys: [part, keyOf("s")], times: 3, from: 4 });
+    expect(registry.statusOf("s", now)).toBe(SuspectStatus.rejected);
+    expect(registry.findRejectedPart(["part:p:desk"], now)).toBe("part:p:desk");
+  });
+
   test("is cleared by a completion", () => {
     const registry = createRegistry();
     const now = crash(registry, { keys: [part], times: 9 });
