An unframed response is checked only where it would clear a crash

Cause: each response that ended with its connection led to a second probe of its upstream 300 ms later, also with nothing to clear; probes and connections cost. Change: the probe is made if a crash of the request or of one of its parts counts. Evidence: suspect_watcher_test.ts, no probe before the first crash.

--- a/apps/heroncleatd/common/suspect_watcher.ts
+++ b/apps/heroncleatd/common/suspect_watcher.ts
@@ -174,18 +174,31 @@
 
   /**
    * Records a response that ended with its connection and looks complete, once
-   * its upstream turns out to be still running.
+   * its upstream turns out to be still running. The upstream is probed only if
+   * the response would clear a crash.
    */
   recordUnframedSuccess(
     request: RequestIdentity,
     connection: BrokenConnection,
   ): void {
+    if (!this.#wouldClear(request)) {
+      return;
+    }
     const endedAt = this.#options.clock.steady();
     setTimeout(() => {
       void this.#checkUnframed(request, { ...connection, endedAt });
     }, UNFRAMED_CHECK_DELAY).unref();
   }
 
+  #wouldClear(request: RequestIdentity): boolean {
+    const { registry } = this.#options;
+    const keys = registry.hasSuspectedParts ? [...request.parts()] : [];
+    if (this.#maySuspect(request)) {
+      keys.push(request.digest());
+    }
+    return keys.some((key) => registry.crashCountOf(key) > 0);
+  }
+
   async #checkUnframed(
     request: RequestIdentity,
     connection: BrokenConnection & { readonly endedAt: Milliseconds },
--- a/apps/heroncleatd/common/suspect_watcher_test.ts
+++ b/apps/heroncleatd/common/suspect_watcher_test.ts
@@ -160,15 +160,14 @@
 });
 
 // Guards against a response cut short by a crash that clears what caused it.
-test("a response that ends with its connection counts once its upstream is found running", async () => {
+test("a response that ends with its connection clears a part once its upstream is found running", async () => {
   jest.useFakeTimers();
   const fixture = new WatcherFixture();
   const next = identify("next", ["part:p:desk"]);
   const finish = async (upstream: string) => {
-    const request = identify(upstream, ["part:p:desk"]);
     const sentAt = fixture.now;
     fixture.now += 500;
-    fixture.watcher.recordUnframedSuccess(request, {
+    fixture.watcher.recordUnframedSuccess(identify(upstream, next.parts()), {
       upstream,
       address: upstream,
       sentAt,
@@ -176,12 +175,20 @@
     });
     await jest.advanceTimersByTimeAsync(1000);
   };
+  await finish("u0");
+  expect(fixture.probes).toBe(0);
   for (const upstream of ["u1", "u2", "u3", "u4", "u5"]) {
     fixture.gone.add(upstream);
-    await finish(upstream);
+    const request = identify(upstream, next.parts());
+    const breaking = fixture.breakConnection(request, upstream);
+    await breaking;
+    fixture.now += 450;
   }
   expect(fixture.watcher.findRejectedPart(next)).toBe("part:p:desk");
+  fixture.gone.add("u6");
   await finish("u6");
+  expect(fixture.watcher.findRejectedPart(next)).toBe("part:p:desk");
+  await finish("u7");
   expect(fixture.watcher.findRejectedPart(next)).toBeUndefined();
   jest.useRealTimers();
 });
