--- a/apps/heroncleatd/gateway/retry_limiter.ts
+++ b/apps/heroncleatd/gateway/retry_limiter.ts
@@ -39,7 +39,10 @@
     this.#budgetOf(service).recordRequest(this.#options.clock.steady());
   }
 
-  /** Whether a retry is available, so that it is worth looking for an upstream. */
+  /**
+   * Whether a retry is available, so that it is worth looking for an upstream. A
+   * refusal is counted and logged.
+   */
   hasRetry(service: string): boolean {
     const { spent, bound } = this.#usageOf(service);
     if (spent + 1 <= bound) {
--- a/packages/serving/assess_suspected_parts.ts
+++ b/packages/serving/assess_suspected_parts.ts
@@ -71,9 +71,9 @@
     if (likeliest === undefined) {
       return rejected;
     }
-    const key = upstreamsOf(likeliest);
+    const crashed = upstreamsOf(likeliest);
     const together = candidates.filter((other) =>
-      other.service === likeliest.service && upstreamsOf(other) === key
+      other.service === likeliest.service && upstreamsOf(other) === crashed
     ).map(({ request }) => request);
     const period = rejectionPeriod(likeliest.runs);
     for (const part of together) {
--- a/packages/serving/shared_retry_budget.ts
+++ b/packages/serving/shared_retry_budget.ts
@@ -26,8 +26,8 @@
  * Retry budget of one service at this entry. In any window the retries are at
  * most the ratio of the requests, which are the weighted mean of those in that
  * window, in the one half a length earlier and in the one before, plus this
- * entry's share of the minimum. As this is true of every entry and every window, whatever its
- * phase, it is true of the sums over all entries.
+ * entry's share of the minimum. As this is true of every entry and every window,
+ * whatever its phase, it is true of the sums over all entries.
  *
  * @public
  */
