A part is rejected at five crashes, by the higher of two crash rates

It had been in four crashed runs within a second, some of them of crashing requests, while eight of these were repeated at once. Cause: three crashes sufficed, and their chance was judged by the crashes within half a second of each only, which were few at that moment. Change: five crashes, as many as are allowed; the rate over 10 s counts if higher.

--- a/apps/heroncleatd/common/suspect_watcher.ts
+++ b/apps/heroncleatd/common/suspect_watcher.ts
@@ -23,8 +23,8 @@
 /** Maximum number of undecided runs per upstream instance. */
 const MAX_UNDECIDED_RUNS = 200;
 /**
- * Maximum number of prompt parts that are suspected of one crash. Those that the
- * upstream had run for the shortest time are the likeliest.
+ * Maximum number of prompt parts that are suspected of one crash. Those that
+ * the upstream had run for the shortest time are the likeliest.
  */
 const MAX_PARTS_PER_CRASH = 16;
 /** Crashes from which on other processes are told at once of a completion. */
--- a/packages/serving/assess_suspected_parts.ts
+++ b/packages/serving/assess_suspected_parts.ts
@@ -6,7 +6,7 @@
 import { successiveRuns } from "./successive_runs.ts";
 
 /** Successive crashes from which on a part may be rejected. */
-const MIN_CRASHES = 3;
+const MIN_CRASHES = 5;
 /** Crashes of a part beyond those of one rejected request. */
 const MIN_UNEXPLAINED_CRASHES = 2;
 /**
@@ -14,8 +14,11 @@
  * than this probability.
  */
 const MAX_COINCIDENCE_PROBABILITY = 1e-8;
-/** Time around a crash over which the rate of crashes is measured. */
-const RATE_WINDOW: Milliseconds = 1000;
+/**
+ * Times around a crash over which the rate of crashes is measured: upstreams end
+ * in waves, and now and then for longer. The higher rate counts.
+ */
+const RATE_WINDOWS: readonly Milliseconds[] = [1000, 10_000];
 /**
  * Time for which a part is rejected. From the sixth crash on it doubles with
  * each further one: those are due to requests that were sent to see whether the
@@ -176,14 +179,22 @@
   const count = Math.max(1, upstreams, countUpstreams(service));
   let expected = 0;
   for (const { sentAt, endedAt } of successive) {
-    const crashes = crashTimes.filter((at) =>
-      Math.abs(at - endedAt) <= RATE_WINDOW / 2
-    ).length;
-    expected += (endedAt - sentAt) * crashes / RATE_WINDOW / count;
+    expected += (endedAt - sentAt) * rateAround(endedAt, crashTimes) / count;
   }
   return crashProbability(successive.length, expected);
 }
 
+/** Crashes per ms around a time. */
+function rateAround(
+  time: Milliseconds,
+  crashTimes: readonly Milliseconds[],
+): number {
+  const rates = RATE_WINDOWS.map((window) =>
+    crashTimes.filter((at) => Math.abs(at - time) <= window / 2).length / window
+  );
+  return Math.max(...rates);
+}
+
 function rejectionPeriod(
   runs: readonly CrashedRun[],
 ): Pick<RejectedPart, "from" | "until"> {
--- a/packages/serving/suspect_registry_test.ts
+++ b/packages/serving/suspect_registry_test.ts
@@ -324,9 +324,12 @@
     return (from + times) * SECOND / 2;
   }
 
-  test("is rejected within five crashes, for all workspaces of its service", () => {
+  // Guards against rejecting a rare part that requests with a crashing one had.
+  test("is rejected at five crashes and not before, for all workspaces of its service", () => {
     const registry = createRegistry();
-    const now = crash(registry, { keys: [part], times: 5 });
+    let now = crash(registry, { keys: [part], times: 4 });
+    expect(registry.findRejectedPart(["part:p:desk"], now)).toBeUndefined();
+    now = crash(registry, { keys: [part], times: 1, from: 4 });
     expect(registry.findRejectedPart(["part:p:desk", "part:x:desk"], now))
       .toBe("part:p:desk");
     expect(registry.findRejectedPart(["part:p:books"], now)).toBeUndefined();
