Log: a stream without an upstream lists the states of those of its version

A refusal "no upstream is available with the version that began the stream" looked the same whether the version had ended, drained or was paused, so the log couldn't tell the hypotheses of the resumed streams apart. The attempt now reads `no upstream version=v1 ready=0 draining=2 gone=4`.

--- a/apps/heroncleatd/gateway/forward_stream.ts
+++ b/apps/heroncleatd/gateway/forward_stream.ts
@@ -5,6 +5,7 @@
 import type { AttemptResult } from "./attempt_result.ts";
 import type { CallerRequest } from "./caller_request.ts";
 import { breakOffResponse } from "./break_off_response.ts";
+import { describeLack } from "./describe_lack.ts";
 import { describeWithholdReason } from "./describe_withhold_reason.ts";
 import { endWithConnection } from "../common/end_with_connection.ts";
 import { EventSplitter } from "./event_splitter.ts";
@@ -192,7 +193,9 @@
       return "no_retry";
     }
     if (result.kind === "no_upstream") {
-      this.#attempts.push("no upstream");
+      this.#attempts.push(
+        describeLack(call, { context: this.#context, version: this.#version }),
+      );
       this.#restDelay = result.retryAfter;
       return "no_upstream";
     }
