Streams go on at upstreams of their version that drain, until their drain timeout

What callers saw: streams that they resumed were refused with 503, "no upstream is available with the version that began the stream", while upstreams of it served on in drain. Cause: a drain was known as a state without a time. The choice took `ready` only, for requests that any upstream can run and for those that only a few can alike. Change: control replicas know since when an instance drains, at the latest, and pass that on as an age, over any number of hops: from its first report, which follows the last ready heartbeat, or else from that heartbeat. Whoever hears of a drain without an age uses the upstream for nothing, as before. A stream that is bound to a version, by a caller's resume or within an answer, may be sent to an upstream in drain up to 250 ms before the drain timeout ends or its VM is reclaimed; ready ones come first, and the time is looked at again right before the first byte.

--- a/apps/heroncleatd/gateway/attempt_request.ts
+++ b/apps/heroncleatd/gateway/attempt_request.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage } from "node:http";
 import type { Milliseconds } from "@heroncleat/base";
 import {
+  type KnownUpstream,
   overloadRetryDelay,
   RouteKind,
   SuspectStatus,
@@ -94,6 +95,9 @@
     record.id,
     () => describeChoice(chosen, times),
   );
+  if (record.state === "draining") {
+    context.metrics.increment("drains.continued_streams");
+  }
   const tracking = startTracking(call, {
     context,
     chosen,
@@ -123,14 +127,17 @@
     names: context.names,
     signal,
     onSent: (abort) => cancel = abort,
-    maySend: () => !context.statements.isResting(record.id, clock.steady()),
+    maySend: () => maySend(chosen.upstream, context),
   });
   endTrial();
   if (response.kind === "withdrawn") {
     endWait(false);
     tracking.finish(AttemptOutcome.notAnswered);
     returnPermit();
-    context.metrics.increment("rests.withdrawn");
+    const isResting = context.statements.isResting(record.id, clock.steady());
+    context.metrics.increment(
+      isResting ? "rests.withdrawn" : "drains.withdrawn",
+    );
     return await attemptRequest(call, options);
   }
   endWait(response.kind === "head" || isStatus(response.reason));
@@ -189,6 +196,18 @@
   };
 }
 
+/** Whether an upstream still takes the request, now that it is connected. */
+function maySend(
+  upstream: KnownUpstream,
+  { choice, clock, directory, statements }: ForwardContext,
+): boolean {
+  const now = clock.steady();
+  const { id, state } = upstream.record;
+  const isInTime = state === "ready" ||
+    now < choice.drainEndsAt(directory.get(id) ?? upstream);
+  return isInTime && !statements.isResting(id, now);
+}
+
 /** Consumes a retry at the first call, if the attempt is one. */
 function createRetryPermission(
   { service }: CallerRequest,
--- a/apps/heroncleatd/gateway/caller_surface_test.ts
+++ b/apps/heroncleatd/gateway/caller_surface_test.ts
@@ -98,6 +98,7 @@
       retryWindow: 1000,
       retrySlack: 10,
       usageWindow: 1000,
+      drainTimeout: 2000,
       gracePeriod: 500,
     }),
     names: testHeaderNames,
--- a/apps/heroncleatd/gateway/control_links.ts
+++ b/apps/heroncleatd/gateway/control_links.ts
@@ -42,8 +42,15 @@
   /** host:port of replicas to contact while none is reachable. */
   readonly seeds: () => readonly string[];
   readonly createRequest: (position: FeedPosition) => SyncRequest;
-  /** @param from host:port of the replica that replied. */
-  readonly onReply: (reply: SyncReply, from: string) => void;
+  readonly onReply: (
+    reply: SyncReply,
+    source: {
+      /** host:port of the replica that replied. */
+      readonly from: string;
+      /** Time since the exchange began. */
+      readonly transit: Milliseconds;
+    },
+  ) => void;
   /**
    * Whether requests can't be served until a reply contains a configuration.
    */
@@ -501,7 +508,10 @@
       : link.loadsSince;
     this.#applyShares(link, reply);
     const entries = isListNew ? [...link.entries.values()] : undefined;
-    this.#options.onReply({ ...reply, entries }, link.address);
+    this.#options.onReply({ ...reply, entries }, {
+      from: link.address,
+      transit: now - requestedAt,
+    });
     // Advanced only after the reply was applied, so that what failed is sent
     // again.
     link.feed = reply.feed;
--- a/apps/heroncleatd/gateway/create_test_context.ts
+++ b/apps/heroncleatd/gateway/create_test_context.ts
@@ -40,7 +40,7 @@
   onClose: (close: () => void) => void,
 ): ForwardContext {
   const statements = new UpstreamStatements(() => 0.5);
-  const directory = new UpstreamDirectory((id) => statements.isLeaving(id));
+  const directory = new UpstreamDirectory((id) => statements.leavingSince(id));
   const agents = new Map<string, UpstreamAgent>();
   upstreams.forEach(({ address }, at) => {
     directory.merge({
@@ -136,7 +136,7 @@
       report: () => {},
     }),
     zone: "a",
-    choice: new UpstreamBalancer(statements),
+    choice: new UpstreamBalancer({ statements, drainTimeout: () => 2000 }),
     directory,
     refusesConnections,
     agentOf: (id) => agents.get(id)!,
--- a/apps/heroncleatd/gateway/entry_exchange.ts
+++ b/apps/heroncleatd/gateway/entry_exchange.ts
@@ -1,6 +1,7 @@
 import { type Clock, type Milliseconds, splitAddress } from "@heroncleat/base";
 import {
   documentCodec,
+  drainAgeOf,
   ENTRY_RETENTION,
   type KnownEntry,
   type LeasedShare,
@@ -160,8 +161,16 @@
     };
   }
 
-  /** Applies the reply of a control replica. */
-  applyReply(reply: SyncReply, from: string): void {
+  /**
+   * Applies the reply of a control replica.
+   *
+   * @param source.from host:port of the replica.
+   * @param source.transit Time since the exchange began.
+   */
+  applyReply(
+    reply: SyncReply,
+    { from, transit }: { from: string; transit: Milliseconds },
+  ): void {
     const { clock, charges, onDocument } = this.#options;
     const now = clock.steady();
     const ages = reply.ages ?? {};
@@ -172,7 +181,8 @@
     this.#applyVersions(reply, from);
     for (const record of reply.upstreams) {
       const age = ages[record.id] ?? 0;
-      this.#applyUpstream(record, now, { reporter: from, age });
+      const drainAge = drainAgeOf(record, { ...reply, transit });
+      this.#applyUpstream(record, now, { reporter: from, age, drainAge });
     }
     if (reply.upstreams.length > 0) {
       this.#closeReplacedInstances();
--- a/apps/heroncleatd/gateway/find_availability.ts
+++ b/apps/heroncleatd/gateway/find_availability.ts
@@ -23,6 +23,7 @@
       parts: [],
       promptTokens: 0,
       excluded,
+      isResumed: version !== undefined,
       isAdmitted: version === undefined
         ? undefined
         : ({ record }) => upstreamVersion(record.version) === version,
--- a/apps/heroncleatd/gateway/gateway_settings.ts
+++ b/apps/heroncleatd/gateway/gateway_settings.ts
@@ -24,6 +24,11 @@
   /** Retries allowed in addition per window and service, across all entries. */
   readonly retrySlack: number;
   readonly usageWindow: Milliseconds;
+  /**
+   * Time after the acknowledgement that an upstream drains in which requests
+   * may still reach it; 0 for none.
+   */
+  readonly drainTimeout: Milliseconds;
   /** Time between SIGTERM and the latest exit of the process. */
   readonly gracePeriod: Milliseconds;
 };
--- a/apps/heroncleatd/gateway/planned_shutdown_test.ts
+++ b/apps/heroncleatd/gateway/planned_shutdown_test.ts
@@ -115,6 +115,7 @@
       retryWindow: 1000,
       retrySlack: 10,
       usageWindow: 1000,
+      drainTimeout: 2000,
       gracePeriod: GRACE_PERIOD_MS,
     }),
     names: testHeaderNames,
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -90,9 +90,9 @@
   readonly #incarnation = createToken();
   readonly #statements = new UpstreamStatements(Math.random);
   readonly #directory = new UpstreamDirectory((id) =>
-    this.#statements.isLeaving(id)
+    this.#statements.leavingSince(id)
   );
-  readonly #choice = new UpstreamBalancer(this.#statements);
+  readonly #choice: UpstreamBalancer;
   readonly #agents: UpstreamAgents;
   readonly #connect: ConnectionOpener;
   readonly #retryShare: LeasedShare;
@@ -140,6 +140,10 @@
   constructor(options: GatewayOptions) {
     this.#options = options;
     const { clock, pool } = options;
+    this.#choice = new UpstreamBalancer({
+      statements: this.#statements,
+      drainTimeout: () => options.settings().drainTimeout,
+    });
     this.#connect = options.connect ?? connect;
     this.#agents = new UpstreamAgents(
       (upstream) => this.#maxIdleConnections(upstream),
@@ -236,7 +240,7 @@
       log: options.log("links"),
       seeds: () => options.settings().seeds,
       createRequest: (position) => this.#exchange.createRequest(position),
-      onReply: (reply, from) => this.#exchange.applyReply(reply, from),
+      onReply: (reply, source) => this.#exchange.applyReply(reply, source),
       suspectRevision: () => this.#suspectRegistry.revision,
       onFollow: (shares) => this.#follow(shares),
       onIsolated: () => this.#onIsolated(),
--- a/apps/heroncleatd/gateway/upstream_restart_test.ts
+++ b/apps/heroncleatd/gateway/upstream_restart_test.ts
@@ -135,6 +135,7 @@
       retryWindow: RETRY_WINDOW_MS,
       retrySlack: 10,
       usageWindow: 1000,
+      drainTimeout: 2000,
       gracePeriod: 100,
     }),
     names: testHeaderNames,
--- a/apps/heroncleatd/gateway/wait_for_upstream.ts
+++ b/apps/heroncleatd/gateway/wait_for_upstream.ts
@@ -9,6 +9,7 @@
 } from "@heroncleat/serving";
 import type { AttemptOptions } from "./attempt_options.ts";
 import type { CallerRequest } from "./caller_request.ts";
+import { findAvailability } from "./find_availability.ts";
 import { findUpstream, type UpstreamDecision } from "./find_upstream.ts";
 import type { ForwardContext } from "./forward_context.ts";
 import { findRestDelay } from "./find_rest_delay.ts";
@@ -123,27 +124,12 @@
  * can't be served once that version has no upstream.
  */
 function mayBecomeAvailable(
-  { service }: CallerRequest,
+  call: CallerRequest,
   { context, excluded, version }: AttemptOptions,
 ): boolean {
-  if (version === undefined) {
-    return true;
-  }
-  const { choice, clock, directory, isSynced } = context;
-  const now = clock.steady();
-  const requiresHeartbeats = isSynced();
-  for (const upstream of directory.list()) {
-    const { record } = upstream;
-    const isMatch = record.service === service && record.state === "ready" &&
-      upstreamVersion(record.version) === version;
-    if (
-      isMatch && !excluded.has(record.id) &&
-      !choice.isLost(upstream, { now, requiresHeartbeats })
-    ) {
-      return true;
-    }
-  }
-  return false;
+  return version === undefined ||
+    findAvailability(call, { context, excluded, version }).availableAt <
+      Infinity;
 }
 
 /** Assigns the caller of a request that isn't sent the time to return. */
@@ -198,6 +184,7 @@
         isLastTry: context.statements.hasUnproven &&
           !context.retries.isAvailable(call.service),
         isAdmitted,
+        isResumed: options.version !== undefined,
         engine: context.engineOf(call.service),
         isConnected: (upstream: string) =>
           context.agentOf(upstream).hasFreeSocket,
--- a/apps/heroncleatd/hub/feed_reader.ts
+++ b/apps/heroncleatd/hub/feed_reader.ts
@@ -85,6 +85,7 @@
     position.isReading = true;
     try {
       const { feed, revision } = position;
+      const requestedAt = clock.steady();
       const request: FeedRequest = { feed, revision, reads: this.#listRead() };
       const reply = await pool.call(address, "hub.feed", {
         parameters: request,
@@ -92,7 +93,10 @@
       }) as FeedReply;
       const now = clock.steady();
       for (
-        const departing of hub.mergeFeed(reply, now, { reporter: address })
+        const departing of hub.mergeFeed(reply, now, {
+          reporter: address,
+          transit: now - requestedAt,
+        })
       ) {
         log.info(`Received a report that an upstream is ${departing.state}`, {
           upstream: departing.id,
--- a/apps/heroncleatd/hub/test_group.ts
+++ b/apps/heroncleatd/hub/test_group.ts
@@ -90,6 +90,7 @@
         retryWindow: 1000,
         retrySlack: 8,
         usageWindow: 1000,
+        drainTimeout: 2000,
         gracePeriod: 500,
       }),
       names: testHeaderNames,
--- a/apps/heroncleatd/hub/upstream_updates.ts
+++ b/apps/heroncleatd/hub/upstream_updates.ts
@@ -2,6 +2,7 @@
 import {
   findRecordProblem,
   type Hub,
+  type UpdateSource,
   type UpstreamRecord,
 } from "@heroncleat/serving";
 import type { MethodHandler, PeerPool } from "@heroncleat/transport";
@@ -13,6 +14,8 @@
 
 /** Limits text from other processes in log lines. */
 const MAX_LOGGED_CHARACTERS = 200;
+/** Of records on disk it isn't known how old they are. */
+const STORED_SOURCE: UpdateSource = { reporter: "disk", age: 0 };
 /** RPC method by which members replicate a departure. */
 const DEPARTURE_METHOD = "hub.leave";
 
@@ -36,6 +39,8 @@
 type DepartureMessage = {
   readonly record: UpstreamRecord;
   readonly from: string;
+  /** See UpdateSource; absent from releases that don't pass it on. */
+  readonly drainAge?: Milliseconds | undefined;
 };
 
 /**
@@ -63,7 +68,11 @@
       toleratedLosses,
       persist: (record) => this.#store.persist(record),
       send: async (member, record, timeout) => {
-        const parameters: DepartureMessage = { record, from: ownAddress };
+        const parameters: DepartureMessage = {
+          record,
+          from: ownAddress,
+          drainAge: this.#drainAgeOf(record.id),
+        };
         await pool.call(member, DEPARTURE_METHOD, { parameters, timeout });
       },
     });
@@ -73,8 +82,9 @@
   methods(): Readonly<Record<string, MethodHandler>> {
     return {
       [DEPARTURE_METHOD]: async (parameters) => {
-        const { record, from } = parameters as DepartureMessage;
-        this.#mergeDeparture(record, from);
+        const message = parameters as DepartureMessage;
+        const { record } = message;
+        this.#mergeDeparture(message);
         if (this.#options.members() === undefined) {
           // Before the replica has joined, its data folder must stay empty.
           throw new Error(
@@ -91,7 +101,7 @@
   async restore(): Promise<void> {
     const { hub, clock } = this.#options;
     for (const record of await this.#store.read()) {
-      hub.mergeUpstream(record, clock.steady());
+      hub.mergeUpstream(record, clock.steady(), STORED_SOURCE);
     }
   }
 
@@ -191,9 +201,15 @@
     };
   }
 
-  #mergeDeparture(record: UpstreamRecord, from: string): void {
+  #drainAgeOf(id: string): Milliseconds | undefined {
+    const { hub, clock } = this.#options;
+    const drainingSince = hub.directory.get(id)?.drainingSince;
+    return drainingSince && Math.ceil(clock.steady() - drainingSince);
+  }
+
+  #mergeDeparture({ record, from, drainAge }: DepartureMessage): void {
     const { hub, clock, log } = this.#options;
-    const source = { reporter: from, age: 0 };
+    const source = { reporter: from, age: 0, drainAge };
     const outcome = hub.mergeUpstream(record, clock.steady(), source);
     if (outcome === "changed") {
       log.info(`Received a report that an upstream is ${record.state}`, {
--- a/packages/serving/balanced_request.ts
+++ b/packages/serving/balanced_request.ts
@@ -14,6 +14,11 @@
   readonly excluded: ReadonlySet<string>;
   /** Upstreams that the versions of the service admit; undefined admits all. */
   readonly isAdmitted?: UpstreamFilter | undefined;
+  /**
+   * Whether it goes on with a stream that only some upstreams may continue, so
+   * that those that drain serve it until their drain timeout.
+   */
+  readonly isResumed?: boolean;
   /** Whether an idle connection to the upstream with this id is open. */
   readonly isConnected?: (upstream: string) => boolean;
   /**
--- /dev/null
+++ b/packages/serving/find_drain_start.ts
@@ -0,0 +1,51 @@
+import type { Milliseconds } from "@heroncleat/base";
+import type { KnownUpstream } from "./known_upstream.ts";
+import type { UpdateSource } from "./update_source.ts";
+import type { UpstreamRecord } from "./upstream_record.ts";
+
+/**
+ * Finds when an instance first said that it drains, or an earlier time, from an
+ * update and what was known before; undefined if neither tells.
+ *
+ * An upstream repeats its report, so the first one that a process receives need
+ * not be the first one that was acknowledged.
+ *
+ * @internal
+ */
+export function findDrainStart(
+  update: UpstreamRecord,
+  { known, now, source }: {
+    known: KnownUpstream | undefined;
+    now: Milliseconds;
+    source: UpdateSource;
+  },
+): Milliseconds | undefined {
+  if (update.state !== "draining") {
+    return known?.drainingSince;
+  }
+  const isDirect = source.reporter === "";
+  const reported = isDirect
+    ? observedStart(update, known, now)
+    : source.drainAge === undefined
+    ? undefined
+    : now - source.drainAge;
+  const starts = [known?.drainingSince, reported].filter((start) =>
+    start !== undefined
+  );
+  return starts.length > 0 ? Math.min(...starts) : undefined;
+}
+
+/** The start of a drain that the upstream reports to this process itself. */
+function observedStart(
+  { sequence }: UpstreamRecord,
+  known: KnownUpstream | undefined,
+  now: Milliseconds,
+): Milliseconds | undefined {
+  if (
+    known?.record.state !== "ready" || sequence <= known.record.sequence
+  ) {
+    return undefined;
+  }
+  const isFirstReport = sequence === known.record.sequence + 1;
+  return isFirstReport ? now : known.receivedAt;
+}
--- /dev/null
+++ b/packages/serving/find_drain_start_test.ts
@@ -0,0 +1,81 @@
+import { UpstreamDirectory, type UpstreamRecord } from "./mod.ts";
+
+const READY: UpstreamRecord = {
+  id: "desk-1",
+  name: "desk-1",
+  born: undefined,
+  service: "desk",
+  address: "10.0.0.1:80",
+  zone: "a",
+  slots: 4,
+  sequence: 1,
+  state: "ready",
+  isSpot: false,
+  leavesIn: undefined,
+};
+
+function draining(sequence: number): UpstreamRecord {
+  return { ...READY, sequence, state: "draining" };
+}
+
+const FORWARDED = { reporter: "10.0.1.1:80", age: 0 };
+
+function drainingSince(directory: UpstreamDirectory): number | undefined {
+  return directory.get(READY.id)?.drainingSince;
+}
+
+describe("the start of a drain", () => {
+  test("is the first report that follows a ready heartbeat", () => {
+    const directory = new UpstreamDirectory();
+    directory.merge(READY, 0);
+    directory.merge(draining(2), 1200);
+    directory.merge(draining(3), 2400);
+    expect(drainingSince(directory)).toBe(1200);
+  });
+
+  test("is the last ready heartbeat if reports in between went elsewhere", () => {
+    const directory = new UpstreamDirectory();
+    directory.merge(READY, 100);
+    directory.merge(draining(4), 3700);
+    expect(drainingSince(directory)).toBe(100);
+  });
+
+  test.each([
+    ["of which nothing was known before", undefined, draining(5)],
+    [
+      "whose report came behind a later heartbeat",
+      { ...READY, sequence: 6 },
+      draining(5),
+    ],
+  ])("isn't known of an upstream %s", (_name, before, report) => {
+    const directory = new UpstreamDirectory();
+    if (before !== undefined) {
+      directory.merge(before, 0);
+    }
+    directory.merge(report, 50);
+    expect(directory.get(READY.id)?.record.state).toBe("draining");
+    expect(drainingSince(directory)).toBeUndefined();
+  });
+
+  test("is taken from the process that has seen it, the earliest of several", () => {
+    const directory = new UpstreamDirectory();
+    directory.merge(READY, 0, FORWARDED);
+    directory.merge(draining(2), 2000, FORWARDED);
+    expect(drainingSince(directory)).toBeUndefined();
+    directory.merge(draining(3), 2100, { ...FORWARDED, drainAge: 600 });
+    directory.merge(draining(4), 2200, { ...FORWARDED, drainAge: 900 });
+    directory.merge(draining(5), 2300, { ...FORWARDED, drainAge: 100 });
+    expect(drainingSince(directory)).toBe(1300);
+  });
+
+  test("isn't later than what the upstream stated to this process itself", () => {
+    let statedAt: number | undefined;
+    const directory = new UpstreamDirectory(() => statedAt);
+    directory.merge(READY, 0, FORWARDED);
+    statedAt = 500;
+    directory.applyLeaving(READY.id);
+    expect(drainingSince(directory)).toBeUndefined();
+    directory.merge(draining(2), 2000, { ...FORWARDED, drainAge: 100 });
+    expect(drainingSince(directory)).toBe(500);
+  });
+});
--- a/packages/serving/hub.ts
+++ b/packages/serving/hub.ts
@@ -5,6 +5,7 @@
   VersionReport,
 } from "@heroncleat/rollouts";
 import { ChargeTotals } from "./charge_totals.ts";
+import { drainAgeOf } from "./drain_age_of.ts";
 import { SuspectRegistry } from "./suspect_registry.ts";
 import { ChargeAggregator } from "./charge_aggregator.ts";
 import { DocumentSender } from "./document_sender.ts";
@@ -230,7 +231,10 @@
     this.#sweep(now);
     const sinceRevision = request.feed === this.feed ? request.revision : 0;
     const { name } = request.entry;
-    const { upstreams, beats, ages } = this.#upstreamsFor(request, now);
+    const { upstreams, beats, ages, drainAges } = this.#upstreamsFor(
+      request,
+      now,
+    );
     return {
       feed: this.feed,
       revision: this.#revisions.value,
@@ -242,6 +246,7 @@
         : undefined,
       upstreams,
       ages,
+      drainAges,
       followed: this.#sharesFor(request),
       document: this.#documentSender.documentFor(request, document),
       ...this.#entriesFor(request, sinceRevision),
@@ -443,18 +448,21 @@
   /**
    * Merges the feed of another replica.
    *
+   * @param options.transit Time since the feed was requested.
    * @returns Upstreams whose departure was unknown before.
    */
   mergeFeed(
     reply: FeedReply,
     now: Milliseconds,
-    { reporter }: { reporter: string },
+    { reporter, transit = 0 }: { reporter: string; transit?: Milliseconds },
   ): UpstreamRecord[] {
     const ages = reply.ages ?? {};
     const departing: UpstreamRecord[] = [];
     for (const record of reply.upstreams) {
       const age = ages[record.id] ?? 0;
-      const outcome = this.mergeUpstream(record, now, { reporter, age });
+      const drainAge = drainAgeOf(record, { ...reply, transit });
+      const source = { reporter, age, drainAge };
+      const outcome = this.mergeUpstream(record, now, source);
       if (outcome === "changed" && record.state !== "ready") {
         departing.push(record);
       }
--- a/packages/serving/known_upstream.ts
+++ b/packages/serving/known_upstream.ts
@@ -13,4 +13,9 @@
   readonly firstReceivedAt: Milliseconds;
   /** Sender of the last update; see UpdateSource. */
   readonly reporter: string;
+  /**
+   * When it said that it drains, or earlier; undefined if it doesn't drain, or
+   * that isn't known.
+   */
+  readonly drainingSince?: Milliseconds | undefined;
 };
--- a/packages/serving/mod.ts
+++ b/packages/serving/mod.ts
@@ -35,6 +35,7 @@
 export type { BalancedRequest } from "./balanced_request.ts";
 export type { ChosenUpstream } from "./chosen_upstream.ts";
 export type { KnownUpstream } from "./known_upstream.ts";
+export { drainAgeOf } from "./drain_age_of.ts";
 export type { MergeOutcome } from "./merge_outcome.ts";
 export type { UpdateSource } from "./update_source.ts";
 export type { RelayedChargeReport } from "./relayed_charge_report.ts";
--- a/packages/serving/simulated_rests.ts
+++ b/packages/serving/simulated_rests.ts
@@ -207,9 +207,9 @@
       name: `e${index}`,
       directory: new UpstreamDirectory(),
       stated,
-      balancer: new UpstreamBalancer(
-        policy.heeds ? stated : new UpstreamStatements(() => 0),
-      ),
+      balancer: new UpstreamBalancer({
+        statements: policy.heeds ? stated : new UpstreamStatements(() => 0),
+      }),
       returnTimes: new ReturnTimes(this.#random),
       reports: new FailureReports(),
       isListed: true,
--- a/packages/serving/sync_reply.ts
+++ b/packages/serving/sync_reply.ts
@@ -35,6 +35,8 @@
   readonly followed?: FollowedShares | undefined;
   /** See UpstreamChanges; of `upstreams` and of `shared.beats`. */
   readonly ages?: Readonly<Record<string, Milliseconds>>;
+  /** See UpstreamChanges; of `upstreams`. */
+  readonly drainAges?: Readonly<Record<string, Milliseconds>>;
   /**
    * The newest configuration document, encoded by documentCodec, if it is
    * confirmed and the entry's version is older.
--- a/packages/serving/update_source.ts
+++ b/packages/serving/update_source.ts
@@ -8,4 +8,9 @@
   readonly reporter: string;
   /** Time since the upstream sent it; 0 if unknown. */
   readonly age: Milliseconds;
+  /**
+   * Time since an upstream that drains first said so, at most; undefined if it
+   * doesn't drain, or that isn't known.
+   */
+  readonly drainAge?: Milliseconds | undefined;
 };
--- a/packages/serving/upstream_balancer.ts
+++ b/packages/serving/upstream_balancer.ts
@@ -46,6 +46,16 @@
  * others would fail with it.
  */
 const CRASH_EXPOSURE_COST: Milliseconds = 200;
+/**
+ * Cost of an upstream that drains, to which comes the time that it has been
+ * draining: a request may outlast what is left.
+ */
+const DRAINING_COST: Milliseconds = 1000;
+/**
+ * Time before the end of a drain at which nothing more is sent: what is on its
+ * way must arrive before it.
+ */
+const DRAIN_MARGIN: Milliseconds = 250;
 /** Cost of sending a request to another availability zone. */
 const CROSS_ZONE_COST: Milliseconds = 1.5;
 /** Minimum time until the departure of an upstream that is fetched from. */
@@ -114,10 +124,24 @@
   readonly #prefillWork = new Map<string, Milliseconds>();
   readonly prefillSpeeds = new PrefillSpeeds();
   readonly #statements: UpstreamStatements;
+  readonly #drainTimeout: () => Milliseconds;
 
-  /** @param statements What upstreams stated to this entry. */
-  constructor(statements = new UpstreamStatements(Math.random)) {
+  /**
+   * @param options.statements What upstreams stated to this entry.
+   * @param options.drainTimeout Time after the acknowledgement that an upstream
+   *     drains in which requests may still reach it; 0 for none.
+   */
+  constructor(
+    {
+      statements = new UpstreamStatements(Math.random),
+      drainTimeout = () => 0,
+    }: {
+      statements?: UpstreamStatements;
+      drainTimeout?: () => Milliseconds;
+    } = {},
+  ) {
     this.#statements = statements;
+    this.#drainTimeout = drainTimeout;
   }
 
   /** Replaces the loads of the other entries. */
@@ -296,6 +320,21 @@
       (now - receivedAt > UNRESPONSIVE_TIMEOUT || receivedAt <= crashedAt);
   }
 
+  /**
+   * Until when requests may be sent to an upstream that drains; -Infinity if
+   * that isn't known.
+   */
+  drainEndsAt(
+    { record, receivedAt, drainingSince }: KnownUpstream,
+  ): Milliseconds {
+    if (record.state !== "draining" || drainingSince === undefined) {
+      return -Infinity;
+    }
+    const reclaimedAt = receivedAt + (record.leavesIn ?? Infinity);
+    return Math.min(drainingSince + this.#drainTimeout(), reclaimedAt) -
+      DRAIN_MARGIN;
+  }
+
   forget(id: string): void {
     this.#localViews.delete(id);
   }
@@ -361,6 +400,9 @@
       this.#statements.isAvoided(id, now) ||
       (request.isLastTry === true && this.#statements.isUnproven(id));
     const failureCost = isAvoided ? AVOIDANCE_COST : 0;
+    const drainCost = upstream.record.state === "draining"
+      ? DRAINING_COST + now - (upstream.drainingSince ?? now)
+      : 0;
     return {
       upstream,
       ownRequests: this.#localViews.get(id)?.requests ?? 0,
@@ -374,7 +416,7 @@
       expectedFirstTokenTime,
       source,
       cost: expectedFirstTokenTime + crashExposureCost + zoneCost +
-        connectionCost + failureCost +
+        connectionCost + failureCost + drainCost +
         preferredUpstreams.placementCost(id),
     };
   }
@@ -409,21 +451,30 @@
   ): Milliseconds {
     const { record } = upstream;
     const { request, now, requiresHeartbeats } = options;
-    if (record.service !== request.service || record.state !== "ready") {
+    if (record.service !== request.service) {
       return Infinity;
     }
+    const availableUntil = record.state === "ready"
+      ? Infinity
+      : request.isResumed
+      ? this.drainEndsAt(upstream)
+      : -Infinity;
     // Heartbeats are ignored while no updates can reach this entry.
     if (this.isLost(upstream, { now, requiresHeartbeats })) {
       return Infinity;
     }
-    const isAllowed = !request.excluded.has(record.id) &&
+    const availableAt = Math.max(
+      this.#pausedUntil(record.id),
+      this.#statements.restsUntil(record.id),
+    );
+    const isAllowed = Math.max(availableAt, now) < availableUntil &&
+      !request.excluded.has(record.id) &&
       (request.isAdmitted?.(upstream) ?? true);
-    return isAllowed
-      ? Math.max(
-        this.#localViews.get(record.id)?.pausedUntil ?? 0,
-        this.#statements.restsUntil(record.id),
-      )
-      : Infinity;
+    return isAllowed ? availableAt : Infinity;
+  }
+
+  #pausedUntil(id: string): Milliseconds {
+    return this.#localViews.get(id)?.pausedUntil ?? 0;
   }
 
   #countRequests(id: string): number {
--- a/packages/serving/upstream_changes.ts
+++ b/packages/serving/upstream_changes.ts
@@ -15,4 +15,9 @@
    * at the same time in every process. Absent from processes of older releases.
    */
   readonly ages?: Readonly<Record<string, Milliseconds>>;
+  /**
+   * Time since each of these that drains first said so, by instance ID. Absent
+   * from processes of older releases.
+   */
+  readonly drainAges?: Readonly<Record<string, Milliseconds>>;
 };
--- a/packages/serving/upstream_directory.ts
+++ b/packages/serving/upstream_directory.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds } from "@heroncleat/base";
+import { findDrainStart } from "./find_drain_start.ts";
 import type { KnownUpstream } from "./known_upstream.ts";
 import type { MergeOutcome } from "./merge_outcome.ts";
 import { instanceId } from "./instance_id.ts";
@@ -51,14 +52,16 @@
   readonly #unfollowed = new Set<string>();
   /** When upstreams last departed without naming a start, by name. */
   readonly #unnamedDepartures = new Map<string, Milliseconds>();
-  readonly #isLeaving: (id: string) => boolean;
+  readonly #leavingSince: (id: string) => Milliseconds | undefined;
 
   /**
-   * @param isLeaving Whether an instance told this process that it leaves. It
-   *     counts as draining, whatever its heartbeats report.
+   * @param leavingSince When an instance first told this process that it
+   *     leaves. It counts as draining, whatever its heartbeats report.
    */
-  constructor(isLeaving: (id: string) => boolean = () => false) {
-    this.#isLeaving = isLeaving;
+  constructor(
+    leavingSince: (id: string) => Milliseconds | undefined = () => undefined,
+  ) {
+    this.#leavingSince = leavingSince;
   }
 
   /**
@@ -226,23 +229,43 @@
   applyLeaving(id: string): void {
     const known = this.#known.get(id);
     if (known !== undefined) {
-      this.#known.set(id, { ...known, record: this.#restate(known.record) });
+      this.#known.set(id, {
+        ...known,
+        record: this.#restate(known.record),
+        drainingSince: this.#boundByStatement(id, known.drainingSince),
+      });
     }
   }
 
   #restate(record: UpstreamRecord): UpstreamRecord {
-    return record.state === "ready" && this.#isLeaving(record.id)
+    return record.state === "ready" &&
+        this.#leavingSince(record.id) !== undefined
       ? { ...record, state: "draining", leavesIn: undefined }
       : record;
   }
 
+  /**
+   * A statement may come before the heartbeat that says the same. Alone it
+   * doesn't tell the start, as the upstream may have told others before.
+   */
+  #boundByStatement(
+    id: string,
+    drainingSince: Milliseconds | undefined,
+  ): Milliseconds | undefined {
+    return drainingSince === undefined
+      ? undefined
+      : Math.min(drainingSince, this.#leavingSince(id) ?? Infinity);
+  }
+
   #store(
     updated: UpstreamRecord,
     now: Milliseconds,
-    { reporter, age }: UpdateSource,
+    source: UpdateSource,
   ): void {
+    const { reporter, age } = source;
     const record = this.#restate(updated);
     const known = this.#known.get(record.id);
+    const drainingSince = findDrainStart(updated, { known, now, source });
     const firstReceivedAt = known?.firstReceivedAt ?? now;
     if (known === undefined && !this.#isFollowed(record)) {
       this.#unfollowed.add(record.id);
@@ -252,6 +275,7 @@
       receivedAt: Math.max(now - age, known?.receivedAt ?? -Infinity),
       firstReceivedAt,
       reporter,
+      drainingSince: this.#boundByStatement(record.id, drainingSince),
     });
     if (known?.record.address !== record.address) {
       this.#idsAt.get(known?.record.address ?? "")?.delete(record.id);
--- a/packages/serving/upstream_feed.ts
+++ b/packages/serving/upstream_feed.ts
@@ -160,14 +160,18 @@
     const upstreams: UpstreamRecord[] = [];
     const beats: Record<string, number> = {};
     const ages: Record<string, Milliseconds> = {};
+    const drainAges: Record<string, Milliseconds> = {};
     for (const id of ids) {
       const known = this.directory.get(id);
       if (known === undefined || !this.#isForwarded(known.record)) {
         continue;
       }
-      const { record, receivedAt } = known;
+      const { record, receivedAt, drainingSince } = known;
       if ((this.#changedAt.get(id) ?? 0) > revision) {
         upstreams.push(record);
+        if (record.state === "draining" && drainingSince !== undefined) {
+          drainAges[id] = Math.ceil(now - drainingSince);
+        }
       } else {
         beats[id] = record.sequence;
       }
@@ -176,7 +180,7 @@
         ages[id] = age;
       }
     }
-    return { upstreams, beats, ages };
+    return { upstreams, beats, ages, drainAges };
   }
 
   /**
--- a/packages/serving/upstream_statements.ts
+++ b/packages/serving/upstream_statements.ts
@@ -24,8 +24,9 @@
   rejectedAt: Milliseconds;
   /** Requests in flight that will tell whether it accepts again. */
   trials: number;
-  /** When it last stated that it leaves; -Infinity if it didn't. */
-  leavingAt: Milliseconds;
+  /** When it first and last stated that it leaves; undefined if it didn't. */
+  leavingSince: Milliseconds | undefined;
+  leavingAt: Milliseconds | undefined;
 };
 
 /** A rejection of a request that has not run. */
@@ -99,15 +100,20 @@
    */
   recordLeaving(upstream: string, now: Milliseconds): boolean {
     const statement = this.#statementOf(upstream);
-    const isFirst = statement.leavingAt === -Infinity;
+    const isFirst = statement.leavingSince === undefined;
+    statement.leavingSince ??= now;
     statement.leavingAt = now;
     return isFirst;
   }
 
   /** Whether an upstream stated that it leaves. */
   isLeaving(upstream: string): boolean {
-    return (this.#statements.get(upstream)?.leavingAt ?? -Infinity) >
-      -Infinity;
+    return this.leavingSince(upstream) !== undefined;
+  }
+
+  /** When an upstream first stated that it leaves; undefined if it didn't. */
+  leavingSince(upstream: string): Milliseconds | undefined {
+    return this.#statements.get(upstream)?.leavingSince;
   }
 
   /** Whether an upstream asked this entry to send nothing now. */
@@ -183,7 +189,7 @@
     for (const [upstream, statement] of this.#statements) {
       const isCurrent = statement.restsUntil > now ||
         statement.avoidedUntil > now - MAX_BACKOFF || statement.trials > 0 ||
-        statement.leavingAt > now - LEAVING_RETENTION;
+        (statement.leavingAt ?? -Infinity) > now - LEAVING_RETENTION;
       if (!isCurrent) {
         this.#statements.delete(upstream);
       }
@@ -206,7 +212,8 @@
       rejections: 0,
       rejectedAt: -Infinity,
       trials: 0,
-      leavingAt: -Infinity,
+      leavingSince: undefined,
+      leavingAt: undefined,
     };
     this.#statements.set(upstream, statement);
     return statement;
