A failure makes resumed streams prefer other upstreams, rather than exclude it

An entry sends nothing for 1.5 s to an upstream at which a connection failed. A stream that only one version may continue then had no upstream at all where that was the last one, though it served on: most of the time that a drain leaves. It is avoided now, like one of which another entry reports a failure.

--- a/packages/serving/draining_upstreams_test.ts
+++ b/packages/serving/draining_upstreams_test.ts
@@ -87,6 +87,30 @@
     expect(choose(directory, { isResumed: true, now: 1100 })).toBe("ready");
   });
 
+  test("gets resumed streams right after a failure, if there is no other", () => {
+    const directory = createDirectory();
+    const balancer = new UpstreamBalancer({
+      drainTimeout: () => DRAIN_TIMEOUT_MS,
+    });
+    balancer.pause("draining", 1100);
+    balancer.pause("ready", 1100);
+    const chosenAt = (isResumed: boolean) =>
+      balancer.rank(directory.list(), {
+        now: 1100,
+        requiresHeartbeats: true,
+        request: {
+          service: "desk",
+          zone: "a",
+          parts: [],
+          promptTokens: 0,
+          excluded: new Set(),
+          isResumed,
+        },
+      }).map(({ upstream }) => upstream.record.id);
+    expect(chosenAt(true)).toEqual(["ready", "draining"]);
+    expect(chosenAt(false)).toEqual([]);
+  });
+
   test("gets nothing if it isn't known for how long it has drained", () => {
     const directory = new UpstreamDirectory();
     directory.merge(
--- a/packages/serving/upstream_balancer.ts
+++ b/packages/serving/upstream_balancer.ts
@@ -397,6 +397,7 @@
       : 0;
     const avoidedAt = this.#localViews.get(id)?.avoidedAt ?? -Infinity;
     const isAvoided = now - avoidedAt < AVOIDANCE_PERIOD ||
+      this.#pausedUntil(id) > now ||
       this.#statements.isAvoided(id, now) ||
       (request.isLastTry === true && this.#statements.isUnproven(id));
     const failureCost = isAvoided ? AVOIDANCE_COST : 0;
@@ -463,8 +464,10 @@
     if (this.isLost(upstream, { now, requiresHeartbeats })) {
       return Infinity;
     }
+    // A resumed stream has few upstreams, so it prefers others instead.
+    const pausedUntil = request.isResumed ? 0 : this.#pausedUntil(record.id);
     const availableAt = Math.max(
-      this.#pausedUntil(record.id),
+      pausedUntil,
       this.#statements.restsUntil(record.id),
     );
     const isAllowed = Math.max(availableAt, now) < availableUntil &&
