--- a/packages/serving/find_drain_start_test.ts
+++ b/packages/serving/find_drain_start_test.ts
@@ -69,10 +69,10 @@
   });
 
   test("isn't later than what the upstream stated to this process itself", () => {
-    let statedAt: number | undefined;
-    const directory = new UpstreamDirectory(() => statedAt);
+    const stated = new Map<string, number>();
+    const directory = new UpstreamDirectory((id) => stated.get(id));
     directory.merge(READY, 0, FORWARDED);
-    statedAt = 500;
+    stated.set(READY.id, 500);
     directory.applyLeaving(READY.id);
     expect(drainingSince(directory)).toBeUndefined();
     directory.merge(draining(2), 2000, { ...FORWARDED, drainAge: 100 });
