A connection that a draining upstream refuses doesn't count as a lost link

Upstreams that drain get resumed streams now, and end meanwhile. An entry that can't reach several upstreams in a row takes itself for cut off, so their ends must not count; only ready ones did before.

--- a/apps/heroncleatd/gateway/attempt_request.ts
+++ b/apps/heroncleatd/gateway/attempt_request.ts
@@ -180,7 +180,8 @@
   // No connection was established, so nothing was sent.
   returnPermit();
   const isRefused = response.reason === CONNECTION_REFUSED;
-  if (!signal.aborted) {
+  // One that drains may end at any moment, which says nothing about the links.
+  if (!signal.aborted && record.state === "ready") {
     context.reachability.recordFailure(record, {
       startedAt: sentAt,
       isSilent: !isRefused,
