The balancer leaves to others when upstreams are available and what it has seen

When an upstream may get a request (state, drain, rest, pause, heartbeats) is UpstreamAvailability now, what this entry saw of it LocalViews. No behaviour changes; its tests are unchanged.

--- a/packages/serving/upstream_balancer.ts
+++ b/packages/serving/upstream_balancer.ts
@@ -1,9 +1,10 @@
 import type { Milliseconds } from "@heroncleat/base";
 import type { DispatchNotice } from "@heroncleat/schema";
-import { PrefixCacheEstimate } from "./prefix_cache_estimate.ts";
-import { Backlog } from "./backlog.ts";
 import type { BalancedRequest } from "./balanced_request.ts";
+import type { ChoiceOptions } from "./choice_options.ts";
 import type { ChosenUpstream } from "./chosen_upstream.ts";
+import { lastSharedPart } from "./last_shared_part.ts";
+import { LocalViews } from "./local_views.ts";
 import { PreferredUpstreams } from "./preferred_upstreams.ts";
 import type { PromptPart } from "./prompt_part.ts";
 import { planKvFetch } from "./plan_kv_fetch.ts";
@@ -11,12 +12,9 @@
 import { PrefillSpeeds } from "./prefill_speeds.ts";
 import type { KnownUpstream } from "./known_upstream.ts";
 import type { UpstreamLoad } from "./upstream_load.ts";
+import { UpstreamAvailability } from "./upstream_availability.ts";
 import { UpstreamStatements } from "./upstream_statements.ts";
 
-/**
- * Time without a heartbeat after which an upstream is lost; several intervals.
- */
-const UNRESPONSIVE_TIMEOUT: Milliseconds = 5000;
 /**
  * Time for which an upstream is avoided after a failure that it may have
  * caused.
@@ -51,54 +49,14 @@
  * draining: a request may outlast what is left.
  */
 const DRAINING_COST: Milliseconds = 1000;
-/**
- * Time before the end of a drain at which nothing more is sent: what is on its
- * way must arrive before it.
- */
-const DRAIN_MARGIN: Milliseconds = 250;
 /** Cost of sending a request to another availability zone. */
 const CROSS_ZONE_COST: Milliseconds = 1.5;
-/** Minimum time until the departure of an upstream that is fetched from. */
-const FETCH_MARGIN: Milliseconds = 500;
-
 /** An eligible upstream; the one with the lowest cost is chosen. */
 type Candidate = ChosenUpstream & { readonly cost: Milliseconds };
 
 /** Load of the other entries at an upstream, and when it was reported. */
 type ReportedLoad = UpstreamLoad & { readonly at: Milliseconds };
 
-/** State of one upstream as seen by this entry, apart from heartbeats. */
-type LocalView = {
-  requests: number;
-  pausedUntil: Milliseconds;
-  /** Latest detected crash; only later heartbeats show that it is running. */
-  crashedAt: Milliseconds;
-  /** When it was last found to be avoided. */
-  avoidedAt: Milliseconds;
-  /** Prefill backlog of this entry, and of all entries as far as known. */
-  readonly ownBacklog: Backlog;
-  readonly backlog: Backlog;
-  readonly cache: PrefixCacheEstimate;
-};
-
-/** Inputs of a choice. */
-type ChoiceOptions = {
-  readonly request: BalancedRequest;
-  readonly now: Milliseconds;
-  /** Whether upstreams without recent heartbeats are excluded. */
-  readonly requiresHeartbeats: boolean;
-};
-
-/** How the upstreams that may serve a request are available. */
-type Availability = {
-  /** When the first of them may get it; Infinity if there is none. */
-  readonly availableAt: Milliseconds;
-  /** How many of them rest now. */
-  readonly resting: number;
-  /** How many may get it now and have rejected nothing lately. */
-  readonly willing: number;
-};
-
 /** Inputs of a choice that are the same for all upstreams. */
 type Evaluation = {
   readonly request: BalancedRequest;
@@ -118,13 +76,13 @@
  * @public
  */
 export class UpstreamBalancer {
-  readonly #localViews = new Map<string, LocalView>();
+  readonly #views = new LocalViews();
   /** Loads of the other entries by upstream. */
   readonly #reportedLoads = new Map<string, ReportedLoad>();
   readonly #prefillWork = new Map<string, Milliseconds>();
   readonly prefillSpeeds = new PrefillSpeeds();
   readonly #statements: UpstreamStatements;
-  readonly #drainTimeout: () => Milliseconds;
+  readonly #availability: UpstreamAvailability;
 
   /**
    * @param options.statements What upstreams stated to this entry.
@@ -141,7 +99,11 @@
     } = {},
   ) {
     this.#statements = statements;
-    this.#drainTimeout = drainTimeout;
+    this.#availability = new UpstreamAvailability({
+      views: this.#views,
+      statements,
+      drainTimeout,
+    });
   }
 
   /** Replaces the loads of the other entries. */
@@ -170,7 +132,7 @@
   /** Loads of this entry by upstream. */
   loads(now: Milliseconds): Record<string, UpstreamLoad> {
     const loads: Record<string, UpstreamLoad> = {};
-    for (const [id, { requests, ownBacklog }] of this.#localViews) {
+    for (const [id, { requests, ownBacklog }] of this.#views) {
       if (requests > 0) {
         loads[id] = {
           requests,
@@ -200,7 +162,7 @@
 
   /** Applies a notice that another entry dispatched a prompt. */
   applyDispatchNotice(notice: DispatchNotice, now: Milliseconds): void {
-    const view = this.#view(notice.upstream);
+    const view = this.#views.of(notice.upstream);
     view.backlog.add(notice.readTime, now);
     view.cache.addTokens(notice.tokens);
     for (const part of notice.parts) {
@@ -231,28 +193,6 @@
       .sort((left, right) => left.cost - right.cost);
   }
 
-  /** How the upstreams that may serve a request are available for it. */
-  availability(
-    upstreams: Iterable<KnownUpstream>,
-    options: ChoiceOptions,
-  ): Availability {
-    const { now } = options;
-    const availability = { availableAt: Infinity, resting: 0, willing: 0 };
-    for (const upstream of upstreams) {
-      const at = this.#availableAt(upstream, options);
-      if (at === Infinity) {
-        continue;
-      }
-      const { id } = upstream.record;
-      availability.availableAt = Math.min(availability.availableAt, at);
-      availability.resting += this.#statements.isResting(id, now) ? 1 : 0;
-      availability.willing += at <= now && !this.#statements.isAvoided(id, now)
-        ? 1
-        : 0;
-    }
-    return availability;
-  }
-
   /**
    * Records that a request is about to be sent.
    *
@@ -265,7 +205,7 @@
     const { parts, now } = options;
     const upstream = chosen.upstream.record.id;
     const tokens = chosen.uncachedTokens + chosen.fetchedTokens;
-    const view = this.#view(upstream);
+    const view = this.#views.of(upstream);
     view.requests += 1;
     view.ownBacklog.add(chosen.readTime, now);
     view.backlog.add(chosen.readTime, now);
@@ -291,52 +231,40 @@
 
   /** Records the end of a request. */
   end(chosen: ChosenUpstream): void {
-    this.#view(chosen.upstream.record.id).requests -= 1;
+    this.#views.of(chosen.upstream.record.id).requests -= 1;
   }
 
   /** Excludes an upstream for the failure backoff. */
   pause(id: string, now: Milliseconds): void {
-    this.#view(id).pausedUntil = now + FAILURE_BACKOFF;
+    this.#views.of(id).pausedUntil = now + FAILURE_BACKOFF;
   }
 
   /** Excludes a crashed upstream until its next heartbeat. */
   recordCrash(id: string, at: Milliseconds): void {
-    const view = this.#view(id);
+    const view = this.#views.of(id);
     view.crashedAt = Math.max(view.crashedAt, at);
   }
 
   /** Avoids an upstream that may have failed, if others can serve. */
   avoid(id: string, now: Milliseconds): void {
-    this.#view(id).avoidedAt = now;
+    this.#views.of(id).avoidedAt = now;
   }
 
-  /** Whether an upstream has crashed or stopped sending heartbeats. */
-  isLost(
-    { record, receivedAt }: KnownUpstream,
-    { now, requiresHeartbeats }: Omit<ChoiceOptions, "request">,
-  ): boolean {
-    const crashedAt = this.#localViews.get(record.id)?.crashedAt ?? -Infinity;
-    return requiresHeartbeats &&
-      (now - receivedAt > UNRESPONSIVE_TIMEOUT || receivedAt <= crashedAt);
+  /** How the upstreams that may serve a request are available for it. */
+  availability(
+    upstreams: Iterable<KnownUpstream>,
+    options: ChoiceOptions,
+  ): ReturnType<UpstreamAvailability["summarize"]> {
+    return this.#availability.summarize(upstreams, options);
   }
 
-  /**
-   * Until when requests may be sent to an upstream that drains; -Infinity if
-   * that isn't known.
-   */
-  drainEndsAt(
-    { record, receivedAt, drainingSince }: KnownUpstream,
-  ): Milliseconds {
-    if (record.state !== "draining" || drainingSince === undefined) {
-      return -Infinity;
-    }
-    const reclaimedAt = receivedAt + (record.leavesIn ?? Infinity);
-    return Math.min(drainingSince + this.#drainTimeout(), reclaimedAt) -
-      DRAIN_MARGIN;
+  /** See `UpstreamAvailability`. */
+  drainEndsAt(upstream: KnownUpstream): Milliseconds {
+    return this.#availability.drainEndsAt(upstream);
   }
 
   forget(id: string): void {
-    this.#localViews.delete(id);
+    this.#views.forget(id);
   }
 
   #listCandidates(
@@ -364,7 +292,7 @@
     const { request, now, preferredUpstreams, shared } = options;
     const { id, slots, zone } = upstream.record;
     const capacity = request.engine?.kvCapacityTokens;
-    const cache = this.#localViews.get(id)?.cache;
+    const cache = this.#views.find(id)?.cache;
     const cached = cache?.countCachedTokens(request.parts, capacity) ?? 0;
     const { source, fetchedTokens, fetchTime } = planKvFetch(upstream, {
       sources: options.sources,
@@ -395,7 +323,7 @@
     const connectionCost = request.isConnected?.(id) === false
       ? CONNECTION_COST
       : 0;
-    const avoidedAt = this.#localViews.get(id)?.avoidedAt ?? -Infinity;
+    const avoidedAt = this.#views.find(id)?.avoidedAt ?? -Infinity;
     const isAvoided = now - avoidedAt < AVOIDANCE_PERIOD ||
       this.#pausedUntil(id) > now ||
       this.#statements.isAvoided(id, now) ||
@@ -406,7 +334,7 @@
       : 0;
     return {
       upstream,
-      ownRequests: this.#localViews.get(id)?.requests ?? 0,
+      ownRequests: this.#views.find(id)?.requests ?? 0,
       uncachedTokens,
       fetchedTokens,
       readTime: estimatedPrefillTime,
@@ -434,54 +362,22 @@
     }
     const capacity = request.engine?.kvCapacityTokens;
     return upstreams.filter((upstream) =>
-      remainsAvailable(upstream, now) &&
-      !this.#statements.isResting(upstream.record.id, now) &&
-      this.#localViews.get(upstream.record.id)?.cache
+      this.#availability.mayFetchFrom(upstream, now) &&
+      this.#views.find(upstream.record.id)?.cache
           .isPrefilled(part, { capacity, now }) === true
     );
   }
 
   #isEligible(upstream: KnownUpstream, options: ChoiceOptions): boolean {
-    return this.#availableAt(upstream, options) <= options.now;
-  }
-
-  /** When an upstream may get a request; Infinity if it may not serve it. */
-  #availableAt(
-    upstream: KnownUpstream,
-    options: ChoiceOptions,
-  ): Milliseconds {
-    const { record } = upstream;
-    const { request, now, requiresHeartbeats } = options;
-    if (record.service !== request.service) {
-      return Infinity;
-    }
-    const availableUntil = record.state === "ready"
-      ? Infinity
-      : request.isResumed
-      ? this.drainEndsAt(upstream)
-      : -Infinity;
-    // Heartbeats are ignored while no updates can reach this entry.
-    if (this.isLost(upstream, { now, requiresHeartbeats })) {
-      return Infinity;
-    }
-    // A resumed stream has few upstreams, so it prefers others instead.
-    const pausedUntil = request.isResumed ? 0 : this.#pausedUntil(record.id);
-    const availableAt = Math.max(
-      pausedUntil,
-      this.#statements.restsUntil(record.id),
-    );
-    const isAllowed = Math.max(availableAt, now) < availableUntil &&
-      !request.excluded.has(record.id) &&
-      (request.isAdmitted?.(upstream) ?? true);
-    return isAllowed ? availableAt : Infinity;
+    return this.#availability.availableAt(upstream, options) <= options.now;
   }
 
   #pausedUntil(id: string): Milliseconds {
-    return this.#localViews.get(id)?.pausedUntil ?? 0;
+    return this.#views.find(id)?.pausedUntil ?? 0;
   }
 
   #countRequests(id: string): number {
-    const own = this.#localViews.get(id)?.requests ?? 0;
+    const own = this.#views.find(id)?.requests ?? 0;
     return own + (this.#reportedLoads.get(id)?.requests ?? 0);
   }
 
@@ -491,7 +387,7 @@
    * arrive late but reliably. The higher estimate counts.
    */
   #estimateBacklog(id: string, now: Milliseconds): Milliseconds {
-    const view = this.#localViews.get(id);
+    const view = this.#views.find(id);
     const reported = this.#reportedLoads.get(id);
     const others = reported === undefined
       ? 0
@@ -499,41 +395,4 @@
     const own = view?.ownBacklog.remaining(now) ?? 0;
     return Math.max(view?.backlog.remaining(now) ?? 0, own + others);
   }
-
-  #view(id: string): LocalView {
-    const existing = this.#localViews.get(id);
-    if (existing !== undefined) {
-      return existing;
-    }
-    const view: LocalView = {
-      requests: 0,
-      pausedUntil: 0,
-      crashedAt: -Infinity,
-      avoidedAt: -Infinity,
-      ownBacklog: new Backlog(),
-      backlog: new Backlog(),
-      cache: new PrefixCacheEstimate(),
-    };
-    this.#localViews.set(id, view);
-    return view;
-  }
-}
-
-/**
- * The last part that other requests are likely to share. The final part belongs
- * to the request itself or its session.
- */
-function lastSharedPart(request: BalancedRequest): string | undefined {
-  return (request.parts.at(-2) ?? request.parts.at(-1))?.id;
-}
-
-/** Whether an upstream remains available long enough to fetch parts from it. */
-function remainsAvailable(upstream: KnownUpstream, now: Milliseconds): boolean {
-  const { record, receivedAt } = upstream;
-  if (record.state === "ready") {
-    return now - receivedAt < UNRESPONSIVE_TIMEOUT;
-  }
-  // A draining upstream without a departure time may stop at any moment.
-  return record.state === "draining" && record.leavesIn !== undefined &&
-    now < receivedAt + record.leavesIn - FETCH_MARGIN;
 }
