Test: streams go on at upstreams of their version that drain (fails)

What callers saw: most streams that they took up again failed to continue, while upstreams of their version still ran and new streams began.

A new test on real sockets: three control processes, six entries, six upstreams of a version that drains beside six of one that stays. Test upstreams can now drain: they report it with each heartbeat and serve on.

A resumed stream counts if an upstream of its version is ready, or 500 ms or more of its drain timeout are left: a request has to arrive before the end, possibly over a new connection, and entries know the start only to within one exchange.

--- a/apps/heroncleatd/hub/play_stream.ts
+++ b/apps/heroncleatd/hub/play_stream.ts
@@ -8,6 +8,8 @@
 
 /** What one try of a stream brought. */
 type StreamTry = {
+  /** When it was sent, by `performance.now()`. */
+  readonly sentAt: number;
   readonly status: number;
   /** Identifier and version of each event. */
   readonly events: readonly { readonly id: number; readonly version: string }[];
@@ -93,6 +95,7 @@
     let firstEventAfter = NaN;
     const finish = (isWhole: boolean) =>
       resolve({
+        sentAt,
         status,
         events: parseEvents(text),
         isWhole,
--- a/apps/heroncleatd/hub/streaming_upstream.ts
+++ b/apps/heroncleatd/hub/streaming_upstream.ts
@@ -4,15 +4,25 @@
 const HOST = "127.0.0.1";
 const HEARTBEAT_INTERVAL_MS = 400;
 const SLOTS = 64;
-/** Events of each stream, and the pause between two of them. */
+/** Events of a stream unless stated, and the pause between two of them. */
 const EVENT_COUNT = 20;
 const EVENT_PAUSE_MS = 40;
 
+/** A request as its upstream sees it. */
+type ReceivedRequest = {
+  /** When it was received, by `performance.now()`. */
+  readonly at: number;
+  /** Whether it goes on with a stream. */
+  readonly isResumed: boolean;
+};
+
 type UpstreamOptions = {
   readonly name: string;
   readonly version: string;
   readonly port: number;
   readonly service?: string;
+  /** Events of each stream. */
+  readonly eventCount?: number;
   /** Number of events after which a stream breaks off; undefined for none. */
   readonly breaksAfter: () => number | undefined;
   readonly report: (record: UpstreamRecord) => void;
@@ -25,6 +35,9 @@
 export class StreamingUpstream {
   readonly #options: UpstreamOptions;
   readonly #server: Server;
+  /** Requests that it ran, in order. */
+  readonly received: ReceivedRequest[] = [];
+  #state: UpstreamRecord["state"] = "ready";
   #sequence = 0;
   #timer: NodeJS.Timeout | undefined;
   readonly #born = Date.now();
@@ -39,10 +52,12 @@
         response.writeHead(421, { "x-not-run": "1" }).end();
         return;
       }
-      void this.#stream(
-        response,
-        Number(message.headers["last-event-id"] ?? 0),
-      );
+      const lastEventId = message.headers["last-event-id"];
+      this.received.push({
+        at: performance.now(),
+        isResumed: lastEventId !== undefined,
+      });
+      void this.#stream(response, Number(lastEventId ?? 0));
     });
   }
 
@@ -54,6 +69,12 @@
     this.#timer = setInterval(() => this.#heartbeat(), HEARTBEAT_INTERVAL_MS);
   }
 
+  /** Reports with each heartbeat that it drains, and serves on. */
+  drain(): void {
+    this.#state = "draining";
+    this.#heartbeat();
+  }
+
   /** Ends at once, like a VM that fails. */
   stop(): void {
     clearInterval(this.#timer);
@@ -62,13 +83,13 @@
   }
 
   async #stream(response: ServerResponse, last: number): Promise<void> {
-    const { version, breaksAfter } = this.#options;
+    const { version, breaksAfter, eventCount = EVENT_COUNT } = this.#options;
     response.writeHead(200, {
       "x-digest": "d",
       "content-type": "text/event-stream",
     });
-    const breakAt = last + (breaksAfter() ?? EVENT_COUNT);
-    for (let id = last + 1; id <= EVENT_COUNT; id += 1) {
+    const breakAt = last + (breaksAfter() ?? eventCount);
+    for (let id = last + 1; id <= eventCount; id += 1) {
       await new Promise((resolve) => setTimeout(resolve, EVENT_PAUSE_MS));
       if (id > breakAt) {
         response.socket?.resetAndDestroy();
@@ -92,7 +113,7 @@
       zone: "zone-0",
       slots: SLOTS,
       sequence: this.#sequence,
-      state: "ready",
+      state: this.#state,
       isSpot: false,
       leavesIn: undefined,
     });
