Log and count what ends a request before its response is complete

Callers saw a connection closed in the middle of a 200. The log couldn't tell which side closed which connection, nor why: a connection that the entry closed itself looked like a reset by the upstream (error=ECONNRESET).

Each end in use now has a reason (EndedBy), in the request's line (endedBy), the attempt's (ended_by=) and a counter (gateway.ended_by.REASON), beside the version and the age of the configuration in effect.

--- a/apps/heroncleatd/gateway/attempt_request.ts
+++ b/apps/heroncleatd/gateway/attempt_request.ts
@@ -16,6 +16,7 @@
 import { attemptThroughEntry } from "./attempt_through_entry.ts";
 import { AttemptTrace } from "./attempt_trace.ts";
 import { describeChoice } from "./describe_choice.ts";
+import { EndedBy } from "./ended_by.ts";
 import { forwardHeaders } from "./forward_headers.ts";
 import { CONNECT_TIMEOUT_REASON } from "../common/connect_timeout_reason.ts";
 import { framingOf } from "../common/framing_of.ts";
@@ -117,7 +118,12 @@
   let cancel = () => {};
   const endWait = context.reachability.trackWaiting(
     call.service,
-    mayRunAgain(call) ? () => cancel() : undefined,
+    mayRunAgain(call)
+      ? () => {
+        trace.recordEndedBy(EndedBy.unreachable);
+        cancel();
+      }
+      : undefined,
   );
   const endTrial = context.statements.trackTrial(record.id);
   const response = await sendToUpstream(call, {
@@ -146,7 +152,7 @@
     context.returnTimesOf(call.service).recordServed(clock.steady());
     const framing = framingOf(response.message, call.method);
     tracking.recordHead({ status: response.message.statusCode!, framing });
-    recordEnd(response.message, { framing, context, trace });
+    recordEnd(response.message, { framing, context, trace, signal });
     return {
       ...response,
       ...tracking,
@@ -158,10 +164,12 @@
       hasCrashed: () => hasCrashed(record.id, context),
     };
   }
+  const isBroken = response.kind === "unknown" && response.isBroken;
+  if (isBroken && !signal.aborted) {
+    trace.recordEndedBy(EndedBy.upstream);
+  }
   tracking.finish(
-    response.kind === "unknown" && response.isBroken
-      ? AttemptOutcome.broken
-      : AttemptOutcome.notAnswered,
+    isBroken ? AttemptOutcome.broken : AttemptOutcome.notAnswered,
   );
   const rejection = response.kind === "not_run" ? response.message : undefined;
   const stated = rejection?.headers["retry-after"];
@@ -282,16 +290,20 @@
 /** Records how the end of a response is marked, and an error before it. */
 function recordEnd(
   message: IncomingMessage,
-  { framing, context, trace }: {
+  { framing, context, trace, signal }: {
     framing: ResponseFraming;
     context: ForwardContext;
     trace: AttemptTrace;
+    signal: AbortSignal;
   },
 ): void {
   trace.recordFraming(framing);
   context.metrics.increment(`gateway.response_framing.${framing}`);
   message.once("error", (error: NodeJS.ErrnoException) => {
     trace.recordError(error.code ?? error.message);
+    if (!signal.aborted) {
+      trace.recordEndedBy(EndedBy.upstream);
+    }
   });
 }
 
--- a/apps/heroncleatd/gateway/attempt_through_entry.ts
+++ b/apps/heroncleatd/gateway/attempt_through_entry.ts
@@ -4,6 +4,7 @@
 import type { AttemptOptions } from "./attempt_options.ts";
 import type { AttemptResult } from "./attempt_result.ts";
 import type { CallerRequest } from "./caller_request.ts";
+import { EndedBy } from "./ended_by.ts";
 import type { ForwardContext } from "./forward_context.ts";
 import { relayHeaders } from "./relay_headers.ts";
 import { RelayRefusal } from "./relay_refusal.ts";
@@ -55,6 +56,9 @@
   if (response.kind !== "head") {
     end();
     const { kind, reason } = response;
+    if (kind === "unknown" && response.isBroken && !options.signal.aborted) {
+      trace.recordEndedBy(EndedBy.upstream);
+    }
     return { kind, reason, trace, upstream };
   }
   recordRelayedStatements(response.message, options.context);
@@ -64,6 +68,9 @@
   trace.recordFraming(framing);
   response.message.once("error", (error: NodeJS.ErrnoException) => {
     trace.recordError(error.code ?? error.message);
+    if (!options.signal.aborted) {
+      trace.recordEndedBy(EndedBy.upstream);
+    }
   });
   return {
     kind: "head",
--- a/apps/heroncleatd/gateway/attempt_trace.ts
+++ b/apps/heroncleatd/gateway/attempt_trace.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds } from "@heroncleat/base";
 import type { ResponseFraming } from "../common/response_framing.ts";
+import type { EndedBy } from "./ended_by.ts";
 
 /** Limits text from upstreams in log lines. */
 const MAX_LOGGED_CHARACTERS = 40;
@@ -14,6 +15,7 @@
   #firstByteAfter: Milliseconds | undefined;
   #framing: ResponseFraming | undefined;
   #error: string | undefined;
+  #endedBy: EndedBy | undefined;
   #unfinishedBytes = 0;
   #lastEvent: string | undefined;
   #retryAfter: string | undefined;
@@ -42,6 +44,16 @@
     this.#error = code;
   }
 
+  /** Records what ended the attempt early; the first reason counts. */
+  recordEndedBy(reason: EndedBy): void {
+    this.#endedBy ??= reason;
+  }
+
+  /** What ended the attempt early; undefined if nothing did. */
+  get endedBy(): EndedBy | undefined {
+    return this.#endedBy;
+  }
+
   /** Records what a rejection states in `Retry-After`. */
   recordRetryAfter(value: string): void {
     this.#retryAfter = value.slice(0, MAX_LOGGED_CHARACTERS);
@@ -75,6 +87,9 @@
     if (this.#error !== undefined) {
       facts.push(`error=${this.#error}`);
     }
+    if (this.#endedBy !== undefined) {
+      facts.push(`ended_by=${this.#endedBy}`);
+    }
     if (this.#unfinishedBytes > 0) {
       facts.push(`unfinished_event=${this.#unfinishedBytes}B`);
     }
--- a/apps/heroncleatd/gateway/create_caller_server.ts
+++ b/apps/heroncleatd/gateway/create_caller_server.ts
@@ -1,4 +1,7 @@
 import { createServer, type RequestListener, type Server } from "node:http";
+import type { Socket } from "node:net";
+import { connectionEnds } from "./connection_ends.ts";
+import { EndedBy } from "./ended_by.ts";
 
 /**
  * Upper limit for request heads, whatever the configuration document allows.
@@ -21,6 +24,7 @@
     noDelay: true,
   }, onRequest);
   server.on("clientError", (_error, socket) => {
+    connectionEnds.record(socket as Socket, EndedBy.callerServer);
     if (!socket.writable) {
       socket.destroy();
       return;
--- /dev/null
+++ b/apps/heroncleatd/gateway/ended_by.ts
@@ -0,0 +1,24 @@
+/**
+ * What ended a connection in use before the response was complete, for logs and
+ * metrics.
+ */
+export const EndedBy = {
+  /** The caller closed its connection. */
+  caller: "caller",
+  /** The server for callers closed it: bytes that are no request, a timeout. */
+  callerServer: "caller_server",
+  deadline: "deadline",
+  /** The connection to the upstream, or to the entry in between, ended. */
+  upstream: "upstream",
+  /** This entry closed the connection to an instance that was replaced. */
+  replacedInstance: "replaced_instance",
+  /** This entry closed the connection to an instance without heartbeats. */
+  forgottenInstance: "forgotten_instance",
+  /** This entry gave up waiting, as it reaches no upstream. */
+  unreachable: "unreachable",
+  /** The response came from another version than the stream's. */
+  otherVersion: "other_version",
+  shutdown: "shutdown",
+} as const;
+
+export type EndedBy = typeof EndedBy[keyof typeof EndedBy];
--- a/apps/heroncleatd/gateway/entry_exchange.ts
+++ b/apps/heroncleatd/gateway/entry_exchange.ts
@@ -23,6 +23,7 @@
 import type { Log } from "../common/log.ts";
 import type { ChargeSync } from "./charge_sync.ts";
 import type { SuspectWatcher } from "../common/suspect_watcher.ts";
+import { EndedBy } from "./ended_by.ts";
 import type { FeedPosition } from "./feed_position.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
 import type { RateLimitWatcher } from "../common/rate_limit_watcher.ts";
@@ -263,7 +264,7 @@
   #closeReplacedInstances(): void {
     const { directory, agents, choice, crashes, log } = this.#options;
     const isOver = (id: string) => directory.isReplaced(id);
-    for (const id of agents.removeWhere(isOver)) {
+    for (const id of agents.removeWhere(isOver, EndedBy.replacedInstance)) {
       crashes.recordCrash(id);
       choice.forget(id);
       log.info("An upstream has restarted", { upstream: id });
--- /dev/null
+++ b/apps/heroncleatd/gateway/find_ended_by.ts
@@ -0,0 +1,24 @@
+import type { ServerResponse } from "node:http";
+import type { CallerRequest } from "./caller_request.ts";
+import { connectionEnds } from "./connection_ends.ts";
+import { EndedBy } from "./ended_by.ts";
+
+/**
+ * Finds what ended a request that wasn't answered.
+ *
+ * @param options.lastAttempt What ended its last attempt, if that was begun.
+ */
+export function findEndedBy(
+  { signal }: CallerRequest,
+  { response, lastAttempt }: {
+    response: ServerResponse;
+    lastAttempt: EndedBy | undefined;
+  },
+): EndedBy | undefined {
+  if (!signal.aborted) {
+    return lastAttempt;
+  }
+  return signal.reason === "caller_left"
+    ? connectionEnds.find(response.socket)
+    : EndedBy.deadline;
+}
--- a/apps/heroncleatd/gateway/forward_call.ts
+++ b/apps/heroncleatd/gateway/forward_call.ts
@@ -5,6 +5,8 @@
 import { AttemptOutcome } from "./attempt_outcome.ts";
 import type { CallerRequest } from "./caller_request.ts";
 import { describeWithholdReason } from "./describe_withhold_reason.ts";
+import type { EndedBy } from "./ended_by.ts";
+import { findEndedBy } from "./find_ended_by.ts";
 import type { ForwardContext } from "./forward_context.ts";
 import { findRestDelay } from "./find_rest_delay.ts";
 import { forwardHeaders } from "./forward_headers.ts";
@@ -49,15 +51,15 @@
     });
     return run.toResult("answered", upstreamResponse.message.statusCode!);
   }
+  const endedBy = findEndedBy(call, { response, lastAttempt: run.endedBy });
   if (run.hasCallerLeft) {
-    return run.toResult("caller_left", 0);
+    return { ...run.toResult("caller_left", 0), endedBy };
   }
   const localResponse = run.localResponse();
   sendRefusal(response, localResponse, { call, names: context.names });
-  return run.toResult(
-    run.mayHaveRun ? "failed" : "refused",
-    localResponse.status,
-  );
+  return run.mayHaveRun
+    ? { ...run.toResult("failed", localResponse.status), endedBy }
+    : run.toResult("refused", localResponse.status);
 }
 
 class CallRun {
@@ -73,6 +75,8 @@
   #runs = 0;
   #isOver = false;
   #unopened = 0;
+  /** What ended the last attempt early. */
+  endedBy: EndedBy | undefined;
   /** Whether an attempt may have reached an upstream. */
   #wasSent = false;
   /**
@@ -200,6 +204,7 @@
     this.mayHaveRun = true;
     this.#runs += 1;
     if (result.kind === "unknown") {
+      this.endedBy = result.trace.endedBy;
       this.#attempts.push(result.trace.describe(`unknown, ${result.reason}`));
       return undefined;
     }
@@ -210,6 +215,7 @@
     );
     const status = result.message.statusCode!;
     if (body === undefined) {
+      this.endedBy = result.trace.endedBy;
       this.#attempts.push(result.trace.describe(`${status}, cut off`));
       return undefined;
     }
--- a/apps/heroncleatd/gateway/forward_result.ts
+++ b/apps/heroncleatd/gateway/forward_result.ts
@@ -1,3 +1,5 @@
+import type { EndedBy } from "./ended_by.ts";
+
 /** The outcome of a forwarded request, for logs, metrics and quota refunds. */
 export type ForwardResult = {
   readonly outcome:
@@ -10,6 +12,8 @@
   readonly status: number;
   /** Whether an upstream may have run the request. */
   readonly mayHaveRun: boolean;
+  /** What ended it; absent if it was answered, or refused without a run. */
+  readonly endedBy?: EndedBy | undefined;
   /** One description per attempt. */
   readonly attempts: readonly string[];
 };
--- a/apps/heroncleatd/gateway/forward_stream.ts
+++ b/apps/heroncleatd/gateway/forward_stream.ts
@@ -8,7 +8,9 @@
 import { describeLack } from "./describe_lack.ts";
 import { describeWithholdReason } from "./describe_withhold_reason.ts";
 import { endWithConnection } from "../common/end_with_connection.ts";
+import { EndedBy } from "./ended_by.ts";
 import { EventSplitter } from "./event_splitter.ts";
+import { findEndedBy } from "./find_ended_by.ts";
 import type { ForwardContext } from "./forward_context.ts";
 import { findRestDelay } from "./find_rest_delay.ts";
 import { forwardHeaders } from "./forward_headers.ts";
@@ -81,6 +83,8 @@
   /** Whether an attempt may have reached an upstream. */
   #wasSent = false;
   #mayHaveRun = false;
+  /** What ended the last attempt early. */
+  #lastEnd: EndedBy | undefined;
   #isUsageCounted = false;
   /**
    * Set if the request wasn't forwarded although upstreams may be available.
@@ -128,8 +132,12 @@
 
   async #finishUnanswered(): Promise<ForwardResult> {
     const { signal } = this.#call;
+    const endedBy = findEndedBy(this.#call, {
+      response: this.#response,
+      lastAttempt: this.#lastEnd,
+    });
     if (signal.aborted && signal.reason === "caller_left") {
-      return this.#toResult("caller_left");
+      return { ...this.#toResult("caller_left"), endedBy };
     }
     if (this.#failedResponse !== undefined && !this.#response.headersSent) {
       this.#sendComplete(this.#failedResponse);
@@ -137,7 +145,7 @@
     }
     if (this.#response.headersSent) {
       await breakOffResponse(this.#response);
-      return this.#toResult("failed");
+      return { ...this.#toResult("failed"), endedBy };
     }
     const localResponse = this.#localResponse();
     this.#status = localResponse.status;
@@ -145,7 +153,9 @@
       call: this.#call,
       names: this.#context.names,
     });
-    return this.#toResult(this.#mayHaveRun ? "failed" : "refused");
+    return this.#mayHaveRun
+      ? { ...this.#toResult("failed"), endedBy }
+      : this.#toResult("refused");
   }
 
   #localResponse(): LocalResponse {
@@ -226,6 +236,7 @@
     this.#mayHaveRun = true;
     this.#runs += 1;
     if (result.kind === "unknown") {
+      this.#lastEnd = result.trace.endedBy;
       this.#attempts.push(result.trace.describe(`unknown, ${result.reason}`));
       return "broken";
     }
@@ -235,6 +246,7 @@
     result.finish(
       step === "broken" ? AttemptOutcome.broken : AttemptOutcome.complete,
     );
+    this.#lastEnd = step === "broken" ? result.trace.endedBy : undefined;
     const { statusCode } = result.message;
     this.#attempts.push(result.trace.describe(`${statusCode} ${step}`));
     return step;
@@ -246,6 +258,7 @@
     }
     // An entry of an older release ignores which version it may choose.
     if (this.#version !== undefined && result.version() !== this.#version) {
+      result.trace.recordEndedBy(EndedBy.otherVersion);
       result.message.destroy();
       return "broken";
     }
--- a/apps/heroncleatd/gateway/gateway.ts
+++ b/apps/heroncleatd/gateway/gateway.ts
@@ -10,6 +10,7 @@
 } from "@heroncleat/serving";
 import type { Log } from "../common/log.ts";
 import type { Metrics } from "../common/metrics.ts";
+import type { AppliedDocument } from "./applied_document.ts";
 import { breakOffResponse } from "./break_off_response.ts";
 import type { CallerRequest } from "./caller_request.ts";
 import { createCallSignal } from "./create_call_signal.ts";
@@ -67,6 +68,8 @@
   readonly inFlight: InFlightRequests;
   /** When this entry exits, once its shutdown has begun. */
   readonly leaving: DepartureDeadline;
+  /** The configuration document in effect, and when it was applied. */
+  readonly appliedDocument: () => AppliedDocument;
   /** How far the local wall clock is ahead of the control replicas' time. */
   readonly clockAhead: () => Milliseconds;
   /** Returns a number from 0 to 1, used to select among weighted targets. */
--- a/apps/heroncleatd/gateway/in_flight_requests.ts
+++ b/apps/heroncleatd/gateway/in_flight_requests.ts
@@ -1,5 +1,7 @@
 import type { ServerResponse } from "node:http";
 import type { Milliseconds } from "@heroncleat/base";
+import { connectionEnds } from "./connection_ends.ts";
+import { EndedBy } from "./ended_by.ts";
 
 type InFlightRequest = {
   /** Identifier of the caller's attempt. */
@@ -31,6 +33,7 @@
    */
   breakOff(): void {
     for (const { response } of this.#requests) {
+      connectionEnds.record(response.socket, EndedBy.shutdown);
       if (response.headersSent) {
         response.socket?.resetAndDestroy();
       }
--- a/apps/heroncleatd/gateway/record_result.ts
+++ b/apps/heroncleatd/gateway/record_result.ts
@@ -1,6 +1,7 @@
 import type { Clock, Milliseconds } from "@heroncleat/base";
 import type { Log } from "../common/log.ts";
 import type { Metrics } from "../common/metrics.ts";
+import type { AppliedDocument } from "./applied_document.ts";
 import type { CallerRequest } from "./caller_request.ts";
 import type { ForwardResult } from "./forward_result.ts";
 import type { HeaderNames } from "./header_names.ts";
@@ -10,6 +11,8 @@
   readonly log: Log;
   readonly metrics: Metrics;
   readonly clock: Pick<Clock, "steady">;
+  /** The configuration document in effect, and when it was applied. */
+  readonly appliedDocument: () => AppliedDocument;
   /** How far the local wall clock is ahead of the control replicas' time. */
   readonly clockAhead: () => Milliseconds;
 };
@@ -24,7 +27,7 @@
 export function recordResult(
   call: CallerRequest,
   result: ForwardResult & Payment,
-  { log, metrics, clock, clockAhead, names }: RecordOptions,
+  { log, metrics, clock, clockAhead, appliedDocument, names }: RecordOptions,
 ): void {
   const took = Math.round(clock.steady() - call.arrivedAt);
   metrics.increment(`gateway.${result.outcome}`);
@@ -32,12 +35,18 @@
   if (call.resumption !== undefined) {
     metrics.increment(`gateway.resumed_streams.${result.outcome}`);
   }
+  if (result.endedBy !== undefined) {
+    metrics.increment(`gateway.ended_by.${result.endedBy}`);
+  }
+  const applied = appliedDocument();
   log.info(`A request ended: ${result.outcome}`, {
     request: call.attempt,
     route: call.route.name,
     service: call.service,
     workspace: call.workspace?.name ?? "",
     documentVersion: call.documentVersion,
+    appliedVersion: applied.version,
+    changeAge: Math.round(clock.steady() - applied.at),
     promptTokens: call.prompt?.promptTokens ?? 0,
     charge: result.charge,
     size: call.size,
@@ -48,6 +57,7 @@
     boundBy: call.resumption?.by ?? "",
     boundAge: Math.round(call.resumption?.age ?? 0),
     status: result.status,
+    endedBy: result.endedBy ?? "",
     objective: call.route.latencyObjective,
     took,
     clockAhead: Math.round(clockAhead()),
--- a/apps/heroncleatd/gateway/relayed_requests.ts
+++ b/apps/heroncleatd/gateway/relayed_requests.ts
@@ -8,6 +8,7 @@
 } from "@heroncleat/serving";
 import type { Log } from "../common/log.ts";
 import type { Metrics } from "../common/metrics.ts";
+import type { AppliedDocument } from "./applied_document.ts";
 import { breakOffResponse } from "./break_off_response.ts";
 import type { CallerRequest } from "./caller_request.ts";
 import { createCallSignal } from "./create_call_signal.ts";
@@ -43,6 +44,8 @@
   readonly routeTable: () => RouteTable | undefined;
   readonly forwarding: ForwardContext;
   readonly inFlight: InFlightRequests;
+  /** The configuration document in effect, and when it was applied. */
+  readonly appliedDocument: () => AppliedDocument;
   /** How far the local wall clock is ahead of the control replicas' time. */
   readonly clockAhead: () => Milliseconds;
 };
--- a/apps/heroncleatd/gateway/running_gateway.ts
+++ b/apps/heroncleatd/gateway/running_gateway.ts
@@ -6,6 +6,8 @@
   readonly listEntries: () => readonly KnownEntry[];
   /** Whether the gateway accepts requests. */
   readonly isReady: () => boolean;
+  /** Lists the attempts of callers that aren't responded to completely. */
+  readonly listInFlight: () => readonly string[];
   /** Shuts down gracefully; resolves when the process may exit. */
   readonly stop: () => Promise<void>;
 };
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -21,10 +21,12 @@
   WorkspaceQuota,
 } from "@heroncleat/serving";
 import type { Log } from "../common/log.ts";
+import type { AppliedDocument } from "./applied_document.ts";
 import { ChargeSync } from "./charge_sync.ts";
 import { createCallerServer } from "./create_caller_server.ts";
 import { ControlLinks } from "./control_links.ts";
 import { SuspectWatcher } from "../common/suspect_watcher.ts";
+import { EndedBy } from "./ended_by.ts";
 import { EntryExchange } from "./entry_exchange.ts";
 import { EntryNotices } from "./entry_notices.ts";
 import type { ForwardContext } from "./forward_context.ts";
@@ -81,6 +83,7 @@
   return {
     listEntries: () => running.listEntries(),
     isReady: () => running.isReady,
+    listInFlight: () => running.listInFlight(),
     stop: () => running.stop(),
   };
 }
@@ -133,6 +136,7 @@
   #directExchangeTimer: NodeJS.Timeout | undefined;
   readonly #log: Log;
   #routeTable: RouteTable | undefined;
+  #appliedDocument: AppliedDocument = { version: -1, at: 0 };
   readonly #routeTableLatch = new Latch();
   readonly #departureDeadline: DepartureDeadline;
   #isStopping = false;
@@ -336,12 +340,14 @@
       forwarding,
       streams: this.#streams,
       inFlight: this.#inFlight,
+      appliedDocument: () => this.#appliedDocument,
       leaving: this.#departureDeadline,
       clockAhead,
       random: Math.random,
     });
     const relayed = new RelayedRequests({
       ...options,
+      appliedDocument: () => this.#appliedDocument,
       log: this.#log,
       routeTable: () => this.#routeTable,
       forwarding,
@@ -383,6 +389,10 @@
     return this.#exchange.listReachableEntries();
   }
 
+  listInFlight(): readonly string[] {
+    return this.#inFlight.listSince(-Infinity).map(({ request }) => request);
+  }
+
   /** Accepts requests for most of the grace period, then closes the server. */
   async stop(): Promise<void> {
     const { gracePeriod } = this.#options.settings();
@@ -485,6 +495,7 @@
     if (document.version > currentVersion) {
       this.#routeTable = new RouteTable(document);
       const now = this.#options.clock.steady();
+      this.#appliedDocument = { version: document.version, at: now };
       this.#possibleOrigins.applyRoutes(document.routes, now);
       this.#streams.shareNewlyAmbiguous();
       this.#routeTableLatch.release();
@@ -551,7 +562,11 @@
     const isGone = (id: string) => this.#directory.get(id) === undefined;
     this.#statementWatcher.expire(isGone);
     this.#permits.removeWhere(isGone, this.#options.clock.steady());
-    for (const id of this.#agents.removeWhere(isGone)) {
+    const removed = this.#agents.removeWhere(
+      isGone,
+      EndedBy.forgottenInstance,
+    );
+    for (const id of removed) {
       this.#choice.forget(id);
     }
   }
--- a/apps/heroncleatd/gateway/start_tracking.ts
+++ b/apps/heroncleatd/gateway/start_tracking.ts
@@ -40,6 +40,9 @@
   const sentAt = clock.steady();
   const { record } = chosen.upstream;
   const endSuspectedRun = crashes.trackCopy(call.identity);
+  const endRun = options.context.agentOf(record.id).track({
+    recordEndedBy: (reason) => trace.recordEndedBy(reason),
+  });
   const endTimedRun = leaving.recordRun(call);
   // A stream that goes on says nothing about how a version fares on its own.
   const version = options.isBound
@@ -70,6 +73,7 @@
         return;
       }
       isFinished = true;
+      endRun();
       choice.end(chosen);
       version?.finish(
         outcome === AttemptOutcome.complete
--- a/apps/heroncleatd/gateway/upstream_agent.ts
+++ b/apps/heroncleatd/gateway/upstream_agent.ts
@@ -2,6 +2,8 @@
 import type { Duplex } from "node:stream";
 import type { Socket } from "node:net";
 import type { ConnectionOpener } from "../common/connection_opener.ts";
+import type { EndedBy } from "./ended_by.ts";
+import type { UpstreamRun } from "./upstream_run.ts";
 
 /** Idle timeout of a connection whose upstream states none. */
 const DEFAULT_IDLE_TIMEOUT_MS = 500;
@@ -16,6 +18,7 @@
 export class UpstreamAgent extends Agent {
   readonly #maxFreeSockets: () => number;
   readonly #connect: ConnectionOpener;
+  readonly #runs = new Set<UpstreamRun>();
 
   /** @param maxFreeSockets Number of idle connections to keep now, at most. */
   constructor(maxFreeSockets: () => number, connect: ConnectionOpener) {
@@ -30,6 +33,20 @@
     return this.#connect(options);
   }
 
+  /** Tracks a request in progress. Returns a function that ends it. */
+  track(run: UpstreamRun): () => void {
+    this.#runs.add(run);
+    return () => this.#runs.delete(run);
+  }
+
+  /** Closes all connections, also those in use. */
+  closeAll(reason: EndedBy): void {
+    for (const run of this.#runs) {
+      run.recordEndedBy(reason);
+    }
+    this.destroy();
+  }
+
   /** Whether an idle connection is available. */
   get hasFreeSocket(): boolean {
     return Object.keys(this.freeSockets).length > 0;
--- a/apps/heroncleatd/gateway/upstream_agents.ts
+++ b/apps/heroncleatd/gateway/upstream_agents.ts
@@ -1,4 +1,5 @@
 import type { ConnectionOpener } from "../common/connection_opener.ts";
+import { EndedBy } from "./ended_by.ts";
 import { UpstreamAgent } from "./upstream_agent.ts";
 
 /**
@@ -40,12 +41,17 @@
   /**
    * Closes the connections to the upstreams that match, and returns their
    * identifiers.
+   *
+   * @param reason Recorded for the requests in progress.
    */
-  removeWhere(isGone: (upstream: string) => boolean): string[] {
+  removeWhere(
+    isGone: (upstream: string) => boolean,
+    reason: EndedBy,
+  ): string[] {
     const removed: string[] = [];
     for (const [upstream, agent] of this.#agents) {
       if (isGone(upstream)) {
-        agent.destroy();
+        agent.closeAll(reason);
         this.#agents.delete(upstream);
         removed.push(upstream);
       }
@@ -54,6 +60,6 @@
   }
 
   closeAll(): void {
-    this.removeWhere(() => true);
+    this.removeWhere(() => true, EndedBy.shutdown);
   }
 }
