Keep connections in use open when an upstream looks replaced

Callers saw streams and calls closed in the middle while their upstream delivered.

Cause: UpstreamAgents.removeWhere destroyed the agent of an instance that another one seemed to have replaced, or that had left the directory, and with it the connections in use. Heartbeats that come late, or of clocks that were set, say so of a running instance. The reachability watcher also gave up requests at such an instance when the listed ones couldn't be connected to.

Such an agent is now retired: it gets no new requests, idle connections are closed, and each connection in use ends with its response. A run that may run once only has all its time. Failed connections to listed upstreams give up no requests at one that isn't listed.

--- a/apps/heroncleatd/common/open_response.ts
+++ b/apps/heroncleatd/common/open_response.ts
@@ -9,6 +9,7 @@
 import { framingOf } from "./framing_of.ts";
 import { readOncePerLoopIteration } from "./read_once_per_loop_iteration.ts";
 import { ResponseFraming } from "./response_framing.ts";
+import type { SentRequest } from "./sent_request.ts";
 
 type RequestOptions = {
   /** host:port */
@@ -23,8 +24,7 @@
   readonly connectTimeout: Milliseconds;
   /** Aborts the request, also while the body is received. */
   readonly signal: AbortSignal;
-  /** Called with a function that gives up the request. */
-  readonly onSent?: ((abort: () => void) => void) | undefined;
+  readonly onSent?: ((sent: SentRequest) => void) | undefined;
   /** Whether to send the request, asked once there is a connection. */
   readonly maySend?: (() => boolean) | undefined;
 };
@@ -89,7 +89,11 @@
       // Node takes a reset for the orderly end of a body without a length.
       response?.destroy(error);
     });
-    options.onSent?.(() => outgoing.destroy(new Error("given up")));
+    options.onSent?.({
+      abort: () => outgoing.destroy(new Error("given up")),
+      bytesReceived: () => outgoing.socket?.bytesRead ?? 0,
+      isPaused: () => response?.isPaused() === true,
+    });
   });
 }
 
--- /dev/null
+++ b/apps/heroncleatd/common/sent_request.ts
@@ -0,0 +1,9 @@
+/** A request that is being sent or responded to. */
+export type SentRequest = {
+  /** Gives it up; reading the response, if it has begun, fails. */
+  readonly abort: () => void;
+  /** Bytes received on the connection so far, also of earlier responses. */
+  readonly bytesReceived: () => number;
+  /** Whether the response isn't read now, as its reader is slow. */
+  readonly isPaused: () => boolean;
+};
--- a/apps/heroncleatd/gateway/attempt_options.ts
+++ b/apps/heroncleatd/gateway/attempt_options.ts
@@ -31,4 +31,9 @@
   /** Monotonic time until which to wait for an available upstream. */
   readonly waitUntil: Milliseconds;
   readonly signal: AbortSignal;
+  /**
+   * Whether another upstream could repeat the request, or go on with it, if the
+   * attempt broke off now.
+   */
+  readonly mayGoOn: () => boolean;
 };
--- a/apps/heroncleatd/gateway/attempt_request.ts
+++ b/apps/heroncleatd/gateway/attempt_request.ts
@@ -20,12 +20,14 @@
 import { forwardHeaders } from "./forward_headers.ts";
 import { CONNECT_TIMEOUT_REASON } from "../common/connect_timeout_reason.ts";
 import { framingOf } from "../common/framing_of.ts";
+import type { SentRequest } from "../common/sent_request.ts";
 import type { ResponseFraming } from "../common/response_framing.ts";
 import { hasCrashed } from "./has_crashed.ts";
 import { POLL_INTERVAL } from "./poll_interval.ts";
 import { sendToUpstream } from "./send_to_upstream.ts";
 import { startTracking } from "./start_tracking.ts";
 import type { UpstreamResponse } from "./upstream_response.ts";
+import type { UpstreamRun } from "./upstream_run.ts";
 import { waitForUpstream } from "./wait_for_upstream.ts";
 
 /**
@@ -99,10 +101,19 @@
   if (record.state === "draining") {
     context.metrics.increment("drains.continued_streams");
   }
+  let sent: SentRequest | undefined;
+  const run: UpstreamRun = {
+    recordEndedBy: (reason) => trace.recordEndedBy(reason),
+    bytesReceived: () => sent?.bytesReceived() ?? 0,
+    isPaused: () => sent?.isPaused() ?? false,
+    isReplaceable: () => options.mayGoOn(),
+    giveUp: () => sent?.abort(),
+  };
   const tracking = startTracking(call, {
     context,
     chosen,
     trace,
+    run,
     isBound: options.version !== undefined,
   });
   const headers = forwardHeaders.toUpstream(call, {
@@ -115,13 +126,12 @@
     },
   });
   const sentAt = clock.steady();
-  let cancel = () => {};
   const endWait = context.reachability.trackWaiting(
-    call.service,
+    record,
     mayRunAgain(call)
       ? () => {
-        trace.recordEndedBy(EndedBy.unreachable);
-        cancel();
+        run.recordEndedBy(EndedBy.unreachable);
+        run.giveUp();
       }
       : undefined,
   );
@@ -132,7 +142,7 @@
     headers,
     names: context.names,
     signal,
-    onSent: (abort) => cancel = abort,
+    onSent: (request) => sent = request,
     maySend: () => maySend(chosen.upstream, context),
   });
   endTrial();
--- a/apps/heroncleatd/gateway/ended_by.ts
+++ b/apps/heroncleatd/gateway/ended_by.ts
@@ -10,10 +10,8 @@
   deadline: "deadline",
   /** The connection to the upstream, or to the entry in between, ended. */
   upstream: "upstream",
-  /** This entry closed the connection to an instance that was replaced. */
+  /** This entry gave up a silent run of an instance that was replaced. */
   replacedInstance: "replaced_instance",
-  /** This entry closed the connection to an instance without heartbeats. */
-  forgottenInstance: "forgotten_instance",
   /** This entry gave up waiting, as it reaches no upstream. */
   unreachable: "unreachable",
   /** The response came from another version than the stream's. */
--- a/apps/heroncleatd/gateway/entry_exchange.ts
+++ b/apps/heroncleatd/gateway/entry_exchange.ts
@@ -23,7 +23,6 @@
 import type { Log } from "../common/log.ts";
 import type { ChargeSync } from "./charge_sync.ts";
 import type { SuspectWatcher } from "../common/suspect_watcher.ts";
-import { EndedBy } from "./ended_by.ts";
 import type { FeedPosition } from "./feed_position.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
 import type { RateLimitWatcher } from "../common/rate_limit_watcher.ts";
@@ -186,7 +185,7 @@
       this.#applyUpstream(record, now, { reporter: from, age, drainAge });
     }
     if (reply.upstreams.length > 0) {
-      this.#closeReplacedInstances();
+      this.#retireReplacedInstances();
     }
     this.#applyEntries(now);
     this.#extendRetryShare(reply, now);
@@ -257,16 +256,15 @@
   }
 
   /**
-   * Closes the connections to upstream instances that were replaced by a newer
-   * instance. No response can come from them, and a failed VM doesn't reset its
-   * connections. Requests that may be repeated or resumed are retried at once.
+   * Retires the connections to upstream instances that were replaced by a newer
+   * instance. Those in use stay open, as late heartbeats may make a running
+   * instance look replaced.
    */
-  #closeReplacedInstances(): void {
-    const { directory, agents, choice, crashes, log } = this.#options;
+  #retireReplacedInstances(): void {
+    const { directory, agents, crashes, log } = this.#options;
     const isOver = (id: string) => directory.isReplaced(id);
-    for (const id of agents.removeWhere(isOver, EndedBy.replacedInstance)) {
+    for (const id of agents.retireWhere(isOver)) {
       crashes.recordCrash(id);
-      choice.forget(id);
       log.info("An upstream has restarted", { upstream: id });
     }
   }
--- a/apps/heroncleatd/gateway/forward_call.ts
+++ b/apps/heroncleatd/gateway/forward_call.ts
@@ -13,6 +13,7 @@
 import { relayResponseHeaders } from "./relay_response_headers.ts";
 import type { ForwardResult } from "./forward_result.ts";
 import type { LocalResponse } from "./local_response.ts";
+import { mayGoOn } from "./may_go_on.ts";
 import { mayOfferAgain } from "./may_offer_again.ts";
 import { readAttemptBody } from "./read_attempt_body.ts";
 import { errorResponse } from "./error_response.ts";
@@ -142,6 +143,7 @@
   async #tryOnce(): Promise<CompleteResponse | undefined> {
     const call = this.#call;
     const context = this.#context;
+    const runs = this.#runs + 1;
     const result = await attemptRequest(call, {
       context,
       excluded: this.#excluded,
@@ -154,6 +156,13 @@
       unopened: this.#unopened,
       waitUntil: errorResponse.upstreamWaitUntil(call),
       signal: call.signal,
+      mayGoOn: () =>
+        mayGoOn(call, {
+          context,
+          excluded: this.#excluded,
+          version: undefined,
+          runs,
+        }),
     });
     if (
       result.kind === "rejected" || result.kind === "held" ||
--- a/apps/heroncleatd/gateway/forward_stream.ts
+++ b/apps/heroncleatd/gateway/forward_stream.ts
@@ -18,6 +18,7 @@
 import type { LocalResponse } from "./local_response.ts";
 import { relayBody } from "./relay_body.ts";
 import { relayResponseHeaders } from "./relay_response_headers.ts";
+import { mayGoOn } from "./may_go_on.ts";
 import { mayOfferAgain } from "./may_offer_again.ts";
 import { readAttemptBody } from "./read_attempt_body.ts";
 import { ResponseFraming } from "../common/response_framing.ts";
@@ -174,6 +175,7 @@
 
   async #tryOnce(): Promise<StreamStep> {
     const call = this.#call;
+    const runs = this.#runs + 1;
     const result = await attemptRequest(call, {
       context: this.#context,
       excluded: this.#excluded,
@@ -188,6 +190,13 @@
         ? call.deadline
         : errorResponse.upstreamWaitUntil(call),
       signal: call.signal,
+      mayGoOn: () =>
+        !this.#isVersionUnknown && mayGoOn(call, {
+          context: this.#context,
+          excluded: this.#excluded,
+          version: this.#version,
+          runs,
+        }),
     });
     if (
       result.kind === "rejected" || result.kind === "held" ||
--- a/apps/heroncleatd/gateway/reachability_watcher.ts
+++ b/apps/heroncleatd/gateway/reachability_watcher.ts
@@ -24,6 +24,8 @@
 
 /** A request that was sent and whose response hasn't begun. */
 type WaitingRequest = {
+  /** Identifier of the upstream that it was sent to. */
+  readonly upstream: string;
   readonly service: string;
   readonly sentAt: Milliseconds;
   /** Gives up the attempt; absent if the request may run once only. */
@@ -126,11 +128,14 @@
    *     request has failed.
    */
   trackWaiting(
-    service: string,
+    { id: upstream, service }: {
+      readonly id: string;
+      readonly service: string;
+    },
     cancel: (() => void) | undefined,
   ): (hasResponse: boolean) => void {
     const { clock } = this.#options;
-    const request = { service, sentAt: clock.steady(), cancel };
+    const request = { upstream, service, sentAt: clock.steady(), cancel };
     this.#waiting.add(request);
     this.#startTimer();
     return (hasResponse) => {
@@ -237,10 +242,15 @@
     return isReachable;
   }
 
+  /** Failed connections say nothing about an upstream that isn't listed. */
   #cancelWaiting(service: string, now: Milliseconds): void {
+    const listed = new Set<string>();
+    for (const { record } of this.#options.listUpstreams()) {
+      listed.add(record.id);
+    }
     for (const request of [...this.#waiting]) {
       if (
-        request.service === service &&
+        request.service === service && listed.has(request.upstream) &&
         now - request.sentAt >= MIN_CANCELLED_WAIT
       ) {
         request.cancel?.();
--- a/apps/heroncleatd/gateway/relay_test.ts
+++ b/apps/heroncleatd/gateway/relay_test.ts
@@ -110,6 +110,7 @@
   unopened: 0,
   waitUntil: Infinity,
   signal: call.signal,
+  mayGoOn: () => false,
 };
 
 test.each<[string, RelayRefusal, string]>([
--- a/apps/heroncleatd/gateway/send_to_upstream.ts
+++ b/apps/heroncleatd/gateway/send_to_upstream.ts
@@ -1,6 +1,7 @@
 import type { ClientRequest, IncomingMessage } from "node:http";
 import type { Milliseconds } from "@heroncleat/base";
 import { openResponse } from "../common/open_response.ts";
+import type { SentRequest } from "../common/sent_request.ts";
 import type { CallerRequest } from "./caller_request.ts";
 import type { HeaderNames } from "./header_names.ts";
 import type { UpstreamAgent } from "./upstream_agent.ts";
@@ -19,8 +20,7 @@
   readonly names: HeaderNames;
   /** Aborts the attempt, also while the body is received. */
   readonly signal: AbortSignal;
-  /** Called with a function that gives up the attempt without a response. */
-  readonly onSent?: (abort: () => void) => void;
+  readonly onSent?: (sent: SentRequest) => void;
   /** Whether to send the request, asked once there is a connection. */
   readonly maySend?: () => boolean;
 };
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -26,7 +26,6 @@
 import { createCallerServer } from "./create_caller_server.ts";
 import { ControlLinks } from "./control_links.ts";
 import { SuspectWatcher } from "../common/suspect_watcher.ts";
-import { EndedBy } from "./ended_by.ts";
 import { EntryExchange } from "./entry_exchange.ts";
 import { EntryNotices } from "./entry_notices.ts";
 import type { ForwardContext } from "./forward_context.ts";
@@ -41,6 +40,7 @@
 import { RateLimitWatcher } from "../common/rate_limit_watcher.ts";
 import { refusesConnections } from "../common/refuses_connections.ts";
 import { reportInterruptedRequests } from "./report_interrupted_requests.ts";
+import { ReplacedRuns } from "./replaced_runs.ts";
 import { RetryLimiter } from "./retry_limiter.ts";
 import type { RunningGateway } from "./running_gateway.ts";
 import { StatementWatcher } from "../common/statement_watcher.ts";
@@ -62,6 +62,8 @@
 /** Idle connections to other entries for requests that are passed on. */
 const MAX_IDLE_RELAYS = 32;
 const CLEANUP_INTERVAL_MS = 5000;
+/** Interval at which runs of replaced upstream instances are checked. */
+const REPLACED_RUNS_INTERVAL_MS = 250;
 /**
  * Interval of direct exchanges of charges while no control replica is
  * reachable.
@@ -132,6 +134,8 @@
   /** Accepts requests that other entries pass on. */
   readonly #relayServer: Server;
   readonly #cleanupTimer: NodeJS.Timeout;
+  readonly #replacedRuns: ReplacedRuns;
+  readonly #replacedRunsTimer: NodeJS.Timeout;
   /** Set while no control replica is reachable. */
   #directExchangeTimer: NodeJS.Timeout | undefined;
   readonly #log: Log;
@@ -363,6 +367,16 @@
       }
       void this.#gateway.handle(incoming, response);
     });
+    this.#replacedRuns = new ReplacedRuns({
+      listRetired: () => this.#agents.listRetired(),
+      directory: this.#directory,
+      probe: (address) => probeUpstream(address, this.#connect),
+      log: this.#log,
+    });
+    this.#replacedRunsTimer = setInterval(
+      () => void this.#replacedRuns.check(),
+      REPLACED_RUNS_INTERVAL_MS,
+    );
     this.#cleanupTimer = setInterval(
       () => this.#cleanUp(),
       CLEANUP_INTERVAL_MS,
@@ -422,6 +436,7 @@
     this.#links.stop();
     this.#notices.close();
     clearInterval(this.#cleanupTimer);
+    clearInterval(this.#replacedRunsTimer);
     clearInterval(this.#directExchangeTimer);
     this.#agents.closeAll();
     this.#log.info("Stopped", { underWay: this.#inFlight.size });
@@ -562,11 +577,8 @@
     const isGone = (id: string) => this.#directory.get(id) === undefined;
     this.#statementWatcher.expire(isGone);
     this.#permits.removeWhere(isGone, this.#options.clock.steady());
-    const removed = this.#agents.removeWhere(
-      isGone,
-      EndedBy.forgottenInstance,
-    );
-    for (const id of removed) {
+    this.#agents.retireWhere(isGone);
+    for (const id of this.#agents.removeUnused()) {
       this.#choice.forget(id);
     }
   }
--- a/apps/heroncleatd/gateway/start_tracking.ts
+++ b/apps/heroncleatd/gateway/start_tracking.ts
@@ -6,6 +6,7 @@
 import type { AttemptTrace } from "./attempt_trace.ts";
 import type { CallerRequest } from "./caller_request.ts";
 import type { ForwardContext } from "./forward_context.ts";
+import type { UpstreamRun } from "./upstream_run.ts";
 
 /** Lowest status by which an upstream reports a failure of its own. */
 const FIRST_FAILURE_STATUS = 500;
@@ -20,6 +21,7 @@
     context: ForwardContext;
     chosen: ChosenUpstream;
     trace: AttemptTrace;
+    run: UpstreamRun;
     /** Whether no other version may run the request. */
     isBound: boolean;
   },
@@ -40,9 +42,7 @@
   const sentAt = clock.steady();
   const { record } = chosen.upstream;
   const endSuspectedRun = crashes.trackCopy(call.identity);
-  const endRun = options.context.agentOf(record.id).track({
-    recordEndedBy: (reason) => trace.recordEndedBy(reason),
-  });
+  const endRun = options.context.agentOf(record.id).track(options.run);
   const endTimedRun = leaving.recordRun(call);
   // A stream that goes on says nothing about how a version fares on its own.
   const version = options.isBound
--- a/apps/heroncleatd/gateway/upstream_agent.ts
+++ b/apps/heroncleatd/gateway/upstream_agent.ts
@@ -19,6 +19,7 @@
   readonly #maxFreeSockets: () => number;
   readonly #connect: ConnectionOpener;
   readonly #runs = new Set<UpstreamRun>();
+  #isRetired = false;
 
   /** @param maxFreeSockets Number of idle connections to keep now, at most. */
   constructor(maxFreeSockets: () => number, connect: ConnectionOpener) {
@@ -39,6 +40,22 @@
     return () => this.#runs.delete(run);
   }
 
+  listRuns(): UpstreamRun[] {
+    return [...this.#runs];
+  }
+
+  /** Closes connections that aren't in use, from now on. */
+  retire(): void {
+    this.#isRetired = true;
+    this.closeFreeSockets();
+  }
+
+  /** Whether no connection is open. */
+  get isUnused(): boolean {
+    return this.#runs.size === 0 &&
+      Object.keys(this.sockets).length === 0 && !this.hasFreeSocket;
+  }
+
   /** Closes all connections, also those in use. */
   closeAll(reason: EndedBy): void {
     for (const run of this.#runs) {
@@ -77,7 +94,9 @@
       _httpMessage?: { res?: IncomingMessage };
     };
     const stated = socket._httpMessage?.res?.headers["keep-alive"];
-    if (this.#countFreeSockets() >= this.#maxFreeSockets()) {
+    if (
+      this.#isRetired || this.#countFreeSockets() >= this.#maxFreeSockets()
+    ) {
       return false;
     }
     const seconds = /timeout=(\d+)/.exec(String(stated ?? ""))?.[1];
--- a/apps/heroncleatd/gateway/upstream_agents.ts
+++ b/apps/heroncleatd/gateway/upstream_agents.ts
@@ -1,5 +1,6 @@
 import type { ConnectionOpener } from "../common/connection_opener.ts";
 import { EndedBy } from "./ended_by.ts";
+import type { RetiredAgent } from "./retired_agent.ts";
 import { UpstreamAgent } from "./upstream_agent.ts";
 
 /**
@@ -8,6 +9,7 @@
  */
 export class UpstreamAgents {
   readonly #agents = new Map<string, UpstreamAgent>();
+  readonly #retired = new Set<RetiredAgent>();
   readonly #maxIdleOf: (upstream: string) => number;
   readonly #connect: ConnectionOpener;
 
@@ -39,27 +41,53 @@
   }
 
   /**
-   * Closes the connections to the upstreams that match, and returns their
-   * identifiers.
-   *
-   * @param reason Recorded for the requests in progress.
+   * Retires the connections to the upstreams that match: idle ones are closed,
+   * those in use once they are free. Returns the upstreams' identifiers.
    */
-  removeWhere(
-    isGone: (upstream: string) => boolean,
-    reason: EndedBy,
-  ): string[] {
-    const removed: string[] = [];
+  retireWhere(isGone: (upstream: string) => boolean): string[] {
+    const retired: string[] = [];
     for (const [upstream, agent] of this.#agents) {
       if (isGone(upstream)) {
-        agent.closeAll(reason);
+        agent.retire();
         this.#agents.delete(upstream);
-        removed.push(upstream);
+        this.#retired.add({ upstream, agent });
+        retired.push(upstream);
       }
     }
-    return removed;
+    return retired;
+  }
+
+  listRetired(): RetiredAgent[] {
+    return [...this.#retired];
   }
 
+  /**
+   * Removes retired connections that are closed. Returns the identifiers of the
+   * upstreams that have no other ones.
+   */
+  removeUnused(): string[] {
+    const removed: string[] = [];
+    for (const retired of this.#retired) {
+      if (retired.agent.isUnused) {
+        this.#retired.delete(retired);
+        removed.push(retired.upstream);
+      }
+    }
+    const inUse = new Set([...this.#retired].map(({ upstream }) => upstream));
+    return removed.filter((upstream) =>
+      !this.#agents.has(upstream) && !inUse.has(upstream)
+    );
+  }
+
+  /** Closes all connections, also those in use. */
   closeAll(): void {
-    this.removeWhere(() => true, EndedBy.shutdown);
+    for (const { agent } of this.#retired) {
+      agent.closeAll(EndedBy.shutdown);
+    }
+    for (const agent of this.#agents.values()) {
+      agent.closeAll(EndedBy.shutdown);
+    }
+    this.#retired.clear();
+    this.#agents.clear();
   }
 }
--- a/apps/heroncleatd/gateway/upstream_agents_test.ts
+++ b/apps/heroncleatd/gateway/upstream_agents_test.ts
@@ -65,3 +65,40 @@
 test("a limit that doesn't know the other entries fails", async () => {
   expect(await sendBursts(() => 16)).toBeGreaterThan(0);
 });
+
+// Guards against runs that are cut, and connections that stay, once an instance
+// counts as gone.
+test("retired connections stay open while in use, and no longer", async () => {
+  const server = createServer((_, response) => {
+    setTimeout(() => response.end("whole"), 200);
+  });
+  await new Promise<void>((resolve) =>
+    server.listen(0, "127.0.0.1", () => resolve())
+  );
+  const { port } = server.address() as AddressInfo;
+  const agents = new UpstreamAgents(() => 16, connect);
+  const send = () =>
+    new Promise<string>((resolve) => {
+      const agent = agents.get("u");
+      get({ port, host: "127.0.0.1", agent }, (response) => {
+        response.setEncoding("utf8").on("data", resolve);
+      }).on("error", (error) => resolve(error.message));
+    });
+  const countConnections = () =>
+    new Promise<number>((resolve) =>
+      server.getConnections((_, count) => resolve(count))
+    );
+  await Promise.all([send(), send()]);
+  await new Promise((resolve) => setTimeout(resolve, 20));
+  const running = send();
+  expect(agents.retireWhere(() => true)).toEqual(["u"]);
+  expect(agents.removeUnused()).toEqual([]);
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  expect(await countConnections()).toBe(1);
+  expect(await running).toBe("whole");
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  expect(await countConnections()).toBe(0);
+  expect(agents.removeUnused()).toEqual(["u"]);
+  expect(agents.listRetired()).toEqual([]);
+  server.close();
+});
--- a/apps/heroncleatd/gateway/upstream_run.ts
+++ b/apps/heroncleatd/gateway/upstream_run.ts
@@ -4,4 +4,12 @@
 export type UpstreamRun = {
   /** Records what ends it early, before its connection is closed. */
   readonly recordEndedBy: (reason: EndedBy) => void;
+  /** Bytes received on the connection so far. */
+  readonly bytesReceived: () => number;
+  /** Whether the response isn't read now, as the caller is slow. */
+  readonly isPaused: () => boolean;
+  /** Whether another upstream could repeat the request or go on with it. */
+  readonly isReplaceable: () => boolean;
+  /** Closes the connection, so that another upstream is tried. */
+  readonly giveUp: () => void;
 };
--- a/packages/serving/upstream_directory.ts
+++ b/packages/serving/upstream_directory.ts
@@ -351,6 +351,14 @@
     return known !== undefined && !this.#instances.isCurrent(known.record);
   }
 
+  /** The current instance of an upstream, if it isn't this one. */
+  findReplacement(id: string): KnownUpstream | undefined {
+    const known = this.#known.get(id);
+    return known !== undefined && this.isReplaced(id)
+      ? this.#known.get(this.#instances.currentIdOf(known.record.name))
+      : undefined;
+  }
+
   /**
    * Removes instances without recent updates, once no late update can arrive.
    */
