--- a/apps/heroncleatd/gateway/attempt_request.ts
+++ b/apps/heroncleatd/gateway/attempt_request.ts
@@ -16,15 +16,18 @@
 import { attemptThroughEntry } from "./attempt_through_entry.ts";
 import { AttemptTrace } from "./attempt_trace.ts";
 import { describeChoice } from "./describe_choice.ts";
+import { EndedBy } from "./ended_by.ts";
 import { forwardHeaders } from "./forward_headers.ts";
 import { CONNECT_TIMEOUT_REASON } from "../common/connect_timeout_reason.ts";
 import { framingOf } from "../common/framing_of.ts";
+import type { SentRequest } from "../common/sent_request.ts";
 import type { ResponseFraming } from "../common/response_framing.ts";
 import { hasCrashed } from "./has_crashed.ts";
 import { POLL_INTERVAL } from "./poll_interval.ts";
 import { sendToUpstream } from "./send_to_upstream.ts";
 import { startTracking } from "./start_tracking.ts";
 import type { UpstreamResponse } from "./upstream_response.ts";
+import type { UpstreamRun } from "./upstream_run.ts";
 import { waitForUpstream } from "./wait_for_upstream.ts";
 
 /**
@@ -98,10 +101,19 @@
   if (record.state === "draining") {
     context.metrics.increment("drains.continued_streams");
   }
+  let sent: SentRequest | undefined;
+  const run: UpstreamRun = {
+    recordEndedBy: (reason) => trace.recordEndedBy(reason),
+    bytesReceived: () => sent?.bytesReceived() ?? 0,
+    isPaused: () => sent?.isPaused() ?? false,
+    isReplaceable: () => options.mayGoOn(),
+    giveUp: () => sent?.abort(),
+  };
   const tracking = startTracking(call, {
     context,
     chosen,
     trace,
+    run,
     isBound: options.version !== undefined,
   });
   const headers = forwardHeaders.toUpstream(call, {
@@ -114,10 +126,14 @@
     },
   });
   const sentAt = clock.steady();
-  let cancel = () => {};
   const endWait = context.reachability.trackWaiting(
-    call.service,
-    mayRunAgain(call) ? () => cancel() : undefined,
+    record,
+    mayRunAgain(call)
+      ? () => {
+        run.recordEndedBy(EndedBy.unreachable);
+        run.giveUp();
+      }
+      : undefined,
   );
   const endTrial = context.statements.trackTrial(record.id);
   const response = await sendToUpstream(call, {
@@ -126,7 +142,7 @@
     headers,
     names: context.names,
     signal,
-    onSent: (abort) => cancel = abort,
+    onSent: (request) => sent = request,
     maySend: () => maySend(chosen.upstream, context),
   });
   endTrial();
@@ -146,7 +162,7 @@
     context.returnTimesOf(call.service).recordServed(clock.steady());
     const framing = framingOf(response.message, call.method);
     tracking.recordHead({ status: response.message.statusCode!, framing });
-    recordEnd(response.message, { framing, context, trace });
+    recordEnd(response.message, { framing, context, trace, signal });
     return {
       ...response,
       ...tracking,
@@ -158,10 +174,12 @@
       hasCrashed: () => hasCrashed(record.id, context),
     };
   }
+  const isBroken = response.kind === "unknown" && response.isBroken;
+  if (isBroken && !signal.aborted) {
+    trace.recordEndedBy(EndedBy.upstream);
+  }
   tracking.finish(
-    response.kind === "unknown" && response.isBroken
-      ? AttemptOutcome.broken
-      : AttemptOutcome.notAnswered,
+    isBroken ? AttemptOutcome.broken : AttemptOutcome.notAnswered,
   );
   const rejection = response.kind === "not_run" ? response.message : undefined;
   const stated = rejection?.headers["retry-after"];
@@ -283,16 +301,20 @@
 /** Records how the end of a response is marked, and an error before it. */
 function recordEnd(
   message: IncomingMessage,
-  { framing, context, trace }: {
+  { framing, context, trace, signal }: {
     framing: ResponseFraming;
     context: ForwardContext;
     trace: AttemptTrace;
+    signal: AbortSignal;
   },
 ): void {
   trace.recordFraming(framing);
   context.metrics.increment(`gateway.response_framing.${framing}`);
   message.once("error", (error: NodeJS.ErrnoException) => {
     trace.recordError(error.code ?? error.message);
+    if (!signal.aborted) {
+      trace.recordEndedBy(EndedBy.upstream);
+    }
   });
 }
 
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -21,6 +21,7 @@
   WorkspaceQuota,
 } from "@heroncleat/serving";
 import type { Log } from "../common/log.ts";
+import type { AppliedDocument } from "./applied_document.ts";
 import { ChargeSync } from "./charge_sync.ts";
 import { createCallerServer } from "./create_caller_server.ts";
 import { ControlLinks } from "./control_links.ts";
@@ -39,6 +40,7 @@
 import { RateLimitWatcher } from "../common/rate_limit_watcher.ts";
 import { refusesConnections } from "../common/refuses_connections.ts";
 import { reportInterruptedRequests } from "./report_interrupted_requests.ts";
+import { ReplacedRuns } from "./replaced_runs.ts";
 import { RetryLimiter } from "./retry_limiter.ts";
 import type { RunningGateway } from "./running_gateway.ts";
 import { StatementWatcher } from "../common/statement_watcher.ts";
@@ -60,6 +62,8 @@
 /** Idle connections to other entries for requests that are passed on. */
 const MAX_IDLE_RELAYS = 32;
 const CLEANUP_INTERVAL_MS = 5000;
+/** Interval at which runs of replaced upstream instances are checked. */
+const REPLACED_RUNS_INTERVAL_MS = 250;
 /**
  * Interval of direct exchanges of charges while no control replica is
  * reachable.
@@ -81,6 +85,7 @@
   return {
     listEntries: () => running.listEntries(),
     isReady: () => running.isReady,
+    listInFlight: () => running.listInFlight(),
     stop: () => running.stop(),
   };
 }
@@ -129,10 +134,13 @@
   /** Accepts requests that other entries pass on. */
   readonly #relayServer: Server;
   readonly #cleanupTimer: NodeJS.Timeout;
+  readonly #replacedRuns: ReplacedRuns;
+  readonly #replacedRunsTimer: NodeJS.Timeout;
   /** Set while no control replica is reachable. */
   #directExchangeTimer: NodeJS.Timeout | undefined;
   readonly #log: Log;
   #routeTable: RouteTable | undefined;
+  #appliedDocument: AppliedDocument = { version: -1, at: 0 };
   readonly #routeTableLatch = new Latch();
   readonly #departureDeadline: DepartureDeadline;
   #isStopping = false;
@@ -336,12 +344,14 @@
       forwarding,
       streams: this.#streams,
       inFlight: this.#inFlight,
+      appliedDocument: () => this.#appliedDocument,
       leaving: this.#departureDeadline,
       clockAhead,
       random: Math.random,
     });
     const relayed = new RelayedRequests({
       ...options,
+      appliedDocument: () => this.#appliedDocument,
       log: this.#log,
       routeTable: () => this.#routeTable,
       forwarding,
@@ -357,6 +367,16 @@
       }
       void this.#gateway.handle(incoming, response);
     });
+    this.#replacedRuns = new ReplacedRuns({
+      listRetired: () => this.#agents.listRetired(),
+      directory: this.#directory,
+      probe: (address) => probeUpstream(address, this.#connect),
+      log: this.#log,
+    });
+    this.#replacedRunsTimer = setInterval(
+      () => void this.#replacedRuns.check(),
+      REPLACED_RUNS_INTERVAL_MS,
+    );
     this.#cleanupTimer = setInterval(
       () => this.#cleanUp(),
       CLEANUP_INTERVAL_MS,
@@ -383,6 +403,10 @@
     return this.#exchange.listReachableEntries();
   }
 
+  listInFlight(): readonly string[] {
+    return this.#inFlight.listSince(-Infinity).map(({ request }) => request);
+  }
+
   /** Accepts requests for most of the grace period, then closes the server. */
   async stop(): Promise<void> {
     const { gracePeriod } = this.#options.settings();
@@ -412,6 +436,7 @@
     this.#links.stop();
     this.#notices.close();
     clearInterval(this.#cleanupTimer);
+    clearInterval(this.#replacedRunsTimer);
     clearInterval(this.#directExchangeTimer);
     this.#agents.closeAll();
     this.#log.info("Stopped", { underWay: this.#inFlight.size });
@@ -485,6 +510,7 @@
     if (document.version > currentVersion) {
       this.#routeTable = new RouteTable(document);
       const now = this.#options.clock.steady();
+      this.#appliedDocument = { version: document.version, at: now };
       this.#possibleOrigins.applyRoutes(document.routes, now);
       this.#streams.shareNewlyAmbiguous();
       this.#routeTableLatch.release();
@@ -551,7 +577,8 @@
     const isGone = (id: string) => this.#directory.get(id) === undefined;
     this.#statementWatcher.expire(isGone);
     this.#permits.removeWhere(isGone, this.#options.clock.steady());
-    for (const id of this.#agents.removeWhere(isGone)) {
+    this.#agents.retireWhere(isGone);
+    for (const id of this.#agents.removeUnused()) {
       this.#choice.forget(id);
     }
   }
