--- /dev/null
+++ b/apps/heroncleatd/gateway/create_caller_server_test.ts
@@ -0,0 +1,110 @@
+import type { Server, ServerResponse } from "node:http";
+import { type AddressInfo, connect, type Socket } from "node:net";
+import { setTimeout as pause } from "node:timers/promises";
+import { createCallerServer } from "./create_caller_server.ts";
+
+const REQUEST = "GET / HTTP/1.1\r\nhost: h\r\n\r\n";
+/** Incomplete, as of a caller that pipelines its requests. */
+const PARTIAL_REQUEST = "GET / HTTP/1.1\r\nho";
+
+let server: Server;
+let caller: Socket;
+let received = "";
+let isClosed = false;
+/** The connection of the caller at the server. */
+let accepted: Socket;
+let begun: ServerResponse[] = [];
+
+beforeEach(async () => {
+  received = "";
+  isClosed = false;
+  begun = [];
+  server = createCallerServer((incoming, response) => {
+    begun.push(response);
+    incoming.resume();
+  });
+  server.on("connection", (socket) => accepted = socket);
+  await new Promise<void>((resolve) =>
+    server.listen(0, "127.0.0.1", () => resolve())
+  );
+  const { port } = server.address() as AddressInfo;
+  caller = connect(port, "127.0.0.1");
+  caller.on("data", (chunk) => received += chunk);
+  caller.on("error", () => {});
+  caller.on("close", () => isClosed = true);
+});
+
+afterEach(() => {
+  caller.destroy();
+  server.close();
+  server.closeAllConnections();
+});
+
+async function beginResponse(): Promise<ServerResponse> {
+  caller.write(REQUEST);
+  while (begun.length === 0) {
+    await pause(5);
+  }
+  return begun[0]!;
+}
+
+// Guards against a response that is cut, and has the bytes of another one in it,
+// because of what the caller sent behind its request.
+test.each([
+  ["bytes that are no request", () => void caller.write("!\r\n\r\n")],
+  ["a partial request that times out", () => {
+    caller.write(PARTIAL_REQUEST);
+    const error = Object.assign(new Error("Request timeout"), {
+      code: "ERR_HTTP_REQUEST_TIMEOUT",
+    });
+    // Node checks each 30 s.
+    server.emit("clientError", error, accepted);
+  }],
+])("%s behind a request leave its response whole", async (_, disturb) => {
+  const response = await beginResponse();
+  response.writeHead(200, { "content-length": 10 });
+  response.write("first");
+  disturb();
+  await pause(50);
+  response.end("later");
+  await pause(50);
+  expect(received).toMatch(/^HTTP\/1\.1 200 OK\r\n[^]*\r\n\r\nfirstlater$/);
+  expect(isClosed).toBe(true);
+});
+
+test("a request that runs isn't answered with 400 for what comes behind it", async () => {
+  const response = await beginResponse();
+  caller.write("!\r\n\r\n");
+  await pause(50);
+  response.end("whole");
+  await pause(50);
+  expect(received).toMatch(/^HTTP\/1\.1 200 OK\r\n[^]*\r\n\r\nwhole$/);
+  expect(isClosed).toBe(true);
+});
+
+test("bytes that are no request are answered with 400", async () => {
+  caller.write("!\r\n\r\n");
+  await pause(50);
+  expect(received).toMatch(/^HTTP\/1\.1 400 /);
+  expect(isClosed).toBe(true);
+});
+
+test("a body that isn't readable is answered with 400", async () => {
+  caller.write(
+    "POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n!\r\n",
+  );
+  await pause(50);
+  expect(received).toMatch(/^HTTP\/1\.1 400 /);
+  expect(isClosed).toBe(true);
+});
+
+test("a caller that leaves behind a partial request ends its response", async () => {
+  const response = await beginResponse();
+  let hasEnded = false;
+  response.once("close", () => hasEnded = true);
+  caller.write(PARTIAL_REQUEST);
+  await pause(20);
+  caller.end();
+  await pause(50);
+  expect(hasEnded).toBe(true);
+});
