The log names the entries that refused a request, and the time they took

Callers of entries without links got 503 or 504 while the log named only the entry that took the request: those that had refused it before, why, and how long each took were lost.

Refusals are now among the attempts, and all attempts through entries state when the response head came. Evidence: the regression test in relay_test.

--- a/apps/heroncleatd/gateway/attempt_options.ts
+++ b/apps/heroncleatd/gateway/attempt_options.ts
@@ -31,4 +31,6 @@
   /** Monotonic time until which to wait for an available upstream. */
   readonly waitUntil: Milliseconds;
   readonly signal: AbortSignal;
+  /** Adds another entry's refusal to the attempts in the log. */
+  readonly recordRefusal: (refusal: string) => void;
 };
--- a/apps/heroncleatd/gateway/forward_call.ts
+++ b/apps/heroncleatd/gateway/forward_call.ts
@@ -150,6 +150,7 @@
       unopened: this.#unopened,
       waitUntil: errorResponse.upstreamWaitUntil(call),
       signal: call.signal,
+      recordRefusal: (refusal) => this.#attempts.push(refusal),
     });
     if (
       result.kind === "rejected" || result.kind === "held" ||
--- a/apps/heroncleatd/gateway/forward_stream.ts
+++ b/apps/heroncleatd/gateway/forward_stream.ts
@@ -177,6 +177,7 @@
         ? call.deadline
         : errorResponse.upstreamWaitUntil(call),
       signal: call.signal,
+      recordRefusal: (refusal) => this.#attempts.push(refusal),
     });
     if (
       result.kind === "rejected" || result.kind === "held" ||
--- a/apps/heroncleatd/gateway/relay.ts
+++ b/apps/heroncleatd/gateway/relay.ts
@@ -89,7 +89,9 @@
       metrics.increment("relay.sent");
       const sent = await this.#sendTo(entry, call, options);
       const { response } = sent;
-      if (response.kind === "unknown" && response.isBroken) {
+      if (
+        response.kind === "unknown" && response.isBroken
+      ) {
         this.#entries.recordUnable(entry.name, call.service, clock.steady());
       }
       if (response.kind !== "not_run" || wasSent(response)) {
@@ -98,7 +100,12 @@
       sent.end();
       last = refusedBy(refusalOf(response), retryAfterOf(response));
       metrics.increment(`relay.refused.${last.refusal}`);
-      if (last.refusal === RelayRefusal.unreachable) {
+      options.recordRefusal(
+        sent.trace.describe(`refused, ${last.refusal}, ${response.reason}`),
+      );
+      if (
+        last.refusal === RelayRefusal.unreachable
+      ) {
         this.#entries.recordUnable(entry.name, call.service, clock.steady());
       }
       refusingZones.add(entry.zone);
@@ -139,12 +146,16 @@
       names,
       signal: options.signal,
     });
+    const headAfter = Math.round(clock.steady() - call.arrivedAt - sentAfter);
     if (response.kind === "withdrawn") {
       throw new Error("A request to an entry is never withdrawn.");
     }
     const trace = new AttemptTrace(
-      `entry ${entry.name}`,
-      () => [`sent_after=${sentAfter}ms`],
+      `entry:${entry.name}`,
+      () => [
+        `sent_after=${sentAfter}ms`,
+        `head_after=${headAfter}ms`,
+      ],
     );
     return {
       kind: "sent",
--- a/apps/heroncleatd/gateway/relay_test.ts
+++ b/apps/heroncleatd/gateway/relay_test.ts
@@ -14,7 +14,9 @@
 import { UpstreamAgent } from "./upstream_agent.ts";
 
 const closers: (() => void)[] = [];
+const refusals: string[] = [];
 afterEach(() => {
+  refusals.length = 0;
   for (const close of closers.splice(0)) {
     close();
   }
@@ -63,6 +65,21 @@
 async function createRelay(
   firstRefusal: RelayRefusal,
   wasSent = false,
+): Promise<Relay> {
+  return await createRelayTo((response) => {
+    response.setHeader(names.notRun, "1");
+    response.setHeader(relayHeaders.refusal, firstRefusal);
+    if (wasSent) {
+      response.setHeader(relayHeaders.wasSent, "1");
+    }
+    response.writeHead(503);
+    response.end();
+  });
+}
+
+/** Starts the only other entry, which responds to all requests but the first. */
+async function createRelayTo(
+  respondFirst: (response: ServerResponse) => void,
 ): Promise<Relay> {
   let count = 0;
   const server = createServer((_message, response) => {
@@ -70,12 +87,8 @@
     response.setHeader(names.attempt, "a1");
     response.setHeader(names.digest, "d");
     if (count === 1) {
-      response.setHeader(names.notRun, "1");
-      response.setHeader(relayHeaders.refusal, firstRefusal);
-      if (wasSent) {
-        response.setHeader(relayHeaders.wasSent, "1");
-      }
-      response.writeHead(503);
+      respondFirst(response);
+      return;
     }
     response.end();
   });
@@ -110,6 +123,7 @@
   unopened: 0,
   waitUntil: Infinity,
   signal: call.signal,
+  recordRefusal: (refusal) => refusals.push(refusal),
 };
 
 test.each<[string, RelayRefusal, string]>([
@@ -130,6 +144,16 @@
   },
 );
 
+test("the log names the entry that refused, why and how long it took", async () => {
+  const relay = await createRelay(RelayRefusal.unreachable);
+  await relay.send(call, options);
+  expect(refusals).toEqual([
+    expect.stringMatching(
+      /^entry:other: refused, unreachable, status 503 \(sent_after=\d+ms head_after=\d+ms\)$/,
+    ),
+  ]);
+});
+
 test("a request that an upstream rejected counts as an attempt at the entry that passed it on", async () => {
   const relay = await createRelay(RelayRefusal.noUpstream, true);
   expect(await relay.send(call, options))
