A caller that leaves says nothing of the entry that has its request

Callers of entries without links were refused within 2 ms for a second and longer, though a sound entry was there. When the deadline of a request passed, or its caller left, while another entry had it, that entry counted as one that reaches no upstream, for a second and for all requests. Requests that had tried cut off entries first reached the sound one just before their deadline, so several in a row kept it excluded.

The test in relay_test fails without the change.

--- a/apps/heroncleatd/gateway/relay.ts
+++ b/apps/heroncleatd/gateway/relay.ts
@@ -90,7 +90,8 @@
       const sent = await this.#sendTo(entry, call, options);
       const { response } = sent;
       if (
-        response.kind === "unknown" && response.isBroken
+        response.kind === "unknown" && response.isBroken &&
+        !options.signal.aborted
       ) {
         this.#entries.recordUnable(entry.name, call.service, clock.steady());
       }
@@ -104,7 +105,7 @@
         sent.trace.describe(`refused, ${last.refusal}, ${response.reason}`),
       );
       if (
-        last.refusal === RelayRefusal.unreachable
+        last.refusal === RelayRefusal.unreachable && !options.signal.aborted
       ) {
         this.#entries.recordUnable(entry.name, call.service, clock.steady());
       }
--- a/apps/heroncleatd/gateway/relay_test.ts
+++ b/apps/heroncleatd/gateway/relay_test.ts
@@ -144,6 +144,19 @@
   },
 );
 
+test("an entry at which a request waits until its caller leaves is asked again", async () => {
+  const caller = new AbortController();
+  const relay = await createRelayTo(() => caller.abort("caller_left"));
+  const { signal } = caller;
+  expect(await relay.send(call, { ...options, signal }))
+    .toMatchObject({ kind: "sent", response: { kind: "unknown" } });
+  const result = await relay.send(call, options);
+  expect(result).toMatchObject({ kind: "sent", response: { kind: "head" } });
+  if (result.kind === "sent" && result.response.kind === "head") {
+    result.response.message.resume();
+  }
+});
+
 test("the log names the entry that refused, why and how long it took", async () => {
   const relay = await createRelay(RelayRefusal.unreachable);
   await relay.send(call, options);
