Silent links of tests time out as real ones do

Sockets over silent links of tests ignored the timeout that they are opened with, while those of Node emit `timeout`. So probes never ended there, and an entry noticed a cut only from requests that failed: 1.0 to 1.7 s after its beginning, where two silent connections and a probe of the others take 0.7 s. The test asked more of entries than the links that it imitates; what it asks for is unchanged.

--- a/apps/heroncleatd/hub/test_links.ts
+++ b/apps/heroncleatd/hub/test_links.ts
@@ -58,7 +58,7 @@
   /** Opens a connection of the entry to an upstream. */
   connect(options: TcpNetConnectOpts): Socket {
     if (this.#failure === "silent") {
-      return createUnansweredSocket();
+      return createUnansweredSocket(options);
     }
     if (this.#failure !== undefined) {
       return connect({ ...options, port: CLOSED_PORT });
@@ -101,9 +101,13 @@
   }
 }
 
-/** A socket whose connection is never established. */
-function createUnansweredSocket(): Socket {
+/**
+ * A socket whose connection is never established. As with `connect`, it emits
+ * `timeout` after the time in the options.
+ */
+function createUnansweredSocket({ timeout }: TcpNetConnectOpts): Socket {
   const socket = new Socket();
+  socket.setTimeout(timeout ?? 0);
   Object.defineProperty(socket, "connecting", { value: true, writable: true });
   return socket;
 }
