Entries that doubt their links are asked last, those that have just served first

Callers of entries without links got 503 after three other entries had refused their request, each of them cut off too, while a sound one was there. An entry that doubts its links refused with `no_upstream`, as one does that has no upstream for this request alone, so the next request asked it again, and a sound entry that had just served one was as likely to be asked as any other.

Such an entry now states `in_doubt`, also where the connection that it tried for the request made it doubt, and is asked after all others for 0.5 s. While entries refuse, those through which an upstream responded within the last second come first, until 16 more requests are in flight through them.

--- a/apps/heroncleatd/gateway/error_response.ts
+++ b/apps/heroncleatd/gateway/error_response.ts
@@ -34,6 +34,8 @@
   readonly offers: number;
   /** Whether an upstream may have got it. */
   readonly wasSent: boolean;
+  /** Whether this entry may reach no upstream of the service. */
+  readonly isInDoubt: boolean;
   /** Whether only one version may run it, as it resumes a stream. */
   readonly isResumed?: boolean;
   /** Time until an upstream has capacity, if known. */
@@ -117,7 +119,7 @@
       return request.isResumed && request.offers === 0 &&
           request.retryAfter === undefined
         ? versionUnavailable()
-        : notRun(request.offers, request.retryAfter);
+        : notRun(request);
   }
 }
 
@@ -147,8 +149,7 @@
 
 /** No upstream accepted the request; it has not run and never will. */
 function notRun(
-  offers: number,
-  retryAfter: Milliseconds | undefined,
+  { offers, retryAfter, isInDoubt }: UnansweredRequest,
 ): LocalResponse {
   return {
     status: 503,
@@ -156,12 +157,22 @@
       "retry after the time in Retry-After.",
     retryAfter: retryAfter ??
       (offers === 0 ? RETRY_AFTER_NONE : RETRY_AFTER_FULL),
-    refusal: retryAfter === undefined
-      ? RelayRefusal.noUpstream
-      : RelayRefusal.overloaded,
+    refusal: refusalOf({ retryAfter, isInDoubt }),
   };
 }
 
+function refusalOf(
+  { retryAfter, isInDoubt }: Pick<
+    UnansweredRequest,
+    "retryAfter" | "isInDoubt"
+  >,
+): RelayRefusal {
+  if (retryAfter !== undefined) {
+    return RelayRefusal.overloaded;
+  }
+  return isInDoubt ? RelayRefusal.inDoubt : RelayRefusal.noUpstream;
+}
+
 /**
  * Upstreams crash while running the request. The status keeps callers from
  * retrying.
--- a/apps/heroncleatd/gateway/forward_call.ts
+++ b/apps/heroncleatd/gateway/forward_call.ts
@@ -107,6 +107,7 @@
       isTimeUp: this.#call.signal.aborted,
       offers: this.#isOver ? Math.max(1, this.#offers) : this.#offers,
       wasSent: this.#wasSent,
+      isInDoubt: this.#context.reachability.refusesRelays(this.#call.service),
       retryAfter: this.#retryAfter,
       restDelay: this.#findRestDelay(),
     });
--- a/apps/heroncleatd/gateway/forward_stream.ts
+++ b/apps/heroncleatd/gateway/forward_stream.ts
@@ -155,6 +155,7 @@
       isTimeUp: this.#call.signal.aborted,
       offers: this.#offers,
       wasSent: this.#wasSent,
+      isInDoubt: this.#context.reachability.refusesRelays(this.#call.service),
       isResumed: this.#call.version !== undefined,
       retryAfter: this.#retryAfter,
       restDelay: this.#findRestDelay(),
--- a/apps/heroncleatd/gateway/relay.ts
+++ b/apps/heroncleatd/gateway/relay.ts
@@ -96,6 +96,9 @@
         this.#entries.recordUnable(entry.name, call.service, clock.steady());
       }
       if (response.kind !== "not_run" || wasSent(response)) {
+        if (response.kind !== "unknown") {
+          this.#entries.recordServed(entry.name, call.service, clock.steady());
+        }
         return sent;
       }
       sent.end();
@@ -109,6 +112,9 @@
       ) {
         this.#entries.recordUnable(entry.name, call.service, clock.steady());
       }
+      if (last.refusal === RelayRefusal.inDoubt) {
+        this.#entries.recordDoubt(entry.name, call.service, clock.steady());
+      }
       refusingZones.add(entry.zone);
       if (isFinal(last.refusal)) {
         break;
--- a/apps/heroncleatd/gateway/relay_refusal.ts
+++ b/apps/heroncleatd/gateway/relay_refusal.ts
@@ -7,6 +7,8 @@
   noUpstream: "no_upstream",
   /** The entry reaches no upstream of the service. */
   unreachable: "unreachable",
+  /** It may reach none; probes will soon tell. */
+  inDoubt: "in_doubt",
   /** All upstreams are busy for too long, or at their rate limits. */
   overloaded: "overloaded",
   /** Upstreams crash while running it. */
--- a/apps/heroncleatd/gateway/relay_test.ts
+++ b/apps/heroncleatd/gateway/relay_test.ts
@@ -129,6 +129,7 @@
 test.each<[string, RelayRefusal, string]>([
   ["had no upstream for one request", RelayRefusal.noUpstream, "sent"],
   ["is busy", RelayRefusal.overloaded, "sent"],
+  ["doubts its own links", RelayRefusal.inDoubt, "sent"],
   ["reaches no upstream itself", RelayRefusal.unreachable, "refused"],
 ])(
   "after an entry that %s (%s), the next request is %s",
--- a/apps/heroncleatd/gateway/relayed_requests.ts
+++ b/apps/heroncleatd/gateway/relayed_requests.ts
@@ -120,8 +120,12 @@
       this.#refuse(response, { attempt, relayedBy: grant?.entry ?? "" });
       return;
     }
-    if (this.#options.forwarding.reachability.reachesNone(grant.service)) {
-      this.#refuseUnreachable(response, { attempt, relayedBy: grant.entry });
+    const { reachability } = this.#options.forwarding;
+    if (reachability.refusesRelays(grant.service)) {
+      this.#refuseUnreachable(response, {
+        call: { attempt, relayedBy: grant.entry },
+        isCertain: reachability.reachesNone(grant.service),
+      });
       return;
     }
     await this.#forward({ incoming, response }, {
@@ -231,14 +235,18 @@
 
   #refuseUnreachable(
     response: ServerResponse,
-    call: { attempt: string; relayedBy: string },
+    { call, isCertain }: {
+      call: { attempt: string; relayedBy: string };
+      isCertain: boolean;
+    },
   ): void {
     this.#options.metrics.increment("relay.unreachable");
     sendRefusal(response, {
       status: 503,
-      message: "This entry reaches no upstream of the service; the request " +
-        "has not run. Remedy: ask another entry.",
-      refusal: RelayRefusal.unreachable,
+      message: `This entry ${isCertain ? "reaches" : "may reach"} no ` +
+        "upstream of the service; the request has not run. Remedy: ask " +
+        "another entry.",
+      refusal: isCertain ? RelayRefusal.unreachable : RelayRefusal.inDoubt,
     }, { call, names: this.#options.names });
   }
 
--- a/packages/serving/cut_policy.ts
+++ b/packages/serving/cut_policy.ts
@@ -4,4 +4,6 @@
   readonly relays: boolean;
   /** They aren't listed for callers, unless none would be left. */
   readonly isUnlisted: boolean;
+  /** Which entries they ask last, and which first. */
+  readonly remembers: "unable" | "doubted" | "doubted_and_proven";
 };
--- a/packages/serving/relay_entries.ts
+++ b/packages/serving/relay_entries.ts
@@ -3,6 +3,10 @@
 
 /** Time for which an entry isn't asked again that reaches no upstream either. */
 const UNABLE_PERIOD: Milliseconds = 1000;
+/** Time for which an entry counts as one that doubts its own links. */
+const DOUBT_PERIOD: Milliseconds = 500;
+/** Time for which an entry counts as one that reaches upstreams. */
+const PROVEN_PERIOD: Milliseconds = 1000;
 /**
  * Requests in flight through an entry for which a farther one is as good: bytes
  * between availability zones cost more, and regions add latency.
@@ -11,6 +15,10 @@
 const OTHER_REGION_COST = 32;
 /** Cost of an availability zone in which an entry has refused this request. */
 const REFUSING_ZONE_COST = 64;
+/** Cost of an entry that hasn't served a request lately, while others refuse. */
+const UNPROVEN_COST = 16;
+/** Cost of an entry that doubts its own links: it is asked after all others. */
+const DOUBTED_COST = 1024;
 
 type ChoiceOptions = {
   readonly service: string;
@@ -29,7 +37,8 @@
 /**
  * Chooses the entry to which another one passes on the requests of a service
  * whose upstreams it can't reach: a near one, with few requests in flight
- * there, that hasn't said that it reaches none either.
+ * there, that hasn't said that it reaches none either. While others refuse, one
+ * that has just served a request is asked first.
  *
  * @public
  */
@@ -37,6 +46,10 @@
   readonly #requests = new Map<string, number>();
   /** Until when entries are avoided, by name and service. */
   readonly #unableUntil = new Map<string, Milliseconds>();
+  /** Until when entries are asked last, by name and service. */
+  readonly #doubtedUntil = new Map<string, Milliseconds>();
+  /** Until when entries are asked first, by name and service. */
+  readonly #provenUntil = new Map<string, Milliseconds>();
 
   choose(
     entries: Iterable<KnownEntry>,
@@ -44,6 +57,7 @@
   ): KnownEntry | undefined {
     let best: KnownEntry | undefined;
     let lowest = Infinity;
+    const hasRefusals = this.#hasRefusals(options);
     for (const entry of entries) {
       if (!this.#isEligible(entry, options)) {
         continue;
@@ -52,6 +66,7 @@
       // The random part only decides between equal costs.
       const cost = requests + distanceCost(entry, options) +
         (options.refusingZones.has(entry.zone) ? REFUSING_ZONE_COST : 0) +
+        (hasRefusals ? this.#evidenceCost(entry, options) : 0) +
         options.random();
       if (cost < lowest) {
         lowest = cost;
@@ -75,12 +90,48 @@
 
   /** Records that an entry reaches no upstream of a service, or fails. */
   recordUnable(entry: string, service: string, now: Milliseconds): void {
-    for (const [key, until] of this.#unableUntil) {
-      if (until <= now) {
-        this.#unableUntil.delete(key);
+    recordUntil(this.#unableUntil, keyOf(entry, service), {
+      now,
+      until: now + UNABLE_PERIOD,
+    });
+  }
+
+  /** Records that an entry refused, as it may reach no upstream of a service. */
+  recordDoubt(entry: string, service: string, now: Milliseconds): void {
+    recordUntil(this.#doubtedUntil, keyOf(entry, service), {
+      now,
+      until: now + DOUBT_PERIOD,
+    });
+  }
+
+  /** Records that an upstream of a service responded through an entry. */
+  recordServed(entry: string, service: string, now: Milliseconds): void {
+    const key = keyOf(entry, service);
+    this.#doubtedUntil.delete(key);
+    recordUntil(this.#provenUntil, key, { now, until: now + PROVEN_PERIOD });
+  }
+
+  /** Whether an entry refused lately, so that it matters which one is asked. */
+  #hasRefusals({ now }: ChoiceOptions): boolean {
+    for (const times of [this.#unableUntil, this.#doubtedUntil]) {
+      for (const until of times.values()) {
+        if (until > now) {
+          return true;
+        }
       }
     }
-    this.#unableUntil.set(keyOf(entry, service), now + UNABLE_PERIOD);
+    return false;
+  }
+
+  #evidenceCost(
+    { name }: KnownEntry,
+    { service, now }: ChoiceOptions,
+  ): number {
+    const key = keyOf(name, service);
+    if ((this.#doubtedUntil.get(key) ?? 0) > now) {
+      return DOUBTED_COST;
+    }
+    return (this.#provenUntil.get(key) ?? 0) > now ? 0 : UNPROVEN_COST;
   }
 
   #isEligible(entry: KnownEntry, options: ChoiceOptions): boolean {
@@ -112,6 +163,20 @@
   return entry.region === region ? OTHER_ZONE_COST : OTHER_REGION_COST;
 }
 
+/** Sets the time of a key, and drops the times that have passed. */
+function recordUntil(
+  times: Map<string, Milliseconds>,
+  key: string,
+  { now, until }: { now: Milliseconds; until: Milliseconds },
+): void {
+  for (const [other, passed] of times) {
+    if (passed <= now) {
+      times.delete(other);
+    }
+  }
+  times.set(key, until);
+}
+
 function keyOf(entry: string, service: string): string {
   return `${service}/${entry}`;
 }
--- a/packages/serving/relay_entries_test.ts
+++ b/packages/serving/relay_entries_test.ts
@@ -67,3 +67,38 @@
   expect(entries.choose([near, other, far], afterRefusal)).toBe(far);
   expect(entries.choose([near, other], afterRefusal)).toBe(other);
 });
+
+test("an entry that doubts its links is asked after all others, and again soon", () => {
+  const entries = new RelayEntries();
+  entries.recordDoubt("near", "desk", 0);
+  expect(entries.choose([near, distant], options)).toBe(distant);
+  expect(entries.choose([near], options)).toBe(near);
+  expect(entries.choose([near, distant], { ...options, service: "mail" }))
+    .toBe(near);
+  expect(entries.choose([near, distant], { ...options, now: 600 })).toBe(near);
+});
+
+test("while others refuse, an entry that has served a request is asked first", () => {
+  const entries = new RelayEntries();
+  entries.recordServed("far", "desk", 0);
+  expect(entries.choose([near, far], options)).toBe(near);
+  entries.recordDoubt("other", "desk", 0);
+  expect(entries.choose([near, far, other], options)).toBe(far);
+  expect(entries.choose([near, far, other], { ...options, now: 1500 }))
+    .toBe(near);
+});
+
+test("requests spread over all entries once the one that served them is busy", () => {
+  const entries = new RelayEntries();
+  entries.recordServed("far", "desk", 0);
+  entries.recordDoubt("other", "desk", 0);
+  const counts = new Map<string, number>();
+  for (let request = 0; request < 60; request += 1) {
+    const chosen = entries.choose([near, far, other], options)!;
+    entries.begin(chosen.name);
+    counts.set(chosen.name, (counts.get(chosen.name) ?? 0) + 1);
+  }
+  expect(counts.get("near")).toBeGreaterThan(15);
+  expect(counts.get("far")).toBeGreaterThan(15);
+  expect(counts.get("other")).toBeUndefined();
+});
--- a/packages/serving/simulated_cuts.ts
+++ b/packages/serving/simulated_cuts.ts
@@ -239,11 +239,21 @@
     this.report.relayed += 1;
     const to = this.#entries.find(({ known }) => known.name === chosen.name)!;
     if (!to.isCut) {
+      if (this.#policy.remembers === "doubted_and_proven") {
+        from.relays.recordServed(chosen.name, SERVICE, this.#now);
+      }
       finish(true);
       return;
     }
     const onRefused = () => {
-      from.relays.recordUnable(chosen.name, SERVICE, this.#now);
+      if (to.reachability.isCutOff) {
+        from.relays.recordUnable(chosen.name, SERVICE, this.#now);
+      } else if (
+        this.#policy.remembers !== "unable" &&
+        to.reachability.isInDoubt(this.#now)
+      ) {
+        from.relays.recordDoubt(chosen.name, SERVICE, this.#now);
+      }
       request.refusingZones.add(chosen.zone);
       this.#relay(from, request);
     };
--- a/packages/serving/simulated_cuts_test.ts
+++ b/packages/serving/simulated_cuts_test.ts
@@ -2,7 +2,11 @@
 import type { CutReport } from "./cut_report.ts";
 import { SimulatedCut } from "./simulated_cuts.ts";
 
-const RELAYING: CutPolicy = { relays: true, isUnlisted: false };
+const RELAYING: CutPolicy = {
+  relays: true,
+  isUnlisted: false,
+  remembers: "doubted_and_proven",
+};
 const SEEDS = [1, 2];
 const DURATION_MS = 6000;
 
@@ -43,8 +47,22 @@
     expect(shareOf(reports, "later")).toBeGreaterThanOrEqual(0.95);
   });
 
+  test("callers are served from the beginning while three quarters are cut off", () => {
+    const reports = play(entryCount * 3 / 4, entryCount, RELAYING);
+    expect(shareOf(reports, "atFirst")).toBeGreaterThanOrEqual(0.9);
+  });
+
+  test("remembering who doubts its links and who has served serves more", () => {
+    const cut = entryCount - 1;
+    const unable = play(cut, entryCount, { ...RELAYING, remembers: "unable" });
+    const doubted = play(cut, entryCount, RELAYING);
+    expect(shareOf(doubted, "atFirst"))
+      .toBeGreaterThan(shareOf(unable, "atFirst"));
+  });
+
   test("relaying serves at least as many as not being listed", () => {
     const unlisted = play("zone", entryCount, {
+      ...RELAYING,
       relays: false,
       isUnlisted: true,
     });
