Up to six entries are asked for a request of one without links

While several entries were cut off and didn't know it of each other yet, callers got 503 after three had refused, most of them within some ms, though a sound entry was left to ask. Six are asked now, at most; a refusal means that nothing was sent, so the retry budget isn't concerned.

--- a/apps/heroncleatd/gateway/relay.ts
+++ b/apps/heroncleatd/gateway/relay.ts
@@ -15,7 +15,7 @@
 import type { UpstreamResponse } from "./upstream_response.ts";
 
 /** Entries that are asked for one attempt, at most. */
-const MAX_ENTRIES = 3;
+const MAX_ENTRIES = 6;
 
 type RelayOptions = {
   readonly name: string;
--- a/packages/serving/cut_policy.ts
+++ b/packages/serving/cut_policy.ts
@@ -6,4 +6,6 @@
   readonly isUnlisted: boolean;
   /** Which entries they ask last, and which first. */
   readonly remembers: "unable" | "doubted" | "doubted_and_proven";
+  /** Entries that are asked for one request, at most. */
+  readonly maxEntries: number;
 };
--- a/packages/serving/simulated_cuts.ts
+++ b/packages/serving/simulated_cuts.ts
@@ -17,7 +17,6 @@
 const LIST_LIFETIME: Milliseconds = 2000;
 const LONG_LIST_LIFETIME: Milliseconds = 6000;
 const REQUESTS_PER_ENTRY_AND_SECOND = 5;
-const MAX_ENTRIES_ASKED = 3;
 const CHECK_INTERVAL: Milliseconds = 100;
 
 type Scenario = {
@@ -220,7 +219,7 @@
     request: RelayedRequest,
   ): void {
     const { asked, finish } = request;
-    const chosen = asked.size > MAX_ENTRIES_ASKED
+    const chosen = asked.size > this.#policy.maxEntries
       ? undefined
       : from.relays.choose(this.#listForEntries(), {
         service: SERVICE,
--- a/packages/serving/simulated_cuts_test.ts
+++ b/packages/serving/simulated_cuts_test.ts
@@ -6,6 +6,7 @@
   relays: true,
   isUnlisted: false,
   remembers: "doubted_and_proven",
+  maxEntries: 6,
 };
 const SEEDS = [1, 2];
 const DURATION_MS = 6000;
@@ -34,6 +35,11 @@
   return served / sent;
 }
 
+test("callers are served from the beginning while all but one of twelve are cut off", () => {
+  const reports = play(11, 12, RELAYING);
+  expect(shareOf(reports, "atFirst")).toBeGreaterThanOrEqual(0.9);
+});
+
 describe.each([12, 200])("with %d entries", (entryCount) => {
   const cuts: [string, number | "zone"][] = [
     ["one entry", 1],
@@ -52,6 +58,15 @@
     expect(shareOf(reports, "atFirst")).toBeGreaterThanOrEqual(0.9);
   });
 
+  test("asking six entries serves more than asking three", () => {
+    const three = play(entryCount - 1, entryCount, {
+      ...RELAYING,
+      maxEntries: 3,
+    });
+    const six = play(entryCount - 1, entryCount, RELAYING);
+    expect(shareOf(six, "atFirst")).toBeGreaterThan(shareOf(three, "atFirst"));
+  });
+
   test("remembering who doubts its links and who has served serves more", () => {
     const cut = entryCount - 1;
     const unable = play(cut, entryCount, { ...RELAYING, remembers: "unable" });
