The log names the crashes for which a part of prompts is rejected

Two sound requests got 400 once beside a part that crashes upstreams; neither the log nor the test said for which part. The line about a rejected part now names the upstreams that crashed under it and how many parts are rejected, and the test shows these lines and those of rejected requests if a sound one is among them. What it asks for is unchanged.

--- a/apps/heroncleatd/common/suspect_watcher.ts
+++ b/apps/heroncleatd/common/suspect_watcher.ts
@@ -339,7 +339,12 @@
       if (!this.#announcedParts.has(part)) {
         log.warn(
           "Upstreams crash on a part of prompts; requests with it are rejected",
-          { part, crashes: registry.crashCountOf(part) },
+          {
+            part,
+            crashes: registry.crashCountOf(part),
+            upstreams: registry.listCrashed(part).join(" "),
+            parts: rejected.length,
+          },
         );
       }
     }
--- a/apps/heroncleatd/hub/crashing_part_test.ts
+++ b/apps/heroncleatd/hub/crashing_part_test.ts
@@ -1,4 +1,5 @@
 import { setTimeout as pause } from "node:timers/promises";
+import type { Log } from "../common/log.ts";
 import { RouteKind, type ServingDocument } from "@heroncleat/serving";
 import { RestartingUpstream } from "./restarting_upstream.ts";
 import { testDocument } from "./test_document.ts";
@@ -21,16 +22,20 @@
 const MAX_LATE_RUNS = 3;
 /** Minimum share of sound requests that are served once all have learned. */
 const MIN_SERVED_SHARE = 0.95;
+const PART_MESSAGE = "Upstreams crash on a part of prompts";
 
 const group = new TestGroup(FIRST_PORT);
 const upstreams: RestartingUpstream[] = [];
 const runTimes: number[] = [];
+/** What the entries log about rejected parts and requests. */
+const rejectionLog: string[] = [];
 let crashCount = 0;
 let fifthCrashAt = Infinity;
 /** The part that crashes upstreams now. */
 let crashingPart = "";
 
 beforeAll(async () => {
+  group.logOf = (entry) => createRejectionLog(entry);
   await group.start({ entries: ENTRY_COUNT });
   await waitUntil(() => group.publish(0, createDocument()));
   for (let index = 0; index < UPSTREAM_COUNT; index += 1) {
@@ -73,6 +78,18 @@
   }
 });
 
+function createRejectionLog(entry: number): Log {
+  const record: Log["info"] = (message, context = {}) => {
+    if (message.startsWith(PART_MESSAGE) || context["status"] === 400) {
+      const at = Math.round(performance.now());
+      rejectionLog.push(
+        `${at} entry-${entry} ${message} ${JSON.stringify(context)}`,
+      );
+    }
+  };
+  return { debug: record, info: record, warn: record, error: record };
+}
+
 /** Routes that answer with bodies, and others that answer with streams. */
 function createDocument(): ServingDocument {
   const document = testDocument(1);
@@ -133,6 +150,7 @@
   async (name, path, order) => {
     crashingPart = `bad of ${name.replaceAll(",", "")}`;
     runTimes.length = 0;
+    rejectionLog.length = 0;
     crashCount = 0;
     fifthCrashAt = Infinity;
     const parts = order.map((part) => part === "bad" ? crashingPart : part);
@@ -159,7 +177,9 @@
     const counted = fifthCrashAt === Infinity ? sound : late;
     const served = counted.filter(({ status }) => status === 200);
     expect(served.length / counted.length).toBeGreaterThan(MIN_SERVED_SHARE);
-    expect(sound.filter(({ status }) => status === 400)).toEqual([]);
+    const rejected = sound.filter(({ status }) => status === 400);
+    expect({ rejected, log: rejected.length > 0 ? rejectionLog : [] })
+      .toEqual({ rejected: [], log: [] });
     expect(crashing.at(-1)!.status).toBe(400);
   },
   60_000,
--- a/apps/heroncleatd/hub/test_group.ts
+++ b/apps/heroncleatd/hub/test_group.ts
@@ -3,6 +3,7 @@
 import type { ServingDocument } from "@heroncleat/serving";
 import { PeerPool } from "@heroncleat/transport";
 import type { ConnectionOpener } from "../common/connection_opener.ts";
+import type { Log } from "../common/log.ts";
 import type { RunningGateway } from "../gateway/running_gateway.ts";
 import { startGateway } from "../gateway/start_gateway.ts";
 import { testHeaderNames } from "../gateway/test_header_names.ts";
@@ -12,7 +13,7 @@
 import { TEST_PARTS_HEADER } from "./test_parts_header.ts";
 import { testSeeds } from "./test_seeds.ts";
 
-const silentLog = { debug() {}, info() {}, warn() {}, error() {} };
+const silentLog: Log = { debug() {}, info() {}, warn() {}, error() {} };
 const noMetrics = { increment() {}, gauge() {}, timing() {}, close() {} };
 
 /**
@@ -24,6 +25,8 @@
   readonly gateways: RunningGateway[] = [];
   readonly #pools: PeerPool[] = [];
   readonly #firstPort: number;
+  /** Logs of the entries; set before they start. */
+  logOf: (entry: number) => Log = () => silentLog;
 
   /**
    * @param firstPort First of 23 consecutive ports reserved for the test.
@@ -98,7 +101,7 @@
       pool,
       secret: "s",
       clock: createSystemClock(),
-      log: () => silentLog,
+      log: () => this.logOf(index),
       metrics: noMetrics,
       ...(connect === undefined ? {} : { connect }),
     });
--- a/packages/serving/suspect_registry.ts
+++ b/packages/serving/suspect_registry.ts
@@ -139,6 +139,12 @@
     return this.#suspects.get(request)?.runs.length ?? 0;
   }
 
+  /** The upstreams that crashed since then, in the order of the crashes. */
+  listCrashed(request: string): string[] {
+    const runs = this.#suspects.get(request)?.runs ?? [];
+    return runs.map(({ upstream }) => upstream);
+  }
+
   /** The current status of a request. */
   statusOf(request: string, now: Milliseconds): SuspectStatus {
     return this.#suspects.has(request)
