--- a/apps/heroncleatd/gateway/forward_call.ts
+++ b/apps/heroncleatd/gateway/forward_call.ts
@@ -112,6 +112,7 @@
       isTimeUp: this.#call.signal.aborted,
       offers: this.#isOver ? Math.max(1, this.#offers) : this.#offers,
       wasSent: this.#wasSent,
+      isInDoubt: this.#context.reachability.refusesRelays(this.#call.service),
       retryAfter: this.#retryAfter,
       restDelay: this.#findRestDelay(),
     });
@@ -163,6 +164,7 @@
           version: undefined,
           runs,
         }),
+      recordRefusal: (refusal) => this.#attempts.push(refusal),
     });
     if (
       result.kind === "rejected" || result.kind === "held" ||
--- a/apps/heroncleatd/gateway/forward_stream.ts
+++ b/apps/heroncleatd/gateway/forward_stream.ts
@@ -167,6 +167,7 @@
       isTimeUp: this.#call.signal.aborted,
       offers: this.#offers,
       wasSent: this.#wasSent,
+      isInDoubt: this.#context.reachability.refusesRelays(this.#call.service),
       isResumed: this.#call.version !== undefined,
       retryAfter: this.#retryAfter,
       restDelay: this.#findRestDelay(),
@@ -197,6 +198,7 @@
           version: this.#version,
           runs,
         }),
+      recordRefusal: (refusal) => this.#attempts.push(refusal),
     });
     if (
       result.kind === "rejected" || result.kind === "held" ||
--- a/apps/heroncleatd/gateway/relay.ts
+++ b/apps/heroncleatd/gateway/relay.ts
@@ -15,7 +15,7 @@
 import type { UpstreamResponse } from "./upstream_response.ts";
 
 /** Entries that are asked for one attempt, at most. */
-const MAX_ENTRIES = 3;
+const MAX_ENTRIES = 6;
 
 type RelayOptions = {
   readonly name: string;
@@ -89,18 +89,32 @@
       metrics.increment("relay.sent");
       const sent = await this.#sendTo(entry, call, options);
       const { response } = sent;
-      if (response.kind === "unknown" && response.isBroken) {
+      if (
+        response.kind === "unknown" && response.isBroken &&
+        !options.signal.aborted
+      ) {
         this.#entries.recordUnable(entry.name, call.service, clock.steady());
       }
       if (response.kind !== "not_run" || wasSent(response)) {
+        if (response.kind !== "unknown") {
+          this.#entries.recordServed(entry.name, call.service, clock.steady());
+        }
         return sent;
       }
       sent.end();
       last = refusedBy(refusalOf(response), retryAfterOf(response));
       metrics.increment(`relay.refused.${last.refusal}`);
-      if (last.refusal === RelayRefusal.unreachable) {
+      options.recordRefusal(
+        sent.trace.describe(`refused, ${last.refusal}, ${response.reason}`),
+      );
+      if (
+        last.refusal === RelayRefusal.unreachable && !options.signal.aborted
+      ) {
         this.#entries.recordUnable(entry.name, call.service, clock.steady());
       }
+      if (last.refusal === RelayRefusal.inDoubt) {
+        this.#entries.recordDoubt(entry.name, call.service, clock.steady());
+      }
       refusingZones.add(entry.zone);
       if (isFinal(last.refusal)) {
         break;
@@ -139,12 +153,16 @@
       names,
       signal: options.signal,
     });
+    const headAfter = Math.round(clock.steady() - call.arrivedAt - sentAfter);
     if (response.kind === "withdrawn") {
       throw new Error("A request to an entry is never withdrawn.");
     }
     const trace = new AttemptTrace(
-      `entry ${entry.name}`,
-      () => [`sent_after=${sentAfter}ms`],
+      `entry:${entry.name}`,
+      () => [
+        `sent_after=${sentAfter}ms`,
+        `head_after=${headAfter}ms`,
+      ],
     );
     return {
       kind: "sent",
--- a/packages/serving/simulated_cuts.ts
+++ b/packages/serving/simulated_cuts.ts
@@ -17,7 +17,6 @@
 const LIST_LIFETIME: Milliseconds = 2000;
 const LONG_LIST_LIFETIME: Milliseconds = 6000;
 const REQUESTS_PER_ENTRY_AND_SECOND = 5;
-const MAX_ENTRIES_ASKED = 3;
 const CHECK_INTERVAL: Milliseconds = 100;
 
 type Scenario = {
@@ -220,7 +219,7 @@
     request: RelayedRequest,
   ): void {
     const { asked, finish } = request;
-    const chosen = asked.size > MAX_ENTRIES_ASKED
+    const chosen = asked.size > this.#policy.maxEntries
       ? undefined
       : from.relays.choose(this.#listForEntries(), {
         service: SERVICE,
@@ -239,11 +238,21 @@
     this.report.relayed += 1;
     const to = this.#entries.find(({ known }) => known.name === chosen.name)!;
     if (!to.isCut) {
+      if (this.#policy.remembers === "doubted_and_proven") {
+        from.relays.recordServed(chosen.name, SERVICE, this.#now);
+      }
       finish(true);
       return;
     }
     const onRefused = () => {
-      from.relays.recordUnable(chosen.name, SERVICE, this.#now);
+      if (to.reachability.isCutOff) {
+        from.relays.recordUnable(chosen.name, SERVICE, this.#now);
+      } else if (
+        this.#policy.remembers !== "unable" &&
+        to.reachability.isInDoubt(this.#now)
+      ) {
+        from.relays.recordDoubt(chosen.name, SERVICE, this.#now);
+      }
       request.refusingZones.add(chosen.zone);
       this.#relay(from, request);
     };
