--- a/apps/heroncleatd/common/create_bounded_logs.ts
+++ b/apps/heroncleatd/common/create_bounded_logs.ts
@@ -1,5 +1,5 @@
+import { RateLimiter } from "@heroncleat/base";
 import type { Log } from "./log.ts";
-import { RateLimiter } from "./rate_limiter.ts";
 
 /** Rate limit of a process's log lines. */
 const LINES_PER_SECOND = 200;
--- a/apps/heroncleatd/common/rate_limiter.ts
+++ b/packages/base/rate_limiter.ts
@@ -1,6 +1,6 @@
 const MS_PER_SECOND = 1000;
 
-/** A token bucket that refills at a constant rate. */
+/** A token bucket that refills at a constant rate. @public */
 export class RateLimiter {
   readonly #rate: number;
   readonly #burst: number;
