Streams are known to five entries, told twice, and made-up ones don't crowd them out

Callers saw: a stream that they resume is refused with "It isn't known which version began the stream" though upstreams of its version serve.

The new test of the exchange fails without the repeat.

The test of the holders' zones named their number: it now asks for three zones among the three that are asked first, all four among the five, and that all five stay when another entry goes.

--- a/apps/heroncleatd/gateway/entry_notices.ts
+++ b/apps/heroncleatd/gateway/entry_notices.ts
@@ -65,17 +65,27 @@
 
   /** Sends a notice to all other entries. */
   broadcast(notice: EntryNotice): void {
-    this.#send(notice, this.#options.peers(), this.#rateLimiter);
+    this.#send(notice, this.#options.peers());
   }
 
   /** Sends a notice to one entry. */
   reply(notice: EntryNotice, host: string): void {
-    this.#send(notice, [host], this.#rateLimiter);
+    this.#send(notice, [host]);
   }
 
-  /** Sends a notice about a stream, which others don't delay, to one entry. */
-  sendOfStream(notice: EntryNotice, host: string): void {
-    this.#send(notice, [host], this.#streamRateLimiter);
+  /**
+   * Sends a notice about a stream, which others don't delay, to one entry.
+   *
+   * @param options.reserve See `OriginReserve`.
+   */
+  sendOfStream(
+    notice: EntryNotice,
+    { host, reserve }: { host: string; reserve: number },
+  ): void {
+    this.#send(notice, [host], {
+      rateLimiter: this.#streamRateLimiter,
+      reserve,
+    });
   }
 
   /** Closes the socket. Later sends do nothing. */
@@ -87,13 +97,17 @@
   #send(
     notice: EntryNotice,
     hosts: readonly string[],
-    rateLimiter: RateLimiter,
+    { rateLimiter = this.#rateLimiter, reserve = 0 }: {
+      rateLimiter?: RateLimiter;
+      reserve?: number;
+    } = {},
   ): void {
     if (this.#isClosed) {
       return;
     }
     const { clock, metrics } = this.#options;
-    if (!rateLimiter.tryConsume(clock.steady(), hosts.length)) {
+    const amount = hosts.length;
+    if (!rateLimiter.tryConsume(clock.steady(), { amount, reserve })) {
       metrics.increment("entry_notices.over_budget");
       return;
     }
--- a/apps/heroncleatd/gateway/entry_notices_test.ts
+++ b/apps/heroncleatd/gateway/entry_notices_test.ts
@@ -113,6 +113,18 @@
     expect(entry.counts["entry_notices.over_budget"]).toBeGreaterThanOrEqual(3);
   });
 
+  test("about streams are sent although others that yield are beyond the limit", async () => {
+    const entry = start("127.0.0.5", []);
+    const other = start("127.0.0.8", []);
+    const overBudget = () => entry.counts["entry_notices.over_budget"] ?? 0;
+    while (overBudget() < 3) {
+      entry.notices.sendOfStream(dispatch, { host: "127.0.0.9", reserve: 0.5 });
+    }
+    entry.notices.sendOfStream(charges, { host: "127.0.0.8", reserve: 0 });
+    await until(() => other.received.length > 0);
+    expect(other.received).toEqual([{ notice: charges, from: "127.0.0.5" }]);
+  });
+
   test("aren't sent after closing", () => {
     const entry = start("127.0.0.6", ["127.0.0.7"]);
     entry.notices.close();
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -260,7 +260,7 @@
       isRolledOut: (service) => this.#rollouts.isInProgress(service),
       findRoute: (name) => this.#routeTable?.findRouteNamed(name),
       listEntries: () => this.listEntries(),
-      send: (notice, host) => this.#notices.sendOfStream(notice, host),
+      send: (notice, to) => this.#notices.sendOfStream(notice, to),
     });
     this.#chargeSync = new ChargeSync({
       entry: settings.name,
--- a/apps/heroncleatd/gateway/stream_origin_exchange.ts
+++ b/apps/heroncleatd/gateway/stream_origin_exchange.ts
@@ -9,6 +9,8 @@
   type KnownEntry,
   type KnownOrigin,
   originHolders,
+  OriginRepeats,
+  OriginReserve,
   OriginSearch,
   type OriginSearchResult,
   type PossibleOrigins,
@@ -22,6 +24,8 @@
 const ORIGINS_PER_NOTICE = 5;
 /** Searches at a time; callers that make up streams get no more. */
 const MAX_SEARCHES = 256;
+/** Interval at which streams are told again, several in a datagram. */
+const REPEAT_INTERVAL: Milliseconds = 50;
 /** Interval at which a search looks for entries to ask again. */
 const SEARCH_INTERVAL: Milliseconds = 10;
 
@@ -50,7 +54,7 @@
   readonly listEntries: () => readonly KnownEntry[];
   readonly send: (
     notice: StreamOriginNotice | StreamOriginQuery | StreamOriginReply,
-    host: string,
+    to: { readonly host: string; readonly reserve: number },
   ) => void;
 };
 
@@ -66,6 +70,8 @@
   readonly #unshared = new Map<string, string>();
   /** Origins to be sent in this iteration of the event loop, by host. */
   readonly #pending = new Map<string, SharedOrigin[]>();
+  readonly #repeats = new OriginRepeats();
+  #repeatTimer: NodeJS.Timeout | undefined;
   readonly #searches = new Map<
     string,
     { readonly search: OriginSearch; readonly wake: () => void }
@@ -156,23 +162,46 @@
   }
 
   #share(stream: string): void {
-    const { clock, entry, listEntries, metrics } = this.#options;
+    this.#tell(stream, originHolders.count);
+    this.#repeats.add(stream, this.#options.clock.steady());
+    this.#repeatTimer ??= setInterval(
+      () => this.#tellAgain(),
+      REPEAT_INTERVAL,
+    ).unref();
+  }
+
+  /** The holders may be others by now. */
+  #tellAgain(): void {
+    for (const stream of this.#repeats.takeDue(this.#options.clock.steady())) {
+      this.#tell(stream, originHolders.firstCount);
+    }
+    if (this.#repeats.size === 0) {
+      clearInterval(this.#repeatTimer);
+      this.#repeatTimer = undefined;
+    }
+  }
+
+  /** @param count Holders to tell, the best first. */
+  #tell(stream: string, count: number): void {
+    const { clock, metrics } = this.#options;
     const now = clock.steady();
     const known = this.#origins.get(stream, now);
     if (known === undefined) {
       return;
     }
     const shared = toShared(stream, known, now);
-    const holders = originHolders.rank(stream, listEntries())
-      .slice(0, originHolders.count);
-    for (const { name, address } of holders) {
-      if (name !== entry) {
-        metrics.increment("stream_origins.shared");
-        this.#enqueue(splitAddress(address).host, shared);
-      }
+    const holders = originHolders.rank(stream, this.#listOthers());
+    for (const { address } of holders.slice(0, count)) {
+      metrics.increment("stream_origins.shared");
+      this.#enqueue(splitAddress(address).host, shared);
     }
   }
 
+  #listOthers(): KnownEntry[] {
+    const { entry, listEntries } = this.#options;
+    return listEntries().filter(({ name }) => name !== entry);
+  }
+
   /** Leaves the first event of the stream to be sent first. */
   #enqueue(host: string, shared: SharedOrigin): void {
     if (this.#pending.size === 0) {
@@ -192,7 +221,7 @@
           kind: "stream_origins",
           entry,
           origins: origins as StreamOriginNotice["origins"],
-        }, host);
+        }, { host, reserve: OriginReserve.origin });
       }
     }
     this.#pending.clear();
@@ -218,7 +247,7 @@
       entry,
       query,
       ...(origin === undefined ? {} : { origin }),
-    }, host);
+    }, { host, reserve: OriginReserve[origin ? "origin" : "holder"] });
   }
 
   #knownOrigin(stream: string): StreamOriginReply["origin"] {
@@ -255,19 +284,23 @@
   }
 
   async #search(stream: string, route: Route): Promise<OriginSearchResult> {
-    const { clock, entry, listEntries, possibleOrigins } = this.#options;
+    const { clock, listEntries, possibleOrigins } = this.#options;
     if (this.#searches.size >= MAX_SEARCHES) {
       return { kind: "unknown", unanswered: listEntries().length };
     }
     const query = createToken();
     const search = new OriginSearch(stream, {
-      entries: listEntries().filter(({ name }) => name !== entry),
+      entries: this.#listOthers(),
       now: clock.steady(),
     });
     let result = search.result(clock.steady());
     while (result === undefined) {
-      for (const { address } of search.listDue(clock.steady())) {
-        this.#ask(splitAddress(address).host, { query, stream, route });
+      for (const { name, address } of search.listDue(clock.steady())) {
+        const reserve = OriginReserve[
+          search.isHolder(name) ? "holder" : "other"
+        ];
+        const { host } = splitAddress(address);
+        this.#ask({ host, reserve }, { query, stream, route });
       }
       await this.#waitForAnswer(query, search);
       result = search.result(clock.steady());
@@ -280,7 +313,7 @@
   }
 
   #ask(
-    host: string,
+    to: { host: string; reserve: number },
     { query, stream, route }: { query: string; stream: string; route: Route },
   ): void {
     const { entry, send, metrics } = this.#options;
@@ -291,7 +324,7 @@
       query,
       stream,
       route: route.name,
-    }, host);
+    }, to);
   }
 
   async #waitForAnswer(query: string, search: OriginSearch): Promise<void> {
--- /dev/null
+++ b/apps/heroncleatd/gateway/stream_origin_exchange_test.ts
@@ -0,0 +1,106 @@
+import { setTimeout as pause } from "node:timers/promises";
+import { createSystemClock } from "@heroncleat/base";
+import {
+  type KnownEntry,
+  OriginRepeats,
+  OriginReserve,
+  PossibleOrigins,
+  type Route,
+  RouteKind,
+} from "@heroncleat/serving";
+import { StreamOriginExchange } from "./stream_origin_exchange.ts";
+
+const ENTRY_COUNT = 30;
+/** Covers the interval at which streams are told again. */
+const REPEATED_AFTER_MS = OriginRepeats.delay + 200;
+const clock = createSystemClock();
+const metrics = { increment() {}, gauge() {}, timing() {}, close() {} };
+const route: Route = {
+  name: "r",
+  host: "h",
+  pathPrefix: "/",
+  kind: RouteKind.streaming,
+  targets: [{ service: "desk", weight: 1 }],
+  timeout: 5000,
+  latencyObjective: 100,
+  priority: 0,
+  maxAttempts: 2,
+  isPublic: true,
+  isResumable: true,
+};
+const origin = { service: "desk", version: "v1" };
+const entries: KnownEntry[] = Array.from(
+  { length: ENTRY_COUNT },
+  (_, index) => ({
+    name: `entry-${index}`,
+    address: `10.0.0.${index}:1`,
+    zone: `zone-${index % 4}`,
+    region: "r",
+  }),
+);
+
+/** Exchanges whose datagrams arrive at once, unless they are lost. */
+function connect() {
+  const isSilent = new Set<number>();
+  const reserves: number[] = [];
+  const exchanges = entries.map(({ name }, index) =>
+    new StreamOriginExchange({
+      entry: name,
+      clock,
+      metrics,
+      possibleOrigins: new PossibleOrigins(),
+      isCurrent: () => false,
+      isRolledOut: () => false,
+      findRoute: () => route,
+      listEntries: () => entries,
+      send: (notice, { host, reserve }) => {
+        reserves.push(reserve);
+        const to = Number(host.split(".").at(-1));
+        if (!isSilent.has(index) && !isSilent.has(to)) {
+          setImmediate(() => exchanges[to]!.receive(notice, `10.0.0.${index}`));
+        }
+      },
+    })
+  );
+  return { exchanges, isSilent, reserves };
+}
+
+const begun = (stream: string) => ({
+  stream,
+  route,
+  origin,
+  expiresAt: clock.steady() + 10_000,
+});
+
+test("a stream is known although the first datagrams about it were lost and its entry has ended", async () => {
+  const { exchanges, isSilent } = connect();
+  const [first] = exchanges;
+  isSilent.add(0);
+  first!.recordBegin(begun("s"));
+  await pause(50);
+  isSilent.delete(0);
+  await pause(REPEATED_AFTER_MS);
+  isSilent.add(0);
+  const found = await exchanges.at(-1)!.find("s", route);
+  expect(found).toMatchObject({ kind: "found", origin });
+});
+
+test("each stream is told to five entries, and to three of them once more", async () => {
+  const { exchanges, reserves } = connect();
+  exchanges[0]!.recordBegin(begun("s"));
+  await pause(50);
+  expect(reserves).toEqual(Array(5).fill(OriginReserve.origin));
+  await pause(REPEATED_AFTER_MS);
+  expect(reserves).toHaveLength(8);
+  await pause(REPEATED_AFTER_MS);
+  expect(reserves).toHaveLength(8);
+});
+
+test("questions about made-up streams leave room for what holders are told", async () => {
+  const { exchanges, reserves } = connect();
+  const found = await exchanges[0]!.find("made-up", route);
+  expect(found).toMatchObject({ kind: "unknown", unanswered: 0 });
+  expect(new Set(reserves)).toEqual(
+    new Set([OriginReserve.holder, OriginReserve.other]),
+  );
+});
--- a/packages/base/rate_limiter.ts
+++ b/packages/base/rate_limiter.ts
@@ -21,13 +21,20 @@
    * Consumes tokens if enough are available.
    *
    * @param now Monotonic time in ms.
+   * @param options.reserve Share of the burst that is left to other consumers.
    * @returns Whether the tokens were consumed.
    */
-  tryConsume(now: number, amount = 1): boolean {
+  tryConsume(
+    now: number,
+    { amount = 1, reserve = 0 }: {
+      amount?: number | undefined;
+      reserve?: number | undefined;
+    } = {},
+  ): boolean {
     const refill = (now - this.#refilledAt) / MS_PER_SECOND * this.#rate;
     this.#available = Math.min(this.#burst, this.#available + refill);
     this.#refilledAt = now;
-    if (this.#available < amount) {
+    if (this.#available < amount + reserve * this.#burst) {
       return false;
     }
     this.#available -= amount;
--- a/packages/serving/mod.ts
+++ b/packages/serving/mod.ts
@@ -98,6 +98,8 @@
 export { UpstreamReachability } from "./upstream_reachability.ts";
 export type { KnownOrigin } from "./known_origin.ts";
 export { originHolders } from "./origin_holders.ts";
+export { OriginRepeats } from "./origin_repeats.ts";
+export { OriginReserve } from "./origin_reserve.ts";
 export {
   type OriginAnswer,
   OriginSearch,
--- a/packages/serving/origin_holders.ts
+++ b/packages/serving/origin_holders.ts
@@ -1,8 +1,10 @@
 import { hashToUnit } from "./hash_to_unit.ts";
 import type { KnownEntry } from "./known_entry.ts";
 
-/** Entries that hold the origin of a stream for others. */
-const HOLDER_COUNT = 3;
+/** Entries that hold the origin of a stream for the one that began it. */
+const HOLDER_COUNT = 5;
+/** Those of them that are told again and asked first. */
+const FIRST_COUNT = 3;
 
 /**
  * Orders entries by rendezvous hashing, so that all entries find the same ones
@@ -13,6 +15,7 @@
  */
 export const originHolders = {
   count: HOLDER_COUNT,
+  firstCount: FIRST_COUNT,
 
   /** The best entry of each availability zone comes first, then the others. */
   rank(stream: string, entries: Iterable<KnownEntry>): KnownEntry[] {
--- a/packages/serving/origin_search.ts
+++ b/packages/serving/origin_search.ts
@@ -5,7 +5,7 @@
 
 /** Entries that are asked for one stream, at most. */
 const MAX_ASKED = 24;
-/** Time for the holders to answer before others are asked too. */
+/** Time for the best holders to answer before others are asked too. */
 const HOLDER_TIMEOUT: Milliseconds = 50;
 /** Time after which an entry that hasn't answered is asked again. */
 const REPEAT_INTERVAL: Milliseconds = 25;
@@ -42,9 +42,9 @@
   };
 
 /**
- * A search for the origin of a stream among the other entries: those that hold
- * it are asked first, then the others, as one of them began it. It ends with the
- * first that knows it, once all have answered, or after a timeout.
+ * A search for the origin of a stream among the other entries: the best of those
+ * that hold it are asked first, then the others, as one of them began it. It
+ * ends with the first that knows it, once all have answered, or after a timeout.
  *
  * @public
  */
@@ -64,8 +64,13 @@
   ) {
     const ranked = originHolders.rank(stream, entries);
     this.#startedAt = now;
-    this.#holders = ranked.slice(0, originHolders.count);
-    this.#others = ranked.slice(originHolders.count, MAX_ASKED);
+    this.#holders = ranked.slice(0, originHolders.firstCount);
+    this.#others = ranked.slice(originHolders.firstCount, MAX_ASKED);
+  }
+
+  /** Whether an entry is one of the holders that are asked first. */
+  isHolder(entry: string): boolean {
+    return this.#holders.some(({ name }) => name === entry);
   }
 
   /** Entries to ask now. */
--- a/packages/serving/origin_search_test.ts
+++ b/packages/serving/origin_search_test.ts
@@ -15,13 +15,17 @@
 const namesOf = (asked: readonly { name: string }[]) =>
   asked.map(({ name }) => name);
 
-test("holders are in different zones, and stay when another entry goes", () => {
+test("holders are in all zones, the first in different ones, and stay when another entry goes", () => {
   const ranked = originHolders.rank("s", entries);
   const holders = ranked.slice(0, originHolders.count);
-  expect(new Set(holders.map(({ zone }) => zone)).size).toBe(3);
+  const zonesOf = (some: typeof holders) =>
+    new Set(some.map(({ zone }) => zone)).size;
+  expect(zonesOf(holders.slice(0, originHolders.firstCount))).toBe(3);
+  expect(zonesOf(holders)).toBe(4);
   const gone = ranked.at(-1)!;
   const others = entries.filter((entry) => entry !== gone);
-  expect(originHolders.rank("s", others).slice(0, 3)).toEqual(holders);
+  expect(originHolders.rank("s", others).slice(0, originHolders.count))
+    .toEqual(holders);
 });
 
 test("holders are asked first, then the others", () => {
