The simulation of resumed streams plays kills, zone cuts, bursts and made-up streams

Streams that a fault cuts are counted apart.

Policies name how many holders are told again, and no entry holds its own streams for itself, as in the product.

--- a/packages/serving/origin_policy.ts
+++ b/packages/serving/origin_policy.ts
@@ -2,6 +2,10 @@
 export type OriginPolicy = {
   /** Holders that are told of each stream; the others are told of none. */
   readonly holders: number;
+  /** Holders that are told once more. */
+  readonly toldAgain: number;
+  /** Whether questions yield to what holders are told. */
+  readonly hasReserve: boolean;
   /** Whether holders are asked, then the others, or nobody. */
   readonly asks: "holders" | "all" | "nobody";
   /**
--- /dev/null
+++ b/packages/serving/origin_scenario.ts
@@ -0,0 +1,24 @@
+import type { Milliseconds } from "@heroncleat/base";
+
+/** What a simulation of resumed streams plays. @internal */
+export type OriginScenario = {
+  readonly seed: number;
+  readonly entryCount: number;
+  readonly duration: Milliseconds;
+  /** Whether versions start and end; else there is one. */
+  readonly changesVersions: boolean;
+  /** Whether single entries are killed and cut off. */
+  readonly disturbsEntries: boolean;
+  /** Share of the entries that are killed together from time to time. */
+  readonly killedShare?: number;
+  /** Whether entries restart one after the other. */
+  readonly restartsEntries?: boolean;
+  /** Whether all entries of a zone are cut off from time to time. */
+  readonly cutsZones?: boolean;
+  /** Share of the messages that get lost. */
+  readonly messageLoss?: number;
+  /** Whether single entries lose all messages for a short time. */
+  readonly hasLossBursts?: boolean;
+  /** Attempts a second to resume streams that never began. */
+  readonly inventedPerSecond?: number;
+};
--- a/packages/serving/simulated_origin_entry.ts
+++ b/packages/serving/simulated_origin_entry.ts
@@ -16,5 +16,9 @@
   syncedAt: Milliseconds;
   /** Until when neither the replica nor other entries are reached. */
   cutUntil: Milliseconds;
+  /** Until when all its messages get lost. */
+  losesUntil: Milliseconds;
+  /** Until when callers go to other entries. */
+  avoidedUntil: Milliseconds;
   isRunning: boolean;
 };
--- /dev/null
+++ b/packages/serving/simulated_origin_exchange.ts
@@ -0,0 +1,188 @@
+import type { Milliseconds } from "@heroncleat/base";
+import type { KnownEntry } from "./known_entry.ts";
+import { originHolders } from "./origin_holders.ts";
+import type { OriginPolicy } from "./origin_policy.ts";
+import { OriginRepeats } from "./origin_repeats.ts";
+import { OriginReserve } from "./origin_reserve.ts";
+import { OriginSearch, type OriginSearchResult } from "./origin_search.ts";
+import type { Route } from "./route.ts";
+import type { SimulatedEntry } from "./simulated_origin_entry.ts";
+import type { SimulatedOriginNetwork } from "./simulated_origin_network.ts";
+import type { StreamOrigin } from "./stream_origin.ts";
+import type { VirtualTime } from "./virtual_time.ts";
+
+const SEARCH_INTERVAL: Milliseconds = 10;
+/** As at entries: age of a reply until which its versions are trusted. */
+const CURRENT_TIMEOUT: Milliseconds = 1000;
+
+type ExchangeOptions = {
+  readonly policy: OriginPolicy;
+  readonly route: Route;
+  readonly entries: readonly SimulatedEntry[];
+  readonly network: SimulatedOriginNetwork;
+  readonly time: VirtualTime;
+};
+
+/**
+ * What simulated entries tell and ask each other about streams.
+ *
+ * @internal
+ */
+export class SimulatedOriginExchange {
+  readonly #options: ExchangeOptions;
+
+  constructor(options: ExchangeOptions) {
+    this.#options = options;
+  }
+
+  #only(entry: SimulatedEntry): StreamOrigin | undefined {
+    return entry.possible.only(this.#options.route, this.#options.time.now);
+  }
+
+  #isCurrent(entry: SimulatedEntry): boolean {
+    return this.#options.time.now - entry.syncedAt < CURRENT_TIMEOUT;
+  }
+
+  /** Records where a stream began, and tells the holders if need be. */
+  record(entry: SimulatedEntry, stream: string, origin: StreamOrigin): void {
+    entry.origins.record(stream, this.#knownAt(entry, origin));
+    if (this.#only(entry) === undefined) {
+      this.#share(entry, stream);
+    } else {
+      entry.unshared.add(stream);
+    }
+  }
+
+  #knownAt({ known }: SimulatedEntry, origin: StreamOrigin) {
+    const begunAt = this.#options.time.now;
+    return { origin, entry: known.name, begunAt, expiresAt: begunAt + 20_000 };
+  }
+
+  shareNewlyAmbiguous(entry: SimulatedEntry): void {
+    if (this.#only(entry) === undefined) {
+      for (const stream of entry.unshared) {
+        this.#share(entry, stream);
+      }
+      entry.unshared.clear();
+    }
+  }
+
+  #share(entry: SimulatedEntry, stream: string): void {
+    const { policy, time } = this.#options;
+    this.#tell(entry, { stream, count: policy.holders });
+    if (policy.toldAgain > 0) {
+      time.schedule(OriginRepeats.delay, () => {
+        if (entry.isRunning) {
+          this.#tell(entry, { stream, count: policy.toldAgain });
+        }
+      });
+    }
+  }
+
+  #tell(
+    entry: SimulatedEntry,
+    { stream, count }: { stream: string; count: number },
+  ): void {
+    const known = entry.origins.get(stream, this.#options.time.now);
+    if (known === undefined) {
+      return;
+    }
+    const holders = originHolders.rank(stream, this.#listOthers(entry))
+      .slice(0, count);
+    for (const { name } of holders) {
+      this.#options.network.send(entry, {
+        to: name,
+        reserve: OriginReserve.origin,
+        deliver: ({ origins }) => origins.record(stream, known),
+      });
+    }
+  }
+
+  #listOthers(entry: SimulatedEntry): KnownEntry[] {
+    return this.#options.entries.filter((each) => each !== entry)
+      .map(({ known }) => known);
+  }
+
+  find(
+    entry: SimulatedEntry,
+    stream: string,
+    done: (result: OriginSearchResult) => void,
+  ): void {
+    const own = entry.origins.get(stream, this.#options.time.now);
+    const only = this.#isCurrent(entry) ? this.#only(entry) : undefined;
+    const origin = own?.origin ?? only;
+    if (origin !== undefined) {
+      done({ kind: "found", origin, by: entry.known.name, age: 0 });
+    } else if (this.#options.policy.asks === "nobody") {
+      done({ kind: "unknown", unanswered: 0 });
+    } else {
+      this.#search(entry, stream, done);
+    }
+  }
+
+  #search(
+    entry: SimulatedEntry,
+    stream: string,
+    done: (result: OriginSearchResult) => void,
+  ): void {
+    const startedAt = this.#options.time.now;
+    const others = this.#listOthers(entry);
+    const asked = this.#options.policy.asks === "holders"
+      ? originHolders.rank(stream, others)
+        .slice(0, originHolders.firstCount)
+      : others;
+    const search = new OriginSearch(stream, { entries: asked, now: startedAt });
+    let isDone = false;
+    const advance = () => {
+      const result = search.result(this.#options.time.now);
+      if (isDone) {
+        return;
+      }
+      if (result !== undefined) {
+        isDone = true;
+        done(result);
+        return;
+      }
+      for (const { name } of search.listDue(this.#options.time.now)) {
+        this.#ask(entry, { name, stream, search, advance });
+      }
+      this.#options.time.schedule(SEARCH_INTERVAL, advance);
+    };
+    advance();
+  }
+
+  #ask(
+    entry: SimulatedEntry,
+    { name, stream, search, advance }: {
+      name: string;
+      stream: string;
+      search: OriginSearch;
+      advance: () => void;
+    },
+  ): void {
+    this.#options.network.send(entry, {
+      to: name,
+      reserve: this.#reserve(search.isHolder(name) ? "holder" : "other"),
+      deliver: (asked) => {
+        const known = asked.origins.get(stream, this.#options.time.now);
+        const only = this.#isCurrent(asked) ? this.#only(asked) : undefined;
+        const origin = known?.origin ?? only;
+        this.#options.network.send(asked, {
+          to: entry.known.name,
+          reserve: this.#reserve(origin === undefined ? "holder" : "origin"),
+          deliver: () => {
+            search.recordAnswer(
+              name,
+              origin && { origin, age: 0, isOnly: known === undefined },
+            );
+            advance();
+          },
+        });
+      },
+    });
+  }
+
+  #reserve(kind: keyof typeof OriginReserve): number {
+    return this.#options.policy.hasReserve ? OriginReserve[kind] : 0;
+  }
+}
--- a/packages/serving/simulated_origins.ts
+++ b/packages/serving/simulated_origins.ts
@@ -1,40 +1,29 @@
 import { createSeededRandom, type Milliseconds } from "@heroncleat/base";
 import { hashToUnit } from "./hash_to_unit.ts";
-import { originHolders } from "./origin_holders.ts";
 import type { OriginPolicy } from "./origin_policy.ts";
 import type { OriginReport } from "./origin_report.ts";
-import { OriginSearch, type OriginSearchResult } from "./origin_search.ts";
+import type { OriginScenario } from "./origin_scenario.ts";
 import { PossibleOrigins } from "./possible_origins.ts";
-import { RevisionCounter } from "./revision_counter.ts";
 import type { Route } from "./route.ts";
 import { RouteKind } from "./route_kind.ts";
 import type { SimulatedEntry } from "./simulated_origin_entry.ts";
-import type { StreamOrigin } from "./stream_origin.ts";
+import { SimulatedOriginExchange } from "./simulated_origin_exchange.ts";
+import { SimulatedOriginFaults } from "./simulated_origin_faults.ts";
+import { SimulatedOriginNetwork } from "./simulated_origin_network.ts";
+import { SimulatedOriginVersions } from "./simulated_origin_versions.ts";
 import { StreamOrigins } from "./stream_origins.ts";
-import { STREAM_RETENTION } from "./stream_retention.ts";
-import { VersionLog } from "./version_log.ts";
 import { VirtualTime } from "./virtual_time.ts";
 
 const SERVICE = "desk";
 const REPLICA = "replica";
 const ZONE_COUNT = 4;
 const SYNC_INTERVAL: Milliseconds = 400;
-const SWEEP_INTERVAL: Milliseconds = 5000;
-const SEARCH_INTERVAL: Milliseconds = 10;
-/** As at entries: reply age for trust, and hold of a version that is new. */
-const CURRENT_TIMEOUT: Milliseconds = 1000;
+/** As at entries: time for which a version that is new is held back. */
 const NEW_VERSION_HOLD: Milliseconds = 1500;
-const MESSAGE_LOSS = 0.01;
 const BREAK_SHARE = 0.3;
 const STREAM_PAUSE: Milliseconds = 100;
-const UPSTREAMS_PER_VERSION = 4;
-/** Times at which versions appear, entries are killed or cut off, on average. */
+/** Time at which versions appear, on average. */
 const VERSION_INTERVAL: Milliseconds = 40_000;
-const ENTRY_FAULT_INTERVAL: Milliseconds = 15_000;
-const CUT_DURATION: Milliseconds = 8000;
-const ENTRY_DOWNTIME: Milliseconds = 500;
-/** Time after which the versions of the whole retention are known. */
-const SETTLED_AFTER: Milliseconds = STREAM_RETENTION + 10_000;
 
 const ROUTE: Route = {
   name: "r",
@@ -50,14 +39,11 @@
   isResumable: true,
 };
 
-type Scenario = {
-  readonly seed: number;
-  readonly entryCount: number;
-  readonly duration: Milliseconds;
-  /** Whether versions start and end; else there is one. */
-  readonly changesVersions: boolean;
-  /** Whether entries are killed and cut off. */
-  readonly disturbsEntries: boolean;
+/** A stream that an entry passes on to its caller. */
+type Attempt = {
+  readonly entry: SimulatedEntry;
+  readonly stream: string;
+  readonly version: string;
 };
 
 /**
@@ -68,51 +54,79 @@
  * @internal
  */
 export class SimulatedOrigins {
-  readonly #scenario: Scenario;
+  readonly #scenario: OriginScenario;
   readonly #policy: OriginPolicy;
   readonly #random: () => number;
   readonly #entries: SimulatedEntry[] = [];
-  readonly #log: VersionLog;
-  readonly #revisions = new RevisionCounter();
-  /** Ready upstreams by version. */
-  readonly #upstreams = new Map<string, number>();
   readonly #time: VirtualTime;
+  readonly #versions: SimulatedOriginVersions;
+  readonly #exchange: SimulatedOriginExchange;
+  readonly #faults: SimulatedOriginFaults;
+  readonly #attempts = new Set<Attempt>();
   readonly report: OriginReport = {
     begun: 0,
+    asked: 0,
     resumed: 0,
     wentOn: 0,
+    cut: 0,
+    cutWentOn: 0,
     mixed: 0,
     messages: 0,
     lateMessages: 0,
+    overBudget: 0,
     searchTimes: [],
   };
   #streamCount = 0;
-  #versionCount = 0;
+  #inventedCount = 0;
 
-  constructor(scenario: Scenario, policy: OriginPolicy) {
+  constructor(scenario: OriginScenario, policy: OriginPolicy) {
     this.#scenario = scenario;
     this.#policy = policy;
-    this.#random = createSeededRandom(scenario.seed);
-    this.#time = new VirtualTime(this.#random);
-    this.#log = new VersionLog(this.#revisions);
+    const random = this.#random = createSeededRandom(scenario.seed);
+    const time = this.#time = new VirtualTime(random);
+    const entries = this.#entries;
+    this.#versions = new SimulatedOriginVersions(SERVICE, { time, random });
+    const { report } = this;
+    const network = new SimulatedOriginNetwork({
+      time,
+      random,
+      entries,
+      report,
+      messageLoss: scenario.messageLoss,
+    });
+    this.#exchange = new SimulatedOriginExchange({
+      policy,
+      route: ROUTE,
+      entries,
+      network,
+      time,
+    });
+    this.#faults = new SimulatedOriginFaults({
+      time,
+      random,
+      entries,
+      createEntry: (index) => this.#createEntry(index),
+      breakOff: (broken) => this.#breakOff(broken),
+    });
     for (let index = 0; index < scenario.entryCount; index += 1) {
-      this.#entries.push(this.#createEntry(index));
+      entries.push(this.#createEntry(index));
     }
   }
 
   run(): OriginReport {
-    const { duration } = this.#scenario;
-    this.#startVersion();
-    this.#sweep();
+    const { duration, changesVersions, inventedPerSecond = 0 } = this.#scenario;
+    this.#versions.start();
+    this.#versions.sweep();
     for (const index of this.#entries.keys()) {
       this.#sync(index);
     }
     this.#time.repeat(STREAM_PAUSE, () => this.#beginStream());
-    if (this.#scenario.changesVersions) {
-      this.#time.repeat(VERSION_INTERVAL, () => this.#changeVersions());
+    if (changesVersions) {
+      this.#time.repeat(VERSION_INTERVAL, () => this.#versions.change());
     }
-    if (this.#scenario.disturbsEntries) {
-      this.#time.repeat(ENTRY_FAULT_INTERVAL, () => this.#disturbEntry());
+    this.#faults.start(this.#scenario);
+    if (inventedPerSecond > 0) {
+      this.#time.repeat(1000 / inventedPerSecond, () => this.#resumeInvented());
     }
     this.#time.runUntil(duration);
     return this.report;
@@ -135,53 +149,24 @@
       syncedRevision: 0,
       syncedAt: -Infinity,
       cutUntil: 0,
+      losesUntil: 0,
+      avoidedUntil: 0,
       isRunning: true,
     };
   }
 
-  // Versions and control replica
-
-  #startVersion(): void {
-    this.#versionCount += 1;
-    this.#upstreams.set(`v${this.#versionCount}`, UPSTREAMS_PER_VERSION);
-    this.#observeVersions();
-  }
-
-  #changeVersions(): void {
-    const versions = [...this.#upstreams.keys()];
-    if (versions.length < 2) {
-      this.#startVersion();
-      return;
-    }
-    const ended = versions[Math.floor(this.#random() * versions.length)]!;
-    this.#observeVersions();
-    this.#upstreams.delete(ended);
-  }
-
-  #observeVersions(): void {
-    for (const version of this.#upstreams.keys()) {
-      this.#log.observe({ service: SERVICE, version } as never, this.#time.now);
-    }
-  }
-
-  #sweep(): void {
-    this.#observeVersions();
-    this.#log.expire(this.#time.now);
-    this.#time.schedule(SWEEP_INTERVAL, () => this.#sweep());
-  }
-
   #sync(index: number): void {
     const entry = this.#entries[index]!;
     const now = this.#time.now;
     if (entry.isRunning && entry.cutUntil <= now) {
-      const versions = this.#log.since(entry.syncedRevision);
+      const versions = this.#versions.since(entry.syncedRevision);
       entry.possible.applyReply(REPLICA, versions, now);
-      entry.syncedRevision = this.#revisions.value;
+      entry.syncedRevision = this.#versions.revision;
       entry.syncedAt = now;
-      for (const version of this.#upstreams.keys()) {
+      for (const version of this.#versions.list()) {
         entry.versions.set(version, entry.versions.get(version) ?? now);
       }
-      this.#shareNewlyAmbiguous(entry);
+      this.#exchange.shareNewlyAmbiguous(entry);
     }
     const delay = SYNC_INTERVAL * (0.5 + this.#random() / 2);
     this.#time.schedule(delay, () => this.#sync(index));
@@ -189,27 +174,17 @@
 
   // Entries
 
-  #disturbEntry(): void {
-    const index = Math.floor(this.#random() * this.#entries.length);
-    if (this.#random() < 0.5) {
-      this.#entries[index]!.cutUntil = this.#time.now + CUT_DURATION;
-      return;
-    }
-    this.#entries[index]!.isRunning = false;
-    this.#time.schedule(ENTRY_DOWNTIME, () => {
-      this.#entries[index] = this.#createEntry(index);
-    });
-  }
-
   #pickEntry(): SimulatedEntry {
-    const running = this.#entries.filter(({ isRunning }) => isRunning);
+    const running = this.#entries.filter(({ isRunning, avoidedUntil }) =>
+      isRunning && avoidedUntil <= this.#time.now
+    );
     return running[Math.floor(this.#random() * running.length)]!;
   }
 
   #chooseVersion(entry: SimulatedEntry): string | undefined {
     const first = Math.min(...entry.versions.values());
     const known = [...entry.versions].filter(([version]) =>
-      this.#upstreams.has(version)
+      this.#serves(version)
     );
     const settled = known.filter(([, seenAt]) =>
       seenAt === first || this.#time.now - seenAt >= NEW_VERSION_HOLD
@@ -221,6 +196,7 @@
   // Streams
 
   #beginStream(): void {
+    this.report.asked += 1;
     const entry = this.#pickEntry();
     const version = this.#policy.isComputed
       ? this.#compute(`s${this.#streamCount}`, entry)
@@ -231,195 +207,103 @@
     const stream = `s${this.#streamCount}`;
     this.#streamCount += 1;
     this.report.begun += 1;
-    this.#record(entry, stream, { service: SERVICE, version });
-    const lasts = 500 + this.#random() * 7000;
-    this.#time.schedule(lasts, () => this.#endAttempt(entry, stream, version));
+    this.#exchange.record(entry, stream, { service: SERVICE, version });
+    this.#play({ entry, stream, version }, 7000);
   }
 
-  #endAttempt(entry: SimulatedEntry, stream: string, version: string): void {
+  #play(attempt: Attempt, spread: Milliseconds): void {
+    this.#attempts.add(attempt);
+    const lasts = 500 + this.#random() * spread;
+    this.#time.schedule(lasts, () => this.#endAttempt(attempt));
+  }
+
+  #endAttempt(attempt: Attempt): void {
+    if (!this.#attempts.delete(attempt)) {
+      return;
+    }
+    const { entry, version } = attempt;
     const isLost = !entry.isRunning ||
       this.#entries.every((each) => each !== entry);
-    const isBroken = isLost || !this.#upstreams.has(version) ||
+    const isBroken = isLost || !this.#serves(version) ||
       this.#random() < BREAK_SHARE;
     if (isBroken) {
-      const delay = 30 + this.#random() ** 3 * 4000;
-      this.#time.schedule(delay, () => this.#resume(stream, version));
+      this.#scheduleReturn(attempt, { isCut: isLost });
+    }
+  }
+
+  #breakOff(entries: ReadonlySet<SimulatedEntry>): void {
+    for (const attempt of this.#attempts) {
+      if (entries.has(attempt.entry)) {
+        this.#attempts.delete(attempt);
+        this.#scheduleReturn(attempt, { isCut: true });
+      }
     }
   }
 
-  #resume(stream: string, version: string): void {
+  #scheduleReturn(
+    { stream, version }: Attempt,
+    { isCut }: { isCut: boolean },
+  ): void {
+    const delay = 30 + this.#random() ** 3 * 4000;
+    this.#time.schedule(delay, () => this.#resume({ stream, version, isCut }));
+  }
+
+  #resumeInvented(): void {
+    this.#inventedCount += 1;
     const entry = this.#pickEntry();
-    const isServed = (this.#upstreams.get(version) ?? 0) >= 2;
+    this.#exchange.find(entry, `invented-${this.#inventedCount}`, () => {});
+  }
+
+  #serves(version: string): boolean {
+    return this.#versions.countUpstreams(version) > 0;
+  }
+
+  #resume(
+    { stream, version, isCut }: {
+      stream: string;
+      version: string;
+      isCut: boolean;
+    },
+  ): void {
+    const entry = this.#pickEntry();
+    const isServed = this.#versions.countUpstreams(version) >= 2;
     this.report.resumed += isServed ? 1 : 0;
-    this.#find(entry, stream, (result) => {
+    this.report.cut += isServed && isCut ? 1 : 0;
+    const startedAt = this.#time.now;
+    this.#exchange.find(entry, stream, (result) => {
+      this.#recordSearch(this.#time.now - startedAt);
       const chosen = result.kind === "found"
         ? result.origin.version
         : this.#policy.isComputed
         ? this.#compute(stream, entry)
         : undefined;
-      if (chosen === undefined || !this.#upstreams.has(chosen)) {
+      if (chosen === undefined || !this.#serves(chosen)) {
         return;
       }
       this.report.wentOn += isServed ? 1 : 0;
+      this.report.cutWentOn += isServed && isCut ? 1 : 0;
       this.report.mixed += chosen === version ? 0 : 1;
-      this.#record(entry, stream, { service: SERVICE, version: chosen });
-      const lasts = 500 + this.#random() * 3000;
-      this.#time.schedule(
-        lasts,
-        () => this.#endAttempt(entry, stream, version),
-      );
+      this.#exchange.record(entry, stream, {
+        service: SERVICE,
+        version: chosen,
+      });
+      this.#play({ entry, stream, version }, 3000);
     });
   }
 
+  /** What the entry knows itself takes no time. */
+  #recordSearch(took: Milliseconds): void {
+    if (took > 0) {
+      this.report.searchTimes.push(took);
+    }
+  }
+
   #compute(stream: string, { versions }: SimulatedEntry): string | undefined {
     const serving = [...versions.keys()].filter((version) =>
-      this.#upstreams.has(version)
+      this.#serves(version)
     ).sort((left, right) =>
       hashToUnit.of(stream, left) - hashToUnit.of(stream, right)
     );
     return serving[0];
   }
-
-  // What entries do with origins
-
-  #only(entry: SimulatedEntry): StreamOrigin | undefined {
-    return entry.possible.only(ROUTE, this.#time.now);
-  }
-
-  #isCurrent(entry: SimulatedEntry): boolean {
-    return this.#time.now - entry.syncedAt < CURRENT_TIMEOUT;
-  }
-
-  #record(entry: SimulatedEntry, stream: string, origin: StreamOrigin): void {
-    entry.origins.record(stream, this.#knownAt(entry, origin));
-    if (this.#only(entry) === undefined) {
-      this.#share(entry, stream);
-    } else {
-      entry.unshared.add(stream);
-    }
-  }
-
-  #knownAt({ known }: SimulatedEntry, origin: StreamOrigin) {
-    const begunAt = this.#time.now;
-    return { origin, entry: known.name, begunAt, expiresAt: begunAt + 20_000 };
-  }
-
-  #shareNewlyAmbiguous(entry: SimulatedEntry): void {
-    if (this.#only(entry) === undefined) {
-      for (const stream of entry.unshared) {
-        this.#share(entry, stream);
-      }
-      entry.unshared.clear();
-    }
-  }
-
-  #share(entry: SimulatedEntry, stream: string): void {
-    const known = entry.origins.get(stream, this.#time.now);
-    if (known === undefined) {
-      return;
-    }
-    const open = this.#entries.map((each) => each.known);
-    const holders = originHolders.rank(stream, open)
-      .slice(0, this.#policy.holders);
-    for (const { name } of holders) {
-      if (name !== entry.known.name) {
-        this.#send(
-          entry,
-          name,
-          (receiver) => receiver.origins.record(stream, known),
-        );
-      }
-    }
-  }
-
-  #find(
-    entry: SimulatedEntry,
-    stream: string,
-    done: (result: OriginSearchResult) => void,
-  ): void {
-    const own = entry.origins.get(stream, this.#time.now);
-    const only = this.#isCurrent(entry) ? this.#only(entry) : undefined;
-    const origin = own?.origin ?? only;
-    if (origin !== undefined) {
-      done({ kind: "found", origin, by: entry.known.name, age: 0 });
-    } else if (this.#policy.asks === "nobody") {
-      done({ kind: "unknown", unanswered: 0 });
-    } else {
-      this.#search(entry, stream, done);
-    }
-  }
-
-  #search(
-    entry: SimulatedEntry,
-    stream: string,
-    done: (result: OriginSearchResult) => void,
-  ): void {
-    const startedAt = this.#time.now;
-    const others = this.#entries.filter((each) => each !== entry)
-      .map((each) => each.known);
-    const asked = this.#policy.asks === "holders"
-      ? originHolders.rank(stream, others).slice(0, originHolders.count)
-      : others;
-    const search = new OriginSearch(stream, { entries: asked, now: startedAt });
-    let isDone = false;
-    const advance = () => {
-      const result = search.result(this.#time.now);
-      if (isDone) {
-        return;
-      }
-      if (result !== undefined) {
-        isDone = true;
-        this.report.searchTimes.push(this.#time.now - startedAt);
-        done(result);
-        return;
-      }
-      for (const { name } of search.listDue(this.#time.now)) {
-        this.#ask(entry, { name, stream, search, advance });
-      }
-      this.#time.schedule(SEARCH_INTERVAL, advance);
-    };
-    advance();
-  }
-
-  #ask(
-    entry: SimulatedEntry,
-    { name, stream, search, advance }: {
-      name: string;
-      stream: string;
-      search: OriginSearch;
-      advance: () => void;
-    },
-  ): void {
-    this.#send(entry, name, (asked) => {
-      const known = asked.origins.get(stream, this.#time.now);
-      const only = this.#isCurrent(asked) ? this.#only(asked) : undefined;
-      const origin = known?.origin ?? only;
-      this.#send(asked, entry.known.name, () => {
-        search.recordAnswer(
-          name,
-          origin && { origin, age: 0, isOnly: known === undefined },
-        );
-        advance();
-      });
-    });
-  }
-
-  #send(
-    from: SimulatedEntry,
-    name: string,
-    deliver: (to: SimulatedEntry) => void,
-  ): void {
-    this.report.messages += 1;
-    this.report.lateMessages += this.#time.now > SETTLED_AFTER ? 1 : 0;
-    const isCut = (entry: SimulatedEntry) => entry.cutUntil > this.#time.now;
-    if (isCut(from) || this.#random() < MESSAGE_LOSS) {
-      return;
-    }
-    this.#time.schedule(0.5 + this.#random() * 2, () => {
-      const to = this.#entries.find(({ known }) => known.name === name);
-      if (to !== undefined && to.isRunning && !isCut(to)) {
-        deliver(to);
-      }
-    });
-  }
 }
--- a/packages/serving/simulated_origins_test.ts
+++ b/packages/serving/simulated_origins_test.ts
@@ -1,39 +1,56 @@
 import type { OriginPolicy } from "./origin_policy.ts";
 import type { OriginReport } from "./origin_report.ts";
+import type { OriginScenario } from "./origin_scenario.ts";
 import { SimulatedOrigins } from "./simulated_origins.ts";
 
+const base = {
+  holders: 0,
+  toldAgain: 0,
+  asks: "all",
+  hasReserve: true,
+  isComputed: false,
+} as const satisfies OriginPolicy;
+
 /** As entries do it, and other ways to know where a stream began. */
 const policies = {
-  heldAndAsked: { holders: 3, asks: "all", isComputed: false },
-  askedOnly: { holders: 0, asks: "all", isComputed: false },
-  toldToAll: { holders: Infinity, asks: "nobody", isComputed: false },
-  computed: { holders: 0, asks: "nobody", isComputed: true },
+  heldAndAsked: { ...base, holders: 5, toldAgain: 3 },
+  askedOnly: base,
+  toldToAll: { ...base, holders: Infinity, asks: "nobody" },
+  computed: { ...base, asks: "nobody", isComputed: true },
 } as const satisfies Record<string, OriginPolicy>;
 
 const DURATION_MS = 200_000;
+const FAULT_DURATION_MS = 100_000;
+const MADE_UP_DURATION_MS = 10_000;
 const FEW = { entryCount: 12, seeds: 12 };
 const MANY = { entryCount: 200, seeds: 2 };
 
 /** Share of resumed streams that go on, of those whose version serves. */
 const MIN_RESUMED_SHARE = 0.95;
 
+type Scale = { readonly entryCount: number; readonly seeds: number };
+
+type Play = Scale & {
+  duration?: number;
+  /** Whether there is one version, and no fault of an entry. */
+  isCalm?: boolean;
+  /** What is played instead of faults of single entries. */
+  faults?: Partial<OriginScenario>;
+};
+
 function play(
   policy: OriginPolicy,
-  { entryCount, seeds, isCalm = false }: {
-    entryCount: number;
-    seeds: number;
-    /** Whether there is one version, and no fault of an entry. */
-    isCalm?: boolean;
-  },
+  { entryCount, seeds, duration = DURATION_MS, isCalm = false, faults }: Play,
 ) {
   const reports: OriginReport[] = [];
   for (let seed = 1; seed <= seeds; seed += 1) {
     const simulation = new SimulatedOrigins({
       seed,
       entryCount,
-      duration: DURATION_MS,
+      duration,
       changesVersions: !isCalm,
-      disturbsEntries: !isCalm,
+      disturbsEntries: !isCalm && faults === undefined,
+      ...faults,
     }, policy);
     reports.push(simulation.run());
   }
@@ -41,7 +58,10 @@
     reports.reduce((total, report) => total + pick(report), 0);
   return {
     mixed: sum(({ mixed }) => mixed),
+    resumed: sum(({ resumed }) => resumed),
     wentOn: sum(({ wentOn }) => wentOn) / sum(({ resumed }) => resumed),
+    cutWentOn: sum(({ cutWentOn }) => cutWentOn) / sum(({ cut }) => cut),
+    begun: sum(({ begun }) => begun) / sum(({ asked }) => asked),
     messagesPerStream: sum(({ messages }) => messages) /
       sum(({ begun }) => begun),
     lateMessages: sum(({ lateMessages }) => lateMessages),
@@ -58,6 +78,57 @@
     },
   );
 
+  test.each<[string, Partial<OriginScenario>, Scale]>([
+    [
+      "a quarter of the entries are killed together",
+      { killedShare: 0.25 },
+      FEW,
+    ],
+    ["half of 12 entries are killed together", { killedShare: 0.5 }, FEW],
+    ["half of 200 entries are killed together", { killedShare: 0.5 }, MANY],
+    ["entries restart one after the other", { restartsEntries: true }, FEW],
+    ["a zone is cut off", { cutsZones: true }, FEW],
+    ["a tenth of the messages get lost", { messageLoss: 0.1 }, FEW],
+    ["three tenths of the messages get lost", { messageLoss: 0.3 }, MANY],
+    ["entries lose all messages for 0.3 s", { hasLossBursts: true }, FEW],
+  ])("go on while %s", (_name, faults, { entryCount }) => {
+    const { mixed, resumed, wentOn } = play(policies.heldAndAsked, {
+      entryCount,
+      seeds: entryCount < 100 ? 4 : 1,
+      duration: FAULT_DURATION_MS,
+      faults,
+    });
+    expect(mixed).toBe(0);
+    expect(resumed).toBeGreaterThan(100);
+    expect(wentOn).toBeGreaterThanOrEqual(MIN_RESUMED_SHARE);
+  });
+
+  test.each([["12 entries", FEW], ["200 entries", MANY]])(
+    "go on at least half as often as new ones begin while most entries are killed together: %s",
+    (_name, { entryCount }) => {
+      const { mixed, begun, cutWentOn } = play(policies.heldAndAsked, {
+        entryCount,
+        seeds: 1,
+        duration: FAULT_DURATION_MS,
+        faults: { killedShare: 0.75 },
+      });
+      expect(mixed).toBe(0);
+      expect(cutWentOn).toBeGreaterThanOrEqual(begun / 2);
+    },
+  );
+
+  test("go on while callers resume many made-up streams", () => {
+    const { mixed, resumed, wentOn } = play(policies.heldAndAsked, {
+      ...FEW,
+      seeds: 1,
+      duration: MADE_UP_DURATION_MS,
+      faults: { inventedPerSecond: 800 },
+    });
+    expect(mixed).toBe(0);
+    expect(resumed).toBeGreaterThan(10);
+    expect(wentOn).toBeGreaterThanOrEqual(MIN_RESUMED_SHARE);
+  });
+
   test("go on more often than if entries were only asked", () => {
     const asked = play(policies.askedOnly, MANY);
     const held = play(policies.heldAndAsked, MANY);
