Resumed streams are known by their last attempt's name too

Callers saw: a stream that was resumed once and breaks off again is refused as unknown if its caller names the attempt that it lost, rather than the first one.

Cause: the entry recorded a resumed stream under the name of its first attempt only. Change: under both; both name the same origin. A resumed stream costs twice the datagrams, others what they did.

--- a/apps/heroncleatd/gateway/record_stream.ts
+++ b/apps/heroncleatd/gateway/record_stream.ts
@@ -6,7 +6,10 @@
 /** Time in which a caller may resume a stream after it stops waiting. */
 const RETURN_TIME: Milliseconds = 5000;
 
-/** Records that events of a version are passed on, if they may be resumed. */
+/**
+ * Records that events of a version are passed on, if they may be resumed. Its
+ * caller may name the attempt that began the stream or the last one.
+ */
 export function recordStream(
   call: CallerRequest,
   { version, streams }: {
@@ -18,11 +21,13 @@
   if (!route.isResumable) {
     return;
   }
-  streams.recordBegin({
-    stream: resumption?.stream ||
-      streamKey({ workspace: workspace?.name ?? "", attempt }),
-    route,
-    origin: { service, version },
-    expiresAt: (call.statedEnd ?? call.deadline) + RETURN_TIME,
-  });
+  const own = streamKey({ workspace: workspace?.name ?? "", attempt });
+  for (const stream of new Set([resumption?.stream || own, own])) {
+    streams.recordBegin({
+      stream,
+      route,
+      origin: { service, version },
+      expiresAt: (call.statedEnd ?? call.deadline) + RETURN_TIME,
+    });
+  }
 }
