--- a/apps/heroncleatd/gateway/entry_notices.ts
+++ b/apps/heroncleatd/gateway/entry_notices.ts
@@ -1,10 +1,9 @@
 import { createSocket, type Socket } from "node:dgram";
-import { type Clock, splitAddress } from "@heroncleat/base";
+import { type Clock, RateLimiter, splitAddress } from "@heroncleat/base";
 import { checkEntryNotice, type EntryNotice } from "@heroncleat/schema";
 import type { Log } from "../common/log.ts";
 import type { Metrics } from "../common/metrics.ts";
 import { parseJson } from "../common/parse_json.ts";
-import { RateLimiter } from "../common/rate_limiter.ts";
 
 /**
  * Sustained rate that covers several notices a second to each of about a
@@ -66,17 +65,27 @@
 
   /** Sends a notice to all other entries. */
   broadcast(notice: EntryNotice): void {
-    this.#send(notice, this.#options.peers(), this.#rateLimiter);
+    this.#send(notice, this.#options.peers());
   }
 
   /** Sends a notice to one entry. */
   reply(notice: EntryNotice, host: string): void {
-    this.#send(notice, [host], this.#rateLimiter);
+    this.#send(notice, [host]);
   }
 
-  /** Sends a notice about a stream, which others don't delay, to one entry. */
-  sendOfStream(notice: EntryNotice, host: string): void {
-    this.#send(notice, [host], this.#streamRateLimiter);
+  /**
+   * Sends a notice about a stream, which others don't delay, to one entry.
+   *
+   * @param options.reserve See `OriginReserve`.
+   */
+  sendOfStream(
+    notice: EntryNotice,
+    { host, reserve }: { host: string; reserve: number },
+  ): void {
+    this.#send(notice, [host], {
+      rateLimiter: this.#streamRateLimiter,
+      reserve,
+    });
   }
 
   /** Closes the socket. Later sends do nothing. */
@@ -88,13 +97,17 @@
   #send(
     notice: EntryNotice,
     hosts: readonly string[],
-    rateLimiter: RateLimiter,
+    { rateLimiter = this.#rateLimiter, reserve = 0 }: {
+      rateLimiter?: RateLimiter;
+      reserve?: number;
+    } = {},
   ): void {
     if (this.#isClosed) {
       return;
     }
     const { clock, metrics } = this.#options;
-    if (!rateLimiter.tryConsume(clock.steady(), hosts.length)) {
+    const amount = hosts.length;
+    if (!rateLimiter.tryConsume(clock.steady(), { amount, reserve })) {
       metrics.increment("entry_notices.over_budget");
       return;
     }
