Soak: versions that drain, series of changes, late heartbeats

What callers saw: streams that they resumed didn't go on while upstreams of their version drained, and a whole run was cut beside a change of the configuration. The soak played neither: upstreams left one at a time, resumed streams that were refused weren't counted, runs lasted 70 ms.

Change: all upstreams of a version drain, together or in waves, some crash meanwhile; entries are killed together; configurations change each 250 ms for 2 to 6 s; a tenth of the heartbeats come up to 3 s late, and some of an earlier start after a restart; a tenth of the runs last 0.5 to 2 s.

Checks: `resumed` now counts refused attempts, and, apart, those for which only the last upstreams of a version are left, ready or draining for less than 1.25 s. `draining` is new: a first try 1 s after the acknowledgement. `leaving` is as strict as before and in a file of its own. `cut_run` is new: a request that fails while the upstream that runs it is sound, with the age of the last change. Heartbeats and the configuration document have files of their own.

--- a/packages/soak/background_fault_scenarios.ts
+++ b/packages/soak/background_fault_scenarios.ts
@@ -5,6 +5,7 @@
 import { pause } from "./pause.ts";
 import { replaceUpstream } from "./replace_upstream.ts";
 import type { SoakDeployment } from "./soak_deployment.ts";
+import { versionFaultScenarios } from "./version_fault_scenarios.ts";
 import type { FaultScenario } from "./fault_scenario.ts";
 
 /** Limits the processes on the machine that runs the soak. */
@@ -106,7 +107,7 @@
 }
 
 async function publish(deployment: SoakDeployment): Promise<void> {
-  await deployment.publish();
+  await deployment.documents.publish();
 }
 
 async function leave(
@@ -165,7 +166,6 @@
   }
 }
 
-/** Some upstreams, or all, crash for a while if they reject too much. */
 /** Upstreams reject everything, with breaks, and ask for rest. */
 async function askForRest(
   deployment: SoakDeployment,
@@ -187,6 +187,7 @@
   }
 }
 
+/** Some upstreams, or all, crash for a while if they reject too much. */
 async function limitRejections(
   deployment: SoakDeployment,
   random: Random,
@@ -229,4 +230,5 @@
   limitRejections,
   askForRest,
   cutFromUpstreams,
+  ...versionFaultScenarios,
 ];
--- a/packages/soak/cut_from_upstreams.ts
+++ b/packages/soak/cut_from_upstreams.ts
@@ -34,6 +34,7 @@
       }
     }
   };
+  const ends = entries.map((host) => deployment.beginLinkDisturbance(host));
   const endCheck = deployment.checks.cuts.begin(entries);
   const endsAt = performance.now() + randomDuration(random, CUT_DURATION_MS);
   while (performance.now() < endsAt) {
@@ -48,6 +49,7 @@
       proxy.heal(upstream, entry);
     }
   }
+  ends.forEach((end) => end());
 }
 
 function cutLink(
--- a/packages/soak/finding.ts
+++ b/packages/soak/finding.ts
@@ -4,6 +4,8 @@
 export type Finding = {
   readonly promise:
     | "leaving"
+    | "draining"
+    | "cut_run"
     | "once"
     | "not_run"
     | "whole_answer"
--- a/packages/soak/guarantee_checks.ts
+++ b/packages/soak/guarantee_checks.ts
@@ -6,7 +6,9 @@
 import type { ReceivedRequest } from "./received_request.ts";
 import type { Finding } from "./finding.ts";
 import type { RequestOutcome } from "./soak_caller.ts";
-import type { AcknowledgedDeparture } from "./soak_upstream.ts";
+import type { SoakUpstream } from "./soak_upstream.ts";
+import { DrainChecks } from "./drain_checks.ts";
+import { RunChecks } from "./run_checks.ts";
 
 /** Statuses that guarantee that a request didn't run and never will. */
 const NOT_RUN_STATUSES: readonly number[] = [408, 421, 429, 503];
@@ -42,8 +44,14 @@
   readonly areRatesLimited: () => boolean;
   /** When a host's entry was last started, stopped, frozen or resumed. */
   readonly interruptedAt: (host: string) => Milliseconds;
-  /** Number of ready upstreams of a version. */
-  readonly countReady: (version: string) => number;
+  readonly listUpstreams: (version: string) => readonly SoakUpstream[];
+  /** Time for which a draining upstream must take resumed streams. */
+  readonly resumableTime: Milliseconds;
+  readonly wereLinksUndisturbed: (host: string, at: Milliseconds) => boolean;
+  /** Time in which a request must be answered. */
+  readonly requestTimeout: () => Milliseconds;
+  /** When a change of the configuration was last sent. */
+  readonly documentChangedAt: () => Milliseconds;
   /** Describes the state of a host at a time, for the text of a finding. */
   readonly describe: (host: string, at: Milliseconds) => string;
 };
@@ -53,22 +61,16 @@
   readonly #startedAt = performance.now();
   readonly #environment: Environment;
   readonly #findings: Finding[] = [];
-  readonly #departures = new Map<string, AcknowledgedDeparture>();
-  readonly #reportedPairs = new Set<string>();
   readonly #runs = new Map<string, ReceivedRequest[]>();
   readonly #refusals = new Map<string, number>();
   readonly #crashing = new Map<string, CrashingRequest>();
-  /**
-   * Longest time from an acknowledged departure to a request that was received
-   * after it: from undisturbed entries, and from any.
-   */
-  latest = { undisturbed: 0, any: 0 };
-  leaves = 0;
 
   readonly rateLimits: RateLimitChecks;
   readonly statements: StatementChecks;
   readonly cuts: CutChecks;
   readonly streams: StreamChecks;
+  readonly drains: DrainChecks;
+  readonly runs: RunChecks;
 
   constructor(environment: Environment) {
     this.#environment = environment;
@@ -82,9 +84,22 @@
     });
     this.streams = new StreamChecks({
       wasEntryUndisturbed: environment.wasEntryUndisturbed,
-      countReady: environment.countReady,
+      listUpstreams: environment.listUpstreams,
+      resumableTime: environment.resumableTime,
+      report: (promise, text) => this.report(promise, text),
+    });
+    this.drains = new DrainChecks({
+      ...environment,
       report: (promise, text) => this.report(promise, text),
     });
+    this.runs = new RunChecks({
+      timeout: environment.requestTimeout,
+      wasUndisturbed: (host, at) =>
+        environment.wasHostUndisturbed(host, at) &&
+        environment.wereLinksUndisturbed(host, at),
+      changedAt: environment.documentChangedAt,
+      report: (text) => this.report("cut_run", text),
+    });
     this.cuts = new CutChecks({
       wasEntryUndisturbed: environment.wasEntryUndisturbed,
       areRatesLimited: environment.areRatesLimited,
@@ -101,11 +116,6 @@
     this.#findings.push({ promise, at, text });
   }
 
-  recordDeparture(departure: AcknowledgedDeparture): void {
-    this.#departures.set(departure.upstream, departure);
-    this.leaves += 1;
-  }
-
   /**
    * Records that an upstream crashed while running a request.
    *
@@ -169,39 +179,11 @@
     }
   }
 
-  /** Checks that an upstream receives nothing once its drain time is over. */
   checkReceived(received: ReceivedRequest): void {
     this.#checkCrashing(received);
     this.rateLimits.checkReceived(received);
     this.statements.checkReceived(received);
-    const departure = this.#departures.get(received.upstream);
-    if (departure === undefined) {
-      return;
-    }
-    const { drainTime, wasEntryUndisturbed, wasReplicaUndisturbed, describe } =
-      this.#environment;
-    const after = received.at - departure.at;
-    this.latest.any = Math.max(this.latest.any, after);
-    const isChecked = wasReplicaUndisturbed(departure.by, departure.at) &&
-      wasEntryUndisturbed(received.from, received.at);
-    if (!isChecked) {
-      return;
-    }
-    this.latest.undisturbed = Math.max(this.latest.undisturbed, after);
-    // Each pair of an upstream and an entry is reported once.
-    const pair = `${received.upstream} ${received.from}`;
-    if (after > drainTime && !this.#reportedPairs.has(pair)) {
-      this.#reportedPairs.add(pair);
-      this.report(
-        "leaving",
-        `${received.upstream} received a request ${
-          Math.round(after)
-        } ms after ` +
-          `${departure.by} acknowledged that it ${departure.mode}; sent by ` +
-          `${describe(received.from, received.at)}; the replica: ` +
-          describe(departure.by.split(":")[0]!, received.at),
-      );
-    }
+    this.drains.checkReceived(received);
   }
 
   /** Checks that a non-idempotent request runs at most once. */
@@ -227,6 +209,7 @@
   checkOutcome(outcome: RequestOutcome): void {
     const { attempt, isNonIdempotent, status, problem } = outcome;
     this.cuts.recordOutcome(outcome);
+    void this.runs.recordOutcome(outcome);
     if (problem !== undefined) {
       this.report("whole_answer", problem);
     }
--- a/packages/soak/received_request.ts
+++ b/packages/soak/received_request.ts
@@ -8,6 +8,8 @@
   readonly from: string;
   readonly at: Milliseconds;
   readonly isNonIdempotent: boolean;
+  /** Whether it goes on with a stream after an event. */
+  readonly isResumed: boolean;
   /** Path and query. */
   readonly target: string;
   /** What upstreams crash on in the request; undefined if nothing. */
--- a/packages/soak/received_stream.ts
+++ b/packages/soak/received_stream.ts
@@ -5,7 +5,6 @@
 export class ReceivedStream {
   readonly path: string;
   readonly #versions = new Set<string>();
-  readonly #resumes: StreamOutcome["resumes"][number][] = [];
   #lastId = 0;
   #problem: string | undefined;
   /** Attempt that brought the first event; undefined without one. */
@@ -23,6 +22,11 @@
     return this.#origin;
   }
 
+  /** Version that began it; undefined before the first event. */
+  get version(): string | undefined {
+    return [...this.#versions][0];
+  }
+
   get isWhole(): boolean {
     return this.#lastId === streamEvents.count;
   }
@@ -30,27 +34,14 @@
   /**
    * Appends what a try brought.
    *
-   * @param attempted The attempt, its entry, and when it was sent.
    * @param body Text that arrived, whether or not the response was complete.
    */
-  append(
-    body: string,
-    { attempt, entry, sentAt }: {
-      attempt: string;
-      entry: string;
-      sentAt: number;
-    },
-  ): void {
-    const [version] = this.#versions;
+  append(body: string, { attempt }: { attempt: string }): void {
     const events = streamEvents.parse(this.path, body);
     if (events === undefined) {
       this.#problem ??= `${attempt} brought "${body}"`;
       return;
     }
-    if (this.#origin !== undefined) {
-      const wentOn = events.length > 0;
-      this.#resumes.push({ entry, sentAt, version: version!, wentOn });
-    }
     for (const event of events) {
       this.#origin ??= attempt;
       if (event.id !== this.#lastId + 1) {
@@ -65,7 +56,6 @@
   toOutcome(): StreamOutcome {
     return {
       path: this.path,
-      resumes: this.#resumes,
       versions: this.#versions,
       problem: this.#problem,
     };
--- a/packages/soak/replace_upstream.ts
+++ b/packages/soak/replace_upstream.ts
@@ -21,9 +21,18 @@
   }
   await deployment.addUpstream(upstream.zone);
   const mode = random() < DEPARTING_SHARE ? "departs" : "drains";
+  return await startDeparture(deployment, random, { upstream, mode });
+}
+
+/** Makes an upstream report its departure, and shut down later. */
+export async function startDeparture(
+  deployment: SoakDeployment,
+  random: Random,
+  { upstream, mode }: { upstream: SoakUpstream; mode: "drains" | "departs" },
+): Promise<AcknowledgedDeparture | undefined> {
   const departure = await upstream.depart(mode);
   if (departure !== undefined) {
-    deployment.checks.recordDeparture(departure);
+    deployment.checks.drains.recordDeparture(departure);
   }
   const delay = randomDuration(random, SHUTDOWN_DELAY_MS);
   void shutDownLater(deployment, upstream, { mode, delay });
--- a/packages/soak/run_soak.ts
+++ b/packages/soak/run_soak.ts
@@ -33,11 +33,17 @@
   /** Number of runs of each fault scenario, by function name. */
   readonly troubles: Readonly<Record<string, number>>;
   readonly leaves: number;
+  /** Runs whose connections were closed at sound upstreams. */
+  readonly closedRuns: number;
   /**
    * Longest time in ms from an acknowledged departure to a request received
-   * after it: from undisturbed VMs, and from any.
+   * after it: from undisturbed VMs, the same of first tries, and from any.
    */
-  readonly latest: { readonly undisturbed: number; readonly any: number };
+  readonly latest: {
+    readonly undisturbed: number;
+    readonly firstTry: number;
+    readonly any: number;
+  };
   /**
    * Attempts to resume a stream; those that must go on, as the entry was
    * undisturbed and two upstreams of the version served; and those that did.
@@ -46,6 +52,10 @@
     readonly all: number;
     readonly sent: number;
     readonly wentOn: number;
+    /** The same while only the last upstreams of the version are left. */
+    readonly atLast: { readonly sent: number; readonly wentOn: number };
+    /** Streams that upstreams got after their acknowledged departures. */
+    readonly whileDraining: number;
   };
   /** Rests that upstreams asked for, and entries told that one leaves. */
   readonly statements: { readonly rests: number; readonly departures: number };
@@ -88,18 +98,26 @@
     finished.abort();
     await deployment.stop();
   }
-  const { findings, leaves, latest, crashes, streams, statements } =
+  const { findings, crashes, streams, statements, drains, runs } =
     deployment.checks;
+  const { latest, latestFirstTry } = drains;
   return {
     seed: options.seed,
     findings,
     troubles: scenarioCounts,
-    leaves,
+    leaves: drains.departureCount,
+    closedRuns: runs.closed,
     crashes,
     statements: statements.counts,
-    resumes: { ...streams.resumed, all: streams.resumes },
+    resumes: {
+      ...streams.resumed,
+      all: streams.resumes,
+      atLast: streams.resumedAtLast,
+      whileDraining: drains.continued,
+    },
     latest: {
       undisturbed: Math.round(latest.undisturbed),
+      firstTry: Math.round(latestFirstTry),
       any: Math.round(latest.any),
     },
     outcomes: Object.fromEntries(deployment.outcomes),
@@ -130,7 +148,10 @@
   await pause(RECOVERY_TIME);
   await checkServed(deployment);
   deployment.checks.streams.finish();
-  await deployment.checkDocument();
+  const problem = await deployment.documents.findProblem();
+  if (problem !== undefined) {
+    deployment.checks.report("configuration", problem);
+  }
 }
 
 /**
--- a/packages/soak/send_soak_response.ts
+++ b/packages/soak/send_soak_response.ts
@@ -18,17 +18,19 @@
  * Sends a response in a random framing, part after part, and breaks some off at
  * any byte. Resolves once the response has ended.
  *
+ * @returns Whether it was sent as a whole.
  * @param head Status and headers without those of the framing.
  */
 export async function sendSoakResponse(
   response: ServerResponse,
-  { status, headers, parts }: {
+  { status, headers, parts, partPause = PART_PAUSE }: {
     status: number;
     headers: Readonly<Record<string, string>>;
     parts: readonly string[];
+    partPause?: Milliseconds | undefined;
   },
   random: Random,
-): Promise<void> {
+): Promise<boolean> {
   const framing = FRAMINGS[Math.floor(random() * FRAMINGS.length)]!;
   const size = parts.join("").length;
   const breakage: Breakage | undefined = random() < BROKEN_SHARE
@@ -48,17 +50,18 @@
   let left = breakage?.after ?? Infinity;
   for (const [index, part] of parts.entries()) {
     if (index > 0) {
-      await pause(PART_PAUSE);
+      await pause(partPause);
     }
     response.write(part.slice(0, left));
     left -= part.length;
     if (left < 0) {
       await pause(PART_PAUSE);
       breakOff(response, breakage!.how);
-      return;
+      return false;
     }
   }
   response.end();
+  return true;
 }
 
 function breakOff(response: ServerResponse, how: Breakage["how"]): void {
--- a/packages/soak/soak_caller.ts
+++ b/packages/soak/soak_caller.ts
@@ -177,7 +177,13 @@
       this.#disconnect();
       if (this.#connect()) {
         const next = `${attempt}-${tries}`;
+        const { version, lastId } = stream;
+        const endResume = streams.beginResume({
+          entry: this.#entry,
+          version: version!,
+        });
         await this.#try({ attempt: next, path, isNonIdempotent, stream });
+        endResume({ wentOn: stream.lastId > lastId });
       }
     }
     streams.recordOutcome(stream.toOutcome());
@@ -220,7 +226,7 @@
     const isClosedHere = status === 0 && closeAfter !== undefined;
     const body = "body" in reply ? reply.body : reply.partialBody;
     if (stream !== undefined && (status === 200 || status === 0)) {
-      stream.append(body, { attempt, entry, sentAt });
+      stream.append(body, { attempt });
     }
     const problem = status === 200 && "body" in reply
       ? this.#findProblem(attempt, { ...reply, stream })
--- a/packages/soak/soak_deployment.ts
+++ b/packages/soak/soak_deployment.ts
@@ -8,13 +8,18 @@
 import { SoakCaller } from "./soak_caller.ts";
 import { SoakUpstream } from "./soak_upstream.ts";
 import { pause } from "./pause.ts";
-import type { SoakDocument } from "./soak_document.ts";
+import { DocumentPublisher } from "./document_publisher.ts";
 import type { ProgramAdapter } from "./program_adapter.ts";
 
 /** Time without faults after which time bounds are checked for a VM. */
 const UNDISTURBED_TIME: Milliseconds = 3000;
 /** Time for which an upstream may be used after an acknowledged departure. */
 const DRAIN_TIME: Milliseconds = 2000;
+/**
+ * The same for resumed streams that must go on there: less the time until
+ * entries know, that of a request on its way, and a margin.
+ */
+const RESUMABLE_TIME: Milliseconds = 1250;
 /** Delay until callers, operators and upstreams see a change of the VMs. */
 const DISCOVERY_LAG: Milliseconds = 1500;
 const MACHINES_PER_ZONE = 3;
@@ -56,8 +61,7 @@
   readonly #proxyAddress: string;
   /** Whether the initial VMs and upstreams have started. */
   #isRunning = false;
-  #document: SoakDocument;
-  #acknowledgedVersion = 0;
+  readonly documents: DocumentPublisher;
   #upstreamCount = 0;
 
   constructor(options: Options) {
@@ -66,20 +70,14 @@
     const port = FIRST_PROXY_PORT + options.slot;
     this.proxy = new LinkProxy(port);
     this.#proxyAddress = `127.0.0.1:${port}`;
-    this.#document = {
-      version: 1,
-      service: "desk",
-      host: "inn.example",
-      idempotentPrefix: "/look/",
-      nonIdempotentPrefix: "/book/",
-      resumablePrefix: "/tell/",
-      streamPrefix: "/tell-once/",
-      timeout: 3000,
-    };
+    this.documents = new DocumentPublisher({
+      adapter: options.adapter,
+      listReplicas: () => this.#listReplicas(),
+    });
     this.crashing = new CrashingRequests({
       adapter: options.adapter,
       random: options.random,
-      document: () => this.#document,
+      document: () => this.documents.document,
       listEntries: () =>
         this.activeMachines().map((entry) => entry.callerAddress),
     });
@@ -93,7 +91,13 @@
       wasEntryUndisturbed: (host, at) =>
         this.disturbances.wasUndisturbed(CONTROL_GROUP, at) &&
         this.disturbances.wasUndisturbed(host, at),
-      countReady: (version) => this.#countReady(version),
+      listUpstreams: (version) =>
+        [...this.#upstreams].filter((upstream) => upstream.version === version),
+      resumableTime: RESUMABLE_TIME,
+      wereLinksUndisturbed: (host, at) =>
+        this.disturbances.wasUndisturbed(linksOf(host), at),
+      requestTimeout: () => this.documents.document.timeout,
+      documentChangedAt: () => this.documents.changedAt,
       interruptedAt: (host) =>
         Math.max(
           ...this.machines.filter((machine) => machine.host === host)
@@ -120,7 +124,10 @@
     for (const machine of this.machines) {
       machine.start({ seeds, isFirstStart: true });
     }
-    await this.#waitFor("The first configuration", () => this.publish());
+    await this.#waitFor(
+      "The first configuration",
+      () => this.documents.publish(),
+    );
     for (const zone of this.zones) {
       for (let count = 0; count < UPSTREAMS_PER_ZONE; count += 1) {
         await this.addUpstream(zone);
@@ -199,15 +206,22 @@
     machine.start({ seeds: this.seeds(), isFirstStart: false });
   }
 
-  /** Adds an upstream and starts it. */
-  async addUpstream(zone: string): Promise<SoakUpstream> {
+  /**
+   * Adds an upstream and starts it.
+   *
+   * @param options.notVersion A version that it doesn't have.
+   */
+  async addUpstream(
+    zone: string,
+    { notVersion }: { notVersion?: string } = {},
+  ): Promise<SoakUpstream> {
     this.#upstreamCount += 1;
     const count = this.#upstreamCount;
     const { slot, adapter } = this.#options;
     const upstream = new SoakUpstream({
       name: `desk-${zone}-${count}`,
-      service: this.#document.service,
-      version: this.#pickVersion(),
+      service: this.documents.document.service,
+      version: this.#pickVersion(notVersion),
       zone,
       host: `127.${60 + slot}.${Math.floor(count / 250)}.${1 + count % 250}`,
       adapter,
@@ -215,14 +229,15 @@
       listReplicas: () => this.#listReplicas(),
       rateLimits: this.checks.rateLimits,
       statements: this.checks.statements,
+      runs: this.checks.runs,
       onReceived: (received) => this.checks.checkReceived(received),
       onRun: (received) => this.checks.checkRun(received),
       isNonIdempotent: (path) =>
-        path.startsWith(this.#document.nonIdempotentPrefix) ||
-        path.startsWith(this.#document.streamPrefix),
+        path.startsWith(this.documents.document.nonIdempotentPrefix) ||
+        path.startsWith(this.documents.document.streamPrefix),
       isStream: (path) =>
-        path.startsWith(this.#document.resumablePrefix) ||
-        path.startsWith(this.#document.streamPrefix),
+        path.startsWith(this.documents.document.resumablePrefix) ||
+        path.startsWith(this.documents.document.streamPrefix),
       crashCauseOf: (path, parts) => this.crashing.causeOf(path, parts),
       onCrash: (cause) => this.checks.recordCrash(cause),
       onOverload: (from) => this.checks.recordOverload(from),
@@ -233,16 +248,11 @@
   }
 
   /** One of two versions side by side; later upstreams bring newer ones. */
-  #pickVersion(): string {
+  #pickVersion(not: string | undefined): string {
     const oldest = Math.floor(this.#upstreamCount / UPSTREAMS_PER_RELEASE);
-    return `v${oldest + (this.random() < 0.5 ? 0 : 1)}`;
-  }
-
-  #countReady(version: string): number {
-    const ready = [...this.#upstreams].filter((upstream) =>
-      upstream.isReady && upstream.version === version
-    );
-    return ready.length;
+    const versions = [`v${oldest}`, `v${oldest + 1}`];
+    const [first, second] = this.random() < 0.5 ? versions : versions.reverse();
+    return first === not ? second! : first!;
   }
 
   /** Picks a random ready upstream of a zone, or of any zone. */
@@ -268,66 +278,6 @@
     this.#upstreams.delete(upstream);
   }
 
-  /**
-   * Publishes the next version of the configuration document.
-   *
-   * @returns Whether a replica acknowledged it.
-   */
-  async publish(): Promise<boolean> {
-    const { adapter } = this.#options;
-    this.#document = {
-      ...this.#document,
-      version: this.#document.version + 1,
-    };
-    const { version } = this.#document;
-    const replicas = this.#listReplicas();
-    for (const address of replicas) {
-      const reply = await sendHttpRequest(address, {
-        ...adapter.publish(this.#document),
-        timeout: 1000,
-      });
-      if (reply.status === 200) {
-        this.#acknowledgedVersion = Math.max(
-          this.#acknowledgedVersion,
-          version,
-        );
-        return true;
-      }
-    }
-    return false;
-  }
-
-  /** Checks that the last acknowledged configuration document survived. */
-  async checkDocument(): Promise<void> {
-    const { adapter } = this.#options;
-    const until = performance.now() + START_TIMEOUT;
-    while (performance.now() < until) {
-      for (const address of this.#listReplicas()) {
-        const reply = await sendHttpRequest(address, {
-          ...adapter.readDocument,
-          timeout: 1000,
-        });
-        if (reply.status !== 200 || !("body" in reply)) {
-          continue;
-        }
-        const version = adapter.parseVersion(reply.body);
-        if (version < this.#acknowledgedVersion) {
-          this.checks.report(
-            "configuration",
-            `${address} has version ${version}; ${this.#acknowledgedVersion} ` +
-              "was acknowledged",
-          );
-        }
-        return;
-      }
-      await pause(200);
-    }
-    this.checks.report(
-      "configuration",
-      "No replica returned a configuration document",
-    );
-  }
-
   /** Records a fault of a control VM; the returned function ends it. */
   beginControlDisturbance(host: string): () => void {
     const at = performance.now();
@@ -343,12 +293,17 @@
     return this.disturbances.begin(host, performance.now());
   }
 
+  /** Records a fault of the links between an entry and upstreams. */
+  beginLinkDisturbance(host: string): () => void {
+    return this.disturbances.begin(linksOf(host), performance.now());
+  }
+
   #addCaller(zone: string): void {
     const caller = new SoakCaller({
       name: `r${this.#callers.length}`,
       zone,
       adapter: this.#options.adapter,
-      document: () => this.#document,
+      document: () => this.documents.document,
       listLookups: () => this.#listLookups(zone),
       random: this.random,
       onOutcome: (outcome) => {
@@ -396,9 +351,9 @@
     for (const machine of this.activeMachines()) {
       const reply = await sendHttpRequest(machine.callerAddress, {
         method: "GET",
-        path: `${this.#document.idempotentPrefix}first`,
+        path: `${this.documents.document.idempotentPrefix}first`,
         headers: {
-          host: this.#document.host,
+          host: this.documents.document.host,
           [adapter.headers.attempt]: `first-${machine.name}`,
           [adapter.headers.timeLeft]: "1000",
         },
@@ -436,3 +391,8 @@
     return `${machine.name}, entry up for ${uptime} ms, undisturbed for ${undisturbedTime} ms`;
   }
 }
+
+/** Key for faults of the links between the entry on a host and upstreams. */
+function linksOf(host: string): string {
+  return `links of ${host}`;
+}
--- a/packages/soak/soak_document.ts
+++ b/packages/soak/soak_document.ts
@@ -12,4 +12,10 @@
   readonly resumablePrefix: string;
   readonly streamPrefix: string;
   readonly timeout: Milliseconds;
+  /** Time for which a caller's connection may stay idle. */
+  readonly idleTimeout: Milliseconds;
+  /** Number of routes beside those, which no caller uses. */
+  readonly furtherRoutes: number;
+  /** Requests per second of each workspace; no caller has one. */
+  readonly workspaceRates: readonly number[];
 };
--- a/packages/soak/soak_upstream.ts
+++ b/packages/soak/soak_upstream.ts
@@ -5,17 +5,18 @@
   type ServerResponse,
 } from "node:http";
 import type { Milliseconds } from "@heroncleat/base";
+import { pause } from "./pause.ts";
+import { randomDuration } from "./random_duration.ts";
 import { responseBody } from "./response_body.ts";
 import type { StatementChecks } from "./statement_checks.ts";
 import type { RateLimitChecks } from "./rate_limit_checks.ts";
 import { sendSoakResponse } from "./send_soak_response.ts";
 import { streamEvents } from "./stream_events.ts";
 import type { ReceivedRequest } from "./received_request.ts";
-import { sendHttpRequest } from "./send_http_request.ts";
+import type { RunChecks } from "./run_checks.ts";
+import { UpstreamHeartbeats } from "./upstream_heartbeats.ts";
 import type { ProgramAdapter } from "./program_adapter.ts";
 
-const HEARTBEAT_INTERVAL: Milliseconds = 1200;
-const ACK_TIMEOUT: Milliseconds = 1000;
 /** Attempts to report a departure before an upstream gives up. */
 const MAX_DEPARTURE_ATTEMPTS = 12;
 const DEPARTURE_RETRY_DELAY: Milliseconds = 100;
@@ -27,6 +28,11 @@
 const CRASH_DELAY_MS = { min: 10, spread: 100 };
 /** Service time of a request. */
 const SERVICE_TIME_MS = { min: 10, spread: 60 };
+/** Share of the runs that last long, and how long they last. */
+const LONG_SHARE = 0.1;
+const LONG_SERVICE_TIME_MS = { min: 500, spread: 1500 };
+/** Time after its start in which entries may not know an upstream. */
+const DISCOVERY_TIME: Milliseconds = 1500;
 
 /** How an upstream reports its departure. */
 type DepartureMode =
@@ -57,6 +63,7 @@
   readonly listReplicas: () => readonly string[];
   readonly rateLimits: RateLimitChecks;
   readonly statements: StatementChecks;
+  readonly runs: RunChecks;
   readonly onReceived: (received: ReceivedRequest) => void;
   readonly onRun: (received: ReceivedRequest) => void;
   readonly isNonIdempotent: (path: string) => boolean;
@@ -83,11 +90,10 @@
   readonly version: string;
   readonly #options: UpstreamOptions;
   readonly #server: Server;
-  #born = Date.now();
-  #sequence = 0;
-  #state: "ready" | "draining" = "ready";
-  #timer: NodeJS.Timeout | undefined;
-  #replica: string | undefined;
+  readonly #heartbeats: UpstreamHeartbeats;
+  #readyAt: Milliseconds = Infinity;
+  /** When it began to report that it drains; undefined if it doesn't. */
+  #drainingAt: Milliseconds | undefined;
   #inFlight = 0;
   /** Requests per second that its responses state; undefined for none. */
   #rateLimit: number | undefined;
@@ -96,6 +102,8 @@
   #rejectedAt: Milliseconds[] = [];
   /** What its rejections ask for; undefined if it accepts requests. */
   #rest: Milliseconds | undefined;
+  /** When the last rest ends that it asked for; infinite while it rejects. */
+  #restUntil: Milliseconds = -Infinity;
 
   constructor(options: UpstreamOptions) {
     this.#options = options;
@@ -103,6 +111,14 @@
     this.zone = options.zone;
     this.host = options.host;
     this.version = options.version;
+    this.#heartbeats = new UpstreamHeartbeats({
+      ...options,
+      identity: {
+        ...options,
+        address: `${options.host}:${PORT}`,
+        slots: SLOTS,
+      },
+    });
     this.#server = createServer((message, response) => {
       void this.#serve(message, response);
     });
@@ -119,11 +135,10 @@
       setTimeout(resolve, DOWNTIME_MS.min + random() * DOWNTIME_MS.spread);
     });
     // An upstream that began to depart meanwhile doesn't restart.
-    if (this.#state === "ready") {
-      this.#born = Date.now();
-      this.#sequence = 0;
+    if (this.#heartbeats.state === "ready") {
       this.#inFlight = 0;
-      await this.start();
+      await this.#listen();
+      this.#heartbeats.restart();
     }
   }
 
@@ -148,19 +163,49 @@
 
   /** Rejects all requests from now on and asks for rest; undefined for none. */
   askForRest(duration: Milliseconds | undefined): void {
+    this.#restUntil = duration === undefined
+      ? performance.now() + (this.#rest ?? 0)
+      : Infinity;
     this.#rest = duration;
   }
 
+  /** Whether it rejects all requests, or last asked for rest until later. */
+  isAtRest(at: Milliseconds): boolean {
+    return this.#restUntil > at;
+  }
+
   /** Whether it states a rate limit. */
   get isLimited(): boolean {
     return this.#rateLimit !== undefined;
   }
 
   get isReady(): boolean {
-    return this.#state === "ready" && this.#server.listening;
+    return this.#heartbeats.state === "ready" && this.#server.listening;
+  }
+
+  get isListening(): boolean {
+    return this.#server.listening;
+  }
+
+  /**
+   * Whether entries may send it resumed streams and know so: ready, or draining
+   * for less than a time, and not rejecting.
+   */
+  takesResumedStreams(drainTime: Milliseconds): boolean {
+    const now = performance.now();
+    const isInTime = this.isReady
+      ? now > this.#readyAt + DISCOVERY_TIME
+      : this.#drainingAt !== undefined && now < this.#drainingAt + drainTime;
+    return isInTime && this.isListening && !this.isLimited &&
+      this.#rejectionLimit === undefined && !this.isAtRest(now);
   }
 
   async start(): Promise<void> {
+    await this.#listen();
+    this.#heartbeats.start();
+  }
+
+  async #listen(): Promise<void> {
     await new Promise<void>((resolve, reject) => {
       this.#server.once("error", reject);
       this.#server.listen(PORT, this.host, () => {
@@ -168,11 +213,7 @@
         resolve();
       });
     });
-    void this.#sendHeartbeat();
-    this.#timer = setInterval(
-      () => void this.#sendHeartbeat(),
-      HEARTBEAT_INTERVAL,
-    );
+    this.#readyAt = performance.now();
   }
 
   /**
@@ -182,14 +223,17 @@
   async depart(
     mode: DepartureMode,
   ): Promise<AcknowledgedDeparture | undefined> {
-    this.#state = "draining";
+    this.#heartbeats.state = "draining";
     if (mode === "departs") {
-      clearInterval(this.#timer);
+      this.#heartbeats.stop();
+    } else {
+      this.#drainingAt = performance.now();
     }
+    const kind = mode === "departs" ? "departure" : "state";
     for (let attempts = 0; attempts < MAX_DEPARTURE_ATTEMPTS; attempts += 1) {
       const replicas = this.#options.listReplicas();
       const by = replicas[attempts % Math.max(1, replicas.length)];
-      if (by !== undefined && await this.#notify(by, mode)) {
+      if (by !== undefined && await this.#heartbeats.notify(by, kind)) {
         return { upstream: this.name, at: performance.now(), by, mode };
       }
       await new Promise((resolve) =>
@@ -201,56 +245,18 @@
 
   /** Shuts down, after a departure notice if it was draining. */
   async shutDown(mode: DepartureMode | "crashes"): Promise<void> {
-    clearInterval(this.#timer);
-    if (mode === "drains") {
+    this.#heartbeats.stop();
+    // What crashed while it drained doesn't tell that it is gone.
+    if (mode === "drains" && this.isListening) {
       const [by] = this.#options.listReplicas();
       if (by !== undefined) {
-        await this.#notify(by, "departs");
+        await this.#heartbeats.notify(by, "departure");
       }
     }
     this.#server.close();
     this.#server.closeAllConnections();
   }
 
-  async #notify(by: string, mode: DepartureMode): Promise<boolean> {
-    const { adapter } = this.#options;
-    const call = mode === "departs"
-      ? adapter.departure(this.name)
-      : adapter.heartbeat(this.#buildReport());
-    const reply = await sendHttpRequest(by, { ...call, timeout: ACK_TIMEOUT });
-    return reply.status >= 200 && reply.status < 300;
-  }
-
-  /** Sends heartbeats to the same replica until one fails. */
-  async #sendHeartbeat(): Promise<void> {
-    const replicas = this.#options.listReplicas();
-    const { random, adapter } = this.#options;
-    const randomReplica = replicas[Math.floor(random() * replicas.length)];
-    const by = this.#replica ?? randomReplica;
-    if (by === undefined) {
-      return;
-    }
-    const call = adapter.heartbeat(this.#buildReport());
-    const reply = await sendHttpRequest(by, { ...call, timeout: ACK_TIMEOUT });
-    const isAccepted = reply.status >= 200 && reply.status < 300;
-    this.#replica = isAccepted ? by : undefined;
-  }
-
-  #buildReport() {
-    this.#sequence += 1;
-    return {
-      name: this.name,
-      service: this.#options.service,
-      version: this.version,
-      address: `${this.host}:${PORT}`,
-      zone: this.zone,
-      slots: SLOTS,
-      state: this.#state,
-      sequence: this.#sequence,
-      born: this.#born,
-    };
-  }
-
   async #serve(
     message: IncomingMessage,
     response: ServerResponse,
@@ -265,6 +271,7 @@
       from: message.socket.remoteAddress ?? "",
       at: performance.now(),
       isNonIdempotent: isNonIdempotent(message.url ?? ""),
+      isResumed: message.headers[headers.lastEvent] !== undefined,
       target: message.url ?? "",
       crashCause: this.#options.crashCauseOf(
         message.url ?? "",
@@ -289,7 +296,7 @@
     if (this.#rejectionLimit !== undefined) {
       response.setHeader(headers.rejectionLimit, String(this.#rejectionLimit));
     }
-    if (this.#state === "draining") {
+    if (this.#heartbeats.state === "draining") {
       response.setHeader(headers.leaving, "1");
       response.on(
         "finish",
@@ -332,14 +339,27 @@
       return;
     }
     this.#inFlight += 1;
-    await new Promise((resolve) => {
-      setTimeout(
-        resolve,
-        SERVICE_TIME_MS.min + random() * SERVICE_TIME_MS.spread,
-      );
+    const isLong = random() < LONG_SHARE;
+    const time = isLong ? LONG_SERVICE_TIME_MS : SERVICE_TIME_MS;
+    let isBrokenHere = false;
+    response.on("close", () => {
+      if (!response.writableFinished && !isBrokenHere && this.isListening) {
+        this.#options.runs.recordCut(received);
+      }
     });
+    // A long stream sends its events over that time.
+    const isStreamed = this.#options.isStream(received.target);
+    const duration = randomDuration(random, time);
+    await pause(isLong && isStreamed ? 0 : duration);
     this.#inFlight -= 1;
-    await this.#respond(response, received, message);
+    const partPause = isLong && isStreamed
+      ? duration / streamEvents.count
+      : undefined;
+    const isSent = await this.#respond(response, received, {
+      last: Number(message.headers[headers.lastEvent] ?? 0),
+      partPause,
+    });
+    isBrokenHere = !isSent;
   }
 
   /** Crashes if more requests were rejected than it states. */
@@ -357,13 +377,16 @@
   async #respond(
     response: ServerResponse,
     { attempt, target }: ReceivedRequest,
-    message: IncomingMessage,
-  ): Promise<void> {
+    { last, partPause }: {
+      /** Last event that the caller has. */
+      last: number;
+      partPause: Milliseconds | undefined;
+    },
+  ): Promise<boolean> {
     const { adapter, isStream, random } = this.#options;
     const { headers } = adapter;
     const isStreamed = isStream(target);
-    const last = Number(message.headers[headers.lastEvent] ?? 0);
-    await sendSoakResponse(response, {
+    return await sendSoakResponse(response, {
       status: 200,
       headers: {
         [headers.digest]: `by-${this.name}`,
@@ -373,6 +396,7 @@
       parts: isStreamed
         ? streamEvents.list(target, this.version).slice(last)
         : [responseBody(attempt, this.name)],
+      partPause,
     }, random);
   }
 }
