Soak: `cut_run` counts the last run of an attempt, within its caller's time

A request that ended after 3010 ms was reported, as the route's time had just become longer than its caller's 3000 ms. One whose first run was cut, was run again and ended by a crash was reported for its first run.

--- a/packages/soak/guarantee_checks.ts
+++ b/packages/soak/guarantee_checks.ts
@@ -188,6 +188,7 @@
 
   /** Checks that a non-idempotent request runs at most once. */
   checkRun(received: ReceivedRequest): void {
+    this.runs.recordRun(received);
     if (!received.isNonIdempotent) {
       return;
     }
--- a/packages/soak/run_checks.ts
+++ b/packages/soak/run_checks.ts
@@ -9,7 +9,7 @@
 const LATE_SHARE = 0.9;
 
 type RunCheckOptions = {
-  /** Time in which a request must be answered. */
+  /** Time in which a route's requests must be answered. */
   readonly timeout: () => Milliseconds;
   /** Whether a host and its links to upstreams were undisturbed at a time. */
   readonly wasUndisturbed: (host: string, at: Milliseconds) => boolean;
@@ -33,6 +33,11 @@
     this.#options = options;
   }
 
+  /** Records a run; only how the last one of an attempt ends counts. */
+  recordRun({ attempt }: ReceivedRequest): void {
+    this.#cutRuns.delete(attempt);
+  }
+
   /** Records that an upstream at work on a request lost its connection. */
   recordCut(received: ReceivedRequest): void {
     this.#cutRuns.set(received.attempt, received);
@@ -40,10 +45,11 @@
   }
 
   async recordOutcome(outcome: RequestOutcome): Promise<void> {
-    const { attempt, entry, sentAt, status } = outcome;
+    const { attempt, entry, sentAt, status, timeLeft } = outcome;
     const { timeout, wasUndisturbed, changedAt, report } = this.#options;
     const endedAt = performance.now();
-    const isLate = endedAt > sentAt + timeout() * LATE_SHARE;
+    const time = Math.min(timeLeft, timeout());
+    const isLate = endedAt > sentAt + time * LATE_SHARE;
     if (status === 200 || isLate) {
       return;
     }
--- a/packages/soak/soak_caller.ts
+++ b/packages/soak/soak_caller.ts
@@ -45,6 +45,8 @@
   /** Address of the entry, and when the request was sent. */
   readonly entry: string;
   readonly sentAt: Milliseconds;
+  /** Time in which the caller wants its answer. */
+  readonly timeLeft: Milliseconds;
   /** Why the response can't belong to this request; undefined if it can. */
   readonly problem: string | undefined;
 };
@@ -233,7 +235,9 @@
       : undefined;
     // What this caller has ended itself says nothing about the entry.
     if (!isClosedHere) {
-      onOutcome({ attempt, isNonIdempotent, status, entry, sentAt, problem });
+      const timeLeft = REQUEST_TIMEOUT;
+      const tried = { attempt, isNonIdempotent, entry, sentAt, timeLeft };
+      onOutcome({ ...tried, status, problem });
     }
   }
 
