Soak: shares of entries that are cut off aren't compared while all upstreams rest

While all of them reject, who is served is chance, wherever an entry stands.

Change: a request is left out if all ready upstreams reject when it ends, or had asked for a rest that lasted beyond its start.

--- a/packages/soak/cut_checks.ts
+++ b/packages/soak/cut_checks.ts
@@ -22,6 +22,11 @@
    * about a cut.
    */
   readonly areRatesLimited: () => boolean;
+  /**
+   * Whether all ready upstreams reject requests, or had asked for a rest that
+   * ends after a time. Then it is chance who is served.
+   */
+  readonly areAllAtRest: (since: Milliseconds) => boolean;
   readonly report: (text: string) => void;
 };
 
@@ -54,8 +59,11 @@
 
   recordOutcome({ entry, sentAt, status }: RequestOutcome): void {
     const host = entry.split(":")[0]!;
-    const { wasEntryUndisturbed, areRatesLimited } = this.#options;
-    if (areRatesLimited() || !wasEntryUndisturbed(host, performance.now())) {
+    const { wasEntryUndisturbed, areRatesLimited, areAllAtRest } =
+      this.#options;
+    const isLeftOut = areRatesLimited() || areAllAtRest(sentAt) ||
+      !wasEntryUndisturbed(host, performance.now());
+    if (isLeftOut) {
       return;
     }
     for (const cut of this.#cuts) {
--- a/packages/soak/guarantee_checks.ts
+++ b/packages/soak/guarantee_checks.ts
@@ -52,6 +52,7 @@
   readonly requestTimeout: () => Milliseconds;
   /** When a change of the configuration was last sent. */
   readonly documentChangedAt: () => Milliseconds;
+  readonly areAllAtRest: (since: Milliseconds) => boolean;
   /** Describes the state of a host at a time, for the text of a finding. */
   readonly describe: (host: string, at: Milliseconds) => string;
 };
@@ -103,6 +104,7 @@
     this.cuts = new CutChecks({
       wasEntryUndisturbed: environment.wasEntryUndisturbed,
       areRatesLimited: environment.areRatesLimited,
+      areAllAtRest: environment.areAllAtRest,
       report: (text) => this.report("cut_off", text),
     });
   }
--- a/packages/soak/soak_deployment.ts
+++ b/packages/soak/soak_deployment.ts
@@ -98,6 +98,11 @@
         this.disturbances.wasUndisturbed(linksOf(host), at),
       requestTimeout: () => this.documents.document.timeout,
       documentChangedAt: () => this.documents.changedAt,
+      areAllAtRest: (since) => {
+        const ready = [...this.#upstreams].filter(({ isReady }) => isReady);
+        return ready.length > 0 &&
+          ready.every((upstream) => upstream.isAtRest(since));
+      },
       interruptedAt: (host) =>
         Math.max(
           ...this.machines.filter((machine) => machine.host === host)
