Soak: cut runs aren't counted while its own process stands still

The check was wrong: upstreams and links of the soak run in one process. When that stands still on a busy machine, its upstreams are silent, and entries rightly conclude that they reach none.

Change: a request is left out if the process stood still for more than 250 ms in its time; the report names the longest such stall. Unit tests hold both sides. What upstreams limit and reject has a file of its own.

--- a/packages/soak/guarantee_checks.ts
+++ b/packages/soak/guarantee_checks.ts
@@ -50,6 +50,10 @@
   readonly wereLinksUndisturbed: (host: string, at: Milliseconds) => boolean;
   /** Time in which a request must be answered. */
   readonly requestTimeout: () => Milliseconds;
+  readonly wereUpstreamsSilent: (
+    from: Milliseconds,
+    to: Milliseconds,
+  ) => boolean;
   /** When a change of the configuration was last sent. */
   readonly documentChangedAt: () => Milliseconds;
   readonly areAllAtRest: (since: Milliseconds) => boolean;
@@ -98,6 +102,7 @@
       wasUndisturbed: (host, at) =>
         environment.wasHostUndisturbed(host, at) &&
         environment.wereLinksUndisturbed(host, at),
+      wereSilent: environment.wereUpstreamsSilent,
       changedAt: environment.documentChangedAt,
       report: (text) => this.report("cut_run", text),
     });
--- a/packages/soak/run_checks.ts
+++ b/packages/soak/run_checks.ts
@@ -13,6 +13,8 @@
   readonly timeout: () => Milliseconds;
   /** Whether a host and its links to upstreams were undisturbed at a time. */
   readonly wasUndisturbed: (host: string, at: Milliseconds) => boolean;
+  /** Whether upstreams were silent for long at some time between two. */
+  readonly wereSilent: (from: Milliseconds, to: Milliseconds) => boolean;
   /** When a change of the configuration was last sent. */
   readonly changedAt: () => Milliseconds;
   readonly report: (text: string) => void;
@@ -46,7 +48,8 @@
 
   async recordOutcome(outcome: RequestOutcome): Promise<void> {
     const { attempt, entry, sentAt, status, timeLeft } = outcome;
-    const { timeout, wasUndisturbed, changedAt, report } = this.#options;
+    const { timeout, wasUndisturbed, wereSilent, changedAt, report } =
+      this.#options;
     const endedAt = performance.now();
     const time = Math.min(timeLeft, timeout());
     const isLate = endedAt > sentAt + time * LATE_SHARE;
@@ -56,7 +59,7 @@
     const changeAge = Math.round(endedAt - changedAt());
     await pause(SETTLE_TIME);
     const run = this.#cutRuns.get(attempt);
-    const isOwed = run !== undefined &&
+    const isOwed = run !== undefined && !wereSilent(sentAt, endedAt) &&
       wasUndisturbed(entry.split(":")[0]!, endedAt) &&
       wasUndisturbed(run.from, endedAt);
     if (isOwed) {
--- a/packages/soak/run_checks_test.ts
+++ b/packages/soak/run_checks_test.ts
@@ -24,10 +24,12 @@
     endedAt = 1000,
     disturbed = "",
     timeLeft = TIMEOUT_MS,
+    silentAt = -1,
   }: {
     isCut?: boolean;
     isRunAgain?: boolean;
     timeLeft?: number;
+    silentAt?: number;
     status?: number;
     endedAt?: number;
     disturbed?: string;
@@ -38,6 +40,7 @@
   const checks = new RunChecks({
     timeout: () => TIMEOUT_MS,
     wasUndisturbed: (host) => host !== disturbed,
+    wereSilent: (from, to) => from <= silentAt && silentAt <= to,
     changedAt: () => 400,
     report: (text) => findings.push(text),
   });
@@ -92,4 +95,6 @@
   expect(await playRun({ timeLeft: 1000 })).toEqual([]);
   expect(await playRun({ disturbed: ENTRY })).toEqual([]);
   expect(await playRun({ disturbed: RELAY })).toEqual([]);
+  expect(await playRun({ silentAt: 500 })).toEqual([]);
+  expect(await playRun({ silentAt: 1001 })).toHaveLength(1);
 });
--- a/packages/soak/run_soak.ts
+++ b/packages/soak/run_soak.ts
@@ -35,6 +35,8 @@
   readonly leaves: number;
   /** Runs whose connections were closed at sound upstreams. */
   readonly closedRuns: number;
+  /** Longest time for which the soak's own process stood still. */
+  readonly longestStall: Milliseconds;
   /**
    * Longest time in ms from an acknowledged departure to a request received
    * after it: from undisturbed VMs, the same of first tries, and from any.
@@ -107,6 +109,7 @@
     troubles: scenarioCounts,
     leaves: drains.departureCount,
     closedRuns: runs.closed,
+    longestStall: Math.round(deployment.stalls.longest),
     crashes,
     statements: statements.counts,
     resumes: {
--- a/packages/soak/soak_deployment.ts
+++ b/packages/soak/soak_deployment.ts
@@ -9,6 +9,7 @@
 import { SoakUpstream } from "./soak_upstream.ts";
 import { pause } from "./pause.ts";
 import { DocumentPublisher } from "./document_publisher.ts";
+import { StallLog } from "./stall_log.ts";
 import type { ProgramAdapter } from "./program_adapter.ts";
 
 /** Time without faults after which time bounds are checked for a VM. */
@@ -51,6 +52,7 @@
   readonly machines: Machine[] = [];
   readonly proxy: LinkProxy;
   readonly disturbances = new DisturbanceLog(UNDISTURBED_TIME);
+  readonly stalls = new StallLog();
   readonly checks: GuaranteeChecks;
   readonly crashing: CrashingRequests;
   readonly random: Random;
@@ -97,11 +99,12 @@
       wereLinksUndisturbed: (host, at) =>
         this.disturbances.wasUndisturbed(linksOf(host), at),
       requestTimeout: () => this.documents.document.timeout,
+      wereUpstreamsSilent: (from, to) => this.stalls.hadStall(from, to),
       documentChangedAt: () => this.documents.changedAt,
       areAllAtRest: (since) => {
         const ready = [...this.#upstreams].filter(({ isReady }) => isReady);
         return ready.length > 0 &&
-          ready.every((upstream) => upstream.isAtRest(since));
+          ready.every(({ limits }) => limits.isAtRest(since));
       },
       interruptedAt: (host) =>
         Math.max(
@@ -109,13 +112,16 @@
             .map(({ interruptedAt }) => interruptedAt),
         ),
       areRatesLimited: () =>
-        [...this.#upstreams].some(({ isLimited }) => isLimited),
+        [...this.#upstreams].some(({ limits }) =>
+          limits.rateLimit !== undefined
+        ),
       describe: (host, at) => this.#describe(host, at),
     });
   }
 
   /** Starts all processes and waits until requests are served. */
   async start(): Promise<void> {
+    this.stalls.start();
     await this.proxy.listen();
     for (const zone of this.zones) {
       for (let number = 1; number <= MACHINES_PER_ZONE; number += 1) {
@@ -163,6 +169,7 @@
     }
     await Promise.all(this.machines.map((machine) => machine.waitForExit()));
     this.proxy.close();
+    this.stalls.stop();
   }
 
   /** Operator addresses of three random control processes, as seeds. */
--- a/packages/soak/soak_upstream.ts
+++ b/packages/soak/soak_upstream.ts
@@ -14,6 +14,7 @@
 import { streamEvents } from "./stream_events.ts";
 import type { ReceivedRequest } from "./received_request.ts";
 import type { RunChecks } from "./run_checks.ts";
+import { UpstreamLimits } from "./upstream_limits.ts";
 import { UpstreamHeartbeats } from "./upstream_heartbeats.ts";
 import type { ProgramAdapter } from "./program_adapter.ts";
 
@@ -95,15 +96,7 @@
   /** When it began to report that it drains; undefined if it doesn't. */
   #drainingAt: Milliseconds | undefined;
   #inFlight = 0;
-  /** Requests per second that its responses state; undefined for none. */
-  #rateLimit: number | undefined;
-  /** Rejections per second beyond which it crashes; undefined for none. */
-  #rejectionLimit: number | undefined;
-  #rejectedAt: Milliseconds[] = [];
-  /** What its rejections ask for; undefined if it accepts requests. */
-  #rest: Milliseconds | undefined;
-  /** When the last rest ends that it asked for; infinite while it rejects. */
-  #restUntil: Milliseconds = -Infinity;
+  readonly limits = new UpstreamLimits();
 
   constructor(options: UpstreamOptions) {
     this.#options = options;
@@ -144,7 +137,7 @@
 
   /** States a limit in all responses from now on; undefined for none. */
   stateRateLimit(rate: number | undefined): void {
-    this.#rateLimit = rate;
+    this.limits.rateLimit = rate;
     if (rate === undefined) {
       this.#options.rateLimits.end(this.name);
     } else {
@@ -152,33 +145,6 @@
     }
   }
 
-  /**
-   * States in all responses from now on how many requests it can reject in a
-   * second, and crashes beyond that; undefined for none.
-   */
-  stateRejectionLimit(rate: number | undefined): void {
-    this.#rejectionLimit = rate;
-    this.#rejectedAt = [];
-  }
-
-  /** Rejects all requests from now on and asks for rest; undefined for none. */
-  askForRest(duration: Milliseconds | undefined): void {
-    this.#restUntil = duration === undefined
-      ? performance.now() + (this.#rest ?? 0)
-      : Infinity;
-    this.#rest = duration;
-  }
-
-  /** Whether it rejects all requests, or last asked for rest until later. */
-  isAtRest(at: Milliseconds): boolean {
-    return this.#restUntil > at;
-  }
-
-  /** Whether it states a rate limit. */
-  get isLimited(): boolean {
-    return this.#rateLimit !== undefined;
-  }
-
   get isReady(): boolean {
     return this.#heartbeats.state === "ready" && this.#server.listening;
   }
@@ -196,8 +162,7 @@
     const isInTime = this.isReady
       ? now > this.#readyAt + DISCOVERY_TIME
       : this.#drainingAt !== undefined && now < this.#drainingAt + drainTime;
-    return isInTime && this.isListening && !this.isLimited &&
-      this.#rejectionLimit === undefined && !this.isAtRest(now);
+    return isInTime && this.isListening && this.limits.isOpen;
   }
 
   async start(): Promise<void> {
@@ -286,15 +251,16 @@
       return;
     }
     onReceived(received);
-    if (this.#rateLimit !== undefined) {
-      response.setHeader(headers.rateLimit, String(this.#rateLimit));
+    const { rateLimit, rejectionLimit, rest } = this.limits;
+    if (rateLimit !== undefined) {
+      response.setHeader(headers.rateLimit, String(rateLimit));
       response.on(
         "finish",
         () => this.#options.rateLimits.recordStated(this.name, received.from),
       );
     }
-    if (this.#rejectionLimit !== undefined) {
-      response.setHeader(headers.rejectionLimit, String(this.#rejectionLimit));
+    if (rejectionLimit !== undefined) {
+      response.setHeader(headers.rejectionLimit, String(rejectionLimit));
     }
     if (this.#heartbeats.state === "draining") {
       response.setHeader(headers.leaving, "1");
@@ -303,9 +269,8 @@
         () => this.#options.statements.recordLeaving(this.name, received.from),
       );
     }
-    if (this.#rest !== undefined) {
+    if (rest !== undefined) {
       const { statements } = this.#options;
-      const rest = this.#rest;
       response.on(
         "finish",
         () => statements.recordRest(this.name, received.from, rest),
@@ -316,7 +281,7 @@
       }).end();
       return;
     }
-    const capacity = this.#rejectionLimit === undefined ? SLOTS * 4 : SLOTS;
+    const capacity = rejectionLimit === undefined ? SLOTS * 4 : SLOTS;
     if (this.#inFlight >= capacity) {
       response.writeHead(503, { [headers.notRun]: "1" }).end();
       this.#recordRejection(received.from);
@@ -364,11 +329,8 @@
 
   /** Crashes if more requests were rejected than it states. */
   #recordRejection(from: string): void {
-    const now = performance.now();
-    this.#rejectedAt = this.#rejectedAt.filter((at) => at > now - 1000);
-    this.#rejectedAt.push(now);
-    if (this.#rejectedAt.length > (this.#rejectionLimit ?? Infinity)) {
-      this.stateRejectionLimit(undefined);
+    if (this.limits.recordRejection()) {
+      this.limits.stateRejectionLimit(undefined);
       this.#options.onOverload(from);
       void this.crash();
     }
