--- a/apps/heroncleatd/gateway/upstream_agent.ts
+++ b/apps/heroncleatd/gateway/upstream_agent.ts
@@ -2,6 +2,8 @@
 import type { Duplex } from "node:stream";
 import type { Socket } from "node:net";
 import type { ConnectionOpener } from "../common/connection_opener.ts";
+import type { EndedBy } from "./ended_by.ts";
+import type { UpstreamRun } from "./upstream_run.ts";
 
 /** Idle timeout of a connection whose upstream states none. */
 const DEFAULT_IDLE_TIMEOUT_MS = 500;
@@ -16,6 +18,8 @@
 export class UpstreamAgent extends Agent {
   readonly #maxFreeSockets: () => number;
   readonly #connect: ConnectionOpener;
+  readonly #runs = new Set<UpstreamRun>();
+  #isRetired = false;
 
   /** @param maxFreeSockets Number of idle connections to keep now, at most. */
   constructor(maxFreeSockets: () => number, connect: ConnectionOpener) {
@@ -30,6 +34,36 @@
     return this.#connect(options);
   }
 
+  /** Tracks a request in progress. Returns a function that ends it. */
+  track(run: UpstreamRun): () => void {
+    this.#runs.add(run);
+    return () => this.#runs.delete(run);
+  }
+
+  listRuns(): UpstreamRun[] {
+    return [...this.#runs];
+  }
+
+  /** Closes connections that aren't in use, from now on. */
+  retire(): void {
+    this.#isRetired = true;
+    this.closeFreeSockets();
+  }
+
+  /** Whether no connection is open. */
+  get isUnused(): boolean {
+    return this.#runs.size === 0 &&
+      Object.keys(this.sockets).length === 0 && !this.hasFreeSocket;
+  }
+
+  /** Closes all connections, also those in use. */
+  closeAll(reason: EndedBy): void {
+    for (const run of this.#runs) {
+      run.recordEndedBy(reason);
+    }
+    this.destroy();
+  }
+
   /** Whether an idle connection is available. */
   get hasFreeSocket(): boolean {
     return Object.keys(this.freeSockets).length > 0;
@@ -60,7 +94,9 @@
       _httpMessage?: { res?: IncomingMessage };
     };
     const stated = socket._httpMessage?.res?.headers["keep-alive"];
-    if (this.#countFreeSockets() >= this.#maxFreeSockets()) {
+    if (
+      this.#isRetired || this.#countFreeSockets() >= this.#maxFreeSockets()
+    ) {
       return false;
     }
     const seconds = /timeout=(\d+)/.exec(String(stated ?? ""))?.[1];
