Soak: the report says how busy the soak's own event loop was

Near 100 % its links and upstreams are late, and findings may come from that alone. No check changes.

--- a/packages/soak/run_soak.ts
+++ b/packages/soak/run_soak.ts
@@ -37,6 +37,8 @@
   readonly closedRuns: number;
   /** Longest time for which the soak's own process stood still. */
   readonly longestStall: Milliseconds;
+  /** Share of the time in which that process had work to do. */
+  readonly utilization: number;
   /**
    * Longest time in ms from an acknowledged departure to a request received
    * after it: from undisturbed VMs, the same of first tries, and from any.
@@ -110,6 +112,7 @@
     leaves: drains.departureCount,
     closedRuns: runs.closed,
     longestStall: Math.round(deployment.stalls.longest),
+    utilization: deployment.stalls.utilization,
     crashes,
     statements: statements.counts,
     resumes: {
--- a/packages/soak/stall_log.ts
+++ b/packages/soak/stall_log.ts
@@ -15,9 +15,19 @@
   #timer: NodeJS.Timeout | undefined;
   /** Longest of them. */
   longest: Milliseconds = 0;
+  #startedAt = performance.eventLoopUtilization();
+
+  /**
+   * Share of the time in which the process had work to do. Near 1 it delays all
+   * links and upstreams, and findings may come from that alone.
+   */
+  get utilization(): number {
+    return performance.eventLoopUtilization(this.#startedAt).utilization;
+  }
 
   start(): void {
     this.#checkedAt = performance.now();
+    this.#startedAt = performance.eventLoopUtilization();
     this.#timer = setInterval(() => this.check(), CHECK_INTERVAL);
   }
 
