Soak: the link proxy accepts connections at ten ports

Cause: Node.js accepts one connection per listening socket and turn of the event loop, and all links of a soak came in at one port.

--- a/packages/soak/link_proxy.ts
+++ b/packages/soak/link_proxy.ts
@@ -3,6 +3,11 @@
 
 /** Prefix of the addresses at which unclaimed links are fetched. */
 const CLAIM_NETWORK = "127.200";
+/**
+ * Ports at which links are opened. Node.js accepts one connection of each per
+ * turn of the event loop, too few at one port when many processes reconnect.
+ */
+const PORT_COUNT = 10;
 /** Number of claim addresses; each one stands for an unclaimed link. */
 const MAX_CLAIM_ADDRESSES = 60_000;
 
@@ -135,8 +140,8 @@
  * @public
  */
 export class LinkProxy {
-  readonly #port: number;
-  readonly #server: Server;
+  readonly #firstPort: number;
+  readonly #servers: readonly Server[];
   readonly #links = new Set<Link>();
   readonly #unclaimedLinks = new Map<string, Link>();
   /** Partitioned directions, as "from to". */
@@ -148,30 +153,30 @@
   readonly #delays = new Map<string, Milliseconds>();
   #addressCounter = 0;
 
-  constructor(port: number) {
-    this.#port = port;
-    this.#server = createServer((socket) => this.#accept(socket));
+  /** @param firstPort The first of `portCount` ports. */
+  constructor(firstPort: number) {
+    this.#firstPort = firstPort;
+    this.#servers = Array.from(
+      { length: PORT_COUNT },
+      () => createServer((socket) => this.#accept(socket)),
+    );
   }
 
-  listen(): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", (error) => {
-        reject(
-          new Error(
-            `Can't listen on the link proxy's port ${this.#port}: ${error.message}. ` +
-              "Remedy: stop the soak that uses it, or choose another slot.",
-          ),
-        );
-      });
-      this.#server.listen(this.#port, "0.0.0.0", resolve);
-    });
+  static get portCount(): number {
+    return PORT_COUNT;
+  }
+
+  async listen(): Promise<void> {
+    await Promise.all(
+      this.#servers.map((server, at) => listenAt(server, this.#firstPort + at)),
+    );
   }
 
   close(): void {
     for (const link of this.#links) {
       link.reset();
     }
-    this.#server.close();
+    this.#servers.forEach((server) => server.close());
   }
 
   /** Buffers what one host sends to another; new links hang. */
@@ -315,3 +320,17 @@
     }
   }
 }
+
+function listenAt(server: Server, port: number): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once("error", (error) => {
+      reject(
+        new Error(
+          `Can't listen on the link proxy's port ${port}: ${error.message}. ` +
+            "Remedy: stop the soak that uses it, or choose another slot.",
+        ),
+      );
+    });
+    server.listen(port, "0.0.0.0", resolve);
+  });
+}
--- a/packages/soak/machine.ts
+++ b/packages/soak/machine.ts
@@ -9,6 +9,7 @@
 } from "node:fs";
 import { join } from "node:path";
 import type { Milliseconds } from "@heroncleat/base";
+import { LinkProxy } from "./link_proxy.ts";
 import { pause } from "./pause.ts";
 import type { MachinePlan } from "./machine_plan.ts";
 import type { ProgramAdapter } from "./program_adapter.ts";
@@ -192,6 +193,7 @@
       env: {
         PATH: process.env["PATH"],
         SOAK_PROXY: this.#proxyAddress,
+        SOAK_PROXY_PORTS: String(LinkProxy.portCount),
         SOAK_HOST: this.host,
         SOAK_FAULTS: this.#faultsFile,
         [this.#adapter.settingsVariable]: settingsFile,
--- a/packages/soak/redirect_sockets.mjs
+++ b/packages/soak/redirect_sockets.mjs
@@ -5,8 +5,12 @@
  */
 import { connect as connectSocket, Socket } from "node:net";
 
-const { SOAK_PROXY: proxyAddress, SOAK_HOST: ownHost } = process.env;
-const [proxyHost, proxyPort] = (proxyAddress ?? "").split(":");
+const {
+  SOAK_PROXY: proxyAddress,
+  SOAK_PROXY_PORTS: portCount,
+  SOAK_HOST: ownHost,
+} = process.env;
+const [proxyHost, firstPort] = (proxyAddress ?? "").split(":");
 const originalConnect = Socket.prototype.connect;
 
 Socket.prototype.connect = function (...args) {
@@ -20,7 +24,7 @@
   const redirected = {
     ...options,
     host: "link.soak",
-    port: Number(proxyPort),
+    port: pickPort(),
     autoSelectFamily: false,
     family: 4,
     lookup: (_name, _options, callback) => openLink(target, callback),
@@ -31,6 +35,11 @@
     : originalConnect.call(this, redirected);
 };
 
+/** The proxy accepts links at several ports alike. */
+function pickPort() {
+  return Number(firstPort) + Math.floor(Math.random() * Number(portCount));
+}
+
 /** Reads the options from an argument list, or from one that Node normalized. */
 function readOptions([first]) {
   const options = Array.isArray(first) ? first[0] : first;
@@ -44,7 +53,7 @@
 function openLink(target, callback) {
   const proxySocket = connectSocket({
     host: proxyHost,
-    port: Number(proxyPort),
+    port: pickPort(),
     isDirect: true,
   });
   let reply = "";
--- a/packages/soak/soak_deployment.ts
+++ b/packages/soak/soak_deployment.ts
@@ -69,7 +69,7 @@
   constructor(options: Options) {
     this.#options = options;
     this.random = options.random;
-    const port = FIRST_PROXY_PORT + options.slot;
+    const port = FIRST_PROXY_PORT + options.slot * LinkProxy.portCount;
     this.proxy = new LinkProxy(port);
     this.#proxyAddress = `127.0.0.1:${port}`;
     this.documents = new DocumentPublisher({
