--- a/apps/heroncleatd/gateway/attempt_options.ts
+++ b/apps/heroncleatd/gateway/attempt_options.ts
@@ -36,4 +36,6 @@
    * attempt broke off now.
    */
   readonly mayGoOn: () => boolean;
+  /** Adds another entry's refusal to the attempts in the log. */
+  readonly recordRefusal: (refusal: string) => void;
 };
