--- a/packages/soak/background_fault_scenarios.ts
+++ b/packages/soak/background_fault_scenarios.ts
@@ -5,6 +5,7 @@
 import { pause } from "./pause.ts";
 import { replaceUpstream } from "./replace_upstream.ts";
 import type { SoakDeployment } from "./soak_deployment.ts";
+import { versionFaultScenarios } from "./version_fault_scenarios.ts";
 import type { FaultScenario } from "./fault_scenario.ts";
 
 /** Limits the processes on the machine that runs the soak. */
@@ -106,7 +107,7 @@
 }
 
 async function publish(deployment: SoakDeployment): Promise<void> {
-  await deployment.publish();
+  await deployment.documents.publish();
 }
 
 async function leave(
@@ -165,7 +166,6 @@
   }
 }
 
-/** Some upstreams, or all, crash for a while if they reject too much. */
 /** Upstreams reject everything, with breaks, and ask for rest. */
 async function askForRest(
   deployment: SoakDeployment,
@@ -177,16 +177,17 @@
   const until = performance.now() + randomDuration(random, REST_PERIOD_MS);
   while (performance.now() < until) {
     for (const upstream of resting) {
-      upstream.askForRest(duration);
+      upstream.limits.askForRest(duration);
     }
     await pause(randomDuration(random, REJECTION_MS));
     for (const upstream of resting) {
-      upstream.askForRest(undefined);
+      upstream.limits.askForRest(undefined);
     }
     await pause(randomDuration(random, REJECTION_MS));
   }
 }
 
+/** Some upstreams, or all, crash for a while if they reject too much. */
 async function limitRejections(
   deployment: SoakDeployment,
   random: Random,
@@ -197,11 +198,11 @@
   const { checks } = deployment;
   const before = checks.overloads;
   for (const upstream of limited) {
-    upstream.stateRejectionLimit(limit);
+    upstream.limits.stateRejectionLimit(limit);
   }
   await pause(randomDuration(random, LIMIT_DURATION_MS));
   for (const upstream of limited) {
-    upstream.stateRejectionLimit(undefined);
+    upstream.limits.stateRejectionLimit(undefined);
   }
   const crashed = checks.overloads - before;
   if (crashed > TOLERATED_OVERLOADS + limited.length / 10) {
@@ -229,4 +230,5 @@
   limitRejections,
   askForRest,
   cutFromUpstreams,
+  ...versionFaultScenarios,
 ];
--- a/packages/soak/soak_caller.ts
+++ b/packages/soak/soak_caller.ts
@@ -45,6 +45,8 @@
   /** Address of the entry, and when the request was sent. */
   readonly entry: string;
   readonly sentAt: Milliseconds;
+  /** Time in which the caller wants its answer. */
+  readonly timeLeft: Milliseconds;
   /** Why the response can't belong to this request; undefined if it can. */
   readonly problem: string | undefined;
 };
@@ -177,7 +179,13 @@
       this.#disconnect();
       if (this.#connect()) {
         const next = `${attempt}-${tries}`;
+        const { version, lastId } = stream;
+        const endResume = streams.beginResume({
+          entry: this.#entry,
+          version: version!,
+        });
         await this.#try({ attempt: next, path, isNonIdempotent, stream });
+        endResume({ wentOn: stream.lastId > lastId });
       }
     }
     streams.recordOutcome(stream.toOutcome());
@@ -220,14 +228,16 @@
     const isClosedHere = status === 0 && closeAfter !== undefined;
     const body = "body" in reply ? reply.body : reply.partialBody;
     if (stream !== undefined && (status === 200 || status === 0)) {
-      stream.append(body, { attempt, entry, sentAt });
+      stream.append(body, { attempt });
     }
     const problem = status === 200 && "body" in reply
       ? this.#findProblem(attempt, { ...reply, stream })
       : undefined;
     // What this caller has ended itself says nothing about the entry.
     if (!isClosedHere) {
-      onOutcome({ attempt, isNonIdempotent, status, entry, sentAt, problem });
+      const timeLeft = REQUEST_TIMEOUT;
+      const tried = { attempt, isNonIdempotent, entry, sentAt, timeLeft };
+      onOutcome({ ...tried, status, problem });
     }
   }
 
