The test of entries without links shows the requests that weren't served

Which entries a request had asked, and why it ended, was lost when the share of served ones was too low. The log lines of such requests are shown now if it is; what the test asks for is unchanged.

--- a/apps/heroncleatd/hub/entries_cut_off_test.ts
+++ b/apps/heroncleatd/hub/entries_cut_off_test.ts
@@ -1,4 +1,5 @@
 import { setTimeout as pause } from "node:timers/promises";
+import type { Log } from "../common/log.ts";
 import type { LinkFailure } from "./link_failure.ts";
 import { RestartingUpstream } from "./restarting_upstream.ts";
 import { RouteKind } from "@heroncleat/serving";
@@ -32,7 +33,24 @@
 /** How often each request ran, by its body. */
 const runs = new Map<string, number>();
 
+/** Lines of the entries about requests that weren't served, and of cuts. */
+const unservedLog: string[] = [];
+let cutAt = 0;
+
+function createUnservedLog(entry: number): Log {
+  const record: Log["info"] = (message, context = {}) => {
+    if (context["status"] !== 200) {
+      const at = Math.round(performance.now() - cutAt);
+      unservedLog.push(
+        `${at} ms entry-${entry} ${message} ${JSON.stringify(context)}`,
+      );
+    }
+  };
+  return { debug: record, info: record, warn: record, error: record };
+}
+
 beforeAll(async () => {
+  group.logOf = (entry) => createUnservedLog(entry);
   for (let index = 0; index < ENTRY_COUNT; index += 1) {
     links.push(await TestLinks.start());
   }
@@ -134,6 +152,8 @@
 
 /** Plays a cut of some entries; returns how callers were served. */
 async function playCut(entries: readonly number[], failure: LinkFailure) {
+  unservedLog.length = 0;
+  cutAt = performance.now();
   for (const entry of entries) {
     links[entry]!.fail(failure);
   }
@@ -164,6 +184,9 @@
 
   test.each(cuts)("%s", async (_name, entries, failure) => {
     const served = await playCut(entries, failure);
+    if (served.atFirst / served.elsewhere < MIN_SERVED_AT_FIRST) {
+      console.error(unservedLog.join("\n"));
+    }
     expect(served.elsewhere).toBeGreaterThanOrEqual(0.98);
     expect(served.atFirst / served.elsewhere)
       .toBeGreaterThanOrEqual(MIN_SERVED_AT_FIRST);
