Without another retry, requests go to upstreams that have accepted since others reject

Callers were refused while four of six upstreams rejected without asking for rest, though two accepted. A request whose rejection couldn't be retried avoided the upstreams that had rejected, but not those that weren't tried since, so each entry met each of the four. And the request that used up the last retry counted as one that had another.

Untested upstreams now cost more for such a request, less than those that have rejected; a retry needs a second one left to count as having another.

The new tests cover the choice; none without sockets covers the retry that counts twice.

--- a/apps/heroncleatd/gateway/retry_limiter.ts
+++ b/apps/heroncleatd/gateway/retry_limiter.ts
@@ -39,10 +39,10 @@
     this.#budgetOf(service).recordRequest(this.#options.clock.steady());
   }
 
-  /** Whether a retry is available. */
-  isAvailable(service: string): boolean {
+  /** Whether so many retries are available. */
+  areAvailable(service: string, count: number): boolean {
     const { spent, bound } = this.#usageOf(service);
-    return spent + 1 <= bound;
+    return spent + count <= bound;
   }
 
   /**
@@ -50,7 +50,7 @@
    * refusal is counted and logged.
    */
   hasRetry(service: string): boolean {
-    if (this.isAvailable(service)) {
+    if (this.areAvailable(service, 1)) {
       return true;
     }
     this.#recordRefusal(service);
--- a/apps/heroncleatd/gateway/wait_for_upstream.ts
+++ b/apps/heroncleatd/gateway/wait_for_upstream.ts
@@ -196,7 +196,10 @@
         excluded: options.excluded,
         prefersIdle: options.prefersIdle,
         isLastTry: context.statements.hasUnproven &&
-          !context.retries.isAvailable(call.service),
+          !context.retries.areAvailable(
+            call.service,
+            options.isRetry ? 2 : 1,
+          ),
         isAdmitted,
         engine: context.engineOf(call.service),
         isConnected: (upstream: string) =>
--- a/packages/serving/upstream_balancer.ts
+++ b/packages/serving/upstream_balancer.ts
@@ -33,6 +33,11 @@
  * second, or all may be avoided.
  */
 const AVOIDANCE_COST: Milliseconds = 500;
+/**
+ * Cost of an upstream that may reject as others do, where no retry is left.
+ * Those that have rejected requests cost more.
+ */
+const UNTESTED_COST: Milliseconds = 250;
 /** Delay of a first token per running request. */
 const RUNNING_REQUEST_COST: Milliseconds = 1.2;
 /** Cost per request beyond the slots of an upstream. */
@@ -360,7 +365,11 @@
     const isAvoided = now - avoidedAt < AVOIDANCE_PERIOD ||
       this.#statements.isAvoided(id, now) ||
       (request.isLastTry === true && this.#statements.isUnproven(id));
-    const failureCost = isAvoided ? AVOIDANCE_COST : 0;
+    const isRisk = request.isLastTry === true &&
+      this.#statements.isUntested(id);
+    const failureCost = isAvoided
+      ? AVOIDANCE_COST
+      : (isRisk ? UNTESTED_COST : 0);
     return {
       upstream,
       ownRequests: this.#localViews.get(id)?.requests ?? 0,
--- a/packages/serving/upstream_balancer_test.ts
+++ b/packages/serving/upstream_balancer_test.ts
@@ -1,5 +1,9 @@
 import type { DispatchNotice } from "@heroncleat/schema";
-import { UpstreamBalancer, UpstreamDirectory } from "./mod.ts";
+import {
+  UpstreamBalancer,
+  UpstreamDirectory,
+  UpstreamStatements,
+} from "./mod.ts";
 
 const parts = [{ id: "menu", tokens: 10_000 }, { id: "own", tokens: 500 }];
 
@@ -256,3 +260,22 @@
     expect(chosen?.upstream.record.id).toBe("u2");
   });
 });
+
+// Guards against refusing callers as each upstream that rejects is met once.
+test("without a retry left, an upstream that has accepted since others reject is chosen before those not tried since", () => {
+  const directory = createDirectory(3);
+  const statements = new UpstreamStatements(() => 0);
+  const choice = new UpstreamBalancer(statements);
+  statements.recordAcceptance("u0", 0);
+  statements.recordAcceptance("u1", 0);
+  statements.recordRejection("u2", { rest: 0, now: 10 });
+  statements.recordAcceptance("u1", 20);
+  const options = {
+    now: 30,
+    requiresHeartbeats: false,
+    request: { ...request, parts: [], promptTokens: 0, isLastTry: true },
+  };
+  const ranked = choice.rank(directory.list(), options);
+  expect(ranked.map(({ upstream }) => upstream.record.id))
+    .toEqual(["u1", "u0", "u2"]);
+});
--- a/packages/serving/upstream_statements.ts
+++ b/packages/serving/upstream_statements.ts
@@ -10,6 +10,8 @@
 const MAX_RETURN_SPREAD: Milliseconds = 1000;
 /** Returning entries are spread over this share of the rest. */
 const RETURN_SPREAD_SHARE = 0.5;
+/** Time for which it is known that an upstream has accepted a request. */
+const ACCEPTANCE_RETENTION: Milliseconds = 60_000;
 /** Time for which it is known that an instance leaves. */
 const LEAVING_RETENTION: Milliseconds = 600_000;
 
@@ -47,6 +49,10 @@
 export class UpstreamStatements {
   readonly #random: Random;
   readonly #statements = new Map<string, Statement>();
+  /** When upstreams last accepted a request that was sent then. */
+  readonly #acceptedAt = new Map<string, Milliseconds>();
+  /** When the first of the upstreams that are unproven now rejected one. */
+  #unprovenSince: Milliseconds = Infinity;
 
   /** @param random Returns a number from 0 to 1. */
   constructor(random: Random) {
@@ -64,6 +70,9 @@
   ): boolean {
     const statement = this.#statementOf(upstream);
     const wasResting = statement.restsUntil > now;
+    if (!this.hasUnproven) {
+      this.#unprovenSince = now;
+    }
     statement.rejections += 1;
     statement.rejectedAt = now;
     if (rest > 0 && !isAdvice) {
@@ -85,6 +94,8 @@
    * it. A request that was sent before a rejection says nothing about it.
    */
   recordAcceptance(upstream: string, sentAt: Milliseconds): void {
+    const acceptedAt = this.#acceptedAt.get(upstream) ?? -Infinity;
+    this.#acceptedAt.set(upstream, Math.max(acceptedAt, sentAt));
     const statement = this.#statements.get(upstream);
     if (statement !== undefined && sentAt >= statement.rejectedAt) {
       statement.rejections = 0;
@@ -132,6 +143,14 @@
     return (this.#statements.get(upstream)?.rejections ?? 0) > 0;
   }
 
+  /**
+   * Whether an upstream has accepted nothing since another one began to reject
+   * requests, so that it may do so as well.
+   */
+  isUntested(upstream: string): boolean {
+    return (this.#acceptedAt.get(upstream) ?? -Infinity) < this.#unprovenSince;
+  }
+
   /** Whether any upstream has accepted nothing since it rejected a request. */
   get hasUnproven(): boolean {
     for (const { rejections } of this.#statements.values()) {
@@ -180,6 +199,11 @@
 
   /** Forgets what no longer matters, whether or not the upstream is known. */
   expire(now: Milliseconds): void {
+    for (const [upstream, at] of this.#acceptedAt) {
+      if (at < now - ACCEPTANCE_RETENTION) {
+        this.#acceptedAt.delete(upstream);
+      }
+    }
     for (const [upstream, statement] of this.#statements) {
       const isCurrent = statement.restsUntil > now ||
         statement.avoidedUntil > now - MAX_BACKOFF || statement.trials > 0 ||
--- a/packages/serving/upstream_statements_test.ts
+++ b/packages/serving/upstream_statements_test.ts
@@ -68,3 +68,14 @@
   expect(statements.isLeaving("desk-2")).toBe(false);
   expect([...statements.listResting(700_000)]).toEqual([]);
 });
+
+test("while an upstream rejects, others are untested until they accept a request", () => {
+  statements.recordAcceptance("desk-2", 50);
+  statements.recordRejection(UPSTREAM, { rest: 0, now: 100 });
+  expect(statements.isUntested("desk-2")).toBe(true);
+  statements.recordAcceptance("desk-2", 150);
+  expect(statements.isUntested("desk-2")).toBe(false);
+  expect(statements.isUntested("desk-3")).toBe(true);
+  statements.recordRejection(UPSTREAM, { rest: 0, now: 200 });
+  expect(statements.isUntested("desk-2")).toBe(false);
+});
