--- a/apps/heroncleatd/gateway/wait_for_upstream.ts
+++ b/apps/heroncleatd/gateway/wait_for_upstream.ts
@@ -182,7 +182,10 @@
         excluded: options.excluded,
         prefersIdle: options.prefersIdle,
         isLastTry: context.statements.hasUnproven &&
-          !context.retries.isAvailable(call.service),
+          !context.retries.areAvailable(
+            call.service,
+            options.isRetry ? 2 : 1,
+          ),
         isAdmitted,
         isResumed: options.version !== undefined,
         engine: context.engineOf(call.service),
