Upstreams that refuse connections don't use up those that a bound stream may try

Streams of a version that goes away were broken off, or their callers refused, after three of its upstreams had refused connections: crashed ones that drain are still listed, and a request is sent to three upstreams at most. A refused connection doesn't count for such a stream now, up to six upstreams in all.

--- a/apps/heroncleatd/gateway/forward_call.ts
+++ b/apps/heroncleatd/gateway/forward_call.ts
@@ -258,6 +258,7 @@
       version: undefined,
       offers: this.#offers,
       rejections: this.#rejections,
+      refusedConnections: 0,
     });
   }
 
--- a/apps/heroncleatd/gateway/forward_stream.ts
+++ b/apps/heroncleatd/gateway/forward_stream.ts
@@ -77,6 +77,7 @@
   readonly #excluded: Set<string>;
   readonly #attempts: string[] = [];
   #offers = 0;
+  #refusedConnections = 0;
   /** Offers that an upstream rejected without running the request. */
   #rejections = 0;
   #runs = 0;
@@ -241,6 +242,7 @@
     this.#wasSent ||= unopenedWeight(result) === 0;
     if (result.kind === "not_run") {
       this.#rejections += unopenedWeight(result) === 0 ? 1 : 0;
+      this.#refusedConnections += result.unopened === "refused" ? 1 : 0;
       this.#attempts.push(result.trace.describe(`not run, ${result.reason}`));
       return "not_run";
     }
@@ -391,6 +393,7 @@
       version: this.#version,
       offers: this.#offers,
       rejections: this.#rejections,
+      refusedConnections: this.#refusedConnections,
     });
   }
 
--- a/apps/heroncleatd/gateway/may_offer_again.ts
+++ b/apps/heroncleatd/gateway/may_offer_again.ts
@@ -6,14 +6,18 @@
 const MAX_OFFERS = 3;
 /**
  * The same while upstreams reject it and others are left that have rejected
- * nothing lately.
+ * nothing lately, and with those that refused a connection.
  */
-const MAX_OFFERS_AFTER_REJECTIONS = 6;
+const MAX_OFFERS_IN_ALL = 6;
 
-/** Whether a request may be sent to another upstream, as far as their number. */
+/**
+ * Whether a request may be sent to another upstream, as far as their number. Of
+ * a version that goes away many refuse connections, which costs no time and
+ * doesn't count for a stream that it must go on with.
+ */
 export function mayOfferAgain(
   call: CallerRequest,
-  { offers, rejections, ...options }: {
+  { offers, rejections, refusedConnections, ...options }: {
     readonly context: ForwardContext;
     /** Identifiers of upstreams that were tried. */
     readonly excluded: ReadonlySet<string>;
@@ -22,11 +26,14 @@
     /** Number of upstreams that it was sent to, and that rejected it. */
     readonly offers: number;
     readonly rejections: number;
+    /** Number of upstreams that refused a connection. */
+    readonly refusedConnections: number;
   },
 ): boolean {
-  if (offers < MAX_OFFERS) {
+  const uncounted = options.version === undefined ? 0 : refusedConnections;
+  if (offers - uncounted < MAX_OFFERS && offers < MAX_OFFERS_IN_ALL) {
     return true;
   }
-  return rejections === offers && offers < MAX_OFFERS_AFTER_REJECTIONS &&
+  return rejections === offers && offers < MAX_OFFERS_IN_ALL &&
     findAvailability(call, options).willing > 0;
 }
--- a/packages/serving/upstream_balancer_test.ts
+++ b/packages/serving/upstream_balancer_test.ts
@@ -265,7 +265,7 @@
 test("without a retry left, an upstream that has accepted since others reject is chosen before those not tried since", () => {
   const directory = createDirectory(3);
   const statements = new UpstreamStatements(() => 0);
-  const choice = new UpstreamBalancer(statements);
+  const choice = new UpstreamBalancer({ statements });
   statements.recordAcceptance("u0", 0);
   statements.recordAcceptance("u1", 0);
   statements.recordRejection("u2", { rest: 0, now: 10 });
