Files of the gateway have folders by what they do

Attempts, upstreams, streams, responses, relays, limits, the exchange with control replicas and the shutdown have a folder each; what wires them stays. Only imports change.

--- a/apps/heroncleatd/gateway/attempt_options.ts
+++ b/apps/heroncleatd/gateway/attempts/attempt_options.ts
@@ -1,5 +1,5 @@
 import type { Milliseconds } from "@heroncleat/base";
-import type { ForwardContext } from "./forward_context.ts";
+import type { ForwardContext } from "../forward_context.ts";
 
 /** Inputs of one attempt to send a request to an upstream. */
 export type AttemptOptions = {
--- a/apps/heroncleatd/gateway/attempt_request.ts
+++ b/apps/heroncleatd/gateway/attempts/attempt_request.ts
@@ -8,27 +8,27 @@
   type UpstreamRecord,
   upstreamVersion,
 } from "@heroncleat/serving";
-import type { CallerRequest } from "./caller_request.ts";
-import type { ForwardContext } from "./forward_context.ts";
+import type { CallerRequest } from "../caller_request.ts";
+import type { ForwardContext } from "../forward_context.ts";
 import { AttemptOutcome } from "./attempt_outcome.ts";
 import type { AttemptOptions } from "./attempt_options.ts";
 import type { AttemptResult } from "./attempt_result.ts";
-import { attemptThroughEntry } from "./attempt_through_entry.ts";
+import { attemptThroughEntry } from "../relay/attempt_through_entry.ts";
 import { AttemptTrace } from "./attempt_trace.ts";
-import { describeChoice } from "./describe_choice.ts";
-import { EndedBy } from "./ended_by.ts";
-import { forwardHeaders } from "./forward_headers.ts";
-import { CONNECT_TIMEOUT_REASON } from "../common/connect_timeout_reason.ts";
-import { framingOf } from "../common/framing_of.ts";
-import type { SentRequest } from "../common/sent_request.ts";
-import type { ResponseFraming } from "../common/response_framing.ts";
-import { hasCrashed } from "./has_crashed.ts";
-import { POLL_INTERVAL } from "./poll_interval.ts";
-import { sendToUpstream } from "./send_to_upstream.ts";
-import { startTracking } from "./start_tracking.ts";
-import type { UpstreamResponse } from "./upstream_response.ts";
-import type { UpstreamRun } from "./upstream_run.ts";
-import { waitForUpstream } from "./wait_for_upstream.ts";
+import { describeChoice } from "../upstreams/describe_choice.ts";
+import { EndedBy } from "../responses/ended_by.ts";
+import { forwardHeaders } from "../forward_headers.ts";
+import { CONNECT_TIMEOUT_REASON } from "../../common/connect_timeout_reason.ts";
+import { framingOf } from "../../common/framing_of.ts";
+import type { SentRequest } from "../../common/sent_request.ts";
+import type { ResponseFraming } from "../../common/response_framing.ts";
+import { hasCrashed } from "../upstreams/has_crashed.ts";
+import { POLL_INTERVAL } from "../exchange/poll_interval.ts";
+import { sendToUpstream } from "../upstreams/send_to_upstream.ts";
+import { startTracking } from "../upstreams/start_tracking.ts";
+import type { UpstreamResponse } from "../upstreams/upstream_response.ts";
+import type { UpstreamRun } from "../upstreams/upstream_run.ts";
+import { waitForUpstream } from "../upstreams/wait_for_upstream.ts";
 
 /**
  * Chooses an upstream, sends the request to it once and tracks the attempt
--- a/apps/heroncleatd/gateway/attempt_result.ts
+++ b/apps/heroncleatd/gateway/attempts/attempt_result.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage } from "node:http";
 import type { Milliseconds } from "@heroncleat/base";
-import type { ResponseFraming } from "../common/response_framing.ts";
+import type { ResponseFraming } from "../../common/response_framing.ts";
 import type { AttemptOutcome } from "./attempt_outcome.ts";
 import type { AttemptTrace } from "./attempt_trace.ts";
 
--- a/apps/heroncleatd/gateway/attempt_trace.ts
+++ b/apps/heroncleatd/gateway/attempts/attempt_trace.ts
@@ -1,6 +1,6 @@
 import type { Milliseconds } from "@heroncleat/base";
-import type { ResponseFraming } from "../common/response_framing.ts";
-import type { EndedBy } from "./ended_by.ts";
+import type { ResponseFraming } from "../../common/response_framing.ts";
+import type { EndedBy } from "../responses/ended_by.ts";
 
 /** Limits text from upstreams in log lines. */
 const MAX_LOGGED_CHARACTERS = 40;
--- a/apps/heroncleatd/gateway/read_attempt_body.ts
+++ b/apps/heroncleatd/gateway/attempts/read_attempt_body.ts
@@ -1,6 +1,6 @@
-import { ResponseFraming } from "../common/response_framing.ts";
+import { ResponseFraming } from "../../common/response_framing.ts";
 import type { AttemptResult } from "./attempt_result.ts";
-import { readResponseBody } from "./read_response_body.ts";
+import { readResponseBody } from "../responses/read_response_body.ts";
 
 /**
  * Reads the body of an attempt's response; undefined if it is known to be
--- a/apps/heroncleatd/gateway/caller_request.ts
+++ b/apps/heroncleatd/gateway/caller_request.ts
@@ -2,7 +2,7 @@
 import type { Milliseconds } from "@heroncleat/base";
 import type { Route, Workspace } from "@heroncleat/serving";
 import type { RequestIdentity } from "../common/request_identity.ts";
-import type { Resumption } from "./resumption.ts";
+import type { Resumption } from "./streams/resumption.ts";
 import type { Prompt } from "./prompt.ts";
 
 /** A request that was read completely and is ready to be forwarded. */
--- a/apps/heroncleatd/gateway/create_caller_server.ts
+++ b/apps/heroncleatd/gateway/create_caller_server.ts
@@ -7,8 +7,8 @@
 } from "node:http";
 import type { Duplex } from "node:stream";
 import type { Socket } from "node:net";
-import { connectionEnds } from "./connection_ends.ts";
-import { EndedBy } from "./ended_by.ts";
+import { connectionEnds } from "./responses/connection_ends.ts";
+import { EndedBy } from "./responses/ended_by.ts";
 
 /**
  * Upper limit for request heads, whatever the configuration document allows.
--- a/apps/heroncleatd/gateway/create_test_context.ts
+++ b/apps/heroncleatd/gateway/create_test_context.ts
@@ -14,15 +14,15 @@
 import { probeUpstream } from "../common/probe_upstream.ts";
 import { StatementWatcher } from "../common/statement_watcher.ts";
 import { SuspectWatcher } from "../common/suspect_watcher.ts";
-import { DepartureDeadline } from "./departure_deadline.ts";
+import { DepartureDeadline } from "./shutdown/departure_deadline.ts";
 import type { ForwardContext } from "./forward_context.ts";
-import { PermitClient } from "./permit_client.ts";
+import { PermitClient } from "./limits/permit_client.ts";
 import { refusesConnections } from "../common/refuses_connections.ts";
-import { ReachabilityWatcher } from "./reachability_watcher.ts";
-import { RetryLimiter } from "./retry_limiter.ts";
-import { RolloutWatcher } from "./rollout_watcher.ts";
+import { ReachabilityWatcher } from "./relay/reachability_watcher.ts";
+import { RetryLimiter } from "./limits/retry_limiter.ts";
+import { RolloutWatcher } from "./exchange/rollout_watcher.ts";
 import { testHeaderNames as names } from "./test_header_names.ts";
-import { UpstreamAgent } from "./upstream_agent.ts";
+import { UpstreamAgent } from "./upstreams/upstream_agent.ts";
 
 /** Allow more retries than a test sends. */
 const RETRY_SETTINGS = { retryRatio: 1, retryWindow: 10_000, retrySlack: 99 };
--- a/apps/heroncleatd/gateway/charge_sync.ts
+++ b/apps/heroncleatd/gateway/exchange/charge_sync.ts
@@ -7,8 +7,8 @@
   type SyncRequest,
   type WorkspaceQuota,
 } from "@heroncleat/serving";
-import type { Log } from "../common/log.ts";
-import type { Metrics } from "../common/metrics.ts";
+import type { Log } from "../../common/log.ts";
+import type { Metrics } from "../../common/metrics.ts";
 
 /**
  * Source under which charges that other entries report directly are recorded.
--- a/apps/heroncleatd/gateway/control_links.ts
+++ b/apps/heroncleatd/gateway/exchange/control_links.ts
@@ -9,7 +9,7 @@
   type SyncRequest,
 } from "@heroncleat/serving";
 import type { PeerPool } from "@heroncleat/transport";
-import type { Log } from "../common/log.ts";
+import type { Log } from "../../common/log.ts";
 import type { ControlLink } from "./control_link.ts";
 import { createControlLink } from "./create_control_link.ts";
 import { exchangeSchedule } from "./exchange_schedule.ts";
--- a/apps/heroncleatd/gateway/entry_exchange.ts
+++ b/apps/heroncleatd/gateway/exchange/entry_exchange.ts
@@ -20,15 +20,15 @@
   type UsageCounts,
   type WorkspaceQuota,
 } from "@heroncleat/serving";
-import type { Log } from "../common/log.ts";
+import type { Log } from "../../common/log.ts";
 import type { ChargeSync } from "./charge_sync.ts";
-import type { SuspectWatcher } from "../common/suspect_watcher.ts";
+import type { SuspectWatcher } from "../../common/suspect_watcher.ts";
 import type { FeedPosition } from "./feed_position.ts";
-import type { GatewaySettings } from "./gateway_settings.ts";
-import type { RateLimitWatcher } from "../common/rate_limit_watcher.ts";
+import type { GatewaySettings } from "../gateway_settings.ts";
+import type { RateLimitWatcher } from "../../common/rate_limit_watcher.ts";
 import type { RolloutWatcher } from "./rollout_watcher.ts";
-import type { StreamOriginExchange } from "./stream_origin_exchange.ts";
-import type { UpstreamAgents } from "./upstream_agents.ts";
+import type { StreamOriginExchange } from "../streams/stream_origin_exchange.ts";
+import type { UpstreamAgents } from "../upstreams/upstream_agents.ts";
 
 /**
  * Time for which the largest number of entries counts after replicas list
--- a/apps/heroncleatd/gateway/entry_notices.ts
+++ b/apps/heroncleatd/gateway/exchange/entry_notices.ts
@@ -1,9 +1,9 @@
 import { createSocket, type Socket } from "node:dgram";
 import { type Clock, RateLimiter, splitAddress } from "@heroncleat/base";
 import { checkEntryNotice, type EntryNotice } from "@heroncleat/schema";
-import type { Log } from "../common/log.ts";
-import type { Metrics } from "../common/metrics.ts";
-import { parseJson } from "../common/parse_json.ts";
+import type { Log } from "../../common/log.ts";
+import type { Metrics } from "../../common/metrics.ts";
+import { parseJson } from "../../common/parse_json.ts";
 
 /**
  * Sustained rate that covers several notices a second to each of about a
--- a/apps/heroncleatd/gateway/entry_notices_test.ts
+++ b/apps/heroncleatd/gateway/exchange/entry_notices_test.ts
@@ -1,8 +1,8 @@
 import { createSocket } from "node:dgram";
 import { createSystemClock } from "@heroncleat/base";
 import type { EntryNotice } from "@heroncleat/schema";
-import type { Log } from "../common/log.ts";
-import type { Metrics } from "../common/metrics.ts";
+import type { Log } from "../../common/log.ts";
+import type { Metrics } from "../../common/metrics.ts";
 import { EntryNotices } from "./entry_notices.ts";
 
 const PORT = 21_000 + process.pid % 2000;
--- a/apps/heroncleatd/gateway/notice_handler.ts
+++ b/apps/heroncleatd/gateway/exchange/notice_handler.ts
@@ -11,10 +11,10 @@
   type UpstreamBalancer,
   type UpstreamDirectory,
 } from "@heroncleat/serving";
-import type { RateLimitWatcher } from "../common/rate_limit_watcher.ts";
-import type { SuspectWatcher } from "../common/suspect_watcher.ts";
+import type { RateLimitWatcher } from "../../common/rate_limit_watcher.ts";
+import type { SuspectWatcher } from "../../common/suspect_watcher.ts";
 import type { ChargeSync } from "./charge_sync.ts";
-import type { StreamOriginExchange } from "./stream_origin_exchange.ts";
+import type { StreamOriginExchange } from "../streams/stream_origin_exchange.ts";
 
 /** Keeps a datagram of suspects below the UDP size limit. */
 const SUSPECTS_PER_NOTICE = 10;
--- a/apps/heroncleatd/gateway/shared_charges_test.ts
+++ b/apps/heroncleatd/gateway/exchange/shared_charges_test.ts
@@ -1,4 +1,4 @@
-import { SimulatedQuotas } from "./simulated_quotas.ts";
+import { SimulatedQuotas } from "../limits/simulated_quotas.ts";
 
 beforeEach(() => {
   jest.useFakeTimers();
--- a/apps/heroncleatd/gateway/forward_call.ts
+++ b/apps/heroncleatd/gateway/forward_call.ts
@@ -1,26 +1,26 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Milliseconds } from "@heroncleat/base";
 import { RouteKind } from "@heroncleat/serving";
-import { attemptRequest } from "./attempt_request.ts";
-import { AttemptOutcome } from "./attempt_outcome.ts";
+import { attemptRequest } from "./attempts/attempt_request.ts";
+import { AttemptOutcome } from "./attempts/attempt_outcome.ts";
 import type { CallerRequest } from "./caller_request.ts";
-import { describeWithholdReason } from "./describe_withhold_reason.ts";
-import type { EndedBy } from "./ended_by.ts";
-import { findEndedBy } from "./find_ended_by.ts";
+import { describeWithholdReason } from "./attempts/describe_withhold_reason.ts";
+import type { EndedBy } from "./responses/ended_by.ts";
+import { findEndedBy } from "./responses/find_ended_by.ts";
 import type { ForwardContext } from "./forward_context.ts";
-import { findRestDelay } from "./find_rest_delay.ts";
+import { findRestDelay } from "./limits/find_rest_delay.ts";
 import { forwardHeaders } from "./forward_headers.ts";
-import { relayResponseHeaders } from "./relay_response_headers.ts";
+import { relayResponseHeaders } from "./relay/relay_response_headers.ts";
 import type { ForwardResult } from "./forward_result.ts";
-import type { LocalResponse } from "./local_response.ts";
-import { mayGoOn } from "./may_go_on.ts";
-import { mayOfferAgain } from "./may_offer_again.ts";
-import { readAttemptBody } from "./read_attempt_body.ts";
-import { errorResponse } from "./error_response.ts";
-import { sendRefusal } from "./send_refusal.ts";
-import { sendUpstreamResponse } from "./send_upstream_response.ts";
-import { unopenedWeight } from "./unopened_weight.ts";
-import type { WithholdReason } from "./withhold_reason.ts";
+import type { LocalResponse } from "./responses/local_response.ts";
+import { mayGoOn } from "./upstreams/may_go_on.ts";
+import { mayOfferAgain } from "./upstreams/may_offer_again.ts";
+import { readAttemptBody } from "./attempts/read_attempt_body.ts";
+import { errorResponse } from "./responses/error_response.ts";
+import { sendRefusal } from "./responses/send_refusal.ts";
+import { sendUpstreamResponse } from "./responses/send_upstream_response.ts";
+import { unopenedWeight } from "./upstreams/unopened_weight.ts";
+import type { WithholdReason } from "./attempts/withhold_reason.ts";
 
 type CompleteResponse = {
   /** Identifier of the upstream that sent it. */
--- a/apps/heroncleatd/gateway/forward_context.ts
+++ b/apps/heroncleatd/gateway/forward_context.ts
@@ -13,14 +13,14 @@
 import type { SuspectWatcher } from "../common/suspect_watcher.ts";
 import type { CallerRequest } from "./caller_request.ts";
 import type { HeaderNames } from "./header_names.ts";
-import type { DepartureDeadline } from "./departure_deadline.ts";
-import type { PermitClient } from "./permit_client.ts";
+import type { DepartureDeadline } from "./shutdown/departure_deadline.ts";
+import type { PermitClient } from "./limits/permit_client.ts";
 import type { StatementWatcher } from "../common/statement_watcher.ts";
-import type { ReachabilityWatcher } from "./reachability_watcher.ts";
-import type { Relay } from "./relay.ts";
-import type { RetryLimiter } from "./retry_limiter.ts";
-import type { RolloutWatcher } from "./rollout_watcher.ts";
-import type { UpstreamAgent } from "./upstream_agent.ts";
+import type { ReachabilityWatcher } from "./relay/reachability_watcher.ts";
+import type { Relay } from "./relay/relay.ts";
+import type { RetryLimiter } from "./limits/retry_limiter.ts";
+import type { RolloutWatcher } from "./exchange/rollout_watcher.ts";
+import type { UpstreamAgent } from "./upstreams/upstream_agent.ts";
 
 /** What forwarding requests uses of the entry's state. */
 export type ForwardContext = {
--- a/apps/heroncleatd/gateway/forward_headers.ts
+++ b/apps/heroncleatd/gateway/forward_headers.ts
@@ -1,7 +1,7 @@
 import type { CallerRequest } from "./caller_request.ts";
 import type { HeaderNames } from "./header_names.ts";
 import { priorityOf } from "./priority_of.ts";
-import { relayHeaders } from "./relay_headers.ts";
+import { relayHeaders } from "./relay/relay_headers.ts";
 
 /**
  * Headers that aren't forwarded: those of a single connection (RFC 9110,
--- a/apps/heroncleatd/gateway/forward_result.ts
+++ b/apps/heroncleatd/gateway/forward_result.ts
@@ -1,4 +1,4 @@
-import type { EndedBy } from "./ended_by.ts";
+import type { EndedBy } from "./responses/ended_by.ts";
 
 /** The outcome of a forwarded request, for logs, metrics and quota refunds. */
 export type ForwardResult = {
--- a/apps/heroncleatd/gateway/forwarding_test.ts
+++ b/apps/heroncleatd/gateway/forwarding_test.ts
@@ -11,7 +11,7 @@
 import type { ForwardResult } from "./forward_result.ts";
 import { startTestEntry } from "./start_test_entry.ts";
 import { type TestResponder, TestUpstream } from "./test_upstream.ts";
-import { UpstreamAgent } from "./upstream_agent.ts";
+import { UpstreamAgent } from "./upstreams/upstream_agent.ts";
 
 const closers: (() => void)[] = [];
 afterEach(() => {
--- a/apps/heroncleatd/gateway/charge_of.ts
+++ b/apps/heroncleatd/gateway/limits/charge_of.ts
@@ -1,5 +1,5 @@
 import type { Workspace } from "@heroncleat/serving";
-import type { Prompt } from "./prompt.ts";
+import type { Prompt } from "../prompt.ts";
 
 /**
  * The amount charged to the workspace's quota for a request: tokens if the
--- a/apps/heroncleatd/gateway/find_rest_delay.ts
+++ b/apps/heroncleatd/gateway/limits/find_rest_delay.ts
@@ -1,7 +1,7 @@
 import type { Milliseconds } from "@heroncleat/base";
-import type { CallerRequest } from "./caller_request.ts";
-import { findAvailability } from "./find_availability.ts";
-import type { ForwardContext } from "./forward_context.ts";
+import type { CallerRequest } from "../caller_request.ts";
+import { findAvailability } from "../upstreams/find_availability.ts";
+import type { ForwardContext } from "../forward_context.ts";
 import { retryAfterLimits } from "./retry_after_limits.ts";
 
 type RestOptions = {
--- a/apps/heroncleatd/gateway/over_quota_response.ts
+++ b/apps/heroncleatd/gateway/limits/over_quota_response.ts
@@ -1,5 +1,5 @@
 import type { Milliseconds } from "@heroncleat/base";
-import type { LocalResponse } from "./local_response.ts";
+import type { LocalResponse } from "../responses/local_response.ts";
 import { retryAfterLimits } from "./retry_after_limits.ts";
 
 /**
--- a/apps/heroncleatd/gateway/permit_client.ts
+++ b/apps/heroncleatd/gateway/limits/permit_client.ts
@@ -8,7 +8,7 @@
   SendPermits,
   WantedPermit,
 } from "@heroncleat/serving";
-import type { Metrics } from "../common/metrics.ts";
+import type { Metrics } from "../../common/metrics.ts";
 
 /** Time for which a request waits that another upstream could serve. */
 const MAX_WAIT_WITH_ALTERNATIVE: Milliseconds = 25;
--- a/apps/heroncleatd/gateway/retry_limiter.ts
+++ b/apps/heroncleatd/gateway/limits/retry_limiter.ts
@@ -4,9 +4,9 @@
   type RetryUsage,
   SharedRetryBudget,
 } from "@heroncleat/serving";
-import type { Log } from "../common/log.ts";
-import type { Metrics } from "../common/metrics.ts";
-import type { GatewaySettings } from "./gateway_settings.ts";
+import type { Log } from "../../common/log.ts";
+import type { Metrics } from "../../common/metrics.ts";
+import type { GatewaySettings } from "../gateway_settings.ts";
 
 /** Interval of the log lines about refused retries of one service. */
 const LOG_INTERVAL_MS = 1000;
--- a/apps/heroncleatd/gateway/simulated_quotas.ts
+++ b/apps/heroncleatd/gateway/limits/simulated_quotas.ts
@@ -5,11 +5,11 @@
   WorkspaceQuota,
 } from "@heroncleat/serving";
 import type { ChargeNotice } from "@heroncleat/schema";
-import { ChargeSync } from "./charge_sync.ts";
+import { ChargeSync } from "../exchange/charge_sync.ts";
 import { QuotaCharger } from "./quota_charger.ts";
-import { ControlLinks } from "./control_links.ts";
-import type { FeedPosition } from "./feed_position.ts";
-import { SimulatedReplicas } from "./simulated_replicas.ts";
+import { ControlLinks } from "../exchange/control_links.ts";
+import type { FeedPosition } from "../exchange/feed_position.ts";
+import { SimulatedReplicas } from "../exchange/simulated_replicas.ts";
 
 const STEP_MS = 10;
 const WINDOW_MS = 8000;
--- a/apps/heroncleatd/gateway/simulated_rate_limits.ts
+++ b/apps/heroncleatd/gateway/limits/simulated_rate_limits.ts
@@ -19,12 +19,12 @@
   type Workspace,
   WorkspaceQuota,
 } from "@heroncleat/serving";
-import { ControlLinks } from "./control_links.ts";
-import type { FeedPosition } from "./feed_position.ts";
-import { findUpstream } from "./find_upstream.ts";
+import { ControlLinks } from "../exchange/control_links.ts";
+import type { FeedPosition } from "../exchange/feed_position.ts";
+import { findUpstream } from "../upstreams/find_upstream.ts";
 import { PermitClient } from "./permit_client.ts";
-import { testRecord } from "../hub/test_record.ts";
-import { SimulatedReplicas } from "./simulated_replicas.ts";
+import { testRecord } from "../../hub/test_record.ts";
+import { SimulatedReplicas } from "../exchange/simulated_replicas.ts";
 
 const STEP_MS = 10;
 /** Time from the sending of a request to the response. */
--- a/apps/heroncleatd/gateway/attempt_through_entry.ts
+++ b/apps/heroncleatd/gateway/relay/attempt_through_entry.ts
@@ -1,11 +1,11 @@
 import type { IncomingMessage } from "node:http";
-import { framingOf } from "../common/framing_of.ts";
-import { AttemptOutcome } from "./attempt_outcome.ts";
-import type { AttemptOptions } from "./attempt_options.ts";
-import type { AttemptResult } from "./attempt_result.ts";
-import type { CallerRequest } from "./caller_request.ts";
-import { EndedBy } from "./ended_by.ts";
-import type { ForwardContext } from "./forward_context.ts";
+import { framingOf } from "../../common/framing_of.ts";
+import { AttemptOutcome } from "../attempts/attempt_outcome.ts";
+import type { AttemptOptions } from "../attempts/attempt_options.ts";
+import type { AttemptResult } from "../attempts/attempt_result.ts";
+import type { CallerRequest } from "../caller_request.ts";
+import { EndedBy } from "../responses/ended_by.ts";
+import type { ForwardContext } from "../forward_context.ts";
 import { relayHeaders } from "./relay_headers.ts";
 import { RelayRefusal } from "./relay_refusal.ts";
 
--- a/apps/heroncleatd/gateway/reachability_watcher.ts
+++ b/apps/heroncleatd/gateway/relay/reachability_watcher.ts
@@ -1,7 +1,7 @@
 import type { Clock, Milliseconds } from "@heroncleat/base";
 import { type KnownUpstream, UpstreamReachability } from "@heroncleat/serving";
-import type { Log } from "../common/log.ts";
-import type { Metrics } from "../common/metrics.ts";
+import type { Log } from "../../common/log.ts";
+import type { Metrics } from "../../common/metrics.ts";
 
 /** Interval at which silence is checked while requests wait. */
 const CHECK_INTERVAL: Milliseconds = 100;
--- a/apps/heroncleatd/gateway/relay.ts
+++ b/apps/heroncleatd/gateway/relay/relay.ts
@@ -1,18 +1,18 @@
 import { type Clock, type Milliseconds, splitAddress } from "@heroncleat/base";
 import { type KnownEntry, RelayEntries } from "@heroncleat/serving";
-import type { Metrics } from "../common/metrics.ts";
-import { refusesConnections } from "../common/refuses_connections.ts";
-import type { AttemptOptions } from "./attempt_options.ts";
-import { AttemptTrace } from "./attempt_trace.ts";
-import type { CallerRequest } from "./caller_request.ts";
-import { forwardHeaders } from "./forward_headers.ts";
-import type { HeaderNames } from "./header_names.ts";
+import type { Metrics } from "../../common/metrics.ts";
+import { refusesConnections } from "../../common/refuses_connections.ts";
+import type { AttemptOptions } from "../attempts/attempt_options.ts";
+import { AttemptTrace } from "../attempts/attempt_trace.ts";
+import type { CallerRequest } from "../caller_request.ts";
+import { forwardHeaders } from "../forward_headers.ts";
+import type { HeaderNames } from "../header_names.ts";
 import { relayGrants } from "./relay_grants.ts";
 import { relayHeaders } from "./relay_headers.ts";
 import { RelayRefusal } from "./relay_refusal.ts";
-import { sendToUpstream } from "./send_to_upstream.ts";
-import type { UpstreamAgent } from "./upstream_agent.ts";
-import type { UpstreamResponse } from "./upstream_response.ts";
+import { sendToUpstream } from "../upstreams/send_to_upstream.ts";
+import type { UpstreamAgent } from "../upstreams/upstream_agent.ts";
+import type { UpstreamResponse } from "../upstreams/upstream_response.ts";
 
 /** Entries that are asked for one attempt, at most. */
 const MAX_ENTRIES = 6;
--- a/apps/heroncleatd/gateway/relay_response_headers.ts
+++ b/apps/heroncleatd/gateway/relay/relay_response_headers.ts
@@ -1,4 +1,4 @@
-import type { CallerRequest } from "./caller_request.ts";
+import type { CallerRequest } from "../caller_request.ts";
 import { relayHeaders } from "./relay_headers.ts";
 
 /**
--- a/apps/heroncleatd/gateway/relayed_requests.ts
+++ b/apps/heroncleatd/gateway/relay/relayed_requests.ts
@@ -6,27 +6,27 @@
   type RouteTable,
   type Workspace,
 } from "@heroncleat/serving";
-import type { Log } from "../common/log.ts";
-import type { Metrics } from "../common/metrics.ts";
-import type { AppliedDocument } from "./applied_document.ts";
-import { breakOffResponse } from "./break_off_response.ts";
-import type { CallerRequest } from "./caller_request.ts";
-import { createCallSignal } from "./create_call_signal.ts";
-import { forwardCall } from "./forward_call.ts";
-import type { ForwardContext } from "./forward_context.ts";
-import { forwardStream } from "./forward_stream.ts";
-import type { HeaderNames } from "./header_names.ts";
-import { identifyRequest } from "./identify_request.ts";
-import type { InFlightRequests } from "./in_flight_requests.ts";
-import { outputTokensOf } from "./output_tokens_of.ts";
-import type { Prompt } from "./prompt.ts";
-import { readRequestBody } from "./read_request_body.ts";
-import { recordResult } from "./record_result.ts";
+import type { Log } from "../../common/log.ts";
+import type { Metrics } from "../../common/metrics.ts";
+import type { AppliedDocument } from "../applied_document.ts";
+import { breakOffResponse } from "../responses/break_off_response.ts";
+import type { CallerRequest } from "../caller_request.ts";
+import { createCallSignal } from "../create_call_signal.ts";
+import { forwardCall } from "../forward_call.ts";
+import type { ForwardContext } from "../forward_context.ts";
+import { forwardStream } from "../streams/forward_stream.ts";
+import type { HeaderNames } from "../header_names.ts";
+import { identifyRequest } from "../identify_request.ts";
+import type { InFlightRequests } from "../shutdown/in_flight_requests.ts";
+import { outputTokensOf } from "../output_tokens_of.ts";
+import type { Prompt } from "../prompt.ts";
+import { readRequestBody } from "../read_request_body.ts";
+import { recordResult } from "../record_result.ts";
 import type { RelayGrant } from "./relay_grant.ts";
 import { relayGrants } from "./relay_grants.ts";
 import { relayHeaders } from "./relay_headers.ts";
 import { RelayRefusal } from "./relay_refusal.ts";
-import { sendRefusal } from "./send_refusal.ts";
+import { sendRefusal } from "../responses/send_refusal.ts";
 
 /** Upper limit where no configuration document is in effect. */
 const DEFAULT_MAX_BODY_BYTES = 0;
--- a/apps/heroncleatd/gateway/broken_off_response_test.ts
+++ b/apps/heroncleatd/gateway/responses/broken_off_response_test.ts
@@ -2,8 +2,8 @@
 import { type AddressInfo, connect, type Socket } from "node:net";
 import { RouteKind } from "@heroncleat/serving";
 import fc from "fast-check";
-import { startTestEntry } from "./start_test_entry.ts";
-import { type TestResponder, TestUpstream } from "./test_upstream.ts";
+import { startTestEntry } from "../start_test_entry.ts";
+import { type TestResponder, TestUpstream } from "../test_upstream.ts";
 
 const closers: (() => void)[] = [];
 afterEach(() => {
--- a/apps/heroncleatd/gateway/error_response.ts
+++ b/apps/heroncleatd/gateway/responses/error_response.ts
@@ -1,9 +1,9 @@
 import type { Milliseconds } from "@heroncleat/base";
-import type { CallerRequest } from "./caller_request.ts";
+import type { CallerRequest } from "../caller_request.ts";
 import type { LocalResponse } from "./local_response.ts";
-import { RelayRefusal } from "./relay_refusal.ts";
-import { retryAfterLimits } from "./retry_after_limits.ts";
-import type { WithholdReason } from "./withhold_reason.ts";
+import { RelayRefusal } from "../relay/relay_refusal.ts";
+import { retryAfterLimits } from "../limits/retry_after_limits.ts";
+import type { WithholdReason } from "../attempts/withhold_reason.ts";
 
 /** Share of the latency objective that a request may wait for an upstream. */
 const UPSTREAM_WAIT_SHARE = 0.2;
--- a/apps/heroncleatd/gateway/find_ended_by.ts
+++ b/apps/heroncleatd/gateway/responses/find_ended_by.ts
@@ -1,5 +1,5 @@
 import type { ServerResponse } from "node:http";
-import type { CallerRequest } from "./caller_request.ts";
+import type { CallerRequest } from "../caller_request.ts";
 import { connectionEnds } from "./connection_ends.ts";
 import { EndedBy } from "./ended_by.ts";
 
--- a/apps/heroncleatd/gateway/local_response.ts
+++ b/apps/heroncleatd/gateway/responses/local_response.ts
@@ -1,5 +1,5 @@
 import type { Milliseconds } from "@heroncleat/base";
-import type { RelayRefusal } from "./relay_refusal.ts";
+import type { RelayRefusal } from "../relay/relay_refusal.ts";
 
 /** A response that the entry creates itself. */
 export type LocalResponse = {
--- a/apps/heroncleatd/gateway/send_refusal.ts
+++ b/apps/heroncleatd/gateway/responses/send_refusal.ts
@@ -1,8 +1,8 @@
 import type { ServerResponse } from "node:http";
-import type { CallerRequest } from "./caller_request.ts";
-import type { HeaderNames } from "./header_names.ts";
+import type { CallerRequest } from "../caller_request.ts";
+import type { HeaderNames } from "../header_names.ts";
 import type { LocalResponse } from "./local_response.ts";
-import { relayHeaders } from "./relay_headers.ts";
+import { relayHeaders } from "../relay/relay_headers.ts";
 import { sendLocalResponse } from "./send_local_response.ts";
 
 /**
--- a/apps/heroncleatd/gateway/send_upstream_response.ts
+++ b/apps/heroncleatd/gateway/responses/send_upstream_response.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { endWithConnection } from "../common/end_with_connection.ts";
-import { framingOf } from "../common/framing_of.ts";
-import { ResponseFraming } from "../common/response_framing.ts";
+import { endWithConnection } from "../../common/end_with_connection.ts";
+import { framingOf } from "../../common/framing_of.ts";
+import { ResponseFraming } from "../../common/response_framing.ts";
 
 /**
  * Sends an upstream's complete response, unless one was sent already. It gets a
--- a/apps/heroncleatd/gateway/in_flight_requests.ts
+++ b/apps/heroncleatd/gateway/shutdown/in_flight_requests.ts
@@ -1,7 +1,7 @@
 import type { ServerResponse } from "node:http";
 import type { Milliseconds } from "@heroncleat/base";
-import { connectionEnds } from "./connection_ends.ts";
-import { EndedBy } from "./ended_by.ts";
+import { connectionEnds } from "../responses/connection_ends.ts";
+import { EndedBy } from "../responses/ended_by.ts";
 
 type InFlightRequest = {
   /** Identifier of the caller's attempt. */
--- a/apps/heroncleatd/gateway/planned_shutdown_test.ts
+++ b/apps/heroncleatd/gateway/shutdown/planned_shutdown_test.ts
@@ -7,11 +7,11 @@
   type SyncReply,
 } from "@heroncleat/serving";
 import { PeerPool, PeerServer } from "@heroncleat/transport";
-import type { Log } from "../common/log.ts";
-import type { RunningGateway } from "./running_gateway.ts";
-import { startGateway } from "./start_gateway.ts";
-import { TestUpstream } from "./test_upstream.ts";
-import { testHeaderNames } from "./test_header_names.ts";
+import type { Log } from "../../common/log.ts";
+import type { RunningGateway } from "../running_gateway.ts";
+import { startGateway } from "../start_gateway.ts";
+import { TestUpstream } from "../test_upstream.ts";
+import { testHeaderNames } from "../test_header_names.ts";
 
 const HOST = "127.0.0.22";
 const HUB = `${HOST}:25450`;
--- a/apps/heroncleatd/gateway/report_interrupted_requests.ts
+++ b/apps/heroncleatd/gateway/shutdown/report_interrupted_requests.ts
@@ -1,6 +1,6 @@
 import type { Milliseconds } from "@heroncleat/base";
-import type { Log } from "../common/log.ts";
-import type { Metrics } from "../common/metrics.ts";
+import type { Log } from "../../common/log.ts";
+import type { Metrics } from "../../common/metrics.ts";
 import type { InFlightRequests } from "./in_flight_requests.ts";
 
 /** Interrupted requests that one log line lists. */
--- a/apps/heroncleatd/gateway/start_gateway_options.ts
+++ b/apps/heroncleatd/gateway/start_gateway_options.ts
@@ -3,7 +3,7 @@
 import type { ConnectionOpener } from "../common/connection_opener.ts";
 import type { Log } from "../common/log.ts";
 import type { Metrics } from "../common/metrics.ts";
-import type { DecodedDocument } from "./decoded_document.ts";
+import type { DecodedDocument } from "./exchange/decoded_document.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
 import type { HeaderNames } from "./header_names.ts";
 import type { Prompt } from "./prompt.ts";
--- a/apps/heroncleatd/gateway/start_test_entry.ts
+++ b/apps/heroncleatd/gateway/start_test_entry.ts
@@ -5,7 +5,7 @@
 import { forwardCall } from "./forward_call.ts";
 import type { ForwardContext } from "./forward_context.ts";
 import type { ForwardResult } from "./forward_result.ts";
-import { forwardStream } from "./forward_stream.ts";
+import { forwardStream } from "./streams/forward_stream.ts";
 
 const route: Route = {
   name: "r",
--- a/apps/heroncleatd/gateway/find_resumption.ts
+++ b/apps/heroncleatd/gateway/streams/find_resumption.ts
@@ -1,9 +1,9 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { Route, Workspace } from "@heroncleat/serving";
-import type { Metrics } from "../common/metrics.ts";
-import { errorResponse } from "./error_response.ts";
-import type { HeaderNames } from "./header_names.ts";
-import type { LocalResponse } from "./local_response.ts";
+import type { Metrics } from "../../common/metrics.ts";
+import { errorResponse } from "../responses/error_response.ts";
+import type { HeaderNames } from "../header_names.ts";
+import type { LocalResponse } from "../responses/local_response.ts";
 import type { Resumption } from "./resumption.ts";
 import type { StreamOriginExchange } from "./stream_origin_exchange.ts";
 import { streamKey } from "./stream_key.ts";
--- a/apps/heroncleatd/gateway/find_resumption_test.ts
+++ b/apps/heroncleatd/gateway/streams/find_resumption_test.ts
@@ -7,7 +7,7 @@
 } from "@heroncleat/serving";
 import { findResumption } from "./find_resumption.ts";
 import { streamKey } from "./stream_key.ts";
-import { testHeaderNames as names } from "./test_header_names.ts";
+import { testHeaderNames as names } from "../test_header_names.ts";
 
 const metrics = { increment() {}, gauge() {}, timing() {}, close() {} };
 const route: Route = {
--- a/apps/heroncleatd/gateway/record_stream.ts
+++ b/apps/heroncleatd/gateway/streams/record_stream.ts
@@ -1,5 +1,5 @@
 import type { Milliseconds } from "@heroncleat/base";
-import type { CallerRequest } from "./caller_request.ts";
+import type { CallerRequest } from "../caller_request.ts";
 import { streamKey } from "./stream_key.ts";
 import type { StreamOriginExchange } from "./stream_origin_exchange.ts";
 
--- a/apps/heroncleatd/gateway/record_stream_test.ts
+++ b/apps/heroncleatd/gateway/streams/record_stream_test.ts
@@ -1,4 +1,4 @@
-import type { CallerRequest } from "./caller_request.ts";
+import type { CallerRequest } from "../caller_request.ts";
 import { recordStream } from "./record_stream.ts";
 import { streamKey } from "./stream_key.ts";
 
--- a/apps/heroncleatd/gateway/stream_origin_exchange.ts
+++ b/apps/heroncleatd/gateway/streams/stream_origin_exchange.ts
@@ -18,7 +18,7 @@
   type StreamOrigin,
   StreamOrigins,
 } from "@heroncleat/serving";
-import type { Metrics } from "../common/metrics.ts";
+import type { Metrics } from "../../common/metrics.ts";
 
 /** Origins in one datagram, so that it stays below the UDP size limit. */
 const ORIGINS_PER_NOTICE = 5;
--- a/apps/heroncleatd/gateway/unreadable_stream_test.ts
+++ b/apps/heroncleatd/gateway/streams/unreadable_stream_test.ts
@@ -1,8 +1,8 @@
 import type { AddressInfo } from "node:net";
 import { RouteKind } from "@heroncleat/serving";
-import { startTestEntry } from "./start_test_entry.ts";
-import { testHeaderNames as names } from "./test_header_names.ts";
-import { TestUpstream } from "./test_upstream.ts";
+import { startTestEntry } from "../start_test_entry.ts";
+import { testHeaderNames as names } from "../test_header_names.ts";
+import { TestUpstream } from "../test_upstream.ts";
 
 const closers: (() => void)[] = [];
 afterEach(() => {
--- a/apps/heroncleatd/gateway/describe_lack.ts
+++ b/apps/heroncleatd/gateway/upstreams/describe_lack.ts
@@ -1,6 +1,6 @@
 import { upstreamVersion } from "@heroncleat/serving";
-import type { CallerRequest } from "./caller_request.ts";
-import type { ForwardContext } from "./forward_context.ts";
+import type { CallerRequest } from "../caller_request.ts";
+import type { ForwardContext } from "../forward_context.ts";
 
 /**
  * Describes for the log that no upstream could run a request: how many of its
--- a/apps/heroncleatd/gateway/find_availability.ts
+++ b/apps/heroncleatd/gateway/upstreams/find_availability.ts
@@ -1,6 +1,6 @@
 import { type UpstreamBalancer, upstreamVersion } from "@heroncleat/serving";
-import type { CallerRequest } from "./caller_request.ts";
-import type { ForwardContext } from "./forward_context.ts";
+import type { CallerRequest } from "../caller_request.ts";
+import type { ForwardContext } from "../forward_context.ts";
 
 /** How the upstreams that may run a request are available for it now. */
 export function findAvailability(
--- a/apps/heroncleatd/gateway/has_crashed.ts
+++ b/apps/heroncleatd/gateway/upstreams/has_crashed.ts
@@ -1,4 +1,4 @@
-import type { ForwardContext } from "./forward_context.ts";
+import type { ForwardContext } from "../forward_context.ts";
 
 /**
  * Whether an upstream has crashed that ended a response with its connection.
--- a/apps/heroncleatd/gateway/may_go_on.ts
+++ b/apps/heroncleatd/gateway/upstreams/may_go_on.ts
@@ -1,7 +1,7 @@
 import { RouteKind } from "@heroncleat/serving";
-import type { CallerRequest } from "./caller_request.ts";
+import type { CallerRequest } from "../caller_request.ts";
 import { findAvailability } from "./find_availability.ts";
-import type { ForwardContext } from "./forward_context.ts";
+import type { ForwardContext } from "../forward_context.ts";
 
 /**
  * Whether another upstream could repeat a request, or go on with it, if the
--- a/apps/heroncleatd/gateway/may_offer_again.ts
+++ b/apps/heroncleatd/gateway/upstreams/may_offer_again.ts
@@ -1,6 +1,6 @@
-import type { CallerRequest } from "./caller_request.ts";
+import type { CallerRequest } from "../caller_request.ts";
 import { findAvailability } from "./find_availability.ts";
-import type { ForwardContext } from "./forward_context.ts";
+import type { ForwardContext } from "../forward_context.ts";
 
 /** Largest number of upstreams to which a request is sent. */
 const MAX_OFFERS = 3;
--- a/apps/heroncleatd/gateway/may_offer_again_test.ts
+++ b/apps/heroncleatd/gateway/upstreams/may_offer_again_test.ts
@@ -1,5 +1,5 @@
-import type { CallerRequest } from "./caller_request.ts";
-import { createTestContext } from "./create_test_context.ts";
+import type { CallerRequest } from "../caller_request.ts";
+import { createTestContext } from "../create_test_context.ts";
 import { mayOfferAgain } from "./may_offer_again.ts";
 
 const call = { service: "desk" } as CallerRequest;
--- a/apps/heroncleatd/gateway/replaced_runs.ts
+++ b/apps/heroncleatd/gateway/upstreams/replaced_runs.ts
@@ -1,6 +1,6 @@
 import type { UpstreamDirectory } from "@heroncleat/serving";
-import type { Log } from "../common/log.ts";
-import { EndedBy } from "./ended_by.ts";
+import type { Log } from "../../common/log.ts";
+import { EndedBy } from "../responses/ended_by.ts";
 import { mayGiveUpRun } from "./may_give_up_run.ts";
 import type { RetiredAgent } from "./retired_agent.ts";
 import type { UpstreamRun } from "./upstream_run.ts";
--- a/apps/heroncleatd/gateway/resting_upstream_test.ts
+++ b/apps/heroncleatd/gateway/upstreams/resting_upstream_test.ts
@@ -2,12 +2,12 @@
 import { type AddressInfo, connect } from "node:net";
 import { setTimeout as pause } from "node:timers/promises";
 import { RouteKind } from "@heroncleat/serving";
-import { createTestContext } from "./create_test_context.ts";
-import type { ForwardContext } from "./forward_context.ts";
-import { relayHeaders } from "./relay_headers.ts";
-import { startTestEntry } from "./start_test_entry.ts";
-import { testHeaderNames as names } from "./test_header_names.ts";
-import { TestUpstream } from "./test_upstream.ts";
+import { createTestContext } from "../create_test_context.ts";
+import type { ForwardContext } from "../forward_context.ts";
+import { relayHeaders } from "../relay/relay_headers.ts";
+import { startTestEntry } from "../start_test_entry.ts";
+import { testHeaderNames as names } from "../test_header_names.ts";
+import { TestUpstream } from "../test_upstream.ts";
 import { UpstreamAgent } from "./upstream_agent.ts";
 
 const REST_SECONDS = 30;
@@ -211,7 +211,7 @@
       ForwardContext["relay"]
     >
   > {
-    const { Relay } = await import("./relay.ts");
+    const { Relay } = await import("../relay/relay.ts");
     const server = createServer((message, response) => {
       response.writeHead(200, {
         [names.attempt]: String(message.headers[names.attempt]),
--- a/apps/heroncleatd/gateway/send_to_upstream.ts
+++ b/apps/heroncleatd/gateway/upstreams/send_to_upstream.ts
@@ -1,9 +1,9 @@
 import type { ClientRequest, IncomingMessage } from "node:http";
 import type { Milliseconds } from "@heroncleat/base";
-import { openResponse } from "../common/open_response.ts";
-import type { SentRequest } from "../common/sent_request.ts";
-import type { CallerRequest } from "./caller_request.ts";
-import type { HeaderNames } from "./header_names.ts";
+import { openResponse } from "../../common/open_response.ts";
+import type { SentRequest } from "../../common/sent_request.ts";
+import type { CallerRequest } from "../caller_request.ts";
+import type { HeaderNames } from "../header_names.ts";
 import type { UpstreamAgent } from "./upstream_agent.ts";
 import type { UpstreamResponse } from "./upstream_response.ts";
 
--- a/apps/heroncleatd/gateway/send_to_upstream_test.ts
+++ b/apps/heroncleatd/gateway/upstreams/send_to_upstream_test.ts
@@ -1,9 +1,9 @@
 import { createServer, type RequestListener } from "node:http";
 import { type AddressInfo, connect, type Socket } from "node:net";
-import type { CallerRequest } from "./caller_request.ts";
-import { readResponseBody } from "./read_response_body.ts";
+import type { CallerRequest } from "../caller_request.ts";
+import { readResponseBody } from "../responses/read_response_body.ts";
 import { sendToUpstream } from "./send_to_upstream.ts";
-import { testHeaderNames } from "./test_header_names.ts";
+import { testHeaderNames } from "../test_header_names.ts";
 import { UpstreamAgent } from "./upstream_agent.ts";
 
 const EVENTS = 20;
--- a/apps/heroncleatd/gateway/start_tracking.ts
+++ b/apps/heroncleatd/gateway/upstreams/start_tracking.ts
@@ -1,11 +1,11 @@
 import type { Milliseconds } from "@heroncleat/base";
 import { type ChosenUpstream, RouteKind } from "@heroncleat/serving";
-import { ResponseFraming } from "../common/response_framing.ts";
-import type { SuspectWatcher } from "../common/suspect_watcher.ts";
-import { AttemptOutcome } from "./attempt_outcome.ts";
-import type { AttemptTrace } from "./attempt_trace.ts";
-import type { CallerRequest } from "./caller_request.ts";
-import type { ForwardContext } from "./forward_context.ts";
+import { ResponseFraming } from "../../common/response_framing.ts";
+import type { SuspectWatcher } from "../../common/suspect_watcher.ts";
+import { AttemptOutcome } from "../attempts/attempt_outcome.ts";
+import type { AttemptTrace } from "../attempts/attempt_trace.ts";
+import type { CallerRequest } from "../caller_request.ts";
+import type { ForwardContext } from "../forward_context.ts";
 import type { UpstreamRun } from "./upstream_run.ts";
 
 /** Lowest status by which an upstream reports a failure of its own. */
--- a/apps/heroncleatd/gateway/uncut_runs_test.ts
+++ b/apps/heroncleatd/gateway/upstreams/uncut_runs_test.ts
@@ -11,9 +11,9 @@
   type UpstreamRecord,
 } from "@heroncleat/serving";
 import type { PeerPool } from "@heroncleat/transport";
-import type { RunningGateway } from "./running_gateway.ts";
-import { startGateway } from "./start_gateway.ts";
-import { testHeaderNames } from "./test_header_names.ts";
+import type { RunningGateway } from "../running_gateway.ts";
+import { startGateway } from "../start_gateway.ts";
+import { testHeaderNames } from "../test_header_names.ts";
 
 const HOST = "127.0.0.23";
 const ADDRESS = `${HOST}:25431`;
--- a/apps/heroncleatd/gateway/unopened_weight.ts
+++ b/apps/heroncleatd/gateway/upstreams/unopened_weight.ts
@@ -1,4 +1,4 @@
-import type { AttemptResult } from "./attempt_result.ts";
+import type { AttemptResult } from "../attempts/attempt_result.ts";
 
 /**
  * How much an attempt counts as a sign that this entry's links are at fault: 0
--- a/apps/heroncleatd/gateway/upstream_agent.ts
+++ b/apps/heroncleatd/gateway/upstreams/upstream_agent.ts
@@ -1,8 +1,8 @@
 import { Agent, type ClientRequest, type IncomingMessage } from "node:http";
 import type { Duplex } from "node:stream";
 import type { Socket } from "node:net";
-import type { ConnectionOpener } from "../common/connection_opener.ts";
-import type { EndedBy } from "./ended_by.ts";
+import type { ConnectionOpener } from "../../common/connection_opener.ts";
+import type { EndedBy } from "../responses/ended_by.ts";
 import type { UpstreamRun } from "./upstream_run.ts";
 
 /** Idle timeout of a connection whose upstream states none. */
--- a/apps/heroncleatd/gateway/upstream_agents.ts
+++ b/apps/heroncleatd/gateway/upstreams/upstream_agents.ts
@@ -1,5 +1,5 @@
-import type { ConnectionOpener } from "../common/connection_opener.ts";
-import { EndedBy } from "./ended_by.ts";
+import type { ConnectionOpener } from "../../common/connection_opener.ts";
+import { EndedBy } from "../responses/ended_by.ts";
 import type { RetiredAgent } from "./retired_agent.ts";
 import { UpstreamAgent } from "./upstream_agent.ts";
 
--- a/apps/heroncleatd/gateway/upstream_restart_test.ts
+++ b/apps/heroncleatd/gateway/upstreams/upstream_restart_test.ts
@@ -10,10 +10,10 @@
   type UpstreamRecord,
 } from "@heroncleat/serving";
 import type { PeerPool } from "@heroncleat/transport";
-import type { RunningGateway } from "./running_gateway.ts";
-import { startGateway } from "./start_gateway.ts";
-import { testHeaderNames } from "./test_header_names.ts";
-import { type TestResponder, TestUpstream } from "./test_upstream.ts";
+import type { RunningGateway } from "../running_gateway.ts";
+import { startGateway } from "../start_gateway.ts";
+import { testHeaderNames } from "../test_header_names.ts";
+import { type TestResponder, TestUpstream } from "../test_upstream.ts";
 
 const HOST = "127.0.0.22";
 const ADDRESS = `${HOST}:25421`;
--- a/apps/heroncleatd/gateway/upstream_run.ts
+++ b/apps/heroncleatd/gateway/upstreams/upstream_run.ts
@@ -1,4 +1,4 @@
-import type { EndedBy } from "./ended_by.ts";
+import type { EndedBy } from "../responses/ended_by.ts";
 
 /** A request in progress on a connection to an upstream. */
 export type UpstreamRun = {
--- a/apps/heroncleatd/gateway/wait_for_upstream.ts
+++ b/apps/heroncleatd/gateway/upstreams/wait_for_upstream.ts
@@ -7,15 +7,15 @@
   type UpstreamBalancer,
   upstreamVersion,
 } from "@heroncleat/serving";
-import type { AttemptOptions } from "./attempt_options.ts";
-import type { CallerRequest } from "./caller_request.ts";
+import type { AttemptOptions } from "../attempts/attempt_options.ts";
+import type { CallerRequest } from "../caller_request.ts";
 import { findAvailability } from "./find_availability.ts";
 import { findUpstream, type UpstreamDecision } from "./find_upstream.ts";
-import type { ForwardContext } from "./forward_context.ts";
-import { findRestDelay } from "./find_rest_delay.ts";
-import { POLL_INTERVAL } from "./poll_interval.ts";
-import { priorityOf } from "./priority_of.ts";
-import { retryAfterLimits } from "./retry_after_limits.ts";
+import type { ForwardContext } from "../forward_context.ts";
+import { findRestDelay } from "../limits/find_rest_delay.ts";
+import { POLL_INTERVAL } from "../exchange/poll_interval.ts";
+import { priorityOf } from "../priority_of.ts";
+import { retryAfterLimits } from "../limits/retry_after_limits.ts";
 
 /** Where to send a request, or why it isn't sent now. */
 type WaitResult =
--- a/apps/heroncleatd/hub/decode_test_document.ts
+++ b/apps/heroncleatd/hub/decode_test_document.ts
@@ -1,5 +1,5 @@
 import type { ServingDocument } from "@heroncleat/serving";
-import type { DecodedDocument } from "../gateway/decoded_document.ts";
+import type { DecodedDocument } from "../gateway/exchange/decoded_document.ts";
 
 /** Decodes a configuration document that a test publishes as plain JSON. */
 export function decodeTestDocument(source: string): DecodedDocument {
--- a/apps/heroncleatd/hub/document_cache.ts
+++ b/apps/heroncleatd/hub/document_cache.ts
@@ -1,5 +1,5 @@
 import type { ServingDocument } from "@heroncleat/serving";
-import type { DecodedDocument } from "../gateway/decoded_document.ts";
+import type { DecodedDocument } from "../gateway/exchange/decoded_document.ts";
 import type { StoredDocument } from "./serving_application.ts";
 
 /** Caches the decoded form of the newest configuration document. */
--- a/apps/heroncleatd/hub/start_hub.ts
+++ b/apps/heroncleatd/hub/start_hub.ts
@@ -14,7 +14,7 @@
 import type { MethodHandler, PeerPool } from "@heroncleat/transport";
 import type { Log } from "../common/log.ts";
 import type { Metrics } from "../common/metrics.ts";
-import type { DecodedDocument } from "../gateway/decoded_document.ts";
+import type { DecodedDocument } from "../gateway/exchange/decoded_document.ts";
 import { SuspectStore } from "./suspect_store.ts";
 import { DocumentCache } from "./document_cache.ts";
 import type { LeaderTaskCalls } from "./leader_task_calls.ts";
--- a/apps/heroncleatd/mod.ts
+++ b/apps/heroncleatd/mod.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-export type { DecodedDocument } from "./gateway/decoded_document.ts";
+export type { DecodedDocument } from "./gateway/exchange/decoded_document.ts";
 export type { GatewaySettings } from "./gateway/gateway_settings.ts";
 export type { HeaderNames } from "./gateway/header_names.ts";
 export type { Prompt } from "./gateway/prompt.ts";
