A connection whose last response has ended is closed, not only its sending half

After bytes behind a request, the server ended its side once the responses had ended; a caller that kept its own side open could leave a second request that never ends. By reading, no test.

--- a/apps/heroncleatd/gateway/create_caller_server.ts
+++ b/apps/heroncleatd/gateway/create_caller_server.ts
@@ -86,7 +86,7 @@
     response.once("close", () => {
       left -= 1;
       if (left === 0) {
-        socket.end();
+        (socket as Socket).destroySoon();
       }
     });
   }
