--- a/apps/heroncleatd/gateway/upstreams/replaced_runs.ts
+++ b/apps/heroncleatd/gateway/upstreams/replaced_runs.ts
@@ -23,13 +23,23 @@
 export class ReplacedRuns {
   readonly #options: ReplacedRunsOptions;
   readonly #progress = new WeakMap<UpstreamRun, Progress>();
+  #isChecking = false;
 
   constructor(options: ReplacedRunsOptions) {
     this.#options = options;
   }
 
-  /** Must be called at intervals. */
+  /** Must be called at intervals; does nothing while a check is in progress. */
   async check(): Promise<void> {
+    if (this.#isChecking) {
+      return;
+    }
+    this.#isChecking = true;
+    await this.#checkAll();
+    this.#isChecking = false;
+  }
+
+  async #checkAll(): Promise<void> {
     for (const { upstream, agent } of this.#options.listRetired()) {
       const replacement = this.#findReplacementAddress(upstream);
       const candidates = agent.listRuns()
