An attempt that is withdrawn before it is sent consumes one retry, not two

When an upstream asked for rest, or its drain ended, while the connection was opened, the request chose another one and paid for the retry again; with an empty budget a begun stream ended.

--- a/apps/heroncleatd/gateway/attempts/attempt_request.ts
+++ b/apps/heroncleatd/gateway/attempts/attempt_request.ts
@@ -38,7 +38,20 @@
   call: CallerRequest,
   options: AttemptOptions,
 ): Promise<AttemptResult> {
-  const { context, signal } = options;
+  const isAllowed = createRetryPermission(call, options);
+  let result = await attemptOnce(call, { ...options, isAllowed });
+  while (result === undefined) {
+    result = await attemptOnce(call, { ...options, isAllowed });
+  }
+  return result;
+}
+
+/** Undefined if nothing was sent, as the upstream takes no more requests. */
+async function attemptOnce(
+  call: CallerRequest,
+  options: AttemptOptions & { readonly isAllowed: () => boolean },
+): Promise<AttemptResult | undefined> {
+  const { context, signal, isAllowed } = options;
   const { clock, crashes } = context;
   await crashes.waitForProbe(call.identity);
   const suspectStatus = await waitForOtherCopy(call, options);
@@ -50,8 +63,7 @@
   ) {
     return { kind: "held" };
   }
-  const isAllowed = createRetryPermission(call, options);
-  const relayed = await attemptThroughEntry(call, { ...options, isAllowed });
+  const relayed = await attemptThroughEntry(call, options);
   if (relayed !== undefined) {
     return relayed;
   }
@@ -154,7 +166,7 @@
     context.metrics.increment(
       isResting ? "rests.withdrawn" : "drains.withdrawn",
     );
-    return await attemptRequest(call, options);
+    return undefined;
   }
   endWait(response.kind === "head" || isStatus(response.reason));
   recordStatements(response, { context, call, upstream: record.id, sentAt });
