The earliest known start of a drain counts, also from a late report

A start that came with a heartbeat that was already known was dropped, so an entry or replica that had heard a later one, or none, kept it until the next change: too late a bound, or none where one was known. Such a report corrects the start now, and is passed on, if it is earlier by 100 ms or more; each hop adds an exchange, so smaller differences would never settle. The replication of a departure names no start any more: how long its message took isn't known. Found by a review of the trace; the tests of the start fail without it.

--- a/apps/heroncleatd/hub/upstream_updates.ts
+++ b/apps/heroncleatd/hub/upstream_updates.ts
@@ -39,8 +39,6 @@
 type DepartureMessage = {
   readonly record: UpstreamRecord;
   readonly from: string;
-  /** See UpdateSource; absent from releases that don't pass it on. */
-  readonly drainAge?: Milliseconds | undefined;
 };
 
 /**
@@ -68,11 +66,7 @@
       toleratedLosses,
       persist: (record) => this.#store.persist(record),
       send: async (member, record, timeout) => {
-        const parameters: DepartureMessage = {
-          record,
-          from: ownAddress,
-          drainAge: this.#drainAgeOf(record.id),
-        };
+        const parameters: DepartureMessage = { record, from: ownAddress };
         await pool.call(member, DEPARTURE_METHOD, { parameters, timeout });
       },
     });
@@ -82,9 +76,8 @@
   methods(): Readonly<Record<string, MethodHandler>> {
     return {
       [DEPARTURE_METHOD]: async (parameters) => {
-        const message = parameters as DepartureMessage;
-        const { record } = message;
-        this.#mergeDeparture(message);
+        const { record, from } = parameters as DepartureMessage;
+        this.#mergeDeparture(record, from);
         if (this.#options.members() === undefined) {
           // Before the replica has joined, its data folder must stay empty.
           throw new Error(
@@ -201,15 +194,13 @@
     };
   }
 
-  #drainAgeOf(id: string): Milliseconds | undefined {
-    const { hub, clock } = this.#options;
-    const drainingSince = hub.directory.get(id)?.drainingSince;
-    return drainingSince && Math.ceil(clock.steady() - drainingSince);
-  }
-
-  #mergeDeparture({ record, from, drainAge }: DepartureMessage): void {
+  /**
+   * It isn't known how long the message took, so the start of a drain is left
+   * to the regular exchange.
+   */
+  #mergeDeparture(record: UpstreamRecord, from: string): void {
     const { hub, clock, log } = this.#options;
-    const source = { reporter: from, age: 0, drainAge };
+    const source = { reporter: from, age: 0 };
     const outcome = hub.mergeUpstream(record, clock.steady(), source);
     if (outcome === "changed") {
       log.info(`Received a report that an upstream is ${record.state}`, {
--- a/packages/serving/find_drain_start_test.ts
+++ b/packages/serving/find_drain_start_test.ts
@@ -75,6 +75,25 @@
     expect(drainingSince(directory)).toBe(1300);
   });
 
+  // Guards against a bound that is too late, and against none where one is known.
+  test.each([["the same heartbeat", 3], ["an earlier one", 2]])(
+    "is corrected by another process that has seen %s",
+    (_name, sequence) => {
+      const directory = new UpstreamDirectory();
+      directory.merge(READY, 0, FORWARDED);
+      directory.merge(draining(3), 2000, FORWARDED);
+      const merge = (now: number, drainAge: number) =>
+        directory.merge(draining(sequence), now, { ...FORWARDED, drainAge });
+      expect(merge(2100, 600)).toBe("changed");
+      expect(drainingSince(directory)).toBe(1500);
+      expect(merge(2200, 1000)).toBe("changed");
+      expect(drainingSince(directory)).toBe(1200);
+      expect(merge(2300, 1110)).toBe("late");
+      expect(merge(2400, 100)).toBe("late");
+      expect(drainingSince(directory)).toBe(1200);
+    },
+  );
+
   test("isn't later than what the upstream stated to this process itself", () => {
     const stated = new Map<string, number>();
     const directory = new UpstreamDirectory((id) => stated.get(id));
--- a/packages/serving/simulated_replicas.ts
+++ b/packages/serving/simulated_replicas.ts
@@ -159,12 +159,9 @@
         });
         continue;
       }
-      const { now } = this.#time;
-      const since = hub.directory.get(record.id)?.drainingSince;
-      const drainAge = since === undefined ? undefined : Math.ceil(now - since);
       this.#network.send(() => {
         if (this.#isReached(other) && this.#isReached(this.#replicas[from]!)) {
-          const source = { reporter: `hub-${from}`, age: 0, drainAge };
+          const source = { reporter: `hub-${from}`, age: 0 };
           other.hub.mergeUpstream(record, this.#time.now, source);
           other.stored.set(record.id, record);
           this.#network.send(store);
--- a/packages/serving/upstream_directory.ts
+++ b/packages/serving/upstream_directory.ts
@@ -27,6 +27,12 @@
  */
 const NEW_INSTANCE_WINDOW: Milliseconds = 5000;
 
+/**
+ * Smaller differences between starts of a drain don't count: each process that
+ * passes one on adds the time of an exchange.
+ */
+const MIN_DRAIN_CORRECTION: Milliseconds = 100;
+
 /**
  * Shorter ages aren't passed on, so that times of updates that came by one
  * replica more may differ by as much.
@@ -87,7 +93,7 @@
     const entry = this.#known.get(update.id);
     const known = entry?.record;
     if (known !== undefined && !upstreamUpdate.isNewer(update, known)) {
-      return "late";
+      return this.#mergeDrainStart(entry!, update, { now, source });
     }
     // A heartbeat may be delayed by a partition and arrive after its sender
     // crashed.
@@ -110,6 +116,29 @@
     return wasCurrent && isUnchanged ? "received" : "changed";
   }
 
+  /** A late report may still tell that a drain began earlier than was known. */
+  #mergeDrainStart(
+    known: KnownUpstream,
+    { id, state }: UpstreamRecord,
+    { now, source: { drainAge } }: { now: Milliseconds; source: UpdateSource },
+  ): MergeOutcome {
+    if (
+      state !== "draining" || known.record.state !== "draining" ||
+      drainAge === undefined
+    ) {
+      return "late";
+    }
+    const start = now - drainAge;
+    if (start > (known.drainingSince ?? Infinity) - MIN_DRAIN_CORRECTION) {
+      return "late";
+    }
+    this.#known.set(id, {
+      ...known,
+      drainingSince: this.#boundByStatement(id, start),
+    });
+    return "changed";
+  }
+
   /**
    * ID of the instance that an update concerns. It differs from the update's ID
    * only for a departure that names no start time.
