--- a/packages/serving/simulated_replicas.ts
+++ b/packages/serving/simulated_replicas.ts
@@ -143,7 +143,6 @@
     record: UpstreamRecord,
     onDurable: () => void,
   ): void {
-    const { hub } = this.#replicas[from]!;
     let copies = 0;
     const store = () => {
       copies += 1;
