Tests of overlapping checks, of retries that aren't sent, and of half-open callers

Three changes had been made by reading, without a test of their own: checks of replaced runs don't overlap, an attempt that is withdrawn before it is sent consumes one retry, and a connection whose last response has ended is closed.

--- a/apps/heroncleatd/gateway/create_caller_server_test.ts
+++ b/apps/heroncleatd/gateway/create_caller_server_test.ts
@@ -7,6 +7,7 @@
 const REQUEST = "GET / HTTP/1.1\r\nhost: h\r\n\r\n";
 /** Incomplete, as of a caller that pipelines its requests. */
 const PARTIAL_REQUEST = "GET / HTTP/1.1\r\nho";
+const MAX_CLOSE_TIME_MS = 2000;
 
 let server: Server;
 let caller: Socket;
@@ -70,6 +71,20 @@
   expect(received).toMatch(/^HTTP\/1\.1 200 OK\r\n[^]*\r\n\r\nfirstlater$/);
 });
 
+test("a caller that keeps its side open behind such bytes can't leave another request", async () => {
+  caller.allowHalfOpen = true;
+  const response = await beginResponse();
+  response.writeHead(200, { "content-length": 5 });
+  response.write("wh");
+  const isDisturbed = once(server, "clientError");
+  caller.write("!\r\n\r\n");
+  await isDisturbed;
+  const isClosed = once(accepted, "close");
+  response.end("ole");
+  await Promise.race([isClosed, pause(MAX_CLOSE_TIME_MS)]);
+  expect(accepted.destroyed).toBe(true);
+});
+
 test("a request that runs isn't answered with 400 for what comes behind it", async () => {
   const response = await beginResponse();
   caller.write("!\r\n\r\n");
--- a/apps/heroncleatd/gateway/upstreams/replaced_runs_test.ts
+++ b/apps/heroncleatd/gateway/upstreams/replaced_runs_test.ts
@@ -23,6 +23,8 @@
 
 /** Checks a run at a replaced instance six times; whether it was given up. */
 async function playRun(setup: {
+  /** Whether all checks begin at one moment. */
+  readonly overlaps?: boolean;
   readonly bytesAt?: (check: number) => number;
   readonly isPaused?: boolean;
   readonly isReplaceable?: boolean;
@@ -49,9 +51,14 @@
     probe: setup.probe ?? (() => Promise.resolve(true)),
     log,
   });
+  const checks: Promise<void>[] = [];
   for (check = 0; check < 6; check += 1) {
-    await runs.check();
+    checks.push(runs.check());
+    if (!setup.overlaps) {
+      await checks.at(-1);
+    }
   }
+  await Promise.all(checks);
   return isGivenUp;
 }
 
@@ -66,6 +73,7 @@
     bytesAt: (check: number) => Math.floor(check / 3),
   }],
   ["waits for its caller to read", { isPaused: true }],
+  ["was silent for a moment, while checks overlap", { overlaps: true }],
   ["may run once only", { isReplaceable: false }],
   ["has a replacement at its own address", {
     replacementAddress: FORMER_ADDRESS,
--- a/apps/heroncleatd/gateway/upstreams/resting_upstream_test.ts
+++ b/apps/heroncleatd/gateway/upstreams/resting_upstream_test.ts
@@ -4,6 +4,7 @@
 import { RouteKind } from "@heroncleat/serving";
 import { createTestContext } from "../create_test_context.ts";
 import type { ForwardContext } from "../forward_context.ts";
+import { RetryLimiter } from "../limits/retry_limiter.ts";
 import { relayHeaders } from "../relay/relay_headers.ts";
 import { startTestEntry } from "../start_test_entry.ts";
 import { testHeaderNames as names } from "../test_header_names.ts";
@@ -31,6 +32,11 @@
   return upstream;
 }
 
+/** Rejects a request without asking for rest. */
+const full = (attempt: string) =>
+  `HTTP/1.1 503 Full\r\n${names.notRun}: 1\r\n${names.attempt}: ${attempt}\r\n` +
+  "Content-Length: 0\r\n\r\n";
+
 const rejecting = (attempt: string) =>
   `HTTP/1.1 503 Full\r\n${names.notRun}: 1\r\n${names.attempt}: ${attempt}\r\n` +
   `Retry-After: ${REST_SECONDS}\r\nContent-Length: 0\r\n\r\n`;
@@ -111,6 +117,40 @@
   expect(sound.received).toHaveLength(1);
 });
 
+// Guards against a request that runs out of retries, as one that was never sent
+// counted too.
+test("a retry that wasn't sent, as its upstream rests, leaves the retry to the next upstream", async () => {
+  const rejectingFirst = await startUpstream(full);
+  const resting = await startUpstream(serving);
+  const sound = await startUpstream(serving);
+  const upstreams = [rejectingFirst, resting, sound];
+  const context = createTestContext(upstreams, onClose);
+  const slow = new UpstreamAgent(() => 16, (options) => {
+    context.statements.recordRejection("u1", {
+      rest: REST_SECONDS * 1000,
+      now: context.clock.steady(),
+    });
+    return connect(options);
+  });
+  closers.push(() => slow.destroy());
+  const entry = await startTestEntry({
+    upstreams: [],
+    context: {
+      ...context,
+      agentOf: (id) => id === "u1" ? slow : context.agentOf(id),
+      retries: new RetryLimiter({
+        settings: () => ({ retryRatio: 0, retryWindow: 10_000, retrySlack: 1 }),
+        clock: context.clock,
+        log: context.log,
+        metrics: context.metrics,
+        share: { value: () => 1, entries: 1 },
+      }),
+    },
+  }, onClose);
+  expect((await send(entry)).status).toBe(200);
+  expect(upstreams.map(({ received }) => received.length)).toEqual([1, 0, 1]);
+});
+
 test.each([
   ["a call", RouteKind.idempotent],
   ["a stream", RouteKind.streaming],
