Tests of the gateway share one setup

A caller's request stands once in create_test_request.ts (three copies before), the relay to an only other entry once in start_test_relay.ts (two copies).

--- /dev/null
+++ b/apps/heroncleatd/gateway/relay/start_test_relay.ts
@@ -0,0 +1,36 @@
+import { createServer, type RequestListener } from "node:http";
+import { type AddressInfo, connect } from "node:net";
+import { testHeaderNames as names } from "../test_header_names.ts";
+import { UpstreamAgent } from "../upstreams/upstream_agent.ts";
+import { Relay } from "./relay.ts";
+
+/**
+ * Starts the only other entry, and a relay that passes requests on to it.
+ *
+ * @param onClose Collects what must be called at the end of the test.
+ */
+export async function startTestRelay(
+  respond: RequestListener,
+  onClose: (close: () => void) => void,
+): Promise<Relay> {
+  const server = createServer(respond);
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const agent = new UpstreamAgent(() => 2, connect);
+  onClose(() => server.close());
+  onClose(() => agent.destroy());
+  return new Relay({
+    name: "here",
+    zone: "a",
+    region: "r",
+    port: (server.address() as AddressInfo).port,
+    secret: "s",
+    listEntries: () => [
+      { name: "other", zone: "b", region: "r", address: "127.0.0.1:1" },
+    ],
+    agent,
+    names,
+    clock: { steady: () => performance.now() },
+    metrics: { increment() {}, gauge() {}, timing() {}, close() {} },
+    random: () => 0,
+  });
+}
--- a/apps/heroncleatd/gateway/start_test_entry.ts
+++ b/apps/heroncleatd/gateway/start_test_entry.ts
@@ -2,24 +2,13 @@
 import { type Route, RouteKind } from "@heroncleat/serving";
 import type { CallerRequest } from "./caller_request.ts";
 import { createTestContext } from "./create_test_context.ts";
+import { createTestRequest } from "./create_test_request.ts";
 import { forwardCall } from "./forward_call.ts";
 import type { ForwardContext } from "./forward_context.ts";
 import type { ForwardResult } from "./forward_result.ts";
 import { forwardStream } from "./streams/forward_stream.ts";
 
-const route: Route = {
-  name: "r",
-  host: "h",
-  pathPrefix: "/",
-  kind: RouteKind.idempotent,
-  targets: [{ service: "desk", weight: 1 }],
-  timeout: 1000,
-  latencyObjective: 100,
-  priority: 2,
-  maxAttempts: 2,
-  isPublic: true,
-  isResumable: false,
-};
+const DEFAULT_TIMEOUT_MS = 1000;
 
 type TestEntrySetup = {
   /** Addresses of the upstreams; the first is in the entry's zone. */
@@ -51,7 +40,7 @@
       chunks.push(chunk as Buffer);
     }
     const abort = new AbortController();
-    const timeout = setup.timeout ?? route.timeout;
+    const timeout = setup.timeout ?? DEFAULT_TIMEOUT_MS;
     setTimeout(() => abort.abort("time_up"), timeout).unref();
     response.once("close", () => {
       if (!response.writableFinished) {
@@ -59,35 +48,25 @@
       }
     });
     const now = context.clock.steady();
-    const call: CallerRequest = {
-      attempt: String(incoming.headers["x-attempt"]),
+    const request = createTestRequest({
       method: incoming.method!,
       target: incoming.url!,
       rawHeaders: incoming.rawHeaders,
       headers: incoming.headers,
       body: Buffer.concat(chunks),
-      route: {
-        ...route,
-        kind: setup.kind ?? route.kind,
-        isResumable: setup.isResumable ?? false,
-      },
-      service: "desk",
-      documentVersion: 1,
-      workspace: undefined,
-      prompt: undefined,
-      size: 0,
-      objective: route.latencyObjective,
       arrivedAt: now,
       deadline: now + timeout,
-      identity: {
-        attempt: "a",
-        workspace: "",
-        service: "desk",
-        size: 0,
-        digest: () => "d",
-        parts: () => [],
-      },
       signal: abort.signal,
+    });
+    const call: CallerRequest = {
+      ...request,
+      attempt: String(incoming.headers["x-attempt"]),
+      route: {
+        ...request.route,
+        kind: setup.kind ?? request.route.kind,
+        priority: 2,
+        isResumable: setup.isResumable ?? false,
+      },
     };
     const forward = setup.kind === RouteKind.streaming
       ? forwardStream
