Records in serving's tests and the tool's tables are written once

Seven tests in packages/serving each wrote out the record of an upstream; they use test_record.ts. The tool's lists of groups, limits and selectors print their part of the configuration through print_configuration_table.ts. Output and checks are as before.

--- a/apps/heroncleat/group_commands.ts
+++ b/apps/heroncleat/group_commands.ts
@@ -3,9 +3,8 @@
 import { Result } from "true-myth/result";
 import type { CommandContext } from "./command_context.ts";
 import type { CommandResult } from "./command_result.ts";
-import { formatTable } from "./format_table.ts";
 import { parsePairs } from "./parse_pairs.ts";
-import { printResource } from "./print_resource.ts";
+import { printConfigurationTable } from "./print_configuration_table.ts";
 import { submitChange } from "./submit_change.ts";
 import { usageFault } from "./usage_fault.ts";
 
@@ -14,20 +13,16 @@
 /** Commands that list and change groups and migrate between them. */
 export const groupCommands = {
   list(context: CommandContext): Promise<CommandResult> {
-    return printResource<ConfigurationView>(
-      context,
-      "/v1/operator/configuration",
-      (view) =>
-        formatTable(
-          ["GROUP", "STATE", "SHARE", "LABELS"],
-          Object.values(view.groups).map((group) => [
-            group.name,
-            group.state,
-            group.share,
-            group.labels,
-          ]),
-        ),
-    );
+    return printConfigurationTable(context, {
+      headings: ["GROUP", "STATE", "SHARE", "LABELS"],
+      listRows: (view) =>
+        Object.values(view.groups).map((group) => [
+          group.name,
+          group.state,
+          group.share,
+          group.labels,
+        ]),
+    });
   },
 
   /** `group-set NAME key=value ...` */
--- a/apps/heroncleat/limit_commands.ts
+++ b/apps/heroncleat/limit_commands.ts
@@ -3,8 +3,7 @@
 import { Result } from "true-myth/result";
 import type { CommandContext } from "./command_context.ts";
 import type { CommandResult } from "./command_result.ts";
-import { formatTable } from "./format_table.ts";
-import { printResource } from "./print_resource.ts";
+import { printConfigurationTable } from "./print_configuration_table.ts";
 import { submitChange } from "./submit_change.ts";
 import { usageFault } from "./usage_fault.ts";
 
@@ -15,20 +14,16 @@
 /** Commands that list and change the limits of workspaces. */
 export const limitCommands = {
   list(context: CommandContext): Promise<CommandResult> {
-    return printResource<ConfigurationView>(
-      context,
-      "/v1/operator/configuration",
-      (view) =>
-        formatTable(
-          ["WORKSPACE", "WEIGHT", "RUNNING", "QUEUED"],
-          Object.values(view.limits).map((limit) => [
-            limit.workspace,
-            limit.weight,
-            limit.maxRunning,
-            limit.maxQueued,
-          ]),
-        ),
-    );
+    return printConfigurationTable(context, {
+      headings: ["WORKSPACE", "WEIGHT", "RUNNING", "QUEUED"],
+      listRows: (view) =>
+        Object.values(view.limits).map((limit) => [
+          limit.workspace,
+          limit.weight,
+          limit.maxRunning,
+          limit.maxQueued,
+        ]),
+    });
   },
 
   set(context: CommandContext): Promise<CommandResult> {
--- a/apps/heroncleat/selector_commands.ts
+++ b/apps/heroncleat/selector_commands.ts
@@ -1,16 +1,10 @@
 import type { Fault } from "@heroncleat/base";
-import type {
-  ConfigurationView,
-  Edit,
-  Selector,
-  SelectorMatch,
-} from "@heroncleat/schema";
+import type { Edit, Selector, SelectorMatch } from "@heroncleat/schema";
 import { Result } from "true-myth/result";
 import type { CommandContext } from "./command_context.ts";
 import type { CommandResult } from "./command_result.ts";
-import { formatTable } from "./format_table.ts";
 import { parsePairs } from "./parse_pairs.ts";
-import { printResource } from "./print_resource.ts";
+import { printConfigurationTable } from "./print_configuration_table.ts";
 import { submitChange } from "./submit_change.ts";
 import { usageFault } from "./usage_fault.ts";
 
@@ -21,23 +15,19 @@
 /** Commands that list and change selectors. */
 export const selectorCommands = {
   list(context: CommandContext): Promise<CommandResult> {
-    return printResource<ConfigurationView>(
-      context,
-      "/v1/operator/configuration",
-      (view) =>
-        formatTable(
-          ["SELECTOR", "ORDER", "GROUPS", "MATCH", "IDEMPOTENT"],
-          Object.values(view.selectors)
-            .sort((left, right) => left.order - right.order)
-            .map((selector) => [
-              selector.name,
-              selector.order,
-              selector.groups.join(","),
-              selector.match,
-              selector.idempotent,
-            ]),
-        ),
-    );
+    return printConfigurationTable(context, {
+      headings: ["SELECTOR", "ORDER", "GROUPS", "MATCH", "IDEMPOTENT"],
+      listRows: (view) =>
+        Object.values(view.selectors)
+          .sort((left, right) => left.order - right.order)
+          .map((selector) => [
+            selector.name,
+            selector.order,
+            selector.groups.join(","),
+            selector.match,
+            selector.idempotent,
+          ]),
+    });
   },
 
   set(context: CommandContext): Promise<CommandResult> {
--- a/packages/serving/departing_instance_test.ts
+++ b/packages/serving/departing_instance_test.ts
@@ -3,6 +3,7 @@
 import { UpstreamBalancer } from "./upstream_balancer.ts";
 import { UpstreamDirectory } from "./upstream_directory.ts";
 import type { UpstreamRecord } from "./upstream_record.ts";
+import { testRecord } from "./test_record.ts";
 
 const NAME = "u1";
 /**
@@ -18,20 +19,13 @@
   changes: Partial<UpstreamRecord> = {},
 ): UpstreamRecord {
   const born = changes.born;
-  return {
+  return testRecord({
     id: instanceId(NAME, born),
     name: NAME,
-    born,
     service: "desk",
-    address: "10.0.0.1:80",
-    zone: "a",
-    slots: 4,
     sequence,
-    state: "ready",
-    isSpot: false,
-    leavesIn: undefined,
     ...changes,
-  };
+  });
 }
 
 /** One replica reads all of another one's feed. */
--- a/packages/serving/find_drain_start_test.ts
+++ b/packages/serving/find_drain_start_test.ts
@@ -1,18 +1,7 @@
 import { UpstreamDirectory, type UpstreamRecord } from "./mod.ts";
+import { testRecord } from "./test_record.ts";
 
-const READY: UpstreamRecord = {
-  id: "desk-1",
-  name: "desk-1",
-  born: undefined,
-  service: "desk",
-  address: "10.0.0.1:80",
-  zone: "a",
-  slots: 4,
-  sequence: 1,
-  state: "ready",
-  isSpot: false,
-  leavesIn: undefined,
-};
+const READY = testRecord({ id: "desk-1", name: "desk-1", service: "desk" });
 
 function draining(sequence: number): UpstreamRecord {
   return { ...READY, sequence, state: "draining" };
--- a/packages/serving/find_record_problem_test.ts
+++ b/packages/serving/find_record_problem_test.ts
@@ -1,18 +1,7 @@
-import { findRecordProblem, type UpstreamRecord } from "./mod.ts";
+import { findRecordProblem } from "./mod.ts";
+import { testRecord } from "./test_record.ts";
 
-const record: UpstreamRecord = {
-  id: "u1@5",
-  name: "u1",
-  born: 5,
-  service: "writers",
-  address: "10.0.0.1:80",
-  zone: "a",
-  slots: 4,
-  sequence: 1,
-  state: "ready",
-  isSpot: false,
-  leavesIn: undefined,
-};
+const record = testRecord({ id: "u1@5", born: 5 });
 const services = new Set(["writers", "desk"]);
 
 test("updates of an instance that moved or changed its service are rejected", () => {
--- a/packages/serving/hub_test.ts
+++ b/packages/serving/hub_test.ts
@@ -1,4 +1,5 @@
 import { documentCodec, Hub, type SyncRequest } from "./mod.ts";
+import { testRecord } from "./test_record.ts";
 
 const context = { document: undefined, controls: [], isLeading: true };
 const request = (
@@ -24,19 +25,7 @@
   usage: {},
   ...part,
 });
-const record = {
-  id: "u1",
-  name: "u1",
-  born: undefined,
-  service: "writers",
-  address: "10.0.0.1:80",
-  zone: "a",
-  slots: 4,
-  sequence: 1,
-  state: "ready" as const,
-  isSpot: false,
-  leavesIn: undefined,
-};
+const record = testRecord();
 
 describe("the hub", () => {
   test("sends an entry only what changed since its last request", () => {
--- a/packages/serving/upstream_balancer_test.ts
+++ b/packages/serving/upstream_balancer_test.ts
@@ -4,25 +4,16 @@
   UpstreamDirectory,
   UpstreamStatements,
 } from "./mod.ts";
+import { testRecord } from "./test_record.ts";
 
 const parts = [{ id: "menu", tokens: 10_000 }, { id: "own", tokens: 500 }];
 
 function createDirectory(count: number): UpstreamDirectory {
   const directory = new UpstreamDirectory();
   for (let index = 0; index < count; index += 1) {
-    directory.merge({
-      id: `u${index}`,
-      name: `u${index}`,
-      born: undefined,
-      service: "writers",
-      address: `10.0.0.${index}:80`,
-      zone: "a",
-      slots: 4,
-      sequence: 1,
-      state: "ready",
-      isSpot: false,
-      leavesIn: undefined,
-    }, 0);
+    const id = `u${index}`;
+    const address = `10.0.0.${index}:80`;
+    directory.merge(testRecord({ id, name: id, address }), 0);
   }
   return directory;
 }
--- a/packages/serving/upstream_directory_test.ts
+++ b/packages/serving/upstream_directory_test.ts
@@ -1,19 +1,8 @@
 import fc from "fast-check";
-import { UpstreamDirectory, type UpstreamRecord } from "./mod.ts";
+import { UpstreamDirectory } from "./mod.ts";
+import { testRecord } from "./test_record.ts";
 
-const record: UpstreamRecord = {
-  id: "u1",
-  name: "u1",
-  born: undefined,
-  service: "writers",
-  address: "10.0.0.1:80",
-  zone: "a",
-  slots: 4,
-  sequence: 1,
-  state: "ready",
-  isSpot: false,
-  leavesIn: undefined,
-};
+const record = testRecord();
 
 describe("the upstream directory", () => {
   test("ignores late heartbeats", () => {
--- a/packages/serving/upstream_instances_test.ts
+++ b/packages/serving/upstream_instances_test.ts
@@ -5,6 +5,7 @@
   UpstreamDirectory,
   type UpstreamRecord,
 } from "./mod.ts";
+import { testRecord } from "./test_record.ts";
 
 const NAME = "i-7";
 
@@ -13,20 +14,13 @@
   sequence: number,
   part: Partial<UpstreamRecord> = {},
 ): UpstreamRecord {
-  return {
+  return testRecord({
     id: instanceId(NAME, born),
     name: NAME,
     born,
-    service: "writers",
-    address: "10.0.0.1:80",
-    zone: "a",
-    slots: 4,
     sequence,
-    state: "ready",
-    isSpot: false,
-    leavesIn: undefined,
     ...part,
-  };
+  });
 }
 
 function describeCurrent(directory: UpstreamDirectory): string[] {
