Comments of over 40 words are shortened

Long comments told how values were chosen and what happened without them; a newcomer needs what the code does and why.

--- a/apps/heroncleatd/common/read_once_per_loop_iteration.ts
+++ b/apps/heroncleatd/common/read_once_per_loop_iteration.ts
@@ -8,10 +8,8 @@
 
 /**
  * Limits a socket to one read per iteration of the event loop. Otherwise libuv
- * reports a reset that arrives with the last bytes as an orderly end, which
- * matters for bodies that end with the connection.
- *
- * Pausing a flowing socket wouldn't stop the next read.
+ * reports a reset that arrives with the last bytes as an orderly end. Pausing
+ * the socket wouldn't stop the next read.
  */
 export function readOncePerLoopIteration(socket: Socket): void {
   const pauseUntilNextIteration = () => {
--- a/apps/heroncleatd/common/request_digest.ts
+++ b/apps/heroncleatd/common/request_digest.ts
@@ -15,10 +15,8 @@
 
 /**
  * Computes a digest that is the same for repetitions of a request. Headers are
- * excluded because some differ between attempts, such as the attempt's
- * identifier; keys are represented by their workspace, which may have several.
- * Each part is prefixed with its length, so that adjacent parts can't be
- * confused.
+ * excluded, as some differ between attempts. Each part is prefixed with its
+ * length, so that adjacent parts can't be confused.
  */
 export function requestDigest(parts: StableParts): string {
   const { method, host, target, workspace, body } = parts;
--- a/apps/heroncleatd/common/suspect_watcher.ts
+++ b/apps/heroncleatd/common/suspect_watcher.ts
@@ -69,9 +69,8 @@
 };
 
 /**
- * Distinguishes requests that crash upstreams from requests that happen to run
- * on upstreams that crash. A connection may break for many reasons; a run
- * counts as crashed only once its upstream accepts no more connections or a
+ * Distinguishes requests that crash upstreams from those that only run there. A
+ * run counts as crashed once its upstream accepts no more connections or a
  * newer instance is running.
  */
 export class SuspectWatcher {
@@ -415,8 +414,8 @@
 
 /**
  * The runs of the prompt parts that were on a crashed upstream. A part that
- * several requests had in common ran for the sum of their times, counted from
- * the first byte of a response, as upstreams that a part crashes do so then.
+ * several requests had in common ran for the sum of their times since the first
+ * byte of a response.
  */
 function listPartRuns(
   runs: readonly UndecidedRun[],
--- a/apps/heroncleatd/control/confirmed_reads.ts
+++ b/apps/heroncleatd/control/confirmed_reads.ts
@@ -15,10 +15,9 @@
   | { readonly kind: "not_leader"; readonly leader: string };
 
 /**
- * Makes reads of the local state linearizable: confirms through a quorum that
- * this replica has applied every command committed before the read started.
- * Reads that arrive while a confirmation is in flight share the next one, so a
- * replica sends the leader one read-index request at a time.
+ * Makes reads of the local state linearizable: a quorum confirms that this
+ * replica has applied every command committed before the read. Reads that
+ * arrive meanwhile share the next confirmation.
  */
 export class ConfirmedReads {
   readonly #replica: ReadableReplica;
--- a/apps/heroncleatd/control/decide_formation.ts
+++ b/apps/heroncleatd/control/decide_formation.ts
@@ -10,9 +10,8 @@
 
 /**
  * Decides how a replica with an empty data folder starts. It bootstraps a group
- * only when every configured replica responds that it has none. A replica that
- * lost its disk therefore never bootstraps a second group: some peer reports
- * the existing one, and the replica joins it under its new identity.
+ * only if every configured replica has none, so one that lost its disk joins
+ * the existing group under a new identity.
  */
 export function decideFormation(
   self: ReplicaMember,
--- a/apps/heroncleatd/control/group_reconciler.ts
+++ b/apps/heroncleatd/control/group_reconciler.ts
@@ -139,10 +139,9 @@
   }
 
   /**
-   * Forwards a join request to the leader. The joining replica may not know the
-   * address of the leader, which may be neither an initial member nor a seed;
-   * without forwarding such a replica was never added.
-   * The leader's method doesn't forward again, so requests can't loop.
+   * Forwards a join request to the leader, whose address the joining replica
+   * may not know. The leader's method doesn't forward again, so requests can't
+   * loop.
    */
   async #forwardToLeader(member: ReplicaMember): Promise<boolean> {
     const { replica, directory, pool, methodPrefix } = this.#options;
--- a/apps/heroncleatd/control/member_directory.ts
+++ b/apps/heroncleatd/control/member_directory.ts
@@ -11,10 +11,9 @@
 };
 
 /**
- * Current and former members that this replica has a record of: from its own
- * log, from reports of other replicas, and the initial members. After a lost
- * disk, the log only has the initial members, all of which may be gone. The
- * reports add the address of a leader that joined later.
+ * Current and former members, from this replica's log, reports of other
+ * replicas and the initial members. After a lost disk, only the reports name a
+ * leader that joined later.
  */
 export class MemberDirectory {
   readonly #options: DirectoryOptions;
--- a/apps/heroncleatd/gateway/header_names.ts
+++ b/apps/heroncleatd/gateway/header_names.ts
@@ -43,8 +43,7 @@
   /**
    * Headers that only the system may send to upstreams, such as those that
    * reserve memory for a request or copy it elsewhere. They are removed from
-   * callers' requests: passed on, they made engines with nothing in flight reject
-   * 8 % of all requests.
+   * callers' requests.
    */
   readonly reserved: readonly string[];
 };
--- a/apps/heroncleatd/gateway/limits/permit_client.ts
+++ b/apps/heroncleatd/gateway/limits/permit_client.ts
@@ -76,8 +76,7 @@
    * recorded, whether or not one was granted.
    *
    * @param options.hasAlternative Whether another upstream could serve the
-   * request. It then doesn't wait for a primary that is slow or out of reach; a
-   * permit that is granted later is used for another request.
+   * request, which then doesn't wait for a slow primary.
    */
   async request(
     wanted: WantedPermit,
--- a/apps/heroncleatd/gateway/limits/quota_charger.ts
+++ b/apps/heroncleatd/gateway/limits/quota_charger.ts
@@ -14,12 +14,9 @@
 };
 
 /**
- * Charges requests to the quotas of their workspaces.
- *
- * With many entries the exchanges with the control replicas are so far apart
- * that together they could overspend a quota in between. A request that the
- * quota might not cover therefore waits for one exchange, and its charge is
- * reported at once.
+ * Charges requests to the quotas of their workspaces. A request that the quota
+ * might not cover waits for an exchange with the control replicas, as many
+ * entries could together overspend in between.
  */
 export class QuotaCharger {
   readonly #options: QuotaChargerOptions;
--- a/apps/heroncleatd/gateway/responses/relay_body.ts
+++ b/apps/heroncleatd/gateway/responses/relay_body.ts
@@ -8,11 +8,8 @@
 };
 
 /**
- * Passes on a body to a caller while it is received, with backpressure from the
- * caller. The response isn't ended.
- *
- * Listens to events instead of iterating over the body, which takes several
- * promises for each chunk.
+ * Passes on a body to a caller while it is received, with backpressure. The
+ * response isn't ended. Events take less time than iterating over the body.
  *
  * @returns Whether the body is complete.
  */
--- a/apps/heroncleatd/gateway/shutdown/departure_deadline.ts
+++ b/apps/heroncleatd/gateway/shutdown/departure_deadline.ts
@@ -57,9 +57,8 @@
   }
 
   /**
-   * Whether a request that is sent now can complete before the process exits. Of
-   * a route without recorded run times it must do so until its deadline: a caller
-   * that is refused goes to another entry at once, a stream that is cut is lost.
+   * Whether a request that is sent now can complete before the process exits.
+   * On a route without recorded run times its deadline counts.
    */
   hasTimeFor({ route, size, deadline }: TimedRequest): boolean {
     if (!this.hasBegun) {
--- a/apps/heroncleatd/hub/member_finder.ts
+++ b/apps/heroncleatd/hub/member_finder.ts
@@ -20,9 +20,8 @@
 
 /**
  * Keeps a process without a replica informed of the group's members. It queries
- * one member at a time, and the seeds while no member responds. If the process
- * is a seed, replicas also announce the members to it, because all seeds may
- * have restarted and lost them.
+ * one member at a time, or the seeds. Replicas announce the members to a seed,
+ * as all seeds may have restarted.
  */
 export class MemberFinder {
   readonly #options: FinderOptions;
--- a/apps/heroncleatd/hub/start_hub_proxy.ts
+++ b/apps/heroncleatd/hub/start_hub_proxy.ts
@@ -30,9 +30,9 @@
 };
 
 /**
- * Starts the control role on a VM without a disk. It holds no replica: it
- * forwards calls of operators and upstreams to one, sends the addresses of the
- * replicas to entries, and as a seed takes part in the group bootstrap.
+ * Starts the control role on a VM without a disk: forwards calls of operators
+ * and upstreams to a replica, sends replicas' addresses to entries, and as a
+ * seed takes part in the group bootstrap.
  */
 export function startHubProxy(options: StartOptions): RunningHub {
   const { pool, clock, log, metrics, serve } = options;
--- a/apps/heroncleatd/hub/upstream_updates.ts
+++ b/apps/heroncleatd/hub/upstream_updates.ts
@@ -42,10 +42,9 @@
 };
 
 /**
- * Processes the updates that upstreams send about themselves. Heartbeats are
- * acknowledged once they are in memory, because another one follows. A
- * departure may be sent only once, so it is acknowledged only after it would
- * survive the loss of this replica.
+ * Processes the updates that upstreams send about themselves. A heartbeat is
+ * acknowledged once it is in memory, a departure, which may be sent only once,
+ * when it would survive the loss of this replica.
  */
 export class UpstreamUpdates {
   readonly #options: UpdateOptions;
--- a/packages/admission/admission_controller.ts
+++ b/packages/admission/admission_controller.ts
@@ -14,9 +14,8 @@
 
 /**
  * Decides which requests run, wait or are refused at one entry, for one model
- * or service. Capacity is divided among workspaces by weight (start-time fair
- * queueing). Among the workspaces within the burst, the one with the most
- * urgent request goes first.
+ * or service. Workspaces share the capacity by weight (start-time fair
+ * queueing); within the burst the most urgent request goes first.
  *
  * @public
  */
--- a/packages/consensus/election.ts
+++ b/packages/consensus/election.ts
@@ -17,8 +17,7 @@
 /**
  * Minimum time until an election that started because no voter leads is
  * retried, as a fraction of the election timeout. Replicas that start together
- * are likely to split the vote; after a whole timeout, a group had no leader for
- * 0.75 s. A vote takes up to 100 ms on slow disks.
+ * are likely to split the vote.
  */
 const LEADERLESS_TIMEOUT_FRACTION = 0.25;
 
@@ -26,10 +25,9 @@
 const NOT_LEADERLESS = -1;
 
 /**
- * Leader election with pre-vote (Raft, section 9.6 of Ongaro's dissertation).
- * A replica that had contact with a leader within the election timeout, or has
- * just restarted, grants no vote unless every voter reported that it doesn't
- * lead; leader leases rely on this.
+ * Leader election with pre-vote (Raft, section 9.6 of Ongaro's dissertation). A
+ * voter that may have heard a leader, or just restarted, grants no vote unless
+ * no voter leads; leader leases rely on this.
  *
  * @internal
  */
--- a/packages/journal/read_disk_identity.ts
+++ b/packages/journal/read_disk_identity.ts
@@ -16,9 +16,8 @@
 const VERSION = 1;
 
 /**
- * Reads the identity of a data folder, or creates one if the folder is empty.
- * A replica that lost its disk therefore gets a new identity and isn't mistaken
- * for the previous one. Returns a `damaged` fault if the identity is invalid,
+ * Reads the identity of a data folder, or creates one if the folder is empty,
+ * as after a lost disk. Returns a `damaged` fault if the identity is invalid,
  * or missing from a folder with data.
  *
  * @public
--- a/packages/membership/choose_standby.ts
+++ b/packages/membership/choose_standby.ts
@@ -3,9 +3,8 @@
 
 /**
  * Chooses the entry that stores the copy of a request: a random alive one,
- * preferably in another zone than the owner. Excluded entries are used only
- * if no other is alive. Returns `undefined` if there is no alive entry besides
- * the owner.
+ * preferably in another zone than the owner, and an excluded one only if there
+ * is no other. `undefined` if none is alive.
  *
  * @public
  */
--- a/packages/membership/membership.ts
+++ b/packages/membership/membership.ts
@@ -19,17 +19,14 @@
 
 /**
  * Time after its start at which an entry counts as synchronized even if no
- * other member has sent it any upstreams, as in a new deployment. Another
- * member's view takes 20 to 100 ms; the rest is for connections that are made
- * anew.
+ * other member has sent it any upstreams, as in a new deployment.
  */
 const INITIAL_SYNC_TIMEOUT: Milliseconds = 1000;
 
 /**
  * Failure detection and dissemination between entries, based on SWIM (Das,
- * Gupta and Motivala, 2002): random probes, indirect probes, suspicion that
- * the suspected member can refute, and gossip piggybacked on the probes. A
- * state machine without I/O: it takes events and returns effects.
+ * Gupta and Motivala, 2002), with gossip piggybacked on the probes. A state
+ * machine without I/O: it takes events and returns effects.
  *
  * @public
  */
--- a/packages/requests/owned_request.ts
+++ b/packages/requests/owned_request.ts
@@ -606,9 +606,9 @@
   }
 
   /**
-   * Refuses the request. The standby may hold an unacknowledged copy and would
-   * run it if this entry failed, so it is sent a finished copy. That message
-   * may be lost too, so the fault must not claim that nothing was run.
+   * Refuses the request. The standby may hold an unacknowledged copy, so it is
+   * sent a finished one. That message may be lost, so the fault must not claim
+   * that nothing was run.
    */
   #refuse(fault: Fault): void {
     if (this.#record.standby !== "") {
--- a/packages/rollouts/assess_version.ts
+++ b/packages/rollouts/assess_version.ts
@@ -31,10 +31,9 @@
 type Trials = { readonly bad: number; readonly all: number };
 
 /**
- * Compares a new version with the others by sequential probability ratio tests,
- * one for failures and one for each kind of time, on each route and over all.
- * As the others served at the same time, what hits all versions alike doesn't
- * count against the new one.
+ * Compares a new version with the others, which served at the same time, by
+ * sequential probability ratio tests: one for failures and one for each kind of
+ * time, on each route and over all.
  *
  * @public
  */
--- a/packages/rollouts/plan_rollout.ts
+++ b/packages/rollouts/plan_rollout.ts
@@ -30,8 +30,8 @@
 
 /**
  * Decides the next step of a rollout in progress; undefined if it goes on as it
- * is. A version that isn't known to be good when the time is up is reverted: an
- * operator can order it again, while completing it stops the old upstreams.
+ * is. A version that isn't known to be good when the time is up is reverted, as
+ * completing would stop the old upstreams.
  *
  * @public
  */
--- a/packages/rollouts/version_gate.ts
+++ b/packages/rollouts/version_gate.ts
@@ -6,8 +6,8 @@
 
 /**
  * Time for which upstreams of a version that is new to the entry get nothing
- * while others are there: news of a rollout may arrive after them, and another
- * entry that hasn't heard of the version may resume its streams at an older one.
+ * while others are there: news of a rollout may arrive after them, and at other
+ * entries later.
  */
 const NEW_VERSION_HOLD: Milliseconds = 1500;
 
--- a/packages/serving/charge_totals.ts
+++ b/packages/serving/charge_totals.ts
@@ -22,12 +22,9 @@
 type BucketTotal = { amount: number; revision: number };
 
 /**
- * Sums what entries charge to workspaces. Entries report totals since the start
- * of their process, so an entry's first report is the baseline: what it charged
- * before isn't counted.
- *
- * Sums are updated incrementally, so that applying a report takes time
- * proportional to its size and not to the number of entries.
+ * Sums what entries charge to workspaces, in time proportional to a report's
+ * size. Reports are totals since the start of their process; an entry's first
+ * one is the baseline.
  *
  * @internal
  */
--- a/packages/serving/counter_report.ts
+++ b/packages/serving/counter_report.ts
@@ -9,10 +9,9 @@
   & Pick<SyncRequest, "isPartial" | "digest">;
 
 /**
- * Builds the reports of an entry's counters for one control replica: a full
- * report first, then reports of what changed since the last acknowledged one.
- * Counters are totals, so reports are idempotent. After a failed call, or when
- * the replica's copy differs, the next report is a full one.
+ * Builds the reports of an entry's counters for one control replica: what
+ * changed since the last acknowledged one, or all after a failure or a
+ * difference. Counters are totals, so reports are idempotent.
  *
  * @public
  */
--- a/packages/serving/demand_estimate.ts
+++ b/packages/serving/demand_estimate.ts
@@ -6,9 +6,7 @@
 const DECAY_WINDOW: Milliseconds = 12_000;
 /**
  * Lower bound of the observation time that the average is divided by, so that a
- * load which has just begun is neither underestimated nor extrapolated. Without
- * this division such a load counted half after 4 s, and a service that then lost
- * two zones got no replacements.
+ * load which has just begun is neither underestimated nor extrapolated.
  */
 const MIN_OBSERVATION_TIME: Milliseconds = 1500;
 
--- a/packages/serving/failure_reports.ts
+++ b/packages/serving/failure_reports.ts
@@ -7,8 +7,7 @@
 
 /**
  * Decides which failures of upstreams an entry reports to the others: the first
- * that any of them meets, and one more each interval while it goes on. Without
- * reports each entry would find out with a request of its own.
+ * that any of them meets, and one more each interval while it goes on.
  *
  * @public
  */
--- a/packages/serving/find_drain_start.ts
+++ b/packages/serving/find_drain_start.ts
@@ -10,11 +10,9 @@
 const MAX_FORWARDING_DELAY: Milliseconds = 1300;
 
 /**
- * Finds when an instance first said that it drains, or an earlier time, from an
- * update and what was known before; undefined if neither tells.
- *
- * An upstream repeats its report, so the first one that a process receives need
- * not be the first one that was acknowledged.
+ * Finds when an instance first said that it drains, from an update and what was
+ * known; undefined if neither tells. The first report that arrives need not be
+ * the first that was acknowledged.
  *
  * @internal
  */
--- a/packages/serving/find_record_problem.ts
+++ b/packages/serving/find_record_problem.ts
@@ -2,15 +2,13 @@
 import type { UpstreamRecord } from "./upstream_record.ts";
 
 /**
- * Finds a semantic error in a well-formed update of an upstream. The update may
- * come from another process that uses the upstream's name: an instance never
- * changes its address, service or zone, and its service must be configured.
+ * Finds a semantic error in an update of an upstream, which may come from
+ * another process of that name: an instance never changes its address, service
+ * or zone.
  *
  * @public
- * @param known.services Configured services; undefined before the first
- * configuration.
+ * @param known.services Configured services, if known.
  * @param known.record The last update of this instance.
- * @returns The problem; undefined if there is none.
  */
 export function findRecordProblem(
   update: UpstreamRecord,
--- a/packages/serving/fleet_planner.ts
+++ b/packages/serving/fleet_planner.ts
@@ -52,8 +52,7 @@
 /**
  * Plans the number of spot and on-demand upstreams of one service in each
  * availability zone. Spot upstreams suffice if all zones but one remain;
- * on-demand ones replace those that are missing, as zones may be reclaimed within
- * seconds of each other and no spot upstreams be available for 12 s or more.
+ * on-demand ones replace those that are missing.
  *
  * @public
  */
--- a/packages/serving/idle_connection_limit.ts
+++ b/packages/serving/idle_connection_limit.ts
@@ -6,15 +6,10 @@
 const IDLE_SHARE = 0.5;
 
 /**
- * How many idle connections an entry keeps to an upstream that accepts a number
- * of connections from all entries together: its even share of a part of them, so
- * that the others can open one for a request. A share is rounded by name, up at
- * some entries and down at the others, so that the sum is kept on average.
+ * How many idle connections an entry keeps to an upstream: its even share,
+ * rounded up at some entries and down at others by their names.
  *
- * @param options.maxConnections Connections that the upstream accepts from all
- * entries together.
- * @param options.entryCount Entries that send to the upstream.
- * @param options.entry Name of this entry.
+ * @param options.maxConnections Accepted from all entries together.
  * @param options.upstream ID of the upstream.
  * @public
  */
--- a/packages/serving/leased_share.ts
+++ b/packages/serving/leased_share.ts
@@ -11,12 +11,9 @@
 };
 
 /**
- * This entry's even share of something that all entries have in common, such
- * that the shares used within any window add up to one at most. An entry holds
- * its share under a lease that contacts with the leading replica extend. The
- * others count it until it has lost its share and what it used has left the
- * window. A new process, or one whose lease has expired, waits until the same is
- * true of all that it may not have heard of.
+ * This entry's even share of something that all entries have in common, under a
+ * lease that contacts with the leading replica extend. Shares used within any
+ * window add up to one at most.
  *
  * @public
  */
--- a/packages/serving/notice_threshold.ts
+++ b/packages/serving/notice_threshold.ts
@@ -6,9 +6,8 @@
  */
 const MIN_THRESHOLD: Milliseconds = 10;
 /**
- * Maximum rate of notices that an entry should receive. One takes about 0.1 ms to
- * receive, so these take 0.6 % of a core with any number of entries. Notices of
- * all prompts were 243 a second at each of 200 entries.
+ * Maximum rate of notices that an entry should receive, with any number of
+ * entries.
  */
 const MAX_NOTICES_PER_SECOND = 60;
 /** Time over which notices are counted before the threshold is adapted. */
@@ -20,9 +19,8 @@
 
 /**
  * Decides which dispatches are announced to the other entries: those with the
- * longest prefill, at a rate that every entry can process. All entries receive
- * the same notices, so their thresholds adapt alike. A few long prompts make most
- * collisions: without notices, first tokens take three times as long.
+ * longest prefill, at a rate that every entry can process. All receive the same
+ * notices, so their thresholds adapt alike.
  *
  * @public
  */
--- a/packages/serving/origin_search.ts
+++ b/packages/serving/origin_search.ts
@@ -42,9 +42,9 @@
   };
 
 /**
- * A search for the origin of a stream among the other entries: the best of those
- * that hold it are asked first, then the others, as one of them began it. It
- * ends with the first that knows it, once all have answered, or after a timeout.
+ * A search for the origin of a stream among the other entries, the best of
+ * those that hold it first. It ends with the first that knows it, all answers,
+ * or a timeout.
  *
  * @public
  */
--- a/packages/serving/overload_retry_delay.ts
+++ b/packages/serving/overload_retry_delay.ts
@@ -32,14 +32,9 @@
 
 /**
  * Decides whether to shed a request that would miss its latency objective at
- * every upstream. Shedding keeps the queue short while the load exceeds the
- * fleet, so that the accepted requests meet their objective.
+ * every upstream. Nothing is refused while the prefill speed is only assumed.
  *
- * Nothing is refused while the prefill speed is only assumed, as faster engines
- * may well meet the objective.
- *
- * @returns The delay after which the queue has room for the request; undefined
- * if it is to be accepted now.
+ * @returns The delay after which the queue has room; undefined if accepted now.
  * @public
  */
 export function overloadRetryDelay(
--- a/packages/serving/parse_rate_limit.ts
+++ b/packages/serving/parse_rate_limit.ts
@@ -14,8 +14,7 @@
  * Reads the header in which an upstream states its rate limit: a decimal number
  * of requests per second. Of several values the lowest counts.
  *
- * @param value The value of the header, or several separated by commas;
- * undefined if the response has none.
+ * @param value May hold several values, separated by commas.
  * @public
  */
 export function parseRateLimit(value: string | undefined): StatedRateLimit {
--- a/packages/serving/parse_retry_after.ts
+++ b/packages/serving/parse_retry_after.ts
@@ -20,10 +20,9 @@
   | { readonly kind: "unreadable"; readonly value: string };
 
 /**
- * Reads `Retry-After`: seconds, also in fractions, or a date. Of several values
- * the longest counts; a time that has passed is none.
+ * Reads `Retry-After`: seconds, also in fractions, or a date. The longest of
+ * several values counts; a time that has passed is none.
  *
- * @param values The values of the header; each may hold several.
  * @param options.now Unix time that a date is compared with.
  * @public
  */
--- a/packages/serving/peer_charges.ts
+++ b/packages/serving/peer_charges.ts
@@ -6,9 +6,8 @@
 
 /**
  * Charges of all other entries, merged from sources that started to count at
- * different times and receive reports at different times. No source reports
- * more than was charged, so the maximum of all sources counts; a source that
- * was unreachable catches up with its next report.
+ * different times. No source reports more than was charged, so the maximum of
+ * all sources counts.
  *
  * @internal
  */
--- a/packages/serving/permit_issuer.ts
+++ b/packages/serving/permit_issuer.ts
@@ -103,10 +103,8 @@
   }
 
   /**
-   * Adds what has accrued. Entries that come from another replica bring their
-   * share of the permit that is accruing, and those that leave take it with
-   * them. All replicas agree on how much of it has accrued, so no permit is lost
-   * or issued twice, however often the primary changes.
+   * Adds what has accrued. Entries bring and take their share of the accruing
+   * permit when the primary changes, so that no permit is lost or issued twice.
    */
   #refill(
     upstream: string,
--- a/packages/serving/possible_origins.ts
+++ b/packages/serving/possible_origins.ts
@@ -21,9 +21,9 @@
 };
 
 /**
- * Where the streams of a route that may still be resumed can have begun, as far
- * as an entry can tell without asking: the control replicas list the versions,
- * and the entry knows how long the route has led to the same services.
+ * Where the streams of a route that may still be resumed can have begun: the
+ * control replicas list the versions, and the entry knows how long the route
+ * has led to the same services.
  *
  * @public
  */
--- a/packages/serving/prefill_speed.ts
+++ b/packages/serving/prefill_speed.ts
@@ -25,9 +25,8 @@
 
 /**
  * Estimates the prefill speed of a service's engines, as a multiple of the
- * prefill time of the reference engine, from the time to first token of
- * requests. It uses the differences between long and short prompts, so that
- * constant delays such as network latency and engine overhead cancel out.
+ * reference engine's prefill time. It compares long and short prompts, so that
+ * constant delays cancel out.
  *
  * @internal
  */
--- a/packages/serving/prefill_time.ts
+++ b/packages/serving/prefill_time.ts
@@ -11,10 +11,8 @@
 const MILLION = 1_000_000;
 
 /**
- * Prefill time of a prompt on an idle reference engine. It grows faster than
- * the number of tokens, as each token attends to all tokens before it. Both
- * terms scale with the arithmetic speed of an engine, so other engines take a
- * multiple of this time.
+ * Prefill time of a prompt on an idle reference engine; other engines take a
+ * multiple of it. Each token attends to all tokens before it.
  *
  * @param uncached Tokens to prefill.
  * @param cached Tokens before them that are in the KV cache.
--- a/packages/serving/quota_account.ts
+++ b/packages/serving/quota_account.ts
@@ -28,10 +28,9 @@
 const REVOCABLE_WINDOW: Milliseconds = 2000;
 
 /**
- * Charges of all entries to one limit, as known to this entry. While some entries
- * are unreachable, part of the refill is withheld until they report what they
- * spent. Were it lost, an entry cut off for 4 s would refuse its workspace for
- * 10 s and more.
+ * Charges of all entries to one limit, as known to this entry. While some
+ * entries are unreachable, part of the refill is withheld until they report
+ * what they spent.
  *
  * @internal
  */
@@ -108,9 +107,8 @@
 
   /**
    * Revokes the refill that belonged to entries which turn out to have been
-   * unreachable. Until their timeout was detected, the bucket was refilled with
-   * their share too. Without this, simulated windows held up to 1.29 of what is
-   * tolerated.
+   * unreachable. Until their timeout, the bucket was refilled with their share
+   * too.
    *
    * @param span.since When the unreachable entries may have reported last.
    */
--- a/packages/serving/relay_entries.ts
+++ b/packages/serving/relay_entries.ts
@@ -36,9 +36,8 @@
 
 /**
  * Chooses the entry to which another one passes on the requests of a service
- * whose upstreams it can't reach: a near one, with few requests in flight
- * there, that hasn't said that it reaches none either. While others refuse, one
- * that has just served a request is asked first.
+ * whose upstreams it can't reach: one that served lately, a near one, with few
+ * requests in flight there.
  *
  * @public
  */
--- a/packages/serving/run_durations.ts
+++ b/packages/serving/run_durations.ts
@@ -68,9 +68,9 @@
   }
 
   /**
-   * Estimates the longest duration of a run of the given size: a linear fit of
-   * duration by size, shifted up to the run farthest above it. Runs in progress
-   * count with their duration so far, as long runs complete last.
+   * Estimates the longest duration of a run of the given size: a linear fit,
+   * shifted up to the run farthest above it. Runs in progress count, as long
+   * ones complete last.
    *
    * @returns The duration; undefined with too few recent runs.
    */
--- a/packages/serving/send_turns.ts
+++ b/packages/serving/send_turns.ts
@@ -19,10 +19,8 @@
 
 /**
  * Turns in which an entry may send to an upstream with a rate limit while no
- * replica issues permits. The entries take turns in the order of their names,
- * so they agree on them as long as they have the same list and about the same
- * time. A turn that isn't used in time is lost: were it kept, entries that have
- * been idle could all send at once.
+ * replica issues permits, in the order of the entries' names. A turn that isn't
+ * used in time is lost.
  *
  * @internal
  */
--- a/packages/serving/shared_retry_budget.ts
+++ b/packages/serving/shared_retry_budget.ts
@@ -6,8 +6,7 @@
 const SLOTS = 80;
 /**
  * The windows whose requests count, by how much earlier they begin. The weights
- * add up to 1. Those of the earlier ones are known when a retry is sent; the
- * other one lets a process that has just started send some.
+ * add up to 1. The current window lets a process that has just started retry.
  */
 const REQUEST_WINDOWS = [
   { earlier: 0, weight: 0.2 },
@@ -23,11 +22,9 @@
 const DELAY_SLOTS = 2;
 
 /**
- * Retry budget of one service at this entry. In any window the retries are at
- * most the ratio of the requests, which are the weighted mean of those in that
- * window, in the one half a length earlier and in the one before, plus this
- * entry's share of the minimum. As this is true of every entry and every window,
- * whatever its phase, it is true of the sums over all entries.
+ * Retry budget of one service at this entry: in any window, a ratio of the
+ * requests in that window and the earlier ones, plus this entry's share of the
+ * minimum. See 21-retry-budget.
  *
  * @public
  */
--- a/packages/serving/simulated_retries.ts
+++ b/packages/serving/simulated_retries.ts
@@ -68,9 +68,8 @@
 
 /**
  * Plays entries with clocks out of phase whose upstreams reject every request
- * during disruptions that come shortly after one another. Entries start,
- * restart, lose the control replicas for a while, and follow a change of the
- * bounds one after the other; replicas restart without what they knew.
+ * during disruptions. Entries start, restart, lose the control replicas, and
+ * apply changed bounds one after the other.
  *
  * @internal
  */
--- a/packages/serving/slot_share.ts
+++ b/packages/serving/slot_share.ts
@@ -1,14 +1,11 @@
 import { hashToUnit } from "./hash_to_unit.ts";
 
 /**
- * How many slots of an upstream an entry may use so that all entries together
- * use no more than there are. What doesn't divide evenly goes to a part of the
- * entries, others for each upstream.
+ * How many slots of an upstream an entry may use so that all together use no
+ * more than there are. The remainder goes to other entries for each upstream.
  *
- * @param options.entry Name of this entry.
  * @param options.entries Names of all entries that are listed.
- * @param options.entryCount Entries that may send, also ones that aren't listed.
- * @param options.upstream ID of the upstream.
+ * @param options.entryCount Includes entries that aren't listed.
  * @public
  */
 export function slotShare(
--- a/packages/serving/upstream_balancer.ts
+++ b/packages/serving/upstream_balancer.ts
@@ -73,10 +73,9 @@
 };
 
 /**
- * Chooses the upstream with the lowest estimated time to first token for a
- * request, based on cached prompt parts, the prefill backlog and running
- * requests. New parts are assigned to preferred upstreams by rendezvous
- * hashing, so that all entries agree on them without coordination.
+ * Chooses the upstream with the lowest estimated time to first token, from
+ * cached prompt parts, backlog and running requests. Rendezvous hashing assigns
+ * new parts, so that all entries agree on them.
  *
  * @public
  */
--- a/packages/serving/workspace_quota.ts
+++ b/packages/serving/workspace_quota.ts
@@ -57,9 +57,8 @@
 
 /**
  * Share of this entry's consumption since the last exchange that each other
- * entry is assumed to have consumed too. It keeps entries that see the same
- * remaining quota from spending it all at once: without it, 11 simulated entries
- * used up to 0.97 of the tolerated excess in a window, with it 0.31.
+ * entry is assumed to have consumed too, so that they don't all spend the
+ * remaining quota at once.
  */
 const SIMILAR_PEER_SHARE = 0.5;
 /**
@@ -78,9 +77,8 @@
 
 /**
  * Quotas of workspaces, shared by all entries without coordination per request.
- * Two bounds apply: a token bucket, and the sum of the sliding window, which
- * holds even if the bucket missed charges. Requests beyond them are served from
- * the tolerated excess only.
+ * A token bucket and a sliding window bound them; beyond, requests are served
+ * from the tolerated excess only.
  *
  * @public
  */
