The simulation of rests is split by job

simulated_rests.ts held its upstreams, entries, disturbances and types beside the play of requests. Each of the first three has a file of its own, the two exported types too.

--- a/packages/serving/simulated_rests.ts
+++ b/packages/serving/simulated_rests.ts
@@ -4,12 +4,12 @@
   type Random,
 } from "@heroncleat/base";
 import type { ChosenUpstream } from "./chosen_upstream.ts";
-import { FailureReports } from "./failure_reports.ts";
+import { RestDisturbances } from "./rest_disturbances.ts";
 import { RestObservations } from "./rest_observations.ts";
-import { ReturnTimes } from "./return_times.ts";
-import { UpstreamBalancer } from "./upstream_balancer.ts";
-import { UpstreamDirectory } from "./upstream_directory.ts";
-import { UpstreamStatements } from "./upstream_statements.ts";
+import type { RestOutcome } from "./rest_outcome.ts";
+import type { RestPolicy } from "./rest_policy.ts";
+import { SimulatedRestEntry } from "./simulated_rest_entry.ts";
+import { SimulatedRestUpstreams } from "./simulated_rest_upstreams.ts";
 import { VirtualTime } from "./virtual_time.ts";
 
 const SERVICE = "desk";
@@ -36,38 +36,6 @@
 /** Interval at which the capacity of willing upstreams is sampled. */
 const SAMPLE_INTERVAL: Milliseconds = 20;
 
-/** What entries do about rejections. */
-export type RestPolicy = {
-  /** Whether rests and backoffs count at all. */
-  readonly heeds: boolean;
-  /** Whether rejections are announced to other entries. */
-  readonly announces: boolean;
-  /** Whether a request is held until a rest ends that is nearly over. */
-  readonly holds: boolean;
-  /** Whether entries return to an upstream one by one and try it first. */
-  readonly returnsGradually: boolean;
-};
-
-/** A disturbance that begins at random times. */
-type Disturbance =
-  /** Some upstreams reject everything for a time. */
-  | "rejecting"
-  /** Callers send several times as much. */
-  | "burst"
-  /** Some upstreams end at once; other instances follow. */
-  | "wave"
-  /** An entry loses its list of upstreams, and gets it again. */
-  | "relisted";
-
-const DISTURBANCES: readonly Disturbance[] = [
-  "rejecting",
-  "rejecting",
-  "rejecting",
-  "burst",
-  "wave",
-  "relisted",
-];
-
 type SimulationOptions = {
   readonly entries: number;
   readonly upstreams: number;
@@ -84,28 +52,6 @@
   readonly policy: RestPolicy;
 };
 
-type SimulatedUpstream = {
-  id: string;
-  born: Milliseconds;
-  isUp: boolean;
-  inFlight: number;
-  rejectsUntil: Milliseconds;
-  /** What it asks for; 0 if it asks for nothing. */
-  rest: Milliseconds;
-};
-
-type SimulatedEntry = {
-  readonly name: string;
-  readonly directory: UpstreamDirectory;
-  readonly stated: UpstreamStatements;
-  readonly balancer: UpstreamBalancer;
-  readonly returnTimes: ReturnTimes;
-  readonly reports: FailureReports;
-  isListed: boolean;
-  requests: number;
-  retries: number;
-};
-
 /** A request of a caller, over all its returns. */
 type SimulatedRequest = {
   readonly sentAt: Milliseconds;
@@ -114,17 +60,6 @@
   offers: number;
 };
 
-/** Measurements of a simulation. */
-export type RestOutcome = {
-  readonly rests: number;
-  readonly broken: number;
-  readonly rejections: number;
-  /** Share of the requests served in time, and the largest possible one. */
-  readonly served: number;
-  readonly servable: number;
-  readonly notices: number;
-};
-
 /**
  * Simulates entries and upstreams that reject requests, with or without asking
  * for rest, in virtual time. The decisions are those of the product.
@@ -132,14 +67,11 @@
 export class SimulatedRests {
   readonly #options: SimulationOptions;
   readonly #random: Random;
-  /** Used for disturbances and callers alone, so that all policies get the same. */
-  readonly #plan: Random;
   readonly #time: VirtualTime;
-  readonly #entries: SimulatedEntry[] = [];
-  readonly #upstreams: SimulatedUpstream[] = [];
+  readonly #entries: SimulatedRestEntry[] = [];
+  readonly #upstreams: SimulatedRestUpstreams;
+  readonly #disturbances: RestDisturbances;
   readonly #observations = new RestObservations();
-  #starts = 0;
-  #surge = 1;
   #sent = 0;
   #served = 0;
   #servable = 0;
@@ -150,39 +82,37 @@
   constructor(options: SimulationOptions) {
     this.#options = options;
     this.#random = createSeededRandom(options.seed * 7919 + 3);
-    this.#plan = createSeededRandom(options.seed * 104_729 + 11);
     this.#time = new VirtualTime(this.#random);
-    for (let index = 0; index < options.upstreams; index += 1) {
-      const upstream = {
-        id: "",
-        born: 0,
-        isUp: false,
-        inFlight: 0,
-        rejectsUntil: -1,
-        rest: 0,
-      };
-      this.#upstreams.push(upstream);
-      this.#start(upstream);
-    }
+    this.#upstreams = new SimulatedRestUpstreams(options.upstreams);
     for (let index = 0; index < options.entries; index += 1) {
-      this.#entries.push(this.#createEntry(index));
+      const { policy } = options;
+      this.#entries.push(
+        new SimulatedRestEntry(`e${index}`, {
+          policy,
+          slots: SLOTS,
+          random: this.#random,
+        }),
+      );
     }
+    this.#disturbances = new RestDisturbances({
+      time: this.#time,
+      upstreams: this.#upstreams,
+      entries: this.#entries,
+      random: createSeededRandom(options.seed * 104_729 + 11),
+      interval: options.disturbanceInterval,
+      restShare: options.restShare,
+    });
   }
 
   run(): RestOutcome {
-    const { duration, disturbanceInterval, rate } = this.#options;
+    const { duration, rate } = this.#options;
     this.#time.repeat(HEARTBEAT_INTERVAL, () => this.#heartbeat());
-    const disturb = () => {
-      this.#disturb();
-      const pause = disturbanceInterval * (0.5 + this.#plan());
-      this.#time.schedule(pause, disturb);
-    };
-    this.#time.schedule(disturbanceInterval, disturb);
+    this.#disturbances.start();
     this.#time.repeat(SAMPLE_INTERVAL, () => this.#sample());
     this.#heartbeat();
     const next = () => {
       this.#receive();
-      const gap = 1000 / (rate * this.#surge) * 2 * this.#random();
+      const gap = 1000 / (rate * this.#disturbances.surge) * 2 * this.#random();
       this.#time.schedule(gap, next);
     };
     next();
@@ -198,146 +128,27 @@
     };
   }
 
-  #createEntry(index: number): SimulatedEntry {
-    const { policy } = this.#options;
-    const stated = new UpstreamStatements(
-      policy.returnsGradually ? this.#random : () => 0,
-    );
-    return {
-      name: `e${index}`,
-      directory: new UpstreamDirectory(),
-      stated,
-      balancer: new UpstreamBalancer({
-        statements: policy.heeds ? stated : new UpstreamStatements(() => 0),
-      }),
-      returnTimes: new ReturnTimes(this.#random),
-      reports: new FailureReports(),
-      isListed: true,
-      requests: 0,
-      retries: 0,
-    };
-  }
-
-  #start(upstream: SimulatedUpstream): void {
-    this.#starts += 1;
-    upstream.id = `u${this.#upstreams.indexOf(upstream)}-${this.#starts}`;
-    upstream.born = this.#time.now;
-    upstream.isUp = true;
-    upstream.inFlight = 0;
-    upstream.rejectsUntil = -1;
-  }
-
   #heartbeat(): void {
     const { now } = this.#time;
     for (const entry of this.#entries) {
-      for (const upstream of entry.isListed ? this.#upstreams : []) {
-        if (upstream.isUp) {
-          this.#list(entry, upstream, now);
-        }
+      for (const upstream of entry.isListed ? this.#upstreams.listUp() : []) {
+        entry.receiveHeartbeat(upstream, now);
       }
       entry.stated.expire(now);
     }
   }
 
-  #list(
-    { directory }: SimulatedEntry,
-    { id, born }: SimulatedUpstream,
-    now: Milliseconds,
-  ): void {
-    directory.merge({
-      id,
-      name: id.split("-")[0]!,
-      born,
-      service: SERVICE,
-      address: `${id}:80`,
-      zone: "a",
-      slots: SLOTS,
-      sequence: Math.floor(now) + 1,
-      state: "ready",
-      isSpot: false,
-      leavesIn: undefined,
-    }, now);
-  }
-
   #sample(): void {
     const { now } = this.#time;
-    const willing = this.#upstreams.filter(({ isUp, rejectsUntil }) =>
-      isUp && rejectsUntil <= now
+    const willing = this.#upstreams.listUp().filter(({ rejectsUntil }) =>
+      rejectsUntil <= now
     );
     const capacity = willing.length * SLOTS * 1000 / MEAN_SERVICE_TIME;
-    const demand = this.#options.rate * this.#surge;
+    const demand = this.#options.rate * this.#disturbances.surge;
     this.#demanded += demand;
     this.#servable += Math.min(demand, capacity);
   }
 
-  #disturb(): void {
-    const kind = DISTURBANCES[
-      Math.floor(this.#plan() * DISTURBANCES.length)
-    ]!;
-    switch (kind) {
-      case "rejecting":
-        this.#reject();
-        return;
-      case "burst":
-        this.#surge = 2 + this.#plan() * 4;
-        this.#time.schedule(200 + this.#plan() * 1500, () => {
-          this.#surge = 1;
-        });
-        return;
-      case "wave":
-        this.#reclaim();
-        return;
-      case "relisted":
-        this.#relist();
-        return;
-    }
-  }
-
-  /** Some upstreams reject, or all of them. */
-  #reject(): void {
-    const share = this.#plan() < 0.15 ? 1 : this.#plan() * 0.6;
-    const rest = this.#plan() >= this.#options.restShare
-      ? 0
-      : [200, 1000, 3000, 8000][Math.floor(this.#plan() * 4)]!;
-    const until = this.#time.now + 100 + this.#plan() * 4000;
-    for (const upstream of this.#upstreams) {
-      if (this.#plan() < share) {
-        upstream.rejectsUntil = until;
-        upstream.rest = rest;
-      }
-    }
-  }
-
-  #reclaim(): void {
-    for (const upstream of this.#upstreams) {
-      if (upstream.isUp && this.#plan() < 0.2) {
-        upstream.isUp = false;
-        this.#time.schedule(
-          500 + this.#plan() * 3000,
-          () => this.#start(upstream),
-        );
-      }
-    }
-  }
-
-  /** Expires what an entry knows of its upstreams, and lists them again. */
-  #relist(): void {
-    const entry = this.#entries[
-      Math.floor(this.#plan() * this.#entries.length)
-    ]!;
-    const { now } = this.#time;
-    entry.isListed = false;
-    entry.directory.expire(now + 120_000);
-    this.#time.schedule(this.#plan() * 800, () => {
-      entry.isListed = true;
-      for (const upstream of this.#upstreams) {
-        if (upstream.isUp) {
-          this.#list(entry, upstream, this.#time.now);
-        }
-      }
-    });
-  }
-
   #pick<Item>(items: readonly Item[]): Item {
     return items[Math.floor(this.#random() * items.length)]!;
   }
@@ -362,7 +173,7 @@
     this.#choose(entry, request);
   }
 
-  #choose(entry: SimulatedEntry, request: SimulatedRequest): void {
+  #choose(entry: SimulatedRestEntry, request: SimulatedRequest): void {
     const { now } = this.#time;
     const options = this.#choiceOptions(request, !this.#hasRetry(entry));
     const chosen = entry.balancer.choose(entry.directory.list(), options);
@@ -401,7 +212,7 @@
     };
   }
 
-  #refuse(entry: SimulatedEntry, request: SimulatedRequest): void {
+  #refuse(entry: SimulatedRestEntry, request: SimulatedRequest): void {
     const { now } = this.#time;
     const { availableAt, resting } = entry.balancer.availability(
       entry.directory.list(),
@@ -417,7 +228,7 @@
   }
 
   #send(
-    entry: SimulatedEntry,
+    entry: SimulatedRestEntry,
     request: SimulatedRequest,
     chosen: ChosenUpstream,
   ): void {
@@ -453,14 +264,14 @@
     });
   }
 
-  #hasRetry({ retries, requests }: SimulatedEntry): boolean {
+  #hasRetry({ retries, requests }: SimulatedRestEntry): boolean {
     const slack = this.#options.retrySlack / this.#entries.length;
     return retries + 1 <= RETRY_RATIO * requests + slack;
   }
 
   #arrive(
     attempt: {
-      readonly entry: SimulatedEntry;
+      readonly entry: SimulatedRestEntry;
       readonly request: SimulatedRequest;
       readonly chosen: ChosenUpstream;
       readonly sentAt: Milliseconds;
@@ -470,7 +281,7 @@
     const { entry, request, chosen, sentAt, endTrial } = attempt;
     const { id } = chosen.upstream.record;
     const { now } = this.#time;
-    const upstream = this.#upstreams.find((each) => each.id === id);
+    const upstream = this.#upstreams.find(id);
     const finish = (delay: Milliseconds, then: () => void) =>
       this.#time.schedule(delay, () => {
         endTrial();
@@ -517,7 +328,7 @@
   }
 
   #learnRejection(
-    entry: SimulatedEntry,
+    entry: SimulatedRestEntry,
     id: string,
     rest: Milliseconds,
   ): void {
@@ -540,7 +351,7 @@
   }
 
   #retry(
-    entry: SimulatedEntry,
+    entry: SimulatedRestEntry,
     request: SimulatedRequest,
     { id, wasRejected }: { id: string; wasRejected: boolean },
   ): void {
--- a/packages/serving/simulated_rests_test.ts
+++ b/packages/serving/simulated_rests_test.ts
@@ -1,4 +1,5 @@
-import { type RestOutcome, SimulatedRests } from "./simulated_rests.ts";
+import type { RestOutcome } from "./rest_outcome.ts";
+import { SimulatedRests } from "./simulated_rests.ts";
 
 /** Served by the entries, of what a chooser that knows everything serves. */
 const MIN_SERVED_SHARE = 0.95;
