A test's comment names the file that holds the constant

It named upstream_choice.ts, which no longer exists; the timeout is in upstream_availability.ts. It was the only file name in comments of sources and tests that doesn't exist (searched by names with an underscore): 1 before, 0 after. A comment only; no test was run.

--- a/packages/serving/departing_instance_test.ts
+++ b/packages/serving/departing_instance_test.ts
@@ -8,7 +8,7 @@
 const NAME = "u1";
 /**
  * Time without updates after which an upstream isn't used; see
- * upstream_choice.ts.
+ * upstream_availability.ts.
  */
 const UPSTREAM_TIMEOUT_MS = 5000;
 /** Smaller ages are left out of replies, at each of two hops. */
