Streams of a version that has ended aren't passed on to other entries

Callers that resumed a stream of a version whose upstreams had all stopped got 502 after 0.2 to 0.7 s, or 503 late, instead of 503 at once, while another version served at the same entry.

Cause, traced by the request's lines in all entries: two refused connections of one request were taken for a fault of the entry's own links. It asked up to six other entries in turn, each of which tried upstreams of the ended version again. Entries whose links accept connections and close them reported that the request may have run, hence the 502. Besides, six upstreams that fail in a row counted as cut off, and a version of six that stops is just that: an entry of the trace declared itself cut off while the other version served.

The class: failures that share a cause other than the links count as independent signs of a fault of the links.

Now a stream that is bound to a version and whose connections were refused first finds out whether any upstream accepts one; if so, it stays here and is refused. Probes take upstreams of versions first of which none has failed, and an entry is cut off only once one of each version has failed. Silent connections, and requests that any version may run, are treated as before.

--- a/apps/heroncleatd/gateway/attempts/attempt_options.ts
+++ b/apps/heroncleatd/gateway/attempts/attempt_options.ts
@@ -28,6 +28,8 @@
    * nor accepted in time counts twice.
    */
   readonly unopened: number;
+  /** How many of them were refused; counted for streams. */
+  readonly refusedConnections: number;
   /** Monotonic time until which to wait for an available upstream. */
   readonly waitUntil: Milliseconds;
   readonly signal: AbortSignal;
--- a/apps/heroncleatd/gateway/forward_call.ts
+++ b/apps/heroncleatd/gateway/forward_call.ts
@@ -155,6 +155,7 @@
       isRetry: this.#wasSent,
       isUsageCounted: false,
       unopened: this.#unopened,
+      refusedConnections: 0,
       waitUntil: errorResponse.upstreamWaitUntil(call),
       signal: call.signal,
       mayGoOn: () =>
--- a/apps/heroncleatd/gateway/relay/attempt_through_entry.ts
+++ b/apps/heroncleatd/gateway/relay/attempt_through_entry.ts
@@ -6,15 +6,11 @@
 import type { CallerRequest } from "../caller_request.ts";
 import { EndedBy } from "../responses/ended_by.ts";
 import type { ForwardContext } from "../forward_context.ts";
+import { assessLinks } from "./assess_links.ts";
+import { LinkSuspicion } from "./link_suspicion.ts";
 import { relayHeaders } from "./relay_headers.ts";
 import { RelayRefusal } from "./relay_refusal.ts";
 
-/**
- * Unopened connections of one request after which another entry is asked,
- * though this one isn't known to be cut off.
- */
-const MAX_UNOPENED = 2;
-
 /**
  * Sends an attempt through another entry if this one reaches no upstream of the
  * service. Undefined if an upstream should be tried from here.
@@ -32,9 +28,7 @@
       ? { kind: "no_upstream" }
       : undefined;
   }
-  const isInDoubt = reachability.isCutOff(call.service) ||
-    reachability.isInDoubt(call.service);
-  if (relay === undefined || !isInDoubt && options.unopened < MAX_UNOPENED) {
+  if (relay === undefined || !await seeksEntry(call, options)) {
     return undefined;
   }
   if (!options.mayHaveRun && !leaving.hasTimeFor(call)) {
@@ -89,6 +83,24 @@
   };
 }
 
+/** Whether to ask another entry, as the links of this one may be at fault. */
+async function seeksEntry(
+  { service, arrivedAt }: CallerRequest,
+  { context, unopened, refusedConnections, version }: AttemptOptions,
+): Promise<boolean> {
+  const { reachability } = context;
+  const suspicion = assessLinks({
+    isInDoubt: reachability.isCutOff(service) ||
+      reachability.isInDoubt(service),
+    unopened,
+    refusedConnections,
+    isBound: version !== undefined,
+  });
+  return suspicion === LinkSuspicion.unclear
+    ? !await reachability.reaches(service, arrivedAt)
+    : suspicion === LinkSuspicion.strong;
+}
+
 /**
  * Records that the upstream leaves which an entry sent the request to. Whether
  * it wants no requests of that entry is for that entry to know.
--- a/apps/heroncleatd/gateway/relay/reachability_watcher.ts
+++ b/apps/heroncleatd/gateway/relay/reachability_watcher.ts
@@ -1,5 +1,9 @@
 import type { Clock, Milliseconds } from "@heroncleat/base";
-import { type KnownUpstream, UpstreamReachability } from "@heroncleat/serving";
+import {
+  type KnownUpstream,
+  UpstreamReachability,
+  upstreamVersion,
+} from "@heroncleat/serving";
 import type { Log } from "../../common/log.ts";
 import type { Metrics } from "../../common/metrics.ts";
 
@@ -40,6 +44,8 @@
   readonly #options: WatcherOptions;
   readonly #services = new Map<string, UpstreamReachability>();
   readonly #waiting = new Set<WaitingRequest>();
+  /** Probes under way that tell whether a service is reachable. */
+  readonly #decisions = new Map<string, Promise<void>>();
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: WatcherOptions) {
@@ -85,6 +91,25 @@
     );
   }
 
+  /**
+   * Finds out whether some upstream of a service accepts connections, so that
+   * refused ones are no sign that the links of this entry are at fault.
+   *
+   * @param since Monotonic time after which a connection must have opened.
+   */
+  async reaches(service: string, since: Milliseconds): Promise<boolean> {
+    const reachability = this.#stateOf(service);
+    if (!reachability.hasConnectedSince(since)) {
+      const decision = this.#decisions.get(service) ??
+        this.#probeMissing(service).finally(() =>
+          this.#decisions.delete(service)
+        );
+      this.#decisions.set(service, decision);
+      await decision;
+    }
+    return !reachability.isCutOff;
+  }
+
   /** Records that a connection to an upstream couldn't be opened. */
   recordFailure(
     upstream: { readonly id: string; readonly service: string },
@@ -96,7 +121,7 @@
     const verdict = this.#stateOf(service).recordFailure(id, {
       startedAt: failure.startedAt,
       now,
-      upstreams: this.#listReady(service).length,
+      ...this.#countReady(service, id),
       isSilent: failure.isSilent,
     });
     if (verdict === "probe") {
@@ -207,24 +232,55 @@
 
   /** Probes as many further upstreams as decide whether this entry is cut off. */
   async #probeMissing(service: string): Promise<void> {
-    const ready = this.#listReady(service);
     const reachability = this.#stateOf(service);
-    const untried = ready.filter(({ record }) =>
+    const untried = this.#listReady(service).filter(({ record }) =>
       !reachability.hasFailed(record.id)
     );
+    const triedVersions = this.#listTriedVersions(service);
     const probes: Promise<boolean>[] = [];
-    const missing = reachability.countMissing(ready.length);
+    const missing = reachability.countMissing(this.#countReady(service));
     while (probes.length < missing) {
-      const upstream = this.#pick(untried);
+      const ofOthers = untried.filter(({ record }) =>
+        !triedVersions.has(upstreamVersion(record.version))
+      );
+      const upstream = this.#pick(ofOthers) ?? this.#pick(untried);
       if (upstream === undefined) {
         break;
       }
+      triedVersions.add(upstreamVersion(upstream.record.version));
       untried.splice(untried.indexOf(upstream), 1);
       probes.push(this.#probe(upstream));
     }
     await Promise.all(probes);
   }
 
+  /** Versions of a service of which an upstream has failed, or `failing` does. */
+  #listTriedVersions(service: string, failing?: string): Set<string> {
+    const reachability = this.#stateOf(service);
+    const versions = new Set<string>();
+    for (const { record } of this.#listReady(service)) {
+      if (record.id === failing || reachability.hasFailed(record.id)) {
+        versions.add(upstreamVersion(record.version));
+      }
+    }
+    return versions;
+  }
+
+  #countReady(
+    service: string,
+    failing?: string,
+  ): { upstreams: number; untriedVersions: number } {
+    const ready = this.#listReady(service);
+    const versions = new Set(
+      ready.map(({ record }) => upstreamVersion(record.version)),
+    );
+    const tried = this.#listTriedVersions(service, failing);
+    return {
+      upstreams: ready.length,
+      untriedVersions: versions.size - tried.size,
+    };
+  }
+
   async #probe({ record }: KnownUpstream): Promise<boolean> {
     const { clock, log, metrics, probe } = this.#options;
     const startedAt = clock.steady();
--- a/apps/heroncleatd/gateway/relay/relay_test.ts
+++ b/apps/heroncleatd/gateway/relay/relay_test.ts
@@ -121,6 +121,7 @@
   isRetry: false,
   isUsageCounted: false,
   unopened: 0,
+  refusedConnections: 0,
   waitUntil: Infinity,
   signal: call.signal,
   mayGoOn: () => false,
--- a/apps/heroncleatd/gateway/streams/forward_stream.ts
+++ b/apps/heroncleatd/gateway/streams/forward_stream.ts
@@ -188,6 +188,7 @@
       isRetry: this.#wasSent,
       isUsageCounted: this.#isUsageCounted,
       unopened: this.#unopened,
+      refusedConnections: this.#refusedConnections,
       waitUntil: this.#runs > 0
         ? call.deadline
         : errorResponse.upstreamWaitUntil(call),
--- a/packages/serving/simulated_cuts.ts
+++ b/packages/serving/simulated_cuts.ts
@@ -202,7 +202,9 @@
 
   #probeMissing(entry: SimulatedEntry): void {
     const startedAt = this.#now;
-    let missing = entry.reachability.countMissing(UPSTREAM_COUNT);
+    let missing = entry.reachability.countMissing({
+      upstreams: UPSTREAM_COUNT,
+    });
     for (let upstream = 0; missing > 0; upstream += 1) {
       if (!entry.reachability.hasFailed(`u${upstream}`)) {
         missing -= 1;
--- a/packages/serving/upstream_reachability.ts
+++ b/packages/serving/upstream_reachability.ts
@@ -25,6 +25,8 @@
   readonly now: Milliseconds;
   /** Number of upstreams of the service that are ready. */
   readonly upstreams: number;
+  /** Versions of them of which none has failed; none if absent. */
+  readonly untriedVersions?: number;
   /** Whether it was neither refused nor accepted in time. */
   readonly isSilent: boolean;
 };
@@ -43,6 +45,7 @@
   /** When upstreams that failed were silent. */
   readonly #silentAt = new Map<string, Milliseconds>();
   #heardAt: Milliseconds = -Infinity;
+  #connectedAt: Milliseconds = -Infinity;
   #probedAt: Milliseconds = -Infinity;
   #isCutOff = false;
 
@@ -76,7 +79,7 @@
     upstream: string,
     failure: ConnectionFailure,
   ): FailureVerdict {
-    const { startedAt, now, upstreams } = failure;
+    const { startedAt, now } = failure;
     if (this.#heardAt > startedAt) {
       return "none";
     }
@@ -93,7 +96,7 @@
     if (this.#isCutOff) {
       return "none";
     }
-    if (this.countMissing(upstreams) > 0) {
+    if (this.countMissing(failure) > 0) {
       const isSuspicious = !isRepeated &&
         this.#failedAt.size === SUSPICIOUS_FAILURES;
       return isSuspicious ? "probe" : "none";
@@ -103,13 +106,17 @@
   }
 
   /**
-   * Number of further upstreams that must fail.
-   *
-   * @param upstreams Number of upstreams of the service that are ready.
+   * Number of further upstreams that must fail, one of each version among them,
+   * as all of a version may end together.
    */
-  countMissing(upstreams: number): number {
+  countMissing(
+    { upstreams, untriedVersions = 0 }: Pick<
+      ConnectionFailure,
+      "upstreams" | "untriedVersions"
+    >,
+  ): number {
     const needed = Math.min(MIN_FAILED_UPSTREAMS, Math.max(1, upstreams));
-    return Math.max(0, needed - this.#failedAt.size);
+    return Math.max(0, needed - this.#failedAt.size, untriedVersions);
   }
 
   /**
@@ -132,10 +139,16 @@
     const wasCutOff = this.#isCutOff;
     this.#isCutOff = false;
     this.#heardAt = now;
+    this.#connectedAt = now;
     this.#forgetFailures();
     return wasCutOff;
   }
 
+  /** Whether a connection was opened after a moment. */
+  hasConnectedSince(moment: Milliseconds): boolean {
+    return this.#connectedAt > moment;
+  }
+
   /** Whether an upstream has failed since one was last reached. */
   hasFailed(upstream: string): boolean {
     return this.#failedAt.has(upstream);
--- a/packages/serving/upstream_reachability_test.ts
+++ b/packages/serving/upstream_reachability_test.ts
@@ -17,7 +17,7 @@
 test("an entry is cut off once several upstreams fail and none responds", () => {
   const reachability = new UpstreamReachability();
   expect(failAll(reachability, "aab")).toEqual(["none", "none", "probe"]);
-  expect(reachability.countMissing(6)).toBe(4);
+  expect(reachability.countMissing({ upstreams: 6 })).toBe(4);
   expect(failAll(reachability, "bcde")).toEqual(Array(4).fill("none"));
   expect(reachability.isCutOff).toBe(false);
   expect(failAll(reachability, "fg")).toEqual(["cut_off", "none"]);
@@ -32,6 +32,18 @@
   expect(reachability.isCutOff).toBe(false);
 });
 
+// Guards against entries that pass requests on while another version serves.
+test("a version whose upstreams all end isn't taken for a cut", () => {
+  const reachability = new UpstreamReachability();
+  const ended = { ...failure(100), upstreams: 12, untriedVersions: 1 };
+  for (const name of "abcdefg") {
+    expect(reachability.recordFailure(name, ended)).not.toBe("cut_off");
+  }
+  expect(reachability.countMissing(ended)).toBe(1);
+  const other = { ...ended, untriedVersions: 0 };
+  expect(reachability.recordFailure("h", other)).toBe("cut_off");
+});
+
 test("upstreams that end while others respond don't count", () => {
   const reachability = new UpstreamReachability();
   for (let round = 0; round < 20; round += 1) {
