A report of a drain that was held up doesn't count as its start

An entry that hears of a drain only from a control replica that is cut off could send a resumed stream after the drain timeout: the upstream's report reached that replica seconds late, after another one had acknowledged its repetition, and its receipt was taken for the start of the drain.

Cause: a report with the sequence right after the last ready heartbeat was taken for prompt, however long after that heartbeat it came.

Now a report that comes more than a heartbeat interval (1.25 s) after the last ready heartbeat counts from that heartbeat, less the longest delay of forwarding if it was passed on. The two new cases of find_drain_start_test.ts gave 3700 instead of 300 and -1000 before, and pass now.

A report that is held up together with the heartbeat before it still counts as prompt.

--- a/packages/serving/find_drain_start.ts
+++ b/packages/serving/find_drain_start.ts
@@ -9,6 +9,12 @@
  */
 const MAX_FORWARDING_DELAY: Milliseconds = 1300;
 
+/**
+ * A report that comes later after the last heartbeat may have been held up while
+ * another replica acknowledged its repetition.
+ */
+const HEARTBEAT_INTERVAL: Milliseconds = 1250;
+
 /**
  * Finds when an instance first said that it drains, or an earlier time, from an
  * update and what was known before; undefined if neither tells.
@@ -52,9 +58,9 @@
   ) {
     return undefined;
   }
-  if (sequence === known.record.sequence + 1) {
-    return now;
-  }
   const delay = known.reporter === "" ? 0 : MAX_FORWARDING_DELAY;
-  return known.receivedAt - delay;
+  const wasReadyAt = known.receivedAt - delay;
+  const isPrompt = sequence === known.record.sequence + 1 &&
+    now - wasReadyAt <= HEARTBEAT_INTERVAL;
+  return isPrompt ? now : wasReadyAt;
 }
--- a/packages/serving/find_drain_start_test.ts
+++ b/packages/serving/find_drain_start_test.ts
@@ -40,6 +40,18 @@
     expect(drainingSince(directory)).toBe(100);
   });
 
+  // Guards against streams sent after the drain timeout by an entry that hears
+  // of a drain from a replica alone that got the report late.
+  test.each([["itself", {}, 300], ["another process", FORWARDED, -1000]])(
+    "isn't when a report arrives that was held up, after a heartbeat from %s",
+    (_name, source, start) => {
+      const directory = new UpstreamDirectory();
+      directory.merge(READY, 300, { reporter: "", age: 0, ...source });
+      directory.merge(draining(2), 3700);
+      expect(drainingSince(directory)).toBe(start);
+    },
+  );
+
   test("may be earlier than a heartbeat that another process passed on", () => {
     const directory = new UpstreamDirectory();
     directory.merge(READY, 2000, FORWARDED);
