--- a/packages/serving/find_drain_start.ts
+++ b/packages/serving/find_drain_start.ts
@@ -10,9 +10,15 @@
 const MAX_FORWARDING_DELAY: Milliseconds = 1300;
 
 /**
- * Finds when an instance first said that it drains, from an update and what was
- * known; undefined if neither tells. The first report that arrives need not be
- * the first that was acknowledged.
+ * A report that comes later after the last heartbeat may have been held up while
+ * another replica acknowledged its repetition.
+ */
+const HEARTBEAT_INTERVAL: Milliseconds = 1250;
+
+/**
+ * Finds when an instance first said that it drains, or an earlier time, from an
+ * update and what was known; undefined if neither tells. The first report that
+ * arrives need not be the first that was acknowledged.
  *
  * @internal
  */
@@ -50,9 +56,9 @@
   ) {
     return undefined;
   }
-  if (sequence === known.record.sequence + 1) {
-    return now;
-  }
   const delay = known.reporter === "" ? 0 : MAX_FORWARDING_DELAY;
-  return known.receivedAt - delay;
+  const wasReadyAt = known.receivedAt - delay;
+  const isPrompt = sequence === known.record.sequence + 1 &&
+    now - wasReadyAt <= HEARTBEAT_INTERVAL;
+  return isPrompt ? now : wasReadyAt;
 }
