A rest is kept when the restart before it becomes known late

An entry that hears late of a restart has connections to the new process under the name of the earlier start, and notes the rest for that one; once it hears of the new start, nothing holds requests back.

Class: what a process states is kept by a name that the entry ascribes to it. A rest now keeps whether the connection that stated it is open. It is applied to the start that replaced the former at the same address if so: the former's connections ended with it. Weighed against: by address alone, which would bind a new start to the rest of one that crashed while resting; by start times, which depend on VMs' wall clocks.

--- a/apps/heroncleatd/common/statement_watcher.ts
+++ b/apps/heroncleatd/common/statement_watcher.ts
@@ -37,6 +37,8 @@
   readonly sentAt: Milliseconds;
   /** Identifies the request in the log. */
   readonly request: string;
+  /** Whether its connection is still open. */
+  readonly isConnected?: () => boolean;
 };
 
 /**
@@ -101,7 +103,7 @@
 
   #recordRejection(
     upstream: string,
-    { status, request }: ResponseHead,
+    { status, request, isConnected = () => false }: ResponseHead,
     stated: StatedRetryAfter,
   ): void {
     const { statements, clock, log, metrics } = this.#options;
@@ -118,6 +120,7 @@
     const begins = statements.recordRejection(upstream, {
       rest,
       isAdvice: status === TOO_MANY_REQUESTS,
+      isConnected,
       now,
     });
     metrics.increment("rests.rejections");
--- a/apps/heroncleatd/gateway/attempts/attempt_request.ts
+++ b/apps/heroncleatd/gateway/attempts/attempt_request.ts
@@ -347,12 +347,14 @@
   if (message === undefined || message.statusCode === 421) {
     return;
   }
+  const { socket } = message;
   context.statementWatcher.recordResponse(upstream, {
     status: message.statusCode!,
     headers: message.headersDistinct,
     isNotRun: response.kind === "not_run",
     sentAt,
     request: call.attempt,
+    isConnected: () => socket?.destroyed === false,
   });
 }
 
--- a/apps/heroncleatd/gateway/exchange/entry_exchange.ts
+++ b/apps/heroncleatd/gateway/exchange/entry_exchange.ts
@@ -17,6 +17,7 @@
   type UpstreamBalancer,
   type UpstreamDirectory,
   type UpstreamRecord,
+  type UpstreamStatements,
   type UsageCounts,
   type WorkspaceQuota,
 } from "@heroncleat/serving";
@@ -45,6 +46,10 @@
   readonly directory: UpstreamDirectory;
   readonly choice: UpstreamBalancer;
   readonly agents: UpstreamAgents;
+  readonly statements: Pick<
+    UpstreamStatements,
+    "listResting" | "carryOverRest"
+  >;
   readonly quota: WorkspaceQuota;
   readonly usage: UsageCounts;
   readonly charges: ChargeSync;
@@ -185,6 +190,7 @@
       this.#applyUpstream(record, now, { reporter: from, age, drainAge });
     }
     if (reply.upstreams.length > 0) {
+      this.#carryOverRests(now);
       this.#retireReplacedInstances();
     }
     this.#applyEntries(now);
@@ -255,6 +261,24 @@
     );
   }
 
+  /**
+   * Applies rests to instances that had replaced those that they were recorded
+   * for.
+   */
+  #carryOverRests(now: Milliseconds): void {
+    const { directory, statements, log } = this.#options;
+    for (const from of [...statements.listResting(now)]) {
+      const replaced = directory.get(from)?.record;
+      const next = directory.findReplacement(from)?.record;
+      if (next === undefined || next.address !== replaced?.address) {
+        continue;
+      }
+      if (statements.carryOverRest({ from, to: next.id }, now)) {
+        log.info("A restarted upstream rests", { upstream: next.id });
+      }
+    }
+  }
+
   /**
    * Retires the connections to upstream instances that were replaced by a newer
    * instance. Those in use stay open, as late heartbeats may make a running
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -305,6 +305,7 @@
       directory: this.#directory,
       choice: this.#choice,
       agents: this.#agents,
+      statements: this.#statements,
       quota: this.#quota,
       usage: this.#usage,
       charges: this.#chargeSync,
--- a/packages/serving/upstream_statements.ts
+++ b/packages/serving/upstream_statements.ts
@@ -19,6 +19,8 @@
 type Statement = {
   /** End of the longest rest that it asked for. */
   restsUntil: Milliseconds;
+  /** Whether the connection by which it last asked for rest is open. */
+  isConnected: () => boolean;
   /** Until when others are preferred, as it rejected requests. */
   avoidedUntil: Milliseconds;
   /** Rejections since it last accepted a request, and the newest one. */
@@ -37,6 +39,8 @@
   readonly rest: Milliseconds;
   /** Whether it only advises to wait, so that others are preferred. */
   readonly isAdvice?: boolean;
+  /** Whether the connection by which it came is still open. */
+  readonly isConnected?: () => boolean;
   readonly now: Milliseconds;
 };
 
@@ -67,7 +71,7 @@
    */
   recordRejection(
     upstream: string,
-    { rest, isAdvice = false, now }: Rejection,
+    { rest, isAdvice = false, isConnected, now }: Rejection,
   ): boolean {
     const statement = this.#statementOf(upstream);
     const wasResting = statement.restsUntil > now;
@@ -78,6 +82,7 @@
     statement.rejectedAt = now;
     if (rest > 0 && !isAdvice) {
       statement.restsUntil = Math.max(statement.restsUntil, now + rest);
+      statement.isConnected = isConnected ?? isNeverConnected;
       const spread = Math.min(MAX_RETURN_SPREAD, rest * RETURN_SPREAD_SHARE);
       statement.avoidedUntil = statement.restsUntil + this.#random() * spread;
     } else {
@@ -90,6 +95,34 @@
     return !wasResting && statement.restsUntil > now;
   }
 
+  /**
+   * Applies a rest also to the next instance at the same address, if the
+   * connection by which it was asked for is still open. That instance had
+   * started before this process learned of it.
+   *
+   * @returns Whether the next instance rests now.
+   */
+  carryOverRest(
+    { from, to }: { from: string; to: string },
+    now: Milliseconds,
+  ): boolean {
+    const earlier = this.#statements.get(from);
+    if (
+      earlier === undefined || earlier.restsUntil <= now ||
+      !earlier.isConnected()
+    ) {
+      return false;
+    }
+    const { restsUntil, avoidedUntil, isConnected } = earlier;
+    const next = this.#statementOf(to);
+    next.restsUntil = Math.max(next.restsUntil, restsUntil);
+    next.avoidedUntil = Math.max(next.avoidedUntil, avoidedUntil);
+    next.rejections = Math.max(next.rejections, 1);
+    next.rejectedAt = Math.max(next.rejectedAt, earlier.rejectedAt);
+    next.isConnected = isConnected;
+    return true;
+  }
+
   /**
    * Records that an upstream began to respond to a request, rather than reject
    * it. A request that was sent before a rejection says nothing about it.
@@ -232,6 +265,7 @@
     }
     const statement: Statement = {
       restsUntil: -Infinity,
+      isConnected: isNeverConnected,
       avoidedUntil: -Infinity,
       rejections: 0,
       rejectedAt: -Infinity,
@@ -243,3 +277,7 @@
     return statement;
   }
 }
+
+function isNeverConnected(): boolean {
+  return false;
+}
--- a/packages/serving/upstream_statements_test.ts
+++ b/packages/serving/upstream_statements_test.ts
@@ -21,6 +21,37 @@
   expect([...statements.listResting(1)]).toEqual([UPSTREAM]);
 });
 
+// Guards against requests to an upstream that asked for rest before this process
+// learned of its restart.
+test("a rest binds the next start while the connection that stated it is open", () => {
+  let isConnected = true;
+  const starts = { from: UPSTREAM, to: "desk-1@2000" };
+  statements.recordRejection(UPSTREAM, {
+    rest: 3000,
+    isConnected: () => isConnected,
+    now: 0,
+  });
+  expect(statements.carryOverRest(starts, 1000)).toBe(true);
+  expect(statements.isResting(starts.to, 2999)).toBe(true);
+  expect(statements.isResting(starts.to, 3000)).toBe(false);
+  expect(statements.isAvoided(starts.to, 3100)).toBe(true);
+  isConnected = false;
+  const later = { from: UPSTREAM, to: "desk-1@3000" };
+  expect(statements.carryOverRest(later, 1000)).toBe(false);
+  expect(statements.isResting(later.to, 1000)).toBe(false);
+});
+
+test("a rest that is over isn't carried over", () => {
+  statements.recordRejection(UPSTREAM, {
+    rest: 3000,
+    isConnected: () => true,
+    now: 0,
+  });
+  const starts = { from: UPSTREAM, to: "desk-1@2000" };
+  expect(statements.carryOverRest(starts, 3000)).toBe(false);
+  expect(statements.isAvoided(starts.to, 3000)).toBe(false);
+});
+
 test("an answer to a request that was sent before a rejection ends nothing", () => {
   statements.recordRejection(UPSTREAM, { rest: 0, now: 100 });
   statements.recordAcceptance(UPSTREAM, 50);
