Late heartbeats of a former start no longer count as a crash

Requests at a running upstream could become suspects: after late heartbeats of an earlier start the running one counts as replaced for some time, and each exchange recorded a crash of it. Connections that had broken there in the last 8 s for another reason then counted as crashed runs, and those that broke later without a probe. Found by reading.

Cause: "another start counts as current" was taken for "this one has ended". It shows that only if the other start was heard of later. hasRestarted asks for this, in the exchange and in the suspect watcher. A start whose clock was set back is heard of later, too, so its crash still counts.

upstream_instances_test.ts has the case without sockets; no test with sockets shows a crash recorded. Not covered: an entry that first hears of the former start after the running one still takes it for a restart, and a crash of the new process under the name of the earlier start is lost.

--- a/apps/heroncleatd/gateway/exchange/entry_exchange.ts
+++ b/apps/heroncleatd/gateway/exchange/entry_exchange.ts
@@ -282,14 +282,18 @@
   /**
    * Retires the connections to upstream instances that were replaced by a newer
    * instance. Those in use stay open, as late heartbeats may make a running
-   * instance look replaced.
+   * instance look replaced; then it hasn't crashed either.
    */
   #retireReplacedInstances(): void {
     const { directory, agents, crashes, log } = this.#options;
     const isOver = (id: string) => directory.isReplaced(id);
     for (const id of agents.retireWhere(isOver)) {
-      crashes.recordCrash(id);
-      log.info("An upstream has restarted", { upstream: id });
+      if (directory.hasRestarted(id)) {
+        crashes.recordCrash(id);
+        log.info("An upstream has restarted", { upstream: id });
+      } else {
+        log.info("An upstream may be an earlier start", { upstream: id });
+      }
     }
   }
 
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -190,7 +190,7 @@
       log: this.#log,
       metrics: options.metrics,
       probe: (address) => this.#reachability.mayRun(address),
-      isReplaced: (upstream) => this.#directory.isReplaced(upstream),
+      isReplaced: (upstream) => this.#directory.hasRestarted(upstream),
       onCrash: (upstream, at) => this.#choice.recordCrash(upstream, at),
       // Sent both ways: the control replicas deliver suspects reliably, while
       // datagrams are faster and also work without a reachable replica.
--- a/packages/serving/upstream_directory.ts
+++ b/packages/serving/upstream_directory.ts
@@ -388,6 +388,16 @@
       : undefined;
   }
 
+  /**
+   * Whether an instance has ended, as one that was heard of later replaced it.
+   * An earlier one that replaced it may only have been heard of late.
+   */
+  hasRestarted(id: string): boolean {
+    const replacement = this.findReplacement(id);
+    return replacement !== undefined &&
+      replacement.firstReceivedAt >= this.#known.get(id)!.firstReceivedAt;
+  }
+
   /**
    * Removes instances without recent updates, once no late update can arrive.
    */
--- a/packages/serving/upstream_instances_test.ts
+++ b/packages/serving/upstream_instances_test.ts
@@ -94,6 +94,24 @@
     expect(describeCurrent(directory)).toEqual(["5000 ready 41"]);
   });
 
+  // Guards against requests that are suspected as their upstream seems to have
+  // crashed.
+  test("hasn't ended for late updates of an instance that was known before", () => {
+    const directory = new UpstreamDirectory();
+    const [former, running] = [1000, 2000].map((born) =>
+      instanceId(NAME, born)
+    );
+    directory.merge(heartbeat(1000, 40), 0);
+    directory.merge(heartbeat(2000, 1), 1000);
+    expect(directory.hasRestarted(former!)).toBe(true);
+    directory.merge(heartbeat(1000, 41), 4000);
+    directory.merge(heartbeat(1000, 42), 4500);
+    expect(directory.isReplaced(running!)).toBe(true);
+    expect(directory.hasRestarted(running!)).toBe(false);
+    directory.merge(heartbeat(2000, 5), 5000);
+    expect(directory.hasRestarted(former!)).toBe(true);
+  });
+
   test("departs if the departure names its start time", () => {
     const hub = new Hub("f");
     hub.mergeUpstream(heartbeat(1000, 40), 0);
