Crashes of upstreams without requests count as other causes of crashes

It is the same suspect each time; three crashes of 150 ms runs within 0.85 s at 8 or 12 upstreams are rejected unless a crash elsewhere is known, and an entry kept only those crashes that had runs.

A crash that an entry finds at a ready upstream without runs (a refused connection, a restart) now counts for the rate against which requests and parts are assessed. It is kept by this entry only. Crashes under a request's own runs still don't count for it, so a request that crashes upstreams by itself is rejected after three, as before.

suspect_registry_test.ts: 0, 1, 2 such crashes give rejected, single, single; the watcher's test has the same for upstreams that crash and leave. simulated_crashes_test (6 tests, load 38 on 8 cores) and the real-socket crashing_request_test (5 tests, load 37) pass. Where no other crash is found before the third, the stream is still rejected.

--- a/apps/heroncleatd/common/simulated_parts.ts
+++ b/apps/heroncleatd/common/simulated_parts.ts
@@ -361,6 +361,7 @@
         // Crashes are reported by the simulation.
         probe: () => new Promise(() => {}),
         isReplaced: () => false,
+        serviceOf: () => undefined,
         onCrash: () => {},
         report: (changed) => this.#report(entry, changed),
       }),
--- a/apps/heroncleatd/common/suspect_watcher.ts
+++ b/apps/heroncleatd/common/suspect_watcher.ts
@@ -44,6 +44,8 @@
   readonly probe: (address: string) => Promise<boolean>;
   /** Whether a newer instance of the same upstream is running. */
   readonly isReplaced: (upstream: string) => boolean;
+  /** The service of an instance that is ready, if it is. */
+  readonly serviceOf: (upstream: string) => string | undefined;
   /** Called with the identity of an instance that has crashed. */
   readonly onCrash: (upstream: string, at: Milliseconds) => void;
   /** Sends new or changed suspects to all other processes immediately. */
@@ -269,7 +271,7 @@
    * a newer instance is running.
    */
   recordCrash(upstream: string): void {
-    const { registry, clock, log, metrics, onCrash } = this.#options;
+    const { registry, clock, log, metrics, onCrash, serviceOf } = this.#options;
     onCrash(upstream, clock.steady());
     const runs = this.#undecided.get(upstream) ?? [];
     this.#undecided.delete(upstream);
@@ -295,6 +297,11 @@
     for (const { key, run } of listPartRuns(runs)) {
       hasChanged = registry.recordCrash(key, run) || hasChanged;
     }
+    const service = serviceOf(upstream);
+    // One without requests of this entry shows that others crash as well.
+    if (runs.length === 0 && service !== undefined) {
+      registry.recordInstanceCrash(upstream, { service, at: clock.steady() });
+    }
     if (hasChanged) {
       this.#announceRejectedParts();
       this.#report(revisionBefore);
--- a/apps/heroncleatd/common/suspect_watcher_test.ts
+++ b/apps/heroncleatd/common/suspect_watcher_test.ts
@@ -31,6 +31,7 @@
   now = 1000;
   readonly gone = new Set<string>();
   readonly replaced = new Set<string>();
+  readonly leaving = new Set<string>();
   readonly crashed: string[] = [];
   readonly reported: ReportedSuspect[] = [];
   probes = 0;
@@ -51,6 +52,7 @@
       return Promise.resolve(!this.gone.has(address));
     },
     isReplaced: (upstream) => this.replaced.has(upstream),
+    serviceOf: (upstream) => this.leaving.has(upstream) ? undefined : "desk",
     onCrash: (upstream) => this.crashed.push(upstream),
     report: (changed) => this.reported.push(...changed),
   });
@@ -102,6 +104,26 @@
   expect(fixture.reported.at(-1)!.answeredAge).toBe(0);
 });
 
+// Guards against rejecting a resumed stream for a wave of crashes of which the
+// others met upstreams without requests.
+test.each([
+  ["crash", [], SuspectStatus.single],
+  ["leave", ["idle"], SuspectStatus.rejected],
+])(
+  "upstreams without requests that %s tell of other causes, or don't",
+  async (_name, leaving, standing) => {
+    const fixture = new WatcherFixture();
+    leaving.forEach((upstream) => fixture.leaving.add(upstream));
+    for (const upstream of ["u1", "u2", "u3"]) {
+      fixture.now += 300;
+      fixture.gone.add(upstream);
+      await fixture.breakConnection(identify("r"), upstream);
+      fixture.watcher.recordCrash("idle");
+    }
+    expect(fixture.watcher.status(identify("r"))).toBe(standing);
+  },
+);
+
 // A probe may reach the next instance, or the upstream just before it crashes.
 test("a crash that is detected later counts until the timeout", async () => {
   const fixture = new WatcherFixture();
--- a/apps/heroncleatd/entry/suspect_sync.ts
+++ b/apps/heroncleatd/entry/suspect_sync.ts
@@ -50,6 +50,8 @@
       metrics,
       probe: probeUpstream,
       isReplaced: (instance) => !this.#runningInstances.has(instance),
+      // Upstreams without requests aren't connected to.
+      serviceOf: () => undefined,
       // The router already avoids failing upstreams.
       onCrash: () => {},
       report: (changed) =>
--- a/apps/heroncleatd/gateway/create_test_context.ts
+++ b/apps/heroncleatd/gateway/create_test_context.ts
@@ -132,6 +132,7 @@
       metrics: noMetrics,
       probe: () => Promise.resolve(true),
       isReplaced: () => false,
+      serviceOf: () => undefined,
       onCrash: () => {},
       report: () => {},
     }),
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -191,6 +191,10 @@
       metrics: options.metrics,
       probe: (address) => this.#reachability.mayRun(address),
       isReplaced: (upstream) => this.#directory.hasRestarted(upstream),
+      serviceOf: (upstream) => {
+        const record = this.#directory.get(upstream)?.record;
+        return record?.state === "ready" ? record.service : undefined;
+      },
       onCrash: (upstream, at) => this.#choice.recordCrash(upstream, at),
       // Sent both ways: the control replicas deliver suspects reliably, while
       // datagrams are faster and also work without a reachable replica.
--- a/packages/serving/suspect_registry.ts
+++ b/packages/serving/suspect_registry.ts
@@ -162,12 +162,7 @@
    */
   recordCrash(key: SuspectKey, run: CrashedRun): boolean {
     const { upstream, endedAt } = run;
-    if (!this.#instanceCrashes.has(upstream)) {
-      this.#instanceCrashes.set(upstream, {
-        service: key.service,
-        at: endedAt,
-      });
-    }
+    this.recordInstanceCrash(upstream, { service: key.service, at: endedAt });
     const known = this.#suspects.get(key.request);
     if (endedAt <= (known?.completedAt ?? -Infinity)) {
       return false;
@@ -189,6 +184,15 @@
     return true;
   }
 
+  /** Records that an instance crashed, whatever it was running. */
+  recordInstanceCrash(upstream: string, crash: InstanceCrash): void {
+    const known = this.#instanceCrashes.get(upstream);
+    if (known === undefined || crash.at < known.at) {
+      this.#instanceCrashes.set(upstream, crash);
+      this.#areRequestsOutdated = true;
+    }
+  }
+
   /**
    * Records that a request completed.
    *
--- a/packages/serving/suspect_registry_test.ts
+++ b/packages/serving/suspect_registry_test.ts
@@ -197,6 +197,38 @@
   expect(registry.statusOf("other", now)).toBe(SuspectStatus.unsuspected);
 });
 
+// Guards against rejecting a resumed stream for a wave of crashes of which the
+// others met upstreams without requests.
+test.each([
+  [0, SuspectStatus.rejected],
+  [1, SuspectStatus.single],
+  [2, SuspectStatus.single],
+])(
+  "three quick crashes beside %i of idle upstreams: %s",
+  (idle, standing) => {
+    for (const upstreamCount of [8, 12]) {
+      const registry = new SuspectRegistry({
+        revisions: new RevisionCounter(),
+        countUpstreams: () => upstreamCount,
+      });
+      for (let index = 0; index < idle; index += 1) {
+        registry.recordInstanceCrash(`idle ${index}`, {
+          service: "desk",
+          at: 1200 + 200 * index,
+        });
+      }
+      for (const [index, sentAt] of [1000, 1350, 1700].entries()) {
+        registry.recordCrash(keyOf("r"), {
+          upstream: `u${index}`,
+          sentAt,
+          endedAt: sentAt + 150,
+        });
+      }
+      expect(registry.statusOf("r", 1900)).toBe(standing);
+    }
+  },
+);
+
 test("where upstreams often crash it takes more crashes to reject a request", () => {
   const registry = createRegistry();
   for (let index = 0; index < 20; index += 1) {
