--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -190,7 +190,11 @@
       log: this.#log,
       metrics: options.metrics,
       probe: (address) => this.#reachability.mayRun(address),
-      isReplaced: (upstream) => this.#directory.isReplaced(upstream),
+      isReplaced: (upstream) => this.#directory.hasRestarted(upstream),
+      serviceOf: (upstream) => {
+        const record = this.#directory.get(upstream)?.record;
+        return record?.state === "ready" ? record.service : undefined;
+      },
       onCrash: (upstream, at) => this.#choice.recordCrash(upstream, at),
       // Sent both ways: the control replicas deliver suspects reliably, while
       // datagrams are faster and also work without a reachable replica.
@@ -305,6 +309,7 @@
       directory: this.#directory,
       choice: this.#choice,
       agents: this.#agents,
+      statements: this.#statements,
       quota: this.#quota,
       usage: this.#usage,
       charges: this.#chargeSync,
--- a/packages/serving/suspect_registry_test.ts
+++ b/packages/serving/suspect_registry_test.ts
@@ -197,6 +197,38 @@
   expect(registry.statusOf("other", now)).toBe(SuspectStatus.unsuspected);
 });
 
+// Guards against rejecting a resumed stream for a wave of crashes of which the
+// others met upstreams without requests.
+test.each([
+  [0, SuspectStatus.rejected],
+  [1, SuspectStatus.single],
+  [2, SuspectStatus.single],
+])(
+  "three quick crashes beside %i of idle upstreams: %s",
+  (idle, standing) => {
+    for (const upstreamCount of [8, 12]) {
+      const registry = new SuspectRegistry({
+        revisions: new RevisionCounter(),
+        countUpstreams: () => upstreamCount,
+      });
+      for (let index = 0; index < idle; index += 1) {
+        registry.recordInstanceCrash(`idle ${index}`, {
+          service: "desk",
+          at: 1200 + 200 * index,
+        });
+      }
+      for (const [index, sentAt] of [1000, 1350, 1700].entries()) {
+        registry.recordCrash(keyOf("r"), {
+          upstream: `u${index}`,
+          sentAt,
+          endedAt: sentAt + 150,
+        });
+      }
+      expect(registry.statusOf("r", 1900)).toBe(standing);
+    }
+  },
+);
+
 test("where upstreams often crash it takes more crashes to reject a request", () => {
   const registry = createRegistry();
   for (let index = 0; index < 20; index += 1) {
@@ -369,6 +401,34 @@
     expect(find("part:q:desk")).toBeUndefined();
   });
 
+  // Guards against rejecting what sound requests share when the report that the
+  // crashing part was there, too, arrives last.
+  test.each([0, 200, 350])(
+    "isn't rejected without the crashing one whose report arrives %i ms later",
+    (delay) => {
+      const registry = createRegistry();
+      const find = (parts: readonly string[], now: number) =>
+        registry.findRejectedPart(parts, now);
+      let now = crash(registry, { keys: [part, other], times: 4 });
+      now = crash(registry, { keys: [other], times: 1, from: 4 }) - SECOND / 2;
+      now += 50;
+      expect(find(["part:q:desk"], now + delay)).toBeUndefined();
+      expect(find(["part:p:desk", "part:q:desk"], now + delay)).toBeDefined();
+      crash(registry, { keys: [part], times: 1, from: 4 });
+      expect(find(["part:q:desk"], now + 2 * SECOND)).toBeUndefined();
+      expect(find(["part:p:desk", "part:q:desk"], now + 2 * SECOND))
+        .toBeDefined();
+    },
+  );
+
+  test("is rejected alone once no report of its last crash is outstanding", () => {
+    const registry = createRegistry();
+    let now = crash(registry, { keys: [part, other], times: 4 });
+    now = crash(registry, { keys: [other], times: 1, from: 4 });
+    expect(registry.findRejectedPart(["part:q:desk"], now + 10))
+      .toBe("part:q:desk");
+  });
+
   // Guards against a workspace that has another's part rejected: it keeps long
   // runs with the part on upstreams that end anyway.
   test("isn't rejected for long runs on upstreams that end by themselves", () => {
