OpenAI surface: bytes behind a request don't cut its generation

Callers that sent bytes behind a request that are no request, or a part of the next one that met the header timeout, saw their generation end in the middle.

Cause: this server left such bytes to Node's default, which destroys the connection once a response has begun. A connection that is closed for its caller's bytes is logged and counted (callers.closed.caller_server).

--- /dev/null
+++ b/apps/heroncleatd/common/answer_client_errors.ts
@@ -0,0 +1,76 @@
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Duplex } from "node:stream";
+import type { Socket } from "node:net";
+
+/** The caller has closed its connection inside a request. */
+const INCOMPLETE_REQUEST = "HPE_INVALID_EOF_STATE";
+
+type Exchange = {
+  readonly incoming: IncomingMessage;
+  readonly response: ServerResponse;
+};
+
+/**
+ * Answers bytes that are no request, and requests that time out, with 400.
+ * Responses to requests that were received whole end before the connection.
+ *
+ * @param onClose Called before a connection is closed because of its caller's
+ *     bytes.
+ */
+export function answerClientErrors(
+  server: Server,
+  onClose: (socket: Socket, error: NodeJS.ErrnoException) => void,
+): void {
+  const exchanges = new WeakMap<Duplex, Set<Exchange>>();
+  /** Connections that are closed once their responses have ended. */
+  const ending = new WeakSet<Duplex>();
+  server.prependListener("request", (incoming, response) => {
+    const exchange = { incoming, response };
+    const ofSocket = exchanges.get(incoming.socket) ?? new Set();
+    exchanges.set(incoming.socket, ofSocket.add(exchange));
+    response.once("close", () => ofSocket.delete(exchange));
+  });
+  server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
+    const ofSocket = [...exchanges.get(socket) ?? []];
+    const hasLeft = !socket.writable ||
+      (error.code === INCOMPLETE_REQUEST && ofSocket.length > 0);
+    if (hasLeft) {
+      socket.destroy();
+      return;
+    }
+    const running = ofSocket.filter(({ incoming }) => incoming.complete);
+    if (ending.has(socket)) {
+      return;
+    }
+    if (running.length > 0) {
+      ending.add(socket);
+      endAfter(running, socket);
+      return;
+    }
+    onClose(socket as Socket, error);
+    if (ofSocket.some(({ response }) => response.headersSent)) {
+      socket.destroy();
+      return;
+    }
+    socket.end("HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n");
+  });
+}
+
+/**
+ * Closes a connection once the responses to requests that were received whole
+ * have ended. What came behind them is no reason to cut them.
+ */
+function endAfter(running: readonly Exchange[], socket: Duplex): void {
+  let left = running.length;
+  for (const { response } of running) {
+    if (!response.headersSent) {
+      response.shouldKeepAlive = false;
+    }
+    response.once("close", () => {
+      left -= 1;
+      if (left === 0) {
+        (socket as Socket).destroySoon();
+      }
+    });
+  }
+}
--- a/apps/heroncleatd/entry/caller_server.ts
+++ b/apps/heroncleatd/entry/caller_server.ts
@@ -5,6 +5,7 @@
   type ServerResponse,
 } from "node:http";
 import { createFault, splitAddress } from "@heroncleat/base";
+import { answerClientErrors } from "../common/answer_client_errors.ts";
 import { KeyRing } from "../common/key_ring.ts";
 import { readBearer } from "../common/read_bearer.ts";
 import { sendFault } from "../common/send_fault.ts";
@@ -49,6 +50,10 @@
       },
     );
     this.#server.maxConnections = entry.max_connections;
+    answerClientErrors(
+      this.#server,
+      (_socket, error) => this.#recordClientError(error),
+    );
   }
 
   listen(): Promise<void> {
@@ -177,6 +182,14 @@
     });
   }
 
+  #recordClientError(error: NodeJS.ErrnoException): void {
+    const { log, metrics } = this.#parts.context;
+    metrics.increment("callers.closed.caller_server");
+    log("callers").info("A connection is closed for what its caller sent", {
+      error: error.code ?? error.message,
+    });
+  }
+
   #onError(response: ServerResponse, error: Error): void {
     this.#parts.context.log("callers").error("A request failed", {
       error: String(error.stack),
