Generations that have begun go on at groups in drain for the drain timeout

Callers saw a generation stop until its deadline, or an error event, when its upstream failed while all groups of its selector drained, though upstreams of them served on.

Cause: the router left groups in drain out of every choice, as their drain had no time. An entry now counts a drain from its last read of the configuration that showed the group open, the earliest time at which it can have begun, and sends generations that have begun there until 250 ms before the drain timeout (2 s); open groups come first, then those that drain for longer. The time is looked at again once there is a connection. A drain whose start is unknown, as after a restart of the entry, admits nothing; nor do upstreams that announce that their VM leaves.

Not played with real processes.

--- a/apps/heroncleatd/entry/configuration_renewer.ts
+++ b/apps/heroncleatd/entry/configuration_renewer.ts
@@ -1,3 +1,4 @@
+import type { Milliseconds } from "@heroncleat/base";
 import { ConfigurationFollower } from "@heroncleat/configuration";
 import type { ConfigurationView, RevisionEdits } from "@heroncleat/schema";
 import type { EntryContext } from "./entry_context.ts";
@@ -13,21 +14,29 @@
   }
   | { readonly kind: "not_leader"; readonly leader: string };
 
+/** @param confirmedAt When the former view was last confirmed, if it was. */
+type ViewListener = (
+  view: ConfigurationView,
+  confirmedAt: Milliseconds | undefined,
+) => void;
+
 /**
  * Periodically reads the configuration through a quorum, which also renews this
  * entry's configuration lease.
  */
 export class ConfigurationRenewer {
   readonly #context: EntryContext;
-  readonly #onView: (view: ConfigurationView) => void;
+  readonly #onView: ViewListener;
   readonly #follower = new ConfigurationFollower();
+  /** Start of the last read that succeeded. */
+  #confirmedAt: Milliseconds | undefined;
   #timer: NodeJS.Timeout | undefined;
   #isStopped = false;
   #isFailing = false;
 
   constructor(
     context: EntryContext,
-    onView: (view: ConfigurationView) => void,
+    onView: ViewListener,
   ) {
     this.#context = context;
     this.#onView = onView;
@@ -54,6 +63,7 @@
     });
     if (reply.kind === "renewed") {
       this.#applyReply(reply);
+      this.#confirmedAt = requestedAt;
       lease.extend(requestedAt, entry.configuration_lease);
     }
     this.#recordOutcome(reply.kind === "renewed");
@@ -68,7 +78,7 @@
       ? this.#follower.applyView(reply.catchUp.view)
       : this.#follower.applyEdits(reply.catchUp.edits);
     if (hasChanged || isFirst) {
-      this.#onView(this.#follower.view);
+      this.#onView(this.#follower.view, this.#confirmedAt);
     }
     if (hasChanged) {
       this.#context.log("configuration").info(
--- a/apps/heroncleatd/entry/dispatch_message.ts
+++ b/apps/heroncleatd/entry/dispatch_message.ts
@@ -14,7 +14,12 @@
   | { readonly kind: "tick" }
   /** Names of the entries that are alive. */
   | { readonly kind: "entries"; readonly alive: readonly string[] }
-  | { readonly kind: "configuration"; readonly view: ConfigurationView }
+  | {
+    readonly kind: "configuration";
+    readonly view: ConfigurationView;
+    /** When the former view was last confirmed. */
+    readonly confirmedAt: Milliseconds | undefined;
+  }
   | { readonly kind: "upstream"; readonly announcement: Announcement }
   | { readonly kind: "upstream_lapsed"; readonly name: string }
   | {
--- a/apps/heroncleatd/entry/dispatch_service_test.ts
+++ b/apps/heroncleatd/entry/dispatch_service_test.ts
@@ -157,6 +157,7 @@
       path: "/confirm",
       prefix: [],
       promptTokens: 0,
+      isContinued: false,
       exclude: [],
     },
     token: `call-${callCount}`,
--- a/apps/heroncleatd/entry/handle_service.ts
+++ b/apps/heroncleatd/entry/handle_service.ts
@@ -119,6 +119,7 @@
     path: target.path,
     prefix: [],
     promptTokens: 0,
+    isContinued: false,
     exclude: [],
   };
   const header = call.request.headers["heroncleat-idempotent"];
--- a/apps/heroncleatd/entry/request_dispatcher.ts
+++ b/apps/heroncleatd/entry/request_dispatcher.ts
@@ -77,7 +77,7 @@
         this.#refreshCapacity();
         return;
       case "configuration":
-        this.#router.configure(message.view);
+        this.#router.configure(message.view, message.confirmedAt);
         this.#setLimits(message.view.limits);
         return;
       case "upstream":
--- a/apps/heroncleatd/entry/request_registry.ts
+++ b/apps/heroncleatd/entry/request_registry.ts
@@ -215,9 +215,9 @@
       moveStandby: (currentRecord, options) =>
         this.#moveStandby(currentRecord, options),
       handOver: (standby, id) => this.#handOverSender.send(standby, id),
-      route: (_record, { token, exclude, isRetry }) =>
+      route: (_record, { token, exclude, isRetry, isContinued }) =>
         new Promise((resolve) => {
-          const request = { ...routedRequest, exclude };
+          const request = { ...routedRequest, exclude, isContinued };
           dispatch.send({
             kind: "route",
             request,
--- a/apps/heroncleatd/entry/request_runner.ts
+++ b/apps/heroncleatd/entry/request_runner.ts
@@ -135,6 +135,7 @@
       token,
       exclude,
       isRetry,
+      isContinued: request.receivedCount > 0,
     });
     if (result.kind === "unroutable") {
       this.#sendEvent({ kind: "unroutable", attempt });
@@ -196,6 +197,7 @@
       body,
       attempt: attempt.token,
       maySend: () =>
+        context.clock.now() < attempt.sendBefore &&
         !context.statements.isResting(upstream, context.clock.steady()),
       handlers: {
         onHead: ({ statusCode, headers }) => {
--- a/apps/heroncleatd/entry/request_services.ts
+++ b/apps/heroncleatd/entry/request_services.ts
@@ -31,7 +31,12 @@
   ) => Promise<string | undefined>;
   readonly route: (
     record: RequestRecord,
-    options: { token: string; exclude: readonly string[]; isRetry: boolean },
+    options: {
+      token: string;
+      exclude: readonly string[];
+      isRetry: boolean;
+      isContinued: boolean;
+    },
   ) => Promise<RouteResult>;
   readonly recordAttempt: (
     upstream: string,
--- a/apps/heroncleatd/entry/running_attempt.ts
+++ b/apps/heroncleatd/entry/running_attempt.ts
@@ -8,6 +8,8 @@
   readonly upstream: string;
   readonly address: string;
   readonly estimatedFirstToken: Milliseconds;
+  /** Nothing may be sent later, as the upstream's group drains. */
+  readonly sendBefore: Milliseconds;
   /** Time when the body was sent; 0 before. */
   sentAt: Milliseconds;
   /** Time when the first token arrived; 0 before. */
--- a/apps/heroncleatd/entry/start_entry.ts
+++ b/apps/heroncleatd/entry/start_entry.ts
@@ -165,8 +165,8 @@
       isShuttingDown: () => this.#isShuttingDown,
     };
     this.#server = new CallerServer(this.#parts);
-    this.#renewer = new ConfigurationRenewer(context, (view) => {
-      dispatch.send({ kind: "configuration", view });
+    this.#renewer = new ConfigurationRenewer(context, (view, confirmedAt) => {
+      dispatch.send({ kind: "configuration", view, confirmedAt });
       membership.actor.send({
         kind: "event",
         event: { kind: "revision", revision: view.revision },
--- a/apps/heroncleatd/entry/to_routed_request.ts
+++ b/apps/heroncleatd/entry/to_routed_request.ts
@@ -16,6 +16,7 @@
     path: "",
     prefix: hashPrefixBlocks(promptText(record.body), chainHash),
     promptTokens: record.promptTokens,
+    isContinued: false,
     exclude: [],
   };
 }
--- a/packages/bench/golden_sessions_test.ts
+++ b/packages/bench/golden_sessions_test.ts
@@ -314,6 +314,7 @@
         path: "",
         prefix: [],
         promptTokens: 10,
+        isContinued: false,
         exclude: [],
       }, { token, now: 1 });
       if (decision.kind === "chosen") {
--- a/packages/bench/policy/simulated_entry.ts
+++ b/packages/bench/policy/simulated_entry.ts
@@ -249,6 +249,7 @@
         path: "",
         prefix: hashPrefixBlocks(request.prompt, hashBlock),
         promptTokens: request.promptWords,
+        isContinued: false,
         exclude: [],
       },
       firstTokenAt: 0,
@@ -310,7 +311,11 @@
       this.#retryBudget.recordFirstAttempt();
     }
     const token = `${running.request.id}#${effect.attempt}`;
-    const request = { ...running.routed, exclude: effect.exclude };
+    const request = {
+      ...running.routed,
+      isContinued: running.owned.receivedCount > 0,
+      exclude: effect.exclude,
+    };
     const decision = this.#router.route(request, { token, now: time.now });
     if (decision.kind === "unroutable") {
       this.#handleEvent(running, {
--- a/packages/bench/slopes/measure_routing.ts
+++ b/packages/bench/slopes/measure_routing.ts
@@ -31,6 +31,7 @@
       path: "",
       prefix,
       promptTokens: 1000,
+      isContinued: false,
       exclude: [],
     }, { token, now: index });
     if (decision.kind === "chosen") {
--- a/packages/requests/owned_request.ts
+++ b/packages/requests/owned_request.ts
@@ -135,6 +135,11 @@
     return this.#chunks.slice(index, this.#emittedCount);
   }
 
+  /** Pieces received so far, also those that may not be emitted yet. */
+  get receivedCount(): number {
+    return this.#chunks.length;
+  }
+
   get emittedCount(): number {
     return this.#emittedCount;
   }
--- a/packages/routing/route_choice.ts
+++ b/packages/routing/route_choice.ts
@@ -10,4 +10,6 @@
   readonly address: string;
   readonly estimatedFirstToken: Milliseconds;
   readonly cachedTokens: number;
+  /** Nothing may be sent later, as the upstream's group drains. */
+  readonly sendBefore: Milliseconds;
 };
--- a/packages/routing/routed_request.ts
+++ b/packages/routing/routed_request.ts
@@ -15,6 +15,8 @@
   /** Hashes of the prompt's prefix blocks, each covering all before it. */
   readonly prefix: readonly string[];
   readonly promptTokens: number;
+  /** Whether a part of its response was received already. */
+  readonly isContinued: boolean;
   /** Upstreams that must not be chosen. */
   readonly exclude: readonly string[];
 };
--- a/packages/routing/router.ts
+++ b/packages/routing/router.ts
@@ -9,6 +9,7 @@
 import type { LoadBalancingPolicy } from "./load_balancing_policy.ts";
 import { chooseGroup } from "./choose_group.ts";
 import { createWeightedPolicy } from "./create_weighted_policy.ts";
+import { GroupDrains } from "./group_drains.ts";
 import { hasLabels } from "./has_labels.ts";
 import { matchSelector } from "./match_selector.ts";
 import type { RouteChoice } from "./route_choice.ts";
@@ -28,6 +29,12 @@
   | { readonly kind: "chosen"; readonly choice: RouteChoice }
   | { readonly kind: "unroutable"; readonly reason: UnroutableReason };
 
+/** Upstreams to choose from. */
+type Available = {
+  readonly candidates: Candidate[];
+  readonly sendBefore: Milliseconds;
+};
+
 type RouterOptions = {
   readonly entry: string;
   readonly hash: (text: string) => number;
@@ -46,6 +53,7 @@
   readonly #options: RouterOptions;
   readonly #choose: LoadBalancingPolicy;
   readonly #upstreams = new Map<string, UpstreamTracker>();
+  readonly #drains: GroupDrains;
   #entryCount = 1;
   /** Upstreams that this entry routes to; undefined until computed. */
   #subset: UpstreamTracker[] | undefined;
@@ -54,6 +62,7 @@
   constructor(settings: RoutingSettings, options: RouterOptions) {
     this.#settings = settings;
     this.#options = options;
+    this.#drains = new GroupDrains(settings.drainTimeout);
     this.#choose = options.choose ?? createWeightedPolicy(settings.weighting);
   }
 
@@ -114,7 +123,12 @@
     return [...models].sort();
   }
 
-  configure(view: ConfigurationView): void {
+  /**
+   * @param confirmedAt When the former configuration was last known to be in
+   *     effect; undefined if it wasn't.
+   */
+  configure(view: ConfigurationView, confirmedAt?: Milliseconds): void {
+    this.#drains.update(view.groups, confirmedAt);
     this.#view = view;
   }
 
@@ -148,11 +162,11 @@
     request: RoutedRequest,
     options: { token: string; now: Milliseconds },
   ): RouteDecision {
-    const candidates = this.#findCandidates(request, options.now);
-    if (typeof candidates === "string") {
-      return { kind: "unroutable", reason: candidates };
+    const available = this.#findAvailable(request, options.now);
+    if (typeof available === "string") {
+      return { kind: "unroutable", reason: available };
     }
-    const chosen = this.#choose(candidates, {
+    const chosen = this.#choose(available.candidates, {
       maxFirstToken: this.#settings.firstTokenTarget *
         this.#settings.targetSafetyFactor,
       maxTokenInterval: this.#settings.betweenTokensTarget,
@@ -167,6 +181,7 @@
         address: announcement.address,
         estimatedFirstToken: chosen.estimatedFirstToken,
         cachedTokens: chosen.cachedTokens,
+        sendBefore: available.sendBefore,
       },
     };
   }
@@ -225,18 +240,53 @@
       : matchSelector(view, request)?.idempotent;
   }
 
-  #findCandidates(
+  /** Groups in drain are tried only if no other one has an upstream. */
+  #findAvailable(
     request: RoutedRequest,
     now: Milliseconds,
-  ): Candidate[] | UnroutableReason {
+  ): Available | UnroutableReason {
     const groups = this.#findGroups(request);
     if (groups === undefined) {
       return "no_selector";
     }
     const active = groups.filter((group) => group.state !== "draining");
-    if (groups.length > 0 && active.length === 0) {
-      return "all_draining";
+    const candidates = groups.length > 0 && active.length === 0
+      ? "all_draining"
+      : this.#findCandidates(request, { active, now });
+    if (typeof candidates !== "string") {
+      return { candidates, sendBefore: Infinity };
+    }
+    return this.#findDraining(request, { groups, now }) ?? candidates;
+  }
+
+  /** Finds upstreams in drain that may go on with a generation. */
+  #findDraining(
+    request: RoutedRequest,
+    { groups, now }: { groups: readonly Group[]; now: Milliseconds },
+  ): Available | undefined {
+    if (!request.isContinued) {
+      return undefined;
     }
+    const endOf = ({ name }: Group) => this.#drains.endsAt(name);
+    const byEnd = groups
+      .filter((group) => group.state === "draining" && now < endOf(group))
+      .sort((a, b) => endOf(b) - endOf(a));
+    for (const group of byEnd) {
+      const candidates = this.#findCandidates(request, {
+        active: [group],
+        now,
+      });
+      if (typeof candidates !== "string") {
+        return { candidates, sendBefore: endOf(group) };
+      }
+    }
+    return undefined;
+  }
+
+  #findCandidates(
+    request: RoutedRequest,
+    { active, now }: { active: readonly Group[]; now: Milliseconds },
+  ): Candidate[] | UnroutableReason {
     const serving = this.#findServingUpstreams(request);
     const chosen = chooseGroup(active, this.#options.hash(request.id));
     const preferred = serving.filter((upstream) =>
--- a/packages/routing/router_test.ts
+++ b/packages/routing/router_test.ts
@@ -57,6 +57,7 @@
     path: "",
     prefix: [],
     promptTokens: 100,
+    isContinued: false,
     exclude: [],
     ...changes,
   };
@@ -81,6 +82,15 @@
   return router;
 }
 
+/** The configuration with some of its groups in drain. */
+function drained(...names: readonly string[]): ConfigurationView {
+  const groups = structuredClone(VIEW.groups);
+  for (const name of names) {
+    groups[name]!.state = "draining";
+  }
+  return { ...VIEW, groups };
+}
+
 let tokenCount = 0;
 function routeTo(router: Router, routed: RoutedRequest, now = 1): string {
   tokenCount += 1;
@@ -171,6 +181,43 @@
     expect(routeTo(drained, request())).toBe("all_draining");
   });
 
+  // Guards against generations that end because their groups drain, while
+  // upstreams serve on.
+  test("sends generations that have begun to groups in drain until the timeout", () => {
+    const router = createRouter([announcement("a")], { drainTimeout: 2000 });
+    router.configure(drained("old", "new"), 1000);
+    const begun = request({ isContinued: true });
+    expect(routeTo(router, request(), 1001)).toBe("all_draining");
+    expect(routeTo(router, begun, 2749)).toBe("a");
+    expect(routeTo(router, begun, 2750)).toBe("all_draining");
+  });
+
+  test("prefers groups that are open, and those that drain for longer", () => {
+    const router = createRouter([
+      announcement("first", { labels: { place: "old" } }),
+      announcement("second"),
+    ], { drainTimeout: 2000 });
+    const begun = request({ isContinued: true });
+    router.configure(drained("old"), 1000);
+    expect(routeTo(router, begun, 1001)).toBe("second");
+    expect(routeTo(router, { ...begun, exclude: ["second"] }, 1001))
+      .toBe("first");
+    router.configure(drained("old", "new"), 1500);
+    expect(routeTo(router, begun, 1501)).toBe("second");
+    expect(routeTo(router, { ...begun, exclude: ["second"] }, 2749))
+      .toBe("first");
+    expect(routeTo(router, { ...begun, exclude: ["second"] }, 2750))
+      .toBe("all_draining");
+  });
+
+  test("sends upstreams that leave nothing, also of what has begun", () => {
+    const router = createRouter([announcement("a", { state: "leaving" })]);
+    router.configure(drained("old", "new"), 0);
+    expect(routeTo(router, request({ isContinued: true }))).toBe(
+      "all_draining",
+    );
+  });
+
   test("splits the traffic by the shares of the groups", () => {
     const router = createRouter([
       announcement("o", { labels: { place: "old" }, slots: 10_000 }),
--- a/packages/routing/routing_defaults.ts
+++ b/packages/routing/routing_defaults.ts
@@ -14,5 +14,6 @@
   openTime: 1000,
   maxOpenTime: 30_000,
   maxCacheBlocks: 4096,
+  drainTimeout: 2000,
   subsetSize: 64,
 };
--- a/packages/routing/routing_settings.ts
+++ b/packages/routing/routing_settings.ts
@@ -19,6 +19,8 @@
   readonly maxOpenTime: Milliseconds;
   /** Prefix blocks remembered for each upstream. */
   readonly maxCacheBlocks: number;
+  /** Time for which a group in drain may be sent generations that have begun. */
+  readonly drainTimeout: Milliseconds;
   /** Upstreams of a model or service that this entry routes to at most. */
   readonly subsetSize: number;
 };
