Streams go on after identifiers beyond Latin-1, and their runs end

Callers of a resumable stream whose event identifier has characters beyond Latin-1 waited without a word once its upstream broke off; the run stayed counted at the next upstream (slots, suspects, retries).

Cause: http.request throws for such a header, after the attempt was tracked. Identifiers, upstream names and workspace names are now sent as UTF-8, so an upstream gets the bytes that the first one wrote. A stream whose identifier has control characters, which no header can have, is broken off without another attempt. Whatever else throws while a request is sent ends its run.

--- a/apps/heroncleatd/gateway/attempts/attempt_request.ts
+++ b/apps/heroncleatd/gateway/attempts/attempt_request.ts
@@ -156,6 +156,13 @@
     signal,
     onSent: (request) => sent = request,
     maySend: () => maySend(chosen.upstream, context),
+  }).catch((error: Error): UpstreamResponse => {
+    // Nothing was sent, and no upstream is at fault.
+    tracking.finish(AttemptOutcome.notAnswered);
+    endWait(false);
+    endTrial();
+    returnPermit();
+    throw error;
   });
   endTrial();
   if (response.kind === "withdrawn") {
--- a/apps/heroncleatd/gateway/forward_headers.ts
+++ b/apps/heroncleatd/gateway/forward_headers.ts
@@ -1,3 +1,4 @@
+import { headerValue } from "../common/header_value.ts";
 import type { CallerRequest } from "./caller_request.ts";
 import type { HeaderNames } from "./header_names.ts";
 import { priorityOf } from "./priority_of.ts";
@@ -56,16 +57,16 @@
     }
     const headers = filterHeaders(request.rawHeaders, replacedNames);
     headers.push(names.timeLeft, String(Math.floor(attempt.timeLeft)));
-    headers.push(names.expectedUpstream, attempt.upstream);
+    headers.push(names.expectedUpstream, headerValue.encode(attempt.upstream));
     headers.push(names.priority, String(priorityOf(request)));
     if (request.workspace !== undefined) {
-      headers.push(names.workspace, request.workspace.name);
+      headers.push(names.workspace, headerValue.encode(request.workspace.name));
     }
     if (attempt.fetchFrom !== undefined) {
       headers.push(names.fetchFrom, attempt.fetchFrom);
     }
     if (attempt.lastEvent !== undefined) {
-      headers.push(names.lastEvent, attempt.lastEvent);
+      headers.push(names.lastEvent, headerValue.encode(attempt.lastEvent));
     }
     headers.push("Content-Length", String(request.body.length));
     return headers;
@@ -91,7 +92,7 @@
     const headers = filterHeaders(request.rawHeaders, replacedNames);
     headers.push(names.timeLeft, String(Math.floor(timeLeft)));
     if (lastEvent !== undefined) {
-      headers.push(names.lastEvent, lastEvent);
+      headers.push(names.lastEvent, headerValue.encode(lastEvent));
     }
     headers.push("Content-Length", String(request.body.length));
     return headers;
--- a/apps/heroncleatd/gateway/streams/forward_stream.ts
+++ b/apps/heroncleatd/gateway/streams/forward_stream.ts
@@ -15,6 +15,7 @@
 import { findRestDelay } from "../limits/find_rest_delay.ts";
 import { forwardHeaders } from "../forward_headers.ts";
 import type { ForwardResult } from "../forward_result.ts";
+import { headerValue } from "../../common/header_value.ts";
 import type { LocalResponse } from "../responses/local_response.ts";
 import { relayBody } from "../responses/relay_body.ts";
 import { relayResponseHeaders } from "../relay/relay_response_headers.ts";
@@ -425,7 +426,7 @@
     if (!wasOffered || !this.#mayOfferAgain()) {
       return false;
     }
-    if (this.#isVersionUnknown) {
+    if (this.#isVersionUnknown || !headerValue.allows(this.#lastEvent ?? "")) {
       return false;
     }
     const mayRunAgain = !this.#mayHaveRun ||
