A run whose head has just come isn't given up for its replacement

A repeatable run at an instance that counts as replaced was given up in the moment in which its head had arrived but wasn't read yet, or after its instance had come to count as current again while the replacement was probed.

What has arrived is read once the probe has succeeded, and all conditions are looked at again. Nothing is logged if no run is left.

--- a/apps/heroncleatd/gateway/upstreams/replaced_runs.ts
+++ b/apps/heroncleatd/gateway/upstreams/replaced_runs.ts
@@ -1,3 +1,4 @@
+import { setImmediate } from "node:timers/promises";
 import type { UpstreamDirectory } from "@heroncleat/serving";
 import type { Log } from "../../common/log.ts";
 import { EndedBy } from "../responses/ended_by.ts";
@@ -47,16 +48,22 @@
       if (candidates.length === 0 || replacement === undefined) {
         continue;
       }
-      if (await this.#options.probe(replacement)) {
+      const isUp = await this.#options.probe(replacement);
+      // Reads first what has arrived meanwhile.
+      await setImmediate();
+      if (isUp && this.#findReplacementAddress(upstream) === replacement) {
         this.#giveUp(
           upstream,
-          candidates.filter((run) => this.#isUnchanged(run)),
+          candidates.filter((run) => this.#mayStillGiveUp(run)),
         );
       }
     }
   }
 
   #giveUp(upstream: string, runs: readonly UpstreamRun[]): void {
+    if (runs.length === 0) {
+      return;
+    }
     this.#options.log.info("Gives up silent runs of a replaced upstream", {
       upstream,
       runs: runs.length,
@@ -87,8 +94,9 @@
   }
 
   /** Whether nothing was received since the last check. */
-  #isUnchanged(run: UpstreamRun): boolean {
-    return this.#progress.get(run)?.bytes === run.bytesReceived();
+  #mayStillGiveUp(run: UpstreamRun): boolean {
+    return this.#progress.get(run)?.bytes === run.bytesReceived() &&
+      run.isReplaceable();
   }
 
   /**
--- a/apps/heroncleatd/gateway/upstreams/replaced_runs_test.ts
+++ b/apps/heroncleatd/gateway/upstreams/replaced_runs_test.ts
@@ -85,3 +85,48 @@
   };
   expect(await playRun({ bytesAt: () => bytes, probe })).toBe(false);
 });
+
+// Guards against a run that is given up though its head has just come: it waits
+// in the kernel when the probe of the replacement succeeds.
+test("a run whose head comes with the probe's connection goes on", async () => {
+  let bytes = 0;
+  const probe = () => {
+    setImmediate(() => bytes += 1);
+    return Promise.resolve(true);
+  };
+  expect(await playRun({ bytesAt: () => bytes, probe })).toBe(false);
+});
+
+test("a run goes on if its instance counts as current again once probed", async () => {
+  const directory = new UpstreamDirectory();
+  directory.merge(record(1000, FORMER_ADDRESS), 0);
+  let isReplaced = true;
+  const findReplacement = () =>
+    isReplaced ? { record: record(2000, "127.0.0.1:2") } : undefined;
+  let isGivenUp = false;
+  const run = {
+    recordEndedBy: () => {},
+    bytesReceived: () => 0,
+    isPaused: () => false,
+    isReplaceable: () => true,
+    giveUp: () => isGivenUp = true,
+  };
+  const agent = { listRuns: () => [run] } as unknown as UpstreamAgent;
+  const runs = new ReplacedRuns({
+    listRetired: () => [{ upstream: "u1@1000", agent }],
+    directory: {
+      get: (id: string) => directory.get(id),
+      findReplacement,
+    } as unknown as UpstreamDirectory,
+    probe: () => {
+      isReplaced = false;
+      return Promise.resolve(true);
+    },
+    log,
+  });
+  for (let check = 0; check < 6; check += 1) {
+    isReplaced = true;
+    await runs.check();
+  }
+  expect(isGivenUp).toBe(false);
+});
