Soak: links that a process has given up no longer pile up in the proxy

Change: a link isn't opened once its process has closed the request for it, one that nobody claims is reset after 3 s, and a claim that comes later is reset, as a connection to a host that has given up. Checks and bounds are unchanged.

--- a/packages/soak/link_proxy.ts
+++ b/packages/soak/link_proxy.ts
@@ -8,6 +8,8 @@
  * turn of the event loop, too few at one port when many processes reconnect.
  */
 const PORT_COUNT = 10;
+/** Time after which a link that its process has given up is reset. */
+const CLAIM_TIMEOUT: Milliseconds = 3000;
 /** Number of claim addresses; each one stands for an unclaimed link. */
 const MAX_CLAIM_ADDRESSES = 60_000;
 
@@ -255,6 +257,10 @@
       link.attach(socket);
       return;
     }
+    if (claimAddress.startsWith(`${CLAIM_NETWORK}.`)) {
+      socket.resetAndDestroy();
+      return;
+    }
     let requestLine = "";
     socket.on("data", (bytes) => {
       requestLine += String(bytes);
@@ -291,6 +297,11 @@
     const far = connect({ host: to, port, localAddress: from });
     far.once("error", () => requester.end("refused\n"));
     far.once("connect", () => {
+      // The process may have given up while its request waited here.
+      if (requester.destroyed || requester.readableEnded) {
+        far.resetAndDestroy();
+        return;
+      }
       const delay = () => this.#delayOf(from) + this.#delayOf(to);
       const link = new Link({ from, to }, { far, delay });
       this.#links.add(link);
@@ -309,6 +320,12 @@
     const low = 1 + this.#addressCounter % 250;
     const claimAddress = `${CLAIM_NETWORK}.${high}.${low}`;
     this.#unclaimedLinks.set(claimAddress, link);
+    setTimeout(() => {
+      if (this.#unclaimedLinks.get(claimAddress) === link) {
+        this.#unclaimedLinks.delete(claimAddress);
+        link.reset();
+      }
+    }, CLAIM_TIMEOUT).unref();
     return claimAddress;
   }
 
--- a/packages/soak/link_proxy_test.ts
+++ b/packages/soak/link_proxy_test.ts
@@ -20,6 +20,47 @@
   return connect(PROXY_PORT, reply);
 }
 
+/** Starts a proxy and a server; returns the server's open connections. */
+async function startServer(): Promise<{ target: string; open: Set<Socket> }> {
+  const proxy = new LinkProxy(PROXY_PORT);
+  await proxy.listen();
+  const open = new Set<Socket>();
+  const server = createServer((socket) => {
+    open.add(socket);
+    socket.on("error", () => {});
+    socket.on("close", () => open.delete(socket));
+    closers.push(() => socket.destroy());
+  });
+  closers.push(() => server.close(), () => proxy.close());
+  await new Promise<void>((resolve) => server.listen(0, FAR, resolve));
+  const { port } = server.address() as AddressInfo;
+  return { target: `${FAR}:${port}`, open };
+}
+
+// Guards against links that pile up while processes time out and reconnect.
+test("a link that its process gives up is closed, before and after the reply", async () => {
+  const { target, open } = await startServer();
+  const waiting = connect(PROXY_PORT, "127.0.0.1");
+  waiting.end(`${NEAR} ${target}\n`);
+  await pause(200);
+  expect(open.size).toBe(0);
+  const unclaimed = connect(PROXY_PORT, "127.0.0.1");
+  unclaimed.write(`${NEAR} ${target}\n`);
+  const address = await new Promise<string>((resolve) =>
+    unclaimed.once("data", (bytes) => resolve(String(bytes).trim()))
+  );
+  unclaimed.destroy();
+  const claimed = await openLink(target);
+  closers.push(() => claimed.destroy());
+  await pause(3500);
+  expect(open.size).toBe(1);
+  const late = connect(PROXY_PORT, address);
+  const hasClosed = new Promise((resolve) => late.once("close", resolve));
+  late.on("error", () => {});
+  late.write("GET / HTTP/1.1\r\n");
+  await hasClosed;
+});
+
 test("bytes keep their order, and all arrive before a close, when a delay ends", async () => {
   const proxy = new LinkProxy(PROXY_PORT);
   await proxy.listen();
