Soak: callers that stay on open connections, restarts in series

The README said that callers keep their connections until the process is gone. They left an entry as soon as it was no longer listed, and opened a new connection after 30 requests, so none used one until the end. An entry got one signal at a time, and the next one after its restart.

Entries are restarted up to three times in a row, with a pause of the process during the shutdown, and a second SIGTERM or a SIGKILL in half of them. No check changes.

--- a/packages/soak/background_fault_scenarios.ts
+++ b/packages/soak/background_fault_scenarios.ts
@@ -32,6 +32,12 @@
 /** Share of the waves of limits that affect all upstreams. */
 const ALL_LIMITED_SHARE = 0.25;
 
+/** Restarts in a row, and the pause between two signals of one. */
+const MAX_RESTARTS = 3;
+const SIGNAL_PAUSE_MS = { min: 0, spread: 800 };
+/** Share of the shutdowns that another fault cuts short. */
+const OVERLAP_SHARE = 0.5;
+
 /** Faults of a single entry VM. */
 const entryFaultScenarios: readonly ((
   deployment: SoakDeployment,
@@ -69,6 +75,22 @@
   async function suspend(_deployment, random, machine) {
     await machine.suspend(randomDuration(random, { min: 1000, spread: 8000 }));
   },
+  async function restartInSeries(deployment, random, machine) {
+    const restarts = 1 + Math.floor(random() * MAX_RESTARTS);
+    for (let restarted = 0; restarted < restarts; restarted += 1) {
+      machine.signal("SIGTERM");
+      await pause(randomDuration(random, SIGNAL_PAUSE_MS));
+      machine.signal("SIGSTOP");
+      await pause(randomDuration(random, SIGNAL_PAUSE_MS));
+      machine.signal("SIGCONT");
+      if (random() < OVERLAP_SHARE) {
+        machine.signal(random() < 0.5 ? "SIGTERM" : "SIGKILL");
+      }
+      await machine.waitForExit();
+      deployment.startMachine(machine);
+      await pause(randomDuration(random, SIGNAL_PAUSE_MS));
+    }
+  },
 ];
 
 /** Injects a fault into one entry VM; control VMs aren't affected. */
--- a/packages/soak/soak_caller.ts
+++ b/packages/soak/soak_caller.ts
@@ -54,6 +54,8 @@
 type CallerOptions = {
   readonly name: string;
   readonly zone: string;
+  /** Whether it keeps its connection until the entry closes it. */
+  readonly isLoyal: boolean;
   readonly adapter: ProgramAdapter;
   readonly document: () => SoakDocument;
   /** Addresses at which entries can be looked up. */
@@ -66,7 +68,8 @@
 
 /**
  * A caller that sends one request at a time and reuses its connection until it
- * breaks, its entry is no longer listed, or the reuse limit is reached.
+ * breaks. Unless it is loyal, it also leaves an entry that is no longer listed,
+ * and opens a new connection once the reuse limit is reached.
  */
 export class SoakCaller {
   readonly #options: CallerOptions;
@@ -118,7 +121,7 @@
       this.#entries = adapter.parseAddresses(reply.body);
       this.#listedAt = performance.now();
     }
-    if (!this.#entries.includes(this.#entry)) {
+    if (!this.#options.isLoyal && !this.#entries.includes(this.#entry)) {
       this.#disconnect();
     }
   }
@@ -126,7 +129,8 @@
   /** @returns Whether an entry is known. */
   #connect(): boolean {
     this.#reuses += 1;
-    if (this.#agent !== undefined && this.#reuses <= MAX_REUSES) {
+    const mayReuse = this.#options.isLoyal || this.#reuses <= MAX_REUSES;
+    if (this.#agent !== undefined && mayReuse) {
       return true;
     }
     this.#disconnect();
