--- a/packages/soak/soak_caller.ts
+++ b/packages/soak/soak_caller.ts
@@ -55,7 +55,7 @@
   readonly name: string;
   readonly zone: string;
   /** Whether it keeps its connection until the entry closes it. */
-  readonly isLoyal: boolean;
+  readonly isSticky: boolean;
   readonly adapter: ProgramAdapter;
   readonly document: () => SoakDocument;
   /** Addresses at which entries can be looked up. */
@@ -68,7 +68,7 @@
 
 /**
  * A caller that sends one request at a time and reuses its connection until it
- * breaks. Unless it is loyal, it also leaves an entry that is no longer listed,
+ * breaks. Unless it is sticky, it also leaves an entry that is no longer listed,
  * and opens a new connection once the reuse limit is reached.
  */
 export class SoakCaller {
@@ -121,7 +121,7 @@
       this.#entries = adapter.parseAddresses(reply.body);
       this.#listedAt = performance.now();
     }
-    if (!this.#options.isLoyal && !this.#entries.includes(this.#entry)) {
+    if (!this.#options.isSticky && !this.#entries.includes(this.#entry)) {
       this.#disconnect();
     }
   }
@@ -129,7 +129,7 @@
   /** @returns Whether an entry is known. */
   #connect(): boolean {
     this.#reuses += 1;
-    const mayReuse = this.#options.isLoyal || this.#reuses <= MAX_REUSES;
+    const mayReuse = this.#options.isSticky || this.#reuses <= MAX_REUSES;
     if (this.#agent !== undefined && mayReuse) {
       return true;
     }
--- a/packages/soak/soak_deployment.ts
+++ b/packages/soak/soak_deployment.ts
@@ -314,7 +314,7 @@
     const caller = new SoakCaller({
       name: `r${this.#callers.length}`,
       zone,
-      isLoyal: this.#callers.length % 2 === 0,
+      isSticky: this.#callers.length % 2 === 0,
       adapter: this.#options.adapter,
       document: () => this.documents.document,
       listLookups: () => this.#listLookups(zone),
