A run isn't given up at a silent cut if no retry is left for it

What callers saw: a 502 while their request ran on at a sound upstream (`cut_run`). In entries_cut_off_test (5 of 6, load 30) two of the losses in the first 3 s read "given up; no retry left", and three more ended right after they were given up.

Cause: the beginning of a silent cut gave up each request that may be repeated and had waited 300 ms, whether or not a retry was left to send it elsewhere. Without one it ended at once, though its upstream may respond: connections that aren't accepted in time on a busy machine look like a cut.

Change: as many are given up as there are retries left; the others wait on for their deadline. Requests of other entries are given up as before, since the entry that passed them on has the retry.

Unit tests of relay, streams, forwarding and simulated_cuts pass (124).

--- a/apps/heroncleatd/gateway/attempts/attempt_request.ts
+++ b/apps/heroncleatd/gateway/attempts/attempt_request.ts
@@ -141,9 +141,15 @@
   const endWait = context.reachability.trackWaiting(
     record,
     mayRunAgain(call)
-      ? () => {
-        run.recordEndedBy(EndedBy.unreachable);
-        run.giveUp();
+      ? (others) => {
+        // The entry that passed it on retries it, with a budget of its own.
+        const hasRetry = call.relayedBy !== undefined ||
+          context.retries.areAvailable(call.service, others + 1);
+        if (hasRetry) {
+          run.recordEndedBy(EndedBy.unreachable);
+          run.giveUp();
+        }
+        return hasRetry;
       }
       : undefined,
   );
--- a/apps/heroncleatd/gateway/relay/reachability_watcher.ts
+++ b/apps/heroncleatd/gateway/relay/reachability_watcher.ts
@@ -28,10 +28,15 @@
   readonly upstream: string;
   readonly service: string;
   readonly sentAt: Milliseconds;
-  /** Gives up the attempt; absent if the request may run once only. */
-  readonly cancel: (() => void) | undefined;
+  readonly cancel: CancelWaiting | undefined;
 };
 
+/**
+ * Gives up the attempt if it can be sent again after others that were given up
+ * at the same time; returns whether it did. Absent if it may run once only.
+ */
+type CancelWaiting = (others: number) => boolean;
+
 /**
  * Tracks for each service whether this entry reaches any of its upstreams, and
  * probes them when none responds.
@@ -132,7 +137,7 @@
       readonly id: string;
       readonly service: string;
     },
-    cancel: (() => void) | undefined,
+    cancel: CancelWaiting | undefined,
   ): (hasResponse: boolean) => void {
     const { clock } = this.#options;
     const request = { upstream, service, sentAt: clock.steady(), cancel };
@@ -248,12 +253,13 @@
     for (const { record } of this.#options.listUpstreams()) {
       listed.add(record.id);
     }
+    let cancelled = 0;
     for (const request of [...this.#waiting]) {
       if (
         request.service === service && listed.has(request.upstream) &&
         now - request.sentAt >= MIN_CANCELLED_WAIT
       ) {
-        request.cancel?.();
+        cancelled += request.cancel?.(cancelled) === true ? 1 : 0;
       }
     }
   }
