--- a/apps/heroncleatd/gateway/relay/reachability_watcher.ts
+++ b/apps/heroncleatd/gateway/relay/reachability_watcher.ts
@@ -27,8 +27,11 @@
 
 /** What this entry sees of a request that waits for its response. */
 type WaitObservation = {
-  /** Gives up the attempt; absent if the request may run once only. */
-  readonly cancel: (() => void) | undefined;
+  /**
+   * Gives up the attempt if it can be sent again after others that were given
+   * up at the same time; returns whether it did. Absent if it may run once only.
+   */
+  readonly cancel: ((others: number) => boolean) | undefined;
   /** Bytes received of its response. */
   readonly bytesReceived: () => number;
   /** Bytes received from its upstream, also by other requests. */
@@ -329,6 +332,7 @@
     for (const { record } of this.#options.listUpstreams()) {
       listed.add(record.id);
     }
+    let cancelled = 0;
     for (const request of [...this.#waiting]) {
       const mayCancel = mayCancelWaiting({
         waited: now - request.sentAt,
@@ -338,7 +342,7 @@
       if (
         request.service === service && listed.has(request.upstream) && mayCancel
       ) {
-        request.cancel?.();
+        cancelled += request.cancel?.(cancelled) === true ? 1 : 0;
       }
     }
   }
