--- a/apps/heroncleatd/hub/stream_versions_test.ts
+++ b/apps/heroncleatd/hub/stream_versions_test.ts
@@ -19,7 +19,7 @@
 const PHASE_DURATION_MS = 4000;
 /** Time in which a new version is known and admitted everywhere. */
 const SETTLE_TIME_MS = 2500;
-const BROKEN_SHARE = 0.3;
+const BROKEN_SHARE = 0.5;
 /** Retries of all entries per window, beside a share of the requests. */
 const FEW_RETRIES = 1;
 /** Share of resumed streams that go on while their version has upstreams. */
