--- a/apps/heroncleatd/gateway/attempts/attempt_request.ts
+++ b/apps/heroncleatd/gateway/attempts/attempt_request.ts
@@ -140,11 +140,11 @@
   const sentAt = clock.steady();
   const agent = context.agentOf(record.id);
   const endWait = context.reachability.trackWaiting(record, {
-    cancel: mayRunAgain(call)
-      ? (others) => {
+    tryCancel: mayRunAgain(call)
+      ? (alreadyCancelled) => {
         // The entry that passed it on retries it, with a budget of its own.
         const hasRetry = call.relayedBy !== undefined ||
-          context.retries.areAvailable(call.service, others + 1);
+          context.retries.areAvailable(call.service, alreadyCancelled + 1);
         if (hasRetry) {
           run.recordEndedBy(EndedBy.unreachable);
           run.giveUp();
--- a/apps/heroncleatd/gateway/exchange/entry_exchange.ts
+++ b/apps/heroncleatd/gateway/exchange/entry_exchange.ts
@@ -261,10 +261,7 @@
     );
   }
 
-  /**
-   * Applies rests to instances that had replaced those that they were recorded
-   * for.
-   */
+  /** Applies rests recorded under an earlier instance to its replacement. */
   #carryOverRests(now: Milliseconds): void {
     const { directory, statements, log } = this.#options;
     for (const from of [...statements.listResting(now)]) {
--- a/apps/heroncleatd/gateway/relay/reachability_watcher.ts
+++ b/apps/heroncleatd/gateway/relay/reachability_watcher.ts
@@ -31,7 +31,7 @@
    * Gives up the attempt if it can be sent again after others that were given
    * up at the same time; returns whether it did. Absent if it may run once only.
    */
-  readonly cancel: ((others: number) => boolean) | undefined;
+  readonly tryCancel: ((alreadyCancelled: number) => boolean) | undefined;
   /** Bytes received of its response. */
   readonly bytesReceived: () => number;
   /** Bytes received from its upstream, also by other requests. */
@@ -58,7 +58,7 @@
   readonly #services = new Map<string, UpstreamReachability>();
   readonly #waiting = new Set<WaitingRequest>();
   /** Probes under way that tell whether a service is reachable. */
-  readonly #decisions = new Map<string, Promise<void>>();
+  readonly #pendingProbes = new Map<string, Promise<void>>();
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: WatcherOptions) {
@@ -113,12 +113,12 @@
   async reaches(service: string, since: Milliseconds): Promise<boolean> {
     const reachability = this.#stateOf(service);
     if (!reachability.hasConnectedSince(since)) {
-      const decision = this.#decisions.get(service) ??
+      const pending = this.#pendingProbes.get(service) ??
         this.#probeMissing(service).finally(() =>
-          this.#decisions.delete(service)
+          this.#pendingProbes.delete(service)
         );
-      this.#decisions.set(service, decision);
-      await decision;
+      this.#pendingProbes.set(service, pending);
+      await pending;
     }
     return !reachability.isCutOff;
   }
@@ -134,7 +134,7 @@
     const verdict = this.#stateOf(service).recordFailure(id, {
       startedAt: failure.startedAt,
       now,
-      ...this.#countReady(service, id),
+      ...this.#summarizeReady(service, id),
       isSilent: failure.isSilent,
     });
     if (verdict === "probe") {
@@ -261,7 +261,7 @@
     );
     const triedVersions = this.#listTriedVersions(service);
     const probes: Promise<boolean>[] = [];
-    const missing = reachability.countMissing(this.#countReady(service));
+    const missing = reachability.countMissing(this.#summarizeReady(service));
     while (probes.length < missing) {
       const ofOthers = untried.filter(({ record }) =>
         !triedVersions.has(upstreamVersion(record.version))
@@ -289,7 +289,7 @@
     return versions;
   }
 
-  #countReady(
+  #summarizeReady(
     service: string,
     failing?: string,
   ): { upstreams: number; untriedVersions: number } {
@@ -342,7 +342,7 @@
       if (
         request.service === service && listed.has(request.upstream) && mayCancel
       ) {
-        cancelled += request.cancel?.(cancelled) === true ? 1 : 0;
+        cancelled += request.tryCancel?.(cancelled) === true ? 1 : 0;
       }
     }
   }
--- a/apps/heroncleatd/gateway/relay/waiting_requests_test.ts
+++ b/apps/heroncleatd/gateway/relay/waiting_requests_test.ts
@@ -35,7 +35,7 @@
     random: () => 0,
   });
   watcher.trackWaiting({ id: "u0", service: "desk" }, {
-    cancel: () => isGivenUp = true,
+    tryCancel: () => isGivenUp = true,
     bytesReceived: () => setup.ownBytesAt?.(now) ?? 0,
     upstreamBytes: () => setup.upstreamBytesAt?.(now) ?? 0,
   });
--- a/packages/serving/find_drain_start.ts
+++ b/packages/serving/find_drain_start.ts
@@ -13,7 +13,7 @@
  * A report that comes later after the last heartbeat may have been held up while
  * another replica acknowledged its repetition.
  */
-const HEARTBEAT_INTERVAL: Milliseconds = 1250;
+const MAX_PROMPT_DELAY: Milliseconds = 1250;
 
 /**
  * Finds when an instance first said that it drains, or an earlier time, from an
@@ -59,6 +59,6 @@
   const delay = known.reporter === "" ? 0 : MAX_FORWARDING_DELAY;
   const wasReadyAt = known.receivedAt - delay;
   const isPrompt = sequence === known.record.sequence + 1 &&
-    now - wasReadyAt <= HEARTBEAT_INTERVAL;
+    now - wasReadyAt <= MAX_PROMPT_DELAY;
   return isPrompt ? now : wasReadyAt;
 }
--- a/packages/serving/suspect_registry.ts
+++ b/packages/serving/suspect_registry.ts
@@ -14,7 +14,7 @@
 
 /** Maximum age of an assessment if nothing changes. */
 const ASSESSMENT_LIFETIME: Milliseconds = 1000;
-/** The same of rejected parts, which may still be told apart. */
+/** Maximum age while any part is rejected, as parts may still be told apart. */
 const PART_ASSESSMENT_LIFETIME: Milliseconds = 200;
 /** Number of crashes from which on a request or part may be rejected. */
 const REJECTION_CRASHES = 3;
