A learner that comes and goes no longer keeps a group short of a voter

Traced in the replicas' logs and journals: a voter was frozen and removed, which left two of three; the learner that was to take its place had caught up. For 7 s the leader then took in the frozen one, which asked to join, and removed it again within 100 ms, as it judged it by its last contact from before (entries 20 to 29 of the log: added, removed, added, ...). Each of these changes came before the promotion, and one that is under way rejects the others. Then the leader's VM was replaced, and one voter of two is no quorum.

Causes: what a leader knows of a member outlived its membership, so one that was added again counted as lost at once; and the plan removed learners before it repaired the voters. A member that leaves the list is forgotten now, and learners are removed last.

Both new tests failed before (silence of 3,681 ms of 600 allowed; removal in place of the promotion); all 29 tests of the package pass.

--- a/packages/consensus/leader_role.ts
+++ b/packages/consensus/leader_role.ts
@@ -53,6 +53,7 @@
     if (entry.kind === "members") {
       state.members = entry.payload as ReplicaMember[];
       state.membersIndex = index;
+      forgetFormerMembers(state);
     }
     emit.persist(state, [{ kind: "entries", entries: [entry] }]);
     return index;
@@ -227,6 +228,15 @@
   return progress;
 }
 
+/** One that is added again isn't judged by its silence while it was none. */
+function forgetFormerMembers({ leadership, members }: ReplicaState): void {
+  for (const id of leadership?.progress.keys() ?? []) {
+    if (!members.some((member) => member.id === id)) {
+      leadership!.progress.delete(id);
+    }
+  }
+}
+
 function extendLease(
   state: ReplicaState,
   leadership: Leadership,
--- a/packages/consensus/plan_membership_change.ts
+++ b/packages/consensus/plan_membership_change.ts
@@ -20,7 +20,8 @@
  * is removed once a learner that has caught up can replace it, and before that
  * learner is promoted: promoting first would raise the quorum size. An even
  * number of voters tolerates no more failures than one fewer, and has no quorum
- * on either side of an even partition.
+ * on either side of an even partition. Learners are removed last: one that comes
+ * and goes must not hold up the voters.
  *
  * A lost voter that can't be replaced stays, as it may return.
  *
@@ -46,21 +47,27 @@
   const removableLearner = members.find((member) =>
     !member.voter && isRemovable(member)
   );
-  if (removableLearner !== undefined) {
-    return withoutMember(members, removableLearner);
-  }
   const voters = members.filter(({ voter }) => voter);
   const removableVoter = voters.find(isRemovable);
   const standby = findStandby(members, status);
-  if (removableVoter !== undefined) {
-    const hasSpareVoter = voters.length > wantedVoters;
-    return standby !== undefined || hasSpareVoter
-      ? withoutMember(members, removableVoter)
-      : undefined;
+  const hasSpareVoter = voters.length > wantedVoters;
+  if (
+    removableVoter !== undefined && (standby !== undefined || hasSpareVoter)
+  ) {
+    return withoutMember(members, removableVoter);
   }
-  if (voters.length < wantedVoters && standby !== undefined) {
+  if (
+    removableVoter === undefined && voters.length < wantedVoters &&
+    standby !== undefined
+  ) {
     return withVoter(members, standby, true);
   }
+  if (removableLearner !== undefined) {
+    return withoutMember(members, removableLearner);
+  }
+  if (removableVoter !== undefined) {
+    return undefined;
+  }
   const surplusVoter = voters.findLast(({ id }) => id !== self);
   if (voters.length > wantedVoters && surplusVoter !== undefined) {
     return withVoter(members, surplusVoter, false);
@@ -89,7 +96,10 @@
     responsiveVoters.filter((voter) => voter.zone === zone).length;
   let best: ReplicaMember | undefined;
   for (const member of members) {
-    if (member.voter || !status.hasCaughtUp(member.id)) {
+    if (
+      member.voter || isReplaced(members, member) ||
+      status.isLost(member.id) || !status.hasCaughtUp(member.id)
+    ) {
       continue;
     }
     if (best === undefined || countZoneVoters(member) < countZoneVoters(best)) {
--- a/packages/consensus/plan_membership_change_test.ts
+++ b/packages/consensus/plan_membership_change_test.ts
@@ -67,6 +67,24 @@
     );
   });
 
+  // Guards against a group that stays short of a voter until it loses another.
+  test("promotes the standby before a lost learner is removed", () => {
+    const lost = member("e", { voter: false });
+    const next = planMembershipChange([a, b, d, lost], {
+      ...status,
+      isLost: (id) => id === lost.id,
+    });
+    expect(next).toEqual([a, b, { ...d, voter: true }, lost]);
+    expect(applyPlannedChanges([a, b, d, lost], { gone: [lost.id] }))
+      .toBe("a b d");
+  });
+
+  test("promotes no learner that has joined again with a new disk", () => {
+    const again = member("d", { id: "new-disk", voter: false });
+    expect(applyPlannedChanges([a, b, d, again], { lagging: ["new-disk"] }))
+      .toBe("a b (d)");
+  });
+
   test("promotes the standby instead of a replacement that hasn't caught up", () => {
     expect(
       applyPlannedChanges([a, b, c, d, replacement], { lagging: ["new-disk"] }),
--- a/packages/consensus/replica_test.ts
+++ b/packages/consensus/replica_test.ts
@@ -685,6 +685,29 @@
     expect(follower.replica!.role).toBe("candidate");
   });
 
+  // Guards against a learner that is removed as lost right after it was added.
+  test("judges a member that is added again by its contact since then", () => {
+    const group = new SimulatedGroup(3, 6);
+    group.advance(1000);
+    const leader = group.leader!;
+    const learner = { ...leader.member, id: "n9", name: "r9", voter: false };
+    const changeMembers = (members: readonly ReplicaMember[]) => {
+      group.handleEvent(leader, {
+        kind: "change_members",
+        token: "m",
+        members,
+      });
+      group.advance(200);
+    };
+    changeMembers([...group.founders, learner]);
+    group.advance(3000);
+    changeMembers(group.founders);
+    changeMembers([...group.founders, learner]);
+    const silence = group.at(leader).now -
+      leader.replica!.lastContactAt(learner.id);
+    expect(silence).toBeLessThan(2 * ELECTION_TIMEOUT_MS);
+  });
+
   test("rejects a change of two voters at once", () => {
     const group = new SimulatedGroup(3, 6);
     group.advance(1000);
