OpenAI surface: requests that time out get 408 again

Cause: the handling of unreadable requests that both servers share now answered every error with 400; this surface had Node's own answers before. It now answers timeouts with 408, heads that are too large with 431 and chunk extensions with 413, also at the gateway.

--- a/apps/heroncleatd/common/answer_client_errors.ts
+++ b/apps/heroncleatd/common/answer_client_errors.ts
@@ -5,13 +5,20 @@
 /** The caller has closed its connection inside a request. */
 const INCOMPLETE_REQUEST = "HPE_INVALID_EOF_STATE";
 
+/** Status lines for requests that can't be read, by error; others are 400. */
+const STATUS_LINES: Readonly<Record<string, string>> = {
+  ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: "413 Payload Too Large",
+  HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
+};
+
 type Exchange = {
   readonly incoming: IncomingMessage;
   readonly response: ServerResponse;
 };
 
 /**
- * Answers bytes that are no request, and requests that time out, with 400.
+ * Answers bytes that are no request with 400, requests that time out with 408.
  * Responses to requests that were received whole end before the connection.
  *
  * @param onClose Called before a connection is closed because of its caller's
@@ -52,7 +59,8 @@
       socket.destroy();
       return;
     }
-    socket.end("HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n");
+    const statusLine = STATUS_LINES[error.code ?? ""] ?? "400 Bad Request";
+    socket.end(`HTTP/1.1 ${statusLine}\r\nConnection: close\r\n\r\n`);
   });
 }
 
