--- a/apps/heroncleatd/mod.ts
+++ b/apps/heroncleatd/mod.ts
@@ -21,6 +21,7 @@
 export type { UpdateOutcome } from "./hub/update_outcome.ts";
 export { createBoundedLogs } from "./common/create_bounded_logs.ts";
 export { createExposedMetrics } from "./common/create_exposed_metrics.ts";
+export { discardBody } from "./common/discard_body.ts";
 export { serveMetrics } from "./common/serve_metrics.ts";
 export { startGateway } from "./gateway/start_gateway.ts";
 export { startHubProxy } from "./hub/start_hub_proxy.ts";
