--- /dev/null
+++ b/packages/shedding/objective_limit.ts
@@ -0,0 +1,18 @@
+import type { Milliseconds } from "@heroncleat/base";
+import type { Offer } from "./offer.ts";
+import { sheddingTimes } from "./shedding_times.ts";
+
+/** Longest wait at which a request still meets its own objective. @internal */
+export function objectiveLimit(
+  { objectiveLeft, prefillTime }: Pick<Offer, "objectiveLeft" | "prefillTime">,
+): Milliseconds {
+  const { maxPrefillShare, firstTokenOverhead, minQueue } = sheddingTimes;
+  const cappedPrefillTime = Math.min(
+    prefillTime,
+    objectiveLeft * maxPrefillShare,
+  );
+  return Math.max(
+    minQueue,
+    objectiveLeft - cappedPrefillTime - firstTokenOverhead,
+  );
+}
--- a/packages/serving/overload_retry_delay.ts
+++ b/packages/shedding/overload_retry_delay.ts
@@ -1,20 +1,8 @@
 import type { Milliseconds } from "@heroncleat/base";
+import { sheddingTimes } from "./shedding_times.ts";
 
-/**
- * Maximum share of the objective that a prompt's own prefill counts for. The
- * largest prompts exceed their objective even at an idle upstream; the bound
- * keeps them from being refused always.
- */
-const MAX_PREFILL_SHARE = 0.5;
-/**
- * Time from the end of the prefill until the caller receives the first event:
- * first decoding steps, network round trip and the error of the queue estimate.
- */
-const FIRST_TOKEN_OVERHEAD: Milliseconds = 100;
-/** No request is refused while the queue is shorter. */
-const MIN_QUEUE_TIME: Milliseconds = 100;
-/** Upstream queues hardly change within a shorter time. */
-const MIN_RETRY_DELAY: Milliseconds = 200;
+const { minQueue, minRetryDelay, firstTokenOverhead, maxPrefillShare } =
+  sheddingTimes;
 
 /**
  * Latency estimates for a request at the upstream that would serve it soonest.
@@ -46,13 +34,13 @@
     objective,
     isPrefillSpeedKnown,
   } = expected;
-  if (!isPrefillSpeedKnown || waiting < MIN_QUEUE_TIME) {
+  if (!isPrefillSpeedKnown || waiting < minQueue) {
     return undefined;
   }
   const cappedPrefillTime = Math.min(
     prefillTime,
-    objective * MAX_PREFILL_SHARE,
+    objective * maxPrefillShare,
   );
-  const excess = waiting + cappedPrefillTime + FIRST_TOKEN_OVERHEAD - objective;
-  return excess <= 0 ? undefined : Math.max(MIN_RETRY_DELAY, excess);
+  const excess = waiting + cappedPrefillTime + firstTokenOverhead - objective;
+  return excess <= 0 ? undefined : Math.max(minRetryDelay, excess);
 }
