Entries shed load by rank and workspace, and exchange their demand

Change: attempt_request uses LoadShedder where requests may be refused. A refusal's inputs and their age are part of the request's result line. While a service is short, full exchanges carry the entry's demand and the primary's sums; rows of an unresponsive entry are removed with its loads. Ranks are set when a configuration document is applied.

--- a/apps/heroncleatd/gateway/attempts/attempt_request.ts
+++ b/apps/heroncleatd/gateway/attempts/attempt_request.ts
@@ -2,7 +2,6 @@
 import type { Milliseconds } from "@heroncleat/base";
 import {
   type KnownUpstream,
-  overloadRetryDelay,
   RouteKind,
   SuspectStatus,
   type UpstreamRecord,
@@ -25,6 +24,7 @@
 import { hasCrashed } from "../upstreams/has_crashed.ts";
 import { POLL_INTERVAL } from "../exchange/poll_interval.ts";
 import { sendToUpstream } from "../upstreams/send_to_upstream.ts";
+import { shedLoad } from "./shed_load.ts";
 import { startTracking } from "../upstreams/start_tracking.ts";
 import type { UpstreamResponse } from "../upstreams/upstream_response.ts";
 import type { UpstreamRun } from "../upstreams/upstream_run.ts";
@@ -78,17 +78,12 @@
       context.permits.giveBack(permit);
     }
   };
-  const overload = options.mayBeRefused
-    ? overloadRetryDelay({
-      waiting: chosen.waiting,
-      prefillTime: chosen.readTime,
-      objective: call.arrivedAt + call.objective - clock.steady(),
-      isPrefillSpeedKnown: chosen.isPrefillSpeedKnown,
-    })
+  const refusal = options.mayBeRefused
+    ? shedLoad(call, { ...options, chosen })
     : undefined;
-  if (overload !== undefined) {
+  if (refusal !== undefined) {
     returnPermit();
-    return { kind: "overloaded", retryAfter: overload };
+    return refusal;
   }
   // Checked again here: reading the body, charging the quota and waiting for an
   // upstream take time after admission.
--- a/apps/heroncleatd/gateway/attempts/attempt_result.ts
+++ b/apps/heroncleatd/gateway/attempts/attempt_result.ts
@@ -41,7 +41,12 @@
   | { readonly kind: "held" }
   /** This entry shuts down before the response can complete. */
   | { readonly kind: "leaving" }
-  | { readonly kind: "overloaded"; readonly retryAfter: Milliseconds }
+  | {
+    readonly kind: "overloaded";
+    readonly retryAfter: Milliseconds;
+    /** Inputs of the decision, as key=value pairs; absent from other entries. */
+    readonly facts?: string;
+  }
   | NoResponse<"not_run"> & {
     /** Absent if the upstream itself reported that it has not run. */
     readonly unopened?: UnopenedConnection;
--- a/apps/heroncleatd/gateway/create_test_context.ts
+++ b/apps/heroncleatd/gateway/create_test_context.ts
@@ -10,6 +10,7 @@
   UpstreamDirectory,
   UpstreamStatements,
 } from "@heroncleat/serving";
+import { LoadShedder } from "@heroncleat/shedding";
 import { RateLimitWatcher } from "../common/rate_limit_watcher.ts";
 import { probeUpstream } from "../common/probe_upstream.ts";
 import { StatementWatcher } from "../common/statement_watcher.ts";
@@ -138,6 +139,7 @@
     }),
     zone: "a",
     choice: new UpstreamBalancer({ statements, drainTimeout: () => 2000 }),
+    shedder: new LoadShedder({ random: () => 0 }),
     directory,
     refusesConnections,
     agentOf: (id) => agents.get(id)!,
--- a/apps/heroncleatd/gateway/exchange/entry_exchange.ts
+++ b/apps/heroncleatd/gateway/exchange/entry_exchange.ts
@@ -21,6 +21,7 @@
   type UsageCounts,
   type WorkspaceQuota,
 } from "@heroncleat/serving";
+import type { LoadShedder } from "@heroncleat/shedding";
 import type { Log } from "../../common/log.ts";
 import type { ChargeSync } from "./charge_sync.ts";
 import type { SuspectWatcher } from "../../common/suspect_watcher.ts";
@@ -45,6 +46,7 @@
   readonly log: Log;
   readonly directory: UpstreamDirectory;
   readonly choice: UpstreamBalancer;
+  readonly shedder: Pick<LoadShedder, "report" | "applyTotals">;
   readonly agents: UpstreamAgents;
   readonly statements: Pick<
     UpstreamStatements,
@@ -163,6 +165,9 @@
         ? this.#options.rollouts.report()
         : undefined,
       loads: position.isPrimary ? choice.loads(clock.steady()) : undefined,
+      demand: position.isPrimary
+        ? this.#options.shedder.report(clock.steady())
+        : undefined,
     };
   }
 
@@ -313,6 +318,7 @@
       choice.replaceReportedLoads(shared.loadsOfOthers, now);
     }
     choice.prefillSpeeds.setReported(shared.readingSpeeds);
+    this.#options.shedder.applyTotals(shared.demand ?? {}, now);
   }
 
   #hostsOf(entries: readonly KnownEntry[]): string[] {
--- a/apps/heroncleatd/gateway/forward_context.ts
+++ b/apps/heroncleatd/gateway/forward_context.ts
@@ -8,6 +8,7 @@
   UpstreamDirectory,
   UpstreamStatements,
 } from "@heroncleat/serving";
+import type { LoadShedder } from "@heroncleat/shedding";
 import type { Log } from "../common/log.ts";
 import type { Metrics } from "../common/metrics.ts";
 import type { SuspectWatcher } from "../common/suspect_watcher.ts";
@@ -31,6 +32,8 @@
   /** Availability zone of this entry. */
   readonly zone: string;
   readonly choice: UpstreamBalancer;
+  /** Refuses requests while a service is short. */
+  readonly shedder: Pick<LoadShedder, "decide" | "recordFirstToken">;
   /** What upstreams stated about themselves to this entry. */
   readonly statements: UpstreamStatements;
   readonly directory: UpstreamDirectory;
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -7,6 +7,7 @@
   idleConnectionLimit,
   type KnownEntry,
   LeasedShare,
+  listServiceRanks,
   type PermitReply,
   PossibleOrigins,
   RateLimitRegistry,
@@ -20,6 +21,7 @@
   UsageCounts,
   WorkspaceQuota,
 } from "@heroncleat/serving";
+import { LoadShedder } from "@heroncleat/shedding";
 import type { Log } from "../common/log.ts";
 import type { AppliedDocument } from "./applied_document.ts";
 import { ChargeSync } from "./exchange/charge_sync.ts";
@@ -98,6 +100,7 @@
     this.#statements.leavingSince(id)
   );
   readonly #choice: UpstreamBalancer;
+  readonly #shedder = new LoadShedder({ random: Math.random });
   readonly #agents: UpstreamAgents;
   readonly #connect: ConnectionOpener;
   readonly #retryShare: LeasedShare;
@@ -308,6 +311,7 @@
       log: this.#log,
       directory: this.#directory,
       choice: this.#choice,
+      shedder: this.#shedder,
       agents: this.#agents,
       statements: this.#statements,
       quota: this.#quota,
@@ -456,6 +460,7 @@
       log: this.#log,
       zone: settings().zone,
       choice: this.#choice,
+      shedder: this.#shedder,
       directory: this.#directory,
       crashes: this.#suspectWatcher,
       statements: this.#statements,
@@ -517,6 +522,7 @@
       const now = this.#options.clock.steady();
       this.#appliedDocument = { version: document.version, at: now };
       this.#possibleOrigins.applyRoutes(document.routes, now);
+      this.#shedder.setRanks(listServiceRanks(document));
       this.#streams.shareNewlyAmbiguous();
       this.#routeTableLatch.release();
       this.#server.keepAliveTimeout = document.limits.idleTimeout;
--- a/apps/heroncleatd/gateway/streams/forward_stream.ts
+++ b/apps/heroncleatd/gateway/streams/forward_stream.ts
@@ -234,7 +234,8 @@
       return "resting";
     }
     if (result.kind === "overloaded") {
-      this.#attempts.push("all upstreams are busy for too long");
+      const facts = result.facts === undefined ? "" : ` (${result.facts})`;
+      this.#attempts.push(`all upstreams are busy for too long${facts}`);
       this.#retryAfter = result.retryAfter;
       return "overloaded";
     }
--- a/apps/heroncleatd/gateway/upstreams/start_tracking.ts
+++ b/apps/heroncleatd/gateway/upstreams/start_tracking.ts
@@ -6,6 +6,7 @@
 import type { AttemptTrace } from "../attempts/attempt_trace.ts";
 import type { CallerRequest } from "../caller_request.ts";
 import type { ForwardContext } from "../forward_context.ts";
+import { estimateErrorBucket } from "./estimate_error_bucket.ts";
 import type { UpstreamRun } from "./upstream_run.ts";
 
 /** Lowest status by which an upstream reports a failure of its own. */
@@ -65,6 +66,7 @@
         const took = begunAt - sentAt;
         trace.recordFirstByte(took);
         choice.recordFirstToken(chosen, took);
+        recordEstimate(chosen, { took, now: begunAt }, options.context);
         version?.recordFirstByte(took);
       }
     },
@@ -113,6 +115,19 @@
   };
 }
 
+/** Records by how much the estimate of the first token was off. */
+function recordEstimate(
+  { upstream, expectedFirstTokenTime }: ChosenUpstream,
+  { took, now }: { took: Milliseconds; now: Milliseconds },
+  { shedder, metrics }: ForwardContext,
+): void {
+  const { service } = upstream.record;
+  const expected = expectedFirstTokenTime;
+  shedder.recordFirstToken({ service, expected, took }, now);
+  const bucket = estimateErrorBucket(took - expected);
+  metrics.increment(`shedding.estimate_error.${service}.${bucket}`);
+}
+
 /** A response that isn't a success says nothing about parts of the prompt. */
 function recordCompletion(
   { identity }: CallerRequest,
--- a/packages/serving/hub.ts
+++ b/packages/serving/hub.ts
@@ -4,10 +4,12 @@
   RolloutRegistry,
   VersionReport,
 } from "@heroncleat/rollouts";
+import type { DemandReport } from "@heroncleat/shedding";
 import { ChargeTotals } from "./charge_totals.ts";
 import { drainAgeOf } from "./drain_age_of.ts";
 import { SuspectRegistry } from "./suspect_registry.ts";
 import { ChargeAggregator } from "./charge_aggregator.ts";
+import { DemandTotals } from "./demand_totals.ts";
 import { DocumentSender } from "./document_sender.ts";
 import { FollowedUpstreams } from "./followed_upstreams.ts";
 import { exchangeInterval } from "./exchange_interval.ts";
@@ -124,6 +126,7 @@
   readonly #openEntries = new OpenEntries(this.#revisions);
   readonly #charges = new ChargeAggregator(this.#revisions);
   readonly #loads = new LoadTotals(this.#revisions);
+  readonly #demand = new DemandTotals();
   readonly #prefillWork = new ChargeTotals();
   readonly #usage = new UsageTotals();
   readonly #versions = new VersionReports();
@@ -269,6 +272,7 @@
       shared: request.loads === undefined ? undefined : {
         beats,
         ...this.#loadsFor(request),
+        demand: this.#demand.sums(now),
         readingSpeeds: this.readingSpeeds(now),
         quotaShare: this.#shared.quotaShare,
         issuesPermits: this.#issuesPermits ? true : undefined,
@@ -536,6 +540,12 @@
     return this.#loads.sumExcluding("");
   }
 
+  /** Demand at all entries, by service that is short. */
+  totalDemand(now: Milliseconds): DemandReport {
+    this.#sweep(now);
+    return this.#demand.sums(now) ?? {};
+  }
+
   /** Removes state that is past its retention. */
   expire(now: Milliseconds): void {
     this.#upstreams.expire(now);
@@ -607,6 +617,7 @@
     if (request.loads !== undefined) {
       this.#loads.update(name, request.loads);
     }
+    this.#demand.update(name, request.demand);
     this.#usage.merge({ [boot]: request.usage });
     this.#versions.record(name, request);
     this.crashes.merge(request.suspects ?? [], now);
@@ -639,6 +650,7 @@
       if (isUnresponsive) {
         this.#openEntries.close(name);
         this.#loads.remove(name);
+        this.#demand.remove(name);
       } else {
         entryCount += 1;
       }
--- a/packages/serving/shared_state.ts
+++ b/packages/serving/shared_state.ts
@@ -1,3 +1,4 @@
+import type { DemandReport } from "@heroncleat/shedding";
 import type { UpstreamLoad } from "./upstream_load.ts";
 
 /** State of the other entries, from one replica at a time. @public */
@@ -7,6 +8,11 @@
   readonly loadsOfOthers: Readonly<Record<string, UpstreamLoad>>;
   /** Whether `loadsOfOthers` contains only what changed since `loadsSince`. */
   readonly areLoadsPartial?: true;
+  /**
+   * Demand at all entries, the receiver included, by service that is short;
+   * absent if none is, and from older releases.
+   */
+  readonly demand?: DemandReport | undefined;
   /** Median of the entries' measurements, by service; see SyncRequest. */
   readonly readingSpeeds: Readonly<Record<string, number>>;
   /** Whether the replica issues permits; see PermitReply. */
--- a/packages/serving/sync_request.ts
+++ b/packages/serving/sync_request.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds } from "@heroncleat/base";
 import type { VersionReport } from "@heroncleat/rollouts";
+import type { DemandReport } from "@heroncleat/shedding";
 import type { FollowedShares } from "./followed_share.ts";
 import type { RateLimit } from "./rate_limit.ts";
 import type { ReportedSuspect } from "./reported_suspect.ts";
@@ -74,6 +75,11 @@
   readonly readingSpeeds: Readonly<Record<string, number>>;
   /** Requests in flight, by upstream; absent in short exchanges. */
   readonly loads: Readonly<Record<string, UpstreamLoad>> | undefined;
+  /**
+   * Demand at the entry, by service that is short; absent if none is, in short
+   * exchanges, and from older releases.
+   */
+  readonly demand?: DemandReport | undefined;
   /**
    * Requests that ran on upstreams that crashed, as far as they weren't
    * reported to this replica yet; absent if there are none.
