Bench: loads of several kinds at engines that are short, played with sets of decisions

Change: packages/bench/load plays a load in virtual time with a set of decisions: requests (kinds, workspaces by Zipf, shared parts, bursts), engines (slots, queue by rank, serial prefill, LRU cache, memory), callers that return once, entries that see each other late, lost and slow engines. Sets so far: the present decisions ("earlier"), least loaded, round robin. Each decoding step prefills a chunk that takes as long as the step, so prefill doesn't slow decoding. `prefillTime` is exported from packages/serving for the engine model.

--- /dev/null
+++ b/packages/bench/load/report_play.ts
@@ -0,0 +1,55 @@
+import { formatTable } from "../report/format_table.ts";
+import { earnedShare } from "./earned_share.ts";
+import { listResultRows } from "./list_result_rows.ts";
+import type { Load } from "./load.ts";
+import { percentile } from "./percentile.ts";
+import type { PlayResult } from "./play_result.ts";
+
+/** Formats what the callers of one play got. */
+export function reportPlay(load: Load, result: PlayResult): string {
+  const rows = listResultRows(load.name, load, result.outcomes).map((row) => {
+    const outcomes = result.outcomes.filter(({ request }) =>
+      request.kind.name === row.kind
+    );
+    const firstTokens = outcomes.flatMap(({ firstToken }) => firstToken ?? []);
+    const errors = outcomes.flatMap(({ estimateError }) => estimateError ?? []);
+    const share = (count: number) => (count / Math.max(1, row.sent)).toFixed(3);
+    return [
+      row.kind,
+      row.workspaces,
+      row.sent,
+      share(row.on_time),
+      share(row.late),
+      share(row.refused),
+      share(row.lost),
+      ...row.workspaces === "all"
+        ? [
+          percentile(firstTokens, 0.5),
+          percentile(firstTokens, 0.95),
+          percentile(errors, 0.5),
+          percentile(errors, 0.95),
+        ]
+        : ["", "", "", ""],
+    ];
+  });
+  return [
+    formatTable([
+      "kind",
+      "workspaces",
+      "sent",
+      "on time",
+      "late",
+      "refused",
+      "lost",
+      "first p50 ms",
+      "first p95 ms",
+      "estimate off p50 ms",
+      "estimate off p95 ms",
+    ], rows),
+    "",
+    `earned ${earnedShare(result.outcomes).toFixed(3)}, ` +
+    `unused ${result.unusedShare.toFixed(3)}, ` +
+    `read again ${result.readAgainTokens}, ` +
+    `memory ${result.memoryShare.toFixed(2)}`,
+  ].join("\n");
+}
--- a/packages/bench/main.ts
+++ b/packages/bench/main.ts
@@ -8,6 +8,11 @@
 import { parseArgs } from "node:util";
 import { startBenchDeployment } from "./live/start_bench_deployment.ts";
 import { reportControlGroup } from "./live/report_control_group.ts";
+import { DECISION_SETS } from "./load/decision_sets.ts";
+import type { Load } from "./load/load.ts";
+import { LOADS } from "./load/loads.ts";
+import { playLoad } from "./load/play_load.ts";
+import { reportPlay } from "./load/report_play.ts";
 import { reportLatency } from "./live/report_latency.ts";
 import { reportPolicies } from "./policy/report_policies.ts";
 import { measureExchange } from "./slopes/measure_exchange.ts";
@@ -33,6 +38,8 @@
     reportPolicies({ worker: POLICY_WORKER, plotsFolder: PLOTS_FOLDER, print }),
   live: reportLiveDeployment,
   slopes: async () => reportSlopes(print),
+  competition: async () => reportLoads(LOADS.competition),
+  uneven: async () => reportLoads(LOADS.uneven),
 };
 
 const { values } = parseArgs({
@@ -40,6 +47,10 @@
     only: { type: "string" },
     // Prints the costs of the state exchange as one JSON object per line.
     json: { type: "boolean", default: false },
+    // Select plays of the competition and uneven benchmarks.
+    load: { type: "string" },
+    decisions: { type: "string" },
+    seed: { type: "string", default: "1" },
   },
 });
 if (values.json) {
@@ -81,6 +92,26 @@
   }
 }
 
+function reportLoads(loads: readonly Load[]): void {
+  for (const load of loads) {
+    for (const decisions of DECISION_SETS) {
+      const isPlayed = [load.name, undefined].includes(values.load) &&
+        [decisions.name, undefined].includes(values.decisions);
+      if (isPlayed) {
+        const startedAt = performance.now();
+        const result = playLoad({
+          load,
+          decisions,
+          seed: Number(values.seed),
+        });
+        print(`\n### ${load.name}, ${decisions.name}\n`);
+        print(reportPlay(load, result));
+        print(`${(performance.now() - startedAt).toFixed(0)} ms`);
+      }
+    }
+  }
+}
+
 function print(text: string): void {
   process.stdout.write(`${text}\n`);
 }
--- a/packages/serving/mod.ts
+++ b/packages/serving/mod.ts
@@ -73,6 +73,7 @@
 export { exchangeInterval } from "./exchange_interval.ts";
 export { findRecordProblem } from "./find_record_problem.ts";
 export { overloadRetryDelay } from "./overload_retry_delay.ts";
+export { prefillTime } from "./prefill_time.ts";
 export { findDocumentProblem } from "./find_document_problem.ts";
 export { FleetPlanner } from "./fleet_planner.ts";
 export { FailureReports } from "./failure_reports.ts";
