Bench: a ceiling that knows the true state and the next second

Change: the set "ceiling" reads every engine's queue, slots, cache and speed. It sends a request if it will be on time with the more urgent ones that come, and if the benefit of the coming ones that it makes late doesn't exceed its own.

--- a/packages/bench/load/decision_sets.ts
+++ b/packages/bench/load/decision_sets.ts
@@ -1,3 +1,4 @@
+import { createCeilingEntries } from "./create_ceiling_entries.ts";
 import { createEarlierEntries } from "./create_earlier_entries.ts";
 import { createLeastLoadedEntries } from "./create_least_loaded_entries.ts";
 import { createRoundRobinEntries } from "./create_round_robin_entries.ts";
@@ -10,4 +11,5 @@
   { name: "earlier", createEntries: createEarlierEntries },
   { name: "least loaded", createEntries: createLeastLoadedEntries },
   { name: "round robin", createEntries: createRoundRobinEntries },
+  { name: "ceiling", createEntries: createCeilingEntries },
 ];
--- a/packages/bench/load/load_engine.ts
+++ b/packages/bench/load/load_engine.ts
@@ -62,10 +62,40 @@
   /** Prefill time of a prompt here at full speed. */
   prefillTimeOf({ parts, promptTokens }: OfferedRequest): Milliseconds {
     const cached = this.cache.countCachedTokens(parts);
-    return prefillTime(promptTokens - cached, cached) * REFERENCE_SPEED /
+    return this.#scaledPrefillTime(promptTokens - cached, cached);
+  }
+
+  #scaledPrefillTime(uncached: number, cached: number): Milliseconds {
+    return prefillTime(uncached, cached) * REFERENCE_SPEED /
       this.settings.prefillSpeed;
   }
 
+  /** Decoding time left of a request, with all slots in use. */
+  decodeTimeLeft({ request, generatedTokens }: EngineRun): Milliseconds {
+    const left = request.events * TOKENS_PER_EVENT - generatedTokens;
+    return left * this.#fullStep;
+  }
+
+  get firstEventDecodeTime(): Milliseconds {
+    return TOKENS_PER_EVENT * this.#fullStep;
+  }
+
+  /**
+   * Engine time of a request whose shared parts are cached: its prefill, or its
+   * share of the time of the slots if that is longer.
+   */
+  engineTimeOf({ parts, promptTokens, events }: OfferedRequest): Milliseconds {
+    const own = parts.at(-1)?.tokens ?? 0;
+    return Math.max(
+      this.#scaledPrefillTime(own, promptTokens - own),
+      events * TOKENS_PER_EVENT * this.#fullStep / this.settings.slots,
+    );
+  }
+
+  get #fullStep(): Milliseconds {
+    return this.settings.step * (1 + STEP_GROWTH * (this.settings.slots - 1));
+  }
+
   /** Whether a slot is free and no prompt waits for its prefill. */
   get isUnused(): boolean {
     return this.running.length < this.settings.slots &&
