Bench: tables, targets, plots and JSON lines of the loads

`--json` prints one line per play, kind and group of workspaces. Entries know the prefill speed from the start: with 300 entries an entry sees three requests before the faults, and nothing is refused while the speed is unknown.

--- a/packages/bench/load/balanced_entry.ts
+++ b/packages/bench/load/balanced_entry.ts
@@ -4,6 +4,7 @@
   NoticeThreshold,
   type UpstreamBalancer,
 } from "@heroncleat/serving";
+import { REFERENCE_SPEED } from "./reference_speed.ts";
 import type { DecisionContext } from "./decision_set.ts";
 import type { EntryDecisions } from "./entry_decisions.ts";
 import type { LoadReplica } from "./load_replica.ts";
@@ -46,6 +47,11 @@
 
   constructor(options: BalancedEntryOptions) {
     this.#options = options;
+    const { balancer, context: { load } } = options;
+    // Entries have learned the speed of engines long before the play.
+    balancer.prefillSpeeds.setReported({
+      [load.kinds[0]!.service]: REFERENCE_SPEED / load.engine.prefillSpeed,
+    });
   }
 
   decide(
--- a/packages/bench/load/demand_totals.ts
+++ b/packages/bench/load/demand_totals.ts
@@ -4,6 +4,9 @@
 /** Time without an exchange after which a replica misses an entry. */
 const MISSING_TIMEOUT: Milliseconds = 1200;
 
+/** Shortest time between two sums, as many entries exchange in it. */
+const SUM_PERIOD: Milliseconds = 30;
+
 /** Sums of the demand that entries report, as a primary replica knows them. */
 export class DemandTotals {
   readonly #reports = new Map<
@@ -11,6 +14,9 @@
     { readonly report: DemandReport; readonly at: Milliseconds }
   >();
 
+  #sums: DemandReport | undefined;
+  #summedAt: Milliseconds = -Infinity;
+
   /** Replaces the report of an entry, and returns the sums. */
   exchange(
     entry: number,
@@ -21,6 +27,14 @@
     if (report !== undefined) {
       this.#reports.set(entry, { report, at: now });
     }
+    if (now - this.#summedAt >= SUM_PERIOD) {
+      this.#summedAt = now;
+      this.#sums = this.#sum(now);
+    }
+    return this.#sums;
+  }
+
+  #sum(now: Milliseconds): DemandReport | undefined {
     const totals: Record<string, Map<string, DemandRow>> = {};
     for (const { report, at } of this.#reports.values()) {
       if (now - at > MISSING_TIMEOUT) {
--- a/packages/bench/load/generate_requests.ts
+++ b/packages/bench/load/generate_requests.ts
@@ -9,6 +9,10 @@
 import type { RequestKind } from "./request_kind.ts";
 import { WORKSPACE_SHARES } from "./workspace_shares.ts";
 
+/** Maximum numbers of kinds and workspaces, for seeds of their own. */
+const KIND_SEEDS = 10;
+const WORKSPACE_SEEDS = 100;
+const DROPPED_NUMBERS = 8;
 const SECOND: Milliseconds = 1000;
 /** Time after the counted period in which requests still arrive. */
 const LATER_ARRIVALS: Milliseconds = 2000;
@@ -31,10 +35,13 @@
  * same requests, whatever decides about them.
  */
 export function generateRequests(load: Load, seed: number): OfferedRequest[] {
-  const random = createSeededRandom(seed);
   const requests: OfferedRequest[] = [];
-  for (const kind of load.kinds) {
+  for (const [kindIndex, kind] of load.kinds.entries()) {
     for (const [workspace, share] of WORKSPACE_SHARES.entries()) {
+      // A surge of one workspace leaves the requests of the others the same.
+      const random = createStream(
+        (seed * KIND_SEEDS + kindIndex) * WORKSPACE_SEEDS + workspace,
+      );
       const usual = kind.perSecond * share;
       const counted = usual * (load.rates[kind.name] ?? 1) *
         (workspace === 0 ? load.surge : 1);
@@ -59,6 +66,15 @@
   return requests.sort((left, right) => left.arrivedAt - right.arrivedAt);
 }
 
+/** The first numbers of neighbouring seeds are alike, so they are dropped. */
+function createStream(seed: number): Random {
+  const random = createSeededRandom(seed);
+  for (let index = 0; index < DROPPED_NUMBERS; index += 1) {
+    random();
+  }
+  return random;
+}
+
 /** Arrivals of a Poisson process, some of which are bursts. */
 function drawArrivals(
   perSecond: number,
--- a/packages/bench/load/list_result_rows.ts
+++ b/packages/bench/load/list_result_rows.ts
@@ -9,12 +9,16 @@
 } as const;
 
 /** Counts the outcomes of a play by kind and group of workspaces. */
-export function listResultRows(
+export function listResultRows<Details extends object>(
   row: string,
-  load: Load,
-  outcomes: readonly Outcome[],
-): ResultRow[] {
-  const rows: ResultRow[] = [];
+  { load, outcomes, detail }: {
+    load: Load;
+    outcomes: readonly Outcome[];
+    /** Further figures of the outcomes of a row. */
+    detail: (counted: readonly Outcome[]) => Details;
+  },
+): (ResultRow & Details)[] {
+  const rows: (ResultRow & Details)[] = [];
   for (const { name, rank } of load.kinds) {
     for (const workspaces of ["all", "largest", "others"] as const) {
       const counted = outcomes.filter(({ request }) =>
@@ -32,6 +36,7 @@
         late: count("late"),
         refused: count("refused"),
         lost: count("lost"),
+        ...detail(counted),
       });
     }
   }
--- a/packages/bench/load/load.ts
+++ b/packages/bench/load/load.ts
@@ -4,6 +4,8 @@
 /** What callers send and which faults engines have, in one play. */
 export type Load = {
   readonly name: string;
+  /** Short name for plots. */
+  readonly label: string;
   readonly kinds: readonly RequestKind[];
   readonly engine: EngineSettings;
   readonly engines: number;
--- a/packages/bench/load/load_engine.ts
+++ b/packages/bench/load/load_engine.ts
@@ -4,9 +4,8 @@
 import type { EngineSettings } from "./engine_settings.ts";
 import { EnginePrefixCache } from "./engine_prefix_cache.ts";
 import type { OfferedRequest } from "./offered_request.ts";
+import { REFERENCE_SPEED } from "./reference_speed.ts";
 
-/** Prompt tokens that the reference engine of `prefillTime` prefills per ms. */
-const REFERENCE_SPEED = 50;
 const TOKENS_PER_EVENT = 8;
 /** Share by which a running request lengthens a decoding step. */
 const STEP_GROWTH = 0.02;
--- a/packages/bench/load/report_play.ts
+++ b/packages/bench/load/report_play.ts
@@ -7,12 +7,24 @@
 
 /** Formats what the callers of one play got. */
 export function reportPlay(load: Load, result: PlayResult): string {
-  const rows = listResultRows(load.name, load, result.outcomes).map((row) => {
-    const outcomes = result.outcomes.filter(({ request }) =>
-      request.kind.name === row.kind
-    );
-    const firstTokens = outcomes.flatMap(({ firstToken }) => firstToken ?? []);
-    const errors = outcomes.flatMap(({ estimateError }) => estimateError ?? []);
+  const rows = listResultRows(load.name, {
+    load,
+    outcomes: result.outcomes,
+    detail: (counted) => {
+      const firstTokens = counted.flatMap(({ firstToken }) => firstToken ?? []);
+      const errors = counted.flatMap(({ estimateError }) =>
+        estimateError ?? []
+      );
+      return {
+        percentiles: [
+          percentile(firstTokens, 0.5),
+          percentile(firstTokens, 0.95),
+          percentile(errors, 0.5),
+          percentile(errors, 0.95),
+        ],
+      };
+    },
+  }).map((row) => {
     const share = (count: number) => (count / Math.max(1, row.sent)).toFixed(3);
     return [
       row.kind,
@@ -22,14 +34,7 @@
       share(row.late),
       share(row.refused),
       share(row.lost),
-      ...row.workspaces === "all"
-        ? [
-          percentile(firstTokens, 0.5),
-          percentile(firstTokens, 0.95),
-          percentile(errors, 0.5),
-          percentile(errors, 0.95),
-        ]
-        : ["", "", "", ""],
+      ...row.percentiles.map((value) => value.toFixed(0)),
     ];
   });
   return [
--- a/packages/bench/main.ts
+++ b/packages/bench/main.ts
@@ -8,11 +8,7 @@
 import { parseArgs } from "node:util";
 import { startBenchDeployment } from "./live/start_bench_deployment.ts";
 import { reportControlGroup } from "./live/report_control_group.ts";
-import { DECISION_SETS } from "./load/decision_sets.ts";
-import type { Load } from "./load/load.ts";
-import { LOADS } from "./load/loads.ts";
-import { playLoad } from "./load/play_load.ts";
-import { reportPlay } from "./load/report_play.ts";
+import { runLoads } from "./load/run_loads.ts";
 import { reportLatency } from "./live/report_latency.ts";
 import { reportPolicies } from "./policy/report_policies.ts";
 import { measureExchange } from "./slopes/measure_exchange.ts";
@@ -38,29 +34,46 @@
     reportPolicies({ worker: POLICY_WORKER, plotsFolder: PLOTS_FOLDER, print }),
   live: reportLiveDeployment,
   slopes: async () => reportSlopes(print),
-  competition: async () => reportLoads(LOADS.competition),
-  uneven: async () => reportLoads(LOADS.uneven),
+  competition: async () => playLoads("competition"),
+  uneven: async () => playLoads("uneven"),
+};
+
+/** Benchmarks that print JSON lines, by name. */
+const JSON_BENCHMARKS: Readonly<Record<string, () => void>> = {
+  slopes: () => {
+    for (const cost of measureExchange()) {
+      print(JSON.stringify(cost));
+    }
+  },
+  competition: () => playLoads("competition"),
+  uneven: () => playLoads("uneven"),
 };
 
 const { values } = parseArgs({
   options: {
     only: { type: "string" },
-    // Prints the costs of the state exchange as one JSON object per line.
+    // Prints the costs of the state exchange, or what callers got under each
+    // load, as one JSON object per line.
     json: { type: "boolean", default: false },
-    // Select plays of the competition and uneven benchmarks.
+    // Select plays of competition and uneven.
     load: { type: "string" },
     decisions: { type: "string" },
-    seed: { type: "string", default: "1" },
+    seed: { type: "string" },
   },
 });
 if (values.json) {
-  if (values.only !== "slopes") {
-    print("--json works only with the slopes. Remedy: add --only slopes.");
+  const printJson = values.only === undefined
+    ? undefined
+    : JSON_BENCHMARKS[values.only];
+  if (printJson === undefined) {
+    print(
+      `--json works only with some benchmarks. Remedy: add --only with one of ${
+        Object.keys(JSON_BENCHMARKS).join(", ")
+      }.`,
+    );
     process.exit(2);
   }
-  for (const cost of measureExchange()) {
-    print(JSON.stringify(cost));
-  }
+  printJson();
   process.exit(0);
 }
 if (values.only !== undefined && !Object.hasOwn(BENCHMARKS, values.only)) {
@@ -92,24 +105,16 @@
   }
 }
 
-function reportLoads(loads: readonly Load[]): void {
-  for (const load of loads) {
-    for (const decisions of DECISION_SETS) {
-      const isPlayed = [load.name, undefined].includes(values.load) &&
-        [decisions.name, undefined].includes(values.decisions);
-      if (isPlayed) {
-        const startedAt = performance.now();
-        const result = playLoad({
-          load,
-          decisions,
-          seed: Number(values.seed),
-        });
-        print(`\n### ${load.name}, ${decisions.name}\n`);
-        print(reportPlay(load, result));
-        print(`${(performance.now() - startedAt).toFixed(0)} ms`);
-      }
-    }
-  }
+function playLoads(benchmark: "competition" | "uneven"): void {
+  runLoads({
+    benchmark,
+    load: values.load,
+    decisions: values.decisions,
+    seed: values.seed,
+    isJson: values.json,
+    plotsFolder: PLOTS_FOLDER,
+    print,
+  });
 }
 
 function print(text: string): void {
