--- a/packages/bench/load/create_product_entries.ts
+++ b/packages/bench/load/create_product_entries.ts
@@ -1,19 +1,26 @@
 import { UpstreamBalancer, UpstreamStatements } from "@heroncleat/serving";
-import { LoadShedder } from "@heroncleat/shedding";
+import { LoadShedder, type RankLimit } from "@heroncleat/shedding";
 import { BalancedEntry } from "./balanced_entry.ts";
 import type { DecisionContext } from "./decision_set.ts";
 import { DemandTotals } from "./demand_totals.ts";
 import { LoadReplica } from "./load_replica.ts";
 
-/** The product's decisions. */
+/**
+ * The product's decisions.
+ *
+ * @param rankLimit Another way to derive the wait limit of a less urgent rank.
+ */
 export function createProductEntries(
   context: DecisionContext,
+  rankLimit?: RankLimit,
 ): BalancedEntry[] {
   const { load, random } = context;
   const replica = new LoadReplica();
   const totals = new DemandTotals();
   const entries = Array.from({ length: load.entries }, (_, index) => {
-    const shedder = new LoadShedder({ random });
+    const shedder = new LoadShedder(
+      rankLimit === undefined ? { random } : { random, rankLimit },
+    );
     shedder.setRanks(load.kinds.map(({ service, rank, objective }) => ({
       service,
       priority: rank,
--- a/packages/shedding/load_shedder.ts
+++ b/packages/shedding/load_shedder.ts
@@ -45,7 +45,7 @@
    * @param options.random Returns a number from 0 to 1.
    * @param options.rankLimit Wait limit in favour of a more urgent rank.
    */
-  constructor({ random, rankLimit = rankLimits.buffer }: {
+  constructor({ random, rankLimit = rankLimits.adaptive }: {
     readonly random: () => number;
     readonly rankLimit?: RankLimit;
   }) {
@@ -147,7 +147,7 @@
       objective: offer.objectiveLeft,
       isPrefillSpeedKnown,
     });
-    const ownLimit = objectiveLimit(offer);
+    const ownLimit = objectiveLimit(offer, service.ownErrorMargin(offer, now));
     if (!service.isShared(now)) {
       return overload === undefined ? { kind: "admitted" } : {
         kind: "refused",
@@ -169,7 +169,7 @@
     const rankLimit = this.#limitForUrgent(ranked);
     const limit = Math.min(ownLimit, rankLimit);
     const usedLimit = isWithin ? limit : this.#limitBeyondShare(ranked, limit);
-    if (overload === undefined && waiting <= usedLimit) {
+    if (waiting <= usedLimit) {
       return { kind: "admitted" };
     }
     if (isWithin) {
@@ -177,7 +177,7 @@
     }
     return {
       kind: "refused",
-      reason: findReason({ waiting, overload, rankLimit }),
+      reason: findReason({ waiting, ownLimit, rankLimit }),
       retryAfter: this.#assignReturn(ranked, {
         availableIn: Math.max(overload ?? 0, waiting - usedLimit),
         isWithin,
@@ -281,13 +281,13 @@
 }
 
 function findReason(
-  { waiting, overload, rankLimit }: {
+  { waiting, ownLimit, rankLimit }: {
     waiting: Milliseconds;
-    overload: Milliseconds | undefined;
+    ownLimit: Milliseconds;
     rankLimit: Milliseconds;
   },
 ): RefusalReason {
-  if (overload !== undefined) {
+  if (waiting > ownLimit) {
     return RefusalReason.objective;
   }
   return waiting > rankLimit ? RefusalReason.priority : RefusalReason.workspace;
--- a/packages/shedding/rank_demand.ts
+++ b/packages/shedding/rank_demand.ts
@@ -127,7 +127,10 @@
     const rows = totals ?? this.rows(now);
     const asked = rows.reduce((sum, row) => sum + row.asked, 0);
     const admitted = rows.reduce((sum, row) => sum + row.admitted, 0);
-    const isShort = asked - admitted > asked * MIN_REFUSED_SHARE;
+    // One workspace has nothing to share, and without admitted requests the
+    // capacity isn't known.
+    const isShort = rows.length > 1 && admitted > 0 &&
+      asked - admitted > asked * MIN_REFUSED_SHARE;
     return {
       at: now,
       totals,
--- a/packages/shedding/rank_limits.ts
+++ b/packages/shedding/rank_limits.ts
@@ -7,6 +7,12 @@
 const MAX_PREFILL_SHARE = 0.5;
 /** Maximum share of the objective that the error of the estimate counts for. */
 const MAX_ERROR_SHARE = 0.25;
+/**
+ * Maximum limit as a share of the more urgent objective: several more urgent
+ * requests may arrive before an entry learns of their load. In docs/design/25 it
+ * lowers the share of the urgent kind that is refused from 0.19 to 0.10.
+ */
+const MAX_BUFFER_SHARE = 0.25;
 const FIXED_SHARE = 0.5;
 /** Refused share of the more urgent rank at which its limit is halved. */
 const HALVING_SHARE = 0.05;
@@ -15,9 +21,12 @@
 const buffer: RankLimit = (
   { objective, prefillTime, estimateError, ownPrefillTime },
 ) =>
-  objective - Math.min(objective * MAX_PREFILL_SHARE, prefillTime) -
-  Math.min(objective * MAX_PREFILL_SHARE, ownPrefillTime) -
-  Math.min(objective * MAX_ERROR_SHARE, estimateError);
+  Math.min(
+    objective * MAX_BUFFER_SHARE,
+    objective - Math.min(objective * MAX_PREFILL_SHARE, prefillTime) -
+      Math.min(objective * MAX_PREFILL_SHARE, ownPrefillTime) -
+      Math.min(objective * MAX_ERROR_SHARE, estimateError),
+  );
 
 /** A fixed share of the objective. */
 const fixedShare: RankLimit = ({ objective }) => objective * FIXED_SHARE;
--- a/packages/shedding/service_demand.ts
+++ b/packages/shedding/service_demand.ts
@@ -2,11 +2,15 @@
 import { demandLimits } from "./demand_limits.ts";
 import type { DemandRow } from "./demand_row.ts";
 import { limitRows } from "./limit_rows.ts";
+import type { Offer } from "./offer.ts";
 import { RankDemand } from "./rank_demand.ts";
 import { RecentQuantile } from "./recent_quantile.ts";
+import { sheddingTimes } from "./shedding_times.ts";
 
 /** Share of first tokens that are later by less than the error that counts. */
 const ERROR_QUANTILE = 0.9;
+/** Maximum share of an objective that the error of estimates counts for. */
+const MAX_ERROR_SHARE = 0.25;
 /** Interval at which idle workspaces are removed. */
 const CLEANUP_INTERVAL: Milliseconds = 10_000;
 
@@ -90,6 +94,24 @@
     return this.rank(priority).view(totals, now);
   }
 
+  /**
+   * Time by which estimates are too low, beyond the overhead that counts in any
+   * case; 0 where ranks don't compete, as those are decided as before.
+   */
+  ownErrorMargin(
+    { objectiveLeft }: Pick<Offer, "objectiveLeft">,
+    now: Milliseconds,
+  ): Milliseconds {
+    if (this.objectives.size <= 1) {
+      return 0;
+    }
+    const error = Math.min(
+      objectiveLeft * MAX_ERROR_SHARE,
+      this.estimateErrors.value(now),
+    );
+    return Math.max(0, error - sheddingTimes.firstTokenOverhead);
+  }
+
   /** Whether requests of different ranks or workspaces compete. */
   isShared(now: Milliseconds): boolean {
     if (this.objectives.size > 1) {
