--- a/packages/bench/load/create_earlier_entries.ts
+++ b/packages/bench/load/create_earlier_entries.ts
@@ -22,11 +22,11 @@
         balancer: new UpstreamBalancer({
           statements: new UpstreamStatements(context.random),
         }),
-        shed: ({ arrivedAt, kind }, chosen, now) =>
+        shed: ({ attemptedAt, kind }, chosen, now) =>
           overloadRetryDelay({
             waiting: chosen.waiting,
             prefillTime: chosen.readTime,
-            objective: arrivedAt + kind.objective - now,
+            objective: attemptedAt + kind.objective - now,
             isPrefillSpeedKnown: chosen.isPrefillSpeedKnown,
           }),
       }),
--- a/packages/bench/load/generate_requests.ts
+++ b/packages/bench/load/generate_requests.ts
@@ -126,6 +126,7 @@
     kind,
     workspace,
     arrivedAt,
+    attemptedAt: arrivedAt,
     parts: [
       { id: `${kind.name}-${workspace}-${variant}`, tokens: sharedTokens },
       { id: `own-${id}`, tokens: ownTokens },
--- a/packages/bench/load/offered_request.ts
+++ b/packages/bench/load/offered_request.ts
@@ -2,7 +2,7 @@
 import type { PromptPart } from "@heroncleat/serving";
 import type { RequestKind } from "./request_kind.ts";
 
-/** A request that a caller sends; a repeated one stays the same. */
+/** A request that a caller sends. */
 export type OfferedRequest = {
   readonly id: number;
   readonly kind: RequestKind;
@@ -13,4 +13,6 @@
   readonly events: number;
   /** When the caller first sent it. */
   readonly arrivedAt: Milliseconds;
+  /** When this attempt arrived; entries don't know of earlier ones. */
+  readonly attemptedAt: Milliseconds;
 };
--- a/packages/bench/load/played_call.ts
+++ b/packages/bench/load/played_call.ts
@@ -21,7 +21,8 @@
 
 /** A request from its first attempt until its caller has a result. */
 export class PlayedCall {
-  readonly request: OfferedRequest;
+  /** The request of the last attempt. */
+  request: OfferedRequest;
   readonly #options: CallOptions;
   #entry: EntryDecisions;
   #engine: LoadEngine | undefined;
@@ -110,6 +111,10 @@
     }
     this.#isRetry = true;
     this.#entry = entries[1];
+    this.request = {
+      ...this.request,
+      attemptedAt: time.now + retryAfter,
+    };
     time.schedule(() => this.#send(), retryAfter);
   }
 
--- a/packages/serving/mod.ts
+++ b/packages/serving/mod.ts
@@ -85,6 +85,7 @@
 export { ENTRY_LIST_LIFETIME } from "./entry_list_lifetime.ts";
 export { median } from "./median.ts";
 export { NoticeThreshold } from "./notice_threshold.ts";
+export { DemandTotals } from "./demand_totals.ts";
 export { documentCodec } from "./document_codec.ts";
 export { ENTRY_RETENTION } from "./entry_retention.ts";
 export { idleConnectionLimit } from "./idle_connection_limit.ts";
