Load balancing: the time until a slot is free is part of the wait

The estimate covered the prefill backlog only. An upstream whose slots were full of long decodes looked as if it would begin at once, apart from a fixed 60 ms for each queued request that load shedding didn't see.

Change: entries learn by service how long a request holds a slot: for streams from the first event to the end and the prefill, for other calls from their duration where they found a free slot. `ChosenUpstream.waiting` includes the requests in flight beyond the slots times this time, divided by the slots. Reported requests expire by age once reports stop.

--- a/apps/heroncleatd/gateway/upstreams/start_tracking.ts
+++ b/apps/heroncleatd/gateway/upstreams/start_tracking.ts
@@ -43,13 +43,14 @@
   const { record } = chosen.upstream;
   const endSuspectedRun = crashes.trackCopy(call.identity);
   const endRun = options.context.agentOf(record.id).track(options.run);
+  const isStream = call.route.kind === RouteKind.streaming;
   const endTimedRun = leaving.recordRun(call);
   // A stream that goes on says nothing about how a version fares on its own.
   const version = options.isBound
     ? undefined
     : options.context.rollouts.track(chosen, {
       route: call.route.name,
-      isStream: call.route.kind === RouteKind.streaming,
+      isStream,
     });
   let status = 0;
   let isFinished = false;
@@ -74,7 +75,19 @@
       }
       isFinished = true;
       endRun();
-      choice.end(chosen);
+      const isServed = outcome === AttemptOutcome.complete &&
+        status >= 200 && status < 300;
+      choice.end(
+        chosen,
+        isServed
+          ? {
+            took: clock.steady() - sentAt,
+            firstTokenAfter: isStream && begunAt !== undefined
+              ? begunAt - sentAt
+              : undefined,
+          }
+          : undefined,
+      );
       version?.finish(
         outcome === AttemptOutcome.complete
           ? status >= FIRST_FAILURE_STATUS
--- a/packages/serving/chosen_upstream.ts
+++ b/packages/serving/chosen_upstream.ts
@@ -18,7 +18,10 @@
   readonly isPrefillSpeedKnown: boolean;
   /** Whether prefill alone, its own and the queued, delays the first token. */
   readonly hasOnlyPrefillDelay: boolean;
-  /** Time until queued prefill and the fetch are complete. */
+  /**
+   * Time until the prefill of this request begins: until a slot is free, and
+   * queued prefill and the fetch are complete.
+   */
   readonly waiting: Milliseconds;
   /** Estimated time to first token. */
   readonly expectedFirstTokenTime: Milliseconds;
--- a/packages/serving/upstream_balancer.ts
+++ b/packages/serving/upstream_balancer.ts
@@ -1,8 +1,11 @@
 import type { Milliseconds } from "@heroncleat/base";
 import type { DispatchNotice } from "@heroncleat/schema";
+import type { BalancerCosts } from "./balancer_costs.ts";
 import type { BalancedRequest } from "./balanced_request.ts";
 import type { ChoiceOptions } from "./choice_options.ts";
 import type { ChosenUpstream } from "./chosen_upstream.ts";
+import { estimatedCosts } from "./estimated_costs.ts";
+import type { FinishedRun } from "./finished_run.ts";
 import { lastSharedPart } from "./last_shared_part.ts";
 import { LocalViews } from "./local_views.ts";
 import { PreferredUpstreams } from "./preferred_upstreams.ts";
@@ -11,6 +14,9 @@
 import { prefillTime } from "./prefill_time.ts";
 import { PrefillSpeeds } from "./prefill_speeds.ts";
 import type { KnownUpstream } from "./known_upstream.ts";
+import { ReportedLoads } from "./reported_loads.ts";
+import { slotTimeOf } from "./slot_time_of.ts";
+import { SlotTimes } from "./slot_times.ts";
 import type { UpstreamLoad } from "./upstream_load.ts";
 import { UpstreamAvailability } from "./upstream_availability.ts";
 import { UpstreamStatements } from "./upstream_statements.ts";
@@ -38,8 +44,6 @@
 const UNTESTED_COST: Milliseconds = 250;
 /** Delay of a first token per running request. */
 const RUNNING_REQUEST_COST: Milliseconds = 1.2;
-/** Cost per request beyond the slots of an upstream. */
-const QUEUED_REQUEST_COST: Milliseconds = 60;
 /**
  * Cost of a new connection: its handshake, and upstreams limit their number.
  */
@@ -59,9 +63,6 @@
 /** An eligible upstream; the one with the lowest cost is chosen. */
 type Candidate = ChosenUpstream & { readonly cost: Milliseconds };
 
-/** Load of the other entries at an upstream, and when it was reported. */
-type ReportedLoad = UpstreamLoad & { readonly at: Milliseconds };
-
 /** Inputs of a choice that are the same for all upstreams. */
 type Evaluation = {
   readonly request: BalancedRequest;
@@ -81,27 +82,32 @@
  */
 export class UpstreamBalancer {
   readonly #views = new LocalViews();
-  /** Loads of the other entries by upstream. */
-  readonly #reportedLoads = new Map<string, ReportedLoad>();
+  readonly #reportedLoads = new ReportedLoads();
+  readonly #slotTimes = new SlotTimes();
   readonly #prefillWork = new Map<string, Milliseconds>();
   readonly prefillSpeeds = new PrefillSpeeds();
   readonly #statements: UpstreamStatements;
   readonly #availability: UpstreamAvailability;
+  readonly #costs: BalancerCosts;
 
   /**
    * @param options.statements What upstreams stated to this entry.
    * @param options.drainTimeout Time after the acknowledgement that an upstream
    *     drains in which requests may still reach it; 0 for none.
+   * @param options.costs Costs that differ from the estimated ones.
    */
   constructor(
     {
       statements = new UpstreamStatements(Math.random),
       drainTimeout = () => 0,
+      costs = {},
     }: {
       statements?: UpstreamStatements;
       drainTimeout?: () => Milliseconds;
+      costs?: Partial<BalancerCosts>;
     } = {},
   ) {
+    this.#costs = { ...estimatedCosts, ...costs };
     this.#statements = statements;
     this.#availability = new UpstreamAvailability({
       views: this.#views,
@@ -115,8 +121,7 @@
     loads: Readonly<Record<string, UpstreamLoad>>,
     at: Milliseconds,
   ): void {
-    this.#reportedLoads.clear();
-    this.applyLoadChanges(loads, at);
+    this.#reportedLoads.replace(loads, at);
   }
 
   /** Applies changed loads of the other entries; an empty load is removed. */
@@ -124,13 +129,7 @@
     loads: Readonly<Record<string, UpstreamLoad>>,
     at: Milliseconds,
   ): void {
-    for (const [id, load] of Object.entries(loads)) {
-      if (load.requests === 0 && load.backlog === 0) {
-        this.#reportedLoads.delete(id);
-      } else {
-        this.#reportedLoads.set(id, { ...load, at });
-      }
-    }
+    this.#reportedLoads.applyChanges(loads, at);
   }
 
   /** Loads of this entry by upstream. */
@@ -233,9 +232,18 @@
     };
   }
 
-  /** Records the end of a request. */
-  end(chosen: ChosenUpstream): void {
-    this.#views.of(chosen.upstream.record.id).requests -= 1;
+  /**
+   * Records the end of a request.
+   *
+   * @param run Undefined unless the upstream served it completely.
+   */
+  end(chosen: ChosenUpstream, run?: FinishedRun): void {
+    const { id, service } = chosen.upstream.record;
+    this.#views.of(id).requests -= 1;
+    const slotTime = run === undefined ? undefined : slotTimeOf(chosen, run);
+    if (slotTime !== undefined) {
+      this.#slotTimes.record(service, slotTime);
+    }
   }
 
   /** Excludes an upstream for the failure backoff. */
@@ -314,12 +322,16 @@
     );
     const prefillSpeed = this.prefillSpeeds.forService(request.service);
     const estimatedPrefillTime = referencePrefillTime * prefillSpeed.multiple;
-    const requests = this.#countRequests(id);
-    const queued = Math.max(0, requests + 1 - slots);
-    const waiting = Math.max(this.#estimateBacklog(id, now), fetchTime);
+    const slotTime = this.#slotTimes.of(request.service);
+    const requests = this.#countRequests(id, { now, slotTime });
+    const queue = { requests, slots, slotTime };
+    const waiting = Math.max(
+      this.#estimateBacklog(id, now),
+      this.#costs.slotWait(queue),
+      fetchTime,
+    );
     const expectedFirstTokenTime = waiting + estimatedPrefillTime +
-      requests * RUNNING_REQUEST_COST +
-      queued * QUEUED_REQUEST_COST;
+      requests * RUNNING_REQUEST_COST + this.#costs.queueCost(queue);
     const crashExposureCost = request.prefersIdle
       ? requests * CRASH_EXPOSURE_COST
       : 0;
@@ -348,7 +360,7 @@
       readTime: estimatedPrefillTime,
       referencePrefillTime,
       isPrefillSpeedKnown: prefillSpeed.isKnown,
-      hasOnlyPrefillDelay: fetchTime === 0 && queued === 0,
+      hasOnlyPrefillDelay: fetchTime === 0 && requests + 1 <= slots,
       waiting,
       expectedFirstTokenTime,
       source,
@@ -384,9 +396,12 @@
     return this.#views.find(id)?.pausedUntil ?? 0;
   }
 
-  #countRequests(id: string): number {
+  #countRequests(
+    id: string,
+    age: { now: Milliseconds; slotTime: Milliseconds | undefined },
+  ): number {
     const own = this.#views.find(id)?.requests ?? 0;
-    return own + (this.#reportedLoads.get(id)?.requests ?? 0);
+    return own + this.#reportedLoads.requests(id, age);
   }
 
   /**
@@ -396,10 +411,7 @@
    */
   #estimateBacklog(id: string, now: Milliseconds): Milliseconds {
     const view = this.#views.find(id);
-    const reported = this.#reportedLoads.get(id);
-    const others = reported === undefined
-      ? 0
-      : Math.max(0, reported.backlog - (now - reported.at));
+    const others = this.#reportedLoads.backlog(id, now);
     const own = view?.ownBacklog.remaining(now) ?? 0;
     return Math.max(view?.backlog.remaining(now) ?? 0, own + others);
   }
