--- a/packages/bench/load/balanced_entry.ts
+++ b/packages/bench/load/balanced_entry.ts
@@ -16,6 +16,12 @@
 /** Retry time where no upstream may serve. */
 const NO_UPSTREAM_RETRY: Milliseconds = 1000;
 
+type SentRequest = {
+  readonly chosen: ChosenUpstream;
+  readonly at: Milliseconds;
+  firstTokenAfter: Milliseconds | undefined;
+};
+
 /** Decisions of an entry that vary between sets. */
 export type BalancedEntryOptions = {
   readonly index: number;
@@ -41,7 +47,8 @@
 export class BalancedEntry implements EntryDecisions {
   readonly #options: BalancedEntryOptions;
   readonly #threshold = new NoticeThreshold();
-  readonly #chosen = new Map<number, ChosenUpstream>();
+  /** Requests in flight by id. */
+  readonly #sent = new Map<number, SentRequest>();
   /** Entries that receive notices of this one. */
   others: readonly BalancedEntry[] = [];
 
@@ -87,7 +94,11 @@
       return { kind: "refused", retryAfter };
     }
     const notice = balancer.begin(chosen, { parts, now });
-    this.#chosen.set(request.id, chosen);
+    this.#sent.set(request.id, {
+      chosen,
+      at: now,
+      firstTokenAfter: undefined,
+    });
     if (this.#threshold.admit(notice.readTime, now)) {
       context.schedule(() => {
         for (const other of this.others) {
@@ -107,18 +118,25 @@
     took: Milliseconds,
     now: Milliseconds,
   ): void {
-    const chosen = this.#chosen.get(request.id);
-    if (chosen !== undefined) {
-      this.#options.balancer.recordFirstToken(chosen, took);
-      this.#options.recordFirstToken?.(chosen, took, now);
+    const sent = this.#sent.get(request.id);
+    if (sent !== undefined) {
+      sent.firstTokenAfter = took;
+      this.#options.balancer.recordFirstToken(sent.chosen, took);
+      this.#options.recordFirstToken?.(sent.chosen, took, now);
     }
   }
 
-  recordEnd(request: OfferedRequest): void {
-    const chosen = this.#chosen.get(request.id);
-    if (chosen !== undefined) {
-      this.#options.balancer.end(chosen);
-      this.#chosen.delete(request.id);
+  recordEnd(
+    request: OfferedRequest,
+    now: Milliseconds,
+    isComplete: boolean,
+  ): void {
+    const sent = this.#sent.get(request.id);
+    if (sent !== undefined) {
+      const { chosen, at, firstTokenAfter } = sent;
+      const run = isComplete ? { took: now - at, firstTokenAfter } : undefined;
+      this.#options.balancer.end(chosen, run);
+      this.#sent.delete(request.id);
     }
   }
 
--- a/packages/bench/load/create_earlier_entries.ts
+++ b/packages/bench/load/create_earlier_entries.ts
@@ -1,4 +1,5 @@
 import {
+  fixedCosts,
   overloadRetryDelay,
   UpstreamBalancer,
   UpstreamStatements,
@@ -21,6 +22,7 @@
         replica,
         balancer: new UpstreamBalancer({
           statements: new UpstreamStatements(context.random),
+          costs: fixedCosts,
         }),
         shed: ({ attemptedAt, kind }, chosen, now) =>
           overloadRetryDelay({
--- a/packages/bench/load/entry_decisions.ts
+++ b/packages/bench/load/entry_decisions.ts
@@ -21,7 +21,12 @@
     took: Milliseconds,
     now: Milliseconds,
   ): void;
-  recordEnd(request: OfferedRequest, now: Milliseconds): void;
+  /** @param isComplete Whether the response was received whole. */
+  recordEnd(
+    request: OfferedRequest,
+    now: Milliseconds,
+    isComplete: boolean,
+  ): void;
   /** Exchanges state with the control replica. */
   exchange(now: Milliseconds): void;
 };
--- a/packages/bench/load/played_call.ts
+++ b/packages/bench/load/played_call.ts
@@ -53,7 +53,7 @@
     if (this.#run === undefined || !held.has(this.#run)) {
       return;
     }
-    this.#leaveEngine();
+    this.#leaveEngine(false);
     this.#send();
   }
 
@@ -90,7 +90,7 @@
       request: this.request,
       onEvent: () => this.#receiveEvent(),
       onEnd: () => {
-        this.#leaveEngine();
+        this.#leaveEngine(true);
         this.#result = "complete";
       },
       prefillLeft: undefined,
@@ -141,12 +141,13 @@
     this.#result = "lost";
     if (this.#engine !== undefined) {
       this.#engine.cancel(this.#run!);
-      this.#leaveEngine();
+      this.#leaveEngine(false);
     }
   }
 
-  #leaveEngine(): void {
-    this.#entry.recordEnd(this.request, this.#options.time.now);
+  #leaveEngine(isComplete: boolean): void {
+    const { now } = this.#options.time;
+    this.#entry.recordEnd(this.request, now, isComplete);
     this.#engine = undefined;
   }
 }
