--- a/packages/bench/load/played_fleet.ts
+++ b/packages/bench/load/played_fleet.ts
@@ -108,7 +108,10 @@
   }
 
   #slowDown(): void {
-    const count = Math.round(this.#up.length * this.#load.slowShare);
+    // A share of an engine counts as its probability to be slow.
+    const count = Math.floor(
+      this.#up.length * this.#load.slowShare + this.#random(),
+    );
     const ordered = this.#up
       .map((engine) => ({ engine, order: this.#random() }))
       .sort((left, right) => left.order - right.order);
