--- a/packages/bench/load/create_earlier_entries.ts
+++ b/packages/bench/load/create_earlier_entries.ts
@@ -1,4 +1,5 @@
 import {
+  fixedCosts,
   overloadRetryDelay,
   UpstreamBalancer,
   UpstreamStatements,
@@ -21,12 +22,13 @@
         replica,
         balancer: new UpstreamBalancer({
           statements: new UpstreamStatements(context.random),
+          costs: fixedCosts,
         }),
-        shed: ({ arrivedAt, kind }, chosen, now) =>
+        shed: ({ attemptedAt, kind }, chosen, now) =>
           overloadRetryDelay({
             waiting: chosen.waiting,
             prefillTime: chosen.readTime,
-            objective: arrivedAt + kind.objective - now,
+            objective: attemptedAt + kind.objective - now,
             isPrefillSpeedKnown: chosen.isPrefillSpeedKnown,
           }),
       }),
--- a/packages/bench/load/played_call.ts
+++ b/packages/bench/load/played_call.ts
@@ -21,7 +21,8 @@
 
 /** A request from its first attempt until its caller has a result. */
 export class PlayedCall {
-  readonly request: OfferedRequest;
+  /** The request of the last attempt. */
+  request: OfferedRequest;
   readonly #options: CallOptions;
   #entry: EntryDecisions;
   #engine: LoadEngine | undefined;
@@ -52,7 +53,7 @@
     if (this.#run === undefined || !held.has(this.#run)) {
       return;
     }
-    this.#leaveEngine();
+    this.#leaveEngine(false);
     this.#send();
   }
 
@@ -89,7 +90,7 @@
       request: this.request,
       onEvent: () => this.#receiveEvent(),
       onEnd: () => {
-        this.#leaveEngine();
+        this.#leaveEngine(true);
         this.#result = "complete";
       },
       prefillLeft: undefined,
@@ -110,6 +111,10 @@
     }
     this.#isRetry = true;
     this.#entry = entries[1];
+    this.request = {
+      ...this.request,
+      attemptedAt: time.now + retryAfter,
+    };
     time.schedule(() => this.#send(), retryAfter);
   }
 
@@ -136,12 +141,13 @@
     this.#result = "lost";
     if (this.#engine !== undefined) {
       this.#engine.cancel(this.#run!);
-      this.#leaveEngine();
+      this.#leaveEngine(false);
     }
   }
 
-  #leaveEngine(): void {
-    this.#entry.recordEnd(this.request, this.#options.time.now);
+  #leaveEngine(isComplete: boolean): void {
+    const { now } = this.#options.time;
+    this.#entry.recordEnd(this.request, now, isComplete);
     this.#engine = undefined;
   }
 }
