Load shedding doesn't count the request at hand as refused

Cause: demand was recorded before the decision, so that one request at hand counted as refused in the sums and lowered the limit of less urgent ranks with room for all.

Change: demand is recorded after the decision.

--- a/packages/shedding/load_shedder.ts
+++ b/packages/shedding/load_shedder.ts
@@ -80,11 +80,12 @@
     const rank = service.rank(offer.priority);
     const workspace = rank.workspace(offer.workspace);
     const work = engineTime(offer);
+    const decision = this.#judge({ offer, service, rank, now });
+    // Recorded after the decision, which else counts the request as refused.
     if (!offer.isRepeated) {
       workspace.window.recordAsked(work, now);
       rank.recordPrefillTime(offer.prefillTime, now);
     }
-    const decision = this.#judge({ offer, service, rank, now });
     if (decision.kind === "refused") {
       service.recordRefusal(now);
     } else if (!offer.isRepeated) {
