--- a/apps/heroncleatd/gateway/create_test_context.ts
+++ b/apps/heroncleatd/gateway/create_test_context.ts
@@ -10,6 +10,7 @@
   UpstreamDirectory,
   UpstreamStatements,
 } from "@heroncleat/serving";
+import { LoadShedder } from "@heroncleat/shedding";
 import { HeldBytes } from "../common/held_bytes.ts";
 import { RateLimitWatcher } from "../common/rate_limit_watcher.ts";
 import { probeUpstream } from "../common/probe_upstream.ts";
@@ -140,6 +141,7 @@
     }),
     zone: "a",
     choice: new UpstreamBalancer({ statements, drainTimeout: () => 2000 }),
+    shedder: new LoadShedder({ random: () => 0 }),
     directory,
     refusesConnections,
     agentOf: (id) => agents.get(id)!,
--- a/apps/heroncleatd/gateway/forward_context.ts
+++ b/apps/heroncleatd/gateway/forward_context.ts
@@ -8,6 +8,7 @@
   UpstreamDirectory,
   UpstreamStatements,
 } from "@heroncleat/serving";
+import type { LoadShedder } from "@heroncleat/shedding";
 import type { HeldBytes } from "../common/held_bytes.ts";
 import type { Log } from "../common/log.ts";
 import type { Metrics } from "../common/metrics.ts";
@@ -34,6 +35,8 @@
   /** Availability zone of this entry. */
   readonly zone: string;
   readonly choice: UpstreamBalancer;
+  /** Refuses requests while a service is short. */
+  readonly shedder: Pick<LoadShedder, "decide" | "recordFirstToken">;
   /** What upstreams stated about themselves to this entry. */
   readonly statements: UpstreamStatements;
   readonly directory: UpstreamDirectory;
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -7,6 +7,7 @@
   idleConnectionLimit,
   type KnownEntry,
   LeasedShare,
+  listServiceRanks,
   type PermitReply,
   PossibleOrigins,
   RateLimitRegistry,
@@ -20,6 +21,7 @@
   UsageCounts,
   WorkspaceQuota,
 } from "@heroncleat/serving";
+import { LoadShedder } from "@heroncleat/shedding";
 import type { Log } from "../common/log.ts";
 import type { AppliedDocument } from "./applied_document.ts";
 import { ChargeSync } from "./exchange/charge_sync.ts";
@@ -99,6 +101,7 @@
     this.#statements.leavingSince(id)
   );
   readonly #choice: UpstreamBalancer;
+  readonly #shedder = new LoadShedder({ random: Math.random });
   readonly #agents: UpstreamAgents;
   readonly #connect: ConnectionOpener;
   readonly #retryShare: LeasedShare;
@@ -309,6 +312,7 @@
       log: this.#log,
       directory: this.#directory,
       choice: this.#choice,
+      shedder: this.#shedder,
       agents: this.#agents,
       statements: this.#statements,
       quota: this.#quota,
@@ -458,6 +462,7 @@
       heldBytes: new HeldBytes(),
       zone: settings().zone,
       choice: this.#choice,
+      shedder: this.#shedder,
       directory: this.#directory,
       crashes: this.#suspectWatcher,
       statements: this.#statements,
@@ -519,6 +524,7 @@
       const now = this.#options.clock.steady();
       this.#appliedDocument = { version: document.version, at: now };
       this.#possibleOrigins.applyRoutes(document.routes, now);
+      this.#shedder.setRanks(listServiceRanks(document));
       this.#streams.shareNewlyAmbiguous();
       this.#routeTableLatch.release();
       this.#server.keepAliveTimeout = document.limits.idleTimeout;
--- a/apps/heroncleatd/gateway/upstreams/start_tracking.ts
+++ b/apps/heroncleatd/gateway/upstreams/start_tracking.ts
@@ -6,6 +6,7 @@
 import type { AttemptTrace } from "../attempts/attempt_trace.ts";
 import type { CallerRequest } from "../caller_request.ts";
 import type { ForwardContext } from "../forward_context.ts";
+import { estimateErrorBucket } from "./estimate_error_bucket.ts";
 import type { UpstreamRun } from "./upstream_run.ts";
 
 /** Lowest status by which an upstream reports a failure of its own. */
@@ -43,13 +44,14 @@
   const { record } = chosen.upstream;
   const endSuspectedRun = crashes.trackCopy(call.identity);
   const endRun = options.context.agentOf(record.id).track(options.run);
+  const isStream = call.route.kind === RouteKind.streaming;
   const endTimedRun = leaving.recordRun(call);
   // A stream that goes on says nothing about how a version fares on its own.
   const version = options.isBound
     ? undefined
     : options.context.rollouts.track(chosen, {
       route: call.route.name,
-      isStream: call.route.kind === RouteKind.streaming,
+      isStream,
     });
   let status = 0;
   let isFinished = false;
@@ -65,6 +67,7 @@
         const took = begunAt - sentAt;
         trace.recordFirstByte(took);
         choice.recordFirstToken(chosen, took);
+        recordEstimate(chosen, { took, now: begunAt }, options.context);
         version?.recordFirstByte(took);
       }
     },
@@ -74,7 +77,19 @@
       }
       isFinished = true;
       endRun();
-      choice.end(chosen);
+      const isServed = outcome === AttemptOutcome.complete &&
+        status >= 200 && status < 300;
+      choice.end(
+        chosen,
+        isServed
+          ? {
+            took: clock.steady() - sentAt,
+            firstTokenAfter: isStream && begunAt !== undefined
+              ? begunAt - sentAt
+              : undefined,
+          }
+          : undefined,
+      );
       version?.finish(
         outcome === AttemptOutcome.complete
           ? status >= FIRST_FAILURE_STATUS
@@ -113,6 +128,19 @@
   };
 }
 
+/** Records by how much the estimate of the first token was off. */
+function recordEstimate(
+  { upstream, expectedFirstTokenTime }: ChosenUpstream,
+  { took, now }: { took: Milliseconds; now: Milliseconds },
+  { shedder, metrics }: ForwardContext,
+): void {
+  const { service } = upstream.record;
+  const expected = expectedFirstTokenTime;
+  shedder.recordFirstToken({ service, expected, took }, now);
+  const bucket = estimateErrorBucket(took - expected);
+  metrics.increment(`shedding.estimate_error.${service}.${bucket}`);
+}
+
 /** A response that isn't a success says nothing about parts of the prompt. */
 function recordCompletion(
   { identity }: CallerRequest,
