Validation of configuration documents finds all errors

findDocumentProblem stopped at the first problem, so an operator had to send a document once for each problem. findDocumentErrors returns all errors with the paths of their fields; findDocumentProblem is the first of them, so control replicas and a check before sending share one set of rules.

--- /dev/null
+++ b/packages/serving/find_document_errors_test.ts
@@ -0,0 +1,60 @@
+import { findDocumentErrors, findDocumentProblem, RouteKind } from "./mod.ts";
+
+const route = {
+  name: "a",
+  host: "h",
+  pathPrefix: "/",
+  kind: RouteKind.idempotent,
+  targets: [{ service: "s", weight: 1 }],
+  timeout: 1000,
+  latencyObjective: 100,
+  priority: 5,
+  maxAttempts: 1,
+  isPublic: true,
+  isResumable: false,
+};
+const document = {
+  version: 1,
+  routes: [route],
+  services: [
+    { name: "s", maxConnections: 1, engine: undefined, scale: undefined },
+  ],
+  workspaces: undefined,
+  limits: {
+    maxHeaderBytes: 1,
+    maxBodyBytes: 1,
+    headerTimeout: 1,
+    idleTimeout: 1,
+  },
+};
+
+// Guards against a validation that hides all problems behind the first one.
+test("all errors are found, and the first is the one replicas report", () => {
+  expect(findDocumentErrors(document)).toEqual([]);
+  expect(findDocumentProblem(document)).toBeUndefined();
+  const invalid = {
+    ...document,
+    version: -1,
+    routes: [
+      route,
+      {
+        ...route,
+        name: "b",
+        timeout: 0,
+        targets: [{ service: "x", weight: 0 }],
+      },
+    ],
+    services: [...document.services, ...document.services],
+  };
+  const errors = findDocumentErrors(invalid);
+  expect(errors.map((error) => error.path)).toEqual([
+    "version",
+    "routes[1].pathPrefix",
+    "routes[1].timeout",
+    "routes[1].targets[0].service",
+    "routes[1].targets",
+    "services[1].name",
+  ]);
+  expect(errors.every((error) => error.message.includes("Remedy"))).toBe(true);
+  expect(findDocumentProblem(invalid)).toBe(errors[0]?.message);
+});
