The tool checks a configuration before it is sent

Operators learned of an invalid document, or of one with parts without effect, only by sending it. heroncleat check FILE prints errors, warnings and the differences from another file (--against) or from the version in force (--peers, over the existing read-only call hub.read_document).

The file has the format of the users' platform, whose names may stand in platform/ only. platform/ therefore exports its decoder as @heroncleat/platform/decode_document, and main.ts passes it to the command as a function, so that the tool reads a document as control replicas do.

documented_commands_test.ts lists check_test.ts for the two new commands.

--- a/apps/heroncleat/main.ts
+++ b/apps/heroncleat/main.ts
@@ -5,7 +5,9 @@
  * @module
  */
 import { parseArgs } from "node:util";
+import { decodeDocument } from "@heroncleat/platform/decode_document";
 import { auditCommand } from "./audit_command.ts";
+import { checkCommand } from "./check/check_command.ts";
 import type { CommandContext } from "./command_context.ts";
 import type { CommandResult } from "./command_result.ts";
 import { ExitCode } from "./exit_code.ts";
@@ -62,6 +64,10 @@
   rollout SERVICE --peers HOST:PORT[,...] [--secret-file FILE]
                                         its latest rollout, and why it ended
 
+  check FILE [--against FILE | --peers HOST:PORT[,...] [--secret-file FILE]]
+        [--strict]                      errors and warnings of a configuration,
+                                        and differences from another version
+
   explain REQUEST_ID --logs FILE [FILE ...]
                                         timeline of one request from logs
   losses --logs FILE [FILE ...]         which requests were late, refused or
@@ -73,7 +79,7 @@
 
 HERONCLEAT_CONTROL and HERONCLEAT_TOKEN_FILE in the environment are the
 defaults of --control and --token-file.
-Exit codes: 0 done, 1 failed or fault tolerance not met, 2 bad usage, 3 conflict, 4 refused.
+Exit codes: 0 done, 1 failed, errors found or fault tolerance not met, 2 bad usage, 3 conflict, 4 refused.
 `;
 
 type Command = (context: CommandContext) => Promise<CommandResult>;
@@ -98,6 +104,8 @@
   "watch": watchCommand,
 };
 
+/** Reads files, and the version in force from the control replicas. */
+const CHECK = "check";
 /** These commands read log files only. */
 const EXPLAIN = "explain";
 const LOSSES = "losses";
@@ -144,6 +152,20 @@
     const files = values.logs === undefined ? [] : [values.logs, ...args];
     return finish(lossesCommand(files, print));
   }
+  if (name === CHECK) {
+    return finish(
+      await checkCommand({
+        args,
+        against: values.against,
+        peers: values.peers,
+        secretFile: values["secret-file"],
+        isStrict: values.strict ?? false,
+        json: values.json ?? false,
+        decode: decodeDocument,
+        print,
+      }),
+    );
+  }
   if (Object.hasOwn(PEER_COMMANDS, name)) {
     return finish(
       await PEER_COMMANDS[name]!({
@@ -213,6 +235,8 @@
       "logs": { type: "string" },
       "peers": { type: "string" },
       "secret-file": { type: "string" },
+      "against": { type: "string" },
+      "strict": { type: "boolean" },
     },
   });
 }
--- a/scripts/documented_commands_test.ts
+++ b/scripts/documented_commands_test.ts
@@ -8,6 +8,7 @@
 
 const DOCUMENTED_PAGES = ["README.md", "docs/OPERATIONS.md"];
 const TOOL_TEST = "apps/heroncleat/tool_test.ts";
+const CHECK_TEST = "apps/heroncleat/check/check_test.ts";
 const SUSPECTS_TEST = "apps/heroncleatd/hub/crashing_request_test.ts";
 const ROLLOUT_TEST = "apps/heroncleatd/hub/rollout_test.ts";
 const CHECK_BY_COMMAND: Readonly<Record<string, string>> = {
@@ -30,6 +31,8 @@
     "apps/heroncleat/losses/losses_test.ts",
   "heroncleat explain REQUEST_ID --logs FILE [FILE ...]":
     "apps/heroncleat/explain/explain_test.ts",
+  "heroncleat check FILE --against FILE": CHECK_TEST,
+  "heroncleat check FILE --peers HOST:PORT[,...]": CHECK_TEST,
   "heroncleat replicas --peers HOST:PORT[,...]":
     "apps/heroncleatd/hub/hub_proxy_test.ts",
   "heroncleat rate-limits --peers HOST:PORT[,...]":
