--- a/apps/heroncleat/check/check_command.ts
+++ b/apps/heroncleat/check/check_command.ts
@@ -52,6 +52,9 @@
     ...findDocumentWarnings(document),
   ];
   if (inForce.value === undefined) {
+    if (peers !== undefined && !options.json) {
+      options.print("No version is in force yet.");
+    }
     return finish(options, findings, undefined);
   }
   const other = decode(inForce.value);
--- a/apps/heroncleat/check/check_test.ts
+++ b/apps/heroncleat/check/check_test.ts
@@ -84,6 +84,10 @@
     expect((await check(unused, { peers: address })).output).toContain(
       "  + service s",
     );
+    reply = "none";
+    expect((await check(unused, { peers: address })).output).toContain(
+      "No version is in force",
+    );
     reply = "unavailable";
     expect((await check(sound, { peers: address })).code).toBe(-1);
   } finally {
--- a/apps/heroncleat/check/format_check.ts
+++ b/apps/heroncleat/check/format_check.ts
@@ -16,8 +16,8 @@
   if (differences !== undefined) {
     lines.push(
       differences.length === 0
-        ? "No differences from the version in force."
-        : "Differences from the version in force:",
+        ? "No differences from the other version."
+        : "Differences from the other version:",
       ...differences.map(formatDifference),
     );
   }
--- a/packages/serving/find_document_warnings_test.ts
+++ b/packages/serving/find_document_warnings_test.ts
@@ -87,6 +87,22 @@
   expect(found?.message).toContain("Remedy");
 });
 
+// Guards against one warning about attempts that hides the others.
+test("each contradiction of several attempts is named", () => {
+  const list = (change: Partial<typeof route>, max: number) =>
+    findDocumentWarnings({
+      ...document,
+      routes: [{ ...route, isPublic: false, maxAttempts: 2, ...change }],
+      services: [{ ...service, scale: { ...scale, max } }],
+    }).map((warning) => warning.message);
+  expect(list({}, 2)).toEqual([expect.stringContaining("not resumable")]);
+  expect(list({ isResumable: true }, 2)).toEqual([]);
+  expect(list({ isResumable: true, maxAttempts: 1 }, 1)).toEqual([]);
+  expect(list({ isResumable: true }, 1)).toEqual([
+    expect.stringContaining("2 attempts are more than the 1 upstreams"),
+  ]);
+});
+
 // Guards against keys in a diff, which operators paste into tickets.
 test("differences name fields and mask keys", () => {
   const differences = compareDocuments(document, {
