--- a/packages/serving/find_document_warnings_test.ts
+++ b/packages/serving/find_document_warnings_test.ts
@@ -97,6 +97,11 @@
     }).map((warning) => warning.message);
   expect(list({}, 2)).toEqual([expect.stringContaining("not resumable")]);
   expect(list({ isResumable: true }, 2)).toEqual([]);
+  const isOnce = findDocumentWarnings({
+    ...document,
+    routes: [{ ...route, kind: RouteKind.nonIdempotent, maxAttempts: 2 }],
+  }).some(({ message }) => message.includes("may run only once"));
+  expect(isOnce).toBe(true);
   expect(list({ isResumable: true, maxAttempts: 1 }, 1)).toEqual([]);
   expect(list({ isResumable: true }, 1)).toEqual([
     expect.stringContaining("2 attempts are more than the 1 upstreams"),
