--- a/packages/serving/mod.ts
+++ b/packages/serving/mod.ts
@@ -80,7 +80,6 @@
 export { findRecordProblem } from "./find_record_problem.ts";
 export { overloadRetryDelay } from "@heroncleat/shedding";
 export { prefillTime } from "./prefill_time.ts";
-export { overloadRetryDelay } from "./overload_retry_delay.ts";
 export { findDocumentErrors } from "./find_document_errors.ts";
 export { findDocumentWarnings } from "./find_document_warnings.ts";
 export { findDocumentProblem } from "./find_document_problem.ts";
