Load balancing: a cached prefix costs at most the time that it saves

Cause: upstreams that aren't preferred for a prefix cost a fixed 15 or 40 ms more, also for prompts whose shared parts take 9 ms to prefill, so short prompts waited longer for a cached prefix than prefilling it takes.

Change: the cost is at most the time to prefill the shared parts on the service's engines.

--- a/packages/serving/upstream_balancer.ts
+++ b/packages/serving/upstream_balancer.ts
@@ -294,7 +294,12 @@
       sources: this.#findSources(allUpstreams, options),
       preferredUpstreams: new PreferredUpstreams(
         lastSharedPart(options.request),
-        eligible,
+        {
+          upstreams: eligible,
+          maxCost: this.#costs.placementLimit(
+            this.#sharedPrefillTime(options.request),
+          ),
+        },
       ),
     };
     return eligible.map((upstream) => this.#evaluate(upstream, evaluation));
@@ -370,6 +375,16 @@
     };
   }
 
+  /** Time to prefill the shared parts of a prompt on the service's engines. */
+  #sharedPrefillTime({ parts, service }: BalancedRequest): Milliseconds {
+    let tokens = 0;
+    for (const part of parts.slice(0, -1)) {
+      tokens += part.tokens;
+    }
+    const { multiple } = this.prefillSpeeds.forService(service);
+    return prefillTime(tokens, 0) * multiple;
+  }
+
   /** Upstreams that should have cached the last shared part. */
   #findSources(
     upstreams: readonly KnownUpstream[],
