Gateway: a head isn't slow while its bytes wait to be read

Cause: after a pause of the process, timers run before bytes that have arrived are read, so the time limit of a head could close a sound connection.

Change: the limit is checked once pending bytes were read.

--- a/apps/heroncleatd/common/limit_response.ts
+++ b/apps/heroncleatd/common/limit_response.ts
@@ -28,16 +28,25 @@
       response.destroy(error);
     }
   };
+  // After a pause of the process, timers run before bytes that have arrived are
+  // read, so this is called once they are.
+  const closeSlowHead = (): void => {
+    if (headTimer !== undefined) {
+      closeAt({
+        shape: EndlessShape.slowHead,
+        bytes: socket.bytesRead - before,
+        limit: byteLimits.headTime,
+      });
+    }
+  };
   // Called after Node's parser has read the same bytes.
   const onData = (): void => {
     closeAt(meter.check(socket.bytesRead - before));
     if (response === undefined && !isBetweenHeads) {
-      headTimer ??= setTimeout(() =>
-        closeAt({
-          shape: EndlessShape.slowHead,
-          bytes: socket.bytesRead - before,
-          limit: byteLimits.headTime,
-        }), byteLimits.headTime);
+      headTimer ??= setTimeout(
+        () => setImmediate(closeSlowHead),
+        byteLimits.headTime,
+      );
     }
     isBetweenHeads = false;
   };
