Load balancing: prompts of a single part keep their preferred upstreams

Cause: the cost of other upstreams was bounded by the prefill time of the parts before the last one, which is 0 for a single part, so such prompts weren't spread by hash. Found in review.

Change: the single part counts, as it does where upstreams are preferred.

Result: the new test chose one upstream for 20 parts before, several now.

--- a/packages/serving/upstream_balancer.ts
+++ b/packages/serving/upstream_balancer.ts
@@ -377,8 +377,10 @@
 
   /** Time to prefill the shared parts of a prompt on the service's engines. */
   #sharedPrefillTime({ parts, service }: BalancedRequest): Milliseconds {
+    // See `lastSharedPart`.
+    const shared = parts.length > 1 ? parts.slice(0, -1) : parts;
     let tokens = 0;
-    for (const part of parts.slice(0, -1)) {
+    for (const part of shared) {
       tokens += part.tokens;
     }
     const { multiple } = this.prefillSpeeds.forService(service);
--- a/packages/serving/upstream_balancer_test.ts
+++ b/packages/serving/upstream_balancer_test.ts
@@ -40,6 +40,22 @@
 }
 
 describe("the choice of an upstream", () => {
+  // Guards against prompts of a single part that all go to one upstream.
+  test("spreads prompts of a single part that aren't cached", () => {
+    const directory = createDirectory(8);
+    const chosen = new Set<string | undefined>();
+    for (let index = 0; index < 20; index += 1) {
+      const parts = [{ id: `part-${index}`, tokens: 10_000 }];
+      const choice = new UpstreamBalancer().choose(directory.list(), {
+        request: { ...request, parts, promptTokens: 10_000 },
+        now: 0,
+        requiresHeartbeats: true,
+      });
+      chosen.add(choice?.upstream.record.id);
+    }
+    expect(chosen.size).toBeGreaterThan(1);
+  });
+
   test("is the same at entries without information about each other", () => {
     const directory = createDirectory(8);
     const choose = () =>
