Load shedding: a rank that is alone in demand is decided as before

Cause: the measured error of estimates lowered a request's own limit wherever several ranks are configured, also without demand at another one, and the error counted responses whose first byte comes after the whole run. Found in review.

Change: the error counts only while another rank is asked for, and is learned from first tokens of successful streams.

--- a/apps/heroncleatd/gateway/upstreams/start_tracking.ts
+++ b/apps/heroncleatd/gateway/upstreams/start_tracking.ts
@@ -67,7 +67,10 @@
         const took = begunAt - sentAt;
         trace.recordFirstByte(took);
         choice.recordFirstToken(chosen, took);
-        recordEstimate(chosen, { took, now: begunAt }, options.context);
+        // The first byte of other responses may come after the whole run.
+        if (isStream && isSuccess(status)) {
+          recordEstimate(chosen, { took, now: begunAt }, options.context);
+        }
         version?.recordFirstByte(took);
       }
     },
@@ -78,7 +81,7 @@
       isFinished = true;
       endRun();
       const isServed = outcome === AttemptOutcome.complete &&
-        status >= 200 && status < 300;
+        isSuccess(status);
       choice.end(
         chosen,
         isServed
@@ -151,8 +154,7 @@
     connection: Parameters<SuspectWatcher["recordUnframedSuccess"]>[1];
   },
 ): void {
-  const isSuccess = status >= 200 && status < 300;
-  if (!isSuccess) {
+  if (!isSuccess(status)) {
     crashes.recordCompletion(identity);
   } else if (framing === ResponseFraming.connectionEnd) {
     crashes.recordUnframedSuccess(identity, connection);
@@ -160,3 +162,7 @@
     crashes.recordSuccess(identity);
   }
 }
+
+function isSuccess(status: number): boolean {
+  return status >= 200 && status < 300;
+}
--- a/packages/shedding/load_shedder_test.ts
+++ b/packages/shedding/load_shedder_test.ts
@@ -126,6 +126,27 @@
 
 // Guards against shares by sums that are out of date: of a lost replica, over a
 // cut link, or of a restarted entry, which knows no demand.
+// Guards against refusals in favour of ranks that nobody asks for, once
+// estimates were too low.
+test("a rank that is alone in demand is decided as before", () => {
+  const shedder = createShedder();
+  const { service } = offerOf();
+  for (let now = 0; now < 1000; now += 10) {
+    shedder.recordFirstToken({ service, expected: 0, took: 900 }, now);
+  }
+  for (let waiting = 0; waiting <= 1000; waiting += 10) {
+    const offer = offerOf({ waiting });
+    const isOverloaded = overloadRetryDelay({
+      waiting,
+      prefillTime: offer.prefillTime,
+      objective: offer.objectiveLeft,
+      isPrefillSpeedKnown: true,
+    }) !== undefined;
+    expect(shedder.decide(offer, 1000 + waiting).kind)
+      .toBe(isOverloaded ? "refused" : "admitted");
+  }
+});
+
 test("sums over all entries count for 2 s", () => {
   const refusedAt = (now: number, totals?: DemandReport) => {
     const shedder = createShedder([RANKS[0]!]);
--- a/packages/shedding/service_demand.ts
+++ b/packages/shedding/service_demand.ts
@@ -96,13 +96,13 @@
 
   /**
    * Time by which estimates are too low, beyond the overhead that counts in any
-   * case; 0 where ranks don't compete, as those are decided as before.
+   * case; 0 while no other rank competes, as that is decided as before.
    */
   ownErrorMargin(
-    { objectiveLeft }: Pick<Offer, "objectiveLeft">,
+    { objectiveLeft, priority }: Pick<Offer, "objectiveLeft" | "priority">,
     now: Milliseconds,
   ): Milliseconds {
-    if (this.objectives.size <= 1) {
+    if (!this.#hasOtherRanks(priority, now)) {
       return 0;
     }
     const error = Math.min(
@@ -112,6 +112,16 @@
     return Math.max(0, error - sheddingTimes.firstTokenOverhead);
   }
 
+  /** Whether there is demand at another rank. */
+  #hasOtherRanks(priority: number, now: Milliseconds): boolean {
+    for (const other of this.objectives.keys()) {
+      if (other !== priority && this.sums(other, now).asked > 0) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Whether requests of different ranks or workspaces compete. */
   isShared(now: Milliseconds): boolean {
     if (this.objectives.size > 1) {
