Load shedding: ranks below the lowest priority are one rank

Cause: requests have priorities up to 9, while the ranks of the configuration weren't limited, so that routes of 9 and 12 counted as two. Found in review.

Change: both use one limit.

--- a/apps/heroncleatd/gateway/priority_of.ts
+++ b/apps/heroncleatd/gateway/priority_of.ts
@@ -1,8 +1,6 @@
+import { LOWEST_PRIORITY } from "@heroncleat/serving";
 import type { CallerRequest } from "./caller_request.ts";
 
-/** Lowest priority that an engine's scheduler knows. */
-const LOWEST_PRIORITY = 9;
-
 /** Priority of a request, from 0 (most urgent) to 9. */
 export function priorityOf(request: CallerRequest): number {
   const { workspace, route } = request;
--- a/packages/serving/list_service_ranks.ts
+++ b/packages/serving/list_service_ranks.ts
@@ -1,4 +1,5 @@
 import type { ServiceRank } from "@heroncleat/shedding";
+import { LOWEST_PRIORITY } from "./lowest_priority.ts";
 import { RouteKind } from "./route_kind.ts";
 import type { ServingDocument } from "./serving_document.ts";
 
@@ -21,7 +22,11 @@
     const objective = route.latencyObjective;
     for (const { service } of route.targets) {
       for (const priority of new Set([route.priority, ...overrides])) {
-        ranks.push({ service, priority, objective });
+        ranks.push({
+          service,
+          priority: Math.min(LOWEST_PRIORITY, priority),
+          objective,
+        });
       }
     }
   }
--- a/packages/serving/mod.ts
+++ b/packages/serving/mod.ts
@@ -51,6 +51,7 @@
 export type { ClassDemand } from "./class_demand.ts";
 export type { RequestClass } from "./request_class.ts";
 export { RestObservations } from "./rest_observations.ts";
+export { LOWEST_PRIORITY } from "./lowest_priority.ts";
 export { listServiceRanks } from "./list_service_ranks.ts";
 export { ReturnTimes } from "./return_times.ts";
 export { SendPermits } from "./send_permits.ts";
