Gateway: an upstream isn't avoided for bytes that all responses hold

Cause: the response that holds the most is given up beyond 20 MB in all, and its upstream was avoided for 1.5 s though the sum says nothing about it.

Change: only limits of the response itself make its upstream avoided.

--- a/apps/heroncleatd/gateway/attempts/watch_limits.ts
+++ b/apps/heroncleatd/gateway/attempts/watch_limits.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from "node:http";
 import { EndlessBytes } from "../../common/endless_bytes.ts";
+import { EndlessShape } from "../../common/endless_shape.ts";
 import { reportEndless } from "../../common/report_endless.ts";
 import type { CallerRequest } from "../caller_request.ts";
 import type { ForwardContext } from "../forward_context.ts";
@@ -34,7 +35,10 @@
   const onError = (error: Error) => {
     if (error instanceof EndlessBytes) {
       report(error);
-      onExceeded();
+      // The sum over all responses says nothing about this upstream.
+      if (error.shape !== EndlessShape.held) {
+        onExceeded();
+      }
     }
   };
   if (message?.errored) {
