--- a/packages/serving/simulated_drains_test.ts
+++ b/packages/serving/simulated_drains_test.ts
@@ -45,7 +45,8 @@
 // Guards against requests that reach upstreams after their drain timeout, now
 // that streams go on there.
 test.each([
-  ["12 entries", FEW, 12],
+  // Twelve seeds alone give between 0.92 and 0.99.
+  ["12 entries", FEW, 48],
   ["81 entries", { ...FEW, entries: 81, upstreamsPerVersion: 20 }, 1],
   ["200 entries", {
     entries: 200,
