Load balancing: the bound on the cost of a cached prefix is taken back

Change: upstreams that aren't preferred cost 15 and 40 ms again. The test that single-part prompts are spread stays.

--- a/packages/serving/balancer_costs.ts
+++ b/packages/serving/balancer_costs.ts
@@ -12,10 +12,4 @@
   readonly slotWait: (queue: SlotQueue) => Milliseconds;
   /** Cost of a queue beyond that time. */
   readonly queueCost: (queue: SlotQueue) => Milliseconds;
-  /**
-   * Maximum cost of an upstream that isn't preferred for a cached prefix.
-   *
-   * @param prefillTime Time to prefill the shared parts of the prompt there.
-   */
-  readonly placementLimit: (prefillTime: Milliseconds) => Milliseconds;
 };
--- a/packages/serving/estimated_costs.ts
+++ b/packages/serving/estimated_costs.ts
@@ -3,9 +3,4 @@
 import { slotWait } from "./slot_wait.ts";
 
 /** Costs in milliseconds of callers' time, from what was learned. @public */
-export const estimatedCosts: BalancerCosts = {
-  slotWait,
-  queueCost,
-  // A caller doesn't wait for a cached prefix for longer than it saves.
-  placementLimit: (prefillTime) => prefillTime,
-};
+export const estimatedCosts: BalancerCosts = { slotWait, queueCost };
--- a/packages/serving/fixed_costs.ts
+++ b/packages/serving/fixed_costs.ts
@@ -14,5 +14,4 @@
   slotWait: () => 0,
   queueCost: ({ requests, slots }) =>
     Math.max(0, requests + 1 - slots) * QUEUED_REQUEST_COST,
-  placementLimit: () => Infinity,
 };
--- a/packages/serving/preferred_upstreams.ts
+++ b/packages/serving/preferred_upstreams.ts
@@ -2,9 +2,9 @@
 import { hashToUnit } from "./hash_to_unit.ts";
 import type { KnownUpstream } from "./known_upstream.ts";
 
-/** Maximum cost of the second preferred upstream over the first. */
+/** Cost of the second preferred upstream over the first. */
 const SECOND_CHOICE_COST: Milliseconds = 15;
-/** Maximum cost of any other upstream over the first preferred one. */
+/** Cost of any other upstream over the first preferred one. */
 const NON_PREFERRED_COST: Milliseconds = 40;
 
 /**
@@ -15,21 +15,9 @@
  */
 export class PreferredUpstreams {
   readonly #preferred: readonly string[];
-  readonly #maxCost: Milliseconds;
 
-  /**
-   * @param part The last shared part; undefined if there is none.
-   * @param options.maxCost Maximum cost of an upstream that isn't preferred.
-   */
-  constructor(
-    part: string | undefined,
-    { upstreams, maxCost }: {
-      readonly upstreams: readonly KnownUpstream[];
-      readonly maxCost: Milliseconds;
-    },
-  ) {
+  constructor(part: string | undefined, upstreams: readonly KnownUpstream[]) {
     this.#preferred = part === undefined ? [] : findLowestTwo(part, upstreams);
-    this.#maxCost = maxCost;
   }
 
   /**
@@ -39,10 +27,9 @@
     if (this.#preferred.length === 0 || upstream === this.#preferred[0]) {
       return 0;
     }
-    const cost = upstream === this.#preferred[1]
+    return upstream === this.#preferred[1]
       ? SECOND_CHOICE_COST
       : NON_PREFERRED_COST;
-    return Math.min(cost, this.#maxCost);
   }
 }
 
--- a/packages/serving/upstream_balancer.ts
+++ b/packages/serving/upstream_balancer.ts
@@ -294,12 +294,7 @@
       sources: this.#findSources(allUpstreams, options),
       preferredUpstreams: new PreferredUpstreams(
         lastSharedPart(options.request),
-        {
-          upstreams: eligible,
-          maxCost: this.#costs.placementLimit(
-            this.#sharedPrefillTime(options.request),
-          ),
-        },
+        eligible,
       ),
     };
     return eligible.map((upstream) => this.#evaluate(upstream, evaluation));
@@ -375,18 +370,6 @@
     };
   }
 
-  /** Time to prefill the shared parts of a prompt on the service's engines. */
-  #sharedPrefillTime({ parts, service }: BalancedRequest): Milliseconds {
-    // See `lastSharedPart`.
-    const shared = parts.length > 1 ? parts.slice(0, -1) : parts;
-    let tokens = 0;
-    for (const part of shared) {
-      tokens += part.tokens;
-    }
-    const { multiple } = this.prefillSpeeds.forService(service);
-    return prefillTime(tokens, 0) * multiple;
-  }
-
   /** Upstreams that should have cached the last shared part. */
   #findSources(
     upstreams: readonly KnownUpstream[],
