--- a/review/common/harness.mjs
+++ b/review/common/harness.mjs
@@ -287,6 +287,8 @@
   isStopped = false;
   /** Processes that ended by themselves. */
   ownEnds = [];
+  /** Other processes that a case started. */
+  children = [];
   /** Machines that were taken away. */
   lost = [];
   /** Calls that the platform got, in order. */
@@ -360,6 +362,9 @@
   /** Ends all processes that were started and removes the temporary folder. */
   async stop() {
     this.isStopped = true;
+    for (const child of this.children) {
+      child.kill("SIGKILL");
+    }
     for (const machine of [...this.machines, ...this.lost]) {
       for (const [role, started] of machine.processes) {
         started.isExpectedToEnd = true;
