--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -2,7 +2,7 @@
  * A configuration has grown and changed many times. Then three machines of the
  * core lose their disks, one after the other. See claim.txt.
  */
-import { dirname } from "node:path";
+import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { createLargeConfig } from "../common/large_config.mjs";
 import {
@@ -10,12 +10,16 @@
   COULD_NOT_RUN,
   Deployment,
   HELD,
-  isDisturbed,
   Operator,
   pause,
   runCase,
 } from "../common/harness.mjs";
 
+const FOLDER = dirname(fileURLToPath(import.meta.url));
+const RECORD = join(FOLDER, "record.txt");
+/** With TROUBLE=0 the case does the same without its disruption. */
+const isDisturbed = process.env.TROUBLE !== "0";
+
 /** `big_config`: count = 350, three times. */
 const GROWTHS = 3;
 const GROWTH = 350;
@@ -94,4 +98,4 @@
   return read === undefined || read.version < acknowledged ? BROKEN : HELD;
 }
 
-await runCase(dirname(fileURLToPath(import.meta.url)), play);
+await runCase(play, { record: RECORD, isDisturbed });
--- a/review/common/harness.mjs
+++ b/review/common/harness.mjs
@@ -26,20 +26,18 @@
 export const BROKEN = 1;
 export const COULD_NOT_RUN = 2;
 
-export const isDisturbed = process.env.TROUBLE !== "0";
-
 export function pause(milliseconds) {
   return new Promise((done) => setTimeout(done, milliseconds));
 }
 
-/** Writes `record.txt` beside the script of a case. */
+/** The record of a run: what was sent, answered and run. */
 export class CaseRecord {
   #path;
   #startedAt = performance.now();
 
-  constructor(folder) {
-    this.#path = join(folder, "record.txt");
-    writeFileSync(this.#path, "");
+  constructor(path, isDisturbed) {
+    this.#path = path;
+    writeFileSync(path, "");
     this.write(`disruption: ${isDisturbed ? "yes" : "no"}`);
   }
 
@@ -503,9 +501,14 @@
   };
 }
 
-/** Runs a case and exits with its result. */
-export async function runCase(folder, play) {
-  const record = new CaseRecord(folder);
+/**
+ * Runs a case and exits with its result.
+ *
+ * @param options.record Path of the file to write the record to.
+ * @param options.isDisturbed Whether the case makes its disruption.
+ */
+export async function runCase(play, { record: path, isDisturbed }) {
+  const record = new CaseRecord(path, isDisturbed);
   let deployment;
   let code = COULD_NOT_RUN;
   const onEnd = (created) => deployment = created;
