Streams: an entry that is out of date doesn't resume at the earlier version

What callers saw: a stream that had begun at a version which had just joined broke, was resumed at an entry that hadn't heard of that version, and went on at the earlier one, with nothing in the answer to show it.

Cause: the only version that an entry knew counted as certain while the primary had replied within 1 s. A reply counted from its arrival, so that its list could be 1.8 s old; and the 1.5 s for which a new version is held back don't hold at an entry that has just started, nor where no other upstream has room. Entries that were asked vouched by the same rule.

Change: all replicas must reply to a request that was sent after the caller came. Streams share these exchanges, one each 20 ms at most (80 ms with many entries). Without the replies the stream is searched for.

The test of the exchange failed before: the stream was found at the version of the outdated list.

--- a/apps/heroncleatd/gateway/exchange/control_link.ts
+++ b/apps/heroncleatd/gateway/exchange/control_link.ts
@@ -14,6 +14,8 @@
   followed: FollowedShares;
   receivedAt: Milliseconds;
   requestedAt: Milliseconds;
+  /** When the exchange of the last reply began; the reply is no older. */
+  currentAt: Milliseconds;
   /** Whether the last exchange failed. */
   hasFailed: boolean;
   isLeading: boolean;
--- a/apps/heroncleatd/gateway/exchange/control_links.ts
+++ b/apps/heroncleatd/gateway/exchange/control_links.ts
@@ -15,6 +15,7 @@
 import { exchangeSchedule } from "./exchange_schedule.ts";
 import type { FeedPosition } from "./feed_position.ts";
 import { applyEntryList } from "./apply_entry_list.ts";
+import { ViewConfirmation } from "./view_confirmation.ts";
 
 const SYNC_TIMEOUT: Milliseconds = 800;
 /**
@@ -22,11 +23,6 @@
  * dropped.
  */
 const FORGET_TIMEOUT: Milliseconds = 20_000;
-/**
- * Age of the primary's last reply up to which an entry knows all versions in
- * use: less than the time for which entries hold back a version that is new.
- */
-const CURRENT_TIMEOUT: Milliseconds = 1000;
 /** Longest time that a caller's request waits for an exchange. */
 const REFRESH_TIMEOUT: Milliseconds = 100;
 /**
@@ -79,9 +75,17 @@
   #timer: NodeJS.Timeout | undefined;
   #wasIsolated = false;
   #isStopped = false;
+  readonly #confirmation: ViewConfirmation;
 
   constructor(options: LinkOptions) {
     this.#options = options;
+    this.#confirmation = new ViewConfirmation({
+      clock: options.clock,
+      links: () => this.#links.values(),
+      mayBeCurrent: () => exchangeSchedule.mayBeCurrent(this.#view()),
+      exchangeWithAll: () => this.reportToAll(),
+      pause: () => exchangeInterval.confirmation(this.#entryCount),
+    });
   }
 
   start(): void {
@@ -91,6 +95,7 @@
   stop(): void {
     this.#isStopped = true;
     clearTimeout(this.#timer);
+    this.#confirmation.stop();
   }
 
   /** Starts an exchange with every replica, also where one is in flight. */
@@ -166,15 +171,11 @@
   }
 
   /**
-   * Whether all replicas are reachable and the primary has replied so recently
-   * that no version is in use that this entry hasn't heard of.
+   * Whether all replicas reply to requests that are sent from now on, so that
+   * this entry has heard of all versions that were in use by now.
    */
-  get isCurrent(): boolean {
-    const view = this.#view();
-    const primary = this.#links.get(this.#primary);
-    return primary !== undefined &&
-      view.now - primary.receivedAt < CURRENT_TIMEOUT &&
-      exchangeSchedule.isUndivided(view);
+  confirmCurrent(): Promise<boolean> {
+    return this.#confirmation.confirm();
   }
 
   /** host:port of the replicas that have replied. */
@@ -243,7 +244,7 @@
 
   #view() {
     return {
-      links: this.#links.values(),
+      links: this.#listLinks(),
       primary: this.#primary,
       now: this.#options.clock.steady(),
     };
@@ -427,6 +428,8 @@
         : 0;
       this.#applyReply(link, { reply, requestedAt });
       link.hasFailed = false;
+      link.currentAt = requestedAt;
+      this.#confirmation.recordExchange();
     } catch (error) {
       this.#options.log.error("Can't apply the reply of a control replica", {
         address: link.address,
@@ -484,6 +487,7 @@
     link.hasFailed = true;
     link.report.handleFailure();
     this.#choosePrimary();
+    this.#confirmation.recordExchange();
   }
 
   #applyReply(
--- a/apps/heroncleatd/gateway/exchange/control_links_test.ts
+++ b/apps/heroncleatd/gateway/exchange/control_links_test.ts
@@ -369,3 +369,52 @@
     expect(await exchanges.measureRate(10)).toBeLessThan(6.6);
   });
 });
+
+// Guards against an entry that takes itself for current by replies that were
+// requested before a version joined.
+test.each([
+  ["all replicas reply", {}, true],
+  ["a reply is held up", { "b:1": 500 }, false],
+  ["the primary's reply is held up", { "a:1": 500 }, false],
+])(
+  "an entry is current only by replies to later requests: %s",
+  async (_name, heldUp: Record<string, number>, expected) => {
+    let now = 0;
+    let isHeldUp = false;
+    const run = async (milliseconds: number) => {
+      for (let passed = 0; passed < milliseconds; passed += 10) {
+        now += 10;
+        await jest.advanceTimersByTimeAsync(10);
+      }
+    };
+    const links = new ControlLinks({
+      pool: {
+        call: async (address: string) => {
+          const delay = isHeldUp ? heldUp[address] ?? 0 : 0;
+          await new Promise((resolve) => setTimeout(resolve, delay));
+          return {
+            ...replyOf(address, ["a:1", "b:1"]),
+            isLeading: address === "a:1",
+          };
+        },
+      } as unknown as PeerPool,
+      clock: { now: () => now, steady: () => now, wall: () => now } as never,
+      log: silentLog,
+      seeds: () => ["a:1", "b:1"],
+      createRequest: () => ({}) as never,
+      onReply: () => {},
+      onFollow: () => {},
+      suspectRevision: () => 0,
+      isAwaitingConfiguration: () => false,
+      random: () => 0.5,
+      onIsolated: () => {},
+    });
+    links.start();
+    await run(1000);
+    isHeldUp = true;
+    const confirmed = links.confirmCurrent();
+    await run(300);
+    expect(await confirmed).toBe(expected);
+    links.stop();
+  },
+);
--- a/apps/heroncleatd/gateway/exchange/create_control_link.ts
+++ b/apps/heroncleatd/gateway/exchange/create_control_link.ts
@@ -14,6 +14,7 @@
     followed: {},
     receivedAt: -Infinity,
     requestedAt: -Infinity,
+    currentAt: -Infinity,
     hasFailed: false,
     isLeading: false,
     isPrimary: false,
--- a/apps/heroncleatd/gateway/exchange/exchange_schedule.ts
+++ b/apps/heroncleatd/gateway/exchange/exchange_schedule.ts
@@ -4,6 +4,8 @@
 
 /** Time without a reply after which a replica counts as unreachable. */
 const UNREACHABLE_TIMEOUT: Milliseconds = 1500;
+/** Age of the primary's last reply up to which an entry may be current. */
+const CURRENT_TIMEOUT: Milliseconds = 1000;
 /** Intervals without a report after which an entry counts as unresponsive. */
 const TIMEOUT_INTERVALS = 1.5;
 
@@ -57,6 +59,19 @@
     return true;
   },
 
+  /**
+   * Whether all replicas are reachable, and the primary's last reply isn't old.
+   */
+  mayBeCurrent(view: LinkView): boolean {
+    for (const { address, currentAt } of view.links) {
+      if (address === view.primary) {
+        return view.now - currentAt < CURRENT_TIMEOUT &&
+          exchangeSchedule.isUndivided(view);
+      }
+    }
+    return false;
+  },
+
   /** Largest number of entries that report to one reachable replica. */
   countEntries({ links, primary, now }: LinkView): number {
     let count = 0;
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -296,7 +296,7 @@
       clock,
       metrics: options.metrics,
       possibleOrigins: this.#possibleOrigins,
-      isCurrent: () => this.#links.isCurrent,
+      confirmCurrent: () => this.#links.confirmCurrent(),
       isRolledOut: (service) => this.#rollouts.isInProgress(service),
       findRoute: (name) => this.#routeTable?.findRouteNamed(name),
       listEntries: () => this.listEntries(),
--- a/apps/heroncleatd/gateway/streams/stream_origin_exchange.ts
+++ b/apps/heroncleatd/gateway/streams/stream_origin_exchange.ts
@@ -49,8 +49,8 @@
   readonly clock: Pick<Clock, "steady">;
   readonly metrics: Metrics;
   readonly possibleOrigins: PossibleOrigins;
-  /** Whether this entry knows all versions that are in use. */
-  readonly isCurrent: () => boolean;
+  /** Finds out whether this entry knows all versions in use by now. */
+  readonly confirmCurrent: () => Promise<boolean>;
   /** Whether versions of a service are being rolled out. */
   readonly isRolledOut: (service: string) => boolean;
   readonly findRoute: (name: string) => Route | undefined;
@@ -125,15 +125,15 @@
    * @param stream See `streamKey`; empty if the caller doesn't name the stream.
    */
   async find(stream: string, route: Route): Promise<OriginSearchResult> {
-    const { clock, entry, isCurrent } = this.#options;
+    const { clock, entry } = this.#options;
     const now = clock.steady();
     const known = this.#origins.get(stream, now);
     if (known !== undefined) {
       const age = now - known.begunAt;
       return { kind: "found", origin: known.origin, by: entry, age };
     }
-    const only = this.#onlyOrigin(route);
-    if (only !== undefined && isCurrent()) {
+    const only = await this.#findCertainOrigin(route);
+    if (only !== undefined) {
       return { kind: "found", origin: only, by: entry, age: 0 };
     }
     if (this.#searches.size >= MAX_SEARCHES) {
@@ -155,7 +155,7 @@
     if (notice.kind === "stream_origins") {
       this.#hold(notice);
     } else if (notice.kind === "stream_origin_query") {
-      this.#answer(notice, host);
+      void this.#answer(notice, host);
     } else {
       this.#receiveReply(notice);
     }
@@ -264,9 +264,17 @@
     }
   }
 
-  #answer({ query, stream, route }: StreamOriginQuery, host: string): void {
-    const { entry, send } = this.#options;
-    const origin = this.#knownOrigin(stream) ?? this.#certainOrigin(route);
+  async #answer(
+    { query, stream, route: name }: StreamOriginQuery,
+    host: string,
+  ): Promise<void> {
+    const { entry, findRoute, send } = this.#options;
+    const route = findRoute(name);
+    const only = route && this.#knownOrigin(stream) === undefined
+      ? await this.#findCertainOrigin(route)
+      : undefined;
+    const origin = this.#knownOrigin(stream) ??
+      (only && { ...only, age: 0, isOnly: true });
     send({
       kind: "stream_origin_reply",
       entry,
@@ -281,14 +289,21 @@
     return known && { ...known.origin, age: Math.max(0, now - known.begunAt) };
   }
 
-  /** The only possible origin of a route's streams. */
-  #certainOrigin(name: string): StreamOriginReply["origin"] {
-    const { findRoute, isCurrent } = this.#options;
-    const route = findRoute(name);
-    const only = route && this.#onlyOrigin(route);
-    return only !== undefined && isCurrent()
-      ? { ...only, age: 0, isOnly: true }
-      : undefined;
+  /**
+   * The only possible origin of a route's streams. A stream may have begun at a
+   * version that this entry hasn't heard of yet, so the replicas are asked.
+   */
+  async #findCertainOrigin(route: Route): Promise<StreamOrigin | undefined> {
+    const { confirmCurrent, metrics } = this.#options;
+    if (this.#onlyOrigin(route) === undefined) {
+      return undefined;
+    }
+    const isCurrent = await confirmCurrent();
+    const only = isCurrent ? this.#onlyOrigin(route) : undefined;
+    metrics.increment(
+      `stream_origins.${only === undefined ? "unconfirmed" : "confirmed"}`,
+    );
+    return only;
   }
 
   #receiveReply({ query, entry, origin }: StreamOriginReply): void {
--- a/apps/heroncleatd/gateway/streams/stream_origin_exchange_test.ts
+++ b/apps/heroncleatd/gateway/streams/stream_origin_exchange_test.ts
@@ -40,8 +40,18 @@
   }),
 );
 
+type Knowledge = Pick<
+  ConstructorParameters<typeof StreamOriginExchange>[0],
+  "possibleOrigins" | "confirmCurrent"
+>;
+
 /** Exchanges whose datagrams arrive at once, unless they are lost. */
-function connect() {
+function connect(
+  knowledgeOf: () => Knowledge = () => ({
+    possibleOrigins: new PossibleOrigins(),
+    confirmCurrent: () => Promise.resolve(false),
+  }),
+) {
   const isSilent = new Set<number>();
   const reserves: number[] = [];
   const archived = new Map<string, StreamOrigin>();
@@ -50,8 +60,7 @@
       entry: name,
       clock,
       metrics,
-      possibleOrigins: new PossibleOrigins(),
-      isCurrent: () => false,
+      ...knowledgeOf(),
       isRolledOut: () => false,
       findRoute: () => route,
       listEntries: () => entries,
@@ -148,3 +157,38 @@
     kind: "unknown",
   });
 });
+
+/** Knows one version for long; a second one once the replicas are asked. */
+function outdatedKnowledge(): Knowledge {
+  const possibleOrigins = new PossibleOrigins();
+  possibleOrigins.applyRoutes([route], -Infinity);
+  const apply = (versions: string[]) =>
+    possibleOrigins.applyReply("replica", {
+      versions: { desk: versions },
+      isComplete: true,
+    }, clock.steady());
+  apply(["v1"]);
+  return {
+    possibleOrigins,
+    confirmCurrent: () => {
+      apply(["v1", "v2"]);
+      return Promise.resolve(true);
+    },
+  };
+}
+
+// Guards against streams joined from two versions at an entry that hasn't heard
+// of the second one yet.
+test("a stream isn't taken for one of the only version by an outdated list", async () => {
+  const { exchanges, archived } = connect(outdatedKnowledge);
+  expect(await exchanges[0]!.find("s", route)).toMatchObject({
+    kind: "unknown",
+  });
+  const second = { service: "desk", version: "v2" };
+  archived.set("s", second);
+  const [, other] = connect(outdatedKnowledge).exchanges;
+  expect(await other!.find("s", route)).not.toMatchObject({ origin });
+  expect(await exchanges[0]!.find("s", route)).toMatchObject({
+    origin: second,
+  });
+});
--- a/packages/serving/exchange_interval.ts
+++ b/packages/serving/exchange_interval.ts
@@ -34,6 +34,10 @@
  */
 const INITIAL_INTERVAL: Milliseconds = 50;
 const CHECKS_PER_FULL_INTERVAL = 3;
+/** Pause between exchanges that confirm an entry's view, for few entries. */
+const CONFIRMATION_PAUSE: Milliseconds = 20;
+/** Upper bound of that pause; callers wait for it. */
+const MAX_CONFIRMATION_PAUSE: Milliseconds = 80;
 
 /**
  * Intervals between the exchanges of an entry with one control replica, by the
@@ -76,6 +80,11 @@
     return scaleToEntries(INITIAL_INTERVAL, entries);
   },
 
+  /** Of exchanges with all replicas that callers wait for, at least. */
+  confirmation(entries: number): Milliseconds {
+    return scaleToEntries(CONFIRMATION_PAUSE, entries, MAX_CONFIRMATION_PAUSE);
+  },
+
   /** Of checks for exchanges that are due; each check wakes the process up. */
   check(entries: number): Milliseconds {
     return scaleToEntries(FULL_INTERVAL, entries) / CHECKS_PER_FULL_INTERVAL;
--- a/packages/serving/origin_policy.ts
+++ b/packages/serving/origin_policy.ts
@@ -10,6 +10,11 @@
   readonly hasReserve: boolean;
   /** Whether holders are asked, then the others, or nobody. */
   readonly asks: "holders" | "all" | "nobody";
+  /**
+   * What shows an entry that it knows all versions: a reply that arrived lately,
+   * one that was requested lately, or one that is requested from now on.
+   */
+  readonly currentBy: "arrival" | "request" | "confirmation";
   /**
    * Whether an unknown origin is computed from the stream's identifier and the
    * versions that the entry knows of, rather than refused.
--- a/packages/serving/origin_report.ts
+++ b/packages/serving/origin_report.ts
@@ -21,6 +21,8 @@
   lateMessages: number;
   /** Messages that weren't sent beyond the rate limit. */
   overBudget: number;
+  /** Exchanges with control replicas for the sake of a resumed stream. */
+  confirmations: number;
   /** Times that searches among other entries took. */
   readonly searchTimes: Milliseconds[];
 };
--- a/packages/serving/origin_scenario.ts
+++ b/packages/serving/origin_scenario.ts
@@ -25,4 +25,13 @@
   readonly hasLossBursts?: boolean;
   /** Attempts a second to resume streams that never began. */
   readonly inventedPerSecond?: number;
+  /**
+   * When a second version joins the one that was alone, as some entries have
+   * just restarted. Streams are short, and begin from shortly before on.
+   */
+  readonly joinsAt?: Milliseconds;
+  /** Longest time for which a control replica's reply is held up. */
+  readonly maxReplyDelay?: Milliseconds;
+  /** Streams that begin in a second. */
+  readonly beginsPerSecond?: number;
 };
--- a/packages/serving/simulated_origin_entry.ts
+++ b/packages/serving/simulated_origin_entry.ts
@@ -13,7 +13,9 @@
   /** When each version was first heard of. */
   readonly versions: Map<string, Milliseconds>;
   syncedRevision: number;
+  /** When the last reply of the replica arrived, and was requested. */
   syncedAt: Milliseconds;
+  requestedAt: Milliseconds;
   /** Until when neither the replica nor other entries are reached. */
   cutUntil: Milliseconds;
   /** Until when all its messages get lost. */
--- a/packages/serving/simulated_origin_exchange.ts
+++ b/packages/serving/simulated_origin_exchange.ts
@@ -9,6 +9,7 @@
 import type { SimulatedEntry } from "./simulated_origin_entry.ts";
 import type { SimulatedOriginArchive } from "./simulated_origin_archive.ts";
 import type { SimulatedOriginNetwork } from "./simulated_origin_network.ts";
+import type { SimulatedReplicaLink } from "./simulated_replica_link.ts";
 import type { StreamOrigin } from "./stream_origin.ts";
 import type { VirtualTime } from "./virtual_time.ts";
 
@@ -22,6 +23,7 @@
   readonly entries: readonly SimulatedEntry[];
   readonly network: SimulatedOriginNetwork;
   readonly archive: SimulatedOriginArchive;
+  readonly link: SimulatedReplicaLink;
   readonly time: VirtualTime;
 };
 
@@ -41,8 +43,26 @@
     return entry.possible.only(this.#options.route, this.#options.time.now);
   }
 
-  #isCurrent(entry: SimulatedEntry): boolean {
-    return this.#options.time.now - entry.syncedAt < CURRENT_TIMEOUT;
+  /** Finds the only possible origin, if the entry knows all versions. */
+  #findCertain(
+    entry: SimulatedEntry,
+    done: (origin: StreamOrigin | undefined) => void,
+  ): void {
+    const { policy, time, link } = this.#options;
+    const knownAt = policy.currentBy === "arrival"
+      ? entry.syncedAt
+      : entry.requestedAt;
+    if (
+      this.#only(entry) === undefined || time.now - knownAt >= CURRENT_TIMEOUT
+    ) {
+      done(undefined);
+    } else if (policy.currentBy === "confirmation") {
+      link.confirm(entry, (isConfirmed) => {
+        done(isConfirmed ? this.#only(entry) : undefined);
+      });
+    } else {
+      done(this.#only(entry));
+    }
   }
 
   /** Records where a stream began, and tells the holders if need be. */
@@ -113,14 +133,19 @@
     done: (result: OriginSearchResult) => void,
   ): void {
     const own = entry.origins.get(stream, this.#options.time.now);
-    const only = this.#isCurrent(entry) ? this.#only(entry) : undefined;
-    const origin = own?.origin ?? only;
-    if (origin !== undefined) {
-      done({ kind: "found", origin, by: entry.known.name, age: 0 });
-    } else if (this.#options.policy.asks === "nobody") {
-      done({ kind: "unknown", unanswered: 0 });
+    const finish = (origin: StreamOrigin | undefined) => {
+      if (origin !== undefined) {
+        done({ kind: "found", origin, by: entry.known.name, age: 0 });
+      } else if (this.#options.policy.asks === "nobody") {
+        done({ kind: "unknown", unanswered: 0 });
+      } else {
+        this.#searchEverywhere(entry, stream, done);
+      }
+    };
+    if (own === undefined) {
+      this.#findCertain(entry, finish);
     } else {
-      this.#searchEverywhere(entry, stream, done);
+      finish(own.origin);
     }
   }
 
@@ -190,19 +215,23 @@
       reserve: this.#reserve(search.isHolder(name) ? "holder" : "other"),
       deliver: (asked) => {
         const known = asked.origins.get(stream, this.#options.time.now);
-        const only = this.#isCurrent(asked) ? this.#only(asked) : undefined;
-        const origin = known?.origin ?? only;
-        this.#options.network.send(asked, {
-          to: entry.known.name,
-          reserve: this.#reserve(origin === undefined ? "holder" : "origin"),
-          deliver: () => {
-            search.recordAnswer(
-              name,
-              origin && { origin, age: 0, isOnly: known === undefined },
-            );
-            advance();
-          },
-        });
+        const reply = (origin: StreamOrigin | undefined) =>
+          this.#options.network.send(asked, {
+            to: entry.known.name,
+            reserve: this.#reserve(origin === undefined ? "holder" : "origin"),
+            deliver: () => {
+              search.recordAnswer(
+                name,
+                origin && { origin, age: 0, isOnly: known === undefined },
+              );
+              advance();
+            },
+          });
+        if (known === undefined) {
+          this.#findCertain(asked, reply);
+        } else {
+          reply(known.origin);
+        }
       },
     });
   }
--- a/packages/serving/simulated_origin_faults.ts
+++ b/packages/serving/simulated_origin_faults.ts
@@ -4,6 +4,8 @@
 import type { SimulatedOriginArchive } from "./simulated_origin_archive.ts";
 import type { VirtualTime } from "./virtual_time.ts";
 
+/** Share of the entries that restart as a version joins. */
+const RESTARTED_SHARE = 0.15;
 /** Times between faults of a kind, on average. */
 const ENTRY_FAULT_INTERVAL: Milliseconds = 15_000;
 const KILL_INTERVAL: Milliseconds = 15_000;
@@ -67,6 +69,15 @@
     }
   }
 
+  /** Replaces the processes of some entries without a downtime. */
+  restartSome(): void {
+    const { entries } = this.#options;
+    const count = Math.ceil(entries.length * RESTARTED_SHARE);
+    for (let index = 0; index < count; index += 1) {
+      this.#kill(index, 0);
+    }
+  }
+
   #disturbOne(): void {
     const { time, random, entries } = this.#options;
     const index = Math.floor(random() * entries.length);
--- a/packages/serving/simulated_origins.ts
+++ b/packages/serving/simulated_origins.ts
@@ -12,11 +12,11 @@
 import { SimulatedOriginFaults } from "./simulated_origin_faults.ts";
 import { SimulatedOriginNetwork } from "./simulated_origin_network.ts";
 import { SimulatedOriginVersions } from "./simulated_origin_versions.ts";
+import { SimulatedReplicaLink } from "./simulated_replica_link.ts";
 import { StreamOrigins } from "./stream_origins.ts";
 import { VirtualTime } from "./virtual_time.ts";
 
 const SERVICE = "desk";
-const REPLICA = "replica";
 const REPLICA_COUNT = 5;
 const ZONE_COUNT = 4;
 /** Pause of a caller that reaches no entry. */
@@ -25,7 +25,11 @@
 /** As at entries: time for which a version that is new is held back. */
 const NEW_VERSION_HOLD: Milliseconds = 1500;
 const BREAK_SHARE = 0.3;
-const STREAM_PAUSE: Milliseconds = 100;
+const BEGINS_PER_SECOND = 10;
+/** Time before a version joins from which on streams begin. */
+const JOIN_LEAD: Milliseconds = 2000;
+/** Longest time that streams take beside a version that joins. */
+const SHORT_STREAM_TIME: Milliseconds = 300;
 /** Time at which versions appear, on average. */
 const VERSION_INTERVAL: Milliseconds = 40_000;
 
@@ -64,6 +68,7 @@
   readonly #entries: SimulatedEntry[] = [];
   readonly #time: VirtualTime;
   readonly #versions: SimulatedOriginVersions;
+  readonly #link: SimulatedReplicaLink;
   readonly #exchange: SimulatedOriginExchange;
   readonly #faults: SimulatedOriginFaults;
   readonly #attempts = new Set<Attempt>();
@@ -79,6 +84,7 @@
     stored: 0,
     lateMessages: 0,
     overBudget: 0,
+    confirmations: 0,
     searchTimes: [],
   };
   #streamCount = 0;
@@ -106,8 +112,17 @@
       replicaCount: REPLICA_COUNT,
       copies: policy.replicaCopies,
     });
+    this.#link = new SimulatedReplicaLink({
+      time,
+      random,
+      versions: this.#versions,
+      report,
+      maxReplyDelay: scenario.maxReplyDelay,
+      onReply: (entry) => this.#exchange.shareNewlyAmbiguous(entry),
+    });
     this.#exchange = new SimulatedOriginExchange({
       policy,
+      link: this.#link,
       archive,
       route: ROUTE,
       entries,
@@ -128,16 +143,32 @@
   }
 
   run(): OriginReport {
-    const { duration, changesVersions, inventedPerSecond = 0 } = this.#scenario;
+    const {
+      duration,
+      changesVersions,
+      joinsAt,
+      beginsPerSecond = BEGINS_PER_SECOND,
+      inventedPerSecond = 0,
+    } = this.#scenario;
     this.#versions.start();
     this.#versions.sweep();
     for (const index of this.#entries.keys()) {
       this.#sync(index);
     }
-    this.#time.repeat(STREAM_PAUSE, () => this.#beginStream());
+    this.#time.schedule(
+      joinsAt === undefined ? 0 : joinsAt - JOIN_LEAD,
+      () =>
+        this.#time.repeat(1000 / beginsPerSecond, () => this.#beginStream()),
+    );
     if (changesVersions) {
       this.#time.repeat(VERSION_INTERVAL, () => this.#versions.change());
     }
+    if (joinsAt !== undefined) {
+      this.#time.schedule(joinsAt, () => {
+        this.#faults.restartSome();
+        this.#versions.start();
+      });
+    }
     this.#faults.start(this.#scenario);
     if (inventedPerSecond > 0) {
       this.#time.repeat(1000 / inventedPerSecond, () => this.#resumeInvented());
@@ -162,6 +193,7 @@
       versions: new Map(),
       syncedRevision: 0,
       syncedAt: -Infinity,
+      requestedAt: -Infinity,
       cutUntil: 0,
       losesUntil: 0,
       avoidedUntil: 0,
@@ -173,14 +205,7 @@
     const entry = this.#entries[index]!;
     const now = this.#time.now;
     if (entry.isRunning && entry.cutUntil <= now) {
-      const versions = this.#versions.since(entry.syncedRevision);
-      entry.possible.applyReply(REPLICA, versions, now);
-      entry.syncedRevision = this.#versions.revision;
-      entry.syncedAt = now;
-      for (const version of this.#versions.list()) {
-        entry.versions.set(version, entry.versions.get(version) ?? now);
-      }
-      this.#exchange.shareNewlyAmbiguous(entry);
+      this.#link.sync(entry);
     }
     const delay = SYNC_INTERVAL * (0.5 + this.#random() / 2);
     this.#time.schedule(delay, () => this.#sync(index));
@@ -231,7 +256,9 @@
 
   #play(attempt: Attempt, spread: Milliseconds): void {
     this.#attempts.add(attempt);
-    const lasts = 500 + this.#random() * spread;
+    const lasts = this.#scenario.joinsAt === undefined
+      ? 500 + this.#random() * spread
+      : this.#random() * SHORT_STREAM_TIME;
     this.#time.schedule(lasts, () => this.#endAttempt(attempt));
   }
 
--- a/packages/serving/simulated_origins_test.ts
+++ b/packages/serving/simulated_origins_test.ts
@@ -1,3 +1,4 @@
+import { median } from "./median.ts";
 import type { OriginPolicy } from "./origin_policy.ts";
 import { originReplicas } from "./origin_replicas.ts";
 import type { OriginReport } from "./origin_report.ts";
@@ -10,6 +11,7 @@
   replicaCopies: 0,
   asks: "all",
   hasReserve: true,
+  currentBy: "confirmation",
   isComputed: false,
 } as const satisfies OriginPolicy;
 
@@ -31,6 +33,14 @@
 const DURATION_MS = 200_000;
 const FAULT_DURATION_MS = 100_000;
 const MADE_UP_DURATION_MS = 10_000;
+/** One version has been alone for as long as streams last by then. */
+const JOINED_MS = 75_000;
+/** A second version joins while entries restart and replies are held up. */
+const joining: Partial<OriginScenario> = {
+  joinsAt: JOINED_MS,
+  maxReplyDelay: 790,
+  beginsPerSecond: 300,
+};
 const FEW = { entryCount: 12, seeds: 12 };
 const MANY = { entryCount: 200, seeds: 2 };
 
@@ -74,6 +84,9 @@
     wentOn: sum(({ wentOn }) => wentOn) / sum(({ resumed }) => resumed),
     cutWentOn: sum(({ cutWentOn }) => cutWentOn) / sum(({ cut }) => cut),
     begun: sum(({ begun }) => begun) / sum(({ asked }) => asked),
+    searchTime: median(reports.flatMap(({ searchTimes }) => searchTimes)),
+    confirmationsPerStream: sum(({ confirmations }) => confirmations) /
+      sum(({ resumed }) => resumed),
     messagesPerStream: sum(({ messages }) => messages) /
       sum(({ begun }) => begun),
     lateMessages: sum(({ lateMessages }) => lateMessages),
@@ -195,9 +208,37 @@
   });
 });
 
-test("streams cost no message once a service has had one version for long", () => {
+test("streams cost no datagram once a service has had one version for long", () => {
   const calm = { entryCount: 12, seeds: 4, isCalm: true };
   const { lateMessages, wentOn } = play(policies.stored, calm);
   expect(lateMessages).toBe(0);
   expect(wentOn).toBe(1);
 });
+
+describe("streams of a version that joins as entries restart and replies are held up", () => {
+  const joined = (policy: OriginPolicy, scale: Scale) =>
+    play(policy, {
+      ...scale,
+      duration: JOINED_MS + 5000,
+      isCalm: true,
+      faults: joining,
+    });
+
+  // Guards against streams that go on at the earlier version at an entry that
+  // is out of date.
+  test.each([["12 entries", { ...FEW, seeds: 24 }], ["200 entries", MANY]])(
+    "never go on at the earlier one: %s",
+    (_name, scale) => {
+      const { mixed, resumed, wentOn } = joined(policies.stored, scale);
+      expect(mixed).toBe(0);
+      expect(resumed).toBeGreaterThan(1000);
+      expect(wentOn).toBeGreaterThanOrEqual(MIN_RESUMED_SHARE);
+    },
+  );
+
+  test("would do so if entries trusted replies that had just arrived", () => {
+    const trusting = { ...policies.stored, currentBy: "arrival" } as const;
+    const { mixed } = joined(trusting, { ...FEW, seeds: 24 });
+    expect(mixed).toBeGreaterThan(0);
+  });
+});
