A stream without a single event isn't passed on as whole

What callers saw: an upstream that stopped right behind the head of an event stream without a length or chunks, in an orderly way while it still accepted connections or drained, gave callers a 200 with the upstream's digest and an empty body that ended in an orderly way, as a whole one does. Resumable streams weren't tried elsewhere.

Cause: the head was passed on before anything else had arrived, and an orderly end between events counts as the end of the stream unless the upstream refuses connections, also where there was no event yet.

Evidence: raw sockets at both ends. Before, 9 of the cases of `responses/cut_head_test.ts` failed (`Expected 502, Received 200`, and `Expected [200, true], Received [200, false]` for a stream of comments alone, the second value being whether the connection was reset): upstreams that are ready and that drain, a stream that goes on or is resumed, a relayed one. The other cases, heads cut in 13 places, held before.

Why it works: a head without framing is passed on with the first bytes behind it, and an attempt without an event counts as broken off if its connection ends. Streams that may be resumed go on elsewhere, with the head of that upstream; the others get a 502, or a reset if comments were passed on. An empty stream that says where it ends, by a length or a last chunk, is passed on as before.

Checks changed in `responses/broken_off_response_test.ts`: a cut before the first event of such a stream expected a 200 that is reset; it is a 502 now, and the checks ask for that, without anything of the upstream's (3 of them failed on the code before). The random cuts no longer allow an orderly end without an event. Its reader of raw responses moved to `read_raw_response.ts`.

--- a/apps/heroncleatd/gateway/streams/forward_stream.ts
+++ b/apps/heroncleatd/gateway/streams/forward_stream.ts
@@ -8,7 +8,6 @@
 import { breakOffResponse } from "../responses/break_off_response.ts";
 import { describeLack } from "../upstreams/describe_lack.ts";
 import { describeWithholdReason } from "../attempts/describe_withhold_reason.ts";
-import { endWithConnection } from "../../common/end_with_connection.ts";
 import { EndedBy } from "../responses/ended_by.ts";
 import { EventSplitter } from "./event_splitter.ts";
 import { findEndedBy } from "../responses/find_ended_by.ts";
@@ -21,6 +20,7 @@
 import { confirmVersion } from "./confirm_version.ts";
 import { relayBody } from "../responses/relay_body.ts";
 import { relayResponseHeaders } from "../relay/relay_response_headers.ts";
+import { isEventStream } from "./is_event_stream.ts";
 import { limitEvents } from "./limit_events.ts";
 import { mayGoOn } from "../upstreams/may_go_on.ts";
 import { mayOfferAgain } from "../upstreams/may_offer_again.ts";
@@ -28,12 +28,10 @@
 import { ResponseFraming } from "../../common/response_framing.ts";
 import { errorResponse } from "../responses/error_response.ts";
 import { sendRefusal } from "../responses/send_refusal.ts";
+import { sendStreamHead } from "./send_stream_head.ts";
 import { sendUpstreamResponse } from "../responses/send_upstream_response.ts";
 import { unopenedWeight } from "../upstreams/unopened_weight.ts";
 import type { WithholdReason } from "../attempts/withhold_reason.ts";
-import { writeTogether } from "../responses/write_together.ts";
-
-const TEXT_EVENT_STREAM = "text/event-stream";
 
 /**
  * Forwards a request whose response is an event stream. Only complete events
@@ -272,7 +270,7 @@
   }
 
   async #relayResponse(result: AttemptHead): Promise<StreamStep> {
-    if (!isStream(result.message)) {
+    if (!isEventStream(result.message)) {
       return await this.#relayComplete(result);
     }
     const expected = this.#version;
@@ -353,7 +351,12 @@
     });
     let isBound = false;
     let isOtherVersion = false;
-    this.#sendHead(result);
+    let hasEvent = false;
+    const endsWithConnection = framing === ResponseFraming.connectionEnd;
+    // Alone, a head without framing would look like a complete response.
+    if (!endsWithConnection) {
+      this.#sendHead(result);
+    }
     const isComplete = await relayBody(message, {
       response: this.#response,
       transform: (chunk) => {
@@ -372,6 +375,10 @@
           isBound = version !== undefined;
           this.#bindTo(version);
         }
+        if (events !== undefined) {
+          hasEvent ||= events.hasData;
+          this.#sendHead(result);
+        }
         this.#lastEvent = events?.lastId ?? this.#lastEvent;
         if (events?.lastId !== undefined) {
           trace.recordLastEvent(events.lastId);
@@ -390,10 +397,14 @@
     if (!isComplete || splitter.isInsideEvent) {
       return "broken";
     }
+    if (endsWithConnection && !hasEvent) {
+      trace.recordEndedBy(EndedBy.upstream);
+      this.#context.metrics.increment("gateway.streams_ended_without_events");
+      return "broken";
+    }
     // Between events nothing in the stream tells whether it is complete.
-    const isCompletenessUnknown = framing === ResponseFraming.connectionEnd;
     if (
-      isCompletenessUnknown &&
+      endsWithConnection &&
       (this.#response.chunkedEncoding ||
         await hasCrashed())
     ) {
@@ -403,21 +414,11 @@
     return "done";
   }
 
-  #sendHead({ message, framing, version, upstream }: AttemptHead): void {
-    if (this.#response.headersSent) {
-      return;
-    }
-    this.#status = message.statusCode!;
-    writeTogether(this.#response);
-    if (framing === ResponseFraming.connectionEnd) {
-      endWithConnection(this.#response);
+  #sendHead(result: AttemptHead): void {
+    if (!this.#response.headersSent) {
+      this.#status = result.message.statusCode!;
+      sendStreamHead(this.#response, { call: this.#call, result });
     }
-    const headers = [
-      ...forwardHeaders.toCaller(message.rawHeaders),
-      ...relayResponseHeaders(this.#call, { upstream, version: version() }),
-    ];
-    this.#response.writeHead(this.#status, headers);
-    this.#response.flushHeaders();
   }
 
   #mayOfferAgain(): boolean {
@@ -491,9 +492,3 @@
   }
   return step === "broken" ? brokenOutcome(message) : AttemptOutcome.complete;
 }
-
-function isStream(message: IncomingMessage): boolean {
-  const type = message.headers["content-type"] ?? "";
-  const status = message.statusCode ?? 0;
-  return status >= 200 && status < 300 && type.startsWith(TEXT_EVENT_STREAM);
-}
