A 101 from an upstream is a broken response

What callers saw: where an upstream answered `101 Switching Protocols`, which no forwarded request asks for, callers got that head with the upstream's digest as their final response. Where the head had `Connection: Upgrade` and `Upgrade`, they got nothing at all: no answer came within 5 s of a request with a timeout of 200 ms (one trial), and the request stayed in flight.

Cause: Node hands over a 101 that doesn't upgrade as a response, and one that does by the event `upgrade`. Without a listener it closes the connection with no other event, so the attempt never settled, and aborting it at the deadline did nothing.

Evidence: raw sockets at both ends; before, 9 cases of `responses/cut_head_test.ts` failed (`Expected >= 500, Received 101`, and `Received NaN`, as no head came): calls, streams, streams that go on or are resumed, relayed requests, at upstreams that are ready and that drain.

Why it works: `openResponse`, through which both surfaces send, fails the attempt for either kind and closes the connection, as for bytes that are no response: the request may have run.

--- a/apps/heroncleatd/common/open_response.ts
+++ b/apps/heroncleatd/common/open_response.ts
@@ -14,6 +14,8 @@
 import { ResponseFraming } from "./response_framing.ts";
 import type { SentRequest } from "./sent_request.ts";
 
+const SWITCHING_PROTOCOLS = 101;
+
 type RequestOptions = {
   /** host:port */
   readonly address: string;
@@ -83,8 +85,21 @@
         outgoing.end(options.body);
       },
     });
+    // Requests never ask for it, and behind it there is no response.
+    const refuseSwitch = (connection: { destroy(): unknown }): void => {
+      connection.destroy();
+      const error = new Error("an unrequested switch of protocols");
+      const isReused = outgoing.reusedSocket;
+      resolve({ kind: "failed", error, isConnected, isReused });
+    };
+    // Node closes the connection without any other event if nobody listens.
+    outgoing.on("upgrade", (_message, socket) => refuseSwitch(socket));
     let response: IncomingMessage | undefined;
     outgoing.on("response", (message) => {
+      if (message.statusCode === SWITCHING_PROTOCOLS) {
+        refuseSwitch(outgoing);
+        return;
+      }
       response = message;
       if (framingOf(message, method) === ResponseFraming.connectionEnd) {
         readOncePerLoopIteration(message.socket);
--- a/apps/heroncleatd/gateway/responses/cut_head_test.ts
+++ b/apps/heroncleatd/gateway/responses/cut_head_test.ts
@@ -140,6 +140,7 @@
   { isResumable: true },
 ];
 
+// Guards against requests that get no answer, or a cut one, for such a head.
 describe.each(states)("a head whose upstream %s", (_, isDraining) => {
   test.each(Object.entries(SHAPES))("cut %s is no response", async (_, cut) => {
     const plays = endings.flatMap(([, end]) =>
--- a/apps/heroncleatd/gateway/responses/cut_heads.ts
+++ b/apps/heroncleatd/gateway/responses/cut_heads.ts
@@ -20,6 +20,11 @@
   }\r\n${HEAD}`,
   "after an interim 103 alone": HEAD.replace("200 OK", "103 Early Hints") +
     "\r\n",
+  "after a 101 alone": HEAD.replace("200 OK", "101 Switching Protocols") +
+    "\r\n",
+  "after a 101 that upgrades": `${
+    HEAD.replace("200 OK", "101 Switching Protocols")
+  }Connection: Upgrade\r\nUpgrade: x\r\n\r\n`,
 };
 
 /** Heads for tests whose upstream stops within them. */
