Streams: an origin names its source where it is found

The log line of a resumed stream guessed from the age of the origin whether it came from the entry's own record or from the only version of its route. The search says so itself now; behaviour is unchanged.

--- a/apps/heroncleatd/gateway/streams/find_resumption.ts
+++ b/apps/heroncleatd/gateway/streams/find_resumption.ts
@@ -1,11 +1,6 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { Clock } from "@heroncleat/base";
-import {
-  type OriginSearchResult,
-  OriginSource,
-  type Route,
-  type Workspace,
-} from "@heroncleat/serving";
+import type { Route, Workspace } from "@heroncleat/serving";
 import type { Metrics } from "../../common/metrics.ts";
 import { errorResponse } from "../responses/error_response.ts";
 import type { HeaderNames } from "../header_names.ts";
@@ -58,7 +53,7 @@
   const startedAt = clock.steady();
   const found = await streams.find(stream, route);
   const search: ResumptionSearch = {
-    source: sourceOf(found),
+    source: found.kind === "found" ? found.source : "none",
     took: clock.steady() - startedAt,
     asked: found.kind === "unknown" ? found.asked ?? 0 : 0,
     unanswered: found.kind === "unknown" ? found.unanswered : 0,
@@ -88,12 +83,3 @@
   }
   return { kind: "resumed", resumption: { stream, origin, by, age, search } };
 }
-
-function sourceOf(found: OriginSearchResult): ResumptionSearch["source"] {
-  if (found.kind === "unknown") {
-    return "none";
-  }
-  // A record has an age, which isn't known of a version that alone is possible.
-  return found.source ??
-    (found.age > 0 ? OriginSource.own : OriginSource.only);
-}
--- a/apps/heroncleatd/gateway/streams/find_resumption_test.ts
+++ b/apps/heroncleatd/gateway/streams/find_resumption_test.ts
@@ -59,7 +59,13 @@
         const { unanswered = 0 } = options;
         return Promise.resolve(
           key === stream
-            ? { kind: "found", origin: { ...origin, service }, by: "e", age: 7 }
+            ? {
+              kind: "found",
+              origin: { ...origin, service },
+              by: "e",
+              source: "own",
+              age: 7,
+            }
             : { kind: "unknown", unanswered },
         );
       },
@@ -132,10 +138,20 @@
 });
 
 test.each<[string, OriginSearchResult, object]>([
-  ["its own record", { kind: "found", origin, by: "e", age: 7 }, {
-    source: "own",
-  }],
-  ["the only version", { kind: "found", origin, by: "e", age: 0 }, {
+  [
+    "its own record",
+    { kind: "found", origin, by: "e", source: "own", age: 7 },
+    {
+      source: "own",
+    },
+  ],
+  ["the only version", {
+    kind: "found",
+    origin,
+    by: "e",
+    source: "only",
+    age: 0,
+  }, {
     source: "only",
   }],
   [
--- a/apps/heroncleatd/gateway/streams/stream_origin_exchange.ts
+++ b/apps/heroncleatd/gateway/streams/stream_origin_exchange.ts
@@ -13,6 +13,7 @@
   OriginReserve,
   OriginSearch,
   type OriginSearchResult,
+  OriginSource,
   type PossibleOrigins,
   type Route,
   type StreamOrigin,
@@ -130,11 +131,23 @@
     const known = this.#origins.get(stream, now);
     if (known !== undefined) {
       const age = now - known.begunAt;
-      return { kind: "found", origin: known.origin, by: entry, age };
+      return {
+        kind: "found",
+        origin: known.origin,
+        by: entry,
+        source: OriginSource.own,
+        age,
+      };
     }
     const only = await this.#findCertainOrigin(route);
     if (only !== undefined) {
-      return { kind: "found", origin: only, by: entry, age: 0 };
+      return {
+        kind: "found",
+        origin: only,
+        by: entry,
+        source: OriginSource.only,
+        age: 0,
+      };
     }
     if (this.#searches.size >= MAX_SEARCHES) {
       return {
--- a/apps/heroncleatd/gateway/streams/stream_origin_exchange_test.ts
+++ b/apps/heroncleatd/gateway/streams/stream_origin_exchange_test.ts
@@ -70,9 +70,13 @@
         find: (stream) => {
           const known = archived.get(stream);
           return Promise.resolve(
-            known === undefined
-              ? { kind: "unknown", unanswered: 0 }
-              : { kind: "found", origin: known, by: "replica", age: 0 },
+            known === undefined ? { kind: "unknown", unanswered: 0 } : {
+              kind: "found",
+              origin: known,
+              by: "replica",
+              source: "replica",
+              age: 0,
+            },
           );
         },
       },
--- a/packages/serving/origin_search.ts
+++ b/packages/serving/origin_search.ts
@@ -31,8 +31,7 @@
     readonly origin: StreamOrigin;
     /** Name of the entry that knows it, or host:port of the control replica. */
     readonly by: string;
-    /** Who answered; absent if nobody was asked. */
-    readonly source?: OriginSource;
+    readonly source: OriginSource;
     /** Time since the first event of the stream; 0 if that isn't known. */
     readonly age: Milliseconds;
     /** Whether all streams of the route began there. */
--- a/packages/serving/simulated_origin_archive.ts
+++ b/packages/serving/simulated_origin_archive.ts
@@ -3,6 +3,7 @@
 import { originReplicas } from "./origin_replicas.ts";
 import type { OriginReport } from "./origin_report.ts";
 import type { OriginSearchResult } from "./origin_search.ts";
+import { OriginSource } from "./origin_source.ts";
 import { StreamOrigins } from "./stream_origins.ts";
 import type { VirtualTime } from "./virtual_time.ts";
 
@@ -96,6 +97,7 @@
             kind: "found",
             origin: known.origin,
             by: "replica",
+            source: OriginSource.replica,
             age: 0,
           },
         );
--- a/packages/serving/simulated_origin_exchange.ts
+++ b/packages/serving/simulated_origin_exchange.ts
@@ -5,6 +5,7 @@
 import { OriginRepeats } from "./origin_repeats.ts";
 import { OriginReserve } from "./origin_reserve.ts";
 import { OriginSearch, type OriginSearchResult } from "./origin_search.ts";
+import { OriginSource } from "./origin_source.ts";
 import type { Route } from "./route.ts";
 import type { SimulatedEntry } from "./simulated_origin_entry.ts";
 import type { SimulatedOriginArchive } from "./simulated_origin_archive.ts";
@@ -135,7 +136,13 @@
     const own = entry.origins.get(stream, this.#options.time.now);
     const finish = (origin: StreamOrigin | undefined) => {
       if (origin !== undefined) {
-        done({ kind: "found", origin, by: entry.known.name, age: 0 });
+        done({
+          kind: "found",
+          origin,
+          by: entry.known.name,
+          source: OriginSource[own === undefined ? "only" : "own"],
+          age: 0,
+        });
       } else if (this.#options.policy.asks === "nobody") {
         done({ kind: "unknown", unanswered: 0 });
       } else {
