Gateway: each cut request has a line that says who ended it

Ends without a line, or without a reason: a request whose body wasn't received whole; requests that a shutdown cuts, as the process exits before their own lines; a response that ended inside an event or without a mark; a response that isn't one to the request; the end of a stream after a complete error response to its next attempt; a timeout of the server for callers, which was taken for the caller.

They have one now, with the request's identifier, the configuration in effect and its age. 'connection' tells a caller's FIN and reset from a close by this process, 'timeout' the time that the request had.

--- a/apps/heroncleatd/gateway/attempts/attempt_request.ts
+++ b/apps/heroncleatd/gateway/attempts/attempt_request.ts
@@ -212,8 +212,10 @@
     };
   }
   const isBroken = response.kind === "unknown" && response.isBroken;
-  if (isBroken && !signal.aborted) {
-    trace.recordEndedBy(EndedBy.upstream);
+  if (response.kind === "unknown" && !signal.aborted) {
+    trace.recordEndedBy(
+      isBroken ? EndedBy.upstream : EndedBy.invalidResponse,
+    );
   }
   tracking.finish(
     isBroken ? AttemptOutcome.broken : AttemptOutcome.notAnswered,
--- a/apps/heroncleatd/gateway/create_caller_server.ts
+++ b/apps/heroncleatd/gateway/create_caller_server.ts
@@ -27,5 +27,12 @@
     server,
     (socket) => connectionEnds.record(socket, EndedBy.callerServer),
   );
+  server.on("connection", (socket) => {
+    // Before Node's listener, which closes the connection.
+    socket.prependListener(
+      "timeout",
+      () => connectionEnds.record(socket, EndedBy.callerServer),
+    );
+  });
   return server;
 }
--- a/apps/heroncleatd/gateway/forward_call.ts
+++ b/apps/heroncleatd/gateway/forward_call.ts
@@ -6,7 +6,7 @@
 import { brokenOutcome } from "./attempts/broken_outcome.ts";
 import type { CallerRequest } from "./caller_request.ts";
 import { describeWithholdReason } from "./attempts/describe_withhold_reason.ts";
-import type { EndedBy } from "./responses/ended_by.ts";
+import { EndedBy } from "./responses/ended_by.ts";
 import { findEndedBy } from "./responses/find_ended_by.ts";
 import type { ForwardContext } from "./forward_context.ts";
 import { findRestDelay } from "./limits/find_rest_delay.ts";
@@ -230,6 +230,9 @@
     );
     const status = result.message.statusCode!;
     if (body === undefined) {
+      if (!call.signal.aborted) {
+        result.trace.recordEndedBy(EndedBy.upstream);
+      }
       this.endedBy = result.trace.endedBy;
       this.#attempts.push(result.trace.describe(`${status}, cut off`));
       return undefined;
--- a/apps/heroncleatd/gateway/gateway.ts
+++ b/apps/heroncleatd/gateway/gateway.ts
@@ -38,6 +38,7 @@
 import { recordRefusedResumption } from "./streams/record_refused_resumption.ts";
 import { StopReason } from "./streams/stop_reason.ts";
 import { recordResult } from "./record_result.ts";
+import { recordCutRequest } from "./responses/record_cut_request.ts";
 import { sendLocalResponse } from "./responses/send_local_response.ts";
 
 /** Longest time that a request waits for the first configuration document. */
@@ -100,10 +101,12 @@
     try {
       await this.#serve({ incoming, response }, arrivedAt);
     } catch (error) {
-      this.#options.log.error("A request failed", {
-        request: this.#attemptOf(incoming),
-        error: String((error as Error).stack),
-      });
+      recordCutRequest({
+        request,
+        arrivedAt,
+        response,
+        error: error as Error,
+      }, this.#options);
       await breakOffResponse(response);
     } finally {
       end();
@@ -133,6 +136,8 @@
     const limit = this.#options.routeTable()!.document.limits.maxBodyBytes;
     const body = await readRequestBody(incoming, limit);
     if (body.kind === "broken") {
+      const request = this.#attemptOf(incoming);
+      recordCutRequest({ request, arrivedAt, response }, this.#options);
       return;
     }
     if (body.kind === "too_large") {
@@ -303,7 +308,7 @@
       ...result,
       charge: amount,
       paidFrom: isBeyondQuota ? "tolerance" : "quota",
-    }, this.#options);
+    }, { ...this.#options, response });
   }
 
   #refuse(
--- a/apps/heroncleatd/gateway/record_result.ts
+++ b/apps/heroncleatd/gateway/record_result.ts
@@ -1,3 +1,4 @@
+import type { ServerResponse } from "node:http";
 import type { Clock, Milliseconds } from "@heroncleat/base";
 import type { Log } from "../common/log.ts";
 import type { Metrics } from "../common/metrics.ts";
@@ -6,8 +7,11 @@
 import type { ForwardResult } from "./forward_result.ts";
 import type { HeaderNames } from "./header_names.ts";
 import { recordResumption } from "./streams/record_resumption.ts";
+import { describeChange } from "./responses/describe_change.ts";
+import { describeConnectionEnd } from "./responses/describe_connection_end.ts";
 
 type RecordOptions = {
+  readonly response: Pick<ServerResponse, "socket">;
   readonly names: HeaderNames;
   readonly log: Log;
   readonly metrics: Metrics;
@@ -28,8 +32,9 @@
 export function recordResult(
   call: CallerRequest,
   result: ForwardResult & Payment,
-  { log, metrics, clock, clockAhead, appliedDocument, names }: RecordOptions,
+  options: RecordOptions,
 ): void {
+  const { log, metrics, clock, clockAhead, appliedDocument, names } = options;
   const took = Math.round(clock.steady() - call.arrivedAt);
   metrics.increment(`gateway.${result.outcome}`);
   metrics.timing("gateway.request", took);
@@ -50,15 +55,13 @@
   if (result.endedBy !== undefined) {
     metrics.increment(`gateway.ended_by.${result.endedBy}`);
   }
-  const applied = appliedDocument();
   log.info(`A request ended: ${result.outcome}`, {
     request: call.attempt,
     route: call.route.name,
     service: call.service,
     workspace: call.workspace?.name ?? "",
     documentVersion: call.documentVersion,
-    appliedVersion: applied.version,
-    changeAge: Math.round(clock.steady() - applied.at),
+    ...describeChange(appliedDocument(), clock),
     promptTokens: call.prompt?.promptTokens ?? 0,
     charge: result.charge,
     size: call.size,
@@ -70,6 +73,8 @@
     boundAge: Math.round(call.resumption?.age ?? 0),
     status: result.status,
     endedBy: result.endedBy ?? "",
+    connection: describeConnectionEnd(options.response.socket),
+    timeout: Math.round(call.deadline - call.arrivedAt),
     objective: call.route.latencyObjective,
     took,
     clockAhead: Math.round(clockAhead()),
--- a/apps/heroncleatd/gateway/relay/attempt_through_entry.ts
+++ b/apps/heroncleatd/gateway/relay/attempt_through_entry.ts
@@ -58,8 +58,10 @@
   if (response.kind !== "head") {
     end();
     const { kind, reason } = response;
-    if (kind === "unknown" && response.isBroken && !options.signal.aborted) {
-      trace.recordEndedBy(EndedBy.upstream);
+    if (kind === "unknown" && !options.signal.aborted) {
+      trace.recordEndedBy(
+        response.isBroken ? EndedBy.upstream : EndedBy.invalidResponse,
+      );
     }
     return { kind, reason, trace, upstream };
   }
--- a/apps/heroncleatd/gateway/relay/relayed_requests.ts
+++ b/apps/heroncleatd/gateway/relay/relayed_requests.ts
@@ -26,6 +26,7 @@
 import { relayGrants } from "./relay_grants.ts";
 import { relayHeaders } from "./relay_headers.ts";
 import { RelayRefusal } from "./relay_refusal.ts";
+import { recordCutRequest } from "../responses/record_cut_request.ts";
 import { sendRefusal } from "../responses/send_refusal.ts";
 
 /** Upper limit where no configuration document is in effect. */
@@ -73,17 +74,19 @@
     incoming: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const { clock, names, log, inFlight } = this.#options;
+    const { clock, names, inFlight } = this.#options;
     const request = String(incoming.headers[names.attempt] ?? "");
     const arrivedAt = clock.steady();
     const end = inFlight.add({ request, arrivedAt, response });
     try {
       await this.#serve(incoming, response, { attempt: request, arrivedAt });
     } catch (error) {
-      log.error("A request of another entry failed", {
+      recordCutRequest({
         request,
-        error: String((error as Error).stack),
-      });
+        arrivedAt,
+        response,
+        error: error as Error,
+      }, this.#options);
       await breakOffResponse(response);
     } finally {
       end();
@@ -96,11 +99,15 @@
     arrival: { attempt: string; arrivedAt: Milliseconds },
   ): Promise<void> {
     const { secret, routeTable, metrics } = this.#options;
-    const { attempt } = arrival;
+    const { attempt, arrivedAt } = arrival;
     const limit = routeTable()?.document.limits.maxBodyBytes ??
       DEFAULT_MAX_BODY_BYTES;
     const body = await readRequestBody(incoming, limit);
     if (body.kind === "broken") {
+      recordCutRequest(
+        { request: attempt, arrivedAt, response },
+        this.#options,
+      );
       return;
     }
     const grant = body.kind === "complete"
@@ -233,6 +240,7 @@
     stopTimer();
     recordResult(call, { ...result, charge: 0, paidFrom: "other_entry" }, {
       ...this.#options,
+      response,
     });
   }
 
--- a/apps/heroncleatd/gateway/responses/ended_by.ts
+++ b/apps/heroncleatd/gateway/responses/ended_by.ts
@@ -16,6 +16,10 @@
   replacedInstance: "replaced_instance",
   /** This entry gave up waiting, as it reaches no upstream. */
   unreachable: "unreachable",
+  /** This entry closed it, as the response isn't one to the request. */
+  invalidResponse: "invalid_response",
+  /** This entry failed; the line has the error. */
+  failure: "failure",
   /** The response came from another version than the stream's. */
   otherVersion: "other_version",
   shutdown: "shutdown",
--- a/apps/heroncleatd/gateway/running_gateway.ts
+++ b/apps/heroncleatd/gateway/running_gateway.ts
@@ -8,6 +8,11 @@
   readonly isReady: () => boolean;
   /** Lists the attempts of callers that aren't responded to completely. */
   readonly listInFlight: () => readonly string[];
+  /** Describes the configuration document in effect, for logs. */
+  readonly describeChange: () => {
+    readonly appliedVersion: number;
+    readonly changeAge: number;
+  };
   /** Shuts down gracefully; resolves when the process may exit. */
   readonly stop: () => Promise<void>;
 };
--- a/apps/heroncleatd/gateway/shutdown/report_interrupted_requests.ts
+++ b/apps/heroncleatd/gateway/shutdown/report_interrupted_requests.ts
@@ -1,24 +1,38 @@
-import type { Milliseconds } from "@heroncleat/base";
+import type { Clock, Milliseconds } from "@heroncleat/base";
 import type { Log } from "../../common/log.ts";
 import type { Metrics } from "../../common/metrics.ts";
+import type { AppliedDocument } from "../applied_document.ts";
+import { recordCutRequest } from "../responses/record_cut_request.ts";
 import type { InFlightRequests } from "./in_flight_requests.ts";
 
 /** Interrupted requests that one log line lists. */
 const MAX_LOGGED_REQUESTS = 5;
+/** Interrupted requests that get a line of their own. */
+const MAX_LINES = 50;
 
 /**
- * Logs the requests still in flight at the end of the grace period.
+ * Logs the requests still in flight at the end of the grace period. The process
+ * exits before they end by themselves.
  *
  * @param stoppedAt Monotonic time at which the shutdown began.
  */
 export function reportInterruptedRequests(
   inFlight: InFlightRequests,
   stoppedAt: Milliseconds,
-  { log, metrics }: { log: Log; metrics: Metrics },
+  options: {
+    log: Log;
+    metrics: Metrics;
+    clock: Pick<Clock, "steady">;
+    appliedDocument: () => AppliedDocument;
+  },
 ): void {
   if (inFlight.size === 0) {
     return;
   }
+  const { log, metrics } = options;
+  for (const request of inFlight.listSince(-Infinity).slice(0, MAX_LINES)) {
+    recordCutRequest(request, options);
+  }
   const receivedAfterStop = inFlight.listSince(stoppedAt);
   metrics.increment("gateway.cut_by_stop", inFlight.size);
   const described = receivedAfterStop.slice(0, MAX_LOGGED_REQUESTS).map((
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -43,6 +43,7 @@
 import { RateLimitWatcher } from "../common/rate_limit_watcher.ts";
 import { refusesConnections } from "../common/refuses_connections.ts";
 import { tryConnection } from "../common/try_connection.ts";
+import { describeChange } from "./responses/describe_change.ts";
 import { reportInterruptedRequests } from "./shutdown/report_interrupted_requests.ts";
 import { ReplacedRuns } from "./upstreams/replaced_runs.ts";
 import { RetryLimiter } from "./limits/retry_limiter.ts";
@@ -92,6 +93,7 @@
     listEntries: () => running.listEntries(),
     isReady: () => running.isReady,
     listInFlight: () => running.listInFlight(),
+    describeChange: () => running.describeChange(),
     stop: () => running.stop(),
   };
 }
@@ -445,6 +447,10 @@
     return this.#inFlight.listSince(-Infinity).map(({ request }) => request);
   }
 
+  describeChange(): ReturnType<RunningGateway["describeChange"]> {
+    return describeChange(this.#appliedDocument, this.#options.clock);
+  }
+
   /** Accepts requests for most of the grace period, then closes the server. */
   async stop(): Promise<void> {
     const { gracePeriod } = this.#options.settings();
@@ -470,6 +476,8 @@
     reportInterruptedRequests(this.#inFlight, stoppedAt, {
       log: this.#log,
       metrics: this.#options.metrics,
+      clock: this.#options.clock,
+      appliedDocument: () => this.#appliedDocument,
     });
     this.#links.stop();
     this.#notices.close();
--- a/apps/heroncleatd/gateway/streams/forward_stream.ts
+++ b/apps/heroncleatd/gateway/streams/forward_stream.ts
@@ -251,7 +251,11 @@
     const step = await this.#relayResponse(result);
     const isBroken = step === "broken" || step === "other_version";
     result.finish(outcomeOf(step, result.message));
-    this.#lastEnd = isBroken ? result.trace.endedBy : undefined;
+    if (isBroken && !call.signal.aborted) {
+      // Without an error, the response ended inside an event or without a mark.
+      result.trace.recordEndedBy(EndedBy.upstream);
+    }
+    this.#lastEnd = isBroken ? result.trace.endedBy : this.#lastEnd;
     const { statusCode } = result.message;
     this.#attempts.push(result.trace.describe(`${statusCode} ${step}`));
     return step;
