--- a/apps/heroncleatd/gateway/responses/cut_head_test.ts
+++ b/apps/heroncleatd/gateway/responses/cut_head_test.ts
@@ -1,8 +1,11 @@
 import type { Socket } from "node:net";
 import { RouteKind } from "@heroncleat/serving";
+import { createTestContext } from "../create_test_context.ts";
+import { createTestRequest } from "../create_test_request.ts";
 import type { Relay } from "../relay/relay.ts";
 import { startTestRelay } from "../relay/start_test_relay.ts";
 import { startTestEntry } from "../start_test_entry.ts";
+import { forwardStream } from "../streams/forward_stream.ts";
 import { type TestResponder, TestUpstream } from "../test_upstream.ts";
 import { cutHeads } from "./cut_heads.ts";
 import { type RawResponse, readRawResponse } from "./read_raw_response.ts";
@@ -153,6 +156,39 @@
   });
 });
 
+test.each(states)(
+  "a call's response that ends behind its head doesn't get a length if its upstream %s",
+  async (_, isDraining) => {
+    for (const kind of [RouteKind.idempotent, RouteKind.nonIdempotent]) {
+      const response = await receive([send(`${HEAD}\r\n`)], {
+        kind,
+        isDraining,
+      });
+      expect([response.status, response.body]).toEqual([200, ""]);
+      expect(response.head).toMatch(/^connection: close$/im);
+      expect(response.head).not.toMatch(/content-length|chunked/i);
+    }
+  },
+);
+
+test("a relayed stream without events isn't complete at either entry", async () => {
+  const upstream = await TestUpstream.start(send(`${HEAD}\r\n`));
+  onClose(() => upstream.close());
+  const context = createTestContext([upstream], onClose);
+  const relay = await startTestRelay(
+    (_message, response) =>
+      void forwardStream(
+        createTestRequest({ relayedBy: "here", rawHeaders: ["Host", "h"] }),
+        { context, response },
+      ),
+    onClose,
+  );
+  const once = await receive([], { relay });
+  expect([once.status, once.isReset]).toEqual([502, false]);
+  expect(once.head).not.toContain("x-digest");
+  expect(upstream.received).toHaveLength(1);
+});
+
 describe.each([...Object.entries(SHAPES), ["at its end", `${HEAD}\r\n`]])(
   "a stream that goes on with a head cut %s",
   (_, cut) => {
