Entries store the origins of more streams at control replicas

Callers saw: more than 40 streams a second began at an entry, all entries were killed, and most streams couldn't be resumed, though upstreams of their version ran and new ones began.

Cause: an entry stored 40 origins a second and 120 at once; the others were held by entries only, which had ended. The class: a bound on a count, where what was to be bounded is a cost. The refusals of the resumed streams said so: source `none`, reason `unknown_origin`, all of them.

--- a/apps/heroncleatd/gateway/streams/origin_archive.ts
+++ b/apps/heroncleatd/gateway/streams/origin_archive.ts
@@ -7,19 +7,27 @@
 } from "@heroncleat/serving";
 import type { PeerPool } from "@heroncleat/transport";
 import type { Metrics } from "../../common/metrics.ts";
+import { originGroups } from "../../common/origin_groups.ts";
 
 /** Origins that arrive within this time share a message. */
 const SEND_INTERVAL: Milliseconds = 20;
-const ORIGINS_PER_MESSAGE = 16;
+/** Time until the next try if the budget of bytes is used up. */
+const RETRY_INTERVAL: Milliseconds = 60;
 /**
- * Origins that one entry stores per second, so that control replicas bear many
- * entries. The others are held by entries only.
+ * Origins that are sent at a time, at most. The more there are, the less of the
+ * budget goes to what a message has besides them.
  */
-const ORIGINS_PER_SECOND = 40;
+const MAX_SENT = 128;
+/** What a message takes besides its parameters. */
+const FRAME_BYTES = 60;
+/** What an entry may spend on control at the size to design for. */
+const BYTES_PER_SECOND = 8000;
 /** All callers of an entry that was killed may return within a second. */
-const ORIGIN_BURST = 120;
+const BYTE_BURST = 32_000;
 /** Share of the burst that resumed streams leave to those that begin. */
 const NEW_STREAM_RESERVE = 0.5;
+/** Origins that wait for the budget; beyond it, only entries hold the oldest. */
+const MAX_PENDING = 512;
 /** Time after which the caller is answered without the silent replicas. */
 const ANSWER_TIMEOUT: Milliseconds = 150;
 /** A connection whose call times out is closed, so a busy replica has longer. */
@@ -27,6 +35,14 @@
 
 type SharedOrigin = StreamOriginNotice["origins"][number];
 
+/** An origin that waits for the budget of bytes. */
+type PendingOrigin = {
+  readonly origin: SharedOrigin;
+  /** The replicas that store it. */
+  readonly replicas: readonly string[];
+  readonly addedAt: Milliseconds;
+};
+
 type ArchiveOptions = {
   readonly entry: string;
   readonly clock: Pick<Clock, "steady">;
@@ -42,9 +58,11 @@
  */
 export class OriginArchive {
   readonly #options: ArchiveOptions;
-  #pending: SharedOrigin[] = [];
+  /** Origins to send, the newest last: of streams that began, and of others. */
+  readonly #begun: PendingOrigin[] = [];
+  readonly #resumed: PendingOrigin[] = [];
   #timer: NodeJS.Timeout | undefined;
-  readonly #limiter = new RateLimiter(ORIGINS_PER_SECOND, ORIGIN_BURST);
+  readonly #limiter = new RateLimiter(BYTES_PER_SECOND, BYTE_BURST);
 
   constructor(options: ArchiveOptions) {
     this.#options = options;
@@ -52,14 +70,18 @@
 
   /** @param isResumed Whether replicas know the stream by an earlier name. */
   store(origin: SharedOrigin, isResumed: boolean): void {
-    const { clock, metrics } = this.#options;
-    const reserve = isResumed ? NEW_STREAM_RESERVE : 0;
-    if (!this.#limiter.tryConsume(clock.steady(), { reserve })) {
-      metrics.increment("stream_origins.unstored");
-      return;
+    const pending = isResumed ? this.#resumed : this.#begun;
+    const replicas = this.#rank(origin.stream).slice(0, originReplicas.copies);
+    pending.push({
+      origin,
+      replicas,
+      addedAt: this.#options.clock.steady(),
+    });
+    if (pending.length > MAX_PENDING) {
+      pending.shift();
+      this.#options.metrics.increment("stream_origins.unstored");
     }
-    this.#pending.push(origin);
-    this.#timer ??= setTimeout(() => this.#send(), SEND_INTERVAL).unref();
+    this.#schedule(SEND_INTERVAL);
   }
 
   /** Asks the control replicas; resolves with the first that knows it. */
@@ -107,30 +129,70 @@
       : undefined;
   }
 
-  #send(): void {
-    const { entry, pool, metrics } = this.#options;
-    this.#timer = undefined;
+  #schedule(delay: Milliseconds): void {
+    this.#timer ??= setTimeout(() => {
+      this.#timer = undefined;
+      this.#sendPending();
+    }, delay).unref();
+  }
+
+  #sendPending(): void {
+    const areAllSent = this.#send(this.#begun, { reserve: 0 }) &&
+      this.#send(this.#resumed, { reserve: NEW_STREAM_RESERVE });
+    if (!areAllSent) {
+      this.#schedule(RETRY_INTERVAL);
+    }
+  }
+
+  /**
+   * Sends the newest origins, whose streams go on longest.
+   *
+   * @returns Whether all were sent.
+   */
+  #send(pending: PendingOrigin[], { reserve }: { reserve: number }): boolean {
+    while (pending.length > 0) {
+      const sent = pending.slice(-MAX_SENT);
+      const messages = this.#createMessages(sent);
+      const amount = messages.reduce((sum, { bytes }) => sum + bytes, 0);
+      const now = this.#options.clock.steady();
+      if (!this.#limiter.tryConsume(now, { amount, reserve })) {
+        return false;
+      }
+      pending.length -= sent.length;
+      for (const { replica, batch } of messages) {
+        this.#options.pool.notify(replica, "hub.store_origin_batch", batch);
+      }
+      this.#options.metrics.increment("stream_origins.stored", sent.length);
+    }
+    return true;
+  }
+
+  #createMessages(pending: readonly PendingOrigin[]) {
+    const { entry, clock } = this.#options;
+    const now = clock.steady();
     const byReplica = new Map<string, SharedOrigin[]>();
-    for (const origin of this.#pending) {
-      const ranked = this.#rank(origin.stream);
-      for (const replica of ranked.slice(0, originReplicas.copies)) {
+    for (const { origin, replicas, addedAt } of pending) {
+      const waited = now - addedAt;
+      const aged = {
+        ...origin,
+        age: origin.age + waited,
+        expiresIn: Math.max(0, origin.expiresIn - waited),
+      };
+      for (const replica of replicas) {
         const origins = byReplica.get(replica) ?? [];
         byReplica.set(replica, origins);
-        origins.push(origin);
-      }
-    }
-    this.#pending = [];
-    for (const [replica, origins] of byReplica) {
-      for (let at = 0; at < origins.length; at += ORIGINS_PER_MESSAGE) {
-        const part = origins.slice(at, at + ORIGINS_PER_MESSAGE);
-        metrics.increment("stream_origins.stored", part.length);
-        pool.notify(replica, "hub.store_origins", {
-          kind: "stream_origins",
-          entry,
-          origins: part,
-        });
+        origins.push(aged);
       }
     }
+    return [...byReplica].map(([replica, origins]) => {
+      const batch = {
+        kind: "stream_origin_batch",
+        entry,
+        groups: originGroups.create(origins),
+      };
+      const bytes = Buffer.byteLength(JSON.stringify(batch)) + FRAME_BYTES;
+      return { replica, batch, bytes };
+    });
   }
 
   /** The same order at all entries, so that they agree on the copies. */
--- a/apps/heroncleatd/hub/origin_store.ts
+++ b/apps/heroncleatd/hub/origin_store.ts
@@ -3,9 +3,10 @@
 import type { Clock, Milliseconds } from "@heroncleat/base";
 import { recordCodec } from "@heroncleat/journal";
 import { STREAM_RETENTION, StreamOrigins } from "@heroncleat/serving";
-import type { StreamOriginNotice } from "@heroncleat/schema";
+import type { StreamOriginBatch } from "@heroncleat/schema";
 import type { Log } from "../common/log.ts";
 import type { Metrics } from "../common/metrics.ts";
+import { originGroups } from "../common/origin_groups.ts";
 
 /** Notices that arrive within this time share a write. */
 const WRITE_INTERVAL: Milliseconds = 20;
@@ -13,10 +14,10 @@
 const FILE_TIME: Milliseconds = STREAM_RETENTION / 2;
 /** Beyond it, origins are kept in memory only, until old files are removed. */
 const MAX_DISK_BYTES = 8 * 1024 * 1024;
+/** Many entries share a replica, so it holds more than one of them does. */
+const MAX_RECORDS = 150_000;
 const FILE_PATTERN = /^origins-(\d+)\.log$/;
 
-type SharedOrigin = StreamOriginNotice["origins"][number];
-
 /** Where a stream began, as it is answered to an entry. */
 type StoredOrigin = {
   readonly service: string;
@@ -25,7 +26,13 @@
   readonly age: Milliseconds;
 };
 
-/** An origin on disk. Its times are Unix times, which outlast a restart. */
+/** Origins that an entry sent. */
+type OriginBatch = Pick<StreamOriginBatch, "entry" | "groups">;
+
+/** Origins on disk, with the Unix time of their receipt. */
+type BatchRecord = OriginBatch & { readonly receivedAt: Milliseconds };
+
+/** An origin. Its times are Unix times, which outlast a restart. */
 type OriginRecord = {
   readonly stream: string;
   readonly service: string;
@@ -49,8 +56,8 @@
  */
 export class OriginStore {
   readonly #options: StoreOptions;
-  readonly #origins = new StreamOrigins();
-  #pending: OriginRecord[] = [];
+  readonly #origins = new StreamOrigins({ maxRecords: MAX_RECORDS });
+  #pending: BatchRecord[] = [];
   /** Sizes of the files by their start, a Unix time in milliseconds. */
   readonly #files = new Map<Milliseconds, number>();
   /** Start of the file that this process continues. */
@@ -94,16 +101,17 @@
   }
 
   /** Adds origins that an entry sent. */
-  add({ entry, origins }: StreamOriginNotice): void {
-    const wall = this.#options.clock.wall();
-    for (const origin of origins) {
-      const record = toRecord(origin, { entry, wall });
+  add({ entry, groups }: OriginBatch): void {
+    const batch = {
+      entry,
+      groups,
+      receivedAt: this.#options.clock.wall(),
+    };
+    for (const record of recordsOf(batch)) {
       this.#remember(record);
-      if (this.#isOpen) {
-        this.#pending.push(record);
-      }
     }
-    if (this.#pending.length > 0) {
+    if (this.#isOpen) {
+      this.#pending.push(batch);
       this.#scheduleWrite();
     }
   }
@@ -161,7 +169,7 @@
       );
     } catch (error) {
       // Entries hold the same origins; only a loss of all of them needs these.
-      metrics.increment("hub.stream_origins_unwritten", batch.length);
+      metrics.increment("hub.stream_origins_unwritten", countStreams(batch));
       log.warn("Can't store the origins of streams", { error: String(error) });
     }
     this.#isWriting = false;
@@ -222,30 +230,37 @@
   return `origins-${start}.log`;
 }
 
-function toRecord(
-  { age, expiresIn, stream, service, version }: SharedOrigin,
-  { entry, wall }: { entry: string; wall: Milliseconds },
-): OriginRecord {
-  return {
-    stream,
-    service,
-    version,
+function recordsOf({ entry, groups, receivedAt }: BatchRecord): OriginRecord[] {
+  return originGroups.list(groups).map((origin) => ({
+    stream: origin.stream,
+    service: origin.service,
+    version: origin.version,
     entry,
-    begunAt: Math.round(wall - age),
-    expiresAt: Math.round(wall + expiresIn),
-  };
+    begunAt: Math.round(receivedAt - origin.age),
+    expiresAt: Math.round(receivedAt + origin.expiresIn),
+  }));
+}
+
+function countStreams(batches: readonly BatchRecord[]): number {
+  return batches.reduce((sum, batch) => sum + recordsOf(batch).length, 0);
 }
 
-/** Records up to the first incomplete or damaged batch. */
+/** Records up to the first incomplete or damaged write. */
 function decode(bytes: Buffer): OriginRecord[] {
   const records: OriginRecord[] = [];
   let offset = 0;
   for (;;) {
-    const batch = recordCodec.decode(bytes, offset);
-    if (batch === undefined) {
+    const written = recordCodec.decode(bytes, offset);
+    if (written === undefined) {
       return records;
     }
-    records.push(...JSON.parse(batch.payload.toString("utf8")));
-    offset = batch.end;
+    const batches: (BatchRecord | OriginRecord)[] = JSON.parse(
+      written.payload.toString("utf8"),
+    );
+    for (const batch of batches) {
+      // An earlier release wrote each origin on its own.
+      records.push(..."groups" in batch ? recordsOf(batch) : [batch]);
+    }
+    offset = written.end;
   }
 }
--- a/apps/heroncleatd/hub/origin_store_test.ts
+++ b/apps/heroncleatd/hub/origin_store_test.ts
@@ -8,7 +8,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as pause } from "node:timers/promises";
-import type { StreamOriginNotice } from "@heroncleat/schema";
+import type { StreamOriginBatch } from "@heroncleat/schema";
 import { STREAM_RETENTION } from "@heroncleat/serving";
 import { OriginStore } from "./origin_store.ts";
 
@@ -40,11 +40,17 @@
 function noticeOf(
   stream: string,
   { version = "v1", expiresIn = 20_000 } = {},
-): StreamOriginNotice {
+): StreamOriginBatch {
   return {
-    kind: "stream_origins",
+    kind: "stream_origin_batch",
     entry: "entry-1",
-    origins: [{ stream, service: "desk", version, age: 100, expiresIn }],
+    groups: [{
+      streams: stream,
+      service: "desk",
+      version,
+      age: 100,
+      expiresIn,
+    }],
   };
 }
 
--- a/apps/heroncleatd/hub/start_hub.ts
+++ b/apps/heroncleatd/hub/start_hub.ts
@@ -1,7 +1,8 @@
 import { type Clock, createToken, type Milliseconds } from "@heroncleat/base";
 import type { GroupState } from "@heroncleat/consensus";
 import type { RolloutOrder } from "@heroncleat/rollouts";
-import { checkEntryNotice } from "@heroncleat/schema";
+import { checkEntryNotice, checkStreamOriginBatch } from "@heroncleat/schema";
+import { originGroups } from "../common/origin_groups.ts";
 import {
   type FeedRequest,
   type FleetSettings,
@@ -122,6 +123,12 @@
       if (
         checkEntryNotice(parameters) && parameters.kind === "stream_origins"
       ) {
+        const { entry, origins } = parameters;
+        originStore.add({ entry, groups: originGroups.create(origins) });
+      }
+    },
+    "hub.store_origin_batch": (parameters) => {
+      if (checkStreamOriginBatch(parameters)) {
         originStore.add(parameters);
       }
     },
--- a/apps/heroncleatd/hub/streaming_upstream.ts
+++ b/apps/heroncleatd/hub/streaming_upstream.ts
@@ -23,6 +23,9 @@
   readonly service?: string;
   /** Events of each stream. */
   readonly eventCount?: number;
+  /** Pause between two events, in milliseconds. */
+  readonly eventPause?: number;
+  readonly slots?: number;
   /** Number of events after which a stream breaks off; undefined for none. */
   readonly breaksAfter: () => number | undefined;
   readonly report: (record: UpstreamRecord) => void;
@@ -83,14 +86,19 @@
   }
 
   async #stream(response: ServerResponse, last: number): Promise<void> {
-    const { version, breaksAfter, eventCount = EVENT_COUNT } = this.#options;
+    const {
+      version,
+      breaksAfter,
+      eventCount = EVENT_COUNT,
+      eventPause = EVENT_PAUSE_MS,
+    } = this.#options;
     response.writeHead(200, {
       "x-digest": "d",
       "content-type": "text/event-stream",
     });
     const breakAt = last + (breaksAfter() ?? eventCount);
     for (let id = last + 1; id <= eventCount; id += 1) {
-      await new Promise((resolve) => setTimeout(resolve, EVENT_PAUSE_MS));
+      await new Promise((resolve) => setTimeout(resolve, eventPause));
       if (id > breakAt) {
         response.socket?.resetAndDestroy();
         return;
@@ -102,7 +110,14 @@
 
   /** Reports itself, also after it has ended, like a heartbeat that was late. */
   heartbeat(): void {
-    const { name, port, version, service = "desk", report } = this.#options;
+    const {
+      name,
+      port,
+      version,
+      service = "desk",
+      slots = SLOTS,
+      report,
+    } = this.#options;
     this.#sequence += 1;
     report({
       id: instanceId(name, this.#born),
@@ -112,7 +127,7 @@
       service,
       address: `${HOST}:${port}`,
       zone: "zone-0",
-      slots: SLOTS,
+      slots,
       sequence: this.#sequence,
       state: this.#state,
       isSpot: false,
