--- a/apps/heroncleatd/gateway/test_gateway.ts
+++ b/apps/heroncleatd/gateway/test_gateway.ts
@@ -102,6 +102,7 @@
 
 type GatewaySetup =
   & Pick<GatewaySettings, "address" | "noticeAddress" | "gracePeriod">
+  & Partial<Pick<GatewaySettings, "relayAddress">>
   & {
     /** Address of the only control replica. */
     readonly control: string;
