Shutdown: a response that its caller is still reading isn't cut

Callers saw a 200 that broke off (3.9 of 15 MB) as an entry shut down, within its grace period; the log said that the request was answered.

A response counted as complete once it was written, although it waited in this process until its caller read. Then nothing was in flight, and Node's 'closeIdleConnections', which 'close' calls too, takes a connection for idle as soon as its response was ended.

A response is ended once its caller has room for the rest, so that the request stays in flight and its connection isn't idle.

--- a/apps/heroncleatd/gateway/forward_call.ts
+++ b/apps/heroncleatd/gateway/forward_call.ts
@@ -43,7 +43,7 @@
   const run = new CallRun(call, context);
   const upstreamResponse = await run.findResponse();
   if (upstreamResponse !== undefined) {
-    sendUpstreamResponse(response, {
+    await sendUpstreamResponse(response, {
       message: upstreamResponse.message,
       headers: [
         ...forwardHeaders.toCaller(upstreamResponse.message.rawHeaders),
--- a/apps/heroncleatd/gateway/responses/send_upstream_response.ts
+++ b/apps/heroncleatd/gateway/responses/send_upstream_response.ts
@@ -1,20 +1,22 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { endWithConnection } from "../../common/end_with_connection.ts";
 import { framingOf } from "../../common/framing_of.ts";
+import { endResponse } from "./end_response.ts";
 import { ResponseFraming } from "../../common/response_framing.ts";
 
 /**
  * Sends an upstream's complete response, unless one was sent already. It gets a
- * length only if the upstream's framing told that it is complete.
+ * length only if the upstream's framing told that it is complete. Resolves once
+ * the caller has room for all of it.
  */
-export function sendUpstreamResponse(
+export async function sendUpstreamResponse(
   response: ServerResponse,
   upstreamResponse: {
     message: IncomingMessage;
     headers: string[];
     body: Buffer;
   },
-): void {
+): Promise<void> {
   if (response.headersSent || response.destroyed) {
     return;
   }
@@ -29,7 +31,7 @@
     status,
     length === undefined ? headers : [...headers, "Content-Length", length],
   );
-  response.end(body);
+  await endResponse(response, body);
 }
 
 function lengthOf(
--- a/apps/heroncleatd/gateway/streams/forward_stream.ts
+++ b/apps/heroncleatd/gateway/streams/forward_stream.ts
@@ -9,6 +9,7 @@
 import { describeLack } from "../upstreams/describe_lack.ts";
 import { describeWithholdReason } from "../attempts/describe_withhold_reason.ts";
 import { EndedBy } from "../responses/ended_by.ts";
+import { endResponse } from "../responses/end_response.ts";
 import { EventSplitter } from "./event_splitter.ts";
 import { findEndedBy } from "../responses/find_ended_by.ts";
 import type { ForwardContext } from "../forward_context.ts";
@@ -96,6 +97,8 @@
   #retryAfter: Milliseconds | undefined;
   /** A complete error response, passed on if no later attempt succeeds. */
   #failedResponse: CompleteResponse | undefined;
+  /** Resolves once the caller has room for the end of the response. */
+  #sent: Promise<void> | undefined;
 
   constructor(
     call: CallerRequest,
@@ -114,6 +117,7 @@
       const step = await this.#tryOnce();
       this.#stoppedBy = stopReasonOf(step);
       if (step === "done") {
+        await this.#sent;
         return this.#toResult("answered");
       }
       if (!this.#mayRetry(step)) {
@@ -134,6 +138,7 @@
     }
     if (this.#failedResponse !== undefined && !this.#response.headersSent) {
       this.#sendComplete(this.#failedResponse);
+      await this.#sent;
       return this.#toResult("answered");
     }
     if (this.#response.headersSent) {
@@ -322,7 +327,7 @@
     { upstream, message, body }: CompleteResponse,
   ): void {
     this.#status = message.statusCode!;
-    sendUpstreamResponse(this.#response, {
+    this.#sent = sendUpstreamResponse(this.#response, {
       message,
       headers: [
         ...forwardHeaders.toCaller(message.rawHeaders),
@@ -402,7 +407,7 @@
     ) {
       return "broken";
     }
-    this.#response.end(splitter.remainder);
+    this.#sent = endResponse(this.#response, splitter.remainder);
     return "done";
   }
 
