A resumed stream ends once two upstreams have no event left

What callers would see: since an empty stream without framing counts as broken off, a stream that broke behind its last event couldn't end at upstreams that answer without a length or chunks; each resume got a 502.

Cause: where a stream was begun, an empty rest is a proper answer, and one response without framing can't tell it from a cut one.

Evidence: `responses/cut_head_test.ts`, "a stream resumed behind its last event ends once two upstreams agree"; it failed before (`Expected 200, Received 502`).

Why it works: the first empty end is still taken for a cut one and asked for elsewhere. If the next upstream has no event either, the stream has ended. A stream that wasn't begun has events, so that two empty ones are still a 502.

--- a/apps/heroncleatd/gateway/responses/cut_head_test.ts
+++ b/apps/heroncleatd/gateway/responses/cut_head_test.ts
@@ -171,6 +171,19 @@
   },
 );
 
+// Guards against streams that can't end, as they broke behind their last event.
+test("a stream resumed behind its last event ends once two upstreams agree", async () => {
+  const finished = send(`${HEAD}\r\n`);
+  const response = await receive([finished, finished], {
+    isResumable: true,
+    headers: "Last-Event-Id: 3\r\n",
+  });
+  expect([response.status, response.body, response.isReset])
+    .toEqual([200, "", false]);
+  const begun = await receive([finished, finished], { isResumable: true });
+  expect(begun.status).toBe(502);
+});
+
 test("a relayed stream without events isn't complete at either entry", async () => {
   const upstream = await TestUpstream.start(send(`${HEAD}\r\n`));
   onClose(() => upstream.close());
--- a/apps/heroncleatd/gateway/streams/forward_stream.ts
+++ b/apps/heroncleatd/gateway/streams/forward_stream.ts
@@ -37,6 +37,9 @@
 import { unopenedWeight } from "../upstreams/unopened_weight.ts";
 import type { WithholdReason } from "../attempts/withhold_reason.ts";
 
+/** Empty ends after which a resumed stream counts as complete. */
+const CONFIRMING_ENDS = 2;
+
 /**
  * Forwards a request whose response is an event stream. Only complete events
  * are passed on, so that a resumable stream can continue at another upstream.
@@ -87,6 +90,8 @@
   #rejectedPart: string | undefined;
   #status = 0;
   #lastEvent: string | undefined;
+  /** Attempts in a row whose responses ended without an event. */
+  #emptyEnds = 0;
   /** Version that began the stream; undefined if any may begin it. */
   #version: string | undefined;
   /** Whether events were passed on that an unknown version wrote. */
@@ -394,7 +399,8 @@
     if (!isComplete || splitter.isInsideEvent) {
       return "broken";
     }
-    if (endsWithConnection && !hasEvent) {
+    this.#emptyEnds = hasEvent ? 0 : this.#emptyEnds + 1;
+    if (endsWithConnection && !hasEvent && !this.#isEmptyEndConfirmed()) {
       trace.recordEndedBy(EndedBy.upstream);
       this.#context.metrics.increment("gateway.streams_ended_without_events");
       return "broken";
@@ -407,10 +413,19 @@
     ) {
       return "broken";
     }
+    this.#sendHead(result);
     this.#sent = endResponse(this.#response, splitter.remainder);
     return "done";
   }
 
+  /** Whether two upstreams have no event behind the last one. */
+  #isEmptyEndConfirmed(): boolean {
+    const { lastEvent } = this.#context.names;
+    const isResumed = this.#lastEvent !== undefined ||
+      this.#call.headers[lastEvent] !== undefined;
+    return isResumed && this.#emptyEnds >= CONFIRMING_ENDS;
+  }
+
   #sendHead(result: AttemptHead): void {
     if (!this.#response.headersSent) {
       this.#status = result.message.statusCode!;
