Streams: a version is listed as long as its upstreams, and their streams

What callers would see: a stream of a version whose upstreams had fallen silent was resumed at the only other version, with nothing in the answer to show it.

Cause: control replicas dropped a version 70 s after its last heartbeat, while entries list its upstreams as ready for 60 s and may begin streams there that go on for 60 s more. Now a version counts as observed while any upstream of it is listed. The test failed before: no version was listed any more, 60 s after the upstream was.

--- a/packages/serving/hub.ts
+++ b/packages/serving/hub.ts
@@ -549,6 +549,12 @@
   /** Removes state that is past its retention. */
   expire(now: Milliseconds): void {
     this.#upstreams.expire(now);
+    // A silent upstream may begin streams while it is listed.
+    for (const { record } of this.directory.list()) {
+      if (record.state !== "gone") {
+        this.#versionLog.observe(record, now);
+      }
+    }
     this.#versionLog.expire(now);
     this.#usage.expire();
     this.crashes.expire(now);
--- a/packages/serving/hub_test.ts
+++ b/packages/serving/hub_test.ts
@@ -1,4 +1,9 @@
-import { documentCodec, Hub, type SyncRequest } from "./mod.ts";
+import {
+  documentCodec,
+  Hub,
+  STREAM_RETENTION,
+  type SyncRequest,
+} from "./mod.ts";
 import { testRecord } from "./test_record.ts";
 
 const context = { document: undefined, controls: [], isLeading: true };
@@ -41,6 +46,28 @@
     expect(last.upstreams[0]?.state).toBe("gone");
   });
 
+  // Guards against streams resumed at another version than that of an upstream
+  // that is silent, but still gets new ones.
+  test("lists the version of an upstream as long as the upstream, and its streams", () => {
+    const hub = new Hub("f");
+    hub.mergeUpstream({ ...record, version: "v2" }, 0);
+    const versionsAt = (now: number) => {
+      hub.expire(now);
+      const { versions } = hub.sync(request("a"), { ...context, now });
+      return versions?.versions[record.service] ?? [];
+    };
+    let listedUntil = 0;
+    for (let now = 0; now <= 100_000; now += 1000) {
+      hub.expire(now);
+      listedUntil = hub.directory.get(record.id) === undefined
+        ? listedUntil
+        : now;
+    }
+    expect(listedUntil).toBeGreaterThan(50_000);
+    expect(versionsAt(listedUntil + STREAM_RETENTION)).toEqual(["v2"]);
+    expect(versionsAt(listedUntil + 2 * STREAM_RETENTION)).toEqual([]);
+  });
+
   test("sends the record again when an upstream is no longer cold", () => {
     const hub = new Hub("f");
     hub.mergeUpstream({ ...record, isCold: true }, 0);
--- a/packages/serving/version_log.ts
+++ b/packages/serving/version_log.ts
@@ -5,8 +5,8 @@
 import type { UpstreamRecord } from "./upstream_record.ts";
 import { upstreamVersion } from "./upstream_version.ts";
 
-/** Time for which an upstream may begin streams after its last heartbeat. */
-const SILENT_SERVICE_TIME: Milliseconds = 10_000;
+/** Time for which entries may list an upstream longer than this replica. */
+const LISTED_LONGER: Milliseconds = 10_000;
 
 /**
  * The software versions of each service that a control replica has observed
@@ -51,7 +51,7 @@
     }
     for (const [service, versions] of this.#services) {
       for (const [version, observedAt] of versions) {
-        if (now - observedAt > STREAM_RETENTION + SILENT_SERVICE_TIME) {
+        if (now - observedAt > STREAM_RETENTION + LISTED_LONGER) {
           versions.delete(version);
           this.#revision = this.#revisions.next();
         }
