Streams: an entry keeps the versions that a restarted replica had listed

What callers would see: a stream of a version that an entry had heard of from one replica was resumed there at another version after that replica had restarted.

Cause: the list of a replica replaced what it had listed before, also if it came from a process that had lost its memory. Another replica that lacked the version then made the list count as complete. Now the list of a replica that hasn't observed the whole retention adds to its earlier one. The test failed before: the stream was found at v1.

--- a/packages/serving/possible_origins.ts
+++ b/packages/serving/possible_origins.ts
@@ -41,7 +41,10 @@
     versions: ServiceVersions | undefined,
     now: Milliseconds,
   ): void {
-    const known = versions ?? this.#replicas.get(replica);
+    const earlier = this.#replicas.get(replica);
+    const known = versions === undefined || versions.isComplete
+      ? versions ?? earlier
+      : { ...versions, versions: unite(versions, earlier) };
     if (known !== undefined) {
       this.#replicas.set(replica, { ...known, receivedAt: now });
     }
@@ -118,6 +121,21 @@
   }
 }
 
+/**
+ * The versions that a replica lists and has listed: one that isn't complete may
+ * have restarted, and lacks what it knew.
+ */
+function unite(
+  { versions }: ServiceVersions,
+  earlier: ServiceVersions | undefined,
+): ServiceVersions["versions"] {
+  const united: Record<string, readonly string[]> = { ...versions };
+  for (const [service, listed] of Object.entries(earlier?.versions ?? {})) {
+    united[service] = [...new Set([...united[service] ?? [], ...listed])];
+  }
+  return united;
+}
+
 function servicesOf({ targets }: Route): string[] {
   return targets.filter(({ weight }) => weight > 0)
     .map(({ service }) => service).sort();
--- a/packages/serving/possible_origins_test.ts
+++ b/packages/serving/possible_origins_test.ts
@@ -86,6 +86,18 @@
   expect(possible.only(route, STREAM_RETENTION)).toBeUndefined();
 });
 
+// Guards against streams resumed at another version at an entry that had heard
+// of theirs from a replica which has lost its memory since.
+test("a version that a replica listed before it restarted counts", () => {
+  const possible = createPossible();
+  const second = new VersionLog(new RevisionCounter());
+  second.observe(record("v2"), STREAM_RETENTION);
+  possible.applyReply("b", second.since(0), STREAM_RETENTION);
+  const restarted = new VersionLog(new RevisionCounter());
+  possible.applyReply("b", restarted.since(0), STREAM_RETENTION + 10);
+  expect(possible.only(route, STREAM_RETENTION + 10)).toBeUndefined();
+});
+
 test("replicas that have all just started may lack a version", () => {
   const log = new VersionLog(new RevisionCounter());
   log.observe(record("v1"), STREAM_RETENTION);
