Streams: an entry that dropped a replica asks others about resumed streams

What callers would see: a replica that was cut off and replaced went on to list a new version to the entries on its side; an entry that had dropped it 20 s later confirmed its view without it and resumed streams at the earlier version.

Cause: all replicas must reply, but all is the list that is left. For the time that streams last, an entry that dropped a replica that had replied now searches for the streams instead.

The test of replies to a request in flight was missing: counting a reply from its arrival, and not asking again behind an exchange in flight, passed all checks before; both fail now.

--- a/apps/heroncleatd/gateway/exchange/control_links.ts
+++ b/apps/heroncleatd/gateway/exchange/control_links.ts
@@ -5,6 +5,7 @@
   type KnownEntry,
   median,
   type ReplicaList,
+  STREAM_RETENTION,
   type SyncReply,
   type SyncRequest,
 } from "@heroncleat/serving";
@@ -70,6 +71,8 @@
   readonly #options: LinkOptions;
   readonly #links = new Map<string, ControlLink>();
   #primary = "";
+  /** When a replica that had replied was last dropped. */
+  #forgottenAt: Milliseconds = -Infinity;
   /** Entries listed by any reachable replica; undefined when outdated. */
   #mergedEntries: readonly KnownEntry[] | undefined;
   #timer: NodeJS.Timeout | undefined;
@@ -82,7 +85,7 @@
     this.#confirmation = new ViewConfirmation({
       clock: options.clock,
       links: () => this.#links.values(),
-      mayBeCurrent: () => exchangeSchedule.mayBeCurrent(this.#view()),
+      mayBeCurrent: () => this.#mayBeCurrent(),
       exchangeWithAll: () => this.reportToAll(),
       pause: () => exchangeInterval.confirmation(this.#entryCount),
     });
@@ -178,6 +181,13 @@
     return this.#confirmation.confirm();
   }
 
+  /** A replica that was dropped may go on listing versions to other entries. */
+  #mayBeCurrent(): boolean {
+    const view = this.#view();
+    return view.now - this.#forgottenAt > STREAM_RETENTION &&
+      exchangeSchedule.mayBeCurrent(view);
+  }
+
   /** host:port of the replicas that have replied. */
   get replicas(): readonly string[] {
     return this.#listLinks()
@@ -285,6 +295,7 @@
       const unseenFor = now - Math.max(link.receivedAt, link.listedAt);
       if (mayForget && unseenFor > FORGET_TIMEOUT) {
         this.#links.delete(link.address);
+        this.#forgottenAt = link.feed === "" ? this.#forgottenAt : now;
         this.#mergedEntries = undefined;
       } else if (
         link.ongoingExchange === undefined &&
--- a/apps/heroncleatd/gateway/exchange/control_links_test.ts
+++ b/apps/heroncleatd/gateway/exchange/control_links_test.ts
@@ -370,51 +370,97 @@
   });
 });
 
+/** Links to two replicas, the first of which leads, that can reply late. */
+function linkTwoReplicas() {
+  let now = 0;
+  /** Delay of the replies by address; Infinity loses them. */
+  const delays = new Map<string, number>();
+  const controls = ["a:1", "b:1"];
+  const call = async (address: string) => {
+    const delay = delays.get(address) ?? 0;
+    if (delay === Infinity) {
+      throw new Error("The replica is unreachable.");
+    }
+    await new Promise((resolve) => setTimeout(resolve, delay));
+    return {
+      ...replyOf(address, controls),
+      isLeading: address === "a:1",
+    };
+  };
+  const links = new ControlLinks({
+    pool: { call } as unknown as PeerPool,
+    clock: { now: () => now, steady: () => now, wall: () => now } as never,
+    log: silentLog,
+    seeds: () => ["a:1", "b:1"],
+    createRequest: () => ({}) as never,
+    onReply: () => {},
+    onFollow: () => {},
+    suspectRevision: () => 0,
+    isAwaitingConfiguration: () => false,
+    random: () => 0.5,
+    onIsolated: () => {},
+  });
+  links.start();
+  const run = async (milliseconds: number) => {
+    for (let passed = 0; passed < milliseconds; passed += 10) {
+      now += 10;
+      await jest.advanceTimersByTimeAsync(10);
+    }
+  };
+  const confirm = async () => {
+    const confirmed = links.confirmCurrent();
+    await run(300);
+    return await confirmed;
+  };
+  return { links, delays, controls, run, confirm };
+}
+
 // Guards against an entry that takes itself for current by replies that were
 // requested before a version joined.
-test.each([
+test.each<[string, Record<string, number>, boolean]>([
   ["all replicas reply", {}, true],
   ["a reply is held up", { "b:1": 500 }, false],
   ["the primary's reply is held up", { "a:1": 500 }, false],
 ])(
   "an entry is current only by replies to later requests: %s",
-  async (_name, heldUp: Record<string, number>, expected) => {
-    let now = 0;
-    let isHeldUp = false;
-    const run = async (milliseconds: number) => {
-      for (let passed = 0; passed < milliseconds; passed += 10) {
-        now += 10;
-        await jest.advanceTimersByTimeAsync(10);
-      }
-    };
-    const links = new ControlLinks({
-      pool: {
-        call: async (address: string) => {
-          const delay = isHeldUp ? heldUp[address] ?? 0 : 0;
-          await new Promise((resolve) => setTimeout(resolve, delay));
-          return {
-            ...replyOf(address, ["a:1", "b:1"]),
-            isLeading: address === "a:1",
-          };
-        },
-      } as unknown as PeerPool,
-      clock: { now: () => now, steady: () => now, wall: () => now } as never,
-      log: silentLog,
-      seeds: () => ["a:1", "b:1"],
-      createRequest: () => ({}) as never,
-      onReply: () => {},
-      onFollow: () => {},
-      suspectRevision: () => 0,
-      isAwaitingConfiguration: () => false,
-      random: () => 0.5,
-      onIsolated: () => {},
-    });
-    links.start();
+  async (_name, late, expected) => {
+    const { links, delays, run, confirm } = linkTwoReplicas();
     await run(1000);
-    isHeldUp = true;
-    const confirmed = links.confirmCurrent();
-    await run(300);
-    expect(await confirmed).toBe(expected);
+    for (const [address, delay] of Object.entries(late)) {
+      delays.set(address, delay);
+    }
+    expect(await confirm()).toBe(expected);
     links.stop();
   },
 );
+
+test.each<[string, number, boolean]>([
+  ["late", 500, false],
+  ["soon", 0, true],
+])(
+  "a reply to a request in flight doesn't count, and the next one comes %s",
+  async (_name, delay, expected) => {
+    const { links, delays, run, confirm } = linkTwoReplicas();
+    await run(1000);
+    delays.set("b:1", 90);
+    links.exchangeWithAll();
+    await run(20);
+    delays.set("b:1", delay);
+    expect(await confirm()).toBe(expected);
+    links.stop();
+  },
+);
+
+// Guards against versions that a replica lists to others after it was cut off
+// and dropped.
+test("an entry isn't current for as long as streams last after it dropped a replica", async () => {
+  const { links, delays, controls, run, confirm } = linkTwoReplicas();
+  await run(1000);
+  delays.set("b:1", Infinity);
+  controls.pop();
+  await run(30_000);
+  expect(await confirm()).toBe(false);
+  await run(60_000);
+  expect(await confirm()).toBe(true);
+  links.stop();
+});
