--- a/apps/heroncleatd/gateway/upstreams/held_runs_test.ts
+++ b/apps/heroncleatd/gateway/upstreams/held_runs_test.ts
@@ -27,6 +27,7 @@
 const LARGE_EVENT_BYTES = 300_000;
 const CHANGE_INTERVAL_MS = 350;
 const PAUSE_MS = 2500;
+const LOG_TIME_MS = 100;
 /** Time between two reads of a caller that reads slowly. */
 const READ_INTERVAL_MS = 40;
 /** Each is played by a gateway of its own. */
@@ -281,7 +282,9 @@
 }
 
 /** What the log says of a request, for the failure message. */
-function endOf(attempt: string): string {
+async function endOf(attempt: string): Promise<string> {
+  // It is logged once the caller's connection is closed.
+  await pause(LOG_TIME_MS);
   const line = lines.find((candidate) =>
     candidate.startsWith("A request ") && candidate.includes(attempt)
   );
@@ -342,7 +345,7 @@
     agent.destroy();
     const isOk = isWhole(run, ended) &&
       (run.isResumable || started.get(attempt) === 1);
-    return isOk ? [] : [`${attempt}: ${ended.end}, ${endOf(attempt)}`];
+    return isOk ? [] : [`${attempt}: ${ended.end}, ${await endOf(attempt)}`];
   });
   await waitUntil(() =>
     RUNS.every((run) => started.has(`${run.name}-${name}`))
@@ -355,11 +358,11 @@
     const run = RUNS[turn % 4]!;
     const attempt = `${run.name}-later-${name}-${turn}`;
     later.push(
-      send(run, { agent, port, attempt }).then((ended) => {
+      send(run, { agent, port, attempt }).then(async (ended) => {
         const isRefused = /^(4|5)\d\d$/.test(ended.end);
         return isRefused || isWhole(run, ended) || name === LOWER_TIMEOUT
           ? []
-          : [`${attempt}: ${ended.end}, ${endOf(attempt)}`];
+          : [`${attempt}: ${ended.end}, ${await endOf(attempt)}`];
       }),
     );
   }
