OpenAI surface: each cut response has a line that says who ended it

A response that its caller or the shutdown cut left no line. The line has the request, what ended it and how the connection ended; its configuration is static and has no version.

--- a/apps/heroncleatd/entry/caller_server.ts
+++ b/apps/heroncleatd/entry/caller_server.ts
@@ -7,6 +7,9 @@
 import { createFault, splitAddress } from "@heroncleat/base";
 import { answerClientErrors } from "../common/answer_client_errors.ts";
 import { KeyRing } from "../common/key_ring.ts";
+import { EndedBy } from "../gateway/responses/ended_by.ts";
+import { connectionEnds } from "../gateway/responses/connection_ends.ts";
+import { describeConnectionEnd } from "../gateway/responses/describe_connection_end.ts";
 import { readBearer } from "../common/read_bearer.ts";
 import { sendFault } from "../common/send_fault.ts";
 import { sendJson } from "../common/send_json.ts";
@@ -30,6 +33,8 @@
   readonly #parts: EntryParts;
   readonly #server: Server;
   readonly #upstreamKeys: KeyRing;
+  /** Logs the cuts of the responses that aren't complete. */
+  readonly #cutLoggers = new Set<() => void>();
 
   constructor(parts: EntryParts) {
     this.#parts = parts;
@@ -44,6 +49,7 @@
         keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
       },
       (request, response) => {
+        this.#watchEnd(response);
         this.#handle(request, response).catch((error: Error) =>
           this.#onError(response, error)
         );
@@ -52,7 +58,10 @@
     this.#server.maxConnections = entry.max_connections;
     answerClientErrors(
       this.#server,
-      (_socket, error) => this.#recordClientError(error),
+      (socket, error) => {
+        connectionEnds.record(socket, EndedBy.callerServer);
+        this.#recordClientError(error);
+      },
     );
   }
 
@@ -73,9 +82,37 @@
   }
 
   close(): void {
+    // The process exits before the connections are closed.
+    for (const logCut of this.#cutLoggers) {
+      logCut();
+    }
     this.#server.closeAllConnections();
   }
 
+  /** Logs a response that ends before it is complete. */
+  #watchEnd(response: ServerResponse): void {
+    const { log, metrics, clock } = this.#parts.context;
+    const startedAt = clock.now();
+    const logCut = (endedBy: EndedBy) => {
+      this.#cutLoggers.delete(logShutdown);
+      metrics.increment(`callers.ended_by.${endedBy}`);
+      log("callers").info("A request was cut", {
+        request: String(response.getHeader("heroncleat-request") ?? ""),
+        endedBy,
+        connection: describeConnectionEnd(response.socket),
+        took: Math.round(clock.now() - startedAt),
+      });
+    };
+    const logShutdown = () => logCut(EndedBy.shutdown);
+    this.#cutLoggers.add(logShutdown);
+    response.once("close", () => {
+      if (!response.writableFinished && this.#cutLoggers.has(logShutdown)) {
+        logCut(connectionEnds.find(response.socket));
+      }
+      this.#cutLoggers.delete(logShutdown);
+    });
+  }
+
   async #handle(
     request: IncomingMessage,
     response: ServerResponse,
--- a/apps/heroncleatd/entry/caller_server_test.ts
+++ b/apps/heroncleatd/entry/caller_server_test.ts
@@ -16,12 +16,14 @@
 let isClosed = Promise.resolve();
 let received = "";
 let counted: string[] = [];
+let logged: object[] = [];
 /** Ends the response of the request in progress. */
 let finish: (reply: ForwardedAnswer) => void = () => {};
 
 beforeEach(async () => {
   received = "";
   counted = [];
+  logged = [];
   const address = await findFreeAddress();
   server = new CallerServer(createParts(address));
   await server.listen();
@@ -62,10 +64,32 @@
   expect(counted).toEqual(["callers.closed.caller_server"]);
 });
 
+// Guards against generations that are cut without a line that says by whom.
+test.each([
+  ["caller", "ECONNRESET", () => caller.resetAndDestroy()],
+  ["caller", "fin", () => caller.end()],
+  ["shutdown", "open", () => server.close()],
+])("a cut generation has a line: %s, %s", async (endedBy, connection, cut) => {
+  caller.write(REQUEST);
+  await waitFor(() => received.includes("first"));
+  cut();
+  await waitFor(() => logged.length > 0);
+  expect(logged).toEqual([
+    { request: "r1", endedBy, connection, took: expect.any(Number) },
+  ]);
+  expect(counted).toEqual([`callers.ended_by.${endedBy}`]);
+  finish(createReply({ text: "last", finished: true }));
+});
+
 /** Parts of an entry that holds one response, whose first piece is there. */
 function createParts(address: string): EntryParts {
   let reads = 0;
-  const log = { debug() {}, info() {}, warn() {}, error() {} };
+  const log = {
+    debug() {},
+    info: (_: string, fields: object) => void logged.push(fields),
+    warn() {},
+    error() {},
+  };
   return {
     context: {
       entry: {
