Test: cut heads wait longer than 300 ms for a busy entry

One case failed once beside load (`a head whose upstream drains, cut after an interim 103 alone`: Expected >= 500, Received NaN). The entry closes each of these connections, so the reader waits for that, up to 4 s.

--- a/apps/heroncleatd/gateway/responses/cut_head_test.ts
+++ b/apps/heroncleatd/gateway/responses/cut_head_test.ts
@@ -57,6 +57,8 @@
 
 /** Streams without events wait for another upstream until then. */
 const TIMEOUT_MS = 200;
+/** The entry closes each connection; a busy machine may do so late. */
+const SILENCE_MS = 4000;
 
 type Setup = {
   readonly kind?: typeof RouteKind[keyof typeof RouteKind];
@@ -106,6 +108,7 @@
   const response = await readRawResponse(entry, {
     method: "POST",
     headers: `Connection: close\r\n${headers}`,
+    silence: SILENCE_MS,
     onClose,
   });
   return { ...response, status: Number(response.head.split(" ")[1]) };
--- a/apps/heroncleatd/gateway/responses/read_raw_response.ts
+++ b/apps/heroncleatd/gateway/responses/read_raw_response.ts
@@ -1,5 +1,6 @@
 import type { Server } from "node:http";
 import { type AddressInfo, connect } from "node:net";
+import type { Milliseconds } from "@heroncleat/base";
 
 /** A response as raw bytes, and how its connection ended. */
 export type RawResponse = {
@@ -12,6 +13,8 @@
   readonly method: string;
   /** Further header lines of the request, each with its line end. */
   readonly headers?: string;
+  /** Time without a byte after which the response counts as read. */
+  readonly silence?: Milliseconds;
   /** Collects what must be called at the end of the test. */
   readonly onClose: (close: () => void) => void;
 };
@@ -22,7 +25,7 @@
  */
 export function readRawResponse(
   entry: Server,
-  { method, headers = "", onClose }: ReadOptions,
+  { method, headers = "", silence = 300, onClose }: ReadOptions,
 ): Promise<RawResponse> {
   return new Promise((resolve) => {
     const caller = connect((entry.address() as AddressInfo).port, "127.0.0.1");
@@ -49,6 +52,6 @@
     });
     caller.on("error", () => isReset = true);
     caller.on("close", finish);
-    caller.setTimeout(300, finish);
+    caller.setTimeout(silence, finish);
   });
 }
