--- a/apps/heroncleatd/gateway/exchange/control_links_test.ts
+++ b/apps/heroncleatd/gateway/exchange/control_links_test.ts
@@ -14,6 +14,30 @@
   jest.useRealTimers();
 });
 
+function startLinks(
+  { pool, seeds, now }: {
+    pool: PeerPool;
+    seeds: readonly string[];
+    now: () => number;
+  },
+): ControlLinks {
+  const links = new ControlLinks({
+    pool,
+    clock: { now, steady: now, wall: now } as never,
+    log: silentLog,
+    seeds: () => seeds,
+    createRequest: () => ({}) as never,
+    onReply: () => {},
+    onFollow: () => {},
+    suspectRevision: () => 0,
+    isAwaitingConfiguration: () => false,
+    random: () => 0.5,
+    onIsolated: () => {},
+  });
+  links.start();
+  return links;
+}
+
 /** Simulates the links of an entry to replicas that can be up or down. */
 function simulateLinks(seeds: readonly string[]) {
   let now = 0;
@@ -37,20 +61,7 @@
         : Promise.reject(new Error("The replica is unreachable."));
     },
   } as unknown as PeerPool;
-  const links = new ControlLinks({
-    pool,
-    clock: { now: () => now, steady: () => now, wall: () => now } as never,
-    log: silentLog,
-    seeds: () => seeds,
-    createRequest: () => ({}) as never,
-    onReply: () => {},
-    onFollow: () => {},
-    suspectRevision: () => 0,
-    isAwaitingConfiguration: () => false,
-    random: () => 0.5,
-    onIsolated: () => {},
-  });
-  links.start();
+  const links = startLinks({ pool, seeds, now: () => now });
   return { ...state, state, links };
 }
 
@@ -387,20 +398,11 @@
       isLeading: address === "a:1",
     };
   };
-  const links = new ControlLinks({
+  const links = startLinks({
     pool: { call } as unknown as PeerPool,
-    clock: { now: () => now, steady: () => now, wall: () => now } as never,
-    log: silentLog,
-    seeds: () => ["a:1", "b:1"],
-    createRequest: () => ({}) as never,
-    onReply: () => {},
-    onFollow: () => {},
-    suspectRevision: () => 0,
-    isAwaitingConfiguration: () => false,
-    random: () => 0.5,
-    onIsolated: () => {},
+    seeds: controls.slice(),
+    now: () => now,
   });
-  links.start();
   const run = async (milliseconds: number) => {
     for (let passed = 0; passed < milliseconds; passed += 10) {
       now += 10;
--- a/apps/heroncleatd/gateway/streams/forward_stream.ts
+++ b/apps/heroncleatd/gateway/streams/forward_stream.ts
@@ -7,7 +7,7 @@
 import { brokenOutcome } from "../attempts/broken_outcome.ts";
 import { breakOffResponse } from "../responses/break_off_response.ts";
 import { describeLack } from "../upstreams/describe_lack.ts";
-import { describeWithholdReason } from "../attempts/describe_withhold_reason.ts";
+import { describeUnsent } from "../attempts/describe_unsent.ts";
 import { EndedBy } from "../responses/ended_by.ts";
 import { endResponse } from "../responses/end_response.ts";
 import { EventSplitter } from "./event_splitter.ts";
@@ -35,6 +35,7 @@
 import { stopReasonOf } from "./stop_reason_of.ts";
 import type { StreamStep } from "./stream_step.ts";
 import { unopenedWeight } from "../upstreams/unopened_weight.ts";
+import type { UnsentResult } from "../attempts/unsent_result.ts";
 import type { WithholdReason } from "../attempts/withhold_reason.ts";
 
 /** Empty ends after which a resumed stream counts as complete. */
@@ -203,42 +204,10 @@
         }),
       recordRefusal: (refusal) => this.#attempts.push(refusal),
     });
-    if (
-      result.kind === "rejected" || result.kind === "held" ||
-      result.kind === "leaving"
-    ) {
-      this.#attempts.push(describeWithholdReason(result));
-      this.#withholdReason = result.kind;
-      this.#rejectedPart = result.kind === "rejected" ? result.part : undefined;
+    if (!("upstream" in result)) {
+      this.#recordUnsent(result);
       return result.kind;
     }
-    if (result.kind === "no_retry") {
-      this.#attempts.push("no retry left");
-      return "no_retry";
-    }
-    if (result.kind === "no_upstream") {
-      this.#attempts.push(
-        describeLack(call, { context: this.#context, version: this.#version }),
-      );
-      this.#restDelay = result.retryAfter;
-      return "no_upstream";
-    }
-    if (result.kind === "limited") {
-      this.#attempts.push("all upstreams are at their rate limits");
-      this.#retryAfter = result.retryAfter;
-      return "limited";
-    }
-    if (result.kind === "resting") {
-      this.#attempts.push("all upstreams rest");
-      this.#restDelay = result.retryAfter;
-      return "resting";
-    }
-    if (result.kind === "overloaded") {
-      const facts = result.facts === undefined ? "" : ` (${result.facts})`;
-      this.#attempts.push(`all upstreams are busy for too long${facts}`);
-      this.#retryAfter = result.retryAfter;
-      return "overloaded";
-    }
     this.#excluded.add(result.upstream);
     this.#offers += 1;
     this.#unopened += unopenedWeight(result);
@@ -271,6 +240,23 @@
     return step;
   }
 
+  #recordUnsent(result: UnsentResult): void {
+    const { kind } = result;
+    this.#attempts.push(describeUnsent(result, () =>
+      describeLack(this.#call, {
+        context: this.#context,
+        version: this.#version,
+      })));
+    if (kind === "no_upstream" || kind === "resting") {
+      this.#restDelay = result.retryAfter;
+    } else if (kind === "limited" || kind === "overloaded") {
+      this.#retryAfter = result.retryAfter;
+    } else if (kind !== "no_retry") {
+      this.#withholdReason = kind;
+      this.#rejectedPart = kind === "rejected" ? result.part : undefined;
+    }
+  }
+
   async #relayResponse(result: AttemptHead): Promise<StreamStep> {
     if (!isEventStream(result.message)) {
       return await this.#relayComplete(result);
