--- a/packages/serving/simulated_origins.ts
+++ b/packages/serving/simulated_origins.ts
@@ -117,6 +117,7 @@
       random,
       versions: this.#versions,
       report,
+      entryCount: scenario.entryCount,
       maxReplyDelay: scenario.maxReplyDelay,
       onReply: (entry) => this.#exchange.shareNewlyAmbiguous(entry),
     });
--- a/packages/serving/simulated_replica_link.ts
+++ b/packages/serving/simulated_replica_link.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds, Random } from "@heroncleat/base";
+import { exchangeInterval } from "./exchange_interval.ts";
 import type { OriginReport } from "./origin_report.ts";
 import type { SimulatedEntry } from "./simulated_origin_entry.ts";
 import type { SimulatedOriginVersions } from "./simulated_origin_versions.ts";
@@ -9,13 +10,14 @@
 /** Share of the replies that are held up, if any are. */
 const DELAYED_SHARE = 0.2;
 /** As at entries: longest wait for a reply to a request sent from now on. */
-const CONFIRM_TIMEOUT: Milliseconds = 100;
+const CONFIRM_TIMEOUT: Milliseconds = 150;
 
 type LinkOptions = {
   readonly time: VirtualTime;
   readonly random: Random;
   readonly versions: SimulatedOriginVersions;
   readonly report: OriginReport;
+  readonly entryCount: number;
   readonly maxReplyDelay: Milliseconds | undefined;
   readonly onReply: (entry: SimulatedEntry) => void;
 };
@@ -37,6 +39,9 @@
   readonly #ongoing = new Set<SimulatedEntry>();
   readonly #queued = new Set<SimulatedEntry>();
   readonly #waiters = new Map<SimulatedEntry, Set<Waiter>>();
+  /** Entries whose next exchange for the sake of waiters is scheduled. */
+  readonly #scheduled = new Set<SimulatedEntry>();
+  readonly #confirmedAt = new Map<SimulatedEntry, Milliseconds>();
 
   constructor(options: LinkOptions) {
     this.#options = options;
@@ -82,10 +87,23 @@
     };
     waiters.add(waiter);
     time.schedule(CONFIRM_TIMEOUT, () => waiter.finish(false));
-    if (entry.isRunning && entry.cutUntil <= time.now) {
-      report.confirmations += this.#queued.has(entry) ? 0 : 1;
-      this.sync(entry);
+    if (this.#scheduled.has(entry)) {
+      return;
     }
+    this.#scheduled.add(entry);
+    const last = this.#confirmedAt.get(entry) ?? -Infinity;
+    time.schedule(Math.max(0, last + this.#pause - time.now), () => {
+      this.#scheduled.delete(entry);
+      if (entry.isRunning && entry.cutUntil <= time.now) {
+        this.#confirmedAt.set(entry, time.now);
+        report.confirmations += 1;
+        this.sync(entry);
+      }
+    });
+  }
+
+  get #pause(): Milliseconds {
+    return exchangeInterval.confirmation(this.#options.entryCount);
   }
 
   #receive(
