OpenAI surface: a generation and an order limit what their upstream sends

Cause: limits on endless bytes lived in the gateway's attempts alone. Generations were read by another HTTP client that limits heads only, and orders by a third path without any. Class: each way to read an upstream's bytes has limits of its own, or none.

Change: generations and orders open their responses with openResponse, as attempts do, so that heads and framing are limited; lines, events and bytes without progress by limitEvents; text by the tokens that the request allows (512 characters a token beyond 64 K, 4 M at most). An engine that sends more chunks than the request allows tokens is cut off and the generation finishes with 'length', as its caller has all it asked for. Bytes behind [DONE] are discarded up to 64 KB.

--- a/apps/heroncleatd/common/byte_limits.ts
+++ b/apps/heroncleatd/common/byte_limits.ts
@@ -37,6 +37,13 @@
   withoutProgress: 1 * MIB,
   /** Bytes that are not progress and are allowed for each millisecond. */
   withoutProgressPerMillisecond: 16,
+  /** Text of one generation, in characters. */
+  generatedText: 4 * MIB,
+  /** The same for a generation of no tokens, and for each token of it. */
+  generatedTextBase: 64 * KIB,
+  textPerToken: 512,
+  /** Tokens of a generation whose request states no limit. */
+  generatedTokens: 256 * KIB,
   /** Body that is held until it is complete. */
   body: 16 * MIB,
   /**
--- a/apps/heroncleatd/common/endless_shape.ts
+++ b/apps/heroncleatd/common/endless_shape.ts
@@ -22,6 +22,10 @@
   event: "event",
   /** Comments, or events that don't let a stream go on. */
   withoutProgress: "without_progress",
+  /** Text of a generation, in characters. */
+  generatedText: "generated_text",
+  /** Tokens of a generation beyond what its request allows, by number. */
+  generatedTokens: "generated_tokens",
   /** The largest of the bodies and events that are held together. */
   held: "held",
 } as const;
--- a/apps/heroncleatd/control/order_runner.ts
+++ b/apps/heroncleatd/control/order_runner.ts
@@ -1,10 +1,11 @@
+import { Agent } from "node:http";
 import type { Clock, Milliseconds } from "@heroncleat/base";
 import { ReplicaRole } from "@heroncleat/consensus";
 import type { Announcement, Order } from "@heroncleat/schema";
-import { request } from "undici";
 import type { Log } from "../common/log.ts";
 import { maySendOrder } from "./may_send_order.ts";
 import { orderRequest } from "./order_request.ts";
+import { sendOrder } from "./send_order.ts";
 import type { ReplicaAccess } from "./replica_access.ts";
 
 type OrderRunnerOptions = {
@@ -23,7 +24,7 @@
 
 const POLL_INTERVAL_MS = 200;
 const COMMIT_TIMEOUT_MS = 3000;
-type SendOutcome = { readonly succeeded: boolean; readonly message?: string };
+type SendOutcome = Awaited<ReturnType<typeof sendOrder>>;
 
 /**
  * Sends committed orders to their upstreams while this replica leads. A failed
@@ -32,6 +33,7 @@
  */
 export class OrderRunner {
   readonly #options: OrderRunnerOptions;
+  readonly #agent = new Agent();
   readonly #busyUpstreams = new Set<string>();
   #timer: NodeJS.Timeout | undefined;
   #term = -1;
@@ -130,23 +132,14 @@
     if (!allowed) {
       return undefined;
     }
-    try {
-      const response = await request(`http://${upstream.address}${path}`, {
-        method: "POST",
-        headers: {
-          "content-type": "application/json",
-          "heroncleat-fencing": String(order.number),
-        },
-        body: JSON.stringify(body),
-        signal: AbortSignal.timeout(timeout),
-      });
-      const text = await response.body.text();
-      return response.statusCode < 300
-        ? { succeeded: true }
-        : { succeeded: false, message: `${response.statusCode} ${text}` };
-    } catch (error) {
-      return { succeeded: false, message: (error as Error).message };
-    }
+    return await sendOrder({
+      agent: this.#agent,
+      address: upstream.address,
+      path,
+      body,
+      fencingNumber: order.number,
+      timeout,
+    });
   }
 }
 
--- a/apps/heroncleatd/entry/cut_response_test.ts
+++ b/apps/heroncleatd/entry/cut_response_test.ts
@@ -1,6 +1,7 @@
 import { Agent as HttpAgent } from "node:http";
 import { type AddressInfo, createServer, type Socket } from "node:net";
-import { Agent } from "undici";
+import { createSystemClock } from "@heroncleat/base";
+import { HeldBytes } from "../common/held_bytes.ts";
 import { cutHeads } from "../gateway/responses/cut_heads.ts";
 import { sendOnce } from "./send_once.ts";
 import type { ServiceCall } from "./service_call.ts";
@@ -55,7 +56,7 @@
 
 /** Runs a generation; returns what its stream reported, in order. */
 function generate(address: string): Promise<string[]> {
-  const agent = new Agent({ headersTimeout: 0, bodyTimeout: 0 });
+  const agent = new HttpAgent({ keepAlive: true });
   closers.push(() => agent.destroy());
   const reports: string[] = [];
   return new Promise((resolve) => {
@@ -71,10 +72,15 @@
       path: "/v1/chat/completions",
       body: {},
       attempt: "a",
+      connectTimeout: TIMEOUT_MS,
+      maxTokens: undefined,
+      heldBytes: new HeldBytes(),
+      clock: createSystemClock(),
       maySend: () => true,
       handlers: {
         onHead: () => {},
         onChunk: () => reports.push("chunk"),
+        onEndless: () => {},
         onFinished: () => end("finished"),
         onFailed: () => end("failed"),
       },
--- a/apps/heroncleatd/entry/entry_context.ts
+++ b/apps/heroncleatd/entry/entry_context.ts
@@ -2,7 +2,7 @@
 import type { Milliseconds } from "@heroncleat/base";
 import type { EntrySettings } from "@heroncleat/schema";
 import type { SendPermits, UpstreamStatements } from "@heroncleat/serving";
-import type { Agent } from "undici";
+import type { HeldBytes } from "../common/held_bytes.ts";
 import type { ControlClient } from "../common/control_client.ts";
 import type { SuspectWatcher } from "../common/suspect_watcher.ts";
 import type { StatementWatcher } from "../common/statement_watcher.ts";
@@ -39,6 +39,8 @@
   readonly chainHash: (text: string, seed: string) => string;
   /** Connection pool for calls to plain services. */
   readonly services: HttpAgent;
-  /** Connection pool for generations; it never retries. */
-  readonly upstreams: Agent;
+  /** Connection pool for generations. */
+  readonly upstreams: HttpAgent;
+  /** What all unfinished responses of upstreams hold. */
+  readonly heldBytes: HeldBytes;
 };
--- a/apps/heroncleatd/entry/request_runner.ts
+++ b/apps/heroncleatd/entry/request_runner.ts
@@ -9,6 +9,7 @@
 import type { ForwardedAnswer } from "@heroncleat/schema";
 import { SuspectStatus } from "@heroncleat/serving";
 import { buildUpstreamBody } from "./build_upstream_body.ts";
+import { reportEndless } from "../common/report_endless.ts";
 import type { RequestIdentity } from "../common/request_identity.ts";
 import type { EntryContext } from "./entry_context.ts";
 import { identifyGeneration } from "./identify_generation.ts";
@@ -184,6 +185,7 @@
     const { context, request } = this.#options;
     const { number, address } = attempt;
     const upstream = context.instanceIdOf(attempt.upstream);
+    const maxTokens = body["max_tokens"];
     const sentAt = context.clock.steady();
     attempt.sentAt = context.clock.now();
     this.#endTrackedRun = context.crashes.trackCopy(this.#identity);
@@ -196,15 +198,19 @@
         : "/v1/completions",
       body,
       attempt: attempt.token,
+      connectTimeout: context.entry.connect_timeout,
+      maxTokens: typeof maxTokens === "number" ? maxTokens : undefined,
+      heldBytes: context.heldBytes,
+      clock: context.clock,
       maySend: () =>
         context.clock.now() < attempt.sendBefore &&
         !context.statements.isResting(upstream, context.clock.steady()),
       handlers: {
-        onHead: ({ statusCode, headers }) => {
+        onHead: ({ statusCode, headersDistinct }) => {
           endTrial();
           context.statementWatcher.recordResponse(upstream, {
-            status: statusCode,
-            headers,
+            status: statusCode!,
+            headers: headersDistinct,
             isNotRun: statusCode !== HTTP_OK,
             sentAt,
             request: attempt.token,
@@ -220,6 +226,13 @@
             piece: chunk,
           });
         },
+        onEndless: (exceeded) =>
+          reportEndless(exceeded, {
+            metrics: context.metrics,
+            log: context.log("requests"),
+            request: attempt.token,
+            upstream: attempt.upstream,
+          }),
         onFinished: (chunkCount, reason) => {
           context.crashes.recordSuccess(this.#identity);
           this.#sendEvent({
--- a/apps/heroncleatd/entry/start_entry.ts
+++ b/apps/heroncleatd/entry/start_entry.ts
@@ -11,9 +11,9 @@
   SendPermits,
   UpstreamStatements,
 } from "@heroncleat/serving";
-import { Agent } from "undici";
 import { Actor } from "../common/actor.ts";
 import { ControlClient } from "../common/control_client.ts";
+import { HeldBytes } from "../common/held_bytes.ts";
 import type { KeyRing } from "../common/key_ring.ts";
 import { StatementWatcher } from "../common/statement_watcher.ts";
 import { RateLimitWatcher } from "../common/rate_limit_watcher.ts";
@@ -34,8 +34,8 @@
 import { startMembership } from "./start_membership.ts";
 import { SuspectSync } from "./suspect_sync.ts";
 
-/** Idle time after which a connection to a plain service is closed. */
-const SERVICE_IDLE_TIMEOUT_MS = 4000;
+/** Idle time after which a connection to an upstream is closed. */
+const IDLE_TIMEOUT_MS = 4000;
 /** Header in which upstreams state how many requests a second they accept. */
 const RATE_LIMIT_HEADER = "heroncleat-rate-limit";
 /** Its value is `1` in the responses of an upstream that leaves. */
@@ -115,20 +115,20 @@
       statements.isLeaving(suspectSync.instanceIdOf(upstream)),
     reclaimedAt: (upstream) => suspectSync.reclaimedAt(upstream),
     chainHash: await createChainHash(),
-    services: new HttpAgent({
-      keepAlive: true,
-      scheduling: "lifo",
-      timeout: SERVICE_IDLE_TIMEOUT_MS,
-    }),
-    upstreams: new Agent({
-      connect: { timeout: entry.connect_timeout },
-      headersTimeout: 0,
-      bodyTimeout: 0,
-      pipelining: 1,
-    }),
+    services: createAgent(),
+    upstreams: createAgent(),
+    heldBytes: new HeldBytes(),
   };
 }
 
+function createAgent(): HttpAgent {
+  return new HttpAgent({
+    keepAlive: true,
+    scheduling: "lifo",
+    timeout: IDLE_TIMEOUT_MS,
+  });
+}
+
 /** Rotates the replicas at random, so that the entries' reads are spread. */
 function rotateRandomly(addresses: readonly string[]): string[] {
   const offset = Math.floor(Math.random() * addresses.length);
@@ -207,7 +207,7 @@
     }
     this.#server.close();
     this.#context.services.destroy();
-    await this.#context.upstreams.destroy();
+    this.#context.upstreams.destroy();
   }
 
   #expire(): void {
--- a/apps/heroncleatd/gateway/streams/forward_stream.ts
+++ b/apps/heroncleatd/gateway/streams/forward_stream.ts
@@ -333,8 +333,9 @@
     const splitter = new EventSplitter();
     const checkLimits = limitEvents(message, {
       splitter,
-      needsIdentifiers: this.#call.route.isResumable,
-      lastEvent: () => this.#lastEvent,
+      isProgress: ({ hasData, lastId }) =>
+        hasData && (!this.#call.route.isResumable ||
+          (lastId !== undefined && lastId !== this.#lastEvent)),
       ...this.#context,
     });
     let isBound = false;
--- a/apps/heroncleatd/gateway/streams/limit_events.ts
+++ b/apps/heroncleatd/gateway/streams/limit_events.ts
@@ -6,24 +6,23 @@
 import type { EventSplitter } from "./event_splitter.ts";
 import { StreamLimits } from "./stream_limits.ts";
 
+type CompleteEvents = NonNullable<ReturnType<EventSplitter["push"]>>;
+
 /**
  * Limits the events of a response. Returns a function that must be called after
  * each read; it destroys the response once a limit is exceeded.
  *
- * @param options.needsIdentifiers Whether only events with a new identifier let
- *     the stream go on.
+ * @param options.isProgress Whether complete events let the stream go on.
  */
 export function limitEvents(
   message: IncomingMessage,
-  { splitter, needsIdentifiers, lastEvent, heldBytes, clock }: {
+  { splitter, isProgress, heldBytes, clock }: {
     splitter: EventSplitter;
-    needsIdentifiers: boolean;
-    /** Identifier of the last event that was passed on before. */
-    lastEvent: () => string | undefined;
+    isProgress: (events: CompleteEvents) => boolean;
     heldBytes: HeldBytes;
     clock: Pick<Clock, "steady">;
   },
-): (events: ReturnType<EventSplitter["push"]>) => void {
+): (events: CompleteEvents | undefined) => void {
   const limits = new StreamLimits(clock.steady());
   const giveUp = (exceeded: ExceededLimit) => {
     heldBytes.release(giveUp);
@@ -35,12 +34,9 @@
     if (message.destroyed) {
       return;
     }
-    const hasIdentifier = events?.lastId !== undefined &&
-      events.lastId !== lastEvent();
     const exceeded = limits.check({
       passedOn: events?.bytes.length ?? 0,
-      isProgress: events?.hasData === true &&
-        (hasIdentifier || !needsIdentifiers),
+      isProgress: events !== undefined && isProgress(events),
       lineBytes: splitter.lineBytes,
       heldBytes: splitter.heldBytes,
     }, clock.steady());
