Logs: an entry says what fills its memory before it reaches its limit

Change: where the settings state a memory limit, the resident memory is looked at each 500 ms; at 70 % of the limit and for each further 5 % one line tells the memory, the requests in flight and the bytes of held responses.

--- a/apps/heroncleatd/gateway/gateway_settings.ts
+++ b/apps/heroncleatd/gateway/gateway_settings.ts
@@ -29,6 +29,10 @@
    * may still reach it; 0 for none.
    */
   readonly drainTimeout: Milliseconds;
+  /**
+   * Memory in bytes beyond which the process is killed; undefined for no limit.
+   */
+  readonly memoryLimit?: number | undefined;
   /** Time between SIGTERM and the latest exit of the process. */
   readonly gracePeriod: Milliseconds;
 };
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -36,6 +36,7 @@
 import { DepartureDeadline } from "./shutdown/departure_deadline.ts";
 import { shutDownGracefully } from "./shutdown/shut_down_gracefully.ts";
 import type { ConnectionOpener } from "../common/connection_opener.ts";
+import { MemoryMonitor } from "../common/memory_monitor.ts";
 import { probeUpstream } from "../common/probe_upstream.ts";
 import { QuotaCharger } from "./limits/quota_charger.ts";
 import { PermitClient } from "./limits/permit_client.ts";
@@ -146,6 +147,8 @@
   readonly #cleanupTimer: NodeJS.Timeout;
   readonly #replacedRuns: ReplacedRuns;
   readonly #replacedRunsTimer: NodeJS.Timeout;
+  readonly #heldBytes = new HeldBytes();
+  readonly #memoryMonitor: MemoryMonitor | undefined;
   /** Set while no control replica is reachable. */
   #directExchangeTimer: NodeJS.Timeout | undefined;
   readonly #log: Log;
@@ -417,6 +420,7 @@
       () => void this.#replacedRuns.check(),
       REPLACED_RUNS_INTERVAL_MS,
     );
+    this.#memoryMonitor = this.#createMemoryMonitor();
     this.#cleanupTimer = setInterval(
       () => this.#cleanUp(),
       CLEANUP_INTERVAL_MS,
@@ -432,6 +436,7 @@
     await listenAt(this.#server, address);
     await listenAt(this.#relayServer, relayAddress);
     this.#links.start();
+    this.#memoryMonitor?.start();
     this.#log.info("Listens for callers", { address });
   }
 
@@ -481,6 +486,7 @@
     });
     this.#links.stop();
     this.#notices.close();
+    this.#memoryMonitor?.stop();
     clearInterval(this.#cleanupTimer);
     clearInterval(this.#replacedRunsTimer);
     clearInterval(this.#directExchangeTimer);
@@ -495,7 +501,7 @@
       clock,
       metrics,
       log: this.#log,
-      heldBytes: new HeldBytes(),
+      heldBytes: this.#heldBytes,
       zone: settings().zone,
       choice: this.#choice,
       shedder: this.#shedder,
@@ -528,6 +534,19 @@
     };
   }
 
+  #createMemoryMonitor(): MemoryMonitor | undefined {
+    const { memoryLimit } = this.#options.settings();
+    return memoryLimit === undefined ? undefined : new MemoryMonitor({
+      limit: memoryLimit,
+      log: this.#log,
+      resident: () => process.memoryUsage.rss(),
+      describe: () => ({
+        inFlight: this.#inFlight.size,
+        heldResponses: this.#heldBytes.total,
+      }),
+    });
+  }
+
   #createRelay(): Relay {
     const { names, clock, metrics, secret } = this.#options;
     const { name, zone, region, relayAddress } = this.#options.settings();
