Responses with a stated length no longer fill an entry's memory

Cause: each body is held until it is complete, so that a broken run can be repeated. Only bodies that state no length were counted, and none while its caller reads it. Class: memory that others fill is bounded for each request, and not for all.

Change: bodies that state their length are held while there is room (12 MB together). Beyond it a body is passed on as it arrives, as fast as its caller reads: nothing is refused or given up; a run that breaks off then can't be repeated and is broken off visibly. Bodies without a length are counted until their caller has read them; beyond 24 MB the largest is broken off. Non-event responses on streaming routes and calls to plain services of the OpenAI surface count in the held bytes, whatever length they state.

--- a/apps/heroncleatd/common/byte_limits.ts
+++ b/apps/heroncleatd/common/byte_limits.ts
@@ -51,6 +51,10 @@
    * connections together.
    */
   held: 20 * MIB,
+  /** Bodies with a stated length, held by all connections together. */
+  heldWithLength: 12 * MIB,
+  /** Bodies of unstated length that callers are reading, together. */
+  unread: 24 * MIB,
   /** What a connection may hold without being counted. */
   uncounted: 16 * KIB,
   /** Body that is no longer needed and is read to keep the connection. */
--- a/apps/heroncleatd/entry/cut_response_test.ts
+++ b/apps/heroncleatd/entry/cut_response_test.ts
@@ -103,6 +103,7 @@
     attempt: "a",
     timeout: TIMEOUT_MS,
     connectTimeout: TIMEOUT_MS,
+    heldBytes: new HeldBytes(),
     onHead: () => {},
     maySend: () => true,
     hasCrashed: () => Promise.resolve(false),
--- a/apps/heroncleatd/entry/dispatch_service.ts
+++ b/apps/heroncleatd/entry/dispatch_service.ts
@@ -83,6 +83,7 @@
     attempt: token,
     timeout: remaining,
     connectTimeout: entry.connect_timeout,
+    heldBytes: parts.context.heldBytes,
     hasCrashed: async () => {
       const hold = requiredHold({
         isLeaving: isDepartingUpstream(upstream),
--- a/apps/heroncleatd/entry/send_once.ts
+++ b/apps/heroncleatd/entry/send_once.ts
@@ -3,6 +3,7 @@
 import type { Outcome } from "@heroncleat/schema";
 import { discardBody } from "../common/discard_body.ts";
 import { EndlessBytes } from "../common/endless_bytes.ts";
+import type { HeldBytes } from "../common/held_bytes.ts";
 import { framingOf } from "../common/framing_of.ts";
 import { openResponse } from "../common/open_response.ts";
 import { ResponseFraming } from "../common/response_framing.ts";
@@ -36,6 +37,8 @@
     attempt: string;
     timeout: Milliseconds;
     connectTimeout: Milliseconds;
+    /** What all unfinished responses hold. */
+    heldBytes: HeldBytes;
     /** Called with the head of the response, whatever its status. */
     onHead: (message: IncomingMessage, isNotRun: boolean) => void;
     /** Whether to send the call, asked once there is a connection. */
@@ -109,10 +112,14 @@
   options: {
     call: ServiceCall;
     signal: AbortSignal;
+    heldBytes: HeldBytes;
     hasCrashed: () => Promise<boolean>;
   },
 ): Promise<AttemptOutcome> {
-  const body = await readResponseBody(message, { limit: MAX_RESPONSE_BYTES });
+  const body = await readResponseBody(message, {
+    limit: MAX_RESPONSE_BYTES,
+    held: options.heldBytes,
+  });
   if (message.errored instanceof EndlessBytes) {
     const exceeded = message.errored;
     const reason = exceeded.message;
--- a/apps/heroncleatd/gateway/attempts/read_attempt_body.ts
+++ b/apps/heroncleatd/gateway/attempts/read_attempt_body.ts
@@ -9,9 +9,9 @@
  */
 export async function readAttemptBody(
   { message, framing, hasCrashed }: Extract<AttemptResult, { kind: "head" }>,
-  held: HeldBytes,
+  { held, isLengthCounted }: { held: HeldBytes; isLengthCounted: boolean },
 ): Promise<Buffer | undefined> {
-  const body = await readResponseBody(message, { held });
+  const body = await readResponseBody(message, { held, isLengthCounted });
   const isCutOff = framing === ResponseFraming.connectionEnd &&
     body !== undefined && await hasCrashed();
   return isCutOff ? undefined : body;
--- a/apps/heroncleatd/gateway/create_test_context.ts
+++ b/apps/heroncleatd/gateway/create_test_context.ts
@@ -11,6 +11,8 @@
   UpstreamStatements,
 } from "@heroncleat/serving";
 import { LoadShedder } from "@heroncleat/shedding";
+import { ByteBudget } from "../common/byte_budget.ts";
+import { byteLimits } from "../common/byte_limits.ts";
 import { HeldBytes } from "../common/held_bytes.ts";
 import { RateLimitWatcher } from "../common/rate_limit_watcher.ts";
 import { probeUpstream } from "../common/probe_upstream.ts";
@@ -88,6 +90,12 @@
     log: silentLog,
     metrics: noMetrics,
     heldBytes: new HeldBytes(),
+    bodyBudget: new ByteBudget({
+      limit: byteLimits.heldWithLength,
+      largeBytes: byteLimits.heldWithLength,
+      clock,
+    }),
+    unreadBytes: new HeldBytes(byteLimits.unread),
     statements,
     statementWatcher: new StatementWatcher({
       statements,
--- a/apps/heroncleatd/gateway/forward_call.ts
+++ b/apps/heroncleatd/gateway/forward_call.ts
@@ -4,6 +4,7 @@
 import { attemptRequest } from "./attempts/attempt_request.ts";
 import { AttemptOutcome } from "./attempts/attempt_outcome.ts";
 import { brokenOutcome } from "./attempts/broken_outcome.ts";
+import { breakOffResponse } from "./responses/break_off_response.ts";
 import type { CallerRequest } from "./caller_request.ts";
 import { describeWithholdReason } from "./attempts/describe_withhold_reason.ts";
 import { EndedBy } from "./responses/ended_by.ts";
@@ -16,9 +17,10 @@
 import type { LocalResponse } from "./responses/local_response.ts";
 import { mayGoOn } from "./upstreams/may_go_on.ts";
 import { mayOfferAgain } from "./upstreams/may_offer_again.ts";
-import { readAttemptBody } from "./attempts/read_attempt_body.ts";
+import { takeBody } from "./attempts/take_body.ts";
 import { errorResponse } from "./responses/error_response.ts";
 import { sendRefusal } from "./responses/send_refusal.ts";
+import { limitUnread } from "./responses/limit_unread.ts";
 import { sendUpstreamResponse } from "./responses/send_upstream_response.ts";
 import { unopenedWeight } from "./upstreams/unopened_weight.ts";
 import type { WithholdReason } from "./attempts/withhold_reason.ts";
@@ -28,6 +30,8 @@
   readonly upstream: string;
   readonly message: IncomingMessage;
   readonly body: Buffer;
+  /** Whether its bytes are counted until they are released. */
+  readonly isCounted: boolean;
 };
 
 /**
@@ -39,19 +43,50 @@
   call: CallerRequest,
   options: { context: ForwardContext; response: ServerResponse },
 ): Promise<ForwardResult> {
-  const { context, response } = options;
-  const run = new CallRun(call, context);
+  const run = new CallRun(call, options);
+  try {
+    return await respond(run, call, options);
+  } finally {
+    run.releaseBodies();
+  }
+}
+
+async function respond(
+  run: CallRun,
+  call: CallerRequest,
+  { context, response }: { context: ForwardContext; response: ServerResponse },
+): Promise<ForwardResult> {
   const upstreamResponse = await run.findResponse();
+  if (run.passedOn !== undefined) {
+    const { status, isWhole } = run.passedOn;
+    if (isWhole) {
+      return run.toResult("answered", status);
+    }
+    const outcome = run.hasCallerLeft ? "caller_left" : "failed";
+    const endedBy = findEndedBy(call, { response, lastAttempt: run.endedBy });
+    await breakOffResponse(response);
+    return { ...run.toResult(outcome, status), endedBy };
+  }
   if (upstreamResponse !== undefined) {
+    const { message, body, upstream } = upstreamResponse;
+    const endUnread = upstreamResponse.isCounted
+      ? undefined
+      : limitUnread(response, {
+        bytes: body.length,
+        request: call.attempt,
+        upstream,
+        context,
+      });
     await sendUpstreamResponse(response, {
-      message: upstreamResponse.message,
+      message,
       headers: [
-        ...forwardHeaders.toCaller(upstreamResponse.message.rawHeaders),
+        ...forwardHeaders.toCaller(message.rawHeaders),
         ...relayResponseHeaders(call, upstreamResponse),
       ],
-      body: upstreamResponse.body,
+      body,
     });
-    return run.toResult("answered", upstreamResponse.message.statusCode!);
+    endUnread?.();
+    return run.toResult("answered", message.statusCode!);
   }
   const endedBy = findEndedBy(call, { response, lastAttempt: run.endedBy });
   if (run.hasCallerLeft) {
@@ -88,15 +123,33 @@
   /** The part of the prompt for which the request is rejected, if any. */
   #rejectedPart: string | undefined;
   #failedResponse: CompleteResponse | undefined;
+  /** Set if the response was passed on while it arrived. */
+  passedOn: { readonly status: number; readonly isWhole: boolean } | undefined;
+  readonly #response: ServerResponse;
+  readonly #bodyReleases: (() => void)[] = [];
   /** Set if all upstreams that may serve the request rest. */
   #restDelay: Milliseconds | undefined;
   /** Set if all upstreams are at their rate limits. */
   #retryAfter: Milliseconds | undefined;
 
-  constructor(call: CallerRequest, context: ForwardContext) {
+  constructor(
+    call: CallerRequest,
+    { context, response }: {
+      context: ForwardContext;
+      response: ServerResponse;
+    },
+  ) {
     this.#call = call;
     this.#excluded = new Set(call.excluded);
     this.#context = context;
+    this.#response = response;
+  }
+
+  /** Releases the bytes of the responses; none may be sent any more. */
+  releaseBodies(): void {
+    for (const release of this.#bodyReleases.splice(0)) {
+      release();
+    }
   }
 
   get hasCallerLeft(): boolean {
@@ -222,14 +275,22 @@
       return undefined;
     }
     result.recordFirstByte();
-    const body = await readAttemptBody(result, context.heldBytes);
+    const taken = await takeBody(result, {
+      call,
+      response: this.#response,
+      context,
+    });
+    const isComplete = taken.kind === "passed_on"
+      ? taken.isWhole
+      : taken.kind === "held";
     result.finish(
-      body === undefined
-        ? brokenOutcome(result.message)
-        : AttemptOutcome.complete,
+      isComplete ? AttemptOutcome.complete : brokenOutcome(result.message),
     );
     const status = result.message.statusCode!;
-    if (body === undefined) {
+    if (taken.kind === "passed_on") {
+      this.passedOn = { status, isWhole: taken.isWhole };
+    }
+    if (!isComplete) {
       if (!call.signal.aborted) {
         result.trace.recordEndedBy(EndedBy.upstream);
       }
@@ -237,14 +298,22 @@
       this.#attempts.push(result.trace.describe(`${status}, cut off`));
       return undefined;
     }
-    this.#attempts.push(result.trace.describe(`${status}`));
+    this.#attempts.push(
+      result.trace.describe(
+        taken.kind === "held" ? `${status}` : `${status} passed on`,
+      ),
+    );
     if (!result.isRelayed) {
       context.countUsage(call.workspace?.name ?? "", context.clock.steady());
     }
-    const response = {
+    if (taken.kind !== "held") {
+      return undefined;
+    }
+    this.#bodyReleases.push(taken.release);
+    const response: CompleteResponse = {
       upstream: result.upstream,
       message: result.message,
-      body,
+      ...taken,
     };
     if (status >= 500 && this.#isRepeatable()) {
       this.#failedResponse = response;
@@ -287,6 +356,9 @@
   }
 
   #mayRetry(): boolean {
+    if (this.passedOn !== undefined) {
+      return false;
+    }
     const mayRunAgain = !this.mayHaveRun ||
       (this.#isRepeatable() && this.#runs < this.#call.route.maxAttempts);
     if (!mayRunAgain || !this.#mayOfferAgain()) {
--- a/apps/heroncleatd/gateway/forward_context.ts
+++ b/apps/heroncleatd/gateway/forward_context.ts
@@ -9,6 +9,7 @@
   UpstreamStatements,
 } from "@heroncleat/serving";
 import type { LoadShedder } from "@heroncleat/shedding";
+import type { ByteBudget } from "../common/byte_budget.ts";
 import type { HeldBytes } from "../common/held_bytes.ts";
 import type { Log } from "../common/log.ts";
 import type { Metrics } from "../common/metrics.ts";
@@ -33,6 +34,10 @@
   readonly metrics: Metrics;
   /** What all unfinished responses hold. */
   readonly heldBytes: HeldBytes;
+  /** What bodies of responses hold that state their length. */
+  readonly bodyBudget: ByteBudget;
+  /** What complete bodies of unstated length hold while callers read them. */
+  readonly unreadBytes: HeldBytes;
   /** Availability zone of this entry. */
   readonly zone: string;
   readonly choice: UpstreamBalancer;
--- a/apps/heroncleatd/gateway/responses/read_response_body.ts
+++ b/apps/heroncleatd/gateway/responses/read_response_body.ts
@@ -9,8 +9,10 @@
 type ReadOptions = {
   /** Largest body, in bytes. */
   readonly limit?: number;
-  /** Counts bodies that state no length. */
+  /** Counts the bodies that aren't counted elsewhere. */
   readonly held?: HeldBytes | undefined;
+  /** Whether bodies that state their length are counted elsewhere. */
+  readonly isLengthCounted?: boolean;
 };
 
 /**
@@ -19,7 +21,7 @@
  */
 export function readResponseBody(
   message: IncomingMessage,
-  { limit = byteLimits.body, held }: ReadOptions = {},
+  { limit = byteLimits.body, held, isLengthCounted = false }: ReadOptions = {},
 ): Promise<Buffer | undefined> {
   // It may have failed in the same read as its head, before anyone listened.
   if (message.destroyed) {
@@ -44,7 +46,7 @@
       const bytes = collector.length;
       if (bytes > limit) {
         giveUp({ shape: EndlessShape.body, bytes, limit });
-      } else if (stated === undefined) {
+      } else if (stated === undefined || !isLengthCounted) {
         held?.hold(giveUp, bytes);
       }
     });
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -36,6 +36,8 @@
 import { DepartureDeadline } from "./shutdown/departure_deadline.ts";
 import { shutDownGracefully } from "./shutdown/shut_down_gracefully.ts";
 import type { ConnectionOpener } from "../common/connection_opener.ts";
+import { ByteBudget } from "../common/byte_budget.ts";
+import { byteLimits } from "../common/byte_limits.ts";
 import { MemoryMonitor } from "../common/memory_monitor.ts";
 import { probeUpstream } from "../common/probe_upstream.ts";
 import { QuotaCharger } from "./limits/quota_charger.ts";
@@ -148,6 +150,8 @@
   readonly #replacedRuns: ReplacedRuns;
   readonly #replacedRunsTimer: NodeJS.Timeout;
   readonly #heldBytes = new HeldBytes();
+  readonly #unreadBytes = new HeldBytes(byteLimits.unread);
+  readonly #bodyBudget: ByteBudget;
   readonly #memoryMonitor: MemoryMonitor | undefined;
   /** Set while no control replica is reachable. */
   #directExchangeTimer: NodeJS.Timeout | undefined;
@@ -161,6 +165,11 @@
   constructor(options: GatewayOptions) {
     this.#options = options;
     const { clock, pool } = options;
+    this.#bodyBudget = new ByteBudget({
+      limit: byteLimits.heldWithLength,
+      largeBytes: byteLimits.heldWithLength,
+      clock,
+    });
     this.#choice = new UpstreamBalancer({
       statements: this.#statements,
       drainTimeout: () => options.settings().drainTimeout,
@@ -502,6 +511,8 @@
       metrics,
       log: this.#log,
       heldBytes: this.#heldBytes,
+      bodyBudget: this.#bodyBudget,
+      unreadBytes: this.#unreadBytes,
       zone: settings().zone,
       choice: this.#choice,
       shedder: this.#shedder,
@@ -542,7 +553,8 @@
       resident: () => process.memoryUsage.rss(),
       describe: () => ({
         inFlight: this.#inFlight.size,
-        heldResponses: this.#heldBytes.total,
+        heldResponses: this.#heldBytes.total + this.#bodyBudget.held,
+        unreadResponses: this.#unreadBytes.total,
       }),
     });
   }
--- a/apps/heroncleatd/gateway/streams/forward_stream.ts
+++ b/apps/heroncleatd/gateway/streams/forward_stream.ts
@@ -298,7 +298,10 @@
    */
   async #relayComplete(result: AttemptHead): Promise<StreamStep> {
     const { message, upstream } = result;
-    const body = await readAttemptBody(result, this.#context.heldBytes);
+    const body = await readAttemptBody(result, {
+      held: this.#context.heldBytes,
+      isLengthCounted: false,
+    });
     if (body === undefined) {
       return "broken";
     }
