Shutdown: no further attempt begins without time to complete

Cause: the time left was asked for only while the request couldn't have run. Class: a check before the first attempt that the further ones skip.

Change: each attempt, also one through another entry, asks for it. A call ends with 502, 'may have run'; a stream that was begun is broken off, so that its caller can resume it elsewhere in time. Bodies that state their length may hold 16 MB together, so that a single body of the largest size is held as before.

--- a/apps/heroncleatd/common/byte_limits.ts
+++ b/apps/heroncleatd/common/byte_limits.ts
@@ -52,7 +52,7 @@
    */
   held: 20 * MIB,
   /** Bodies with a stated length, held by all connections together. */
-  heldWithLength: 12 * MIB,
+  heldWithLength: 16 * MIB,
   /** Bodies of unstated length that callers are reading, together. */
   unread: 24 * MIB,
   /** What a connection may hold without being counted. */
--- a/apps/heroncleatd/gateway/attempts/attempt_request.ts
+++ b/apps/heroncleatd/gateway/attempts/attempt_request.ts
@@ -87,7 +87,7 @@
   }
   // Checked again here: reading the body, charging the quota and waiting for an
   // upstream take time after admission.
-  if (!options.mayHaveRun && !context.leaving.hasTimeFor(call)) {
+  if (!context.leaving.hasTimeFor(call)) {
     returnPermit();
     return { kind: "leaving" };
   }
--- a/apps/heroncleatd/gateway/relay/attempt_through_entry.ts
+++ b/apps/heroncleatd/gateway/relay/attempt_through_entry.ts
@@ -32,7 +32,7 @@
   if (relay === undefined || !await seeksEntry(call, options)) {
     return undefined;
   }
-  if (!options.mayHaveRun && !leaving.hasTimeFor(call)) {
+  if (!leaving.hasTimeFor(call)) {
     return { kind: "leaving" };
   }
   if (!options.isAllowed()) {
