Shutdown: what is in flight at the end of the grace period is answered

Cause: the end of a shutdown knew connections only. Class: an end that closes where it could answer.

Change: 0.1 s before the process exits, requests without a response are given up as at a deadline: 502, 'may have run', or 503 where nothing was sent. What was begun may go on until the exit. Relayed requests end alike. Lines say endedBy=shutdown.

--- a/apps/heroncleatd/gateway/create_call_signal.ts
+++ b/apps/heroncleatd/gateway/create_call_signal.ts
@@ -1,17 +1,23 @@
 import type { ServerResponse } from "node:http";
+import type { InFlightRequests } from "./shutdown/in_flight_requests.ts";
 import type { Clock, Milliseconds } from "@heroncleat/base";
 
 /**
- * Creates the signal of a request, which aborts with `time_up` at the deadline
- * and with `caller_left` when the connection closes before the response ends.
+ * Creates the signal of a request, which aborts with `time_up` at the deadline,
+ * with `caller_left` when the connection closes before the response ends, and
+ * with `shutting_down` when this entry gives up requests without a response.
  *
  * @param options.deadline Monotonic time.
  */
 export function createCallSignal(
   response: ServerResponse,
-  options: { deadline: Milliseconds; clock: Pick<Clock, "steady"> },
-): { signal: AbortSignal; stopTimer: () => void } {
-  const { deadline, clock } = options;
+  options: {
+    deadline: Milliseconds;
+    clock: Pick<Clock, "steady">;
+    inFlight: Pick<InFlightRequests, "onGiveUp">;
+  },
+): { signal: AbortSignal; release: () => void } {
+  const { deadline, clock, inFlight } = options;
   const abort = new AbortController();
   const timer = setTimeout(
     () => abort.abort("time_up"),
@@ -27,5 +33,15 @@
     // The connection closed before, for example while the quota was charged.
     abortOnClose();
   }
-  return { signal: abort.signal, stopTimer: () => clearTimeout(timer) };
+  const stopListening = inFlight.onGiveUp(() => {
+    // What has begun may still complete until the process exits.
+    if (!response.headersSent) {
+      abort.abort("shutting_down");
+    }
+  });
+  const release = () => {
+    clearTimeout(timer);
+    stopListening();
+  };
+  return { signal: abort.signal, release };
 }
--- a/apps/heroncleatd/gateway/forward_call.ts
+++ b/apps/heroncleatd/gateway/forward_call.ts
@@ -10,6 +10,7 @@
 import { EndedBy } from "./responses/ended_by.ts";
 import { findEndedBy } from "./responses/find_ended_by.ts";
 import type { ForwardContext } from "./forward_context.ts";
+import { givenUpReason } from "./given_up_reason.ts";
 import { findRestDelay } from "./limits/find_rest_delay.ts";
 import { forwardHeaders } from "./forward_headers.ts";
 import { relayResponseHeaders } from "./relay/relay_response_headers.ts";
@@ -163,7 +164,7 @@
       withholdReason: this.#withholdReason,
       rejectedPart: this.#rejectedPart,
       mayHaveRun: this.mayHaveRun,
-      isTimeUp: this.#call.signal.aborted,
+      givenUpFor: givenUpReason(this.#call.signal),
       offers: this.#isOver ? Math.max(1, this.#offers) : this.#offers,
       wasSent: this.#wasSent,
       isInDoubt: this.#context.reachability.refusesRelays(this.#call.service),
--- a/apps/heroncleatd/gateway/gateway.ts
+++ b/apps/heroncleatd/gateway/gateway.ts
@@ -258,9 +258,10 @@
     metrics.increment("quota.charged_tokens", amount);
     metrics.increment("quota.beyond_tokens", isBeyondQuota ? amount : 0);
     const deadline = this.#deadlineOf(incoming, { route, arrivedAt });
-    const { signal, stopTimer } = createCallSignal(response, {
+    const { signal, release } = createCallSignal(response, {
       deadline,
       clock,
+      inFlight: this.#inFlight,
     });
     const attempt = this.#attemptOf(incoming);
     const call: CallerRequest = {
@@ -299,7 +300,7 @@
       ? forwardStream
       : forwardCall;
     const result = await forward(call, { context: forwarding, response });
-    stopTimer();
+    release();
     if (!result.mayHaveRun && chargeResult !== undefined) {
       quota.refund(chargeResult.charge, clock.steady());
       metrics.increment("quota.refunded_tokens", amount);
--- a/apps/heroncleatd/gateway/relay/relayed_requests.ts
+++ b/apps/heroncleatd/gateway/relay/relayed_requests.ts
@@ -194,9 +194,10 @@
     const timeLeft = Number(incoming.headers[names.timeLeft]);
     const deadline = arrivedAt +
       Math.min(route.timeout, timeLeft > 0 ? timeLeft : route.timeout);
-    const { signal, stopTimer } = createCallSignal(response, {
+    const { signal, release } = createCallSignal(response, {
       deadline,
       clock,
+      inFlight: this.#options.inFlight,
     });
     const call: CallerRequest = {
       attempt,
@@ -237,7 +238,7 @@
       ? { ...forwarding, countUsage: () => {} }
       : forwarding;
     const result = await forward(call, { context, response });
-    stopTimer();
+    release();
     recordResult(call, { ...result, charge: 0, paidFrom: "other_entry" }, {
       ...this.#options,
       response,
--- a/apps/heroncleatd/gateway/responses/error_response.ts
+++ b/apps/heroncleatd/gateway/responses/error_response.ts
@@ -29,7 +29,8 @@
   /** Key of the part of its prompt that upstreams crash on, if it is one. */
   readonly rejectedPart: string | undefined;
   readonly mayHaveRun: boolean;
-  readonly isTimeUp: boolean;
+  /** Why it was given up; undefined if it wasn't. */
+  readonly givenUpFor: "time_up" | "shutting_down" | undefined;
   /** Number of upstreams that the request was sent to. */
   readonly offers: number;
   /** Whether an upstream may have got it. */
@@ -105,7 +106,10 @@
     return rejected(request.rejectedPart);
   }
   if (request.mayHaveRun) {
-    return afterRun(request.isTimeUp);
+    return afterRun(request.givenUpFor);
+  }
+  if (request.givenUpFor === "shutting_down") {
+    return errorResponse.shuttingDown();
   }
   switch (request.withholdReason) {
     case "held":
@@ -206,16 +210,26 @@
 }
 
 /** The request may have run, but no complete response arrived. */
-function afterRun(isTimeUp: boolean): LocalResponse {
-  return isTimeUp
-    ? {
-      status: 504,
-      message: "The upstream didn't respond in time; the request may have " +
-        "run. Remedy: retry only if running it twice does no harm.",
-    }
-    : {
-      status: 502,
-      message: "The upstream's response was lost; the request may have run. " +
-        "Remedy: retry only if running it twice does no harm.",
-    };
+function afterRun(givenUpFor: UnansweredRequest["givenUpFor"]): LocalResponse {
+  const remedy = "Remedy: retry only if running it twice does no harm.";
+  switch (givenUpFor) {
+    case "time_up":
+      return {
+        status: 504,
+        message: "The upstream didn't respond in time; the request may have " +
+          `run. ${remedy}`,
+      };
+    case "shutting_down":
+      return {
+        status: 502,
+        message: "This entry exits before the upstream has responded; the " +
+          `request may have run. ${remedy}`,
+      };
+    default:
+      return {
+        status: 502,
+        message: "The upstream's response was lost; the request may have " +
+          `run. ${remedy}`,
+      };
+  }
 }
--- a/apps/heroncleatd/gateway/responses/find_ended_by.ts
+++ b/apps/heroncleatd/gateway/responses/find_ended_by.ts
@@ -18,7 +18,12 @@
   if (!signal.aborted) {
     return lastAttempt;
   }
-  return signal.reason === "caller_left"
-    ? connectionEnds.find(response.socket)
-    : EndedBy.deadline;
+  switch (signal.reason) {
+    case "caller_left":
+      return connectionEnds.find(response.socket);
+    case "shutting_down":
+      return EndedBy.shutdown;
+    default:
+      return EndedBy.deadline;
+  }
 }
--- a/apps/heroncleatd/gateway/shutdown/departure_deadline.ts
+++ b/apps/heroncleatd/gateway/shutdown/departure_deadline.ts
@@ -3,6 +3,8 @@
 
 /** Time before the end of the grace period at which the process exits. */
 const EXIT_MARGIN: Milliseconds = 150;
+/** Time in which requests in flight are answered before that. */
+const ANSWER_TIME: Milliseconds = 100;
 
 /** The properties of a request that determine how long it may take. */
 type TimedRequest = {
@@ -22,24 +24,29 @@
 export class DepartureDeadline {
   readonly #clock: Pick<Clock, "steady">;
   readonly #runTimes = new RunDurations();
-  #endsAt: Milliseconds = Infinity;
+  #exitsAt: Milliseconds = Infinity;
 
   constructor(clock: Pick<Clock, "steady">) {
     this.#clock = clock;
   }
 
   /** Monotonic time at which the process exits; Infinity without a shutdown. */
+  get exitsAt(): Milliseconds {
+    return this.#exitsAt;
+  }
+
+  /** Monotonic time at which requests in flight are given up. */
   get endsAt(): Milliseconds {
-    return this.#endsAt;
+    return this.#exitsAt - ANSWER_TIME;
   }
 
   get hasBegun(): boolean {
-    return this.#endsAt < Infinity;
+    return this.#exitsAt < Infinity;
   }
 
   /** Starts the grace period of a shutdown. */
   begin(gracePeriod: Milliseconds): void {
-    this.#endsAt = this.#clock.steady() + gracePeriod - EXIT_MARGIN;
+    this.#exitsAt = this.#clock.steady() + gracePeriod - EXIT_MARGIN;
   }
 
   /**
@@ -57,7 +64,7 @@
   }
 
   /**
-   * Whether a request that is sent now can complete before the process exits.
+   * Whether a request that is sent now can complete before it is given up.
    * On a route without recorded run times its deadline counts.
    */
   hasTimeFor({ route, size, deadline }: TimedRequest): boolean {
@@ -70,6 +77,6 @@
       longest,
       timeLeft: deadline - now,
     });
-    return now + maxDuration <= this.#endsAt;
+    return now + maxDuration <= this.endsAt;
   }
 }
--- a/apps/heroncleatd/gateway/shutdown/in_flight_requests.ts
+++ b/apps/heroncleatd/gateway/shutdown/in_flight_requests.ts
@@ -16,6 +16,7 @@
  */
 export class InFlightRequests {
   readonly #requests = new Set<InFlightRequest>();
+  readonly #giveUpListeners = new Set<() => void>();
 
   get size(): number {
     return this.#requests.size;
@@ -27,6 +28,22 @@
     return () => this.#requests.delete(request);
   }
 
+  /**
+   * Calls a function once the requests are given up. Returns a function that
+   * undoes this.
+   */
+  onGiveUp(listener: () => void): () => void {
+    this.#giveUpListeners.add(listener);
+    return () => this.#giveUpListeners.delete(listener);
+  }
+
+  /** Ends the requests without a response by one of this entry. */
+  giveUp(): void {
+    for (const listener of this.#giveUpListeners) {
+      listener();
+    }
+  }
+
   /**
    * Resets the connections of the responses that were begun. A close would look
    * like the end of those without a length or chunks.
--- a/apps/heroncleatd/gateway/shutdown/shut_down_gracefully.ts
+++ b/apps/heroncleatd/gateway/shutdown/shut_down_gracefully.ts
@@ -9,25 +9,38 @@
   readonly server: Server;
   readonly clock: Clock;
   readonly gracePeriod: Milliseconds;
-  /** Monotonic time at which the process exits. */
+  /** Monotonic time at which requests in flight are given up. */
   readonly endsAt: Milliseconds;
+  /** Monotonic time at which the process exits. */
+  readonly exitsAt: Milliseconds;
   /** Returns the number of requests in flight. */
   readonly underWay: () => number;
+  /** Ends the requests without a response by one of this entry. */
+  readonly giveUp: () => void;
   /** Resets the connections of the responses that were begun. */
   readonly breakOff: () => void;
 };
 
+/** Time until the requests are given up, or else until the process exits. */
+function nextAfter(
+  now: Milliseconds,
+  { endsAt, exitsAt }: Pick<ShutdownOptions, "endsAt" | "exitsAt">,
+): Milliseconds {
+  return Math.max(1, (now < endsAt ? endsAt : exitsAt) - now);
+}
+
 /**
  * Accepts requests for most of the grace period, since callers are slow to
  * notice that an entry shuts down. Then closes idle connections and waits for
- * the requests in flight.
+ * the requests in flight. Shortly before the process exits it answers those
+ * without a response.
  */
 export async function shutDownGracefully(
   options: ShutdownOptions,
 ): Promise<void> {
-  const { server, clock, gracePeriod, endsAt, underWay, breakOff } = options;
+  const { server, clock, gracePeriod, endsAt, exitsAt, underWay } = options;
   const closeAt = clock.steady() + gracePeriod * CLOSE_GRACE_SHARE;
-  while (clock.steady() < endsAt) {
+  while (clock.steady() < exitsAt) {
     if (clock.steady() >= closeAt) {
       server.close();
       server.closeIdleConnections();
@@ -35,9 +48,13 @@
         break;
       }
     }
-    await new Promise((resolve) => setTimeout(resolve, POLL_INTERVAL));
+    if (clock.steady() >= endsAt) {
+      options.giveUp();
+    }
+    const wait = Math.min(POLL_INTERVAL, nextAfter(clock.steady(), options));
+    await new Promise((resolve) => setTimeout(resolve, wait));
   }
-  breakOff();
+  options.breakOff();
   server.close();
   server.closeAllConnections();
 }
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -480,7 +480,9 @@
       clock: this.#options.clock,
       gracePeriod,
       endsAt: this.#departureDeadline.endsAt,
+      exitsAt: this.#departureDeadline.exitsAt,
       underWay: () => this.#inFlight.size,
+      giveUp: () => this.#inFlight.giveUp(),
       breakOff: () => this.#inFlight.breakOff(),
     });
     this.#relayServer.close();
--- a/apps/heroncleatd/gateway/streams/forward_stream.ts
+++ b/apps/heroncleatd/gateway/streams/forward_stream.ts
@@ -13,6 +13,7 @@
 import { EventSplitter } from "./event_splitter.ts";
 import { findEndedBy } from "../responses/find_ended_by.ts";
 import type { ForwardContext } from "../forward_context.ts";
+import { givenUpReason } from "../given_up_reason.ts";
 import { findRestDelay } from "../limits/find_rest_delay.ts";
 import { forwardHeaders } from "../forward_headers.ts";
 import type { ForwardResult } from "../forward_result.ts";
@@ -167,7 +168,7 @@
       withholdReason: this.#withholdReason,
       rejectedPart: this.#rejectedPart,
       mayHaveRun: this.#mayHaveRun,
-      isTimeUp: this.#call.signal.aborted,
+      givenUpFor: givenUpReason(this.#call.signal),
       offers: this.#offers,
       wasSent: this.#wasSent,
       isInDoubt: this.#context.reachability.refusesRelays(this.#call.service),
