Shutdown: requests that have arrived are read before connections are closed

Cause: after a pause of the process its timers run before it reads what has arrived, and each iteration of the event loop accepts one connection. Class: a timer decides on what hasn't been read, as with slow heads before.

Change: before connections are closed, the event loop runs until two iterations have accepted nothing, for 0.25 s at most.

--- a/apps/heroncleatd/gateway/shutdown/late_requests_test.ts
+++ b/apps/heroncleatd/gateway/shutdown/late_requests_test.ts
@@ -109,6 +109,76 @@
   });
 }
 
+/** Keeps this process from running anything else. */
+function block(time: number): void {
+  const until = performance.now() + time;
+  while (performance.now() < until) {
+    // Bytes arrive meanwhile, and timers become due.
+  }
+}
+
+async function openConnection(): Promise<Socket> {
+  const socket = connect(PORT, HOST);
+  await new Promise((resolve) => socket.once("connect", resolve));
+  // The server accepts it.
+  await pause(50);
+  return socket;
+}
+
+// Guards against requests that a stop resets, as a process that was held back
+// runs its timers before it reads what has arrived.
+test("a stop answers a request that arrived before idle connections are closed", async () => {
+  const upstream = await startUpstream(answer);
+  const gateway = await startGateway(upstream, RouteKind.idempotent);
+  for (let at = 0; at < 10; at += 1) {
+    await send(PORT, HOST, `first-${at}`);
+  }
+  const socket = await openConnection();
+  let received = "";
+  socket.on("data", (bytes) => received += bytes);
+  const isClosed = new Promise<string>((resolve) => {
+    socket.on("error", (error) => resolve(error.message));
+    socket.on("close", () => resolve("closed"));
+  });
+  const stopped = gateway.stop();
+  await pause(CLOSE_AT_MS - 150);
+  // Timers that become due after this phase run before anything is read.
+  await new Promise((resolve) => setImmediate(resolve));
+  socket.write(
+    `GET / HTTP/1.1\r\nHost: inn.example\r\n${names.attempt}: late\r\n\r\n`,
+  );
+  block(300);
+  const end = await isClosed;
+  await stopped;
+  expect(end).toBe("closed");
+  expect(received).toMatch(/^HTTP\/1.1 200 [^]*\r\n\r\nok$/);
+});
+
+test("a stop answers requests of connections that wait to be accepted", async () => {
+  const upstream = await startUpstream(answer);
+  const gateway = await startGateway(upstream, RouteKind.idempotent);
+  for (let at = 0; at < 10; at += 1) {
+    await send(PORT, HOST, `first-${at}`);
+  }
+  const stopped = gateway.stop();
+  await pause(CLOSE_AT_MS - 150);
+  await new Promise((resolve) => setImmediate(resolve));
+  const pending = Array.from(
+    { length: 30 },
+    (_, at) => send(PORT, HOST, `late-${at}`),
+  );
+  // The connections are opened, and the requests sent behind them.
+  await new Promise((resolve) => setImmediate(resolve));
+  block(300);
+  const replies = await Promise.all(pending);
+  await stopped;
+  // Refused where the time left is short, but not reset.
+  const unanswered = replies.filter(({ status }) =>
+    status !== 200 && status !== 503
+  );
+  expect(unanswered).toEqual([]);
+});
+
 // Guards against requests that end without an answer at the end of the grace
 // period, although their upstream is silent and an answer can be sent.
 test("a call in flight at the end of the grace period is answered", async () => {
--- a/apps/heroncleatd/gateway/shutdown/shut_down_gracefully.ts
+++ b/apps/heroncleatd/gateway/shutdown/shut_down_gracefully.ts
@@ -1,5 +1,6 @@
 import type { Server } from "node:http";
 import type { Clock, Milliseconds } from "@heroncleat/base";
+import { readArrived } from "./read_arrived.ts";
 
 /** Share of the grace period after which idle connections are closed. */
 const CLOSE_GRACE_SHARE = 0.75;
@@ -42,6 +43,7 @@
   const closeAt = clock.steady() + gracePeriod * CLOSE_GRACE_SHARE;
   while (clock.steady() < exitsAt) {
     if (clock.steady() >= closeAt) {
+      await readArrived(server, clock);
       server.close();
       server.closeIdleConnections();
       if (underWay() === 0) {
