Bodies of requests no longer fill an entry's memory

Cause: bodies were read as they came and kept until the request had ended, with nothing that bounds their sum, nor the time that a caller may take to send one.

Change: a body holds its bytes before it is read, 48 MB together; three quarters of that for bodies over 256 KB, so that small requests are served beside large ones. Without room it is refused at once with 503, 'has not run', and a Retry-After that follows from how long bodies are held; the rest of it is read and dropped. A body that isn't complete by its request's deadline is refused with 408, one at the end of a shutdown with 503. Requests of other entries alike.

--- a/apps/heroncleatd/common/byte_limits.ts
+++ b/apps/heroncleatd/common/byte_limits.ts
@@ -55,6 +55,10 @@
   heldWithLength: 16 * MIB,
   /** Bodies of unstated length that callers are reading, together. */
   unread: 24 * MIB,
+  /** Bodies of requests, held by all connections together. */
+  requests: 48 * MIB,
+  /** Size from which a body leaves a part of that to smaller ones. */
+  largeRequest: 256 * KIB,
   /** What a connection may hold without being counted. */
   uncounted: 16 * KIB,
   /** Body that is no longer needed and is read to keep the connection. */
--- a/apps/heroncleatd/gateway/gateway.ts
+++ b/apps/heroncleatd/gateway/gateway.ts
@@ -8,6 +8,7 @@
   type Workspace,
   type WorkspaceQuota,
 } from "@heroncleat/serving";
+import type { ByteBudget } from "../common/byte_budget.ts";
 import type { Log } from "../common/log.ts";
 import type { Metrics } from "../common/metrics.ts";
 import type { Admission } from "./admission.ts";
@@ -28,7 +29,9 @@
 import { pickTarget } from "./pick_target.ts";
 import type { Prompt } from "./prompt.ts";
 import type { QuotaCharger } from "./limits/quota_charger.ts";
-import { readRequestBody } from "./read_request_body.ts";
+import { bodyRefusal } from "./body_refusal.ts";
+import { discardRequestBody } from "./discard_request_body.ts";
+import { readRequestBody, type RequestBody } from "./read_request_body.ts";
 import { findResumption } from "./streams/find_resumption.ts";
 import type { Resumption } from "./streams/resumption.ts";
 import type { StreamOriginExchange } from "./streams/stream_origin_exchange.ts";
@@ -71,6 +74,8 @@
   readonly streams: Pick<StreamOriginExchange, "find">;
   /** Requests that haven't been responded to completely. */
   readonly inFlight: InFlightRequests;
+  /** What the bodies of requests hold. */
+  readonly requestBudget: ByteBudget;
   /** When this entry exits, once its shutdown has begun. */
   readonly leaving: DepartureDeadline;
   /** The configuration document in effect, and when it was applied. */
@@ -134,20 +139,63 @@
       return;
     }
     const limit = this.#options.routeTable()!.document.limits.maxBodyBytes;
-    const body = await readRequestBody(incoming, limit);
+    const { route } = admitted;
+    const body = await readRequestBody(incoming, {
+      ...this.#options,
+      limit,
+      budget: this.#options.requestBudget,
+      deadline: this.#deadlineOf(incoming, { route, arrivedAt }),
+    });
+    if (body.kind !== "complete") {
+      this.#refuseBody({ incoming, response }, { body, limit, arrivedAt });
+      return;
+    }
+    try {
+      await this.#serveComplete({ incoming, response }, {
+        ...admitted,
+        body: body.bytes,
+        arrivedAt,
+      });
+    } finally {
+      body.release();
+    }
+  }
+
+  /** Responds to a request whose body couldn't be read. */
+  #refuseBody(
+    { incoming, response }: {
+      incoming: IncomingMessage;
+      response: ServerResponse;
+    },
+    { body, limit, arrivedAt }: {
+      body: Exclude<RequestBody, { kind: "complete" }>;
+      limit: number;
+      arrivedAt: Milliseconds;
+    },
+  ): void {
+    const request = this.#attemptOf(incoming);
     if (body.kind === "broken") {
-      const request = this.#attemptOf(incoming);
       recordCutRequest({ request, arrivedAt, response }, this.#options);
       return;
     }
     if (body.kind === "too_large") {
       response.shouldKeepAlive = false;
-      this.#refuse({ incoming, response }, {
-        status: 413,
-        message: `The body is larger than ${limit} bytes. Remedy: send less.`,
-      });
-      return;
     }
+    discardRequestBody(incoming);
+    this.#options.metrics.increment(`gateway.refused_bodies.${body.kind}`);
+    this.#refuse({ incoming, response }, bodyRefusal(body, limit));
+  }
+
+  async #serveComplete(
+    { incoming, response }: {
+      incoming: IncomingMessage;
+      response: ServerResponse;
+    },
+    admitted: Extract<Admission, { kind: "admitted" }> & {
+      body: Buffer;
+      arrivedAt: Milliseconds;
+    },
+  ): Promise<void> {
     const { route, workspace } = admitted;
     const found = await findResumption(incoming.headers, {
       ...this.#options,
@@ -167,8 +215,6 @@
       ...admitted,
       service: resumption?.origin.service ?? admitted.service,
       resumption,
-      body: body.bytes,
-      arrivedAt,
     });
   }
 
--- a/apps/heroncleatd/gateway/read_request_body.ts
+++ b/apps/heroncleatd/gateway/read_request_body.ts
@@ -1,33 +1,107 @@
 import type { IncomingMessage } from "node:http";
+import type { Clock, Milliseconds } from "@heroncleat/base";
+import type { ByteBudget, ByteHold } from "../common/byte_budget.ts";
+import { ByteCollector } from "../common/byte_collector.ts";
+import { byteLimits } from "../common/byte_limits.ts";
+import type { InFlightRequests } from "./shutdown/in_flight_requests.ts";
 
 /** A complete body, or the reason why it couldn't be read. */
 export type RequestBody =
-  | { readonly kind: "complete"; readonly bytes: Buffer }
+  | {
+    readonly kind: "complete";
+    readonly bytes: Buffer;
+    /** Must be called once the bytes are no longer needed. */
+    readonly release: () => void;
+  }
   | { readonly kind: "too_large" }
+  /** There is no room for it beside the bodies of other requests. */
+  | { readonly kind: "no_room"; readonly retryAfter: Milliseconds }
+  /** It wasn't complete in time. */
+  | { readonly kind: "late" }
+  /** This entry exits before it is complete. */
+  | { readonly kind: "leaving" }
   | { readonly kind: "broken" };
 
-/** Reads the body of a caller's request, up to a limit in bytes. */
+type ReadOptions = {
+  /** Largest body, in bytes. */
+  readonly limit: number;
+  /** What the bodies of all requests hold. */
+  readonly budget: ByteBudget;
+  /** Monotonic time by which it must be complete. */
+  readonly deadline: Milliseconds;
+  readonly clock: Pick<Clock, "steady">;
+  readonly inFlight: Pick<InFlightRequests, "onGiveUp">;
+};
+
+/**
+ * Reads the body of a caller's request. What it needs is held before it is
+ * read; without room nothing of it is kept.
+ */
 export function readRequestBody(
   incoming: IncomingMessage,
-  limit: number,
+  options: ReadOptions,
 ): Promise<RequestBody> {
+  const { limit, budget, deadline, clock, inFlight } = options;
+  const stated = Number(incoming.headers["content-length"] ?? 0);
+  if (stated > limit) {
+    return Promise.resolve({ kind: "too_large" });
+  }
+  const noRoom = (bytes: number): RequestBody => ({
+    kind: "no_room",
+    retryAfter: budget.expectedWait(bytes),
+  });
+  let hold: ByteHold | undefined;
+  /** Small bodies aren't counted. */
+  const holdBytes = (bytes: number): boolean => {
+    if (bytes <= byteLimits.uncounted) {
+      return true;
+    }
+    if (hold !== undefined) {
+      return hold.resize(bytes);
+    }
+    hold = budget.tryHold(bytes);
+    return hold !== undefined;
+  };
+  if (!holdBytes(stated)) {
+    return Promise.resolve(noRoom(stated));
+  }
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    incoming.on("data", (chunk: Buffer) => {
-      size += chunk.length;
-      if (size > limit) {
-        incoming.pause();
-        resolve({ kind: "too_large" });
+    const collector = new ByteCollector();
+    let isSettled = false;
+    const settle = (body: RequestBody) => {
+      if (isSettled) {
         return;
       }
-      chunks.push(chunk);
-    });
-    incoming.on(
-      "end",
-      () => resolve({ kind: "complete", bytes: Buffer.concat(chunks) }),
+      isSettled = true;
+      clearTimeout(timer);
+      stopListening();
+      incoming.off("data", onData);
+      if (body.kind !== "complete") {
+        collector.clear();
+        hold?.release();
+      }
+      resolve(body);
+    };
+    const onData = (chunk: Buffer) => {
+      collector.append(chunk);
+      const bytes = collector.length;
+      if (bytes > limit) {
+        settle({ kind: "too_large" });
+      } else if (bytes > stated && !holdBytes(bytes)) {
+        settle(noRoom(bytes));
+      }
+    };
+    const timer = setTimeout(
+      () => settle({ kind: "late" }),
+      Math.max(0, deadline - clock.steady()),
     );
-    incoming.on("error", () => resolve({ kind: "broken" }));
-    incoming.on("close", () => resolve({ kind: "broken" }));
+    const stopListening = inFlight.onGiveUp(() => settle({ kind: "leaving" }));
+    incoming.on("data", onData);
+    incoming.once("end", () => {
+      const release = () => hold?.release();
+      settle({ kind: "complete", bytes: collector.take(), release });
+    });
+    incoming.once("error", () => settle({ kind: "broken" }));
+    incoming.once("close", () => settle({ kind: "broken" }));
   });
 }
--- a/apps/heroncleatd/gateway/relay/relayed_requests.ts
+++ b/apps/heroncleatd/gateway/relay/relayed_requests.ts
@@ -6,6 +6,7 @@
   type RouteTable,
   type Workspace,
 } from "@heroncleat/serving";
+import type { ByteBudget } from "../../common/byte_budget.ts";
 import type { Log } from "../../common/log.ts";
 import type { Metrics } from "../../common/metrics.ts";
 import type { AppliedDocument } from "../applied_document.ts";
@@ -20,6 +21,9 @@
 import type { InFlightRequests } from "../shutdown/in_flight_requests.ts";
 import { outputTokensOf } from "../output_tokens_of.ts";
 import type { Prompt } from "../prompt.ts";
+import { bodyRefusal } from "../body_refusal.ts";
+import { discardRequestBody } from "../discard_request_body.ts";
+import type { LocalResponse } from "../responses/local_response.ts";
 import { readRequestBody } from "../read_request_body.ts";
 import { recordResult } from "../record_result.ts";
 import type { RelayGrant } from "./relay_grant.ts";
@@ -31,6 +35,8 @@
 
 /** Upper limit where no configuration document is in effect. */
 const DEFAULT_MAX_BODY_BYTES = 0;
+/** Time in which another entry must have sent a body that it has read. */
+const MAX_BODY_TIME: Milliseconds = 3000;
 
 type RelayedRequestsOptions = {
   readonly names: HeaderNames;
@@ -45,6 +51,8 @@
   readonly routeTable: () => RouteTable | undefined;
   readonly forwarding: ForwardContext;
   readonly inFlight: InFlightRequests;
+  /** What the bodies of requests hold. */
+  readonly requestBudget: ByteBudget;
   /** The configuration document in effect, and when it was applied. */
   readonly appliedDocument: () => AppliedDocument;
   /** How far the local wall clock is ahead of the control replicas' time. */
@@ -98,11 +106,29 @@
     response: ServerResponse,
     arrival: { attempt: string; arrivedAt: Milliseconds },
   ): Promise<void> {
-    const { secret, routeTable, metrics } = this.#options;
+    const { routeTable, metrics } = this.#options;
     const { attempt, arrivedAt } = arrival;
     const limit = routeTable()?.document.limits.maxBodyBytes ??
       DEFAULT_MAX_BODY_BYTES;
-    const body = await readRequestBody(incoming, limit);
+    const { clock, inFlight } = this.#options;
+    const body = await readRequestBody(incoming, {
+      limit,
+      budget: this.#options.requestBudget,
+      deadline: arrivedAt + MAX_BODY_TIME,
+      clock,
+      inFlight,
+    });
+    if (body.kind === "complete") {
+      try {
+        await this.#serveComplete({ incoming, response }, {
+          ...arrival,
+          body: body.bytes,
+        });
+      } finally {
+        body.release();
+      }
+      return;
+    }
     if (body.kind === "broken") {
       recordCutRequest(
         { request: attempt, arrivedAt, response },
@@ -110,23 +136,36 @@
       );
       return;
     }
-    const grant = body.kind === "complete"
-      ? relayGrants.verify(incoming.headers[relayHeaders.grant], {
-        secret,
-        request: {
-          attempt,
-          method: incoming.method ?? "GET",
-          target: incoming.url ?? "/",
-          body: body.bytes,
-        },
-      })
-      : undefined;
+    metrics.increment("relay.unserved");
+    response.shouldKeepAlive = body.kind !== "too_large";
+    discardRequestBody(incoming);
+    const refusal = body.kind === "too_large"
+      ? undefined
+      : bodyRefusal(body, limit);
+    this.#refuse(response, { attempt, relayedBy: "", refusal });
+  }
+
+  async #serveComplete(
+    { incoming, response }: {
+      incoming: IncomingMessage;
+      response: ServerResponse;
+    },
+    arrival: { attempt: string; arrivedAt: Milliseconds; body: Buffer },
+  ): Promise<void> {
+    const { secret, metrics } = this.#options;
+    const { attempt, body } = arrival;
+    const grant = relayGrants.verify(incoming.headers[relayHeaders.grant], {
+      secret,
+      request: {
+        attempt,
+        method: incoming.method ?? "GET",
+        target: incoming.url ?? "/",
+        body,
+      },
+    });
     const target = grant && this.#findTarget(incoming, grant);
-    if (
-      body.kind !== "complete" || grant === undefined || target === undefined
-    ) {
+    if (grant === undefined || target === undefined) {
       metrics.increment("relay.unserved");
-      response.shouldKeepAlive = body.kind === "complete";
       this.#refuse(response, { attempt, relayedBy: grant?.entry ?? "" });
       return;
     }
@@ -142,7 +181,6 @@
       ...arrival,
       ...target,
       grant,
-      body: body.bytes,
     });
   }
 
@@ -264,19 +302,28 @@
 
   #refuse(
     response: ServerResponse,
-    call: { attempt: string; relayedBy: string },
+    call: {
+      attempt: string;
+      relayedBy: string;
+      refusal?: LocalResponse | undefined;
+    },
   ): void {
     const { names, log } = this.#options;
     log.warn("Refused a request of another entry", {
       request: call.attempt,
       relayedBy: call.relayedBy,
+      reason: call.refusal?.message ?? "",
     });
-    sendRefusal(response, {
-      status: 503,
-      message: "This entry can't check the request with its configuration; " +
-        "the request has not run. Remedy: ask another entry, and give all " +
-        "entries the same secret.",
-      refusal: RelayRefusal.unserved,
-    }, { call, names });
+    sendRefusal(
+      response,
+      call.refusal ?? {
+        status: 503,
+        message: "This entry can't check the request with its configuration; " +
+          "the request has not run. Remedy: ask another entry, and give all " +
+          "entries the same secret.",
+        refusal: RelayRefusal.unserved,
+      },
+      { call, names },
+    );
   }
 }
--- a/apps/heroncleatd/gateway/responses/error_response.ts
+++ b/apps/heroncleatd/gateway/responses/error_response.ts
@@ -88,6 +88,36 @@
     };
   },
 
+  /** The bodies of other requests fill the memory; it has not run. */
+  noRoomForBody(expectedWait: Milliseconds): LocalResponse {
+    const { min, max } = retryAfterLimits;
+    return {
+      status: 503,
+      message: "This entry has no room for the request's body beside others; " +
+        "the request has not run. Remedy: retry after the time in " +
+        "Retry-After.",
+      retryAfter: Math.min(max, Math.max(min, expectedWait)),
+      refusal: RelayRefusal.overloaded,
+    };
+  },
+
+  /** The body wasn't complete by the request's deadline; it has not run. */
+  lateBody(): LocalResponse {
+    return {
+      status: 408,
+      message: "The request's body wasn't complete in time; the request has " +
+        "not run. Remedy: send the body faster.",
+      refusal: RelayRefusal.unserved,
+    };
+  },
+
+  tooLargeBody(limit: number): LocalResponse {
+    return {
+      status: 413,
+      message: `The body is larger than ${limit} bytes. Remedy: send less.`,
+    };
+  },
+
   /** The request can't complete before this entry exits; it has not run. */
   shuttingDown(): LocalResponse {
     return {
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -152,6 +152,7 @@
   readonly #heldBytes = new HeldBytes();
   readonly #unreadBytes = new HeldBytes(byteLimits.unread);
   readonly #bodyBudget: ByteBudget;
+  readonly #requestBudget: ByteBudget;
   readonly #memoryMonitor: MemoryMonitor | undefined;
   /** Set while no control replica is reachable. */
   #directExchangeTimer: NodeJS.Timeout | undefined;
@@ -195,6 +196,11 @@
       log: options.log("gateway"),
       metrics: options.metrics,
     });
+    this.#requestBudget = new ByteBudget({
+      limit: byteLimits.requests,
+      largeBytes: byteLimits.largeRequest,
+      clock,
+    });
     this.#departureDeadline = new DepartureDeadline(clock);
     const settings = options.settings();
     this.#log = options.log("gateway");
@@ -396,6 +402,7 @@
       forwarding,
       streams: this.#streams,
       inFlight: this.#inFlight,
+      requestBudget: this.#requestBudget,
       appliedDocument: () => this.#appliedDocument,
       leaving: this.#departureDeadline,
       clockAhead,
@@ -408,6 +415,7 @@
       routeTable: () => this.#routeTable,
       forwarding,
       inFlight: this.#inFlight,
+      requestBudget: this.#requestBudget,
       clockAhead,
     });
     this.#relayServer = createCallerServer((incoming, response) =>
@@ -555,6 +563,7 @@
       resident: () => process.memoryUsage.rss(),
       describe: () => ({
         inFlight: this.#inFlight.size,
+        requestBodies: this.#requestBudget.held,
         heldResponses: this.#heldBytes.total + this.#bodyBudget.held,
         unreadResponses: this.#unreadBytes.total,
       }),
