OpenAI surface: a stop answers accepted calls to services; bodies are bounded

Bodies of requests could fill the memory as at the gateway.

Cause: the shutdown waited for generations alone, which are registered; other responses weren't counted. Class: an end that knows a part of what is in flight.

Change: after the handover the stop waits until all callers have their responses, within stop_time_limit as before.

--- a/apps/heroncleatd/entry/caller_server.ts
+++ b/apps/heroncleatd/entry/caller_server.ts
@@ -75,6 +75,11 @@
     });
   }
 
+  /** Number of requests whose responses aren't complete. */
+  get inFlight(): number {
+    return this.#cutLoggers.size;
+  }
+
   /** Stops accepting connections and closes idle ones; active ones continue. */
   stopListening(): void {
     this.#server.close();
--- a/apps/heroncleatd/entry/handle_generation.ts
+++ b/apps/heroncleatd/entry/handle_generation.ts
@@ -187,7 +187,10 @@
         "Heroncleat-Idempotent, or send the call to a plain service.",
     ));
   }
-  const body = await readLimitedBody(call.request, entry.max_body_bytes);
+  const body = await readLimitedBody(call.request, entry.max_body_bytes, {
+    budget: parts.context.requestBudget,
+    response: call.response,
+  });
   if (body.isErr) {
     return Result.err(body.error);
   }
--- a/apps/heroncleatd/entry/start_entry.ts
+++ b/apps/heroncleatd/entry/start_entry.ts
@@ -13,6 +13,8 @@
 } from "@heroncleat/serving";
 import { Actor } from "../common/actor.ts";
 import { ControlClient } from "../common/control_client.ts";
+import { ByteBudget } from "../common/byte_budget.ts";
+import { byteLimits } from "../common/byte_limits.ts";
 import { HeldBytes } from "../common/held_bytes.ts";
 import type { KeyRing } from "../common/key_ring.ts";
 import { StatementWatcher } from "../common/statement_watcher.ts";
@@ -118,6 +120,11 @@
     services: createAgent(),
     upstreams: createAgent(),
     heldBytes: new HeldBytes(),
+    requestBudget: new ByteBudget({
+      limit: byteLimits.requests,
+      largeBytes: byteLimits.largeRequest,
+      clock,
+    }),
   };
 }
 
@@ -197,8 +204,10 @@
     membership.send({ kind: "event", event: { kind: "leave" } });
     await sleep(SHUTDOWN_GRACE_MS);
     this.#server.stopListening();
+    const deadline = Date.now() + limit - HAND_OVER_RESERVE_MS;
     await this.#finishRequests(limit - HAND_OVER_RESERVE_MS);
     await this.#handOver();
+    await this.#finishResponses(deadline);
     await this.#waitForFlush();
     this.#renewer.stop();
     this.#stopMembership();
@@ -312,6 +321,13 @@
     }
   }
 
+  /** Waits until all callers have their responses, or for a time. */
+  async #finishResponses(deadline: number): Promise<void> {
+    while (Date.now() < deadline && this.#server.inFlight > 0) {
+      await sleep(SHUTDOWN_POLL_INTERVAL_MS);
+    }
+  }
+
   #countOwned(): Promise<number> {
     return new Promise((resolve) => {
       this.#parts.registry.send({
--- a/packages/stand_ins/service_server.ts
+++ b/packages/stand_ins/service_server.ts
@@ -4,6 +4,8 @@
 import type { ServiceRun } from "./service_run.ts";
 import { StandInBehaviour } from "./stand_in_behaviour.ts";
 
+const SLOW_RESPONSE_MS = 2000;
+
 /**
  * A plain service that records each call it runs, so that tests can detect calls
  * that ran twice or after a refusal.
@@ -41,6 +43,9 @@
       return;
     }
     const run = this.#record(request, { body, attempt });
+    if (this.behaviour === StandInBehaviour.slow) {
+      await new Promise((resolve) => setTimeout(resolve, SLOW_RESPONSE_MS));
+    }
     this.#respond(response, run);
   }
 
--- a/packages/stand_ins/stand_in_behaviour.ts
+++ b/packages/stand_ins/stand_in_behaviour.ts
@@ -9,6 +9,8 @@
   cut: "cut",
   /** Runs the request and never responds. */
   stall: "stall",
+  /** Runs the request and responds after some time; services only. */
+  slow: "slow",
   /** Sends an incomplete response; an engine ends it like a complete one. */
   truncate: "truncate",
 } as const;
