Soak: bytes without end, planned stops of calm entries, memory limits

The soak knew neither: a planned stop counted as a fault of its entry, so what the stop cut was excused, and no process had a limit on its memory.

--- a/packages/soak/background_fault_scenarios.ts
+++ b/packages/soak/background_fault_scenarios.ts
@@ -1,4 +1,4 @@
-import type { Random } from "@heroncleat/base";
+import type { Milliseconds, Random } from "@heroncleat/base";
 import { cutFromUpstreams } from "./cut_from_upstreams.ts";
 import { randomDuration } from "./random_duration.ts";
 import type { Machine } from "./machine.ts";
@@ -32,6 +32,15 @@
 /** Share of the waves of limits that affect all upstreams. */
 const ALL_LIMITED_SHARE = 0.25;
 
+/** Share of the upstreams that send bytes without end. */
+const ENDLESS_SHARE = 0.3;
+const ENDLESS_DURATION_MS = { min: 500, spread: 2500 };
+
+/** Time between SIGTERM and SIGKILL, as the settings of the entries have it. */
+const GRACE_PERIOD: Milliseconds = 4000;
+/** Time in which callers see that an entry has exited. */
+const EXIT_NOTICE_TIME: Milliseconds = 300;
+
 /** Restarts in a row, and the pause between two signals of one. */
 const MAX_RESTARTS = 3;
 const SIGNAL_PAUSE_MS = { min: 0, spread: 800 };
@@ -236,6 +245,44 @@
   }
 }
 
+/** Upstreams respond with bytes without end for a while. */
+async function sendBytesWithoutEnd(
+  deployment: SoakDeployment,
+  random: Random,
+): Promise<void> {
+  const faulty = deployment.pickUpstreams(ENDLESS_SHARE);
+  for (const upstream of faulty) {
+    upstream.isEndless = true;
+  }
+  await pause(randomDuration(random, ENDLESS_DURATION_MS));
+  for (const upstream of faulty) {
+    upstream.isEndless = false;
+  }
+}
+
+/**
+ * Stops an entry and starts it again. It counts as calm until it has exited, as
+ * what it has accepted must be answered.
+ */
+async function stopEntry(deployment: SoakDeployment): Promise<void> {
+  const entries = deployment.activeMachines().filter(({ hasReplica }) =>
+    !hasReplica
+  );
+  const at = Math.floor(deployment.random() * entries.length);
+  const machine = entries[at];
+  if (machine === undefined) {
+    return;
+  }
+  machine.signal("SIGTERM");
+  const timer = setTimeout(() => machine.signal("SIGKILL"), GRACE_PERIOD);
+  await machine.waitForExit();
+  clearTimeout(timer);
+  await pause(EXIT_NOTICE_TIME);
+  const end = deployment.beginDisturbance(machine.host);
+  deployment.startMachine(machine);
+  end();
+}
+
 /**
  * Faults that run at any time beside those of control VMs. They are reported
  * under their function names.
@@ -252,5 +299,7 @@
   limitRejections,
   askForRest,
   cutFromUpstreams,
+  sendBytesWithoutEnd,
+  stopEntry,
   ...versionFaultScenarios,
 ];
--- a/packages/soak/finding.ts
+++ b/packages/soak/finding.ts
@@ -19,6 +19,7 @@
     | "overload"
     | "one_version"
     | "resumed"
+    | "own_end"
     | "recovery";
   /** Time since the start of the soak. */
   readonly at: Milliseconds;
--- a/packages/soak/machine.ts
+++ b/packages/soak/machine.ts
@@ -31,6 +31,8 @@
 
 type Role = "entry" | "control";
 
+const END_SIGNALS: readonly NodeJS.Signals[] = ["SIGTERM", "SIGKILL"];
+
 /** One VM of a soak: its processes, its disk and its loopback address. */
 export class Machine {
   readonly name: string;
@@ -52,6 +54,9 @@
   readonly #proxyAddress: string;
   #areStartsPrevented = false;
   readonly #processes = new Map<Role, ChildProcess>();
+  readonly #onOwnEnd: (text: string) => void;
+  /** Processes that were told to end. */
+  readonly #ended = new WeakSet<ChildProcess>();
   /** Total suspended time since the start of the soak. */
   #suspendedFor: Milliseconds = 0;
 
@@ -64,8 +69,15 @@
       hasReplica: boolean;
       discoverableFrom: Milliseconds;
     },
-    options: { adapter: ProgramAdapter; folder: string; proxyAddress: string },
+    options: {
+      adapter: ProgramAdapter;
+      folder: string;
+      proxyAddress: string;
+      /** Called when a process has ended that wasn't told to. */
+      onOwnEnd: (text: string) => void;
+    },
   ) {
+    this.#onOwnEnd = options.onOwnEnd;
     this.name = plan.name;
     this.zone = plan.zone;
     this.host = plan.host;
@@ -133,10 +145,27 @@
       this.interruptedAt = performance.now();
     }
     for (const role of roles) {
-      this.#processes.get(role)?.kill(signal);
+      const child = this.#processes.get(role);
+      if (child !== undefined && END_SIGNALS.includes(signal)) {
+        this.#ended.add(child);
+      }
+      child?.kill(signal);
     }
   }
 
+  /** Its running processes. */
+  listProcesses(): { pid: number; name: string; kill: () => void }[] {
+    return [...this.#processes].flatMap(([role, child]) =>
+      this.#isRunning(role) && child.pid !== undefined
+        ? [{
+          pid: child.pid,
+          name: `${this.name}/${role}`,
+          kill: () => void child.kill("SIGKILL"),
+        }]
+        : []
+    );
+  }
+
   /** Replaces the injected faults; takes effect within 0.1 s. */
   injectFaults(faults: InjectedFaults): void {
     // The rename is atomic, so that readers never see a partial file.
@@ -200,6 +229,13 @@
       },
     });
     closeSync(log);
+    child.once("exit", (code, signal) => {
+      if (!this.#ended.has(child)) {
+        this.#onOwnEnd(
+          `${this.name}/${role} ended with ${code ?? signal ?? "no code"}`,
+        );
+      }
+    });
     this.#processes.set(role, child);
   }
 }
--- a/packages/soak/run_soak.ts
+++ b/packages/soak/run_soak.ts
@@ -39,6 +39,8 @@
   readonly longestStall: Milliseconds;
   /** Share of the time in which that process had work to do. */
   readonly utilization: number;
+  /** Most memory that a process had, in MiB. */
+  readonly peakMemory: number;
   /**
    * Longest time in ms from an acknowledged departure to a request received
    * after it: from undisturbed VMs, the same of first tries, and from any.
@@ -86,6 +88,8 @@
   folder: string;
   /** Index among concurrent soaks; each slot uses different addresses. */
   slot: number;
+  /** Memory beyond which a process is killed. */
+  memoryLimitMib: number;
   /** Ends the soak early; the report covers the time until then. */
   signal: AbortSignal;
 }): Promise<SoakReport> {
@@ -113,6 +117,7 @@
     closedRuns: runs.closed,
     longestStall: Math.round(deployment.stalls.longest),
     utilization: deployment.stalls.utilization,
+    peakMemory: Math.round(deployment.memory.peak),
     crashes,
     statements: statements.counts,
     resumes: {
--- a/packages/soak/soak_deployment.ts
+++ b/packages/soak/soak_deployment.ts
@@ -7,6 +7,7 @@
 import { GuaranteeChecks } from "./guarantee_checks.ts";
 import { SoakCaller } from "./soak_caller.ts";
 import { SoakUpstream } from "./soak_upstream.ts";
+import { MemoryWatch } from "./memory_watch.ts";
 import { pause } from "./pause.ts";
 import { DocumentPublisher } from "./document_publisher.ts";
 import { StallLog } from "./stall_log.ts";
@@ -41,6 +42,8 @@
   readonly random: Random;
   /** Index among concurrent soaks; determines the addresses. */
   readonly slot: number;
+  /** Memory beyond which a process is killed. */
+  readonly memoryLimitMib: number;
 };
 
 /**
@@ -53,6 +56,7 @@
   readonly proxy: LinkProxy;
   readonly disturbances = new DisturbanceLog(UNDISTURBED_TIME);
   readonly stalls = new StallLog();
+  readonly memory: MemoryWatch;
   readonly checks: GuaranteeChecks;
   readonly crashing: CrashingRequests;
   readonly random: Random;
@@ -72,6 +76,16 @@
     const port = FIRST_PROXY_PORT + options.slot * LinkProxy.portCount;
     this.proxy = new LinkProxy(port);
     this.#proxyAddress = `127.0.0.1:${port}`;
+    this.memory = new MemoryWatch({
+      limitMib: options.memoryLimitMib,
+      listProcesses: () =>
+        this.machines.flatMap((machine) => machine.listProcesses()),
+      onExceeded: (name, mib) =>
+        this.checks.report(
+          "own_end",
+          `${name} uses ${Math.round(mib)} MiB of ${options.memoryLimitMib}`,
+        ),
+    });
     this.documents = new DocumentPublisher({
       adapter: options.adapter,
       listReplicas: () => this.#listReplicas(),
@@ -122,6 +136,7 @@
   /** Starts all processes and waits until requests are served. */
   async start(): Promise<void> {
     this.stalls.start();
+    this.memory.start();
     await this.proxy.listen();
     for (const zone of this.zones) {
       for (let number = 1; number <= MACHINES_PER_ZONE; number += 1) {
@@ -154,6 +169,7 @@
   }
 
   async stop(): Promise<void> {
+    this.memory.stop();
     for (const machine of this.machines) {
       machine.preventStarts();
     }
@@ -208,7 +224,11 @@
       host: `127.${30 + this.#options.slot}.${at}.${number}`,
       discoverableFrom: this.#isRunning ? performance.now() + DISCOVERY_LAG : 0,
       ...options,
-    }, { ...this.#options, proxyAddress: this.#proxyAddress });
+    }, {
+      ...this.#options,
+      proxyAddress: this.#proxyAddress,
+      onOwnEnd: (text) => this.checks.report("own_end", text),
+    });
     this.machines.push(machine);
     return machine;
   }
--- a/packages/soak/soak_upstream.ts
+++ b/packages/soak/soak_upstream.ts
@@ -10,6 +10,7 @@
 import { responseBody } from "./response_body.ts";
 import type { StatementChecks } from "./statement_checks.ts";
 import type { RateLimitChecks } from "./rate_limit_checks.ts";
+import { sendEndlessly } from "./send_endlessly.ts";
 import { sendSoakResponse } from "./send_soak_response.ts";
 import { streamEvents } from "./stream_events.ts";
 import type { ReceivedRequest } from "./received_request.ts";
@@ -97,6 +98,8 @@
   #drainingAt: Milliseconds | undefined;
   #inFlight = 0;
   readonly limits = new UpstreamLimits();
+  /** Whether its responses are bytes without end. */
+  isEndless = false;
 
   constructor(options: UpstreamOptions) {
     this.#options = options;
@@ -162,7 +165,8 @@
     const isInTime = this.isReady
       ? now > this.#readyAt + DISCOVERY_TIME
       : this.#drainingAt !== undefined && now < this.#drainingAt + drainTime;
-    return isInTime && this.isListening && this.limits.isOpen;
+    return isInTime && this.isListening && this.limits.isOpen &&
+      !this.isEndless;
   }
 
   async start(): Promise<void> {
@@ -288,6 +292,10 @@
       return;
     }
     onRun(received);
+    if (this.isEndless) {
+      sendEndlessly(response, random);
+      return;
+    }
     if (received.crashCause !== undefined) {
       response.writeHead(200, { [headers.digest]: `by-${this.name}` });
       response.write("begun");
