--- a/apps/heroncleatd/mod.ts
+++ b/apps/heroncleatd/mod.ts
@@ -24,6 +24,7 @@
 export { createDisconnectLogger } from "./common/create_disconnect_logger.ts";
 export { createExposedMetrics } from "./common/create_exposed_metrics.ts";
 export { discardBody } from "./common/discard_body.ts";
+export { openResponse } from "./common/open_response.ts";
 export { serveMetrics } from "./common/serve_metrics.ts";
 export { startGateway } from "./gateway/start_gateway.ts";
 export { startHubProxy } from "./hub/start_hub_proxy.ts";
