Deadlines: a response that has arrived is read before its request is given up

What callers saw: after a pause of the process, a request at its deadline was answered with 504, and its run closed, although the response had arrived in time.

Change: at the deadline the request is given up at the end of that iteration of the event loop, behind the reads.

--- a/apps/heroncleatd/gateway/create_call_signal.ts
+++ b/apps/heroncleatd/gateway/create_call_signal.ts
@@ -19,10 +19,12 @@
 ): { signal: AbortSignal; release: () => void } {
   const { deadline, clock, inFlight } = options;
   const abort = new AbortController();
-  const timer = setTimeout(
-    () => abort.abort("time_up"),
-    deadline - clock.steady(),
-  );
+  let immediate: NodeJS.Immediate | undefined;
+  // After a pause of the process, timers run before a response is read that has
+  // arrived in time.
+  const timer = setTimeout(() => {
+    immediate = setImmediate(() => abort.abort("time_up"));
+  }, deadline - clock.steady());
   const abortOnClose = () => {
     if (!response.writableFinished) {
       abort.abort("caller_left");
@@ -41,6 +43,7 @@
   });
   const release = () => {
     clearTimeout(timer);
+    clearImmediate(immediate);
     stopListening();
   };
   return { signal: abort.signal, release };
