What bodies hold at an entry is in one place; an end after a pause still answers

The four limits on bodies were created in three places; BodyMemory has them and describes them for logs.

--- a/apps/heroncleatd/entry/dispatch_service.ts
+++ b/apps/heroncleatd/entry/dispatch_service.ts
@@ -83,7 +83,7 @@
     attempt: token,
     timeout: remaining,
     connectTimeout: entry.connect_timeout,
-    heldBytes: parts.context.heldBytes,
+    heldBytes: parts.context.bodies.held,
     hasCrashed: async () => {
       const hold = requiredHold({
         isLeaving: isDepartingUpstream(upstream),
--- a/apps/heroncleatd/entry/dispatch_service_test.ts
+++ b/apps/heroncleatd/entry/dispatch_service_test.ts
@@ -2,7 +2,7 @@
 import type { AddressInfo } from "node:net";
 import { createFault } from "@heroncleat/base";
 import * as fc from "fast-check";
-import { HeldBytes } from "../common/held_bytes.ts";
+import { BodyMemory } from "../common/body_memory.ts";
 import { dispatchService } from "./dispatch_service.ts";
 import { UpstreamStatements } from "@heroncleat/serving";
 import type { EntryParts } from "./entry_parts.ts";
@@ -133,7 +133,7 @@
       statements: new UpstreamStatements(() => 0),
       statementWatcher: { recordResponse: () => {} },
       services: agent,
-      heldBytes: new HeldBytes(),
+      bodies: new BodyMemory({ steady: () => 0 }),
       entry: { connect_timeout: 300 },
       lease: { isValid: true },
     },
--- a/apps/heroncleatd/entry/entry_context.ts
+++ b/apps/heroncleatd/entry/entry_context.ts
@@ -2,8 +2,7 @@
 import type { Milliseconds } from "@heroncleat/base";
 import type { EntrySettings } from "@heroncleat/schema";
 import type { SendPermits, UpstreamStatements } from "@heroncleat/serving";
-import type { ByteBudget } from "../common/byte_budget.ts";
-import type { HeldBytes } from "../common/held_bytes.ts";
+import type { BodyMemory } from "../common/body_memory.ts";
 import type { ControlClient } from "../common/control_client.ts";
 import type { SuspectWatcher } from "../common/suspect_watcher.ts";
 import type { StatementWatcher } from "../common/statement_watcher.ts";
@@ -42,8 +41,6 @@
   readonly services: HttpAgent;
   /** Connection pool for generations. */
   readonly upstreams: HttpAgent;
-  /** What all unfinished responses of upstreams hold. */
-  readonly heldBytes: HeldBytes;
-  /** What the bodies of callers' requests hold. */
-  readonly requestBudget: ByteBudget;
+  /** What bodies hold. */
+  readonly bodies: BodyMemory;
 };
--- a/apps/heroncleatd/entry/handle_generation.ts
+++ b/apps/heroncleatd/entry/handle_generation.ts
@@ -188,7 +188,7 @@
     ));
   }
   const body = await readLimitedBody(call.request, entry.max_body_bytes, {
-    budget: parts.context.requestBudget,
+    budget: parts.context.bodies.requests,
     response: call.response,
   });
   if (body.isErr) {
--- a/apps/heroncleatd/entry/handle_service.ts
+++ b/apps/heroncleatd/entry/handle_service.ts
@@ -97,7 +97,7 @@
   const body = await readLimitedBody(
     call.request,
     parts.context.entry.max_body_bytes,
-    { budget: parts.context.requestBudget, response: call.response },
+    { budget: parts.context.bodies.requests, response: call.response },
   );
   if (body.isErr) {
     return Result.err(body.error);
--- a/apps/heroncleatd/entry/request_runner.ts
+++ b/apps/heroncleatd/entry/request_runner.ts
@@ -200,7 +200,7 @@
       attempt: attempt.token,
       connectTimeout: context.entry.connect_timeout,
       maxTokens: typeof maxTokens === "number" ? maxTokens : undefined,
-      heldBytes: context.heldBytes,
+      heldBytes: context.bodies.held,
       clock: context.clock,
       maySend: () =>
         context.clock.now() < attempt.sendBefore &&
--- a/apps/heroncleatd/entry/start_entry.ts
+++ b/apps/heroncleatd/entry/start_entry.ts
@@ -13,9 +13,7 @@
 } from "@heroncleat/serving";
 import { Actor } from "../common/actor.ts";
 import { ControlClient } from "../common/control_client.ts";
-import { ByteBudget } from "../common/byte_budget.ts";
-import { byteLimits } from "../common/byte_limits.ts";
-import { HeldBytes } from "../common/held_bytes.ts";
+import { BodyMemory } from "../common/body_memory.ts";
 import type { KeyRing } from "../common/key_ring.ts";
 import { StatementWatcher } from "../common/statement_watcher.ts";
 import { RateLimitWatcher } from "../common/rate_limit_watcher.ts";
@@ -119,12 +117,7 @@
     chainHash: await createChainHash(),
     services: createAgent(),
     upstreams: createAgent(),
-    heldBytes: new HeldBytes(),
-    requestBudget: new ByteBudget({
-      limit: byteLimits.requests,
-      largeBytes: byteLimits.largeRequest,
-      clock,
-    }),
+    bodies: new BodyMemory(clock),
   };
 }
 
--- a/apps/heroncleatd/gateway/attempts/take_body.ts
+++ b/apps/heroncleatd/gateway/attempts/take_body.ts
@@ -35,7 +35,9 @@
 ): Promise<TakenBody> {
   const length = statedLength(result);
   const isCounted = length > byteLimits.uncounted && length <= byteLimits.body;
-  const hold = isCounted ? context.bodyBudget.tryHold(length) : undefined;
+  const hold = isCounted
+    ? context.bodies.withLength.tryHold(length)
+    : undefined;
   if (isCounted && hold === undefined) {
     const isWhole = await passOnBody(result, {
       call,
@@ -47,7 +49,7 @@
   }
   const release = () => hold?.release();
   const body = await readAttemptBody(result, {
-    held: context.heldBytes,
+    held: context.bodies.held,
     isLengthCounted: true,
   });
   if (body === undefined) {
--- a/apps/heroncleatd/gateway/create_test_context.ts
+++ b/apps/heroncleatd/gateway/create_test_context.ts
@@ -11,9 +11,7 @@
   UpstreamStatements,
 } from "@heroncleat/serving";
 import { LoadShedder } from "@heroncleat/shedding";
-import { ByteBudget } from "../common/byte_budget.ts";
-import { byteLimits } from "../common/byte_limits.ts";
-import { HeldBytes } from "../common/held_bytes.ts";
+import { BodyMemory } from "../common/body_memory.ts";
 import { RateLimitWatcher } from "../common/rate_limit_watcher.ts";
 import { probeUpstream } from "../common/probe_upstream.ts";
 import { StatementWatcher } from "../common/statement_watcher.ts";
@@ -89,13 +87,7 @@
     clock,
     log: silentLog,
     metrics: noMetrics,
-    heldBytes: new HeldBytes(),
-    bodyBudget: new ByteBudget({
-      limit: byteLimits.heldWithLength,
-      largeBytes: byteLimits.heldWithLength,
-      clock,
-    }),
-    unreadBytes: new HeldBytes(byteLimits.unread),
+    bodies: new BodyMemory(clock),
     statements,
     statementWatcher: new StatementWatcher({
       statements,
--- a/apps/heroncleatd/gateway/forward_context.ts
+++ b/apps/heroncleatd/gateway/forward_context.ts
@@ -9,8 +9,7 @@
   UpstreamStatements,
 } from "@heroncleat/serving";
 import type { LoadShedder } from "@heroncleat/shedding";
-import type { ByteBudget } from "../common/byte_budget.ts";
-import type { HeldBytes } from "../common/held_bytes.ts";
+import type { BodyMemory } from "../common/body_memory.ts";
 import type { Log } from "../common/log.ts";
 import type { Metrics } from "../common/metrics.ts";
 import type { SuspectWatcher } from "../common/suspect_watcher.ts";
@@ -32,12 +31,8 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
-  /** What all unfinished responses hold. */
-  readonly heldBytes: HeldBytes;
-  /** What bodies of responses hold that state their length. */
-  readonly bodyBudget: ByteBudget;
-  /** What complete bodies of unstated length hold while callers read them. */
-  readonly unreadBytes: HeldBytes;
+  /** What bodies hold. */
+  readonly bodies: BodyMemory;
   /** Availability zone of this entry. */
   readonly zone: string;
   readonly choice: UpstreamBalancer;
--- a/apps/heroncleatd/gateway/read_request_body.ts
+++ b/apps/heroncleatd/gateway/read_request_body.ts
@@ -91,8 +91,10 @@
         settle(noRoom(bytes));
       }
     };
+    // After a pause of the process, timers run before bytes are read that have
+    // arrived in time.
     const timer = setTimeout(
-      () => settle({ kind: "late" }),
+      () => setImmediate(() => settle({ kind: "late" })),
       Math.max(0, deadline - clock.steady()),
     );
     const stopListening = inFlight.onGiveUp(() => settle({ kind: "leaving" }));
--- a/apps/heroncleatd/gateway/responses/limit_unread.ts
+++ b/apps/heroncleatd/gateway/responses/limit_unread.ts
@@ -20,7 +20,7 @@
     context: ForwardContext;
   },
 ): () => void {
-  const { unreadBytes } = context;
+  const { unread } = context.bodies;
   const giveUp = (exceeded: ExceededLimit) => {
     reportEndless(new EndlessBytes(exceeded), {
       ...context,
@@ -30,6 +30,6 @@
     connectionEnds.record(response.socket, EndedBy.limit);
     response.socket?.resetAndDestroy();
   };
-  unreadBytes.hold(giveUp, bytes);
-  return () => unreadBytes.release(giveUp);
+  unread.hold(giveUp, bytes);
+  return () => unread.release(giveUp);
 }
--- a/apps/heroncleatd/gateway/responses/many_bodies_test.ts
+++ b/apps/heroncleatd/gateway/responses/many_bodies_test.ts
@@ -131,7 +131,7 @@
     expect(replies).toEqual(
       Array(CALLERS).fill({ status: 200, bytes: BODY_BYTES, isWhole: true }),
     );
-    expect(context.bodyBudget.held).toBe(0);
+    expect(context.bodies.withLength.held).toBe(0);
   },
   TIMEOUT_MS,
 );
@@ -142,7 +142,7 @@
     RouteKind.idempotent,
     upstream,
   );
-  context.bodyBudget.tryHold(byteLimits.heldWithLength);
+  context.bodies.withLength.tryHold(byteLimits.heldWithLength);
   const reply = await call(port, { attempt: "a1" });
   expect(reply.isWhole).toBe(false);
   expect(reply.bytes).toBeLessThan(BODY_BYTES);
@@ -172,7 +172,7 @@
     const whole = replies.filter(({ isWhole }) => isWhole);
     expect(whole.length).toBeGreaterThanOrEqual(1);
     expect(whole.length).toBeLessThan(replies.length);
-    expect(context.unreadBytes.total).toBe(0);
+    expect(context.bodies.unread.total).toBe(0);
   },
   TIMEOUT_MS,
 );
--- a/apps/heroncleatd/gateway/responses/pass_on_body.ts
+++ b/apps/heroncleatd/gateway/responses/pass_on_body.ts
@@ -27,7 +27,7 @@
     request: call.attempt,
     upstream,
     length,
-    held: context.bodyBudget.held,
+    held: context.bodies.withLength.held,
   });
   if (response.destroyed) {
     message.destroy();
--- a/apps/heroncleatd/gateway/shutdown/shut_down_gracefully.ts
+++ b/apps/heroncleatd/gateway/shutdown/shut_down_gracefully.ts
@@ -56,6 +56,10 @@
     const wait = Math.min(POLL_INTERVAL, nextAfter(clock.steady(), options));
     await new Promise((resolve) => setTimeout(resolve, wait));
   }
+  // The process may have stood still until now.
+  await readArrived(server, clock);
+  options.giveUp();
+  await readArrived(server, clock);
   options.breakOff();
   server.close();
   server.closeAllConnections();
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -36,13 +36,11 @@
 import { DepartureDeadline } from "./shutdown/departure_deadline.ts";
 import { shutDownGracefully } from "./shutdown/shut_down_gracefully.ts";
 import type { ConnectionOpener } from "../common/connection_opener.ts";
-import { ByteBudget } from "../common/byte_budget.ts";
-import { byteLimits } from "../common/byte_limits.ts";
+import { BodyMemory } from "../common/body_memory.ts";
 import { MemoryMonitor } from "../common/memory_monitor.ts";
 import { probeUpstream } from "../common/probe_upstream.ts";
 import { QuotaCharger } from "./limits/quota_charger.ts";
 import { PermitClient } from "./limits/permit_client.ts";
-import { HeldBytes } from "../common/held_bytes.ts";
 import { RateLimitWatcher } from "../common/rate_limit_watcher.ts";
 import { refusesConnections } from "../common/refuses_connections.ts";
 import { tryConnection } from "../common/try_connection.ts";
@@ -149,10 +147,7 @@
   readonly #cleanupTimer: NodeJS.Timeout;
   readonly #replacedRuns: ReplacedRuns;
   readonly #replacedRunsTimer: NodeJS.Timeout;
-  readonly #heldBytes = new HeldBytes();
-  readonly #unreadBytes = new HeldBytes(byteLimits.unread);
-  readonly #bodyBudget: ByteBudget;
-  readonly #requestBudget: ByteBudget;
+  readonly #bodies: BodyMemory;
   readonly #memoryMonitor: MemoryMonitor | undefined;
   /** Set while no control replica is reachable. */
   #directExchangeTimer: NodeJS.Timeout | undefined;
@@ -166,11 +161,7 @@
   constructor(options: GatewayOptions) {
     this.#options = options;
     const { clock, pool } = options;
-    this.#bodyBudget = new ByteBudget({
-      limit: byteLimits.heldWithLength,
-      largeBytes: byteLimits.heldWithLength,
-      clock,
-    });
+    this.#bodies = new BodyMemory(clock);
     this.#choice = new UpstreamBalancer({
       statements: this.#statements,
       drainTimeout: () => options.settings().drainTimeout,
@@ -196,11 +187,6 @@
       log: options.log("gateway"),
       metrics: options.metrics,
     });
-    this.#requestBudget = new ByteBudget({
-      limit: byteLimits.requests,
-      largeBytes: byteLimits.largeRequest,
-      clock,
-    });
     this.#departureDeadline = new DepartureDeadline(clock);
     const settings = options.settings();
     this.#log = options.log("gateway");
@@ -402,7 +388,7 @@
       forwarding,
       streams: this.#streams,
       inFlight: this.#inFlight,
-      requestBudget: this.#requestBudget,
+      requestBudget: this.#bodies.requests,
       appliedDocument: () => this.#appliedDocument,
       leaving: this.#departureDeadline,
       clockAhead,
@@ -415,7 +401,7 @@
       routeTable: () => this.#routeTable,
       forwarding,
       inFlight: this.#inFlight,
-      requestBudget: this.#requestBudget,
+      requestBudget: this.#bodies.requests,
       clockAhead,
     });
     this.#relayServer = createCallerServer((incoming, response) =>
@@ -520,9 +506,7 @@
       clock,
       metrics,
       log: this.#log,
-      heldBytes: this.#heldBytes,
-      bodyBudget: this.#bodyBudget,
-      unreadBytes: this.#unreadBytes,
+      bodies: this.#bodies,
       zone: settings().zone,
       choice: this.#choice,
       shedder: this.#shedder,
@@ -563,9 +547,7 @@
       resident: () => process.memoryUsage.rss(),
       describe: () => ({
         inFlight: this.#inFlight.size,
-        requestBodies: this.#requestBudget.held,
-        heldResponses: this.#heldBytes.total + this.#bodyBudget.held,
-        unreadResponses: this.#unreadBytes.total,
+        ...this.#bodies.describe(),
       }),
     });
   }
--- a/apps/heroncleatd/gateway/streams/forward_stream.ts
+++ b/apps/heroncleatd/gateway/streams/forward_stream.ts
@@ -300,7 +300,7 @@
   async #relayComplete(result: AttemptHead): Promise<StreamStep> {
     const { message, upstream } = result;
     const body = await readAttemptBody(result, {
-      held: this.#context.heldBytes,
+      held: this.#context.bodies.held,
       isLengthCounted: false,
     });
     if (body === undefined) {
@@ -340,7 +340,8 @@
       isProgress: ({ hasData, lastId }) =>
         hasData && (!this.#call.route.isResumable ||
           (lastId !== undefined && lastId !== this.#lastEvent)),
-      ...this.#context,
+      heldBytes: this.#context.bodies.held,
+      clock: this.#context.clock,
     });
     let isBound = false;
     let isOtherVersion = false;
