Retry-After for a body without room before any was released

What callers saw: 390 of 400 callers at once were told to return after 0.1 s, as nothing was known about how long bodies are held, and would all have been refused again.

Change: until it is measured, 0.7 s is expected.

Evidence: byte_budget_test.ts, 'before anything was released a wait is expected all the same', fails before and passes now.

--- a/apps/heroncleatd/common/byte_budget.ts
+++ b/apps/heroncleatd/common/byte_budget.ts
@@ -2,6 +2,8 @@
 
 /** Share of the limit that large bodies may use together. */
 const LARGE_SHARE = 0.75;
+/** How long bytes are expected to be held before that was measured. */
+const INITIAL_HOLD_TIME: Milliseconds = 700;
 /** Weight of the newest time for which bytes were held in their average. */
 const AVERAGE_WEIGHT = 0.2;
 
@@ -27,8 +29,8 @@
   readonly #options: BudgetOptions;
   readonly #holds = new Set<Entry>();
   #held = 0;
-  /** How long bytes were held, as a moving average; 0 if never. */
-  #averageTime: Milliseconds = 0;
+  /** How long bytes were held, as a moving average; undefined if never. */
+  #averageTime: Milliseconds | undefined;
 
   constructor(options: BudgetOptions) {
     this.#options = options;
@@ -53,15 +55,16 @@
   /** Time after which there should be room for bytes, by what is held now. */
   expectedWait(bytes: number): Milliseconds {
     const now = this.#options.clock.steady();
+    const holdTime = this.#averageTime ?? INITIAL_HOLD_TIME;
     let missing = this.#held + bytes - this.#limitFor(bytes);
     // Holds are kept in the order in which they began.
     for (const entry of this.#holds) {
       missing -= entry.bytes;
       if (missing <= 0) {
-        return Math.max(0, entry.since + this.#averageTime - now);
+        return Math.max(0, entry.since + holdTime - now);
       }
     }
-    return this.#averageTime;
+    return holdTime;
   }
 
   #limitFor(bytes: number): number {
@@ -86,8 +89,7 @@
     }
     this.#held -= entry.bytes;
     const time = this.#options.clock.steady() - entry.since;
-    this.#averageTime = this.#averageTime === 0
-      ? time
-      : this.#averageTime + AVERAGE_WEIGHT * (time - this.#averageTime);
+    const average = this.#averageTime ?? time;
+    this.#averageTime = average + AVERAGE_WEIGHT * (time - average);
   }
 }
--- a/apps/heroncleatd/common/byte_budget_test.ts
+++ b/apps/heroncleatd/common/byte_budget_test.ts
@@ -59,6 +59,14 @@
   expect(budget.expectedWait(600)).toBe(300);
 });
 
+// Guards against callers that all return at once, as nobody knows how long
+// bytes are held.
+test("before anything was released a wait is expected all the same", () => {
+  const { budget } = createBudget();
+  budget.tryHold(700);
+  expect(budget.expectedWait(300)).toBeGreaterThanOrEqual(500);
+});
+
 test("what is held never exceeds the limit and is zero in the end", () => {
   const random = createSeededRandom(84);
   const { budget } = createBudget();
