A refusal of a body reaches callers that close their connection behind it

Cause: a caller that asks to close the connection behind the response has it closed as the response ends, while it still sends; what isn't read resets it.

Change: the refusal is sent at once, and the response ends once the body was dropped, or after 2 s.

--- a/apps/heroncleatd/gateway/discard_request_body.ts
+++ b/apps/heroncleatd/gateway/discard_request_body.ts
@@ -5,14 +5,23 @@
 const DISCARD_TIME: Milliseconds = 2000;
 
 /**
- * Reads and drops the rest of a caller's body, so that the caller gets the
- * response and may use the connection again. Closes the connection of one that
- * sends for too long.
+ * Reads and drops the rest of a caller's body. Resolves once it has ended, or
+ * after a time. A connection that is closed before is reset, and its caller may
+ * not get the response.
  */
-export function discardRequestBody(incoming: IncomingMessage): void {
-  const { socket } = incoming;
-  const timer = setTimeout(() => socket.destroySoon(), DISCARD_TIME);
-  timer.unref();
-  incoming.once("close", () => clearTimeout(timer));
-  incoming.resume();
+export function discardRequestBody(incoming: IncomingMessage): Promise<void> {
+  return new Promise((resolve) => {
+    const timer = setTimeout(() => {
+      incoming.socket.destroySoon();
+      resolve();
+    }, DISCARD_TIME);
+    timer.unref();
+    const settle = () => {
+      clearTimeout(timer);
+      resolve();
+    };
+    incoming.once("end", settle);
+    incoming.once("close", settle);
+    incoming.resume();
+  });
 }
--- a/apps/heroncleatd/gateway/gateway.ts
+++ b/apps/heroncleatd/gateway/gateway.ts
@@ -181,9 +181,11 @@
     if (body.kind === "too_large") {
       response.shouldKeepAlive = false;
     }
-    discardRequestBody(incoming);
+    const endAfter = discardRequestBody(incoming);
     this.#options.metrics.increment(`gateway.refused_bodies.${body.kind}`);
-    this.#refuse({ incoming, response }, bodyRefusal(body, limit));
+    this.#refuse({ incoming, response }, bodyRefusal(body, limit), {
+      endAfter,
+    });
   }
 
   async #serveComplete(
@@ -367,19 +369,22 @@
       readonly charge?: number;
       readonly quotaLeft?: number;
       readonly quotaLimit?: number;
+      /** When the response may end; what it says is sent at once. */
+      readonly endAfter?: Promise<void>;
     } = {},
   ): void {
     const { log, metrics, names } = this.#options;
+    const { endAfter, ...logged } = details;
     metrics.increment(`gateway.refused.${localResponse.status}`);
     log.info("Refused a request", {
       request: this.#attemptOf(exchange.incoming),
       resumes: String(exchange.incoming.headers[names.resumes] ?? ""),
       status: localResponse.status,
       reason: localResponse.message,
-      ...details,
+      ...logged,
       retryAfter: localResponse.retryAfter ?? 0,
     });
-    sendLocalResponse(exchange.response, localResponse);
+    sendLocalResponse(exchange.response, localResponse, { endAfter });
   }
 
   #attemptOf(incoming: IncomingMessage): string {
--- a/apps/heroncleatd/gateway/relay/relayed_requests.ts
+++ b/apps/heroncleatd/gateway/relay/relayed_requests.ts
@@ -138,7 +138,7 @@
     }
     metrics.increment("relay.unserved");
     response.shouldKeepAlive = body.kind !== "too_large";
-    discardRequestBody(incoming);
+    void discardRequestBody(incoming);
     const refusal = body.kind === "too_large"
       ? undefined
       : bodyRefusal(body, limit);
--- a/apps/heroncleatd/gateway/request_bodies_test.ts
+++ b/apps/heroncleatd/gateway/request_bodies_test.ts
@@ -1,4 +1,5 @@
 import { request } from "node:http";
+import { connect } from "node:net";
 import { setTimeout as pause } from "node:timers/promises";
 import { RouteKind } from "@heroncleat/serving";
 import type { PeerPool } from "@heroncleat/transport";
@@ -170,6 +171,33 @@
   20_000,
 );
 
+// Guards against refusals that callers don't get, as the connection is reset
+// while they send.
+test(
+  "a caller that closes its connection gets the refusal of a body that it still sends",
+  async () => {
+    const socket = connect({ port: PORT, host: HOST, allowHalfOpen: true });
+    let received = "";
+    let error = "";
+    socket.on("error", ({ message }) => error = message);
+    const isSent = new Promise<void>((resolve) => {
+      socket.write(
+        "POST / HTTP/1.1\r\nHost: inn.example\r\nConnection: close\r\n" +
+          `${names.attempt}: a1\r\nContent-Length: ${8 * MIB}\r\n\r\n`,
+      );
+      socket.write(Buffer.alloc(8 * MIB), () => resolve());
+    });
+    await isSent;
+    await pause(100);
+    socket.on("data", (bytes) => received += bytes);
+    await new Promise((resolve) => socket.once("end", resolve));
+    socket.destroy();
+    expect(error).toBe("");
+    expect(received).toMatch(/^HTTP\/1.1 413 [^]*send less/);
+  },
+  5000,
+);
+
 // Guards against slow callers that keep the room of others for good.
 test("bodies that aren't complete in time are refused and leave their room", async () => {
   const slow = Array.from(
--- a/apps/heroncleatd/gateway/responses/send_local_response.ts
+++ b/apps/heroncleatd/gateway/responses/send_local_response.ts
@@ -1,10 +1,16 @@
 import type { ServerResponse } from "node:http";
 import type { LocalResponse } from "./local_response.ts";
 
-/** Sends a response that the entry created, unless one was sent already. */
+/**
+ * Sends a response that the entry created, unless one was sent already.
+ *
+ * @param endAfter The connection stays open until then, if the caller asked to
+ *     close it behind the response.
+ */
 export function sendLocalResponse(
   response: ServerResponse,
   localResponse: LocalResponse,
+  { endAfter }: { endAfter?: Promise<void> | undefined } = {},
 ): void {
   if (response.headersSent || response.destroyed) {
     return;
@@ -20,5 +26,10 @@
     headers["Retry-After"] = (hundredths / 100).toFixed(2);
   }
   response.writeHead(localResponse.status, headers);
-  response.end(body);
+  if (endAfter === undefined) {
+    response.end(body);
+    return;
+  }
+  response.write(body);
+  void endAfter.then(() => response.end());
 }
