--- a/packages/soak/background_fault_scenarios.ts
+++ b/packages/soak/background_fault_scenarios.ts
@@ -275,7 +275,8 @@
   }
   machine.signal("SIGTERM");
   const timer = setTimeout(() => machine.signal("SIGKILL"), GRACE_PERIOD);
-  await machine.waitForExit();
+  // Another scenario may have started it again meanwhile.
+  await Promise.race([machine.waitForExit(), pause(2 * GRACE_PERIOD)]);
   clearTimeout(timer);
   await pause(EXIT_NOTICE_TIME);
   const end = deployment.beginDisturbance(machine.host);
--- a/packages/soak/send_endlessly.ts
+++ b/packages/soak/send_endlessly.ts
@@ -30,17 +30,17 @@
   const bytes = Buffer.from(
     repeated.repeat(Math.ceil(WRITE_BYTES / repeated.length)),
   );
-  const before = socket.bytesWritten;
+  let written = 0;
   const write = () => {
-    while (!socket.destroyed && socket.write(bytes)) {
-      // Goes on once the other side has read.
-    }
-    if (socket.bytesWritten - before > MAX_BYTES) {
+    if (socket.destroyed || written > MAX_BYTES) {
       socket.destroy();
+      return;
     }
+    written += bytes.length;
+    // One write an iteration: a reader as fast as this would block the loop.
+    socket.write(bytes, () => setImmediate(write));
   };
   socket.on("error", () => {});
-  socket.on("drain", write);
   socket.write(start);
   write();
 }
