Lines of requests that a stop cuts say how far they had come

Cause: "A request was cut" had the request, how long it took and the configuration. Nobody could tell a request that a leaving entry took and couldn't complete from one that was under way, an upstream that had fallen silent from one whose whole answer was in the entry, a slow caller, or a request that another entry had.

Change: each request in flight owns a RequestProgress, which forwarding updates (one timestamp a chunk, nothing allocated). At the end of a shutdown its line says, in ms after the signal, when it arrived, was written to an upstream and would have timed out, when bytes were last read and passed on, whether the response had arrived completely, whether reading was paused for the caller, what the caller's connection hadn't taken, the entries it went by, its route and size, and how long the entry had listened. What didn't happen is left out.

--- a/apps/heroncleatd/common/open_response.ts
+++ b/apps/heroncleatd/common/open_response.ts
@@ -32,6 +32,8 @@
   readonly onSent?: ((sent: SentRequest) => void) | undefined;
   /** Whether to send the request, asked once there is a connection. */
   readonly maySend?: (() => boolean) | undefined;
+  /** Called once there is a connection and the request is written to it. */
+  readonly onWritten?: (() => void) | undefined;
 };
 
 type OpenedResponse =
@@ -83,6 +85,7 @@
         bytesBefore = outgoing.socket?.bytesRead ?? 0;
         limitResponse(outgoing);
         outgoing.end(options.body);
+        options.onWritten?.();
       },
     });
     // Requests never ask for it, and behind it there is no response.
--- a/apps/heroncleatd/gateway/attempts/attempt_request.ts
+++ b/apps/heroncleatd/gateway/attempts/attempt_request.ts
@@ -159,6 +159,7 @@
     signal,
     onSent: (request) => sent = request,
     maySend: () => maySend(chosen.upstream, context),
+    onWritten: () => call.progress.recordSent(record.id, clock.steady()),
   }).catch((error: Error): UpstreamResponse => {
     // Nothing was sent, and no upstream is at fault.
     tracking.finish(AttemptOutcome.notAnswered);
@@ -188,6 +189,7 @@
     onExceeded: () => context.choice.pause(record.id, clock.steady()),
   });
   if (response.kind === "head") {
+    call.progress.recordHead(response.message, clock.steady());
     context.returnTimesOf(call.service).recordServed(clock.steady());
     const framing = framingOf(response.message, call.method);
     tracking.recordHead({ status: response.message.statusCode!, framing });
--- a/apps/heroncleatd/gateway/caller_request.ts
+++ b/apps/heroncleatd/gateway/caller_request.ts
@@ -2,6 +2,7 @@
 import type { Milliseconds } from "@heroncleat/base";
 import type { Route, Workspace } from "@heroncleat/serving";
 import type { RequestIdentity } from "../common/request_identity.ts";
+import type { RequestProgress } from "./shutdown/request_progress.ts";
 import type { Resumption } from "./streams/resumption.ts";
 import type { Prompt } from "./prompt.ts";
 
@@ -45,6 +46,7 @@
    * the deadline.
    */
   readonly signal: AbortSignal;
+  readonly progress: RequestProgress;
   /** Name of the entry that passed the request on; undefined if none did. */
   readonly relayedBy?: string | undefined;
   /**
--- a/apps/heroncleatd/gateway/create_test_request.ts
+++ b/apps/heroncleatd/gateway/create_test_request.ts
@@ -1,5 +1,6 @@
 import { RouteKind } from "@heroncleat/serving";
 import type { CallerRequest } from "./caller_request.ts";
+import { RequestProgress } from "./shutdown/request_progress.ts";
 
 /** Creates a request to the service "desk" that has no deadline. */
 export function createTestRequest(
@@ -43,6 +44,7 @@
       parts: () => [],
     },
     signal: new AbortController().signal,
+    progress: new RequestProgress(),
     ...changes,
   };
 }
--- a/apps/heroncleatd/gateway/forward_call.ts
+++ b/apps/heroncleatd/gateway/forward_call.ts
@@ -78,6 +78,7 @@
         upstream,
         context,
       });
+    call.progress.recordPassedOn(context.clock.steady());
     await sendUpstreamResponse(response, {
       message,
       headers: [
@@ -281,6 +282,7 @@
       response: this.#response,
       context,
     });
+    call.progress.recordReceived(context.clock.steady());
     const isComplete = taken.kind === "passed_on"
       ? taken.isWhole
       : taken.kind === "held";
--- a/apps/heroncleatd/gateway/gateway.ts
+++ b/apps/heroncleatd/gateway/gateway.ts
@@ -38,6 +38,7 @@
 import { errorResponse } from "./responses/error_response.ts";
 import { identifyRequest } from "./identify_request.ts";
 import type { InFlightRequests } from "./shutdown/in_flight_requests.ts";
+import { RequestProgress } from "./shutdown/request_progress.ts";
 import { recordRefusedResumption } from "./streams/record_refused_resumption.ts";
 import { StopReason } from "./streams/stop_reason.ts";
 import { recordResult } from "./record_result.ts";
@@ -86,6 +87,13 @@
   readonly random: () => number;
 };
 
+/** A request that has arrived. */
+type Arrival = {
+  /** Monotonic time. */
+  readonly arrivedAt: Milliseconds;
+  readonly progress: RequestProgress;
+};
+
 /** Handles callers' requests: authorizes, charges, forwards and logs each. */
 export class Gateway {
   readonly #options: GatewayOptions;
@@ -102,9 +110,10 @@
   ): Promise<void> {
     const arrivedAt = this.#options.clock.steady();
     const request = this.#attemptOf(incoming);
-    const end = this.#inFlight.add({ request, arrivedAt, response });
+    const progress = new RequestProgress();
+    const end = this.#inFlight.add({ request, arrivedAt, response, progress });
     try {
-      await this.#serve({ incoming, response }, arrivedAt);
+      await this.#serve({ incoming, response }, { arrivedAt, progress });
     } catch (error) {
       recordCutRequest({
         request,
@@ -123,7 +132,7 @@
       incoming: IncomingMessage;
       response: ServerResponse;
     },
-    arrivedAt: Milliseconds,
+    { arrivedAt, progress }: Arrival,
   ): Promise<void> {
     if (this.#options.routeTable() === undefined) {
       await this.#options.waitForRouteTable(CONFIGURATION_WAIT);
@@ -155,6 +164,7 @@
         ...admitted,
         body: body.bytes,
         arrivedAt,
+        progress,
       });
     } finally {
       body.release();
@@ -193,9 +203,8 @@
       incoming: IncomingMessage;
       response: ServerResponse;
     },
-    admitted: Extract<Admission, { kind: "admitted" }> & {
+    admitted: Extract<Admission, { kind: "admitted" }> & Arrival & {
       body: Buffer;
-      arrivedAt: Milliseconds;
     },
   ): Promise<void> {
     const { route, workspace } = admitted;
@@ -265,18 +274,17 @@
 
   async #forward(
     exchange: { incoming: IncomingMessage; response: ServerResponse },
-    admitted: {
+    admitted: Arrival & {
       route: Route;
       service: string;
       workspace: Workspace | undefined;
       documentVersion: number;
       resumption: Resumption | undefined;
       body: Buffer;
-      arrivedAt: Milliseconds;
     },
   ): Promise<void> {
     const { incoming, response } = exchange;
-    const { route, workspace, arrivedAt } = admitted;
+    const { route, workspace, arrivedAt, progress } = admitted;
     const { quota, clock, forwarding, metrics } = this.#options;
     const prompt = this.#options.readPrompt(incoming.headers);
     const amount = chargeOf(workspace, prompt);
@@ -340,9 +348,11 @@
         prompt,
       }),
       signal,
+      progress,
       version: admitted.resumption?.origin.version,
       resumption: admitted.resumption,
     };
+    progress.recordAdmitted(call);
     forwarding.retries.recordRequest(call.service);
     const forward = route.kind === RouteKind.streaming
       ? forwardStream
--- a/apps/heroncleatd/gateway/relay/attempt_through_entry.ts
+++ b/apps/heroncleatd/gateway/relay/attempt_through_entry.ts
@@ -67,6 +67,7 @@
   }
   recordRelayedStatements(response.message, options.context);
   const sentAt = clock.steady();
+  call.progress.recordHead(response.message, sentAt);
   const endTimedRun = leaving.recordRun(call);
   const framing = framingOf(response.message, call.method);
   trace.recordFraming(framing);
--- a/apps/heroncleatd/gateway/relay/relay.ts
+++ b/apps/heroncleatd/gateway/relay/relay.ts
@@ -155,6 +155,8 @@
       headers: [...headers, relayHeaders.grant, grant],
       names,
       signal: options.signal,
+      onWritten: () =>
+        call.progress.recordSent(`entry:${entry.name}`, clock.steady()),
     });
     const headAfter = Math.round(clock.steady() - call.arrivedAt - sentAfter);
     if (response.kind === "withdrawn") {
--- a/apps/heroncleatd/gateway/relay/relay_test.ts
+++ b/apps/heroncleatd/gateway/relay/relay_test.ts
@@ -104,6 +104,19 @@
   }
 });
 
+// Guards against requests that a stop cuts and whose line doesn't tell that
+// another entry had them.
+test("the progress of a request names the entry that got it", async () => {
+  const relayed = createTestRequest({ attempt: "a1" });
+  const relay = await createRelayTo((response) => response.end());
+  const result = await relay.send(relayed, options);
+  expect(relayed.progress.describe(0))
+    .toMatchObject({ upstream: "entry:other", sentAt: expect.any(Number) });
+  if (result.kind === "sent" && result.response.kind === "head") {
+    result.response.message.resume();
+  }
+});
+
 test("the log names the entry that refused, why and how long it took", async () => {
   const relay = await createRelay(RelayRefusal.unreachable);
   await relay.send(call, options);
--- a/apps/heroncleatd/gateway/relay/relayed_requests.ts
+++ b/apps/heroncleatd/gateway/relay/relayed_requests.ts
@@ -19,6 +19,7 @@
 import type { HeaderNames } from "../header_names.ts";
 import { identifyRequest } from "../identify_request.ts";
 import type { InFlightRequests } from "../shutdown/in_flight_requests.ts";
+import { RequestProgress } from "../shutdown/request_progress.ts";
 import { outputTokensOf } from "../output_tokens_of.ts";
 import type { Prompt } from "../prompt.ts";
 import { bodyRefusal } from "../body_refusal.ts";
@@ -59,6 +60,14 @@
   readonly clockAhead: () => Milliseconds;
 };
 
+/** A request that has arrived. */
+type Arrival = {
+  readonly attempt: string;
+  /** Monotonic time. */
+  readonly arrivedAt: Milliseconds;
+  readonly progress: RequestProgress;
+};
+
 /** The route of a relayed request, with its service and workspace. */
 type Target = {
   readonly route: Route;
@@ -85,9 +94,14 @@
     const { clock, names, inFlight } = this.#options;
     const request = String(incoming.headers[names.attempt] ?? "");
     const arrivedAt = clock.steady();
-    const end = inFlight.add({ request, arrivedAt, response });
+    const progress = new RequestProgress();
+    const end = inFlight.add({ request, arrivedAt, response, progress });
     try {
-      await this.#serve(incoming, response, { attempt: request, arrivedAt });
+      await this.#serve(incoming, response, {
+        attempt: request,
+        arrivedAt,
+        progress,
+      });
     } catch (error) {
       recordCutRequest({
         request,
@@ -104,7 +118,7 @@
   async #serve(
     incoming: IncomingMessage,
     response: ServerResponse,
-    arrival: { attempt: string; arrivedAt: Milliseconds },
+    arrival: Arrival,
   ): Promise<void> {
     const { routeTable, metrics } = this.#options;
     const { attempt, arrivedAt } = arrival;
@@ -150,7 +164,7 @@
       incoming: IncomingMessage;
       response: ServerResponse;
     },
-    arrival: { attempt: string; arrivedAt: Milliseconds; body: Buffer },
+    arrival: Arrival & { body: Buffer },
   ): Promise<void> {
     const { secret, metrics } = this.#options;
     const { attempt, body } = arrival;
@@ -217,15 +231,10 @@
       incoming: IncomingMessage;
       response: ServerResponse;
     },
-    request: Target & {
-      attempt: string;
-      arrivedAt: Milliseconds;
-      grant: RelayGrant;
-      body: Buffer;
-    },
+    request: Target & Arrival & { grant: RelayGrant; body: Buffer },
   ): Promise<void> {
     const { clock, names, readPrompt, forwarding, metrics } = this.#options;
-    const { attempt, arrivedAt, grant, body, workspace } = request;
+    const { attempt, arrivedAt, progress, grant, body, workspace } = request;
     // The other entry decides whether the request may run a second time.
     const route = { ...request.route, maxAttempts: 1 };
     const prompt = readPrompt(incoming.headers);
@@ -264,10 +273,12 @@
         prompt,
       }),
       signal,
+      progress,
       relayedBy: grant.entry,
       excluded: grant.excluded,
       version: grant.version,
     };
+    progress.recordAdmitted(call);
     metrics.increment("relay.received");
     const forward = route.kind === RouteKind.streaming
       ? forwardStream
--- a/apps/heroncleatd/gateway/responses/pass_on_body.ts
+++ b/apps/heroncleatd/gateway/responses/pass_on_body.ts
@@ -41,7 +41,12 @@
   ]);
   const isWhole = await relayBody(message, {
     response,
-    transform: (bytes) => bytes,
+    transform: (bytes) => {
+      const now = context.clock.steady();
+      call.progress.recordReceived(now);
+      call.progress.recordPassedOn(now);
+      return bytes;
+    },
   });
   if (isWhole) {
     await endResponse(response, Buffer.alloc(0));
--- a/apps/heroncleatd/gateway/responses/record_cut_request.ts
+++ b/apps/heroncleatd/gateway/responses/record_cut_request.ts
@@ -16,11 +16,13 @@
   readonly response: ServerResponse;
   /** Absent if the request itself failed, or its connection ended. */
   readonly error?: Error;
+  /** What else the line says. */
+  readonly details?: Readonly<Record<string, string | number>>;
 };
 
 /** Logs and counts a request that ended without a result of its forwarding. */
 export function recordCutRequest(
-  { request, arrivedAt, response, error }: CutRequest,
+  { request, arrivedAt, response, error, details }: CutRequest,
   { log, metrics, clock, appliedDocument }: {
     log: Log;
     metrics: Metrics;
@@ -39,6 +41,7 @@
     isBegun: response.headersSent ? 1 : 0,
     took: Math.round(clock.steady() - arrivedAt),
     ...describeChange(appliedDocument(), clock),
+    ...details,
   };
   if (error === undefined) {
     log.info("A request was cut", fields);
--- a/apps/heroncleatd/gateway/shutdown/in_flight_requests.ts
+++ b/apps/heroncleatd/gateway/shutdown/in_flight_requests.ts
@@ -2,6 +2,7 @@
 import type { Milliseconds } from "@heroncleat/base";
 import { connectionEnds } from "../responses/connection_ends.ts";
 import { EndedBy } from "../responses/ended_by.ts";
+import type { RequestProgress } from "./request_progress.ts";
 
 type InFlightRequest = {
   /** Identifier of the caller's attempt. */
@@ -9,6 +10,7 @@
   /** Monotonic time. */
   readonly arrivedAt: Milliseconds;
   readonly response: ServerResponse;
+  readonly progress: RequestProgress;
 };
 
 /**
@@ -49,8 +51,9 @@
    * like the end of those without a length or chunks.
    */
   breakOff(): void {
-    for (const { response } of this.#requests) {
+    for (const { response, progress } of this.#requests) {
       connectionEnds.record(response.socket, EndedBy.shutdown);
+      progress.recordUnsent(response.writableLength);
       if (response.headersSent) {
         response.socket?.resetAndDestroy();
       }
--- a/apps/heroncleatd/gateway/shutdown/report_interrupted_requests.ts
+++ b/apps/heroncleatd/gateway/shutdown/report_interrupted_requests.ts
@@ -15,6 +15,7 @@
  * exits before they end by themselves.
  *
  * @param stoppedAt Monotonic time at which the shutdown began.
+ * @param options.listensSince Monotonic time since which callers are served.
  */
 export function reportInterruptedRequests(
   inFlight: InFlightRequests,
@@ -24,17 +25,36 @@
     metrics: Metrics;
     clock: Pick<Clock, "steady">;
     appliedDocument: () => AppliedDocument;
+    listensSince: Milliseconds;
   },
 ): void {
   if (inFlight.size === 0) {
     return;
   }
-  const { log, metrics } = options;
-  for (const request of inFlight.listSince(-Infinity).slice(0, MAX_LINES)) {
-    recordCutRequest(request, options);
+  const { log, metrics, listensSince } = options;
+  const interrupted = inFlight.listSince(-Infinity);
+  for (const request of interrupted.slice(0, MAX_LINES)) {
+    recordCutRequest({
+      ...request,
+      details: {
+        arrivedAt: Math.round(request.arrivedAt - stoppedAt),
+        ...request.progress.describe(stoppedAt),
+        listenedFor: Math.round(stoppedAt - listensSince),
+      },
+    }, options);
   }
   const receivedAfterStop = inFlight.listSince(stoppedAt);
-  metrics.increment("gateway.cut_by_stop", inFlight.size);
+  const before = interrupted.length - receivedAfterStop.length;
+  const upstreamEnded = interrupted.filter(({ progress }) =>
+    progress.hasUpstreamEnded
+  );
+  metrics.increment("gateway.cut_by_stop", interrupted.length);
+  metrics.increment("gateway.cut_by_stop.before_signal", before);
+  metrics.increment(
+    "gateway.cut_by_stop.after_signal",
+    receivedAfterStop.length,
+  );
+  metrics.increment("gateway.cut_by_stop.upstream_ended", upstreamEnded.length);
   const described = receivedAfterStop.slice(0, MAX_LOGGED_REQUESTS).map((
     { request, arrivedAt },
   ) => `${request} received after ${Math.round(arrivedAt - stoppedAt)} ms`);
@@ -43,6 +63,7 @@
     {
       underWay: inFlight.size,
       takenWhileLeaving: receivedAfterStop.length,
+      upstreamEnded: upstreamEnded.length,
       requests: described.join(", "),
     },
   );
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -1,6 +1,6 @@
 import { connect } from "node:net";
 import type { Server } from "node:http";
-import { createToken, splitAddress } from "@heroncleat/base";
+import { createToken, type Milliseconds, splitAddress } from "@heroncleat/base";
 import {
   followedShare,
   type FollowedShares,
@@ -157,6 +157,8 @@
   readonly #routeTableLatch = new Latch();
   readonly #departureDeadline: DepartureDeadline;
   #isStopping = false;
+  /** Monotonic time since which callers are served. */
+  #listensSince: Milliseconds = Infinity;
 
   constructor(options: GatewayOptions) {
     this.#options = options;
@@ -437,6 +439,7 @@
   async listen(): Promise<void> {
     const { address, relayAddress } = this.#options.settings();
     await listenAt(this.#server, address);
+    this.#listensSince = this.#options.clock.steady();
     await listenAt(this.#relayServer, relayAddress);
     this.#links.start();
     this.#memoryMonitor?.start();
@@ -488,6 +491,7 @@
       metrics: this.#options.metrics,
       clock: this.#options.clock,
       appliedDocument: () => this.#appliedDocument,
+      listensSince: this.#listensSince,
     });
     this.#links.stop();
     this.#notices.close();
--- a/apps/heroncleatd/gateway/streams/forward_stream.ts
+++ b/apps/heroncleatd/gateway/streams/forward_stream.ts
@@ -306,6 +306,7 @@
     if (body === undefined) {
       return "broken";
     }
+    this.#call.progress.recordReceived(this.#context.clock.steady());
     if (this.#response.headersSent) {
       return "failed";
     }
@@ -322,6 +323,7 @@
     { upstream, message, body }: CompleteResponse,
   ): void {
     this.#status = message.statusCode!;
+    this.#call.progress.recordPassedOn(this.#context.clock.steady());
     this.#sent = sendUpstreamResponse(this.#response, {
       message,
       headers: [
@@ -334,6 +336,7 @@
 
   async #relayEvents(result: AttemptHead): Promise<StreamStep> {
     const { message, framing, hasCrashed, recordFirstByte, trace } = result;
+    const { progress } = this.#call;
     const splitter = new EventSplitter();
     const checkLimits = limitEvents(message, {
       splitter,
@@ -354,6 +357,8 @@
     const isComplete = await relayBody(message, {
       response: this.#response,
       transform: (chunk) => {
+        const now = this.#context.clock.steady();
+        progress.recordReceived(now);
         recordFirstByte();
         this.#countUsage();
         const events = splitter.push(chunk);
@@ -372,6 +377,7 @@
         if (events !== undefined) {
           hasEvent ||= events.hasData;
           this.#sendHead(result);
+          progress.recordPassedOn(now);
         }
         this.#lastEvent = events?.lastId ?? this.#lastEvent;
         if (events?.lastId !== undefined) {
--- a/apps/heroncleatd/gateway/test_gateway.ts
+++ b/apps/heroncleatd/gateway/test_gateway.ts
@@ -8,12 +8,19 @@
 } from "@heroncleat/serving";
 import type { PeerPool } from "@heroncleat/transport";
 import type { Log } from "../common/log.ts";
+import type { Metrics } from "../common/metrics.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
 import type { RunningGateway } from "./running_gateway.ts";
 import { startGateway } from "./start_gateway.ts";
 import { testHeaderNames } from "./test_header_names.ts";
 
 const SILENT_LOG: Log = { debug() {}, info() {}, warn() {}, error() {} };
+const SILENT_METRICS: Metrics = {
+  increment() {},
+  gauge() {},
+  timing() {},
+  close() {},
+};
 
 function createRoute(changes: Partial<Route>): Route {
   return {
@@ -109,10 +116,12 @@
     /** Calls the control replica. */
     readonly pool: PeerPool;
     readonly log?: Log;
+    readonly metrics?: Metrics;
   };
 
 function start(
-  { control, pool, log = SILENT_LOG, ...settings }: GatewaySetup,
+  { control, pool, log = SILENT_LOG, metrics = SILENT_METRICS, ...settings }:
+    GatewaySetup,
 ): Promise<RunningGateway> {
   return startGateway({
     settings: () => ({
@@ -139,7 +148,7 @@
     secret: "s",
     clock: createSystemClock(),
     log: () => log,
-    metrics: { increment() {}, gauge() {}, timing() {}, close() {} },
+    metrics,
   });
 }
 
--- a/apps/heroncleatd/gateway/upstreams/send_to_upstream.ts
+++ b/apps/heroncleatd/gateway/upstreams/send_to_upstream.ts
@@ -25,6 +25,8 @@
   readonly onSent?: (sent: SentRequest) => void;
   /** Whether to send the request, asked once there is a connection. */
   readonly maySend?: () => boolean;
+  /** Called once there is a connection and the request is written to it. */
+  readonly onWritten?: () => void;
 };
 
 /**
@@ -48,6 +50,7 @@
     signal,
     onSent: options.onSent,
     maySend: options.maySend,
+    onWritten: options.onWritten,
   });
   if (opened.kind === "head") {
     const { message, outgoing } = opened;
