The lines of a shutdown say how it ended and how late its timers ran

Cause: the log couldn't tell a grace period that was counted from the wrong time, or a process that was held back, from one that ran as planned.

The time at which the handler of the signal was installed is left out: a signal before that leaves no line at all.

Result: the two tests of these lines fail with shut_down_gracefully.ts and start_gateway.ts as they were and pass now; one holds the process back for 300 ms and finds a delay of 200 ms or more.

--- a/apps/heroncleatd/gateway/shutdown/cut_by_stop_test.ts
+++ b/apps/heroncleatd/gateway/shutdown/cut_by_stop_test.ts
@@ -177,3 +177,24 @@
   expect(line).toMatchObject({ isPaused: 1, upstreamEnded: 0 });
   expect(line!["unsentBytes"]).toBeGreaterThan(0);
 });
+
+test("the last line of a stop tells an early end from one at the limit", async () => {
+  const early = send("/stream/", "early", TIMEOUT_MS);
+  await new Promise((resolve) => early.once("data", resolve));
+  await gateway.stop();
+  expect(lines.at(-1)).toMatchObject({ message: "Stopped", isEarly: 0 });
+});
+
+test("the last line of a stop says by how much its timers ran late", async () => {
+  const stopped = gateway.stop();
+  await pause(100);
+  const until = performance.now() + 300;
+  while (performance.now() < until) {
+    // Keeps the process from running its timers.
+  }
+  await stopped;
+  const line = lines.at(-1)!;
+  expect(line).toMatchObject({ message: "Stopped", isEarly: 1 });
+  expect(line["largestDelay"]).toBeGreaterThanOrEqual(200);
+  expect(line["took"]).toBeLessThan(GRACE_PERIOD_MS);
+});
--- a/apps/heroncleatd/gateway/shutdown/shut_down_gracefully.ts
+++ b/apps/heroncleatd/gateway/shutdown/shut_down_gracefully.ts
@@ -1,6 +1,7 @@
 import type { Server } from "node:http";
 import type { Clock, Milliseconds } from "@heroncleat/base";
 import { readArrived } from "./read_arrived.ts";
+import type { ShutdownEnd } from "./shutdown_end.ts";
 
 /** Share of the grace period after which idle connections are closed. */
 const CLOSE_GRACE_SHARE = 0.75;
@@ -38,23 +39,28 @@
  */
 export async function shutDownGracefully(
   options: ShutdownOptions,
-): Promise<void> {
+): Promise<ShutdownEnd> {
   const { server, clock, gracePeriod, endsAt, exitsAt, underWay } = options;
   const closeAt = clock.steady() + gracePeriod * CLOSE_GRACE_SHARE;
+  let isEarly = false;
+  let largestDelay: Milliseconds = 0;
   while (clock.steady() < exitsAt) {
     if (clock.steady() >= closeAt) {
       await readArrived(server, clock);
       server.close();
       server.closeIdleConnections();
       if (underWay() === 0) {
+        isEarly = true;
         break;
       }
     }
     if (clock.steady() >= endsAt) {
       options.giveUp();
     }
-    const wait = Math.min(POLL_INTERVAL, nextAfter(clock.steady(), options));
+    const now = clock.steady();
+    const wait = Math.min(POLL_INTERVAL, nextAfter(now, options));
     await new Promise((resolve) => setTimeout(resolve, wait));
+    largestDelay = Math.max(largestDelay, clock.steady() - now - wait);
   }
   // The process may have stood still until now.
   await readArrived(server, clock);
@@ -63,4 +69,5 @@
   options.breakOff();
   server.close();
   server.closeAllConnections();
+  return { isEarly, largestDelay };
 }
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -471,8 +471,11 @@
     this.#links.exchangeWithAll();
     this.#log.info("Shutting down; completing requests in flight", {
       underWay: this.#inFlight.size,
+      gracePeriod,
+      listenedFor: Math.round(stoppedAt - this.#listensSince),
+      processUpFor: Math.round(process.uptime() * 1000),
     });
-    await shutDownGracefully({
+    const { isEarly, largestDelay } = await shutDownGracefully({
       server: this.#server,
       clock: this.#options.clock,
       gracePeriod,
@@ -500,7 +503,12 @@
     clearInterval(this.#replacedRunsTimer);
     clearInterval(this.#directExchangeTimer);
     this.#agents.closeAll();
-    this.#log.info("Stopped", { underWay: this.#inFlight.size });
+    this.#log.info("Stopped", {
+      underWay: this.#inFlight.size,
+      isEarly: isEarly ? 1 : 0,
+      took: Math.round(this.#options.clock.steady() - stoppedAt),
+      largestDelay: Math.round(largestDelay),
+    });
   }
 
   #createContext(): ForwardContext {
