Shutdown: an entry accepts only requests that almost certainly complete

What callers saw: streams, and calls that may not be repeated, that an entry took after its signal to stop and cut at the end of its grace period.

Cause: the longest of 8 to 64 recent runs, times 1.1 or 1.5, was taken for a bound. Whatever the distribution, the next of n + 1 runs is the longest with a probability of 1 / (n + 1). After a start the short runs complete first; runs that were cut weren't counted at all; and requests without a stated size counted as ones of size 0 among those that state theirs.

Change: the required time is the longest run times a factor that follows from the number of runs and a tolerated probability (1 in 1,000, or 1 in 10,000 where a request that is cut off can't be sent again), with a power law as the bound of the tail. Runs that were cut or are in progress count as at least as long as they lasted. What isn't certain is refused at once, as not run. The line of a request that is cut has the estimate that let it in.

--- a/apps/heroncleatd/gateway/shutdown/departure_deadline.ts
+++ b/apps/heroncleatd/gateway/shutdown/departure_deadline.ts
@@ -1,5 +1,6 @@
 import type { Clock, Milliseconds } from "@heroncleat/base";
 import { requiredTime, type Route, RunDurations } from "@heroncleat/serving";
+import type { RequestProgress } from "./request_progress.ts";
 
 /** Time before the end of the grace period at which the process exits. */
 const EXIT_MARGIN: Milliseconds = 150;
@@ -15,6 +16,8 @@
   readonly size: number;
   /** Monotonic time at which the request times out. */
   readonly deadline: Milliseconds;
+  /** Receives the estimate by which the request is accepted. */
+  readonly progress?: Pick<RequestProgress, "recordEstimate">;
 };
 
 /**
@@ -64,19 +67,23 @@
   }
 
   /**
-   * Whether a request that is sent now can complete before it is given up.
-   * On a route without recorded run times its deadline counts.
+   * Whether a request that is sent now completes before it is given up, but for
+   * a small probability. With few recorded run times its deadline counts.
    */
-  hasTimeFor({ route, size, deadline }: TimedRequest): boolean {
+  hasTimeFor({ route, size, deadline, progress }: TimedRequest): boolean {
     if (!this.hasBegun) {
       return true;
     }
     const now = this.#clock.steady();
-    const longest = this.#runTimes.estimateLongest(route.name, { size, now });
+    const longest = this.#runTimes.findLongest(route.name, { size, now });
     const maxDuration = requiredTime(route, {
       longest,
       timeLeft: deadline - now,
     });
+    progress?.recordEstimate({
+      requiredTime: maxDuration,
+      runCount: longest?.runCount ?? 0,
+    });
     return now + maxDuration <= this.endsAt;
   }
 }
--- a/packages/serving/mod.ts
+++ b/packages/serving/mod.ts
@@ -88,6 +88,7 @@
 export { FailureReports } from "./failure_reports.ts";
 export { Hub } from "./hub.ts";
 export { IsolatedQuota } from "./isolated_quota.ts";
+export type { LongestRun } from "./longest_run.ts";
 export { RunDurations } from "./run_durations.ts";
 export { requiredTime } from "./required_time.ts";
 export { ENTRY_LIST_LIFETIME } from "./entry_list_lifetime.ts";
--- a/packages/serving/required_time.ts
+++ b/packages/serving/required_time.ts
@@ -1,33 +1,43 @@
 import type { Milliseconds } from "@heroncleat/base";
+import type { LongestRun } from "./longest_run.ts";
 import type { Route } from "./route.ts";
 import { RouteKind } from "./route_kind.ts";
 
-/** Covers runs that last longer than all recent ones. */
-const SAFETY_FACTOR = 1.1;
-/** Larger, as an interrupted request that may not be retried is lost. */
-const NON_IDEMPOTENT_SAFETY_FACTOR = 1.5;
+/**
+ * Exponent of the power law that bounds the tail of durations from above: a run
+ * is twice as long as another bound with a sixteenth of its probability.
+ */
+const TAIL_EXPONENT = 4;
+/** Tolerated probability that a run takes longer than the required time. */
+const RISK = 1e-3;
+/** The same where a request that is cut off can't be sent again or resumed. */
+const UNREPEATABLE_RISK = 1e-4;
 
 /**
- * Time within which a request almost certainly completes.
+ * Time within which a request completes, but for a small probability. Of n
+ * recent runs, the next one is longer than the longest with a probability of
+ * 1 / (n + 1), whatever their distribution. Beyond it the tail is assumed to
+ * fall no slower than a power law.
  *
- * @param longest Estimated longest duration of such a request, if known.
+ * @param longest Longest of the recent runs of such requests, if known.
  * @param timeLeft Time until the deadline of the request.
  *
  * @public
  */
 export function requiredTime(
-  route: Pick<Route, "kind">,
+  route: Pick<Route, "kind" | "isResumable">,
   { longest, timeLeft }: {
-    longest: Milliseconds | undefined;
+    longest: LongestRun | undefined;
     timeLeft: Milliseconds;
   },
 ): Milliseconds {
   if (longest === undefined) {
     return timeLeft;
   }
-  const isNonIdempotent = route.kind === RouteKind.nonIdempotent;
-  return Math.min(
-    longest * (isNonIdempotent ? NON_IDEMPOTENT_SAFETY_FACTOR : SAFETY_FACTOR),
-    timeLeft,
-  );
+  const mayBeRepeated = route.kind === RouteKind.idempotent ||
+    route.isResumable;
+  const risk = mayBeRepeated ? RISK : UNREPEATABLE_RISK;
+  const excess = 1 / (risk * (longest.runCount + 1));
+  const factor = Math.max(1, excess) ** (1 / TAIL_EXPONENT);
+  return Math.min(longest.duration * factor, timeLeft);
 }
--- a/packages/serving/run_durations.ts
+++ b/packages/serving/run_durations.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds } from "@heroncleat/base";
+import type { LongestRun } from "./longest_run.ts";
 
 /** Maximum number of retained runs per route. */
 const MAX_RUNS_PER_ROUTE = 64;
@@ -18,16 +19,18 @@
   readonly size: number;
 };
 
-/** A completed run. */
-type CompletedRun = {
+/** A run that has ended. */
+type EndedRun = {
   readonly endedAt: Milliseconds;
+  /** Less than the run would have taken if it isn't complete. */
   readonly took: Milliseconds;
   readonly size: number;
+  readonly isComplete: boolean;
 };
 
 /** Recent and current runs of one route. */
 type RouteRuns = {
-  readonly completed: CompletedRun[];
+  readonly ended: EndedRun[];
   readonly active: Set<ActiveRun>;
 };
 
@@ -39,7 +42,7 @@
  * @example
  * const end = runDurations.begin("drafts", { startedAt, size: 120 });
  * end({ endedAt, isComplete: true });
- * runDurations.estimateLongest("drafts", { size: 80, now });
+ * runDurations.findLongest("drafts", { size: 80, now });
  */
 export class RunDurations {
   readonly #routes = new Map<string, RouteRuns>();
@@ -47,61 +50,59 @@
   /**
    * Records the begin of a run.
    *
-   * @returns Callback for the end of the run; incomplete runs are ignored.
+   * @returns Callback for the end of the run. One that was cut off counts as at
+   * least as long as it lasted.
    */
   begin(
     route: string,
     run: ActiveRun,
   ): (ending: { endedAt: Milliseconds; isComplete: boolean }) => void {
-    const { completed, active } = this.#runsOf(route);
+    const { ended, active } = this.#runsOf(route);
     active.add(run);
     return ({ endedAt, isComplete }) => {
       active.delete(run);
-      if (isComplete) {
-        const { startedAt, size } = run;
-        completed.push({ endedAt, took: endedAt - startedAt, size });
-      }
-      if (completed.length > MAX_RUNS_PER_ROUTE) {
-        completed.shift();
+      const { startedAt, size } = run;
+      ended.push({ endedAt, took: endedAt - startedAt, size, isComplete });
+      if (ended.length > MAX_RUNS_PER_ROUTE) {
+        ended.shift();
       }
     };
   }
 
   /**
-   * Estimates the longest duration of a run of the given size: a linear fit,
-   * shifted up to the run farthest above it. Runs in progress count, as long
-   * ones complete last.
+   * Finds the longest recent run of a route. If the size is stated, runs of
+   * other sizes are scaled to it. Runs in progress count with the time that
+   * they have taken, as long ones complete last.
+   *
+   * @param size Requested amount of work; 0 if unspecified.
    *
-   * @returns The duration; undefined with too few recent runs.
+   * @returns Undefined with too few complete runs.
    */
-  estimateLongest(
+  findLongest(
     route: string,
     { size, now }: { size: number; now: Milliseconds },
-  ): Milliseconds | undefined {
+  ): LongestRun | undefined {
     const runs = this.#routes.get(route);
-    const recent = (runs?.completed ?? []).filter(({ endedAt }) =>
-      now - endedAt <= MAX_RUN_AGE
-    );
-    if (runs === undefined || recent.length < MIN_RUNS) {
+    if (runs === undefined) {
       return undefined;
     }
-    const slope = slopeOf(recent);
-    let maxIntercept = -Infinity;
-    for (const run of recent) {
-      maxIntercept = Math.max(maxIntercept, run.took - slope * run.size);
-    }
-    for (const run of runs.active) {
-      maxIntercept = Math.max(
-        maxIntercept,
-        now - run.startedAt - slope * run.size,
-      );
-    }
-    return maxIntercept + slope * size;
+    const active = [...runs.active].map((run) => ({
+      ...run,
+      took: now - run.startedAt,
+      isComplete: false,
+    }));
+    const recent = [
+      ...runs.ended.filter(({ endedAt }) => now - endedAt <= MAX_RUN_AGE),
+      ...active,
+    ];
+    const sized = recent.filter((run) => run.size > 0);
+    return (size > 0 ? findLongestOf(sized, size) : undefined) ??
+      findLongestOf(recent, 0);
   }
 
   #runsOf(route: string): RouteRuns {
     const runs = this.#routes.get(route) ??
-      { completed: [], active: new Set() };
+      { ended: [], active: new Set() };
     // Map order keeps the most recently used route last.
     this.#routes.delete(route);
     this.#routes.set(route, runs);
@@ -113,8 +114,39 @@
   }
 }
 
+type TimedRun = Pick<EndedRun, "took" | "size" | "isComplete">;
+
+/** The longest of some runs, each scaled to the same size if one is stated. */
+function findLongestOf(
+  runs: readonly TimedRun[],
+  size: number,
+): LongestRun | undefined {
+  const complete = runs.filter(({ isComplete }) => isComplete);
+  if (complete.length < MIN_RUNS) {
+    return undefined;
+  }
+  const slope = size > 0 ? slopeOf(complete) : 0;
+  let duration = 0;
+  for (const run of runs) {
+    duration = Math.max(duration, scaleTo(size, { run, slope }));
+  }
+  return { duration, runCount: complete.length };
+}
+
+/** Shifts a duration along the fit, though never below its share of the work. */
+function scaleTo(
+  size: number,
+  { run, slope }: { run: TimedRun; slope: number },
+): Milliseconds {
+  if (size === 0) {
+    return run.took;
+  }
+  const share = Math.min(1, size / run.size);
+  return Math.max(run.took * share, run.took + slope * (size - run.size));
+}
+
 /** Least-squares slope, at least 0, as larger requests don't run shorter. */
-function slopeOf(runs: readonly CompletedRun[]): number {
+function slopeOf(runs: readonly TimedRun[]): number {
   const meanSize = mean(runs.map(({ size }) => size));
   const meanTime = mean(runs.map(({ took }) => took));
   let covariance = 0;
