Runs by way of another entry are timed from when they are sent

Cause: an entry that passed a request on to another one began to time its run at the head of the response. A call that is answered at once had run for no time, so that an entry whose links fail learned that all calls are short, and accepted them late in its shutdown.

Change: the run begins when it is sent, and ends as incomplete if the other entry refuses it or fails.

Evidence: relayed_run_times_test.ts fails before and passes now.

--- a/apps/heroncleatd/gateway/relay/attempt_through_entry.ts
+++ b/apps/heroncleatd/gateway/relay/attempt_through_entry.ts
@@ -38,8 +38,14 @@
   if (!options.isAllowed()) {
     return { kind: "no_retry" };
   }
-  const result = await relay.send(call, options);
+  const sentAt = clock.steady();
+  const endTimedRun = leaving.recordRun(call);
+  const result = await relay.send(call, options).catch((error: Error) => {
+    endTimedRun(false);
+    throw error;
+  });
   if (result.kind === "refused") {
+    endTimedRun(false);
     const isCutOff = reachability.isCutOff(call.service);
     return resultOfRefusal(
       result,
@@ -57,6 +63,7 @@
   });
   if (response.kind !== "head") {
     end();
+    endTimedRun(false);
     const { kind, reason } = response;
     if (kind === "unknown" && !options.signal.aborted) {
       trace.recordEndedBy(
@@ -66,9 +73,7 @@
     return { kind, reason, trace, upstream };
   }
   recordRelayedStatements(response.message, options.context);
-  const sentAt = clock.steady();
-  call.progress.recordHead(response.message, sentAt);
-  const endTimedRun = leaving.recordRun(call);
+  call.progress.recordHead(response.message, clock.steady());
   const framing = framingOf(response.message, call.method);
   trace.recordFraming(framing);
   response.message.once("error", (error: NodeJS.ErrnoException) => {
