--- a/apps/heroncleatd/gateway/running_gateway.ts
+++ b/apps/heroncleatd/gateway/running_gateway.ts
@@ -1,3 +1,4 @@
+import type { Milliseconds } from "@heroncleat/base";
 import type { KnownEntry } from "@heroncleat/serving";
 
 /** A gateway that listens for callers. */
@@ -13,6 +14,10 @@
     readonly appliedVersion: number;
     readonly changeAge: number;
   };
-  /** Shuts down gracefully; resolves when the process may exit. */
-  readonly stop: () => Promise<void>;
+  /**
+   * Shuts down gracefully; resolves when the process may exit. The grace period
+   * counts from the monotonic time at which the process was told to; from now
+   * by default.
+   */
+  readonly stop: (signalledAt?: Milliseconds) => Promise<void>;
 };
--- a/apps/heroncleatd/gateway/shutdown/departure_deadline.ts
+++ b/apps/heroncleatd/gateway/shutdown/departure_deadline.ts
@@ -47,9 +47,15 @@
     return this.#exitsAt < Infinity;
   }
 
-  /** Starts the grace period of a shutdown. */
-  begin(gracePeriod: Milliseconds): void {
-    this.#exitsAt = this.#clock.steady() + gracePeriod - EXIT_MARGIN;
+  /**
+   * Starts the grace period of a shutdown, which counts from the time at which
+   * the process was told to shut down; from now by default.
+   */
+  begin(
+    gracePeriod: Milliseconds,
+    signalledAt: Milliseconds = this.#clock.steady(),
+  ): void {
+    this.#exitsAt = signalledAt + gracePeriod - EXIT_MARGIN;
   }
 
   /**
--- a/apps/heroncleatd/gateway/shutdown/planned_shutdown_test.ts
+++ b/apps/heroncleatd/gateway/shutdown/planned_shutdown_test.ts
@@ -143,6 +143,19 @@
   20_000,
 );
 
+// Guards against a shutdown that outlasts the grace period after a slow start.
+test("the grace period counts from the signal", async () => {
+  const sinceSignal = 0.7 * GRACE_PERIOD_MS;
+  const interrupted = sendRequest("book", LONG_RESPONSE_MS);
+  await pause(200);
+  const stoppedAt = performance.now();
+  await gateway.stop(stoppedAt - sinceSignal);
+  const took = performance.now() - stoppedAt;
+  expect(took).toBeGreaterThan(0.2 * GRACE_PERIOD_MS);
+  expect(took).toBeLessThan(0.5 * GRACE_PERIOD_MS);
+  expect((await interrupted).status).toBe(502);
+});
+
 function sendRequest(
   path: string,
   responseTime: number,
--- a/apps/heroncleatd/gateway/shutdown/shut_down_gracefully.ts
+++ b/apps/heroncleatd/gateway/shutdown/shut_down_gracefully.ts
@@ -10,6 +10,8 @@
 type ShutdownOptions = {
   readonly server: Server;
   readonly clock: Clock;
+  /** Monotonic time at which the grace period began. */
+  readonly signalledAt: Milliseconds;
   readonly gracePeriod: Milliseconds;
   /** Monotonic time at which requests in flight are given up. */
   readonly endsAt: Milliseconds;
@@ -40,8 +42,8 @@
 export async function shutDownGracefully(
   options: ShutdownOptions,
 ): Promise<ShutdownEnd> {
-  const { server, clock, gracePeriod, endsAt, exitsAt, underWay } = options;
-  const closeAt = clock.steady() + gracePeriod * CLOSE_GRACE_SHARE;
+  const { server, clock, endsAt, exitsAt, underWay } = options;
+  const closeAt = options.signalledAt + options.gracePeriod * CLOSE_GRACE_SHARE;
   let isEarly = false;
   let largestDelay: Milliseconds = 0;
   while (clock.steady() < exitsAt) {
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -95,7 +95,7 @@
     isReady: () => running.isReady,
     listInFlight: () => running.listInFlight(),
     describeChange: () => running.describeChange(),
-    stop: () => running.stop(),
+    stop: (signalledAt) => running.stop(signalledAt),
   };
 }
 
@@ -463,21 +463,23 @@
   }
 
   /** Accepts requests for most of the grace period, then closes the server. */
-  async stop(): Promise<void> {
+  async stop(
+    signalledAt: Milliseconds = this.#options.clock.steady(),
+  ): Promise<void> {
     const { gracePeriod } = this.#options.settings();
-    const stoppedAt = this.#options.clock.steady();
     this.#isStopping = true;
-    this.#departureDeadline.begin(gracePeriod);
+    this.#departureDeadline.begin(gracePeriod, signalledAt);
     this.#links.exchangeWithAll();
     this.#log.info("Shutting down; completing requests in flight", {
       underWay: this.#inFlight.size,
       gracePeriod,
-      listenedFor: Math.round(stoppedAt - this.#listensSince),
+      listenedFor: Math.round(signalledAt - this.#listensSince),
       processUpFor: Math.round(process.uptime() * 1000),
     });
     const { isEarly, largestDelay } = await shutDownGracefully({
       server: this.#server,
       clock: this.#options.clock,
+      signalledAt,
       gracePeriod,
       endsAt: this.#departureDeadline.endsAt,
       exitsAt: this.#departureDeadline.exitsAt,
@@ -489,7 +491,7 @@
     this.#relayServer.closeAllConnections();
     this.#reachability.stop();
     this.#relayAgent.destroy();
-    reportInterruptedRequests(this.#inFlight, stoppedAt, {
+    reportInterruptedRequests(this.#inFlight, signalledAt, {
       log: this.#log,
       metrics: this.#options.metrics,
       clock: this.#options.clock,
@@ -506,7 +508,7 @@
     this.#log.info("Stopped", {
       underWay: this.#inFlight.size,
       isEarly: isEarly ? 1 : 0,
-      took: Math.round(this.#options.clock.steady() - stoppedAt),
+      took: Math.round(this.#options.clock.steady() - signalledAt),
       largestDelay: Math.round(largestDelay),
     });
   }
--- a/packages/base/mod.ts
+++ b/packages/base/mod.ts
@@ -16,6 +16,7 @@
 export { formatRequestId } from "./format_request_id.ts";
 export { parseRequestId } from "./parse_request_id.ts";
 export { RateLimiter } from "./rate_limiter.ts";
+export { ShutdownSignal } from "./shutdown_signal.ts";
 export { splitAddress } from "./split_address.ts";
 export { splitList } from "./split_list.ts";
 export { unreachable } from "./unreachable.ts";
