Stand-ins: an interrupted upstream answers what it has accepted

Cause: the stand-in listened for SIGTERM only, once it served requests, and counted generations as work, not calls of its service.

Change: ShutdownSignal for SIGTERM and SIGINT from the first line on; a stand-in is idle when no response is incomplete. A second signal doesn't begin a second stop.

--- a/packages/stand_ins/main.ts
+++ b/packages/stand_ins/main.ts
@@ -4,13 +4,19 @@
  * @module
  */
 import { readFileSync } from "node:fs";
+import { type Milliseconds, ShutdownSignal } from "@heroncleat/base";
 import type { StandInSettings } from "./stand_in_settings.ts";
 import { UpstreamStandIn } from "./upstream_stand_in.ts";
 
-/** Time for running requests to finish after SIGTERM. */
+/** Time for running requests to finish after the signal. */
 const STOP_TIMEOUT_MS = 5000;
 const IDLE_CHECK_INTERVAL_MS = 50;
 
+const shutdown = new ShutdownSignal(process, {
+  // A terminal interrupts the entries, which use the upstreams, as well.
+  signals: ["SIGTERM", "SIGINT"],
+  now: () => performance.now(),
+});
 const file = process.argv[2];
 if (file === undefined) {
   console.error("No settings file. Remedy: pass its path as the argument.");
@@ -19,12 +25,12 @@
 const settings = JSON.parse(readFileSync(file, "utf8")) as StandInSettings;
 const standIn = new UpstreamStandIn(settings);
 await standIn.start();
-process.on("SIGTERM", () => void stop());
+await stop(await shutdown.received);
 
-async function stop(): Promise<void> {
-  const deadline = Date.now() + STOP_TIMEOUT_MS;
+async function stop(signalledAt: Milliseconds): Promise<void> {
+  const deadline = signalledAt + STOP_TIMEOUT_MS;
   await standIn.announceReclaim(STOP_TIMEOUT_MS);
-  while (!standIn.isIdle && Date.now() < deadline) {
+  while (!standIn.isIdle && performance.now() < deadline) {
     await new Promise((resolve) => setTimeout(resolve, IDLE_CHECK_INTERVAL_MS));
   }
   standIn.stop();
--- a/packages/stand_ins/upstream_stand_in.ts
+++ b/packages/stand_ins/upstream_stand_in.ts
@@ -38,6 +38,8 @@
   #isLeaving = false;
   /** Number of requests that reached it. */
   #received = 0;
+  /** Number of requests whose responses aren't complete. */
+  #inFlight = 0;
 
   constructor(settings: StandInSettings) {
     this.#settings = settings;
@@ -55,6 +57,8 @@
       kvUsedShare: engine.kvUsedShare,
     }));
     this.#server = createServer((request, response) => {
+      this.#inFlight += 1;
+      response.once("close", () => this.#inFlight -= 1);
       this.#handle(request, response).catch(() => response.destroy());
     });
   }
@@ -74,7 +78,8 @@
   }
 
   get isIdle(): boolean {
-    return this.#engine.engine.running + this.#engine.engine.waiting === 0;
+    const { running, waiting } = this.#engine.engine;
+    return running + waiting + this.#inFlight === 0;
   }
 
   stop(): void {
