Demo: a second signal doesn't leave its processes behind

Cause: the handlers were installed for one signal each, so the second one had its default action while the demo stopped its processes one kind after another.

Change: ShutdownSignal, which ignores further signals.

No test of its own.

Elsewhere: a signal while the demo starts still ends it at once. Nothing was accepted by then; a terminal interrupts its processes as well, while a SIGTERM to the demo alone leaves them running.

--- a/apps/demo/main.ts
+++ b/apps/demo/main.ts
@@ -9,6 +9,7 @@
 import { tmpdir } from "node:os";
 import { dirname, join } from "node:path";
 import { parseArgs } from "node:util";
+import { ShutdownSignal } from "@heroncleat/base";
 import {
   type Deployment,
   findAddressInUse,
@@ -115,10 +116,11 @@
   print('-H "content-type: application/json" -d ');
   print(`'{"model":"assistant","stream":true,"messages":`);
   print(`[{"role":"user","content":"A table for two"}]}'\n`);
-  await new Promise<void>((resolve) => {
-    process.once("SIGINT", () => resolve());
-    process.once("SIGTERM", () => resolve());
-  });
+  // Further signals must not end it before it has stopped all processes.
+  await new ShutdownSignal(process, {
+    signals: ["SIGINT", "SIGTERM"],
+    now: () => performance.now(),
+  }).received;
 }
 
 /** Stops entries, upstreams and control replicas in this order. */
