Soak: planned stops of entries, and requests that stopping entries cut

Cause: requests that an entry takes after SIGTERM and cuts as its grace period ends weren't found. A tenth of the runs lasted 0.5 to 2 s in a grace period of 4 s, requests timed out after 3 s, and one calm entry was stopped now and then.

Change: `--faults planned-stops` stops entries in two overlapping series with all other faults off; a quarter of the runs have an exponential tail (`--tail-ms`, and `--slow-factor` for runs beside stops), requests may take twice the grace period, and refused ones are sent again. `cut_run` is stricter beside stops: an answer that an upstream has sent whole must arrive, and a 200 that was cut isn't whole. It excuses what was sent to an upstream before the signal (also if it is tried again after it) and is cut as the grace period ends. A timeout of 3 s in a grace period of 4 s rules that out in the mode `all`, so no run there is judged more mildly. The report counts what stopping entries took, refused and cut, and for each kind of request the share served in the end, the tries and the time to the first byte. In the mode `all`, half of the long runs have the tail, and calm entries are stopped in series of up to three.

--- a/packages/soak/background_fault_scenarios.ts
+++ b/packages/soak/background_fault_scenarios.ts
@@ -1,10 +1,11 @@
-import type { Milliseconds, Random } from "@heroncleat/base";
+import type { Random } from "@heroncleat/base";
 import { cutFromUpstreams } from "./cut_from_upstreams.ts";
 import { randomDuration } from "./random_duration.ts";
 import type { Machine } from "./machine.ts";
 import { pause } from "./pause.ts";
 import { replaceUpstream } from "./replace_upstream.ts";
 import type { SoakDeployment } from "./soak_deployment.ts";
+import { stopEntry } from "./stop_entry.ts";
 import { versionFaultScenarios } from "./version_fault_scenarios.ts";
 import type { FaultScenario } from "./fault_scenario.ts";
 
@@ -36,10 +37,9 @@
 const ENDLESS_SHARE = 0.3;
 const ENDLESS_DURATION_MS = { min: 500, spread: 2500 };
 
-/** Time between SIGTERM and SIGKILL, as the settings of the entries have it. */
-const GRACE_PERIOD: Milliseconds = 4000;
-/** Time in which callers see that an entry has exited. */
-const EXIT_NOTICE_TIME: Milliseconds = 300;
+/** Planned stops of a series, and the time between two of them. */
+const MAX_STOPS = 3;
+const STOP_INTERVAL_MS = { min: 700, spread: 1300 };
 
 /** Restarts in a row, and the pause between two signals of one. */
 const MAX_RESTARTS = 3;
@@ -260,28 +260,22 @@
   }
 }
 
-/**
- * Stops an entry and starts it again. It counts as calm until it has exited, as
- * what it has accepted must be answered.
- */
-async function stopEntry(deployment: SoakDeployment): Promise<void> {
+/** Stops some entries in a series whose grace periods overlap. */
+async function stopEntries(deployment: SoakDeployment): Promise<void> {
+  const random = () => deployment.random();
   const entries = deployment.activeMachines().filter(({ hasReplica }) =>
     !hasReplica
   );
-  const at = Math.floor(deployment.random() * entries.length);
-  const machine = entries[at];
-  if (machine === undefined) {
-    return;
+  const stopping: Promise<void>[] = [];
+  const stops = 1 + Math.floor(random() * MAX_STOPS);
+  for (let stopped = 0; stopped < stops; stopped += 1) {
+    const [machine] = entries.splice(Math.floor(random() * entries.length), 1);
+    if (machine !== undefined) {
+      stopping.push(stopEntry(deployment, machine));
+      await pause(randomDuration(random, STOP_INTERVAL_MS));
+    }
   }
-  machine.signal("SIGTERM");
-  const timer = setTimeout(() => machine.signal("SIGKILL"), GRACE_PERIOD);
-  // Another scenario may have started it again meanwhile.
-  await Promise.race([machine.waitForExit(), pause(2 * GRACE_PERIOD)]);
-  clearTimeout(timer);
-  await pause(EXIT_NOTICE_TIME);
-  const end = deployment.beginDisturbance(machine.host);
-  deployment.startMachine(machine);
-  end();
+  await Promise.all(stopping);
 }
 
 /**
@@ -301,6 +295,6 @@
   askForRest,
   cutFromUpstreams,
   sendBytesWithoutEnd,
-  stopEntry,
+  stopEntries,
   ...versionFaultScenarios,
 ];
--- a/packages/soak/cut_checks_test.ts
+++ b/packages/soak/cut_checks_test.ts
@@ -37,6 +37,8 @@
       sentAt: at,
       timeLeft: 3000,
       problem: undefined,
+      isWhole: status === 200,
+      hasConnected: true,
       status,
     });
   for (let count = 0; count < 123; count += 1) {
--- a/packages/soak/guarantee_checks.ts
+++ b/packages/soak/guarantee_checks.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds } from "@heroncleat/base";
 import { CutChecks } from "./cut_checks.ts";
+import type { StopLog } from "./stop_log.ts";
 import { StreamChecks } from "./stream_checks.ts";
 import { StatementChecks } from "./statement_checks.ts";
 import { RateLimitChecks } from "./rate_limit_checks.ts";
@@ -56,6 +57,7 @@
   ) => boolean;
   /** When a change of the configuration was last sent. */
   readonly documentChangedAt: () => Milliseconds;
+  readonly findSignal: StopLog["findSignal"];
   readonly areAllAtRest: (since: Milliseconds) => boolean;
   /** Describes the state of a host at a time, for the text of a finding. */
   readonly describe: (host: string, at: Milliseconds) => string;
@@ -104,6 +106,7 @@
         environment.wereLinksUndisturbed(host, at),
       wereSilent: environment.wereUpstreamsSilent,
       changedAt: environment.documentChangedAt,
+      findSignal: environment.findSignal,
       report: (text) => this.report("cut_run", text),
     });
     this.cuts = new CutChecks({
--- a/packages/soak/machine.ts
+++ b/packages/soak/machine.ts
@@ -93,6 +93,11 @@
     return this.removedAt < Infinity;
   }
 
+  /** Whether others, which see changes late, discover it. */
+  isDiscoverable(now: Milliseconds, lag: Milliseconds): boolean {
+    return this.discoverableFrom <= now && now < this.removedAt + lag;
+  }
+
   get roles(): readonly Role[] {
     return this.hasControlProcess ? ["control", "entry"] : ["entry"];
   }
@@ -184,9 +189,9 @@
     this.signal("SIGCONT");
   }
 
-  /** Resolves once all its processes have exited. */
-  async waitForExit(): Promise<void> {
-    while (this.roles.some((role) => this.#isRunning(role))) {
+  /** Resolves once all its processes, or those of some roles, have exited. */
+  async waitForExit(roles: readonly Role[] = this.roles): Promise<void> {
+    while (roles.some((role) => this.#isRunning(role))) {
       await new Promise((resolve) => setTimeout(resolve, 10));
     }
   }
--- a/packages/soak/mod.ts
+++ b/packages/soak/mod.ts
@@ -5,6 +5,8 @@
  * @module
  */
 export type { Finding } from "./finding.ts";
+export type { FaultMode } from "./fault_mode.ts";
+export { faultModes } from "./fault_modes.ts";
 export { runSoak } from "./run_soak.ts";
 export type { SoakReport } from "./run_soak.ts";
 export type { MachinePlan } from "./machine_plan.ts";
--- a/packages/soak/run_soak.ts
+++ b/packages/soak/run_soak.ts
@@ -6,17 +6,12 @@
 import { SoakDeployment } from "./soak_deployment.ts";
 import type { Finding } from "./finding.ts";
 import type { ProgramAdapter } from "./program_adapter.ts";
-import { controlFaultScenarios } from "./control_fault_scenarios.ts";
-import { randomDuration } from "./random_duration.ts";
+import type { FaultMode } from "./fault_mode.ts";
 import { pause } from "./pause.ts";
-import { backgroundFaultScenarios } from "./background_fault_scenarios.ts";
+import type { RequestKind } from "./request_kind.ts";
+import type { StopCounts } from "./stop_counts.ts";
+import type { RequestSummary } from "./request_tally.ts";
 
-/** Pause between control faults, so that the group recovers from each. */
-const CONTROL_PAUSE: Milliseconds = 4500;
-/** Pause between background faults. */
-const BACKGROUND_PAUSE_MS = { min: 300, spread: 1500 };
-/** Time without faults at the end, after which requests must be served. */
-const RECOVERY_TIME: Milliseconds = 8000;
 const MEASURED_TIME: Milliseconds = 4000;
 /** Share of the requests that must be served after recovery. */
 const MIN_SERVED_SHARE = 0.95;
@@ -67,6 +62,11 @@
   readonly statements: { readonly rests: number; readonly departures: number };
   /** Number of upstreams that each crashing request crashed. */
   readonly crashes: readonly number[];
+  /** Planned stops, and what became of attempts at entries that stop. */
+  readonly stops: number;
+  readonly besideStops: Omit<StopCounts, "record">;
+  /** Requests over all their tries, by kind. */
+  readonly requests: ReadonlyMap<RequestKind, RequestSummary>;
   /** Requests by HTTP status; 0 stands for no complete response. */
   readonly outcomes: Readonly<Record<string, number>>;
 };
@@ -84,6 +84,7 @@
 export async function runSoak(options: {
   seed: number;
   duration: Milliseconds;
+  faults: FaultMode;
   adapter: ProgramAdapter;
   folder: string;
   /** Index among concurrent soaks; each slot uses different addresses. */
@@ -131,32 +132,29 @@
       firstTry: Math.round(latestFirstTry),
       any: Math.round(latest.any),
     },
+    stops: deployment.stops.count,
+    besideStops: runs.besideStops,
+    requests: deployment.tally.summarize(),
     outcomes: Object.fromEntries(deployment.outcomes),
   };
 }
 
 async function injectFaults(
   deployment: SoakDeployment,
-  { duration, seed }: { duration: Milliseconds; seed: number },
+  { duration, seed, faults }: {
+    duration: Milliseconds;
+    seed: number;
+    faults: FaultMode;
+  },
   scenarioCounts: Record<string, number>,
 ): Promise<void> {
   await deployment.start();
-  const until = performance.now() + duration;
-  const note = (name: string) =>
-    scenarioCounts[name] = (scenarioCounts[name] ?? 0) + 1;
-  await Promise.all([
-    injectControlFaults(deployment, {
-      until,
-      note,
-      random: createRandomStream(seed, 1),
-    }),
-    injectBackgroundFaults(deployment, {
-      until,
-      note,
-      random: createRandomStream(seed, 2),
-    }),
-  ]);
-  await pause(RECOVERY_TIME);
+  await faults.inject(deployment, {
+    until: performance.now() + duration,
+    note: (name) => scenarioCounts[name] = (scenarioCounts[name] ?? 0) + 1,
+    createRandom: (stream) => createRandomStream(seed, stream),
+  });
+  await pause(faults.recoveryTime);
   await checkServed(deployment);
   deployment.checks.streams.finish();
   const problem = await deployment.documents.findProblem();
@@ -186,39 +184,6 @@
   });
 }
 
-type ScenarioOptions = {
-  until: Milliseconds;
-  note: (name: string) => void;
-  /** Used by this loop alone, so that the sequence depends on the seed. */
-  random: Random;
-};
-
-async function injectControlFaults(
-  deployment: SoakDeployment,
-  { until, note, random }: ScenarioOptions,
-): Promise<void> {
-  while (performance.now() < until) {
-    const at = Math.floor(random() * controlFaultScenarios.length);
-    note(controlFaultScenarios[at]!.name);
-    await controlFaultScenarios[at]!(deployment, random);
-    await pause(CONTROL_PAUSE);
-  }
-}
-
-async function injectBackgroundFaults(
-  deployment: SoakDeployment,
-  { until, note, random }: ScenarioOptions,
-): Promise<void> {
-  const running: Promise<void>[] = [];
-  while (performance.now() < until) {
-    const at = Math.floor(random() * backgroundFaultScenarios.length);
-    note(backgroundFaultScenarios[at]!.name);
-    running.push(backgroundFaultScenarios[at]!(deployment, random));
-    await pause(randomDuration(random, BACKGROUND_PAUSE_MS));
-  }
-  await Promise.all(running);
-}
-
 async function checkServed(deployment: SoakDeployment): Promise<void> {
   const before = new Map(deployment.outcomes);
   await pause(MEASURED_TIME);
--- a/packages/soak/send_http_request.ts
+++ b/packages/soak/send_http_request.ts
@@ -4,6 +4,8 @@
 type HttpResponse = {
   readonly status: number;
   readonly body: string;
+  /** When the first bytes of the body arrived; undefined without any. */
+  readonly firstByteAt: Milliseconds | undefined;
   readonly headers: Readonly<Record<string, string | string[] | undefined>>;
   /** Whether a length or chunks told that the body is complete. */
   readonly isFramed: boolean;
@@ -14,6 +16,7 @@
   readonly status: 0;
   readonly reason: string;
   readonly partialBody: string;
+  readonly firstByteAt: Milliseconds | undefined;
 };
 
 const CLOSED_BY_CALLER = "closed by the caller";
@@ -51,17 +54,19 @@
       },
     });
     const chunks: Buffer[] = [];
+    let firstByteAt: Milliseconds | undefined;
     const fail = (reason: string) => {
       clearTimeout(timer);
       clientRequest.destroy();
       const partialBody = Buffer.concat(chunks).toString("utf8");
-      resolve({ status: 0, reason, partialBody });
+      resolve({ status: 0, reason, partialBody, firstByteAt });
     };
     const timer = setTimeout(() => fail("timeout"), options.timeout);
     clientRequest.on("error", (error) => fail(error.message));
     clientRequest.on("response", (response) => {
       let received = 0;
       response.on("data", (chunk: Buffer) => {
+        firstByteAt ??= performance.now();
         chunks.push(chunk);
         received += chunk.length;
         if (received >= (options.closeAfter ?? Infinity)) {
@@ -81,6 +86,7 @@
           status: response.statusCode ?? 0,
           body: Buffer.concat(chunks).toString("utf8"),
           headers: response.headers,
+          firstByteAt,
         });
       });
     });
--- a/packages/soak/send_soak_response.ts
+++ b/packages/soak/send_soak_response.ts
@@ -4,8 +4,6 @@
 
 /** How the end of a response is marked. */
 const FRAMINGS = ["length", "chunks", "connection"] as const;
-/** Share of the responses that are broken off. */
-const BROKEN_SHARE = 0.03;
 const PART_PAUSE: Milliseconds = 15;
 
 type Breakage = {
@@ -23,17 +21,19 @@
  */
 export async function sendSoakResponse(
   response: ServerResponse,
-  { status, headers, parts, partPause = PART_PAUSE }: {
+  { status, headers, parts, brokenShare, partPause = PART_PAUSE }: {
     status: number;
     headers: Readonly<Record<string, string>>;
     parts: readonly string[];
+    /** Share of the responses that are broken off. */
+    brokenShare: number;
     partPause?: Milliseconds | undefined;
   },
   random: Random,
 ): Promise<boolean> {
   const framing = FRAMINGS[Math.floor(random() * FRAMINGS.length)]!;
   const size = parts.join("").length;
-  const breakage: Breakage | undefined = random() < BROKEN_SHARE
+  const breakage: Breakage | undefined = random() < brokenShare
     ? {
       after: Math.floor(random() * size),
       how: random() < 0.5 ? "closed" : "reset",
--- a/packages/soak/soak_caller.ts
+++ b/packages/soak/soak_caller.ts
@@ -5,12 +5,14 @@
 import { sendHttpRequest } from "./send_http_request.ts";
 import { pause } from "./pause.ts";
 import { ReceivedStream } from "./received_stream.ts";
+import type { RequestKind } from "./request_kind.ts";
+import type { RequestTally } from "./request_tally.ts";
 import type { StatementChecks } from "./statement_checks.ts";
 import type { StreamChecks } from "./stream_checks.ts";
 import type { SoakDocument } from "./soak_document.ts";
 import type { ProgramAdapter } from "./program_adapter.ts";
+import type { Workload } from "./workload.ts";
 
-const REQUEST_TIMEOUT: Milliseconds = 3000;
 /** Pause between two requests of a caller. */
 const REQUEST_PAUSE_MS = { min: 100, spread: 300 };
 /** Share of the requests whose response is a stream. */
@@ -24,10 +26,12 @@
 const MAX_STREAM_TRIES = 4;
 const RETURN_DELAY_MS = { min: 30, spread: 400 };
 
-/** Share of resumable streams of which a caller loses the connection. */
-const CLOSED_SHARE = 0.3;
+/** Bytes of a stream within which a caller loses its connection. */
 const CLOSED_WITHIN_BYTES = 200;
 
+/** Statuses that say that a request hasn't run. */
+const NOT_RUN_STATUSES: readonly number[] = [408, 421, 429, 503];
+
 /** One try of a caller. */
 type CallerAttempt = {
   readonly attempt: string;
@@ -37,11 +41,24 @@
   readonly stream?: ReceivedStream;
 };
 
+/** How a try ended for its caller. */
+type EndedAttempt = {
+  readonly isWhole: boolean;
+  /** Whether the request may be sent again from its start. */
+  readonly mayRetry: boolean;
+  /** When the answer began; undefined without one. */
+  readonly answeredAt: Milliseconds | undefined;
+};
+
 /** Outcome of one request. */
 export type RequestOutcome = {
   readonly attempt: string;
   readonly isNonIdempotent: boolean;
   readonly status: number;
+  /** Whether the whole answer arrived. */
+  readonly isWhole: boolean;
+  /** Whether the entry accepted the connection. */
+  readonly hasConnected: boolean;
   /** Address of the entry, and when the request was sent. */
   readonly entry: string;
   readonly sentAt: Milliseconds;
@@ -51,6 +68,8 @@
   readonly problem: string | undefined;
 };
 
+type EndedRequest = EndedAttempt & { readonly tries: number };
+
 type CallerOptions = {
   readonly name: string;
   readonly zone: string;
@@ -61,7 +80,9 @@
   /** Addresses at which entries can be looked up. */
   readonly listLookups: () => readonly string[];
   readonly random: () => number;
+  readonly workload: Workload;
   readonly onOutcome: (outcome: RequestOutcome) => void;
+  readonly tally: RequestTally;
   readonly streams: StreamChecks;
   readonly statements: StatementChecks;
 };
@@ -150,33 +171,70 @@
   }
 
   async #sendRequest(): Promise<void> {
-    const { name } = this.#options;
-    const { prefix, isNonIdempotent, isStream } = this.#pickKind();
+    const { name, tally } = this.#options;
+    const { kind, prefix, isNonIdempotent, isStream } = this.#pickKind();
     this.#requestCount += 1;
     const attempt = `${name}-${this.#requestCount}`;
     const path = `${prefix}${attempt}`;
-    if (!isStream) {
-      await this.#try({ attempt, path, isNonIdempotent });
-    } else {
-      await this.#receiveStream({ attempt, path, isNonIdempotent });
+    const startedAt = performance.now();
+    const { tries, isWhole, answeredAt } = isStream
+      ? await this.#receiveStream({ attempt, path, isNonIdempotent })
+      : await this.#call({ attempt, path, isNonIdempotent });
+    if (!this.#isStopped) {
+      tally.record(kind, {
+        tries,
+        isServed: isWhole,
+        firstByteTime: answeredAt === undefined
+          ? undefined
+          : answeredAt - startedAt,
+      });
+    }
+  }
+
+  async #call(request: CallerAttempt): Promise<EndedRequest> {
+    return await this.#retry(request, await this.#try(request));
+  }
+
+  /** Sends a request again at other entries until its answer begins. */
+  async #retry(
+    request: CallerAttempt,
+    first: EndedAttempt,
+  ): Promise<EndedRequest> {
+    const { random, workload } = this.#options;
+    let ended = first;
+    let tries = 1;
+    while (ended.mayRetry && tries < workload.maxTries && !this.#isStopped) {
+      tries += 1;
+      await pause(RETURN_DELAY_MS.min + random() * RETURN_DELAY_MS.spread);
+      const attempt = `${request.attempt}-${tries}`;
+      ended = await this.#try({ ...request, attempt }, this.#pickOther());
     }
+    return { ...ended, tries };
+  }
+
+  /** Another entry, at which its own connection isn't used. */
+  #pickOther(): string {
+    const others = this.#entries.filter((entry) => entry !== this.#entry);
+    const at = Math.floor(this.#options.random() * others.length);
+    return others[at] ?? this.#entry;
   }
 
   /** Requests a stream and, if it may be resumed, does so at other entries. */
-  async #receiveStream(
-    { attempt, path, isNonIdempotent }: CallerAttempt,
-  ): Promise<void> {
+  async #receiveStream(request: CallerAttempt): Promise<EndedRequest> {
+    const { attempt, path, isNonIdempotent } = request;
     const { streams, random } = this.#options;
     const stream = new ReceivedStream(path);
-    await this.#try({ attempt, path, isNonIdempotent, stream });
+    const first = await this.#try({ ...request, stream });
     streams.recordBegin({
       entry: this.#entry,
       hasBegun: stream.origin !== undefined,
     });
-    let tries = 1;
+    const begun = await this.#retry({ ...request, stream }, first);
+    let { tries } = begun;
+    const maxTries = tries - 1 + MAX_STREAM_TRIES;
     while (
       !isNonIdempotent && !stream.isWhole && stream.origin !== undefined &&
-      tries < MAX_STREAM_TRIES && !this.#isStopped
+      tries < maxTries && !this.#isStopped
     ) {
       tries += 1;
       await pause(RETURN_DELAY_MS.min + random() * RETURN_DELAY_MS.spread);
@@ -193,18 +251,22 @@
       }
     }
     streams.recordOutcome(stream.toOutcome());
+    return { ...begun, tries, isWhole: stream.isWhole };
   }
 
+  /** @param other Entry to use in place of its own, without its connection. */
   async #try(
     { attempt, path, isNonIdempotent, stream }: CallerAttempt,
-  ): Promise<void> {
-    const { adapter, document, onOutcome, random } = this.#options;
+    other?: string,
+  ): Promise<EndedAttempt> {
+    const { adapter, document, onOutcome, random, workload } = this.#options;
     const { headers } = adapter;
-    const entry = this.#entry;
+    const timeLeft = workload.requestTimeout;
+    const entry = other ?? this.#entry;
     const sentAt = performance.now();
     this.#options.statements.recordSent(attempt, sentAt);
     const closeAfter = !isNonIdempotent && stream?.origin === undefined &&
-        stream !== undefined && random() < CLOSED_SHARE
+        stream !== undefined && random() < workload.closedShare
       ? 1 + random() * CLOSED_WITHIN_BYTES
       : undefined;
     const reply = await sendHttpRequest(entry, {
@@ -214,19 +276,19 @@
       headers: {
         host: document().host,
         [headers.attempt]: attempt,
-        [headers.timeLeft]: String(REQUEST_TIMEOUT),
+        [headers.timeLeft]: String(timeLeft),
         ...adapter.promptHeaders(drawPromptParts(random, path)),
         ...(stream?.origin === undefined ? {} : {
           [headers.resumes]: stream.origin,
           [headers.lastEvent]: String(stream.lastId),
         }),
       },
-      timeout: REQUEST_TIMEOUT,
-      agent: this.#agent!,
+      timeout: timeLeft,
       closeAfter,
+      ...(other === undefined ? { agent: this.#agent! } : {}),
     });
     const { status } = reply;
-    if (status === 0) {
+    if (status === 0 && other === undefined) {
       this.#disconnect();
     }
     const isClosedHere = status === 0 && closeAfter !== undefined;
@@ -234,15 +296,23 @@
     if (stream !== undefined && (status === 200 || status === 0)) {
       stream.append(body, { attempt });
     }
-    const problem = status === 200 && "body" in reply
-      ? this.#findProblem(attempt, { ...reply, stream })
-      : undefined;
+    const { isWhole, problem } = status === 200 && "body" in reply
+      ? this.#checkBody(attempt, { ...reply, stream })
+      : { isWhole: false, problem: undefined };
+    const hasConnected = !("reason" in reply) ||
+      !reply.reason.includes("ECONNREFUSED");
     // What this caller has ended itself says nothing about the entry.
     if (!isClosedHere) {
-      const timeLeft = REQUEST_TIMEOUT;
       const tried = { attempt, isNonIdempotent, entry, sentAt, timeLeft };
-      onOutcome({ ...tried, status, problem });
+      onOutcome({ ...tried, status, isWhole, hasConnected, problem });
     }
+    const hasBegun = status === 200 || stream?.origin !== undefined;
+    const hasNotRun = NOT_RUN_STATUSES.includes(status) || !hasConnected;
+    return {
+      isWhole,
+      mayRetry: !hasBegun && (hasNotRun || !isNonIdempotent),
+      answeredAt: hasBegun ? reply.firstByteAt : undefined,
+    };
   }
 
   #pickKind() {
@@ -254,10 +324,13 @@
     const prefix = isStream
       ? (isNonIdempotent ? streamPrefix : resumablePrefix)
       : (isNonIdempotent ? nonIdempotentPrefix : idempotentPrefix);
-    return { prefix, isNonIdempotent, isStream };
+    const kind: RequestKind = isStream
+      ? (isNonIdempotent ? "streams run once" : "resumable streams")
+      : (isNonIdempotent ? "calls run once" : "idempotent calls");
+    return { kind, prefix, isNonIdempotent, isStream };
   }
 
-  #findProblem(
+  #checkBody(
     attempt: string,
     reply: {
       body: string;
@@ -265,7 +338,7 @@
       isFramed: boolean;
       stream: ReceivedStream | undefined;
     },
-  ): string | undefined {
+  ): Pick<RequestOutcome, "isWhole" | "problem"> {
     const { headers } = this.#options.adapter;
     const { body, isFramed, stream } = reply;
     const digest = String(reply.headers[headers.digest] ?? "");
@@ -277,8 +350,9 @@
       (stream === undefined
         ? expected.startsWith(body)
         : /(^|\n\n)$/.test(body));
-    return isWhole || mayBeCut
+    const problem = isWhole || mayBeCut
       ? undefined
       : `${attempt} got the response "${body}" with the digest ${digest}`;
+    return { isWhole, problem };
   }
 }
--- a/packages/soak/soak_deployment.ts
+++ b/packages/soak/soak_deployment.ts
@@ -1,6 +1,6 @@
 import type { Milliseconds, Random } from "@heroncleat/base";
 import { DisturbanceLog } from "./disturbance_log.ts";
-import { sendHttpRequest } from "./send_http_request.ts";
+import { areRequestsServed } from "./are_requests_served.ts";
 import { CrashingRequests } from "./crashing_requests.ts";
 import { LinkProxy } from "./link_proxy.ts";
 import { Machine } from "./machine.ts";
@@ -8,7 +8,11 @@
 import { SoakCaller } from "./soak_caller.ts";
 import { SoakUpstream } from "./soak_upstream.ts";
 import { MemoryWatch } from "./memory_watch.ts";
-import { pause } from "./pause.ts";
+import { RequestTally } from "./request_tally.ts";
+import { StopLog } from "./stop_log.ts";
+import { waitForService } from "./wait_for_service.ts";
+import { describeEntry } from "./describe_entry.ts";
+import type { FaultMode } from "./fault_mode.ts";
 import { DocumentPublisher } from "./document_publisher.ts";
 import { StallLog } from "./stall_log.ts";
 import type { ProgramAdapter } from "./program_adapter.ts";
@@ -24,7 +28,6 @@
 const RESUMABLE_TIME: Milliseconds = 1250;
 /** Delay until callers, operators and upstreams see a change of the VMs. */
 const DISCOVERY_LAG: Milliseconds = 1500;
-const MACHINES_PER_ZONE = 3;
 /** The first one runs a replica, the others are proxies. */
 const CONTROLS_PER_ZONE = 2;
 const UPSTREAMS_PER_ZONE = 2;
@@ -32,7 +35,6 @@
 /** Upstreams that start until the older of two versions is no longer used. */
 const UPSTREAMS_PER_RELEASE = 10;
 const FIRST_PROXY_PORT = 7900;
-const START_TIMEOUT: Milliseconds = 20_000;
 /** Key for faults of the control replica group as a whole. */
 const CONTROL_GROUP = "core";
 
@@ -40,6 +42,7 @@
   readonly adapter: ProgramAdapter;
   readonly folder: string;
   readonly random: Random;
+  readonly faults: FaultMode;
   /** Index among concurrent soaks; determines the addresses. */
   readonly slot: number;
   /** Memory beyond which a process is killed. */
@@ -55,6 +58,8 @@
   readonly machines: Machine[] = [];
   readonly proxy: LinkProxy;
   readonly disturbances = new DisturbanceLog(UNDISTURBED_TIME);
+  readonly stops = new StopLog();
+  readonly tally = new RequestTally();
   readonly stalls = new StallLog();
   readonly memory: MemoryWatch;
   readonly checks: GuaranteeChecks;
@@ -115,21 +120,20 @@
       requestTimeout: () => this.documents.document.timeout,
       wereUpstreamsSilent: (from, to) => this.stalls.hadStall(from, to),
       documentChangedAt: () => this.documents.changedAt,
+      findSignal: this.stops.findSignal.bind(this.stops),
       areAllAtRest: (since) => {
         const ready = [...this.#upstreams].filter(({ isReady }) => isReady);
         return ready.length > 0 &&
           ready.every(({ limits }) => limits.isAtRest(since));
       },
       interruptedAt: (host) =>
-        Math.max(
-          ...this.machines.filter((machine) => machine.host === host)
-            .map(({ interruptedAt }) => interruptedAt),
-        ),
+        this.machines.find((machine) => machine.host === host)
+          ?.interruptedAt ?? -Infinity,
       areRatesLimited: () =>
         [...this.#upstreams].some(({ limits }) =>
           limits.rateLimit !== undefined
         ),
-      describe: (host, at) => this.#describe(host, at),
+      describe: (host, at) => describeEntry(this, { host, at }),
     });
   }
 
@@ -138,8 +142,9 @@
     this.stalls.start();
     this.memory.start();
     await this.proxy.listen();
+    const { faults, folder, adapter } = this.#options;
     for (const zone of this.zones) {
-      for (let number = 1; number <= MACHINES_PER_ZONE; number += 1) {
+      for (let number = 1; number <= faults.machinesPerZone; number += 1) {
         this.addMachine(zone, {
           hasControlProcess: number <= CONTROLS_PER_ZONE,
           hasReplica: number === 1,
@@ -150,16 +155,24 @@
     for (const machine of this.machines) {
       machine.start({ seeds, isFirstStart: true });
     }
-    await this.#waitFor(
-      "The first configuration",
-      () => this.documents.publish(),
+    const timeout = faults.workload.requestTimeout;
+    await waitForService(
+      () => this.documents.publish({ timeout }),
+      { what: "The first configuration", folder },
     );
     for (const zone of this.zones) {
       for (let count = 0; count < UPSTREAMS_PER_ZONE; count += 1) {
         await this.addUpstream(zone);
       }
     }
-    await this.#waitFor("The first response", () => this.#areRequestsServed());
+    await waitForService(
+      () =>
+        areRequestsServed(this.activeMachines(), {
+          adapter,
+          document: this.documents.document,
+        }),
+      { what: "The first response", folder },
+    );
     this.#isRunning = true;
     for (const zone of this.zones) {
       for (let count = 0; count < CALLERS_PER_ZONE; count += 1) {
@@ -249,7 +262,7 @@
   ): Promise<SoakUpstream> {
     this.#upstreamCount += 1;
     const count = this.#upstreamCount;
-    const { slot, adapter } = this.#options;
+    const { slot, adapter, faults } = this.#options;
     const upstream = new SoakUpstream({
       name: `desk-${zone}-${count}`,
       service: this.documents.document.service,
@@ -258,6 +271,8 @@
       host: `127.${60 + slot}.${Math.floor(count / 250)}.${1 + count % 250}`,
       adapter,
       random: this.random,
+      workload: faults.workload,
+      isBesideStop: () => this.stops.isUnderWay,
       listReplicas: () => this.#listReplicas(),
       rateLimits: this.checks.rateLimits,
       statements: this.checks.statements,
@@ -331,10 +346,13 @@
   }
 
   #addCaller(zone: string): void {
+    const { workload } = this.#options.faults;
     const caller = new SoakCaller({
       name: `r${this.#callers.length}`,
       zone,
-      isSticky: this.#callers.length % 2 === 0,
+      isSticky: workload.areCallersSticky || this.#callers.length % 2 === 0,
+      workload,
+      tally: this.tally,
       adapter: this.#options.adapter,
       document: () => this.documents.document,
       listLookups: () => this.#listLookups(zone),
@@ -355,15 +373,9 @@
   #listReplicas(): string[] {
     const now = performance.now();
     return this.machines
-      .filter((
-        {
-          hasControlProcess,
-          discoverableFrom,
-          removedAt,
-        },
-      ) =>
-        hasControlProcess && discoverableFrom <= now &&
-        now < removedAt + DISCOVERY_LAG
+      .filter((machine) =>
+        machine.hasControlProcess &&
+        machine.isDiscoverable(now, DISCOVERY_LAG)
       )
       .map((machine) => ({ machine, order: this.random() }))
       .sort((left, right) => left.order - right.order)
@@ -378,51 +390,6 @@
       : activeMachines;
     return listed.map(({ lookupAddress }) => lookupAddress);
   }
-
-  async #areRequestsServed(): Promise<boolean> {
-    const { adapter } = this.#options;
-    for (const machine of this.activeMachines()) {
-      const reply = await sendHttpRequest(machine.callerAddress, {
-        method: "GET",
-        path: `${this.documents.document.idempotentPrefix}first`,
-        headers: {
-          host: this.documents.document.host,
-          [adapter.headers.attempt]: `first-${machine.name}`,
-          [adapter.headers.timeLeft]: "1000",
-        },
-        timeout: 1000,
-      });
-      if (reply.status !== 200) {
-        return false;
-      }
-    }
-    return true;
-  }
-
-  async #waitFor(what: string, check: () => Promise<boolean>): Promise<void> {
-    const until = performance.now() + START_TIMEOUT;
-    while (!await check()) {
-      if (performance.now() > until) {
-        throw new Error(
-          `${what} took longer than ${START_TIMEOUT} ms. Remedy: read the ` +
-            `logs in ${this.#options.folder}.`,
-        );
-      }
-      await pause(100);
-    }
-  }
-
-  #describe(host: string, at: Milliseconds): string {
-    const machine = this.machines.find((known) => known.host === host);
-    if (machine === undefined) {
-      return host;
-    }
-    const uptime = Math.round(at - machine.startedAt);
-    const undisturbedTime = Math.round(
-      this.disturbances.undisturbedTime(host, at),
-    );
-    return `${machine.name}, entry up for ${uptime} ms, undisturbed for ${undisturbedTime} ms`;
-  }
 }
 
 /** Key for faults of the links between the entry on a host and upstreams. */
--- a/packages/soak/soak_upstream.ts
+++ b/packages/soak/soak_upstream.ts
@@ -5,8 +5,8 @@
   type ServerResponse,
 } from "node:http";
 import type { Milliseconds } from "@heroncleat/base";
+import { drawRunTime } from "./draw_run_time.ts";
 import { pause } from "./pause.ts";
-import { randomDuration } from "./random_duration.ts";
 import { responseBody } from "./response_body.ts";
 import type { StatementChecks } from "./statement_checks.ts";
 import type { RateLimitChecks } from "./rate_limit_checks.ts";
@@ -18,6 +18,7 @@
 import { UpstreamLimits } from "./upstream_limits.ts";
 import { UpstreamHeartbeats } from "./upstream_heartbeats.ts";
 import type { ProgramAdapter } from "./program_adapter.ts";
+import type { Workload } from "./workload.ts";
 
 /** Attempts to report a departure before an upstream gives up. */
 const MAX_DEPARTURE_ATTEMPTS = 12;
@@ -28,11 +29,6 @@
 const DOWNTIME_MS = { min: 1500, spread: 2500 };
 /** Time from the start of a crashing request to the crash. */
 const CRASH_DELAY_MS = { min: 10, spread: 100 };
-/** Service time of a request. */
-const SERVICE_TIME_MS = { min: 10, spread: 60 };
-/** Share of the runs that last long, and how long they last. */
-const LONG_SHARE = 0.1;
-const LONG_SERVICE_TIME_MS = { min: 500, spread: 1500 };
 /** Time after its start in which entries may not know an upstream. */
 const DISCOVERY_TIME: Milliseconds = 1500;
 
@@ -61,6 +57,9 @@
   readonly host: string;
   readonly adapter: ProgramAdapter;
   readonly random: () => number;
+  readonly workload: Workload;
+  /** Whether some entry stops at present. */
+  readonly isBesideStop: () => boolean;
   /** Operator addresses that it may report to, in order of preference. */
   readonly listReplicas: () => readonly string[];
   readonly rateLimits: RateLimitChecks;
@@ -109,6 +108,7 @@
     this.version = options.version;
     this.#heartbeats = new UpstreamHeartbeats({
       ...options,
+      lateShare: options.workload.lateShare,
       identity: {
         ...options,
         address: `${options.host}:${PORT}`,
@@ -312,17 +312,23 @@
       return;
     }
     this.#inFlight += 1;
-    const isLong = random() < LONG_SHARE;
-    const time = isLong ? LONG_SERVICE_TIME_MS : SERVICE_TIME_MS;
     let isBrokenHere = false;
     response.on("close", () => {
-      if (!response.writableFinished && !isBrokenHere && this.isListening) {
-        this.#options.runs.recordCut(received);
+      if (isBrokenHere || !this.isListening) {
+        return;
+      }
+      const { runs } = this.#options;
+      if (response.writableFinished) {
+        runs.recordCompletion(received);
+      } else {
+        runs.recordCut(received);
       }
     });
     // A long stream sends its events over that time.
     const isStreamed = this.#options.isStream(received.target);
-    const duration = randomDuration(random, time);
+    const { workload, isBesideStop } = this.#options;
+    const { isLong, duration: usual } = drawRunTime(random, workload);
+    const duration = usual * (isBesideStop() ? workload.slowFactor : 1);
     await pause(isLong && isStreamed ? 0 : duration);
     this.#inFlight -= 1;
     const partPause = isLong && isStreamed
@@ -353,7 +359,7 @@
       partPause: Milliseconds | undefined;
     },
   ): Promise<boolean> {
-    const { adapter, isStream, random } = this.#options;
+    const { adapter, isStream, random, workload } = this.#options;
     const { headers } = adapter;
     const isStreamed = isStream(target);
     return await sendSoakResponse(response, {
@@ -367,6 +373,7 @@
         ? streamEvents.list(target, this.version).slice(last)
         : [responseBody(attempt, this.name)],
       partPause,
+      brokenShare: workload.brokenShare,
     }, random);
   }
 }
--- a/packages/soak/upstream_heartbeats.ts
+++ b/packages/soak/upstream_heartbeats.ts
@@ -7,8 +7,7 @@
 
 const HEARTBEAT_INTERVAL: Milliseconds = 1200;
 const ACK_TIMEOUT: Milliseconds = 1000;
-/** Share of the heartbeats that arrive late, and by how much. */
-const LATE_SHARE = 0.1;
+/** By how much late heartbeats are late. */
 const LATENESS_MS = { min: 0, spread: 3000 };
 /** Heartbeats of an earlier start that arrive after a restart. */
 const LATE_AFTER_RESTART = 2;
@@ -20,6 +19,8 @@
   >;
   readonly adapter: ProgramAdapter;
   readonly random: Random;
+  /** Share of the heartbeats that arrive late. */
+  readonly lateShare: number;
   /** Operator addresses that it may report to, in order of preference. */
   readonly listReplicas: () => readonly string[];
 };
@@ -41,7 +42,7 @@
     void this.#send(this.#buildReport());
     this.#timer = setInterval(() => {
       const report = this.#buildReport();
-      const isLate = this.#options.random() < LATE_SHARE;
+      const isLate = this.#options.random() < this.#options.lateShare;
       void (isLate ? this.#sendLate(report) : this.#send(report));
     }, HEARTBEAT_INTERVAL);
   }
