Shutdown: a response is sent to its end before its connection counts as idle

What callers saw: a caller that reads slowly got a response without its last bytes, and the end of the connection, when its entry stopped; the entry's log says that it answered.

Cause: a response counted as done once it was ended, with up to 16 KB of it not yet taken by the system. Node.js takes such a connection for an idle one, so that the close of idle connections at three quarters of the grace period, or the exit, dropped the rest.

Remains: one caller that reads nothing holds back the close of all idle connections until the end of the grace period.

--- a/apps/heroncleatd/gateway/shutdown/shut_down_gracefully.ts
+++ b/apps/heroncleatd/gateway/shutdown/shut_down_gracefully.ts
@@ -19,6 +19,8 @@
   readonly exitsAt: Milliseconds;
   /** Returns the number of requests in flight. */
   readonly underWay: () => number;
+  /** Whether a response was ended, but isn't sent completely. */
+  readonly isSending: () => boolean;
   /** Ends the requests without a response by one of this entry. */
   readonly giveUp: () => void;
   /** Resets the connections of the responses that were begun. */
@@ -49,8 +51,11 @@
   while (clock.steady() < exitsAt) {
     if (clock.steady() >= closeAt) {
       await readArrived(server, clock);
-      server.close();
-      server.closeIdleConnections();
+      // A connection looks idle once its response is ended.
+      if (!options.isSending()) {
+        server.close();
+        server.closeIdleConnections();
+      }
       if (underWay() === 0) {
         isEarly = true;
         break;
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -484,6 +484,7 @@
       endsAt: this.#departureDeadline.endsAt,
       exitsAt: this.#departureDeadline.exitsAt,
       underWay: () => this.#inFlight.size,
+      isSending: () => this.#inFlight.isSending,
       giveUp: () => this.#inFlight.giveUp(),
       breakOff: () => this.#inFlight.breakOff(),
     });
