Shutdown: only its deadline lets in a request that can't be repeated or resumed

Streams that had begun and broke during a shutdown were cut, where the code before went on: the rest of a stream was taken to need the time of a whole one.

Change: a stream that has begun goes on whatever is left. A request that can't be sent again or resumed is accepted by its deadline alone; the estimate stays for those that can. Error responses, the rest of resumed streams and attempts that didn't run no longer count as whole runs, nor displace them; a request that is larger than all before, or of stated size where few are, isn't estimated from smaller ones.

--- a/apps/heroncleatd/gateway/attempts/attempt_request.ts
+++ b/apps/heroncleatd/gateway/attempts/attempt_request.ts
@@ -87,7 +87,7 @@
   }
   // Checked again here: reading the body, charging the quota and waiting for an
   // upstream take time after admission.
-  if (!context.leaving.hasTimeFor(call)) {
+  if (!hasTime(call, options)) {
     returnPermit();
     return { kind: "leaving" };
   }
@@ -259,6 +259,17 @@
   };
 }
 
+/**
+ * Whether the attempt may begin during a shutdown. A stream that has begun loses
+ * nothing by going on, as it is cut otherwise.
+ */
+function hasTime(
+  call: CallerRequest,
+  { context, lastEvent }: AttemptOptions,
+): boolean {
+  return lastEvent !== undefined || context.leaving.hasTimeFor(call);
+}
+
 /** Whether an upstream still takes the request, now that it is connected. */
 function maySend(
   upstream: KnownUpstream,
--- a/apps/heroncleatd/gateway/relay/attempt_through_entry.ts
+++ b/apps/heroncleatd/gateway/relay/attempt_through_entry.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from "node:http";
 import { framingOf } from "../../common/framing_of.ts";
+import { isSuccess } from "../../common/is_success.ts";
 import { AttemptOutcome } from "../attempts/attempt_outcome.ts";
 import { watchLimits } from "../attempts/watch_limits.ts";
 import type { AttemptOptions } from "../attempts/attempt_options.ts";
@@ -32,7 +33,7 @@
   if (relay === undefined || !await seeksEntry(call, options)) {
     return undefined;
   }
-  if (!leaving.hasTimeFor(call)) {
+  if (options.lastEvent === undefined && !leaving.hasTimeFor(call)) {
     return { kind: "leaving" };
   }
   if (!options.isAllowed()) {
@@ -95,7 +96,11 @@
     recordFirstByte: () => trace.recordFirstByte(clock.steady() - sentAt),
     finish: (outcome) => {
       end();
-      endTimedRun(outcome === AttemptOutcome.complete);
+      const { statusCode } = response.message;
+      endTimedRun(
+        outcome === AttemptOutcome.complete && isSuccess(statusCode!) &&
+          options.lastEvent === undefined,
+      );
     },
   };
 }
--- a/apps/heroncleatd/gateway/shutdown/planned_shutdown_test.ts
+++ b/apps/heroncleatd/gateway/shutdown/planned_shutdown_test.ts
@@ -16,20 +16,25 @@
 /** Time after the signal until which short requests are always accepted. */
 const EARLY_MS = 2000;
 
-function route(name: string, kind: Route["kind"]): Route {
+function route(
+  name: string,
+  kind: Route["kind"],
+  changes: Partial<Route> = {},
+): Route {
   return testGateway.createRoute({
     name,
     pathPrefix: `/${name}/`,
     kind,
     timeout: 6000,
     latencyObjective: 500,
+    ...changes,
   });
 }
 
 const document = testGateway.createDocument([
   route("long", RouteKind.streaming),
-  route("short", RouteKind.streaming),
-  route("book", RouteKind.nonIdempotent),
+  route("short", RouteKind.streaming, { isResumable: true }),
+  route("book", RouteKind.nonIdempotent, { timeout: 1500 }),
   route("unknown", RouteKind.nonIdempotent),
 ]);
 
@@ -118,7 +123,7 @@
     await stopped;
     expect(results.filter(({ isWhole }) => !isWhole)).toEqual([]);
     const refused = results.filter(({ status }) => status === 503);
-    // Ten runs don't rule out one that outlasts the grace period.
+    // They can't be resumed, and their deadline is later than the exit.
     expect(refused.filter(({ path }) => path === "long")).toHaveLength(9);
     const short = results.filter(({ path }) => path !== "long");
     const early = short.filter(({ sentAfter }) => sentAfter <= EARLY_MS);
--- a/apps/heroncleatd/gateway/shutdown/simulated_stops.ts
+++ b/apps/heroncleatd/gateway/shutdown/simulated_stops.ts
@@ -274,7 +274,15 @@
     timePerWork: 26,
   },
   {
-    name: "calls that may not be repeated",
+    name: "idempotent calls",
+    route: { kind: RouteKind.idempotent, isResumable: false, timeout: 12_000 },
+    perSecond: 30,
+    sizedShare: 0,
+    work: (random) => Math.exp(0.5 * normal(random)),
+    timePerWork: 60,
+  },
+  {
+    name: "calls of which one in a hundred is long",
     route: {
       kind: RouteKind.nonIdempotent,
       isResumable: false,
@@ -282,8 +290,8 @@
     },
     perSecond: 30,
     sizedShare: 0,
-    work: (random) => Math.exp(0.5 * normal(random)),
-    timePerWork: 60,
+    work: (random) => random() < 0.01 ? 3 + 3 * random() : 0.3,
+    timePerWork: 1000,
   },
   {
     name: "calls with a long tail",
--- a/apps/heroncleatd/gateway/shutdown/simulated_stops_test.ts
+++ b/apps/heroncleatd/gateway/shutdown/simulated_stops_test.ts
@@ -26,10 +26,10 @@
 test.each([1, 1.5])(
   "entries that are stopped in series cut no request that they accept, with upstreams %d times slower",
   (slowdown) => {
-    for (const { acceptedAfterSignal, cutAfterSignal } of play({ slowdown })) {
-      expect(acceptedAfterSignal).toBeGreaterThan(0);
-      expect(cutAfterSignal).toBe(0);
-    }
+    const outcomes = play({ slowdown });
+    expect(total(outcomes).acceptedAfterSignal).toBeGreaterThan(0);
+    expect(outcomes.map(({ cutAfterSignal }) => cutAfterSignal))
+      .toEqual(outcomes.map(() => 0));
   },
 );
 
--- a/apps/heroncleatd/gateway/upstreams/start_tracking.ts
+++ b/apps/heroncleatd/gateway/upstreams/start_tracking.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds } from "@heroncleat/base";
 import { type ChosenUpstream, RouteKind } from "@heroncleat/serving";
+import { isSuccess } from "../../common/is_success.ts";
 import { ResponseFraming } from "../../common/response_framing.ts";
 import type { SuspectWatcher } from "../../common/suspect_watcher.ts";
 import { AttemptOutcome } from "../attempts/attempt_outcome.ts";
@@ -99,7 +100,8 @@
           : undefined,
       );
       endSuspectedRun();
-      endTimedRun(outcome === AttemptOutcome.complete);
+      // Errors and the rest of a resumed stream take less time than a whole run.
+      endTimedRun(isServed && !options.isBound);
       const connection = {
         upstream: record.id,
         address: record.address,
@@ -163,7 +165,3 @@
     crashes.recordSuccess(identity);
   }
 }
-
-function isSuccess(status: number): boolean {
-  return status >= 200 && status < 300;
-}
--- a/packages/serving/required_time.ts
+++ b/packages/serving/required_time.ts
@@ -10,14 +10,13 @@
 const TAIL_EXPONENT = 4;
 /** Tolerated probability that a run takes longer than the required time. */
 const RISK = 1e-3;
-/** The same where a request that is cut off can't be sent again or resumed. */
-const UNREPEATABLE_RISK = 1e-4;
 
 /**
- * Time within which a request completes, but for a small probability. Of n
- * recent runs, the next one is longer than the longest with a probability of
- * 1 / (n + 1), whatever their distribution. Beyond it the tail is assumed to
- * fall no slower than a power law.
+ * Time within which a request completes. For one that may be sent again or
+ * resumed, but for a small probability: of n recent runs, the next one is longer
+ * than the longest with a probability of 1 / (n + 1), whatever their
+ * distribution; beyond it the tail is assumed to fall no slower than a power
+ * law. For any other, only its deadline is certain.
  *
  * @param longest Longest of the recent runs of such requests, if known.
  * @param timeLeft Time until the deadline of the request.
@@ -31,13 +30,12 @@
     timeLeft: Milliseconds;
   },
 ): Milliseconds {
-  if (longest === undefined) {
-    return timeLeft;
-  }
   const mayBeRepeated = route.kind === RouteKind.idempotent ||
     route.isResumable;
-  const risk = mayBeRepeated ? RISK : UNREPEATABLE_RISK;
-  const excess = 1 / (risk * (longest.runCount + 1));
+  if (longest === undefined || !mayBeRepeated) {
+    return timeLeft;
+  }
+  const excess = 1 / (RISK * (longest.runCount + 1));
   const factor = Math.max(1, excess) ** (1 / TAIL_EXPONENT);
   return Math.min(longest.duration * factor, timeLeft);
 }
--- a/packages/serving/run_durations.ts
+++ b/packages/serving/run_durations.ts
@@ -30,7 +30,8 @@
 
 /** Recent and current runs of one route. */
 type RouteRuns = {
-  readonly ended: EndedRun[];
+  readonly completed: EndedRun[];
+  readonly cut: EndedRun[];
   readonly active: Set<ActiveRun>;
 };
 
@@ -57,12 +58,14 @@
     route: string,
     run: ActiveRun,
   ): (ending: { endedAt: Milliseconds; isComplete: boolean }) => void {
-    const { ended, active } = this.#runsOf(route);
+    const { completed, cut, active } = this.#runsOf(route);
     active.add(run);
     return ({ endedAt, isComplete }) => {
       active.delete(run);
       const { startedAt, size } = run;
-      ended.push({ endedAt, took: endedAt - startedAt, size, isComplete });
+      const took = endedAt - startedAt;
+      const ended = isComplete ? completed : cut;
+      ended.push({ endedAt, took, size, isComplete });
       if (ended.length > MAX_RUNS_PER_ROUTE) {
         ended.shift();
       }
@@ -92,17 +95,20 @@
       isComplete: false,
     }));
     const recent = [
-      ...runs.ended.filter(({ endedAt }) => now - endedAt <= MAX_RUN_AGE),
+      ...[...runs.completed, ...runs.cut].filter(({ endedAt }) =>
+        now - endedAt <= MAX_RUN_AGE
+      ),
       ...active,
     ];
-    const sized = recent.filter((run) => run.size > 0);
-    return (size > 0 ? findLongestOf(sized, size) : undefined) ??
-      findLongestOf(recent, 0);
+    return findLongestOf(
+      size > 0 ? recent.filter((run) => run.size > 0) : recent,
+      size,
+    );
   }
 
   #runsOf(route: string): RouteRuns {
     const runs = this.#routes.get(route) ??
-      { ended: [], active: new Set() };
+      { completed: [], cut: [], active: new Set() };
     // Map order keeps the most recently used route last.
     this.#routes.delete(route);
     this.#routes.set(route, runs);
@@ -133,7 +139,10 @@
   return { duration, runCount: complete.length };
 }
 
-/** Shifts a duration along the fit, though never below its share of the work. */
+/**
+ * Shifts a duration along the fit, though never below its share of the work: a
+ * fit of runs of similar sizes has no slope.
+ */
 function scaleTo(
   size: number,
   { run, slope }: { run: TimedRun; slope: number },
@@ -141,8 +150,10 @@
   if (size === 0) {
     return run.took;
   }
-  const share = Math.min(1, size / run.size);
-  return Math.max(run.took * share, run.took + slope * (size - run.size));
+  return Math.max(
+    run.took * (size / run.size),
+    run.took + slope * (size - run.size),
+  );
 }
 
 /** Least-squares slope, at least 0, as larger requests don't run shorter. */
--- a/packages/serving/run_durations_test.ts
+++ b/packages/serving/run_durations_test.ts
@@ -4,7 +4,6 @@
 
 const ROUTE = "drafts";
 const NOW = 10_000;
-const call = { kind: RouteKind.nonIdempotent, isResumable: false };
 
 function record(
   durations: RunDurations,
@@ -41,26 +40,47 @@
   const sizes = [10, 20, 30, 40, 50, 60, 70, 80];
   record(durations, sizes.map((size) => ({ size, took: 100 + 20 * size })));
   expect(find(durations)?.duration).toBe(1700);
-  expect(find(durations, 20)?.duration).toBeCloseTo(500);
-  expect(find(durations, 160)?.duration).toBeCloseTo(3300);
+  expect(find(durations, 80)?.duration).toBe(8 * 300);
 });
 
 test("requests without a size don't make short ones of stated size seem long", () => {
   const durations = new RunDurations();
   record(durations, Array(8).fill({ took: 3000 }));
+  expect(find(durations, 2)).toBeUndefined();
   record(durations, Array(8).fill({ took: 40, size: 2 }));
   expect(find(durations, 2)?.duration).toBe(40);
   expect(find(durations)?.duration).toBe(3000);
 });
 
-test("fewer runs require more time, and more where a request can't be repeated", () => {
-  const required = (runCount: number, changes: Partial<typeof call> = {}) =>
-    requiredTime({ ...call, ...changes }, {
+test("a request that is larger than all before takes longer in proportion", () => {
+  const durations = new RunDurations();
+  record(durations, Array(32).fill({ took: 500, size: 16 }));
+  expect(find(durations, 512)?.duration).toBe(16_000);
+});
+
+test("attempts that were cut or rejected don't displace long runs", () => {
+  const durations = new RunDurations();
+  record(durations, [{ took: 5000 }, ...Array(29).fill({ took: 300 })]);
+  record(durations, Array(100).fill({ took: 2, isComplete: false }));
+  expect(find(durations)).toEqual({ duration: 5000, runCount: 30 });
+});
+
+test("fewer runs require more time, until the deadline", () => {
+  const required = (runCount: number, timeLeft = 10_000) =>
+    requiredTime({ kind: RouteKind.idempotent, isResumable: false }, {
       longest: { duration: 100, runCount },
-      timeLeft: 10_000,
+      timeLeft,
     });
   expect(required(8)).toBeGreaterThan(2 * 100);
   expect(required(8)).toBeGreaterThan(required(64));
-  expect(required(64)).toBeGreaterThan(required(64, { isResumable: true }));
   expect(required(100_000)).toBe(100);
+  expect(required(8, 150)).toBe(150);
+});
+
+test("where a request can't be repeated, its deadline counts", () => {
+  const longest = { duration: 100, runCount: 64 };
+  for (const kind of [RouteKind.nonIdempotent, RouteKind.streaming]) {
+    const route = { kind, isResumable: false };
+    expect(requiredTime(route, { longest, timeLeft: 9000 })).toBe(9000);
+  }
 });
