Servers aren't closed while a response waits to be sent, whoever runs them

Cause, as in the gateway: Node.js takes a connection for an idle one once its response is ended, and closing a server closes idle connections, so that callers that read slowly lose the rest.

The OpenAI surface has no test of its own for this.

--- a/apps/heroncleatd/entry/caller_server.ts
+++ b/apps/heroncleatd/entry/caller_server.ts
@@ -13,6 +13,7 @@
 import { readBearer } from "../common/read_bearer.ts";
 import { sendFault } from "../common/send_fault.ts";
 import { sendJson } from "../common/send_json.ts";
+import { UnsentResponses } from "../common/unsent_responses.ts";
 import type { CallerRequest } from "./caller_request.ts";
 import type { EntryParts } from "./entry_parts.ts";
 import { handleAnnouncement } from "./handle_announcement.ts";
@@ -32,6 +33,7 @@
 export class CallerServer {
   readonly #parts: EntryParts;
   readonly #server: Server;
+  readonly #unsent: UnsentResponses;
   readonly #upstreamKeys: KeyRing;
   /** Logs the cuts of the responses that aren't complete. */
   readonly #cutLoggers = new Set<() => void>();
@@ -55,6 +57,7 @@
         );
       },
     );
+    this.#unsent = new UnsentResponses(this.#server);
     this.#server.maxConnections = entry.max_connections;
     answerClientErrors(
       this.#server,
@@ -80,8 +83,14 @@
     return this.#cutLoggers.size;
   }
 
-  /** Stops accepting connections and closes idle ones; active ones continue. */
+  /**
+   * Stops accepting connections and closes idle ones, unless a response waits to
+   * be sent; active ones continue.
+   */
   stopListening(): void {
+    if (this.#unsent.exist) {
+      return;
+    }
     this.#server.close();
     this.#server.closeIdleConnections();
   }
--- a/apps/heroncleatd/entry/start_entry.ts
+++ b/apps/heroncleatd/entry/start_entry.ts
@@ -317,6 +317,7 @@
   /** Waits until all callers have their responses, or for a time. */
   async #finishResponses(deadline: number): Promise<void> {
     while (Date.now() < deadline && this.#server.inFlight > 0) {
+      this.#server.stopListening();
       await sleep(SHUTDOWN_POLL_INTERVAL_MS);
     }
   }
--- a/apps/heroncleatd/gateway/shutdown/in_flight_requests.ts
+++ b/apps/heroncleatd/gateway/shutdown/in_flight_requests.ts
@@ -24,16 +24,6 @@
     return this.#requests.size;
   }
 
-  /** Whether a response was ended, but isn't sent completely. */
-  get isSending(): boolean {
-    for (const { response } of this.#requests) {
-      if (response.writableEnded && !response.writableFinished) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   /** Adds a request. Returns a function that removes it. */
   add(request: InFlightRequest): () => void {
     this.#requests.add(request);
--- a/apps/heroncleatd/gateway/shutdown/shut_down_gracefully.ts
+++ b/apps/heroncleatd/gateway/shutdown/shut_down_gracefully.ts
@@ -1,5 +1,6 @@
 import type { Server } from "node:http";
 import type { Clock, Milliseconds } from "@heroncleat/base";
+import type { UnsentResponses } from "../../common/unsent_responses.ts";
 import { readArrived } from "./read_arrived.ts";
 import type { ShutdownEnd } from "./shutdown_end.ts";
 
@@ -19,8 +20,7 @@
   readonly exitsAt: Milliseconds;
   /** Returns the number of requests in flight. */
   readonly underWay: () => number;
-  /** Whether a response was ended, but isn't sent completely. */
-  readonly isSending: () => boolean;
+  readonly unsent: Pick<UnsentResponses, "exist">;
   /** Ends the requests without a response by one of this entry. */
   readonly giveUp: () => void;
   /** Resets the connections of the responses that were begun. */
@@ -51,8 +51,7 @@
   while (clock.steady() < exitsAt) {
     if (clock.steady() >= closeAt) {
       await readArrived(server, clock);
-      // A connection looks idle once its response is ended.
-      if (!options.isSending()) {
+      if (!options.unsent.exist) {
         server.close();
         server.closeIdleConnections();
       }
--- a/apps/heroncleatd/gateway/shutdown/unsent_response_test.ts
+++ b/apps/heroncleatd/gateway/shutdown/unsent_response_test.ts
@@ -5,6 +5,7 @@
   setTimeout as pause,
 } from "node:timers/promises";
 import { createSystemClock } from "@heroncleat/base";
+import { UnsentResponses } from "../../common/unsent_responses.ts";
 import { endResponse } from "../responses/end_response.ts";
 import { InFlightRequests } from "./in_flight_requests.ts";
 import { RequestProgress } from "./request_progress.ts";
@@ -22,6 +23,7 @@
 const clock = createSystemClock();
 const inFlight = new InFlightRequests();
 let server: Server;
+let unsent: UnsentResponses;
 let caller: Socket;
 
 /** Writes until the connection takes no more, and ends with a few bytes. */
@@ -46,6 +48,7 @@
 
 beforeEach(async () => {
   server = createServer((_message, response) => void respond(response));
+  unsent = new UnsentResponses(server);
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
   const { port } = server.address() as AddressInfo;
   caller = connect(port, "127.0.0.1");
@@ -72,7 +75,7 @@
     endsAt,
     exitsAt: endsAt + 100,
     underWay: () => inFlight.size,
-    isSending: () => inFlight.isSending,
+    unsent,
     giveUp: () => inFlight.giveUp(),
     breakOff: () => inFlight.breakOff(),
   });
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -50,6 +50,7 @@
 import { RetryLimiter } from "./limits/retry_limiter.ts";
 import type { RunningGateway } from "./running_gateway.ts";
 import { StatementWatcher } from "../common/statement_watcher.ts";
+import { UnsentResponses } from "../common/unsent_responses.ts";
 import { ServiceReturnTimes } from "./limits/service_return_times.ts";
 import type { GatewayOptions } from "./start_gateway_options.ts";
 import { RolloutWatcher } from "./exchange/rollout_watcher.ts";
@@ -142,6 +143,7 @@
   readonly #reachability: ReachabilityWatcher;
   readonly #relayAgent = new UpstreamAgent(() => MAX_IDLE_RELAYS, connect);
   readonly #server: Server;
+  readonly #unsent: UnsentResponses;
   /** Accepts requests that other entries pass on. */
   readonly #relayServer: Server;
   readonly #cleanupTimer: NodeJS.Timeout;
@@ -415,6 +417,7 @@
       }
       void this.#gateway.handle(incoming, response);
     });
+    this.#unsent = new UnsentResponses(this.#server);
     this.#replacedRuns = new ReplacedRuns({
       listRetired: () => this.#agents.listRetired(),
       directory: this.#directory,
@@ -484,7 +487,7 @@
       endsAt: this.#departureDeadline.endsAt,
       exitsAt: this.#departureDeadline.exitsAt,
       underWay: () => this.#inFlight.size,
-      isSending: () => this.#inFlight.isSending,
+      unsent: this.#unsent,
       giveUp: () => this.#inFlight.giveUp(),
       breakOff: () => this.#inFlight.breakOff(),
     });
--- a/apps/heroncleatd/mod.ts
+++ b/apps/heroncleatd/mod.ts
@@ -29,3 +29,4 @@
 export { startGateway } from "./gateway/start_gateway.ts";
 export { startHubProxy } from "./hub/start_hub_proxy.ts";
 export { startHub } from "./hub/start_hub.ts";
+export { UnsentResponses } from "./common/unsent_responses.ts";
