Shutdown: only its deadline lets a request in

Cause: a quarter of the route's runs are long, and an entry that had just started hadn't seen one. No factor on the longest of a few dozen runs helps where short and long runs mix: with n runs, a share of about 1 / n of long ones goes unseen in a third of the cases.

Change: nothing is estimated any more. A stopping entry accepts a request if its deadline ends in time, and refuses any other at once, as not run. RunDurations, requiredTime and their records of runs are gone; the runs timed wrongly by way of another entry with them.

--- a/apps/heroncleatd/gateway/gateway.ts
+++ b/apps/heroncleatd/gateway/gateway.ts
@@ -254,7 +254,8 @@
           `one ${this.#options.names.attempt} header.`,
       });
     }
-    if (!this.#hasTimeFor(incoming, { route, arrivedAt })) {
+    const deadline = this.#deadlineOf(incoming, { route, arrivedAt });
+    if (!this.#options.leaving.hasTimeFor({ deadline })) {
       return refused(errorResponse.shuttingDown());
     }
     const key = incoming.headers[this.#options.names.key];
@@ -401,23 +402,6 @@
     return String(incoming.headers[this.#options.names.attempt] ?? "");
   }
 
-  /**
-   * Whether a request would complete before this entry exits, if it shuts down.
-   */
-  #hasTimeFor(
-    incoming: IncomingMessage,
-    { route, arrivedAt }: { route: Route; arrivedAt: Milliseconds },
-  ): boolean {
-    const { leaving, readPrompt } = this.#options;
-    // Parsing long prompt headers is expensive, so it is avoided without a
-    // shutdown.
-    return !leaving.hasBegun || leaving.hasTimeFor({
-      route,
-      size: outputTokensOf(readPrompt(incoming.headers)),
-      deadline: this.#deadlineOf(incoming, { route, arrivedAt }),
-    });
-  }
-
   /** Returns the monotonic time at which a request times out. */
   #deadlineOf(
     incoming: IncomingMessage,
--- a/apps/heroncleatd/gateway/relay/attempt_through_entry.ts
+++ b/apps/heroncleatd/gateway/relay/attempt_through_entry.ts
@@ -1,7 +1,5 @@
 import type { IncomingMessage } from "node:http";
 import { framingOf } from "../../common/framing_of.ts";
-import { isSuccess } from "../../common/is_success.ts";
-import { AttemptOutcome } from "../attempts/attempt_outcome.ts";
 import { watchLimits } from "../attempts/watch_limits.ts";
 import type { AttemptOptions } from "../attempts/attempt_options.ts";
 import type { AttemptResult } from "../attempts/attempt_result.ts";
@@ -40,13 +38,8 @@
     return { kind: "no_retry" };
   }
   const sentAt = clock.steady();
-  const endTimedRun = leaving.recordRun(call);
-  const result = await relay.send(call, options).catch((error: Error) => {
-    endTimedRun(false);
-    throw error;
-  });
+  const result = await relay.send(call, options);
   if (result.kind === "refused") {
-    endTimedRun(false);
     const isCutOff = reachability.isCutOff(call.service);
     return resultOfRefusal(
       result,
@@ -64,7 +57,6 @@
   });
   if (response.kind !== "head") {
     end();
-    endTimedRun(false);
     const { kind, reason } = response;
     if (kind === "unknown" && !options.signal.aborted) {
       trace.recordEndedBy(
@@ -94,14 +86,7 @@
     isRelayed: true,
     hasCrashed: result.hasCrashed,
     recordFirstByte: () => trace.recordFirstByte(clock.steady() - sentAt),
-    finish: (outcome) => {
-      end();
-      const { statusCode } = response.message;
-      endTimedRun(
-        outcome === AttemptOutcome.complete && isSuccess(statusCode!) &&
-          options.lastEvent === undefined,
-      );
-    },
+    finish: () => end(),
   };
 }
 
--- a/apps/heroncleatd/gateway/shutdown/request_progress.ts
+++ b/apps/heroncleatd/gateway/shutdown/request_progress.ts
@@ -14,14 +14,6 @@
   readonly relayedBy?: string | undefined;
 };
 
-/** Why a request was accepted during a shutdown. */
-type CompletionEstimate = {
-  /** Time within which it was expected to complete. */
-  readonly requiredTime: Milliseconds;
-  /** Completed runs that this was estimated from; 0 if its deadline counted. */
-  readonly runCount: number;
-};
-
 /**
  * How far a request has come. Forwarding updates it for each chunk, so updates
  * only store what they are given. Times are monotonic.
@@ -34,18 +26,12 @@
   #receivedAt: Milliseconds | undefined;
   #passedOnAt: Milliseconds | undefined;
   #unsentBytes: number | undefined;
-  #estimate: CompletionEstimate | undefined;
 
   /** Records that the request may be forwarded. */
   recordAdmitted(request: AdmittedRequest): void {
     this.#admitted = request;
   }
 
-  /** Records the estimate by which an attempt is sent during a shutdown. */
-  recordEstimate(estimate: CompletionEstimate): void {
-    this.#estimate = estimate;
-  }
-
   /**
    * Records that an attempt was sent.
    *
@@ -97,8 +83,6 @@
       size: this.#admitted?.size,
       deadlineAt: sinceSignal(this.#admitted?.deadline, stoppedAt),
       relayedBy: this.#admitted?.relayedBy,
-      requiredTime: this.#estimate && Math.round(this.#estimate.requiredTime),
-      estimatedFrom: this.#estimate?.runCount,
       upstream: this.#upstream,
       sentAt: sinceSignal(this.#sentAt, stoppedAt),
       receivedAt: sinceSignal(this.#receivedAt, stoppedAt),
--- a/apps/heroncleatd/gateway/shutdown/simulated_stops.ts
+++ b/apps/heroncleatd/gateway/shutdown/simulated_stops.ts
@@ -3,7 +3,6 @@
   type Milliseconds,
   type Random,
 } from "@heroncleat/base";
-import { type Route, RouteKind } from "@heroncleat/serving";
 import { DepartureDeadline } from "./departure_deadline.ts";
 
 const ENTRY_COUNT = 11;
@@ -22,19 +21,15 @@
 /** A kind of request, with the durations of its runs. */
 export type SimulatedKind = {
   readonly name: string;
-  readonly route: Pick<Route, "kind" | "isResumable" | "timeout">;
+  readonly timeout: Milliseconds;
   readonly perSecond: number;
-  /** Share of the requests that state their size. */
-  readonly sizedShare: number;
-  /** Work of a request, such as the tokens of a response. */
-  readonly work: (random: Random) => number;
-  readonly timePerWork: Milliseconds;
+  readonly drawDuration: (random: Random) => Milliseconds;
 };
 
 /** Decides whether an entry that is shutting down accepts a request. */
 export type StopPolicy = (
   departure: DepartureDeadline,
-  request: Parameters<DepartureDeadline["hasTimeFor"]>[0],
+  request: { readonly deadline: Milliseconds },
 ) => boolean;
 
 /** What the callers of one kind of request got. */
@@ -184,10 +179,9 @@
       return;
     }
     this.#outcomes.get(kind.name)!.requests += 1;
-    const work = kind.work(this.#arrivals);
-    const size = this.#arrivals() < kind.sizedShare ? work : 0;
+    const duration = kind.drawDuration(this.#arrivals);
     const caller = Math.floor(this.#arrivals() * CALLER_COUNT);
-    this.#try(kind, { caller, work, size, tries: 1, arrivedAt: this.#now });
+    this.#try(kind, { caller, duration, tries: 1, arrivedAt: this.#now });
     this.#schedule(this.#untilNext(kind), () => this.#arrive(kind));
   }
 
@@ -195,8 +189,7 @@
     kind: SimulatedKind,
     request: {
       caller: number;
-      work: number;
-      size: number;
+      duration: Milliseconds;
       tries: number;
       arrivedAt: Milliseconds;
     },
@@ -205,15 +198,11 @@
     outcome.tries += 1;
     const entry = this.#connect(request.caller);
     const { departure } = entry;
-    const timed = {
-      route: { ...kind.route, name: kind.name } as Route,
-      size: request.size,
-      deadline: this.#now + kind.route.timeout,
-    };
-    const took = request.work * kind.timePerWork * this.#slowdown();
+    const deadline = this.#now + kind.timeout;
+    const took = Math.min(request.duration * this.#slowdown(), kind.timeout);
     const isLeaving = departure.hasBegun;
     const endsInTime = this.#now + took <= departure.endsAt;
-    if (isLeaving && !this.#options.policy(departure, timed)) {
+    if (isLeaving && !this.#options.policy(departure, { deadline })) {
       outcome.needlessRefusals += endsInTime ? 1 : 0;
       this.#connections[request.caller] = this.#pickEntry();
       if (request.tries < MAX_TRIES) {
@@ -226,13 +215,11 @@
     }
     outcome.acceptedAfterSignal += isLeaving ? 1 : 0;
     outcome.delay += this.#now - request.arrivedAt;
-    const end = departure.recordRun(timed);
     this.#schedule(took, () => {
       const isWhole = this.#now <= departure.endsAt;
       outcome.whole += isWhole ? 1 : 0;
       outcome.cutAfterSignal += !isWhole && isLeaving ? 1 : 0;
       outcome.cutBeforeSignal += !isWhole && !isLeaving ? 1 : 0;
-      end(isWhole);
     });
   }
 
@@ -263,55 +250,38 @@
   }
 }
 
-/** Kinds of requests whose durations have no bound. */
+/** Kinds of requests, some of which may outlast the grace period. */
 export const simulatedKinds: readonly SimulatedKind[] = [
   {
-    name: "streams",
-    route: { kind: RouteKind.streaming, isResumable: false, timeout: 15_000 },
+    name: "long streams",
+    timeout: 15_000,
     perSecond: 30,
-    sizedShare: 0.5,
-    work: (random) => 69 * Math.exp(0.44 * normal(random)),
-    timePerWork: 26,
+    drawDuration: (random) => 1800 * Math.exp(0.44 * normal(random)),
   },
   {
-    name: "idempotent calls",
-    route: { kind: RouteKind.idempotent, isResumable: false, timeout: 12_000 },
+    name: "calls with a long timeout",
+    timeout: 12_000,
     perSecond: 30,
-    sizedShare: 0,
-    work: (random) => Math.exp(0.5 * normal(random)),
-    timePerWork: 60,
+    drawDuration: (random) => 60 * Math.exp(0.5 * normal(random)),
   },
   {
     name: "calls of which one in a hundred is long",
-    route: {
-      kind: RouteKind.nonIdempotent,
-      isResumable: false,
-      timeout: 12_000,
-    },
+    timeout: 12_000,
     perSecond: 30,
-    sizedShare: 0,
-    work: (random) => random() < 0.01 ? 3 + 3 * random() : 0.3,
-    timePerWork: 1000,
+    drawDuration: (random) => random() < 0.01 ? 3000 + 3000 * random() : 300,
   },
   {
     name: "calls with a long tail",
-    route: {
-      kind: RouteKind.nonIdempotent,
-      isResumable: false,
-      timeout: 12_000,
-    },
+    timeout: 12_000,
     perSecond: 30,
-    sizedShare: 0,
-    work: (random) => random() < 0.25 ? 4 - 10 * Math.log(1 - random()) : 0.5,
-    timePerWork: 100,
+    drawDuration: (random) =>
+      random() < 0.25 ? 400 - 1000 * Math.log(1 - random()) : 50,
   },
   {
-    name: "resumable streams",
-    route: { kind: RouteKind.streaming, isResumable: true, timeout: 3000 },
+    name: "short streams",
+    timeout: 3000,
     perSecond: 60,
-    sizedShare: 0.5,
-    work: (random) => Math.min(18, 2 * Math.exp(1.2 * normal(random))),
-    timePerWork: 30,
+    drawDuration: (random) => 60 * Math.exp(1.2 * normal(random)),
   },
 ];
 
--- a/apps/heroncleatd/gateway/upstreams/start_tracking.ts
+++ b/apps/heroncleatd/gateway/upstreams/start_tracking.ts
@@ -1,6 +1,5 @@
 import type { Milliseconds } from "@heroncleat/base";
 import { type ChosenUpstream, RouteKind } from "@heroncleat/serving";
-import { isSuccess } from "../../common/is_success.ts";
 import { ResponseFraming } from "../../common/response_framing.ts";
 import type { SuspectWatcher } from "../../common/suspect_watcher.ts";
 import { AttemptOutcome } from "../attempts/attempt_outcome.ts";
@@ -14,8 +13,8 @@
 const FIRST_FAILURE_STATUS = 500;
 
 /**
- * Registers one attempt as in flight with the upstream choice, the suspect
- * watcher and the departure deadline.
+ * Registers one attempt as in flight with the upstream choice and the suspect
+ * watcher.
  */
 export function startTracking(
   call: CallerRequest,
@@ -33,8 +32,7 @@
   finish: (outcome: AttemptOutcome) => void;
 } {
   const { chosen, trace } = options;
-  const { choice, directory, clock, log, metrics, crashes, leaving } =
-    options.context;
+  const { choice, directory, clock, log, metrics, crashes } = options.context;
   const { reachability } = options.context;
   const notice = choice.begin(chosen, {
     parts: call.prompt?.parts ?? [],
@@ -46,7 +44,6 @@
   const endSuspectedRun = crashes.trackCopy(call.identity);
   const endRun = options.context.agentOf(record.id).track(options.run);
   const isStream = call.route.kind === RouteKind.streaming;
-  const endTimedRun = leaving.recordRun(call);
   // A stream that goes on says nothing about how a version fares on its own.
   const version = options.isBound
     ? undefined
@@ -100,8 +97,6 @@
           : undefined,
       );
       endSuspectedRun();
-      // Errors and the rest of a resumed stream take less time than a whole run.
-      endTimedRun(isServed && !options.isBound);
       const connection = {
         upstream: record.id,
         address: record.address,
@@ -165,3 +160,7 @@
     crashes.recordSuccess(identity);
   }
 }
+
+function isSuccess(status: number): boolean {
+  return status >= 200 && status < 300;
+}
