--- a/apps/heroncleatd/gateway/responses/cut_requests_log_test.ts
+++ b/apps/heroncleatd/gateway/responses/cut_requests_log_test.ts
@@ -2,7 +2,6 @@
 import { type AddressInfo, connect, type Socket } from "node:net";
 import { setTimeout as pause } from "node:timers/promises";
 import { RouteKind } from "@heroncleat/serving";
-import type { PeerPool } from "@heroncleat/transport";
 import type { RunningGateway } from "../running_gateway.ts";
 import { testGateway } from "../test_gateway.ts";
 import { testHeaderNames as names } from "../test_header_names.ts";
@@ -63,10 +62,7 @@
     noticeAddress: `${HOST}:25462`,
     gracePeriod: 100,
     control: CONTROL,
-    pool: {
-      notify: () => {},
-      call: () => Promise.resolve(reply),
-    } as unknown as PeerPool,
+    pool: testGateway.createPool(reply),
     log,
   });
   await waitUntil(() => Promise.resolve(gateway.isReady()));
--- a/apps/heroncleatd/gateway/shutdown/late_requests_test.ts
+++ b/apps/heroncleatd/gateway/shutdown/late_requests_test.ts
@@ -2,7 +2,6 @@
 import { connect, type Socket } from "node:net";
 import { setTimeout as pause } from "node:timers/promises";
 import { type Route, RouteKind } from "@heroncleat/serving";
-import type { PeerPool } from "@heroncleat/transport";
 import { waitUntil } from "../../hub/wait_until.ts";
 import type { RunningGateway } from "../running_gateway.ts";
 import { testGateway } from "../test_gateway.ts";
@@ -68,10 +67,7 @@
     noticeAddress: `${HOST}:${PORT + 1}`,
     gracePeriod: GRACE_PERIOD_MS,
     control: CONTROL,
-    pool: {
-      notify: () => {},
-      call: () => Promise.resolve(reply),
-    } as unknown as PeerPool,
+    pool: testGateway.createPool(reply),
   });
   await waitUntil(() => gateway.isReady());
   return gateway;
--- a/apps/heroncleatd/gateway/shutdown/resumed_in_shutdown_test.ts
+++ b/apps/heroncleatd/gateway/shutdown/resumed_in_shutdown_test.ts
@@ -2,7 +2,6 @@
 import type { Socket } from "node:net";
 import { setTimeout as pause } from "node:timers/promises";
 import { RouteKind } from "@heroncleat/serving";
-import type { PeerPool } from "@heroncleat/transport";
 import { waitUntil } from "../../hub/wait_until.ts";
 import type { RunningGateway } from "../running_gateway.ts";
 import { testGateway } from "../test_gateway.ts";
@@ -75,10 +74,7 @@
     noticeAddress: `${HOST}:${PORT + 1}`,
     gracePeriod: GRACE_PERIOD_MS,
     control: CONTROL,
-    pool: {
-      notify: () => {},
-      call: () => Promise.resolve(reply),
-    } as unknown as PeerPool,
+    pool: testGateway.createPool(reply),
   });
   await waitUntil(() => gateway.isReady());
 });
--- a/apps/heroncleatd/gateway/test_gateway.ts
+++ b/apps/heroncleatd/gateway/test_gateway.ts
@@ -107,6 +107,14 @@
   };
 }
 
+/** Creates a pool whose only control replica always sends the same reply. */
+function createPool(reply: SyncReply): PeerPool {
+  return {
+    notify: () => {},
+    call: () => Promise.resolve(reply),
+  } as unknown as PeerPool;
+}
+
 type GatewaySetup =
   & Pick<GatewaySettings, "address" | "noticeAddress" | "gracePeriod">
   & Partial<Pick<GatewaySettings, "relayAddress">>
@@ -158,5 +166,6 @@
   createDocument,
   createRecord,
   createReply,
+  createPool,
   start,
 };
