--- a/apps/heroncleatd/gateway/attempts/attempt_request.ts
+++ b/apps/heroncleatd/gateway/attempts/attempt_request.ts
@@ -151,6 +151,7 @@
     upstreamBytes: () => agent.bytesReceived,
   });
   const endTrial = context.statements.trackTrial(record.id);
+  call.progress.recordChosen(record);
   const response = await sendToUpstream(call, {
     address: record.address,
     agent,
--- a/apps/heroncleatd/gateway/gateway.ts
+++ b/apps/heroncleatd/gateway/gateway.ts
@@ -120,6 +120,7 @@
         arrivedAt,
         response,
         error: error as Error,
+        details: { upstream: progress.chosen },
       }, this.#options);
       await breakOffResponse(response);
     } finally {
--- a/apps/heroncleatd/gateway/relay/relayed_requests.ts
+++ b/apps/heroncleatd/gateway/relay/relayed_requests.ts
@@ -108,6 +108,7 @@
         arrivedAt,
         response,
         error: error as Error,
+        details: { upstream: progress.chosen },
       }, this.#options);
       await breakOffResponse(response);
     } finally {
--- a/apps/heroncleatd/gateway/responses/record_cut_request.ts
+++ b/apps/heroncleatd/gateway/responses/record_cut_request.ts
@@ -46,6 +46,10 @@
   if (error === undefined) {
     log.info("A request was cut", fields);
   } else {
-    log.error("A request failed", { ...fields, error: String(error.stack) });
+    log.error("A request failed", {
+      ...fields,
+      code: (error as NodeJS.ErrnoException).code ?? "",
+      error: String(error.stack),
+    });
   }
 }
--- a/apps/heroncleatd/gateway/shutdown/request_progress.ts
+++ b/apps/heroncleatd/gateway/shutdown/request_progress.ts
@@ -20,6 +20,7 @@
  */
 export class RequestProgress {
   #admitted: AdmittedRequest | undefined;
+  #chosen: string | undefined;
   #upstream: string | undefined;
   #sentAt: Milliseconds | undefined;
   #message: IncomingMessage | undefined;
@@ -32,6 +33,13 @@
     this.#admitted = request;
   }
 
+  /** Records that an upstream was chosen and a connection to it is opened. */
+  recordChosen(
+    upstream: { readonly id: string; readonly address: string },
+  ): void {
+    this.#chosen = `${upstream.id} at ${upstream.address}`;
+  }
+
   /**
    * Records that an attempt was sent.
    *
@@ -66,6 +74,19 @@
     this.#unsentBytes = bytes;
   }
 
+  /**
+   * The upstream of the last attempt and its address, also if it wasn't sent;
+   * empty if none was chosen.
+   */
+  get chosen(): string {
+    return this.#chosen ?? "";
+  }
+
+  /** Whether an attempt was sent. */
+  get wasSent(): boolean {
+    return this.#sentAt !== undefined;
+  }
+
   /** Whether the response of the last attempt has arrived completely. */
   get hasUpstreamEnded(): boolean {
     return this.#message?.complete ?? false;
