Opening a connection to an unusable address fails instead of throwing

An entry whose upstreams include a port out of range ended by ERR_SOCKET_BAD_PORT, and its callers lost what it was sending. connect throws for such a port, while everything that opens connections expects an event: the probe of an upstream rejected, which nobody handles, and a request failed inside the entry, so that its caller's connection was closed without an answer, though nothing was sent. Probes and trial connections now fail like refused ones, and agents hand the error to the request, which counts as not sent.

--- a/apps/heroncleatd/common/probe_upstream.ts
+++ b/apps/heroncleatd/common/probe_upstream.ts
@@ -1,6 +1,7 @@
 import { connect as connectDirectly } from "node:net";
 import { type Milliseconds, splitAddress } from "@heroncleat/base";
 import type { ConnectionOpener } from "./connection_opener.ts";
+import { openConnection } from "./open_connection.ts";
 
 /** Generous for a connection within one region. */
 const PROBE_TIMEOUT: Milliseconds = 300;
@@ -17,7 +18,8 @@
 ): Promise<boolean> {
   const { host, port } = splitAddress(address);
   return new Promise((resolve) => {
-    const socket = connect({ host, port, timeout: PROBE_TIMEOUT });
+    const options = { host, port, timeout: PROBE_TIMEOUT };
+    const socket = openConnection(options, connect);
     const settle = (isReachable: boolean) => {
       socket.destroy();
       resolve(isReachable);
--- a/apps/heroncleatd/common/try_connection.ts
+++ b/apps/heroncleatd/common/try_connection.ts
@@ -1,6 +1,7 @@
 import { connect as connectDirectly } from "node:net";
 import { type Milliseconds, splitAddress } from "@heroncleat/base";
 import type { ConnectionOpener } from "./connection_opener.ts";
+import { openConnection } from "./open_connection.ts";
 
 /** Many times the connection setup time within a region. */
 const CONNECT_TIMEOUT: Milliseconds = 100;
@@ -18,7 +19,8 @@
 ): Promise<"refused" | "closed" | "kept" | "silent"> {
   const { host, port } = splitAddress(address);
   return new Promise((resolve) => {
-    const socket = connect({ host, port, timeout: CONNECT_TIMEOUT });
+    const options = { host, port, timeout: CONNECT_TIMEOUT };
+    const socket = openConnection(options, connect);
     let timer: NodeJS.Timeout | undefined;
     const settle = (trial: "refused" | "closed" | "kept" | "silent") => {
       clearTimeout(timer);
--- a/apps/heroncleatd/gateway/upstreams/upstream_agent.ts
+++ b/apps/heroncleatd/gateway/upstreams/upstream_agent.ts
@@ -50,10 +50,19 @@
     this.#connect = connect;
   }
 
+  /** @param onCreated Takes the error where `connect` throws. */
   override createConnection(
     options: { host: string; port: number },
-  ): Socket {
-    const socket = this.#connect(options);
+    onCreated?: (error: Error | null, stream: Duplex) => void,
+  ): Socket | undefined {
+    let socket: Socket;
+    try {
+      socket = this.#connect(options);
+    } catch (error) {
+      // There is no connection, whatever the type asks for.
+      onCreated?.(error as Error, undefined as never);
+      return undefined;
+    }
     this.#open.add(socket);
     socket.once("connect", () => {
       this.#continuity.recordOpen(socket, this.#clock.steady());
@@ -123,8 +132,7 @@
 
   /** Whether no connection is open. */
   get isUnused(): boolean {
-    return this.#runs.size === 0 &&
-      Object.keys(this.sockets).length === 0 && !this.hasFreeSocket;
+    return this.#runs.size === 0 && this.#open.size === 0;
   }
 
   /** Closes all connections, also those in use. */
