--- a/apps/heroncleatd/gateway/upstreams/upstream_agent.ts
+++ b/apps/heroncleatd/gateway/upstreams/upstream_agent.ts
@@ -54,14 +54,15 @@
   override createConnection(
     options: { host: string; port: number },
     onCreated?: (error: Error | null, stream: Duplex) => void,
-  ): Socket | undefined {
+  ): Socket {
     let socket: Socket;
     try {
       socket = this.#connect(options);
     } catch (error) {
-      // There is no connection, whatever the type asks for.
-      onCreated?.(error as Error, undefined as never);
-      return undefined;
+      // Without a socket the agent waits for the callback.
+      const none = undefined as never;
+      onCreated?.(error as Error, none);
+      return none;
     }
     this.#open.add(socket);
     socket.once("connect", () => {
