Requests that fail inside an entry are answered

The handlers of callers' and of relayed requests broke the response off in any case. Now a request that wasn't sent gets 503, not run, and one that was 502; only a response that was begun is broken off.

--- a/apps/heroncleatd/gateway/create_call_signal.ts
+++ b/apps/heroncleatd/gateway/create_call_signal.ts
@@ -4,8 +4,9 @@
 
 /**
  * Creates the signal of a request, which aborts with `time_up` at the deadline,
- * with `caller_left` when the connection closes before the response ends, and
- * with `shutting_down` when this entry gives up requests without a response.
+ * with `caller_left` when the connection closes before the response ends, with
+ * `shutting_down` when this entry gives up requests without a response, and with
+ * `failed` by `abandon`.
  *
  * @param options.deadline Monotonic time.
  */
@@ -16,7 +17,7 @@
     clock: Pick<Clock, "steady">;
     inFlight: Pick<InFlightRequests, "onGiveUp">;
   },
-): { signal: AbortSignal; release: () => void } {
+): { signal: AbortSignal; release: () => void; abandon: () => void } {
   const { deadline, clock, inFlight } = options;
   const abort = new AbortController();
   let immediate: NodeJS.Immediate | undefined;
@@ -46,5 +47,9 @@
     clearImmediate(immediate);
     stopListening();
   };
-  return { signal: abort.signal, release };
+  const abandon = () => {
+    release();
+    abort.abort("failed");
+  };
+  return { signal: abort.signal, release, abandon };
 }
--- a/apps/heroncleatd/gateway/gateway.ts
+++ b/apps/heroncleatd/gateway/gateway.ts
@@ -13,12 +13,12 @@
 import type { Metrics } from "../common/metrics.ts";
 import type { Admission } from "./admission.ts";
 import type { AppliedDocument } from "./applied_document.ts";
-import { breakOffResponse } from "./responses/break_off_response.ts";
 import type { CallerRequest } from "./caller_request.ts";
 import { createCallSignal } from "./create_call_signal.ts";
 import { chargeOf } from "./limits/charge_of.ts";
 import { forwardCall } from "./forward_call.ts";
 import type { ForwardContext } from "./forward_context.ts";
+import type { ForwardResult } from "./forward_result.ts";
 import { forwardStream } from "./streams/forward_stream.ts";
 import type { DepartureDeadline } from "./shutdown/departure_deadline.ts";
 import type { HeaderNames } from "./header_names.ts";
@@ -35,6 +35,7 @@
 import { findResumption } from "./streams/find_resumption.ts";
 import type { Resumption } from "./streams/resumption.ts";
 import type { StreamOriginExchange } from "./streams/stream_origin_exchange.ts";
+import { endFailedRequest } from "./responses/end_failed_request.ts";
 import { errorResponse } from "./responses/error_response.ts";
 import { identifyRequest } from "./identify_request.ts";
 import type { InFlightRequests } from "./shutdown/in_flight_requests.ts";
@@ -115,14 +116,14 @@
     try {
       await this.#serve({ incoming, response }, { arrivedAt, progress });
     } catch (error) {
-      recordCutRequest({
+      await endFailedRequest({
         request,
+        relayedBy: undefined,
         arrivedAt,
+        progress,
         response,
         error: error as Error,
-        details: { upstream: progress.chosen },
       }, this.#options);
-      await breakOffResponse(response);
     } finally {
       end();
     }
@@ -316,7 +317,7 @@
     metrics.increment("quota.charged_tokens", amount);
     metrics.increment("quota.beyond_tokens", isBeyondQuota ? amount : 0);
     const deadline = this.#deadlineOf(incoming, { route, arrivedAt });
-    const { signal, release } = createCallSignal(response, {
+    const { signal, release, abandon } = createCallSignal(response, {
       deadline,
       clock,
       inFlight: this.#inFlight,
@@ -359,11 +360,25 @@
     const forward = route.kind === RouteKind.streaming
       ? forwardStream
       : forwardCall;
-    const result = await forward(call, { context: forwarding, response });
+    const refund = () => {
+      if (chargeResult !== undefined) {
+        quota.refund(chargeResult.charge, clock.steady());
+        metrics.increment("quota.refunded_tokens", amount);
+      }
+    };
+    let result: ForwardResult;
+    try {
+      result = await forward(call, { context: forwarding, response });
+    } catch (error) {
+      abandon();
+      if (!progress.wasSent) {
+        refund();
+      }
+      throw error;
+    }
     release();
-    if (!result.mayHaveRun && chargeResult !== undefined) {
-      quota.refund(chargeResult.charge, clock.steady());
-      metrics.increment("quota.refunded_tokens", amount);
+    if (!result.mayHaveRun) {
+      refund();
     }
     recordResult(call, {
       ...result,
--- a/apps/heroncleatd/gateway/relay/relayed_requests.ts
+++ b/apps/heroncleatd/gateway/relay/relayed_requests.ts
@@ -10,7 +10,6 @@
 import type { Log } from "../../common/log.ts";
 import type { Metrics } from "../../common/metrics.ts";
 import type { AppliedDocument } from "../applied_document.ts";
-import { breakOffResponse } from "../responses/break_off_response.ts";
 import type { CallerRequest } from "../caller_request.ts";
 import { createCallSignal } from "../create_call_signal.ts";
 import { forwardCall } from "../forward_call.ts";
@@ -31,6 +30,7 @@
 import { relayGrants } from "./relay_grants.ts";
 import { relayHeaders } from "./relay_headers.ts";
 import { RelayRefusal } from "./relay_refusal.ts";
+import { endFailedRequest } from "../responses/end_failed_request.ts";
 import { recordCutRequest } from "../responses/record_cut_request.ts";
 import { sendRefusal } from "../responses/send_refusal.ts";
 
@@ -103,14 +103,14 @@
         progress,
       });
     } catch (error) {
-      recordCutRequest({
+      await endFailedRequest({
         request,
+        relayedBy: "",
         arrivedAt,
+        progress,
         response,
         error: error as Error,
-        details: { upstream: progress.chosen },
       }, this.#options);
-      await breakOffResponse(response);
     } finally {
       end();
     }
@@ -242,7 +242,7 @@
     const timeLeft = Number(incoming.headers[names.timeLeft]);
     const deadline = arrivedAt +
       Math.min(route.timeout, timeLeft > 0 ? timeLeft : route.timeout);
-    const { signal, release } = createCallSignal(response, {
+    const { signal, release, abandon } = createCallSignal(response, {
       deadline,
       clock,
       inFlight: this.#options.inFlight,
@@ -287,7 +287,12 @@
     const context = grant.isUsageCounted
       ? { ...forwarding, countUsage: () => {} }
       : forwarding;
-    const result = await forward(call, { context, response });
+    const result = await forward(call, { context, response }).catch(
+      (error: Error) => {
+        abandon();
+        throw error;
+      },
+    );
     release();
     recordResult(call, { ...result, charge: 0, paidFrom: "other_entry" }, {
       ...this.#options,
--- a/apps/heroncleatd/gateway/responses/error_response.ts
+++ b/apps/heroncleatd/gateway/responses/error_response.ts
@@ -118,6 +118,27 @@
     };
   },
 
+  /**
+   * The request failed inside this entry.
+   *
+   * @param wasSent Whether an upstream may have got it.
+   */
+  failed(wasSent: boolean): LocalResponse {
+    return wasSent
+      ? {
+        status: 502,
+        message: "This entry failed while the request was under way; it may " +
+          "have run. Remedy: retry only if running it twice does no harm.",
+      }
+      : {
+        status: 503,
+        message: "This entry failed to forward the request; it has not run. " +
+          "Remedy: send it to another entry.",
+        retryAfter: retryAfterLimits.min,
+        refusal: RelayRefusal.unserved,
+      };
+  },
+
   /** The request can't complete before this entry exits; it has not run. */
   shuttingDown(): LocalResponse {
     return {
--- a/apps/heroncleatd/gateway/test_gateway.ts
+++ b/apps/heroncleatd/gateway/test_gateway.ts
@@ -12,6 +12,7 @@
 import type { GatewaySettings } from "./gateway_settings.ts";
 import type { RunningGateway } from "./running_gateway.ts";
 import { startGateway } from "./start_gateway.ts";
+import type { GatewayOptions } from "./start_gateway_options.ts";
 import { testHeaderNames } from "./test_header_names.ts";
 
 const SILENT_LOG: Log = { debug() {}, info() {}, warn() {}, error() {} };
@@ -125,11 +126,18 @@
     readonly pool: PeerPool;
     readonly log?: Log;
     readonly metrics?: Metrics;
+    readonly readPrompt?: GatewayOptions["readPrompt"];
   };
 
 function start(
-  { control, pool, log = SILENT_LOG, metrics = SILENT_METRICS, ...settings }:
-    GatewaySetup,
+  {
+    control,
+    pool,
+    log = SILENT_LOG,
+    metrics = SILENT_METRICS,
+    readPrompt = () => undefined,
+    ...settings
+  }: GatewaySetup,
 ): Promise<RunningGateway> {
   return startGateway({
     settings: () => ({
@@ -147,7 +155,7 @@
       ...settings,
     }),
     names: testHeaderNames,
-    readPrompt: () => undefined,
+    readPrompt,
     decodeDocument: (source) => ({
       kind: "document",
       document: JSON.parse(source) as ServingDocument,
