Entries give no requests to upstreams whose address can't be connected to

What one sender states is agreed on, stored and handed to each entry, also by replicas of an earlier release and after a restart, so refusing it at the control replica alone isn't enough. Entries now check each record that they are handed: an upstream whose address can't be connected to counts as gone, with a line and a counter.

--- a/apps/heroncleatd/gateway/exchange/entry_exchange.ts
+++ b/apps/heroncleatd/gateway/exchange/entry_exchange.ts
@@ -1,4 +1,9 @@
-import { type Clock, type Milliseconds, splitAddress } from "@heroncleat/base";
+import {
+  type Clock,
+  isConnectableAddress,
+  type Milliseconds,
+  splitAddress,
+} from "@heroncleat/base";
 import {
   documentCodec,
   drainAgeOf,
@@ -23,6 +28,7 @@
 } from "@heroncleat/serving";
 import type { LoadShedder } from "@heroncleat/shedding";
 import type { Log } from "../../common/log.ts";
+import type { Metrics } from "../../common/metrics.ts";
 import type { ChargeSync } from "./charge_sync.ts";
 import type { SuspectWatcher } from "../../common/suspect_watcher.ts";
 import type { FeedPosition } from "./feed_position.ts";
@@ -38,12 +44,16 @@
  */
 const ENTRY_COUNT_WINDOW: Milliseconds = 10_000;
 
+/** Limits text from other processes in log lines. */
+const MAX_LOGGED_CHARACTERS = 200;
+
 type ExchangeOptions = {
   readonly settings: () => GatewaySettings;
   /** Identifier of this process incarnation. */
   readonly boot: string;
   readonly clock: Clock;
   readonly log: Log;
+  readonly metrics: Pick<Metrics, "increment">;
   readonly directory: UpstreamDirectory;
   readonly choice: UpstreamBalancer;
   readonly shedder: Pick<LoadShedder, "report" | "applyTotals">;
@@ -226,11 +236,12 @@
    * logged, to be compared with the log lines of the replicas.
    */
   #applyUpstream(
-    record: UpstreamRecord,
+    stated: UpstreamRecord,
     now: Milliseconds,
     source: UpdateSource,
   ): void {
     const { directory, log } = this.#options;
+    const record = this.#withoutUnusableAddress(stated, source);
     const outcome = directory.merge(record, now, source);
     const known = directory.get(record.id);
     if (known !== undefined) {
@@ -244,6 +255,27 @@
     }
   }
 
+  /**
+   * Replicas of other releases may accept addresses that can't be connected to.
+   * Such an upstream counts as gone, so that it gets no requests.
+   */
+  #withoutUnusableAddress(
+    record: UpstreamRecord,
+    { reporter }: UpdateSource,
+  ): UpstreamRecord {
+    if (record.state === "gone" || isConnectableAddress(record.address)) {
+      return record;
+    }
+    const { log, metrics } = this.#options;
+    metrics.increment("upstream_records.unusable_address");
+    log.warn("An upstream has an address that can't be connected to", {
+      upstream: record.id.slice(0, MAX_LOGGED_CHARACTERS),
+      address: record.address.slice(0, MAX_LOGGED_CHARACTERS),
+      by: reporter,
+    });
+    return { ...record, state: "gone" };
+  }
+
   /** Only the leading replica knows all entries that hold a share. */
   #extendRetryShare(reply: SyncReply, now: Milliseconds): void {
     if (reply.isLeading) {
--- /dev/null
+++ b/apps/heroncleatd/gateway/exchange/unusable_record_test.ts
@@ -0,0 +1,99 @@
+import { once } from "node:events";
+import { type IncomingMessage, request } from "node:http";
+import type { RunningGateway } from "../running_gateway.ts";
+import { testGateway } from "../test_gateway.ts";
+import { TestUpstream } from "../test_upstream.ts";
+
+const HOST = "127.0.0.25";
+const CONTROL = `${HOST}:25440`;
+const ADDRESS = `${HOST}:25441`;
+const REQUESTS = 20;
+const document = testGateway.createDocument([
+  testGateway.createRoute({ host: HOST }),
+]);
+
+let upstream: TestUpstream;
+let gateway: RunningGateway;
+let counted: Record<string, number>;
+
+beforeEach(async () => {
+  counted = {};
+  upstream = await TestUpstream.start(({ message }, socket) =>
+    void socket.write(
+      "HTTP/1.1 200 OK\r\nx-digest: d\r\nContent-Length: 0\r\n" +
+        `x-attempt: ${message.headers["x-attempt"]}\r\n\r\n`,
+    )
+  );
+});
+
+afterEach(async () => {
+  await gateway.stop();
+  upstream.close();
+});
+
+// Guards against requests for an upstream that a replica of an earlier release accepted.
+test("an upstream with an unusable address gets no requests", async () => {
+  await start(["127.0.0.1:70000", upstream.address]);
+  for (let index = 0; index < REQUESTS; index += 1) {
+    expect(await send(`t${index}`)).toBe(200);
+  }
+  expect(counted["upstream_records.unusable_address"]).toBeGreaterThan(0);
+  expect(upstream.received).toHaveLength(REQUESTS);
+});
+
+// Guards against a later start that hides behind the address of an earlier one.
+test("a later start with an unusable address replaces the earlier one", async () => {
+  await start(["127.0.0.1:70000"], [
+    testGateway.createRecord({
+      id: "u0@1",
+      name: "u0",
+      born: 1,
+      address: upstream.address,
+    }),
+  ]);
+  expect(await send("t0")).toBe(503);
+  expect(upstream.received).toEqual([]);
+});
+
+async function start(
+  addresses: readonly string[],
+  earlier: readonly ReturnType<typeof testGateway.createRecord>[] = [],
+): Promise<void> {
+  const records = addresses.map((address, index) =>
+    testGateway.createRecord({
+      id: `u${index}@2`,
+      name: `u${index}`,
+      born: 2,
+      address,
+    })
+  );
+  gateway = await testGateway.start({
+    address: ADDRESS,
+    noticeAddress: `${HOST}:25442`,
+    control: CONTROL,
+    gracePeriod: 500,
+    pool: testGateway.createPool(testGateway.createReply({
+      address: ADDRESS,
+      control: CONTROL,
+      upstreams: [...earlier, ...records],
+      document,
+    })),
+    metrics: {
+      increment: (name) => counted[name] = (counted[name] ?? 0) + 1,
+      gauge() {},
+      timing() {},
+      close() {},
+    },
+  });
+}
+
+async function send(attempt: string): Promise<number> {
+  const outgoing = request(`http://${ADDRESS}/a`, {
+    agent: false,
+    headers: { "x-attempt": attempt },
+  });
+  outgoing.end();
+  const [response] = await once(outgoing, "response") as [IncomingMessage];
+  response.resume();
+  return response.statusCode!;
+}
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -348,6 +348,7 @@
       boot: this.#incarnation,
       clock,
       log: this.#log,
+      metrics: options.metrics,
       directory: this.#directory,
       choice: this.#choice,
       shedder: this.#shedder,
