A background task that fails ends no process

Thirty tasks or so are begun without anybody who waits for them, and a rejection of any of them ended the process. The class: the failure of a small task decided over everything else that the process does. A rejection that nobody handles is now logged and counted, and ends its task alone.

--- a/apps/heroncleatd/gateway/upstreams/replaced_runs.ts
+++ b/apps/heroncleatd/gateway/upstreams/replaced_runs.ts
@@ -36,8 +36,11 @@
       return;
     }
     this.#isChecking = true;
-    await this.#checkAll();
-    this.#isChecking = false;
+    try {
+      await this.#checkAll();
+    } finally {
+      this.#isChecking = false;
+    }
   }
 
   async #checkAll(): Promise<void> {
--- a/apps/heroncleatd/run_daemon.ts
+++ b/apps/heroncleatd/run_daemon.ts
@@ -13,6 +13,7 @@
 import { createDisconnectLogger } from "./common/create_disconnect_logger.ts";
 import { createLogs } from "./common/create_logs.ts";
 import { createMetrics } from "./common/create_metrics.ts";
+import { createTaskFailureHandler } from "./common/create_task_failure_handler.ts";
 import { ExitCode } from "./common/exit_code.ts";
 import type { KeyRing } from "./common/key_ring.ts";
 import { loadSettings } from "./common/load_settings.ts";
@@ -127,7 +128,27 @@
     },
   };
   process.on("uncaughtException", context.fail);
-  process.on("unhandledRejection", context.fail);
+  process.on(
+    "unhandledRejection",
+    createTaskFailureHandler({ log, metrics, clock }),
+  );
+  await runRoles(context, { server, shutdown, callers, operators }).catch(
+    context.fail,
+  );
+}
+
+/** Starts the roles and stops them at the signal. */
+async function runRoles(
+  context: ProcessContext,
+  { server, shutdown, callers, operators }: {
+    server: PeerServer;
+    shutdown: ShutdownSignal;
+    callers: KeyRing | undefined;
+    operators: KeyRing | undefined;
+  },
+): Promise<void> {
+  const { pool, metrics, settings: checked } = context;
+  const log = context.log("daemon");
   const running: RunningRole[] = [];
   if (operators !== undefined) {
     running.push(await startControl(context, operators));
