An idle timeout that an upstream states can't end an entry

The digits became Infinity, socket.setTimeout throws for that, and the throw comes from an event of the socket, where only the process could handle it.

--- a/apps/heroncleatd/gateway/upstreams/upstream_agent.ts
+++ b/apps/heroncleatd/gateway/upstreams/upstream_agent.ts
@@ -5,6 +5,7 @@
   type Clock,
   createSystemClock,
   type Milliseconds,
+  timerDelay,
 } from "@heroncleat/base";
 import { ProcessContinuity } from "@heroncleat/serving";
 import type { ConnectionOpener } from "../../common/connection_opener.ts";
@@ -187,7 +188,7 @@
     socket.setKeepAlive(true, 1000);
     socket.unref();
     // The agent closes idle sockets that time out.
-    socket.setTimeout(idleTimeout);
+    socket.setTimeout(timerDelay(idleTimeout));
     return true;
   }
 
--- a/packages/base/mod.ts
+++ b/packages/base/mod.ts
@@ -20,4 +20,5 @@
 export { ShutdownSignal } from "./shutdown_signal.ts";
 export { splitAddress } from "./split_address.ts";
 export { splitList } from "./split_list.ts";
+export { timerDelay } from "./timer_delay.ts";
 export { unreachable } from "./unreachable.ts";
