--- a/apps/heroncleatd/gateway/create_call_signal.ts
+++ b/apps/heroncleatd/gateway/create_call_signal.ts
@@ -1,6 +1,6 @@
 import type { ServerResponse } from "node:http";
 import type { InFlightRequests } from "./shutdown/in_flight_requests.ts";
-import type { Clock, Milliseconds } from "@heroncleat/base";
+import { type Clock, type Milliseconds, timerDelay } from "@heroncleat/base";
 
 /**
  * Creates the signal of a request, which aborts with `time_up` at the deadline,
@@ -25,7 +25,7 @@
   // arrived in time.
   const timer = setTimeout(() => {
     immediate = setImmediate(() => abort.abort("time_up"));
-  }, deadline - clock.steady());
+  }, timerDelay(deadline - clock.steady()));
   const abortOnClose = () => {
     if (!response.writableFinished) {
       abort.abort("caller_left");
--- a/apps/heroncleatd/gateway/read_request_body.ts
+++ b/apps/heroncleatd/gateway/read_request_body.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage } from "node:http";
-import type { Clock, Milliseconds } from "@heroncleat/base";
+import { type Clock, type Milliseconds, timerDelay } from "@heroncleat/base";
 import type { ByteBudget, ByteHold } from "../common/byte_budget.ts";
 import { ByteCollector } from "../common/byte_collector.ts";
 import { byteLimits } from "../common/byte_limits.ts";
@@ -95,7 +95,7 @@
     // arrived in time.
     const timer = setTimeout(
       () => setImmediate(() => settle({ kind: "late" })),
-      Math.max(0, deadline - clock.steady()),
+      timerDelay(deadline - clock.steady()),
     );
     const stopListening = inFlight.onGiveUp(() => settle({ kind: "leaving" }));
     incoming.on("data", onData);
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -1,6 +1,11 @@
 import { connect } from "node:net";
 import type { Server } from "node:http";
-import { createToken, type Milliseconds, splitAddress } from "@heroncleat/base";
+import {
+  createToken,
+  type Milliseconds,
+  splitAddress,
+  timerDelay,
+} from "@heroncleat/base";
 import {
   followedShare,
   type FollowedShares,
@@ -607,8 +612,9 @@
       this.#shedder.setRanks(listServiceRanks(document));
       this.#streams.shareNewlyAmbiguous();
       this.#routeTableLatch.release();
-      this.#server.keepAliveTimeout = document.limits.idleTimeout;
-      this.#server.headersTimeout = document.limits.headerTimeout;
+      const { idleTimeout, headerTimeout } = document.limits;
+      this.#server.keepAliveTimeout = timerDelay(idleTimeout);
+      this.#server.headersTimeout = timerDelay(headerTimeout);
       this.#log.info("Applied a configuration document", {
         version: document.version,
       });
--- a/packages/base/timer_delay.ts
+++ b/packages/base/timer_delay.ts
@@ -1,7 +1,10 @@
 import type { Milliseconds } from "./milliseconds.ts";
 
-/** Longer timers of Node.js fire at once. About 25 days. */
-const MAX_TIMER_DELAY: Milliseconds = 2 ** 31 - 1;
+/**
+ * 24 days. Timers of Node.js that are longer than 2^31 - 1 fire at once, and its
+ * servers add to the idle timeout that they are given.
+ */
+const MAX_TIMER_DELAY: Milliseconds = 24 * 86_400_000;
 
 /**
  * Limits a time to what timers and socket timeouts of Node.js take: they throw
