--- a/packages/transport/framed_socket.ts
+++ b/packages/transport/framed_socket.ts
@@ -123,6 +123,11 @@
       this.close("the peer sent a frame that is not JSON");
       return;
     }
-    this.#handlers.onMessage(message);
+    try {
+      this.#handlers.onMessage(message);
+    } catch (error) {
+      const { message: problem } = error as Error;
+      this.close(`the peer sent a message that can't be handled: ${problem}`);
+    }
   }
 }
--- a/packages/transport/peer_pool.ts
+++ b/packages/transport/peer_pool.ts
@@ -47,7 +47,12 @@
     if (this.#isClosed) {
       return;
     }
-    this.#getConnection(address).notify(method, parameters);
+    try {
+      this.#getConnection(address).notify(method, parameters);
+    } catch (error) {
+      const { message } = error as Error;
+      this.#options.onProblem?.(`Can't connect to ${address}. ${message}`);
+    }
   }
 
   close(): void {
