--- a/apps/heroncleatd/mod.ts
+++ b/apps/heroncleatd/mod.ts
@@ -17,6 +17,7 @@
 export type { HubSettings } from "./hub/hub_settings.ts";
 export type { PublishOutcome } from "./hub/publish_outcome.ts";
 export type { RolloutOutcome } from "./hub/rollout_outcome.ts";
+export type { Log } from "./common/log.ts";
 export type { RunningGateway } from "./gateway/running_gateway.ts";
 export type { RunningHub } from "./hub/running_hub.ts";
 export type { UpdateOutcome } from "./hub/update_outcome.ts";
