--- a/apps/heroncleatd/gateway/responses/cut_requests_log_test.ts
+++ b/apps/heroncleatd/gateway/responses/cut_requests_log_test.ts
@@ -169,6 +169,7 @@
     took: 4000,
     appliedVersion: VERSION,
     changeAge: 2000,
+    code: "",
     error: expect.stringContaining("broken"),
   });
 });
