Callers' bodies in too many chunks are refused

A body of 4 MiB in chunks of one byte was within the limits and took some 12 s of an entry's processor time; each chunk costs some 3 us whatever its size. A chunked body may now have 4096 chunks and one more for each 16 bytes: more get 400, not run, and nothing more is read of them. The connection stays open for two seconds so that the refusal can be read. Refused bodies are read at 64 KiB in 20 ms, and also those of requests that aren't admitted end after two seconds, which were read without end before.

--- a/apps/heroncleatd/common/byte_collector.ts
+++ b/apps/heroncleatd/common/byte_collector.ts
@@ -1,5 +1,5 @@
 /** Pieces of this size and more, in bytes, are kept as they are. */
-const LARGE_PIECE_BYTES = 32 * 1024;
+const LARGE_PIECE_BYTES = 8 * 1024;
 const MIN_BLOCK_BYTES = 4 * 1024;
 const MAX_BLOCK_BYTES = 64 * 1024;
 
@@ -13,15 +13,24 @@
   #open: Buffer | undefined;
   #used = 0;
   #length = 0;
+  readonly #copiesFirst: boolean;
+
+  /**
+   * @param options.copiesFirst Whether a small first piece is copied too, as it
+   *     is held for long.
+   */
+  constructor({ copiesFirst = false }: { copiesFirst?: boolean } = {}) {
+    this.#copiesFirst = copiesFirst;
+  }
 
   get length(): number {
     return this.#length;
   }
 
   append(piece: Buffer): void {
-    const isFirst = this.#length === 0;
+    const isKept = this.#length === 0 && !this.#copiesFirst;
     this.#length += piece.length;
-    if (isFirst || piece.length >= LARGE_PIECE_BYTES) {
+    if (isKept || piece.length >= LARGE_PIECE_BYTES) {
       this.#closeBlock();
       this.#blocks.push(piece);
       return;
--- a/apps/heroncleatd/gateway/body_refusal.ts
+++ b/apps/heroncleatd/gateway/body_refusal.ts
@@ -18,6 +18,8 @@
       return errorResponse.lateBody();
     case "leaving":
       return errorResponse.shuttingDown();
+    case "fragmented":
+      return errorResponse.fragmentedBody();
     case "too_large":
       return errorResponse.tooLargeBody(limit);
   }
--- a/apps/heroncleatd/gateway/discard_request_body.ts
+++ b/apps/heroncleatd/gateway/discard_request_body.ts
@@ -1,16 +1,41 @@
 import type { IncomingMessage } from "node:http";
 import type { Milliseconds } from "@heroncleat/base";
+import { hasTooManyChunks } from "../common/has_too_many_chunks.ts";
 
 /** Time in which a caller may send the rest of a body that was refused. */
 const DISCARD_TIME: Milliseconds = 2000;
+/** Bytes that are read at once; at full speed they would fill the memory. */
+const DISCARDED_AT_ONCE = 64 * 1024;
+const DISCARD_INTERVAL: Milliseconds = 20;
 
 /**
- * Reads and drops the rest of a caller's body. Resolves once it has ended, or
- * after a time. A connection that is closed before is reset, and its caller may
- * not get the response.
+ * Reads and drops the rest of a caller's body, unless it comes in too many
+ * chunks. Resolves once it has ended, or after a time. A connection that is
+ * closed before is reset, and its caller may not get the response.
+ *
+ * @param options.isRead Whether to read it at all.
  */
-export function discardRequestBody(incoming: IncomingMessage): Promise<void> {
+export function discardRequestBody(
+  incoming: IncomingMessage,
+  { isRead = true }: { isRead?: boolean } = {},
+): Promise<void> {
   return new Promise((resolve) => {
+    let chunks = 0;
+    let bytes = 0;
+    let pauseAt = DISCARDED_AT_ONCE;
+    let resumeTimer: NodeJS.Timeout | undefined;
+    const onData = (chunk: Buffer) => {
+      chunks += 1;
+      bytes += chunk.length;
+      if (hasTooManyChunks({ chunks, bytes })) {
+        incoming.off("data", onData);
+        incoming.pause();
+      } else if (bytes >= pauseAt) {
+        pauseAt = bytes + DISCARDED_AT_ONCE;
+        incoming.pause();
+        resumeTimer = setTimeout(() => incoming.resume(), DISCARD_INTERVAL);
+      }
+    };
     const timer = setTimeout(() => {
       incoming.socket.destroySoon();
       resolve();
@@ -18,10 +43,15 @@
     timer.unref();
     const settle = () => {
       clearTimeout(timer);
+      clearTimeout(resumeTimer);
       resolve();
     };
     incoming.once("end", settle);
     incoming.once("close", settle);
-    incoming.resume();
+    if (isRead) {
+      incoming.on("data", onData);
+    } else {
+      incoming.pause();
+    }
   });
 }
--- a/apps/heroncleatd/gateway/gateway.ts
+++ b/apps/heroncleatd/gateway/gateway.ts
@@ -141,12 +141,12 @@
     }
     const admitted = this.#admit(incoming, arrivedAt);
     if (admitted.kind === "refused") {
-      incoming.resume();
+      const endAfter = discardRequestBody(incoming);
       recordRefusedResumption(incoming.headers, {
         response: admitted.response,
         reason: StopReason.notAdmitted,
       }, this.#options);
-      this.#refuse({ incoming, response }, admitted.response);
+      this.#refuse({ incoming, response }, admitted.response, { endAfter });
       return;
     }
     const limit = this.#options.routeTable()!.document.limits.maxBodyBytes;
@@ -190,10 +190,11 @@
       recordCutRequest({ request, arrivedAt, response }, this.#options);
       return;
     }
-    if (body.kind === "too_large") {
+    const isFragmented = body.kind === "fragmented";
+    if (body.kind === "too_large" || isFragmented) {
       response.shouldKeepAlive = false;
     }
-    const endAfter = discardRequestBody(incoming);
+    const endAfter = discardRequestBody(incoming, { isRead: !isFragmented });
     this.#options.metrics.increment(`gateway.refused_bodies.${body.kind}`);
     this.#refuse({ incoming, response }, bodyRefusal(body, limit), {
       endAfter,
--- a/apps/heroncleatd/gateway/read_request_body.ts
+++ b/apps/heroncleatd/gateway/read_request_body.ts
@@ -3,6 +3,7 @@
 import type { ByteBudget, ByteHold } from "../common/byte_budget.ts";
 import { ByteCollector } from "../common/byte_collector.ts";
 import { byteLimits } from "../common/byte_limits.ts";
+import { hasTooManyChunks } from "../common/has_too_many_chunks.ts";
 import type { InFlightRequests } from "./shutdown/in_flight_requests.ts";
 
 /** A complete body, or the reason why it couldn't be read. */
@@ -14,6 +15,8 @@
     readonly release: () => void;
   }
   | { readonly kind: "too_large" }
+  /** It came in too many chunks. */
+  | { readonly kind: "fragmented" }
   /** There is no room for it beside the bodies of other requests. */
   | { readonly kind: "no_room"; readonly retryAfter: Milliseconds }
   /** It wasn't complete in time. */
@@ -66,7 +69,9 @@
     return Promise.resolve(noRoom(stated));
   }
   return new Promise((resolve) => {
-    const collector = new ByteCollector();
+    const collector = new ByteCollector({ copiesFirst: true });
+    const isChunked = incoming.headers["transfer-encoding"] !== undefined;
+    let chunks = 0;
     let isSettled = false;
     const settle = (body: RequestBody) => {
       if (isSettled) {
@@ -84,9 +89,12 @@
     };
     const onData = (chunk: Buffer) => {
       collector.append(chunk);
+      chunks += 1;
       const bytes = collector.length;
       if (bytes > limit) {
         settle({ kind: "too_large" });
+      } else if (isChunked && hasTooManyChunks({ chunks, bytes })) {
+        settle({ kind: "fragmented" });
       } else if (bytes > stated && !holdBytes(bytes)) {
         settle(noRoom(bytes));
       }
--- a/apps/heroncleatd/gateway/relay/relayed_requests.ts
+++ b/apps/heroncleatd/gateway/relay/relayed_requests.ts
@@ -152,8 +152,9 @@
       return;
     }
     metrics.increment("relay.unserved");
-    response.shouldKeepAlive = body.kind !== "too_large";
-    void discardRequestBody(incoming);
+    const isFragmented = body.kind === "fragmented";
+    response.shouldKeepAlive = body.kind !== "too_large" && !isFragmented;
+    void discardRequestBody(incoming, { isRead: !isFragmented });
     const refusal = body.kind === "too_large"
       ? undefined
       : bodyRefusal(body, limit);
--- a/apps/heroncleatd/gateway/responses/error_response.ts
+++ b/apps/heroncleatd/gateway/responses/error_response.ts
@@ -111,6 +111,15 @@
     };
   },
 
+  /** The body came in too many chunks; it has not run. */
+  fragmentedBody(): LocalResponse {
+    return {
+      status: 400,
+      message: "The request's body has too many chunks for its size; it has " +
+        "not run. Remedy: send chunks of 1 KB or more.",
+    };
+  },
+
   tooLargeBody(limit: number): LocalResponse {
     return {
       status: 413,
