Callers' bytes are parsed in turn, and their requests served one by one

Callers waited for others that sent reads of thousands of chunks or requests: Node.js parses a read of 64 KiB at once, up to 40 ms, and accepts one connection in each turn of the event loop. All requests that a connection pipelines were run at once, so that 100 connections of 1,500 each ended the entry. Bytes now wait in a queue that is parsed for 2 ms in a turn, 0.5 ms of a connection; requests of one connection are handled one after the other, and beyond four that wait no further ones are parsed; a body that isn't read holds at most 256 chunks.

--- /dev/null
+++ b/apps/heroncleatd/common/pace_reads_test.ts
@@ -0,0 +1,117 @@
+import { createServer, type Server, type ServerResponse } from "node:http";
+import { type AddressInfo, connect } from "node:net";
+import { paceReads } from "./pace_reads.ts";
+
+const KIB = 1024;
+const FLOOD_CONNECTIONS = 20;
+/** 50,000 chunks. */
+const FLOOD =
+  "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" +
+  "1\r\nx\r\n".repeat(50 * KIB) + "0\r\n\r\n";
+
+let server: Server;
+let served: string[];
+
+beforeEach(async () => {
+  served = [];
+  server = createServer(async (incoming, response) => {
+    let body = "";
+    for await (const chunk of incoming.setEncoding("latin1")) {
+      body += chunk;
+    }
+    served.push(body.length > KIB ? "flood" : "ordinary");
+    response.end(body);
+  });
+  paceReads(server);
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+});
+
+afterEach(() => {
+  server.close();
+  server.closeAllConnections();
+});
+
+// Guards against reads of thousands of chunks that others wait for.
+test("an ordinary request isn't parsed behind those that hold thousands of chunks", async () => {
+  const floods = Array.from({ length: FLOOD_CONNECTIONS }, () => send(FLOOD));
+  const ordinary = send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  await Promise.all([ordinary, ...floods]);
+  expect(served.indexOf("ordinary")).toBeLessThan(FLOOD_CONNECTIONS / 4);
+});
+
+// Guards against bytes that are lost, repeated or reordered.
+test.each([1, 7, 100, 5000, 300_000])(
+  "pipelined bodies in chunks of %s bytes arrive as they were sent",
+  async (chunkBytes) => {
+    const bytes = Math.min(40_000, chunkBytes * 5000);
+    const text = Array.from(
+      { length: Math.max(bytes, chunkBytes) },
+      (_, index) => String.fromCharCode(97 + index * 7 % 26),
+    ).join("");
+    let request =
+      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (let from = 0; from < text.length; from += chunkBytes) {
+      const chunk = text.slice(from, from + chunkBytes);
+      request += `${chunk.length.toString(16)}\r\n${chunk}\r\n`;
+    }
+    request += "0\r\n\r\n";
+    const received = await send(request.repeat(3), { responses: 3 });
+    expect(received.split(text)).toHaveLength(4);
+  },
+);
+
+// Guards against a caller that closes its half before its bytes are parsed.
+test("what came before a FIN is served", async () => {
+  const received = await send(FLOOD, { ends: true });
+  expect(received).toMatch(/^HTTP\/1\.1 200 /);
+});
+
+// Guards against requests that fill the process, as their responses wait in line.
+test("few of the requests that a caller pipelines are in progress at once", async () => {
+  const inProgress: ServerResponse[] = [];
+  let largest = 0;
+  server.removeAllListeners("request");
+  paceReads(server);
+  server.on("request", (incoming, response) => {
+    incoming.resume();
+    inProgress.push(response);
+    largest = Math.max(largest, inProgress.length);
+    setTimeout(() => inProgress.shift()?.end("done"), 1);
+  });
+  const requests = 500;
+  const text = "GET / HTTP/1.1\r\nHost: a\r\n\r\n".repeat(requests);
+  const received = await send(text, { responses: requests });
+  expect(received.split("done")).toHaveLength(requests + 1);
+  expect(largest).toBeLessThan(100);
+});
+
+/** Sends bytes at once; resolves once the responses have arrived. */
+function send(
+  text: string,
+  { responses = 1, ends = false }: { responses?: number; ends?: boolean } = {},
+): Promise<string> {
+  const { port } = server.address() as AddressInfo;
+  const socket = connect({ port, host: "127.0.0.1", allowHalfOpen: true });
+  let received = "";
+  return new Promise((resolve) => {
+    socket.on("data", (bytes) => {
+      received += bytes;
+      const isComplete = received.split("HTTP/1.1 200").length > responses &&
+        (received.endsWith("0\r\n\r\n") || /Content-Length/.test(received));
+      if (isComplete) {
+        // The rest of the last response, if any, follows within this time.
+        setTimeout(() => {
+          socket.destroy();
+          resolve(received);
+        }, 50);
+      }
+    });
+    socket.on("end", () => resolve(received));
+    socket.on("error", () => resolve(received));
+    if (ends) {
+      socket.end(text);
+    } else {
+      socket.write(text);
+    }
+  });
+}
--- a/apps/heroncleatd/gateway/create_caller_server.ts
+++ b/apps/heroncleatd/gateway/create_caller_server.ts
@@ -1,5 +1,6 @@
 import { createServer, type RequestListener, type Server } from "node:http";
 import { answerClientErrors } from "../common/answer_client_errors.ts";
+import { paceReads } from "../common/pace_reads.ts";
 import { connectionEnds } from "./responses/connection_ends.ts";
 import { EndedBy } from "./responses/ended_by.ts";
 
@@ -23,6 +24,7 @@
     requestTimeout: 0,
     noDelay: true,
   }, onRequest);
+  paceReads(server);
   answerClientErrors(
     server,
     (socket) => connectionEnds.record(socket, EndedBy.callerServer),
--- a/apps/heroncleatd/gateway/gateway.ts
+++ b/apps/heroncleatd/gateway/gateway.ts
@@ -108,8 +108,8 @@
   async handle(
     incoming: IncomingMessage,
     response: ServerResponse,
+    { arrivedAt }: { readonly arrivedAt: Milliseconds },
   ): Promise<void> {
-    const arrivedAt = this.#options.clock.steady();
     const request = this.#attemptOf(incoming);
     const progress = new RequestProgress();
     const end = this.#inFlight.add({ request, arrivedAt, response, progress });
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -32,6 +32,7 @@
 import { ChargeSync } from "./exchange/charge_sync.ts";
 import { createCallerServer } from "./create_caller_server.ts";
 import { ControlLinks } from "./exchange/control_links.ts";
+import { serveInTurn } from "../common/serve_in_turn.ts";
 import { SuspectWatcher } from "../common/suspect_watcher.ts";
 import { EntryExchange } from "./exchange/entry_exchange.ts";
 import { EntryNotices } from "./exchange/entry_notices.ts";
@@ -414,15 +415,19 @@
       requestBudget: this.#bodies.requests,
       clockAhead,
     });
-    this.#relayServer = createCallerServer((incoming, response) =>
-      void relayed.handle(incoming, response)
+    this.#relayServer = createCallerServer(
+      serveInTurn((incoming, response) => {
+        void relayed.handle(incoming, response);
+      }, clock),
+    );
+    this.#server = createCallerServer(
+      serveInTurn((incoming, response, arrival) => {
+        if (this.#isStopping) {
+          response.shouldKeepAlive = false;
+        }
+        void this.#gateway.handle(incoming, response, arrival);
+      }, clock),
     );
-    this.#server = createCallerServer((incoming, response) => {
-      if (this.#isStopping) {
-        response.shouldKeepAlive = false;
-      }
-      void this.#gateway.handle(incoming, response);
-    });
     this.#unsent = new UnsentResponses(this.#server);
     this.#replacedRuns = new ReplacedRuns({
       listRetired: () => this.#agents.listRetired(),
