--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -171,7 +171,7 @@
   constructor(options: GatewayOptions) {
     this.#options = options;
     const { clock, pool } = options;
-    this.#bodies = new BodyMemory(clock);
+    this.#bodies = new BodyMemory(clock, options.settings());
     this.#choice = new UpstreamBalancer({
       statements: this.#statements,
       drainTimeout: () => options.settings().drainTimeout,
