--- a/apps/heroncleatd/mod.ts
+++ b/apps/heroncleatd/mod.ts
@@ -27,6 +27,7 @@
 export { createExposedMetrics } from "./common/create_exposed_metrics.ts";
 export { discardBody } from "./common/discard_body.ts";
 export { openResponse } from "./common/open_response.ts";
+export { paceReads } from "./common/pace_reads.ts";
 export { serveMetrics } from "./common/serve_metrics.ts";
 export { startGateway } from "./gateway/start_gateway.ts";
 export { startHubProxy } from "./hub/start_hub_proxy.ts";
