Connections to the platform's interfaces are limited

Each interface now has a share of limits.maxFds; at it the connection that has been idle for longest gives way, or else the oldest unfinished body. A connection without a byte for 30 s is closed, also one whose caller doesn't read a response, which kept it for good before.

--- a/apps/heroncleatd/common/read_call_body.ts
+++ b/apps/heroncleatd/common/read_call_body.ts
@@ -36,6 +36,8 @@
   readonly budget: ByteBudget;
   /** Time from now until the body must be complete. */
   readonly timeout: Milliseconds;
+  /** Gives up a body that is being read, as late; the oldest comes first. */
+  readonly unfinished: Set<() => void>;
 };
 
 /**
@@ -46,7 +48,7 @@
   incoming: IncomingMessage,
   options: ReadOptions,
 ): Promise<CallBody> {
-  const { limit, chunkLimit, budget, timeout } = options;
+  const { limit, chunkLimit, budget, timeout, unfinished } = options;
   const stated = Number(incoming.headers["content-length"] ?? 0);
   const isChunked = incoming.headers["transfer-encoding"] !== undefined;
   const noRoom = (bytes: number): CallBody => ({
@@ -70,6 +72,7 @@
       }
       isSettled = true;
       clearTimeout(timer);
+      unfinished.delete(giveUp);
       incoming.off("data", onData);
       if (body.kind !== "complete") {
         incoming.pause();
@@ -93,6 +96,7 @@
       }
     };
     const giveUp = () => settle({ kind: "late" });
+    unfinished.add(giveUp);
     // After a pause of the process, timers run before bytes are read that have
     // arrived in time.
     const timer = setTimeout(() => setImmediate(giveUp), timerDelay(timeout));
--- a/apps/heroncleatd/mod.ts
+++ b/apps/heroncleatd/mod.ts
@@ -29,6 +29,7 @@
 export { createTaskFailureHandler } from "./common/create_task_failure_handler.ts";
 export { createExposedMetrics } from "./common/create_exposed_metrics.ts";
 export { discardBody } from "./common/discard_body.ts";
+export { limitConnections } from "./common/limit_connections.ts";
 export { openResponse } from "./common/open_response.ts";
 export { paceReads } from "./common/pace_reads.ts";
 export { readCallBody } from "./common/read_call_body.ts";
