Responses of callers that left aren't kept for good

Node.js closes only the first of the responses that a connection has open; those of pipelined requests behind it get no event when their caller leaves. UnsentResponses kept them for the life of the process, in entries and control processes, and since one of them counts as not sent, each later stop waited for its whole timeout. They are now forgotten with their connection. unsent_responses_test failed before (exist stays true), passes now.

--- a/apps/heroncleatd/common/unsent_responses.ts
+++ b/apps/heroncleatd/common/unsent_responses.ts
@@ -1,4 +1,5 @@
 import type { Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 
 /**
  * The responses of a server that were ended, but aren't sent completely, as
@@ -6,23 +7,34 @@
  * that closing the server or its idle connections would cut them.
  */
 export class UnsentResponses {
-  readonly #open = new Set<ServerResponse>();
+  readonly #open = new Map<Socket, Set<ServerResponse>>();
 
   /** @param server Must not have received requests yet. */
   constructor(server: Server) {
-    server.on("request", (_request, response) => {
-      this.#open.add(response);
-      response.once("close", () => this.#open.delete(response));
+    server.on("request", ({ socket }, response) => {
+      const ofSocket = this.#open.get(socket) ?? this.#add(socket);
+      ofSocket.add(response);
+      response.once("close", () => ofSocket.delete(response));
     });
   }
 
   /** Whether there are any. */
   get exist(): boolean {
-    for (const { writableEnded, writableFinished } of this.#open) {
-      if (writableEnded && !writableFinished) {
-        return true;
+    for (const ofSocket of this.#open.values()) {
+      for (const { writableEnded, writableFinished } of ofSocket) {
+        if (writableEnded && !writableFinished) {
+          return true;
+        }
       }
     }
     return false;
   }
+
+  #add(socket: Socket): Set<ServerResponse> {
+    const responses = new Set<ServerResponse>();
+    this.#open.set(socket, responses);
+    // A response that waits behind another one isn't closed with its connection.
+    socket.once("close", () => this.#open.delete(socket));
+    return responses;
+  }
 }
