The bytes of a message from another process are copied a few times, not at each read

A process that got a large message over a connection between processes spent its time on copies: what had arrived of the message was joined anew with each read, so that time grew with the square of the size, and two copies of it were in memory. An unfinished frame is now kept in one buffer that doubles as bytes arrive; an announced length alone reserves nothing. Reads of one byte: frame_reader_test.

--- a/packages/transport/frame_codec.ts
+++ b/packages/transport/frame_codec.ts
@@ -4,7 +4,7 @@
 const CHECKSUM_OFFSET = 4;
 
 /** Decoded frames, or the reason why the rest of the stream is unreadable. */
-type DecodedFrames =
+export type DecodedFrames =
   | {
     readonly kind: "frames";
     readonly payloads: readonly Buffer[];
@@ -19,6 +19,13 @@
  * @internal
  */
 export const frameCodec = {
+  headerBytes: HEADER_BYTES,
+
+  /** Length of a frame, from its header. */
+  frameBytes(header: Buffer): number {
+    return HEADER_BYTES + header.readUInt32BE(0);
+  },
+
   encode(payload: Buffer): Buffer {
     const header = Buffer.alloc(HEADER_BYTES);
     header.writeUInt32BE(payload.length, 0);
--- a/packages/transport/framed_socket.ts
+++ b/packages/transport/framed_socket.ts
@@ -1,6 +1,7 @@
 import type { Socket } from "node:net";
 import type { Disconnect } from "./disconnect.ts";
 import { frameCodec } from "./frame_codec.ts";
+import { FrameReader } from "./frame_reader.ts";
 
 /** Limit for one message; larger contents are sent in several. */
 const MAX_PAYLOAD_BYTES = 16 * 1024 * 1024;
@@ -23,7 +24,7 @@
 export class FramedSocket {
   readonly #socket: Socket;
   #handlers: SocketHandlers;
-  #received: Buffer = Buffer.alloc(0);
+  readonly #reader = new FrameReader();
   #isClosed = false;
   /** Sizes of the messages that wait until the peer reads, oldest first. */
   readonly #queuedSizes: number[] = [];
@@ -98,16 +99,12 @@
 
   #onData(bytes: Buffer): void {
     this.#lastReceivedAt = performance.now();
-    this.#received = this.#received.length === 0
-      ? bytes
-      : Buffer.concat([this.#received, bytes]);
-    const decoded = frameCodec.decode(this.#received, MAX_PAYLOAD_BYTES);
-    if (decoded.kind === "broken") {
-      this.close(`the peer sent ${decoded.reason}`);
+    const read = this.#reader.read(bytes, MAX_PAYLOAD_BYTES);
+    if (read.kind === "broken") {
+      this.close(`the peer sent ${read.reason}`);
       return;
     }
-    this.#received = decoded.rest;
-    for (const payload of decoded.payloads) {
+    for (const payload of read.payloads) {
       if (this.#isClosed) {
         return;
       }
