Peers that haven't proved the shared secret may send a few KiB only

Anybody who reached the port for peers could leave unfinished messages of up to 16 MiB at each of any number of connections, and the process ran out of memory: the limit of a message was the same before the handshake. Before the proof it is now 4 KiB, at servers and at clients.

--- a/apps/heroncleatd/mod.ts
+++ b/apps/heroncleatd/mod.ts
@@ -23,6 +23,7 @@
 export type { UpdateOutcome } from "./hub/update_outcome.ts";
 export { createBoundedLogs } from "./common/create_bounded_logs.ts";
 export { createDisconnectLogger } from "./common/create_disconnect_logger.ts";
+export { createRefusalLogger } from "./common/create_refusal_logger.ts";
 export { createTaskFailureHandler } from "./common/create_task_failure_handler.ts";
 export { createExposedMetrics } from "./common/create_exposed_metrics.ts";
 export { discardBody } from "./common/discard_body.ts";
--- a/apps/heroncleatd/run_daemon.ts
+++ b/apps/heroncleatd/run_daemon.ts
@@ -13,6 +13,7 @@
 import { createDisconnectLogger } from "./common/create_disconnect_logger.ts";
 import { createLogs } from "./common/create_logs.ts";
 import { createMetrics } from "./common/create_metrics.ts";
+import { createRefusalLogger } from "./common/create_refusal_logger.ts";
 import { createTaskFailureHandler } from "./common/create_task_failure_handler.ts";
 import { ExitCode } from "./common/exit_code.ts";
 import type { KeyRing } from "./common/key_ring.ts";
@@ -112,6 +113,7 @@
     secret: sharedSecret,
     onProblem: (message) => log.warn(message),
     onDisconnect: createDisconnectLogger(connectionLog),
+    onRefusal: createRefusalLogger(connectionLog),
   });
   const context: ProcessContext = {
     settings: checked,
--- a/packages/transport/framed_socket.ts
+++ b/packages/transport/framed_socket.ts
@@ -25,14 +25,24 @@
   readonly #socket: Socket;
   #handlers: SocketHandlers;
   readonly #reader = new FrameReader();
+  #maxPayloadBytes: number;
   #isClosed = false;
   /** Sizes of the messages that wait until the peer reads, oldest first. */
   readonly #queuedSizes: number[] = [];
   #lastReceivedAt = 0;
 
-  constructor(socket: Socket, handlers: SocketHandlers) {
+  /**
+   * @param options.maxPayloadBytes Limit for received messages until the
+   * handshake has been completed.
+   */
+  constructor(
+    socket: Socket,
+    handlers: SocketHandlers,
+    { maxPayloadBytes = MAX_PAYLOAD_BYTES }: { maxPayloadBytes?: number } = {},
+  ) {
     this.#socket = socket;
     this.#handlers = handlers;
+    this.#maxPayloadBytes = maxPayloadBytes;
     socket.setNoDelay(true);
     socket.on("data", (bytes: Buffer) => this.#onData(bytes));
     socket.on("error", (error) => this.#end(error.message, true));
@@ -53,8 +63,10 @@
     return this.#lastReceivedAt;
   }
 
-  setHandlers(handlers: SocketHandlers): void {
+  /** Admits messages of any size that peers send, once the secret is proved. */
+  completeHandshake(handlers: SocketHandlers): void {
     this.#handlers = handlers;
+    this.#maxPayloadBytes = MAX_PAYLOAD_BYTES;
   }
 
   /**
@@ -99,7 +111,7 @@
 
   #onData(bytes: Buffer): void {
     this.#lastReceivedAt = performance.now();
-    const read = this.#reader.read(bytes, MAX_PAYLOAD_BYTES);
+    const read = this.#reader.read(bytes, this.#maxPayloadBytes);
     if (read.kind === "broken") {
       this.close(`the peer sent ${read.reason}`);
       return;
--- a/packages/transport/handshake.ts
+++ b/packages/transport/handshake.ts
@@ -10,6 +10,9 @@
  * @internal
  */
 export const handshake = {
+  /** Limit for a message of a peer that hasn't proved the secret yet. */
+  maxPayloadBytes: 4 * 1024,
+
   prove(
     secret: string,
     options: { side: Side; clientNonce: string; serverNonce: string },
--- a/packages/transport/mod.ts
+++ b/packages/transport/mod.ts
@@ -7,4 +7,6 @@
 export type { Disconnect } from "./disconnect.ts";
 export type { MethodHandler } from "./method_handler.ts";
 export { PeerPool } from "./peer_pool.ts";
+export type { PeerRefusal } from "./peer_refusal.ts";
 export { PeerServer } from "./peer_server.ts";
+export { RefusalCause } from "./refusal_cause.ts";
--- a/packages/transport/peer_connection.ts
+++ b/packages/transport/peer_connection.ts
@@ -52,7 +52,7 @@
     this.#framed = new FramedSocket(socket, {
       onMessage: (message) => this.#onHandshake(message),
       onClose: (end) => this.#onClose(end),
-    });
+    }, { maxPayloadBytes: handshake.maxPayloadBytes });
     const timer = setTimeout(() => {
       if (this.#queued !== undefined) {
         this.#framed.close("connecting timed out");
@@ -168,7 +168,7 @@
   }
 
   #finishHandshake(): void {
-    this.#framed.setHandlers({
+    this.#framed.completeHandshake({
       onMessage: (message) => this.#client.receive(message as never),
       onClose: (end) => this.#onClose(end),
     });
--- a/packages/transport/peer_server.ts
+++ b/packages/transport/peer_server.ts
@@ -1,5 +1,5 @@
 import { createServer, type Server, type Socket } from "node:net";
-import { createToken, splitAddress } from "@heroncleat/base";
+import { createToken, RateLimiter, splitAddress } from "@heroncleat/base";
 import {
   createJSONRPCErrorResponse,
   JSONRPCErrorCode,
@@ -11,6 +11,8 @@
 import { FramedSocket } from "./framed_socket.ts";
 import { handshake } from "./handshake.ts";
 import type { MethodHandler } from "./method_handler.ts";
+import type { PeerRefusal } from "./peer_refusal.ts";
+import { RefusalCause } from "./refusal_cause.ts";
 
 /**
  * Replies that a peer may leave unread. Its further requests are dropped and
@@ -19,12 +21,17 @@
 const MAX_UNREAD_BYTES = 256 * 1024;
 /** Limit for a connecting peer to prove that it has the shared secret. */
 const HANDSHAKE_TIMEOUT_MS = 3000;
+/** Limit of messages about peers without the shared secret. */
+const PROBLEMS_PER_SECOND = 1;
+const PROBLEM_BURST = 5;
 
 type PeerServerOptions = {
   readonly address: string;
   readonly secret: string;
-  /** Called with a message for the log when a peer is refused. */
+  /** Called with a message for the log when an operator has to act. */
   readonly onProblem: (message: string) => void;
+  /** Called for each connection that is refused. */
+  readonly onRefusal?: (refusal: PeerRefusal) => void;
   /** Called if a connection ends after its handshake. */
   readonly onDisconnect?: (disconnect: Disconnect) => void;
 };
@@ -39,6 +46,10 @@
   readonly #server: Server;
   readonly #methods = new JSONRPCServer({ errorListener: () => {} });
   readonly #sockets = new Set<Socket>();
+  readonly #problemLimiter = new RateLimiter(
+    PROBLEMS_PER_SECOND,
+    PROBLEM_BURST,
+  );
 
   constructor(options: PeerServerOptions) {
     this.#options = options;
@@ -82,8 +93,14 @@
         clearTimeout(timer);
         this.#finishHandshake(framed, { message, serverNonce, address });
       },
-      onClose: () => clearTimeout(timer),
-    });
+      onClose: ({ reason, byPeer }) => {
+        clearTimeout(timer);
+        if (!byPeer) {
+          const cause = RefusalCause.handshake;
+          this.#options.onRefusal?.({ address, cause, reason });
+        }
+      },
+    }, { maxPayloadBytes: handshake.maxPayloadBytes });
     framed.send({ nonce: serverNonce });
   }
 
@@ -98,17 +115,19 @@
     const nonces = { clientNonce, serverNonce };
     const proof = hello["proof"];
     if (!handshake.verify(secret, { side: "client", ...nonces, proof })) {
-      this.#options.onProblem(
-        "A peer without the shared secret was refused. Remedy: give all " +
-          "processes the same shared_secret_file.",
-      );
+      if (this.#problemLimiter.tryConsume(performance.now())) {
+        this.#options.onProblem(
+          "A peer without the shared secret was refused. Remedy: give all " +
+            "processes the same shared_secret_file.",
+        );
+      }
       framed.close("the peer's proof of the shared secret is invalid");
       return;
     }
     framed.send({
       proof: handshake.prove(secret, { side: "server", ...nonces }),
     });
-    framed.setHandlers({
+    framed.completeHandshake({
       onMessage: (message) => void this.#serve(framed, message),
       onClose: (end) => this.#options.onDisconnect?.({ ...end, address }),
     });
--- /dev/null
+++ b/packages/transport/refusal_cause.ts
@@ -0,0 +1,8 @@
+/** Why a server closes a connection of its own accord. @public */
+export const RefusalCause = {
+  /** The peer didn't prove the shared secret. */
+  handshake: "handshake",
+} as const;
+
+/** @public */
+export type RefusalCause = typeof RefusalCause[keyof typeof RefusalCause];
