Connections at the port for peers are limited

Strangers that opened connections to a process's port for peers, and sent nothing, took all its descriptors within the 3 s of the handshake timeout: there was no limit. If all have one, a connection that has been silent for 10 s makes room, as peers that are gone may not have closed theirs; else the newest is closed.

--- a/packages/transport/peer_server.ts
+++ b/packages/transport/peer_server.ts
@@ -21,15 +21,24 @@
 const MAX_UNREAD_BYTES = 256 * 1024;
 /** Limit for a connecting peer to prove that it has the shared secret. */
 const HANDSHAKE_TIMEOUT_MS = 3000;
+/** Default limit of open connections. */
+const MAX_CONNECTIONS = 2000;
+/** Share of them that may be without a completed handshake. */
+const UNPROVED_SHARE = 0.5;
+/** Silence after which a connection may be closed to make room. */
+const MIN_SILENCE_MS = 10_000;
 /** Limit of messages about peers without the shared secret. */
 const PROBLEMS_PER_SECOND = 1;
 const PROBLEM_BURST = 5;
+const NO_ROOM = "a newer connection needed its place before its handshake";
 
 type PeerServerOptions = {
   readonly address: string;
   readonly secret: string;
   /** Called with a message for the log when an operator has to act. */
   readonly onProblem: (message: string) => void;
+  /** Limit of open connections; asked for each new one. */
+  readonly maxConnections?: () => number;
   /** Called for each connection that is refused. */
   readonly onRefusal?: (refusal: PeerRefusal) => void;
   /** Called if a connection ends after its handshake. */
@@ -45,7 +54,9 @@
   readonly #options: PeerServerOptions;
   readonly #server: Server;
   readonly #methods = new JSONRPCServer({ errorListener: () => {} });
-  readonly #sockets = new Set<Socket>();
+  readonly #connections = new Map<FramedSocket, Socket>();
+  /** Those without a completed handshake, the oldest first. */
+  readonly #unproved = new Set<FramedSocket>();
   readonly #problemLimiter = new RateLimiter(
     PROBLEMS_PER_SECOND,
     PROBLEM_BURST,
@@ -73,15 +84,13 @@
   }
 
   close(): Promise<void> {
-    for (const socket of this.#sockets) {
+    for (const socket of this.#connections.values()) {
       socket.destroy();
     }
     return new Promise((resolve) => this.#server.close(() => resolve()));
   }
 
   #accept(socket: Socket): void {
-    this.#sockets.add(socket);
-    socket.once("close", () => this.#sockets.delete(socket));
     const serverNonce = createToken();
     const address = `${socket.remoteAddress}:${socket.remotePort}`;
     const timer = setTimeout(
@@ -95,13 +104,49 @@
       },
       onClose: ({ reason, byPeer }) => {
         clearTimeout(timer);
+        this.#forget(framed);
         if (!byPeer) {
-          const cause = RefusalCause.handshake;
+          const cause = reason === NO_ROOM
+            ? RefusalCause.connections
+            : RefusalCause.handshake;
           this.#options.onRefusal?.({ address, cause, reason });
         }
       },
     }, { maxPayloadBytes: handshake.maxPayloadBytes });
+    this.#connections.set(framed, socket);
+    this.#unproved.add(framed);
     framed.send({ nonce: serverNonce });
+    this.#limitConnections();
+  }
+
+  /** Makes room for the newest connection, or closes it if there is none. */
+  #limitConnections(): void {
+    const limit = this.#options.maxConnections?.() ?? MAX_CONNECTIONS;
+    const unprovedLimit = Math.max(1, limit * UNPROVED_SHARE);
+    const { size } = this.#connections;
+    if (size > limit || this.#unproved.size > unprovedLimit) {
+      const [oldest] = this.#unproved;
+      const victim = this.#unproved.size > 1 ? oldest : this.#findSilent();
+      (victim ?? oldest)?.close(NO_ROOM);
+    }
+  }
+
+  /** Finds the connection of a peer that may be gone without having closed it. */
+  #findSilent(): FramedSocket | undefined {
+    let receivedAt = performance.now() - MIN_SILENCE_MS;
+    let silent: FramedSocket | undefined;
+    for (const framed of this.#connections.keys()) {
+      if (!this.#unproved.has(framed) && framed.lastReceivedAt < receivedAt) {
+        receivedAt = framed.lastReceivedAt;
+        silent = framed;
+      }
+    }
+    return silent;
+  }
+
+  #forget(framed: FramedSocket): void {
+    this.#connections.delete(framed);
+    this.#unproved.delete(framed);
   }
 
   #finishHandshake(
@@ -127,9 +172,13 @@
     framed.send({
       proof: handshake.prove(secret, { side: "server", ...nonces }),
     });
+    this.#unproved.delete(framed);
     framed.completeHandshake({
       onMessage: (message) => void this.#serve(framed, message),
-      onClose: (end) => this.#options.onDisconnect?.({ ...end, address }),
+      onClose: (end) => {
+        this.#forget(framed);
+        this.#options.onDisconnect?.({ ...end, address });
+      },
     });
   }
 
--- a/packages/transport/refusal_cause.ts
+++ b/packages/transport/refusal_cause.ts
@@ -2,6 +2,8 @@
 export const RefusalCause = {
   /** The peer didn't prove the shared secret. */
   handshake: "handshake",
+  /** It made room for a newer connection. */
+  connections: "connections",
 } as const;
 
 /** @public */
