Unfinished messages of all peers take bounded memory together

Each connection of a peer may hold an unfinished message of 16 MiB, and on the users' platform, where the secret is empty, anybody can complete the handshake: a few dozen such connections filled the process. A server now gives them 64 MiB together; beyond it the messages that have stalled for longest are given up and their connections closed (peers.refused.unfinished).

--- a/packages/transport/framed_socket.ts
+++ b/packages/transport/framed_socket.ts
@@ -25,6 +25,7 @@
   readonly #socket: Socket;
   #handlers: SocketHandlers;
   readonly #reader = new FrameReader();
+  readonly #onHeld: (heldBytes: number) => void;
   #maxPayloadBytes: number;
   #isClosed = false;
   /** Sizes of the messages that wait until the peer reads, oldest first. */
@@ -34,15 +35,21 @@
   /**
    * @param options.maxPayloadBytes Limit for received messages until the
    * handshake has been completed.
+   * @param options.onHeld Called with the memory of the unfinished frame, after
+   * each read and once more when the connection ends.
    */
   constructor(
     socket: Socket,
     handlers: SocketHandlers,
-    { maxPayloadBytes = MAX_PAYLOAD_BYTES }: { maxPayloadBytes?: number } = {},
+    { maxPayloadBytes = MAX_PAYLOAD_BYTES, onHeld = () => {} }: {
+      maxPayloadBytes?: number;
+      onHeld?: (heldBytes: number) => void;
+    } = {},
   ) {
     this.#socket = socket;
     this.#handlers = handlers;
     this.#maxPayloadBytes = maxPayloadBytes;
+    this.#onHeld = onHeld;
     socket.setNoDelay(true);
     socket.on("data", (bytes: Buffer) => this.#onData(bytes));
     socket.on("error", (error) => this.#end(error.message, true));
@@ -106,6 +113,7 @@
     this.#isClosed = true;
     const { queuedBytes } = this;
     this.#socket.destroy();
+    this.#onHeld(0);
     this.#handlers.onClose({ reason, queuedBytes, byPeer });
   }
 
@@ -116,6 +124,7 @@
       this.close(`the peer sent ${read.reason}`);
       return;
     }
+    this.#onHeld(this.#reader.heldBytes);
     for (const payload of read.payloads) {
       if (this.#isClosed) {
         return;
--- a/packages/transport/peer_server.ts
+++ b/packages/transport/peer_server.ts
@@ -13,6 +13,7 @@
 import type { MethodHandler } from "./method_handler.ts";
 import type { PeerRefusal } from "./peer_refusal.ts";
 import { RefusalCause } from "./refusal_cause.ts";
+import { UnfinishedFrames } from "./unfinished_frames.ts";
 
 /**
  * Replies that a peer may leave unread. Its further requests are dropped and
@@ -25,12 +26,19 @@
 const MAX_CONNECTIONS = 2000;
 /** Share of them that may be without a completed handshake. */
 const UNPROVED_SHARE = 0.5;
+/** Default limit for unfinished messages of all peers together. */
+const MAX_UNFINISHED_BYTES = 64 * 1024 * 1024;
 /** Silence after which a connection may be closed to make room. */
 const MIN_SILENCE_MS = 10_000;
 /** Limit of messages about peers without the shared secret. */
 const PROBLEMS_PER_SECOND = 1;
 const PROBLEM_BURST = 5;
 const NO_ROOM = "a newer connection needed its place before its handshake";
+const NO_MEMORY = "unfinished messages of all peers took too much memory";
+const CAUSES: ReadonlyMap<string, RefusalCause> = new Map([
+  [NO_ROOM, RefusalCause.connections],
+  [NO_MEMORY, RefusalCause.unfinished],
+]);
 
 type PeerServerOptions = {
   readonly address: string;
@@ -39,6 +47,8 @@
   readonly onProblem: (message: string) => void;
   /** Limit of open connections; asked for each new one. */
   readonly maxConnections?: () => number;
+  /** Limit of the memory for unfinished messages of all peers together. */
+  readonly maxUnfinishedBytes?: number;
   /** Called for each connection that is refused. */
   readonly onRefusal?: (refusal: PeerRefusal) => void;
   /** Called if a connection ends after its handshake. */
@@ -57,6 +67,7 @@
   readonly #connections = new Map<FramedSocket, Socket>();
   /** Those without a completed handshake, the oldest first. */
   readonly #unproved = new Set<FramedSocket>();
+  readonly #unfinished: UnfinishedFrames;
   readonly #problemLimiter = new RateLimiter(
     PROBLEMS_PER_SECOND,
     PROBLEM_BURST,
@@ -64,6 +75,9 @@
 
   constructor(options: PeerServerOptions) {
     this.#options = options;
+    this.#unfinished = new UnfinishedFrames(
+      options.maxUnfinishedBytes ?? MAX_UNFINISHED_BYTES,
+    );
     this.#server = createServer((socket) => this.#accept(socket));
     this.serve({ [CONNECTION_CHECK_METHOD]: () => true });
   }
@@ -97,6 +111,7 @@
       () => framed.close("the handshake timed out"),
       HANDSHAKE_TIMEOUT_MS,
     );
+    const giveUp = () => framed.close(NO_MEMORY);
     const framed = new FramedSocket(socket, {
       onMessage: (message) => {
         clearTimeout(timer);
@@ -106,13 +121,14 @@
         clearTimeout(timer);
         this.#forget(framed);
         if (!byPeer) {
-          const cause = reason === NO_ROOM
-            ? RefusalCause.connections
-            : RefusalCause.handshake;
+          const cause = CAUSES.get(reason) ?? RefusalCause.handshake;
           this.#options.onRefusal?.({ address, cause, reason });
         }
       },
-    }, { maxPayloadBytes: handshake.maxPayloadBytes });
+    }, {
+      maxPayloadBytes: handshake.maxPayloadBytes,
+      onHeld: (heldBytes) => this.#unfinished.record(giveUp, heldBytes),
+    });
     this.#connections.set(framed, socket);
     this.#unproved.add(framed);
     framed.send({ nonce: serverNonce });
@@ -177,6 +193,11 @@
       onMessage: (message) => void this.#serve(framed, message),
       onClose: (end) => {
         this.#forget(framed);
+        const { reason } = end;
+        const cause = CAUSES.get(reason);
+        if (cause !== undefined) {
+          this.#options.onRefusal?.({ address, cause, reason });
+        }
         this.#options.onDisconnect?.({ ...end, address });
       },
     });
--- a/packages/transport/refusal_cause.ts
+++ b/packages/transport/refusal_cause.ts
@@ -4,6 +4,8 @@
   handshake: "handshake",
   /** It made room for a newer connection. */
   connections: "connections",
+  /** Unfinished messages of all peers took too much memory. */
+  unfinished: "unfinished",
 } as const;
 
 /** @public */
