Clients of the metrics server are limited

Anybody who reached the metrics server could open any number of connections, leave a body unfinished on each, or send thousands of requests at once and read no response. Reads are paced. Closed connections are counted and logged, those at the limit of connections only counted. The timeouts weren't tested.

--- a/apps/heroncleatd/common/serve_metrics.ts
+++ b/apps/heroncleatd/common/serve_metrics.ts
@@ -1,32 +1,86 @@
-import { createServer, type Server, type ServerResponse } from "node:http";
-import { RateLimiter, splitAddress } from "@heroncleat/base";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { Socket } from "node:net";
+import { type Milliseconds, RateLimiter, splitAddress } from "@heroncleat/base";
+import { limitConnections } from "./limit_connections.ts";
 import type { Log } from "./log.ts";
 import type { Metrics } from "./metrics.ts";
+import { paceReads } from "./pace_reads.ts";
 
 const PATH = "/metrics";
-const FAILURE_LINES_PER_SECOND = 1;
-const FAILURE_LINE_BURST = 5;
+/** Limit for a request to arrive, and for its response to be read. */
+const EXCHANGE_TIMEOUT: Milliseconds = 10_000;
+const TIMEOUT_CHECK_INTERVAL: Milliseconds = 1000;
+const DEFAULT_MAX_CONNECTIONS = 64;
+const LINES_PER_SECOND = 1;
+const LINE_BURST = 5;
 
 type MetricsOptions = {
   readonly render: () => Promise<string>;
   readonly log: Log;
   readonly metrics: Pick<Metrics, "increment">;
+  /** Limit of open connections; asked for each new one. */
+  readonly maxConnections?: () => number;
 };
 
 /**
  * Serves metrics as text over HTTP. A port that is in use is only logged. All
- * that ask while a text is rendered share it.
+ * that ask while a text is rendered share it; bodies aren't read, and a further
+ * request before the response to the last one was sent closes its connection.
  */
 export function serveMetrics(address: string, options: MetricsOptions): Server {
-  const { log } = options;
+  const { log, metrics, maxConnections } = options;
   const render = shareRendering(options);
-  const server = createServer(async (request, response) => {
+  /** Connections whose response hasn't been sent yet. */
+  const busy = new WeakSet<Socket>();
+  const limiter = new RateLimiter(LINES_PER_SECOND, LINE_BURST);
+  const reportClosing = (reason: string, { remoteAddress }: Socket) => {
+    metrics.increment(`metrics_server.closed_${reason}`);
+    if (limiter.tryConsume(performance.now())) {
+      log.warn("Closes a connection of the metrics server", {
+        peer: remoteAddress ?? "",
+        reason,
+      });
+    }
+  };
+  const server = createServer({
+    requestTimeout: EXCHANGE_TIMEOUT,
+    headersTimeout: EXCHANGE_TIMEOUT,
+    connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL,
+  }, async (request, response) => {
+    const { socket } = request;
+    if (busy.has(socket)) {
+      reportClosing("pipelined", socket);
+      socket.destroy();
+      return;
+    }
+    busy.add(socket);
+    response.once("finish", () => busy.delete(socket));
+    if (hasBody(request)) {
+      reportClosing("body", socket);
+      response.setHeader("Connection", "close");
+    }
     if (request.url !== PATH) {
       response.writeHead(404).end();
       return;
     }
     sendText(response, await render());
   });
+  server.timeout = EXCHANGE_TIMEOUT;
+  server.on("timeout", (socket) => {
+    reportClosing("timeout", socket);
+    socket.destroy();
+  });
+  paceReads(server);
+  limitConnections(server, {
+    limit: maxConnections ?? (() => DEFAULT_MAX_CONNECTIONS),
+    metrics,
+    name: "metrics",
+  });
   server.on("error", (error) => {
     log.warn("Can't serve metrics. Remedy: free the address.", {
       address,
@@ -42,7 +96,7 @@
 function shareRendering(
   { render, log, metrics }: MetricsOptions,
 ): () => Promise<string | undefined> {
-  const limiter = new RateLimiter(FAILURE_LINES_PER_SECOND, FAILURE_LINE_BURST);
+  const limiter = new RateLimiter(LINES_PER_SECOND, LINE_BURST);
   let rendering: Promise<string | undefined> | undefined;
   const renderOrLog = async () => {
     try {
@@ -60,6 +114,11 @@
   return () => rendering ??= renderOrLog();
 }
 
+function hasBody({ headers }: IncomingMessage): boolean {
+  return headers["transfer-encoding"] !== undefined ||
+    Number(headers["content-length"] ?? 0) > 0;
+}
+
 function sendText(response: ServerResponse, text: string | undefined): void {
   if (text === undefined) {
     response.writeHead(500).end();
