A notice of another entry that can't be applied ends no process

Datagrams are handled inside an event of the socket, so that an error in the handling of one, from anybody who reaches the port, ended the entry with all its streams. Such a notice is now counted (entry_notices.unapplied) and logged, one line a second, and the entry goes on. Which notice causes such an error isn't known: the row of hostile_clients_test passes before and after.

--- a/apps/heroncleatd/gateway/exchange/entry_notices.ts
+++ b/apps/heroncleatd/gateway/exchange/entry_notices.ts
@@ -14,6 +14,9 @@
 /** Datagrams about streams: a few for each that begins or is resumed. */
 const MAX_STREAM_DATAGRAMS_PER_SECOND = 1000;
 const MAX_STREAM_DATAGRAM_BURST = 2000;
+/** Limit of lines about notices that couldn't be applied. */
+const LINES_PER_SECOND = 1;
+const LINE_BURST = 5;
 
 type NoticeOptions = {
   /** host:port on which to receive datagrams from other entries. */
@@ -44,6 +47,7 @@
     MAX_STREAM_DATAGRAMS_PER_SECOND,
     MAX_STREAM_DATAGRAM_BURST,
   );
+  readonly #lineLimiter = new RateLimiter(LINES_PER_SECOND, LINE_BURST);
   #isClosed = false;
 
   constructor(options: NoticeOptions) {
@@ -128,6 +132,25 @@
       this.#options.metrics.increment("entry_notices.unreadable");
       return;
     }
-    this.#options.onNotice(parsed.value, from);
+    try {
+      this.#options.onNotice(parsed.value, from);
+    } catch (error) {
+      this.#reportFailure(parsed.value, { from, error: error as Error });
+    }
+  }
+
+  #reportFailure(
+    { kind }: EntryNotice,
+    { from, error }: { from: string; error: Error },
+  ): void {
+    const { clock, log, metrics } = this.#options;
+    metrics.increment("entry_notices.unapplied");
+    if (this.#lineLimiter.tryConsume(clock.steady())) {
+      log.error("A notice of another entry can't be applied", {
+        kind,
+        from,
+        error: error.stack ?? error.message,
+      });
+    }
   }
 }
--- a/apps/heroncleatd/gateway/exchange/entry_notices_test.ts
+++ b/apps/heroncleatd/gateway/exchange/entry_notices_test.ts
@@ -6,11 +6,12 @@
 import { EntryNotices } from "./entry_notices.ts";
 
 const PORT = 21_000 + process.pid % 2000;
+const logged: string[] = [];
 const silentLog: Log = {
   debug: () => {},
   info: () => {},
   warn: () => {},
-  error: () => {},
+  error: (message) => void logged.push(message),
 };
 const dispatch: EntryNotice = {
   kind: "dispatch",
@@ -36,7 +37,11 @@
 
 const openNotices: EntryNotices[] = [];
 
-function start(host: string, peers: readonly string[]): TestEntry {
+function start(
+  host: string,
+  peers: readonly string[],
+  onNotice: () => void = () => {},
+): TestEntry {
   const received: TestEntry["received"] = [];
   const counts: Record<string, number> = {};
   const metrics: Metrics = {
@@ -48,7 +53,10 @@
   const notices = new EntryNotices({
     address: `${host}:${PORT}`,
     peers: () => peers,
-    onNotice: (notice, from) => received.push({ notice, from }),
+    onNotice: (notice, from) => {
+      onNotice();
+      received.push({ notice, from });
+    },
     clock: createSystemClock(),
     log: silentLog,
     metrics,
@@ -104,6 +112,28 @@
     expect(entry.received).toEqual([]);
   });
 
+  // Guards against an entry that one datagram ends.
+  test("that can't be applied are counted and logged, few of them", async () => {
+    const entry = start("127.0.0.10", [], () => {
+      throw new Error("can't apply it");
+    });
+    const uncaught: unknown[] = [];
+    const record = (error: unknown) => void uncaught.push(error);
+    process.on("uncaughtException", record);
+    const sender = createSocket("udp4");
+    for (let index = 0; index < 50; index += 1) {
+      sender.send(JSON.stringify(dispatch), PORT, "127.0.0.10");
+    }
+    const count = () => entry.counts["entry_notices.unapplied"] ?? 0;
+    await until(() => count() === 50 || uncaught.length > 0);
+    sender.close();
+    process.off("uncaughtException", record);
+    expect(uncaught).toEqual([]);
+    expect(count()).toBe(50);
+    expect(logged.length).toBeGreaterThan(0);
+    expect(logged.length).toBeLessThan(10);
+  });
+
   test("beyond the rate limit are counted and not sent", () => {
     const peers = Array.from({ length: 100 }, () => "127.0.0.9");
     const entry = start("127.0.0.5", peers);
