Datagrams of hosts that aren't entries are read up to a rate

Anybody who reaches an entry's port for datagrams could make it parse and apply as many as arrive, of up to 64 KB each, in the process that serves callers. Hosts that aren't in the list of entries now get 2,000 KiB a second, each datagram as 1 KiB at least; beyond it they are dropped as if lost, counted and logged. Notices of known entries aren't limited, and those of an entry that has just started are read within that rate.

--- a/apps/heroncleatd/gateway/exchange/entry_notices.ts
+++ b/apps/heroncleatd/gateway/exchange/entry_notices.ts
@@ -14,7 +14,14 @@
 /** Datagrams about streams: a few for each that begins or is resumed. */
 const MAX_STREAM_DATAGRAMS_PER_SECOND = 1000;
 const MAX_STREAM_DATAGRAM_BURST = 2000;
-/** Limit of lines about notices that couldn't be applied. */
+/**
+ * KiB a second that are parsed of hosts that aren't known as entries, at least
+ * one for each datagram. Entries that have just started aren't known yet.
+ */
+const MAX_STRANGER_KIB_PER_SECOND = 2000;
+const MAX_STRANGER_KIB_BURST = 4000;
+const BYTES_PER_KIB = 1024;
+/** Limit of lines about notices that weren't taken in. */
 const LINES_PER_SECOND = 1;
 const LINE_BURST = 5;
 
@@ -47,6 +54,13 @@
     MAX_STREAM_DATAGRAMS_PER_SECOND,
     MAX_STREAM_DATAGRAM_BURST,
   );
+  readonly #strangerRateLimiter = new RateLimiter(
+    MAX_STRANGER_KIB_PER_SECOND,
+    MAX_STRANGER_KIB_BURST,
+  );
+  /** `peers` as it was when `#peerHosts` was made of it. */
+  #peers: readonly string[] = [];
+  #peerHosts: ReadonlySet<string> = new Set();
   readonly #lineLimiter = new RateLimiter(LINES_PER_SECOND, LINE_BURST);
   #isClosed = false;
 
@@ -127,6 +141,9 @@
   }
 
   #receive(bytes: Buffer, from: string): void {
+    if (!this.#isKnown(from) && !this.#admitStranger(bytes, from)) {
+      return;
+    }
     const parsed = parseJson(bytes, checkEntryNotice);
     if (parsed.isErr) {
       this.#options.metrics.increment("entry_notices.unreadable");
@@ -139,6 +156,29 @@
     }
   }
 
+  #isKnown(host: string): boolean {
+    const peers = this.#options.peers();
+    if (peers !== this.#peers) {
+      this.#peers = peers;
+      this.#peerHosts = new Set(peers);
+    }
+    return this.#peerHosts.has(host);
+  }
+
+  #admitStranger(bytes: Buffer, from: string): boolean {
+    const { clock, log, metrics } = this.#options;
+    const now = clock.steady();
+    const amount = Math.max(1, bytes.length / BYTES_PER_KIB);
+    if (this.#strangerRateLimiter.tryConsume(now, { amount })) {
+      return true;
+    }
+    metrics.increment("entry_notices.strangers_over_budget");
+    if (this.#lineLimiter.tryConsume(now)) {
+      log.warn("Drops datagrams of hosts that aren't entries", { from });
+    }
+    return false;
+  }
+
   #reportFailure(
     { kind }: EntryNotice,
     { from, error }: { from: string; error: Error },
--- a/apps/heroncleatd/gateway/exchange/entry_notices_test.ts
+++ b/apps/heroncleatd/gateway/exchange/entry_notices_test.ts
@@ -134,6 +134,32 @@
     expect(logged.length).toBeLessThan(10);
   });
 
+  // Guards against a host that takes an entry's time with datagrams.
+  test("of hosts that aren't entries are read up to a rate", async () => {
+    const entry = start("127.0.0.11", ["127.0.0.12"]);
+    const send = async (host: string) => {
+      const sender = createSocket("udp4");
+      await new Promise<void>((resolve) => sender.bind(0, host, resolve));
+      const text = JSON.stringify(charges).padEnd(60_000, " ");
+      const before = entry.received.length;
+      for (let index = 0; index < 200; index += 1) {
+        await new Promise((resolve) =>
+          sender.send(text, PORT, "127.0.0.11", resolve)
+        );
+        await new Promise((resolve) => setTimeout(resolve, 1));
+      }
+      sender.close();
+      return entry.received.length - before;
+    };
+    const overBudget = () =>
+      entry.counts["entry_notices.strangers_over_budget"] ?? 0;
+    expect(await send("127.0.0.12")).toBeGreaterThan(190);
+    expect(overBudget()).toBe(0);
+    expect(await send("127.0.0.13")).toBeLessThan(150);
+    expect(overBudget()).toBeGreaterThan(50);
+    expect(await send("127.0.0.12")).toBeGreaterThan(190);
+  });
+
   test("beyond the rate limit are counted and not sent", () => {
     const peers = Array.from({ length: 100 }, () => "127.0.0.9");
     const entry = start("127.0.0.5", peers);
