What datagrams name is kept up to a limit

An entry kept each name that a datagram stated, and anybody who reaches the port may state any: upstreams that crashed for ever, entries that report charges for ever or until a replica replies, streams that began at two versions for up to 28 hours. 10,000 crashes of upstreams without a view, 2,000 entries and 50,000 streams are now kept, the latest ones. Charges by bucket are still summed for each name (open).

--- a/packages/serving/charge_relay.ts
+++ b/packages/serving/charge_relay.ts
@@ -1,6 +1,7 @@
 import type { Milliseconds } from "@heroncleat/base";
 import type { RelayedChargeReport } from "./relayed_charge_report.ts";
 import type { ChargeReport } from "./charge_report.ts";
+import { dropOldest } from "./drop_oldest.ts";
 
 /** Time for which received charges are relayed. */
 const RETENTION: Milliseconds = 1000;
@@ -11,6 +12,9 @@
  */
 const MAX_NAMED_ENTRIES = 32;
 
+/** Entries whose charges are kept; anybody may name more by datagram. */
+const MAX_KEPT_ENTRIES = 2000;
+
 /** Which entries a control replica has a record of. */
 type ReplicaView = {
   /** Entries that the replica has a record of but that don't report to it. */
@@ -66,11 +70,19 @@
     this.#removeStale(now);
   }
 
+  /** Number of entries whose charges are kept. */
+  get size(): number {
+    return this.#received.size;
+  }
+
   /** Records charges that an entry reported, directly or through a replica. */
   record(entry: string, report: ChargeReport, at: Milliseconds): void {
     const known = this.#received.get(entry);
     if (known === undefined || known.at < at) {
+      // Reinserted, so that the oldest report comes first.
+      this.#received.delete(entry);
       this.#received.set(entry, { ...report, at });
+      dropOldest(this.#received, MAX_KEPT_ENTRIES);
     }
   }
 
--- a/packages/serving/isolated_quota.ts
+++ b/packages/serving/isolated_quota.ts
@@ -3,6 +3,8 @@
 
 /** Time without a report after which another entry counts as unreachable. */
 const UNRESPONSIVE_TIMEOUT: Milliseconds = 1000;
+/** Entries that are kept; anybody may name more by datagram. */
+const MAX_ENTRIES = 2000;
 
 /**
  * Charges of the reachable entries and the share of the quotas they may use.
@@ -25,8 +27,8 @@
  */
 export class IsolatedQuota {
   readonly #charges = new ChargeTotals();
-  /** Entries that reported that they accept no callers. */
-  readonly #closedEntries = new Set<string>();
+  /** Whether each entry accepts callers; the oldest report comes first. */
+  readonly #isOpen = new Map<string, boolean>();
 
   receive(
     charges: {
@@ -40,16 +42,23 @@
   ): void {
     const { entry, boot, spent, isOpen } = charges;
     this.#charges.applyReport(entry, { boot, spent }, now);
-    if (isOpen) {
-      this.#closedEntries.delete(entry);
-    } else {
-      this.#closedEntries.add(entry);
+    this.#isOpen.delete(entry);
+    this.#isOpen.set(entry, isOpen);
+    const [oldest] = this.#isOpen.keys();
+    if (this.#isOpen.size > MAX_ENTRIES && oldest !== undefined) {
+      this.#isOpen.delete(oldest);
+      this.#charges.remove(oldest);
     }
   }
 
+  /** Number of entries that are kept. */
+  get size(): number {
+    return this.#isOpen.size;
+  }
+
   /** Whether an entry is reachable and accepts callers. */
   isOpen(entry: string, now: Milliseconds): boolean {
-    return !this.#closedEntries.has(entry) &&
+    return this.#isOpen.get(entry) === true &&
       this.#charges.entriesReceivedSince(now - UNRESPONSIVE_TIMEOUT).has(entry);
   }
 
--- a/packages/serving/stream_origins.ts
+++ b/packages/serving/stream_origins.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds } from "@heroncleat/base";
+import { dropOldest } from "./drop_oldest.ts";
 import type { KnownOrigin } from "./known_origin.ts";
 
 /** Bounds the memory; the oldest records are dropped beyond it. */
@@ -25,6 +26,11 @@
     return this.#records.size;
   }
 
+  /** Streams that are known to have begun at two places. */
+  get contradictoryCount(): number {
+    return this.#contradictory.size;
+  }
+
   /**
    * Records where a stream began. Two origins of one stream contradict each
    * other: its identifier was used twice, and neither counts.
@@ -35,12 +41,11 @@
     this.#records.delete(stream);
     if (this.#contradictory.has(stream) || differ(earlier, known)) {
       this.#contradictory.set(stream, expiresAt);
+      dropOldest(this.#contradictory, this.#maxRecords);
       return;
     }
     this.#records.set(stream, { ...known, ...earlier, expiresAt });
-    if (this.#records.size > this.#maxRecords) {
-      this.#records.delete(this.#records.keys().next().value!);
-    }
+    dropOldest(this.#records, this.#maxRecords);
   }
 
   get(stream: string, now: Milliseconds): KnownOrigin | undefined {
--- a/packages/serving/upstream_availability.ts
+++ b/packages/serving/upstream_availability.ts
@@ -77,7 +77,7 @@
     { record, receivedAt }: KnownUpstream,
     { now, requiresHeartbeats }: Omit<ChoiceOptions, "request">,
   ): boolean {
-    const crashedAt = this.#views.find(record.id)?.crashedAt ?? -Infinity;
+    const crashedAt = this.#views.crashedAt(record.id);
     return requiresHeartbeats &&
       (now - receivedAt > UNRESPONSIVE_TIMEOUT || receivedAt <= crashedAt);
   }
--- a/packages/serving/upstream_balancer.ts
+++ b/packages/serving/upstream_balancer.ts
@@ -253,8 +253,7 @@
 
   /** Excludes a crashed upstream until its next heartbeat. */
   recordCrash(id: string, at: Milliseconds): void {
-    const view = this.#views.of(id);
-    view.crashedAt = Math.max(view.crashedAt, at);
+    this.#views.recordCrash(id, at);
   }
 
   /** Avoids an upstream that may have failed, if others can serve. */
