An error of accepting a peer's connection ends no process

The server for peers handled one error event, meant for a port in use. The second error while it listens, such as a lack of descriptors that the system reports, had no listener and would end the process. Errors while it listens are now reported, one a second, and the server goes on. The event is emitted by the test; it wasn't brought about by real descriptors.

--- a/packages/transport/peer_server.ts
+++ b/packages/transport/peer_server.ts
@@ -30,7 +30,7 @@
 const MAX_UNFINISHED_BYTES = 64 * 1024 * 1024;
 /** Silence after which a connection may be closed to make room. */
 const MIN_SILENCE_MS = 10_000;
-/** Limit of messages about peers without the shared secret. */
+/** Limit of messages about peers that couldn't be accepted. */
 const PROBLEMS_PER_SECOND = 1;
 const PROBLEM_BURST = 5;
 const NO_ROOM = "a newer connection needed its place before its handshake";
@@ -93,10 +93,23 @@
     const { host, port } = splitAddress(this.#options.address);
     return new Promise((resolve, reject) => {
       this.#server.once("error", reject);
-      this.#server.listen(port, host, resolve);
+      this.#server.listen(port, host, () => {
+        this.#server.off("error", reject);
+        this.#server.on("error", (error) => this.#onAcceptError(error));
+        resolve();
+      });
     });
   }
 
+  #onAcceptError({ message }: Error): void {
+    if (this.#problemLimiter.tryConsume(performance.now())) {
+      this.#options.onProblem(
+        `Can't accept a connection (${message}). Remedy: allow the process ` +
+          "more descriptors.",
+      );
+    }
+  }
+
   close(): Promise<void> {
     for (const socket of this.#connections.values()) {
       socket.destroy();
