--- a/apps/heroncleatd/gateway/exchange/entry_notices.ts
+++ b/apps/heroncleatd/gateway/exchange/entry_notices.ts
@@ -14,6 +14,16 @@
 /** Datagrams about streams: a few for each that begins or is resumed. */
 const MAX_STREAM_DATAGRAMS_PER_SECOND = 1000;
 const MAX_STREAM_DATAGRAM_BURST = 2000;
+/**
+ * KiB a second that are parsed of hosts that aren't known as entries, at least
+ * one for each datagram. Entries that have just started aren't known yet.
+ */
+const MAX_STRANGER_KIB_PER_SECOND = 2000;
+const MAX_STRANGER_KIB_BURST = 4000;
+const BYTES_PER_KIB = 1024;
+/** Limit of lines about notices that weren't taken in. */
+const LINES_PER_SECOND = 1;
+const LINE_BURST = 5;
 
 type NoticeOptions = {
   /** host:port on which to receive datagrams from other entries. */
@@ -44,6 +54,14 @@
     MAX_STREAM_DATAGRAMS_PER_SECOND,
     MAX_STREAM_DATAGRAM_BURST,
   );
+  readonly #strangerRateLimiter = new RateLimiter(
+    MAX_STRANGER_KIB_PER_SECOND,
+    MAX_STRANGER_KIB_BURST,
+  );
+  /** `peers` as it was when `#peerHosts` was made of it. */
+  #peers: readonly string[] = [];
+  #peerHosts: ReadonlySet<string> = new Set();
+  readonly #lineLimiter = new RateLimiter(LINES_PER_SECOND, LINE_BURST);
   #isClosed = false;
 
   constructor(options: NoticeOptions) {
@@ -123,11 +141,56 @@
   }
 
   #receive(bytes: Buffer, from: string): void {
+    if (!this.#isKnown(from) && !this.#admitStranger(bytes, from)) {
+      return;
+    }
     const parsed = parseJson(bytes, checkEntryNotice);
     if (parsed.isErr) {
       this.#options.metrics.increment("entry_notices.unreadable");
       return;
     }
-    this.#options.onNotice(parsed.value, from);
+    try {
+      this.#options.onNotice(parsed.value, from);
+    } catch (error) {
+      this.#reportFailure(parsed.value, { from, error: error as Error });
+    }
+  }
+
+  #isKnown(host: string): boolean {
+    const peers = this.#options.peers();
+    if (peers !== this.#peers) {
+      this.#peers = peers;
+      this.#peerHosts = new Set(peers);
+    }
+    return this.#peerHosts.has(host);
+  }
+
+  #admitStranger(bytes: Buffer, from: string): boolean {
+    const { clock, log, metrics } = this.#options;
+    const now = clock.steady();
+    const amount = Math.max(1, bytes.length / BYTES_PER_KIB);
+    if (this.#strangerRateLimiter.tryConsume(now, { amount })) {
+      return true;
+    }
+    metrics.increment("entry_notices.strangers_over_budget");
+    if (this.#lineLimiter.tryConsume(now)) {
+      log.warn("Drops datagrams of hosts that aren't entries", { from });
+    }
+    return false;
+  }
+
+  #reportFailure(
+    { kind }: EntryNotice,
+    { from, error }: { from: string; error: Error },
+  ): void {
+    const { clock, log, metrics } = this.#options;
+    metrics.increment("entry_notices.unapplied");
+    if (this.#lineLimiter.tryConsume(clock.steady())) {
+      log.error("A notice of another entry can't be applied", {
+        kind,
+        from,
+        error: error.stack ?? error.message,
+      });
+    }
   }
 }
--- a/packages/transport/framed_socket.ts
+++ b/packages/transport/framed_socket.ts
@@ -1,6 +1,7 @@
 import type { Socket } from "node:net";
 import type { Disconnect } from "./disconnect.ts";
 import { frameCodec } from "./frame_codec.ts";
+import { FrameReader } from "./frame_reader.ts";
 
 /** Limit for one message; larger contents are sent in several. */
 const MAX_PAYLOAD_BYTES = 16 * 1024 * 1024;
@@ -9,6 +10,8 @@
  * disconnected.
  */
 const MAX_QUEUED_BYTES = 4 * 1024 * 1024;
+/** Messages that are handled before other connections get their turn. */
+const MAX_MESSAGES_PER_TURN = 64;
 
 type SocketHandlers = {
   readonly onMessage: (message: unknown) => void;
@@ -23,15 +26,32 @@
 export class FramedSocket {
   readonly #socket: Socket;
   #handlers: SocketHandlers;
-  #received: Buffer = Buffer.alloc(0);
+  readonly #reader = new FrameReader();
+  readonly #onHeld: (heldBytes: number) => void;
+  #maxPayloadBytes: number;
   #isClosed = false;
   /** Sizes of the messages that wait until the peer reads, oldest first. */
   readonly #queuedSizes: number[] = [];
   #lastReceivedAt = 0;
 
-  constructor(socket: Socket, handlers: SocketHandlers) {
+  /**
+   * @param options.maxPayloadBytes Limit for received messages until the
+   * handshake has been completed.
+   * @param options.onHeld Called with the memory of the unfinished frame, after
+   * each read and once more when the connection ends.
+   */
+  constructor(
+    socket: Socket,
+    handlers: SocketHandlers,
+    { maxPayloadBytes = MAX_PAYLOAD_BYTES, onHeld = () => {} }: {
+      maxPayloadBytes?: number;
+      onHeld?: (heldBytes: number) => void;
+    } = {},
+  ) {
     this.#socket = socket;
     this.#handlers = handlers;
+    this.#maxPayloadBytes = maxPayloadBytes;
+    this.#onHeld = onHeld;
     socket.setNoDelay(true);
     socket.on("data", (bytes: Buffer) => this.#onData(bytes));
     socket.on("error", (error) => this.#end(error.message, true));
@@ -52,8 +72,10 @@
     return this.#lastReceivedAt;
   }
 
-  setHandlers(handlers: SocketHandlers): void {
+  /** Admits messages of any size that peers send, once the secret is proved. */
+  completeHandshake(handlers: SocketHandlers): void {
     this.#handlers = handlers;
+    this.#maxPayloadBytes = MAX_PAYLOAD_BYTES;
   }
 
   /**
@@ -93,26 +115,37 @@
     this.#isClosed = true;
     const { queuedBytes } = this;
     this.#socket.destroy();
+    this.#onHeld(0);
     this.#handlers.onClose({ reason, queuedBytes, byPeer });
   }
 
   #onData(bytes: Buffer): void {
     this.#lastReceivedAt = performance.now();
-    this.#received = this.#received.length === 0
-      ? bytes
-      : Buffer.concat([this.#received, bytes]);
-    const decoded = frameCodec.decode(this.#received, MAX_PAYLOAD_BYTES);
-    if (decoded.kind === "broken") {
-      this.close(`the peer sent ${decoded.reason}`);
+    const read = this.#reader.read(bytes, this.#maxPayloadBytes);
+    if (read.kind === "broken") {
+      this.close(`the peer sent ${read.reason}`);
       return;
     }
-    this.#received = decoded.rest;
-    for (const payload of decoded.payloads) {
+    this.#onHeld(this.#reader.heldBytes);
+    this.#handle(read.payloads);
+  }
+
+  /** Handles messages, the rest of them in later turns of the event loop. */
+  #handle(payloads: readonly Buffer[]): void {
+    for (const payload of payloads.slice(0, MAX_MESSAGES_PER_TURN)) {
       if (this.#isClosed) {
         return;
       }
       this.#onPayload(payload);
     }
+    if (this.#isClosed || payloads.length <= MAX_MESSAGES_PER_TURN) {
+      return;
+    }
+    this.#socket.pause();
+    setImmediate(() => {
+      this.#socket.resume();
+      this.#handle(payloads.slice(MAX_MESSAGES_PER_TURN));
+    });
   }
 
   #onPayload(payload: Buffer): void {
--- a/packages/transport/peer_server.ts
+++ b/packages/transport/peer_server.ts
@@ -1,5 +1,5 @@
 import { createServer, type Server, type Socket } from "node:net";
-import { createToken, splitAddress } from "@heroncleat/base";
+import { createToken, RateLimiter, splitAddress } from "@heroncleat/base";
 import {
   createJSONRPCErrorResponse,
   JSONRPCErrorCode,
@@ -11,6 +11,9 @@
 import { FramedSocket } from "./framed_socket.ts";
 import { handshake } from "./handshake.ts";
 import type { MethodHandler } from "./method_handler.ts";
+import type { PeerRefusal } from "./peer_refusal.ts";
+import { RefusalCause } from "./refusal_cause.ts";
+import { UnfinishedFrames } from "./unfinished_frames.ts";
 
 /**
  * Replies that a peer may leave unread. Its further requests are dropped and
@@ -19,12 +22,35 @@
 const MAX_UNREAD_BYTES = 256 * 1024;
 /** Limit for a connecting peer to prove that it has the shared secret. */
 const HANDSHAKE_TIMEOUT_MS = 3000;
+/** Default limit of open connections. */
+const MAX_CONNECTIONS = 2000;
+/** Share of them that may be without a completed handshake. */
+const UNPROVED_SHARE = 0.5;
+/** Default limit for unfinished messages of all peers together. */
+const MAX_UNFINISHED_BYTES = 64 * 1024 * 1024;
+/** Silence after which a connection may be closed to make room. */
+const MIN_SILENCE_MS = 10_000;
+/** Limit of messages about peers that couldn't be accepted. */
+const PROBLEMS_PER_SECOND = 1;
+const PROBLEM_BURST = 5;
+const NO_ROOM = "a newer connection needed its place before its handshake";
+const NO_MEMORY = "unfinished messages of all peers took too much memory";
+const CAUSES: ReadonlyMap<string, RefusalCause> = new Map([
+  [NO_ROOM, RefusalCause.connections],
+  [NO_MEMORY, RefusalCause.unfinished],
+]);
 
 type PeerServerOptions = {
   readonly address: string;
   readonly secret: string;
-  /** Called with a message for the log when a peer is refused. */
+  /** Called with a message for the log when an operator has to act. */
   readonly onProblem: (message: string) => void;
+  /** Limit of open connections; asked for each new one. */
+  readonly maxConnections?: () => number;
+  /** Limit of the memory for unfinished messages of all peers together. */
+  readonly maxUnfinishedBytes?: number;
+  /** Called for each connection that is refused. */
+  readonly onRefusal?: (refusal: PeerRefusal) => void;
   /** Called if a connection ends after its handshake. */
   readonly onDisconnect?: (disconnect: Disconnect) => void;
 };
@@ -38,10 +64,20 @@
   readonly #options: PeerServerOptions;
   readonly #server: Server;
   readonly #methods = new JSONRPCServer({ errorListener: () => {} });
-  readonly #sockets = new Set<Socket>();
+  readonly #connections = new Map<FramedSocket, Socket>();
+  /** Those without a completed handshake, the oldest first. */
+  readonly #unproved = new Set<FramedSocket>();
+  readonly #unfinished: UnfinishedFrames;
+  readonly #problemLimiter = new RateLimiter(
+    PROBLEMS_PER_SECOND,
+    PROBLEM_BURST,
+  );
 
   constructor(options: PeerServerOptions) {
     this.#options = options;
+    this.#unfinished = new UnfinishedFrames(
+      options.maxUnfinishedBytes ?? MAX_UNFINISHED_BYTES,
+    );
     this.#server = createServer((socket) => this.#accept(socket));
     this.serve({ [CONNECTION_CHECK_METHOD]: () => true });
   }
@@ -57,34 +93,89 @@
     const { host, port } = splitAddress(this.#options.address);
     return new Promise((resolve, reject) => {
       this.#server.once("error", reject);
-      this.#server.listen(port, host, resolve);
+      this.#server.listen(port, host, () => {
+        this.#server.off("error", reject);
+        this.#server.on("error", (error) => this.#onAcceptError(error));
+        resolve();
+      });
     });
   }
 
+  #onAcceptError({ message }: Error): void {
+    if (this.#problemLimiter.tryConsume(performance.now())) {
+      this.#options.onProblem(
+        `Can't accept a connection (${message}). Remedy: allow the process ` +
+          "more descriptors.",
+      );
+    }
+  }
+
   close(): Promise<void> {
-    for (const socket of this.#sockets) {
+    for (const socket of this.#connections.values()) {
       socket.destroy();
     }
     return new Promise((resolve) => this.#server.close(() => resolve()));
   }
 
   #accept(socket: Socket): void {
-    this.#sockets.add(socket);
-    socket.once("close", () => this.#sockets.delete(socket));
     const serverNonce = createToken();
     const address = `${socket.remoteAddress}:${socket.remotePort}`;
     const timer = setTimeout(
       () => framed.close("the handshake timed out"),
       HANDSHAKE_TIMEOUT_MS,
     );
+    const giveUp = () => framed.close(NO_MEMORY);
     const framed = new FramedSocket(socket, {
       onMessage: (message) => {
         clearTimeout(timer);
         this.#finishHandshake(framed, { message, serverNonce, address });
       },
-      onClose: () => clearTimeout(timer),
+      onClose: ({ reason, byPeer }) => {
+        clearTimeout(timer);
+        this.#forget(framed);
+        if (!byPeer) {
+          const cause = CAUSES.get(reason) ?? RefusalCause.handshake;
+          this.#options.onRefusal?.({ address, cause, reason });
+        }
+      },
+    }, {
+      maxPayloadBytes: handshake.maxPayloadBytes,
+      onHeld: (heldBytes) => this.#unfinished.record(giveUp, heldBytes),
     });
+    this.#connections.set(framed, socket);
+    this.#unproved.add(framed);
     framed.send({ nonce: serverNonce });
+    this.#limitConnections();
+  }
+
+  /** Makes room for the newest connection, or closes it if there is none. */
+  #limitConnections(): void {
+    const limit = this.#options.maxConnections?.() ?? MAX_CONNECTIONS;
+    const unprovedLimit = Math.max(1, limit * UNPROVED_SHARE);
+    const { size } = this.#connections;
+    if (size > limit || this.#unproved.size > unprovedLimit) {
+      const [oldest] = this.#unproved;
+      const victim = this.#unproved.size > 1 ? oldest : this.#findSilent();
+      (victim ?? oldest)?.close(NO_ROOM);
+    }
+  }
+
+  /** Finds the connection of a peer that may be gone without having closed it. */
+  #findSilent(): FramedSocket | undefined {
+    let receivedAt = performance.now() - MIN_SILENCE_MS;
+    let silent: FramedSocket | undefined;
+    for (const framed of this.#connections.keys()) {
+      if (!this.#unproved.has(framed) && framed.lastReceivedAt < receivedAt) {
+        receivedAt = framed.lastReceivedAt;
+        silent = framed;
+      }
+    }
+    return silent;
+  }
+
+  #forget(framed: FramedSocket): void {
+    this.#connections.delete(framed);
+    this.#unproved.delete(framed);
   }
 
   #finishHandshake(
@@ -98,19 +189,30 @@
     const nonces = { clientNonce, serverNonce };
     const proof = hello["proof"];
     if (!handshake.verify(secret, { side: "client", ...nonces, proof })) {
-      this.#options.onProblem(
-        "A peer without the shared secret was refused. Remedy: give all " +
-          "processes the same shared_secret_file.",
-      );
+      if (this.#problemLimiter.tryConsume(performance.now())) {
+        this.#options.onProblem(
+          "A peer without the shared secret was refused. Remedy: give all " +
+            "processes the same shared_secret_file.",
+        );
+      }
       framed.close("the peer's proof of the shared secret is invalid");
       return;
     }
     framed.send({
       proof: handshake.prove(secret, { side: "server", ...nonces }),
     });
-    framed.setHandlers({
+    this.#unproved.delete(framed);
+    framed.completeHandshake({
       onMessage: (message) => void this.#serve(framed, message),
-      onClose: (end) => this.#options.onDisconnect?.({ ...end, address }),
+      onClose: (end) => {
+        this.#forget(framed);
+        const { reason } = end;
+        const cause = CAUSES.get(reason);
+        if (cause !== undefined) {
+          this.#options.onRefusal?.({ address, cause, reason });
+        }
+        this.#options.onDisconnect?.({ ...end, address });
+      },
     });
   }
 
@@ -132,7 +234,9 @@
   }
 
   async #serve(framed: FramedSocket, message: unknown): Promise<void> {
-    if (typeof message !== "object" || message === null) {
+    // Peers send no batches; one could hold any number of calls.
+    const isRequest = typeof message === "object" && !Array.isArray(message);
+    if (!isRequest || message === null) {
       framed.close("the peer sent a message that is not a request");
       return;
     }
