--- a/packages/local_deployment/deployment_plan.ts
+++ b/packages/local_deployment/deployment_plan.ts
@@ -11,6 +11,11 @@
   readonly services: number;
   /** Whether peers connect through relays that can partition them. */
   readonly usesRelays?: boolean;
+  /** Loopback addresses in place of the usual ones. */
+  readonly hostOf?: (
+    kind: "control" | "entry" | "upstream",
+    number: number,
+  ) => string;
   readonly workspaces?: readonly string[];
   /** Settings added to the [entry], [control] and [policy] sections. */
   readonly entrySettings?: Readonly<Record<string, string | number>>;
--- a/packages/local_deployment/plan_addresses.ts
+++ b/packages/local_deployment/plan_addresses.ts
@@ -31,6 +31,7 @@
 const ENTRY_HOST_PREFIX = "127.0.2.";
 const CONTROL_RELAY_PREFIX = "127.0.3.";
 const ENTRY_RELAY_PREFIX = "127.0.4.";
+const UPSTREAM_HOST = "127.0.0.1";
 const UPSTREAM_PORT_OFFSET = 100;
 
 /** Plans the addresses of a local deployment. @internal */
@@ -40,7 +41,8 @@
       planPeer(plan, {
         name: `control-${number}`,
         number,
-        hostPrefix: CONTROL_HOST_PREFIX,
+        host: plan.hostOf?.("control", number) ??
+          `${CONTROL_HOST_PREFIX}${number}`,
         relayPrefix: CONTROL_RELAY_PREFIX,
       })
     ),
@@ -48,7 +50,7 @@
       planPeer(plan, {
         name: `entry-${number}`,
         number,
-        hostPrefix: ENTRY_HOST_PREFIX,
+        host: plan.hostOf?.("entry", number) ?? `${ENTRY_HOST_PREFIX}${number}`,
         relayPrefix: ENTRY_RELAY_PREFIX,
       })
     ),
@@ -56,13 +58,15 @@
       ...numbersUpTo(plan.engines).map((number) => ({
         name: `engine-${number}`,
         zone: zoneOf(number),
-        address: `127.0.0.1:${plan.firstPort + UPSTREAM_PORT_OFFSET + number}`,
+        address: `${upstreamHost(plan, number)}:${
+          plan.firstPort + UPSTREAM_PORT_OFFSET + number
+        }`,
         isEngine: true,
       })),
       ...numbersUpTo(plan.services).map((number) => ({
         name: `booking-${number}`,
         zone: zoneOf(number),
-        address: `127.0.0.1:${
+        address: `${upstreamHost(plan, number)}:${
           plan.firstPort + 2 * UPSTREAM_PORT_OFFSET + number
         }`,
         isEngine: false,
@@ -76,12 +80,11 @@
   options: {
     name: string;
     number: number;
-    hostPrefix: string;
+    host: string;
     relayPrefix: string;
   },
 ): PlannedPeer {
-  const { name, number, hostPrefix, relayPrefix } = options;
-  const host = `${hostPrefix}${number}`;
+  const { name, number, host, relayPrefix } = options;
   const peerAddress = `${host}:${plan.firstPort}`;
   return {
     name,
@@ -94,6 +97,10 @@
   };
 }
 
+function upstreamHost(plan: DeploymentPlan, number: number): string {
+  return plan.hostOf?.("upstream", number) ?? UPSTREAM_HOST;
+}
+
 function numbersUpTo(max: number): number[] {
   return Array.from({ length: max }, (_, number) => number + 1);
 }
--- a/packages/soak/mod.ts
+++ b/packages/soak/mod.ts
@@ -6,6 +6,10 @@
  */
 export type { Finding } from "./finding.ts";
 export type { FaultMode } from "./fault_mode.ts";
+export { chunkedBody } from "./chunked_body.ts";
+export { HostileCrowd } from "./hostile_crowd.ts";
+export { repeatText } from "./repeat_text.ts";
+export { statedBody } from "./stated_body.ts";
 export { faultModes } from "./fault_modes.ts";
 export { runSoak } from "./run_soak.ts";
 export type { SoakReport } from "./run_soak.ts";
