Refusals at the OpenAI surface and the operators' API end their connections

A caller whose body wasn't read to its end (too large, no key, a wrong secret, no room) got its refusal on a connection that stayed open, and all that it sent on was parsed: 15 MiB in chunks, or gigabytes as announced. Such a response now says Connection: close, what still arrives is dropped without being parsed, up to 256 KiB, and the connection is closed 2 s later, so that the refusal can be read.

--- /dev/null
+++ b/apps/heroncleatd/common/close_lingering.ts
@@ -0,0 +1,34 @@
+import type { ServerResponse } from "node:http";
+import type { Milliseconds } from "@heroncleat/base";
+
+/** Time in which the caller can read the response before a reset. */
+const LINGER_TIME: Milliseconds = 2000;
+/** Bytes that are read and dropped, so that the caller can finish sending. */
+const MAX_DROPPED_BYTES = 256 * 1024;
+
+/**
+ * Makes a response the last one of its connection, though its request isn't
+ * read to its end. What still arrives is dropped without being parsed. Closing
+ * at once would reset the connection, and the caller might not get the response.
+ * Must be called before the head is written.
+ */
+export function closeLingering(response: ServerResponse): void {
+  const { socket } = response.req;
+  response.setHeader("connection", "close");
+  let droppedBytes = 0;
+  // Without the parser's listener nothing is parsed.
+  socket.removeAllListeners("data");
+  socket.on("data", (bytes: Buffer) => {
+    droppedBytes += bytes.length;
+    if (droppedBytes > MAX_DROPPED_BYTES) {
+      socket.pause();
+    }
+  });
+  socket.resume();
+  socket.destroySoon = () => {
+    socket.end();
+    const timer = setTimeout(() => socket.destroy(), LINGER_TIME);
+    timer.unref();
+    socket.once("close", () => clearTimeout(timer));
+  };
+}
--- a/apps/heroncleatd/common/send_json.ts
+++ b/apps/heroncleatd/common/send_json.ts
@@ -1,7 +1,10 @@
 import type { ServerResponse } from "node:http";
+import { closeLingering } from "./close_lingering.ts";
+import { hasUnreadBody } from "./has_unread_body.ts";
 
 /**
  * Sends a JSON response unless one has been sent or the connection is closed.
+ * The rest of a body that hasn't arrived isn't read.
  */
 export function sendJson(
   response: ServerResponse,
@@ -11,6 +14,9 @@
   if (response.headersSent || response.destroyed) {
     return;
   }
+  if (hasUnreadBody(response.req)) {
+    closeLingering(response);
+  }
   const text = JSON.stringify(value);
   response.writeHead(status, {
     "content-type": "application/json",
--- /dev/null
+++ b/apps/heroncleatd/entry/caller_bodies_test.ts
@@ -0,0 +1,110 @@
+import { once } from "node:events";
+import { type AddressInfo, connect, createServer } from "node:net";
+import { BodyMemory } from "../common/body_memory.ts";
+import { KeyRing } from "../common/key_ring.ts";
+import { CallerServer } from "./caller_server.ts";
+import type { EntryParts } from "./entry_parts.ts";
+
+const KIB = 1024;
+const MAX_BODY_BYTES = 64 * KIB;
+const HEADER_TIMEOUT_MS = 300_000;
+const KEY = "k";
+const SECRET = "secret";
+
+let server: CallerServer;
+let port: number;
+let counted: string[] = [];
+
+beforeEach(async () => {
+  counted = [];
+  port = await findFreePort();
+  server = new CallerServer(createParts({ port }));
+  await server.listen();
+});
+
+afterEach(() => {
+  server.stopListening();
+  server.close();
+});
+
+// Guards against refusals that callers don't get, or whose bodies are read on.
+test.each([
+  ["413", "a body over the limit", head("POST /v1/chat/completions", KEY)],
+  ["401", "a body without a key", head("POST /v1/chat/completions")],
+  ["403", "a body with a wrong key", head("POST /services/a/b", "wrong")],
+  ["401", "an announcement without a secret", head("POST /v1/upstreams")],
+  ["413", "a long announcement", head("POST /v1/upstreams", SECRET)],
+])("%s for %s ends its connection", async (status, _, start) => {
+  const stated = await exchange(
+    `${start}Content-Length: 1000000000\r\n\r\n${"x".repeat(KIB)}`,
+  );
+  expect(stated).toMatch(new RegExp(`^HTTP/1.1 ${status} `));
+  expect(stated).toMatch(/connection: close/i);
+  expect(stated).toContain("Remedy:");
+  const chunk = `${KIB.toString(16)}\r\n${"x".repeat(KIB)}\r\n`;
+  const chunked = await exchange(
+    `${start}Transfer-Encoding: chunked\r\n\r\n${chunk.repeat(500)}`,
+  );
+  expect(chunked).toMatch(new RegExp(`^HTTP/1.1 ${status} `));
+  expect(chunked).toMatch(/connection: close/i);
+});
+
+// Guards against a connection that is closed though its request has no body.
+test("a refused request without a body keeps its connection", async () => {
+  const request = `${head("GET /v1/models")}\r\n`;
+  const received = await exchange(
+    `${request}${request}${head("GET /v1/models", "wrong")}` +
+      "Connection: close\r\n\r\n",
+  );
+  expect(received.match(/HTTP\/1.1 40[13] /g)).toHaveLength(3);
+});
+
+/** Resolves to everything received until the connection closes. */
+async function exchange(bytes: string): Promise<string> {
+  const caller = connect(port, "127.0.9.54");
+  let received = "";
+  caller.on("data", (chunk) => received += chunk);
+  caller.on("error", () => {});
+  caller.write(bytes);
+  await once(caller, "close");
+  return received;
+}
+
+/** Lines of a head, without its end. */
+function head(line: string, key = ""): string {
+  const authorization = key === "" ? "" : `Authorization: Bearer ${key}\r\n`;
+  return `${line} HTTP/1.1\r\nHost: entry\r\n${authorization}`;
+}
+
+function createParts({ port }: { port: number }): EntryParts {
+  const log = { debug() {}, info() {}, warn() {}, error() {} };
+  return {
+    context: {
+      entry: {
+        caller_address: `127.0.9.54:${port}`,
+        header_timeout: HEADER_TIMEOUT_MS,
+        max_connections: 9,
+        max_body_bytes: MAX_BODY_BYTES,
+        max_body_chunks: 4096,
+        announcement_memory: 1024 * KIB,
+        default_deadline: 30_000,
+      },
+      sharedSecret: SECRET,
+      callers: new KeyRing({ bistro: KEY }),
+      clock: { now: () => 0, wall: () => 0, steady: () => 0 },
+      bodies: new BodyMemory({ steady: () => 0 }),
+      log: () => log,
+      metrics: { increment: (name: string) => counted.push(name) },
+    },
+    isShuttingDown: () => false,
+  } as unknown as EntryParts;
+}
+
+async function findFreePort(): Promise<number> {
+  const probe = createServer().listen(0, "127.0.9.54");
+  await once(probe, "listening");
+  const { port } = probe.address() as AddressInfo;
+  probe.close();
+  await once(probe, "close");
+  return port;
+}
