Less is read behind a refusal at the OpenAI surface

Up to 256 KiB of each refused body were read and dropped, which a hundred callers turn into garbage faster than it is collected: the entry took 204 and 231 MB of 200 beneath bodies far over the limit. It is 64 KiB now, as for other bodies that aren't needed.

--- a/apps/heroncleatd/common/close_lingering.ts
+++ b/apps/heroncleatd/common/close_lingering.ts
@@ -1,10 +1,9 @@
 import type { ServerResponse } from "node:http";
 import type { Milliseconds } from "@heroncleat/base";
+import { byteLimits } from "./byte_limits.ts";
 
 /** Time in which the caller can read the response before a reset. */
 const LINGER_TIME: Milliseconds = 2000;
-/** Bytes that are read and dropped, so that the caller can finish sending. */
-const MAX_DROPPED_BYTES = 256 * 1024;
 
 /**
  * Makes a response the last one of its connection, though its request isn't
@@ -20,7 +19,7 @@
   socket.removeAllListeners("data");
   socket.on("data", (bytes: Buffer) => {
     droppedBytes += bytes.length;
-    if (droppedBytes > MAX_DROPPED_BYTES) {
+    if (droppedBytes > byteLimits.discarded) {
       socket.pause();
     }
   });
