Bodies of callers in very small chunks are refused at the OpenAI surface

Callers' bodies were limited in bytes, not in chunks. A chunk of one byte is a Buffer of some hundred bytes and a turn of an async iterator: 100 bodies of 512 KiB took 4,490 MB, and the entry stood still. A chunked body may now have max_body_chunks (4096) chunks and one more for each 16 bytes; beyond that it is refused with 400 and a remedy. Small chunks are copied into blocks, and a body that isn't complete within header_timeout is refused with 408. Refusals are counted (bodies.refused.callers.REASON) and logged, at most 5 lines a second.

--- a/apps/heroncleatd/entry/caller_request.ts
+++ b/apps/heroncleatd/entry/caller_request.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { BodyReader } from "../common/body_reader.ts";
 
 /** A request from an authenticated caller. */
 export type CallerRequest = {
@@ -6,4 +7,5 @@
   readonly response: ServerResponse;
   readonly url: URL;
   readonly workspace: string;
+  readonly bodies: BodyReader;
 };
--- a/apps/heroncleatd/entry/caller_server.ts
+++ b/apps/heroncleatd/entry/caller_server.ts
@@ -6,6 +6,7 @@
 } from "node:http";
 import { createFault, splitAddress } from "@heroncleat/base";
 import { answerClientErrors } from "../common/answer_client_errors.ts";
+import { BodyReader } from "../common/body_reader.ts";
 import { KeyRing } from "../common/key_ring.ts";
 import { EndedBy } from "../gateway/responses/ended_by.ts";
 import { connectionEnds } from "../gateway/responses/connection_ends.ts";
@@ -35,13 +36,23 @@
   readonly #server: Server;
   readonly #unsent: UnsentResponses;
   readonly #upstreamKeys: KeyRing;
+  readonly #callerBodies: BodyReader;
   /** Logs the cuts of the responses that aren't complete. */
   readonly #cutLoggers = new Set<() => void>();
 
   constructor(parts: EntryParts) {
     this.#parts = parts;
-    const { entry, sharedSecret } = parts.context;
+    const { entry, sharedSecret, bodies, clock, log, metrics } = parts.context;
     this.#upstreamKeys = new KeyRing({ upstream: sharedSecret });
+    this.#callerBodies = new BodyReader({
+      name: "callers",
+      budget: bodies.requests,
+      timeout: entry.header_timeout,
+      maxChunks: entry.max_body_chunks,
+      clock,
+      log: log("callers"),
+      metrics,
+    });
     this.#server = createServer(
       {
         maxHeaderSize: MAX_HEADER_BYTES,
@@ -163,7 +174,8 @@
       sendFault(response, createKeyFault(key));
       return;
     }
-    await this.#route({ request, response, url, workspace });
+    const bodies = this.#callerBodies;
+    await this.#route({ request, response, url, workspace, bodies });
   }
 
   async #route(call: CallerRequest): Promise<void> {
--- a/apps/heroncleatd/entry/caller_server_test.ts
+++ b/apps/heroncleatd/entry/caller_server_test.ts
@@ -1,6 +1,7 @@
 import { once } from "node:events";
 import { type AddressInfo, connect, createServer, type Socket } from "node:net";
 import type { ForwardedAnswer } from "@heroncleat/schema";
+import { BodyMemory } from "../common/body_memory.ts";
 import { KeyRing } from "../common/key_ring.ts";
 import { CallerServer } from "./caller_server.ts";
 import type { EntryParts } from "./entry_parts.ts";
@@ -96,10 +97,12 @@
         caller_address: address,
         header_timeout: HEADER_TIMEOUT_MS,
         max_connections: 9,
+        max_body_chunks: 4096,
         default_deadline: 30_000,
       },
       sharedSecret: "secret",
       callers: new KeyRing({ bistro: "k" }),
+      bodies: new BodyMemory({ steady: () => 0 }),
       clock: { now: () => 0, wall: () => 0 },
       log: () => log,
       metrics: { increment: (name: string) => counted.push(name) },
--- a/apps/heroncleatd/entry/handle_generation.ts
+++ b/apps/heroncleatd/entry/handle_generation.ts
@@ -14,7 +14,6 @@
 } from "@heroncleat/schema";
 import { Result } from "true-myth/result";
 import { parseJson } from "../common/parse_json.ts";
-import { readLimitedBody } from "../common/read_limited_body.ts";
 import { sendFault } from "../common/send_fault.ts";
 import { admit } from "./admit.ts";
 import type { CallerRequest } from "./caller_request.ts";
@@ -187,9 +186,9 @@
         "Heroncleat-Idempotent, or send the call to a plain service.",
     ));
   }
-  const body = await readLimitedBody(call.request, entry.max_body_bytes, {
-    budget: parts.context.bodies.requests,
+  const body = await call.bodies.read(call.request, {
     response: call.response,
+    maxBytes: entry.max_body_bytes,
   });
   if (body.isErr) {
     return Result.err(body.error);
--- a/apps/heroncleatd/entry/handle_service.ts
+++ b/apps/heroncleatd/entry/handle_service.ts
@@ -10,7 +10,6 @@
 import { Result } from "true-myth/result";
 import { endWithConnection } from "../common/end_with_connection.ts";
 import { memoize } from "../common/memoize.ts";
-import { readLimitedBody } from "../common/read_limited_body.ts";
 import { requestDigest } from "../common/request_digest.ts";
 import { sendFault } from "../common/send_fault.ts";
 import { admit } from "./admit.ts";
@@ -94,11 +93,10 @@
   options: { target: ServiceTarget; deadlineAt: Milliseconds },
 ): Promise<Result<ServiceCall, Fault>> {
   const { target, deadlineAt } = options;
-  const body = await readLimitedBody(
-    call.request,
-    parts.context.entry.max_body_bytes,
-    { budget: parts.context.bodies.requests, response: call.response },
-  );
+  const body = await call.bodies.read(call.request, {
+    response: call.response,
+    maxBytes: parts.context.entry.max_body_bytes,
+  });
   if (body.isErr) {
     return Result.err(body.error);
   }
