Bodies of announcements and of operators' changes are limited together

Each was limited alone, to 64 KiB and 1 MiB, with no sum: 200 unfinished changes took 279 MB in the control process, 100 announcements in chunks of one byte 2,157 MB in the entry.

--- a/apps/heroncleatd/control/operator_server.ts
+++ b/apps/heroncleatd/control/operator_server.ts
@@ -5,6 +5,7 @@
   type ServerResponse,
 } from "node:http";
 import {
+  type Clock,
   createFault,
   createToken,
   type Fault,
@@ -14,16 +15,19 @@
   type Change,
   type ChangeResult,
   checkOperatorChange,
+  type ControlSettings,
   type OperatorChange,
 } from "@heroncleat/schema";
+import { BodyReader } from "../common/body_reader.ts";
+import { ByteBudget } from "../common/byte_budget.ts";
 import type { ControlClient } from "../common/control_client.ts";
 import type { KeyRing } from "../common/key_ring.ts";
+import type { Metrics } from "../common/metrics.ts";
 import type { Log } from "../common/log.ts";
 import { limitPipelining } from "../common/limit_pipelining.ts";
 import { paceReads } from "../common/pace_reads.ts";
 import { parseJson } from "../common/parse_json.ts";
 import { readBearer } from "../common/read_bearer.ts";
-import { readLimitedBody } from "../common/read_limited_body.ts";
 import { sendFault } from "../common/send_fault.ts";
 import { sendJson } from "../common/send_json.ts";
 import type { ConfirmedReads } from "./confirmed_reads.ts";
@@ -32,16 +36,23 @@
 import type { ReplicaAccess } from "./replica_access.ts";
 
 type OperatorServerOptions = {
-  readonly address: string;
+  readonly settings: Pick<
+    ControlSettings,
+    "operator_address" | "body_memory" | "max_body_chunks"
+  >;
   readonly operators: KeyRing;
   readonly replica: ReplicaAccess;
   readonly reads: ConfirmedReads;
   readonly client: ControlClient;
   readonly readStatus: () => Promise<unknown>;
+  readonly clock: Pick<Clock, "steady">;
   readonly log: Log;
+  readonly metrics: Pick<Metrics, "increment">;
 };
 
 const MAX_BODY_BYTES = 1024 * 1024;
+/** Size from which a body leaves a part of the memory to smaller ones. */
+const LARGE_BODY_BYTES = 64 * 1024;
 const CHANGE_TIMEOUT_MS = 5000;
 const REQUEST_TIMEOUT_MS = 10_000;
 const WATCH_TIMEOUT_MS = 25_000;
@@ -70,6 +81,7 @@
 export class OperatorServer {
   readonly #options: OperatorServerOptions;
   readonly #server: Server;
+  readonly #bodies: BodyReader;
 
   constructor(options: OperatorServerOptions) {
     this.#options = options;
@@ -90,10 +102,26 @@
     paceReads(this.#server);
     limitPipelining(this.#server);
     this.#server.requestTimeout = REQUEST_TIMEOUT_MS;
+    const { settings, clock, log, metrics } = options;
+    this.#bodies = new BodyReader({
+      name: "operators",
+      budget: new ByteBudget({
+        limit: settings.body_memory,
+        largeBytes: LARGE_BODY_BYTES,
+        clock,
+      }),
+      timeout: REQUEST_TIMEOUT_MS,
+      maxChunks: settings.max_body_chunks,
+      clock,
+      log,
+      metrics,
+    });
   }
 
   listen(): Promise<void> {
-    const { host, port } = splitAddress(this.#options.address);
+    const { host, port } = splitAddress(
+      this.#options.settings.operator_address,
+    );
     return new Promise((resolve, reject) => {
       this.#server.once("error", reject);
       this.#server.listen(port, host, resolve);
@@ -185,7 +213,10 @@
     options: { response: ServerResponse; operator: string },
   ): Promise<void> {
     const { response, operator } = options;
-    const body = await readLimitedBody(request, MAX_BODY_BYTES);
+    const body = await this.#bodies.read(request, {
+      response,
+      maxBytes: MAX_BODY_BYTES,
+    });
     if (body.isErr) {
       sendFault(response, body.error);
       return;
--- a/apps/heroncleatd/control/start_control.ts
+++ b/apps/heroncleatd/control/start_control.ts
@@ -181,13 +181,15 @@
       findUpstream: (name) => this.#findUpstream(name),
     });
     const server = new OperatorServer({
-      address: settings.operator_address,
+      settings,
       operators,
       replica,
       reads,
       client,
       readStatus: () => this.#readStatus(),
+      clock,
       log: this.#context.log("operator"),
+      metrics: this.#context.metrics,
     });
     this.#context.serve(
       controlMethods({
--- a/apps/heroncleatd/entry/caller_bodies_test.ts
+++ b/apps/heroncleatd/entry/caller_bodies_test.ts
@@ -59,6 +59,17 @@
   expect(received.match(/HTTP\/1.1 40[13] /g)).toHaveLength(3);
 });
 
+// Guards against announcements that hold more memory together than there is.
+test("unfinished announcements that hold too much are refused", async () => {
+  const chunk = `${KIB.toString(16)}\r\n${"x".repeat(KIB)}\r\n`;
+  const bytes = `${head("POST /v1/upstreams", SECRET)}` +
+    `Transfer-Encoding: chunked\r\n\r\n${chunk.repeat(60)}`;
+  const first = await Promise.race(
+    Array.from({ length: 8 }, () => exchange(bytes)),
+  );
+  expect(first).toMatch(/^HTTP\/1.1 429 /);
+});
+
 /** Resolves to everything received until the connection closes. */
 async function exchange(bytes: string): Promise<string> {
   const caller = connect(port, "127.0.9.54");
@@ -86,7 +97,7 @@
         max_connections: 9,
         max_body_bytes: MAX_BODY_BYTES,
         max_body_chunks: 4096,
-        announcement_memory: 1024 * KIB,
+        announcement_memory: 300 * KIB,
         default_deadline: 30_000,
       },
       sharedSecret: SECRET,
--- a/apps/heroncleatd/entry/caller_server.ts
+++ b/apps/heroncleatd/entry/caller_server.ts
@@ -7,6 +7,7 @@
 import { createFault, splitAddress } from "@heroncleat/base";
 import { answerClientErrors } from "../common/answer_client_errors.ts";
 import { BodyReader } from "../common/body_reader.ts";
+import { ByteBudget } from "../common/byte_budget.ts";
 import { KeyRing } from "../common/key_ring.ts";
 import { EndedBy } from "../gateway/responses/ended_by.ts";
 import { connectionEnds } from "../gateway/responses/connection_ends.ts";
@@ -30,6 +31,8 @@
 
 const RESPONSE_PATH = /^\/v1\/requests\/([^/]+)$/;
 const MAX_HEADER_BYTES = 16 * 1024;
+/** Size from which an announcement leaves a part of the memory to smaller ones. */
+const LARGE_ANNOUNCEMENT_BYTES = 16 * 1024;
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
 
 /** HTTP server for callers and for announcements of upstreams. */
@@ -39,6 +42,7 @@
   readonly #unsent: UnsentResponses;
   readonly #upstreamKeys: KeyRing;
   readonly #callerBodies: BodyReader;
+  readonly #announcementBodies: BodyReader;
   /** Logs the cuts of the responses that aren't complete. */
   readonly #cutLoggers = new Set<() => void>();
 
@@ -46,14 +50,26 @@
     this.#parts = parts;
     const { entry, sharedSecret, bodies, clock, log, metrics } = parts.context;
     this.#upstreamKeys = new KeyRing({ upstream: sharedSecret });
-    this.#callerBodies = new BodyReader({
-      name: "callers",
-      budget: bodies.requests,
+    const readerOptions = {
       timeout: entry.header_timeout,
       maxChunks: entry.max_body_chunks,
       clock,
       log: log("callers"),
       metrics,
+    };
+    this.#callerBodies = new BodyReader({
+      ...readerOptions,
+      name: "callers",
+      budget: bodies.requests,
+    });
+    this.#announcementBodies = new BodyReader({
+      ...readerOptions,
+      name: "announcements",
+      budget: new ByteBudget({
+        limit: entry.announcement_memory,
+        largeBytes: LARGE_ANNOUNCEMENT_BYTES,
+        clock,
+      }),
     });
     this.#server = createServer(
       {
@@ -160,6 +176,7 @@
       await handleAnnouncement(this.#parts, request, {
         response,
         upstreamKeys: this.#upstreamKeys,
+        bodies: this.#announcementBodies,
         path,
       });
       return;
--- a/apps/heroncleatd/entry/caller_server_test.ts
+++ b/apps/heroncleatd/entry/caller_server_test.ts
@@ -98,6 +98,7 @@
         header_timeout: HEADER_TIMEOUT_MS,
         max_connections: 9,
         max_body_chunks: 4096,
+        announcement_memory: 1024,
         default_deadline: 30_000,
       },
       sharedSecret: "secret",
--- a/apps/heroncleatd/entry/handle_announcement.ts
+++ b/apps/heroncleatd/entry/handle_announcement.ts
@@ -1,10 +1,10 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { createFault } from "@heroncleat/base";
 import { checkAnnouncement, checkCacheEvent } from "@heroncleat/schema";
+import type { BodyReader } from "../common/body_reader.ts";
 import type { KeyRing } from "../common/key_ring.ts";
 import { parseJson } from "../common/parse_json.ts";
 import { readBearer } from "../common/read_bearer.ts";
-import { readLimitedBody } from "../common/read_limited_body.ts";
 import { sendFault } from "../common/send_fault.ts";
 import { sendJson } from "../common/send_json.ts";
 import type { EntryParts } from "./entry_parts.ts";
@@ -16,9 +16,14 @@
 export async function handleAnnouncement(
   parts: EntryParts,
   request: IncomingMessage,
-  options: { response: ServerResponse; upstreamKeys: KeyRing; path: string },
+  options: {
+    response: ServerResponse;
+    upstreamKeys: KeyRing;
+    bodies: BodyReader;
+    path: string;
+  },
 ): Promise<void> {
-  const { response, upstreamKeys, path } = options;
+  const { response, upstreamKeys, bodies, path } = options;
   if (upstreamKeys.holderOf(readBearer(request)) === undefined) {
     sendFault(
       response,
@@ -30,7 +35,10 @@
     );
     return;
   }
-  const body = await readLimitedBody(request, MAX_BODY_BYTES);
+  const body = await bodies.read(request, {
+    response,
+    maxBytes: MAX_BODY_BYTES,
+  });
   if (body.isErr) {
     sendFault(response, body.error);
     return;
