At max_connections the longest idle connection makes room for a new one

Idle connections up to max_connections kept every new caller out: the server closed the new ones. The operators' API had no limit: 1,200 idle connections took 1,227 descriptors of 700. At the limit the connection that has been idle for longest is now closed; if none is idle, the oldest unfinished body is refused with 429.

--- a/apps/heroncleatd/control/operator_server.ts
+++ b/apps/heroncleatd/control/operator_server.ts
@@ -25,6 +25,7 @@
 import type { Metrics } from "../common/metrics.ts";
 import type { Log } from "../common/log.ts";
 import { limitPipelining } from "../common/limit_pipelining.ts";
+import { limitConnections } from "../common/limit_connections.ts";
 import { paceReads } from "../common/pace_reads.ts";
 import { parseJson } from "../common/parse_json.ts";
 import { readBearer } from "../common/read_bearer.ts";
@@ -38,7 +39,10 @@
 type OperatorServerOptions = {
   readonly settings: Pick<
     ControlSettings,
-    "operator_address" | "body_memory" | "max_body_chunks"
+    | "operator_address"
+    | "body_memory"
+    | "max_body_chunks"
+    | "max_connections"
   >;
   readonly operators: KeyRing;
   readonly replica: ReplicaAccess;
@@ -116,6 +120,12 @@
       log,
       metrics,
     });
+    limitConnections(this.#server, {
+      limit: () => settings.max_connections,
+      giveUpBody: () => this.#bodies.giveUpOldest(),
+      metrics,
+      name: "operators",
+    });
   }
 
   listen(): Promise<void> {
--- a/apps/heroncleatd/entry/caller_bodies_test.ts
+++ b/apps/heroncleatd/entry/caller_bodies_test.ts
@@ -8,6 +8,9 @@
 const KIB = 1024;
 const MAX_BODY_BYTES = 64 * KIB;
 const HEADER_TIMEOUT_MS = 300_000;
+const MAX_CONNECTIONS = 9;
+const SETTLE_TIME_MS = 100;
+const HOST = "127.0.9.54";
 const KEY = "k";
 const SECRET = "secret";
 
@@ -70,9 +73,45 @@
   expect(first).toMatch(/^HTTP\/1.1 429 /);
 });
 
+// Guards against idle connections that keep ordinary callers out.
+test("a new connection at the limit closes the longest idle one", async () => {
+  const idle = Array.from(
+    { length: MAX_CONNECTIONS },
+    () => connect(port, HOST).on("error", () => {}),
+  );
+  await Promise.all(idle.map((socket) => once(socket, "connect")));
+  const isClosed = once(idle[0]!, "close");
+  const received = await exchange(
+    `${head("GET /v1/models")}Connection: close\r\n\r\n`,
+  );
+  expect(received).toMatch(/^HTTP\/1.1 401 /);
+  await isClosed;
+  expect(counted).toContain("connections.closed_idle.callers");
+  for (const socket of idle) {
+    socket.destroy();
+  }
+});
+
+// Guards against unfinished bodies that keep ordinary callers out.
+test("a new connection at the limit gives up the oldest body", async () => {
+  const unfinished = `${head("POST /v1/chat/completions", KEY)}` +
+    "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n";
+  const replies = Array.from(
+    { length: MAX_CONNECTIONS },
+    () => exchange(unfinished),
+  );
+  await new Promise((resolve) => setTimeout(resolve, SETTLE_TIME_MS));
+  const received = await exchange(
+    `${head("GET /v1/models")}Connection: close\r\n\r\n`,
+  );
+  expect(received).toMatch(/^HTTP\/1.1 401 /);
+  expect(await replies[0]).toMatch(/^HTTP\/1.1 429 /);
+  expect(counted).toContain("connections.closed_body.callers");
+});
+
 /** Resolves to everything received until the connection closes. */
 async function exchange(bytes: string): Promise<string> {
-  const caller = connect(port, "127.0.9.54");
+  const caller = connect(port, HOST);
   let received = "";
   caller.on("data", (chunk) => received += chunk);
   caller.on("error", () => {});
@@ -92,9 +131,9 @@
   return {
     context: {
       entry: {
-        caller_address: `127.0.9.54:${port}`,
+        caller_address: `${HOST}:${port}`,
         header_timeout: HEADER_TIMEOUT_MS,
-        max_connections: 9,
+        max_connections: MAX_CONNECTIONS,
         max_body_bytes: MAX_BODY_BYTES,
         max_body_chunks: 4096,
         announcement_memory: 300 * KIB,
@@ -112,7 +151,7 @@
 }
 
 async function findFreePort(): Promise<number> {
-  const probe = createServer().listen(0, "127.0.9.54");
+  const probe = createServer().listen(0, HOST);
   await once(probe, "listening");
   const { port } = probe.address() as AddressInfo;
   probe.close();
--- a/apps/heroncleatd/entry/caller_server.ts
+++ b/apps/heroncleatd/entry/caller_server.ts
@@ -13,6 +13,7 @@
 import { connectionEnds } from "../gateway/responses/connection_ends.ts";
 import { describeConnectionEnd } from "../gateway/responses/describe_connection_end.ts";
 import { limitPipelining } from "../common/limit_pipelining.ts";
+import { limitConnections } from "../common/limit_connections.ts";
 import { paceReads } from "../common/pace_reads.ts";
 import { readBearer } from "../common/read_bearer.ts";
 import { sendFault } from "../common/send_fault.ts";
@@ -89,7 +90,14 @@
     paceReads(this.#server);
     limitPipelining(this.#server);
     this.#unsent = new UnsentResponses(this.#server);
-    this.#server.maxConnections = entry.max_connections;
+    limitConnections(this.#server, {
+      limit: () => entry.max_connections,
+      giveUpBody: () =>
+        this.#callerBodies.giveUpOldest() ||
+        this.#announcementBodies.giveUpOldest(),
+      metrics,
+      name: "callers",
+    });
     answerClientErrors(
       this.#server,
       (socket, error) => {
