--- a/apps/heroncleatd/entry/caller_server.ts
+++ b/apps/heroncleatd/entry/caller_server.ts
@@ -6,10 +6,15 @@
 } from "node:http";
 import { createFault, splitAddress } from "@heroncleat/base";
 import { answerClientErrors } from "../common/answer_client_errors.ts";
+import { BodyReader } from "../common/body_reader.ts";
+import { ByteBudget } from "../common/byte_budget.ts";
 import { KeyRing } from "../common/key_ring.ts";
 import { EndedBy } from "../gateway/responses/ended_by.ts";
 import { connectionEnds } from "../gateway/responses/connection_ends.ts";
 import { describeConnectionEnd } from "../gateway/responses/describe_connection_end.ts";
+import { limitPipelining } from "../common/limit_pipelining.ts";
+import { limitConnections } from "../common/limit_connections.ts";
+import { paceReads } from "../common/pace_reads.ts";
 import { readBearer } from "../common/read_bearer.ts";
 import { sendFault } from "../common/send_fault.ts";
 import { sendJson } from "../common/send_json.ts";
@@ -27,6 +32,8 @@
 
 const RESPONSE_PATH = /^\/v1\/requests\/([^/]+)$/;
 const MAX_HEADER_BYTES = 16 * 1024;
+/** Size from which an announcement leaves a part of the memory to smaller ones. */
+const LARGE_ANNOUNCEMENT_BYTES = 16 * 1024;
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
 
 /** HTTP server for callers and for announcements of upstreams. */
@@ -35,13 +42,36 @@
   readonly #server: Server;
   readonly #unsent: UnsentResponses;
   readonly #upstreamKeys: KeyRing;
+  readonly #callerBodies: BodyReader;
+  readonly #announcementBodies: BodyReader;
   /** Logs the cuts of the responses that aren't complete. */
   readonly #cutLoggers = new Set<() => void>();
 
   constructor(parts: EntryParts) {
     this.#parts = parts;
-    const { entry, sharedSecret } = parts.context;
+    const { entry, sharedSecret, bodies, clock, log, metrics } = parts.context;
     this.#upstreamKeys = new KeyRing({ upstream: sharedSecret });
+    const readerOptions = {
+      timeout: entry.header_timeout,
+      maxChunks: entry.max_body_chunks,
+      clock,
+      log: log("callers"),
+      metrics,
+    };
+    this.#callerBodies = new BodyReader({
+      ...readerOptions,
+      name: "callers",
+      budget: bodies.requests,
+    });
+    this.#announcementBodies = new BodyReader({
+      ...readerOptions,
+      name: "announcements",
+      budget: new ByteBudget({
+        limit: entry.announcement_memory,
+        largeBytes: LARGE_ANNOUNCEMENT_BYTES,
+        clock,
+      }),
+    });
     this.#server = createServer(
       {
         maxHeaderSize: MAX_HEADER_BYTES,
@@ -57,8 +87,17 @@
         );
       },
     );
+    paceReads(this.#server);
+    limitPipelining(this.#server);
     this.#unsent = new UnsentResponses(this.#server);
-    this.#server.maxConnections = entry.max_connections;
+    limitConnections(this.#server, {
+      limit: () => entry.max_connections,
+      giveUpBody: () =>
+        this.#callerBodies.giveUpOldest() ||
+        this.#announcementBodies.giveUpOldest(),
+      metrics,
+      name: "callers",
+    });
     answerClientErrors(
       this.#server,
       (socket, error) => {
@@ -145,6 +184,7 @@
       await handleAnnouncement(this.#parts, request, {
         response,
         upstreamKeys: this.#upstreamKeys,
+        bodies: this.#announcementBodies,
         path,
       });
       return;
@@ -163,7 +203,8 @@
       sendFault(response, createKeyFault(key));
       return;
     }
-    await this.#route({ request, response, url, workspace });
+    const bodies = this.#callerBodies;
+    await this.#route({ request, response, url, workspace, bodies });
   }
 
   async #route(call: CallerRequest): Promise<void> {
