Usage of a process or workspace named like a field of every object is counted

The windows of its usage became fields of all objects, and a metric that found such a label threw from a timer. A workspace named `constructor` or `toString` had text as its usage, one named `__proto__` none. Counts are held in maps now. usage_totals_test: its three new cases failed before, pass now; a control process that got the report ended with 1 before.

--- a/packages/serving/usage_totals.ts
+++ b/packages/serving/usage_totals.ts
@@ -16,14 +16,16 @@
  * @internal
  */
 export class UsageTotals {
-  readonly #processes = new Map<string, Map<number, Record<string, number>>>();
+  // Maps, as names such as `__proto__` aren't plain fields of an object.
+  readonly #processes = new Map<string, Map<number, Map<string, number>>>();
 
   merge(usage: ProcessUsage): void {
     for (const [boot, reported] of Object.entries(usage)) {
       const windows = this.#processes.get(boot) ??
-        new Map<number, Record<string, number>>();
+        new Map<number, Map<string, number>>();
       for (const [window, counts] of Object.entries(reported)) {
-        const known = windows.get(Number(window)) ?? {};
+        const known = windows.get(Number(window)) ??
+          new Map<string, number>();
         mergeMaximums(known, counts);
         windows.set(Number(window), known);
       }
@@ -33,27 +35,28 @@
 
   /** Counts of all processes in one window, by workspace. */
   sum(window: number): WorkspaceCounts {
-    const totals: Record<string, number> = {};
+    const totals = new Map<string, number>();
     for (const windows of this.#processes.values()) {
-      for (const [name, count] of Object.entries(windows.get(window) ?? {})) {
-        totals[name] = (totals[name] ?? 0) + count;
+      for (const [name, count] of windows.get(window) ?? []) {
+        totals.set(name, (totals.get(name) ?? 0) + count);
       }
     }
-    return totals;
+    return Object.fromEntries(totals);
   }
 
   /** Counts of the newest windows, to be stored or forwarded. */
   recent(): ProcessUsage {
     const newest = this.#newest;
-    const usage: Record<string, Record<string, WorkspaceCounts>> = {};
+    const usage: [string, Record<string, WorkspaceCounts>][] = [];
     for (const [boot, windows] of this.#processes) {
-      for (const [window, counts] of windows) {
-        if (window > newest - RECENT_WINDOWS) {
-          (usage[boot] ??= {})[window] = counts;
-        }
+      const counts = [...windows]
+        .filter(([window]) => window > newest - RECENT_WINDOWS)
+        .map(([window, counts]) => [window, Object.fromEntries(counts)]);
+      if (counts.length > 0) {
+        usage.push([boot, Object.fromEntries(counts)]);
       }
     }
-    return usage;
+    return Object.fromEntries(usage);
   }
 
   /** Removes windows too old to be settled. */
@@ -86,10 +89,10 @@
 
 /** Raises the known counts to the received ones. */
 function mergeMaximums(
-  known: Record<string, number>,
+  known: Map<string, number>,
   counts: WorkspaceCounts,
 ): void {
   for (const [name, count] of Object.entries(counts)) {
-    known[name] = Math.max(known[name] ?? 0, count);
+    known.set(name, Math.max(known.get(name) ?? 0, count));
   }
 }
--- a/packages/serving/usage_totals_test.ts
+++ b/packages/serving/usage_totals_test.ts
@@ -26,6 +26,23 @@
     expect(other.sum(3)).toEqual({});
   });
 
+  // Guards against a change of all objects, and against counts that are no numbers.
+  test.each(["__proto__", "constructor", "toString"])(
+    "is counted for a process and a workspace named %s",
+    (name) => {
+      const totals = new UsageTotals();
+      const usage = JSON.parse(`{"${name}":{"7":{"${name}":2}}}`);
+      totals.merge(usage);
+      totals.merge({ other: usage[name] });
+      const expected = Object.fromEntries([[name, 4]]);
+      expect(JSON.stringify(totals.sum(7))).toBe(JSON.stringify(expected));
+      expect(JSON.stringify(totals.recent())).toBe(
+        `{"${name}":{"7":{"${name}":2}},"other":{"7":{"${name}":2}}}`,
+      );
+      expect("7" in {}).toBe(false);
+    },
+  );
+
   test("is dropped once it is settled or too old", () => {
     const totals = new UsageTotals();
     totals.merge({ a: { 3: { inn: 1 }, 7: { inn: 2 } } });
