A control replica checks the reports of entries before it passes them on

After one report whose name or list of services was no text, each exchange of every other entry failed in `applyReply`, so that they got neither documents nor upstreams any more; amounts that are text spoiled the sums of all quotas. Reports are checked against a schema, which leaves room for other releases, and refused with a line and a counter.

--- a/apps/heroncleatd/hub/start_hub.ts
+++ b/apps/heroncleatd/hub/start_hub.ts
@@ -21,6 +21,7 @@
 import { DocumentCache } from "./document_cache.ts";
 import type { LeaderTaskCalls } from "./leader_task_calls.ts";
 import { LeaderTaskRunner } from "./leader_task_runner.ts";
+import { EntryReportReader } from "./entry_report_reader.ts";
 import { FeedReader } from "./feed_reader.ts";
 import type { HubSettings } from "./hub_settings.ts";
 import { hubCalls } from "./hub_calls.ts";
@@ -79,6 +80,7 @@
   await originStore.read();
   let group: ReplicaGroup | undefined;
   const exchangeLog = options.log("exchange");
+  const reports = new EntryReportReader({ ...options, log: exchangeLog });
   const sync = (request: SyncRequest): SyncReply => {
     const isLeading = group?.leadership !== undefined;
     const reply = hub.sync(request, {
@@ -114,7 +116,7 @@
   });
   await updates.restore();
   options.serve({
-    "hub.sync": (parameters) => sync(parameters as SyncRequest),
+    "hub.sync": (parameters) => sync(reports.read(parameters)),
     "hub.permits": (parameters) =>
       hub.issuePermits(parameters as PermitRequest, clock.steady()),
     "hub.feed": (parameters) =>
--- a/packages/schema/generate.mjs
+++ b/packages/schema/generate.mjs
@@ -39,6 +39,7 @@
   "OrderCommand",
   "ExpireCommand",
   "EntryNotice",
+  "EntryReport",
   "StreamOriginBatch",
   "ConfigurationState",
   "LedgerState",
