--- a/apps/heroncleatd/gateway/forward_headers.ts
+++ b/apps/heroncleatd/gateway/forward_headers.ts
@@ -1,4 +1,4 @@
-import { headerValue } from "../common/header_value.ts";
+import { headerValue } from "@heroncleat/base";
 import type { CallerRequest } from "./caller_request.ts";
 import type { HeaderNames } from "./header_names.ts";
 import { priorityOf } from "./priority_of.ts";
--- a/apps/heroncleatd/gateway/streams/forward_stream.ts
+++ b/apps/heroncleatd/gateway/streams/forward_stream.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { Milliseconds } from "@heroncleat/base";
+import { headerValue, type Milliseconds } from "@heroncleat/base";
 import { attemptRequest } from "../attempts/attempt_request.ts";
 import { AttemptOutcome } from "../attempts/attempt_outcome.ts";
 import type { AttemptResult } from "../attempts/attempt_result.ts";
@@ -17,7 +17,6 @@
 import { findRestDelay } from "../limits/find_rest_delay.ts";
 import { forwardHeaders } from "../forward_headers.ts";
 import type { ForwardResult } from "../forward_result.ts";
-import { headerValue } from "../../common/header_value.ts";
 import type { LocalResponse } from "../responses/local_response.ts";
 import { confirmVersion } from "./confirm_version.ts";
 import { relayBody } from "../responses/relay_body.ts";
--- a/apps/heroncleatd/common/header_value.ts
+++ b/packages/base/header_value.ts
@@ -1,7 +1,7 @@
 // deno-lint-ignore no-control-regex
 const CONTROL_CHARACTER = /[\x00-\x08\x0a-\x1f\x7f]/;
 
-/** Text from outside as the value of a header. */
+/** Text from outside as the value of a header. @public */
 export const headerValue = {
   /** Whether a header can have the text. */
   allows(text: string): boolean {
--- a/packages/base/mod.ts
+++ b/packages/base/mod.ts
@@ -14,6 +14,7 @@
 export { createToken } from "./create_token.ts";
 export { FaultKind } from "./fault_kind.ts";
 export { formatRequestId } from "./format_request_id.ts";
+export { headerValue } from "./header_value.ts";
 export { isConnectableAddress } from "./is_connectable_address.ts";
 export { parseRequestId } from "./parse_request_id.ts";
 export { RateLimiter } from "./rate_limiter.ts";
--- a/packages/serving/find_document_errors.ts
+++ b/packages/serving/find_document_errors.ts
@@ -1,7 +1,11 @@
+import { headerValue } from "@heroncleat/base";
 import type { DocumentFinding } from "./document_finding.ts";
 import type { Route } from "./route.ts";
 import type { ServingDocument } from "./serving_document.ts";
 
+/** Limits names in messages. */
+const MAX_NAMED_CHARACTERS = 100;
+
 /**
  * Finds all problems for which a configuration document is rejected.
  *
@@ -14,6 +18,7 @@
     ...findVersionErrors(document),
     ...findRouteListErrors(document),
     ...findServiceErrors(document),
+    ...findWorkspaceNameErrors(document),
     ...findKeyErrors(document),
   ];
 }
@@ -117,6 +122,24 @@
   return errors;
 }
 
+/** Upstreams get the name of a request's workspace in a header. */
+function findWorkspaceNameErrors(document: ServingDocument): DocumentFinding[] {
+  const errors: DocumentFinding[] = [];
+  for (const [index, { name }] of (document.workspaces ?? []).entries()) {
+    if (!headerValue.allows(name)) {
+      errors.push(createError(
+        `workspaces[${index}].name`,
+        `The name of workspace ${
+          JSON.stringify(name.slice(0, MAX_NAMED_CHARACTERS))
+        } has control ` +
+          "characters, so that no request of it could be sent. Remedy: " +
+          "remove them.",
+      ));
+    }
+  }
+  return errors;
+}
+
 function findKeyErrors(document: ServingDocument): DocumentFinding[] {
   const errors: DocumentFinding[] = [];
   const owners = new Map<string, string>();
--- a/packages/serving/find_document_errors_test.ts
+++ b/packages/serving/find_document_errors_test.ts
@@ -58,3 +58,24 @@
   expect(errors.every((error) => error.message.includes("Remedy"))).toBe(true);
   expect(findDocumentProblem(invalid)).toBe(errors[0]?.message);
 });
+
+// Guards against a workspace of which no request can be sent to an upstream.
+test.each(["a\r\nX-Added: 1", "a\0b", "\x7f"])(
+  "a workspace name with control characters is an error: %j",
+  (name) => {
+    const workspace = {
+      name,
+      keys: ["k"],
+      priority: undefined,
+      rate: 0,
+      burst: 0,
+      defaultCharge: 1,
+      countsTokens: false,
+    };
+    const sound = { ...workspace, name: "Ærlig gjest", keys: ["other"] };
+    const workspaces = [sound, workspace];
+    const errors = findDocumentErrors({ ...document, workspaces });
+    expect(errors.map(({ path }) => path)).toEqual(["workspaces[1].name"]);
+    expect(errors[0]!.message).toContain("Remedy");
+  },
+);
