A prompt of false length doesn't keep an upstream without requests for years

Requests of a streaming route that had this upstream alone got 503 ever since. Prefill counts for no longer than the request has left, in the entry's own sums, in notices and in what is learned from it.

--- a/apps/heroncleatd/gateway/upstreams/start_tracking.ts
+++ b/apps/heroncleatd/gateway/upstreams/start_tracking.ts
@@ -1,5 +1,9 @@
 import type { Milliseconds } from "@heroncleat/base";
-import { type ChosenUpstream, RouteKind } from "@heroncleat/serving";
+import {
+  type ChosenUpstream,
+  limitPrefill,
+  RouteKind,
+} from "@heroncleat/serving";
 import { ResponseFraming } from "../../common/response_framing.ts";
 import type { SuspectWatcher } from "../../common/suspect_watcher.ts";
 import { AttemptOutcome } from "../attempts/attempt_outcome.ts";
@@ -31,9 +35,12 @@
   recordFirstByte: () => void;
   finish: (outcome: AttemptOutcome) => void;
 } {
-  const { chosen, trace } = options;
+  const { trace } = options;
   const { choice, directory, clock, log, metrics, crashes } = options.context;
   const { reachability } = options.context;
+  const chosen = limitPrefill(options.chosen, {
+    timeLeft: call.deadline - clock.steady(),
+  });
   const notice = choice.begin(chosen, {
     parts: call.prompt?.parts ?? [],
     now: clock.steady(),
--- /dev/null
+++ b/packages/serving/limit_prefill_test.ts
@@ -0,0 +1,49 @@
+import { limitPrefill, UpstreamBalancer, UpstreamDirectory } from "./mod.ts";
+import { testRecord } from "./test_record.ts";
+
+const TIME_LEFT = 1500;
+const TOKENS = 1_000_000_000;
+
+// Guards against an upstream that gets no requests for years.
+test("a prompt of false length counts as work until its request is given up", () => {
+  const directory = new UpstreamDirectory();
+  directory.merge(testRecord({ id: "u0", name: "u0" }), 0);
+  const balancer = new UpstreamBalancer();
+  const choose = (promptTokens: number, now: number) =>
+    balancer.choose(directory.list(), {
+      request: {
+        service: "writers",
+        zone: "a",
+        parts: [],
+        promptTokens,
+        excluded: new Set<string>(),
+      },
+      now,
+      requiresHeartbeats: false,
+    })!;
+  const chosen = limitPrefill(choose(TOKENS, 0), { timeLeft: TIME_LEFT });
+  const notice = balancer.begin(chosen, { parts: [], now: 0 });
+  balancer.end(chosen, { took: 10, firstTokenAfter: 5 });
+  expect(notice.readTime).toBe(TIME_LEFT);
+  expect(choose(10, 0).waiting).toBe(TIME_LEFT);
+  expect(choose(10, TIME_LEFT).waiting).toBe(0);
+  const work = balancer.prefillWork()["writers"]!;
+  expect(work).toBeLessThanOrEqual(TIME_LEFT);
+});
+
+test("a prompt that is prefilled in time isn't limited", () => {
+  const directory = new UpstreamDirectory();
+  directory.merge(testRecord({ id: "u0", name: "u0" }), 0);
+  const chosen = new UpstreamBalancer().choose(directory.list(), {
+    request: {
+      service: "writers",
+      zone: "a",
+      parts: [],
+      promptTokens: 1000,
+      excluded: new Set<string>(),
+    },
+    now: 0,
+    requiresHeartbeats: false,
+  })!;
+  expect(limitPrefill(chosen, { timeLeft: TIME_LEFT })).toBe(chosen);
+});
