A record that can't be used costs its upstream the requests and nothing else

Found by the review of: the record of an upstream whose address can't be connected to was stored as gone, which is final, so that it got no requests after it had corrected the address; and a record without an address, or null, threw away the rest of the reply, documents and entries included. Such records are skipped now, and earlier starts of that upstream removed. unusable_record_test: four new cases.

--- a/apps/heroncleatd/gateway/exchange/entry_exchange.ts
+++ b/apps/heroncleatd/gateway/exchange/entry_exchange.ts
@@ -200,6 +200,10 @@
     }
     this.#applyVersions(reply, from);
     for (const record of reply.upstreams) {
+      if (!this.#isUsable(record, from)) {
+        this.#removeEarlierStarts(record, { now, reporter: from });
+        continue;
+      }
       const age = ages[record.id] ?? 0;
       const drainAge = drainAgeOf(record, { ...reply, transit });
       this.#applyUpstream(record, now, { reporter: from, age, drainAge });
@@ -236,12 +240,11 @@
    * logged, to be compared with the log lines of the replicas.
    */
   #applyUpstream(
-    stated: UpstreamRecord,
+    record: UpstreamRecord,
     now: Milliseconds,
     source: UpdateSource,
   ): void {
     const { directory, log } = this.#options;
-    const record = this.#withoutUnusableAddress(stated, source);
     const outcome = directory.merge(record, now, source);
     const known = directory.get(record.id);
     if (known !== undefined) {
@@ -256,24 +259,40 @@
   }
 
   /**
-   * Replicas of other releases may accept addresses that can't be connected to.
-   * Such an upstream counts as gone, so that it gets no requests.
+   * Whether an upstream can be connected to, or is gone. Replicas of other
+   * releases may accept addresses for which that isn't so. Such a record costs
+   * its upstream the requests, and the rest of the reply nothing.
    */
-  #withoutUnusableAddress(
-    record: UpstreamRecord,
-    { reporter }: UpdateSource,
-  ): UpstreamRecord {
-    if (record.state === "gone" || isConnectableAddress(record.address)) {
-      return record;
-    }
+  #isUsable(record: UpstreamRecord | null, reporter: string): boolean {
     const { log, metrics } = this.#options;
+    const address = String(record?.address);
+    if (record?.state === "gone" || isConnectableAddress(address)) {
+      return true;
+    }
+    const id = String(record?.id);
     metrics.increment("upstream_records.unusable_address");
     log.warn("An upstream has an address that can't be connected to", {
-      upstream: record.id.slice(0, MAX_LOGGED_CHARACTERS),
-      address: record.address.slice(0, MAX_LOGGED_CHARACTERS),
+      upstream: id.slice(0, MAX_LOGGED_CHARACTERS),
+      address: address.slice(0, MAX_LOGGED_CHARACTERS),
       by: reporter,
     });
-    return { ...record, state: "gone" };
+    return false;
+  }
+
+  /** Removes instances that a later start of the same upstream has replaced. */
+  #removeEarlierStarts(
+    later: UpstreamRecord | null,
+    { now, reporter }: { now: Milliseconds; reporter: string },
+  ): void {
+    const { directory } = this.#options;
+    for (const { record } of [...directory.list()]) {
+      if (
+        record.name === later?.name && record.id !== later.id &&
+        (record.born ?? 0) < (later.born ?? 0)
+      ) {
+        directory.remove(record.id, now, { reporter, age: 0 });
+      }
+    }
   }
 
   /** Only the leading replica knows all entries that hold a share. */
--- a/apps/heroncleatd/gateway/exchange/unusable_record_test.ts
+++ b/apps/heroncleatd/gateway/exchange/unusable_record_test.ts
@@ -1,5 +1,6 @@
 import { once } from "node:events";
 import { type IncomingMessage, request } from "node:http";
+import type { SyncReply, UpstreamRecord } from "@heroncleat/serving";
 import type { RunningGateway } from "../running_gateway.ts";
 import { testGateway } from "../test_gateway.ts";
 import { TestUpstream } from "../test_upstream.ts";
@@ -8,6 +9,7 @@
 const CONTROL = `${HOST}:25440`;
 const ADDRESS = `${HOST}:25441`;
 const REQUESTS = 20;
+const SYNC_TIME_MS = 800;
 const document = testGateway.createDocument([
   testGateway.createRoute({ host: HOST }),
 ]);
@@ -15,6 +17,11 @@
 let upstream: TestUpstream;
 let gateway: RunningGateway;
 let counted: Record<string, number>;
+/** What the control replica replies. */
+let reply: Omit<SyncReply, "upstreams" | "revision"> & {
+  upstreams: UpstreamRecord[];
+  revision: number;
+};
 
 beforeEach(async () => {
   counted = {};
@@ -55,6 +62,31 @@
   expect(upstream.received).toEqual([]);
 });
 
+// Guards against an upstream that gets nothing after it has corrected its address.
+test("a corrected address is used", async () => {
+  await start(["127.0.0.1:70000"]);
+  expect(await send("t0")).toBe(503);
+  reply.upstreams[0] = testGateway.createRecord({
+    id: "u0@2",
+    name: "u0",
+    born: 2,
+    address: upstream.address,
+    sequence: 2,
+  });
+  reply.revision = 2;
+  await new Promise((resolve) => setTimeout(resolve, SYNC_TIME_MS));
+  expect(await send("t1")).toBe(200);
+});
+
+// Guards against a record that costs the rest of a reply.
+test.each([null, {}, { id: "u9", state: "ready" }])(
+  "the record %j costs no other upstream its requests",
+  async (record) => {
+    await start([upstream.address], [record as never]);
+    expect(await send("t0")).toBe(200);
+  },
+);
+
 async function start(
   addresses: readonly string[],
   earlier: readonly ReturnType<typeof testGateway.createRecord>[] = [],
@@ -67,17 +99,21 @@
       address,
     })
   );
+  reply = {
+    ...testGateway.createReply({
+      address: ADDRESS,
+      control: CONTROL,
+      upstreams: [],
+      document,
+    }),
+    upstreams: [...earlier, ...records],
+  };
   gateway = await testGateway.start({
     address: ADDRESS,
     noticeAddress: `${HOST}:25442`,
     control: CONTROL,
     gracePeriod: 500,
-    pool: testGateway.createPool(testGateway.createReply({
-      address: ADDRESS,
-      control: CONTROL,
-      upstreams: [...earlier, ...records],
-      document,
-    })),
+    pool: testGateway.createPool(reply as SyncReply),
     metrics: {
       increment: (name) => counted[name] = (counted[name] ?? 0) + 1,
       gauge() {},
