Nothing runs behind a response that ended its connection

Found by the review: of requests that a caller pipelines, one behind a response with Connection: close was sent on, though nobody could get its response; a request that failed behind its complete response had its connection reset; and a Keep-Alive timeout of 00 meant none.

--- a/apps/heroncleatd/common/serve_in_turn.ts
+++ b/apps/heroncleatd/common/serve_in_turn.ts
@@ -24,8 +24,8 @@
     const arrivedAt = clock.steady();
     const begin = () => {
       response.once("close", () => {
-        // Nobody reads the responses of a connection that has ended.
-        const next = socket.destroyed
+        // No response follows one that ended the connection.
+        const next = socket.destroyed || socket.writableEnded
           ? undefined
           : waiting.get(socket)?.shift();
         if (next === undefined) {
--- a/apps/heroncleatd/gateway/responses/end_failed_request.ts
+++ b/apps/heroncleatd/gateway/responses/end_failed_request.ts
@@ -44,6 +44,9 @@
       wasSent: progress.wasSent ? 1 : 0,
     },
   }, context);
+  if (response.writableEnded) {
+    return;
+  }
   if (response.headersSent || response.destroyed) {
     await breakOffResponse(response);
     return;
--- a/apps/heroncleatd/gateway/upstreams/upstream_agent.ts
+++ b/apps/heroncleatd/gateway/upstreams/upstream_agent.ts
@@ -181,7 +181,7 @@
       return false;
     }
     const seconds = /timeout=(\d+)/.exec(String(stated ?? ""))?.[1];
-    const idleTimeout = seconds === undefined || seconds === "0"
+    const idleTimeout = Number(seconds ?? 0) === 0
       ? DEFAULT_IDLE_TIMEOUT_MS
       : Number(seconds) * 1000 * IDLE_TIMEOUT_SHARE;
     this.#idle.add(socket);
