Repeated tasks go on after a failure

The client of permits kept requests at rate-limited upstreams waiting without end after one odd reply; an exchange with a control replica wasn't begun again; usage counts, the configuration's lease, the list of members, suspects and the confirmation of a replica likewise.

--- a/apps/heroncleatd/entry/configuration_renewer.ts
+++ b/apps/heroncleatd/entry/configuration_renewer.ts
@@ -52,6 +52,21 @@
   }
 
   async #renew(): Promise<void> {
+    try {
+      await this.#renewOnce();
+    } catch (error) {
+      this.#recordOutcome(false);
+      this.#context.log("configuration").error("Can't apply a renewal", {
+        error: String(error),
+      });
+    }
+    if (!this.#isStopped) {
+      const { renew_interval } = this.#context.entry;
+      this.#timer = setTimeout(() => void this.#renew(), renew_interval);
+    }
+  }
+
+  async #renewOnce(): Promise<void> {
     const { clock, control, entry, lease } = this.#context;
     const requestedAt = clock.now();
     const reply = await control.call<RenewalReply>("control.renew", {
@@ -67,9 +82,6 @@
       lease.extend(requestedAt, entry.configuration_lease);
     }
     this.#recordOutcome(reply.kind === "renewed");
-    if (!this.#isStopped) {
-      this.#timer = setTimeout(() => void this.#renew(), entry.renew_interval);
-    }
   }
 
   #applyReply(reply: Extract<RenewalReply, { kind: "renewed" }>): void {
--- a/apps/heroncleatd/gateway/exchange/control_links.ts
+++ b/apps/heroncleatd/gateway/exchange/control_links.ts
@@ -428,11 +428,11 @@
       this.#recordFailure(link);
       return;
     }
-    if ("replicas" in reply) {
-      this.#applyReplicaList(link, reply);
-      return;
-    }
     try {
+      if ("replicas" in reply) {
+        this.#applyReplicaList(link, reply);
+        return;
+      }
       // A new feed means that the replica has restarted without its state.
       link.suspectsSentRevision = reply.feed === link.feed
         ? suspectsSentRevision
--- a/apps/heroncleatd/gateway/limits/permit_client.ts
+++ b/apps/heroncleatd/gateway/limits/permit_client.ts
@@ -103,17 +103,33 @@
       return;
     }
     this.#isCalling = true;
-    while (this.#waiting.length > 0) {
-      this.#waiting.sort((left, right) =>
-        left.wanted.priority - right.wanted.priority
-      );
-      const sent = this.#waiting.splice(0, MAX_WANTED);
-      await this.#call(sent.map(({ wanted }) => wanted));
-      for (const { resolve } of sent) {
-        resolve();
+    try {
+      while (this.#waiting.length > 0) {
+        this.#waiting.sort((left, right) =>
+          left.wanted.priority - right.wanted.priority
+        );
+        const sent = this.#waiting.splice(0, MAX_WANTED);
+        try {
+          await this.#call(sent.map(({ wanted }) => wanted));
+        } catch {
+          this.#recordUnanswered(sent.map(({ wanted }) => wanted));
+        }
+        for (const { resolve } of sent) {
+          resolve();
+        }
       }
+    } finally {
+      this.#isCalling = false;
+    }
+  }
+
+  /** Without a reply, or with one that can't be applied, nothing is granted. */
+  #recordUnanswered(wanted: readonly WantedPermit[]): void {
+    const { permits, clock, metrics } = this.#options;
+    metrics.increment("permits.unanswered");
+    for (const each of wanted) {
+      permits.recordFailure(each, clock.steady());
     }
-    this.#isCalling = false;
   }
 
   async #call(wanted: readonly WantedPermit[]): Promise<void> {
@@ -132,10 +148,7 @@
       demand,
     });
     if (reply === undefined) {
-      metrics.increment("permits.unanswered");
-      for (const each of wanted) {
-        permits.recordFailure(each, clock.steady());
-      }
+      this.#recordUnanswered(wanted);
       return;
     }
     if (!reply.isIssuing) {
--- a/apps/heroncleatd/hub/member_finder.ts
+++ b/apps/heroncleatd/hub/member_finder.ts
@@ -44,10 +44,17 @@
   }
 
   async #refresh(): Promise<void> {
-    const { registry } = this.#options;
-    const isFound = await this.#queryNextMember(registry.members) ||
-      await this.#queryOtherSeeds();
-    this.#logChange();
+    const { registry, log } = this.#options;
+    let isFound = false;
+    try {
+      isFound = await this.#queryNextMember(registry.members) ||
+        await this.#queryOtherSeeds();
+      this.#logChange();
+    } catch (error) {
+      log.error("Can't look for the members of the group", {
+        error: String(error),
+      });
+    }
     if (!this.#isStopped) {
       const pause = isFound ? REFRESH_PAUSE : SEARCH_PAUSE;
       this.#timer = setTimeout(() => void this.#refresh(), pause);
--- a/apps/heroncleatd/hub/replica_group.ts
+++ b/apps/heroncleatd/hub/replica_group.ts
@@ -336,7 +336,7 @@
 
   async #confirmOnce(): Promise<void> {
     while (!this.#isConfirmed && !this.#isStopped) {
-      this.#isConfirmed = await this.confirm();
+      this.#isConfirmed = await this.confirm().catch(() => false);
       await new Promise((resolve) => setTimeout(resolve, CONFIRM_RETRY_MS));
     }
   }
--- a/apps/heroncleatd/hub/suspect_store.ts
+++ b/apps/heroncleatd/hub/suspect_store.ts
@@ -100,14 +100,14 @@
       return;
     }
     this.#isWriting = true;
-    const suspects = registry.changesSince(0, clock.steady())
-      .filter(({ crashes }) => crashes.length >= MIN_STORED_CRASHES);
-    const stored: StoredSuspects = {
-      version: VERSION,
-      wall: clock.wall(),
-      suspects,
-    };
     try {
+      const suspects = registry.changesSince(0, clock.steady())
+        .filter(({ crashes }) => crashes.length >= MIN_STORED_CRASHES);
+      const stored: StoredSuspects = {
+        version: VERSION,
+        wall: clock.wall(),
+        suspects,
+      };
       const bytes = Buffer.from(JSON.stringify(stored));
       await writeFileDurably(join(folder, FILE_NAME), bytes);
       this.#writtenRevision = revision;
--- a/apps/heroncleatd/hub/usage_store.ts
+++ b/apps/heroncleatd/hub/usage_store.ts
@@ -79,21 +79,23 @@
   async #write(): Promise<void> {
     const { folder, hub, log } = this.#options;
     const serializationStartedAt = performance.now();
-    const text = JSON.stringify({ version: VERSION, usage: hub.recentUsage() });
-    const writeStartedAt = performance.now();
-    const serializationTime = writeStartedAt - serializationStartedAt;
-    if (text !== this.#writtenText) {
-      try {
+    let writeStartedAt = serializationStartedAt;
+    try {
+      const usage = hub.recentUsage();
+      const text = JSON.stringify({ version: VERSION, usage });
+      writeStartedAt = performance.now();
+      if (text !== this.#writtenText) {
         await writeFileDurably(join(folder, FILE_NAME), Buffer.from(text));
         this.#writtenText = text;
         this.#hasFailed = false;
-      } catch (error) {
-        if (!this.#hasFailed) {
-          log.warn("Can't store the usage counts", { error: String(error) });
-        }
-        this.#hasFailed = true;
       }
+    } catch (error) {
+      if (!this.#hasFailed) {
+        log.warn("Can't store the usage counts", { error: String(error) });
+      }
+      this.#hasFailed = true;
     }
+    const serializationTime = writeStartedAt - serializationStartedAt;
     const writeTime = performance.now() - writeStartedAt;
     this.#schedule(
       Math.max(
