--- a/apps/heroncleatd/control/operator_server.ts
+++ b/apps/heroncleatd/control/operator_server.ts
@@ -24,7 +24,6 @@
 import type { KeyRing } from "../common/key_ring.ts";
 import type { Metrics } from "../common/metrics.ts";
 import type { Log } from "../common/log.ts";
-import { limitPipelining } from "../common/limit_pipelining.ts";
 import { limitConnections } from "../common/limit_connections.ts";
 import { paceReads } from "../common/pace_reads.ts";
 import { parseJson } from "../common/parse_json.ts";
@@ -104,7 +103,6 @@
       });
     });
     paceReads(this.#server);
-    limitPipelining(this.#server);
     this.#server.requestTimeout = REQUEST_TIMEOUT_MS;
     const { settings, clock, log, metrics } = options;
     this.#bodies = new BodyReader({
--- a/apps/heroncleatd/entry/caller_server.ts
+++ b/apps/heroncleatd/entry/caller_server.ts
@@ -12,7 +12,6 @@
 import { EndedBy } from "../gateway/responses/ended_by.ts";
 import { connectionEnds } from "../gateway/responses/connection_ends.ts";
 import { describeConnectionEnd } from "../gateway/responses/describe_connection_end.ts";
-import { limitPipelining } from "../common/limit_pipelining.ts";
 import { limitConnections } from "../common/limit_connections.ts";
 import { paceReads } from "../common/pace_reads.ts";
 import { readBearer } from "../common/read_bearer.ts";
@@ -88,7 +87,6 @@
       },
     );
     paceReads(this.#server);
-    limitPipelining(this.#server);
     this.#unsent = new UnsentResponses(this.#server);
     limitConnections(this.#server, {
       limit: () => entry.max_connections,
