Callers' connections leave descriptors to the entry

A crowd of idle connections took as many descriptors as it liked, until the entry had none for its upstreams, its control replicas and its log.

--- a/apps/heroncleatd/gateway/create_caller_server.ts
+++ b/apps/heroncleatd/gateway/create_caller_server.ts
@@ -1,5 +1,6 @@
 import { createServer, type RequestListener, type Server } from "node:http";
 import { answerClientErrors } from "../common/answer_client_errors.ts";
+import { limitConnections } from "../common/limit_connections.ts";
 import { paceReads } from "../common/pace_reads.ts";
 import { connectionEnds } from "./responses/connection_ends.ts";
 import { EndedBy } from "./responses/ended_by.ts";
@@ -16,7 +17,10 @@
  * Creates the server for callers without listening yet. The timeouts apply
  * until a configuration document sets others.
  */
-export function createCallerServer(onRequest: RequestListener): Server {
+export function createCallerServer(
+  onRequest: RequestListener,
+  options: { connections?: Parameters<typeof limitConnections>[1] } = {},
+): Server {
   const server = createServer({
     maxHeaderSize: MAX_HEADER_BYTES,
     keepAliveTimeout: IDLE_TIMEOUT_MS,
@@ -25,6 +29,9 @@
     noDelay: true,
   }, onRequest);
   paceReads(server);
+  if (options.connections !== undefined) {
+    limitConnections(server, options.connections);
+  }
   answerClientErrors(
     server,
     (socket) => connectionEnds.record(socket, EndedBy.callerServer),
--- a/apps/heroncleatd/gateway/gateway_settings.ts
+++ b/apps/heroncleatd/gateway/gateway_settings.ts
@@ -33,6 +33,11 @@
    * Memory in bytes beyond which the process is killed; undefined for no limit.
    */
   readonly memoryLimit?: number | undefined;
+  /** Open connections of callers, and of entries that pass requests on. */
+  readonly maxConnections?: {
+    readonly callers: number;
+    readonly relays: number;
+  };
   /** Time between SIGTERM and the latest exit of the process. */
   readonly gracePeriod: Milliseconds;
 };
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -43,6 +43,7 @@
 import { shutDownGracefully } from "./shutdown/shut_down_gracefully.ts";
 import type { ConnectionOpener } from "../common/connection_opener.ts";
 import { BodyMemory } from "../common/body_memory.ts";
+import type { limitConnections } from "../common/limit_connections.ts";
 import { MemoryMonitor } from "../common/memory_monitor.ts";
 import { probeUpstream } from "../common/probe_upstream.ts";
 import { QuotaCharger } from "./limits/quota_charger.ts";
@@ -419,6 +420,7 @@
       serveInTurn((incoming, response) => {
         void relayed.handle(incoming, response);
       }, clock),
+      { connections: this.#connectionLimit("relays") },
     );
     this.#server = createCallerServer(
       serveInTurn((incoming, response, arrival) => {
@@ -427,6 +429,7 @@
         }
         void this.#gateway.handle(incoming, response, arrival);
       }, clock),
+      { connections: this.#connectionLimit("callers") },
     );
     this.#unsent = new UnsentResponses(this.#server);
     this.#replacedRuns = new ReplacedRuns({
@@ -568,6 +571,17 @@
     };
   }
 
+  #connectionLimit(
+    name: "callers" | "relays",
+  ): Parameters<typeof limitConnections>[1] {
+    const { settings, metrics } = this.#options;
+    return {
+      limit: () => settings().maxConnections?.[name] ?? Infinity,
+      metrics,
+      name,
+    };
+  }
+
   #createMemoryMonitor(): MemoryMonitor | undefined {
     const { memoryLimit } = this.#options.settings();
     return memoryLimit === undefined ? undefined : new MemoryMonitor({
