Connections closed at a limit are counted and logged

Connections that make room at a limit were counted but not logged, and those closed as too many bytes wait weren't counted. One line a second and server now, and connections.closed_waiting.SERVER.

--- a/apps/heroncleatd/common/limit_connections.ts
+++ b/apps/heroncleatd/common/limit_connections.ts
@@ -1,7 +1,12 @@
 import type { Server } from "node:http";
 import type { Socket } from "node:net";
+import { RateLimiter } from "@heroncleat/base";
+import type { Log } from "./log.ts";
 import type { Metrics } from "./metrics.ts";
 
+const LINES_PER_SECOND = 1;
+const LINE_BURST = 5;
+
 type LimitOptions = {
   /** Connections that may be open; asked for each new one. */
   readonly limit: () => number;
@@ -11,6 +16,7 @@
    */
   readonly giveUpBody?: () => boolean;
   readonly metrics: Pick<Metrics, "increment">;
+  readonly log: Pick<Log, "warn">;
   /** Name of the server in metrics. */
   readonly name: string;
 };
@@ -37,16 +43,29 @@
       idle.delete(socket);
     }
   };
+  const limiter = new RateLimiter(LINES_PER_SECOND, LINE_BURST);
+  const record = (closed: "closed_idle" | "closed_body" | "refused"): void => {
+    const { metrics, log, name, limit } = options;
+    metrics.increment(`connections.${closed}.${name}`);
+    if (limiter.tryConsume(performance.now())) {
+      log.warn("Too many connections are open", {
+        server: name,
+        open: open.size,
+        limit: limit(),
+        outcome: closed,
+      });
+    }
+  };
   const makeRoom = (newest: Socket): void => {
-    const { metrics, name, giveUpBody } = options;
+    const { giveUpBody } = options;
     const [longestIdle] = idle;
     if (longestIdle !== undefined && longestIdle !== newest) {
-      metrics.increment(`connections.closed_idle.${name}`);
+      record("closed_idle");
       longestIdle.destroy();
     } else if (giveUpBody?.() === true) {
-      metrics.increment(`connections.closed_body.${name}`);
+      record("closed_body");
     } else {
-      metrics.increment(`connections.refused.${name}`);
+      record("refused");
       newest.destroy();
     }
   };
--- a/apps/heroncleatd/common/serve_metrics.ts
+++ b/apps/heroncleatd/common/serve_metrics.ts
@@ -79,6 +79,7 @@
   limitConnections(server, {
     limit: maxConnections ?? (() => DEFAULT_MAX_CONNECTIONS),
     metrics,
+    log,
     name: "metrics",
   });
   server.on("error", (error) => {
--- a/apps/heroncleatd/control/operator_server.ts
+++ b/apps/heroncleatd/control/operator_server.ts
@@ -122,6 +122,7 @@
       limit: () => settings.max_connections,
       giveUpBody: () => this.#bodies.giveUpOldest(),
       metrics,
+      log,
       name: "operators",
     });
   }
--- a/apps/heroncleatd/entry/caller_server.ts
+++ b/apps/heroncleatd/entry/caller_server.ts
@@ -94,6 +94,7 @@
         this.#callerBodies.giveUpOldest() ||
         this.#announcementBodies.giveUpOldest(),
       metrics,
+      log: parts.context.log("callers"),
       name: "callers",
     });
     answerClientErrors(
--- a/apps/heroncleatd/gateway/create_caller_server.ts
+++ b/apps/heroncleatd/gateway/create_caller_server.ts
@@ -28,9 +28,15 @@
     requestTimeout: 0,
     noDelay: true,
   }, onRequest);
-  paceReads(server);
-  if (options.connections !== undefined) {
-    limitConnections(server, options.connections);
+  const { connections } = options;
+  paceReads(server, {
+    onRefusal: () =>
+      connections?.metrics.increment(
+        `connections.closed_waiting.${connections.name}`,
+      ),
+  });
+  if (connections !== undefined) {
+    limitConnections(server, connections);
   }
   answerClientErrors(
     server,
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -578,6 +578,7 @@
     return {
       limit: () => settings().maxConnections?.[name] ?? Infinity,
       metrics,
+      log: this.#log,
       name,
     };
   }
