--- a/apps/heroncleatd/common/close_lingering.ts
+++ b/apps/heroncleatd/common/close_lingering.ts
@@ -6,10 +6,9 @@
 const LINGER_TIME: Milliseconds = 2000;
 
 /**
- * Makes a response the last one of its connection, though its request isn't
- * read to its end. What still arrives is dropped without being parsed. Closing
- * at once would reset the connection, and the caller might not get the response.
- * Must be called before the head is written.
+ * Makes a response the last one of its connection and drops what still arrives.
+ * Closing at once would reset the connection, and the caller might not get the
+ * response. Must be called before the head is written.
  */
 export function closeLingering(response: ServerResponse): void {
   const { socket } = response.req;
--- a/apps/heroncleatd/common/create_task_failure_handler.ts
+++ b/apps/heroncleatd/common/create_task_failure_handler.ts
@@ -7,9 +7,8 @@
 
 /**
  * Creates the handler of rejections that nobody handled, for `process.on`. Such
- * a rejection ends the background task that it came from and nothing else: the
- * process goes on with all requests in flight. What a process can't do without
- * ends it by itself: its start, its listening sockets and its data.
+ * a rejection ends its task alone. Tasks that must run again see to that
+ * themselves, and what a process can't do without ends it by itself.
  */
 export function createTaskFailureHandler(
   { log, metrics, clock }: {
--- a/apps/heroncleatd/common/pace_reads.ts
+++ b/apps/heroncleatd/common/pace_reads.ts
@@ -4,11 +4,9 @@
 import { ReadQueue } from "./read_queue.ts";
 
 /**
- * Makes an HTTP server parse what connections send for a limited time in each
- * turn of the event loop, and of each only while few of its requests are in
- * progress. Otherwise a read of 64 KiB is parsed at once, which takes tens of
- * milliseconds if it holds thousands of chunks or requests, and others wait for
- * all connections that send such.
+ * Limits the time for which an HTTP server parses in each turn of the event loop.
+ * A read of 64 KiB that holds thousands of chunks or requests would take tens of
+ * milliseconds, and others would wait.
  */
 export function paceReads(
   server: Server,
--- a/apps/heroncleatd/common/serve_metrics.ts
+++ b/apps/heroncleatd/common/serve_metrics.ts
@@ -29,8 +29,8 @@
 
 /**
  * Serves metrics as text over HTTP. A port that is in use is only logged. All
- * that ask while a text is rendered share it; bodies aren't read, and a further
- * request before the response to the last one was sent closes its connection.
+ * that ask meanwhile share one rendering. Bodies and pipelined requests close
+ * their connection.
  */
 export function serveMetrics(address: string, options: MetricsOptions): Server {
   const { log, metrics, maxConnections } = options;
--- a/apps/heroncleatd/common/stop_reading.ts
+++ b/apps/heroncleatd/common/stop_reading.ts
@@ -2,12 +2,10 @@
 import type { Milliseconds } from "@heroncleat/base";
 
 /**
- * Reads nothing more of a request's connection, and closes it behind the
- * response, which must not have been sent yet. Closing it at once would reset
- * it, as bytes of the caller are unread, and the caller might lose the response.
+ * Reads nothing more of a connection and closes it some time behind its next
+ * response. Closing at once would reset it, and the caller might lose that.
  *
- * @param options.closeDelay Time after the response until the connection is
- *     closed if the caller hasn't closed it.
+ * @param options.closeDelay Time for the caller to close it first.
  */
 export function stopReading(
   incoming: IncomingMessage,
--- a/apps/heroncleatd/gateway/discard_request_body.ts
+++ b/apps/heroncleatd/gateway/discard_request_body.ts
@@ -9,9 +9,8 @@
 const DISCARD_INTERVAL: Milliseconds = 20;
 
 /**
- * Reads and drops the rest of a caller's body, unless it comes in too many
- * chunks. Resolves once it has ended, or after a time. A connection that is
- * closed before is reset, and its caller may not get the response.
+ * Reads and drops the rest of a caller's body, as a connection that is closed
+ * before is reset. Resolves at its end, or after a time.
  *
  * @param options.isRead Whether to read it at all.
  */
--- a/packages/transport/frame_reader.ts
+++ b/packages/transport/frame_reader.ts
@@ -5,9 +5,8 @@
 const MIN_ALLOCATION_BYTES = 1024;
 
 /**
- * Takes frames out of what is read from a connection. The start of an unfinished
- * frame is kept in one buffer that doubles as bytes arrive, so that small reads
- * cost no more than large ones and an announced length reserves no memory.
+ * Takes frames out of what is read from a connection. An unfinished one is kept
+ * in a buffer that doubles as bytes arrive: an announced length reserves nothing.
  *
  * @internal
  */
