Limits on bodies follow the memory of the process on the OpenAI surface too

Its entries held up to 108 MB of bodies whatever their VM had: generations with unfinished bodies took 218 MB of 200, those far over the limit 211 MB.

--- a/apps/heroncleatd/entry/start_entry.ts
+++ b/apps/heroncleatd/entry/start_entry.ts
@@ -117,7 +117,9 @@
     chainHash: await createChainHash(),
     services: createAgent(),
     upstreams: createAgent(),
-    bodies: new BodyMemory(clock),
+    bodies: new BodyMemory(clock, {
+      memoryLimit: entry.memory_limit,
+    }),
   };
 }
 
--- a/apps/heroncleatd/tests/hostile_callers_test.ts
+++ b/apps/heroncleatd/tests/hostile_callers_test.ts
@@ -273,6 +273,7 @@
     entrySettings: {
       max_body_bytes: MAX_BODY_BYTES,
       max_connections: MAX_CONNECTIONS,
+      memory_limit: MAX_MEMORY,
     },
   });
   await live.start();
