--- a/apps/heroncleatd/common/has_too_many_chunks.ts
+++ b/apps/heroncleatd/common/has_too_many_chunks.ts
@@ -1,14 +1,9 @@
-/** Chunks that a body may have, whatever its size. */
-const MAX_CHUNKS = 4096;
-/** Bytes for which it may have one more. */
-const BYTES_PER_CHUNK = 16;
+import type { ChunkLimit } from "./chunk_limit.ts";
 
-/**
- * Whether a chunked body has more chunks than a sound client sends. Each takes
- * some microseconds, whatever its size.
- */
+/** Whether a chunked body has more chunks than a limit allows for its size. */
 export function hasTooManyChunks(
   { chunks, bytes }: { chunks: number; bytes: number },
+  { base, bytesPerChunk }: ChunkLimit,
 ): boolean {
-  return chunks > MAX_CHUNKS + bytes / BYTES_PER_CHUNK;
+  return chunks > base + bytes / bytesPerChunk;
 }
--- a/apps/heroncleatd/common/pace_reads.ts
+++ b/apps/heroncleatd/common/pace_reads.ts
@@ -10,12 +10,14 @@
  */
 export function paceReads(
   server: Server,
-  { onRefusal = () => {} }: {
+  { onRefusal = () => {}, maxWaitingBytes }: {
     /** Called for each connection that is closed, as too many bytes wait. */
     onRefusal?: () => void;
+    /** Returns how many bytes may wait, at all connections; undefined: 64 MiB. */
+    maxWaitingBytes?: (() => number | undefined) | undefined;
   } = {},
 ): void {
-  const queue = new ReadQueue(onRefusal);
+  const queue = new ReadQueue({ onRefusal, maxBytes: maxWaitingBytes });
   const reads = new WeakMap<Socket, PacedRead>();
   server.on("connection", (socket) => {
     reads.set(socket, new PacedRead(socket, queue));
--- a/apps/heroncleatd/common/pace_reads_test.ts
+++ b/apps/heroncleatd/common/pace_reads_test.ts
@@ -85,6 +85,30 @@
   expect(largest).toBeLessThan(100);
 });
 
+// Guards against waiting bytes that fill the process.
+test("connections that send much beyond the limit of waiting bytes are closed and counted", async () => {
+  let refusals = 0;
+  server.removeAllListeners("connection");
+  server.removeAllListeners("request");
+  const limited = createServer((incoming, response) => {
+    incoming.resume();
+    incoming.once("end", () => response.end("served"));
+  });
+  paceReads(limited, {
+    onRefusal: () => refusals += 1,
+    maxWaitingBytes: () => 200 * KIB,
+  });
+  server.close();
+  server = limited;
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const floods = Array.from({ length: FLOOD_CONNECTIONS }, () => send(FLOOD));
+  const ordinary = await send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  const answers = await Promise.all(floods);
+  expect(ordinary).toContain("served");
+  expect(refusals).toBeGreaterThan(0);
+  expect(answers.filter((answer) => answer === "")).toHaveLength(refusals);
+});
+
 /** Sends bytes at once; resolves once the responses have arrived. */
 function send(
   text: string,
--- a/apps/heroncleatd/common/read_call_body.ts
+++ b/apps/heroncleatd/common/read_call_body.ts
@@ -2,6 +2,8 @@
 import { type Milliseconds, timerDelay } from "@heroncleat/base";
 import type { ByteBudget, ByteHold } from "./byte_budget.ts";
 import { ByteCollector } from "./byte_collector.ts";
+import type { ChunkLimit } from "./chunk_limit.ts";
+import { hasTooManyChunks } from "./has_too_many_chunks.ts";
 
 /** A complete body, or the reason why it couldn't be read. */
 export type CallBody =
@@ -20,14 +22,6 @@
   /** The caller has closed its connection. */
   | { readonly kind: "broken" };
 
-/** How bodies may be split into chunks. */
-export type ChunkLimit = {
-  /** Chunks of any size that a body may have. */
-  readonly base: number;
-  /** Body bytes for each further chunk. */
-  readonly bytesPerChunk: number;
-};
-
 type ReadOptions = {
   /** Largest body, in bytes. */
   readonly limit: number;
@@ -86,10 +80,9 @@
       collector.append(collector.length === 0 ? Buffer.from(chunk) : chunk);
       chunks += 1;
       const bytes = collector.length;
-      const maxChunks = chunkLimit.base + bytes / chunkLimit.bytesPerChunk;
       if (bytes > limit) {
         settle({ kind: "too_large" });
-      } else if (isChunked && chunks > maxChunks) {
+      } else if (isChunked && hasTooManyChunks({ chunks, bytes }, chunkLimit)) {
         settle({ kind: "too_many_chunks" });
       } else if (bytes > stated && !hold.resize(bytes)) {
         settle(noRoom(bytes));
--- a/apps/heroncleatd/common/read_queue.ts
+++ b/apps/heroncleatd/common/read_queue.ts
@@ -5,19 +5,27 @@
  * one new connection is accepted.
  */
 const TURN_TIME: Milliseconds = 2;
-/** Bytes that may wait for their turn, at all connections of a server. */
+/** Default limit of the bytes that wait, at all connections of a server. */
 const MAX_WAITING_BYTES = 64 * 1024 * 1024;
 
+type QueueOptions = {
+  /** Called for each connection that is closed for lack of room. */
+  readonly onRefusal: () => void;
+  /** Returns how many bytes may wait. */
+  readonly maxBytes?: (() => number | undefined) | undefined;
+};
+
 /** The connections of a server whose bytes wait to be parsed, in turn. */
 export class ReadQueue {
   readonly #onRefusal: () => void;
+  readonly #maxBytes: () => number | undefined;
   readonly #waiting = new Set<() => void>();
   #bytes = 0;
   #isScheduled = false;
 
-  /** @param onRefusal Called for each connection that is closed for lack of room. */
-  constructor(onRefusal: () => void) {
+  constructor({ onRefusal, maxBytes }: QueueOptions) {
     this.#onRefusal = onRefusal;
+    this.#maxBytes = maxBytes ?? (() => undefined);
   }
 
   /** Whether no connection waits. */
@@ -27,7 +35,7 @@
 
   /** Whether more bytes may wait. */
   get hasRoom(): boolean {
-    return this.#bytes < MAX_WAITING_BYTES;
+    return this.#bytes < (this.#maxBytes() ?? MAX_WAITING_BYTES);
   }
 
   /** Counts bytes that wait from now on, or no longer if negative. */
--- a/apps/heroncleatd/common/serve_metrics.ts
+++ b/apps/heroncleatd/common/serve_metrics.ts
@@ -12,7 +12,7 @@
 import { paceReads } from "./pace_reads.ts";
 
 const PATH = "/metrics";
-/** Limit for a request to arrive, and for its response to be read. */
+/** Default limit for a request to arrive, and for its response to be read. */
 const EXCHANGE_TIMEOUT: Milliseconds = 10_000;
 const TIMEOUT_CHECK_INTERVAL: Milliseconds = 1000;
 const DEFAULT_MAX_CONNECTIONS = 64;
@@ -25,6 +25,8 @@
   readonly metrics: Pick<Metrics, "increment">;
   /** Limit of open connections; asked for each new one. */
   readonly maxConnections?: () => number;
+  /** Limit for a request to arrive, and for its response to be read. */
+  readonly exchangeTimeout?: Milliseconds;
 };
 
 /**
@@ -34,6 +36,7 @@
  */
 export function serveMetrics(address: string, options: MetricsOptions): Server {
   const { log, metrics, maxConnections } = options;
+  const { exchangeTimeout = EXCHANGE_TIMEOUT } = options;
   const render = shareRendering(options);
   /** Connections whose response hasn't been sent yet. */
   const busy = new WeakSet<Socket>();
@@ -48,8 +51,8 @@
     }
   };
   const server = createServer({
-    requestTimeout: EXCHANGE_TIMEOUT,
-    headersTimeout: EXCHANGE_TIMEOUT,
+    requestTimeout: exchangeTimeout,
+    headersTimeout: exchangeTimeout,
     connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL,
   }, async (request, response) => {
     const { socket } = request;
@@ -70,7 +73,7 @@
     }
     sendText(response, await render());
   });
-  server.timeout = EXCHANGE_TIMEOUT;
+  server.timeout = exchangeTimeout;
   server.on("timeout", (socket) => {
     reportClosing("timeout", socket);
     socket.destroy();
--- a/apps/heroncleatd/control/operator_server.ts
+++ b/apps/heroncleatd/control/operator_server.ts
@@ -42,6 +42,7 @@
     | "body_memory"
     | "max_body_chunks"
     | "max_connections"
+    | "waiting_memory"
   >;
   readonly operators: KeyRing;
   readonly replica: ReplicaAccess;
@@ -102,7 +103,11 @@
         );
       });
     });
-    paceReads(this.#server);
+    paceReads(this.#server, {
+      onRefusal: () =>
+        options.metrics.increment("connections.closed_waiting.operators"),
+      maxWaitingBytes: () => options.settings.waiting_memory,
+    });
     this.#server.requestTimeout = REQUEST_TIMEOUT_MS;
     const { settings, clock, log, metrics } = options;
     this.#bodies = new BodyReader({
--- a/apps/heroncleatd/entry/caller_server.ts
+++ b/apps/heroncleatd/entry/caller_server.ts
@@ -86,7 +86,10 @@
         );
       },
     );
-    paceReads(this.#server);
+    paceReads(this.#server, {
+      onRefusal: () => metrics.increment("connections.closed_waiting.callers"),
+      maxWaitingBytes: () => entry.waiting_memory,
+    });
     this.#unsent = new UnsentResponses(this.#server);
     limitConnections(this.#server, {
       limit: () => entry.max_connections,
--- a/apps/heroncleatd/gateway/create_caller_server.ts
+++ b/apps/heroncleatd/gateway/create_caller_server.ts
@@ -19,7 +19,11 @@
  */
 export function createCallerServer(
   onRequest: RequestListener,
-  options: { connections?: Parameters<typeof limitConnections>[1] } = {},
+  options: {
+    connections?: Parameters<typeof limitConnections>[1];
+    /** Returns how many bytes may wait to be parsed; undefined: 64 MiB. */
+    maxWaitingBytes?: () => number | undefined;
+  } = {},
 ): Server {
   const server = createServer({
     maxHeaderSize: MAX_HEADER_BYTES,
@@ -28,8 +32,9 @@
     requestTimeout: 0,
     noDelay: true,
   }, onRequest);
-  const { connections } = options;
+  const { connections, maxWaitingBytes } = options;
   paceReads(server, {
+    maxWaitingBytes,
     onRefusal: () =>
       connections?.metrics.increment(
         `connections.closed_waiting.${connections.name}`,
--- a/apps/heroncleatd/gateway/discard_request_body.ts
+++ b/apps/heroncleatd/gateway/discard_request_body.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from "node:http";
 import type { Milliseconds } from "@heroncleat/base";
+import type { ChunkLimit } from "../common/chunk_limit.ts";
 import { hasTooManyChunks } from "../common/has_too_many_chunks.ts";
 
 /** Time in which a caller may send the rest of a body that was refused. */
@@ -13,10 +14,11 @@
  * before is reset. Resolves at its end, or after a time.
  *
  * @param options.isRead Whether to read it at all.
+ * @param options.chunkLimit Beyond it nothing more is read.
  */
 export function discardRequestBody(
   incoming: IncomingMessage,
-  { isRead = true }: { isRead?: boolean } = {},
+  { chunkLimit, isRead = true }: { chunkLimit: ChunkLimit; isRead?: boolean },
 ): Promise<void> {
   return new Promise((resolve) => {
     let chunks = 0;
@@ -26,7 +28,7 @@
     const onData = (chunk: Buffer) => {
       chunks += 1;
       bytes += chunk.length;
-      if (hasTooManyChunks({ chunks, bytes })) {
+      if (hasTooManyChunks({ chunks, bytes }, chunkLimit)) {
         incoming.off("data", onData);
         incoming.pause();
       } else if (bytes >= pauseAt) {
--- a/apps/heroncleatd/gateway/exchange/entry_notices.ts
+++ b/apps/heroncleatd/gateway/exchange/entry_notices.ts
@@ -14,13 +14,12 @@
 /** Datagrams about streams: a few for each that begins or is resumed. */
 const MAX_STREAM_DATAGRAMS_PER_SECOND = 1000;
 const MAX_STREAM_DATAGRAM_BURST = 2000;
-/**
- * KiB a second that are parsed of hosts that aren't known as entries, at least
- * one for each datagram. Entries that have just started aren't known yet.
- */
-const MAX_STRANGER_KIB_PER_SECOND = 2000;
-const MAX_STRANGER_KIB_BURST = 4000;
-const BYTES_PER_KIB = 1024;
+/** Entries that have just started aren't known yet. */
+const STRANGER_BYTES_PER_SECOND = 2000 * 1024;
+/** Seconds of that which may come at once. */
+const STRANGER_BURST_SECONDS = 2;
+/** A datagram counts as this many at least. */
+const MIN_STRANGER_BYTES = 1024;
 /** Limit of lines about notices that weren't taken in. */
 const LINES_PER_SECOND = 1;
 const LINE_BURST = 5;
@@ -32,6 +31,8 @@
   readonly peers: () => readonly string[];
   /** Called with each notice and the host that sent it. */
   readonly onNotice: (notice: EntryNotice, from: string) => void;
+  /** Bytes that are parsed of hosts that aren't known as entries. */
+  readonly strangerBytesPerSecond?: number | undefined;
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
@@ -54,10 +55,7 @@
     MAX_STREAM_DATAGRAMS_PER_SECOND,
     MAX_STREAM_DATAGRAM_BURST,
   );
-  readonly #strangerRateLimiter = new RateLimiter(
-    MAX_STRANGER_KIB_PER_SECOND,
-    MAX_STRANGER_KIB_BURST,
-  );
+  readonly #strangerRateLimiter: RateLimiter;
   /** `peers` as it was when `#peerHosts` was made of it. */
   #peers: readonly string[] = [];
   #peerHosts: ReadonlySet<string> = new Set();
@@ -66,6 +64,11 @@
 
   constructor(options: NoticeOptions) {
     this.#options = options;
+    const { strangerBytesPerSecond = STRANGER_BYTES_PER_SECOND } = options;
+    this.#strangerRateLimiter = new RateLimiter(
+      strangerBytesPerSecond,
+      strangerBytesPerSecond * STRANGER_BURST_SECONDS,
+    );
     const { host, port } = splitAddress(options.address);
     this.#port = port;
     this.#socket = createSocket("udp4");
@@ -168,7 +171,7 @@
   #admitStranger(bytes: Buffer, from: string): boolean {
     const { clock, log, metrics } = this.#options;
     const now = clock.steady();
-    const amount = Math.max(1, bytes.length / BYTES_PER_KIB);
+    const amount = Math.max(MIN_STRANGER_BYTES, bytes.length);
     if (this.#strangerRateLimiter.tryConsume(now, { amount })) {
       return true;
     }
--- a/apps/heroncleatd/gateway/gateway.ts
+++ b/apps/heroncleatd/gateway/gateway.ts
@@ -9,6 +9,7 @@
   type WorkspaceQuota,
 } from "@heroncleat/serving";
 import type { ByteBudget } from "../common/byte_budget.ts";
+import type { ChunkLimit } from "../common/chunk_limit.ts";
 import type { Log } from "../common/log.ts";
 import type { Metrics } from "../common/metrics.ts";
 import type { Admission } from "./admission.ts";
@@ -78,6 +79,8 @@
   readonly inFlight: InFlightRequests;
   /** What the bodies of requests hold. */
   readonly requestBudget: ByteBudget;
+  /** Chunks that the body of a request may have. */
+  readonly chunkLimit: () => ChunkLimit;
   /** When this entry exits, once its shutdown has begun. */
   readonly leaving: DepartureDeadline;
   /** The configuration document in effect, and when it was applied. */
@@ -141,7 +144,8 @@
     }
     const admitted = this.#admit(incoming, arrivedAt);
     if (admitted.kind === "refused") {
-      const endAfter = discardRequestBody(incoming);
+      const chunkLimit = this.#options.chunkLimit();
+      const endAfter = discardRequestBody(incoming, { chunkLimit });
       recordRefusedResumption(incoming.headers, {
         response: admitted.response,
         reason: StopReason.notAdmitted,
@@ -154,6 +158,7 @@
     const body = await readRequestBody(incoming, {
       ...this.#options,
       limit,
+      chunkLimit: this.#options.chunkLimit(),
       budget: this.#options.requestBudget,
       deadline: this.#deadlineOf(incoming, { route, arrivedAt }),
     });
@@ -194,7 +199,10 @@
     if (body.kind === "too_large" || isFragmented) {
       response.shouldKeepAlive = false;
     }
-    const endAfter = discardRequestBody(incoming, { isRead: !isFragmented });
+    const endAfter = discardRequestBody(incoming, {
+      chunkLimit: this.#options.chunkLimit(),
+      isRead: !isFragmented,
+    });
     this.#options.metrics.increment(`gateway.refused_bodies.${body.kind}`);
     this.#refuse({ incoming, response }, bodyRefusal(body, limit), {
       endAfter,
--- a/apps/heroncleatd/gateway/gateway_settings.ts
+++ b/apps/heroncleatd/gateway/gateway_settings.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds } from "@heroncleat/base";
 import type { QuotaSettings } from "@heroncleat/serving";
+import type { CallerLimits } from "./caller_limits.ts";
 
 /** Settings of an entry's request forwarding. */
 export type GatewaySettings = {
@@ -33,11 +34,8 @@
    * Memory in bytes beyond which the process is killed; undefined for no limit.
    */
   readonly memoryLimit?: number | undefined;
-  /** Open connections of callers, and of entries that pass requests on. */
-  readonly maxConnections?: {
-    readonly callers: number;
-    readonly relays: number;
-  };
+  /** Absent ones have defaults. */
+  readonly limits?: Partial<CallerLimits>;
   /** Time between SIGTERM and the latest exit of the process. */
   readonly gracePeriod: Milliseconds;
 };
--- a/apps/heroncleatd/gateway/read_request_body.ts
+++ b/apps/heroncleatd/gateway/read_request_body.ts
@@ -3,6 +3,7 @@
 import type { ByteBudget, ByteHold } from "../common/byte_budget.ts";
 import { ByteCollector } from "../common/byte_collector.ts";
 import { byteLimits } from "../common/byte_limits.ts";
+import type { ChunkLimit } from "../common/chunk_limit.ts";
 import { hasTooManyChunks } from "../common/has_too_many_chunks.ts";
 import type { InFlightRequests } from "./shutdown/in_flight_requests.ts";
 
@@ -28,6 +29,7 @@
 type ReadOptions = {
   /** Largest body, in bytes. */
   readonly limit: number;
+  readonly chunkLimit: ChunkLimit;
   /** What the bodies of all requests hold. */
   readonly budget: ByteBudget;
   /** Monotonic time by which it must be complete. */
@@ -44,7 +46,7 @@
   incoming: IncomingMessage,
   options: ReadOptions,
 ): Promise<RequestBody> {
-  const { limit, budget, deadline, clock, inFlight } = options;
+  const { limit, chunkLimit, budget, deadline, clock, inFlight } = options;
   const stated = Number(incoming.headers["content-length"] ?? 0);
   if (stated > limit) {
     return Promise.resolve({ kind: "too_large" });
@@ -93,7 +95,7 @@
       const bytes = collector.length;
       if (bytes > limit) {
         settle({ kind: "too_large" });
-      } else if (isChunked && hasTooManyChunks({ chunks, bytes })) {
+      } else if (isChunked && hasTooManyChunks({ chunks, bytes }, chunkLimit)) {
         settle({ kind: "fragmented" });
       } else if (bytes > stated && !holdBytes(bytes)) {
         settle(noRoom(bytes));
--- a/apps/heroncleatd/gateway/relay/relayed_requests.ts
+++ b/apps/heroncleatd/gateway/relay/relayed_requests.ts
@@ -7,6 +7,7 @@
   type Workspace,
 } from "@heroncleat/serving";
 import type { ByteBudget } from "../../common/byte_budget.ts";
+import type { ChunkLimit } from "../../common/chunk_limit.ts";
 import type { Log } from "../../common/log.ts";
 import type { Metrics } from "../../common/metrics.ts";
 import type { AppliedDocument } from "../applied_document.ts";
@@ -54,6 +55,8 @@
   readonly inFlight: InFlightRequests;
   /** What the bodies of requests hold. */
   readonly requestBudget: ByteBudget;
+  /** Chunks that the body of a request may have. */
+  readonly chunkLimit: () => ChunkLimit;
   /** The configuration document in effect, and when it was applied. */
   readonly appliedDocument: () => AppliedDocument;
   /** How far the local wall clock is ahead of the control replicas' time. */
@@ -126,8 +129,10 @@
     const limit = routeTable()?.document.limits.maxBodyBytes ??
       DEFAULT_MAX_BODY_BYTES;
     const { clock, inFlight } = this.#options;
+    const chunkLimit = this.#options.chunkLimit();
     const body = await readRequestBody(incoming, {
       limit,
+      chunkLimit,
       budget: this.#options.requestBudget,
       deadline: arrivedAt + MAX_BODY_TIME,
       clock,
@@ -154,7 +159,10 @@
     metrics.increment("relay.unserved");
     const isFragmented = body.kind === "fragmented";
     response.shouldKeepAlive = body.kind !== "too_large" && !isFragmented;
-    void discardRequestBody(incoming, { isRead: !isFragmented });
+    void discardRequestBody(incoming, {
+      chunkLimit,
+      isRead: !isFragmented,
+    });
     const refusal = body.kind === "too_large"
       ? undefined
       : bodyRefusal(body, limit);
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -29,6 +29,7 @@
 import { LoadShedder } from "@heroncleat/shedding";
 import type { Log } from "../common/log.ts";
 import type { AppliedDocument } from "./applied_document.ts";
+import type { CallerLimits } from "./caller_limits.ts";
 import { ChargeSync } from "./exchange/charge_sync.ts";
 import { createCallerServer } from "./create_caller_server.ts";
 import { ControlLinks } from "./exchange/control_links.ts";
@@ -43,7 +44,7 @@
 import { shutDownGracefully } from "./shutdown/shut_down_gracefully.ts";
 import type { ConnectionOpener } from "../common/connection_opener.ts";
 import { BodyMemory } from "../common/body_memory.ts";
-import type { limitConnections } from "../common/limit_connections.ts";
+import { defaultChunkLimit } from "../common/default_chunk_limit.ts";
 import { MemoryMonitor } from "../common/memory_monitor.ts";
 import { probeUpstream } from "../common/probe_upstream.ts";
 import { QuotaCharger } from "./limits/quota_charger.ts";
@@ -304,6 +305,7 @@
       address: settings.noticeAddress,
       peers: () => this.#exchange.peers,
       onNotice: (notice, from) => this.#noticeHandler.receive(notice, from),
+      strangerBytesPerSecond: settings.limits?.strangerBytesPerSecond,
       clock,
       log: options.log("entry_notices"),
       metrics: options.metrics,
@@ -380,6 +382,8 @@
       listEntries: () => this.#links.listEntries(),
     });
     const forwarding = this.#createContext();
+    const chunkLimit = () =>
+      options.settings().limits?.chunks ?? defaultChunkLimit;
     const clockAhead = () =>
       clock.wall() - this.#links.trueTime(clock.steady());
     this.#gateway = new Gateway({
@@ -402,6 +406,7 @@
       inFlight: this.#inFlight,
       requestBudget: this.#bodies.requests,
       appliedDocument: () => this.#appliedDocument,
+      chunkLimit,
       leaving: this.#departureDeadline,
       clockAhead,
       random: Math.random,
@@ -414,13 +419,14 @@
       forwarding,
       inFlight: this.#inFlight,
       requestBudget: this.#bodies.requests,
+      chunkLimit,
       clockAhead,
     });
     this.#relayServer = createCallerServer(
       serveInTurn((incoming, response) => {
         void relayed.handle(incoming, response);
       }, clock),
-      { connections: this.#connectionLimit("relays") },
+      this.#serverLimits("relays"),
     );
     this.#server = createCallerServer(
       serveInTurn((incoming, response, arrival) => {
@@ -429,7 +435,7 @@
         }
         void this.#gateway.handle(incoming, response, arrival);
       }, clock),
-      { connections: this.#connectionLimit("callers") },
+      this.#serverLimits("callers"),
     );
     this.#unsent = new UnsentResponses(this.#server);
     this.#replacedRuns = new ReplacedRuns({
@@ -571,15 +577,18 @@
     };
   }
 
-  #connectionLimit(
-    name: "callers" | "relays",
-  ): Parameters<typeof limitConnections>[1] {
+  #serverLimits(
+    name: keyof CallerLimits["connections"],
+  ): Parameters<typeof createCallerServer>[1] {
     const { settings, metrics } = this.#options;
     return {
-      limit: () => settings().maxConnections?.[name] ?? Infinity,
-      metrics,
-      log: this.#log,
-      name,
+      connections: {
+        limit: () => settings().limits?.connections?.[name] ?? Infinity,
+        metrics,
+        log: this.#log,
+        name,
+      },
+      maxWaitingBytes: () => settings().limits?.waitingBytes,
     };
   }
 
--- a/apps/heroncleatd/run_daemon.ts
+++ b/apps/heroncleatd/run_daemon.ts
@@ -111,6 +111,9 @@
   const server = new PeerServer({
     address: checked.daemon.peer_address,
     secret: sharedSecret,
+    maxConnections: () => checked.daemon.max_peer_connections,
+    maxUnfinishedBytes: checked.daemon.unfinished_message_memory,
+    handshakeTimeout: checked.daemon.peer_handshake_timeout,
     onProblem: (message) => log.warn(message),
     onDisconnect: createDisconnectLogger(connectionLog),
     onRefusal: createRefusalLogger(connectionLog),
--- a/packages/transport/peer_server.ts
+++ b/packages/transport/peer_server.ts
@@ -1,5 +1,10 @@
 import { createServer, type Server, type Socket } from "node:net";
-import { createToken, RateLimiter, splitAddress } from "@heroncleat/base";
+import {
+  createToken,
+  type Milliseconds,
+  RateLimiter,
+  splitAddress,
+} from "@heroncleat/base";
 import {
   createJSONRPCErrorResponse,
   JSONRPCErrorCode,
@@ -20,8 +25,8 @@
  * time out, as replies to all of them would fill the memory.
  */
 const MAX_UNREAD_BYTES = 256 * 1024;
-/** Limit for a connecting peer to prove that it has the shared secret. */
-const HANDSHAKE_TIMEOUT_MS = 3000;
+/** Default limit for a connecting peer to prove that it has the shared secret. */
+const HANDSHAKE_TIMEOUT: Milliseconds = 3000;
 /** Default limit of open connections. */
 const MAX_CONNECTIONS = 2000;
 /** Share of them that may be without a completed handshake. */
@@ -49,6 +54,8 @@
   readonly maxConnections?: () => number;
   /** Limit of the memory for unfinished messages of all peers together. */
   readonly maxUnfinishedBytes?: number;
+  /** Limit for a connecting peer to prove that it has the shared secret. */
+  readonly handshakeTimeout?: Milliseconds;
   /** Called for each connection that is refused. */
   readonly onRefusal?: (refusal: PeerRefusal) => void;
   /** Called if a connection ends after its handshake. */
@@ -122,7 +129,7 @@
     const address = `${socket.remoteAddress}:${socket.remotePort}`;
     const timer = setTimeout(
       () => framed.close("the handshake timed out"),
-      HANDSHAKE_TIMEOUT_MS,
+      this.#options.handshakeTimeout ?? HANDSHAKE_TIMEOUT,
     );
     const giveUp = () => framed.close(NO_MEMORY);
     const framed = new FramedSocket(socket, {
