A stop answers requests of other entries that have arrived

What callers saw: a request that an entry passed on to one that stops was reset unread, so that the first entry couldn't tell whether it had run. Cause: a stop reads what has arrived at the server for callers before it closes it; the server for other entries was closed without. Change: both are read, and closed together.

--- a/apps/heroncleatd/gateway/shutdown/late_requests_test.ts
+++ b/apps/heroncleatd/gateway/shutdown/late_requests_test.ts
@@ -15,6 +15,9 @@
 /** Time after the signal at which idle connections are closed. */
 const CLOSE_AT_MS = 1500;
 const TIMEOUT_MS = 10_000;
+const RELAY_PORT = PORT + 2;
+/** Time after the signal at which requests in flight are given up. */
+const GIVE_UP_AT_MS = 1750;
 const EVENT = "id: 1\ndata: a\n\n";
 
 const closers: (() => void)[] = [];
@@ -65,6 +68,7 @@
   const gateway = await testGateway.start({
     address: `${HOST}:${PORT}`,
     noticeAddress: `${HOST}:${PORT + 1}`,
+    relayAddress: `${HOST}:${RELAY_PORT}`,
     gracePeriod: GRACE_PERIOD_MS,
     control: CONTROL,
     pool: testGateway.createPool(reply),
@@ -172,6 +176,29 @@
   expect(unanswered).toEqual([]);
 });
 
+// Guards against requests of other entries that a stop resets unread, so that
+// those entries can't tell whether they have run.
+test("a stop answers requests of other entries that wait to be accepted at its end", async () => {
+  const upstream = await startUpstream(() => {});
+  const gateway = await startGateway(upstream, RouteKind.nonIdempotent);
+  const inFlight = send(PORT, HOST, "a1");
+  await waitUntil(() => upstream.received.length === 1);
+  const stopped = gateway.stop();
+  await pause(GIVE_UP_AT_MS - 50);
+  await new Promise((resolve) => setImmediate(resolve));
+  const pending = Array.from(
+    { length: 30 },
+    (_, at) => send(RELAY_PORT, HOST, `late-${at}`),
+  );
+  // The connections are opened, and the requests sent behind them.
+  await new Promise((resolve) => setImmediate(resolve));
+  block(400);
+  const replies = await Promise.all(pending);
+  await stopped;
+  await inFlight;
+  expect(replies.map(({ status }) => status)).toEqual(Array(30).fill(503));
+});
+
 // Guards against requests that end without an answer at the end of the grace
 // period, although their upstream is silent and an answer can be sent.
 test("a call in flight at the end of the grace period is answered", async () => {
--- a/apps/heroncleatd/gateway/shutdown/shut_down_gracefully.ts
+++ b/apps/heroncleatd/gateway/shutdown/shut_down_gracefully.ts
@@ -9,7 +9,10 @@
 const POLL_INTERVAL: Milliseconds = 50;
 
 type ShutdownOptions = {
+  /** The server for callers. */
   readonly server: Server;
+  /** The server for entries that pass requests on; it closes at the end. */
+  readonly relayServer: Server;
   readonly clock: Clock;
   /** Monotonic time at which the grace period began. */
   readonly signalledAt: Milliseconds;
@@ -44,13 +47,14 @@
 export async function shutDownGracefully(
   options: ShutdownOptions,
 ): Promise<ShutdownEnd> {
-  const { server, clock, endsAt, exitsAt, underWay } = options;
+  const { server, relayServer, clock, endsAt, exitsAt, underWay } = options;
+  const servers = [server, relayServer];
   const closeAt = options.signalledAt + options.gracePeriod * CLOSE_GRACE_SHARE;
   let isEarly = false;
   let largestDelay: Milliseconds = 0;
   while (clock.steady() < exitsAt) {
     if (clock.steady() >= closeAt) {
-      await readArrived(server, clock);
+      await readArrived(servers, clock);
       if (!options.unsent.exist) {
         server.close();
         server.closeIdleConnections();
@@ -69,11 +73,13 @@
     largestDelay = Math.max(largestDelay, clock.steady() - now - wait);
   }
   // The process may have stood still until now.
-  await readArrived(server, clock);
+  await readArrived(servers, clock);
   options.giveUp();
-  await readArrived(server, clock);
+  await readArrived(servers, clock);
   options.breakOff();
-  server.close();
-  server.closeAllConnections();
+  for (const each of servers) {
+    each.close();
+    each.closeAllConnections();
+  }
   return { isEarly, largestDelay };
 }
--- a/apps/heroncleatd/gateway/shutdown/unsent_response_test.ts
+++ b/apps/heroncleatd/gateway/shutdown/unsent_response_test.ts
@@ -69,6 +69,7 @@
   const endsAt = signalledAt + GRACE_PERIOD_MS;
   const stopped = shutDownGracefully({
     server,
+    relayServer: createServer(),
     clock,
     signalledAt,
     gracePeriod: GRACE_PERIOD_MS,
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -501,6 +501,7 @@
     });
     const { isEarly, largestDelay } = await shutDownGracefully({
       server: this.#server,
+      relayServer: this.#relayServer,
       clock: this.#options.clock,
       signalledAt,
       gracePeriod,
@@ -511,8 +512,6 @@
       giveUp: () => this.#inFlight.giveUp(),
       breakOff: () => this.#inFlight.breakOff(),
     });
-    this.#relayServer.close();
-    this.#relayServer.closeAllConnections();
     this.#reachability.stop();
     this.#relayAgent.destroy();
     reportInterruptedRequests(this.#inFlight, signalledAt, {
