--- a/apps/heroncleatd/gateway/create_call_signal.ts
+++ b/apps/heroncleatd/gateway/create_call_signal.ts
@@ -3,10 +3,9 @@
 import { type Clock, type Milliseconds, timerDelay } from "@heroncleat/base";
 
 /**
- * Creates the signal of a request, which aborts with `time_up` at the deadline,
- * with `caller_left` when the connection closes before the response ends, with
- * `shutting_down` when this entry gives up requests without a response, and with
- * `failed` by `abandon`.
+ * Creates the signal of a request. It aborts with `time_up` at the deadline,
+ * `caller_left` if the connection closes before the response ends,
+ * `shutting_down` when this entry gives up requests, and `failed` by `abandon`.
  *
  * @param options.deadline Monotonic time.
  */
--- a/apps/heroncleatd/gateway/discard_request_body.ts
+++ b/apps/heroncleatd/gateway/discard_request_body.ts
@@ -10,8 +10,8 @@
 const DISCARD_INTERVAL: Milliseconds = 20;
 
 /**
- * Reads and drops the rest of a caller's body, as a connection that is closed
- * before is reset. Resolves at its end, or after a time.
+ * Reads and drops the rest of a body, as a connection that is closed before is
+ * reset. Resolves at its end, or after a time.
  *
  * @param options.isRead Whether to read it at all.
  * @param options.chunkLimit Beyond it nothing more is read.
--- a/packages/journal/journal.ts
+++ b/packages/journal/journal.ts
@@ -33,8 +33,8 @@
 /**
  * The write-ahead log of one replica in its data folder. The file
  * `journal-N.log` contains the records that follow `snapshot-N.bin`. A new
- * snapshot starts generation N + 1; the files of other generations are removed
- * once both new files are durable.
+ * snapshot starts generation N + 1; other generations are removed once both new
+ * files are durable.
  *
  * @public
  */
