A stop doesn't reset connections that wait to be accepted

Cause: at three quarters of the grace period an entry accepts what waits for at most 250 ms, one connection in each iteration of the event loop, then stops listening, and the system resets the rest. Change: it accepts for as long as requests may be under way. The limit of 250 ms remains for the end of the grace period.

--- a/apps/heroncleatd/gateway/shutdown/late_requests_test.ts
+++ b/apps/heroncleatd/gateway/shutdown/late_requests_test.ts
@@ -56,6 +56,7 @@
 async function startGateway(
   upstream: TestUpstream,
   kind: Route["kind"],
+  gracePeriod = GRACE_PERIOD_MS,
 ): Promise<RunningGateway> {
   const reply = testGateway.createReply({
     address: `${HOST}:${PORT}`,
@@ -69,7 +70,7 @@
     address: `${HOST}:${PORT}`,
     noticeAddress: `${HOST}:${PORT + 1}`,
     relayAddress: `${HOST}:${RELAY_PORT}`,
-    gracePeriod: GRACE_PERIOD_MS,
+    gracePeriod,
     control: CONTROL,
     pool: testGateway.createPool(reply),
   });
@@ -151,30 +152,45 @@
   expect(received).toMatch(/^HTTP\/1.1 503 [^]*the request has not run/);
 });
 
-test("a stop answers requests of connections that wait to be accepted", async () => {
-  const upstream = await startUpstream(answer);
-  const gateway = await startGateway(upstream, RouteKind.idempotent);
-  for (let at = 0; at < 10; at += 1) {
-    await send(PORT, HOST, `first-${at}`);
-  }
-  const stopped = gateway.stop();
-  await pause(CLOSE_AT_MS - 150);
-  await new Promise((resolve) => setImmediate(resolve));
-  const pending = Array.from(
-    { length: 30 },
-    (_, at) => send(PORT, HOST, `late-${at}`),
-  );
-  // The connections are opened, and the requests sent behind them.
-  await new Promise((resolve) => setImmediate(resolve));
-  block(300);
-  const replies = await Promise.all(pending);
-  await stopped;
-  // Refused where the time left is short, but not reset.
-  const unanswered = replies.filter(({ status }) =>
-    status !== 200 && status !== 503
-  );
-  expect(unanswered).toEqual([]);
-});
+// Guards against connections that the system has accepted and a stop resets, as
+// the process is too slow to accept all of them before it stops listening.
+test.each([
+  { count: 30, gracePeriod: GRACE_PERIOD_MS },
+  { count: 600, gracePeriod: 8000 },
+])(
+  "a stop answers requests of $count connections that wait to be accepted",
+  async ({
+    count,
+    gracePeriod,
+  }) => {
+    const upstream = await startUpstream(answer);
+    const gateway = await startGateway(
+      upstream,
+      RouteKind.idempotent,
+      gracePeriod,
+    );
+    for (let at = 0; at < 10; at += 1) {
+      await send(PORT, HOST, `first-${at}`);
+    }
+    const stopped = gateway.stop();
+    await pause(gracePeriod * 0.75 - 150);
+    await new Promise((resolve) => setImmediate(resolve));
+    const pending = Array.from(
+      { length: count },
+      (_, at) => send(PORT, HOST, `late-${at}`),
+    );
+    // The connections are opened, and the requests sent behind them.
+    await new Promise((resolve) => setImmediate(resolve));
+    block(300);
+    const replies = await Promise.all(pending);
+    await stopped;
+    // Refused where the time left is short, but not reset.
+    const unanswered = replies.filter(({ status }) =>
+      status !== 200 && status !== 503
+    );
+    expect(unanswered).toEqual([]);
+  },
+);
 
 // Guards against requests of other entries that a stop resets unread, so that
 // those entries can't tell whether they have run.
--- a/apps/heroncleatd/gateway/shutdown/read_arrived.ts
+++ b/apps/heroncleatd/gateway/shutdown/read_arrived.ts
@@ -1,8 +1,6 @@
 import type { Server } from "node:http";
 import type { Clock, Milliseconds } from "@heroncleat/base";
 
-/** Limit for a process that is too slow for what arrives. */
-const MAX_TIME: Milliseconds = 250;
 /** Iterations of the event loop that read what was accepted before. */
 const READING_ITERATIONS = 2;
 
@@ -10,12 +8,17 @@
  * Lets the event loop accept and read what has arrived at servers. Otherwise
  * closing one resets requests that nobody has read: after a pause of the process
  * its timers run first, and each iteration accepts one connection.
+ *
+ * @param options.timeLimit For a process that is too slow for what arrives.
  */
 export async function readArrived(
   servers: readonly Server[],
-  clock: Pick<Clock, "steady">,
+  { clock, timeLimit }: {
+    clock: Pick<Clock, "steady">;
+    timeLimit: Milliseconds;
+  },
 ): Promise<void> {
-  const until = clock.steady() + MAX_TIME;
+  const until = clock.steady() + timeLimit;
   let iterationsLeft = READING_ITERATIONS;
   const onConnection = () => iterationsLeft = READING_ITERATIONS;
   for (const server of servers) {
--- a/apps/heroncleatd/gateway/shutdown/shut_down_gracefully.ts
+++ b/apps/heroncleatd/gateway/shutdown/shut_down_gracefully.ts
@@ -7,6 +7,8 @@
 /** Share of the grace period after which idle connections are closed. */
 const CLOSE_GRACE_SHARE = 0.75;
 const POLL_INTERVAL: Milliseconds = 50;
+/** Limit for reading what has arrived when little of the grace period is left. */
+const MIN_READ_TIME: Milliseconds = 250;
 
 type ShutdownOptions = {
   /** The server for callers. */
@@ -54,7 +56,8 @@
   let largestDelay: Milliseconds = 0;
   while (clock.steady() < exitsAt) {
     if (clock.steady() >= closeAt) {
-      await readArrived(servers, clock);
+      const timeLimit = Math.max(MIN_READ_TIME, endsAt - clock.steady());
+      await readArrived(servers, { clock, timeLimit });
       if (!options.unsent.exist) {
         server.close();
         server.closeIdleConnections();
@@ -73,9 +76,10 @@
     largestDelay = Math.max(largestDelay, clock.steady() - now - wait);
   }
   // The process may have stood still until now.
-  await readArrived(servers, clock);
+  const lastRead = { clock, timeLimit: MIN_READ_TIME };
+  await readArrived(servers, lastRead);
   options.giveUp();
-  await readArrived(servers, clock);
+  await readArrived(servers, lastRead);
   options.breakOff();
   for (const each of servers) {
     each.close();
