A connection isn't idle while the bytes of its next request wait

What callers saw: nothing yet; found while reading. Since reads are parsed in turn, a request of more than 1 KiB on an open connection waits behind others unparsed. Node.js takes its connection for idle, so that a stop, or a limit of connections, may reset it although the request has arrived. Cause: a connection is idle for Node.js until its parser has seen the first byte of the request. Change: the first KiB of a connection without a request in progress is parsed at once; the rest waits.

--- a/apps/heroncleatd/common/pace_reads_test.ts
+++ b/apps/heroncleatd/common/pace_reads_test.ts
@@ -109,6 +109,28 @@
   expect(answers.filter((answer) => answer === "")).toHaveLength(refusals);
 });
 
+// Guards against requests that are lost as a server closes idle connections, or
+// an idle one makes room, while their bytes wait to be parsed.
+test("a connection isn't idle while the bytes of its next request wait", async () => {
+  const { port } = server.address() as AddressInfo;
+  const socket = connect(port, "127.0.0.1");
+  let received = "";
+  socket.on("data", (bytes) => received += bytes);
+  socket.on("error", () => {});
+  socket.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  await new Promise((resolve) => socket.once("data", resolve));
+  const floods = Array.from({ length: FLOOD_CONNECTIONS }, () => send(FLOOD));
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  const filler = `X-Filler: ${"x".repeat(3 * KIB)}\r\n`;
+  socket.write(`GET / HTTP/1.1\r\nHost: a\r\n${filler}\r\n`);
+  await new Promise((resolve) => setTimeout(resolve, 5));
+  const timer = setInterval(() => server.closeIdleConnections(), 1);
+  await Promise.all(floods);
+  clearInterval(timer);
+  socket.destroy();
+  expect(received.split("HTTP/1.1 200")).toHaveLength(3);
+});
+
 /** Sends bytes at once; resolves once the responses have arrived. */
 function send(
   text: string,
--- a/apps/heroncleatd/common/paced_read.ts
+++ b/apps/heroncleatd/common/paced_read.ts
@@ -14,6 +14,8 @@
  * bodies take some 0.1 ms for each read.
  */
 const TURN_TIME: Milliseconds = 0.5;
+/** Parses one slice only. */
+const FIRST_SLICE_TIME: Milliseconds = 0;
 /** Requests of one connection beyond which the next ones aren't parsed yet. */
 const MAX_PIPELINED = 4;
 
@@ -93,6 +95,11 @@
       this.#lastRequest?.complete === true;
   }
 
+  /** Whether no request is in progress. */
+  get #isIdle(): boolean {
+    return this.#requests === 0;
+  }
+
   /** Whether the chunks of a body must be read before more are parsed. */
   get #isUnread(): boolean {
     return this.#unreadChunks >= MAX_UNREAD_CHUNKS &&
@@ -115,6 +122,10 @@
       return false;
     }
     if (bytes.length > SLICE_BYTES && !this.#queue.isEmpty) {
+      if (this.#isIdle) {
+        // A server may close it until its request has begun.
+        this.#parse(bytes, FIRST_SLICE_TIME);
+      }
       this.#queue.add(this.#parseRest);
       return false;
     }
@@ -140,7 +151,8 @@
     );
   }
 
-  #parse(bytes: Buffer): boolean {
+  /** Parses a slice, and further ones until a time has passed. */
+  #parse(bytes: Buffer, time: Milliseconds = TURN_TIME): boolean {
     const startedAt = performance.now();
     let sliceAt = startedAt;
     let from = 0;
@@ -148,7 +160,7 @@
     while (
       from < bytes.length && isWanted && !this.#isBusy &&
       !this.#isUnread && !this.#socket.destroyed &&
-      sliceAt - startedAt < TURN_TIME
+      (from === 0 || sliceAt - startedAt < time)
     ) {
       const isLarge = this.#isFast && this.#lastRequest?.complete === false;
       const end = from + (isLarge ? LARGE_SLICE_BYTES : SLICE_BYTES);
