A stop answers the requests that wait for others of their connection

Cause: the requests of a connection are served one after the other, and those that wait weren't among the requests in flight. Once an entry stopped, the next response of the connection closed it, so that the ones behind got no answer; a stop could also end between two of them, and the line of a process that ends didn't name them. Shown by a whole gateway: of three pipelined requests the third was lost, of four at the end of the grace period the third and fourth.

Change: requests that wait are in flight. A connection closes behind the last request that waits, not behind the next one.

Requests of a connection beyond the four that are parsed at once may still be left behind a response that closes it.

--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -1,5 +1,5 @@
 import { connect } from "node:net";
-import type { Server } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import {
   createToken,
   type Milliseconds,
@@ -63,6 +63,7 @@
 import type { GatewayOptions } from "./start_gateway_options.ts";
 import { RolloutWatcher } from "./exchange/rollout_watcher.ts";
 import { InFlightRequests } from "./shutdown/in_flight_requests.ts";
+import { RequestProgress } from "./shutdown/request_progress.ts";
 import { ReachabilityWatcher } from "./relay/reachability_watcher.ts";
 import { Relay } from "./relay/relay.ts";
 import { RelayedRequests } from "./relay/relayed_requests.ts";
@@ -425,16 +426,17 @@
     this.#relayServer = createCallerServer(
       serveInTurn((incoming, response) => {
         void relayed.handle(incoming, response);
-      }, clock),
+      }, { clock, onWaiting: this.#addWaiting }),
       this.#serverLimits("relays"),
     );
     this.#server = createCallerServer(
       serveInTurn((incoming, response, arrival) => {
-        if (this.#isStopping) {
-          response.shouldKeepAlive = false;
-        }
         void this.#gateway.handle(incoming, response, arrival);
-      }, clock),
+      }, {
+        clock,
+        onWaiting: this.#addWaiting,
+        isClosing: () => this.#isStopping,
+      }),
       this.#serverLimits("callers"),
     );
     this.#unsent = new UnsentResponses(this.#server);
@@ -537,6 +539,17 @@
     });
   }
 
+  /** Adds a request that waits for others of its connection. */
+  readonly #addWaiting = (
+    { headers }: IncomingMessage,
+    response: ServerResponse,
+    { arrivedAt }: { readonly arrivedAt: Milliseconds },
+  ): () => void => {
+    const request = String(headers[this.#options.names.attempt] ?? "");
+    const progress = new RequestProgress();
+    return this.#inFlight.add({ request, arrivedAt, response, progress });
+  };
+
   #createContext(): ForwardContext {
     const { names, clock, metrics, settings } = this.#options;
     return {
