--- a/apps/heroncleatd/common/close_lingering.ts
+++ b/apps/heroncleatd/common/close_lingering.ts
@@ -1,14 +1,14 @@
 import type { ServerResponse } from "node:http";
 import type { Milliseconds } from "@heroncleat/base";
 import { byteLimits } from "./byte_limits.ts";
+import { delayClose } from "./delay_close.ts";
 
 /** Time in which the caller can read the response before a reset. */
 const LINGER_TIME: Milliseconds = 2000;
 
 /**
  * Makes a response the last one of its connection and drops what still arrives.
- * Closing at once would reset the connection, and the caller might not get the
- * response. Must be called before the head is written.
+ * Must be called before the head is written.
  */
 export function closeLingering(response: ServerResponse): void {
   const { socket } = response.req;
@@ -23,10 +23,5 @@
     }
   });
   socket.resume();
-  socket.destroySoon = () => {
-    socket.end();
-    const timer = setTimeout(() => socket.destroy(), LINGER_TIME);
-    timer.unref();
-    socket.once("close", () => clearTimeout(timer));
-  };
+  delayClose(socket, LINGER_TIME);
 }
--- a/apps/heroncleatd/common/stop_reading.ts
+++ b/apps/heroncleatd/common/stop_reading.ts
@@ -1,9 +1,10 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Milliseconds } from "@heroncleat/base";
+import { delayClose } from "./delay_close.ts";
 
 /**
  * Reads nothing more of a connection and closes it some time behind its next
- * response. Closing at once would reset it, and the caller might lose that.
+ * response.
  *
  * @param options.closeDelay Time for the caller to close it first.
  */
@@ -20,11 +21,5 @@
   incoming.read(0);
   incoming.pause();
   socket.pause();
-  // Node calls this behind the last response of a connection.
-  socket.destroySoon = () => {
-    socket.end();
-    const timer = setTimeout(() => socket.destroy(), closeDelay);
-    timer.unref();
-    socket.once("close", () => clearTimeout(timer));
-  };
+  delayClose(socket, closeDelay);
 }
