Lack of room for waiting bytes doesn't cost accepted requests their responses

Cause: a connection that sent more than 1 KiB while too many bytes waited to be parsed was destroyed, also if complete requests of it were under way. Change: of such a connection nothing more is read, and it is closed behind the responses to its complete requests, with time for the caller to read them. One without complete requests is closed at once, as before. Both are counted, as closed_waiting and stopped_waiting.

The caller's leaving isn't noticed by a read while nothing is read.

--- a/apps/heroncleatd/common/pace_reads.ts
+++ b/apps/heroncleatd/common/pace_reads.ts
@@ -1,6 +1,7 @@
 import type { Server } from "node:http";
 import type { Socket } from "node:net";
 import { PacedRead } from "./paced_read.ts";
+import type { ReadOutcome } from "./read_outcome.ts";
 import { ReadQueue } from "./read_queue.ts";
 
 /**
@@ -11,8 +12,11 @@
 export function paceReads(
   server: Server,
   { onRefusal = () => {}, maxWaitingBytes }: {
-    /** Called for each connection that is closed, as too many bytes wait. */
-    onRefusal?: () => void;
+    /**
+     * Called for each connection of which nothing more is read, as too many
+     * bytes wait.
+     */
+    onRefusal?: (outcome: ReadOutcome) => void;
     /** Returns how many bytes may wait, at all connections; undefined: 64 MiB. */
     maxWaitingBytes?: (() => number | undefined) | undefined;
   } = {},
--- a/apps/heroncleatd/common/pace_reads_test.ts
+++ b/apps/heroncleatd/common/pace_reads_test.ts
@@ -1,5 +1,12 @@
-import { createServer, type Server, type ServerResponse } from "node:http";
+import { once } from "node:events";
+import {
+  createServer,
+  type RequestListener,
+  type Server,
+  type ServerResponse,
+} from "node:http";
 import { type AddressInfo, connect } from "node:net";
+import { waitUntil } from "../hub/wait_until.ts";
 import { paceReads } from "./pace_reads.ts";
 
 const KIB = 1024;
@@ -88,19 +95,13 @@
 // Guards against waiting bytes that fill the process.
 test("connections that send much beyond the limit of waiting bytes are closed and counted", async () => {
   let refusals = 0;
-  server.removeAllListeners("connection");
-  server.removeAllListeners("request");
-  const limited = createServer((incoming, response) => {
+  await replaceServer((incoming, response) => {
     incoming.resume();
     incoming.once("end", () => response.end("served"));
-  });
-  paceReads(limited, {
+  }, {
     onRefusal: () => refusals += 1,
     maxWaitingBytes: () => 200 * KIB,
   });
-  server.close();
-  server = limited;
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
   const floods = Array.from({ length: FLOOD_CONNECTIONS }, () => send(FLOOD));
   const ordinary = await send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
   const answers = await Promise.all(floods);
@@ -109,6 +110,50 @@
   expect(answers.filter((answer) => answer === "")).toHaveLength(refusals);
 });
 
+// Guards against answers of accepted requests that are lost, as what follows them
+// on their connection finds no room.
+test("a connection with requests under way is closed behind their responses for lack of room", async () => {
+  const outcomes: string[] = [];
+  const inProgress: ServerResponse[] = [];
+  let received = 0;
+  await replaceServer((incoming, response) => {
+    incoming.resume();
+    incoming.once("end", () => received += 1);
+    inProgress.push(response);
+  }, {
+    onRefusal: (outcome) => outcomes.push(outcome),
+    maxWaitingBytes: () => 0,
+  });
+  const { port } = server.address() as AddressInfo;
+  const caller = connect(port, "127.0.0.1");
+  const isClosed = once(caller, "close").catch(() => {});
+  let answers = "";
+  caller.on("data", (bytes) => answers += bytes);
+  caller.on("error", () => {});
+  caller.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n".repeat(2));
+  await waitUntil(() => received === 2);
+  caller.write(FLOOD);
+  await waitUntil(() => outcomes.length > 0);
+  inProgress[0]!.end("served");
+  await waitUntil(() => answers.endsWith("served"));
+  inProgress[1]!.end("served");
+  await isClosed;
+  expect(answers.split("served")).toHaveLength(3);
+  expect(inProgress).toHaveLength(2);
+  expect(outcomes).toEqual(["stopped_waiting"]);
+});
+
+/** Starts another server in place of the one that runs. */
+async function replaceServer(
+  onRequest: RequestListener,
+  options: Parameters<typeof paceReads>[1],
+): Promise<void> {
+  server.close();
+  server = createServer(onRequest);
+  paceReads(server, options);
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+}
+
 /** Sends bytes at once; resolves once the responses have arrived. */
 function send(
   text: string,
--- a/apps/heroncleatd/common/paced_read.ts
+++ b/apps/heroncleatd/common/paced_read.ts
@@ -1,6 +1,8 @@
 import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
 import type { Milliseconds } from "@heroncleat/base";
+import { delayClose } from "./delay_close.ts";
+import { ReadOutcome } from "./read_outcome.ts";
 import type { ReadQueue } from "./read_queue.ts";
 
 /** Bytes that are parsed before the time is looked at. */
@@ -25,6 +27,9 @@
 /** Time after which it is checked whether they have been read. */
 const UNREAD_CHECK_TIME: Milliseconds = 20;
 
+/** Time in which a caller can read its responses before a reset. */
+const CLOSE_DELAY: Milliseconds = 2000;
+
 /** The bytes of one connection of an HTTP server that wait to be parsed. */
 export class PacedRead {
   readonly #socket: Socket;
@@ -35,6 +40,8 @@
   #isFast = false;
   /** Whether bytes wait until a response has ended. */
   #isHeld = false;
+  /** Whether nothing more is read. */
+  #isStopped = false;
   #requests = 0;
   #lastRequest: IncomingMessage | undefined;
   /** Chunks of the last request's body that weren't read when it came. */
@@ -81,6 +88,10 @@
   /** Records the end of a response, or of its connection. */
   recordResponse(): void {
     this.#requests -= 1;
+    if (this.#isStopped && !this.#hasWork) {
+      this.#socket.destroySoon();
+      return;
+    }
     if (this.#isHeld && !this.#isBusy) {
       this.#isHeld = false;
       this.#queue.add(this.#parseRest);
@@ -93,6 +104,12 @@
       this.#lastRequest?.complete === true;
   }
 
+  /** Whether complete requests have no complete response. */
+  get #hasWork(): boolean {
+    const incomplete = this.#lastRequest?.complete === false ? 1 : 0;
+    return this.#requests > incomplete;
+  }
+
   /** Whether the chunks of a body must be read before more are parsed. */
   get #isUnread(): boolean {
     return this.#unreadChunks >= MAX_UNREAD_CHUNKS &&
@@ -105,8 +122,7 @@
       return this.#push(bytes);
     }
     if (bytes.length > SLICE_BYTES && !this.#queue.hasRoom) {
-      this.#queue.recordRefusal();
-      this.#socket.destroy();
+      this.#refuse();
       return false;
     }
     this.#setRest(bytes);
@@ -121,6 +137,18 @@
     return this.#parse(bytes);
   }
 
+  /** Drops bytes for which there is no room, and reads nothing more. */
+  #refuse(): void {
+    if (!this.#hasWork) {
+      this.#queue.recordRefusal(ReadOutcome.closed);
+      this.#socket.destroy();
+      return;
+    }
+    this.#queue.recordRefusal(ReadOutcome.stopped);
+    this.#isStopped = true;
+    delayClose(this.#socket, CLOSE_DELAY);
+  }
+
   readonly #parseRest = (): void => {
     if (this.#isBusy || this.#isUnread) {
       this.#hold();
--- a/apps/heroncleatd/common/read_queue.ts
+++ b/apps/heroncleatd/common/read_queue.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds } from "@heroncleat/base";
+import type { ReadOutcome } from "./read_outcome.ts";
 
 /**
  * Time for which waiting bytes are parsed in one turn of the event loop, in which
@@ -9,15 +10,15 @@
 const MAX_WAITING_BYTES = 64 * 1024 * 1024;
 
 type QueueOptions = {
-  /** Called for each connection that is closed for lack of room. */
-  readonly onRefusal: () => void;
+  /** Called for each connection of which nothing more is read. */
+  readonly onRefusal: (outcome: ReadOutcome) => void;
   /** Returns how many bytes may wait. */
   readonly maxBytes?: (() => number | undefined) | undefined;
 };
 
 /** The connections of a server whose bytes wait to be parsed, in turn. */
 export class ReadQueue {
-  readonly #onRefusal: () => void;
+  readonly #onRefusal: QueueOptions["onRefusal"];
   readonly #maxBytes: () => number | undefined;
   readonly #waiting = new Set<() => void>();
   #bytes = 0;
@@ -43,8 +44,8 @@
     this.#bytes += change;
   }
 
-  recordRefusal(): void {
-    this.#onRefusal();
+  recordRefusal(outcome: ReadOutcome): void {
+    this.#onRefusal(outcome);
   }
 
   /** Lets a connection parse some bytes once those before it have. */
--- a/apps/heroncleatd/control/operator_server.ts
+++ b/apps/heroncleatd/control/operator_server.ts
@@ -104,8 +104,8 @@
       });
     });
     paceReads(this.#server, {
-      onRefusal: () =>
-        options.metrics.increment("connections.closed_waiting.operators"),
+      onRefusal: (outcome) =>
+        options.metrics.increment(`connections.${outcome}.operators`),
       maxWaitingBytes: () => options.settings.waiting_memory,
     });
     this.#server.requestTimeout = REQUEST_TIMEOUT_MS;
--- a/apps/heroncleatd/entry/caller_server.ts
+++ b/apps/heroncleatd/entry/caller_server.ts
@@ -87,7 +87,8 @@
       },
     );
     paceReads(this.#server, {
-      onRefusal: () => metrics.increment("connections.closed_waiting.callers"),
+      onRefusal: (outcome) =>
+        metrics.increment(`connections.${outcome}.callers`),
       maxWaitingBytes: () => entry.waiting_memory,
     });
     this.#unsent = new UnsentResponses(this.#server);
--- a/apps/heroncleatd/gateway/create_caller_server.ts
+++ b/apps/heroncleatd/gateway/create_caller_server.ts
@@ -35,9 +35,9 @@
   const { connections, maxWaitingBytes } = options;
   paceReads(server, {
     maxWaitingBytes,
-    onRefusal: () =>
+    onRefusal: (outcome) =>
       connections?.metrics.increment(
-        `connections.closed_waiting.${connections.name}`,
+        `connections.${outcome}.${connections.name}`,
       ),
   });
   if (connections !== undefined) {
