At the limit of connections unfinished bodies of callers make room

Cause: with callerConnections open and none of them idle, a new connection was closed, although others sent nothing of bodies that they had begun. The other servers give up the oldest unfinished body; those for callers and for requests that other entries pass on didn't. Change: both do. The request gets 408, not run; the body that has been incomplete for longest comes first. An entry that passed a request on asks another one. The set of unfinished bodies is a class of its own, which the platform's servers use too.

--- a/apps/heroncleatd/common/read_call_body.ts
+++ b/apps/heroncleatd/common/read_call_body.ts
@@ -4,6 +4,7 @@
 import { ByteCollector } from "./byte_collector.ts";
 import type { ChunkLimit } from "./chunk_limit.ts";
 import { hasTooManyChunks } from "./has_too_many_chunks.ts";
+import type { UnfinishedBodies } from "./unfinished_bodies.ts";
 
 /** A complete body, or the reason why it couldn't be read. */
 export type CallBody =
@@ -30,8 +31,8 @@
   readonly budget: ByteBudget;
   /** Time from now until the body must be complete. */
   readonly timeout: Milliseconds;
-  /** Gives up a body that is being read, as late; the oldest comes first. */
-  readonly unfinished: Set<() => void>;
+  /** The bodies that are being read. */
+  readonly unfinished: UnfinishedBodies;
 };
 
 /**
@@ -66,7 +67,7 @@
       }
       isSettled = true;
       clearTimeout(timer);
-      unfinished.delete(giveUp);
+      stopListening();
       incoming.off("data", onData);
       if (body.kind !== "complete") {
         incoming.pause();
@@ -89,7 +90,7 @@
       }
     };
     const giveUp = () => settle({ kind: "late" });
-    unfinished.add(giveUp);
+    const stopListening = unfinished.add(giveUp);
     // After a pause of the process, timers run before bytes are read that have
     // arrived in time.
     const timer = setTimeout(() => setImmediate(giveUp), timerDelay(timeout));
--- a/apps/heroncleatd/gateway/gateway.ts
+++ b/apps/heroncleatd/gateway/gateway.ts
@@ -12,6 +12,7 @@
 import type { ChunkLimit } from "../common/chunk_limit.ts";
 import type { Log } from "../common/log.ts";
 import type { Metrics } from "../common/metrics.ts";
+import type { UnfinishedBodies } from "../common/unfinished_bodies.ts";
 import type { Admission } from "./admission.ts";
 import type { AppliedDocument } from "./applied_document.ts";
 import type { CallerRequest } from "./caller_request.ts";
@@ -79,6 +80,8 @@
   readonly inFlight: InFlightRequests;
   /** What the bodies of requests hold. */
   readonly requestBudget: ByteBudget;
+  /** The bodies of requests that are being read. */
+  readonly unfinished: UnfinishedBodies;
   /** Chunks that the body of a request may have. */
   readonly chunkLimit: () => ChunkLimit;
   /** When this entry exits, once its shutdown has begun. */
--- a/apps/heroncleatd/gateway/read_request_body.ts
+++ b/apps/heroncleatd/gateway/read_request_body.ts
@@ -5,6 +5,7 @@
 import { byteLimits } from "../common/byte_limits.ts";
 import type { ChunkLimit } from "../common/chunk_limit.ts";
 import { hasTooManyChunks } from "../common/has_too_many_chunks.ts";
+import type { UnfinishedBodies } from "../common/unfinished_bodies.ts";
 import type { InFlightRequests } from "./shutdown/in_flight_requests.ts";
 
 /** A complete body, or the reason why it couldn't be read. */
@@ -36,6 +37,8 @@
   readonly deadline: Milliseconds;
   readonly clock: Pick<Clock, "steady">;
   readonly inFlight: Pick<InFlightRequests, "onGiveUp">;
+  /** The bodies that are being read. */
+  readonly unfinished: UnfinishedBodies;
 };
 
 /**
@@ -46,7 +49,7 @@
   incoming: IncomingMessage,
   options: ReadOptions,
 ): Promise<RequestBody> {
-  const { limit, chunkLimit, budget, deadline, clock, inFlight } = options;
+  const { limit, chunkLimit, budget, deadline, clock } = options;
   const stated = Number(incoming.headers["content-length"] ?? 0);
   if (stated > limit) {
     return Promise.resolve({ kind: "too_large" });
@@ -75,13 +78,16 @@
     const isChunked = incoming.headers["transfer-encoding"] !== undefined;
     let chunks = 0;
     let isSettled = false;
+    const stopListeners: (() => void)[] = [];
     const settle = (body: RequestBody) => {
       if (isSettled) {
         return;
       }
       isSettled = true;
       clearTimeout(timer);
-      stopListening();
+      for (const stop of stopListeners) {
+        stop();
+      }
       incoming.off("data", onData);
       if (body.kind !== "complete") {
         collector.clear();
@@ -103,11 +109,15 @@
     };
     // After a pause of the process, timers run before bytes are read that have
     // arrived in time.
+    const giveUp = () => settle({ kind: "late" });
     const timer = setTimeout(
-      () => setImmediate(() => settle({ kind: "late" })),
+      () => setImmediate(giveUp),
       timerDelay(deadline - clock.steady()),
     );
-    const stopListening = inFlight.onGiveUp(() => settle({ kind: "leaving" }));
+    stopListeners.push(
+      options.inFlight.onGiveUp(() => settle({ kind: "leaving" })),
+      options.unfinished.add(giveUp),
+    );
     incoming.on("data", onData);
     incoming.once("end", () => {
       const release = () => hold?.release();
--- a/apps/heroncleatd/gateway/read_request_body_test.ts
+++ b/apps/heroncleatd/gateway/read_request_body_test.ts
@@ -2,6 +2,7 @@
 import { type AddressInfo, connect } from "node:net";
 import { createSystemClock } from "@heroncleat/base";
 import { ByteBudget } from "../common/byte_budget.ts";
+import { UnfinishedBodies } from "../common/unfinished_bodies.ts";
 import { readRequestBody } from "./read_request_body.ts";
 
 const clock = createSystemClock();
@@ -19,6 +20,7 @@
       deadline: clock.steady() + 5000,
       clock,
       inFlight: { onGiveUp: () => () => {} },
+      unfinished: new UnfinishedBodies(),
     });
     kinds.push(body.kind);
     response.shouldKeepAlive = false;
--- a/apps/heroncleatd/gateway/relay/relayed_requests.ts
+++ b/apps/heroncleatd/gateway/relay/relayed_requests.ts
@@ -10,6 +10,7 @@
 import type { ChunkLimit } from "../../common/chunk_limit.ts";
 import type { Log } from "../../common/log.ts";
 import type { Metrics } from "../../common/metrics.ts";
+import type { UnfinishedBodies } from "../../common/unfinished_bodies.ts";
 import type { AppliedDocument } from "../applied_document.ts";
 import type { CallerRequest } from "../caller_request.ts";
 import { createCallSignal } from "../create_call_signal.ts";
@@ -55,6 +56,8 @@
   readonly inFlight: InFlightRequests;
   /** What the bodies of requests hold. */
   readonly requestBudget: ByteBudget;
+  /** The bodies of requests that are being read. */
+  readonly unfinished: UnfinishedBodies;
   /** Chunks that the body of a request may have. */
   readonly chunkLimit: () => ChunkLimit;
   /** The configuration document in effect, and when it was applied. */
@@ -137,6 +140,7 @@
       deadline: arrivedAt + MAX_BODY_TIME,
       clock,
       inFlight,
+      unfinished: this.#options.unfinished,
     });
     if (body.kind === "complete") {
       try {
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -58,6 +58,7 @@
 import { RetryLimiter } from "./limits/retry_limiter.ts";
 import type { RunningGateway } from "./running_gateway.ts";
 import { StatementWatcher } from "../common/statement_watcher.ts";
+import { UnfinishedBodies } from "../common/unfinished_bodies.ts";
 import { UnsentResponses } from "../common/unsent_responses.ts";
 import { ServiceReturnTimes } from "./limits/service_return_times.ts";
 import type { GatewayOptions } from "./start_gateway_options.ts";
@@ -387,6 +388,10 @@
       options.settings().limits?.chunks ?? defaultChunkLimit;
     const clockAhead = () =>
       clock.wall() - this.#links.trueTime(clock.steady());
+    const unfinished = {
+      callers: new UnfinishedBodies(),
+      relays: new UnfinishedBodies(),
+    };
     this.#gateway = new Gateway({
       names: options.names,
       readPrompt: options.readPrompt,
@@ -406,6 +411,7 @@
       streams: this.#streams,
       inFlight: this.#inFlight,
       requestBudget: this.#bodies.requests,
+      unfinished: unfinished.callers,
       appliedDocument: () => this.#appliedDocument,
       chunkLimit,
       leaving: this.#departureDeadline,
@@ -420,6 +426,7 @@
       forwarding,
       inFlight: this.#inFlight,
       requestBudget: this.#bodies.requests,
+      unfinished: unfinished.relays,
       chunkLimit,
       clockAhead,
     });
@@ -427,7 +434,7 @@
       serveInTurn((incoming, response) => {
         void relayed.handle(incoming, response);
       }, { clock, onWaiting: this.#addWaiting }),
-      this.#serverLimits("relays"),
+      this.#serverLimits("relays", unfinished.relays),
     );
     this.#server = createCallerServer(
       serveInTurn((incoming, response, arrival) => {
@@ -437,7 +444,7 @@
         onWaiting: this.#addWaiting,
         isClosing: () => this.#isStopping,
       }),
-      this.#serverLimits("callers"),
+      this.#serverLimits("callers", unfinished.callers),
     );
     this.#unsent = new UnsentResponses(this.#server);
     this.#replacedRuns = new ReplacedRuns({
@@ -592,11 +599,13 @@
 
   #serverLimits(
     name: keyof CallerLimits["connections"],
+    unfinished: UnfinishedBodies,
   ): Parameters<typeof createCallerServer>[1] {
     const { settings, metrics } = this.#options;
     return {
       connections: {
         limit: () => settings().limits?.connections?.[name] ?? Infinity,
+        giveUpBody: () => unfinished.giveUpOldest(),
         metrics,
         log: this.#log,
         name,
--- a/apps/heroncleatd/gateway/test_gateway.ts
+++ b/apps/heroncleatd/gateway/test_gateway.ts
@@ -118,7 +118,7 @@
 
 type GatewaySetup =
   & Pick<GatewaySettings, "address" | "noticeAddress" | "gracePeriod">
-  & Partial<Pick<GatewaySettings, "relayAddress">>
+  & Partial<Pick<GatewaySettings, "relayAddress" | "limits">>
   & {
     /** Address of the only control replica. */
     readonly control: string;
--- a/apps/heroncleatd/mod.ts
+++ b/apps/heroncleatd/mod.ts
@@ -41,4 +41,5 @@
 export { startHubProxy } from "./hub/start_hub_proxy.ts";
 export { startHub } from "./hub/start_hub.ts";
 export { stopReading } from "./common/stop_reading.ts";
+export { UnfinishedBodies } from "./common/unfinished_bodies.ts";
 export { UnsentResponses } from "./common/unsent_responses.ts";
