--- a/apps/heroncleatd/gateway/responses/end_failed_request_test.ts
+++ b/apps/heroncleatd/gateway/responses/end_failed_request_test.ts
@@ -1,5 +1,6 @@
-import { createServer, type ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
+import { createServer, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import { setTimeout as pause } from "node:timers/promises";
 import { createSystemClock } from "@heroncleat/base";
 import { RequestProgress } from "../shutdown/request_progress.ts";
 import { testHeaderNames } from "../test_header_names.ts";
@@ -14,6 +15,18 @@
   names: testHeaderNames,
 };
 
+/** Longer than a connection that is broken off stays open. */
+const BREAK_OFF_MS = 200;
+
+let server: Server;
+/** The connection of the caller at the server. */
+let accepted: Socket;
+
+afterEach(() => {
+  server.close();
+  server.closeAllConnections();
+});
+
 // Guards against a promise that a request has not run although it may have.
 test("a request that fails after it was sent may have run", async () => {
   const response = await fail((progress) => progress.recordSent("u1", 0));
@@ -38,12 +51,20 @@
   await expect(response.text()).rejects.toThrow();
 });
 
+// Guards against the end of a connection that other requests use.
+test("a request that fails behind its complete response leaves its connection open", async () => {
+  const response = await fail((_progress, begun) => void begun.end("whole"));
+  expect(await response.text()).toBe("whole");
+  await pause(BREAK_OFF_MS);
+  expect(accepted.destroyed).toBe(false);
+});
+
 /** Fails a request after `prepare`, and resolves to the caller's response. */
 async function fail(
   prepare: (progress: RequestProgress, response: ServerResponse) => void,
   { relayedBy }: { relayedBy?: string } = {},
 ): Promise<Response> {
-  const server = createServer((_incoming, response) => {
+  server = createServer((_incoming, response) => {
     const progress = new RequestProgress();
     prepare(progress, response);
     void endFailedRequest({
@@ -55,9 +76,8 @@
       error: new Error("a failure inside the entry"),
     }, CONTEXT);
   });
+  server.on("connection", (socket) => accepted = socket);
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
   const { port } = server.address() as AddressInfo;
-  const response = await fetch(`http://127.0.0.1:${port}/`);
-  server.close();
-  return response;
+  return await fetch(`http://127.0.0.1:${port}/`);
 }
--- a/apps/heroncleatd/gateway/upstreams/stated_idle_timeout_test.ts
+++ b/apps/heroncleatd/gateway/upstreams/stated_idle_timeout_test.ts
@@ -9,6 +9,7 @@
   ["of centuries", "99999999999"],
   ["just beyond the longest timer", "2147484"],
   ["of no time", "0"],
+  ["of no time in two digits", "00"],
 ])(
   "an idle timeout %s that an upstream states ends no process",
   async (_, seconds) => {
@@ -31,6 +32,9 @@
     }
     process.off("uncaughtException", fail);
     expect(agent.hasFreeSocket).toBe(true);
+    // 0 would keep idle connections for good.
+    const [idle] = Object.values(agent.freeSockets).flat();
+    expect(idle?.timeout).toBeGreaterThan(0);
     agent.destroy();
     server.close();
   },
