A test of waiting requests in a stop of a process that stood still

Change: a process that is held back until its exit still refuses the requests that wait for others of their connection.

--- a/apps/heroncleatd/gateway/shutdown/pipelined_requests_test.ts
+++ b/apps/heroncleatd/gateway/shutdown/pipelined_requests_test.ts
@@ -1,4 +1,5 @@
 import { connect } from "node:net";
+import { setTimeout as pause } from "node:timers/promises";
 import { type Route, RouteKind } from "@heroncleat/serving";
 import { waitUntil } from "../../hub/wait_until.ts";
 import type { RunningGateway } from "../running_gateway.ts";
@@ -10,6 +11,7 @@
 const PORT = 25_521;
 const CONTROL = "hub:1";
 const GRACE_PERIOD_MS = 2000;
+const STALL_AFTER_MS = 1600;
 const RUN_TIME_MS = 300;
 const TIMEOUT_MS = 10_000;
 const SHORT_TIMEOUT_MS = 1500;
@@ -66,6 +68,14 @@
   return { upstream, gateway, stop };
 }
 
+/** Keeps this process from running anything else. */
+function block(time: number): void {
+  const until = performance.now() + time;
+  while (performance.now() < until) {
+    // Timers become due.
+  }
+}
+
 /** Sends requests at once; resolves to what came until the connection closed. */
 function pipeline(
   attempts: readonly string[],
@@ -122,6 +132,23 @@
   expect(upstream.received).toHaveLength(1);
 });
 
+// Guards against a process that was held back until it exits, and then closes
+// connections between two of their responses.
+test("requests that wait are refused by a process that stood still until its exit", async () => {
+  const { upstream, stop } = await start(ignore, {
+    kind: RouteKind.nonIdempotent,
+    timeout: TIMEOUT_MS,
+  });
+  const { isClosed } = pipeline(["a1", "a2", "a3", "a4"]);
+  await waitUntil(() => upstream.received.length === 1);
+  const stopped = stop();
+  await pause(STALL_AFTER_MS);
+  block(GRACE_PERIOD_MS - STALL_AFTER_MS);
+  await stopped;
+  const received = await isClosed;
+  expect(statusesOf(received)).toEqual([502, 503, 503, 503]);
+});
+
 // Guards against an exit whose log doesn't name the requests that it ends, and
 // against stops that wait for those of callers that have left.
 test("requests that wait for others of their connection are listed as in flight until their caller leaves", async () => {
