--- a/apps/heroncleatd/common/paced_read.ts
+++ b/apps/heroncleatd/common/paced_read.ts
@@ -1,6 +1,8 @@
 import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
 import type { Milliseconds } from "@heroncleat/base";
+import { delayClose } from "./delay_close.ts";
+import { ReadOutcome } from "./read_outcome.ts";
 import type { ReadQueue } from "./read_queue.ts";
 
 /** Bytes that are parsed before the time is looked at. */
@@ -14,8 +16,6 @@
  * bodies take some 0.1 ms for each read.
  */
 const TURN_TIME: Milliseconds = 0.5;
-/** Parses one slice only. */
-const FIRST_SLICE_TIME: Milliseconds = 0;
 /** Requests of one connection beyond which the next ones aren't parsed yet. */
 const MAX_PIPELINED = 4;
 
@@ -27,6 +27,9 @@
 /** Time after which it is checked whether they have been read. */
 const UNREAD_CHECK_TIME: Milliseconds = 20;
 
+/** Time in which a caller can read its responses before a reset. */
+const CLOSE_DELAY: Milliseconds = 2000;
+
 /** The bytes of one connection of an HTTP server that wait to be parsed. */
 export class PacedRead {
   readonly #socket: Socket;
@@ -37,6 +40,8 @@
   #isFast = false;
   /** Whether bytes wait until a response has ended. */
   #isHeld = false;
+  /** Whether nothing more is read. */
+  #isStopped = false;
   #requests = 0;
   #lastRequest: IncomingMessage | undefined;
   /** Chunks of the last request's body that weren't read when it came. */
@@ -83,6 +88,10 @@
   /** Records the end of a response, or of its connection. */
   recordResponse(): void {
     this.#requests -= 1;
+    if (this.#isStopped && !this.#hasWork) {
+      this.#socket.destroySoon();
+      return;
+    }
     if (this.#isHeld && !this.#isBusy) {
       this.#isHeld = false;
       this.#queue.add(this.#parseRest);
@@ -95,9 +104,10 @@
       this.#lastRequest?.complete === true;
   }
 
-  /** Whether no request is in progress. */
-  get #isIdle(): boolean {
-    return this.#requests === 0;
+  /** Whether complete requests have no complete response. */
+  get #hasWork(): boolean {
+    const incomplete = this.#lastRequest?.complete === false ? 1 : 0;
+    return this.#requests > incomplete;
   }
 
   /** Whether the chunks of a body must be read before more are parsed. */
@@ -112,8 +122,7 @@
       return this.#push(bytes);
     }
     if (bytes.length > SLICE_BYTES && !this.#queue.hasRoom) {
-      this.#queue.recordRefusal();
-      this.#socket.destroy();
+      this.#refuse();
       return false;
     }
     this.#setRest(bytes);
@@ -122,16 +131,24 @@
       return false;
     }
     if (bytes.length > SLICE_BYTES && !this.#queue.isEmpty) {
-      if (this.#isIdle) {
-        // A server may close it until its request has begun.
-        this.#parse(bytes, FIRST_SLICE_TIME);
-      }
       this.#queue.add(this.#parseRest);
       return false;
     }
     return this.#parse(bytes);
   }
 
+  /** Drops bytes for which there is no room, and reads nothing more. */
+  #refuse(): void {
+    if (!this.#hasWork) {
+      this.#queue.recordRefusal(ReadOutcome.closed);
+      this.#socket.destroy();
+      return;
+    }
+    this.#queue.recordRefusal(ReadOutcome.stopped);
+    this.#isStopped = true;
+    delayClose(this.#socket, CLOSE_DELAY);
+  }
+
   readonly #parseRest = (): void => {
     if (this.#isBusy || this.#isUnread) {
       this.#hold();
@@ -151,8 +168,7 @@
     );
   }
 
-  /** Parses a slice, and further ones until a time has passed. */
-  #parse(bytes: Buffer, time: Milliseconds = TURN_TIME): boolean {
+  #parse(bytes: Buffer): boolean {
     const startedAt = performance.now();
     let sliceAt = startedAt;
     let from = 0;
@@ -160,7 +176,7 @@
     while (
       from < bytes.length && isWanted && !this.#isBusy &&
       !this.#isUnread && !this.#socket.destroyed &&
-      (from === 0 || sliceAt - startedAt < time)
+      sliceAt - startedAt < TURN_TIME
     ) {
       const isLarge = this.#isFast && this.#lastRequest?.complete === false;
       const end = from + (isLarge ? LARGE_SLICE_BYTES : SLICE_BYTES);
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -1,5 +1,5 @@
 import { connect } from "node:net";
-import type { Server } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import {
   createToken,
   type Milliseconds,
@@ -58,11 +58,13 @@
 import { RetryLimiter } from "./limits/retry_limiter.ts";
 import type { RunningGateway } from "./running_gateway.ts";
 import { StatementWatcher } from "../common/statement_watcher.ts";
+import { UnfinishedBodies } from "../common/unfinished_bodies.ts";
 import { UnsentResponses } from "../common/unsent_responses.ts";
 import { ServiceReturnTimes } from "./limits/service_return_times.ts";
 import type { GatewayOptions } from "./start_gateway_options.ts";
 import { RolloutWatcher } from "./exchange/rollout_watcher.ts";
 import { InFlightRequests } from "./shutdown/in_flight_requests.ts";
+import { RequestProgress } from "./shutdown/request_progress.ts";
 import { ReachabilityWatcher } from "./relay/reachability_watcher.ts";
 import { Relay } from "./relay/relay.ts";
 import { RelayedRequests } from "./relay/relayed_requests.ts";
@@ -386,6 +388,10 @@
       options.settings().limits?.chunks ?? defaultChunkLimit;
     const clockAhead = () =>
       clock.wall() - this.#links.trueTime(clock.steady());
+    const unfinished = {
+      callers: new UnfinishedBodies(),
+      relays: new UnfinishedBodies(),
+    };
     this.#gateway = new Gateway({
       names: options.names,
       readPrompt: options.readPrompt,
@@ -405,6 +411,7 @@
       streams: this.#streams,
       inFlight: this.#inFlight,
       requestBudget: this.#bodies.requests,
+      unfinished: unfinished.callers,
       appliedDocument: () => this.#appliedDocument,
       chunkLimit,
       leaving: this.#departureDeadline,
@@ -419,23 +426,25 @@
       forwarding,
       inFlight: this.#inFlight,
       requestBudget: this.#bodies.requests,
+      unfinished: unfinished.relays,
       chunkLimit,
       clockAhead,
     });
     this.#relayServer = createCallerServer(
       serveInTurn((incoming, response) => {
         void relayed.handle(incoming, response);
-      }, clock),
-      this.#serverLimits("relays"),
+      }, { clock, onWaiting: this.#addWaiting }),
+      this.#serverLimits("relays", unfinished.relays),
     );
     this.#server = createCallerServer(
       serveInTurn((incoming, response, arrival) => {
-        if (this.#isStopping) {
-          response.shouldKeepAlive = false;
-        }
         void this.#gateway.handle(incoming, response, arrival);
-      }, clock),
-      this.#serverLimits("callers"),
+      }, {
+        clock,
+        onWaiting: this.#addWaiting,
+        isClosing: () => this.#isStopping,
+      }),
+      this.#serverLimits("callers", unfinished.callers),
     );
     this.#unsent = new UnsentResponses(this.#server);
     this.#replacedRuns = new ReplacedRuns({
@@ -536,6 +545,17 @@
     });
   }
 
+  /** Adds a request that waits for others of its connection. */
+  readonly #addWaiting = (
+    { headers }: IncomingMessage,
+    response: ServerResponse,
+    { arrivedAt }: { readonly arrivedAt: Milliseconds },
+  ): () => void => {
+    const request = String(headers[this.#options.names.attempt] ?? "");
+    const progress = new RequestProgress();
+    return this.#inFlight.add({ request, arrivedAt, response, progress });
+  };
+
   #createContext(): ForwardContext {
     const { names, clock, metrics, settings } = this.#options;
     return {
@@ -578,11 +598,13 @@
 
   #serverLimits(
     name: keyof CallerLimits["connections"],
+    unfinished: UnfinishedBodies,
   ): Parameters<typeof createCallerServer>[1] {
     const { settings, metrics } = this.#options;
     return {
       connections: {
         limit: () => settings().limits?.connections?.[name] ?? Infinity,
+        giveUpBody: () => unfinished.giveUpOldest(),
         metrics,
         log: this.#log,
         name,
