Closing idle connections keeps those whose next request waits to be parsed

Cause: a read beyond 1 KiB waits for its turn when others wait. Until its first byte is parsed Node.js takes a connection that has had a response for an idle one, and closeIdleConnections, which a stop calls, resets the request that has been read from it. Before reads were paced, what was read was parsed at once.

Change: before idle connections are closed, the first KiB of each request that waits behind no other is parsed, so that its connection is in use.

Measured: the new test fails without the change (no second response) and passes with it in 5 of 5 runs.

--- a/apps/heroncleatd/common/pace_reads.ts
+++ b/apps/heroncleatd/common/pace_reads.ts
@@ -18,13 +18,22 @@
   } = {},
 ): void {
   const queue = new ReadQueue({ onRefusal, maxBytes: maxWaitingBytes });
-  const reads = new WeakMap<Socket, PacedRead>();
+  const reads = new Map<Socket, PacedRead>();
   server.on("connection", (socket) => {
     reads.set(socket, new PacedRead(socket, queue));
+    socket.once("close", () => reads.delete(socket));
   });
   server.prependListener("request", (incoming, response) => {
     const read = reads.get(incoming.socket);
     read?.recordRequest(incoming);
     response.once("close", () => read?.recordResponse());
   });
+  const closeIdle = server.closeIdleConnections.bind(server);
+  // Node.js calls this when the server is closed as well.
+  server.closeIdleConnections = () => {
+    for (const read of reads.values()) {
+      read.beginRequest();
+    }
+    closeIdle();
+  };
 }
--- a/apps/heroncleatd/common/pace_reads_test.ts
+++ b/apps/heroncleatd/common/pace_reads_test.ts
@@ -1,9 +1,13 @@
+import { once } from "node:events";
 import { createServer, type Server, type ServerResponse } from "node:http";
-import { type AddressInfo, connect } from "node:net";
+import { type AddressInfo, connect, type Socket } from "node:net";
+import { setImmediate as nextTurn } from "node:timers/promises";
 import { paceReads } from "./pace_reads.ts";
 
 const KIB = 1024;
 const FLOOD_CONNECTIONS = 20;
+/** More than what is parsed as it is read. */
+const WAITING_BYTES = 2000;
 /** 50,000 chunks. */
 const FLOOD =
   "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" +
@@ -109,6 +113,50 @@
   expect(answers.filter((answer) => answer === "")).toHaveLength(refusals);
 });
 
+// Guards against a stop that resets requests which were read and wait their turn.
+test("closing idle connections keeps those whose next request waits to be parsed", async () => {
+  const accepted: Socket[] = [];
+  server.close();
+  server = createServer((incoming, response) => {
+    incoming.resume();
+    incoming.once("end", () => response.end("served"));
+  });
+  paceReads(server);
+  server.on("connection", (socket) => accepted.push(socket));
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  const socket = connect(port, "127.0.0.1");
+  let received = "";
+  socket.on("data", (bytes) => received += bytes);
+  socket.on("error", () => {});
+  const hasClosed = once(socket, "close");
+  socket.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  await once(socket, "data");
+  const bytesBefore = accepted[0]!.bytesRead;
+  const floods = Array.from(
+    { length: FLOOD_CONNECTIONS },
+    () => connect(port, "127.0.0.1").on("error", () => {}),
+  );
+  for (const flood of floods) {
+    flood.write(FLOOD);
+  }
+  while (accepted.every(({ bytesRead }) => bytesRead < 64 * KIB)) {
+    await nextTurn();
+  }
+  socket.write(
+    `POST / HTTP/1.1\r\nHost: a\r\nContent-Length: ${WAITING_BYTES}\r\n\r\n` +
+      "b".repeat(WAITING_BYTES),
+  );
+  while (accepted[0]!.bytesRead === bytesBefore) {
+    await nextTurn();
+  }
+  server.closeIdleConnections();
+  await Promise.race([hasClosed, once(socket, "data")]);
+  expect(received.split("served")).toHaveLength(3);
+  socket.destroy();
+  floods.forEach((flood) => flood.destroy());
+});
+
 /** Sends bytes at once; resolves once the responses have arrived. */
 function send(
   text: string,
--- a/apps/heroncleatd/common/paced_read.ts
+++ b/apps/heroncleatd/common/paced_read.ts
@@ -87,6 +87,20 @@
     }
   }
 
+  /**
+   * Parses the first bytes of a request that waits behind none. Until then
+   * Node.js takes its connection for idle.
+   */
+  beginRequest(): void {
+    const bytes = this.#rest;
+    if (this.#requests > 0 || bytes === undefined) {
+      return;
+    }
+    const rest = bytes.subarray(SLICE_BYTES);
+    this.#setRest(rest.length > 0 ? rest : undefined);
+    this.#push(bytes.subarray(0, SLICE_BYTES));
+  }
+
   /** Whether what follows is another request, and too many wait already. */
   get #isBusy(): boolean {
     return this.#requests >= MAX_PIPELINED &&
