Idle connections of metrics collectors are closed without a warning

Cause: an HTTP server with a listener for timeouts gets them for idle connections too, when the keep-alive time of Node.js has passed (5 s). Each collector that keeps its connection between scrapes was counted as metrics_server.closed_timeout and logged as one outside the limits.

Change: a connection that has had a response and has no request in progress is closed without either.

Measured: the new test fails without the change (1 counted, 0 expected).

--- a/apps/heroncleatd/common/serve_metrics.ts
+++ b/apps/heroncleatd/common/serve_metrics.ts
@@ -40,6 +40,7 @@
   const render = shareRendering(options);
   /** Connections whose response hasn't been sent yet. */
   const busy = new WeakSet<Socket>();
+  const answered = new WeakSet<Socket>();
   const limiter = new RateLimiter(LINES_PER_SECOND, LINE_BURST);
   const reportClosing = (reason: string, { remoteAddress }: Socket) => {
     metrics.increment(`metrics_server.closed_${reason}`);
@@ -62,7 +63,10 @@
       return;
     }
     busy.add(socket);
-    response.once("finish", () => busy.delete(socket));
+    response.once("finish", () => {
+      busy.delete(socket);
+      answered.add(socket);
+    });
     if (hasBody(request)) {
       reportClosing("body", socket);
       response.setHeader("Connection", "close");
@@ -75,7 +79,10 @@
   });
   server.timeout = exchangeTimeout;
   server.on("timeout", (socket) => {
-    reportClosing("timeout", socket);
+    // Collectors keep their connections open from one response to the next.
+    if (busy.has(socket) || !answered.has(socket)) {
+      reportClosing("timeout", socket);
+    }
     socket.destroy();
   });
   paceReads(server);
--- a/apps/heroncleatd/common/serve_metrics_test.ts
+++ b/apps/heroncleatd/common/serve_metrics_test.ts
@@ -134,3 +134,14 @@
   expect(await fetchStatus()).toBe(200);
   expect(counts["connections.closed_idle.metrics"]).toBeGreaterThan(0);
 });
+
+// Guards against warnings about collectors that keep their connections open.
+test("a connection that is idle behind a response is closed without a line", async () => {
+  server.keepAliveTimeout = 50;
+  const before = counts["metrics_server.closed_timeout"] ?? 0;
+  const socket = open();
+  socket.resume();
+  socket.write(REQUEST);
+  await once(socket, "close");
+  expect(counts["metrics_server.closed_timeout"] ?? 0).toBe(before);
+});
