Messages that a peer sent before it closed its connection are handled

Cause: beyond 64 messages of a read the rest waits for later turns of the event loop.

Change: a connection that ends by its peer is open no longer, and ends once the messages that wait have been handled. One that this process closes drops them as before.

--- a/packages/transport/framed_socket.ts
+++ b/packages/transport/framed_socket.ts
@@ -30,6 +30,10 @@
   readonly #onHeld: (heldBytes: number) => void;
   #maxPayloadBytes: number;
   #isClosed = false;
+  /** Messages that wait for their turn. */
+  #waiting: readonly Buffer[] = [];
+  /** Why the peer's side has ended while messages wait. */
+  #endReason: string | undefined;
   /** Sizes of the messages that wait until the peer reads, oldest first. */
   readonly #queuedSizes: number[] = [];
   #lastReceivedAt = 0;
@@ -54,12 +58,15 @@
     this.#onHeld = onHeld;
     socket.setNoDelay(true);
     socket.on("data", (bytes: Buffer) => this.#onData(bytes));
-    socket.on("error", (error) => this.#end(error.message, true));
-    socket.on("close", () => this.#end("the peer closed the connection", true));
+    socket.on("error", (error) => this.#endByPeer(error.message));
+    socket.on(
+      "close",
+      () => this.#endByPeer("the peer closed the connection"),
+    );
   }
 
   get isOpen(): boolean {
-    return !this.#isClosed;
+    return !this.#isClosed && this.#endReason === undefined;
   }
 
   /** Bytes that wait until the peer reads. */
@@ -84,7 +91,7 @@
    * @throws RangeError if the peer would refuse the message for its size.
    */
   send(message: unknown): void {
-    if (this.#isClosed) {
+    if (!this.isOpen) {
       return;
     }
     const payload = Buffer.from(JSON.stringify(message));
@@ -108,6 +115,15 @@
     this.#end(reason, false);
   }
 
+  /** Ends once the messages that came before have been handled. */
+  #endByPeer(reason: string): void {
+    if (this.#waiting.length === 0) {
+      this.#end(reason, true);
+    } else {
+      this.#endReason ??= reason;
+    }
+  }
+
   #end(reason: string, byPeer: boolean): void {
     if (this.#isClosed) {
       return;
@@ -138,14 +154,19 @@
       }
       this.#onPayload(payload);
     }
-    if (this.#isClosed || payloads.length <= MAX_MESSAGES_PER_TURN) {
+    this.#waiting = payloads.slice(MAX_MESSAGES_PER_TURN);
+    if (this.#isClosed) {
       return;
     }
-    this.#socket.pause();
-    setImmediate(() => {
-      this.#socket.resume();
-      this.#handle(payloads.slice(MAX_MESSAGES_PER_TURN));
-    });
+    if (this.#waiting.length > 0) {
+      this.#socket.pause();
+      setImmediate(() => {
+        this.#socket.resume();
+        this.#handle(this.#waiting);
+      });
+    } else if (this.#endReason !== undefined) {
+      this.#end(this.#endReason, true);
+    }
   }
 
   #onPayload(payload: Buffer): void {
--- a/packages/transport/many_messages_test.ts
+++ b/packages/transport/many_messages_test.ts
@@ -10,6 +10,8 @@
 const ADDRESS = `${HOST}:${PORT}`;
 const MESSAGES = 5000;
 const MAX_PER_TURN = 100;
+/** More than are handled in a turn, in one read. */
+const NOTICES = 300;
 
 /** A socket that emits nothing while it is paused. */
 class PausableSocket extends EventEmitter {
@@ -106,3 +108,29 @@
   expect(calls).toBe(0);
   await server.close();
 });
+
+// Guards against notices that are lost as their sender closes the connection.
+test("what a peer sent before it closed the connection is handled", async () => {
+  const received: number[] = [];
+  const server = new PeerServer({
+    address: ADDRESS,
+    secret: "",
+    onProblem: () => {},
+  });
+  server.serve({
+    note: (parameters) => void received.push((parameters as { n: number }).n),
+  });
+  await server.listen();
+  const { socket, framed } = await connectProvedPeer(PORT, HOST);
+  const sent = Array.from({ length: NOTICES }, (_, index) => index);
+  socket.cork();
+  for (const n of sent) {
+    framed.send({ jsonrpc: "2.0", method: "note", params: { n } });
+  }
+  socket.uncork();
+  socket.end();
+  await new Promise((resolve) => socket.once("close", resolve));
+  await new Promise((resolve) => setTimeout(resolve, 100));
+  expect(received).toEqual(sent);
+  await server.close();
+});
