--- a/apps/heroncleatd/common/pace_reads_test.ts
+++ b/apps/heroncleatd/common/pace_reads_test.ts
@@ -5,11 +5,13 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import { type AddressInfo, connect } from "node:net";
+import { type AddressInfo, connect, type Socket } from "node:net";
+import { setImmediate as nextTurn } from "node:timers/promises";
 import { waitUntil } from "../hub/wait_until.ts";
 import { paceReads } from "./pace_reads.ts";
 
 const KIB = 1024;
+const WAITING_BYTES = 2000;
 const FLOOD_CONNECTIONS = 20;
 /** 50,000 chunks. */
 const FLOOD =
@@ -110,26 +112,48 @@
   expect(answers.filter((answer) => answer === "")).toHaveLength(refusals);
 });
 
-// Guards against requests that are lost as a server closes idle connections, or
-// an idle one makes room, while their bytes wait to be parsed.
-test("a connection isn't idle while the bytes of its next request wait", async () => {
+// Guards against a stop that resets requests which were read and wait their turn.
+test("closing idle connections keeps those whose next request waits to be parsed", async () => {
+  const accepted: Socket[] = [];
+  server.close();
+  server = createServer((incoming, response) => {
+    incoming.resume();
+    incoming.once("end", () => response.end("served"));
+  });
+  paceReads(server);
+  server.on("connection", (socket) => accepted.push(socket));
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
   const { port } = server.address() as AddressInfo;
   const socket = connect(port, "127.0.0.1");
   let received = "";
   socket.on("data", (bytes) => received += bytes);
   socket.on("error", () => {});
+  const hasClosed = once(socket, "close");
   socket.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
-  await new Promise((resolve) => socket.once("data", resolve));
-  const floods = Array.from({ length: FLOOD_CONNECTIONS }, () => send(FLOOD));
-  await new Promise((resolve) => setTimeout(resolve, 50));
-  const filler = `X-Filler: ${"x".repeat(3 * KIB)}\r\n`;
-  socket.write(`GET / HTTP/1.1\r\nHost: a\r\n${filler}\r\n`);
-  await new Promise((resolve) => setTimeout(resolve, 5));
-  const timer = setInterval(() => server.closeIdleConnections(), 1);
-  await Promise.all(floods);
-  clearInterval(timer);
+  await once(socket, "data");
+  const bytesBefore = accepted[0]!.bytesRead;
+  const floods = Array.from(
+    { length: FLOOD_CONNECTIONS },
+    () => connect(port, "127.0.0.1").on("error", () => {}),
+  );
+  for (const flood of floods) {
+    flood.write(FLOOD);
+  }
+  while (accepted.every(({ bytesRead }) => bytesRead < 64 * KIB)) {
+    await nextTurn();
+  }
+  socket.write(
+    `POST / HTTP/1.1\r\nHost: a\r\nContent-Length: ${WAITING_BYTES}\r\n\r\n` +
+      "b".repeat(WAITING_BYTES),
+  );
+  while (accepted[0]!.bytesRead === bytesBefore) {
+    await nextTurn();
+  }
+  server.closeIdleConnections();
+  await Promise.race([hasClosed, once(socket, "data")]);
+  expect(received.split("served")).toHaveLength(3);
   socket.destroy();
-  expect(received.split("HTTP/1.1 200")).toHaveLength(3);
+  floods.forEach((flood) => flood.destroy());
 });
 
 // Guards against answers of accepted requests that are lost, as what follows them
--- a/apps/heroncleatd/common/paced_read.ts
+++ b/apps/heroncleatd/common/paced_read.ts
@@ -4,6 +4,7 @@
 import { delayClose } from "./delay_close.ts";
 import { ReadOutcome } from "./read_outcome.ts";
 import type { ReadQueue } from "./read_queue.ts";
+import { unparsedConnections } from "./unparsed_connections.ts";
 
 /** Bytes that are parsed before the time is looked at. */
 const SLICE_BYTES = 1024;
@@ -98,6 +99,20 @@
     }
   }
 
+  /**
+   * Parses the first bytes of a request that waits behind none. Until then
+   * Node.js takes its connection for idle.
+   */
+  beginRequest(): void {
+    const bytes = this.#rest;
+    if (this.#requests > 0 || bytes === undefined) {
+      return;
+    }
+    const rest = bytes.subarray(SLICE_BYTES);
+    this.#setRest(rest.length > 0 ? rest : undefined);
+    this.#push(bytes.subarray(0, SLICE_BYTES));
+  }
+
   /** Whether what follows is another request, and too many wait already. */
   get #isBusy(): boolean {
     return this.#requests >= MAX_PIPELINED &&
@@ -194,5 +209,10 @@
   #setRest(bytes: Buffer | undefined): void {
     this.#queue.countBytes((bytes?.length ?? 0) - (this.#rest?.length ?? 0));
     this.#rest = bytes;
+    if (bytes === undefined) {
+      unparsedConnections.delete(this.#socket);
+    } else {
+      unparsedConnections.add(this.#socket);
+    }
   }
 }
