Charges that a full report leaves out don't count again

Cause: a full report replaced the recorded totals of its entry, so that a bucket that one report lacked and a later one had again was counted in full a second time. Entries that relay reports are about to leave out workspaces that they don't know. Change: totals of the same process stay known until that process is replaced. Measured: isolated_quota_test, "charges that a report leaves out don't count again", fails before (12 in place of 7) and passes now, with the tests of exchange changes, the hub and shared charges.

--- a/packages/serving/charge_totals.ts
+++ b/packages/serving/charge_totals.ts
@@ -55,7 +55,8 @@
       return false;
     }
     const previous = isSameProcess ? known.spent : new Map<string, number>();
-    const spent = report.isPartial ? previous : new Map<string, number>();
+    // What a relaying entry leaves out must not count again later.
+    const spent = previous;
     const counted = known?.counted ?? new Map<string, number>();
     let digest = report.isPartial ? known!.digest : 0;
     for (const [bucket, total] of Object.entries(report.spent)) {
--- a/packages/serving/isolated_quota_test.ts
+++ b/packages/serving/isolated_quota_test.ts
@@ -95,6 +95,19 @@
   });
 });
 
+// Guards against a quota that is charged twice after a relaying entry left out
+// what it doesn't know.
+test("charges that a report leaves out don't count again", () => {
+  const reported = new IsolatedQuota();
+  const report = (spent: Record<string, number>) =>
+    reported.receive({ entry: "e1", boot: "1", spent, isOpen: true }, 0);
+  report({ inn: 0, bar: 0 });
+  report({ inn: 5, bar: 5 });
+  report({ inn: 6 });
+  report({ inn: 6, bar: 7 });
+  expect(reported.quotaUpdate(2, 0).spent).toEqual({ inn: 6, bar: 7 });
+});
+
 /** Callers request 4.5 times the rate from entries of both halves. */
 function expectBounded(steps: [number, number][]): void {
   const entries = createEntries(12);
