Entries keep charges to known workspaces alone of what others report directly

Cause: anybody who reaches an entry's port for datagrams may report charges to any bucket. Change: charges to buckets that aren't a workspace's of the document in effect are left out, counted (quota.unknown_buckets) and logged once a minute. Known workspaces are never left out. Charges are totals, so that those to workspaces that become known later come again with the next report. Before the first document charges aren't recorded at all, so that the first report after it is the baseline.

--- a/apps/heroncleatd/gateway/exchange/charge_sync.ts
+++ b/apps/heroncleatd/gateway/exchange/charge_sync.ts
@@ -1,8 +1,9 @@
-import type { Clock } from "@heroncleat/base";
+import { type Clock, RateLimiter } from "@heroncleat/base";
 import type { ChargeNotice } from "@heroncleat/schema";
 import {
   ChargeRelay,
   IsolatedQuota,
+  type RouteTable,
   type SyncReply,
   type SyncRequest,
   type WorkspaceQuota,
@@ -15,6 +16,10 @@
  */
 const DIRECT_SOURCE = "entries";
 
+/** Limit of lines about charges to unknown workspaces. */
+const LINES_PER_SECOND = 1 / 60;
+const LINE_BURST = 1;
+
 type ChargeSyncOptions = {
   /** Name of this entry. */
   readonly entry: string;
@@ -34,6 +39,8 @@
   readonly isOpen: () => boolean;
   /** Number of entries that share the quotas. */
   readonly countEntries: () => number;
+  /** The routes and workspaces in effect; undefined before the first ones. */
+  readonly routeTable: () => Pick<RouteTable, "isQuotaBucket"> | undefined;
 };
 
 /**
@@ -44,6 +51,7 @@
   readonly #options: ChargeSyncOptions;
   readonly #isolatedQuota = new IsolatedQuota();
   readonly #relay: ChargeRelay;
+  readonly #lineLimiter = new RateLimiter(LINES_PER_SECOND, LINE_BURST);
   /** Share of the quotas that was last in effect. */
   #quotaShare = 1;
 
@@ -100,13 +108,20 @@
     quota.isolate(share, clock.steady());
   }
 
-  /** Merges charges that another entry reported directly. */
+  /**
+   * Merges charges that another entry reported directly. Anybody may send such
+   * a report, so that only charges to known workspaces are kept. Charges are
+   * totals: those to workspaces that become known later come again.
+   */
   receive(notice: ChargeNotice, from: string): void {
     const { clock, isConnected, reply } = this.#options;
     const now = clock.steady();
-    const { entry, boot, spent } = notice;
-    this.#isolatedQuota.receive(notice, now);
-    this.#relay.record(entry, { boot, spent }, now);
+    const { entry, boot } = notice;
+    const spent = this.#selectKnown(notice, from);
+    this.#isolatedQuota.receive({ ...notice, spent }, now);
+    if (spent !== undefined) {
+      this.#relay.record(entry, { boot, spent }, now);
+    }
     // An entry that is isolated itself broadcasts its charges anyway.
     if (notice.wantsAnswer && isConnected()) {
       reply(this.#createNotice(), from);
@@ -137,6 +152,33 @@
     return this.#isolatedQuota.isOpen(entry, this.#options.clock.steady());
   }
 
+  /** Charges to known workspaces; undefined before the first ones are known. */
+  #selectKnown(
+    { spent }: ChargeNotice,
+    from: string,
+  ): Record<string, number> | undefined {
+    const { routeTable, metrics, log, clock } = this.#options;
+    const workspaces = routeTable();
+    if (workspaces === undefined) {
+      return undefined;
+    }
+    const charges = Object.entries(spent);
+    const known = charges.filter(([bucket]) =>
+      workspaces.isQuotaBucket(bucket)
+    );
+    const unknown = charges.length - known.length;
+    if (unknown > 0) {
+      metrics.increment("quota.unknown_buckets", unknown);
+      if (this.#lineLimiter.tryConsume(clock.steady())) {
+        log.info("Another entry reports charges to unknown workspaces", {
+          from,
+          unknown,
+        });
+      }
+    }
+    return Object.fromEntries(known);
+  }
+
   /** Records the share of the quotas in effect, and logs a change. */
   #recordShare(share: number): void {
     const { metrics, log, countEntries } = this.#options;
--- a/apps/heroncleatd/gateway/limits/simulated_quotas.ts
+++ b/apps/heroncleatd/gateway/limits/simulated_quotas.ts
@@ -176,6 +176,7 @@
       isConnected: () => links.isConnected,
       isOpen: () => true,
       countEntries: () => this.#options.entries,
+      routeTable: () => ({ isQuotaBucket: () => true }),
     });
     links.start();
     const timer = setInterval(
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -340,6 +340,7 @@
       isConnected: () => this.#links.isConnected,
       isOpen: () => this.isReady,
       countEntries: () => this.#exchange.entryCount,
+      routeTable: () => this.#routeTable,
     });
     this.#noticeHandler = new NoticeHandler({
       clock,
--- a/packages/serving/isolated_quota.ts
+++ b/packages/serving/isolated_quota.ts
@@ -18,6 +18,13 @@
   readonly now: Milliseconds;
 };
 
+/** What an entry reported last, apart from its charges. */
+type EntryReport = {
+  /** Whether callers may be sent there. */
+  readonly isOpen: boolean;
+  readonly receivedAt: Milliseconds;
+};
+
 /**
  * Charges that entries report to each other directly while no control replica
  * is reachable. Unreachable entries may be using their even share of each
@@ -27,39 +34,43 @@
  */
 export class IsolatedQuota {
   readonly #charges = new ChargeTotals();
-  /** Whether each entry accepts callers; the oldest report comes first. */
-  readonly #isOpen = new Map<string, boolean>();
+  /** The last report of each entry; the oldest one comes first. */
+  readonly #reports = new Map<string, EntryReport>();
 
   receive(
     charges: {
       readonly entry: string;
       readonly boot: string;
-      readonly spent: Readonly<Record<string, number>>;
+      /** Undefined if the receiver can't tell which quotas exist yet. */
+      readonly spent: Readonly<Record<string, number>> | undefined;
       /** Whether callers may be sent there. */
       readonly isOpen: boolean;
     },
     now: Milliseconds,
   ): void {
     const { entry, boot, spent, isOpen } = charges;
-    this.#charges.applyReport(entry, { boot, spent }, now);
-    this.#isOpen.delete(entry);
-    this.#isOpen.set(entry, isOpen);
-    const [oldest] = this.#isOpen.keys();
-    if (this.#isOpen.size > MAX_ENTRIES && oldest !== undefined) {
-      this.#isOpen.delete(oldest);
+    if (spent !== undefined) {
+      this.#charges.applyReport(entry, { boot, spent }, now);
+    }
+    this.#reports.delete(entry);
+    this.#reports.set(entry, { isOpen, receivedAt: now });
+    const [oldest] = this.#reports.keys();
+    if (this.#reports.size > MAX_ENTRIES && oldest !== undefined) {
+      this.#reports.delete(oldest);
       this.#charges.remove(oldest);
     }
   }
 
   /** Number of entries that are kept. */
   get size(): number {
-    return this.#isOpen.size;
+    return this.#reports.size;
   }
 
   /** Whether an entry is reachable and accepts callers. */
   isOpen(entry: string, now: Milliseconds): boolean {
-    return this.#isOpen.get(entry) === true &&
-      this.#charges.entriesReceivedSince(now - UNRESPONSIVE_TIMEOUT).has(entry);
+    const report = this.#reports.get(entry);
+    return report !== undefined && report.isOpen &&
+      now - report.receivedAt <= UNRESPONSIVE_TIMEOUT;
   }
 
   /**
--- a/packages/serving/route_table.ts
+++ b/packages/serving/route_table.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds } from "@heroncleat/base";
+import { quotaLimits } from "./quota_limits.ts";
 import type { Route } from "./route.ts";
 import { RouteKind } from "./route_kind.ts";
 import type { Service } from "./service.ts";
@@ -11,6 +12,7 @@
   readonly #routes = new Map<string, Map<string, Route>>();
   readonly #services = new Map<string, Service>();
   readonly #workspaces = new Map<string, Workspace>();
+  readonly #quotaBuckets = new Set<string>();
   readonly #resumableServices = new Set<string>();
 
   constructor(document: ServingDocument) {
@@ -28,6 +30,8 @@
       this.#services.set(service.name, service);
     }
     for (const workspace of document.workspaces ?? []) {
+      this.#quotaBuckets.add(workspace.name);
+      this.#quotaBuckets.add(quotaLimits.excessName(workspace.name));
       for (const key of workspace.keys) {
         this.#workspaces.set(key, workspace);
       }
@@ -88,6 +92,11 @@
     return this.document.workspaces !== undefined && !route.isPublic;
   }
 
+  /** Whether charges to a bucket are charges to a workspace's quota. */
+  isQuotaBucket(bucket: string): boolean {
+    return this.#quotaBuckets.has(bucket);
+  }
+
   findWorkspace(key: string): Workspace | undefined {
     return this.#workspaces.get(key);
   }
