Names of fields that each object has are names like others

Cause: values by service, workspace and upstream were kept in plain objects. A look-up of `constructor` or `toString` found an inherited function in place of nothing, and a value set as `__proto__` was lost. Versions of such a service weren't iterable, which is an error while a request is served; a load, an age or a share wasn't a number; charges to `__proto__` were left out of partial reports, so that their digests never matched; `constructor` passed for a route's type. Look-ups in ledger, routing, the planner and the command line have no test of their own here.

--- a/apps/heroncleat/group_commands.ts
+++ b/apps/heroncleat/group_commands.ts
@@ -1,4 +1,4 @@
-import type { Fault } from "@heroncleat/base";
+import { type Fault, ownValue } from "@heroncleat/base";
 import type { ConfigurationView, Edit, Group } from "@heroncleat/schema";
 import { Result } from "true-myth/result";
 import type { CommandContext } from "./command_context.ts";
@@ -36,7 +36,7 @@
       if (labels.isErr) {
         return Result.err(labels.error);
       }
-      const existing = view.groups[name];
+      const existing = ownValue(view.groups, name);
       const share = readShare(context, existing?.share ?? MAX_SHARE);
       if (share.isErr) {
         return Result.err(share.error);
@@ -101,7 +101,7 @@
   if (name === undefined) {
     return missingNameError("drain NAME, or fill NAME --share N");
   }
-  const group = view.groups[name];
+  const group = ownValue(view.groups, name);
   if (group === undefined) {
     return Result.err(
       usageFault(`There is no group ${name}`, "see heroncleat groups"),
--- a/apps/heroncleat/limit_commands.ts
+++ b/apps/heroncleat/limit_commands.ts
@@ -1,4 +1,4 @@
-import type { Fault } from "@heroncleat/base";
+import { type Fault, ownValue } from "@heroncleat/base";
 import type { ConfigurationView, Edit } from "@heroncleat/schema";
 import { Result } from "true-myth/result";
 import type { CommandContext } from "./command_context.ts";
@@ -50,7 +50,7 @@
   if (workspace === undefined) {
     return missingWorkspaceError();
   }
-  const existing = view.limits[workspace];
+  const existing = ownValue(view.limits, workspace);
   const { weight, running, queued } = context.options;
   const limit = {
     workspace,
--- a/apps/heroncleatd/gateway/exchange/control_links.ts
+++ b/apps/heroncleatd/gateway/exchange/control_links.ts
@@ -1,4 +1,9 @@
-import type { Clock, Milliseconds } from "@heroncleat/base";
+import {
+  type Clock,
+  createRecord,
+  type Milliseconds,
+  ownValue,
+} from "@heroncleat/base";
 import {
   exchangeInterval,
   type FollowedShares,
@@ -475,9 +480,9 @@
     }
     link.followed = followed ?? {};
     const links = this.#listLinks().filter((each) => each.feed !== "");
-    const largest: Record<string, number> = { ...link.followed };
-    for (const [service, share] of Object.entries(largest)) {
-      const shares = links.map((each) => each.followed[service] ?? 1);
+    const largest = createRecord<number>();
+    for (const [service, share] of Object.entries(link.followed)) {
+      const shares = links.map((each) => ownValue(each.followed, service) ?? 1);
       largest[service] = Math.max(share, ...shares);
     }
     this.#options.onFollow(largest);
--- a/apps/heroncleatd/gateway/exchange/entry_exchange.ts
+++ b/apps/heroncleatd/gateway/exchange/entry_exchange.ts
@@ -2,6 +2,7 @@
   type Clock,
   isConnectableAddress,
   type Milliseconds,
+  ownValue,
   splitAddress,
 } from "@heroncleat/base";
 import {
@@ -204,7 +205,7 @@
         this.#removeEarlierStarts(record, { now, reporter: from });
         continue;
       }
-      const age = ages[record.id] ?? 0;
+      const age = ownValue(ages, record.id) ?? 0;
       const drainAge = drainAgeOf(record, { ...reply, transit });
       this.#applyUpstream(record, now, { reporter: from, age, drainAge });
     }
@@ -360,7 +361,7 @@
     const { clock, directory, choice } = this.#options;
     const now = clock.steady();
     for (const [id, sequence] of Object.entries(shared.beats)) {
-      const age = ages[id] ?? 0;
+      const age = ownValue(ages, id) ?? 0;
       directory.refresh(id, now, { sequence, reporter, age });
     }
     if (shared.areLoadsPartial) {
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -3,6 +3,7 @@
 import {
   createToken,
   type Milliseconds,
+  ownValue,
   splitAddress,
   timerDelay,
 } from "@heroncleat/base";
@@ -669,7 +670,8 @@
     const service = this.#routeTable?.findService(name);
     return idleConnectionLimit({
       maxConnections: service?.maxConnections ?? 0,
-      entryCount: this.#exchange.entryCount * (this.#followed[name] ?? 1),
+      entryCount: this.#exchange.entryCount *
+        (ownValue(this.#followed, name) ?? 1),
       entry: this.#options.settings().name,
       upstream,
     });
@@ -682,7 +684,11 @@
     this.#followed = shares;
     const { name } = this.#options.settings();
     this.#directory.limit((upstream) =>
-      followedShare.includes(name, upstream.name, shares[upstream.service] ?? 1)
+      followedShare.includes(
+        name,
+        upstream.name,
+        ownValue(shares, upstream.service) ?? 1,
+      )
     );
     this.#log.info("Follows a part of the upstreams", { ...shares });
   }
--- a/apps/heroncleatd/hub/leader_task_runner.ts
+++ b/apps/heroncleatd/hub/leader_task_runner.ts
@@ -1,4 +1,4 @@
-import type { Clock, Milliseconds } from "@heroncleat/base";
+import { type Clock, type Milliseconds, ownValue } from "@heroncleat/base";
 import { isInProgress, type RolloutRegistry } from "@heroncleat/rollouts";
 import {
   type FleetOrder,
@@ -172,8 +172,8 @@
     for (const service of services()) {
       this.#getOrCreatePlanner(service).observe({
         requests: countRequests(service, { upstreams, loads }),
-        readWork: readWork[service.name] ?? 0,
-        prefillSpeed: prefillSpeeds[service.name],
+        readWork: ownValue(readWork, service.name) ?? 0,
+        prefillSpeed: ownValue(prefillSpeeds, service.name),
       }, now);
     }
   }
@@ -346,7 +346,7 @@
   let requests = 0;
   for (const record of options.upstreams) {
     if (record.service === service.name) {
-      requests += options.loads[record.id]?.requests ?? 0;
+      requests += ownValue(options.loads, record.id)?.requests ?? 0;
     }
   }
   return requests;
--- a/apps/heroncleatd/hub/replica_group.ts
+++ b/apps/heroncleatd/hub/replica_group.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "@heroncleat/base";
+import { type Clock, ownValue } from "@heroncleat/base";
 import {
   faultTolerance,
   type GroupState,
@@ -173,7 +173,7 @@
       log: log("group"),
       metrics: options.metrics,
       promised: options.settings().promisedLosses,
-      regionOf: (zone) => options.settings().regions[zone] ?? zone,
+      regionOf: (zone) => ownValue(options.settings().regions, zone) ?? zone,
       seeds: () => options.settings().seeds,
       changeMembers: (members) => this.#changeMembers(members),
       methodPrefix: METHOD_PREFIX,
--- a/packages/ledger/ledger.ts
+++ b/packages/ledger/ledger.ts
@@ -1,4 +1,4 @@
-import { parseRequestId } from "@heroncleat/base";
+import { ownValue, parseRequestId } from "@heroncleat/base";
 import type {
   Claim,
   ClaimCommand,
@@ -94,7 +94,7 @@
 
   /** Returns the custody as last moved, or as encoded in the request ID. */
   custodyOf(request: string): Custody {
-    const moved = this.#state.custody[request];
+    const moved = ownValue(this.#state.custody, request);
     if (moved !== undefined) {
       return moved;
     }
--- a/packages/rollouts/sum_reports.ts
+++ b/packages/rollouts/sum_reports.ts
@@ -1,3 +1,4 @@
+import { createRecord } from "@heroncleat/base";
 import type { RouteComparison, VersionReport } from "./version_report.ts";
 import { sumSamples } from "./sum_samples.ts";
 
@@ -13,7 +14,7 @@
       byRoute.set(route, known);
     }
   }
-  const sums: Record<string, RouteComparison> = {};
+  const sums = createRecord<RouteComparison>();
   for (const [route, comparisons] of byRoute) {
     sums[route] = {
       destination: sumSamples(comparisons.map((each) => each.destination)),
--- a/packages/routing/group_drains.ts
+++ b/packages/routing/group_drains.ts
@@ -1,4 +1,4 @@
-import type { Milliseconds } from "@heroncleat/base";
+import { type Milliseconds, ownValue } from "@heroncleat/base";
 import type { ConfigurationView } from "@heroncleat/schema";
 
 /** Time before the end of a drain timeout that sending may take. */
@@ -33,14 +33,14 @@
         this.#starts.delete(name);
         continue;
       }
-      const former = this.#groups[name];
+      const former = ownValue(this.#groups, name);
       const hasBegun = former !== undefined && former.state !== "draining";
       if (hasBegun && confirmedAt !== undefined) {
         this.#starts.set(name, confirmedAt);
       }
     }
     for (const name of this.#starts.keys()) {
-      if (groups[name] === undefined) {
+      if (!Object.hasOwn(groups, name)) {
         this.#starts.delete(name);
       }
     }
--- a/packages/routing/router.ts
+++ b/packages/routing/router.ts
@@ -1,4 +1,4 @@
-import type { Milliseconds } from "@heroncleat/base";
+import { type Milliseconds, ownValue } from "@heroncleat/base";
 import type {
   Announcement,
   CacheEvent,
@@ -319,7 +319,7 @@
     }
     const groups: Group[] = [];
     for (const name of selector.groups) {
-      const group = view.groups[name];
+      const group = ownValue(view.groups, name);
       if (group !== undefined) {
         groups.push(group);
       }
@@ -337,7 +337,7 @@
 
   #isInGroup(upstream: UpstreamTracker, group: Group): boolean {
     const { name, labels } = upstream.announcement;
-    const operatorLabels = this.#view?.labels[name] ?? {};
+    const operatorLabels = ownValue(this.#view?.labels ?? {}, name) ?? {};
     return hasLabels({ ...labels, ...operatorLabels }, group.labels);
   }
 
--- a/packages/serving/charge_aggregator.ts
+++ b/packages/serving/charge_aggregator.ts
@@ -1,4 +1,4 @@
-import type { Milliseconds } from "@heroncleat/base";
+import { createRecord, type Milliseconds } from "@heroncleat/base";
 import { ChargeTotals } from "./charge_totals.ts";
 import type { RevisionCounter } from "./revision_counter.ts";
 import type { RelayedChargeReport } from "./relayed_charge_report.ts";
@@ -115,7 +115,7 @@
     names: readonly string[],
     now: Milliseconds,
   ): Record<string, RelayedChargeReport> {
-    const charges: Record<string, RelayedChargeReport> = {};
+    const charges = createRecord<RelayedChargeReport>();
     for (const name of names.slice(0, MAX_NAMED_ENTRIES)) {
       const age = now - (this.#entries.get(name)?.reportedAt ?? -Infinity);
       const report = this.#totals.reportOf(name);
--- a/packages/serving/charge_relay.ts
+++ b/packages/serving/charge_relay.ts
@@ -1,4 +1,4 @@
-import type { Milliseconds } from "@heroncleat/base";
+import { createRecord, type Milliseconds } from "@heroncleat/base";
 import type { RelayedChargeReport } from "./relayed_charge_report.ts";
 import type { ChargeReport } from "./charge_report.ts";
 import { dropOldest } from "./drop_oldest.ts";
@@ -108,7 +108,7 @@
     replica: string,
     now: Milliseconds,
   ): Record<string, RelayedChargeReport> {
-    const charges: Record<string, RelayedChargeReport> = {};
+    const charges = createRecord<RelayedChargeReport>();
     for (
       const name of [...this.#unreportedAt(replica)].slice(0, MAX_NAMED_ENTRIES)
     ) {
--- a/packages/serving/charge_totals.ts
+++ b/packages/serving/charge_totals.ts
@@ -1,4 +1,4 @@
-import type { Milliseconds } from "@heroncleat/base";
+import { createRecord, type Milliseconds } from "@heroncleat/base";
 import { RevisionCounter } from "./revision_counter.ts";
 import type { ChargeReport } from "./charge_report.ts";
 
@@ -95,7 +95,7 @@
    */
   sumExcluding(entry: string, since = 0): Record<string, number> {
     const own = this.#known.get(entry)?.counted;
-    const sums: Record<string, number> = {};
+    const sums = createRecord<number>();
     for (const [bucket, { amount, revision }] of this.#totals) {
       if (revision > since) {
         sums[bucket] = amount - (own?.get(bucket) ?? 0);
--- a/packages/serving/counter_report.ts
+++ b/packages/serving/counter_report.ts
@@ -1,3 +1,4 @@
+import { createRecord, ownValue } from "@heroncleat/base";
 import type { EntryCounters } from "./entry_counters.ts";
 import type { SyncReply } from "./sync_reply.ts";
 import type { SyncRequest } from "./sync_request.ts";
@@ -66,9 +67,9 @@
   totals: Readonly<Record<string, number>>,
   known: Readonly<Record<string, number>>,
 ): Record<string, number> {
-  const changes: Record<string, number> = {};
+  const changes = createRecord<number>();
   for (const [name, total] of Object.entries(totals)) {
-    if (total !== known[name]) {
+    if (total !== ownValue(known, name)) {
       changes[name] = total;
     }
   }
@@ -79,9 +80,9 @@
   usage: EntryCounters["usage"],
   known: EntryCounters["usage"],
 ): Record<string, WorkspaceCounts> {
-  const changes: Record<string, WorkspaceCounts> = {};
+  const changes = createRecord<WorkspaceCounts>();
   for (const [window, counts] of Object.entries(usage)) {
-    const windowChanges = changedTotals(counts, known[window] ?? {});
+    const windowChanges = changedTotals(counts, ownValue(known, window) ?? {});
     if (Object.keys(windowChanges).length > 0) {
       changes[window] = windowChanges;
     }
--- a/packages/serving/demand_totals.ts
+++ b/packages/serving/demand_totals.ts
@@ -1,4 +1,4 @@
-import type { Milliseconds } from "@heroncleat/base";
+import { createRecord, type Milliseconds } from "@heroncleat/base";
 import {
   type DemandReport,
   type DemandRow,
@@ -55,7 +55,7 @@
     if (this.#services.size === 0) {
       return undefined;
     }
-    const report: Record<string, readonly DemandRow[]> = {};
+    const report = createRecord<readonly DemandRow[]>();
     for (const [service, rows] of this.#services) {
       report[service] = limitRows([...rows.values()]);
     }
--- a/packages/serving/drain_age_of.ts
+++ b/packages/serving/drain_age_of.ts
@@ -1,4 +1,4 @@
-import type { Milliseconds } from "@heroncleat/base";
+import { type Milliseconds, ownValue } from "@heroncleat/base";
 import type { UpstreamChanges } from "./upstream_changes.ts";
 import type { UpstreamRecord } from "./upstream_record.ts";
 
@@ -16,6 +16,6 @@
     transit: Milliseconds;
   },
 ): Milliseconds | undefined {
-  const age = drainAges?.[id];
+  const age = ownValue(drainAges ?? {}, id);
   return age === undefined ? undefined : age + transit;
 }
--- a/packages/serving/entry_medians.ts
+++ b/packages/serving/entry_medians.ts
@@ -1,4 +1,4 @@
-import type { Milliseconds } from "@heroncleat/base";
+import { createRecord, type Milliseconds } from "@heroncleat/base";
 import { median } from "./median.ts";
 
 /**
@@ -87,7 +87,7 @@
         measured.set(service, speeds);
       }
     }
-    const byService: Record<string, number> = {};
+    const byService = createRecord<number>();
     for (const [service, speeds] of measured) {
       byService[service] = median(speeds)!;
     }
--- a/packages/serving/followed_upstreams.ts
+++ b/packages/serving/followed_upstreams.ts
@@ -1,4 +1,4 @@
-import type { Milliseconds } from "@heroncleat/base";
+import { createRecord, type Milliseconds, ownValue } from "@heroncleat/base";
 import { followedShare, type FollowedShares } from "./followed_share.ts";
 import type { KnownUpstream } from "./known_upstream.ts";
 import type { UpstreamRecord } from "./upstream_record.ts";
@@ -42,9 +42,12 @@
         counts.set(service, (counts.get(service) ?? 0) + 1);
       }
     }
-    const shares: Record<string, number> = {};
+    const shares = createRecord<number>();
     for (const [service, count] of counts) {
-      const share = followedShare.forCount(count, this.#shares[service] ?? 1);
+      const share = followedShare.forCount(
+        count,
+        ownValue(this.#shares, service) ?? 1,
+      );
       if (share < 1) {
         shares[service] = share;
       }
@@ -90,7 +93,7 @@
 
   /** Whether an entry follows an upstream. */
   includes(entry: string, { name, service }: UpstreamRecord): boolean {
-    const share = this.#shares[service];
+    const share = ownValue(this.#shares, service);
     return share === undefined || followedShare.includes(entry, name, share);
   }
 
@@ -100,7 +103,7 @@
    */
   hasGrown(followed: FollowedShares): boolean {
     return Object.entries(followed).some(([service, share]) =>
-      (this.#shares[service] ?? 1) > share
+      (ownValue(this.#shares, service) ?? 1) > share
     );
   }
 
@@ -108,6 +111,8 @@
   differs(followed: FollowedShares): boolean {
     const services = Object.keys(this.#shares);
     return services.length !== Object.keys(followed).length ||
-      services.some((service) => this.#shares[service] !== followed[service]);
+      services.some((service) =>
+        this.#shares[service] !== ownValue(followed, service)
+      );
   }
 }
--- a/packages/serving/hub.ts
+++ b/packages/serving/hub.ts
@@ -1,4 +1,4 @@
-import type { Milliseconds } from "@heroncleat/base";
+import { type Milliseconds, ownValue } from "@heroncleat/base";
 import type {
   Rollout,
   RolloutRegistry,
@@ -463,7 +463,7 @@
     const ages = reply.ages ?? {};
     const departing: UpstreamRecord[] = [];
     for (const record of reply.upstreams) {
-      const age = ages[record.id] ?? 0;
+      const age = ownValue(ages, record.id) ?? 0;
       const drainAge = drainAgeOf(record, { ...reply, transit });
       const source = { reporter, age, drainAge };
       const outcome = this.mergeUpstream(record, now, source);
@@ -472,7 +472,7 @@
       }
     }
     for (const [id, sequence] of Object.entries(reply.beats)) {
-      const age = ages[id] ?? 0;
+      const age = ownValue(ages, id) ?? 0;
       this.refreshUpstream(id, now, { sequence, reporter, age });
     }
     this.mergeUsage(reply.usage ?? {});
--- a/packages/serving/load_totals.ts
+++ b/packages/serving/load_totals.ts
@@ -1,3 +1,4 @@
+import { createRecord, ownValue } from "@heroncleat/base";
 import type { RevisionCounter } from "./revision_counter.ts";
 import type { UpstreamLoad } from "./upstream_load.ts";
 
@@ -29,10 +30,10 @@
     const previous = this.#entries.get(entry) ?? {};
     this.#entries.set(entry, loads);
     for (const [id, load] of Object.entries(loads)) {
-      this.#add(id, load, previous[id] ?? NO_LOAD);
+      this.#add(id, load, ownValue(previous, id) ?? NO_LOAD);
     }
     for (const [id, load] of Object.entries(previous)) {
-      if (loads[id] === undefined) {
+      if (!Object.hasOwn(loads, id)) {
         this.#add(id, NO_LOAD, load);
       }
     }
@@ -85,11 +86,11 @@
     isIncluded: (total: UpstreamTotal) => boolean,
   ): Record<string, UpstreamLoad> {
     const own = this.#entries.get(entry) ?? {};
-    const loads: Record<string, UpstreamLoad> = {};
+    const loads = createRecord<UpstreamLoad>();
     for (const id of ids.keys()) {
       const total = this.#totals.get(id);
       if (total !== undefined && isIncluded(total)) {
-        const { requests, backlog } = own[id] ?? NO_LOAD;
+        const { requests, backlog } = ownValue(own, id) ?? NO_LOAD;
         loads[id] = {
           requests: total.requests - requests,
           backlog: total.backlog - backlog,
--- a/packages/serving/permit_authority.ts
+++ b/packages/serving/permit_authority.ts
@@ -1,4 +1,4 @@
-import type { Milliseconds } from "@heroncleat/base";
+import { createRecord, type Milliseconds } from "@heroncleat/base";
 import type { Issuance } from "./issuance.ts";
 import { PermitClaim } from "./permit_claim.ts";
 import { PermitIssuer } from "./permit_issuer.ts";
@@ -99,7 +99,7 @@
     if (granted !== undefined) {
       this.#shares.recordGrant(wanted, now);
     }
-    const availableIn: Record<string, Milliseconds> = {};
+    const availableIn = createRecord<Milliseconds>();
     for (const denied of wanted.upstreams) {
       if (denied === granted) {
         break;
--- a/packages/serving/possible_origins.ts
+++ b/packages/serving/possible_origins.ts
@@ -1,4 +1,4 @@
-import type { Milliseconds } from "@heroncleat/base";
+import { type Milliseconds, ownValue } from "@heroncleat/base";
 import type { Route } from "./route.ts";
 import type { ServiceVersions } from "./service_versions.ts";
 import type { StreamOrigin } from "./stream_origin.ts";
@@ -113,7 +113,7 @@
         this.#replicas.delete(replica);
         continue;
       }
-      for (const version of versions[service] ?? []) {
+      for (const version of ownValue(versions, service) ?? []) {
         union.add(version);
       }
     }
@@ -129,11 +129,12 @@
   { versions }: ServiceVersions,
   earlier: ServiceVersions | undefined,
 ): ServiceVersions["versions"] {
-  const united: Record<string, readonly string[]> = { ...versions };
+  const united = new Map(Object.entries(versions));
   for (const [service, listed] of Object.entries(earlier?.versions ?? {})) {
-    united[service] = [...new Set([...united[service] ?? [], ...listed])];
+    const both = new Set([...united.get(service) ?? [], ...listed]);
+    united.set(service, [...both]);
   }
-  return united;
+  return Object.fromEntries(united);
 }
 
 function servicesOf({ targets }: Route): string[] {
--- a/packages/serving/prefill_speeds.ts
+++ b/packages/serving/prefill_speeds.ts
@@ -1,3 +1,4 @@
+import { createRecord } from "@heroncleat/base";
 import { PrefillSpeed } from "./prefill_speed.ts";
 
 /**
@@ -21,7 +22,7 @@
 
   /** Multiples measured by this entry, by service. */
   measured(): Record<string, number> {
-    const speeds: Record<string, number> = {};
+    const speeds = createRecord<number>();
     for (const [service, { measured }] of this.#speeds) {
       if (measured !== undefined) {
         speeds[service] = measured;
--- a/packages/serving/upstream_balancer.ts
+++ b/packages/serving/upstream_balancer.ts
@@ -1,4 +1,4 @@
-import type { Milliseconds } from "@heroncleat/base";
+import { createRecord, type Milliseconds } from "@heroncleat/base";
 import type { DispatchNotice } from "@heroncleat/schema";
 import type { BalancerCosts } from "./balancer_costs.ts";
 import type { BalancedRequest } from "./balanced_request.ts";
@@ -134,7 +134,7 @@
 
   /** Loads of this entry by upstream. */
   loads(now: Milliseconds): Record<string, UpstreamLoad> {
-    const loads: Record<string, UpstreamLoad> = {};
+    const loads = createRecord<UpstreamLoad>();
     for (const [id, { requests, ownBacklog }] of this.#views) {
       if (requests > 0) {
         loads[id] = {
--- a/packages/serving/upstream_feed.ts
+++ b/packages/serving/upstream_feed.ts
@@ -1,4 +1,4 @@
-import type { Milliseconds } from "@heroncleat/base";
+import { createRecord, type Milliseconds } from "@heroncleat/base";
 import { ChangeLog } from "./change_log.ts";
 import type { RevisionCounter } from "./revision_counter.ts";
 import type { UpstreamChanges } from "./upstream_changes.ts";
@@ -109,7 +109,7 @@
     },
   ): UpstreamChanges {
     const changes = this.changesSince(revision, now);
-    const beats: Record<string, number> = {};
+    const beats = createRecord<number>();
     for (const [id, sequence] of Object.entries(changes.beats)) {
       if (!reads.includes(this.directory.get(id)?.reporter ?? "")) {
         beats[id] = sequence;
@@ -153,9 +153,9 @@
     { revision, now }: { revision: number; now: Milliseconds },
   ): UpstreamChanges {
     const upstreams: UpstreamRecord[] = [];
-    const beats: Record<string, number> = {};
-    const ages: Record<string, Milliseconds> = {};
-    const drainAges: Record<string, Milliseconds> = {};
+    const beats = createRecord<number>();
+    const ages = createRecord<Milliseconds>();
+    const drainAges = createRecord<Milliseconds>();
     for (const id of ids) {
       const known = this.directory.get(id);
       if (known === undefined || !this.#isForwarded(known.record)) {
--- a/packages/serving/version_log.ts
+++ b/packages/serving/version_log.ts
@@ -1,4 +1,4 @@
-import type { Milliseconds } from "@heroncleat/base";
+import { createRecord, type Milliseconds } from "@heroncleat/base";
 import type { RevisionCounter } from "./revision_counter.ts";
 import type { ServiceVersions } from "./service_versions.ts";
 import { STREAM_RETENTION } from "./stream_retention.ts";
@@ -67,7 +67,7 @@
     if (revision !== 0 && this.#revision <= revision) {
       return undefined;
     }
-    const versions: Record<string, string[]> = {};
+    const versions = createRecord<string[]>();
     for (const [service, observed] of this.#services) {
       versions[service] = [...observed.keys()].sort();
     }
--- a/packages/shedding/load_shedder.ts
+++ b/packages/shedding/load_shedder.ts
@@ -1,4 +1,4 @@
-import type { Milliseconds } from "@heroncleat/base";
+import { createRecord, type Milliseconds } from "@heroncleat/base";
 import type { DemandReport } from "./demand_report.ts";
 import type { DemandRow } from "./demand_row.ts";
 import { objectiveLimit } from "./objective_limit.ts";
@@ -108,7 +108,7 @@
 
   /** Demand of this entry; undefined while nothing is short. */
   report(now: Milliseconds): DemandReport | undefined {
-    const report: Record<string, readonly DemandRow[]> = {};
+    const report = createRecord<readonly DemandRow[]>();
     for (const [name, demand] of this.#services) {
       const rows = demand.report(now);
       if (rows !== undefined) {
