A time that isn't a number is limited too

Cause: timerDelay passed NaN on, for which socket timeouts throw and timers fire at once. Change: it counts as the longest time, which gives nobody up early. Measured: timer_delay_test, the case of NaN fails before; all 7 pass now.

--- a/packages/base/timer_delay.ts
+++ b/packages/base/timer_delay.ts
@@ -8,10 +8,13 @@
 
 /**
  * Limits a time to what timers and socket timeouts of Node.js take: they throw
- * or fire at once for longer, negative or infinite ones.
+ * or fire at once for longer, negative or infinite ones. A time that isn't a
+ * number gives nobody up early.
  *
  * @public
  */
 export function timerDelay(time: Milliseconds): Milliseconds {
-  return Math.min(MAX_TIMER_DELAY, Math.max(0, time));
+  return Number.isNaN(time)
+    ? MAX_TIMER_DELAY
+    : Math.min(MAX_TIMER_DELAY, Math.max(0, time));
 }
