Documents with numbers below their least value are rejected

Cause: negative priorities, objectives, quotas, charges and limits of upstreams, and engines without slots, were accepted. A negative charge adds to a quota; with no slots the number of upstreams to order isn't a number. Change: such a document gets 400 with the field and the remedy, at the replica that an operator sends it to and in `heroncleat check`. 0 stays valid where it has a meaning, and fractions do. Measured: find_document_errors_test, 8 new cases fail before and pass now. A document that an older release accepted and that is sent again after an upgrade gets 400 as well; not played.

--- a/packages/serving/find_document_errors.ts
+++ b/packages/serving/find_document_errors.ts
@@ -18,6 +18,7 @@
     ...findVersionErrors(document),
     ...findRouteListErrors(document),
     ...findServiceErrors(document),
+    ...findNumberErrors(document),
     ...findWorkspaceNameErrors(document),
     ...findKeyErrors(document),
   ];
@@ -122,6 +123,40 @@
   return errors;
 }
 
+/** Other numbers are limited where they are used. */
+function findNumberErrors(document: ServingDocument): DocumentFinding[] {
+  const errors: DocumentFinding[] = [];
+  const check = (path: string, value: number | undefined, min: number) => {
+    if (value !== undefined && !(value >= min)) {
+      errors.push(createError(
+        path,
+        `${path} is ${value}. Remedy: set it to ${min} or more.`,
+      ));
+    }
+  };
+  for (const [index, route] of document.routes.entries()) {
+    check(`routes[${index}].priority`, route.priority, 0);
+    check(`routes[${index}].latencyObjective`, route.latencyObjective, 0);
+  }
+  for (const [index, service] of document.services.entries()) {
+    const path = `services[${index}]`;
+    const { engine, scale } = service;
+    check(`${path}.maxConnections`, service.maxConnections, 0);
+    check(`${path}.engine.slots`, engine?.slots, 1);
+    check(`${path}.scale.min`, scale?.min, 0);
+    check(`${path}.scale.max`, scale?.max, 0);
+    check(`${path}.scale.bootTime`, scale?.bootTime, 0);
+  }
+  for (const [index, workspace] of (document.workspaces ?? []).entries()) {
+    const path = `workspaces[${index}]`;
+    check(`${path}.priority`, workspace.priority, 0);
+    check(`${path}.rate`, workspace.rate, 0);
+    check(`${path}.burst`, workspace.burst, 0);
+    check(`${path}.defaultCharge`, workspace.defaultCharge, 0);
+  }
+  return errors;
+}
+
 /** Upstreams get the name of a request's workspace in a header. */
 function findWorkspaceNameErrors(document: ServingDocument): DocumentFinding[] {
   const errors: DocumentFinding[] = [];
--- a/packages/serving/find_document_errors_test.ts
+++ b/packages/serving/find_document_errors_test.ts
@@ -79,3 +79,59 @@
     expect(errors[0]!.message).toContain("Remedy");
   },
 );
+
+// Guards against numbers that nothing can be computed with, such as no slots.
+test.each([
+  ["routes[0].priority", { routes: [{ ...route, priority: -1 }] }],
+  ["routes[0].latencyObjective", {
+    routes: [{ ...route, latencyObjective: -1 }],
+  }],
+  ["services[0].maxConnections", { maxConnections: -1 }],
+  ["services[0].engine.slots", { slots: 0 }],
+  ["services[0].scale.max", { max: -1 }],
+  ["workspaces[0].rate", { rate: -1 }],
+  ["workspaces[0].burst", { burst: -0.5 }],
+  ["workspaces[0].defaultCharge", { defaultCharge: -1 }],
+])("%s is rejected if it is too low, and the remedy is named", (path, part) => {
+  const numbers = {
+    maxConnections: 0,
+    slots: 1,
+    max: 0,
+    rate: 0,
+    burst: 0.5,
+    defaultCharge: 0,
+  };
+  const create = (changes: Partial<typeof numbers>) => {
+    const { maxConnections, slots, max, ...quota } = { ...numbers, ...changes };
+    const engine = {
+      slots,
+      kvCapacityTokens: 0,
+      kvTokenBytes: 0,
+      linkMbps: 0,
+      canMove: false,
+    };
+    const scale = { min: 0, max, bootTime: 0, spotPrice: 1, zonePrices: {} };
+    const workspace = {
+      name: "inn",
+      keys: [],
+      priority: 0,
+      countsTokens: true,
+      ...quota,
+    };
+    return {
+      ...document,
+      services: [{ name: "s", maxConnections, engine, scale }],
+      workspaces: [workspace],
+    };
+  };
+  expect(findDocumentErrors(create({}))).toEqual([]);
+  const { routes = [route], ...changes } = part as
+    & Partial<typeof numbers>
+    & { routes?: (typeof route)[] };
+  const errors = findDocumentErrors({ ...create(changes), routes });
+  expect(errors).toHaveLength(1);
+  expect(errors[0]).toMatchObject({
+    path,
+    message: expect.stringContaining("Remedy"),
+  });
+});
