--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -13,6 +13,7 @@
   idleConnectionLimit,
   type KnownEntry,
   LeasedShare,
+  limitDocumentNumbers,
   listServiceRanks,
   type PermitReply,
   PossibleOrigins,
@@ -633,7 +634,7 @@
       });
       return;
     }
-    const { document } = decoded;
+    const document = limitDocumentNumbers(decoded.document);
     const currentVersion = this.#routeTable?.document.version ?? -1;
     if (document.version > currentVersion) {
       this.#routeTable = new RouteTable(document);
--- a/apps/heroncleatd/hub/document_cache.ts
+++ b/apps/heroncleatd/hub/document_cache.ts
@@ -1,4 +1,7 @@
-import type { ServingDocument } from "@heroncleat/serving";
+import {
+  limitDocumentNumbers,
+  type ServingDocument,
+} from "@heroncleat/serving";
 import type { DecodedDocument } from "../gateway/exchange/decoded_document.ts";
 import type { StoredDocument } from "./serving_application.ts";
 
@@ -16,7 +19,7 @@
     if (stored !== undefined && stored !== this.#stored) {
       const decoded = this.#decode(stored.source);
       this.#document = decoded.kind === "document"
-        ? decoded.document
+        ? limitDocumentNumbers(decoded.document)
         : undefined;
       this.#stored = stored;
     }
--- a/packages/serving/mod.ts
+++ b/packages/serving/mod.ts
@@ -99,6 +99,7 @@
 export { ENTRY_RETENTION } from "./entry_retention.ts";
 export { idleConnectionLimit } from "./idle_connection_limit.ts";
 export { LeasedShare } from "./leased_share.ts";
+export { limitDocumentNumbers } from "./limit_document_numbers.ts";
 export { limitPrefill } from "./limit_prefill.ts";
 export { RecentMaximum } from "./recent_maximum.ts";
 export type { RetryBudgetSettings } from "./retry_budget_settings.ts";
