--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -3,6 +3,7 @@
 import {
   createToken,
   type Milliseconds,
+  ownValue,
   splitAddress,
   timerDelay,
 } from "@heroncleat/base";
@@ -12,6 +13,7 @@
   idleConnectionLimit,
   type KnownEntry,
   LeasedShare,
+  limitDocumentNumbers,
   listServiceRanks,
   type PermitReply,
   PossibleOrigins,
@@ -342,6 +344,7 @@
       isConnected: () => this.#links.isConnected,
       isOpen: () => this.isReady,
       countEntries: () => this.#exchange.entryCount,
+      routeTable: () => this.#routeTable,
     });
     this.#noticeHandler = new NoticeHandler({
       clock,
@@ -652,7 +655,7 @@
       });
       return;
     }
-    const { document } = decoded;
+    const document = limitDocumentNumbers(decoded.document);
     const currentVersion = this.#routeTable?.document.version ?? -1;
     if (document.version > currentVersion) {
       this.#routeTable = new RouteTable(document);
@@ -689,7 +692,8 @@
     const service = this.#routeTable?.findService(name);
     return idleConnectionLimit({
       maxConnections: service?.maxConnections ?? 0,
-      entryCount: this.#exchange.entryCount * (this.#followed[name] ?? 1),
+      entryCount: this.#exchange.entryCount *
+        (ownValue(this.#followed, name) ?? 1),
       entry: this.#options.settings().name,
       upstream,
     });
@@ -702,7 +706,11 @@
     this.#followed = shares;
     const { name } = this.#options.settings();
     this.#directory.limit((upstream) =>
-      followedShare.includes(name, upstream.name, shares[upstream.service] ?? 1)
+      followedShare.includes(
+        name,
+        upstream.name,
+        ownValue(shares, upstream.service) ?? 1,
+      )
     );
     this.#log.info("Follows a part of the upstreams", { ...shares });
   }
--- a/packages/serving/charge_totals.ts
+++ b/packages/serving/charge_totals.ts
@@ -1,4 +1,4 @@
-import type { Milliseconds } from "@heroncleat/base";
+import { createRecord, type Milliseconds } from "@heroncleat/base";
 import { RevisionCounter } from "./revision_counter.ts";
 import type { ChargeReport } from "./charge_report.ts";
 
@@ -55,7 +55,8 @@
       return false;
     }
     const previous = isSameProcess ? known.spent : new Map<string, number>();
-    const spent = report.isPartial ? previous : new Map<string, number>();
+    // What a relaying entry leaves out must not count again later.
+    const spent = previous;
     const counted = known?.counted ?? new Map<string, number>();
     let digest = report.isPartial ? known!.digest : 0;
     for (const [bucket, total] of Object.entries(report.spent)) {
@@ -94,7 +95,7 @@
    */
   sumExcluding(entry: string, since = 0): Record<string, number> {
     const own = this.#known.get(entry)?.counted;
-    const sums: Record<string, number> = {};
+    const sums = createRecord<number>();
     for (const [bucket, { amount, revision }] of this.#totals) {
       if (revision > since) {
         sums[bucket] = amount - (own?.get(bucket) ?? 0);
