A request whose connection couldn't be opened at all hasn't run

Cause: Node.js destroys a socket at once if there is no descriptor for it (EMFILE). It isn't connecting any more when the request gets it, and was taken for connected: a request that was never sent counted as one that may have run (502, no retry), and its upstream as one that crashed while running it. Change: a new socket that is destroyed isn't connected; the error that follows says that the request hasn't run. Measured: the new test of send_to_upstream_test fails without the change (unknown, isBroken) and passes with it.

--- a/apps/heroncleatd/common/open_response.ts
+++ b/apps/heroncleatd/common/open_response.ts
@@ -145,7 +145,8 @@
     socket.setNoDelay(true);
     if (socket.connecting) {
       socket.once("connect", onReady);
-    } else {
+    } else if (outgoing.reusedSocket || !socket.destroyed) {
+      // A new one that is destroyed couldn't be opened; an error follows.
       onReady();
     }
   });
--- a/apps/heroncleatd/gateway/upstreams/send_to_upstream_test.ts
+++ b/apps/heroncleatd/gateway/upstreams/send_to_upstream_test.ts
@@ -1,5 +1,5 @@
 import { createServer, type RequestListener } from "node:http";
-import { type AddressInfo, connect, type Socket } from "node:net";
+import { type AddressInfo, connect, Socket } from "node:net";
 import type { CallerRequest } from "../caller_request.ts";
 import { readResponseBody } from "../responses/read_response_body.ts";
 import { sendToUpstream } from "./send_to_upstream.ts";
@@ -7,6 +7,7 @@
 import { UpstreamAgent } from "./upstream_agent.ts";
 
 const EVENTS = 20;
+const TEST_TIMEOUT_MS = 5000;
 
 /** Counts how often reading stops while an upstream responds in chunks. */
 async function countStops(onRequest: RequestListener): Promise<number> {
@@ -78,3 +79,33 @@
     expect(await countStops(unframed)).toBeGreaterThanOrEqual(EVENTS / 2);
   });
 });
+
+// Guards against a request that was never sent counting as one that may have
+// run, as the process had no descriptor for its connection.
+test(
+  "a connection that fails as it is opened leaves a request not run",
+  async () => {
+    const agent = new UpstreamAgent(() => 16, () => {
+      const socket = new Socket();
+      const error = Object.assign(new Error("connect"), { code: "EMFILE" });
+      // Like Node, which connects in the next tick.
+      process.nextTick(() => socket.destroy(error));
+      return socket;
+    });
+    const result = await sendToUpstream({
+      attempt: "a1",
+      method: "GET",
+      target: "/",
+      body: Buffer.alloc(0),
+    } as CallerRequest, {
+      address: "127.0.0.1:9",
+      agent,
+      headers: ["Host", "upstream"],
+      names: testHeaderNames,
+      signal: new AbortController().signal,
+    });
+    agent.destroy();
+    expect(result).toEqual({ kind: "not_run", reason: "EMFILE" });
+  },
+  TEST_TIMEOUT_MS,
+);
