A shortage of descriptors says nothing about an upstream

Cause: an entry without a descriptor for a further connection took each upstream that it tried for silent: it found itself cut off, gave up what ran at the upstreams, and passed requests on. Change: such an attempt hasn't run and is recorded against no upstream; a counter and a line, once a second, say so.

--- a/apps/heroncleatd/gateway/attempts/attempt_request.ts
+++ b/apps/heroncleatd/gateway/attempts/attempt_request.ts
@@ -1,4 +1,4 @@
-import type { Milliseconds } from "@heroncleat/base";
+import { type Milliseconds, RateLimiter } from "@heroncleat/base";
 import {
   type KnownUpstream,
   RouteKind,
@@ -16,6 +16,7 @@
 import { EndedBy } from "../responses/ended_by.ts";
 import { forwardHeaders } from "../forward_headers.ts";
 import { CONNECT_TIMEOUT_REASON } from "../../common/connect_timeout_reason.ts";
+import { lacksDescriptors } from "../../common/lacks_descriptors.ts";
 import { framingOf } from "../../common/framing_of.ts";
 import type { SentRequest } from "../../common/sent_request.ts";
 import { hasCrashed } from "../upstreams/has_crashed.ts";
@@ -239,6 +240,16 @@
   }
   // No connection was established, so nothing was sent.
   returnPermit();
+  if (lacksDescriptors(response.reason)) {
+    reportShortage(context, { call, upstream: record.id });
+    return {
+      kind: "not_run",
+      reason: response.reason,
+      trace,
+      upstream: record.id,
+      unopened: "no_descriptor",
+    };
+  }
   const isRefused = response.reason === CONNECTION_REFUSED;
   if (isRefused) {
     context.breaks.recordRefusal(record.id);
@@ -327,6 +338,23 @@
   }
 }
 
+/** No upstream is at fault; see `lacksDescriptors`. */
+function reportShortage(
+  { log, metrics }: ForwardContext,
+  { call, upstream }: { call: CallerRequest; upstream: string },
+): void {
+  metrics.increment("gateway.without_descriptor");
+  if (shortageLines.tryConsume(performance.now())) {
+    log.warn("No descriptor is left for a connection to an upstream", {
+      request: call.attempt,
+      upstream,
+    });
+  }
+}
+
+/** Limits the lines about descriptors: one a second. */
+const shortageLines = new RateLimiter(1, 5);
+
 /** Whether the request may be given up and sent to another upstream. */
 function mayRunAgain({ route }: CallerRequest): boolean {
   return route.kind === RouteKind.idempotent || route.isResumable;
--- a/apps/heroncleatd/gateway/attempts/attempt_result.ts
+++ b/apps/heroncleatd/gateway/attempts/attempt_result.ts
@@ -13,7 +13,7 @@
 };
 
 /** Why no connection to the upstream was opened. */
-type UnopenedConnection = "refused" | "silent";
+type UnopenedConnection = "refused" | "silent" | "no_descriptor";
 
 /** The outcome of an attempt, up to the head of the response. */
 export type AttemptResult =
