Probes without a descriptor find no upstream gone

Cause: an entry probes an upstream while requests wait there. Without a descriptor the probe failed as if the upstream were silent, and the entry gave up all that ran there (502 after a run), took upstreams for crashed, or reported a break. Change: such a probe has no result that speaks against the upstream.

--- a/apps/heroncleatd/common/probe_upstream.ts
+++ b/apps/heroncleatd/common/probe_upstream.ts
@@ -1,14 +1,15 @@
 import { connect as connectDirectly } from "node:net";
 import { type Milliseconds, splitAddress } from "@heroncleat/base";
 import type { ConnectionOpener } from "./connection_opener.ts";
+import { lacksDescriptors } from "./lacks_descriptors.ts";
 import { openConnection } from "./open_connection.ts";
 
 /** Generous for a connection within one region. */
 const PROBE_TIMEOUT: Milliseconds = 300;
 
 /**
- * Whether a TCP connection to an upstream's address can be opened. Sends no
- * data.
+ * Whether a TCP connection to an upstream's address can be opened, as far as
+ * this process can tell: without a descriptor to try, true. Sends no data.
  *
  * @param address host:port
  */
@@ -26,6 +27,9 @@
     };
     socket.once("connect", () => settle(true));
     socket.once("timeout", () => settle(false));
-    socket.once("error", () => settle(false));
+    socket.once(
+      "error",
+      ({ code }: NodeJS.ErrnoException) => settle(lacksDescriptors(code)),
+    );
   });
 }
--- a/apps/heroncleatd/common/try_connection.ts
+++ b/apps/heroncleatd/common/try_connection.ts
@@ -1,14 +1,18 @@
 import { connect as connectDirectly } from "node:net";
 import { type Milliseconds, splitAddress } from "@heroncleat/base";
 import type { ConnectionOpener } from "./connection_opener.ts";
+import { lacksDescriptors } from "./lacks_descriptors.ts";
 import { openConnection } from "./open_connection.ts";
 
 /** Many times the connection setup time within a region. */
 const CONNECT_TIMEOUT: Milliseconds = 100;
 
+type ConnectionTrial = "refused" | "closed" | "kept" | "silent" | "untried";
+
 /**
  * Opens a connection to an address (host:port) and finds whether it is refused,
- * closed within the time `hold`, kept open for that time, or not answered.
+ * closed within the time `hold`, kept open for that time, not answered, or not
+ * tried, as this process has no descriptor left.
  */
 export function tryConnection(
   address: string,
@@ -16,13 +20,13 @@
     hold: Milliseconds;
     connect?: ConnectionOpener;
   },
-): Promise<"refused" | "closed" | "kept" | "silent"> {
+): Promise<ConnectionTrial> {
   const { host, port } = splitAddress(address);
   return new Promise((resolve) => {
     const options = { host, port, timeout: CONNECT_TIMEOUT };
     const socket = openConnection(options, connect);
     let timer: NodeJS.Timeout | undefined;
-    const settle = (trial: "refused" | "closed" | "kept" | "silent") => {
+    const settle = (trial: ConnectionTrial) => {
       clearTimeout(timer);
       socket.destroy();
       resolve(trial);
@@ -37,6 +41,10 @@
     socket.once("timeout", () => settle("silent"));
     socket.once("end", () => settle("closed"));
     socket.on("error", (error: NodeJS.ErrnoException) => {
+      if (lacksDescriptors(error.code)) {
+        settle("untried");
+        return;
+      }
       const isRefused = error.code === "ECONNREFUSED";
       settle(isRefused ? "refused" : timer === undefined ? "silent" : "closed");
     });
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -189,9 +189,11 @@
       agentOf: (upstream) => this.#agents.get(upstream),
       isResumable: (service) =>
         this.#routeTable?.hasResumableRoute(service) ?? false,
-      keepsConnection: async (address, hold) =>
-        await tryConnection(address, { hold, connect: this.#connect }) ===
-          "kept",
+      keepsConnection: async (address, hold) => {
+        const options = { hold, connect: this.#connect };
+        const trial = await tryConnection(address, options);
+        return trial === "kept" || trial === "untried";
+      },
       areLinksInDoubt: (service) =>
         this.#reachability.isCutOff(service) ||
         this.#reachability.isInDoubt(service),
