--- a/apps/heroncleatd/common/pace_reads_test.ts
+++ b/apps/heroncleatd/common/pace_reads_test.ts
@@ -11,6 +11,7 @@
 import { paceReads } from "./pace_reads.ts";
 
 const KIB = 1024;
+/** More than what is parsed as it is read. */
 const WAITING_BYTES = 2000;
 const FLOOD_CONNECTIONS = 20;
 /** 50,000 chunks. */
