Connections whose bytes wait to be parsed don't make room for new ones

Cause: at the limit on connections the one that has been idle for longest is closed, and a connection counts as idle until its request is parsed. Since reads are paced a request may have been read and wait behind a crowd; its connection was reset without an answer, while that crowd kept its own.

Change: a connection of which bytes wait to be parsed isn't idle. If there is no other idle one, an incomplete body is given up or the newest connection refused, as before.

--- a/apps/heroncleatd/common/limit_connections.ts
+++ b/apps/heroncleatd/common/limit_connections.ts
@@ -3,6 +3,7 @@
 import { RateLimiter } from "@heroncleat/base";
 import type { Log } from "./log.ts";
 import type { Metrics } from "./metrics.ts";
+import { unparsedConnections } from "./unparsed_connections.ts";
 
 const LINES_PER_SECOND = 1;
 const LINE_BURST = 5;
@@ -24,7 +25,8 @@
 /**
  * Limits the open connections of an HTTP server, so that the process keeps
  * descriptors for its own ones. At the limit the connection that has been idle
- * for longest makes room for a new one.
+ * for longest makes room for a new one. One whose bytes wait to be parsed isn't
+ * idle.
  */
 export function limitConnections(server: Server, options: LimitOptions): void {
   /** Requests in progress at each open connection. */
@@ -56,10 +58,18 @@
       });
     }
   };
+  const findIdle = (newest: Socket): Socket | undefined => {
+    for (const socket of idle) {
+      if (socket !== newest && !unparsedConnections.has(socket)) {
+        return socket;
+      }
+    }
+    return undefined;
+  };
   const makeRoom = (newest: Socket): void => {
     const { giveUpBody } = options;
-    const [longestIdle] = idle;
-    if (longestIdle !== undefined && longestIdle !== newest) {
+    const longestIdle = findIdle(newest);
+    if (longestIdle !== undefined) {
       record("closed_idle");
       longestIdle.destroy();
     } else if (giveUpBody?.() === true) {
--- a/apps/heroncleatd/common/paced_read.ts
+++ b/apps/heroncleatd/common/paced_read.ts
@@ -2,6 +2,7 @@
 import type { Socket } from "node:net";
 import type { Milliseconds } from "@heroncleat/base";
 import type { ReadQueue } from "./read_queue.ts";
+import { unparsedConnections } from "./unparsed_connections.ts";
 
 /** Bytes that are parsed before the time is looked at. */
 const SLICE_BYTES = 1024;
@@ -180,5 +181,10 @@
   #setRest(bytes: Buffer | undefined): void {
     this.#queue.countBytes((bytes?.length ?? 0) - (this.#rest?.length ?? 0));
     this.#rest = bytes;
+    if (bytes === undefined) {
+      unparsedConnections.delete(this.#socket);
+    } else {
+      unparsedConnections.add(this.#socket);
+    }
   }
 }
