Requests before bytes that are no request all get their responses

Cause: behind bytes that can't be parsed, or a head that is late, the connection ends once the requests received before have their responses. Each of them was made the last one of the connection, so that Node.js closed it behind the first and dropped the others', whose requests had run.

Change: only the response of the last such request closes the connection.

Measured: the new test fails without the change (1 of 3 responses) and passes with it in 3 of 3 runs.

--- a/apps/heroncleatd/common/answer_client_errors.ts
+++ b/apps/heroncleatd/common/answer_client_errors.ts
@@ -70,10 +70,12 @@
  */
 function endAfter(running: readonly Exchange[], socket: Duplex): void {
   let left = running.length;
+  const last = running.at(-1)?.response;
+  // Node.js drops the responses behind one that closes the connection.
+  if (last?.headersSent === false) {
+    last.shouldKeepAlive = false;
+  }
   for (const { response } of running) {
-    if (!response.headersSent) {
-      response.shouldKeepAlive = false;
-    }
     response.once("close", () => {
       left -= 1;
       if (left === 0) {
