Callers aren't late with heads that wait to be parsed

Cause: with four requests of a connection in progress the next ones aren't parsed, which may stop in the middle of a head. Node.js counts its time from its first byte, so that the connection of a caller that had sent everything was ended as late behind the requests in progress, and the rest never ran. The same holds for heads that wait behind a crowd.

Change: a timeout of a request is ignored while bytes of its connection wait to be parsed. Node.js reports it once for each request; a head that is left unfinished then belongs to an idle connection, which makes room for others.

--- a/apps/heroncleatd/common/answer_client_errors.ts
+++ b/apps/heroncleatd/common/answer_client_errors.ts
@@ -1,13 +1,17 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Duplex } from "node:stream";
 import type { Socket } from "node:net";
+import { unparsedConnections } from "./unparsed_connections.ts";
 
 /** The caller has closed its connection inside a request. */
 const INCOMPLETE_REQUEST = "HPE_INVALID_EOF_STATE";
 
+/** The head of a request, or its body, wasn't parsed in time. */
+const REQUEST_TIMEOUT = "ERR_HTTP_REQUEST_TIMEOUT";
+
 /** Status lines for requests that can't be read, by error; others are 400. */
 const STATUS_LINES: Readonly<Record<string, string>> = {
-  ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
+  [REQUEST_TIMEOUT]: "408 Request Timeout",
   HPE_CHUNK_EXTENSIONS_OVERFLOW: "413 Payload Too Large",
   HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
 };
@@ -38,6 +42,13 @@
     response.once("close", () => ofSocket.delete(exchange));
   });
   server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
+    // What waits to be parsed has arrived.
+    if (
+      error.code === REQUEST_TIMEOUT &&
+      unparsedConnections.has(socket as Socket)
+    ) {
+      return;
+    }
     const ofSocket = [...exchanges.get(socket) ?? []];
     const hasLeft = !socket.writable ||
       (error.code === INCOMPLETE_REQUEST && ofSocket.length > 0);
--- a/apps/heroncleatd/common/answer_client_errors_test.ts
+++ b/apps/heroncleatd/common/answer_client_errors_test.ts
@@ -1,6 +1,7 @@
 import { createServer, type RequestListener, type Server } from "node:http";
 import { type AddressInfo, connect } from "node:net";
 import { answerClientErrors } from "./answer_client_errors.ts";
+import { paceReads } from "./pace_reads.ts";
 
 const HANDLING_TIME_MS = 200;
 
@@ -23,6 +24,34 @@
   ]);
 });
 
+// Guards against a caller that is said to be late with what waits to be parsed.
+test("pipelined requests whose heads wait to be parsed all get their responses", async () => {
+  server = createServer({
+    headersTimeout: HANDLING_TIME_MS / 2,
+    requestTimeout: 0,
+    connectionsCheckingInterval: HANDLING_TIME_MS / 10,
+  }, respondLater);
+  paceReads(server);
+  const padding = `Padding: ${"p".repeat(900)}`;
+  const requests = Array.from(
+    { length: 9 },
+    (_, index) =>
+      head(index, index < 8 ? padding : `${padding}\r\nConnection: close`),
+  );
+  const received = await send(requests.join(""));
+  expect(received.match(/served \d/g)).toHaveLength(9);
+});
+
+test("a head that doesn't arrive in time is refused", async () => {
+  server = createServer({
+    headersTimeout: HANDLING_TIME_MS / 2,
+    requestTimeout: 0,
+    connectionsCheckingInterval: HANDLING_TIME_MS / 10,
+  }, respondLater);
+  paceReads(server);
+  expect(await send(head(0).slice(0, -2))).toMatch(/^HTTP\/1.1 408 /);
+});
+
 const respondLater: RequestListener = (incoming, response) => {
   incoming.resume();
   setTimeout(
@@ -31,8 +60,8 @@
   );
 };
 
-function head(index: number): string {
-  return `GET /${index} HTTP/1.1\r\nHost: a\r\n\r\n`;
+function head(index: number, field = "Accept: */*"): string {
+  return `GET /${index} HTTP/1.1\r\nHost: a\r\n${field}\r\n\r\n`;
 }
 
 /** Sends bytes at once; resolves to what came until the connection closed. */
