Entries that can't be used are left out of what replicas list

Cause: an entry took over the names and addresses of others as a replica listed them. Addresses that can't be connected to went into look-ups, relays and datagrams, names of 60,000 characters into headers and lines; null, or an entry without an address, cost the whole reply. Change: name, address, zone, region and the list of services are checked where a reply is applied. What can't be used is left out, counted (entry_records.unusable) and logged at a rate. An entry whose change can't be used isn't listed any more. Measured: unusable_record_test, 10 new cases fail before and pass now. 81 tests of relay and exchange pass. The tests of gateway/limits, whose simulations got the new option, didn't end within 150 s of a shared run, and weren't run to their end. Addresses of control replicas in replies aren't checked.

--- a/apps/heroncleatd/gateway/exchange/control_links.ts
+++ b/apps/heroncleatd/gateway/exchange/control_links.ts
@@ -41,6 +41,12 @@
   readonly pool: PeerPool;
   readonly clock: Clock;
   readonly log: Log;
+  /**
+   * Whether an entry that a replica lists can be used.
+   *
+   * @param from host:port of the replica.
+   */
+  readonly isUsableEntry: (entry: KnownEntry, from: string) => boolean;
   /** host:port of replicas to contact while none is reachable. */
   readonly seeds: () => readonly string[];
   readonly createRequest: (position: FeedPosition) => SyncRequest;
@@ -518,7 +524,11 @@
     link.shortReportTimeout = reply.shortReportTimeout;
     link.wallOffset = reply.wall - (requestedAt + now) / 2;
     link.report.handleReply(reply);
-    const isListNew = applyEntryList(link.entries, reply);
+    const isListNew = applyEntryList(
+      link.entries,
+      reply,
+      (entry) => this.#options.isUsableEntry(entry, link.address),
+    );
     if (isListNew) {
       this.#mergedEntries = undefined;
     }
--- a/apps/heroncleatd/gateway/exchange/control_links_test.ts
+++ b/apps/heroncleatd/gateway/exchange/control_links_test.ts
@@ -22,6 +22,7 @@
   },
 ): ControlLinks {
   const links = new ControlLinks({
+    isUsableEntry: () => true,
     pool,
     clock: { now, steady: now, wall: now } as never,
     log: silentLog,
@@ -117,6 +118,7 @@
   let failures = 2;
   const requestedRevisions: number[] = [];
   const links = new ControlLinks({
+    isUsableEntry: () => true,
     pool: {
       call: () => Promise.resolve(replyOf("a:1", ["a:1"])),
     } as unknown as PeerPool,
@@ -176,6 +178,7 @@
   } as unknown as PeerPool;
   const links = Array.from({ length: entries }, (_, index) =>
     new ControlLinks({
+      isUsableEntry: () => true,
       pool,
       clock: { now: () => now, steady: () => now, wall: () => now } as never,
       log: silentLog,
@@ -257,6 +260,7 @@
     const random = createSeededRandom(ENTRIES);
     for (let entry = 0; entry < ENTRIES; entry += 1) {
       const links = new ControlLinks({
+        isUsableEntry: () => true,
         pool: {
           call: (
             replica: string,
--- a/apps/heroncleatd/gateway/exchange/entry_exchange.ts
+++ b/apps/heroncleatd/gateway/exchange/entry_exchange.ts
@@ -3,6 +3,7 @@
   isConnectableAddress,
   type Milliseconds,
   ownValue,
+  RateLimiter,
   splitAddress,
 } from "@heroncleat/base";
 import {
@@ -34,6 +35,7 @@
 import type { SuspectWatcher } from "../../common/suspect_watcher.ts";
 import type { FeedPosition } from "./feed_position.ts";
 import type { GatewaySettings } from "../gateway_settings.ts";
+import { isUsableEntry } from "./is_usable_entry.ts";
 import type { RateLimitWatcher } from "../../common/rate_limit_watcher.ts";
 import type { RolloutWatcher } from "./rollout_watcher.ts";
 import type { StreamOriginExchange } from "../streams/stream_origin_exchange.ts";
@@ -47,6 +49,9 @@
 
 /** Limits text from other processes in log lines. */
 const MAX_LOGGED_CHARACTERS = 200;
+/** Limit of lines about entries that can't be used. */
+const LINES_PER_SECOND = 1;
+const LINE_BURST = 5;
 
 type ExchangeOptions = {
   readonly settings: () => GatewaySettings;
@@ -98,6 +103,7 @@
   /** Also entries that may be cut off and use their part of rate limits. */
   readonly #sharingEntryCount = new RecentMaximum(1, ENTRY_RETENTION);
   #peers: readonly string[] = [];
+  readonly #lineLimiter = new RateLimiter(LINES_PER_SECOND, LINE_BURST);
 
   constructor(options: ExchangeOptions) {
     this.#options = options;
@@ -280,6 +286,23 @@
     return false;
   }
 
+  /** Whether an entry that a replica lists can be used; logs it if not. */
+  isUsableEntry(entry: KnownEntry | null, reporter: string): boolean {
+    if (isUsableEntry(entry)) {
+      return true;
+    }
+    const { clock, log, metrics } = this.#options;
+    metrics.increment("entry_records.unusable");
+    if (this.#lineLimiter.tryConsume(clock.steady())) {
+      log.warn("An entry has a name or an address that can't be used", {
+        entry: String(entry?.name).slice(0, MAX_LOGGED_CHARACTERS),
+        address: String(entry?.address).slice(0, MAX_LOGGED_CHARACTERS),
+        by: reporter,
+      });
+    }
+    return false;
+  }
+
   /** Removes instances that a later start of the same upstream has replaced. */
   #removeEarlierStarts(
     later: UpstreamRecord | null,
--- a/apps/heroncleatd/gateway/exchange/unusable_record_test.ts
+++ b/apps/heroncleatd/gateway/exchange/unusable_record_test.ts
@@ -87,9 +87,36 @@
   },
 );
 
+// Guards against entries that a replica lists and that end a request or fill
+// headers and lines.
+test.each([
+  null,
+  {},
+  { address: "127.0.0.1:70000" },
+  { address: "999.1.1.1:80" },
+  { address: "x".repeat(60_000) },
+  { name: "x".repeat(60_000) },
+  { name: "a\r\nX-Added: 1" },
+  { name: 7 },
+  { zone: null },
+  { unreachable: 5 },
+])("the entry %j costs nobody anything and isn't used", async (part) => {
+  const sound = { name: "b", address: "127.0.0.26:80", zone: "a", region: "r" };
+  const entries = [
+    { name: "entry", address: ADDRESS, zone: "a", region: "r" },
+    part && Object.keys(part).length > 0 ? { ...sound, ...part } : part,
+    { ...sound, name: "c" },
+  ];
+  await start([upstream.address], [], entries as SyncReply["entries"]);
+  expect(await send("t0")).toBe(200);
+  expect(gateway.listEntries().map(({ name }) => name)).toEqual(["entry", "c"]);
+  expect(counted["entry_records.unusable"]).toBeGreaterThan(0);
+});
+
 async function start(
   addresses: readonly string[],
   earlier: readonly ReturnType<typeof testGateway.createRecord>[] = [],
+  entries?: SyncReply["entries"],
 ): Promise<void> {
   const records = addresses.map((address, index) =>
     testGateway.createRecord({
@@ -107,6 +134,7 @@
       document,
     }),
     upstreams: [...earlier, ...records],
+    ...(entries === undefined ? {} : { entries }),
   };
   gateway = await testGateway.start({
     address: ADDRESS,
--- a/apps/heroncleatd/gateway/limits/simulated_quotas.ts
+++ b/apps/heroncleatd/gateway/limits/simulated_quotas.ts
@@ -147,6 +147,7 @@
     });
     const clock = { steady: () => this.network.now } as Clock;
     const links = new ControlLinks({
+      isUsableEntry: () => true,
       pool: this.network.poolOf(host),
       clock,
       log: silentLog,
--- a/apps/heroncleatd/gateway/limits/simulated_rate_limits.ts
+++ b/apps/heroncleatd/gateway/limits/simulated_rate_limits.ts
@@ -385,6 +385,7 @@
       tolerance: 0,
     });
     const links = new ControlLinks({
+      isUsableEntry: () => true,
       pool: this.network.poolOf(host),
       clock,
       log: silentLog,
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -291,6 +291,7 @@
       random: Math.random,
     });
     this.#links = new ControlLinks({
+      isUsableEntry: (entry, from) => this.#exchange.isUsableEntry(entry, from),
       pool,
       clock,
       log: options.log("links"),
