Stored records that can't be used cost no other, nor the process

Cause: departures and counts of usage were restored as they stood on disk. One that isn't a record cost all the others; one without a name or with a sequence that isn't a number was merged. A window whose name isn't a number, from a disk or from an entry, left no newest window, so that no count was stored or dropped any more; one of 1e308 dropped all others. Change: departures are checked one by one, and those left out are logged; windows and counts are safe integers of 0 or more. A window far ahead that is a safe integer still drops older ones.

--- a/apps/heroncleatd/hub/departure_store.ts
+++ b/apps/heroncleatd/hub/departure_store.ts
@@ -3,6 +3,7 @@
 import { writeFileDurably } from "@heroncleat/journal";
 import type { UpstreamRecord } from "@heroncleat/serving";
 import type { Log } from "../common/log.ts";
+import { isStoredRecord } from "./is_stored_record.ts";
 
 const FILE_NAME = "leaves.json";
 const VERSION = 1;
@@ -46,9 +47,15 @@
       const text = await readFile(join(folder, FILE_NAME), "utf8");
       const stored = JSON.parse(text) as {
         version: number;
-        leaves: readonly UpstreamRecord[];
+        leaves: readonly unknown[];
       };
-      const records = stored.version === VERSION ? stored.leaves : [];
+      const leaves = stored.version === VERSION ? stored.leaves : [];
+      const records = leaves.filter(isStoredRecord);
+      if (records.length < leaves.length) {
+        log.warn("Leaves out stored departures that can't be read", {
+          count: leaves.length - records.length,
+        });
+      }
       for (const record of records) {
         this.#departures.set(record.id, { record, isWritten: true });
       }
--- a/packages/serving/usage_totals.ts
+++ b/packages/serving/usage_totals.ts
@@ -19,17 +19,22 @@
   // Maps, as names such as `__proto__` aren't plain fields of an object.
   readonly #processes = new Map<string, Map<number, Map<string, number>>>();
 
+  /** Merges counts; windows and counts that can't be any are left out. */
   merge(usage: ProcessUsage): void {
     for (const [boot, reported] of Object.entries(usage)) {
       const windows = this.#processes.get(boot) ??
         new Map<number, Map<string, number>>();
-      for (const [window, counts] of Object.entries(reported)) {
-        const known = windows.get(Number(window)) ??
-          new Map<string, number>();
-        mergeMaximums(known, counts);
-        windows.set(Number(window), known);
+      for (const [name, counts] of Object.entries(reported ?? {})) {
+        const window = Number(name);
+        const known = windows.get(window) ?? new Map<string, number>();
+        mergeMaximums(known, counts ?? {});
+        if (isCount(window) && known.size > 0) {
+          windows.set(window, known);
+        }
+      }
+      if (windows.size > 0) {
+        this.#processes.set(boot, windows);
       }
-      this.#processes.set(boot, windows);
     }
   }
 
@@ -93,6 +98,12 @@
   counts: WorkspaceCounts,
 ): void {
   for (const [name, count] of Object.entries(counts)) {
-    known.set(name, Math.max(known.get(name) ?? 0, count));
+    if (isCount(count)) {
+      known.set(name, Math.max(known.get(name) ?? 0, count));
+    }
   }
 }
+
+function isCount(value: number): boolean {
+  return Number.isSafeInteger(value) && value >= 0;
+}
