Errors of accepting connections don't end a process

Cause: the servers of callers, operators and look-ups have one listener for errors, which is gone after the first one. A second error of accepting a connection has no listener and ends the process.

Change: each server with a limit of connections counts such an error, logs it at a limited rate, and goes on. Errors of listening stay with whoever starts the server.

--- a/apps/heroncleatd/common/limit_connections.ts
+++ b/apps/heroncleatd/common/limit_connections.ts
@@ -24,7 +24,8 @@
 /**
  * Limits the open connections of an HTTP server, so that the process keeps
  * descriptors for its own ones. At the limit the connection that has been idle
- * for longest makes room for a new one.
+ * for longest makes room for a new one. A connection that can't be accepted is
+ * logged and counted; the server goes on.
  */
 export function limitConnections(server: Server, options: LimitOptions): void {
   /** Requests in progress at each open connection. */
@@ -69,6 +70,21 @@
       newest.destroy();
     }
   };
+  server.on("error", ({ message }) => {
+    // Whoever starts the server handles an error of that.
+    if (!server.listening) {
+      return;
+    }
+    const { metrics, log, name } = options;
+    metrics.increment(`connections.not_accepted.${name}`);
+    if (limiter.tryConsume(performance.now())) {
+      log.warn(
+        "Can't accept a connection. Remedy: allow the process more " +
+          "descriptors.",
+        { server: name, open: open.size, error: message },
+      );
+    }
+  });
   server.on("connection", (socket) => {
     open.set(socket, 0);
     idle.add(socket);
