The test of runs given up at a cut is cut off for its own probes too

Cause: an entry that has waited for 400 ms probes the upstream by itself. In the test that probe reaches it, and if it does so between the failure that the test reports and the end of that turn, nothing is given up, rightly. Change: the entry's probes fail, as in a cut. What is checked is as it was.

--- a/apps/heroncleatd/gateway/relay/given_up_runs_test.ts
+++ b/apps/heroncleatd/gateway/relay/given_up_runs_test.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo } from "node:net";
 import { createTestContext } from "../create_test_context.ts";
 import { RetryLimiter } from "../limits/retry_limiter.ts";
+import { ReachabilityWatcher } from "./reachability_watcher.ts";
 import { startTestEntry } from "../start_test_entry.ts";
 import { testHeaderNames as names } from "../test_header_names.ts";
 import { TestUpstream } from "../test_upstream.ts";
@@ -34,7 +35,19 @@
     );
   });
   onClose(() => upstream.close());
-  const context = createTestContext([upstream], onClose);
+  const created = createTestContext([upstream], onClose);
+  const context = {
+    ...created,
+    reachability: new ReachabilityWatcher({
+      ...created,
+      listUpstreams: () => created.directory.list(),
+      // A busy machine waits until the entry probes by itself.
+      probe: () => Promise.resolve(false),
+      onChange: () => {},
+      closeIdle: () => {},
+      random: Math.random,
+    }),
+  };
   const entry = await startTestEntry({
     upstreams: [],
     context: {
