--- a/apps/heroncleatd/common/limit_connections.ts
+++ b/apps/heroncleatd/common/limit_connections.ts
@@ -24,10 +24,8 @@
 
 /**
  * Limits the open connections of an HTTP server, so that the process keeps
- * descriptors for its own ones. At the limit the connection that has been idle
- * for longest makes room for a new one; one whose bytes wait to be parsed isn't
- * idle. A connection that can't be accepted is logged and counted; the server
- * goes on.
+ * descriptors for its own ones. At the limit the longest idle one makes room.
+ * Errors of accepting a connection are logged and counted.
  */
 export function limitConnections(server: Server, options: LimitOptions): void {
   /** Requests in progress at each open connection. */
--- a/apps/heroncleatd/gateway/discard_request_body.ts
+++ b/apps/heroncleatd/gateway/discard_request_body.ts
@@ -13,7 +13,7 @@
  * Reads and drops the rest of a body, as a connection that is closed before is
  * reset. Resolves at its end, or after a time.
  *
- * @param options.isRead Whether to read it at all.
+ * @param options.isRead Whether to read it.
  * @param options.chunkLimit Beyond it nothing more is read.
  */
 export function discardRequestBody(
--- a/apps/heroncleatd/gateway/shutdown/read_arrived.ts
+++ b/apps/heroncleatd/gateway/shutdown/read_arrived.ts
@@ -5,9 +5,8 @@
 const READING_ITERATIONS = 2;
 
 /**
- * Lets the event loop accept and read what has arrived at servers. Otherwise
- * closing one resets requests that nobody has read: after a pause of the process
- * its timers run first, and each iteration accepts one connection.
+ * Lets the event loop accept and read what has arrived at servers. After a pause
+ * of the process timers run first, and each iteration accepts one connection.
  *
  * @param options.timeLimit For a process that is too slow for what arrives.
  */
--- a/apps/heroncleatd/gateway/shutdown/shut_down_gracefully.ts
+++ b/apps/heroncleatd/gateway/shutdown/shut_down_gracefully.ts
@@ -43,8 +43,8 @@
 /**
  * Accepts requests for most of the grace period, since callers are slow to
  * notice that an entry shuts down. Then closes idle connections and waits for
- * the requests in flight. Shortly before the process exits it answers those
- * without a response.
+ * the requests in flight. Shortly before the exit it answers those without a
+ * response.
  */
 export async function shutDownGracefully(
   options: ShutdownOptions,
--- a/packages/routing/create_weighted_policy.ts
+++ b/packages/routing/create_weighted_policy.ts
@@ -25,7 +25,7 @@
 /**
  * Creates a policy that chooses the candidate with the lowest weighted cost
  * among those that meet the latency limits and have a free slot. If there is
- * none, it chooses the one with the shortest time to the first token.
+ * none, it chooses the one with the shortest time to first token.
  *
  * @public
  */
