A stored document without lists doesn't fail the leader's tasks

Cause: limiting a document's numbers expects its lists, so that a stored document without routes threw in each turn of the leader's tasks. Change: an absent list is empty.

--- a/packages/serving/limit_document_numbers.ts
+++ b/packages/serving/limit_document_numbers.ts
@@ -27,8 +27,9 @@
 ): ServingDocument {
   return {
     ...document,
-    routes: document.routes.map(limitRoute),
-    services: document.services.map(limitService),
+    // Stored documents of other releases may lack lists.
+    routes: document.routes?.map(limitRoute) ?? [],
+    services: document.services?.map(limitService) ?? [],
     workspaces: document.workspaces?.map(limitWorkspace),
   };
 }
