A prompt of false length stops counting when its prefill has ended

What callers saw: some 24 requests that state a billion tokens each, answered within milliseconds, had an entry refuse other callers' requests for 35 s ("all upstreams are busy for too long"). Cause: the prefill of each counts as work of its upstream for all the time that the request has, also after its end. Its notice tells the same to the other entries. Change: where a stated length can't be prefilled in the time that the request has, its work is removed from the backlog at its first byte or its end, and isn't announced; others hear of it by the reported loads. Plausible lengths count as they did.

--- a/apps/heroncleatd/gateway/upstreams/start_tracking.ts
+++ b/apps/heroncleatd/gateway/upstreams/start_tracking.ts
@@ -45,7 +45,10 @@
     parts: call.prompt?.parts ?? [],
     now: clock.steady(),
   });
-  options.context.announceDispatch(notice);
+  // Other entries count an announced prefill to its expected end.
+  if (chosen.isLengthPlausible) {
+    options.context.announceDispatch(notice);
+  }
   const sentAt = clock.steady();
   const { record } = chosen.upstream;
   const endSuspectedRun = crashes.trackCopy(call.identity);
@@ -71,6 +74,7 @@
         begunAt = clock.steady();
         const took = begunAt - sentAt;
         trace.recordFirstByte(took);
+        choice.endPrefill(chosen, begunAt);
         choice.recordFirstToken(chosen, took);
         // The first byte of other responses may come after the whole run.
         if (isStream && isSuccess(status)) {
@@ -85,6 +89,7 @@
       }
       isFinished = true;
       endRun();
+      choice.endPrefill(chosen, clock.steady());
       const isServed = outcome === AttemptOutcome.complete &&
         isSuccess(status);
       choice.end(
--- a/packages/serving/chosen_upstream.ts
+++ b/packages/serving/chosen_upstream.ts
@@ -14,6 +14,11 @@
   readonly readTime: Milliseconds;
   /** Prefill time of the uncached tokens on the reference engine. */
   readonly referencePrefillTime: Milliseconds;
+  /**
+   * Whether the prompt can be prefilled in the time that the request has left;
+   * callers state its length.
+   */
+  readonly isLengthPlausible: boolean;
   /** Whether the prefill speed was measured, not assumed. */
   readonly isPrefillSpeedKnown: boolean;
   /** Whether prefill alone, its own and the queued, delays the first token. */
--- a/packages/serving/limit_prefill.ts
+++ b/packages/serving/limit_prefill.ts
@@ -18,5 +18,10 @@
   }
   const share = readTime / chosen.readTime;
   const referencePrefillTime = chosen.referencePrefillTime * share;
-  return { ...chosen, readTime, referencePrefillTime };
+  return {
+    ...chosen,
+    readTime,
+    referencePrefillTime,
+    isLengthPlausible: false,
+  };
 }
--- a/packages/serving/upstream_balancer.ts
+++ b/packages/serving/upstream_balancer.ts
@@ -1,5 +1,6 @@
 import { createRecord, type Milliseconds } from "@heroncleat/base";
 import type { DispatchNotice } from "@heroncleat/schema";
+import type { Backlog } from "./backlog.ts";
 import type { BalancerCosts } from "./balancer_costs.ts";
 import type { BalancedRequest } from "./balanced_request.ts";
 import type { ChoiceOptions } from "./choice_options.ts";
@@ -14,6 +15,7 @@
 import { prefillTime } from "./prefill_time.ts";
 import { PrefillSpeeds } from "./prefill_speeds.ts";
 import type { KnownUpstream } from "./known_upstream.ts";
+import type { QueuedWork } from "./queued_work.ts";
 import { ReportedLoads } from "./reported_loads.ts";
 import { slotTimeOf } from "./slot_time_of.ts";
 import { SlotTimes } from "./slot_times.ts";
@@ -63,6 +65,12 @@
 /** An eligible upstream; the one with the lowest cost is chosen. */
 type Candidate = ChosenUpstream & { readonly cost: Milliseconds };
 
+/** A prefill in the backlogs of its upstream. */
+type Prefill = readonly {
+  readonly queue: Backlog;
+  readonly work: QueuedWork;
+}[];
+
 /** Inputs of a choice that are the same for all upstreams. */
 type Evaluation = {
   readonly request: BalancedRequest;
@@ -85,6 +93,7 @@
   readonly #reportedLoads = new ReportedLoads();
   readonly #slotTimes = new SlotTimes();
   readonly #prefillWork = new Map<string, Milliseconds>();
+  readonly #prefills = new WeakMap<ChosenUpstream, Prefill>();
   readonly prefillSpeeds = new PrefillSpeeds();
   readonly #statements: UpstreamStatements;
   readonly #availability: UpstreamAvailability;
@@ -210,8 +219,7 @@
     const tokens = chosen.uncachedTokens + chosen.fetchedTokens;
     const view = this.#views.of(upstream);
     view.requests += 1;
-    view.ownBacklog.add(chosen.readTime, now);
-    view.backlog.add(chosen.readTime, now);
+    this.#beginPrefill(chosen, now);
     view.cache.addTokens(tokens);
     const { service } = chosen.upstream.record;
     const previousWork = this.#prefillWork.get(service) ?? 0;
@@ -232,6 +240,17 @@
     };
   }
 
+  /**
+   * Records that the prefill of a request has ended, so that a prompt whose
+   * stated length isn't plausible no longer counts.
+   */
+  endPrefill(chosen: ChosenUpstream, now: Milliseconds): void {
+    for (const { queue, work } of this.#prefills.get(chosen) ?? []) {
+      queue.end(work, now);
+    }
+    this.#prefills.delete(chosen);
+  }
+
   /**
    * Records the end of a request.
    *
@@ -278,6 +297,23 @@
     this.#views.forget(id);
   }
 
+  #beginPrefill(chosen: ChosenUpstream, now: Milliseconds): void {
+    const { readTime, isLengthPlausible, upstream } = chosen;
+    const { ownBacklog, backlog } = this.#views.of(upstream.record.id);
+    if (isLengthPlausible) {
+      ownBacklog.add(readTime, now);
+      backlog.add(readTime, now);
+      return;
+    }
+    this.#prefills.set(
+      chosen,
+      [ownBacklog, backlog].map((queue) => ({
+        queue,
+        work: queue.begin(readTime, now),
+      })),
+    );
+  }
+
   #listCandidates(
     upstreams: Iterable<KnownUpstream>,
     options: ChoiceOptions,
@@ -358,6 +394,7 @@
       fetchedTokens,
       readTime: estimatedPrefillTime,
       referencePrefillTime,
+      isLengthPlausible: true,
       isPrefillSpeedKnown: prefillSpeed.isKnown,
       hasOnlyPrefillDelay: fetchTime === 0 && requests + 1 <= slots,
       waiting,
