A prompt of false length doesn't distort what is learned for others

Cause: three estimates that all requests of a service share took the stated length of a prompt as it is: the speed of its engines, the time that a request holds a slot, and the engine time that was asked for, in which one such request counted as years, in the demand of its rank at all entries. Change: a length that can't be prefilled in the time that the request has says nothing about speeds and slots, and counts as demand for that time at most.

--- a/apps/heroncleatd/gateway/attempts/shed_load.ts
+++ b/apps/heroncleatd/gateway/attempts/shed_load.ts
@@ -1,5 +1,5 @@
 import type { Milliseconds } from "@heroncleat/base";
-import type { ChosenUpstream } from "@heroncleat/serving";
+import { type ChosenUpstream, limitPrefill } from "@heroncleat/serving";
 import type { CallerRequest } from "../caller_request.ts";
 import type { ForwardContext } from "../forward_context.ts";
 import { priorityOf } from "../priority_of.ts";
@@ -23,14 +23,17 @@
   const now = clock.steady();
   const priority = priorityOf(call);
   const objectiveLeft = call.arrivedAt + call.objective - now;
+  const timeLeft = call.deadline - now;
   const decision = shedder.decide({
     service: call.service,
     priority,
     workspace: call.workspace?.name ?? "",
     objectiveLeft,
-    timeLeft: call.deadline - now,
+    timeLeft,
     waiting: chosen.waiting,
-    prefillTime: chosen.readTime,
+    // The length of a prompt is stated by its caller, and the sum of prefill
+    // times decides about others too.
+    prefillTime: limitPrefill(chosen, { timeLeft }).readTime,
     isPrefillSpeedKnown: chosen.isPrefillSpeedKnown,
     isRepeated: isRetry || excluded.size > (call.excluded?.length ?? 0),
   }, now);
--- a/packages/serving/limit_prefill_test.ts
+++ b/packages/serving/limit_prefill_test.ts
@@ -69,6 +69,37 @@
   expect(choose(10, expected).waiting).toBe(0);
 });
 
+// Guards against estimates for other callers that a false length distorts.
+test("a prompt of false length says nothing about speeds and slots", () => {
+  const directory = new UpstreamDirectory();
+  directory.merge(testRecord({ id: "u0", name: "u0" }), 0);
+  const balancer = new UpstreamBalancer();
+  const choose = (promptTokens: number) =>
+    balancer.choose(directory.list(), {
+      request: {
+        service: "writers",
+        zone: "a",
+        parts: [],
+        promptTokens,
+        excluded: new Set<string>(),
+      },
+      now: 0,
+      requiresHeartbeats: false,
+    })!;
+  for (let index = 0; index < 60; index += 1) {
+    const chosen = index % 2 === 0
+      ? choose(100)
+      : limitPrefill(choose(TOKENS), { timeLeft: TIME_LEFT });
+    balancer.begin(chosen, { parts: [], now: 0 });
+    balancer.recordFirstToken(chosen, 5);
+    balancer.endPrefill(chosen, 0);
+    balancer.end(chosen, { took: 10, firstTokenAfter: 5 });
+  }
+  expect(choose(100).isPrefillSpeedKnown).toBe(false);
+  balancer.replaceReportedLoads({ u0: { requests: 8, backlog: 0 } }, 0);
+  expect(choose(100).waiting).toBeLessThan(TIME_LEFT / 10);
+});
+
 test("a prompt that is prefilled in time isn't limited", () => {
   const directory = new UpstreamDirectory();
   directory.merge(testRecord({ id: "u0", name: "u0" }), 0);
--- a/packages/serving/slot_time_of.ts
+++ b/packages/serving/slot_time_of.ts
@@ -9,9 +9,12 @@
  * @internal
  */
 export function slotTimeOf(
-  { waiting, readTime, hasOnlyPrefillDelay }: ChosenUpstream,
+  { waiting, readTime, hasOnlyPrefillDelay, isLengthPlausible }: ChosenUpstream,
   { took, firstTokenAfter }: FinishedRun,
 ): Milliseconds | undefined {
+  if (!isLengthPlausible) {
+    return undefined;
+  }
   if (firstTokenAfter !== undefined) {
     return took - firstTokenAfter + readTime;
   }
--- a/packages/serving/upstream_balancer.ts
+++ b/packages/serving/upstream_balancer.ts
@@ -165,7 +165,9 @@
 
   /** Records the time to first token at a chosen upstream. */
   recordFirstToken(chosen: ChosenUpstream, took: Milliseconds): void {
-    if (chosen.hasOnlyPrefillDelay && chosen.referencePrefillTime > 0) {
+    const { hasOnlyPrefillDelay, isLengthPlausible } = chosen;
+    const saysSpeed = hasOnlyPrefillDelay && isLengthPlausible;
+    if (saysSpeed && chosen.referencePrefillTime > 0) {
       const reference = chosen.referencePrefillTime;
       const { service } = chosen.upstream.record;
       this.prefillSpeeds.forService(service).record({ reference, took });
