An entry that fails completes the requests in flight before it exits

What callers saw: an exception in one event of one connection (as ERR_SOCKET_BAD_PORT) ended the entry with all streams and calls in flight. Cause: the handler of uncaught exceptions exited at once.

--- a/apps/heroncleatd/gateway/gateway.ts
+++ b/apps/heroncleatd/gateway/gateway.ts
@@ -269,7 +269,7 @@
       });
     }
     const deadline = this.#deadlineOf(incoming, { route, arrivedAt });
-    if (!this.#options.leaving.hasTimeFor({ deadline })) {
+    if (!this.#options.leaving.accepts({ deadline })) {
       return refused(errorResponse.shuttingDown());
     }
     const key = incoming.headers[this.#options.names.key];
--- a/apps/heroncleatd/gateway/running_gateway.ts
+++ b/apps/heroncleatd/gateway/running_gateway.ts
@@ -20,4 +20,9 @@
    * by default.
    */
   readonly stop: (signalledAt?: Milliseconds) => Promise<void>;
+  /**
+   * Accepts no more requests and completes those in flight, for the grace period
+   * at most; resolves when the process may exit.
+   */
+  readonly stopAfterFailure: () => Promise<void>;
 };
--- a/apps/heroncleatd/gateway/shutdown/departure_deadline.ts
+++ b/apps/heroncleatd/gateway/shutdown/departure_deadline.ts
@@ -12,6 +12,7 @@
 export class DepartureDeadline {
   readonly #clock: Pick<Clock, "steady">;
   #exitsAt: Milliseconds = Infinity;
+  #acceptsRequests = true;
 
   constructor(clock: Pick<Clock, "steady">) {
     this.#clock = clock;
@@ -42,6 +43,16 @@
     this.#exitsAt = signalledAt + gracePeriod - EXIT_MARGIN;
   }
 
+  /** Refuses all further requests, whatever time they have. */
+  refuseRequests(): void {
+    this.#acceptsRequests = false;
+  }
+
+  /** Whether to accept a request of a caller. */
+  accepts(request: { readonly deadline: Milliseconds }): boolean {
+    return this.#acceptsRequests && this.hasTimeFor(request);
+  }
+
   /**
    * Whether a request is answered before it is given up. Only its deadline tells:
    * however many runs were short, the next one may be long.
--- a/apps/heroncleatd/gateway/shutdown/shut_down_gracefully.ts
+++ b/apps/heroncleatd/gateway/shutdown/shut_down_gracefully.ts
@@ -4,8 +4,6 @@
 import { readArrived } from "./read_arrived.ts";
 import type { ShutdownEnd } from "./shutdown_end.ts";
 
-/** Share of the grace period after which idle connections are closed. */
-const CLOSE_GRACE_SHARE = 0.75;
 const POLL_INTERVAL: Milliseconds = 50;
 /** Limit for reading what has arrived when little of the grace period is left. */
 const MIN_READ_TIME: Milliseconds = 250;
@@ -16,9 +14,11 @@
   /** The server for entries that pass requests on; it closes at the end. */
   readonly relayServer: Server;
   readonly clock: Clock;
-  /** Monotonic time at which the grace period began. */
-  readonly signalledAt: Milliseconds;
-  readonly gracePeriod: Milliseconds;
+  /**
+   * Monotonic time from which no connections are accepted and idle ones are
+   * closed.
+   */
+  readonly closesAt: Milliseconds;
   /** Monotonic time at which requests in flight are given up. */
   readonly endsAt: Milliseconds;
   /** Monotonic time at which the process exits. */
@@ -41,9 +41,9 @@
 }
 
 /**
- * Accepts requests for most of the grace period, since callers are slow to
- * notice that an entry shuts down. Then closes idle connections and waits for
- * the requests in flight. Shortly before the exit it answers those without a
+ * Accepts connections until they are to be closed, since callers are slow to
+ * notice that an entry shuts down. Then closes idle ones and waits for the
+ * requests in flight. Shortly before the exit it answers those without a
  * response.
  */
 export async function shutDownGracefully(
@@ -51,11 +51,10 @@
 ): Promise<ShutdownEnd> {
   const { server, relayServer, clock, endsAt, exitsAt, underWay } = options;
   const servers = [server, relayServer];
-  const closeAt = options.signalledAt + options.gracePeriod * CLOSE_GRACE_SHARE;
   let isEarly = false;
   let largestDelay: Milliseconds = 0;
   while (clock.steady() < exitsAt) {
-    if (clock.steady() >= closeAt) {
+    if (clock.steady() >= options.closesAt) {
       const timeLimit = Math.max(MIN_READ_TIME, endsAt - clock.steady());
       await readArrived(servers, { clock, timeLimit });
       if (!options.unsent.exist) {
--- a/apps/heroncleatd/gateway/shutdown/unsent_response_test.ts
+++ b/apps/heroncleatd/gateway/shutdown/unsent_response_test.ts
@@ -11,6 +11,7 @@
 import { RequestProgress } from "./request_progress.ts";
 import { shutDownGracefully } from "./shut_down_gracefully.ts";
 
+const ACCEPT_SHARE = 0.75;
 const GRACE_PERIOD_MS = 2000;
 /** After idle connections are closed, before the end of the grace period. */
 const READ_AFTER_MS = 1700;
@@ -71,8 +72,7 @@
     server,
     relayServer: createServer(),
     clock,
-    signalledAt,
-    gracePeriod: GRACE_PERIOD_MS,
+    closesAt: signalledAt + GRACE_PERIOD_MS * ACCEPT_SHARE,
     endsAt,
     exitsAt: endsAt + 100,
     underWay: () => inFlight.size,
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -83,6 +83,8 @@
 /** Idle connections to other entries for requests that are passed on. */
 const MAX_IDLE_RELAYS = 32;
 const CLEANUP_INTERVAL_MS = 5000;
+/** Share of the grace period after which idle connections are closed. */
+const ACCEPT_GRACE_SHARE = 0.75;
 /** Interval at which runs of replaced upstream instances are checked. */
 const REPLACED_RUNS_INTERVAL_MS = 250;
 /**
@@ -109,6 +111,7 @@
     listInFlight: () => running.listInFlight(),
     describeChange: () => running.describeChange(),
     stop: (signalledAt) => running.stop(signalledAt),
+    stopAfterFailure: () => running.stopAfterFailure(),
   };
 }
 
@@ -171,6 +174,7 @@
   readonly #routeTableLatch = new Latch();
   readonly #departureDeadline: DepartureDeadline;
   #isStopping = false;
+  #stopped: Promise<void> | undefined;
   /** Monotonic time since which callers are served. */
   #listensSince: Milliseconds = Infinity;
 
@@ -503,6 +507,28 @@
   /** Accepts requests for most of the grace period, then closes the server. */
   async stop(
     signalledAt: Milliseconds = this.#options.clock.steady(),
+  ): Promise<void> {
+    const acceptTime = this.#options.settings().gracePeriod *
+      ACCEPT_GRACE_SHARE;
+    this.#stopped ??= this.#shutDown(signalledAt, {
+      closesAt: signalledAt + acceptTime,
+    });
+    await this.#stopped;
+  }
+
+  /** Refuses requests at once. A shutdown that has begun goes on as it is. */
+  async stopAfterFailure(): Promise<void> {
+    if (this.#stopped === undefined) {
+      const now = this.#options.clock.steady();
+      this.#departureDeadline.refuseRequests();
+      this.#stopped = this.#shutDown(now, { closesAt: now });
+    }
+    await this.#stopped;
+  }
+
+  async #shutDown(
+    signalledAt: Milliseconds,
+    { closesAt }: { closesAt: Milliseconds },
   ): Promise<void> {
     const { gracePeriod } = this.#options.settings();
     this.#isStopping = true;
@@ -518,8 +544,7 @@
       server: this.#server,
       relayServer: this.#relayServer,
       clock: this.#options.clock,
-      signalledAt,
-      gracePeriod,
+      closesAt,
       endsAt: this.#departureDeadline.endsAt,
       exitsAt: this.#departureDeadline.exitsAt,
       underWay: () => this.#inFlight.size,
--- a/apps/heroncleatd/mod.ts
+++ b/apps/heroncleatd/mod.ts
@@ -29,6 +29,7 @@
 export { createBoundedLogs } from "./common/create_bounded_logs.ts";
 export { createDisconnectLogger } from "./common/create_disconnect_logger.ts";
 export { createRefusalLogger } from "./common/create_refusal_logger.ts";
+export { createFailureHandler } from "./common/create_failure_handler.ts";
 export { createTaskFailureHandler } from "./common/create_task_failure_handler.ts";
 export { createExposedMetrics } from "./common/create_exposed_metrics.ts";
 export { discardBody } from "./common/discard_body.ts";
