The shutdown of an entry and its prefills are parts of their own

Change: moved as they are into shutdown/shutdown.ts and prefills.ts; whether an entry stops is asked of its departure deadline alone.

--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -43,7 +43,6 @@
 import { Latch } from "./latch.ts";
 import { Gateway } from "./gateway.ts";
 import { DepartureDeadline } from "./shutdown/departure_deadline.ts";
-import { shutDownGracefully } from "./shutdown/shut_down_gracefully.ts";
 import type { ConnectionOpener } from "../common/connection_opener.ts";
 import { BodyMemory } from "../common/body_memory.ts";
 import { defaultChunkLimit } from "../common/default_chunk_limit.ts";
@@ -55,18 +54,17 @@
 import { refusesConnections } from "../common/refuses_connections.ts";
 import { tryConnection } from "../common/try_connection.ts";
 import { describeChange } from "./responses/describe_change.ts";
-import { reportInterruptedRequests } from "./shutdown/report_interrupted_requests.ts";
 import { ReplacedRuns } from "./upstreams/replaced_runs.ts";
 import { RetryLimiter } from "./limits/retry_limiter.ts";
 import type { RunningGateway } from "./running_gateway.ts";
 import { StatementWatcher } from "../common/statement_watcher.ts";
 import { UnfinishedBodies } from "../common/unfinished_bodies.ts";
-import { UnsentResponses } from "../common/unsent_responses.ts";
 import { ServiceReturnTimes } from "./limits/service_return_times.ts";
 import type { GatewayOptions } from "./start_gateway_options.ts";
 import { RolloutWatcher } from "./exchange/rollout_watcher.ts";
 import { InFlightRequests } from "./shutdown/in_flight_requests.ts";
 import { RequestProgress } from "./shutdown/request_progress.ts";
+import { Shutdown } from "./shutdown/shutdown.ts";
 import { ReachabilityWatcher } from "./relay/reachability_watcher.ts";
 import { Relay } from "./relay/relay.ts";
 import { RelayedRequests } from "./relay/relayed_requests.ts";
@@ -83,8 +81,6 @@
 /** Idle connections to other entries for requests that are passed on. */
 const MAX_IDLE_RELAYS = 32;
 const CLEANUP_INTERVAL_MS = 5000;
-/** Share of the grace period after which idle connections are closed. */
-const ACCEPT_GRACE_SHARE = 0.75;
 /** Interval at which runs of replaced upstream instances are checked. */
 const REPLACED_RUNS_INTERVAL_MS = 250;
 /**
@@ -158,7 +154,7 @@
   readonly #reachability: ReachabilityWatcher;
   readonly #relayAgent = new UpstreamAgent(() => MAX_IDLE_RELAYS, connect);
   readonly #server: Server;
-  readonly #unsent: UnsentResponses;
+  readonly #shutdown: Shutdown;
   /** Accepts requests that other entries pass on. */
   readonly #relayServer: Server;
   readonly #cleanupTimer: NodeJS.Timeout;
@@ -173,8 +169,6 @@
   #appliedDocument: AppliedDocument = { version: -1, at: 0 };
   readonly #routeTableLatch = new Latch();
   readonly #departureDeadline: DepartureDeadline;
-  #isStopping = false;
-  #stopped: Promise<void> | undefined;
   /** Monotonic time since which callers are served. */
   #listensSince: Milliseconds = Infinity;
 
@@ -452,11 +446,11 @@
       }, {
         clock,
         onWaiting: this.#addWaiting,
-        isClosing: () => this.#isStopping,
+        isClosing: () => this.#departureDeadline.hasBegun,
       }),
       this.#serverLimits("callers", unfinished.callers),
     );
-    this.#unsent = new UnsentResponses(this.#server);
+    this.#shutdown = this.#createShutdown();
     this.#replacedRuns = new ReplacedRuns({
       listRetired: () => this.#agents.listRetired(),
       directory: this.#directory,
@@ -475,7 +469,8 @@
   }
 
   get isReady(): boolean {
-    return this.#routeTable !== undefined && !this.#isStopping;
+    return this.#routeTable !== undefined &&
+      !this.#departureDeadline.hasBegun;
   }
 
   async listen(): Promise<void> {
@@ -504,63 +499,36 @@
     return describeChange(this.#appliedDocument, this.#options.clock);
   }
 
-  /** Accepts requests for most of the grace period, then closes the server. */
-  async stop(
-    signalledAt: Milliseconds = this.#options.clock.steady(),
-  ): Promise<void> {
-    const acceptTime = this.#options.settings().gracePeriod *
-      ACCEPT_GRACE_SHARE;
-    this.#stopped ??= this.#shutDown(signalledAt, {
-      closesAt: signalledAt + acceptTime,
-    });
-    await this.#stopped;
+  async stop(signalledAt?: Milliseconds): Promise<void> {
+    await this.#shutdown.begin(signalledAt);
   }
 
-  /** Refuses requests at once. A shutdown that has begun goes on as it is. */
   async stopAfterFailure(): Promise<void> {
-    if (this.#stopped === undefined) {
-      const now = this.#options.clock.steady();
-      this.#departureDeadline.refuseRequests();
-      this.#stopped = this.#shutDown(now, { closesAt: now });
-    }
-    await this.#stopped;
+    await this.#shutdown.beginAfterFailure();
   }
 
-  async #shutDown(
-    signalledAt: Milliseconds,
-    { closesAt }: { closesAt: Milliseconds },
-  ): Promise<void> {
-    const { gracePeriod } = this.#options.settings();
-    this.#isStopping = true;
-    this.#departureDeadline.begin(gracePeriod, signalledAt);
-    this.#links.exchangeWithAll();
-    this.#log.info("Shutting down; completing requests in flight", {
-      underWay: this.#inFlight.size,
-      gracePeriod,
-      listenedFor: Math.round(signalledAt - this.#listensSince),
-      processUpFor: Math.round(process.uptime() * 1000),
-    });
-    const { isEarly, largestDelay } = await shutDownGracefully({
+  #createShutdown(): Shutdown {
+    const { clock, metrics, settings } = this.#options;
+    return new Shutdown({
+      clock,
+      log: this.#log,
+      metrics,
+      gracePeriod: () => settings().gracePeriod,
+      deadline: this.#departureDeadline,
+      inFlight: this.#inFlight,
       server: this.#server,
       relayServer: this.#relayServer,
-      clock: this.#options.clock,
-      closesAt,
-      endsAt: this.#departureDeadline.endsAt,
-      exitsAt: this.#departureDeadline.exitsAt,
-      underWay: () => this.#inFlight.size,
-      unsent: this.#unsent,
-      giveUp: () => this.#inFlight.giveUp(),
-      breakOff: () => this.#inFlight.breakOff(),
+      appliedDocument: () => this.#appliedDocument,
+      listensSince: () => this.#listensSince,
+      onBegin: () => this.#links.exchangeWithAll(),
+      onEnd: () => this.#close(),
     });
+  }
+
+  /** Ends what goes on without callers. */
+  #close(): void {
     this.#reachability.stop();
     this.#relayAgent.destroy();
-    reportInterruptedRequests(this.#inFlight, signalledAt, {
-      log: this.#log,
-      metrics: this.#options.metrics,
-      clock: this.#options.clock,
-      appliedDocument: () => this.#appliedDocument,
-      listensSince: this.#listensSince,
-    });
     this.#links.stop();
     this.#notices.close();
     this.#memoryMonitor?.stop();
@@ -568,12 +536,6 @@
     clearInterval(this.#replacedRunsTimer);
     clearInterval(this.#directExchangeTimer);
     this.#agents.closeAll();
-    this.#log.info("Stopped", {
-      underWay: this.#inFlight.size,
-      isEarly: isEarly ? 1 : 0,
-      took: Math.round(this.#options.clock.steady() - signalledAt),
-      largestDelay: Math.round(largestDelay),
-    });
   }
 
   /** Adds a request that waits for others of its connection. */
--- a/packages/serving/upstream_balancer.ts
+++ b/packages/serving/upstream_balancer.ts
@@ -1,6 +1,5 @@
 import { createRecord, type Milliseconds } from "@heroncleat/base";
 import type { DispatchNotice } from "@heroncleat/schema";
-import type { Backlog } from "./backlog.ts";
 import type { BalancerCosts } from "./balancer_costs.ts";
 import type { BalancedRequest } from "./balanced_request.ts";
 import type { ChoiceOptions } from "./choice_options.ts";
@@ -13,9 +12,9 @@
 import type { PromptPart } from "./prompt_part.ts";
 import { planKvFetch } from "./plan_kv_fetch.ts";
 import { prefillTime } from "./prefill_time.ts";
+import { Prefills } from "./prefills.ts";
 import { PrefillSpeeds } from "./prefill_speeds.ts";
 import type { KnownUpstream } from "./known_upstream.ts";
-import type { QueuedWork } from "./queued_work.ts";
 import { ReportedLoads } from "./reported_loads.ts";
 import { slotTimeOf } from "./slot_time_of.ts";
 import { SlotTimes } from "./slot_times.ts";
@@ -65,12 +64,6 @@
 /** An eligible upstream; the one with the lowest cost is chosen. */
 type Candidate = ChosenUpstream & { readonly cost: Milliseconds };
 
-/** A prefill in the backlogs of its upstream. */
-type Prefill = readonly {
-  readonly queue: Backlog;
-  readonly work: QueuedWork;
-}[];
-
 /** Inputs of a choice that are the same for all upstreams. */
 type Evaluation = {
   readonly request: BalancedRequest;
@@ -93,7 +86,7 @@
   readonly #reportedLoads = new ReportedLoads();
   readonly #slotTimes = new SlotTimes();
   readonly #prefillWork = new Map<string, Milliseconds>();
-  readonly #prefills = new WeakMap<ChosenUpstream, Prefill>();
+  readonly #prefills = new Prefills();
   readonly prefillSpeeds = new PrefillSpeeds();
   readonly #statements: UpstreamStatements;
   readonly #availability: UpstreamAvailability;
@@ -221,7 +214,7 @@
     const tokens = chosen.uncachedTokens + chosen.fetchedTokens;
     const view = this.#views.of(upstream);
     view.requests += 1;
-    this.#beginPrefill(chosen, now);
+    this.#prefills.begin(chosen, { view, now });
     view.cache.addTokens(tokens);
     const { service } = chosen.upstream.record;
     const previousWork = this.#prefillWork.get(service) ?? 0;
@@ -247,10 +240,7 @@
    * stated length isn't plausible no longer counts.
    */
   endPrefill(chosen: ChosenUpstream, now: Milliseconds): void {
-    for (const { queue, work } of this.#prefills.get(chosen) ?? []) {
-      queue.end(work, now);
-    }
-    this.#prefills.delete(chosen);
+    this.#prefills.end(chosen, now);
   }
 
   /**
@@ -299,23 +289,6 @@
     this.#views.forget(id);
   }
 
-  #beginPrefill(chosen: ChosenUpstream, now: Milliseconds): void {
-    const { readTime, isLengthPlausible, upstream } = chosen;
-    const { ownBacklog, backlog } = this.#views.of(upstream.record.id);
-    if (isLengthPlausible) {
-      ownBacklog.add(readTime, now);
-      backlog.add(readTime, now);
-      return;
-    }
-    this.#prefills.set(
-      chosen,
-      [ownBacklog, backlog].map((queue) => ({
-        queue,
-        work: queue.begin(readTime, now),
-      })),
-    );
-  }
-
   #listCandidates(
     upstreams: Iterable<KnownUpstream>,
     options: ChoiceOptions,
