What an attempt says about its upstream is recorded in parts of its own

Change: recording failures, statements and a lack of descriptors are files of their own, moved as they are; the code of a refused connection stands once.

--- a/apps/heroncleatd/common/try_connection.ts
+++ b/apps/heroncleatd/common/try_connection.ts
@@ -1,5 +1,6 @@
 import { connect as connectDirectly } from "node:net";
 import { type Milliseconds, splitAddress } from "@heroncleat/base";
+import { CONNECTION_REFUSED } from "./connection_refused.ts";
 import type { ConnectionOpener } from "./connection_opener.ts";
 import { lacksDescriptors } from "./lacks_descriptors.ts";
 import { openConnection } from "./open_connection.ts";
@@ -45,7 +46,7 @@
         settle("untried");
         return;
       }
-      const isRefused = error.code === "ECONNREFUSED";
+      const isRefused = error.code === CONNECTION_REFUSED;
       settle(isRefused ? "refused" : timer === undefined ? "silent" : "closed");
     });
   });
--- a/apps/heroncleatd/gateway/attempts/attempt_request.ts
+++ b/apps/heroncleatd/gateway/attempts/attempt_request.ts
@@ -1,4 +1,3 @@
-import { type Milliseconds, RateLimiter } from "@heroncleat/base";
 import {
   type KnownUpstream,
   RouteKind,
@@ -15,13 +14,17 @@
 import { describeChoice } from "../upstreams/describe_choice.ts";
 import { EndedBy } from "../responses/ended_by.ts";
 import { forwardHeaders } from "../forward_headers.ts";
-import { CONNECT_TIMEOUT_REASON } from "../../common/connect_timeout_reason.ts";
+import { CONNECTION_REFUSED } from "../../common/connection_refused.ts";
 import { lacksDescriptors } from "../../common/lacks_descriptors.ts";
 import { framingOf } from "../../common/framing_of.ts";
 import type { SentRequest } from "../../common/sent_request.ts";
 import { hasCrashed } from "../upstreams/has_crashed.ts";
 import { POLL_INTERVAL } from "../exchange/poll_interval.ts";
+import { isStatus } from "./is_status.ts";
 import { recordEnd } from "./record_end.ts";
+import { recordFailure } from "./record_failure.ts";
+import { recordStatements } from "./record_statements.ts";
+import { reportShortage } from "./report_shortage.ts";
 import { sendToUpstream } from "../upstreams/send_to_upstream.ts";
 import { shedLoad } from "./shed_load.ts";
 import { startTracking } from "../upstreams/start_tracking.ts";
@@ -303,104 +306,11 @@
   return () => isPaid ||= context.retries.tryConsume(service);
 }
 
-/**
- * Records what a failed attempt says about its upstream: nothing while this
- * entry reaches none.
- */
-function recordFailure(
-  response: Extract<UpstreamResponse, { kind: "not_run" | "unknown" }>,
-  { context, call, upstream }: {
-    context: ForwardContext;
-    call: CallerRequest;
-    upstream: string;
-  },
-): void {
-  const { choice, clock, crashes, directory, reachability } = context;
-  const { reason } = response;
-  if (reachability.isCutOff(call.service)) {
-    return;
-  }
-  if (reason === CONNECT_TIMEOUT_REASON) {
-    // A sound upstream may be silent for a second.
-    choice.avoid(upstream, clock.steady());
-  } else if (!call.signal.aborted && !isStatus(reason)) {
-    choice.pause(upstream, clock.steady());
-    const isBroken = response.kind === "unknown" && response.isBroken;
-    if (isBroken || reason === CONNECTION_REFUSED) {
-      context.reportFailure(upstream);
-    }
-  }
-  if (reason === MISDIRECTED_REQUEST) {
-    directory.remove(upstream, clock.steady());
-  }
-  if (reason === MISDIRECTED_REQUEST || reason === CONNECTION_REFUSED) {
-    crashes.recordCrash(upstream);
-  }
-}
-
-/** No upstream is at fault; see `lacksDescriptors`. */
-function reportShortage(
-  { log, metrics }: ForwardContext,
-  { call, upstream }: { call: CallerRequest; upstream: string },
-): void {
-  metrics.increment("gateway.without_descriptor");
-  if (shortageLines.tryConsume(performance.now())) {
-    log.warn("No descriptor is left for a connection to an upstream", {
-      request: call.attempt,
-      upstream,
-    });
-  }
-}
-
-/** Limits the lines about descriptors: one a second. */
-const shortageLines = new RateLimiter(1, 5);
-
 /** Whether the request may be given up and sent to another upstream. */
 function mayRunAgain({ route }: CallerRequest): boolean {
   return route.kind === RouteKind.idempotent || route.isResumable;
 }
 
-/**
- * Another upstream instance has taken over the address, so the chosen one no
- * longer runs.
- */
-const MISDIRECTED_REQUEST = "status 421";
-/** Nothing accepts connections at the address any more. */
-const CONNECTION_REFUSED = "ECONNREFUSED";
-
-/** Records what the response, if there is one, states about its upstream. */
-function recordStatements(
-  response: UpstreamResponse,
-  { context, call, upstream, sentAt }: {
-    context: ForwardContext;
-    call: CallerRequest;
-    upstream: string;
-    sentAt: Milliseconds;
-  },
-): void {
-  const message = response.kind === "head" || response.kind === "not_run"
-    ? response.message
-    : undefined;
-  // Another instance at the same address responds with 421.
-  if (message === undefined || message.statusCode === 421) {
-    return;
-  }
-  const { socket } = message;
-  context.statementWatcher.recordResponse(upstream, {
-    status: message.statusCode!,
-    headers: message.headersDistinct,
-    isNotRun: response.kind === "not_run",
-    sentAt,
-    request: call.attempt,
-    isConnected: () => socket?.destroyed === false,
-  });
-}
-
-/** Whether a reason is the status of a response that was received. */
-function isStatus(reason: string): boolean {
-  return reason.startsWith("status ");
-}
-
 /**
  * Waits while another copy of a suspected request is in flight and returns the
  * status of the request afterwards.
