--- a/apps/heroncleatd/gateway/exchange/entry_exchange.ts
+++ b/apps/heroncleatd/gateway/exchange/entry_exchange.ts
@@ -1,5 +1,4 @@
 import {
-  type Clock,
   isConnectableAddress,
   type Milliseconds,
   ownValue,
@@ -11,35 +10,17 @@
   drainAgeOf,
   ENTRY_RETENTION,
   type KnownEntry,
-  type LeasedShare,
-  type PossibleOrigins,
-  type RateLimitRegistry,
   RecentMaximum,
-  type SendPermits,
   type SharedState,
-  type SuspectRegistry,
   type SyncReply,
   type SyncRequest,
   type UpdateSource,
-  type UpstreamBalancer,
-  type UpstreamDirectory,
   type UpstreamRecord,
-  type UpstreamStatements,
-  type UsageCounts,
-  type WorkspaceQuota,
 } from "@heroncleat/serving";
-import type { LoadShedder } from "@heroncleat/shedding";
-import type { Log } from "../../common/log.ts";
-import type { Metrics } from "../../common/metrics.ts";
-import type { ChargeSync } from "./charge_sync.ts";
-import type { SuspectWatcher } from "../../common/suspect_watcher.ts";
 import type { FeedPosition } from "./feed_position.ts";
-import type { GatewaySettings } from "../gateway_settings.ts";
 import { isUsableEntry } from "./is_usable_entry.ts";
-import type { RateLimitWatcher } from "../../common/rate_limit_watcher.ts";
-import type { RolloutWatcher } from "./rollout_watcher.ts";
-import type { StreamOriginExchange } from "../streams/stream_origin_exchange.ts";
-import type { UpstreamAgents } from "../upstreams/upstream_agents.ts";
+import { undefinedIfEmpty } from "./undefined_if_empty.ts";
+import type { EntryExchangeOptions } from "./entry_exchange_options.ts";
 
 /**
  * Time for which the largest number of entries counts after replicas list
@@ -53,47 +34,9 @@
 const LINES_PER_SECOND = 1;
 const LINE_BURST = 5;
 
-type ExchangeOptions = {
-  readonly settings: () => GatewaySettings;
-  /** Identifier of this process incarnation. */
-  readonly boot: string;
-  readonly clock: Clock;
-  readonly log: Log;
-  readonly metrics: Pick<Metrics, "increment">;
-  readonly directory: UpstreamDirectory;
-  readonly choice: UpstreamBalancer;
-  readonly shedder: Pick<LoadShedder, "report" | "applyTotals">;
-  readonly agents: UpstreamAgents;
-  readonly statements: Pick<
-    UpstreamStatements,
-    "listResting" | "carryOverRest"
-  >;
-  readonly quota: WorkspaceQuota;
-  readonly usage: UsageCounts;
-  readonly charges: ChargeSync;
-  readonly retryShare: LeasedShare;
-  readonly crashes: SuspectWatcher;
-  readonly suspectRegistry: SuspectRegistry;
-  readonly rateLimits: RateLimitRegistry;
-  readonly rateLimitWatcher: RateLimitWatcher;
-  readonly permits: SendPermits;
-  readonly rollouts: RolloutWatcher;
-  readonly possibleOrigins: PossibleOrigins;
-  readonly streams: Pick<StreamOriginExchange, "shareNewlyAmbiguous">;
-  /** Whether this entry accepts callers. */
-  readonly isOpen: () => boolean;
-  /** Lists the services of which this entry reaches no upstream. */
-  readonly listUnreachable: () => readonly string[];
-  /** Version of the configuration document in effect; -1 if there is none. */
-  readonly documentVersion: () => number;
-  readonly onDocument: (source: string) => void;
-  /** Lists the entries that any reachable control replica lists. */
-  readonly listEntries: () => readonly KnownEntry[];
-};
-
 /** Builds the sync requests to control replicas and applies their replies. */
 export class EntryExchange {
-  readonly #options: ExchangeOptions;
+  readonly #options: EntryExchangeOptions;
   /**
    * Open entries as of the last reply, used while no control replica is
    * reachable.
@@ -105,7 +48,7 @@
   #peers: readonly string[] = [];
   readonly #lineLimiter = new RateLimiter(LINES_PER_SECOND, LINE_BURST);
 
-  constructor(options: ExchangeOptions) {
+  constructor(options: EntryExchangeOptions) {
     this.#options = options;
   }
 
@@ -402,10 +345,3 @@
       .map(({ address }) => splitAddress(address).host);
   }
 }
-
-/** Omits an empty list from the request. */
-function undefinedIfEmpty<Item>(
-  items: readonly Item[],
-): readonly Item[] | undefined {
-  return items.length > 0 ? items : undefined;
-}
--- a/apps/heroncleatd/gateway/relay/reachability_watcher.ts
+++ b/apps/heroncleatd/gateway/relay/reachability_watcher.ts
@@ -7,6 +7,8 @@
 import type { Log } from "../../common/log.ts";
 import type { Metrics } from "../../common/metrics.ts";
 import { mayCancelWaiting } from "./may_cancel_waiting.ts";
+import type { WaitObservation } from "./wait_observation.ts";
+import type { WaitingRequest } from "./waiting_request.ts";
 
 /** Interval at which silence is checked while requests wait. */
 const CHECK_INTERVAL: Milliseconds = 100;
@@ -25,30 +27,6 @@
   readonly random: () => number;
 };
 
-/** What this entry sees of a request that waits for its response. */
-type WaitObservation = {
-  /**
-   * Gives up the attempt if it can be sent again after others that were given
-   * up at the same time; returns whether it did. Absent if it may run once only.
-   */
-  readonly tryCancel: ((alreadyCancelled: number) => boolean) | undefined;
-  /** Bytes received of its response. */
-  readonly bytesReceived: () => number;
-  /** Bytes received from its upstream, also by other requests. */
-  readonly upstreamBytes: () => number;
-};
-
-/** A request that was sent and whose response hasn't begun. */
-type WaitingRequest = WaitObservation & {
-  /** Identifier of the upstream that it was sent to. */
-  readonly upstream: string;
-  readonly service: string;
-  readonly sentAt: Milliseconds;
-  /** Bytes from its upstream at the last check, and when they last changed. */
-  seenBytes: number;
-  heardAt: Milliseconds;
-};
-
 /**
  * Tracks for each service whether this entry reaches any of its upstreams, and
  * probes them when none responds.
--- a/apps/heroncleatd/gateway/streams/stream_origin_exchange.ts
+++ b/apps/heroncleatd/gateway/streams/stream_origin_exchange.ts
@@ -7,7 +7,6 @@
 } from "@heroncleat/schema";
 import {
   type KnownEntry,
-  type KnownOrigin,
   originHolders,
   OriginRepeats,
   OriginReserve,
@@ -21,6 +20,7 @@
 } from "@heroncleat/serving";
 import { firstFound } from "./first_found.ts";
 import type { OriginArchive } from "./origin_archive.ts";
+import { toSharedOrigin } from "./to_shared_origin.ts";
 import type { Metrics } from "../../common/metrics.ts";
 
 /** Origins in one datagram, so that it stays below the UDP size limit. */
@@ -204,7 +204,10 @@
     const now = this.#options.clock.steady();
     const known = this.#origins.get(stream, now);
     if (known !== undefined) {
-      this.#options.archive.store(toShared(stream, known, now), isResumed);
+      this.#options.archive.store(
+        toSharedOrigin(stream, known, now),
+        isResumed,
+      );
     }
   }
 
@@ -227,7 +230,7 @@
     if (known === undefined) {
       return;
     }
-    const shared = toShared(stream, known, now);
+    const shared = toSharedOrigin(stream, known, now);
     const holders = originHolders.rank(stream, this.#listOthers());
     for (const { address } of holders.slice(0, count)) {
       metrics.increment("stream_origins.shared");
@@ -390,16 +393,3 @@
     });
   }
 }
-
-function toShared(
-  stream: string,
-  { origin, begunAt, expiresAt }: KnownOrigin,
-  now: Milliseconds,
-): SharedOrigin {
-  return {
-    stream,
-    ...origin,
-    age: Math.max(0, Math.round(now - begunAt)),
-    expiresIn: Math.max(0, Math.round(expiresAt - now)),
-  };
-}
