A prompt of false length evicts no cached parts of other prompts

Cause: the tokens of a prompt count as processed by its upstream as its caller states them, and a part counts as cached until the tokens processed since fill the cache. One prompt of a billion tokens had all parts at that upstream taken for evicted, so that other callers' prompts counted in full and lost their affinity. Change: a prompt that can't be prefilled in the time that the request has counts with the share of its tokens that can. Measured: the test failed before (1,010 uncached tokens of a prompt just sent, 0 expected) and passes now.

--- a/packages/serving/limit_prefill.ts
+++ b/packages/serving/limit_prefill.ts
@@ -2,9 +2,9 @@
 import type { ChosenUpstream } from "./chosen_upstream.ts";
 
 /**
- * Limits the prefill time of a request to the time that it has left, as an
- * upstream stops when it is given up. Callers state the length of prompts, so
- * that one may seem to take years.
+ * Limits the prefill of a request, its time and tokens, to the time that it has
+ * left, as an upstream stops when it is given up. Callers state the length of
+ * prompts, so that one may seem to take years, and to evict all that is cached.
  *
  * @public
  */
@@ -20,6 +20,7 @@
   const referencePrefillTime = chosen.referencePrefillTime * share;
   return {
     ...chosen,
+    uncachedTokens: chosen.uncachedTokens * share,
     readTime,
     referencePrefillTime,
     isLengthPlausible: false,
--- a/packages/serving/limit_prefill_test.ts
+++ b/packages/serving/limit_prefill_test.ts
@@ -1,4 +1,9 @@
-import { limitPrefill, UpstreamBalancer, UpstreamDirectory } from "./mod.ts";
+import {
+  limitPrefill,
+  type PromptPart,
+  UpstreamBalancer,
+  UpstreamDirectory,
+} from "./mod.ts";
 import { testRecord } from "./test_record.ts";
 
 const TIME_LEFT = 1500;
@@ -100,6 +105,35 @@
   expect(choose(100).waiting).toBeLessThan(TIME_LEFT / 10);
 });
 
+// Guards against prompts of other callers that count as evicted.
+test("a prompt of false length evicts no cached parts of other prompts", () => {
+  const directory = new UpstreamDirectory();
+  directory.merge(testRecord({ id: "u0", name: "u0" }), 0);
+  const balancer = new UpstreamBalancer();
+  const send = (promptTokens: number, parts: readonly PromptPart[]) => {
+    const chosen = limitPrefill(
+      balancer.choose(directory.list(), {
+        request: {
+          service: "writers",
+          zone: "a",
+          parts,
+          promptTokens,
+          excluded: new Set<string>(),
+        },
+        now: 0,
+        requiresHeartbeats: false,
+      })!,
+      { timeLeft: TIME_LEFT },
+    );
+    balancer.begin(chosen, { parts, now: 0 });
+    return chosen;
+  };
+  const parts = [{ id: "shared", tokens: 1000 }, { id: "own", tokens: 10 }];
+  send(1010, parts);
+  send(TOKENS, []);
+  expect(send(1010, parts).uncachedTokens).toBe(0);
+});
+
 test("a prompt that is prefilled in time isn't limited", () => {
   const directory = new UpstreamDirectory();
   directory.merge(testRecord({ id: "u0", name: "u0" }), 0);
