A prompt of false length doesn't count in the errors of estimates

Cause: the first token of a stream whose stated length is false counted with an expected time of years: in the errors of estimates, by which the limits of other ranks' waits are set, and in the samples by which versions of a rollout are compared. Change: first tokens of prompts that can't be prefilled in the time that the request has aren't sampled in either.

--- a/apps/heroncleatd/gateway/exchange/rollout_watcher.ts
+++ b/apps/heroncleatd/gateway/exchange/rollout_watcher.ts
@@ -83,7 +83,7 @@
 
   /** Tracks a request that is sent; undefined if its service isn't rolled out. */
   track(
-    { upstream, expectedFirstTokenTime }: ChosenUpstream,
+    { upstream, expectedFirstTokenTime, isLengthPlausible }: ChosenUpstream,
     options: { route: string; isStream: boolean },
   ): VersionTracker | undefined {
     const { service, version } = upstream.record;
@@ -98,7 +98,9 @@
     let firstByteRatio: VersionSample["firstByteRatio"];
     return {
       recordFirstByte: (took) => {
-        firstByteRatio = isStream ? took / expected : undefined;
+        firstByteRatio = isStream && isLengthPlausible
+          ? took / expected
+          : undefined;
       },
       finish: (isFailure) =>
         record({ isFailure, firstByteRatio, total: clock.steady() - sentAt }),
--- a/apps/heroncleatd/gateway/upstreams/start_tracking.ts
+++ b/apps/heroncleatd/gateway/upstreams/start_tracking.ts
@@ -143,10 +143,13 @@
 
 /** Records by how much the estimate of the first token was off. */
 function recordEstimate(
-  { upstream, expectedFirstTokenTime }: ChosenUpstream,
+  { upstream, expectedFirstTokenTime, isLengthPlausible }: ChosenUpstream,
   { took, now }: { took: Milliseconds; now: Milliseconds },
   { shedder, metrics }: ForwardContext,
 ): void {
+  if (!isLengthPlausible) {
+    return;
+  }
   const { service } = upstream.record;
   const expected = expectedFirstTokenTime;
   shedder.recordFirstToken({ service, expected, took }, now);
