A daemon with the entry role that fails completes what it has accepted before it exits

Cause: heroncleatd exited at once at an exception that nobody caught, so one event of one connection cost all callers of the OpenAI surface their answers. Change: createFailureHandler stops the roles as SIGTERM does (the entry refuses new calls at once) and exits with 1, also if a SIGTERM came before. context.fail and a daemon with the control role alone still exit at once.

--- a/apps/heroncleatd/run_daemon.ts
+++ b/apps/heroncleatd/run_daemon.ts
@@ -11,6 +11,7 @@
 import { PeerPool, PeerServer } from "@heroncleat/transport";
 import { start as startActors } from "nact";
 import { createDisconnectLogger } from "./common/create_disconnect_logger.ts";
+import { createFailureHandler } from "./common/create_failure_handler.ts";
 import { createLogs } from "./common/create_logs.ts";
 import { createMetrics } from "./common/create_metrics.ts";
 import { createRefusalLogger } from "./common/create_refusal_logger.ts";
@@ -52,6 +53,9 @@
   readonly operators: KeyRing | undefined;
 };
 
+/** Stops the roles gracefully; takes the time at which that was asked for. */
+type StopRoles = (signalledAt?: Milliseconds) => Promise<void>;
+
 /**
  * Reads the settings, starts the configured roles and shuts down gracefully at
  * the signal, also where it comes during the start.
@@ -118,6 +122,9 @@
     onDisconnect: createDisconnectLogger(connectionLog),
     onRefusal: createRefusalLogger(connectionLog),
   });
+  const report = (error: unknown) =>
+    log.error("Can't go on", { error: describeError(error) });
+  let stopRoles: StopRoles | undefined;
   const context: ProcessContext = {
     settings: checked,
     clock,
@@ -128,59 +135,83 @@
     log: logs,
     serve: (methods) => server.serve(methods),
     fail: (error) => {
-      log.error("Can't go on", { error: describeError(error) });
+      report(error);
       process.exit(exitCodeOf(error));
     },
   };
-  process.on("uncaughtException", context.fail);
+  process.on(
+    "uncaughtException",
+    createFailureHandler(() => ({
+      report: (error) => {
+        process.exitCode = ExitCode.failed;
+        report(error);
+      },
+      complete: stopRoles,
+      timeLimit: checked.daemon.stop_time_limit,
+      exit: () => process.exit(ExitCode.failed),
+    })),
+  );
   process.on(
     "unhandledRejection",
     createTaskFailureHandler({ log, metrics, clock }),
   );
-  await runRoles(context, { server, shutdown, callers, operators }).catch(
-    context.fail,
-  );
+  try {
+    const roles = await createRoles(context, { callers, operators });
+    await server.listen();
+    const stop = createStop(context, { roles, server });
+    // What a replica has accepted is in its journal; callers wait for an entry.
+    stopRoles = callers === undefined ? undefined : stop;
+    shutdown.received.then(async (signalledAt) => {
+      await stop(signalledAt);
+      process.exit(process.exitCode ?? ExitCode.stopped);
+    }).catch(context.fail);
+    if (shutdown.isReceived) {
+      return;
+    }
+    await Promise.all(roles.map((role) => role.start()));
+    log.info(`Running version ${VERSION}`, { roles: checked.daemon.roles });
+  } catch (error) {
+    context.fail(error);
+  }
 }
 
-/** Starts the roles and stops them at the signal. */
-async function runRoles(
+async function createRoles(
   context: ProcessContext,
-  { server, shutdown, callers, operators }: {
-    server: PeerServer;
-    shutdown: ShutdownSignal;
-    callers: KeyRing | undefined;
-    operators: KeyRing | undefined;
-  },
-): Promise<void> {
-  const { pool, metrics, settings: checked } = context;
-  const log = context.log("daemon");
-  const running: RunningRole[] = [];
+  { callers, operators }: Pick<CheckedSettings, "callers" | "operators">,
+): Promise<RunningRole[]> {
+  const roles: RunningRole[] = [];
   if (operators !== undefined) {
-    running.push(await startControl(context, operators));
+    roles.push(await startControl(context, operators));
   }
   if (callers !== undefined) {
-    running.push(await startEntry(context, callers));
+    roles.push(await startEntry(context, callers));
   }
-  await server.listen();
+  return roles;
+}
+
+/** Creates the function that stops the roles; further calls of it wait. */
+function createStop(
+  { pool, metrics, log: logs, settings }: ProcessContext,
+  { roles, server }: {
+    roles: readonly RunningRole[];
+    server: PeerServer;
+  },
+): StopRoles {
+  const log = logs("daemon");
   const stop = async (signalledAt: Milliseconds) => {
     log.info("Shutting down");
-    const stopAt = signalledAt + checked.daemon.stop_time_limit;
+    const stopAt = signalledAt + settings.daemon.stop_time_limit;
     // The entry stops first because its handover needs the control group.
-    for (const role of running.toReversed()) {
+    for (const role of roles.toReversed()) {
       await role.stop(Math.max(0, stopAt - performance.now()));
     }
     pool.close();
     await server.close();
     metrics.close();
     log.info("Stopped");
-    process.exit(ExitCode.stopped);
   };
-  shutdown.received.then(stop).catch(context.fail);
-  if (shutdown.isReceived) {
-    return;
-  }
-  await Promise.all(running.map((role) => role.start()));
-  log.info(`Running version ${VERSION}`, { roles: checked.daemon.roles });
+  let stopped: Promise<void> | undefined;
+  return (signalledAt = performance.now()) => stopped ??= stop(signalledAt);
 }
 
 /**
