A start waits for an address that its predecessor still uses

Cause: EADDRINUSE ended the start of a process at once, also where the previous process of the VM was about to end.

--- a/apps/heroncleatd/control/operator_server.ts
+++ b/apps/heroncleatd/control/operator_server.ts
@@ -9,7 +9,7 @@
   createFault,
   createToken,
   type Fault,
-  splitAddress,
+  listenAt,
 } from "@heroncleat/base";
 import {
   type Change,
@@ -132,13 +132,10 @@
     });
   }
 
-  listen(): Promise<void> {
-    const { host, port } = splitAddress(
-      this.#options.settings.operator_address,
-    );
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, host, resolve);
+  async listen(): Promise<void> {
+    const { settings, log } = this.#options;
+    await listenAt(this.#server, settings.operator_address, {
+      onWait: (message) => log.warn(message),
     });
   }
 
--- a/apps/heroncleatd/entry/caller_server.ts
+++ b/apps/heroncleatd/entry/caller_server.ts
@@ -4,7 +4,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import { createFault, splitAddress } from "@heroncleat/base";
+import { createFault, listenAt } from "@heroncleat/base";
 import { answerClientErrors } from "../common/answer_client_errors.ts";
 import { BodyReader } from "../common/body_reader.ts";
 import { ByteBudget } from "../common/byte_budget.ts";
@@ -110,13 +110,10 @@
     );
   }
 
-  listen(): Promise<void> {
-    const { host, port } = splitAddress(
-      this.#parts.context.entry.caller_address,
-    );
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, host, resolve);
+  async listen(): Promise<void> {
+    const { entry, log } = this.#parts.context;
+    await listenAt(this.#server, entry.caller_address, {
+      onWait: (message) => log("callers").warn(message),
     });
   }
 
--- a/apps/heroncleatd/gateway/start_gateway.ts
+++ b/apps/heroncleatd/gateway/start_gateway.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import {
   createToken,
+  listenAt,
   type Milliseconds,
   ownValue,
   splitAddress,
@@ -475,9 +476,13 @@
 
   async listen(): Promise<void> {
     const { address, relayAddress } = this.#options.settings();
-    await listenAt(this.#server, address);
+    const listenOptions = {
+      backlog: LISTEN_BACKLOG,
+      onWait: (message: string) => this.#log.warn(message),
+    };
+    await listenAt(this.#server, address, listenOptions);
     this.#listensSince = this.#options.clock.steady();
-    await listenAt(this.#relayServer, relayAddress);
+    await listenAt(this.#relayServer, relayAddress, listenOptions);
     this.#links.start();
     this.#memoryMonitor?.start();
     this.#log.info("Listens for callers", { address });
@@ -730,11 +735,3 @@
     }
   }
 }
-
-async function listenAt(server: Server, address: string): Promise<void> {
-  const { host, port } = splitAddress(address);
-  await new Promise<void>((resolve, reject) => {
-    server.once("error", reject);
-    server.listen({ host, port, backlog: LISTEN_BACKLOG }, resolve);
-  });
-}
--- a/packages/transport/peer_server.ts
+++ b/packages/transport/peer_server.ts
@@ -1,9 +1,9 @@
 import { createServer, type Server, type Socket } from "node:net";
 import {
   createToken,
+  listenAt,
   type Milliseconds,
   RateLimiter,
-  splitAddress,
 } from "@heroncleat/base";
 import {
   createJSONRPCErrorResponse,
@@ -96,16 +96,10 @@
     }
   }
 
-  listen(): Promise<void> {
-    const { host, port } = splitAddress(this.#options.address);
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, host, () => {
-        this.#server.off("error", reject);
-        this.#server.on("error", (error) => this.#onAcceptError(error));
-        resolve();
-      });
-    });
+  async listen(): Promise<void> {
+    const { address, onProblem } = this.#options;
+    await listenAt(this.#server, address, { onWait: onProblem });
+    this.#server.on("error", (error) => this.#onAcceptError(error));
   }
 
   #onAcceptError({ message }: Error): void {
