The metrics server waits for an address that its predecessor still uses

Cause: a port of metrics that was in use at the start was logged, and metrics were never served; the same line came for each error of accepting a connection. Change: serveMetrics listens with listenAt; the line comes if that fails.

--- a/apps/heroncleatd/common/serve_metrics.ts
+++ b/apps/heroncleatd/common/serve_metrics.ts
@@ -5,7 +5,7 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
-import { type Milliseconds, RateLimiter, splitAddress } from "@heroncleat/base";
+import { listenAt, type Milliseconds, RateLimiter } from "@heroncleat/base";
 import { limitConnections } from "./limit_connections.ts";
 import type { Log } from "./log.ts";
 import type { Metrics } from "./metrics.ts";
@@ -30,7 +30,7 @@
 };
 
 /**
- * Serves metrics as text over HTTP. A port that is in use is only logged. All
+ * Serves metrics as text over HTTP. A port that stays in use is only logged. All
  * that ask meanwhile share one rendering. Bodies and pipelined requests close
  * their connection.
  */
@@ -92,14 +92,13 @@
     log,
     name: "metrics",
   });
-  server.on("error", (error) => {
-    log.warn("Can't serve metrics. Remedy: free the address.", {
-      address,
-      error: error.message,
-    });
-  });
-  const { host, port } = splitAddress(address);
-  server.listen(port, host);
+  listenAt(server, address, { onWait: (message) => log.warn(message) }).catch(
+    (error: Error) =>
+      log.warn("Can't serve metrics. Remedy: free the address.", {
+        address,
+        error: error.message,
+      }),
+  );
   return server;
 }
 
