A caller gets the refusal of a body far over the limit

An entry read on 64 KiB in 20 ms of a refused body for 2 s, some 6 MiB, then closed the connection with bytes unread, which reset it: callers that read once they have sent everything lost the refusal.

Callers that send nothing for 2 s, or were late, are closed after 2 s as before.

--- a/apps/heroncleatd/gateway/gateway.ts
+++ b/apps/heroncleatd/gateway/gateway.ts
@@ -205,6 +205,7 @@
     const endAfter = discardRequestBody(incoming, {
       chunkLimit: this.#options.chunkLimit(),
       isRead: !isFragmented,
+      isLate: body.kind === "late",
     });
     this.#options.metrics.increment(`gateway.refused_bodies.${body.kind}`);
     this.#refuse({ incoming, response }, bodyRefusal(body, limit), {
