Callers of refused calls that are still sending get their refusals

The interfaces for look-ups, readiness and control read nothing more of a refused call and closed its connection 2 s later; the OpenAI surface and operators' interface read 64 KiB more. Both closed it with bytes unread, which reset it while its caller was sending.

--- a/apps/heroncleatd/entry/caller_bodies_test.ts
+++ b/apps/heroncleatd/entry/caller_bodies_test.ts
@@ -6,7 +6,9 @@
 import type { EntryParts } from "./entry_parts.ts";
 
 const KIB = 1024;
+const MIB = 1024 * KIB;
 const MAX_BODY_BYTES = 64 * KIB;
+const LONG_BODY_BYTES = 40 * MIB;
 const HEADER_TIMEOUT_MS = 300_000;
 const MAX_CONNECTIONS = 9;
 const SETTLE_TIME_MS = 100;
@@ -52,6 +54,37 @@
   expect(chunked).toMatch(/connection: close/i);
 });
 
+// Guards against resets that take a refusal from callers that are sending.
+test.each([
+  ["413", "over the limit", KEY],
+  ["401", "without a key", ""],
+])(
+  "a caller that reads once it has sent everything gets %s for a long body %s",
+  async (status, _, key) => {
+    const caller = connect({ host: HOST, port, allowHalfOpen: true });
+    let received = "";
+    caller.on("error", ({ message }) => received += message);
+    caller.write(
+      `${head("POST /v1/chat/completions", key)}` +
+        `Content-Length: ${LONG_BODY_BYTES}\r\n\r\n`,
+    );
+    const sent = new Promise((resolve) => {
+      caller.once("close", resolve);
+      caller.write(Buffer.alloc(LONG_BODY_BYTES, "x"), resolve);
+    });
+    await sent;
+    caller.on("data", (bytes) => received += bytes);
+    await new Promise((resolve) => {
+      caller.once("end", resolve);
+      caller.once("close", resolve);
+    });
+    caller.destroy();
+    expect(received).toMatch(
+      new RegExp(`^HTTP/1.1 ${status} [^]*Remedy: .*}$`),
+    );
+  },
+);
+
 // Guards against a connection that is closed though its request has no body.
 test("a refused request without a body keeps its connection", async () => {
   const request = `${head("GET /v1/models")}\r\n`;
