Connections of refused calls make room at the limit of connections

Such a connection was passed over while bytes of its caller waited to be parsed, and so kept new ones out for as long as its caller was sending.

Measured: at a limit of two connections whose callers go on sending 40 MiB behind their refusals a new caller got nothing; it gets 200 now.

--- a/apps/heroncleatd/common/limit_connections.ts
+++ b/apps/heroncleatd/common/limit_connections.ts
@@ -3,6 +3,7 @@
 import { RateLimiter } from "@heroncleat/base";
 import type { Log } from "./log.ts";
 import type { Metrics } from "./metrics.ts";
+import { refusedConnections } from "./refused_connections.ts";
 import { unparsedConnections } from "./unparsed_connections.ts";
 
 const LINES_PER_SECOND = 1;
@@ -59,7 +60,9 @@
   };
   const findIdle = (newest: Socket): Socket | undefined => {
     for (const socket of idle) {
-      if (socket !== newest && !unparsedConnections.has(socket)) {
+      const isUsed = unparsedConnections.has(socket) &&
+        !refusedConnections.has(socket);
+      if (socket !== newest && !isUsed) {
         return socket;
       }
     }
