A crash counts although the upstream timed out before it started again

What callers saw: requests with a message that crashes upstreams reached more of them than are allowed until they were rejected. Cause: a probe just before the process ends still gets a connection, so that the crash is to be counted once the next instance is announced. Where its start took longer than the lease, the entry had forgotten the previous incarnation, and the crash never counted, for the request nor for the parts of its prompt. Change: an upstream that times out with a broken connection that is undecided keeps its incarnation until the next instance, or until the run expires.

--- a/apps/heroncleatd/common/suspect_watcher.ts
+++ b/apps/heroncleatd/common/suspect_watcher.ts
@@ -307,6 +307,11 @@
     }
   }
 
+  /** Whether a connection to an instance broke for a reason not known yet. */
+  isUndecided(upstream: string): boolean {
+    return this.#undecided.has(upstream);
+  }
+
   /** Merges suspects that other processes report. */
   mergeReports(reported: readonly ReportedSuspect[]): void {
     const { registry, clock, log, onCrash } = this.#options;
--- a/apps/heroncleatd/entry/suspect_sync.ts
+++ b/apps/heroncleatd/entry/suspect_sync.ts
@@ -29,6 +29,11 @@
   readonly #registry: SuspectRegistry;
   /** Incarnations of the announced upstreams, by name. */
   readonly #incarnations = new Map<string, number>();
+  /**
+   * Incarnations of the upstreams that timed out after a connection to them
+   * broke, by name. Starting the next instance may take longer than a lease.
+   */
+  readonly #lapsedIncarnations = new Map<string, number>();
   /**
    * When the VMs of upstreams that announced their departure are reclaimed, by
    * name; undefined if it isn't known.
@@ -108,22 +113,28 @@
     } else {
       this.#departing.delete(name);
     }
-    const previousIncarnation = this.#incarnations.get(name);
-    if (
-      previousIncarnation === undefined || incarnation > previousIncarnation
-    ) {
-      const previousInstance = this.instanceIdOf(name);
-      this.#incarnations.set(name, incarnation);
-      this.#runningInstances.add(this.instanceIdOf(name));
-      if (previousIncarnation !== undefined) {
-        this.#runningInstances.delete(previousInstance);
-        this.watcher.recordCrash(previousInstance);
-      }
+    const announced = this.#incarnations.get(name);
+    if (announced !== undefined && incarnation <= announced) {
+      return;
+    }
+    const previous = announced ?? this.#lapsedIncarnations.get(name);
+    this.#lapsedIncarnations.delete(name);
+    this.#incarnations.set(name, incarnation);
+    this.#runningInstances.add(this.instanceIdOf(name));
+    if (previous !== undefined && incarnation > previous) {
+      const previousInstance = instanceId(name, previous);
+      this.#runningInstances.delete(previousInstance);
+      this.watcher.recordCrash(previousInstance);
     }
   }
 
   recordLapse(name: string): void {
-    this.#runningInstances.delete(this.instanceIdOf(name));
+    const instance = this.instanceIdOf(name);
+    const incarnation = this.#incarnations.get(name);
+    if (incarnation !== undefined && this.watcher.isUndecided(instance)) {
+      this.#lapsedIncarnations.set(name, incarnation);
+    }
+    this.#runningInstances.delete(instance);
     this.#incarnations.delete(name);
     this.#departing.delete(name);
   }
@@ -147,6 +158,11 @@
   /** Removes expired records. */
   expire(): void {
     this.watcher.expire();
+    for (const [name, incarnation] of this.#lapsedIncarnations) {
+      if (!this.watcher.isUndecided(instanceId(name, incarnation))) {
+        this.#lapsedIncarnations.delete(name);
+      }
+    }
   }
 
   #receive(parameters: unknown): void {
