An entry that has failed refuses requests that other entries pass on

Cause: its port for other entries stays open to the end of a shutdown, and only the time that a request has was checked there, so that it went on to take new requests after an uncaught exception, until none was in flight. Change: it refuses them at once (503, not run, leaving); the other entry asks a third. Those in flight are completed, and an ordinary shutdown is unchanged.

--- a/apps/heroncleatd/gateway/relay/relayed_requests.ts
+++ b/apps/heroncleatd/gateway/relay/relayed_requests.ts
@@ -33,6 +33,7 @@
 import { relayHeaders } from "./relay_headers.ts";
 import { RelayRefusal } from "./relay_refusal.ts";
 import { endFailedRequest } from "../responses/end_failed_request.ts";
+import { errorResponse } from "../responses/error_response.ts";
 import { recordCutRequest } from "../responses/record_cut_request.ts";
 import { sendRefusal } from "../responses/send_refusal.ts";
 
@@ -197,7 +198,12 @@
       this.#refuse(response, { attempt, relayedBy: grant?.entry ?? "" });
       return;
     }
-    const { reachability } = this.#options.forwarding;
+    const { leaving, reachability } = this.#options.forwarding;
+    if (leaving.refusesRequests) {
+      const refusal = errorResponse.shuttingDown();
+      this.#refuse(response, { attempt, relayedBy: grant.entry, refusal });
+      return;
+    }
     if (reachability.refusesRelays(grant.service)) {
       this.#refuseUnreachable(response, {
         call: { attempt, relayedBy: grant.entry },
--- a/apps/heroncleatd/gateway/shutdown/departure_deadline.ts
+++ b/apps/heroncleatd/gateway/shutdown/departure_deadline.ts
@@ -12,7 +12,7 @@
 export class DepartureDeadline {
   readonly #clock: Pick<Clock, "steady">;
   #exitsAt: Milliseconds = Infinity;
-  #acceptsRequests = true;
+  #refusesRequests = false;
 
   constructor(clock: Pick<Clock, "steady">) {
     this.#clock = clock;
@@ -45,12 +45,17 @@
 
   /** Refuses all further requests, whatever time they have. */
   refuseRequests(): void {
-    this.#acceptsRequests = false;
+    this.#refusesRequests = true;
+  }
+
+  /** Whether all further requests are refused, whatever time they have. */
+  get refusesRequests(): boolean {
+    return this.#refusesRequests;
   }
 
   /** Whether to accept a request of a caller. */
   accepts(request: { readonly deadline: Milliseconds }): boolean {
-    return this.#acceptsRequests && this.hasTimeFor(request);
+    return !this.#refusesRequests && this.hasTimeFor(request);
   }
 
   /**
