Refused bodies keep no connections beyond the limit

A request whose body was given up to make room for a new connection kept its own one for 2 s, as did other refused ones that were read on: neither idle nor unfinished, they were counted beyond the limit and made no room.

The connection of a refused body that is too large, late or in too many chunks is closed behind its response and makes room as an idle one; what arrives is dropped without parsing it. A body that is read on, so that its caller keeps the connection, makes room as an unfinished one. Refusals of entries to each other follow the same rules.

--- a/apps/heroncleatd/common/drop_in_turns.ts
+++ b/apps/heroncleatd/common/drop_in_turns.ts
@@ -71,11 +71,7 @@
   const silenceTimer = setTimeout(end, maxSilence);
   timer.unref();
   silenceTimer.unref();
-  if (accepts({ chunks, bytes })) {
-    readable.on("data", onData);
-    readable.resume();
-  } else {
-    readable.pause();
-  }
+  readable.on("data", onData);
+  readable.resume();
   return stop;
 }
--- a/apps/heroncleatd/common/refusal_limits.ts
+++ b/apps/heroncleatd/common/refusal_limits.ts
@@ -4,6 +4,6 @@
 export const refusalLimits = {
   /** Time in which a caller may send the rest. */
   sendTime: 10_000 as Milliseconds,
-  /** The same for one that sends nothing, or had its time already. */
+  /** Time without bytes after which its connection is closed. */
   silence: 2000 as Milliseconds,
 } as const;
--- a/apps/heroncleatd/gateway/gateway.ts
+++ b/apps/heroncleatd/gateway/gateway.ts
@@ -32,7 +32,9 @@
 import type { Prompt } from "./prompt.ts";
 import type { QuotaCharger } from "./limits/quota_charger.ts";
 import { bodyRefusal } from "./body_refusal.ts";
+import { closeLingering } from "../common/close_lingering.ts";
 import { discardRequestBody } from "./discard_request_body.ts";
+import { isReadOn } from "./is_read_on.ts";
 import { readRequestBody, type RequestBody } from "./read_request_body.ts";
 import { findResumption } from "./streams/find_resumption.ts";
 import type { Resumption } from "./streams/resumption.ts";
@@ -147,8 +149,7 @@
     }
     const admitted = this.#admit(incoming, arrivedAt);
     if (admitted.kind === "refused") {
-      const chunkLimit = this.#options.chunkLimit();
-      const endAfter = discardRequestBody(incoming, { chunkLimit });
+      const endAfter = this.#discardBody(incoming);
       recordRefusedResumption(incoming.headers, {
         response: admitted.response,
         reason: StopReason.notAdmitted,
@@ -198,21 +199,24 @@
       recordCutRequest({ request, arrivedAt, response }, this.#options);
       return;
     }
-    const isFragmented = body.kind === "fragmented";
-    if (body.kind === "too_large" || isFragmented) {
-      response.shouldKeepAlive = false;
+    const endAfter = isReadOn(body) ? this.#discardBody(incoming) : undefined;
+    if (endAfter === undefined) {
+      closeLingering(response);
     }
-    const endAfter = discardRequestBody(incoming, {
-      chunkLimit: this.#options.chunkLimit(),
-      isRead: !isFragmented,
-      isLate: body.kind === "late",
-    });
     this.#options.metrics.increment(`gateway.refused_bodies.${body.kind}`);
     this.#refuse({ incoming, response }, bodyRefusal(body, limit), {
       endAfter,
     });
   }
 
+  #discardBody(incoming: IncomingMessage): Promise<void> {
+    const { chunkLimit, unfinished } = this.#options;
+    return discardRequestBody(incoming, {
+      chunkLimit: chunkLimit(),
+      unfinished,
+    });
+  }
+
   async #serveComplete(
     { incoming, response }: {
       incoming: IncomingMessage;
--- a/apps/heroncleatd/gateway/relay/relayed_requests.ts
+++ b/apps/heroncleatd/gateway/relay/relayed_requests.ts
@@ -24,7 +24,9 @@
 import { outputTokensOf } from "../output_tokens_of.ts";
 import type { Prompt } from "../prompt.ts";
 import { bodyRefusal } from "../body_refusal.ts";
+import { closeLingering } from "../../common/close_lingering.ts";
 import { discardRequestBody } from "../discard_request_body.ts";
+import { isReadOn } from "../is_read_on.ts";
 import type { LocalResponse } from "../responses/local_response.ts";
 import { readRequestBody } from "../read_request_body.ts";
 import { recordResult } from "../record_result.ts";
@@ -162,12 +164,12 @@
       return;
     }
     metrics.increment("relay.unserved");
-    const isFragmented = body.kind === "fragmented";
-    response.shouldKeepAlive = body.kind !== "too_large" && !isFragmented;
-    void discardRequestBody(incoming, {
-      chunkLimit,
-      isRead: !isFragmented,
-    });
+    if (isReadOn(body)) {
+      const { unfinished } = this.#options;
+      void discardRequestBody(incoming, { chunkLimit, unfinished });
+    } else {
+      closeLingering(response);
+    }
     const refusal = body.kind === "too_large"
       ? undefined
       : bodyRefusal(body, limit);
--- a/apps/heroncleatd/gateway/unfinished_bodies_test.ts
+++ b/apps/heroncleatd/gateway/unfinished_bodies_test.ts
@@ -105,3 +105,26 @@
     expect(counts.get(`connections.refused.${name}`)).toBeUndefined();
   },
 );
+
+// Guards against refused bodies that take connections beyond the limit.
+test.each([
+  ["callers", ADDRESS],
+  ["relays", RELAY_ADDRESS],
+])(
+  "unfinished bodies at %s that are given up keep no connections",
+  async (_, address) => {
+    const callers: Caller[] = [];
+    for (let count = 1; count <= 4 * MAX_CONNECTIONS; count += 1) {
+      callers.push(await begin(address, `a${count}`));
+      const givenUp = callers.slice(0, -MAX_CONNECTIONS);
+      await waitUntil(() => givenUp.every(({ received }) => received() !== ""));
+    }
+    await waitUntil(() => callers[0]!.isClosed());
+    const open = callers.filter(({ isClosed }) => !isClosed());
+    expect(open.length).toBeLessThanOrEqual(MAX_CONNECTIONS + 2);
+    for (const { socket, received, isClosed } of callers) {
+      expect(received() === "" && isClosed()).toBe(false);
+      socket.destroy();
+    }
+  },
+);
