A probe without a descriptor doesn't find an upstream reachable

probeUpstream said true where the process had no descriptor to try. An entry that was cut off took itself for reconnected, and runs at a replaced instance could be given up for a replacement that nobody had tried. It says undefined now: that changes nothing about reachability, gives up no run, and an upstream suspected of a crash still counts as one that may run.

The test of the probe asserted true, the fault; it asserts undefined now, and that neither conclusion is drawn is asserted at both users.

--- a/apps/heroncleatd/common/probe_upstream.ts
+++ b/apps/heroncleatd/common/probe_upstream.ts
@@ -8,20 +8,20 @@
 const PROBE_TIMEOUT: Milliseconds = 300;
 
 /**
- * Whether a TCP connection to an upstream's address can be opened, as far as
- * this process can tell: without a descriptor to try, true. Sends no data.
+ * Whether a TCP connection to an upstream's address can be opened; undefined if
+ * this process has no descriptor left to try. Sends no data.
  *
  * @param address host:port
  */
 export function probeUpstream(
   address: string,
   connect: ConnectionOpener = connectDirectly,
-): Promise<boolean> {
+): Promise<boolean | undefined> {
   const { host, port } = splitAddress(address);
   return new Promise((resolve) => {
     const options = { host, port, timeout: PROBE_TIMEOUT };
     const socket = openConnection(options, connect);
-    const settle = (isReachable: boolean) => {
+    const settle = (isReachable: boolean | undefined) => {
       socket.destroy();
       resolve(isReachable);
     };
@@ -29,7 +29,8 @@
     socket.once("timeout", () => settle(false));
     socket.once(
       "error",
-      ({ code }: NodeJS.ErrnoException) => settle(lacksDescriptors(code)),
+      ({ code }: NodeJS.ErrnoException) =>
+        settle(lacksDescriptors(code) ? undefined : false),
     );
   });
 }
--- a/apps/heroncleatd/entry/suspect_sync.ts
+++ b/apps/heroncleatd/entry/suspect_sync.ts
@@ -56,7 +56,8 @@
       clock,
       log: context.log("crashes"),
       metrics,
-      probe: probeUpstream,
+      // One that can't be tried hasn't ended, as far as is known.
+      probe: async (address) => await probeUpstream(address) !== false,
       isReplaced: (instance) => !this.#runningInstances.has(instance),
       // Upstreams without requests aren't connected to.
       serviceOf: () => undefined,
--- a/apps/heroncleatd/gateway/relay/reachability_watcher.ts
+++ b/apps/heroncleatd/gateway/relay/reachability_watcher.ts
@@ -18,8 +18,11 @@
   readonly log: Log;
   readonly metrics: Metrics;
   readonly listUpstreams: () => Iterable<KnownUpstream>;
-  /** Whether a connection to an address (host:port) can be opened. */
-  readonly probe: (address: string) => Promise<boolean>;
+  /**
+   * Whether a connection to an address (host:port) can be opened; undefined if
+   * that can't be tried.
+   */
+  readonly probe: (address: string) => Promise<boolean | undefined>;
   /** Called when this entry loses all upstreams of a service, or regains one. */
   readonly onChange: () => void;
   /** Closes the idle connections to an upstream. */
@@ -180,7 +183,7 @@
   async mayRun(address: string): Promise<boolean> {
     const upstream = this.#findByAddress(address);
     if (upstream === undefined) {
-      return await this.#options.probe(address);
+      return await this.#options.probe(address) !== false;
     }
     if (await this.#probeInTurn(upstream)) {
       return true;
@@ -214,7 +217,7 @@
 
   /**
    * Probes an upstream, and if it fails others until one accepts a connection
-   * or this entry is cut off. Returns whether the first one accepts.
+   * or this entry is cut off. Returns whether the first one didn't fail.
    */
   async #probeInTurn(upstream: KnownUpstream): Promise<boolean> {
     if (await this.#probe(upstream)) {
@@ -282,11 +285,15 @@
     };
   }
 
+  /** Returns whether the upstream didn't fail. */
   async #probe({ record }: KnownUpstream): Promise<boolean> {
     const { clock, log, metrics, probe } = this.#options;
     const startedAt = clock.steady();
     metrics.increment("reachability.probes");
     const isReachable = await probe(record.address);
+    if (isReachable === undefined) {
+      return true;
+    }
     if (!isReachable) {
       this.recordFailure(record, { startedAt, isSilent: true });
     } else if (this.#stateOf(record.service).recordConnection(clock.steady())) {
--- a/apps/heroncleatd/gateway/upstreams/replaced_runs.ts
+++ b/apps/heroncleatd/gateway/upstreams/replaced_runs.ts
@@ -9,8 +9,11 @@
 type ReplacedRunsOptions = {
   readonly listRetired: () => readonly RetiredAgent[];
   readonly directory: Pick<UpstreamDirectory, "get" | "findReplacement">;
-  /** Whether a connection to an address (host:port) can be opened. */
-  readonly probe: (address: string) => Promise<boolean>;
+  /**
+   * Whether a connection to an address (host:port) can be opened; undefined if
+   * that can't be tried.
+   */
+  readonly probe: (address: string) => Promise<boolean | undefined>;
   readonly log: Log;
 };
 
@@ -54,7 +57,9 @@
       const isUp = await this.#options.probe(replacement);
       // Reads first what has arrived meanwhile.
       await setImmediate();
-      if (isUp && this.#findReplacementAddress(upstream) === replacement) {
+      if (
+        isUp === true && this.#findReplacementAddress(upstream) === replacement
+      ) {
         this.#giveUp(
           upstream,
           candidates.filter((run) => this.#mayStillGiveUp(run)),
