A relay without a descriptor doesn't take a sound entry for unable

Where a request couldn't be passed on for want of a descriptor here, the other entry was recorded as one that reaches no upstream, and got no requests for some time. It isn't now, entries with a kept connection are still asked, and gateway.without_descriptor counts it.

Measured: the next request, with descriptors again, was refused before and is sent now.

--- a/apps/heroncleatd/gateway/relay/relay.ts
+++ b/apps/heroncleatd/gateway/relay/relay.ts
@@ -1,6 +1,7 @@
 import { type Clock, type Milliseconds, splitAddress } from "@heroncleat/base";
 import { type KnownEntry, RelayEntries } from "@heroncleat/serving";
 import type { Metrics } from "../../common/metrics.ts";
+import { lacksDescriptors } from "../../common/lacks_descriptors.ts";
 import { refusesConnections } from "../../common/refuses_connections.ts";
 import type { AttemptOptions } from "../attempts/attempt_options.ts";
 import { AttemptTrace } from "../attempts/attempt_trace.ts";
@@ -110,6 +111,11 @@
       options.recordRefusal(
         sent.trace.describe(`refused, ${last.refusal}, ${response.reason}`),
       );
+      if (lacksDescriptors(response.reason)) {
+        // Another entry may have a kept connection.
+        metrics.increment("gateway.without_descriptor");
+        continue;
+      }
       if (
         last.refusal === RelayRefusal.unreachable && !options.signal.aborted
       ) {
--- a/apps/heroncleatd/gateway/relay/relay_test.ts
+++ b/apps/heroncleatd/gateway/relay/relay_test.ts
@@ -1,5 +1,5 @@
 import { createServer, type ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
+import { type AddressInfo, connect, Socket } from "node:net";
 import type { AttemptOptions } from "../attempts/attempt_options.ts";
 import { createTestContext } from "../create_test_context.ts";
 import { createTestRequest } from "../create_test_request.ts";
@@ -91,6 +91,38 @@
   },
 );
 
+// Guards against a shortage of descriptors here that keeps requests from sound
+// entries once it is over.
+test("an entry that couldn't be connected to for want of a descriptor is asked again", async () => {
+  let hasDescriptors = false;
+  const relay = await startTestRelay(
+    (_message, response) => {
+      response.setHeader(names.attempt, "a1");
+      response.setHeader(names.digest, "d");
+      response.end();
+    },
+    (close) => closers.push(close),
+    {
+      open: (target) => {
+        if (hasDescriptors) {
+          return connect(target);
+        }
+        const socket = new Socket();
+        const error = Object.assign(new Error("connect"), { code: "EMFILE" });
+        process.nextTick(() => socket.destroy(error));
+        return socket;
+      },
+    },
+  );
+  expect(await relay.send(call, options)).toMatchObject({ kind: "refused" });
+  hasDescriptors = true;
+  const result = await relay.send(call, options);
+  expect(result).toMatchObject({ kind: "sent", response: { kind: "head" } });
+  if (result.kind === "sent" && result.response.kind === "head") {
+    result.response.message.resume();
+  }
+});
+
 test("an entry at which a request waits until its caller leaves is asked again", async () => {
   const caller = new AbortController();
   const relay = await createRelayTo(() => caller.abort("caller_left"));
