An entry receives datagrams once its predecessor has freed the port

Cause: the socket for notices was bound once; if its port was in use, the entry sent from any other port and received nothing for as long as it ran. Change: binding is tried again for 8 s as for the other ports. Until then notices count as failed, since sending binds the socket to any port.

--- a/apps/heroncleatd/gateway/exchange/entry_notices.ts
+++ b/apps/heroncleatd/gateway/exchange/entry_notices.ts
@@ -1,5 +1,11 @@
 import { createSocket, type Socket } from "node:dgram";
-import { type Clock, RateLimiter, splitAddress } from "@heroncleat/base";
+import { once } from "node:events";
+import {
+  type Clock,
+  RateLimiter,
+  splitAddress,
+  waitForAddress,
+} from "@heroncleat/base";
 import { checkEntryNotice, type EntryNotice } from "@heroncleat/schema";
 import type { Log } from "../../common/log.ts";
 import type { Metrics } from "../../common/metrics.ts";
@@ -60,6 +66,8 @@
   #peers: readonly string[] = [];
   #peerHosts: ReadonlySet<string> = new Set();
   readonly #lineLimiter = new RateLimiter(LINES_PER_SECOND, LINE_BURST);
+  /** Whether another process uses the port. */
+  #isWaiting = false;
   #isClosed = false;
 
   constructor(options: NoticeOptions) {
@@ -69,18 +77,12 @@
       strangerBytesPerSecond,
       strangerBytesPerSecond * STRANGER_BURST_SECONDS,
     );
-    const { host, port } = splitAddress(options.address);
-    this.#port = port;
+    this.#port = splitAddress(options.address).port;
     this.#socket = createSocket("udp4");
-    this.#socket.on("error", (error) => {
-      options.log.warn("Datagrams between entries failed", {
-        error: String(error),
-      });
-    });
     this.#socket.on("message", (bytes, { address }) => {
       this.#receive(bytes, address);
     });
-    this.#socket.bind({ address: host, port });
+    this.#listen();
     this.#socket.unref();
   }
 
@@ -115,6 +117,34 @@
     this.#socket.close();
   }
 
+  async #listen(): Promise<void> {
+    const { address, log } = this.#options;
+    const onError = (error: unknown) =>
+      log.warn("Datagrams between entries failed", { error: String(error) });
+    try {
+      await waitForAddress(address, {
+        listen: () => this.#bind(),
+        onWait: (message) => {
+          this.#isWaiting = true;
+          log.warn(message);
+        },
+      });
+    } catch (error) {
+      onError(error);
+    }
+    this.#isWaiting = false;
+    this.#socket.on("error", onError);
+  }
+
+  async #bind(): Promise<void> {
+    if (!this.#isClosed) {
+      const { host, port } = splitAddress(this.#options.address);
+      const listening = once(this.#socket, "listening");
+      this.#socket.bind({ address: host, port });
+      await listening;
+    }
+  }
+
   #send(
     notice: EntryNotice,
     hosts: readonly string[],
@@ -132,6 +162,11 @@
       metrics.increment("entry_notices.over_budget");
       return;
     }
+    if (this.#isWaiting) {
+      // Sending binds the socket to any port, so that it could never receive.
+      metrics.increment("entry_notices.failed", amount);
+      return;
+    }
     const bytes = Buffer.from(JSON.stringify(notice));
     for (const host of hosts) {
       // A datagram that can't be sent is treated like a lost one.
--- a/apps/heroncleatd/gateway/exchange/entry_notices_test.ts
+++ b/apps/heroncleatd/gateway/exchange/entry_notices_test.ts
@@ -1,4 +1,6 @@
 import { createSocket } from "node:dgram";
+import { once } from "node:events";
+import { setTimeout as pause } from "node:timers/promises";
 import { createSystemClock } from "@heroncleat/base";
 import type { EntryNotice } from "@heroncleat/schema";
 import type { Log } from "../../common/log.ts";
@@ -7,10 +9,11 @@
 
 const PORT = 21_000 + process.pid % 2000;
 const logged: string[] = [];
+const warned: string[] = [];
 const silentLog: Log = {
   debug: () => {},
   info: () => {},
-  warn: () => {},
+  warn: (message) => void warned.push(message),
   error: (message) => void logged.push(message),
 };
 const dispatch: EntryNotice = {
@@ -65,14 +68,18 @@
   return { notices, received, counts };
 }
 
-async function until(isTrue: () => boolean): Promise<void> {
-  const endAt = Date.now() + 5000;
+async function until(
+  isTrue: () => boolean,
+  { timeout = 5000 } = {},
+): Promise<void> {
+  const endAt = Date.now() + timeout;
   while (!isTrue() && Date.now() < endAt) {
     await new Promise((resolve) => setTimeout(resolve, 10));
   }
 }
 
 afterEach(() => {
+  warned.splice(0);
   for (const notices of openNotices.splice(0)) {
     notices.close();
   }
@@ -181,6 +188,54 @@
     expect(other.received).toEqual([{ notice: charges, from: "127.0.0.5" }]);
   });
 
+  // Guards against an entry that never hears others as its predecessor still ran.
+  test("are received once the port is free, and sent from no other one", async () => {
+    const previous = createSocket("udp4").bind(PORT, "127.0.0.14");
+    await once(previous, "listening");
+    const other = start("127.0.0.15", ["127.0.0.14"]);
+    const entry = start("127.0.0.14", ["127.0.0.15"]);
+    await until(() => warned.some((line) => line.includes("in use")));
+    entry.notices.broadcast(dispatch);
+    expect(entry.counts["entry_notices.failed"]).toBe(1);
+    previous.close();
+    await until(() => {
+      other.notices.broadcast(charges);
+      return entry.received.length > 0;
+    });
+    expect(entry.received[0]).toEqual({ notice: charges, from: "127.0.0.15" });
+    entry.notices.broadcast(charges);
+    await until(() => other.received.length > 0);
+    expect(other.received).toEqual([{ notice: charges, from: "127.0.0.14" }]);
+    expect(warned).toHaveLength(1);
+  });
+
+  test("aren't received from a port that stays in use, which is logged", async () => {
+    const previous = createSocket("udp4").bind(PORT, "127.0.0.16");
+    await once(previous, "listening");
+    start("127.0.0.16", []);
+    await until(() => warned.length === 2, { timeout: 12_000 });
+    expect(warned).toEqual([
+      expect.stringContaining("in use"),
+      expect.stringContaining("Datagrams between entries failed"),
+    ]);
+    previous.close();
+  });
+
+  test("aren't received after closing while the port is in use", async () => {
+    const previous = createSocket("udp4").bind(PORT, "127.0.0.17");
+    await once(previous, "listening");
+    const { notices } = start("127.0.0.17", []);
+    await until(() => warned.length > 0);
+    notices.close();
+    openNotices.splice(openNotices.indexOf(notices), 1);
+    previous.close();
+    await pause(200);
+    const next = createSocket("udp4").bind(PORT, "127.0.0.17");
+    await once(next, "listening");
+    next.close();
+    expect(warned).toHaveLength(1);
+  });
+
   test("aren't sent after closing", () => {
     const entry = start("127.0.0.6", ["127.0.0.7"]);
     entry.notices.close();
