--- a/apps/heroncleatd/gateway/refused_bodies_test.ts
+++ b/apps/heroncleatd/gateway/refused_bodies_test.ts
@@ -21,6 +21,7 @@
 /** What is read of a refused body, and what the system's buffers take. */
 const MAX_SENT_BYTES = 80 * MIB;
 const CROWD = 20;
+const ORDINARY_CALLS = 30;
 const MAX_GROWTH_BYTES = 100 * MIB;
 
 let gateway: RunningGateway;
@@ -107,6 +108,21 @@
   return received;
 }
 
+/** Sends a small request; resolves to what was received. */
+async function callOrdinarily(): Promise<string> {
+  const [host, port] = ADDRESS.split(":");
+  const socket = connect({ host: host!, port: Number(port) });
+  let received = "";
+  socket.on("data", (bytes) => received += bytes);
+  socket.on("error", () => {});
+  socket.write(
+    `POST / HTTP/1.1\r\nHost: inn.example\r\n${names.attempt}: o1\r\n` +
+      "Connection: close\r\nContent-Length: 1\r\n\r\nx",
+  );
+  await once(socket, "close");
+  return received;
+}
+
 // Guards against resets that take a refusal from callers that are sending.
 test.each<Framing>(["stated", "chunked"])(
   "a caller that reads once it has sent a body far over the limit gets its refusal (%s)",
@@ -124,7 +140,7 @@
 });
 
 // Guards against callers that keep an entry reading.
-test("callers that send without end get their refusals and are cut, and fill no memory", async () => {
+test("callers that send without end get their refusals and are cut, fill no memory and keep out no others", async () => {
   const before = process.memoryUsage().arrayBuffers;
   let peak = 0;
   const callers = Array.from({ length: CROWD }, async () => {
@@ -138,6 +154,10 @@
     }
     return { received, sent };
   });
+  for (let at = 0; at < ORDINARY_CALLS; at += 1) {
+    // Without an upstream.
+    expect(await callOrdinarily()).toMatch(/^HTTP\/1\.1 503 [^]*Remedy: .*"}$/);
+  }
   for (const { received, sent } of await Promise.all(callers)) {
     expect(received).toMatch(/^HTTP\/1\.1 413 [^]*Remedy: .*"}$/);
     expect(sent).toBeLessThan(MAX_SENT_BYTES);
