A failure during a stop refuses requests too, and the twentieth failure is the last

Cause: found by a review. An entry that failed while it was stopping went on to accept requests for most of the grace period; a process exited at the 21st failure, not the 20th as the limit says. Change: both.

--- a/apps/heroncleatd/common/create_failure_handler.ts
+++ b/apps/heroncleatd/common/create_failure_handler.ts
@@ -30,7 +30,7 @@
     failures += 1;
     const { report, complete, timeLimit, exit } = options();
     report(error);
-    if (complete === undefined || failures > MAX_FAILURES) {
+    if (complete === undefined || failures >= MAX_FAILURES) {
       exit();
     } else if (failures === 1) {
       setTimeout(exit, timeLimit);
--- a/apps/heroncleatd/common/create_failure_handler_test.ts
+++ b/apps/heroncleatd/common/create_failure_handler_test.ts
@@ -1,6 +1,7 @@
 import { createFailureHandler } from "./create_failure_handler.ts";
 
 const TIME_LIMIT_MS = 2000;
+const MAX_FAILURES = 20;
 
 beforeEach(() => {
   jest.useFakeTimers();
@@ -64,13 +65,11 @@
 
   test("ends the process at once if it comes again and again", () => {
     const { handle, exit } = createHandler();
-    for (
-      let failure = 0;
-      failure < 100 && !exit.mock.calls.length;
-      failure += 1
-    ) {
+    for (let failure = 1; failure < MAX_FAILURES; failure += 1) {
       handle(new Error("again"));
     }
+    expect(exit).not.toHaveBeenCalled();
+    handle(new Error("again"));
     expect(exit).toHaveBeenCalledTimes(1);
   });
 });
--- a/apps/heroncleatd/gateway/shutdown/shutdown.ts
+++ b/apps/heroncleatd/gateway/shutdown/shutdown.ts
@@ -53,13 +53,11 @@
     await this.#ended;
   }
 
-  /** Refuses requests at once. A shutdown that has begun goes on as it is. */
+  /** Refuses requests at once, also if a shutdown has begun. */
   async beginAfterFailure(): Promise<void> {
-    if (this.#ended === undefined) {
-      const now = this.#options.clock.steady();
-      this.#options.deadline.refuseRequests();
-      this.#ended = this.#run(now, { closesAt: now });
-    }
+    const now = this.#options.clock.steady();
+    this.#options.deadline.refuseRequests();
+    this.#ended ??= this.#run(now, { closesAt: now });
     await this.#ended;
   }
 
