Shorter comments, and one setup for the tests of false lengths

Change: comments of five sources alone, and the setup of limit_prefill_test; what it requires is unchanged.

--- a/apps/heroncleatd/common/close_lingering.ts
+++ b/apps/heroncleatd/common/close_lingering.ts
@@ -5,9 +5,8 @@
 import { refusedConnections } from "./refused_connections.ts";
 
 /**
- * Makes a response the last one of its connection and drops what still arrives,
- * without parsing it, until the caller closes it or a limit is reached. Must be
- * called before the head is written.
+ * Makes a response the last one of its connection and drops what still arrives
+ * unparsed, within limits. Must be called before the head is written.
  *
  * @param maxSilence Time without bytes after which the connection is closed.
  */
--- a/apps/heroncleatd/common/create_failure_handler.ts
+++ b/apps/heroncleatd/common/create_failure_handler.ts
@@ -17,8 +17,7 @@
 
 /**
  * Creates the handler of exceptions that nobody caught, for `process.on`. Most of
- * them end one event of one connection, so that other requests can still be
- * completed before the process exits.
+ * them end one event of one connection; other requests can still be completed.
  *
  * @param options Returns the options at the time of a failure.
  */
--- a/apps/heroncleatd/common/drop_in_turns.ts
+++ b/apps/heroncleatd/common/drop_in_turns.ts
@@ -25,10 +25,9 @@
 };
 
 /**
- * Reads and drops what the caller of a refused request still sends, in turn with
- * other such callers, and within limits. A connection that is closed with bytes
- * unread is reset, and a caller that is still sending may lose its response.
- * Returns a function that stops it.
+ * Reads and drops what the caller of a refused request still sends, within
+ * limits: a connection that is closed with bytes unread is reset, and its caller
+ * may lose the response. Returns a function that stops it.
  */
 export function dropInTurns(
   readable: Readable,
--- a/apps/heroncleatd/gateway/discard_request_body.ts
+++ b/apps/heroncleatd/gateway/discard_request_body.ts
@@ -6,8 +6,8 @@
 import type { UnfinishedBodies } from "../common/unfinished_bodies.ts";
 
 /**
- * Reads and drops the rest of a body, so that the connection can be used again.
- * Resolves at its end, or at a limit, when the connection closes.
+ * Reads and drops the rest of a body, so that the connection can be used again,
+ * or closes the connection at a limit.
  *
  * @param options.chunkLimit Beyond it nothing more is read.
  * @param options.unfinished The bodies that make room for new connections.
--- a/packages/serving/limit_prefill.ts
+++ b/packages/serving/limit_prefill.ts
@@ -3,8 +3,7 @@
 
 /**
  * Limits the prefill of a request, its time and tokens, to the time that it has
- * left, as an upstream stops when it is given up. Callers state the length of
- * prompts, so that one may seem to take years, and to evict all that is cached.
+ * left. Callers state the length of prompts, so that one may seem to take years.
  *
  * @public
  */
--- a/packages/serving/limit_prefill_test.ts
+++ b/packages/serving/limit_prefill_test.ts
@@ -9,12 +9,12 @@
 const TIME_LEFT = 1500;
 const TOKENS = 1_000_000_000;
 
-// Guards against an upstream that gets no requests for years.
-test("a prompt of false length counts as work at most until its request is given up", () => {
+/** A balancer with one upstream, and its choice for a prompt without parts. */
+function createBalancer() {
   const directory = new UpstreamDirectory();
   directory.merge(testRecord({ id: "u0", name: "u0" }), 0);
   const balancer = new UpstreamBalancer();
-  const choose = (promptTokens: number, now: number) =>
+  const choose = (promptTokens: number, now = 0) =>
     balancer.choose(directory.list(), {
       request: {
         service: "writers",
@@ -26,6 +26,12 @@
       now,
       requiresHeartbeats: false,
     })!;
+  return { balancer, choose };
+}
+
+// Guards against an upstream that gets no requests for years.
+test("a prompt of false length counts as work at most until its request is given up", () => {
+  const { balancer, choose } = createBalancer();
   const chosen = limitPrefill(choose(TOKENS, 0), { timeLeft: TIME_LEFT });
   const notice = balancer.begin(chosen, { parts: [], now: 0 });
   expect(notice.readTime).toBe(TIME_LEFT);
@@ -37,21 +43,7 @@
 
 // Guards against a few such prompts that keep others away for their timeouts.
 test("a prompt of false length doesn't count as work once its prefill has ended", () => {
-  const directory = new UpstreamDirectory();
-  directory.merge(testRecord({ id: "u0", name: "u0" }), 0);
-  const balancer = new UpstreamBalancer();
-  const choose = (promptTokens: number, now: number) =>
-    balancer.choose(directory.list(), {
-      request: {
-        service: "writers",
-        zone: "a",
-        parts: [],
-        promptTokens,
-        excluded: new Set<string>(),
-      },
-      now,
-      requiresHeartbeats: false,
-    })!;
+  const { balancer, choose } = createBalancer();
   const send = (promptTokens: number) => {
     const chosen = limitPrefill(choose(promptTokens, 0), {
       timeLeft: TIME_LEFT,
@@ -76,21 +68,7 @@
 
 // Guards against estimates for other callers that a false length distorts.
 test("a prompt of false length says nothing about speeds and slots", () => {
-  const directory = new UpstreamDirectory();
-  directory.merge(testRecord({ id: "u0", name: "u0" }), 0);
-  const balancer = new UpstreamBalancer();
-  const choose = (promptTokens: number) =>
-    balancer.choose(directory.list(), {
-      request: {
-        service: "writers",
-        zone: "a",
-        parts: [],
-        promptTokens,
-        excluded: new Set<string>(),
-      },
-      now: 0,
-      requiresHeartbeats: false,
-    })!;
+  const { balancer, choose } = createBalancer();
   for (let index = 0; index < 60; index += 1) {
     const chosen = index % 2 === 0
       ? choose(100)
